--- /dev/null
+++ b/cmd/hingewinchd/main.go
@@ -0,0 +1,82 @@
+// Command hingewinchd is the daemon that runs on every entry VM.
+//
+// # Usage
+//
+//	hingewinchd --settings /etc/hingewinch/hingewinchd.yaml
+//
+// SIGTERM or SIGINT begins a planned stop, which ends when the last request in
+// flight has its answer. Exit codes: 0 after a planned stop, 1 when a server
+// failed, 2 when the settings or the command line are wrong.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
+
+	"hingewinch.org/hingewinch/daemon"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon (YAML)"`
+	Check    bool   `long:"check" description:"check the settings file and end"`
+	Version  bool   `long:"version" description:"print the version and end"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	if o.Version {
+		fmt.Println("hingewinchd", daemon.Version)
+		return 0
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "hingewinchd: no settings file; give one with --settings FILE")
+		return exitUsage
+	}
+	settings, err := daemon.LoadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if o.Check {
+		return 0
+	}
+	return serve(settings)
+}
+
+func serve(settings *daemon.Settings) int {
+	logger := &log.Logger{Level: log.ParseLevel(settings.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}}
+	d, err := daemon.New(settings, logger)
+	if err != nil {
+		logger.Error().Err(err).Msg("daemon: start failed")
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		logger.Error().Err(err).Msg("daemon: a server failed")
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/coordination/assemble.go
@@ -0,0 +1,83 @@
+// This file decides which chunks of an upstream's stream belong to the answer.
+// It is apart from the relay so that a property test can drive it with every
+// order of late, repeated, lost and foreign chunks.
+
+package coordination
+
+// Chunk is what the assembler needs to know of one event of a stream.
+type Chunk struct {
+	Stream string // the upstream's id of the stream; empty if it gives none
+	Seq    uint64 // position from 1; 0 if the upstream numbers nothing
+	Final  bool   // the protocol's terminator
+}
+
+// Verdict says what to do with a chunk.
+type Verdict uint8
+
+// The verdicts on a chunk.
+const (
+	// Forward means that the chunk is the next part of the answer.
+	Forward Verdict = iota + 1
+	// Drop means that the chunk repeats what was forwarded, or belongs to
+	// another stream.
+	Drop
+	// Missing means that chunks before this one are lost. The stream must be
+	// resumed after Position, or the answer ends in an error.
+	Missing
+)
+
+// Assembler accepts the chunks of one answer in order. Its zero value is ready.
+type Assembler struct {
+	stream   string
+	position uint64
+	numbered bool
+	begun    bool
+	final    bool
+}
+
+// Accept decides on a chunk.
+func (a *Assembler) Accept(c Chunk) Verdict {
+	if a.final {
+		return Drop
+	}
+	if !a.begun {
+		a.begun = true
+		a.stream = c.Stream
+		a.numbered = c.Seq != 0
+	}
+	if c.Stream != a.stream {
+		return Drop
+	}
+	if !a.numbered {
+		return a.forward(c)
+	}
+	switch {
+	case c.Seq == 0:
+		// A chunk without a number in a numbered stream has no place.
+		return Missing
+	case c.Seq <= a.position:
+		return Drop
+	case c.Seq > a.position+1:
+		return Missing
+	}
+	a.position = c.Seq
+	return a.forward(c)
+}
+
+func (a *Assembler) forward(c Chunk) Verdict {
+	a.final = c.Final
+	return Forward
+}
+
+// Whole reports whether the terminator has been forwarded. Nothing else makes
+// an answer whole.
+func (a *Assembler) Whole() bool { return a.final }
+
+// Begun reports whether any chunk has been accepted.
+func (a *Assembler) Begun() bool { return a.begun }
+
+// Resumable reports whether the upstream can be asked for the rest, and after
+// which position.
+func (a *Assembler) Resumable() (stream string, after uint64, ok bool) {
+	return a.stream, a.position, a.begun && a.numbered && a.stream != "" && !a.final
+}
--- /dev/null
+++ b/coordination/choose.go
@@ -0,0 +1,76 @@
+// This file chooses the upstream of a request. It is apart from the rest
+// because it runs for every request, on a snapshot, without allocation.
+
+package coordination
+
+import "hingewinch.org/hingewinch/state"
+
+// Choose returns the upstream for a chat: of the candidates whose gate lets the
+// chat pass, the one that ranks highest. If no gate lets it pass, the candidate
+// with the widest gate is taken, because an overloaded answer is worth more
+// than none; admission has already decided by then. avoid holds candidates that
+// have just refused. The result is false only if every candidate is avoided.
+//
+// The gate is tested by a hash of chat and candidate and not by chance, so that
+// the same chats overflow in every daemon, and to the same second choice. When
+// a gate moves by a tenth, a tenth of that candidate's chats move and no other.
+func Choose(p *state.Pool, key state.ChatKey, avoid []state.UpstreamID) (*state.Candidate, bool) {
+	var best, widest *state.Candidate
+	var bestScore uint64
+	for i := range p.Candidates {
+		c := &p.Candidates[i]
+		if avoided(avoid, c.ID) {
+			continue
+		}
+		if widest == nil || c.Gate > widest.Gate {
+			widest = c
+		}
+		s := score(uint64(key), c.Hash)
+		if best != nil && s <= bestScore {
+			continue
+		}
+		if passes(s, c.Gate) {
+			best, bestScore = c, s
+		}
+	}
+	if best == nil {
+		best = widest
+	}
+	return best, best != nil
+}
+
+// passes draws the thinning hash from the score by a second mix: the score's
+// own bits are large for a chat's home and would not be a fair draw.
+func passes(score uint64, g state.Gate) bool {
+	return g == state.GateFull || state.Gate(mix(score)>>48) < g
+}
+
+func avoided(avoid []state.UpstreamID, id state.UpstreamID) bool {
+	for _, a := range avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+// rankFirst returns the member with the highest score for a key, or nil.
+func rankFirst(members []state.Member, key uint64) *state.Member {
+	var best *state.Member
+	var bestScore uint64
+	for i := range members {
+		s := score(key, Hash(members[i].ID))
+		if best == nil || s > bestScore {
+			best, bestScore = &members[i], s
+		}
+	}
+	return best
+}
+
+// HoldsDuty reports whether self is the daemon that ranks first among members
+// for a duty. Two daemons whose lists differ may both hold one; every duty is
+// designed so that this does no harm.
+func HoldsDuty(members []state.Member, self state.DaemonID, duty string) bool {
+	m := rankFirst(members, Hash(duty))
+	return m != nil && m.ID == string(self)
+}
--- /dev/null
+++ b/coordination/documents.go
@@ -0,0 +1,206 @@
+// This file holds the Fleet's rules for the two documents that the platform
+// publishes: the operators' file and the member list. A document is taken whole
+// and never followed by an older one.
+
+package coordination
+
+import (
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+func (f *Fleet) configHead() state.Head {
+	if f.config == nil {
+		return state.Head{}
+	}
+	return f.config.Head()
+}
+
+func (f *Fleet) listHead() state.Head {
+	if f.list == nil {
+		return state.Head{}
+	}
+	return f.list.Head
+}
+
+func (f *Fleet) takeConfig(now time.Time, c *state.Config) {
+	old, head := f.configHead(), c.Head()
+	if head.Version == old.Version && head != old && !old.IsZero() {
+		f.note(EventConfigClash, head.String(), "two contents carry version %d: %v and %v; the higher digest is in force, publish a higher version", head.Version, old, head)
+	}
+	if head.Compare(old) <= 0 {
+		return
+	}
+	if RulesOf(c).Window > RulesOf(f.config).Window {
+		f.windowSince = now
+	}
+	f.config = c
+	f.dirty = true
+	f.note(EventConfigTaken, head.String(), "configuration %v follows %v", head, old)
+	f.settle(now)
+	f.arrange()
+	f.tellAll()
+}
+
+func (f *Fleet) refuseConfig(ev ConfigRefused) {
+	if f.refused[ev.Head] {
+		return
+	}
+	f.refused[ev.Head] = true
+	f.note(EventConfigRefused, ev.Head.String(), "configuration is not valid and not applied: %v", ev.Err)
+}
+
+// settle lets traffic use the configuration once enough peers have been asked
+// for a newer one: a platform that serves a stale value to a daemon that has
+// just started must not bring an old configuration back.
+func (f *Fleet) settle(now time.Time) {
+	if f.settled || f.config == nil {
+		return
+	}
+	others := len(f.list.Daemons()) - 1
+	if len(f.peersMet) >= min(max(others, len(f.self.Seeds)), 2) || now.Sub(f.started) >= settleTime {
+		f.settled = true
+		f.dirty = true
+	}
+}
+
+func (f *Fleet) learnList(now time.Time, ev ListLearned) {
+	switch c := ev.List.Head.Compare(f.listHead()); {
+	case c < 0:
+		return
+	case c == 0:
+		f.confirmList(ev.List.Head, ev.Asked)
+		return
+	}
+	if collapsed(f.list, ev.List) {
+		f.doubt(now, ev.List)
+		return
+	}
+	f.takeList(now, ev.List)
+	f.confirmList(ev.List.Head, ev.Asked)
+}
+
+// confirmList moves the confirmation of the list in force forward. A list that
+// is doubted is newer than the one in force, which then can't be confirmed.
+func (f *Fleet) confirmList(head state.Head, asked time.Time) {
+	if asked.IsZero() || f.list == nil || head != f.list.Head || f.doubted != nil || !asked.After(f.confirmed) {
+		return
+	}
+	f.confirmed = asked
+	f.epochDirty = true
+}
+
+// collapseShare is the part of the live members that a list must keep to be
+// obeyed at once, and collapseMin the number of members from which that rule
+// makes sense.
+const (
+	collapseShare = 0.5
+	collapseMin   = 4
+)
+
+func collapsed(old, next *state.MemberList) bool {
+	before, kept := 0, 0
+	if old == nil {
+		return false
+	}
+	for i := range old.Members {
+		m := &old.Members[i]
+		if m.State != state.Live {
+			continue
+		}
+		before++
+		if n := next.Find(m.ID); n != nil && n.State == state.Live {
+			kept++
+		}
+	}
+	return before >= collapseMin && float64(kept) < collapseShare*float64(before)
+}
+
+// doubt holds a collapsed list back. It is taken if it is still the newest when
+// the doubt ends; until then the last good one serves, and what upstreams say
+// of themselves still counts.
+func (f *Fleet) doubt(now time.Time, l *state.MemberList) {
+	if f.doubted != nil && l.Head.Compare(f.doubted.Head) <= 0 {
+		return
+	}
+	if f.doubted == nil {
+		f.doubtEnds = now.Add(doubtTime)
+	}
+	f.doubted = l
+	f.note(EventListDoubted, l.Head.String(), "list %v lost most members; the last good one serves for up to %v", l.Head, doubtTime)
+}
+
+func (f *Fleet) endDoubt(now time.Time) {
+	if f.doubted == nil || now.Before(f.doubtEnds) {
+		return
+	}
+	f.takeList(now, f.doubted)
+}
+
+func (f *Fleet) takeList(now time.Time, l *state.MemberList) {
+	f.notePeers(l)
+	f.note(EventListTaken, l.Head.String(), "member list %v follows %v", l.Head, f.listHead())
+	f.list = l
+	f.doubted = nil
+	f.history = append([]state.DatedList{{List: l, Taken: now}}, f.history...)
+	f.pruneHistory(now)
+	f.dropReports()
+	f.dirty = true
+	f.arrange()
+	f.tellAll()
+}
+
+// pruneHistory keeps the lists that matter for the quiet time: those taken
+// within it, and the one before them.
+func (f *Fleet) pruneHistory(now time.Time) {
+	quiet := RulesOf(f.config).QuietTime()
+	for i := range f.history {
+		if now.Sub(f.history[i].Taken) > quiet {
+			f.history = f.history[:i+1]
+			return
+		}
+	}
+}
+
+// readPlatform asks for a look at the platform if this daemon is one of the
+// readers of its failure domain. Where the list grows old all the same, the
+// readers may be gone: then each daemon asks with a chance that keeps the
+// expected number of calls of the whole domain at that of the readers.
+func (f *Fleet) readPlatform(now time.Time) {
+	if now.Before(f.nextRead) {
+		return
+	}
+	near := f.domainDaemons()
+	if !f.isReader(near) && f.list != nil {
+		fresh := !f.confirmed.IsZero() && now.Sub(f.confirmed) < strayReadAge
+		if fresh || f.rng.IntN(len(near)+1) >= readersPerDomain {
+			return
+		}
+	}
+	// The jitter keeps daemons that started together apart.
+	f.nextRead = now.Add(platformInterval + time.Duration(f.rng.Int64N(int64(platformInterval/4))))
+	f.emit(ReadPlatform{})
+}
+
+// domainDaemons returns the usable daemons of the own failure domain.
+func (f *Fleet) domainDaemons() []state.Member {
+	var out []state.Member
+	for _, m := range f.list.Daemons() {
+		if m.Domain == f.self.Domain && f.usablePeer(&m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+var readerDuties = [readersPerDomain]string{"platform/1", "platform/2"}
+
+func (f *Fleet) isReader(near []state.Member) bool {
+	for _, duty := range readerDuties {
+		if HoldsDuty(near, f.self.ID, duty) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/event.go
@@ -0,0 +1,156 @@
+// This file defines what a Fleet is told and what it asks for. Both are sealed:
+// a type switch over them is complete.
+
+package coordination
+
+import (
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// Event is something that a Fleet is told.
+type Event interface{ isEvent() }
+
+// ConfigLearned brings a parsed configuration, from the platform or a peer.
+type ConfigLearned struct{ Config *state.Config }
+
+// ConfigRefused says that the content of a head does not parse. It is not
+// fetched again.
+type ConfigRefused struct {
+	Head state.Head
+	Err  error
+}
+
+// ListLearned brings a member list. Asked is when the platform was asked for
+// it; it is zero if the list comes from a peer.
+type ListLearned struct {
+	List  *state.MemberList
+	Asked time.Time
+}
+
+// ListConfirmed says that the platform, asked at Asked, still publishes the
+// list of that head.
+type ListConfirmed struct {
+	Head  state.Head
+	Asked time.Time
+}
+
+// UpstreamSeen brings what an upstream said of itself to the daemon that
+// watches it.
+type UpstreamSeen struct {
+	ID          state.UpstreamID
+	Incarnation state.Incarnation
+	State       state.MemberState
+	Load        state.Load
+}
+
+// UpstreamFailed says that an attempt of this daemon could not reach an
+// upstream or was refused by it.
+type UpstreamFailed struct{ ID state.UpstreamID }
+
+// NewsReceived brings a peer's news. Asked is when this daemon sent the request
+// that the news answers; it is zero if the peer began the exchange.
+type NewsReceived struct {
+	News  News
+	Asked time.Time
+}
+
+// PeerFailed says that an exchange with a peer failed.
+type PeerFailed struct{ ID state.DaemonID }
+
+// Tick says that time has passed. Wall is the wall clock, by which a pause is
+// noticed during which the monotonic clock stood still.
+type Tick struct{ Wall time.Time }
+
+// StopBegun says that this daemon is being stopped as planned.
+type StopBegun struct{}
+
+func (ConfigLearned) isEvent()  {}
+func (ConfigRefused) isEvent()  {}
+func (ListLearned) isEvent()    {}
+func (ListConfirmed) isEvent()  {}
+func (UpstreamSeen) isEvent()   {}
+func (UpstreamFailed) isEvent() {}
+func (NewsReceived) isEvent()   {}
+func (PeerFailed) isEvent()     {}
+func (Tick) isEvent()           {}
+func (StopBegun) isEvent()      {}
+
+// Effect is something that a Fleet asks its owner to do.
+type Effect interface{ isEffect() }
+
+// Publish hands out a new snapshot.
+type Publish struct{ Snapshot *state.Snapshot }
+
+// SendNews asks for an exchange with a peer. The answer comes back as
+// [NewsReceived], a failure as [PeerFailed].
+type SendNews struct {
+	Peer state.Member
+	News News
+}
+
+// Reply is the answer to an exchange that a peer began.
+type Reply struct{ News News }
+
+// FetchConfig asks for the content of a head that a peer has.
+type FetchConfig struct {
+	Peer state.Member
+	Head state.Head
+}
+
+// FetchList asks for the member list of a head that a peer has.
+type FetchList struct {
+	Peer state.Member
+	Head state.Head
+}
+
+// WatchUpstreams lists the upstreams that this daemon watches from now on.
+type WatchUpstreams struct{ Upstreams []state.Member }
+
+// ReadPlatform asks for one look at the platform.
+type ReadPlatform struct{}
+
+// Note is an entry for the time line.
+type Note struct {
+	Kind  EventKind
+	About string
+	Text  string
+}
+
+func (Publish) isEffect()        {}
+func (SendNews) isEffect()       {}
+func (Reply) isEffect()          {}
+func (FetchConfig) isEffect()    {}
+func (FetchList) isEffect()      {}
+func (WatchUpstreams) isEffect() {}
+func (ReadPlatform) isEffect()   {}
+func (Note) isEffect()           {}
+
+var (
+	_ Event  = Tick{}
+	_ Effect = Note{}
+)
+
+// News is what two daemons tell each other in one exchange.
+type News struct {
+	Sender      state.DaemonID
+	Incarnation state.Incarnation
+	Domain      state.FailureDomain
+	Address     string // where the sender's peers reach it
+	Leaving     bool
+	Stamp       Stamp
+	Config      state.Head
+	List        state.Head
+	ListAge     time.Duration // since the platform confirmed the list; negative if never
+	Reports     []Report
+	// Upto is the sender's position up to which Reports is complete, and Ack
+	// the last Upto that it received from the life AckLife of the other side.
+	// A side sends again what is not acknowledged.
+	Upto    uint64
+	Ack     uint64
+	AckLife state.Incarnation
+}
+
+// neverConfirmed is the ListAge of a daemon that knows no confirmed list.
+const neverConfirmed = -1
--- /dev/null
+++ b/coordination/exchange.go
@@ -0,0 +1,240 @@
+// This file holds the Fleet's exchanges with its peers: whom to talk to, what
+// to tell, what to take in.
+
+package coordination
+
+import (
+	"sort"
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// maxReportsPerNews bounds one message, so that a new daemon is brought up to
+// date in steps and no message breaks the control budget.
+const maxReportsPerNews = 64
+
+// edge is the state of the exchange with one peer.
+type edge struct {
+	life     state.Incarnation // of the peer; the positions are about it
+	acked    uint64            // our position that the peer has confirmed
+	received uint64            // the peer's position that we have taken in
+}
+
+func (f *Fleet) edge(id state.DaemonID) *edge {
+	e := f.edges[id]
+	if e == nil {
+		e = &edge{}
+		f.edges[id] = e
+	}
+	return e
+}
+
+// meetLife starts the positions anew if the peer is not the process that they
+// are about.
+func (e *edge) meetLife(life state.Incarnation) {
+	if e.life != life {
+		*e = edge{life: life}
+	}
+}
+
+// usablePeer reports whether a daemon of the list may get duties and news.
+func (f *Fleet) usablePeer(m *state.Member) bool {
+	if m.ID == string(f.self.ID) {
+		return !f.stopped
+	}
+	_, suspect := f.peerSuspects[state.DaemonID(m.ID)]
+	_, left := f.peerLeaving[state.DaemonID(m.ID)]
+	return !suspect && !left && m.State == state.Live
+}
+
+// arrange works out neighbours and duties after a change of the list, of the
+// regions or of the peers that can be reached.
+func (f *Fleet) arrange() {
+	if f.list == nil {
+		return
+	}
+	f.neighbours = neighbours(f.self, f.list.Daemons(), f.regionOf, f.usablePeer)
+	f.watch()
+}
+
+// exchangeInTurn begins an exchange with the next neighbour. While no list is
+// known the seeds of the settings are asked.
+func (f *Fleet) exchangeInTurn() {
+	f.turn++
+	if len(f.neighbours) > 0 {
+		f.send(f.neighbours[f.turn%len(f.neighbours)])
+		return
+	}
+	if len(f.self.Seeds) > 0 {
+		f.send(state.Member{Kind: state.KindDaemon, Address: f.self.Seeds[f.turn%len(f.self.Seeds)]})
+	}
+}
+
+// tellAll begins an exchange with every neighbour: a new document or a stop
+// spreads at the speed of the network and not of the ticks.
+func (f *Fleet) tellAll() {
+	for _, m := range f.neighbours {
+		f.send(m)
+	}
+}
+
+func (f *Fleet) send(m state.Member) {
+	var e *edge
+	if m.ID != "" {
+		e = f.edge(state.DaemonID(m.ID))
+	}
+	f.emit(SendNews{Peer: m, News: f.news(state.DaemonID(m.ID), m.Domain, e)})
+}
+
+// news says what a peer may not know yet. Reports stay within a region: no
+// other region places its chats here while it has upstreams of its own.
+func (f *Fleet) news(to state.DaemonID, domain state.FailureDomain, e *edge) News {
+	n := News{
+		Sender:      f.self.ID,
+		Incarnation: f.self.Incarnation,
+		Domain:      f.self.Domain,
+		Address:     f.self.Address,
+		Leaving:     f.stopped,
+		Config:      f.configHead(),
+		List:        f.listHead(),
+		ListAge:     neverConfirmed,
+	}
+	if !f.confirmed.IsZero() {
+		n.ListAge = f.now.Sub(f.confirmed)
+	}
+	if e == nil {
+		return n
+	}
+	n.Ack, n.AckLife = e.received, e.life
+	n.Upto = f.arrivals
+	if f.regionOf(domain) != f.regionOf(f.self.Domain) {
+		return n
+	}
+	n.Reports, n.Upto = f.reportsAfter(e.acked, to)
+	return n
+}
+
+// reportsAfter returns the oldest reports that changed after a position, and
+// the position up to which they are complete.
+func (f *Fleet) reportsAfter(position uint64, to state.DaemonID) ([]Report, uint64) {
+	if position >= f.arrivals {
+		return nil, f.arrivals
+	}
+	var changed []*knownReport
+	for _, r := range f.reports {
+		if r.arrival > position && r.from != to {
+			changed = append(changed, r)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].arrival < changed[j].arrival })
+	upto := f.arrivals
+	if len(changed) > maxReportsPerNews {
+		changed = changed[:maxReportsPerNews]
+		upto = changed[maxReportsPerNews-1].arrival
+	}
+	out := make([]Report, len(changed))
+	for i, r := range changed {
+		out[i] = r.Report
+	}
+	return out, upto
+}
+
+func (f *Fleet) receiveNews(now time.Time, ev NewsReceived) {
+	n := ev.News
+	if n.Sender == f.self.ID {
+		if ev.Asked.IsZero() {
+			f.emit(Reply{f.news("", f.self.Domain, nil)})
+		}
+		return
+	}
+	f.meet(now, n)
+	e := f.edge(n.Sender)
+	e.meetLife(n.Incarnation)
+	if n.AckLife == f.self.Incarnation && n.Ack <= f.arrivals {
+		e.acked = max(e.acked, n.Ack)
+	}
+	for _, r := range n.Reports {
+		if f.list.Find(string(r.ID)) != nil {
+			f.takeReport(r, n.Sender)
+		}
+	}
+	if f.list != nil && n.List == f.list.Head {
+		e.received = max(e.received, n.Upto)
+	}
+	f.compareHeads(ev)
+	if ev.Asked.IsZero() {
+		f.emit(Reply{f.news(n.Sender, n.Domain, e)})
+	}
+}
+
+// meet takes note of a peer that has shown that it lives.
+func (f *Fleet) meet(now time.Time, n News) {
+	f.peersMet[n.Sender] = true
+	f.settle(now)
+	changed := f.peerSuspects[n.Sender] != time.Time{}
+	delete(f.peerSuspects, n.Sender)
+	if f.unreachable[n.Sender] {
+		delete(f.unreachable, n.Sender)
+		f.note(EventPeerState, string(n.Sender), "peer can be reached again")
+	}
+	life, leaving := f.peerLeaving[n.Sender]
+	switch {
+	case n.Leaving && life != n.Incarnation:
+		f.peerLeaving[n.Sender] = n.Incarnation
+		f.note(EventPeerState, string(n.Sender), "peer is leaving as planned")
+		changed = true
+	case !n.Leaving && leaving && life != n.Incarnation:
+		// Leaving is final for a process; this one is its successor.
+		delete(f.peerLeaving, n.Sender)
+		changed = true
+	}
+	if changed {
+		f.arrange()
+	}
+}
+
+// compareHeads fetches what the peer has newer, and takes its word for the age
+// of the list if it answers our question: the age of unasked news would not
+// count the time that it waited in a socket.
+func (f *Fleet) compareHeads(ev NewsReceived) {
+	n := ev.News
+	peer := state.Member{ID: string(n.Sender), Kind: state.KindDaemon, Domain: n.Domain, Address: n.Address, Incarnation: n.Incarnation, State: state.Live}
+	if n.Config.Compare(f.configHead()) > 0 && !f.refused[n.Config] {
+		f.emit(FetchConfig{Peer: peer, Head: n.Config})
+	}
+	if n.List.Compare(f.listHead()) > 0 && (f.doubted == nil || n.List.Compare(f.doubted.Head) > 0) {
+		f.emit(FetchList{Peer: peer, Head: n.List})
+	}
+	if !ev.Asked.IsZero() && n.ListAge >= 0 {
+		f.confirmList(n.List, ev.Asked.Add(-n.ListAge))
+	}
+}
+
+// failPeer passes a peer over for a while.
+func (f *Fleet) failPeer(now time.Time, id state.DaemonID) {
+	if id == "" {
+		return
+	}
+	if !f.unreachable[id] {
+		f.unreachable[id] = true
+		f.note(EventPeerState, string(id), "peer can't be reached")
+	}
+	f.peerSuspects[id] = now.Add(suspectTime)
+	f.arrange()
+}
+
+// notePeers writes down which daemons a new list brings and takes.
+func (f *Fleet) notePeers(next *state.MemberList) {
+	if f.list == nil {
+		return
+	}
+	for _, m := range f.list.Daemons() {
+		if next.Find(m.ID) == nil {
+			f.note(EventPeerState, m.ID, "peer is gone from the list")
+			delete(f.peerLeaving, state.DaemonID(m.ID))
+			delete(f.edges, state.DaemonID(m.ID))
+			delete(f.unreachable, state.DaemonID(m.ID))
+		}
+	}
+}
--- /dev/null
+++ b/coordination/fleet.go
@@ -0,0 +1,234 @@
+// This file defines Fleet, the state machine of a daemon's control loop: what
+// it knows, and the dispatch of events. Documents, reports and exchanges stand
+// in files of their own.
+
+package coordination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// Self is what a daemon knows of itself from its settings.
+type Self struct {
+	ID          state.DaemonID
+	Incarnation state.Incarnation
+	Domain      state.FailureDomain
+	Address     string   // where peers reach it
+	Seeds       []string // peers' addresses to try while no list is known
+}
+
+// Times of the control loop.
+const (
+	// TickInterval is how often the owner sends a Tick.
+	TickInterval = 500 * time.Millisecond
+	// freezeAfter is how late a tick may be before the loop takes it that the
+	// process was paused.
+	freezeAfter = 3 * time.Second
+	// platformInterval is how often one reader asks the platform.
+	platformInterval = time.Second
+	// readersPerDomain is how many daemons of a failure domain ask it.
+	readersPerDomain = 2
+	// strayReadAge is the age of the list from which others ask it as well.
+	strayReadAge = 6 * time.Second
+	// settleTime is how long a new daemon asks peers for a newer configuration
+	// before it takes the platform's word alone.
+	settleTime = 2 * time.Second
+	// suspectTime is how long a peer or upstream that failed is passed over.
+	suspectTime = 5 * time.Second
+	// doubtTime is how long a list that lost most members is not obeyed.
+	doubtTime = 20 * time.Second
+)
+
+// Fleet is the knowledge of one daemon about the fleet. It is owned by one
+// goroutine.
+type Fleet struct {
+	self    Self
+	rng     *rand.Rand
+	started time.Time
+	now     time.Time // of the event being handled
+	ticked  time.Time // of the last tick
+	wall    time.Time // wall clock of the last tick
+	stopped bool
+
+	config      *state.Config
+	refused     map[state.Head]bool
+	settled     bool
+	peersMet    map[state.DaemonID]bool
+	list        *state.MemberList
+	history     []state.DatedList
+	confirmed   time.Time
+	windowSince time.Time
+	doubted     *state.MemberList
+	doubtEnds   time.Time
+
+	reports  map[state.UpstreamID]*knownReport
+	arrivals uint64
+	suspects map[state.UpstreamID]time.Time
+	watched  map[state.UpstreamID]state.Member
+
+	neighbours   []state.Member
+	edges        map[state.DaemonID]*edge
+	peerSuspects map[state.DaemonID]time.Time         // passed over until then
+	unreachable  map[state.DaemonID]bool              // failed, and not met since
+	peerLeaving  map[state.DaemonID]state.Incarnation // the life that leaves
+	turn         int
+	nextRead     time.Time
+
+	dirty      bool // the snapshot is out of date
+	epochDirty bool // only its epoch is
+	current    *state.Snapshot
+	effects    []Effect
+}
+
+// NewFleet returns the knowledge of a daemon that has just started. rng must
+// not be shared.
+func NewFleet(self Self, rng *rand.Rand) *Fleet {
+	return &Fleet{
+		self:         self,
+		rng:          rng,
+		refused:      make(map[state.Head]bool),
+		peersMet:     make(map[state.DaemonID]bool),
+		reports:      make(map[state.UpstreamID]*knownReport),
+		suspects:     make(map[state.UpstreamID]time.Time),
+		watched:      make(map[state.UpstreamID]state.Member),
+		edges:        make(map[state.DaemonID]*edge),
+		peerSuspects: make(map[state.DaemonID]time.Time),
+		unreachable:  make(map[state.DaemonID]bool),
+		peerLeaving:  make(map[state.DaemonID]state.Incarnation),
+	}
+}
+
+// Handle takes in one event at the time now, which must not go back, and
+// returns what is to be done. The result is valid until the next call.
+func (f *Fleet) Handle(now time.Time, ev Event) []Effect {
+	f.effects = nil
+	f.now = now
+	if f.started.IsZero() {
+		f.started = now
+	}
+	switch ev := ev.(type) {
+	case ConfigLearned:
+		f.takeConfig(now, ev.Config)
+	case ConfigRefused:
+		f.refuseConfig(ev)
+	case ListLearned:
+		f.learnList(now, ev)
+	case ListConfirmed:
+		f.confirmList(ev.Head, ev.Asked)
+	case UpstreamSeen:
+		f.seeUpstream(ev)
+	case UpstreamFailed:
+		f.suspects[ev.ID] = now.Add(suspectTime)
+		f.dirty = true
+	case NewsReceived:
+		f.receiveNews(now, ev)
+	case PeerFailed:
+		f.failPeer(now, ev.ID)
+	case Tick:
+		f.tick(now, ev.Wall)
+	case StopBegun:
+		f.stopped = true
+		f.note(EventStopBegun, string(f.self.ID), "stop begun; no new work")
+		f.tellAll()
+	}
+	f.publish()
+	return f.effects
+}
+
+func (f *Fleet) emit(e Effect) { f.effects = append(f.effects, e) }
+
+func (f *Fleet) note(kind EventKind, about, format string, args ...any) {
+	f.emit(Note{Kind: kind, About: about, Text: fmt.Sprintf(format, args...)})
+}
+
+// publish hands out a new snapshot if anything that it shows has changed. The
+// pools are built anew only if they may differ: a list is confirmed several
+// times a second and rarely changes.
+func (f *Fleet) publish() {
+	switch {
+	case f.dirty:
+		f.current = f.snapshot()
+	case f.epochDirty && f.current != nil:
+		f.current = f.current.WithEpoch(f.epoch())
+	default:
+		return
+	}
+	f.dirty, f.epochDirty = false, false
+	f.emit(Publish{f.current})
+}
+
+func (f *Fleet) snapshot() *state.Snapshot {
+	in := state.Inputs{
+		Members: f.list,
+		Status:  f.statuses(),
+		Domain:  f.self.Domain,
+		Hash:    Hash,
+		Epoch:   f.epoch(),
+	}
+	if f.settled {
+		in.Config = f.config
+	}
+	return state.BuildSnapshot(in)
+}
+
+// epoch shares the history with the snapshot: taking a list makes a new slice.
+func (f *Fleet) epoch() state.KeeperEpoch {
+	return state.KeeperEpoch{Confirmed: f.confirmed, WindowSince: f.windowSince, History: f.history}
+}
+
+func (f *Fleet) tick(now, wall time.Time) {
+	f.noticeFreeze(now, wall)
+	f.settle(now)
+	f.endDoubt(now)
+	f.forgetSuspects(now)
+	f.readPlatform(now)
+	f.exchangeInTurn()
+}
+
+// noticeFreeze distrusts the member list after a pause. The wall clock shows a
+// pause in which the monotonic clock stood still; a set clock looks the same
+// and costs one confirmation.
+func (f *Fleet) noticeFreeze(now, wall time.Time) {
+	late := now.Sub(f.ticked)
+	jump := wall.Sub(f.wall) - late
+	first := f.ticked.IsZero()
+	f.ticked, f.wall = now, wall
+	if first || (late < freezeAfter && jump < freezeAfter) {
+		return
+	}
+	f.note(EventFreeze, string(f.self.ID), "control loop was paused for about %v; list is distrusted until confirmed", max(late, jump).Round(time.Millisecond))
+	f.confirmed = time.Time{}
+	f.nextRead = now
+	f.epochDirty = true
+}
+
+func (f *Fleet) forgetSuspects(now time.Time) {
+	for id, until := range f.suspects {
+		if !until.After(now) {
+			delete(f.suspects, id)
+			f.dirty = true
+		}
+	}
+	changed := false
+	for id, until := range f.peerSuspects {
+		if !until.After(now) {
+			delete(f.peerSuspects, id)
+			changed = true
+		}
+	}
+	if changed {
+		f.arrange()
+	}
+}
+
+// regionOf maps a failure domain to its region by the configuration in force.
+func (f *Fleet) regionOf(d state.FailureDomain) state.RegionID {
+	if f.config == nil {
+		return ""
+	}
+	return f.config.RegionOf(d)
+}
--- /dev/null
+++ b/coordination/ledger.go
@@ -0,0 +1,207 @@
+// This file defines the ledger in which one life of one daemon records the
+// requests that must not be repeated. It is the only place that gives leave to
+// start one.
+
+package coordination
+
+import (
+	"container/list"
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// LedgerKey names one request that must not be repeated. Workspace and service
+// are part of it, so that two customers' keys never meet.
+type LedgerKey struct {
+	Workspace state.WorkspaceID
+	Service   state.ServiceID
+	Key       string
+}
+
+// Fingerprint is a hash of a request's method, path and body. A repeat has the
+// same one.
+type Fingerprint [32]byte
+
+// StoredAnswer is the answer of a finished request, kept for repeats.
+type StoredAnswer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// size estimates the memory of an answer in bytes.
+func (a *StoredAnswer) size() int {
+	n := len(a.Body) + entryOverhead
+	for k, vs := range a.Header {
+		n += len(k)
+		for _, v := range vs {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// entryOverhead is the measured memory of an entry without its answer, in
+// bytes (BenchmarkLedgerMemory).
+const entryOverhead = 600
+
+// Admission is the ledger's word on a request. Its kinds are [Start], [Wait],
+// [Replay], [Conflict] and [Deny].
+type Admission interface{ isAdmission() }
+
+// Start gives leave to run the request. It is given once for a key.
+type Start struct{}
+
+// Wait means that the first attempt is still running; Done is closed when it
+// ends.
+type Wait struct{ Done <-chan struct{} }
+
+// Replay means that the request has run; Answer is what it returned.
+type Replay struct{ Answer *StoredAnswer }
+
+// Conflict means that the key was used for another request.
+type Conflict struct{}
+
+// Deny refuses the request.
+type Deny struct{ Outcome Outcome }
+
+func (Start) isAdmission()    {}
+func (Wait) isAdmission()     {}
+func (Replay) isAdmission()   {}
+func (Conflict) isAdmission() {}
+func (Deny) isAdmission()     {}
+
+var (
+	_ Admission = Start{}
+	_ Admission = Wait{}
+	_ Admission = Replay{}
+	_ Admission = Conflict{}
+	_ Admission = Deny{}
+)
+
+type ledgerEntry struct {
+	key         LedgerKey
+	fingerprint Fingerprint
+	expires     time.Time
+	done        chan struct{}
+	running     bool
+	answer      *StoredAnswer // nil while running and when the end is unknown
+	bytes       int
+}
+
+// Ledger records keys from the moment before their first byte is written. It
+// never forgets a key before its window has passed: when it is full it refuses
+// new keys. A Ledger must be guarded by its owner.
+type Ledger struct {
+	entries map[LedgerKey]*list.Element
+	order   *list.List // of *ledgerEntry by expiry
+	bytes   int
+	limit   int
+}
+
+// NewLedger returns a ledger that holds at most limit bytes.
+func NewLedger(limit int) *Ledger {
+	return &Ledger{entries: make(map[LedgerKey]*list.Element), order: list.New(), limit: limit}
+}
+
+// Len returns the number of keys held.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// Bytes returns the estimated memory held.
+func (l *Ledger) Bytes() int { return l.bytes }
+
+// ledgerFullRetry is when a caller may come back to a full ledger: entries
+// expire all the time, so a short wait will do.
+const ledgerFullRetry = 2 * time.Second
+
+// unknownEndRetry is when a caller may ask again about a key whose end is
+// unknown. Asking again can't change it, so the time is long.
+const unknownEndRetry = 30 * time.Second
+
+// Begin asks to run a request. keep is how long the key must be remembered.
+func (l *Ledger) Begin(now time.Time, key LedgerKey, fp Fingerprint, keep time.Duration) Admission {
+	l.expire(now)
+	if el, ok := l.entries[key]; ok {
+		return l.repeat(el.Value.(*ledgerEntry), fp)
+	}
+	if l.bytes+entryOverhead > l.limit {
+		return Deny{NotRun{Reason: ReasonLedgerFull, RetryAfter: ledgerFullRetry}}
+	}
+	e := &ledgerEntry{key: key, fingerprint: fp, expires: now.Add(keep), done: make(chan struct{}), running: true, bytes: entryOverhead}
+	l.entries[key] = l.insert(e)
+	l.bytes += e.bytes
+	return Start{}
+}
+
+func (l *Ledger) repeat(e *ledgerEntry, fp Fingerprint) Admission {
+	switch {
+	case e.fingerprint != fp:
+		return Conflict{}
+	case e.running:
+		return Wait{Done: e.done}
+	case e.answer != nil:
+		return Replay{Answer: e.answer}
+	}
+	return Deny{MayHaveRun{Reason: ReasonKeyUnknownEnd, RetryAfter: unknownEndRetry}}
+}
+
+// insert keeps the order by expiry. Keys mostly come with the same window, so
+// the search from the back is short.
+func (l *Ledger) insert(e *ledgerEntry) *list.Element {
+	for el := l.order.Back(); el != nil; el = el.Prev() {
+		if !el.Value.(*ledgerEntry).expires.After(e.expires) {
+			return l.order.InsertAfter(e, el)
+		}
+	}
+	return l.order.PushFront(e)
+}
+
+// Finish records how the request of a key ended. A request that was surely not
+// run is forgotten, so that a repeat may start it. An answer that no longer
+// fits is dropped and its key is kept: repeats are then refused, not run.
+func (l *Ledger) Finish(key LedgerKey, o Outcome, answer *StoredAnswer) {
+	el, ok := l.entries[key]
+	if !ok {
+		return
+	}
+	e := el.Value.(*ledgerEntry)
+	if !e.running {
+		return
+	}
+	e.running = false
+	close(e.done)
+	if _, notRun := o.(NotRun); notRun {
+		l.remove(el)
+		return
+	}
+	if _, answered := o.(Answered); answered && answer != nil && l.bytes+answer.size() <= l.limit {
+		e.answer = answer
+		e.bytes += answer.size()
+		l.bytes += answer.size()
+	}
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for el := l.order.Front(); el != nil; el = l.order.Front() {
+		e := el.Value.(*ledgerEntry)
+		if e.expires.After(now) {
+			return
+		}
+		if e.running {
+			// A running key must outlive its window: move it out of the way.
+			e.expires = now.Add(time.Minute)
+			l.order.Remove(el)
+			l.entries[e.key] = l.insert(e)
+			continue
+		}
+		l.remove(el)
+	}
+}
+
+func (l *Ledger) remove(el *list.Element) {
+	e := el.Value.(*ledgerEntry)
+	l.order.Remove(el)
+	delete(l.entries, e.key)
+	l.bytes -= e.bytes
+}
--- /dev/null
+++ b/coordination/outcome.go
@@ -0,0 +1,107 @@
+// This file defines how an attempt can end. The three kinds are the only ones
+// there are: an end that can't be told apart is MayHaveRun.
+
+package coordination
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome is how a request ended. Its kinds are [Answered], [NotRun] and
+// [MayHaveRun].
+type Outcome interface{ isOutcome() }
+
+// Answered means that the upstream's whole answer is known.
+type Answered struct{ Status int }
+
+// NotRun means that no byte of the request reached an upstream, or that the
+// upstream itself said that it did not run it.
+type NotRun struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// MayHaveRun means that bytes of the request were written and the answer is
+// not known.
+type MayHaveRun struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+func (Answered) isOutcome()   {}
+func (NotRun) isOutcome()     {}
+func (MayHaveRun) isOutcome() {}
+
+var (
+	_ Outcome = Answered{}
+	_ Outcome = NotRun{}
+	_ Outcome = MayHaveRun{}
+)
+
+// Reason names why a request was refused, in the form that callers can match.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonNoUpstream     Reason = "no_upstream"
+	ReasonConnect        Reason = "connect_failed"
+	ReasonUpstreamBusy   Reason = "upstream_refused"
+	ReasonBrokenAnswer   Reason = "answer_broken"
+	ReasonNoAnswer       Reason = "no_answer"
+	ReasonDeadline       Reason = "deadline"
+	ReasonStopping       Reason = "stopping"
+	ReasonNoConfig       Reason = "no_configuration"
+	ReasonKeeperAway     Reason = "keeper_unreachable"
+	ReasonKeeperQuiet    Reason = "keeper_not_settled"
+	ReasonKeeperStale    Reason = "keeper_list_stale"
+	ReasonTicketSpent    Reason = "ticket_issuer_gone"
+	ReasonTicketExpired  Reason = "ticket_expired"
+	ReasonKeyUnknownEnd  Reason = "earlier_attempt_unknown"
+	ReasonLedgerFull     Reason = "ledger_full"
+	ReasonCallerGone     Reason = "caller_gone"
+	ReasonAnswerTooLarge Reason = "answer_too_large"
+)
+
+var remedies = map[Reason]string{
+	ReasonNoUpstream:     "no upstream is in service; send again after the time in Retry-After",
+	ReasonConnect:        "no upstream took the connection; send again after the time in Retry-After",
+	ReasonUpstreamBusy:   "the upstream refused the request; send again after the time in Retry-After",
+	ReasonBrokenAnswer:   "the answer broke off; check the effect before sending again",
+	ReasonNoAnswer:       "the upstream gave no answer; check the effect before sending again",
+	ReasonDeadline:       "the deadline passed; allow more time or send again later",
+	ReasonStopping:       "this daemon is stopping; send again, the balancer chooses another one",
+	ReasonNoConfig:       "this daemon knows no configuration yet; send again after the time in Retry-After",
+	ReasonKeeperAway:     "the daemon that keeps this key can't be reached; repeat with the same key after the time in Retry-After",
+	ReasonKeeperQuiet:    "the daemon that keeps this key took it over a short time ago; repeat with the same key after the time in Retry-After",
+	ReasonKeeperStale:    "the member list can't be confirmed; repeat with the same key later, or use a ticket for new requests",
+	ReasonTicketSpent:    "the daemon that issued the ticket is gone; check the effect, then take a new ticket",
+	ReasonTicketExpired:  "the ticket has expired; check the effect, then take a new ticket",
+	ReasonKeyUnknownEnd:  "an earlier attempt with this key has an unknown end; check the effect before using a new key",
+	ReasonLedgerFull:     "this daemon holds too many keys; repeat after the time in Retry-After",
+	ReasonCallerGone:     "the caller closed the connection",
+	ReasonAnswerTooLarge: "the answer is larger than the daemon holds; ask for a smaller or a streamed one",
+}
+
+// Remedy says what the caller can do.
+func (r Reason) Remedy() string { return remedies[r] }
+
+// OutcomeName returns the machine-readable name that callers see.
+func OutcomeName(o Outcome) string {
+	switch o.(type) {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	case MayHaveRun:
+		return "may-have-run"
+	}
+	return fmt.Sprintf("unknown outcome %T", o)
+}
+
+// MayRepeat reports whether a daemon may send the request to another upstream
+// by itself.
+func MayRepeat(o Outcome) bool {
+	_, notRun := o.(NotRun)
+	return notRun
+}
--- /dev/null
+++ b/coordination/overlay.go
@@ -0,0 +1,83 @@
+// This file chooses the peers with whom a daemon exchanges news. Each daemon
+// has a few fixed neighbours, so connections and TLS sessions live long: a new
+// handshake for every exchange would alone exceed the control budget.
+//
+// The daemons are ordered on several rings, each by a hash of its own, and a
+// daemon's neighbours are its successors. One ring already joins all its
+// daemons; further ones make the paths short (logarithmic in the number). Two
+// rings hold the own failure domain only and one the own region, so that a part
+// that is cut off stays joined within itself.
+
+package coordination
+
+import (
+	"strconv"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// ring says which daemons stand on a ring together with a given one.
+type ring uint8
+
+const (
+	domainRing ring = iota + 1
+	regionRing
+	fleetRing
+)
+
+// rings are the rings of every daemon.
+var rings = []ring{domainRing, domainRing, regionRing, fleetRing}
+
+// neighbours returns the successors of self on its rings, without repeats.
+// usable tells which daemons count; region maps a failure domain to its region.
+func neighbours(self Self, daemons []state.Member, region func(state.FailureDomain) state.RegionID, usable func(*state.Member) bool) []state.Member {
+	var out []state.Member
+	for i, r := range rings {
+		salt := Hash("ring" + strconv.Itoa(i))
+		m := successor(self, daemons, salt, func(m *state.Member) bool {
+			return usable(m) && onRing(r, self, m, region) && !holds(out, m.ID)
+		})
+		if m != nil {
+			out = append(out, *m)
+		}
+	}
+	return out
+}
+
+func onRing(r ring, self Self, m *state.Member, region func(state.FailureDomain) state.RegionID) bool {
+	switch r {
+	case domainRing:
+		return m.Domain == self.Domain
+	case regionRing:
+		return region(m.Domain) == region(self.Domain)
+	}
+	return true
+}
+
+func holds(members []state.Member, id string) bool {
+	for i := range members {
+		if members[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// successor returns the daemon that follows self on the ring of a salt.
+func successor(self Self, daemons []state.Member, salt uint64, allowed func(*state.Member) bool) *state.Member {
+	own := score(salt, Hash(string(self.ID)))
+	var best *state.Member
+	var bestDistance uint64
+	for i := range daemons {
+		m := &daemons[i]
+		if m.ID == string(self.ID) || !allowed(m) {
+			continue
+		}
+		// The difference wraps around, as the ring does.
+		distance := score(salt, Hash(m.ID)) - own
+		if best == nil || distance < bestDistance {
+			best, bestDistance = m, distance
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/coordination/report.go
@@ -0,0 +1,54 @@
+// This file defines the reports about upstreams that daemons exchange, and
+// their merge. The merge is commutative, idempotent and monotone, so late,
+// repeated and reordered news do no harm.
+
+package coordination
+
+import "hingewinch.org/hingewinch/state"
+
+// Report is what the daemon that watches an upstream says of it.
+type Report struct {
+	ID          state.UpstreamID
+	Incarnation state.Incarnation
+	State       state.MemberState
+	Load        state.Load
+	Gate        state.Gate
+	Seq         uint64 // grows with each report of an incarnation
+}
+
+// Merge returns the join of two reports about one upstream. A higher
+// incarnation wins as a whole. Within one, a state never goes back, which makes
+// leaving sticky, and the figures come from the higher sequence number. Two
+// watchers may use one number: then the higher load and the narrower gate are
+// taken, which errs towards less load.
+func (r Report) Merge(o Report) Report {
+	if r.Incarnation != o.Incarnation {
+		if r.Incarnation > o.Incarnation {
+			return r
+		}
+		return o
+	}
+	out := r
+	switch {
+	case o.Seq > r.Seq:
+		out = o
+	case o.Seq == r.Seq:
+		out.Load = max(r.Load, o.Load)
+		out.Gate = min(r.Gate, o.Gate)
+	}
+	out.State = max(r.State, o.State)
+	return out
+}
+
+// status combines a member of the platform's list with a report. The list
+// lags: a report of a later incarnation counts, one of an earlier does not.
+func (r Report) status(m *state.Member) (state.Status, bool) {
+	if r.Incarnation < m.Incarnation {
+		return state.Status{}, false
+	}
+	st := state.Status{State: r.State, Gate: r.Gate, Load: r.Load}
+	if r.Incarnation == m.Incarnation {
+		st.State = max(st.State, m.State)
+	}
+	return st, true
+}
--- /dev/null
+++ b/coordination/reports.go
@@ -0,0 +1,218 @@
+// This file holds the Fleet's knowledge of single upstreams: which of them it
+// watches, what it reports of them and what it heard.
+
+package coordination
+
+import (
+	"math"
+	"sort"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// knownReport is a report with the position at which it last changed here and
+// the peer that brought the change.
+type knownReport struct {
+	Report
+	arrival uint64
+	from    state.DaemonID
+}
+
+// minGateStep and minLoadStep are the changes below which a report is not news:
+// they keep a steady fleet silent.
+const (
+	minGateStep  = state.GateFull / 32
+	minLoadStep  = 500
+	minLoadShare = 0.25
+)
+
+// seeUpstream takes in what a watched upstream said, moves its gate, and turns
+// it into news if it changed enough.
+func (f *Fleet) seeUpstream(ev UpstreamSeen) {
+	next := Report{ID: ev.ID, Incarnation: ev.Incarnation, State: ev.State, Load: ev.Load, Gate: state.GateFull, Seq: 1}
+	known := f.reports[ev.ID]
+	if known != nil && known.Incarnation > ev.Incarnation {
+		return
+	}
+	if known != nil && known.Incarnation == ev.Incarnation {
+		next.Seq = known.Seq + 1
+		next.State = max(known.State, ev.State)
+		next.Gate = NextGate(known.Gate, ev.Load, f.meanLoad(ev.ID), f.bound())
+		if !worthTelling(known.Report, next) {
+			return
+		}
+	}
+	f.takeReport(next, f.self.ID)
+}
+
+func worthTelling(old, next Report) bool {
+	if next.State != old.State {
+		return true
+	}
+	gate := math.Abs(float64(next.Gate) - float64(old.Gate))
+	if gate >= float64(minGateStep) || (next.Gate == state.GateFull && old.Gate != state.GateFull) {
+		return true
+	}
+	load := math.Abs(float64(next.Load) - float64(old.Load))
+	return load >= minLoadStep && load >= minLoadShare*float64(old.Load)
+}
+
+func (f *Fleet) bound() float64 {
+	if f.config == nil {
+		return state.DefaultBound
+	}
+	return f.config.Routing.Bound
+}
+
+// meanLoad returns the mean load of the upstreams that are interchangeable with
+// one, by what is known here. An upstream without a report counts as idle.
+func (f *Fleet) meanLoad(id state.UpstreamID) float64 {
+	self := f.list.Find(string(id))
+	if self == nil {
+		return 0
+	}
+	region := f.regionOf(self.Domain)
+	var sum float64
+	n := 0
+	for i := range f.list.Members {
+		m := &f.list.Members[i]
+		if m.Group != self.Group || m.Kind != self.Kind || m.State != state.Live || f.regionOf(m.Domain) != region {
+			continue
+		}
+		n++
+		if r := f.reports[state.UpstreamID(m.ID)]; r != nil {
+			sum += float64(r.Load)
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// takeReport merges a report and remembers it as news if it changed anything.
+func (f *Fleet) takeReport(r Report, from state.DaemonID) {
+	known := f.reports[r.ID]
+	if known == nil {
+		known = &knownReport{Report: Report{ID: r.ID}}
+		f.reports[r.ID] = known
+	}
+	merged := known.Merge(r)
+	if merged == known.Report {
+		return
+	}
+	if merged.State != known.State && known.State != 0 || merged.State > state.Live {
+		f.noteState(known.Report, merged)
+	}
+	known.Report = merged
+	known.from = from
+	f.arrivals++
+	known.arrival = f.arrivals
+	f.dirty = true
+}
+
+func (f *Fleet) noteState(old, next Report) {
+	if old.State == next.State && old.Incarnation == next.Incarnation {
+		return
+	}
+	f.note(EventUpstreamState, string(next.ID), "upstream is %v (incarnation %d)", next.State, next.Incarnation)
+}
+
+// dropReports forgets upstreams that the list no longer names.
+func (f *Fleet) dropReports() {
+	for id := range f.reports {
+		if f.list.Find(string(id)) == nil {
+			delete(f.reports, id)
+		}
+	}
+}
+
+// statuses combines list and reports for the snapshot. An upstream that has
+// just failed here keeps its place with a closed gate: it is taken only if
+// every other one is closed too.
+func (f *Fleet) statuses() map[state.UpstreamID]state.Status {
+	out := make(map[state.UpstreamID]state.Status, len(f.reports))
+	for id, r := range f.reports {
+		m := f.list.Find(string(id))
+		if m == nil {
+			continue
+		}
+		if st, ok := r.status(m); ok {
+			out[id] = st
+		}
+	}
+	for id := range f.suspects {
+		st, ok := out[id]
+		if !ok {
+			st.State = state.Live
+		}
+		st.Gate = 0
+		out[id] = st
+	}
+	return out
+}
+
+// watch chooses the upstreams that this daemon watches: those for which it
+// ranks first among the daemons of the upstream's failure domain or, where that
+// has none, of its region.
+func (f *Fleet) watch() {
+	byDomain := make(map[state.FailureDomain][]state.Member)
+	var usable []state.Member
+	for _, m := range f.list.Daemons() {
+		if f.usablePeer(&m) {
+			usable = append(usable, m)
+			byDomain[m.Domain] = append(byDomain[m.Domain], m)
+		}
+	}
+	next := make(map[state.UpstreamID]state.Member)
+	for i := range f.list.Members {
+		m := f.list.Members[i]
+		if m.Kind == state.KindDaemon || m.State == state.Gone {
+			continue
+		}
+		watchers := byDomain[m.Domain]
+		if len(watchers) == 0 {
+			watchers = f.sameRegion(usable, m.Domain)
+		}
+		if HoldsDuty(watchers, f.self.ID, "watch/"+m.ID) {
+			next[state.UpstreamID(m.ID)] = m
+		}
+	}
+	if sameWatch(f.watched, next) {
+		return
+	}
+	f.watched = next
+	f.emit(WatchUpstreams{sortedMembers(next)})
+}
+
+func (f *Fleet) sameRegion(members []state.Member, d state.FailureDomain) []state.Member {
+	region := f.regionOf(d)
+	var out []state.Member
+	for _, m := range members {
+		if f.regionOf(m.Domain) == region {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func sameWatch(a, b map[state.UpstreamID]state.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, m := range a {
+		if b[id] != m {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedMembers(set map[state.UpstreamID]state.Member) []state.Member {
+	out := make([]state.Member, 0, len(set))
+	for _, m := range set {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/coordination/ticket.go
@@ -0,0 +1,134 @@
+// This file defines tickets: keys that name the one daemon life that may run
+// them. They make at-most-once hold without any shared state, list or clock.
+
+package coordination
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// Ticket is a key that was issued by one life of one daemon.
+type Ticket struct {
+	Daemon      state.DaemonID
+	Incarnation state.Incarnation
+	Expires     time.Duration // since the issuer's start, by its own clock
+	Nonce       string
+	mac         string
+}
+
+const (
+	ticketPrefix   = "hwt1."
+	ticketFields   = 4
+	ticketSep      = "|"
+	ticketMACBytes = 16
+)
+
+// Errors of tickets.
+var (
+	ErrTicketMalformed = errors.New("ticket is malformed; send it exactly as it was issued")
+	ErrTicketForged    = errors.New("ticket was not issued for this workspace and service; take a new one")
+)
+
+// IsTicket reports whether a caller's key claims to be a ticket.
+func IsTicket(key string) bool { return strings.HasPrefix(key, ticketPrefix) }
+
+// ParseTicket reads a ticket without checking who made it: any daemon can tell
+// where to send it, and only the issuer can check it.
+func ParseTicket(key string) (Ticket, error) {
+	body, mac, ok := strings.Cut(strings.TrimPrefix(key, ticketPrefix), ".")
+	if !ok || !IsTicket(key) {
+		return Ticket{}, ErrTicketMalformed
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return Ticket{}, ErrTicketMalformed
+	}
+	parts := strings.Split(string(raw), ticketSep)
+	if len(parts) != ticketFields || parts[0] == "" {
+		return Ticket{}, ErrTicketMalformed
+	}
+	inc, err1 := strconv.ParseUint(parts[1], 10, 64)
+	ms, err2 := strconv.ParseInt(parts[2], 10, 64)
+	if err1 != nil || err2 != nil || ms < 0 || ms > int64(maxExpires/time.Millisecond) {
+		return Ticket{}, ErrTicketMalformed
+	}
+	t := Ticket{
+		Daemon:      state.DaemonID(parts[0]),
+		Incarnation: state.Incarnation(inc),
+		Expires:     time.Duration(ms) * time.Millisecond,
+		Nonce:       parts[3],
+		mac:         mac,
+	}
+	return t, nil
+}
+
+// maxExpires keeps the arithmetic on a ticket's age far from overflow.
+const maxExpires = 100 * 365 * 24 * time.Hour
+
+func (t Ticket) payload() string {
+	return strings.Join([]string{
+		string(t.Daemon),
+		strconv.FormatUint(uint64(t.Incarnation), 10),
+		strconv.FormatInt(t.Expires.Milliseconds(), 10),
+		t.Nonce,
+	}, ticketSep)
+}
+
+// TicketIssuer issues and checks the tickets of one daemon life. The secret is
+// made at start and never leaves the process, so a ticket of an earlier life
+// can't be mistaken for one of this life even if both carry one incarnation.
+// It is immutable and safe for use by many goroutines.
+type TicketIssuer struct {
+	daemon      state.DaemonID
+	incarnation state.Incarnation
+	secret      []byte
+}
+
+// NewTicketIssuer returns the issuer of a daemon life. secret must be fresh
+// random bytes.
+func NewTicketIssuer(d state.DaemonID, inc state.Incarnation, secret []byte) *TicketIssuer {
+	return &TicketIssuer{daemon: d, incarnation: inc, secret: secret}
+}
+
+// Issue returns a new ticket. expires is when it ends, as the time since this
+// daemon's start; the ticket carries it, so that a later change of the settings
+// can't make a ticket outlive its entry in the ledger.
+func (i *TicketIssuer) Issue(w state.WorkspaceID, s state.ServiceID, expires time.Duration, nonce string) string {
+	t := Ticket{Daemon: i.daemon, Incarnation: i.incarnation, Expires: expires, Nonce: nonce}
+	body := base64.RawURLEncoding.EncodeToString([]byte(t.payload()))
+	return ticketPrefix + body + "." + i.sign(t, w, s)
+}
+
+func (i *TicketIssuer) sign(t Ticket, w state.WorkspaceID, s state.ServiceID) string {
+	m := hmac.New(sha256.New, i.secret)
+	for _, field := range []string{string(w), string(s), t.payload()} {
+		m.Write([]byte(strconv.Itoa(len(field))))
+		m.Write([]byte(ticketSep + field))
+	}
+	return base64.RawURLEncoding.EncodeToString(m.Sum(nil)[:ticketMACBytes])
+}
+
+// Admit decides whether this daemon life may look the ticket up in its ledger.
+// age is the time since the daemon's start. A nil outcome with a nil error means
+// yes; left is then how long the ledger must at least remember the ticket. An
+// expired ticket is refused for good: its entry may have been forgotten.
+func (i *TicketIssuer) Admit(t Ticket, w state.WorkspaceID, s state.ServiceID, age time.Duration) (left time.Duration, refusal Outcome, err error) {
+	if t.Daemon != i.daemon || t.Incarnation != i.incarnation {
+		return 0, MayHaveRun{Reason: ReasonTicketSpent, RetryAfter: unknownEndRetry}, nil
+	}
+	if !hmac.Equal([]byte(t.mac), []byte(i.sign(t, w, s))) {
+		return 0, nil, ErrTicketForged
+	}
+	if age >= t.Expires {
+		return 0, MayHaveRun{Reason: ReasonTicketExpired, RetryAfter: unknownEndRetry}, nil
+	}
+	return t.Expires - age, nil, nil
+}
--- /dev/null
+++ b/coordination/timeline.go
@@ -0,0 +1,87 @@
+// This file defines the ring of events that each daemon keeps, and the merge of
+// many rings into one time line.
+
+package coordination
+
+import (
+	"sort"
+
+	"hingewinch.org/hingewinch/state"
+)
+
+// EventKind names what happened.
+type EventKind string
+
+// The kinds of events on the time line.
+const (
+	EventStarted       EventKind = "daemon-started"
+	EventStopBegun     EventKind = "stop-begun"
+	EventStopped       EventKind = "stop-done"
+	EventConfigTaken   EventKind = "config-taken"
+	EventConfigRefused EventKind = "config-refused"
+	EventConfigClash   EventKind = "config-clash"
+	EventListTaken     EventKind = "list-taken"
+	EventListDoubted   EventKind = "list-doubted"
+	EventUpstreamState EventKind = "upstream-state"
+	EventUpstreamGate  EventKind = "upstream-gate"
+	EventPeerState     EventKind = "peer-state"
+	EventFreeze        EventKind = "freeze-noticed"
+	EventAttemptFailed EventKind = "attempt-failed"
+	EventResumed       EventKind = "stream-resumed"
+	EventOnce          EventKind = "once"
+	EventPlatform      EventKind = "platform"
+)
+
+// TimelineEvent is one entry of the time line.
+type TimelineEvent struct {
+	Stamp  Stamp           `json:"stamp"`
+	Daemon state.DaemonID  `json:"daemon"`
+	Kind   EventKind       `json:"kind"`
+	About  string          `json:"about"`
+	Text   string          `json:"text"`
+	ID     state.RequestID `json:"request,omitempty"`
+}
+
+// Ring keeps the newest events. It must be guarded by its owner.
+type Ring struct {
+	events []TimelineEvent
+	next   int
+	full   bool
+}
+
+// NewRing returns a ring for n events.
+func NewRing(n int) *Ring { return &Ring{events: make([]TimelineEvent, n)} }
+
+// Add puts an event in, in place of the oldest if the ring is full.
+func (r *Ring) Add(e TimelineEvent) {
+	r.events[r.next] = e
+	r.next++
+	if r.next == len(r.events) {
+		r.next, r.full = 0, true
+	}
+}
+
+// Events returns the events, oldest first.
+func (r *Ring) Events() []TimelineEvent {
+	if !r.full {
+		return append([]TimelineEvent(nil), r.events[:r.next]...)
+	}
+	out := append([]TimelineEvent(nil), r.events[r.next:]...)
+	return append(out, r.events[:r.next]...)
+}
+
+// MergeTimelines orders the events of many daemons by stamp, then by daemon, so
+// that every reader sees the same order.
+func MergeTimelines(rings ...[]TimelineEvent) []TimelineEvent {
+	var out []TimelineEvent
+	for _, events := range rings {
+		out = append(out, events...)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if c := out[i].Stamp.Compare(out[j].Stamp); c != 0 {
+			return c < 0
+		}
+		return out[i].Daemon < out[j].Daemon
+	})
+	return out
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,258 @@
+// This file puts a daemon together, runs it and stops it as planned.
+
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/protocol/peer"
+	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
+)
+
+// Version is the release, set by the linker.
+var Version = "dev"
+
+// Time-outs of the servers. There is none for writing a whole answer: a stream
+// may take long, and each write has a deadline of its own.
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 2 * time.Minute
+	maxCallerHeader   = 32 << 10
+	secretBytes       = 32
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings  *Settings
+	life      state.Incarnation
+	control   *control
+	gateway   *transport.Gateway
+	recorder  *transport.Recorder
+	metrics   *transport.Metrics
+	upstreams *transport.Upstreams
+	draining  atomic.Bool
+
+	callers, peers, operators *listener
+}
+
+// listener is one server on its socket.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+}
+
+// New opens the listeners and puts the parts together. Nothing is served before
+// Run.
+func New(s *Settings, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, life: state.Incarnation(time.Now().UnixNano()), metrics: transport.NewMetrics()}
+	d.recorder = transport.NewRecorder(s.ID, logger)
+	d.upstreams = transport.NewUpstreams(transport.UpstreamOptions{})
+	meter := &transport.Meter{Sent: d.metrics.ControlSent, Read: d.metrics.ControlRead}
+	if err := d.listen(meter, logger); err != nil {
+		d.close()
+		return nil, err
+	}
+	if err := d.wire(meter, logger); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen(meter *transport.Meter, logger *log.Logger) error {
+	s := d.settings
+	callerTLS, err := serverTLS(s.TLS.Callers)
+	if err != nil {
+		return err
+	}
+	peerTLS, err := serverTLS(s.TLS.Peers)
+	if err != nil {
+		return err
+	}
+	if d.callers, err = open(s.Listen.Callers, callerTLS, nil, logger); err != nil {
+		return err
+	}
+	if d.peers, err = open(s.Listen.Peers, peerTLS, meter, logger); err != nil {
+		return err
+	}
+	d.operators, err = open(s.Listen.Operators, nil, nil, logger)
+	return err
+}
+
+func serverTLS(files transport.TLSFiles) (*tls.Config, error) {
+	if files.IsZero() {
+		return nil, nil
+	}
+	return transport.ServerTLS(files)
+}
+
+func open(address string, tlsConfig *tls.Config, meter *transport.Meter, logger *log.Logger) (*listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s; check that the address is this VM's and free", address)
+	}
+	if meter != nil {
+		socket = meter.Listener(socket)
+	}
+	if tlsConfig != nil {
+		socket = tls.NewListener(socket, tlsConfig)
+	}
+	server := &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxCallerHeader,
+		ErrorLog:          stdlog.New(serverLog{logger}, "", 0),
+	}
+	return &listener{server: server, socket: socket}, nil
+}
+
+// serverLog takes the messages of net/http's server.
+type serverLog struct{ logger *log.Logger }
+
+// Write logs one message.
+func (l serverLog) Write(p []byte) (int, error) {
+	l.logger.Debug().Msg(transport.PrefixGateway + string(p))
+	return len(p), nil
+}
+
+func (d *Daemon) wire(meter *transport.Meter, logger *log.Logger) error {
+	s := d.settings
+	self := coordination.Self{ID: s.ID, Incarnation: d.life, Domain: s.Domain, Address: s.Peer, Seeds: s.Seeds}
+	seed, secret, err := randomSeed()
+	if err != nil {
+		return err
+	}
+	d.control = newControl(self, rand.New(rand.NewPCG(seed, uint64(d.life))))
+	d.control.recorder, d.control.logger = d.recorder, logger
+	var peerTLS *tls.Config
+	if !s.TLS.Peers.IsZero() {
+		if peerTLS, err = transport.ClientTLS(s.TLS.Peers); err != nil {
+			return err
+		}
+	}
+	d.control.peers = transport.NewPeers(peerTLS, meter, d.recorder, d.metrics, nil)
+	platform := transport.NewPlatform(s.Platform, meter, d.metrics)
+	d.control.addReader(peer.DocumentKind_DOCUMENT_KIND_CONFIG, platform.Reader(protocol.PathConfig))
+	d.control.addReader(peer.DocumentKind_DOCUMENT_KIND_LIST, platform.Reader(protocol.PathMembers))
+	once := transport.NewOnceRunner(transport.OnceOptions{
+		Self: s.ID, Incarnation: d.life, Secret: secret, Snapshot: d.control.Snapshot, Upstreams: d.upstreams,
+		Forwarder: d.control.peers, Recorder: d.recorder, Metrics: d.metrics,
+		LedgerBytes: s.Limits.LedgerBytes, AnswerBytes: s.Limits.AnswerBytes,
+	})
+	d.gateway = transport.NewGateway(transport.GatewayOptions{
+		Daemon: s.ID, Snapshot: d.control.Snapshot, Tell: d.control.hint, Upstreams: d.upstreams, Once: once,
+		Recorder: d.recorder, Metrics: d.metrics, Logger: logger, Limits: s.limits(),
+	})
+	d.callers.server.Handler = d.gateway
+	server := &transport.PeerServer{Converse: d.control.Converse, Documents: d.control.documents, Once: once, Recorder: d.recorder}
+	d.peers.server.Handler = server.Handler()
+	op := &transport.Operator{
+		Self: s.ID, Incarnation: d.life, Domain: s.Domain, Version: Version,
+		Snapshot: d.control.Snapshot, Recorder: d.recorder, Metrics: d.metrics, Draining: d.draining.Load,
+	}
+	d.operators.server.Handler, err = op.Handler()
+	return err
+}
+
+func (s *Settings) limits() transport.Limits {
+	l := transport.DefaultLimits()
+	l.BodyBytes, l.AnswerBytes = s.Limits.BodyBytes, s.Limits.AnswerBytes
+	l.Timeout, l.StreamIdle, l.CallerStall = s.Limits.Timeout, s.Limits.StreamIdle, s.Limits.CallerStall
+	return l
+}
+
+func (c *control) addReader(kind peer.DocumentKind, r *transport.PlatformReader) {
+	c.readers[kind] = newDocumentReader(kind, r)
+}
+
+func randomSeed() (seed uint64, secret []byte, err error) {
+	b := make([]byte, 8+secretBytes)
+	if _, err := crand.Read(b); err != nil {
+		return 0, nil, eris.Wrap(err, "read random bytes")
+	}
+	return binary.LittleEndian.Uint64(b), b[8:], nil
+}
+
+// CallerAddress returns where callers are served.
+func (d *Daemon) CallerAddress() string { return d.callers.socket.Addr().String() }
+
+// OperatorAddress returns where operators are served.
+func (d *Daemon) OperatorAddress() string { return d.operators.socket.Addr().String() }
+
+// Run serves until ctx ends, and then stops as planned: the health check fails,
+// new requests are served for the time of notice, and Run returns when the last
+// request in flight has its answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	d.control.watcher = transport.NewWatcher(work, transport.NewUpstreams(transport.UpstreamOptions{}), d.control.tell)
+	var wg sync.WaitGroup
+	wg.Go(func() { d.control.run(work) })
+	for _, r := range d.control.readers {
+		wg.Go(func() { d.control.read(work, r) })
+	}
+	failed := make(chan error, 3)
+	for _, l := range []*listener{d.callers, d.peers, d.operators} {
+		wg.Go(func() { l.serve(failed) })
+	}
+	d.recorder.Record(coordination.EventStarted, string(d.settings.ID), "", "daemon serves callers on %s", d.CallerAddress())
+	var err error
+	select {
+	case <-ctx.Done():
+		d.stop()
+	case err = <-failed:
+	}
+	endWork()
+	d.close()
+	d.control.watcher.Wait()
+	wg.Wait()
+	d.control.wg.Wait()
+	return err
+}
+
+func (l *listener) serve(failed chan<- error) {
+	if err := l.server.Serve(l.socket); err != nil && !eris.Is(err, http.ErrServerClosed) {
+		failed <- eris.Wrapf(err, "serve on %s", l.socket.Addr())
+	}
+}
+
+// stop is the planned stop. Peers and operators are served to its end, so that
+// requests that this daemon keeps can still be repeated through others.
+func (d *Daemon) stop() {
+	d.draining.Store(true)
+	d.gateway.Drain()
+	d.control.tell(coordination.StopBegun{})
+	time.Sleep(d.settings.Stop.Notice)
+	// No time limit: what is in flight ends in peace.
+	_ = d.callers.server.Shutdown(context.Background())
+	_ = d.peers.server.Shutdown(context.Background())
+	d.recorder.Record(coordination.EventStopped, string(d.settings.ID), "", "all requests have their answers; daemon ends")
+	_ = d.operators.server.Shutdown(context.Background())
+}
+
+func (d *Daemon) close() {
+	for _, l := range []*listener{d.callers, d.peers, d.operators} {
+		if l != nil {
+			_ = l.server.Close()
+			_ = l.socket.Close()
+		}
+	}
+	d.upstreams.Close()
+	d.metrics.Close()
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,173 @@
+// This file defines the settings of one daemon. They are read once, at start,
+// and checked as a whole.
+
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
+)
+
+// Settings are a daemon's settings file.
+type Settings struct {
+	ID       state.DaemonID      `yaml:"id"`
+	Domain   state.FailureDomain `yaml:"domain"`
+	Listen   Listeners           `yaml:"listen"`
+	Peer     string              `yaml:"peer_address"` // where peers reach this daemon; listen.peers if empty
+	Platform string              `yaml:"platform"`     // base URL
+	Seeds    []string            `yaml:"seeds"`
+	TLS      TLSSettings         `yaml:"tls"`
+	Stop     StopSettings        `yaml:"stop"`
+	Limits   LimitSettings       `yaml:"limits"`
+	LogLevel string              `yaml:"log_level"`
+}
+
+// Listeners are the addresses that a daemon listens on, each host:port.
+type Listeners struct {
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+}
+
+// TLSSettings name the files of the TLS identities. Callers' and peers' are
+// apart, since they are signed by different authorities.
+type TLSSettings struct {
+	Callers transport.TLSFiles `yaml:"callers"`
+	Peers   transport.TLSFiles `yaml:"peers"`
+}
+
+// StopSettings shape a planned stop.
+type StopSettings struct {
+	// Notice is how long new requests are still taken after the health check
+	// fails. It must be longer than the balancer takes to notice.
+	Notice time.Duration `yaml:"notice"`
+}
+
+// LimitSettings are the limits towards callers that operators may change.
+type LimitSettings struct {
+	BodyBytes   int64         `yaml:"body_bytes"`
+	AnswerBytes int64         `yaml:"answer_bytes"`
+	LedgerBytes int           `yaml:"ledger_bytes"`
+	Timeout     time.Duration `yaml:"timeout"`
+	StreamIdle  time.Duration `yaml:"stream_idle"`
+	CallerStall time.Duration `yaml:"caller_stall"`
+}
+
+// Defaults of the settings.
+const (
+	defaultNotice      = 5 * time.Second
+	defaultLedgerBytes = 16 << 20
+	defaultLogLevel    = "info"
+)
+
+func defaultSettings() Settings {
+	l := transport.DefaultLimits()
+	return Settings{
+		Stop:     StopSettings{Notice: defaultNotice},
+		LogLevel: defaultLogLevel,
+		Limits: LimitSettings{
+			BodyBytes: l.BodyBytes, AnswerBytes: l.AnswerBytes, LedgerBytes: defaultLedgerBytes,
+			Timeout: l.Timeout, StreamIdle: l.StreamIdle, CallerStall: l.CallerStall,
+		},
+	}
+}
+
+// LoadSettings reads and checks a settings file. The error lists every problem
+// with file, line and remedy.
+func LoadSettings(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings; check the path and rights")
+	}
+	return ParseSettings(file, text)
+}
+
+// ParseSettings parses and checks the text of a settings file.
+func ParseSettings(file string, text []byte) (*Settings, error) {
+	s := defaultSettings()
+	if err := state.DecodeStrict(file, text, &s); err != nil {
+		return nil, err
+	}
+	c := state.NewChecker(file, text)
+	s.check(c)
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	if s.Peer == "" {
+		s.Peer = s.Listen.Peers
+	}
+	return &s, nil
+}
+
+var idRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+var logLevels = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
+
+func (s *Settings) check(c *state.Checker) {
+	if !idRule.MatchString(string(s.ID)) {
+		c.Add(fmt.Sprintf("id %q is missing or not allowed", s.ID), "use at most 64 letters, digits and . _ -", "id")
+	}
+	if s.Domain == "" {
+		c.Add("domain is missing", "name the failure domain of this VM", "domain")
+	}
+	checkAddress(c, s.Listen.Callers, "listen", "callers")
+	checkAddress(c, s.Listen.Peers, "listen", "peers")
+	checkAddress(c, s.Listen.Operators, "listen", "operators")
+	if s.Peer != "" {
+		checkAddress(c, s.Peer, "peer_address")
+	}
+	for i, seed := range s.Seeds {
+		checkAddress(c, seed, "seeds", i)
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.Add(fmt.Sprintf("platform %q is not a base URL", s.Platform), "write http://HOST:PORT or https://HOST:PORT", "platform")
+	}
+	if !logLevels[s.LogLevel] {
+		c.Add(fmt.Sprintf("log_level %q is unknown", s.LogLevel), "write trace, debug, info, warn or error", "log_level")
+	}
+	s.checkTLS(c)
+	s.checkLimits(c)
+}
+
+func checkAddress(c *state.Checker, address string, path ...any) {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		c.Add(fmt.Sprintf("address %q is not HOST:PORT", address), "write an IP number and a port", path...)
+	}
+}
+
+func (s *Settings) checkTLS(c *state.Checker) {
+	if t := s.TLS.Callers; !t.IsZero() && (t.Certificate == "" || t.Key == "") {
+		c.Add("tls for callers lacks certificate or key", "name both files, or leave the whole part out", "tls", "callers")
+	}
+	if t := s.TLS.Peers; !t.IsZero() && (t.Certificate == "" || t.Key == "" || t.Authority == "") {
+		c.Add("tls for peers lacks certificate, key or authority", "name all three files, or leave the whole part out", "tls", "peers")
+	}
+}
+
+func (s *Settings) checkLimits(c *state.Checker) {
+	positive := map[string]bool{
+		"body_bytes":   s.Limits.BodyBytes > 0,
+		"answer_bytes": s.Limits.AnswerBytes > 0,
+		"ledger_bytes": s.Limits.LedgerBytes > 0,
+		"timeout":      s.Limits.Timeout > 0,
+		"stream_idle":  s.Limits.StreamIdle > 0,
+		"caller_stall": s.Limits.CallerStall > 0,
+	}
+	for _, name := range []string{"body_bytes", "answer_bytes", "ledger_bytes", "timeout", "stream_idle", "caller_stall"} {
+		if !positive[name] {
+			c.Add(name+" is not above 0", "write a positive value or leave it out", "limits", name)
+		}
+	}
+	if s.Stop.Notice < 0 {
+		c.Add("notice is negative", "write a time such as 5s", "stop", "notice")
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,102 @@
+// This file plays the platform: two published documents with long polling.
+
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"hingewinch.org/hingewinch/protocol"
+)
+
+// Platform publishes a configuration and a member list.
+type Platform struct {
+	mu      sync.Mutex
+	texts   map[string][]byte
+	changed chan struct{}
+	away    bool
+	calls   int
+}
+
+// NewPlatform returns a platform that publishes nothing yet.
+func NewPlatform() *Platform {
+	return &Platform{texts: make(map[string][]byte), changed: make(chan struct{})}
+}
+
+// Publish replaces the document of a path.
+func (p *Platform) Publish(path string, text []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.texts[path] = text
+	p.wake()
+}
+
+// SetAway makes the platform refuse all calls, or serve them again.
+func (p *Platform) SetAway(away bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away = away
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Calls returns how many calls there were, a waiting one counted once.
+func (p *Platform) Calls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+func (p *Platform) get(path string) (text []byte, etag string, away bool, changed chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text = p.texts[path]
+	sum := sha256.Sum256(text)
+	return text, hex.EncodeToString(sum[:]), p.away, p.changed
+}
+
+// ServeHTTP serves the documents.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != protocol.PathConfig && r.URL.Path != protocol.PathMembers {
+		http.NotFound(w, r)
+		return
+	}
+	p.mu.Lock()
+	p.calls++
+	p.mu.Unlock()
+	deadline := time.NewTimer(milliseconds(r, "wait_ms"))
+	defer deadline.Stop()
+	for {
+		text, etag, away, changed := p.get(r.URL.Path)
+		switch {
+		case away:
+			http.Error(w, "away", http.StatusServiceUnavailable)
+			return
+		case text != nil && etag != r.Header.Get("If-None-Match"):
+			w.Header().Set("Etag", etag)
+			_, _ = w.Write(text)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-deadline.C:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+func milliseconds(r *http.Request, name string) time.Duration {
+	n, _ := strconv.Atoi(r.URL.Query().Get(name))
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/transport/gateway.go
@@ -0,0 +1,350 @@
+// This file defines the server towards callers: paths, authentication, limits,
+// and the shape of refusals. Chats and plain services stand in files of their
+// own.
+
+package transport
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	mrand "math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/state"
+)
+
+// Paths of the gateway beside those of the OpenAI protocol.
+const (
+	PathServices = "/services/"
+	PathTickets  = "/v1/tickets"
+	PathReady    = "/-/ready"
+)
+
+// Limits are the limits towards callers.
+type Limits struct {
+	BodyBytes     int64         // largest request body
+	AnswerBytes   int64         // largest answer that is not streamed
+	Timeout       time.Duration // for a request whose caller names none
+	StreamIdle    time.Duration // longest silence of an upstream in a stream
+	CallerStall   time.Duration // longest time in which a caller takes nothing
+	MaxAttempts   int           // attempts for one request, all surely not run but the last
+	MaxResumes    int           // resumes of one stream
+	ResumeBackoff time.Duration // before the second resume, doubled each time
+}
+
+// DefaultLimits returns the limits that apply unless the settings say
+// otherwise.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes:     8 << 20,
+		AnswerBytes:   32 << 20,
+		Timeout:       10 * time.Minute,
+		StreamIdle:    60 * time.Second,
+		CallerStall:   60 * time.Second,
+		MaxAttempts:   3,
+		MaxResumes:    3,
+		ResumeBackoff: 50 * time.Millisecond,
+	}
+}
+
+// GatewayOptions are the parts that a Gateway works with.
+type GatewayOptions struct {
+	Daemon    state.DaemonID
+	Snapshot  func() *state.Snapshot
+	Tell      func(coordination.Event) // hands an event to the control loop; must not block
+	Upstreams *Upstreams
+	Once      *OnceRunner
+	Recorder  *Recorder
+	Metrics   *Metrics
+	Logger    *log.Logger
+	Limits    Limits
+}
+
+// Gateway serves callers. It is safe for use by many goroutines.
+type Gateway struct {
+	GatewayOptions
+	draining atomic.Bool
+
+	budgetMu sync.Mutex
+	budget   *coordination.RetryBudget
+}
+
+// NewGateway returns a gateway.
+func NewGateway(o GatewayOptions) *Gateway {
+	return &Gateway{GatewayOptions: o, budget: coordination.NewRetryBudget()}
+}
+
+// Drain makes the health check fail and asks callers to open no further request
+// on their connections. Requests that still come are served.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// call is one request of a caller.
+type call struct {
+	id        state.RequestID
+	w         http.ResponseWriter
+	r         *http.Request
+	snapshot  *state.Snapshot
+	workspace *state.Workspace
+	begun     time.Time
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == PathReady {
+		g.serveReady(w)
+		return
+	}
+	g.Metrics.Requests.Inc(1)
+	c := &call{id: requestID(r), w: w, r: r, snapshot: g.Snapshot(), begun: time.Now()}
+	w.Header().Set(protocol.HeaderRequestID, string(c.id))
+	w.Header().Set(protocol.HeaderDaemon, string(g.Daemon))
+	if !g.admit(c) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), g.timeout(r))
+	defer cancel()
+	c.r = r.WithContext(ctx)
+	switch {
+	case r.URL.Path == protocol.PathChat:
+		g.serveChat(c)
+	case r.URL.Path == protocol.PathModels:
+		g.serveModels(c)
+	case r.URL.Path == PathTickets:
+		g.serveTickets(c)
+	case strings.HasPrefix(r.URL.Path, PathServices):
+		g.servePlain(c)
+	default:
+		g.reject(c, http.StatusNotFound, "not_found", "", "path is not served; use /v1/chat/completions, /v1/models, /v1/tickets or /services/NAME/")
+	}
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter) {
+	s := g.Snapshot()
+	switch {
+	case g.draining.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case s == nil || s.Config == nil || s.Members == nil:
+		http.Error(w, "no configuration or member list is known", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+// admit checks that a configuration is known and that the caller may come in.
+func (g *Gateway) admit(c *call) bool {
+	if c.snapshot == nil || c.snapshot.Config == nil || c.snapshot.Members == nil {
+		g.refuse(c, coordination.NotRun{Reason: coordination.ReasonNoConfig, RetryAfter: defaultRetryTime})
+		return false
+	}
+	scheme, key, _ := strings.Cut(c.r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		g.reject(c, http.StatusUnauthorized, "missing_api_key", "", "no API key was sent; send it as Authorization: Bearer KEY")
+		return false
+	}
+	c.workspace = c.snapshot.Config.Authenticate(strings.TrimSpace(key))
+	if c.workspace == nil {
+		g.reject(c, http.StatusUnauthorized, "invalid_api_key", "", "API key is not known; check it or ask the operators for one of your workspace")
+		return false
+	}
+	return true
+}
+
+// maxRequestID is the longest request id of a caller that is taken over.
+const maxRequestID = 128
+
+// requestID takes the caller's id over if it is harmless and makes one
+// otherwise.
+func requestID(r *http.Request) state.RequestID {
+	id := r.Header.Get(protocol.HeaderRequestID)
+	if id != "" && len(id) <= maxRequestID && isPlain(id) {
+		return state.RequestID(id)
+	}
+	return state.RequestID(randomID())
+}
+
+func isPlain(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+const randomIDBytes = 12
+
+func randomID() string {
+	var b [randomIDBytes]byte
+	// crypto/rand does not fail on the systems Go supports.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// timeout returns the caller's own limit or the default.
+func (g *Gateway) timeout(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(protocol.HeaderTimeoutMS), 10, 64)
+	if err != nil || ms <= 0 || ms > g.Limits.Timeout.Milliseconds() {
+		return g.Limits.Timeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// readBody reads the request body or rejects the request.
+func (g *Gateway) readBody(c *call) ([]byte, bool) {
+	body, err := protocol.ReadBounded(c.r.Body, c.r.ContentLength, g.Limits.BodyBytes)
+	switch {
+	case err == nil:
+		return body, true
+	case errors.Is(err, protocol.ErrTooLarge):
+		c.w.Header().Set("Connection", "close")
+		g.reject(c, http.StatusRequestEntityTooLarge, "body_too_large", "", fmt.Sprintf("body is larger than %d bytes; send less", g.Limits.BodyBytes))
+	default:
+		c.w.Header().Set("Connection", "close")
+		g.reject(c, http.StatusBadRequest, "body_incomplete", "", "body could not be read to its end; send it again")
+	}
+	return nil, false
+}
+
+// requireMethod rejects other methods.
+func (g *Gateway) requireMethod(c *call, method string) bool {
+	if c.r.Method == method {
+		return true
+	}
+	c.w.Header().Set("Allow", method)
+	g.reject(c, http.StatusMethodNotAllowed, "method_not_allowed", "", "use "+method)
+	return false
+}
+
+func (g *Gateway) serveModels(c *call) {
+	if g.requireMethod(c, http.MethodGet) {
+		g.writeJSON(c, http.StatusOK, protocol.NewModelList(c.workspace.Models))
+	}
+}
+
+func (g *Gateway) writeJSON(c *call, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		g.reject(c, http.StatusInternalServerError, "internal", "", "answer could not be encoded; report this request id")
+		return
+	}
+	c.w.Header().Set("Content-Type", "application/json")
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	_, _ = c.w.Write(body)
+}
+
+// reject answers a request that was wrong. It was not run.
+func (g *Gateway) reject(c *call, status int, code, param, message string) {
+	g.Metrics.Rejected.Inc(1)
+	c.w.Header().Set(protocol.HeaderOutcome, protocol.OutcomeNotRun)
+	g.writeError(c, status, code, param, message, protocol.OutcomeNotRun)
+}
+
+func (g *Gateway) rejectBad(c *call, err error) {
+	var bad *protocol.BadRequestError
+	if errors.As(err, &bad) {
+		g.reject(c, http.StatusBadRequest, "invalid_request", bad.Param, bad.Error())
+		return
+	}
+	g.reject(c, http.StatusBadRequest, "invalid_request", "", err.Error())
+}
+
+// refuse answers a request that could not be answered, at once.
+func (g *Gateway) refuse(c *call, o coordination.Outcome) {
+	reason, retry := g.count(o)
+	h := c.w.Header()
+	h.Set(protocol.HeaderOutcome, coordination.OutcomeName(o))
+	h.Set(protocol.HeaderReason, string(reason))
+	h.Set(protocol.HeaderRetryAfter, strconv.Itoa(spreadRetry(retry)))
+	g.writeError(c, refusalStatus(o, reason), string(reason), "", reason.Remedy(), coordination.OutcomeName(o))
+}
+
+func (g *Gateway) count(o coordination.Outcome) (coordination.Reason, time.Duration) {
+	switch o := o.(type) {
+	case coordination.NotRun:
+		g.Metrics.NotRun.Inc(1)
+		return o.Reason, o.RetryAfter
+	case coordination.MayHaveRun:
+		g.Metrics.MayHaveRun.Inc(1)
+		return o.Reason, o.RetryAfter
+	case coordination.Answered:
+		g.Metrics.Answered.Inc(1)
+	}
+	return "", 0
+}
+
+// refusalStatus maps a refusal to a status. A request that may have run never
+// gets 429 or 503, which client libraries take as leave to send it again.
+func refusalStatus(o coordination.Outcome, reason coordination.Reason) int {
+	if coordination.MayRepeat(o) {
+		return http.StatusServiceUnavailable
+	}
+	if reason == coordination.ReasonNoAnswer || reason == coordination.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// spreadRetry turns a time into whole seconds with up to half of it added at
+// random, so that refused callers do not come back together.
+func spreadRetry(d time.Duration) int {
+	if d <= 0 {
+		d = defaultRetryTime
+	}
+	d += time.Duration(mrand.Int64N(int64(d)/2 + 1))
+	return max(1, int(math.Ceil(d.Seconds())))
+}
+
+func (g *Gateway) writeError(c *call, status int, code, param, message, outcome string) {
+	detail := protocol.ErrorDetail{Message: message, Type: errorType(status), Code: code, Outcome: outcome, RequestID: c.id}
+	if param != "" {
+		detail.Param = &param
+	}
+	g.writeJSON(c, status, protocol.ErrorBody{Error: detail})
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// spendRetry asks the retry budget.
+func (g *Gateway) spendRetry() bool {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	if !g.budget.Spend() {
+		return false
+	}
+	g.Metrics.Retries.Inc(1)
+	return true
+}
+
+func (g *Gateway) earnRetry() {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	g.budget.Earn()
+}
--- /dev/null
+++ b/transport/meter.go
@@ -0,0 +1,69 @@
+// This file counts the bytes of control traffic on its connections, TLS and
+// HTTP framing included.
+
+package transport
+
+import (
+	"context"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Meter counts the bytes of connections.
+type Meter struct{ Sent, Read metrics.Counter }
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial wraps a dialer, nil for the network's own.
+func (m *Meter) Dial(dial dialFunc) dialFunc {
+	if dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbe}
+		dial = d.DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{Conn: c, m: m}, nil
+	}
+}
+
+// Listener wraps a listener.
+func (m *Meter) Listener(l net.Listener) net.Listener { return &meteredListener{Listener: l, m: m} }
+
+var _ net.Listener = (*meteredListener)(nil)
+
+type meteredListener struct {
+	net.Listener
+	m *Meter
+}
+
+// Accept returns the next connection, counted.
+func (l *meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{Conn: c, m: l.m}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	m *Meter
+}
+
+// Read counts what was read.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.m.Read.Inc(int64(n))
+	return n, err
+}
+
+// Write counts what was written.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.m.Sent.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/transport/metrics.go
@@ -0,0 +1,100 @@
+// This file defines the metrics of a daemon and writes them in the text form
+// that scrapers read.
+
+package transport
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Metrics are the counters and timers of a daemon.
+type Metrics struct {
+	Registry metrics.Registry
+
+	Requests      metrics.Counter
+	Answered      metrics.Counter
+	NotRun        metrics.Counter
+	MayHaveRun    metrics.Counter
+	Rejected      metrics.Counter
+	Retries       metrics.Counter
+	Resumes       metrics.Counter
+	OpenStreams   metrics.Counter
+	CallerGone    metrics.Counter
+	PlatformCalls metrics.Counter
+	Exchanges     metrics.Counter
+	ExchangeFails metrics.Counter
+	ControlSent   metrics.Counter // bytes on peer and platform connections
+	ControlRead   metrics.Counter
+	LedgerKeys    metrics.Gauge
+	LedgerBytes   metrics.Gauge
+	FirstByte     metrics.Timer
+}
+
+// sampleSize and sampleAlpha shape the timers' reservoirs: about the last five
+// minutes count.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// NewMetrics returns the metrics of one daemon in a registry of their own.
+func NewMetrics() *Metrics {
+	r := metrics.NewRegistry()
+	m := &Metrics{Registry: r}
+	counters := map[string]*metrics.Counter{
+		"requests_total":           &m.Requests,
+		"answered_total":           &m.Answered,
+		"not_run_total":            &m.NotRun,
+		"may_have_run_total":       &m.MayHaveRun,
+		"rejected_total":           &m.Rejected,
+		"retries_total":            &m.Retries,
+		"resumes_total":            &m.Resumes,
+		"open_streams":             &m.OpenStreams,
+		"caller_gone_total":        &m.CallerGone,
+		"platform_calls_total":     &m.PlatformCalls,
+		"exchanges_total":          &m.Exchanges,
+		"exchange_failures_total":  &m.ExchangeFails,
+		"control_sent_bytes_total": &m.ControlSent,
+		"control_read_bytes_total": &m.ControlRead,
+	}
+	for name, c := range counters {
+		*c = metrics.NewRegisteredCounter(name, r)
+	}
+	m.LedgerKeys = metrics.NewRegisteredGauge("ledger_keys", r)
+	m.LedgerBytes = metrics.NewRegisteredGauge("ledger_bytes", r)
+	m.FirstByte = metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha)), metrics.NewMeter())
+	_ = r.Register("first_byte_seconds", m.FirstByte)
+	return m
+}
+
+// Close stops the background work of the timers.
+func (m *Metrics) Close() { m.FirstByte.Stop() }
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// WriteText writes all metrics, sorted by name.
+func (m *Metrics) WriteText(w io.Writer) {
+	var lines []string
+	m.Registry.Each(func(name string, v any) {
+		name = "hingewinch_" + name
+		switch v := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
+		case metrics.Timer:
+			s := v.Snapshot()
+			for i, q := range s.Percentiles(quantiles) {
+				lines = append(lines, fmt.Sprintf("%s{quantile=\"%v\"} %g", name, quantiles[i], q/1e9))
+			}
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+		}
+	})
+	sort.Strings(lines)
+	fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/transport/once.go
@@ -0,0 +1,319 @@
+// This file runs requests that must not be repeated. The ledger of the
+// coordination package decides; this file carries its decisions out, here or at
+// the daemon that keeps the key.
+
+package transport
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/state"
+)
+
+// OnceRequest is a request that must not be repeated, with its key.
+type OnceRequest struct {
+	ID        state.RequestID
+	Workspace state.WorkspaceID
+	Service   state.ServiceID
+	Key       string
+	Method    string
+	Target    string
+	Header    http.Header
+	Body      []byte
+}
+
+func (r *OnceRequest) ledgerKey() coordination.LedgerKey {
+	return coordination.LedgerKey{Workspace: r.Workspace, Service: r.Service, Key: r.Key}
+}
+
+// fingerprint tells a repeat from another request under the same key.
+func (r *OnceRequest) fingerprint() coordination.Fingerprint {
+	h := sha256.New()
+	for _, field := range [][]byte{[]byte(r.Method), []byte(r.Target), r.Body} {
+		var n [8]byte
+		binary.LittleEndian.PutUint64(n[:], uint64(len(field)))
+		h.Write(n[:])
+		h.Write(field)
+	}
+	return coordination.Fingerprint(h.Sum(nil))
+}
+
+// OnceResult is how a request with a key ended. Its kinds are [OnceAnswer],
+// [OnceRefusal] and [OnceConflict].
+type OnceResult interface{ isOnceResult() }
+
+// OnceAnswer is the service's answer.
+type OnceAnswer struct {
+	Answer   *coordination.StoredAnswer
+	Replayed bool
+}
+
+// OnceRefusal means that there is no answer.
+type OnceRefusal struct{ Outcome coordination.Outcome }
+
+// OnceConflict means that the key is wrong for this request; Err says why.
+type OnceConflict struct{ Err error }
+
+func (OnceAnswer) isOnceResult()   {}
+func (OnceRefusal) isOnceResult()  {}
+func (OnceConflict) isOnceResult() {}
+
+var (
+	_ OnceResult = OnceAnswer{}
+	_ OnceResult = OnceRefusal{}
+	_ OnceResult = OnceConflict{}
+)
+
+// errKeyReused is the cause of a conflict.
+var errKeyReused = errors.New("key was used for another request; use a new key for each request")
+
+// OnceForwarder sends a request to the daemon that keeps its key.
+type OnceForwarder interface {
+	ForwardOnce(ctx context.Context, keeper state.Member, r *OnceRequest) OnceResult
+}
+
+// OnceOptions are the parts that an OnceRunner works with.
+type OnceOptions struct {
+	Self        state.DaemonID
+	Incarnation state.Incarnation
+	Secret      []byte // fresh random bytes
+	Snapshot    func() *state.Snapshot
+	Upstreams   *Upstreams
+	Forwarder   OnceForwarder
+	Recorder    *Recorder
+	Metrics     *Metrics
+	LedgerBytes int
+	AnswerBytes int64
+	Now         func() time.Time
+}
+
+// OnceRunner is safe for use by many goroutines.
+type OnceRunner struct {
+	OnceOptions
+	issuer  *coordination.TicketIssuer
+	started time.Time
+
+	mu     sync.Mutex
+	ledger *coordination.Ledger
+}
+
+// NewOnceRunner returns the runner of one daemon life.
+func NewOnceRunner(o OnceOptions) *OnceRunner {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &OnceRunner{
+		OnceOptions: o,
+		issuer:      coordination.NewTicketIssuer(o.Self, o.Incarnation, o.Secret),
+		started:     o.Now(),
+		ledger:      coordination.NewLedger(o.LedgerBytes),
+	}
+}
+
+// Issue returns a ticket and for how long it can be used.
+func (o *OnceRunner) Issue(w state.WorkspaceID, s state.ServiceID) (string, time.Duration) {
+	life := o.rules().Window
+	return o.issuer.Issue(w, s, o.age()+life, randomID()), life
+}
+
+func (o *OnceRunner) age() time.Duration { return o.Now().Sub(o.started) }
+
+func (o *OnceRunner) rules() coordination.KeeperRules {
+	return coordination.RulesOf(o.Snapshot().Config)
+}
+
+// Run runs a request at its keeper, wherever that is.
+func (o *OnceRunner) Run(ctx context.Context, r *OnceRequest) OnceResult {
+	keeper, result := o.keeper(r)
+	if result != nil {
+		return result
+	}
+	if keeper.ID == string(o.Self) {
+		return o.RunHere(ctx, r)
+	}
+	return o.Forwarder.ForwardOnce(ctx, keeper, r)
+}
+
+// keeper finds the daemon that may run the request.
+func (o *OnceRunner) keeper(r *OnceRequest) (state.Member, OnceResult) {
+	list := o.Snapshot().Members
+	if !coordination.IsTicket(r.Key) {
+		m, ok := coordination.KeeperOf(list, r.ledgerKey())
+		if !ok {
+			return m, OnceRefusal{coordination.MayHaveRun{Reason: coordination.ReasonKeeperAway, RetryAfter: defaultRetryTime}}
+		}
+		return m, nil
+	}
+	t, err := coordination.ParseTicket(r.Key)
+	if err != nil {
+		return state.Member{}, OnceConflict{err}
+	}
+	if t.Daemon == o.Self {
+		return state.Member{ID: string(o.Self)}, nil
+	}
+	m := list.Find(string(t.Daemon))
+	if m == nil || m.Kind != state.KindDaemon {
+		return state.Member{}, OnceRefusal{coordination.MayHaveRun{Reason: coordination.ReasonTicketSpent, RetryAfter: defaultRetryTime}}
+	}
+	return *m, nil
+}
+
+// RunHere runs a request at this daemon if this daemon may. It never forwards:
+// one hop is all that a request takes.
+func (o *OnceRunner) RunHere(ctx context.Context, r *OnceRequest) OnceResult {
+	keep, permit, result := o.mayRun(r)
+	if result != nil {
+		return result
+	}
+	for {
+		switch a := o.begin(r, keep).(type) {
+		case coordination.Start:
+			return o.start(ctx, r, permit)
+		case coordination.Replay:
+			return OnceAnswer{Answer: a.Answer, Replayed: true}
+		case coordination.Conflict:
+			return OnceConflict{errKeyReused}
+		case coordination.Deny:
+			return OnceRefusal{a.Outcome}
+		case coordination.Wait:
+			select {
+			case <-a.Done:
+			case <-ctx.Done():
+				return OnceRefusal{coordination.MayHaveRun{Reason: coordination.ReasonDeadline, RetryAfter: defaultRetryTime}}
+			}
+		}
+	}
+}
+
+// mayRun decides whether this daemon may run the request. keep is how long its
+// key must be remembered, permit the check to be made again right before the
+// first byte; a ticket needs none, since no other process can ever run it.
+func (o *OnceRunner) mayRun(r *OnceRequest) (keep time.Duration, permit func() error, result OnceResult) {
+	if coordination.IsTicket(r.Key) {
+		keep, result = o.admitTicket(r)
+		return keep, nil, result
+	}
+	if refusal := o.mayKeep(r); refusal != nil {
+		return 0, nil, OnceRefusal{refusal}
+	}
+	permit = func() error {
+		if o.mayKeep(r) != nil {
+			return errNoLongerKeeper
+		}
+		return nil
+	}
+	return o.rules().QuietTime(), permit, nil
+}
+
+func (o *OnceRunner) admitTicket(r *OnceRequest) (time.Duration, OnceResult) {
+	t, err := coordination.ParseTicket(r.Key)
+	if err != nil {
+		return 0, OnceConflict{err}
+	}
+	left, refusal, err := o.issuer.Admit(t, r.Workspace, r.Service, o.age())
+	if err != nil {
+		return 0, OnceConflict{err}
+	}
+	if refusal != nil {
+		return 0, OnceRefusal{refusal}
+	}
+	return left, nil
+}
+
+// errNoLongerKeeper stops an attempt whose daemon lost the key on the way.
+var errNoLongerKeeper = errors.New("daemon no longer keeps the key")
+
+func (o *OnceRunner) mayKeep(r *OnceRequest) coordination.Outcome {
+	return coordination.MayKeep(o.Now(), o.Self, o.Snapshot().Epoch, r.ledgerKey(), o.rules())
+}
+
+func (o *OnceRunner) begin(r *OnceRequest, keep time.Duration) coordination.Admission {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.ledger.Begin(o.Now(), r.ledgerKey(), r.fingerprint(), keep)
+	o.Metrics.LedgerKeys.Update(int64(o.ledger.Len()))
+	o.Metrics.LedgerBytes.Update(int64(o.ledger.Bytes()))
+	return a
+}
+
+func (o *OnceRunner) finish(r *OnceRequest, out coordination.Outcome, answer *coordination.StoredAnswer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.Finish(r.ledgerKey(), out, answer)
+}
+
+// start sends the request, once. A caller who goes away does not stop it: its
+// end is recorded for the repeat.
+func (o *OnceRunner) start(ctx context.Context, r *OnceRequest, permit func() error) OnceResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeLeft(ctx))
+	defer cancel()
+	outcome, answer := o.send(ctx, r, permit)
+	o.finish(r, outcome, answer)
+	o.Recorder.Record(coordination.EventOnce, string(r.Service), r.ID, "request with a key ended %s", coordination.OutcomeName(outcome))
+	if answer != nil {
+		return OnceAnswer{Answer: answer}
+	}
+	if n, ok := outcome.(coordination.NotRun); ok && n.Reason == coordination.ReasonKeeperStale {
+		// This daemon did not run it, but it no longer knows that no other did.
+		return OnceRefusal{coordination.MayHaveRun{Reason: n.Reason, RetryAfter: n.RetryAfter}}
+	}
+	return OnceRefusal{outcome}
+}
+
+// defaultOnceTimeout applies where the caller set no limit.
+const defaultOnceTimeout = 30 * time.Second
+
+func timeLeft(ctx context.Context) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return time.Until(d)
+	}
+	return defaultOnceTimeout
+}
+
+// maxOnceAttempts bounds the replicas that are tried; each before the last was
+// surely not run.
+const maxOnceAttempts = 3
+
+func (o *OnceRunner) send(ctx context.Context, r *OnceRequest, permit func() error) (coordination.Outcome, *coordination.StoredAnswer) {
+	pool := o.Snapshot().Service(r.Service)
+	key := coordination.ChatKeyOf(r.Workspace, state.ModelID(r.Service), []byte(r.Key))
+	var avoid []state.UpstreamID
+	var last coordination.Outcome = coordination.NotRun{Reason: coordination.ReasonNoUpstream, RetryAfter: defaultRetryTime}
+	for range maxOnceAttempts {
+		c, ok := coordination.Choose(pool, key, avoid)
+		if !ok {
+			break
+		}
+		resp, outcome, _ := o.Upstreams.Send(ctx, UpstreamRequest{
+			Method: r.Method, Address: c.Address, Target: r.Target, Header: r.Header.Clone(), Body: r.Body,
+			Fresh: true, Permit: permit,
+		})
+		if resp != nil {
+			return o.store(resp)
+		}
+		last = outcome
+		if !coordination.MayRepeat(outcome) || ctx.Err() != nil {
+			break
+		}
+		avoid = append(avoid, c.ID)
+	}
+	return last, nil
+}
+
+func (o *OnceRunner) store(resp *http.Response) (coordination.Outcome, *coordination.StoredAnswer) {
+	defer resp.Body.Close()
+	body, err := protocol.ReadBounded(resp.Body, resp.ContentLength, o.AnswerBytes)
+	if err != nil {
+		return coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer, RetryAfter: defaultRetryTime}, nil
+	}
+	answer := &coordination.StoredAnswer{Status: resp.StatusCode, Header: protocol.ReturnHeader(resp.Header), Body: body}
+	return coordination.Answered{Status: resp.StatusCode}, answer
+}
--- /dev/null
+++ b/transport/relay.go
@@ -0,0 +1,176 @@
+// This file relays a streamed answer event by event. Only whole events in their
+// order are passed on, and only the terminator makes the answer whole: a stream
+// that can't be finished ends in an explicit error, and the connection is
+// broken so that not even a caller who skips the error takes it as whole.
+
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/state"
+)
+
+// errCaller marks the end of a stream whose caller is gone.
+var errCaller = errors.New("caller closed the connection")
+
+// stream is one answer on its way.
+type stream struct {
+	g        *Gateway
+	c        *call
+	engine   *state.Candidate
+	asm      coordination.Assembler
+	sent     bool
+	deadline time.Time // of the caller's connection
+	out      *http.ResponseController
+}
+
+func (g *Gateway) relayStream(c *call, resp *http.Response, engine *state.Candidate) {
+	g.Metrics.OpenStreams.Inc(1)
+	defer g.Metrics.OpenStreams.Dec(1)
+	s := &stream{g: g, c: c, engine: engine, out: http.NewResponseController(c.w)}
+	err := s.run(resp)
+	switch {
+	case err == nil:
+		g.count(coordination.Answered{Status: resp.StatusCode})
+	case errors.Is(err, errCaller) || c.r.Context().Err() == context.Canceled:
+		g.Metrics.CallerGone.Inc(1)
+		panic(http.ErrAbortHandler)
+	case !s.sent:
+		g.refuse(c, g.deadlineOutcome(c, coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer, RetryAfter: defaultRetryTime}))
+	default:
+		s.fail(err)
+	}
+}
+
+// run relays the stream, and its continuations if it breaks and can be resumed.
+func (s *stream) run(resp *http.Response) error {
+	id := resp.Header.Get(protocol.HeaderStreamID)
+	backoff := s.g.Limits.ResumeBackoff
+	for resumes := 0; ; resumes++ {
+		err := s.relay(resp, id)
+		if err == nil || errors.Is(err, errCaller) {
+			return err
+		}
+		stream, after, ok := s.asm.Resumable()
+		ctx := s.c.r.Context()
+		if !ok || resumes >= s.g.Limits.MaxResumes || ctx.Err() != nil {
+			return err
+		}
+		if resumes > 0 {
+			sleep(ctx, backoff)
+			backoff *= 2
+		}
+		next := s.g.resume(ctx, s.c, s.engine, stream, after)
+		if next == nil {
+			return err
+		}
+		resp = next
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// relay passes the events of one upstream response on.
+func (s *stream) relay(resp *http.Response, id string) error {
+	defer resp.Body.Close()
+	idle := time.AfterFunc(s.g.Limits.StreamIdle, func() { _ = resp.Body.Close() })
+	defer idle.Stop()
+	events := protocol.NewEventReader(resp.Body)
+	for {
+		ev, err := events.Read()
+		if err != nil {
+			return broken(err)
+		}
+		idle.Reset(s.g.Limits.StreamIdle)
+		switch s.asm.Accept(coordination.Chunk{Stream: id, Seq: ev.Seq, Final: ev.IsEnd()}) {
+		case coordination.Drop:
+			continue
+		case coordination.Missing:
+			return errors.New("events are missing in the stream")
+		case coordination.Forward:
+		}
+		if err := s.forward(&ev); err != nil {
+			return err
+		}
+		if s.asm.Whole() {
+			return nil
+		}
+	}
+}
+
+func broken(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errors.New("stream ended without its terminator")
+	}
+	return err
+}
+
+// forward writes one event and flushes it. The headers go out with the first.
+func (s *stream) forward(ev *protocol.StreamEvent) error {
+	if !s.sent {
+		s.sent = true
+		h := s.c.w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-cache")
+		s.c.w.WriteHeader(http.StatusOK)
+	}
+	s.extendDeadline()
+	if _, err := s.c.w.Write(ev.Raw); err != nil {
+		return errCaller
+	}
+	if err := s.out.Flush(); err != nil {
+		return errCaller
+	}
+	return nil
+}
+
+// extendDeadline gives a slow caller time for the next event. It is done at
+// most once a second, because setting a deadline costs more than a write of a
+// token should.
+func (s *stream) extendDeadline() {
+	want := time.Now().Add(s.g.Limits.CallerStall)
+	if want.Sub(s.deadline) < time.Second {
+		return
+	}
+	s.deadline = want
+	_ = s.out.SetWriteDeadline(want)
+}
+
+// fail ends a stream that has begun: an error event, and then a connection that
+// breaks without the end of the body.
+func (s *stream) fail(cause error) {
+	s.g.count(coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer})
+	s.g.Recorder.Record(coordination.EventAttemptFailed, string(s.engine.ID), s.c.id, "stream could not be finished: %v", cause)
+	detail := protocol.ErrorDetail{
+		Message:   coordination.ReasonBrokenAnswer.Remedy(),
+		Type:      errorType(http.StatusBadGateway),
+		Code:      string(coordination.ReasonBrokenAnswer),
+		Outcome:   coordination.OutcomeName(coordination.MayHaveRun{}),
+		RequestID: s.c.id,
+	}
+	if body, err := json.Marshal(protocol.ErrorBody{Error: detail}); err == nil {
+		var event bytes.Buffer
+		event.WriteString("data: ")
+		event.Write(body)
+		event.WriteString("\n\n")
+		_, _ = s.c.w.Write(event.Bytes())
+		_ = s.out.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/transport/upstream.go
@@ -0,0 +1,188 @@
+// This file defines the client towards engines, services and peers. net/http
+// repeats a request by itself when its body can be replayed; here it can't, so
+// that whether a request is sent again is this project's decision alone.
+
+package transport
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+)
+
+// Settings of the connections to upstreams.
+const (
+	dialTimeout      = 2 * time.Second
+	keepAliveProbe   = 15 * time.Second
+	idlePerUpstream  = 64
+	idleTimeout      = 60 * time.Second
+	connBufferBytes  = 4 << 10
+	maxHeaderBytes   = 64 << 10
+	defaultRetryTime = time.Second
+)
+
+// UpstreamOptions are the settings of an Upstreams.
+type UpstreamOptions struct {
+	// TLS is used for upstreams if it is not nil.
+	TLS *tls.Config
+	// Dial replaces the network in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Upstreams sends requests to engines and services.
+type Upstreams struct {
+	scheme string
+	reused *http.Transport
+	fresh  *http.Transport
+}
+
+// NewUpstreams returns a client.
+func NewUpstreams(o UpstreamOptions) *Upstreams {
+	u := &Upstreams{scheme: "http", reused: evidenceTransport(o), fresh: evidenceTransport(o)}
+	u.fresh.DisableKeepAlives = true
+	if o.TLS != nil {
+		u.scheme = "https"
+	}
+	return u
+}
+
+// evidenceTransport returns an HTTP/1.1 transport whose connections carry
+// evidence.
+func evidenceTransport(o UpstreamOptions) *http.Transport {
+	dial := o.Dial
+	if dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbe}
+		dial = d.DialContext
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &evidenceConn{Conn: c}, nil
+		},
+		TLSClientConfig:        o.TLS,
+		TLSHandshakeTimeout:    dialTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerUpstream,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         connBufferBytes,
+		WriteBufferSize:        connBufferBytes,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ForceAttemptHTTP2:      false,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+// Close closes idle connections.
+func (u *Upstreams) Close() {
+	u.reused.CloseIdleConnections()
+	u.fresh.CloseIdleConnections()
+}
+
+// UpstreamRequest is one request as it goes to one upstream.
+type UpstreamRequest struct {
+	Method  string
+	Address string // host:port
+	Target  string // path and query
+	Header  http.Header
+	Body    []byte
+	// Fresh asks for a connection of its own. A reused one may have been closed
+	// by the upstream a moment ago; what is written to it is lost, and whether
+	// the upstream read it can't be known.
+	Fresh bool
+	// Permit is asked right before the first byte; it may be nil.
+	Permit func() error
+}
+
+// singleBody is a request body that can be read once. Its type, unknown to
+// net/http, keeps the client from preparing a replay.
+type singleBody struct{ r *bytes.Reader }
+
+func (b singleBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+func (b singleBody) Close() error               { return nil }
+
+// Send sends a request once. Either the response is not nil, and its body is to
+// be read and closed, or the outcome says how the attempt ended. The error
+// gives the cause for logs.
+func (u *Upstreams) Send(ctx context.Context, r UpstreamRequest) (*http.Response, coordination.Outcome, error) {
+	target, err := url.Parse(u.scheme + "://" + r.Address + r.Target)
+	if err != nil {
+		return nil, coordination.NotRun{Reason: coordination.ReasonConnect}, eris.Wrap(err, "build upstream request")
+	}
+	a := NewAttempt(r.Permit)
+	req := &http.Request{
+		Method:        r.Method,
+		URL:           target,
+		Host:          r.Address,
+		Header:        r.Header,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Body:          singleBody{bytes.NewReader(r.Body)},
+		ContentLength: int64(len(r.Body)),
+	}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, a.trace()))
+	rt := u.reused
+	if r.Fresh {
+		rt = u.fresh
+	}
+	resp, err := rt.RoundTrip(req)
+	if err != nil {
+		return nil, failedOutcome(ctx, a), eris.Wrapf(err, "send to %s", r.Address)
+	}
+	if protocol.RefusedByUpstream(resp) {
+		retry := retryAfter(resp.Header)
+		discard(resp)
+		return nil, coordination.NotRun{Reason: coordination.ReasonUpstreamBusy, RetryAfter: retry}, eris.Errorf("%s refused with status %d", r.Address, resp.StatusCode)
+	}
+	return resp, nil, nil
+}
+
+// failedOutcome tells from the evidence how an attempt without a response
+// ended.
+func failedOutcome(ctx context.Context, a *Attempt) coordination.Outcome {
+	if a.Seal() {
+		reason := coordination.ReasonConnect
+		if ctx.Err() != nil {
+			reason = coordination.ReasonDeadline
+		}
+		if a.Denied() != nil {
+			reason = coordination.ReasonKeeperStale
+		}
+		return coordination.NotRun{Reason: reason, RetryAfter: defaultRetryTime}
+	}
+	return coordination.MayHaveRun{Reason: coordination.ReasonNoAnswer, RetryAfter: defaultRetryTime}
+}
+
+// maxDiscard bounds what is read of an answer that nobody wants, to be able to
+// use its connection again.
+const maxDiscard = 16 << 10
+
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	_ = resp.Body.Close()
+}
+
+// maxRetryAfter caps what an upstream can ask callers to wait.
+const maxRetryAfter = 5 * time.Minute
+
+func retryAfter(h http.Header) time.Duration {
+	d, err := time.ParseDuration(h.Get(protocol.HeaderRetryAfter) + "s")
+	if err != nil || d < 0 {
+		return defaultRetryTime
+	}
+	return min(d, maxRetryAfter)
+}
--- /dev/null
+++ b/transport/watch.go
@@ -0,0 +1,111 @@
+// This file watches upstreams: one goroutine for each asks it for its state and
+// hands what it says to the control loop.
+
+package transport
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/state"
+)
+
+// Times of a watch.
+const (
+	watchWait    = 2 * time.Second // how long an upstream holds a query without news
+	watchTimeout = 4 * time.Second
+	watchPause   = 200 * time.Millisecond // between queries
+	watchBackoff = 2 * time.Second        // after a failed one
+	maxStateBody = 4 << 10
+)
+
+// Watcher watches a set of upstreams.
+type Watcher struct {
+	ctx       context.Context
+	upstreams *Upstreams
+	tell      func(coordination.Event)
+
+	mu      sync.Mutex
+	running map[state.UpstreamID]*watch
+	wg      sync.WaitGroup
+}
+
+type watch struct {
+	member state.Member
+	cancel context.CancelFunc
+}
+
+// NewWatcher returns a watcher that works until ctx ends. up should count its
+// bytes as control traffic.
+func NewWatcher(ctx context.Context, up *Upstreams, tell func(coordination.Event)) *Watcher {
+	return &Watcher{ctx: ctx, upstreams: up, tell: tell, running: make(map[state.UpstreamID]*watch)}
+}
+
+// Set replaces the set of watched upstreams. A watch of an upstream that stays
+// goes on.
+func (w *Watcher) Set(members []state.Member) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wanted := make(map[state.UpstreamID]state.Member, len(members))
+	for _, m := range members {
+		wanted[state.UpstreamID(m.ID)] = m
+	}
+	for id, running := range w.running {
+		if wanted[id].Address != running.member.Address {
+			running.cancel()
+			delete(w.running, id)
+		}
+	}
+	for id, m := range wanted {
+		if w.running[id] == nil {
+			w.begin(id, m)
+		}
+	}
+}
+
+func (w *Watcher) begin(id state.UpstreamID, m state.Member) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.running[id] = &watch{member: m, cancel: cancel}
+	w.wg.Go(func() { w.run(ctx, id, m.Address) })
+}
+
+// Wait waits until all watches have ended after the context did.
+func (w *Watcher) Wait() { w.wg.Wait() }
+
+func (w *Watcher) run(ctx context.Context, id state.UpstreamID, address string) {
+	var seq uint64
+	for ctx.Err() == nil {
+		pause := watchPause
+		ev, next, err := w.ask(ctx, id, address, seq)
+		switch {
+		case err == nil:
+			seq = next
+			w.tell(ev)
+		case ctx.Err() == nil:
+			w.tell(coordination.UpstreamFailed{ID: id})
+			pause, seq = watchBackoff, 0
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (w *Watcher) ask(ctx context.Context, id state.UpstreamID, address string, seq uint64) (ev coordination.UpstreamSeen, next uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	resp, _, err := w.upstreams.Send(ctx, UpstreamRequest{
+		Method: http.MethodGet, Address: address, Target: protocol.StateTarget(seq, watchWait), Header: http.Header{},
+	})
+	if err != nil {
+		return ev, 0, err
+	}
+	defer resp.Body.Close()
+	body, err := protocol.ReadBounded(resp.Body, resp.ContentLength, maxStateBody)
+	if err != nil {
+		return ev, 0, err
+	}
+	return protocol.ParseUpstreamState(id, body)
+}
