At most once across daemons: tickets, keeper with quiet time, lease and challenge

Cause: a caller who repeats a key through another daemon, while lists differ and daemons are paused, restarted or cut off, can make two daemons run it.

Change: a property test and fixed random schedules drive the real decisions of a few daemons, with clocks that drift.

--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -25,8 +25,8 @@
 const (
 	// TickInterval is how often the owner sends a Tick.
 	TickInterval = 500 * time.Millisecond
-	// freezeAfter is how late a tick may be before the loop takes it that the
-	// process was paused.
+	// freezeAfter is how late a tick may be before it is taken that the process
+	// was paused.
 	freezeAfter = 3 * time.Second
 	// platformInterval is how often one reader asks the platform.
 	platformInterval = time.Second
@@ -61,6 +61,7 @@
 	list        *state.MemberList
 	history     []state.DatedList
 	confirmed   time.Time
+	paused      time.Time // when a pause was last noticed
 	windowSince time.Time
 	doubted     *state.MemberList
 	doubtEnds   time.Time
@@ -177,7 +178,13 @@
 
 // epoch shares the history with the snapshot: taking a list makes a new slice.
 func (f *Fleet) epoch() state.KeeperEpoch {
-	return state.KeeperEpoch{Confirmed: f.confirmed, WindowSince: f.windowSince, History: f.history}
+	return state.KeeperEpoch{
+		Confirmed:   f.confirmed,
+		Ticked:      f.ticked,
+		Paused:      f.paused,
+		WindowSince: f.windowSince,
+		History:     f.history,
+	}
 }
 
 func (f *Fleet) tick(now, wall time.Time) {
@@ -197,13 +204,14 @@
 	jump := wall.Sub(f.wall) - late
 	first := f.ticked.IsZero()
 	f.ticked, f.wall = now, wall
+	f.epochDirty = true
 	if first || (late < freezeAfter && jump < freezeAfter) {
 		return
 	}
 	f.note(EventFreeze, string(f.self.ID), "control loop was paused for about %v; list is distrusted until confirmed", max(late, jump).Round(time.Millisecond))
 	f.confirmed = time.Time{}
+	f.paused = now
 	f.nextRead = now
-	f.epochDirty = true
 }
 
 func (f *Fleet) forgetSuspects(now time.Time) {
--- a/coordination/keeper.go
+++ b/coordination/keeper.go
@@ -3,12 +3,12 @@
 // first for it in the platform's member list.
 //
 // Lists differ between daemons, so two may rank first for one key at a time.
-// The rule below keeps their periods of acting apart, under two assumptions
-// that the design note states: a caller repeats a key within the window, and a
-// daemon learns of a new list within the lease or knows that it did not. An
-// old keeper acts only while its list was confirmed within the lease; a new one
-// stays quiet until the window, the longest lease and a margin have passed since
-// it ranked first.
+// The rules below keep their periods of acting apart, under two assumptions
+// that the design note states: a repeat reaches a daemon within the window, and
+// a daemon that confirms its list has the newest one. An old keeper acts only
+// while its list was confirmed within the lease. A new one stays quiet until the
+// window, the longest lease and a margin have passed since it ranked first. And
+// what was held up on the way, in a socket or a paused process, is refused.
 
 package coordination
 
@@ -18,11 +18,15 @@
 	"hingewinch.org/hingewinch/state"
 )
 
-// KeeperMargin is added to the quiet time. It covers the time between the check
-// of the lease and the first byte on the wire, in which a process may be
-// paused, and drift between clocks that measure the same duration.
+// KeeperMargin is added to the quiet time. It covers the pause that goes
+// unnoticed, the time that a forwarded request may take, and drift between
+// clocks that measure the same duration.
 const KeeperMargin = 30 * time.Second
 
+// afterPause is for how long a daemon passes no request with a caller's own key
+// on after a pause: what is read then may have waited in a socket.
+const afterPause = 5 * time.Second
+
 // KeeperRules are the times of the operators' file.
 type KeeperRules struct {
 	Window time.Duration
@@ -62,16 +66,19 @@
 // right before the first byte is written. A nil outcome means yes. No refusal
 // says not-run: another keeper may have run the key.
 func MayKeep(now time.Time, self state.DaemonID, epoch state.KeeperEpoch, k LedgerKey, r KeeperRules) Outcome {
-	if now.Sub(epoch.Confirmed) > r.Lease || epoch.Confirmed.IsZero() {
-		return MayHaveRun{Reason: ReasonKeeperStale, RetryAfter: r.Lease}
+	if epoch.Confirmed.IsZero() || now.Sub(epoch.Confirmed) > r.Lease || asleep(now, epoch) {
+		return MayHaveRun{Reason: ReasonKeeperStale, RetryAfter: time.Second}
 	}
 	since, first := rankedFirstSince(self, epoch.History, k)
 	if !first {
 		return MayHaveRun{Reason: ReasonKeeperAway, RetryAfter: time.Second}
 	}
-	if epoch.WindowSince.After(since) {
-		// Keys of the time before were remembered for a shorter window.
-		since = epoch.WindowSince
+	for _, t := range []time.Time{epoch.WindowSince, epoch.Paused} {
+		// Keys of the time before were remembered for a shorter window, or
+		// requests of the time before may still wait in sockets.
+		if t.After(since) {
+			since = t
+		}
 	}
 	if left := r.QuietTime() - now.Sub(since); left > 0 {
 		return MayHaveRun{Reason: ReasonKeeperQuiet, RetryAfter: left}
@@ -79,6 +86,21 @@
 	return nil
 }
 
+// asleep reports whether the process may have been paused since its control
+// loop last ran.
+func asleep(now time.Time, epoch state.KeeperEpoch) bool {
+	return now.Sub(epoch.Ticked) > freezeAfter
+}
+
+// MayPassOn decides whether a daemon may take in a request with a caller's own
+// key and send it to the keeper. A nil outcome means yes.
+func MayPassOn(now time.Time, epoch state.KeeperEpoch) Outcome {
+	if asleep(now, epoch) || (!epoch.Paused.IsZero() && now.Sub(epoch.Paused) < afterPause) {
+		return MayHaveRun{Reason: ReasonKeeperStale, RetryAfter: afterPause}
+	}
+	return nil
+}
+
 // rankedFirstSince walks the history from the newest list back to the first in
 // which self did not rank first, and returns when the one after it was taken.
 // The history begins with the process, so a restart makes a daemon quiet.
--- /dev/null
+++ b/coordination/once_world_test.go
@@ -0,0 +1,339 @@
+package coordination_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/state"
+)
+
+// way is a way of keeping a request from running twice.
+type way int
+
+const (
+	wayLocal       way = iota // each daemon has a ledger of its own and asks nobody
+	wayNoQuiet                // the keeper acts as soon as it ranks first
+	wayNoLease                // the keeper acts on a list of any age
+	wayNoChallenge            // the keeper takes what was held up on the way
+	wayKeeper                 // the product's way for a caller's own key
+	wayTicket                 // the product's way for a ticket
+)
+
+// onceWorld is a few daemons around one service: lists differ, processes are
+// paused, restarted and cut off, clocks drift. The decisions are the product's.
+type onceWorld struct {
+	way     way
+	rules   coordination.KeeperRules
+	now     time.Time // true time
+	rev     state.ListRevision
+	listed  map[int]bool // daemons of the published list
+	daemons []*onceDaemon
+	flying  []*onceForward // requests between two daemons
+	pending []*onceAttempt // attempts between decision and first byte
+	runs    map[string]int
+	first   map[string]time.Time
+	asked   int
+	refused int
+	lives   int
+}
+
+type onceDaemon struct {
+	n       int
+	born    time.Time
+	rate    float64 // of its clock against true time
+	frozen  bool
+	cut     bool // learns no lists
+	epoch   state.KeeperEpoch
+	ledger  *coordination.Ledger
+	issuer  *coordination.TicketIssuer
+	life    state.Incarnation
+	started time.Time // own clock
+}
+
+// onceForward is a request that was passed on and may be held up.
+type onceForward struct {
+	to        *onceDaemon
+	life      state.Incarnation
+	key       coordination.LedgerKey
+	challenge string
+}
+
+type onceAttempt struct {
+	d   *onceDaemon
+	key coordination.LedgerKey
+}
+
+func daemonID(n int) state.DaemonID { return state.DaemonID(fmt.Sprintf("d%d", n)) }
+
+func newOnceWorld(w way, n int, rng *rand.Rand) *onceWorld {
+	ow := &onceWorld{
+		way:    w,
+		rules:  coordination.KeeperRules{Window: 2 * time.Minute, Lease: 20 * time.Second},
+		now:    epoch,
+		listed: make(map[int]bool),
+		runs:   make(map[string]int),
+		first:  make(map[string]time.Time),
+	}
+	for i := range n {
+		ow.listed[i] = true
+		ow.daemons = append(ow.daemons, &onceDaemon{n: i})
+	}
+	ow.rev = 1
+	for i := range n {
+		ow.restart(i, rng)
+	}
+	// The fleet is settled when the test begins.
+	ow.passTicks(int((ow.rules.QuietTime() + time.Minute) / time.Second))
+	return ow
+}
+
+func (ow *onceWorld) pass(d time.Duration) { ow.now = ow.now.Add(d) }
+
+// clock is the daemon's own clock.
+func (ow *onceWorld) clock(d *onceDaemon) time.Time {
+	return epoch.Add(time.Duration(float64(ow.now.Sub(d.born)) * d.rate))
+}
+
+func (ow *onceWorld) restart(n int, rng *rand.Rand) {
+	ow.lives++
+	d := ow.daemons[n]
+	*d = onceDaemon{n: n, born: ow.now, rate: 0.995 + 0.01*rng.Float64(), life: state.Incarnation(ow.lives)}
+	d.ledger = coordination.NewLedger(1 << 20)
+	d.issuer = coordination.NewTicketIssuer(daemonID(n), d.life, fmt.Appendf(nil, "secret %d", ow.lives))
+	d.started = ow.clock(d)
+	ow.pending = removeOf(ow.pending, d)
+	ow.learn(d)
+}
+
+func removeOf(pending []*onceAttempt, d *onceDaemon) []*onceAttempt {
+	var out []*onceAttempt
+	for _, a := range pending {
+		if a.d != d {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// publish changes the platform's list.
+func (ow *onceWorld) publish(n int) {
+	ow.listed[n] = !ow.listed[n]
+	ow.rev++
+}
+
+func (ow *onceWorld) list() *state.MemberList {
+	var members []state.Member
+	for i := range ow.daemons {
+		if ow.listed[i] {
+			members = append(members, state.Member{ID: string(daemonID(i)), Kind: state.KindDaemon, State: state.Live, Domain: "a"})
+		}
+	}
+	return state.NewMemberList(ow.rev, fmt.Appendf(nil, "%d", ow.rev), members)
+}
+
+// learn lets a daemon read the platform.
+func (ow *onceWorld) learn(d *onceDaemon) {
+	if d.frozen {
+		return
+	}
+	now := ow.clock(d)
+	if d.cut {
+		d.epoch.Ticked = now
+		return
+	}
+	if len(d.epoch.History) > 0 && now.Sub(d.epoch.Ticked) > 3*time.Second {
+		d.epoch.Paused = now
+	}
+	d.epoch.Ticked = now
+	d.epoch.Confirmed = now
+	l := ow.list()
+	if len(d.epoch.History) == 0 || l.Head.Compare(d.epoch.History[0].List.Head) > 0 {
+		d.epoch.History = append([]state.DatedList{{List: l, Taken: now}}, d.epoch.History...)
+	}
+}
+
+// send lets a caller send a key through a daemon. The caller keeps to the
+// contract: it repeats a key within the window only.
+func (ow *onceWorld) send(key string, via *onceDaemon) {
+	if via.frozen || len(via.epoch.History) == 0 {
+		return
+	}
+	if t, sent := ow.first[key]; !sent {
+		ow.first[key] = ow.now
+	} else if ow.now.Sub(t) > ow.rules.Window {
+		return
+	}
+	ow.asked++
+	k := coordination.LedgerKey{Workspace: "w", Service: "s", Key: key}
+	d := ow.keeper(k, via)
+	if d == nil || (ow.way == wayKeeper && coordination.MayPassOn(ow.clock(via), via.epoch) != nil) {
+		ow.refused++
+		return
+	}
+	if d != via {
+		challenge := d.issuer.Challenge(ow.clock(d).Sub(d.started))
+		ow.flying = append(ow.flying, &onceForward{d, d.life, k, challenge})
+		return
+	}
+	if !ow.decide(d, k) {
+		ow.refused++
+	}
+}
+
+// arrive delivers a request that was passed on, however late.
+func (ow *onceWorld) arrive(i int) {
+	f := ow.flying[i]
+	if f.to.frozen {
+		return
+	}
+	ow.flying = append(ow.flying[:i:i], ow.flying[i+1:]...)
+	stale := ow.way != wayNoChallenge && ow.way != wayTicket && !f.to.issuer.Fresh(f.challenge, ow.clock(f.to).Sub(f.to.started))
+	if stale || !ow.decide(f.to, f.key) {
+		ow.refused++
+	}
+}
+
+func (ow *onceWorld) keeper(k coordination.LedgerKey, via *onceDaemon) *onceDaemon {
+	if ow.way == wayLocal {
+		return via
+	}
+	id := ""
+	if ow.way == wayTicket {
+		t, err := coordination.ParseTicket(k.Key)
+		if err != nil {
+			return nil
+		}
+		id = string(t.Daemon)
+	} else if m, ok := coordination.KeeperOf(via.epoch.History[0].List, k); ok {
+		id = m.ID
+	}
+	for _, d := range ow.daemons {
+		if string(daemonID(d.n)) == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// decide asks the daemon's rules and ledger; a request that may start waits for
+// its first byte.
+func (ow *onceWorld) decide(d *onceDaemon, k coordination.LedgerKey) bool {
+	if !ow.may(d, k) {
+		return false
+	}
+	now := ow.clock(d)
+	switch d.ledger.Begin(now, k, coordination.Fingerprint{}, ow.rules.QuietTime()).(type) {
+	case coordination.Start:
+		ow.pending = append(ow.pending, &onceAttempt{d, k})
+		return true
+	case coordination.Wait, coordination.Replay:
+		return true
+	}
+	return false
+}
+
+func (ow *onceWorld) may(d *onceDaemon, k coordination.LedgerKey) bool {
+	now := ow.clock(d)
+	epoch := d.epoch
+	switch ow.way {
+	case wayLocal:
+		return true
+	case wayTicket:
+		t, _ := coordination.ParseTicket(k.Key)
+		_, refusal, err := d.issuer.Admit(t, k.Workspace, k.Service, now.Sub(d.started))
+		return err == nil && refusal == nil
+	case wayNoQuiet:
+		m, ok := coordination.KeeperOf(epoch.History[0].List, k)
+		return ok && m.ID == string(daemonID(d.n)) && now.Sub(epoch.Confirmed) <= ow.rules.Lease
+	case wayNoLease:
+		epoch.Confirmed = now
+	}
+	return coordination.MayKeep(now, daemonID(d.n), epoch, k, ow.rules) == nil
+}
+
+// firstByte lets one waiting attempt write, unless its daemon may not any more.
+// lost says that the answer does not come back.
+func (ow *onceWorld) firstByte(i int, lost bool) {
+	a := ow.pending[i]
+	if a.d.frozen {
+		return
+	}
+	ow.pending = append(ow.pending[:i:i], ow.pending[i+1:]...)
+	if ow.way != wayTicket && !ow.may(a.d, a.key) {
+		a.d.ledger.Finish(a.key, coordination.NotRun{}, nil)
+		return
+	}
+	ow.runs[a.key.Key]++
+	if lost {
+		a.d.ledger.Finish(a.key, coordination.MayHaveRun{}, nil)
+		return
+	}
+	a.d.ledger.Finish(a.key, coordination.Answered{}, &coordination.StoredAnswer{Status: 200})
+}
+
+// newKey returns a key as a caller of this way would get it.
+func (ow *onceWorld) newKey(n int, via *onceDaemon) string {
+	if ow.way != wayTicket {
+		return fmt.Sprintf("key-%d", n)
+	}
+	age := ow.clock(via).Sub(via.started)
+	return via.issuer.Issue("w", "s", age+ow.rules.Window, fmt.Sprintf("%d", n))
+}
+
+func (ow *onceWorld) maxRuns() int {
+	most := 0
+	for _, n := range ow.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+// step does one random thing; the common ones are many times as likely as the
+// faults, so that a fault lasts long enough to matter. intn draws a number below
+// its argument.
+func (ow *onceWorld) step(intn func(int) int, rng *rand.Rand, keys *[]string) {
+	d := ow.daemons[intn(len(ow.daemons))]
+	switch draw := intn(100); {
+	case draw < 2:
+		ow.publish(d.n)
+	case draw < 5:
+		d.frozen = true
+	case draw < 9:
+		d.frozen = false
+	case draw < 12:
+		d.cut = !d.cut
+	case draw < 13:
+		ow.restart(d.n, rng)
+	case draw < 28:
+		ow.passTicks(1 + intn(40))
+	case draw < 40:
+		if !d.frozen {
+			*keys = append(*keys, ow.newKey(len(*keys), d))
+			ow.send((*keys)[len(*keys)-1], d)
+		}
+	case draw < 65:
+		if len(*keys) > 0 {
+			ow.send((*keys)[len(*keys)-1-intn(min(len(*keys), 8))], d)
+		}
+	case draw < 82:
+		if len(ow.flying) > 0 {
+			ow.arrive(intn(len(ow.flying)))
+		}
+	default:
+		if len(ow.pending) > 0 {
+			ow.firstByte(intn(len(ow.pending)), intn(2) == 0)
+		}
+	}
+}
+
+// passTicks lets time pass, in which who is not cut off or paused keeps up.
+func (ow *onceWorld) passTicks(seconds int) {
+	for range seconds {
+		ow.pass(time.Second)
+		for _, d := range ow.daemons {
+			ow.learn(d)
+		}
+	}
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -28,7 +28,6 @@
 	faults atomic.Pointer[ServiceFaults]
 	mu     sync.Mutex
 	runs   map[string]int
-	seq    uint64
 }
 
 // NewService returns a service.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -34,6 +34,11 @@
 	// Confirmed is when the platform last confirmed the member list, by this
 	// daemon's clock and with the time that the news travelled taken off.
 	Confirmed time.Time
+	// Ticked is when the control loop last ran. If that is long ago, the process
+	// has been paused and its knowledge is of the past.
+	Ticked time.Time
+	// Paused is when the control loop last noticed that it had been paused.
+	Paused time.Time
 	// WindowSince is when the window of the configuration last grew.
 	WindowSince time.Time
 	// History holds the lists of the last window, newest first, each with the
--- a/transport/once.go
+++ b/transport/once.go
@@ -47,7 +47,7 @@
 }
 
 // OnceResult is how a request with a key ended. Its kinds are [OnceAnswer],
-// [OnceRefusal] and [OnceConflict].
+// [OnceRefusal], [OnceConflict] and, between daemons, [OnceChallenge].
 type OnceResult interface{ isOnceResult() }
 
 // OnceAnswer is the service's answer.
@@ -62,14 +62,19 @@
 // OnceConflict means that the key is wrong for this request; Err says why.
 type OnceConflict struct{ Err error }
 
-func (OnceAnswer) isOnceResult()   {}
-func (OnceRefusal) isOnceResult()  {}
-func (OnceConflict) isOnceResult() {}
+// OnceChallenge asks a peer to send the request again with the challenge.
+type OnceChallenge struct{ Challenge string }
+
+func (OnceAnswer) isOnceResult()    {}
+func (OnceRefusal) isOnceResult()   {}
+func (OnceConflict) isOnceResult()  {}
+func (OnceChallenge) isOnceResult() {}
 
 var (
 	_ OnceResult = OnceAnswer{}
 	_ OnceResult = OnceRefusal{}
 	_ OnceResult = OnceConflict{}
+	_ OnceResult = OnceChallenge{}
 )
 
 // errKeyReused is the cause of a conflict.
@@ -132,6 +137,11 @@
 
 // Run runs a request at its keeper, wherever that is.
 func (o *OnceRunner) Run(ctx context.Context, r *OnceRequest) OnceResult {
+	if !coordination.IsTicket(r.Key) {
+		if refusal := coordination.MayPassOn(o.Now(), o.Snapshot().Epoch); refusal != nil {
+			return OnceRefusal{refusal}
+		}
+	}
 	keeper, result := o.keeper(r)
 	if result != nil {
 		return result
@@ -166,6 +176,16 @@
 	return *m, nil
 }
 
+// RunForPeer runs a request that a peer passed on. A request with a caller's own
+// key must show a fresh challenge: one that was held up on the way may be older
+// than the window, and nothing else in it can tell.
+func (o *OnceRunner) RunForPeer(ctx context.Context, r *OnceRequest, challenge string) OnceResult {
+	if !coordination.IsTicket(r.Key) && !o.issuer.Fresh(challenge, o.age()) {
+		return OnceChallenge{o.issuer.Challenge(o.age())}
+	}
+	return o.RunHere(ctx, r)
+}
+
 // RunHere runs a request at this daemon if this daemon may. It never forwards:
 // one hop is all that a request takes.
 func (o *OnceRunner) RunHere(ctx context.Context, r *OnceRequest) OnceResult {
@@ -263,7 +283,7 @@
 	}
 	if n, ok := outcome.(coordination.NotRun); ok && n.Reason == coordination.ReasonKeeperStale {
 		// This daemon did not run it, but it no longer knows that no other did.
-		return OnceRefusal{coordination.MayHaveRun{Reason: n.Reason, RetryAfter: n.RetryAfter}}
+		return OnceRefusal{coordination.MayHaveRun(n)}
 	}
 	return OnceRefusal{outcome}
 }
--- a/transport/peers.go
+++ b/transport/peers.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +38,40 @@
 	scheme   string
 	recorder *Recorder
 	metrics  *Metrics
+
+	challenges challengeCache
+}
+
+// challengeCache keeps the last challenge of each keeper for half its life, so
+// that a busy daemon asks for one every few seconds and not for each request.
+type challengeCache struct {
+	mu   sync.Mutex
+	kept map[string]datedChallenge
+}
+
+type datedChallenge struct {
+	challenge string
+	taken     time.Time
+}
+
+func (c *challengeCache) get(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.kept[address]
+	if time.Since(d.taken) > coordination.ChallengeLife/2 {
+		delete(c.kept, address)
+		return ""
+	}
+	return d.challenge
+}
+
+func (c *challengeCache) put(address, challenge string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.kept == nil {
+		c.kept = make(map[string]datedChallenge)
+	}
+	c.kept[address] = datedChallenge{challenge, time.Now()}
 }
 
 // NewPeers returns a client. tlsConfig is nil for plain connections; meter
@@ -116,7 +151,14 @@
 // attempt was written, an earlier one with the same key may have run, which
 // only the keeper knows.
 func (p *Peers) ForwardOnce(ctx context.Context, keeper state.Member, r *OnceRequest) OnceResult {
-	resp, err := p.to(keeper.Address, p.once).Run(ctx, p.encodeRun(ctx, r))
+	m := p.encodeRun(ctx, r)
+	m.Challenge = p.challenges.get(keeper.Address)
+	resp, err := p.to(keeper.Address, p.once).Run(ctx, m)
+	if err == nil && resp.GetOutcome() == peer.RunOutcome_RUN_OUTCOME_CHALLENGE {
+		p.challenges.put(keeper.Address, resp.GetChallenge())
+		m.Challenge = resp.GetChallenge()
+		resp, err = p.to(keeper.Address, p.once).Run(ctx, m)
+	}
 	if err != nil {
 		p.recorder.Record(coordination.EventOnce, keeper.ID, r.ID, "keeper could not be reached: %v", err)
 		reason := coordination.ReasonKeeperAway
@@ -220,11 +262,11 @@
 	timeout := min(time.Duration(m.GetTimeoutMs())*time.Millisecond, maxRunTimeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	result := s.Once.RunHere(ctx, &OnceRequest{
+	result := s.Once.RunForPeer(ctx, &OnceRequest{
 		ID: state.RequestID(m.GetRequestId()), Workspace: state.WorkspaceID(m.GetWorkspace()),
 		Service: state.ServiceID(m.GetService()), Key: m.GetKey(),
 		Method: m.GetMethod(), Target: m.GetTarget(), Header: decodeHeader(m.GetHeader()), Body: m.GetBody(),
-	})
+	}, m.GetChallenge())
 	out := encodeRunResult(result)
 	stamp := s.Recorder.Stamp()
 	out.StampWall, out.StampCounter = stamp.Wall, stamp.Counter
@@ -246,6 +288,8 @@
 			return &peer.RunResponse{Outcome: peer.RunOutcome_RUN_OUTCOME_FORGED}
 		}
 		return &peer.RunResponse{Outcome: peer.RunOutcome_RUN_OUTCOME_CONFLICT}
+	case OnceChallenge:
+		return &peer.RunResponse{Outcome: peer.RunOutcome_RUN_OUTCOME_CHALLENGE, Challenge: r.Challenge}
 	case OnceRefusal:
 		return encodeRefusal(r.Outcome)
 	}
