--- /dev/null
+++ b/coordination/decisions_test.go
@@ -0,0 +1,247 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/state"
+)
+
+// TestAssembler plays an upstream that repeats, loses, delays and mixes chunks
+// and breaks at any point, and a relay that resumes when it is told to. What is
+// forwarded must always be a beginning of the answer, and whole only at its end.
+func TestAssembler(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total = 12
+		var asm coordination.Assembler
+		if asm.Accept(coordination.Chunk{Stream: "s", Seq: 1}) != coordination.Forward {
+			t.Fatal("the first chunk was not forwarded")
+		}
+		next, forwarded := uint64(2), uint64(1)
+		for range 200 {
+			c := coordination.Chunk{Stream: "s", Seq: next}
+			switch rapid.IntRange(0, 9).Draw(t, "fault") {
+			case 0: // an old chunk comes late
+				c.Seq = uint64(rapid.IntRange(1, int(next)).Draw(t, "late"))
+			case 1: // chunks are lost
+				c.Seq = next + uint64(rapid.IntRange(1, 4).Draw(t, "lost"))
+			case 2: // a chunk of another stream
+				c.Stream = "other"
+			case 3: // a number is missing
+				c.Seq = 0
+			}
+			c.Final = c.Seq == total
+			switch asm.Accept(c) {
+			case coordination.Forward:
+				if c.Stream != "s" || c.Seq != forwarded+1 {
+					t.Fatalf("chunk %d of %q was forwarded after %d", c.Seq, c.Stream, forwarded)
+				}
+				forwarded++
+				next = forwarded + 1
+			case coordination.Missing:
+				if _, after, ok := asm.Resumable(); ok && after != forwarded {
+					t.Fatalf("resume after %d, but %d were forwarded", after, forwarded)
+				}
+				next = forwarded + 1
+			case coordination.Drop:
+			}
+			if asm.Whole() != (forwarded == total) {
+				t.Fatalf("whole is %v after %d of %d", asm.Whole(), forwarded, total)
+			}
+		}
+	})
+}
+
+var drawReport = rapid.Custom(func(t *rapid.T) coordination.Report {
+	return coordination.Report{
+		ID:          "e",
+		Incarnation: state.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+		State:       state.MemberState(rapid.IntRange(1, 3).Draw(t, "state")),
+		Load:        state.Load(rapid.IntRange(0, 3).Draw(t, "load")),
+		Gate:        state.Gate(rapid.IntRange(0, 3).Draw(t, "gate")),
+		Seq:         uint64(rapid.IntRange(0, 3).Draw(t, "seq")),
+	}
+})
+
+func TestReportMergeIsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawReport.Draw(t, "a"), drawReport.Draw(t, "b"), drawReport.Draw(t, "c")
+		if a.Merge(b) != b.Merge(a) {
+			t.Fatalf("not commutative: %+v, %+v", a, b)
+		}
+		if a.Merge(b).Merge(c) != a.Merge(b.Merge(c)) {
+			t.Fatalf("not associative: %+v, %+v, %+v", a, b, c)
+		}
+		if ab := a.Merge(b); ab.Merge(b) != ab || ab.Merge(a) != ab {
+			t.Fatalf("not idempotent: %+v, %+v", a, b)
+		}
+		if ab := a.Merge(b); ab.Incarnation == a.Incarnation && ab.State < a.State {
+			t.Fatalf("state went back: %+v, %+v", a, b)
+		}
+	})
+}
+
+// poolOf returns a pool of n engines with full gates.
+func poolOf(n int) *state.Pool {
+	p := &state.Pool{}
+	for i := range n {
+		id := fmt.Sprintf("engine-%d", i)
+		p.Candidates = append(p.Candidates, state.Candidate{ID: state.UpstreamID(id), Hash: coordination.Hash(id), Gate: state.GateFull})
+	}
+	return p
+}
+
+func TestChooseMovesFewChats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := poolOf(rapid.IntRange(2, 40).Draw(t, "engines"))
+		i := rapid.IntRange(0, len(p.Candidates)-1).Draw(t, "engine")
+		smaller := &state.Pool{Candidates: append(append([]state.Candidate{}, p.Candidates[:i]...), p.Candidates[i+1:]...)}
+		key := state.ChatKey(rapid.Uint64().Draw(t, "chat"))
+		before, _ := coordination.Choose(p, key, nil)
+		after, _ := coordination.Choose(smaller, key, nil)
+		if before.ID != p.Candidates[i].ID && before.ID != after.ID {
+			t.Fatal("a chat moved although its home stayed")
+		}
+	})
+}
+
+var _ = Describe("Choose", func() {
+	share := func(p *state.Pool, id state.UpstreamID) float64 {
+		n := 0
+		const chats = 20_000
+		for k := range chats {
+			c, _ := coordination.Choose(p, state.ChatKey(coordination.Hash(fmt.Sprint(k))), nil)
+			if c.ID == id {
+				n++
+			}
+		}
+		return float64(n) / chats
+	}
+	It("spreads chats evenly", func() {
+		Expect(share(poolOf(10), "engine-3")).To(BeNumerically("~", 0.1, 0.01))
+	})
+	It("takes away the share that a gate says", func() {
+		p := poolOf(10)
+		p.Candidates[3].Gate = state.GateFull / 2
+		Expect(share(p, "engine-3")).To(BeNumerically("~", 0.05, 0.01))
+	})
+	It("takes the widest gate if none lets the chat pass", func() {
+		p := poolOf(3)
+		for i := range p.Candidates {
+			p.Candidates[i].Gate = 0
+		}
+		p.Candidates[1].Gate = 1
+		c, ok := coordination.Choose(p, 7, nil)
+		Expect(ok).To(BeTrue())
+		Expect(c.ID).To(Equal(state.UpstreamID("engine-1")))
+	})
+	It("says so if all are avoided", func() {
+		_, ok := coordination.Choose(poolOf(1), 7, []state.UpstreamID{"engine-0"})
+		Expect(ok).To(BeFalse())
+	})
+	It("allocates nothing", func() {
+		p := poolOf(190)
+		Expect(testing.AllocsPerRun(100, func() { coordination.Choose(p, 7, nil) })).To(BeZero())
+	})
+})
+
+var _ = Describe("ChatKeyOf", func() {
+	It("differs when a byte moves between fields", func() {
+		Expect(coordination.ChatKeyOf("ab", "c", nil)).NotTo(Equal(coordination.ChatKeyOf("a", "bc", nil)))
+	})
+})
+
+var _ = Describe("NextGate", func() {
+	It("narrows under load and opens again", func() {
+		g := state.GateFull
+		for range 10 {
+			g = coordination.NextGate(g, 20_000, 5_000, 1.25)
+		}
+		Expect(g).To(BeNumerically("<", state.GateFull/4))
+		for range 60 {
+			g = coordination.NextGate(g, 1_000, 5_000, 1.25)
+		}
+		Expect(g).To(Equal(state.GateFull))
+	})
+	It("does not gate a load that no bound could keep out", func() {
+		Expect(coordination.NextGate(state.GateFull, 1_000, 10, 1.25)).To(Equal(state.GateFull))
+	})
+})
+
+var _ = Describe("HybridClock", func() {
+	It("stamps an effect after its cause although the clock is behind", func() {
+		var ahead, behind coordination.HybridClock
+		cause := ahead.Next(epoch.Add(5 * time.Second))
+		behind.Observe(epoch, cause)
+		Expect(behind.Next(epoch).Compare(cause)).To(BeNumerically(">", 0))
+	})
+	It("is not dragged far by a wrong clock", func() {
+		var c coordination.HybridClock
+		c.Observe(epoch, coordination.Stamp{Wall: epoch.Add(24 * time.Hour).UnixNano()})
+		Expect(c.Next(epoch).Wall).To(BeNumerically("<=", epoch.Add(coordination.MaxStampLead).UnixNano()))
+	})
+	It("orders a merged time line by cause", func() {
+		var a, b coordination.HybridClock
+		first := coordination.TimelineEvent{Stamp: a.Next(epoch.Add(time.Minute)), Daemon: "a", Text: "cause"}
+		b.Observe(epoch, first.Stamp)
+		second := coordination.TimelineEvent{Stamp: b.Next(epoch), Daemon: "b", Text: "effect"}
+		merged := coordination.MergeTimelines([]coordination.TimelineEvent{second}, []coordination.TimelineEvent{first})
+		Expect(merged).To(Equal([]coordination.TimelineEvent{first, second}))
+	})
+})
+
+var _ = Describe("Ring", func() {
+	It("keeps the newest", func() {
+		r := coordination.NewRing(2)
+		for _, text := range []string{"a", "b", "c"} {
+			r.Add(coordination.TimelineEvent{Text: text})
+		}
+		Expect(r.Events()).To(HaveLen(2))
+		Expect(r.Events()[0].Text).To(Equal("b"))
+	})
+})
+
+var _ = Describe("RetryBudget", func() {
+	It("bounds retries to a tenth of the traffic under total outage", func() {
+		b := coordination.NewRetryBudget()
+		retries := 0
+		const requests = 10_000
+		for range requests {
+			b.Earn()
+			for range 2 {
+				if b.Spend() {
+					retries++
+				}
+			}
+		}
+		Expect(float64(requests+retries) / requests).To(BeNumerically("<=", 1.102))
+	})
+})
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 190, 1000, 4500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := poolOf(n)
+			b.ReportAllocs()
+			for i := range b.N {
+				coordination.Choose(p, state.ChatKey(i), nil)
+			}
+		})
+	}
+}
+
+func BenchmarkLedgerMemory(b *testing.B) {
+	l := coordination.NewLedger(1 << 40)
+	b.ReportAllocs()
+	for i := range b.N {
+		k := coordination.LedgerKey{Workspace: "city-corp", Service: "gate", Key: fmt.Sprintf("hwt1.%060d.%022d", i, i)}
+		l.Begin(epoch, k, coordination.Fingerprint{}, time.Hour)
+		l.Finish(k, coordination.MayHaveRun{}, nil)
+	}
+}
--- a/coordination/documents.go
+++ b/coordination/documents.go
@@ -51,15 +51,18 @@
 	f.note(EventConfigRefused, ev.Head.String(), "configuration is not valid and not applied: %v", ev.Err)
 }
 
+// settlePeers is how many peers are asked.
+const settlePeers = 2
+
 // settle lets traffic use the configuration once enough peers have been asked
 // for a newer one: a platform that serves a stale value to a daemon that has
 // just started must not bring an old configuration back.
 func (f *Fleet) settle(now time.Time) {
-	if f.settled || f.config == nil {
+	if f.settled || f.config == nil || f.list == nil {
 		return
 	}
-	others := len(f.list.Daemons()) - 1
-	if len(f.peersMet) >= min(max(others, len(f.self.Seeds)), 2) || now.Sub(f.started) >= settleTime {
+	wanted := min(max(len(f.list.Daemons())-1, len(f.self.Seeds)), settlePeers)
+	if len(f.peersMet) >= wanted || now.Sub(f.started) >= settleTime {
 		f.settled = true
 		f.dirty = true
 	}
--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -220,7 +220,11 @@
 		f.unreachable[id] = true
 		f.note(EventPeerState, string(id), "peer can't be reached")
 	}
-	f.peerSuspects[id] = now.Add(suspectTime)
+	pass := suspectTime
+	if !f.settled {
+		pass = unsettledSuspectTime
+	}
+	f.peerSuspects[id] = now.Add(pass)
 	f.arrange()
 }
 
--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -35,10 +35,13 @@
 	// strayReadAge is the age of the list from which others ask it as well.
 	strayReadAge = 6 * time.Second
 	// settleTime is how long a new daemon asks peers for a newer configuration
-	// before it takes the platform's word alone.
-	settleTime = 2 * time.Second
-	// suspectTime is how long a peer or upstream that failed is passed over.
-	suspectTime = 5 * time.Second
+	// before it takes the platform's word alone. It is the longest time for
+	// which a daemon that is cut off from all peers refuses at its start.
+	settleTime = 10 * time.Second
+	// suspectTime is how long a peer or upstream that failed is passed over, and
+	// unsettledSuspectTime how long by a daemon that must still hear of peers.
+	suspectTime          = 5 * time.Second
+	unsettledSuspectTime = time.Second
 	// doubtTime is how long a list that lost most members is not obeyed.
 	doubtTime = 20 * time.Second
 )
--- a/coordination/ledger.go
+++ b/coordination/ledger.go
@@ -44,7 +44,7 @@
 
 // entryOverhead is the measured memory of an entry without its answer, in
 // bytes (BenchmarkLedgerMemory).
-const entryOverhead = 600
+const entryOverhead = 700
 
 // Admission is the ledger's word on a request. Its kinds are [Start], [Wait],
 // [Replay], [Conflict] and [Deny].
