--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,7 +62,7 @@
 func New(s *Settings, logger *log.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, life: state.Incarnation(time.Now().UnixNano()), metrics: transport.NewMetrics()}
 	d.recorder = transport.NewRecorder(s.ID, logger)
-	d.upstreams = transport.NewUpstreams(transport.UpstreamOptions{})
+	d.upstreams = transport.NewUpstreams(transport.UpstreamOptions{AnswerTimeout: s.Limits.FirstByte})
 	meter := &transport.Meter{Sent: d.metrics.ControlSent, Read: d.metrics.ControlRead}
 	if err := d.listen(meter, logger); err != nil {
 		d.close()
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -58,6 +58,7 @@
 	AnswerBytes int64         `yaml:"answer_bytes"`
 	LedgerBytes int           `yaml:"ledger_bytes"`
 	Timeout     time.Duration `yaml:"timeout"`
+	FirstByte   time.Duration `yaml:"first_byte"`
 	StreamIdle  time.Duration `yaml:"stream_idle"`
 	CallerStall time.Duration `yaml:"caller_stall"`
 }
@@ -67,6 +68,7 @@
 	defaultNotice      = 5 * time.Second
 	defaultLedgerBytes = 16 << 20
 	defaultLogLevel    = "info"
+	defaultFirstByte   = 2 * time.Minute
 )
 
 func defaultSettings() Settings {
@@ -76,7 +78,7 @@
 		LogLevel: defaultLogLevel,
 		Limits: LimitSettings{
 			BodyBytes: l.BodyBytes, AnswerBytes: l.AnswerBytes, LedgerBytes: defaultLedgerBytes,
-			Timeout: l.Timeout, StreamIdle: l.StreamIdle, CallerStall: l.CallerStall,
+			Timeout: l.Timeout, FirstByte: defaultFirstByte, StreamIdle: l.StreamIdle, CallerStall: l.CallerStall,
 		},
 	}
 }
@@ -159,10 +161,11 @@
 		"answer_bytes": s.Limits.AnswerBytes > 0,
 		"ledger_bytes": s.Limits.LedgerBytes > 0,
 		"timeout":      s.Limits.Timeout > 0,
+		"first_byte":   s.Limits.FirstByte > 0,
 		"stream_idle":  s.Limits.StreamIdle > 0,
 		"caller_stall": s.Limits.CallerStall > 0,
 	}
-	for _, name := range []string{"body_bytes", "answer_bytes", "ledger_bytes", "timeout", "stream_idle", "caller_stall"} {
+	for _, name := range []string{"body_bytes", "answer_bytes", "ledger_bytes", "timeout", "first_byte", "stream_idle", "caller_stall"} {
 		if !positive[name] {
 			c.Add(name+" is not above 0", "write a positive value or leave it out", "limits", name)
 		}
--- a/transport/suite_test.go
+++ b/transport/suite_test.go
@@ -62,6 +62,7 @@
 	engines int
 	limits  func(*transport.Limits)
 	extra   []http.Handler // more engines
+	answer  time.Duration  // longest wait for an answer's header
 }
 
 func newFixture(tb testing.TB, o fixtureOptions) *fixture {
@@ -91,7 +92,7 @@
 	if o.limits != nil {
 		o.limits(&limits)
 	}
-	up := transport.NewUpstreams(transport.UpstreamOptions{})
+	up := transport.NewUpstreams(transport.UpstreamOptions{AnswerTimeout: o.answer})
 	rec := transport.NewRecorder("d1", nil)
 	get := func() *state.Snapshot { return f.snapshot }
 	f.handler = transport.NewGateway(transport.GatewayOptions{
@@ -142,6 +143,7 @@
 	text    string
 	whole   bool
 	failed  bool // an explicit error, as status or as event
+	broken  bool // the connection broke before the end of the body
 	outcome string
 }
 
@@ -181,6 +183,7 @@
 	for {
 		ev, err := events.Read()
 		if err != nil {
+			r.broken = err != io.EOF
 			return r
 		}
 		if ev.IsEnd() {
--- a/transport/upstream.go
+++ b/transport/upstream.go
@@ -36,6 +36,9 @@
 type UpstreamOptions struct {
 	// TLS is used for upstreams if it is not nil.
 	TLS *tls.Config
+	// AnswerTimeout is the longest wait for the header of an answer after the
+	// request is written; 0 waits as long as the caller does.
+	AnswerTimeout time.Duration
 	// Dial replaces the network in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -75,6 +78,7 @@
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    dialTimeout,
+		ResponseHeaderTimeout:  o.AnswerTimeout,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerUpstream,
 		IdleConnTimeout:        idleTimeout,
