--- a/transport/tls.go
+++ b/transport/tls.go
@@ -29,6 +29,7 @@
 // certificates holds the identity that is in force.
 type certificates struct {
 	files TLSFiles
+	now   func() time.Time
 
 	mu      sync.Mutex
 	checked time.Time
@@ -38,8 +39,8 @@
 }
 
 // loadCertificates reads the files the first time; an error then is final.
-func loadCertificates(files TLSFiles) (*certificates, error) {
-	c := &certificates{files: files}
+func loadCertificates(files TLSFiles, now func() time.Time) (*certificates, error) {
+	c := &certificates{files: files, now: now}
 	stamp, err := c.modified()
 	if err != nil {
 		return nil, err
@@ -47,7 +48,7 @@
 	if err := c.load(); err != nil {
 		return nil, err
 	}
-	c.stamp, c.checked = stamp, time.Now()
+	c.stamp, c.checked = stamp, now()
 	return c, nil
 }
 
@@ -89,8 +90,8 @@
 func (c *certificates) current() (*tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.checked) >= certificateCheck {
-		c.checked = time.Now()
+	if now := c.now(); now.Sub(c.checked) >= certificateCheck {
+		c.checked = now
 		if stamp, err := c.modified(); err == nil && stamp != c.stamp && c.load() == nil {
 			c.stamp = stamp
 		}
@@ -101,7 +102,7 @@
 // ServerTLS returns the configuration of a server. With an authority, clients
 // must show a certificate that it signed.
 func ServerTLS(files TLSFiles) (*tls.Config, error) {
-	c, err := loadCertificates(files)
+	c, err := loadCertificates(files, time.Now)
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +124,7 @@
 // replacement VMs share over time, so the chain is checked and the name is not:
 // whoever holds a certificate of the authority is a daemon of the fleet.
 func ClientTLS(files TLSFiles) (*tls.Config, error) {
-	c, err := loadCertificates(files)
+	c, err := loadCertificates(files, time.Now)
 	if err != nil {
 		return nil, err
 	}
