--- a/coordination/documents.go
+++ b/coordination/documents.go
@@ -24,6 +24,14 @@
 	return f.list.Head
 }
 
+// newestList is the head of the newest list that is known, be it doubted.
+func (f *Fleet) newestList() state.Head {
+	if f.doubted != nil {
+		return f.doubted.Head
+	}
+	return f.listHead()
+}
+
 func (f *Fleet) takeConfig(now time.Time, c *state.Config) {
 	old, head := f.configHead(), c.Head()
 	if head.Version == old.Version && head != old && !old.IsZero() {
@@ -122,7 +130,8 @@
 
 // doubt holds a collapsed list back. It is taken if it is still the newest when
 // the doubt ends; until then the last good one serves, and what upstreams say
-// of themselves still counts.
+// of themselves still counts. Peers are told at once, so that the doubt ends
+// everywhere at about the same time.
 func (f *Fleet) doubt(now time.Time, l *state.MemberList) {
 	if f.doubted != nil && l.Head.Compare(f.doubted.Head) <= 0 {
 		return
@@ -131,6 +140,8 @@
 		f.doubtEnds = now.Add(doubtTime)
 	}
 	f.doubted = l
+	f.urgent = true
+	f.emit(HoldList{l})
 	f.note(EventListDoubted, l.Head.String(), "list %v lost most members; the last good one serves for up to %v", l.Head, doubtTime)
 }
 
--- a/coordination/event.go
+++ b/coordination/event.go
@@ -105,6 +105,10 @@
 	Head state.Head
 }
 
+// HoldList asks to keep the text of a list that is not in force, for peers that
+// fetch it.
+type HoldList struct{ List *state.MemberList }
+
 // WatchUpstreams lists the upstreams that this daemon watches from now on.
 type WatchUpstreams struct{ Upstreams []state.Member }
 
@@ -123,6 +127,7 @@
 func (Reply) isEffect()          {}
 func (FetchConfig) isEffect()    {}
 func (FetchList) isEffect()      {}
+func (HoldList) isEffect()       {}
 func (WatchUpstreams) isEffect() {}
 func (ReadPlatform) isEffect()   {}
 func (Note) isEffect()           {}
@@ -142,7 +147,7 @@
 	Stamp       Stamp
 	Config      state.Head
 	List        state.Head
-	ListAge     time.Duration // since the platform confirmed the list; negative if never
+	ListAge     time.Duration // since the platform confirmed the list; negative if never, or if it is doubted
 	Reports     []Report
 	// Upto is the sender's position up to which Reports is complete, and Ack
 	// the last Upto that it received from the life AckLife of the other side.
--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -97,10 +97,10 @@
 		Address:     f.self.Address,
 		Leaving:     f.stopped,
 		Config:      f.configHead(),
-		List:        f.listHead(),
+		List:        f.newestList(),
 		ListAge:     neverConfirmed,
 	}
-	if !f.confirmed.IsZero() {
+	if !f.confirmed.IsZero() && f.doubted == nil {
 		n.ListAge = f.now.Sub(f.confirmed)
 	}
 	if e == nil {
@@ -159,7 +159,7 @@
 			f.takeReport(r, n.Sender)
 		}
 	}
-	if f.list != nil && n.List == f.list.Head {
+	if n.List == f.newestList() {
 		e.received = max(e.received, n.Upto)
 	}
 	f.compareHeads(ev)
@@ -203,7 +203,7 @@
 	if n.Config.Compare(f.configHead()) > 0 && !f.refused[n.Config] {
 		f.emit(FetchConfig{Peer: peer, Head: n.Config})
 	}
-	if n.List.Compare(f.listHead()) > 0 && (f.doubted == nil || n.List.Compare(f.doubted.Head) > 0) {
+	if n.List.Compare(f.newestList()) > 0 {
 		f.emit(FetchList{Peer: peer, Head: n.List})
 	}
 	if !ev.Asked.IsZero() && n.ListAge >= 0 {
--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -37,7 +37,7 @@
 	// readersPerDomain is how many daemons of a failure domain ask it.
 	readersPerDomain = 2
 	// strayReadAge is the age of the list from which others ask it as well.
-	strayReadAge = 6 * time.Second
+	strayReadAge = 9 * time.Second
 	// settleTime is how long a new daemon asks peers for a newer configuration
 	// before it takes the platform's word alone. It is the longest time for
 	// which a daemon that is cut off from all peers refuses at its start.
@@ -89,6 +89,7 @@
 
 	urgent     bool // a state changed: tell it at once
 	dirty      bool // the snapshot is out of date
+	stale      bool // its figures are: it is built anew at the next tick
 	epochDirty bool // only its epoch is
 	current    *state.Snapshot
 	effects    []Effect
@@ -171,7 +172,7 @@
 	default:
 		return
 	}
-	f.dirty, f.epochDirty = false, false
+	f.dirty, f.stale, f.epochDirty = false, false, false
 	f.emit(Publish{f.current})
 }
 
@@ -202,6 +203,7 @@
 
 func (f *Fleet) tick(now, wall time.Time) {
 	f.noticeFreeze(now, wall)
+	f.dirty = f.dirty || f.stale
 	f.settle(now)
 	f.endDoubt(now)
 	f.forgetSuspects(now)
--- a/coordination/mesh_test.go
+++ b/coordination/mesh_test.go
@@ -176,6 +176,8 @@
 		})
 	case coordination.ReadPlatform:
 		m.readPlatform(n)
+	case coordination.HoldList:
+		n.lists = append(n.lists, eff.List)
 	case coordination.WatchUpstreams:
 		n.watched = eff.Upstreams
 	case coordination.Note:
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -106,7 +106,7 @@
 	known.from = from
 	f.arrivals++
 	known.arrival = f.arrivals
-	f.dirty = true
+	f.stale = true
 }
 
 // noteState writes a change of state down and makes it urgent: an upstream that
@@ -118,6 +118,7 @@
 		return
 	}
 	f.urgent = true
+	f.dirty = true
 	f.note(EventUpstreamState, string(next.ID), "upstream is %v (incarnation %d)", next.State, next.Incarnation)
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -147,6 +147,8 @@
 			c.fetch(ctx, eff.Peer, peer.DocumentKind_DOCUMENT_KIND_CONFIG)
 		case coordination.FetchList:
 			c.fetch(ctx, eff.Peer, peer.DocumentKind_DOCUMENT_KIND_LIST)
+		case coordination.HoldList:
+			c.documents.put(peer.DocumentKind_DOCUMENT_KIND_LIST, eff.List.Head, eff.List.Text)
 		case coordination.WatchUpstreams:
 			c.watcher.Set(eff.Upstreams)
 		case coordination.ReadPlatform:
@@ -290,7 +292,7 @@
 	case err != nil:
 		return
 	case text == nil && d.kind == peer.DocumentKind_DOCUMENT_KIND_LIST:
-		c.tell(coordination.ListConfirmed{Head: d.last, Asked: asked})
+		c.tell(coordination.ListConfirmed{Head: d.last, Asked: heldUntil(asked, time.Now())})
 		return
 	case text == nil:
 		return
@@ -304,6 +306,17 @@
 	c.learn(d.kind, state.HeadOf(0, text), text, asked)
 }
 
+// heldUntil returns until when an answer without a change is about: the platform
+// gives it only when the wait has ended, so the document stood nearly that long.
+// A tenth is taken off for clocks that run apart; an answer that came early is
+// about the moment of the question alone.
+func heldUntil(asked, answered time.Time) time.Time {
+	if answered.Sub(asked) < transport.PlatformWait {
+		return asked
+	}
+	return asked.Add(transport.PlatformWait * 9 / 10)
+}
+
 func (c *control) notePlatform(failed bool, err error) {
 	if failed {
 		c.recorder.Record(coordination.EventPlatform, "platform", "", "platform can't be read; the last documents stay in force: %v", err)
