The demo's time line shows a leaving engine and the daemon that stopped

Cause: the ring of a daemon ends with it, so a planned stop was not on the merged time line, and no engine left as planned on the way.

Change: hingectl timeline merges saved rings (--from); the demo lets an engine say that it leaves and saves the stopping daemon's ring.

Conclusion: what crosses the fleet can be read off one command.

--- a/cmd/hingectl/daemons.go
+++ b/cmd/hingectl/daemons.go
@@ -126,7 +126,8 @@
 
 type timelineCommand struct {
 	daemonOptions
-	JSON bool `long:"json" description:"print one JSON object a line"`
+	JSON bool     `long:"json" description:"print one JSON object a line"`
+	From []string `long:"from" value-name:"FILE" description:"merge a time line that was saved with --json, as of a daemon that has ended"`
 }
 
 // Execute merges the daemons' rings.
@@ -140,6 +141,13 @@
 		rings = append(rings, events)
 		return nil
 	})
+	for _, file := range c.From {
+		events, err := savedTimeline(file)
+		if err != nil {
+			return err
+		}
+		rings = append(rings, events)
+	}
 	enc := json.NewEncoder(os.Stdout)
 	for _, e := range coordination.MergeTimelines(rings...) {
 		if c.JSON {
@@ -150,3 +158,21 @@
 	}
 	return failed
 }
+
+// savedTimeline reads what timeline --json printed.
+func savedTimeline(file string) ([]coordination.TimelineEvent, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read saved time line; check the path")
+	}
+	defer f.Close()
+	var events []coordination.TimelineEvent
+	for dec := json.NewDecoder(f); dec.More(); {
+		var e coordination.TimelineEvent
+		if err := dec.Decode(&e); err != nil {
+			return nil, eris.Wrapf(err, "read saved time line %s; save it with --json", file)
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
--- a/demo.sh
+++ b/demo.sh
@@ -122,17 +122,24 @@
 sleep 2
 write_members 2 "e5"
 sleep 1
+echo "demo: engine e1 says that it is leaving"
+exec 3<>"/dev/tcp/127.0.0.1/${ports[1]}"
+printf 'POST /faults HTTP/1.0\r\nContent-Length: 16\r\n\r\n{"leaving":true}' >&3
+cat <&3 >/dev/null
+exec 3>&-
+sleep 1
 echo "demo: daemon d4 is stopped as planned"
-"$work/hingectl" timeline --json --daemon "127.0.0.1:${ports[18]}" >"$work/d4.timeline" || true
 kill -TERM "$pid_d4"
+sleep 0.5
+"$work/hingectl" timeline --json --daemon "127.0.0.1:${ports[18]}" >"$work/d4.timeline"
 d4_code=0
 wait "$pid_d4" || d4_code=$?
 echo "demo: daemon d4 ended with code $d4_code"
 code=0
 wait "$load" || code=$?
 cat "$work/load.err"
-echo "demo: time line of the daemons that run"
-"$work/hingectl" timeline "${operators[@]:0:6}" | grep -v ' once ' | tail -60
+echo "demo: merged time line, without single requests"
+"$work/hingectl" timeline --from "$work/d4.timeline" "${operators[@]:0:6}" | grep -v ' once ' | grep -v 'peer can' | tail -70
 "$work/hingectl" status "${operators[@]:0:6}"
 tail -1 "$work/load.out"
 [[ $code == 0 && $d4_code == 0 ]]
