--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -77,6 +77,7 @@
 	arrivals uint64
 	suspects map[state.UpstreamID]time.Time
 	watched  map[state.UpstreamID]state.Member
+	loads    map[state.UpstreamID]float64 // mean loads of those that are watched
 
 	neighbours   []state.Member
 	edges        map[state.DaemonID]*edge
@@ -106,6 +107,7 @@
 		reports:      make(map[state.UpstreamID]*knownReport),
 		suspects:     make(map[state.UpstreamID]time.Time),
 		watched:      make(map[state.UpstreamID]state.Member),
+		loads:        make(map[state.UpstreamID]float64),
 		edges:        make(map[state.DaemonID]*edge),
 		peerSuspects: make(map[state.DaemonID]time.Time),
 		unreachable:  make(map[state.DaemonID]bool),
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -29,15 +29,21 @@
 // seeUpstream takes in what a watched upstream said, moves its gate, and turns
 // it into news if it changed enough.
 func (f *Fleet) seeUpstream(ev UpstreamSeen) {
-	next := Report{ID: ev.ID, Incarnation: ev.Incarnation, State: ev.State, Load: ev.Load, Gate: state.GateFull, Seq: 1}
 	known := f.reports[ev.ID]
 	if known != nil && known.Incarnation > ev.Incarnation {
 		return
 	}
+	mean, seen := f.loads[ev.ID]
+	if !seen {
+		mean = float64(ev.Load)
+	}
+	mean = SmoothLoad(mean, ev.Load)
+	f.loads[ev.ID] = mean
+	next := Report{ID: ev.ID, Incarnation: ev.Incarnation, State: ev.State, Load: state.Load(mean), Gate: state.GateFull, Seq: 1}
 	if known != nil && known.Incarnation == ev.Incarnation {
 		next.Seq = known.Seq + 1
 		next.State = max(known.State, ev.State)
-		next.Gate = NextGate(known.Gate, ev.Load, f.meanLoad(ev.ID), f.bound())
+		next.Gate = NextGate(known.Gate, mean, f.meanLoad(ev.ID), f.bound())
 		if !worthTelling(known.Report, next) {
 			return
 		}
@@ -186,6 +192,11 @@
 		return
 	}
 	f.watched = next
+	for id := range f.loads {
+		if _, still := next[id]; !still {
+			delete(f.loads, id)
+		}
+	}
 	f.emit(WatchUpstreams{sortedMembers(next)})
 }
 
