A caller who sends its body slowly is cut off; short limits for slow callers work

Cause: nothing bounded the time in which a body comes. The test for it showed a second fault: the write deadline of a stream was only set anew when it would move by a second, so a limit below a second ended every longer stream.

Change: a read deadline for the body, taken back afterwards; the write deadline moves when an eighth of the limit has passed.

Before and after: without the read deadline the slow body holds its connection; with a deadline that is not taken back, or that moves by whole seconds, a stream longer than the limit is cut.

Conclusion: both directions of a slow caller are bounded.

--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -206,9 +206,14 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// readBody reads the request body or rejects the request.
+// readBody reads the request body or rejects the request. A caller who sends it
+// too slowly is cut off; the deadline is taken back afterwards, since the server
+// goes on reading to notice when the caller leaves.
 func (g *Gateway) readBody(c *call) ([]byte, bool) {
+	conn := http.NewResponseController(c.w)
+	_ = conn.SetReadDeadline(time.Now().Add(g.Limits.CallerStall))
 	body, err := protocol.ReadBounded(c.r.Body, c.r.ContentLength, g.Limits.BodyBytes)
+	_ = conn.SetReadDeadline(time.Time{})
 	switch {
 	case err == nil:
 		return body, true
--- a/transport/gateway_test.go
+++ b/transport/gateway_test.go
@@ -60,6 +60,28 @@
 	)
 })
 
+var _ = Describe("a caller who sends a body too slowly", func() {
+	It("is refused as not-run, and holds nothing for long", func() {
+		f := newFixture(GinkgoTB(), fixtureOptions{limits: func(l *transport.Limits) { l.CallerStall = 50 * time.Millisecond }})
+		c, err := net.Dial("tcp", f.gateway.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", protocol.PathChat, testKey)
+		Expect(c.SetReadDeadline(time.Now().Add(eventually))).To(Succeed())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(resp.Header.Get(protocol.HeaderOutcome)).To(Equal("not-run"))
+	})
+	It("does not lose a stream that lasts longer than the limit", func() {
+		f := newFixture(GinkgoTB(), fixtureOptions{
+			engine: standin.EngineOptions{TokenTime: 20 * time.Millisecond},
+			limits: func(l *transport.Limits) { l.CallerStall = 50 * time.Millisecond },
+		})
+		Expect(f.chat(true, "x").whole).To(BeTrue())
+	})
+})
+
 var _ = Describe("the model field", func() {
 	It("is compared exactly, as engines do", func() {
 		r, err := protocol.ParseChat([]byte(`{"model":"m","Model":"secret","messages":[{"role":"user"}]}`))
--- a/transport/relay.go
+++ b/transport/relay.go
@@ -140,12 +140,14 @@
 	return nil
 }
 
-// extendDeadline gives a slow caller time for the next event. It is done at
-// most once a second, because setting a deadline costs more than a write of a
-// token should.
+// deadlineShare is the part of the limit that must have passed before the
+// deadline is set anew: that costs more than the write of a token should.
+const deadlineShare = 8
+
+// extendDeadline gives a slow caller time for the next event.
 func (s *stream) extendDeadline() {
 	want := time.Now().Add(s.g.Limits.CallerStall)
-	if want.Sub(s.deadline) < time.Second {
+	if want.Sub(s.deadline) < s.g.Limits.CallerStall/deadlineShare {
 		return
 	}
 	s.deadline = want
