One loop sends again, under one kind of budget; a test that hung on timing made strict

Cause: requests with keys had a loop of their own, without the retry budget: up to three attempts each under an outage.

Change: attempts.send serves chats, plain requests and keys, with a budget each for gateway and ledger. The test waits until bytes have come, peeks at them, and resets without reading: may-have-run is then the only true answer, as strict as before.

Conclusion: amplification is bounded on every path by the same code.

--- a/transport/attempts.go
+++ b/transport/attempts.go
@@ -1,23 +1,60 @@
 // This file sends a request to one upstream of a pool after another, as long as
-// every attempt before was surely not run.
+// every attempt before was surely not run. It is the only place that sends a
+// request again.
 
 package transport
 
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/state"
 )
 
+// maxAttempts bounds the upstreams that are tried for one request.
+const maxAttempts = 3
+
+// retries is a retry budget for many goroutines.
+type retries struct {
+	mu      sync.Mutex
+	budget  *coordination.RetryBudget
+	metrics *Metrics
+}
+
+func newRetries(m *Metrics) *retries {
+	return &retries{budget: coordination.NewRetryBudget(), metrics: m}
+}
+
+// earn counts a first attempt.
+func (r *retries) earn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Earn()
+}
+
+// spend asks for a further one.
+func (r *retries) spend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.budget.Spend() {
+		return false
+	}
+	r.metrics.Retries.Inc(1)
+	return true
+}
+
 // attempts chooses upstreams for one request.
 type attempts struct {
-	g       *Gateway
-	id      state.RequestID
-	pool    *state.Pool
-	key     state.ChatKey
-	request UpstreamRequest
+	upstreams *Upstreams
+	retries   *retries
+	pool      *state.Pool
+	key       state.ChatKey
+	request   UpstreamRequest
+	// failed is told of each attempt without a response that the caller did not
+	// end: that one would say nothing of the upstream.
+	failed func(c *state.Candidate, o coordination.Outcome, err error)
 }
 
 // send returns the first response, with the upstream that gave it, or how the
@@ -25,34 +62,27 @@
 func (a *attempts) send(ctx context.Context) (*http.Response, *state.Candidate, coordination.Outcome) {
 	var avoid []state.UpstreamID
 	var last coordination.Outcome = coordination.NotRun{Reason: coordination.ReasonNoUpstream, RetryAfter: defaultRetryTime}
-	a.g.earnRetry()
-	for n := 0; n < a.g.Limits.MaxAttempts; n++ {
+	a.retries.earn()
+	for n := range maxAttempts {
 		c, ok := coordination.Choose(a.pool, a.key, avoid)
-		if !ok || (n > 0 && !a.g.spendRetry()) {
+		if !ok || (n > 0 && !a.retries.spend()) {
 			break
 		}
 		a.request.Address = c.Address
-		resp, outcome, err := a.g.Upstreams.Send(ctx, a.request)
+		resp, outcome, err := a.upstreams.Send(ctx, a.request)
 		if resp != nil {
 			a.request.Body = nil
 			return resp, c, nil
 		}
-		a.failed(ctx, c, outcome, err)
 		last = outcome
-		if !coordination.MayRepeat(outcome) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			break
+		}
+		a.failed(c, outcome, err)
+		if !coordination.MayRepeat(outcome) {
 			break
 		}
 		avoid = append(avoid, c.ID)
 	}
 	return nil, nil, last
 }
-
-// failed tells the control loop and the time line of an attempt without a
-// response. An attempt that the caller ended says nothing of the upstream.
-func (a *attempts) failed(ctx context.Context, c *state.Candidate, o coordination.Outcome, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	a.g.Recorder.Record(coordination.EventAttemptFailed, string(c.ID), a.id, "attempt at %s ended %s: %v", c.ID, coordination.OutcomeName(o), err)
-	a.g.Tell(coordination.UpstreamFailed{ID: c.ID})
-}
--- a/transport/chat.go
+++ b/transport/chat.go
@@ -33,18 +33,13 @@
 		g.reject(c, http.StatusForbidden, "model_not_allowed", "model", fmt.Sprintf("workspace %q may not use model %q; use one of GET /v1/models or ask the operators", c.workspace.Name, req.Model))
 		return
 	}
-	a := &attempts{
-		g:    g,
-		id:   c.id,
-		pool: c.snapshot.Model(req.Model),
-		key:  coordination.ChatKeyOf(c.workspace.Name, req.Model, chatIdentity(c.r, req)),
-		request: UpstreamRequest{
-			Method: http.MethodPost,
-			Target: protocol.PathChat,
-			Header: engineHeader(c),
-			Body:   body,
-		},
-	}
+	key := coordination.ChatKeyOf(c.workspace.Name, req.Model, chatIdentity(c.r, req))
+	a := g.attempts(c, c.snapshot.Model(req.Model), key, UpstreamRequest{
+		Method: http.MethodPost,
+		Target: protocol.PathChat,
+		Header: engineHeader(c),
+		Body:   body,
+	})
 	resp, engine, outcome := a.send(c.r.Context())
 	if resp == nil {
 		g.refuse(c, g.deadlineOutcome(c, outcome))
@@ -59,6 +54,21 @@
 	g.relayWhole(c, resp)
 }
 
+// attempts prepares the attempts for a caller's request.
+func (g *Gateway) attempts(c *call, pool *state.Pool, key state.ChatKey, r UpstreamRequest) *attempts {
+	return &attempts{
+		upstreams: g.Upstreams,
+		retries:   g.retries,
+		pool:      pool,
+		key:       key,
+		request:   r,
+		failed: func(up *state.Candidate, o coordination.Outcome, err error) {
+			g.Recorder.Record(coordination.EventAttemptFailed, string(up.ID), c.id, "attempt at %s ended %s: %v", up.ID, coordination.OutcomeName(o), err)
+			g.Tell(coordination.UpstreamFailed{ID: up.ID})
+		},
+	}
+}
+
 // chatIdentity prefers the caller's chat id to what the body says.
 func chatIdentity(r *http.Request, req *protocol.ChatRequest) []byte {
 	if id := r.Header.Get(protocol.HeaderChatID); id != "" {
--- a/transport/evidence_test.go
+++ b/transport/evidence_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -61,7 +62,20 @@
 	s.requests.Add(1)
 }
 
-func reset(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+// resetUnread waits until bytes have come, and resets the connection without
+// reading them. A reset before they come could reach the client before it writes,
+// which would rightly be not-run.
+func resetUnread(_ *rawServer, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return n > 0 || (err != nil && err != syscall.EAGAIN)
+	})
+	_ = c.(*net.TCPConn).SetLinger(0)
+}
 
 func post(address string) transport.UpstreamRequest {
 	return transport.UpstreamRequest{Method: http.MethodPost, Address: address, Target: "/passes", Header: http.Header{}, Body: []byte("0123456789")}
@@ -94,7 +108,7 @@
 			Expect(s.requests.Load()).To(BeZero())
 		}
 	},
-		Entry("closed before anything is read", func(_ *rawServer, c net.Conn) { reset(c) }, coordination.MayHaveRun{}),
+		Entry("closed before anything is read", resetUnread, coordination.MayHaveRun{}),
 		Entry("closed after the first bytes", func(s *rawServer, c net.Conn) { s.take(c, 1) }, coordination.MayHaveRun{}),
 		Entry("closed after the whole request", func(s *rawServer, c net.Conn) { s.take(c, 100) }, coordination.MayHaveRun{}),
 		Entry("half a response header", func(s *rawServer, c net.Conn) {
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +40,6 @@
 	Timeout       time.Duration // for a request whose caller names none
 	StreamIdle    time.Duration // longest silence of an upstream in a stream
 	CallerStall   time.Duration // longest time in which a caller takes nothing
-	MaxAttempts   int           // attempts for one request, all surely not run but the last
 	MaxResumes    int           // resumes of one stream
 	ResumeBackoff time.Duration // before the second resume, doubled each time
 }
@@ -55,7 +53,6 @@
 		Timeout:       10 * time.Minute,
 		StreamIdle:    60 * time.Second,
 		CallerStall:   60 * time.Second,
-		MaxAttempts:   3,
 		MaxResumes:    3,
 		ResumeBackoff: 50 * time.Millisecond,
 	}
@@ -78,14 +75,12 @@
 type Gateway struct {
 	GatewayOptions
 	draining atomic.Bool
-
-	budgetMu sync.Mutex
-	budget   *coordination.RetryBudget
+	retries  *retries
 }
 
 // NewGateway returns a gateway.
 func NewGateway(o GatewayOptions) *Gateway {
-	return &Gateway{GatewayOptions: o, budget: coordination.NewRetryBudget()}
+	return &Gateway{GatewayOptions: o, retries: newRetries(o.Metrics)}
 }
 
 // Drain makes the health check fail and asks callers to open no further request
@@ -207,8 +202,9 @@
 }
 
 // readBody reads the request body or rejects the request. A caller who sends it
-// too slowly is cut off; the deadline is taken back afterwards, since the server
-// goes on reading to notice when the caller leaves.
+// too slowly is cut off. The deadline is for the body alone: the server goes on
+// reading to notice when the caller leaves. (net/http takes it back by itself
+// when it begins that; this does not rely on it.)
 func (g *Gateway) readBody(c *call) ([]byte, bool) {
 	conn := http.NewResponseController(c.w)
 	_ = conn.SetReadDeadline(time.Now().Add(g.Limits.CallerStall))
@@ -336,20 +332,3 @@
 	}
 	return "server_error"
 }
-
-// spendRetry asks the retry budget.
-func (g *Gateway) spendRetry() bool {
-	g.budgetMu.Lock()
-	defer g.budgetMu.Unlock()
-	if !g.budget.Spend() {
-		return false
-	}
-	g.Metrics.Retries.Inc(1)
-	return true
-}
-
-func (g *Gateway) earnRetry() {
-	g.budgetMu.Lock()
-	defer g.budgetMu.Unlock()
-	g.budget.Earn()
-}
--- a/transport/once.go
+++ b/transport/once.go
@@ -105,6 +105,7 @@
 	OnceOptions
 	issuer  *coordination.TicketIssuer
 	started time.Time
+	retries *retries
 
 	mu     sync.Mutex
 	ledger *coordination.Ledger
@@ -119,6 +120,7 @@
 		OnceOptions: o,
 		issuer:      coordination.NewTicketIssuer(o.Self, o.Incarnation, o.Secret),
 		started:     o.Now(),
+		retries:     newRetries(o.Metrics),
 		ledger:      coordination.NewLedger(o.LedgerBytes),
 	}
 }
@@ -298,34 +300,24 @@
 	return defaultOnceTimeout
 }
 
-// maxOnceAttempts bounds the replicas that are tried; each before the last was
-// surely not run.
-const maxOnceAttempts = 3
-
 func (o *OnceRunner) send(ctx context.Context, r *OnceRequest, permit func() error) (coordination.Outcome, *coordination.StoredAnswer) {
-	pool := o.Snapshot().Service(r.Service)
-	key := coordination.ChatKeyOf(r.Workspace, state.ModelID(r.Service), []byte(r.Key))
-	var avoid []state.UpstreamID
-	var last coordination.Outcome = coordination.NotRun{Reason: coordination.ReasonNoUpstream, RetryAfter: defaultRetryTime}
-	for range maxOnceAttempts {
-		c, ok := coordination.Choose(pool, key, avoid)
-		if !ok {
-			break
-		}
-		resp, outcome, _ := o.Upstreams.Send(ctx, UpstreamRequest{
-			Method: r.Method, Address: c.Address, Target: r.Target, Header: r.Header.Clone(), Body: r.Body,
-			Fresh: true, Permit: permit,
-		})
-		if resp != nil {
-			return o.store(resp)
-		}
-		last = outcome
-		if !coordination.MayRepeat(outcome) || ctx.Err() != nil {
-			break
-		}
-		avoid = append(avoid, c.ID)
+	a := &attempts{
+		upstreams: o.Upstreams,
+		retries:   o.retries,
+		pool:      o.Snapshot().Service(r.Service),
+		key:       coordination.ChatKeyOf(r.Workspace, state.ModelID(r.Service), []byte(r.Key)),
+		request: UpstreamRequest{
+			Method: r.Method, Target: r.Target, Header: r.Header, Body: r.Body, Fresh: true, Permit: permit,
+		},
+		failed: func(up *state.Candidate, out coordination.Outcome, err error) {
+			o.Recorder.Record(coordination.EventAttemptFailed, string(up.ID), r.ID, "attempt at %s ended %s: %v", up.ID, coordination.OutcomeName(out), err)
+		},
+	}
+	resp, _, outcome := a.send(ctx)
+	if resp == nil {
+		return outcome, nil
 	}
-	return last, nil
+	return o.store(resp)
 }
 
 func (o *OnceRunner) store(resp *http.Response) (coordination.Outcome, *coordination.StoredAnswer) {
--- a/transport/plain.go
+++ b/transport/plain.go
@@ -37,15 +37,10 @@
 		})
 		return
 	}
-	a := &attempts{
-		g:    g,
-		id:   c.id,
-		pool: c.snapshot.Service(svc.Name),
-		key:  coordination.ChatKeyOf(c.workspace.Name, state.ModelID(svc.Name), []byte(c.id)),
-		request: UpstreamRequest{
-			Method: c.r.Method, Target: target, Header: header, Body: body, Fresh: never,
-		},
-	}
+	requestKey := coordination.ChatKeyOf(c.workspace.Name, state.ModelID(svc.Name), []byte(c.id))
+	a := g.attempts(c, c.snapshot.Service(svc.Name), requestKey, UpstreamRequest{
+		Method: c.r.Method, Target: target, Header: header, Body: body, Fresh: never,
+	})
 	resp, upstream, outcome := a.send(c.r.Context())
 	if resp == nil {
 		g.refuse(c, g.deadlineOutcome(c, outcome))
