A restarted watcher is told what it reported; urgent news waits its turn and is not lost

Cause: read as a newcomer would, two faults stood in the exchange. A report was never sent to the peer that had brought it, also when that peer had restarted: the new process then numbered its reports below those that others held, and they were ignored. And an exchange that was asked for while another with the same peer was under way was dropped, so urgent news could wait for seconds.

Change: the source of a report is a process and not an id; the newest news for a peer waits until the exchange under way has ended.

Before and after: 'goes on hearing of an engine when its watcher has restarted' fails when sources are compared by id, and passes now.

--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -111,13 +111,13 @@
 	if f.regionOf(domain) != f.regionOf(f.self.Domain) {
 		return n
 	}
-	n.Reports, n.Upto = f.reportsAfter(e.acked, to)
+	n.Reports, n.Upto = f.reportsAfter(e.acked, source{to, e.life})
 	return n
 }
 
 // reportsAfter returns the oldest reports that changed after a position, and
 // the position up to which they are complete.
-func (f *Fleet) reportsAfter(position uint64, to state.DaemonID) ([]Report, uint64) {
+func (f *Fleet) reportsAfter(position uint64, to source) ([]Report, uint64) {
 	if position >= f.arrivals {
 		return nil, f.arrivals
 	}
@@ -156,7 +156,7 @@
 	}
 	for _, r := range n.Reports {
 		if f.list.Find(string(r.ID)) != nil {
-			f.takeReport(r, n.Sender)
+			f.takeReport(r, source{n.Sender, n.Incarnation})
 		}
 	}
 	if n.List == f.newestList() {
--- a/coordination/fleet_test.go
+++ b/coordination/fleet_test.go
@@ -175,6 +175,24 @@
 			Expect(count).To(Equal(1))
 		}
 	})
+	It("goes on hearing of an engine when its watcher has restarted", func() {
+		m := settledMesh(2, 1, 1)
+		watcher, other := m.nodes[0], m.nodes[1]
+		if len(watcher.watched) == 0 {
+			watcher, other = other, watcher
+		}
+		load := func() state.Load { return other.snapshot.Model("m").Candidates[0].Load }
+		for i := range 40 {
+			m.see("e0", state.Live, state.Load(100_000*(i%2+1)))
+		}
+		m.run(5 * time.Second)
+		Expect(load()).To(BeNumerically(">", 50_000))
+		m.restart(watcher)
+		m.run(5 * time.Second)
+		m.see("e0", state.Live, 1000)
+		m.run(5 * time.Second)
+		Expect(load()).To(BeNumerically("<", 50_000))
+	})
 	It("hands duties on when a daemon stops as planned", func() {
 		m := settledMesh(3, 1, 9)
 		n := m.nodes[0]
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -11,11 +11,19 @@
 )
 
 // knownReport is a report with the position at which it last changed here and
-// the peer that brought the change.
+// the process that brought the change. Only that very process knows it already:
+// its successor under the same id has to be told, or a watcher that has
+// restarted would number its reports below those that others hold.
 type knownReport struct {
 	Report
 	arrival uint64
-	from    state.DaemonID
+	from    source
+}
+
+// source names one process.
+type source struct {
+	id   state.DaemonID
+	life state.Incarnation
 }
 
 // minGateStep and minLoadStep are the changes below which a report is not news:
@@ -48,7 +56,7 @@
 			return
 		}
 	}
-	f.takeReport(next, f.self.ID)
+	f.takeReport(next, source{f.self.ID, f.self.Incarnation})
 }
 
 func worthTelling(old, next Report) bool {
@@ -97,7 +105,7 @@
 }
 
 // takeReport merges a report and remembers it as news if it changed anything.
-func (f *Fleet) takeReport(r Report, from state.DaemonID) {
+func (f *Fleet) takeReport(r Report, from source) {
 	known := f.reports[r.ID]
 	if known == nil {
 		known = &knownReport{Report: Report{ID: r.ID}}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -42,7 +42,7 @@
 	readers   map[peer.DocumentKind]*documentReader
 
 	mu       sync.Mutex
-	talking  map[string]bool            // addresses with an exchange under way
+	talking  map[string]*talk           // exchanges under way, by address
 	fetching map[peer.DocumentKind]bool // kinds with a fetch under way
 	wg       sync.WaitGroup
 }
@@ -61,7 +61,7 @@
 		done:      make(chan struct{}),
 		documents: newDocuments(),
 		readers:   make(map[peer.DocumentKind]*documentReader),
-		talking:   make(map[string]bool),
+		talking:   make(map[string]*talk),
 		fetching:  make(map[peer.DocumentKind]bool),
 	}
 	c.snapshot.Store(state.BuildSnapshot(state.Inputs{Hash: coordination.Hash}))
@@ -171,50 +171,77 @@
 	}
 }
 
-// claim marks work as under way; it is false if it already is. A peer that
-// hangs must not gather goroutines.
-func claim[K comparable](c *control, set map[K]bool, k K) bool {
+// talk is an exchange under way, with the news to be told after it.
+type talk struct{ next *coordination.SendNews }
+
+// exchange begins an exchange. While one with the peer is under way the newest
+// news waits for it: a peer that hangs must not gather goroutines, and urgent
+// news must not be lost.
+func (c *control) exchange(ctx context.Context, eff coordination.SendNews) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if set[k] {
-		return false
+	if t := c.talking[eff.Peer.Address]; t != nil {
+		t.next = &eff
+		return
 	}
-	set[k] = true
-	return true
+	t := &talk{}
+	c.talking[eff.Peer.Address] = t
+	c.wg.Go(func() {
+		for next := &eff; next != nil; next = c.endTalk(t, next.Peer.Address) {
+			c.exchangeOnce(ctx, *next)
+		}
+	})
 }
 
-func release[K comparable](c *control, set map[K]bool, k K) {
+// endTalk returns the news that has waited, or nil.
+func (c *control) endTalk(t *talk, address string) *coordination.SendNews {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(set, k)
+	next := t.next
+	t.next = nil
+	if next == nil {
+		delete(c.talking, address)
+	}
+	return next
 }
 
-func (c *control) exchange(ctx context.Context, eff coordination.SendNews) {
-	address := eff.Peer.Address
-	if !claim(c, c.talking, address) {
+func (c *control) exchangeOnce(ctx context.Context, eff coordination.SendNews) {
+	asked := time.Now()
+	news, err := c.peers.Exchange(ctx, eff.Peer.Address, eff.News)
+	if ctx.Err() != nil {
 		return
 	}
-	c.wg.Go(func() {
-		defer release(c, c.talking, address)
-		asked := time.Now()
-		news, err := c.peers.Exchange(ctx, address, eff.News)
-		if err != nil {
-			if ctx.Err() == nil {
-				c.logger.Debug().Str("peer", eff.Peer.ID).Err(err).Msg(transport.PrefixPeers + "exchange failed")
-				c.tell(coordination.PeerFailed{ID: state.DaemonID(eff.Peer.ID)})
-			}
-			return
-		}
-		c.tell(coordination.NewsReceived{News: news, Asked: asked})
-	})
+	if err != nil {
+		c.logger.Debug().Str("peer", eff.Peer.ID).Err(err).Msg(transport.PrefixPeers + "exchange failed")
+		c.tell(coordination.PeerFailed{ID: state.DaemonID(eff.Peer.ID)})
+		return
+	}
+	c.tell(coordination.NewsReceived{News: news, Asked: asked})
+}
+
+// claimFetch marks a fetch as under way; it is false if one already is.
+func (c *control) claimFetch(kind peer.DocumentKind) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fetching[kind] {
+		return false
+	}
+	c.fetching[kind] = true
+	return true
+}
+
+func (c *control) releaseFetch(kind peer.DocumentKind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.fetching, kind)
 }
 
 func (c *control) fetch(ctx context.Context, from state.Member, kind peer.DocumentKind) {
-	if !claim(c, c.fetching, kind) {
+	if !c.claimFetch(kind) {
 		return
 	}
 	c.wg.Go(func() {
-		defer release(c, c.fetching, kind)
+		defer c.releaseFetch(kind)
 		have, base := c.documents.newest(kind)
 		head, text, err := c.peers.Fetch(ctx, from.Address, kind, have, base)
 		if err != nil {
--- a/transport/gateway_test.go
+++ b/transport/gateway_test.go
@@ -73,6 +73,22 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
 		Expect(resp.Header.Get(protocol.HeaderOutcome)).To(Equal("not-run"))
 	})
+	It("gets an answer to a later request on the same connection", func() {
+		f := newFixture(GinkgoTB(), fixtureOptions{limits: func(l *transport.Limits) { l.CallerStall = 50 * time.Millisecond }})
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		for range 3 {
+			for _, body := range []string{string(chatJSON(false, "x")), "{"} {
+				req, _ := http.NewRequest(http.MethodPost, f.gateway.URL+protocol.PathChat, strings.NewReader(body))
+				req.Header.Set("Authorization", "Bearer "+testKey)
+				resp, err := client.Do(req)
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.Copy(io.Discard, resp.Body)
+				Expect(err).NotTo(HaveOccurred())
+				_ = resp.Body.Close()
+				time.Sleep(80 * time.Millisecond)
+			}
+		}
+	})
 	It("does not lose a stream that lasts longer than the limit", func() {
 		f := newFixture(GinkgoTB(), fixtureOptions{
 			engine: standin.EngineOptions{TokenTime: 20 * time.Millisecond},
