Reports have a budget: much change makes news older, not traffic larger

Change: figures of engines go oldest first, 20 a second; states other than live go at once and outside of the budget.

Before and after: 'keeps the budget when everything changes' fails without the budget, and without the precedence of states the leaving engine of that test is late; 'hears of every engine when more leave than one message holds' fails when what was left out counts as told.

--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -4,7 +4,8 @@
 package coordination
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"hingewinch.org/hingewinch/state"
@@ -115,31 +116,71 @@
 	return n
 }
 
-// reportsAfter returns the oldest reports that changed after a position, and
-// the position up to which they are complete.
+// reportsAfter returns reports that changed after a position, and the position
+// up to which they are complete. States other than live go at once; figures go
+// oldest first and as many as the budget allows, so that much change makes news
+// older and not the traffic larger.
 func (f *Fleet) reportsAfter(position uint64, to source) ([]Report, uint64) {
 	if position >= f.arrivals {
 		return nil, f.arrivals
 	}
-	var changed []*knownReport
+	var states, figures []*knownReport
 	for _, r := range f.reports {
-		if r.arrival > position && r.from != to {
-			changed = append(changed, r)
+		switch {
+		case r.arrival <= position || r.from == to:
+		case r.State != state.Live:
+			states = append(states, r)
+		default:
+			figures = append(figures, r)
 		}
 	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].arrival < changed[j].arrival })
+	byArrival := func(a, b *knownReport) int { return cmp.Compare(a.arrival, b.arrival) }
+	slices.SortFunc(states, byArrival)
+	slices.SortFunc(figures, byArrival)
+	allowed := f.reportBudget.take(f.now, min(len(figures), maxReportsPerNews))
+	var out []Report
 	upto := f.arrivals
-	if len(changed) > maxReportsPerNews {
-		changed = changed[:maxReportsPerNews]
-		upto = changed[maxReportsPerNews-1].arrival
-	}
-	out := make([]Report, len(changed))
-	for i, r := range changed {
-		out[i] = r.Report
+	for _, part := range []struct {
+		reports []*knownReport
+		n       int
+	}{{states, min(len(states), maxReportsPerNews)}, {figures, allowed}} {
+		for _, r := range part.reports[:part.n] {
+			out = append(out, r.Report)
+		}
+		if part.n < len(part.reports) {
+			// From the first one that is left out on, news is not complete.
+			upto = min(upto, part.reports[part.n].arrival-1)
+		}
 	}
 	return out, upto
 }
 
+// Budget of reports. A report is about 34 bytes encoded, so the rate bounds what
+// a daemon sends of them to 0.7 KB a second, and its peers bound what it gets.
+const (
+	reportRate  = 20 // a second
+	reportBurst = 128
+)
+
+// reportBudget allows a number of reports a second.
+type reportBudget struct {
+	tokens float64
+	filled time.Time
+}
+
+// take returns how many of n reports may be sent now.
+func (b *reportBudget) take(now time.Time, n int) int {
+	if b.filled.IsZero() {
+		b.tokens = reportBurst
+	} else {
+		b.tokens = min(b.tokens+reportRate*now.Sub(b.filled).Seconds(), reportBurst)
+	}
+	b.filled = now
+	allowed := min(n, int(b.tokens))
+	b.tokens -= float64(allowed)
+	return allowed
+}
+
 func (f *Fleet) receiveNews(now time.Time, ev NewsReceived) {
 	n := ev.News
 	if n.Sender == f.self.ID {
--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -84,6 +84,7 @@
 	peerSuspects map[state.DaemonID]time.Time         // passed over until then
 	unreachable  map[state.DaemonID]bool              // failed, and not met since
 	peerLeaving  map[state.DaemonID]state.Incarnation // the life that leaves
+	reportBudget reportBudget
 	turn         int
 	ticks        int
 	nextRead     time.Time
--- a/coordination/fleet_test.go
+++ b/coordination/fleet_test.go
@@ -175,6 +175,36 @@
 			Expect(count).To(Equal(1))
 		}
 	})
+	It("keeps the budget when everything changes, and still tells of a leaving engine at once", func() {
+		m := settledMesh(12, 1, 600)
+		m.run(time.Minute)
+		for _, n := range m.nodes {
+			n.sent, n.bytes = 0, 0
+		}
+		const seconds = 20
+		for i := range seconds {
+			for e := range 600 {
+				m.see(fmt.Sprintf("e%d", e), state.Live, state.Load(100_000*(1+(i+e)%2*100)))
+			}
+			m.run(time.Second)
+		}
+		for _, n := range m.nodes {
+			Expect(float64(n.bytes)/seconds).To(BeNumerically("<", 1500), "%s", n.self.ID)
+		}
+		m.see("e7", state.Leaving, 0)
+		Expect(m.timeUntil(10*time.Second, not(serves("e7")))).To(BeNumerically("<=", 3*time.Second))
+	})
+	It("hears of every engine when more leave than one message holds", func() {
+		m := settledMesh(4, 1, 300)
+		m.run(10 * time.Second)
+		for e := range 300 {
+			m.see(fmt.Sprintf("e%d", e), state.Leaving, 0)
+		}
+		m.run(5 * time.Second)
+		m.restart(m.nodes[0])
+		m.run(20 * time.Second)
+		Expect(m.share(func(n *meshNode) bool { return len(n.snapshot.Model("m").Candidates) == 0 })).To(Equal(1.0))
+	})
 	It("goes on hearing of an engine when its watcher has restarted", func() {
 		m := settledMesh(2, 1, 1)
 		watcher, other := m.nodes[0], m.nodes[1]
