Repeats that wait for a first attempt share its not-run; dead names removed

Cause: read against the promise, a repeat that waited for a first attempt ran the key itself when the first was surely not run. The first caller had then been told not-run of a key that ran a moment later.

Change: who waits gets the first attempt's end. Reasons, a header name, a log prefix and a method that nothing used are gone.

Before and after: TestWaitersAreToldNotRun (in a bubble of synctest, so that all surely wait) fails when waiters begin anew, and passes now.

Conclusion: not-run is about the key, also among repeats that run together.

--- a/cmd/hingewinchd/main.go
+++ b/cmd/hingewinchd/main.go
@@ -21,6 +21,7 @@
 	"github.com/phuslu/log"
 
 	"hingewinch.org/hingewinch/daemon"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // Exit codes.
@@ -69,13 +70,13 @@
 	logger := &log.Logger{Level: log.ParseLevel(settings.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}}
 	d, err := daemon.New(settings, logger)
 	if err != nil {
-		logger.Error().Err(err).Msg("daemon: start failed")
+		logger.Error().Err(err).Msg(transport.PrefixDaemon + "start failed")
 		return exitFailed
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := d.Run(ctx); err != nil {
-		logger.Error().Err(err).Msg("daemon: a server failed")
+		logger.Error().Err(err).Msg(transport.PrefixDaemon + "a server failed")
 		return exitFailed
 	}
 	return 0
--- a/coordination/ledger.go
+++ b/coordination/ledger.go
@@ -53,9 +53,19 @@
 // Start gives leave to run the request. It is given once for a key.
 type Start struct{}
 
-// Wait means that the first attempt is still running; Done is closed when it
-// ends.
-type Wait struct{ Done <-chan struct{} }
+// Wait means that the first attempt is still running.
+type Wait struct{ First *FirstAttempt }
+
+// FirstAttempt is the attempt that was given leave to run a key. Whoever waits
+// for it gets its end: if it was surely not run, they are told so too, and none
+// of them runs the key in its place, for then not-run would have been said of a
+// key that runs a moment later.
+type FirstAttempt struct {
+	// Done is closed when the attempt has ended.
+	Done chan struct{}
+	// Outcome may be read once Done is closed.
+	Outcome Outcome
+}
 
 // Replay means that the request has run; Answer is what it returned.
 type Replay struct{ Answer *StoredAnswer }
@@ -84,7 +94,7 @@
 	key         LedgerKey
 	fingerprint Fingerprint
 	expires     time.Time
-	done        chan struct{}
+	first       *FirstAttempt
 	running     bool
 	answer      *StoredAnswer // nil while running and when the end is unknown
 	bytes       int
@@ -128,7 +138,7 @@
 	if l.bytes+entryOverhead > l.limit {
 		return Deny{NotRun{Reason: ReasonLedgerFull, RetryAfter: ledgerFullRetry}}
 	}
-	e := &ledgerEntry{key: key, fingerprint: fp, expires: now.Add(keep), done: make(chan struct{}), running: true, bytes: entryOverhead}
+	e := &ledgerEntry{key: key, fingerprint: fp, expires: now.Add(keep), first: &FirstAttempt{Done: make(chan struct{})}, running: true, bytes: entryOverhead}
 	l.entries[key] = l.insert(e)
 	l.bytes += e.bytes
 	return Start{}
@@ -139,7 +149,7 @@
 	case e.fingerprint != fp:
 		return Conflict{}
 	case e.running:
-		return Wait{Done: e.done}
+		return Wait{First: e.first}
 	case e.answer != nil:
 		return Replay{Answer: e.answer}
 	}
@@ -170,7 +180,8 @@
 		return
 	}
 	e.running = false
-	close(e.done)
+	e.first.Outcome = o
+	close(e.first.Done)
 	if _, notRun := o.(NotRun); notRun {
 		l.remove(el)
 		return
--- a/coordination/once_test.go
+++ b/coordination/once_test.go
@@ -105,7 +105,7 @@
 		Expect(ok).To(BeTrue())
 		answer := &coordination.StoredAnswer{Status: 201, Body: []byte("pass")}
 		l.Finish(key, coordination.Answered{Status: 201}, answer)
-		Expect(wait.Done).To(BeClosed())
+		Expect(wait.First.Done).To(BeClosed())
 		Expect(begin(2 * time.Second)).To(Equal(coordination.Replay{Answer: answer}))
 	})
 	It("refuses another request under the key", func() {
@@ -119,6 +119,13 @@
 		l.Finish(key, coordination.MayHaveRun{}, nil)
 		Expect(begin(0)).To(BeAssignableToTypeOf(coordination.Deny{}))
 	})
+	It("tells those who wait that the first was not run, and starts none of them", func() {
+		begin(0)
+		wait := begin(0).(coordination.Wait)
+		l.Finish(key, coordination.NotRun{Reason: coordination.ReasonConnect}, nil)
+		Expect(wait.First.Done).To(BeClosed())
+		Expect(wait.First.Outcome).To(Equal(coordination.NotRun{Reason: coordination.ReasonConnect}))
+	})
 	It("keeps a key that is still running beyond its window", func() {
 		begin(0)
 		Expect(begin(3 * time.Minute)).To(BeAssignableToTypeOf(coordination.Wait{}))
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -50,7 +50,6 @@
 	ReasonBrokenAnswer   Reason = "answer_broken"
 	ReasonNoAnswer       Reason = "no_answer"
 	ReasonDeadline       Reason = "deadline"
-	ReasonStopping       Reason = "stopping"
 	ReasonNoConfig       Reason = "no_configuration"
 	ReasonKeeperAway     Reason = "keeper_unreachable"
 	ReasonKeeperQuiet    Reason = "keeper_not_settled"
@@ -59,7 +58,6 @@
 	ReasonTicketExpired  Reason = "ticket_expired"
 	ReasonKeyUnknownEnd  Reason = "earlier_attempt_unknown"
 	ReasonLedgerFull     Reason = "ledger_full"
-	ReasonCallerGone     Reason = "caller_gone"
 	ReasonAnswerTooLarge Reason = "answer_too_large"
 )
 
@@ -70,7 +68,6 @@
 	ReasonBrokenAnswer:   "the answer broke off; check the effect before sending again",
 	ReasonNoAnswer:       "the upstream gave no answer; check the effect before sending again",
 	ReasonDeadline:       "the deadline passed; allow more time or send again later",
-	ReasonStopping:       "this daemon is stopping; send again, the balancer chooses another one",
 	ReasonNoConfig:       "this daemon knows no configuration yet; send again after the time in Retry-After",
 	ReasonKeeperAway:     "the daemon that keeps this key can't be reached; repeat with the same key after the time in Retry-After",
 	ReasonKeeperQuiet:    "the daemon that keeps this key took it over a short time ago; repeat with the same key after the time in Retry-After",
@@ -79,7 +76,6 @@
 	ReasonTicketExpired:  "the ticket has expired; check the effect, then take a new ticket",
 	ReasonKeyUnknownEnd:  "an earlier attempt with this key has an unknown end; check the effect before using a new key",
 	ReasonLedgerFull:     "this daemon holds too many keys; repeat after the time in Retry-After",
-	ReasonCallerGone:     "the caller closed the connection",
 	ReasonAnswerTooLarge: "the answer is larger than the daemon holds; ask for a smaller or a streamed one",
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,7 +158,7 @@
 	})
 	d.gateway = transport.NewGateway(transport.GatewayOptions{
 		Daemon: s.ID, Snapshot: d.control.Snapshot, Tell: d.control.hint, Upstreams: d.upstreams, Once: once,
-		Recorder: d.recorder, Metrics: d.metrics, Logger: logger, Limits: s.limits(),
+		Recorder: d.recorder, Metrics: d.metrics, Limits: s.limits(),
 	})
 	d.callers.server.Handler = d.gateway
 	server := &transport.PeerServer{Converse: d.control.Converse, Documents: d.control.documents, Once: once, Recorder: d.recorder}
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -23,7 +23,6 @@
 	HeaderPriority       = "X-Priority"
 	HeaderStreamID       = "X-Stream-Id"
 	HeaderTimeoutMS      = "X-Timeout-Ms"
-	HeaderIncarnation    = "X-Incarnation"
 )
 
 // OutcomeNotRun is the value of HeaderOutcome by which an upstream itself says
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -19,8 +19,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/protocol"
 	"hingewinch.org/hingewinch/state"
@@ -67,7 +65,6 @@
 	Once      *OnceRunner
 	Recorder  *Recorder
 	Metrics   *Metrics
-	Logger    *log.Logger
 	Limits    Limits
 }
 
--- a/transport/once.go
+++ b/transport/once.go
@@ -207,7 +207,10 @@
 			return OnceRefusal{a.Outcome}
 		case coordination.Wait:
 			select {
-			case <-a.Done:
+			case <-a.First.Done:
+				if notRun, ok := a.First.Outcome.(coordination.NotRun); ok {
+					return refused(notRun)
+				}
 			case <-ctx.Done():
 				return OnceRefusal{coordination.MayHaveRun{Reason: coordination.ReasonDeadline, RetryAfter: defaultRetryTime}}
 			}
@@ -283,11 +286,16 @@
 	if answer != nil {
 		return OnceAnswer{Answer: answer}
 	}
-	if n, ok := outcome.(coordination.NotRun); ok && n.Reason == coordination.ReasonKeeperStale {
-		// This daemon did not run it, but it no longer knows that no other did.
+	return refused(outcome)
+}
+
+// refused returns the refusal of a request that this daemon began. Where it lost
+// the key on the way it did not run it, but no longer knows that no other did.
+func refused(o coordination.Outcome) OnceResult {
+	if n, ok := o.(coordination.NotRun); ok && n.Reason == coordination.ReasonKeeperStale {
 		return OnceRefusal{coordination.MayHaveRun(n)}
 	}
-	return OnceRefusal{outcome}
+	return OnceRefusal{o}
 }
 
 // defaultOnceTimeout applies where the caller set no limit.
--- a/transport/platform.go
+++ b/transport/platform.go
@@ -73,6 +73,3 @@
 	r.etag = resp.Header.Get("Etag")
 	return text, nil
 }
-
-// Forget makes the next read return the document whatever it is.
-func (r *PlatformReader) Forget() { r.etag = "" }
--- a/transport/recorder.go
+++ b/transport/recorder.go
@@ -70,6 +70,5 @@
 	PrefixEvents  = "events: "
 	PrefixGateway = "gateway: "
 	PrefixPeers   = "peers: "
-	PrefixControl = "control: "
 	PrefixDaemon  = "daemon: "
 )
--- /dev/null
+++ b/transport/waiting_test.go
@@ -0,0 +1,49 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/state"
+)
+
+// TestWaitersAreToldNotRun lets repeats wait for a first attempt that was surely
+// not run. If one of them ran the key in its place, not-run would have been said
+// to the first caller of a key that runs a moment later.
+func TestWaitersAreToldNotRun(t *testing.T) {
+	m := NewMetrics()
+	defer m.Close()
+	cfg, err := state.ParseConfig("f.yaml", []byte("version: 1\nservices: [{name: gate}]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot := state.BuildSnapshot(state.Inputs{Config: cfg, Members: state.NewMemberList(1, nil, nil), Hash: coordination.Hash})
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOnceRunner(OnceOptions{
+			Self: "d0", Incarnation: 1, Secret: []byte("s"), Snapshot: func() *state.Snapshot { return snapshot },
+			Recorder: NewRecorder("d0", nil), Metrics: m, LedgerBytes: 1 << 20,
+		})
+		ticket, life := o.Issue("w", "gate")
+		r := &OnceRequest{Workspace: "w", Service: "gate", Key: ticket}
+		if _, ok := o.begin(r, life).(coordination.Start); !ok {
+			t.Fatal("the first attempt was not started")
+		}
+		results := make(chan OnceResult, 5)
+		for range cap(results) {
+			go func() { results <- o.RunHere(context.Background(), r) }()
+		}
+		synctest.Wait()
+		o.finish(r, coordination.NotRun{Reason: coordination.ReasonConnect}, nil)
+		for range cap(results) {
+			refusal, ok := (<-results).(OnceRefusal)
+			if !ok || !coordination.MayRepeat(refusal.Outcome) {
+				t.Fatalf("a repeat that waited got %+v", refusal)
+			}
+			if refusal.Outcome.(coordination.NotRun).Reason != coordination.ReasonConnect {
+				t.Fatalf("a repeat ran the key by itself: %+v", refusal.Outcome)
+			}
+		}
+	})
+}
