Callers' TLS has a test; the stream's memory is measured with warm pools

Cause: TLS towards callers was used by no test, and the first of two rounds of the memory benchmark paid for the library's pools.

Change: a daemon that serves callers by TLS; a warm-up round in the benchmark.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -228,6 +228,25 @@
 		defer resp.Body.Close()
 		Expect(resp.Header.Get(protocol.HeaderOutcome)).To(Equal("not-run"))
 	})
+	It("serve callers by TLS where the settings say so", func() {
+		dir := GinkgoT().TempDir()
+		newAuthority(dir).sign(dir, "callers")
+		text := fmt.Sprintf("id: d0\ndomain: a\nplatform: http://%s\nlisten: {callers: 127.0.0.1:0, peers: 127.0.0.1:0, operators: 127.0.0.1:0}\nstop: {notice: 0s}\ntls: {callers: {certificate: %s/callers.pem, key: %s/callers.key}}\n", serveHandler(standin.NewPlatform()), dir, dir)
+		s, err := daemon.ParseSettings("settings", []byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		r := &running{settings: s}
+		r.start()
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+		Eventually(func() int {
+			resp, err := client.Get("https://" + r.d.CallerAddress() + transport.PathReady)
+			if err != nil {
+				return 0
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}, patience).Should(Equal(http.StatusServiceUnavailable))
+		Expect(r.ready()).To(Equal(http.StatusBadRequest)) // plain HTTP gets no further
+	})
 	It("talk to each other by mutual TLS only", func() {
 		dir := GinkgoT().TempDir()
 		ca := newAuthority(dir)
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -183,10 +183,15 @@
 // gateway between the same callers and engine.
 func BenchmarkStreamMemory(b *testing.B) {
 	f, direct := benchFixture(b, tokensEngine(0))
+	// Pools and caches of the library fill up in a first round.
+	openStreams(b, 2000, f.gateway.URL)
+	time.Sleep(time.Second)
 	for range b.N {
 		plain := openStreams(b, 2000, direct)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(time.Second)
 		through := openStreams(b, 2000, f.gateway.URL)
+		time.Sleep(time.Second)
+		b.ReportMetric(plain/1024, "KB/direct-stream")
 		b.ReportMetric((through-plain)/1024, "KB/stream")
 	}
 }
