The curve between skew and reuse that the bound draws

Cause: the two users weigh skew and reuse differently, and one setting is to serve both; nobody had drawn what a setting buys.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -54,6 +54,9 @@
 
 // Experiment is one way in one scene.
 type Experiment struct {
+	// Bound is the largest load allowed as a multiple of the mean.
+	Bound float64
+
 	rng     *rand.Rand
 	way     Way
 	scene   Scene
@@ -76,7 +79,7 @@
 
 // New returns an experiment that has not begun.
 func New(w Way, s Scene, routers, engines int) *Experiment {
-	x := &Experiment{rng: rand.New(rand.NewPCG(uint64(routers), uint64(engines))), way: w, scene: s, news: map[int][]news{}, known: make([]float64, engines)}
+	x := &Experiment{Bound: state.DefaultBound, rng: rand.New(rand.NewPCG(uint64(routers), uint64(engines))), way: w, scene: s, news: map[int][]news{}, known: make([]float64, engines)}
 	for i := range engines {
 		x.engines = append(x.engines, &engine{n: i, past: make([]float64, reportLag+1)})
 		x.replace(x.engines[i])
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// BenchmarkBound is the curve between skew and reuse that the bound draws.
+func BenchmarkBound(b *testing.B) {
+	for _, w := range []experiment.Way{experiment.Bounded, experiment.Probe, experiment.Gate} {
+		for _, bound := range []float64{1.1, 1.25, 1.4, 1.6, 2} {
+			b.Run(fmt.Sprintf("%s/%v", w, bound), func(b *testing.B) {
+				for range b.N {
+					x := experiment.New(w, experiment.Scenes[0], 8, 20)
+					x.Bound = bound
+					x.Run()
+					report(b, x.Result())
+				}
+			})
+		}
+	}
+}
+
 func report(b *testing.B, r experiment.Result) {
 	b.ReportMetric(100*r.Reuse, "%reuse")
 	b.ReportMetric(r.MaxMean, "max/mean")
--- a/internal/experiment/ways.go
+++ b/internal/experiment/ways.go
@@ -109,7 +109,7 @@
 	for _, c := range r.pool.Candidates {
 		mean += seen(int(c.Load)) / float64(len(r.pool.Candidates))
 	}
-	limit := math.Max(state.DefaultBound*mean, 2)
+	limit := math.Max(x.Bound*mean, 2)
 	var avoid []state.UpstreamID
 	first := -1
 	for range 6 {
@@ -150,12 +150,12 @@
 }
 
 // fastGate is the controller that stood here first: it follows each report.
-func fastGate(g state.Gate, load, mean float64) state.Gate {
+func fastGate(g state.Gate, load, mean, bound float64) state.Gate {
 	const target, maxCut, maxRaise = 0.92, 0.6, 1.08
 	floor := float64(state.GateFull) / 32
 	ratio := maxRaise
 	if load > 0 {
-		ratio = math.Min(math.Max(state.DefaultBound*mean*target, 2)/load, maxRaise)
+		ratio = math.Min(math.Max(bound*mean*target, 2)/load, maxRaise)
 	}
 	next := float64(g) * math.Max(ratio, maxCut)
 	if ratio > 1 {
@@ -189,9 +189,9 @@
 	e.smooth = coordination.SmoothLoad(e.smooth, state.Load(1000*e.past[0]))
 	switch x.way {
 	case FastGate:
-		e.gate = fastGate(e.gate, e.past[0], mean/float64(max(n, 1)))
+		e.gate = fastGate(e.gate, e.past[0], mean/float64(max(n, 1)), x.Bound)
 	case Gate:
-		e.gate = coordination.NextGate(e.gate, e.smooth, x.smoothMean(), state.DefaultBound)
+		e.gate = coordination.NextGate(e.gate, e.smooth, x.smoothMean(), x.Bound)
 	}
 	worth := (x.way != Gate && x.way != FastGate) || changed || math.Abs(float64(e.gate)-float64(old)) > float64(state.GateFull/32)
 	if worth {
