--- a/state/config.go
+++ b/state/config.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"time"
 )
@@ -63,14 +64,16 @@
 }
 
 // EngineGroup is a set of interchangeable engine replicas. The replicas
-// themselves come from the member list and name their group there.
+// themselves come from the member list and name their group there. One outside
+// of Domains is not used; without Domains all are.
 type EngineGroup struct {
 	Name    GroupID         `yaml:"name"`
 	Models  []ModelID       `yaml:"models"`
 	Domains []FailureDomain `yaml:"domains"`
 }
 
-// Service is a plain service. Its replicas come from the member list.
+// Service is a plain service. Its replicas come from the member list, and
+// Domains restricts them as it does an engine group's.
 type Service struct {
 	Name    ServiceID       `yaml:"name"`
 	Domains []FailureDomain `yaml:"domains"`
@@ -104,7 +107,8 @@
 	PriorityLow    Priority = "low"
 )
 
-// Workspace is a customer's workspace with its keys and rights.
+// Workspace is a customer's workspace with its keys and rights. Share is its
+// share of the fleet under load; it is checked here and not used yet.
 type Workspace struct {
 	Name     WorkspaceID `yaml:"name"`
 	Keys     []KeyHash   `yaml:"keys"`
@@ -161,10 +165,8 @@
 // that no region lists.
 func (c *Config) RegionOf(d FailureDomain) RegionID {
 	for _, r := range c.Regions {
-		for _, member := range r.Domains {
-			if member == d {
-				return r.Name
-			}
+		if slices.Contains(r.Domains, d) {
+			return r.Name
 		}
 	}
 	return ""
@@ -175,22 +177,12 @@
 
 // MayUse reports whether the workspace may ask for the model.
 func (w *Workspace) MayUse(m ModelID) bool {
-	for _, id := range w.Models {
-		if id == m {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.Models, m)
 }
 
 // MayCall reports whether the workspace may call the service.
 func (w *Workspace) MayCall(s ServiceID) bool {
-	for _, id := range w.Services {
-		if id == s {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.Services, s)
 }
 
 // Rule returns the repeat rule for a request. The longest matching prefix
@@ -211,15 +203,7 @@
 	if !pathHasPrefix(path, r.Prefix) {
 		return false
 	}
-	if len(r.Methods) == 0 {
-		return true
-	}
-	for _, m := range r.Methods {
-		if m == method {
-			return true
-		}
-	}
-	return false
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
 }
 
 // pathHasPrefix compares whole path segments: "/pass" is no prefix of
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -3,7 +3,10 @@
 
 package state
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Candidate is one upstream that may take a request.
 type Candidate struct {
@@ -117,6 +120,7 @@
 	home := in.Config.RegionOf(in.Domain)
 	inside := make(map[FailureDomain]bool)
 	groups := groupModels(in.Config)
+	domains := groupDomains(in.Config)
 	for i := range in.Members.Members {
 		m := &in.Members.Members[i]
 		if _, known := inside[m.Domain]; !known {
@@ -126,7 +130,7 @@
 			continue
 		}
 		c, ok := candidate(m, in.Status, in.Hash)
-		if !ok {
+		if !ok || !allows(domains[poolOwner{m.Kind, m.Group}], m.Domain) {
 			continue
 		}
 		switch m.Kind {
@@ -158,6 +162,30 @@
 	return out
 }
 
+// poolOwner names an engine group or a service.
+type poolOwner struct {
+	kind MemberKind
+	name string
+}
+
+// groupDomains lists the failure domains that groups and services are
+// restricted to.
+func groupDomains(cfg *Config) map[poolOwner][]FailureDomain {
+	out := make(map[poolOwner][]FailureDomain, len(cfg.Engines)+len(cfg.Services))
+	for _, g := range cfg.Engines {
+		out[poolOwner{KindEngine, string(g.Name)}] = g.Domains
+	}
+	for _, s := range cfg.Services {
+		out[poolOwner{KindService, string(s.Name)}] = s.Domains
+	}
+	return out
+}
+
+// allows reports whether a domain is in a list; an empty list holds all.
+func allows(domains []FailureDomain, d FailureDomain) bool {
+	return len(domains) == 0 || slices.Contains(domains, d)
+}
+
 func candidate(m *Member, status map[UpstreamID]Status, hash func(string) uint64) (Candidate, bool) {
 	c := Candidate{ID: UpstreamID(m.ID), Hash: hash(m.ID), Domain: m.Domain, Address: m.Address, Gate: GateFull}
 	if m.State != Live {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -96,6 +96,16 @@
 		Expect(ids(s.Model("m"))).To(Equal([]state.UpstreamID{"near"}))
 		Expect(ids(s.Model("a"))).To(Equal([]state.UpstreamID{"near"}))
 	})
+	It("holds no engine outside of its group's failure domains", func() {
+		c, err := state.ParseConfig("f.yaml", []byte(strings.Replace(good, "    models: [m]\n", "    models: [m]\n    domains: [b]\n", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		l := state.NewMemberList(1, nil, []state.Member{
+			{ID: "in", Kind: state.KindEngine, Group: "g", Domain: "b", State: state.Live},
+			{ID: "out", Kind: state.KindEngine, Group: "g", Domain: "a", State: state.Live},
+		})
+		s := state.BuildSnapshot(state.Inputs{Config: c, Members: l, Domain: "a", Hash: coordination.Hash})
+		Expect(ids(s.Model("m"))).To(Equal([]state.UpstreamID{"in"}))
+	})
 	It("takes another region's when none is left", func() {
 		s := build(map[state.UpstreamID]state.Status{"near": {State: state.Leaving}})
 		Expect(ids(s.Model("m"))).To(Equal([]state.UpstreamID{"far"}))
