Duties are worked out for the own failure domain only

Cause: a new member list made each daemon rank the daemons of every failure domain for every upstream, although it can only watch those of its own.

Change: upstreams of other domains are passed over while those have daemons.

--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -189,6 +189,9 @@
 			continue
 		}
 		watchers := byDomain[m.Domain]
+		if len(watchers) > 0 && m.Domain != f.self.Domain {
+			continue
+		}
 		if len(watchers) == 0 {
 			watchers = f.sameRegion(usable, m.Domain)
 		}
