The control loop, its exchanges and its readers stand in a file each

Change: a move of code; talk.go carries out exchanges and fetches, reader.go reads the platform.

Conclusion: each file of the package has one job.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -178,10 +178,6 @@
 	return l
 }
 
-func (c *control) addReader(kind peer.DocumentKind, r *transport.PlatformReader) {
-	c.readers[kind] = newDocumentReader(kind, r)
-}
-
 func randomSeed() (seed uint64, secret []byte, err error) {
 	b := make([]byte, 8+secretBytes)
 	if _, err := crand.Read(b); err != nil {
--- /dev/null
+++ b/daemon/reader.go
@@ -0,0 +1,98 @@
+// This file reads the platform's documents when the control loop asks for it.
+
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/protocol/peer"
+	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
+)
+
+// documentReader reads one document of the platform when it is asked to. While
+// a call waits at the platform further requests fall together.
+type documentReader struct {
+	kind   peer.DocumentKind
+	reader *transport.PlatformReader
+	wake   chan struct{}
+	last   state.Head // of the list that was read last
+	failed bool
+}
+
+func newDocumentReader(kind peer.DocumentKind, r *transport.PlatformReader) *documentReader {
+	return &documentReader{kind: kind, reader: r, wake: make(chan struct{}, 1)}
+}
+
+func (c *control) addReader(kind peer.DocumentKind, r *transport.PlatformReader) {
+	c.readers[kind] = newDocumentReader(kind, r)
+}
+
+func (d *documentReader) ask() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// read runs a reader until ctx ends.
+func (c *control) read(ctx context.Context, d *documentReader) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+			c.readOnce(ctx, d)
+		}
+	}
+}
+
+func (c *control) readOnce(ctx context.Context, d *documentReader) {
+	asked := time.Now()
+	text, err := d.reader.Read(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if (err != nil) != d.failed {
+		d.failed = err != nil
+		c.notePlatform(d.failed, err)
+	}
+	switch {
+	case err != nil:
+		return
+	case text == nil && d.kind == peer.DocumentKind_DOCUMENT_KIND_LIST:
+		c.tell(coordination.ListConfirmed{Head: d.last, Asked: heldUntil(asked, time.Now())})
+		return
+	case text == nil:
+		return
+	}
+	d.last = state.Head{}
+	if d.kind == peer.DocumentKind_DOCUMENT_KIND_LIST {
+		if list, err := protocol.ParseMemberList(text); err == nil {
+			d.last = list.Head
+		}
+	}
+	c.learn(d.kind, state.HeadOf(0, text), text, asked)
+}
+
+// heldUntil returns until when an answer without a change is about: the platform
+// gives it only when the wait has ended, so the document stood nearly that long.
+// A tenth is taken off for clocks that run apart; an answer that came early is
+// about the moment of the question alone.
+func heldUntil(asked, answered time.Time) time.Time {
+	if answered.Sub(asked) < transport.PlatformWait {
+		return asked
+	}
+	return asked.Add(transport.PlatformWait * 9 / 10)
+}
+
+func (c *control) notePlatform(failed bool, err error) {
+	if failed {
+		c.recorder.Record(coordination.EventPlatform, "platform", "", "platform can't be read; the last documents stay in force: %v", err)
+		return
+	}
+	c.recorder.Record(coordination.EventPlatform, "platform", "", "platform is read again")
+}
--- /dev/null
+++ b/daemon/talk.go
@@ -0,0 +1,116 @@
+// This file carries out the exchanges and fetches that the control loop asks for,
+// one at a time with each peer, and hands back what they bring.
+
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/protocol/peer"
+	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
+)
+
+// talk is an exchange under way, with the news to be told after it.
+type talk struct{ next *coordination.SendNews }
+
+// exchange begins an exchange. While one with the peer is under way the newest
+// news waits for it: a peer that hangs must not gather goroutines, and urgent
+// news must not be lost.
+func (c *control) exchange(ctx context.Context, eff coordination.SendNews) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.talking[eff.Peer.Address]; t != nil {
+		t.next = &eff
+		return
+	}
+	t := &talk{}
+	c.talking[eff.Peer.Address] = t
+	c.wg.Go(func() {
+		for next := &eff; next != nil; next = c.endTalk(t, next.Peer.Address) {
+			c.exchangeOnce(ctx, *next)
+		}
+	})
+}
+
+// endTalk returns the news that has waited, or nil.
+func (c *control) endTalk(t *talk, address string) *coordination.SendNews {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := t.next
+	t.next = nil
+	if next == nil {
+		delete(c.talking, address)
+	}
+	return next
+}
+
+func (c *control) exchangeOnce(ctx context.Context, eff coordination.SendNews) {
+	asked := time.Now()
+	news, err := c.peers.Exchange(ctx, eff.Peer.Address, eff.News)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.logger.Debug().Str("peer", eff.Peer.ID).Err(err).Msg(transport.PrefixPeers + "exchange failed")
+		c.tell(coordination.PeerFailed{ID: state.DaemonID(eff.Peer.ID)})
+		return
+	}
+	c.tell(coordination.NewsReceived{News: news, Asked: asked})
+}
+
+// claimFetch marks a fetch as under way; it is false if one already is.
+func (c *control) claimFetch(kind peer.DocumentKind) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fetching[kind] {
+		return false
+	}
+	c.fetching[kind] = true
+	return true
+}
+
+func (c *control) releaseFetch(kind peer.DocumentKind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.fetching, kind)
+}
+
+func (c *control) fetch(ctx context.Context, from state.Member, kind peer.DocumentKind) {
+	if !c.claimFetch(kind) {
+		return
+	}
+	c.wg.Go(func() {
+		defer c.releaseFetch(kind)
+		have, base := c.documents.newest(kind)
+		head, text, err := c.peers.Fetch(ctx, from.Address, kind, have, base)
+		if err != nil {
+			c.logger.Debug().Str("peer", from.ID).Err(err).Msg(transport.PrefixPeers + "fetch failed")
+			return
+		}
+		c.learn(kind, head, text, time.Time{})
+	})
+}
+
+// learn parses a document and hands it to the loop. Parsing is done here and
+// not in the loop, which a file of a megabyte would hold up.
+func (c *control) learn(kind peer.DocumentKind, head state.Head, text []byte, asked time.Time) {
+	if kind == peer.DocumentKind_DOCUMENT_KIND_CONFIG {
+		cfg, err := state.ParseConfig(configName, text)
+		if err != nil {
+			c.tell(coordination.ConfigRefused{Head: head, Err: err})
+			return
+		}
+		c.tell(coordination.ConfigLearned{Config: cfg})
+		return
+	}
+	list, err := protocol.ParseMemberList(text)
+	if err != nil {
+		c.recorder.Record(coordination.EventPlatform, "member list", "", "member list is refused: %v", err)
+		return
+	}
+	c.tell(coordination.ListLearned{List: list, Asked: asked})
+}
