The daemons of a member list are picked out once

Cause: read once more, MemberList.Daemons made a new slice at each call. The keeper's check calls it for each list of its history, twice for a request with a caller's own key.

Change: the list, which is immutable, picks its daemons out when it is made.

Conclusion: work on the path of requests that belonged to the making of a list.

--- a/coordination/arrange_bench_test.go
+++ b/coordination/arrange_bench_test.go
@@ -32,3 +32,31 @@
 		f.Handle(epoch.Add(time.Duration(i)*time.Minute), coordination.ListLearned{List: lists[i]})
 	}
 }
+
+// BenchmarkMayKeep measures the keeper's check, which runs twice for a request
+// with a caller's own key, at the size of two years and eight lists of history.
+func BenchmarkMayKeep(b *testing.B) {
+	var members []state.Member
+	for i := range 930 + 4500 {
+		m := state.Member{ID: fmt.Sprintf("vm-%06d", i), Kind: state.KindDaemon, State: state.Live}
+		if i >= 930 {
+			m.Kind = state.KindEngine
+		}
+		members = append(members, m)
+	}
+	var history []state.DatedList
+	for i := range 8 {
+		taken := epoch.Add(-time.Duration(i) * time.Minute)
+		history = append(history, state.DatedList{List: state.NewMemberList(1, nil, members), Taken: taken})
+	}
+	key := coordination.LedgerKey{Workspace: "w", Service: "gate", Key: "own"}
+	keeper, _ := coordination.KeeperOf(history[0].List, key)
+	view := state.KeeperEpoch{Confirmed: epoch, Ticked: epoch, History: history}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if coordination.MayKeep(epoch, state.DaemonID(keeper.ID), view, key, coordination.RulesOf(nil)) != nil {
+			b.Fatal("the keeper may not keep")
+		}
+	}
+}
--- a/state/member.go
+++ b/state/member.go
@@ -60,13 +60,20 @@
 	Head    Head
 	Text    []byte // as published; what peers pass on
 	Members []Member
+	daemons []Member
 }
 
 // NewMemberList sorts the members and returns the list of that revision.
 func NewMemberList(rev ListRevision, text []byte, members []Member) *MemberList {
 	sorted := append([]Member(nil), members...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
-	return &MemberList{Head: HeadOf(uint64(rev), text), Text: text, Members: sorted}
+	l := &MemberList{Head: HeadOf(uint64(rev), text), Text: text, Members: sorted}
+	for _, m := range sorted {
+		if m.Kind == KindDaemon && m.State != Gone {
+			l.daemons = append(l.daemons, m)
+		}
+	}
+	return l
 }
 
 // Find returns the member of that id, or nil.
@@ -81,16 +88,11 @@
 	return nil
 }
 
-// Daemons returns the daemons of the list that are not gone.
+// Daemons returns the daemons of the list that are not gone, by id. The slice is
+// shared and must not be changed: it is asked for on the path of requests.
 func (l *MemberList) Daemons() []Member {
 	if l == nil {
 		return nil
 	}
-	var out []Member
-	for _, m := range l.Members {
-		if m.Kind == KindDaemon && m.State != Gone {
-			out = append(out, m)
-		}
-	}
-	return out
+	return l.daemons
 }
