One way to tell neighbours, one code for signatures, one parse of a read list

Neighbours are told at the end of an event, once, also if it brought two reasons. What is signed is named in the signature.

Conclusion: behaviour stays; no test was changed.

--- a/coordination/challenge.go
+++ b/coordination/challenge.go
@@ -8,7 +8,6 @@
 
 import (
 	"crypto/hmac"
-	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
 	"time"
@@ -26,7 +25,7 @@
 // Challenge returns a challenge. age is the time since this daemon's start.
 func (i *TicketIssuer) Challenge(age time.Duration) string {
 	b := binary.BigEndian.AppendUint64(nil, uint64((age + ChallengeLife).Milliseconds()))
-	return base64.RawURLEncoding.EncodeToString(append(b, i.signChallenge(b)...))
+	return base64.RawURLEncoding.EncodeToString(append(b, i.mac(challengeLabel, string(b))...))
 }
 
 // Fresh reports whether a challenge was made by this daemon life and has not
@@ -37,15 +36,8 @@
 		return false
 	}
 	b, mac := raw[:challengeBytes], raw[challengeBytes:]
-	if !hmac.Equal(mac, i.signChallenge(b)) {
+	if !hmac.Equal(mac, i.mac(challengeLabel, string(b))) {
 		return false
 	}
 	return age < time.Duration(binary.BigEndian.Uint64(b))*time.Millisecond
 }
-
-func (i *TicketIssuer) signChallenge(b []byte) []byte {
-	m := hmac.New(sha256.New, i.secret)
-	m.Write([]byte(challengeLabel))
-	m.Write(b)
-	return m.Sum(nil)[:ticketMACBytes]
-}
--- a/coordination/documents.go
+++ b/coordination/documents.go
@@ -48,7 +48,7 @@
 	f.note(EventConfigTaken, head.String(), "configuration %v follows %v", head, old)
 	f.settle(now)
 	f.arrange()
-	f.tellAll()
+	f.urgent = true
 }
 
 func (f *Fleet) refuseConfig(ev ConfigRefused) {
@@ -162,7 +162,7 @@
 	f.dropReports()
 	f.dirty = true
 	f.arrange()
-	f.tellAll()
+	f.urgent = true
 }
 
 // pruneHistory keeps the lists that matter for the quiet time: those taken
--- a/coordination/fleet.go
+++ b/coordination/fleet.go
@@ -89,7 +89,7 @@
 	ticks        int
 	nextRead     time.Time
 
-	urgent     bool // a state changed: tell it at once
+	urgent     bool // all neighbours are told at the end of the event
 	dirty      bool // the snapshot is out of date
 	stale      bool // its figures are: it is built anew at the next tick
 	epochDirty bool // only its epoch is
@@ -147,7 +147,7 @@
 	case StopBegun:
 		f.stopped = true
 		f.note(EventStopBegun, string(f.self.ID), "stop begun; no new work")
-		f.tellAll()
+		f.urgent = true
 	}
 	if f.urgent {
 		f.urgent = false
--- a/coordination/ticket.go
+++ b/coordination/ticket.go
@@ -108,12 +108,18 @@
 }
 
 func (i *TicketIssuer) sign(t Ticket, w state.WorkspaceID, s state.ServiceID) string {
+	return base64.RawURLEncoding.EncodeToString(i.mac(ticketPrefix, string(w), string(s), t.payload()))
+}
+
+// mac authenticates fields, each with its length before it. The first names
+// what is signed, so that nothing signed for one use passes for another.
+func (i *TicketIssuer) mac(fields ...string) []byte {
 	m := hmac.New(sha256.New, i.secret)
-	for _, field := range []string{string(w), string(s), t.payload()} {
+	for _, field := range fields {
 		m.Write([]byte(strconv.Itoa(len(field))))
 		m.Write([]byte(ticketSep + field))
 	}
-	return base64.RawURLEncoding.EncodeToString(m.Sum(nil)[:ticketMACBytes])
+	return m.Sum(nil)[:ticketMACBytes]
 }
 
 // Admit decides whether this daemon life may look the ticket up in its ledger.
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination"
-	"hingewinch.org/hingewinch/protocol"
 	"hingewinch.org/hingewinch/protocol/peer"
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/transport"
@@ -19,16 +18,12 @@
 	kind   peer.DocumentKind
 	reader *transport.PlatformReader
 	wake   chan struct{}
-	last   state.Head // of the list that was read last
+	last   state.Head // of the document that was read last
 	failed bool
 }
 
-func newDocumentReader(kind peer.DocumentKind, r *transport.PlatformReader) *documentReader {
-	return &documentReader{kind: kind, reader: r, wake: make(chan struct{}, 1)}
-}
-
 func (c *control) addReader(kind peer.DocumentKind, r *transport.PlatformReader) {
-	c.readers[kind] = newDocumentReader(kind, r)
+	c.readers[kind] = &documentReader{kind: kind, reader: r, wake: make(chan struct{}, 1)}
 }
 
 func (d *documentReader) ask() {
@@ -69,13 +64,7 @@
 	case text == nil:
 		return
 	}
-	d.last = state.Head{}
-	if d.kind == peer.DocumentKind_DOCUMENT_KIND_LIST {
-		if list, err := protocol.ParseMemberList(text); err == nil {
-			d.last = list.Head
-		}
-	}
-	c.learn(d.kind, state.HeadOf(0, text), text, asked)
+	d.last = c.learn(d.kind, state.HeadOf(0, text), text, asked)
 }
 
 // heldUntil returns until when an answer without a change is about: the platform
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -156,18 +156,21 @@
 }
 
 func (s *Settings) checkLimits(c *state.Checker) {
-	positive := map[string]bool{
-		"body_bytes":   s.Limits.BodyBytes > 0,
-		"answer_bytes": s.Limits.AnswerBytes > 0,
-		"ledger_bytes": s.Limits.LedgerBytes > 0,
-		"timeout":      s.Limits.Timeout > 0,
-		"first_byte":   s.Limits.FirstByte > 0,
-		"stream_idle":  s.Limits.StreamIdle > 0,
-		"caller_stall": s.Limits.CallerStall > 0,
-	}
-	for _, name := range []string{"body_bytes", "answer_bytes", "ledger_bytes", "timeout", "first_byte", "stream_idle", "caller_stall"} {
-		if !positive[name] {
-			c.Add(name+" is not above 0", "write a positive value or leave it out", "limits", name)
+	l := &s.Limits
+	for _, limit := range []struct {
+		name     string
+		positive bool
+	}{
+		{"body_bytes", l.BodyBytes > 0},
+		{"answer_bytes", l.AnswerBytes > 0},
+		{"ledger_bytes", l.LedgerBytes > 0},
+		{"timeout", l.Timeout > 0},
+		{"first_byte", l.FirstByte > 0},
+		{"stream_idle", l.StreamIdle > 0},
+		{"caller_stall", l.CallerStall > 0},
+	} {
+		if !limit.positive {
+			c.Add(limit.name+" is not above 0", "write a positive value or leave it out", "limits", limit.name)
 		}
 	}
 	if s.Stop.Notice < 0 {
--- a/daemon/talk.go
+++ b/daemon/talk.go
@@ -95,22 +95,24 @@
 	})
 }
 
-// learn parses a document and hands it to the loop. Parsing is done here and
-// not in the loop, which a file of a megabyte would hold up.
-func (c *control) learn(kind peer.DocumentKind, head state.Head, text []byte, asked time.Time) {
+// learn parses a document, hands it to the loop and returns its head, which is
+// zero if it is not valid. Parsing is done here and not in the loop, which a file
+// of a megabyte would hold up. head names the text as it was announced.
+func (c *control) learn(kind peer.DocumentKind, head state.Head, text []byte, asked time.Time) state.Head {
 	if kind == peer.DocumentKind_DOCUMENT_KIND_CONFIG {
 		cfg, err := state.ParseConfig(configName, text)
 		if err != nil {
 			c.tell(coordination.ConfigRefused{Head: head, Err: err})
-			return
+			return state.Head{}
 		}
 		c.tell(coordination.ConfigLearned{Config: cfg})
-		return
+		return cfg.Head()
 	}
 	list, err := protocol.ParseMemberList(text)
 	if err != nil {
 		c.recorder.Record(coordination.EventPlatform, "member list", "", "member list is refused: %v", err)
-		return
+		return state.Head{}
 	}
 	c.tell(coordination.ListLearned{List: list, Asked: asked})
+	return list.Head
 }
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -50,6 +50,7 @@
 	past    []float64 // load of the last steps, newest last
 	gate    state.Gate
 	smooth  float64
+	known   float64 // load as its watcher last heard it
 }
 
 type cachedChat struct{ chat, tokens int }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -66,7 +66,6 @@
 	chats   []*chat
 	news    map[int][]news
 	lives   int
-	known   []float64 // loads as the watchers know them
 
 	reused, reusable float64
 	ratios           []float64
@@ -79,7 +78,7 @@
 
 // New returns an experiment that has not begun.
 func New(w Way, s Scene, routers, engines int) *Experiment {
-	x := &Experiment{Bound: state.DefaultBound, rng: rand.New(rand.NewPCG(uint64(routers), uint64(engines))), way: w, scene: s, news: map[int][]news{}, known: make([]float64, engines)}
+	x := &Experiment{Bound: state.DefaultBound, rng: rand.New(rand.NewPCG(uint64(routers), uint64(engines))), way: w, scene: s, news: map[int][]news{}}
 	for i := range engines {
 		x.engines = append(x.engines, &engine{n: i, past: make([]float64, reportLag+1)})
 		x.replace(x.engines[i])
--- a/internal/experiment/ways.go
+++ b/internal/experiment/ways.go
@@ -130,19 +130,19 @@
 			first = i
 		}
 		avoid = append(avoid, c.ID)
-		if x.way != Bounded && len(avoid) == 2 {
+		if x.way == Probe && len(avoid) == 2 {
 			break
 		}
 	}
 	return first, first >= 0
 }
 
-// smoothMean is the mean of the engines' mean loads.
-func (x *Experiment) smoothMean() float64 {
+// meanOf is the mean of a figure over the engines that are alive.
+func (x *Experiment) meanOf(figure func(*engine) float64) float64 {
 	sum, n := 0.0, 0
 	for _, e := range x.engines {
 		if e.alive {
-			sum += e.smooth
+			sum += figure(e)
 			n++
 		}
 	}
@@ -177,21 +177,14 @@
 	if !changed && x.rng.Float64() < loss {
 		return
 	}
-	x.known[e.n] = e.past[0]
-	mean, n := 0.0, 0
-	for i, o := range x.engines {
-		if o.alive {
-			mean += x.known[i]
-			n++
-		}
-	}
+	e.known = e.past[0]
 	old := e.gate
 	e.smooth = coordination.SmoothLoad(e.smooth, state.Load(1000*e.past[0]))
 	switch x.way {
 	case FastGate:
-		e.gate = fastGate(e.gate, e.past[0], mean/float64(max(n, 1)), x.Bound)
+		e.gate = fastGate(e.gate, e.known, x.meanOf(func(o *engine) float64 { return o.known }), x.Bound)
 	case Gate:
-		e.gate = coordination.NextGate(e.gate, e.smooth, x.smoothMean(), x.Bound)
+		e.gate = coordination.NextGate(e.gate, e.smooth, x.meanOf(func(o *engine) float64 { return o.smooth }), x.Bound)
 	}
 	worth := (x.way != Gate && x.way != FastGate) || changed || math.Abs(float64(e.gate)-float64(old)) > float64(state.GateFull/32)
 	if worth {
