--- a/cmd/hingewinchd/main.go
+++ b/cmd/hingewinchd/main.go
@@ -3,6 +3,11 @@
 // # Usage
 //
 //	hingewinchd --settings /etc/hingewinch/hingewinchd.yaml
+//	hingewinchd --front routes
+//
+// The first serves the OpenAI protocol. The second serves routes by host and
+// path on the users' machines; its settings file is the one that the variable
+// HINGEWINCH_SETTINGS names, unless --settings is given.
 //
 // SIGTERM or SIGINT begins a planned stop, which ends when the last request in
 // flight has its answer. Exit codes: 0 after a planned stop, 1 when a server
@@ -30,8 +35,15 @@
 	exitUsage  = 2
 )
 
+// settingsVariable names the settings file where no option does.
+const settingsVariable = "HINGEWINCH_SETTINGS"
+
+// frontRoutes is the front end that routes by host and path.
+const frontRoutes = "routes"
+
 type options struct {
 	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon (YAML)"`
+	Front    string `long:"front" choice:"openai" choice:"routes" default:"openai" description:"what callers speak"`
 	Check    bool   `long:"check" description:"check the settings file and end"`
 	Version  bool   `long:"version" description:"print the version and end"`
 }
@@ -51,10 +63,16 @@
 		fmt.Println("hingewinchd", daemon.Version)
 		return 0
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(settingsVariable)
+	}
 	if o.Settings == "" {
 		fmt.Fprintln(os.Stderr, "hingewinchd: no settings file; give one with --settings FILE")
 		return exitUsage
 	}
+	if o.Front == frontRoutes {
+		return runRoutes(o.Settings, o.Check)
+	}
 	settings, err := daemon.LoadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/hingewinchd/routes.go
@@ -0,0 +1,70 @@
+// This file runs the daemon with the front end that routes by host and path.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+
+	"hingewinch.org/hingewinch/platform"
+	"hingewinch.org/hingewinch/relay"
+	"hingewinch.org/hingewinch/router"
+)
+
+func runRoutes(file string, check bool) int {
+	settings, err := router.LoadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if check {
+		return 0
+	}
+	d, err := router.New(settings, outside(settings), os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, d, file, settings)
+	if err := d.Run(ctx); err != nil {
+		return exitFailed
+	}
+	return 0
+}
+
+// outside is the users' platform.
+func outside(s *router.Settings) router.Outside {
+	return router.Outside{
+		Store: platform.NewStore(s.Store), HistoryGone: platform.ErrHistoryGone,
+		Documents: platform.Documents{}, Codec: platform.Codec{}, ReadyPath: platform.PathReady,
+		Front: func(d *router.Daemon) http.Handler {
+			return &platform.Front{
+				View: d.View, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, ComeBack: relay.DefaultRule().ComeBack,
+			}
+		},
+	}
+}
+
+// reload checks the settings file after each SIGHUP. Addresses and identity
+// can't change while requests are served; a file that differs takes effect at
+// the next start, and the log says so.
+func reload(ctx context.Context, d *router.Daemon, file string, running *router.Settings) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			s, err := router.LoadSettings(file)
+			d.Log.Reloaded(err == nil && !reflect.DeepEqual(s, running), err)
+		}
+	}
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,143 @@
+// Package feed holds the documents that the daemons read from the operators'
+// store and hand on to each other. A document is a key with bytes and the
+// store's revision; what the bytes mean is not known here.
+//
+// # Usage
+//
+//	f := feed.New()
+//	changed := f.Apply(items)               // from a watch or a peer
+//	changed = f.ApplyList(prefix, items, at) // a whole list: what is missing is gone
+//	news, whole := f.Since(revision)         // for a peer
+//
+// For every key the newest revision wins, so that a daemon never goes back to
+// an older document within its life, whoever sends it.
+package feed
+
+import (
+	"slices"
+	"strings"
+)
+
+// Revision orders the changes of the store. 0 is before all of them.
+type Revision uint64
+
+// Item is a document, or the news that it is gone.
+type Item struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision Revision
+	Gone     bool
+}
+
+// keptTombstones bounds how many removals are remembered.
+const keptTombstones = 4096
+
+// Feed is the set of documents. Its owner guards it.
+type Feed struct {
+	items    map[string]Item
+	revision Revision
+	// horizon is the newest removal that was forgotten: news since an earlier
+	// revision would lack it.
+	horizon    Revision
+	tombstones []string
+}
+
+// New returns an empty feed.
+func New() *Feed { return &Feed{items: make(map[string]Item)} }
+
+// Revision returns the newest revision that was applied.
+func (f *Feed) Revision() Revision { return f.revision }
+
+// Apply takes items over if they are newer than what is held, and returns those
+// that were.
+func (f *Feed) Apply(items []Item) []Item {
+	var changed []Item
+	for _, it := range items {
+		if held, ok := f.items[it.Key]; ok && held.Revision >= it.Revision {
+			continue
+		}
+		f.put(it)
+		changed = append(changed, it)
+	}
+	return changed
+}
+
+func (f *Feed) put(it Item) {
+	f.items[it.Key] = it
+	f.revision = max(f.revision, it.Revision)
+	if !it.Gone {
+		return
+	}
+	f.tombstones = append(f.tombstones, it.Key)
+	if len(f.tombstones) <= keptTombstones {
+		return
+	}
+	oldest := f.tombstones[0]
+	f.tombstones = f.tombstones[1:]
+	if held, ok := f.items[oldest]; ok && held.Gone {
+		f.horizon = max(f.horizon, held.Revision)
+		delete(f.items, oldest)
+	}
+}
+
+// ApplyList takes a whole list of the keys below a prefix, read when the store
+// stood at the given revision or later. Held documents that are missing there
+// and are not newer are gone.
+func (f *Feed) ApplyList(prefix string, items []Item, at Revision) []Item {
+	changed := f.Apply(items)
+	listed := make(map[string]struct{}, len(items))
+	for _, it := range items {
+		listed[it.Key] = struct{}{}
+	}
+	var gone []Item
+	for key, held := range f.items {
+		_, ok := listed[key]
+		if !ok && !held.Gone && strings.HasPrefix(key, prefix) && held.Revision <= at {
+			gone = append(gone, Item{Key: key, Revision: max(at, held.Revision+1), Gone: true})
+		}
+	}
+	slices.SortFunc(gone, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	for _, it := range gone {
+		f.put(it)
+	}
+	return append(changed, gone...)
+}
+
+// Since returns what changed after a revision, or everything if whole is true.
+func (f *Feed) Since(after Revision) (items []Item, whole bool) {
+	whole = after < f.horizon || after == 0
+	for _, it := range f.items {
+		if it.Revision > after || whole {
+			items = append(items, it)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int {
+		if a.Revision != b.Revision {
+			return int(int64(a.Revision) - int64(b.Revision))
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return items, whole
+}
+
+// Get returns a document that is held.
+func (f *Feed) Get(key string) (Item, bool) {
+	it, ok := f.items[key]
+	return it, ok && !it.Gone
+}
+
+// Each calls visit for each document below a prefix that is not gone, in the
+// order of the keys.
+func (f *Feed) Each(prefix string, visit func(Item)) {
+	var keys []string
+	for key, it := range f.items {
+		if !it.Gone && strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		visit(f.items[key])
+	}
+}
--- /dev/null
+++ b/membership/roster.go
@@ -0,0 +1,192 @@
+// Package membership lets daemons find each other without a list from outside.
+// A daemon begins at its seeds and tells, several times a second, some others
+// that it lives and whom it knows. Nothing is elected; a member that was not
+// heard of for a while is taken as gone, and comes back with its next beat.
+//
+// # Usage
+//
+//	roster := membership.NewRoster(self, seeds)
+//	targets := roster.Targets(now, rng)   // whom to tell
+//	roster.Observe(beat, now)             // what was heard
+//	live := roster.Live(now)
+//
+// The package is pure: messages are values, the time and randomness arguments.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+type (
+	// Address is where a daemon takes beats, as IP:PORT.
+	Address string
+	// Life distinguishes the lives of a daemon at one address; a later one is
+	// higher.
+	Life uint64
+)
+
+// Member is what daemons tell each other of one daemon.
+type Member struct {
+	_       struct{} `cbor:",toarray"`
+	Address Address
+	Zone    string
+	Life    Life
+	Count   uint64 // beats sent in this life
+	Leaving bool   // stops as planned
+}
+
+// Settings of the roster.
+const (
+	// deadAfter is how long a member counts as live after news of it.
+	deadAfter = 2500 * time.Millisecond
+	// forgetAfter is how long one that is gone is still tried.
+	forgetAfter = 90 * time.Second
+	// tellAll is the number of members up to which a beat goes to all of them;
+	// beyond it, beats go to fanOut of them.
+	tellAll = 12
+	fanOut  = 6
+	// namedInBeat is how many other members a beat names.
+	namedInBeat = 6
+)
+
+// Roster is the set of known daemons. Its owner guards it.
+type Roster struct {
+	self    Member
+	seeds   []Address
+	members map[Address]*known
+	largest int
+}
+
+type known struct {
+	Member
+	heard time.Time // when its count last rose here
+}
+
+// NewRoster returns the roster of a daemon. Seeds may name the daemon itself.
+func NewRoster(self Member, seeds []Address) *Roster {
+	return &Roster{self: self, seeds: seeds, members: make(map[Address]*known), largest: 1}
+}
+
+// Self returns the daemon's own entry for its next beat.
+func (r *Roster) Self() Member {
+	r.self.Count++
+	return r.self
+}
+
+// SetLeaving marks that the daemon stops.
+func (r *Roster) SetLeaving() { r.self.Leaving = true }
+
+// Observe takes what a beat says of daemons. It returns those that were not
+// live before.
+func (r *Roster) Observe(members []Member, now time.Time) []Member {
+	var joined []Member
+	for _, m := range members {
+		if m.Address == r.self.Address {
+			continue
+		}
+		k := r.members[m.Address]
+		if k == nil {
+			k = &known{}
+			r.members[m.Address] = k
+		}
+		if m.Life < k.Life || (m.Life == k.Life && m.Count <= k.Count) {
+			continue
+		}
+		if now.Sub(k.heard) > deadAfter {
+			joined = append(joined, m)
+		}
+		k.Member, k.heard = m, now
+	}
+	r.largest = max(r.largest, 1+len(r.live(now)))
+	return joined
+}
+
+func (r *Roster) live(now time.Time) []*known {
+	var out []*known
+	for _, k := range r.members {
+		if now.Sub(k.heard) <= deadAfter {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b *known) int { return strings.Compare(string(a.Address), string(b.Address)) })
+	return out
+}
+
+// Live returns the live members, this daemon not counted, sorted by address.
+func (r *Roster) Live(now time.Time) []Member {
+	live := r.live(now)
+	out := make([]Member, len(live))
+	for i, k := range live {
+		out[i] = k.Member
+	}
+	return out
+}
+
+// Known returns the number of members that are not forgotten, and forgets old
+// ones.
+func (r *Roster) Known(now time.Time) int {
+	for a, k := range r.members {
+		if now.Sub(k.heard) > forgetAfter {
+			delete(r.members, a)
+		}
+	}
+	return len(r.members)
+}
+
+// Largest returns the greatest number of daemons that were live together, this
+// one counted.
+func (r *Roster) Largest() int { return r.largest }
+
+// Targets returns whom to tell now: the live members, or some of them in a
+// large fleet, and one that is not known to live, so that a cut that has healed
+// is noticed.
+func (r *Roster) Targets(now time.Time, rng *rand.Rand) []Address {
+	live := r.live(now)
+	if len(live) > tellAll {
+		rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+		live = live[:fanOut]
+	}
+	out := make([]Address, 0, len(live)+1)
+	for _, k := range live {
+		out = append(out, k.Address)
+	}
+	if lost := r.lost(now); len(lost) > 0 {
+		out = append(out, lost[rng.IntN(len(lost))])
+	}
+	return out
+}
+
+// lost returns the seeds and known members that are not live.
+func (r *Roster) lost(now time.Time) []Address {
+	var out []Address
+	for _, s := range r.seeds {
+		k := r.members[s]
+		if s != r.self.Address && (k == nil || now.Sub(k.heard) > deadAfter) {
+			out = append(out, s)
+		}
+	}
+	for a, k := range r.members {
+		if now.Sub(k.heard) > deadAfter && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Named returns the members that a beat names, besides its sender.
+func (r *Roster) Named(now time.Time, rng *rand.Rand) []Member {
+	live := r.live(now)
+	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	out := make([]Member, 0, namedInBeat)
+	for _, k := range live[:min(len(live), namedInBeat)] {
+		out = append(out, k.Member)
+	}
+	return out
+}
+
+// Entry returns the daemon's own entry.
+func (r *Roster) Entry() Member { return r.self }
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,165 @@
+// This file passes answers on: plain ones when they are whole, streams event by
+// event.
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/routing"
+)
+
+// Errors of answers.
+var (
+	errLeft      = errors.New("replica left while the connection came up")
+	errOrder     = errors.New("events are not in their order")
+	errTooLarge  = errors.New("answer is too large")
+	errOwnFault  = errors.New("replica answered with an error of its own")
+	errCaller    = errors.New("caller takes no more")
+	errEndInside = errors.New("stream ended inside an event")
+)
+
+// maxAnswerBytes bounds a plain answer, which is held whole.
+const maxAnswerBytes = 8 << 20
+
+// relayWhole reads an answer to its end and passes it on. Only a whole one goes
+// out, so that one that broke off can be asked for again.
+func (s *serving) relayWhole(ctx context.Context, x *exchange, t *routing.Target) *failure {
+	status := x.response.StatusCode
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return x.broken(ctx, eris.Wrap(err, "read body"))
+	}
+	if len(body) > maxAnswerBytes {
+		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, err: errTooLarge}
+	}
+	now := time.Now()
+	if status >= http.StatusInternalServerError {
+		// An answer with an error that may be repeated is worth another try; the
+		// replica's answer goes out if there is none.
+		s.blame(&t.Replica, routing.ResultFailed, errOwnFault)
+		if s.mayRepeat(mayHaveRun) && s.sent < s.call.Route.MaxAttempts {
+			x.end(true, now)
+			s.fallback = &fallback{status: status, header: x.response.Header, body: body}
+			return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errOwnFault}
+		}
+	} else {
+		s.Placer.Health.Report(&t.Replica, routing.ResultGood, now)
+	}
+	x.end(true, now)
+	return s.answer(ctx, x.response.StatusCode, x.response.Header, body)
+}
+
+func (s *serving) answer(ctx context.Context, status int, h http.Header, body []byte) *failure {
+	if s.begun {
+		return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errOwnFault}
+	}
+	s.begun = true
+	s.summary.Status = status
+	s.summary.FirstByte = time.Since(s.call.Arrived)
+	if err := s.sink.Answer(status, h, body); err != nil && ctx.Err() == nil {
+		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: eris.Wrap(err, "write answer")}
+	}
+	return nil
+}
+
+// relayStream passes events on as they come. The answer begins with the first
+// event, so that a stream that breaks before it can still be refused.
+func (s *serving) relayStream(ctx context.Context, x *exchange, t *routing.Target) *failure {
+	if s.events == nil {
+		s.events = newEvents(s.call.LastSeen)
+	}
+	s.events.reset()
+	buf := make([]byte, 2<<10)
+	for {
+		if f := s.awaitEvent(ctx, x); f != nil {
+			return f
+		}
+		n, err := x.response.Body.Read(buf)
+		if f := s.pass(ctx, x, buf[:n]); f != nil {
+			return f
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return x.broken(ctx, eris.Wrap(err, "read stream"))
+		}
+	}
+	if len(s.events.rest) > 0 {
+		return x.broken(ctx, errEndInside)
+	}
+	if f := s.begin(ctx, x); f != nil {
+		return f
+	}
+	now := time.Now()
+	s.Placer.Health.Report(&t.Replica, routing.ResultGood, now)
+	x.end(true, now)
+	return nil
+}
+
+// awaitEvent waits for more of a stream. Where the stream can be resumed
+// elsewhere it waits only for a while.
+func (s *serving) awaitEvent(ctx context.Context, x *exchange) *failure {
+	if x.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	until := x.deadline
+	if s.call.Route.Resumable && s.sent < s.call.Route.MaxAttempts {
+		until = time.Now().Add(max(time.Duration(s.Rule.GapPatience*float64(s.call.Route.Gap)), s.Rule.GapPatienceLeast))
+	}
+	heard, err := x.await(until)
+	if err != nil {
+		// The end of an answer without a length is found by reading.
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		return x.broken(ctx, err)
+	}
+	if heard {
+		return nil
+	}
+	f := &failure{outcome: coordination.MayHaveRun{Reason: coordination.ReasonNoAnswer}, result: routing.ResultSilent, err: errSilent}
+	f.blame = time.Now().Before(x.deadline)
+	return f
+}
+
+// pass hands the whole events among p to the caller.
+func (s *serving) pass(ctx context.Context, x *exchange, p []byte) *failure {
+	whole, ok := s.events.take(p)
+	if !ok {
+		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, blame: true, err: errOrder}
+	}
+	if len(whole) == 0 {
+		return nil
+	}
+	if f := s.begin(ctx, x); f != nil {
+		return f
+	}
+	if err := s.sink.Write(whole); err != nil {
+		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCaller}
+	}
+	return nil
+}
+
+// begin sends the first lines of a streamed answer once. An answer that is
+// resumed at another replica keeps those of the first.
+func (s *serving) begin(_ context.Context, x *exchange) *failure {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	s.summary.Status = x.response.StatusCode
+	s.summary.FirstByte = time.Since(s.call.Arrived)
+	if err := s.sink.Begin(x.response.StatusCode, x.response.Header); err != nil {
+		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCaller}
+	}
+	return nil
+}
--- /dev/null
+++ b/relay/conn.go
@@ -0,0 +1,192 @@
+// This file keeps connections to replicas. A connection belongs to one replica's
+// life and not to an address, because addresses move to other services.
+
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"hingewinch.org/hingewinch/routing"
+)
+
+// Settings of connections.
+const (
+	dialTimeout     = 400 * time.Millisecond
+	readBufferBytes = 4 << 10
+	// idleShare is the part of the replica's own idle time for which a
+	// connection is kept, so that it is not used while the replica closes it.
+	idleShare = 0.7
+	// idleDefault is kept where the replica names no time.
+	idleDefault = 20 * time.Second
+	// idlePerReplica bounds the idle connections to one replica.
+	idlePerReplica = 32
+)
+
+// conn is a connection to a replica.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	replica routing.ReplicaID
+	reused  bool
+	idle    time.Duration // how long it may rest
+	resting time.Time     // since when it rests
+}
+
+// clean reports whether a connection that rested is still open and nothing has
+// arrived on it. Bytes that came meanwhile belong to no request.
+func (c *conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// Pool keeps idle connections. It is safe for use by many goroutines.
+type Pool struct {
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	idle  map[routing.ReplicaID][]*conn
+	count map[routing.ReplicaID]int // open connections
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		idle:   make(map[routing.ReplicaID][]*conn),
+		count:  make(map[routing.ReplicaID]int),
+	}
+}
+
+// get returns a connection to a replica: the one that was used last, or a new
+// one. What is newest is the least likely to be closed, and the others grow old
+// and are closed, so that their number follows the need.
+func (p *Pool) get(ctx context.Context, r *routing.Replica, now time.Time) (*conn, error) {
+	for {
+		c := p.take(r.ID, now)
+		if c == nil {
+			break
+		}
+		if c.clean() {
+			c.reused = true
+			return c, nil
+		}
+		p.discard(c)
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp4", r.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.count[r.ID]++
+	p.mu.Unlock()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), replica: r.ID, idle: idleDefault}, nil
+}
+
+func (p *Pool) take(id routing.ReplicaID, now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[id] = list[:len(list)-1]
+	if now.Sub(c.resting) > c.idle {
+		// All that rested longer are too old as well.
+		for _, old := range p.idle[id] {
+			p.closeLocked(old)
+		}
+		p.closeLocked(c)
+		delete(p.idle, id)
+		return nil
+	}
+	return c
+}
+
+// put gives back a connection whose answer was whole.
+func (p *Pool) put(c *conn, now time.Time) {
+	_ = c.SetDeadline(time.Time{})
+	c.resting = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.replica]) >= idlePerReplica {
+		p.closeLocked(c)
+		return
+	}
+	p.idle[c.replica] = append(p.idle[c.replica], c)
+}
+
+// discard closes a connection that can't be used again.
+func (p *Pool) discard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c)
+}
+
+func (p *Pool) closeLocked(c *conn) {
+	_ = c.Close()
+	if p.count[c.replica]--; p.count[c.replica] <= 0 {
+		delete(p.count, c.replica)
+	}
+}
+
+// open returns the number of open connections to a replica.
+func (p *Pool) open(id routing.ReplicaID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count[id]
+}
+
+// Sweep closes connections that rested too long, or whose replica is gone.
+func (p *Pool) Sweep(known func(routing.ReplicaID) bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if known(id) && now.Sub(c.resting) <= c.idle {
+				kept = append(kept, c)
+				continue
+			}
+			p.closeLocked(c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, id)
+			continue
+		}
+		p.idle[id] = kept
+	}
+}
+
+// Idle returns the number of connections that rest.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/router/control.go
@@ -0,0 +1,294 @@
+// This file runs the control loop: the one goroutine that owns the documents
+// and the roster, and publishes views.
+
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"hingewinch.org/hingewinch/feed"
+	"hingewinch.org/hingewinch/membership"
+	"hingewinch.org/hingewinch/routing"
+)
+
+// Documents tells which of the store's documents are which.
+type Documents interface {
+	Config(f *feed.Feed) (feed.Item, bool)
+	ParseConfig(it feed.Item) (*routing.Table, error)
+	Replicas(f *feed.Feed, visit func(feed.Item))
+	ParseReplica(it feed.Item) (routing.Replica, error)
+	ReplicaID(key string) (routing.ReplicaID, bool)
+}
+
+// event is what the control loop takes.
+type event interface{ isEvent() }
+
+type (
+	// listed is a whole list from the store.
+	listed struct {
+		items []feed.Item
+		at    feed.Revision
+	}
+	// changed is news from the store's watch.
+	changed struct{ items []feed.Item }
+	// storeState tells that the store was lost or regained.
+	storeState struct {
+		lost bool
+		err  error
+	}
+	// heard is a peer's beat.
+	heard struct{ beat Beat }
+	// pulled is a peer's answer to a request for news.
+	pulled struct {
+		news News
+		from membership.Address
+		err  error
+	}
+	// query runs a function in the loop, for operators and peers.
+	query struct{ run func(*control) }
+)
+
+func (listed) isEvent()     {}
+func (changed) isEvent()    {}
+func (storeState) isEvent() {}
+func (heard) isEvent()      {}
+func (pulled) isEvent()     {}
+func (query) isEvent()      {}
+
+// Settings of the control loop.
+const (
+	eventQueue   = 512
+	beatInterval = 200 * time.Millisecond
+	// pullGrace is how long a peer may know more than this daemon before it is
+	// asked: the store's own news is mostly on its way.
+	pullGrace = 60 * time.Millisecond
+	// vanishedAge is how long replicas that vanished unannounced are kept in
+	// mind, in case most of a service vanishes.
+	vanishedAge = 10 * time.Second
+)
+
+// control is the state of the control loop.
+type control struct {
+	documents Documents
+	feed      *feed.Feed
+	roster    *membership.Roster
+	zone      string
+	rng       *rand.Rand
+	loads     *routing.Loads
+	health    *routing.Health
+	budgets   *routing.Budgets
+	log       *Log
+	send      func(to membership.Address, payload []byte)
+	pull      func(ctx context.Context, from membership.Address, after feed.Revision) (News, error)
+
+	events chan event
+	view   atomic.Pointer[routing.View]
+	reads  atomic.Pointer[readPlan]
+
+	table       *routing.Table
+	tableRev    feed.Revision
+	replicas    map[string]replicaEntry
+	vanished    map[string]vanishedEntry
+	daemons     int
+	bootstrap   bool // no list has been applied yet
+	pulling     bool
+	ahead       map[membership.Address]feed.Revision // peers that know more
+	aheadSince  time.Time
+	storeIsLost bool
+	changedAt   time.Time
+}
+
+type replicaEntry struct {
+	revision feed.Revision
+	replica  routing.Replica
+}
+
+type vanishedEntry struct {
+	replica routing.Replica
+	at      time.Time
+}
+
+// readPlan tells the store's reader what to do.
+type readPlan struct {
+	reads bool          // this daemon reads the store
+	wait  time.Duration // how long a watch may wait
+}
+
+// tell hands an event to the loop and waits for room.
+func (c *control) tell(ctx context.Context, e event) {
+	select {
+	case c.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// run owns the state until ctx ends.
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	c.plan(time.Now())
+	c.beat(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(ctx, time.Now())
+		case e := <-c.events:
+			c.handle(ctx, e, time.Now())
+		}
+	}
+}
+
+func (c *control) handle(ctx context.Context, e event, now time.Time) {
+	switch e := e.(type) {
+	case listed:
+		c.apply(c.feed.ApplyList("", e.items, e.at), "store", now)
+	case changed:
+		c.apply(c.feed.Apply(e.items), "store", now)
+	case storeState:
+		c.noteStore(e)
+	case heard:
+		c.observe(ctx, &e.beat, now)
+	case pulled:
+		c.takeNews(&e, now)
+	case query:
+		e.run(c)
+	}
+}
+
+func (c *control) noteStore(e storeState) {
+	if e.lost == c.storeIsLost {
+		return
+	}
+	c.storeIsLost = e.lost
+	c.log.Store(e.lost, e.err, c.feed.Revision())
+}
+
+// apply publishes what changed in the documents. News goes to the peers at
+// once, so that one whom the store turns away learns of it.
+func (c *control) apply(items []feed.Item, source string, now time.Time) {
+	if len(items) == 0 {
+		return
+	}
+	for _, it := range items {
+		c.applyReplica(it, now)
+	}
+	c.applyConfig(now, source)
+	c.changedAt = now
+	c.bootstrap = false
+	c.log.Documents(len(items), source, c.feed.Revision())
+	c.publish(now)
+	c.beat(now)
+}
+
+func (c *control) applyReplica(it feed.Item, now time.Time) {
+	id, ok := c.documents.ReplicaID(it.Key)
+	if !ok {
+		return
+	}
+	before, known := c.replicas[it.Key]
+	if it.Gone {
+		if known && !before.replica.Draining {
+			c.vanished[it.Key] = vanishedEntry{replica: before.replica, at: now}
+		}
+		delete(c.replicas, it.Key)
+		c.log.Replica(id, "gone", it.Revision)
+		return
+	}
+	r, err := c.documents.ParseReplica(it)
+	if err != nil {
+		c.log.Bad(it.Key, err)
+		return
+	}
+	switch {
+	case known:
+		r.Since = before.replica.Since
+	case !c.bootstrap:
+		r.Since = now
+	}
+	if !known || known && before.replica.Draining != r.Draining {
+		c.log.Replica(id, stateName(&r), it.Revision)
+	}
+	delete(c.vanished, it.Key)
+	c.replicas[it.Key] = replicaEntry{revision: it.Revision, replica: r}
+}
+
+func stateName(r *routing.Replica) string {
+	if r.Draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// applyConfig takes a newer configuration. One that can't be read changes
+// nothing.
+func (c *control) applyConfig(now time.Time, source string) {
+	it, ok := c.documents.Config(c.feed)
+	if !ok || it.Revision <= c.tableRev {
+		return
+	}
+	t, err := c.documents.ParseConfig(it)
+	if err != nil {
+		c.log.Bad(it.Key, err)
+		return
+	}
+	if c.table != nil && t.Version < c.table.Version {
+		c.log.Bad(it.Key, errOlderVersion)
+		return
+	}
+	c.table, c.tableRev = t, it.Revision
+	c.log.Config(t.Version, it.Revision, source)
+}
+
+// publish builds a view and makes it visible to traffic.
+func (c *control) publish(now time.Time) {
+	v := &routing.View{
+		Table: c.table, Revision: uint64(c.feed.Revision()), Zone: c.zone, Daemons: c.daemons, Built: now,
+		Pools: make(map[routing.ServiceName]*routing.Pool),
+	}
+	for _, e := range c.replicas {
+		p := poolOf(v, e.replica.Service)
+		if e.replica.Draining {
+			p.Leaving = append(p.Leaving, e.replica)
+			continue
+		}
+		p.Ready = append(p.Ready, e.replica)
+	}
+	c.restoreVanished(v, now)
+	for _, p := range v.Pools {
+		p.Sort()
+	}
+	c.view.Store(v)
+}
+
+func poolOf(v *routing.View, s routing.ServiceName) *routing.Pool {
+	p := v.Pools[s]
+	if p == nil {
+		p = &routing.Pool{}
+		v.Pools[s] = p
+	}
+	return p
+}
+
+// restoreVanished keeps serving on a service of which most replicas vanished
+// together and unannounced: that is the store's trouble, not theirs.
+func (c *control) restoreVanished(v *routing.View, now time.Time) {
+	lost := make(map[routing.ServiceName][]routing.Replica)
+	for key, e := range c.vanished {
+		if now.Sub(e.at) > vanishedAge {
+			delete(c.vanished, key)
+			continue
+		}
+		lost[e.replica.Service] = append(lost[e.replica.Service], e.replica)
+	}
+	for s, replicas := range lost {
+		p := poolOf(v, s)
+		if len(replicas) > len(p.Ready) {
+			p.Ready = append(p.Ready, replicas...)
+		}
+	}
+}
--- /dev/null
+++ b/router/metrics.go
@@ -0,0 +1,129 @@
+// This file defines the counters and histograms of a daemon.
+
+package router
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/relay"
+)
+
+// Metrics are the figures of a daemon.
+type Metrics struct {
+	registry metrics.Registry
+
+	Requests   metrics.Counter
+	Answered   metrics.Counter
+	NotRun     metrics.Counter
+	MayHaveRun metrics.Counter
+	CallerGone metrics.Counter
+	Denied     metrics.Counter
+	Repeats    metrics.Counter
+	Spilled    metrics.Counter
+	Copied     metrics.Counter
+	NewConns   metrics.Counter
+	PassedOver metrics.Counter
+	StoreCalls metrics.Counter
+	Pulls      metrics.Counter
+	BeatsSent  metrics.Counter
+	BeatsHeard metrics.Counter
+	FirstByte  metrics.Histogram // milliseconds
+	Total      metrics.Histogram // milliseconds
+}
+
+// sampleSize and sampleAlpha shape the histograms' reservoirs.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// NewMetrics returns the metrics of one daemon.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: metrics.NewRegistry()}
+	for name, c := range map[string]*metrics.Counter{
+		"requests_total":        &m.Requests,
+		"answered_total":        &m.Answered,
+		"not_run_total":         &m.NotRun,
+		"may_have_run_total":    &m.MayHaveRun,
+		"caller_gone_total":     &m.CallerGone,
+		"denied_total":          &m.Denied,
+		"repeats_total":         &m.Repeats,
+		"spilled_total":         &m.Spilled,
+		"prompts_copied_total":  &m.Copied,
+		"new_connections_total": &m.NewConns,
+		"passed_over_total":     &m.PassedOver,
+		"store_calls_total":     &m.StoreCalls,
+		"pulls_total":           &m.Pulls,
+		"beats_sent_total":      &m.BeatsSent,
+		"beats_heard_total":     &m.BeatsHeard,
+	} {
+		*c = metrics.NewRegisteredCounter(name, m.registry)
+	}
+	m.FirstByte = metrics.NewRegisteredHistogram("first_byte_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	m.Total = metrics.NewRegisteredHistogram("total_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	return m
+}
+
+// finished counts a request that has ended.
+func (m *Metrics) finished(s *relay.Summary) {
+	m.Requests.Inc(1)
+	switch s.Outcome.(type) {
+	case coordination.Answered:
+		m.Answered.Inc(1)
+	case coordination.NotRun:
+		m.NotRun.Inc(1)
+	case coordination.MayHaveRun:
+		m.MayHaveRun.Inc(1)
+	}
+	if s.Gone {
+		m.CallerGone.Inc(1)
+	}
+	if s.FirstByte > 0 {
+		m.FirstByte.Update(s.FirstByte.Milliseconds())
+	}
+	m.Total.Update(s.Total.Milliseconds())
+	for i := range s.Trials {
+		t := &s.Trials[i]
+		if i > 0 {
+			m.Repeats.Inc(1)
+		}
+		if t.Rank > 0 {
+			m.Spilled.Inc(1)
+		}
+		if t.Copied != "" {
+			m.Copied.Inc(1)
+		}
+		if !t.Reused {
+			m.NewConns.Inc(1)
+		}
+	}
+}
+
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// WriteText writes all figures, sorted by name, in the text form that scrapers
+// read.
+func (m *Metrics) WriteText(w io.Writer) {
+	var lines []string
+	m.registry.Each(func(name string, v any) {
+		name = "hingewinch_" + name
+		switch v := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			for i, q := range s.Percentiles(quantiles) {
+				lines = append(lines, fmt.Sprintf("%s{quantile=\"%v\"} %g", name, quantiles[i], q))
+			}
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+		}
+	})
+	slices.Sort(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,266 @@
+// This file puts a daemon together, runs it and stops it as planned.
+
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/feed"
+	"hingewinch.org/hingewinch/membership"
+	"hingewinch.org/hingewinch/relay"
+	"hingewinch.org/hingewinch/routing"
+)
+
+// Time-outs of the servers. An answer has the deadline of its request.
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 75 * time.Second
+	maxHeaderBytes    = 64 << 10
+	sweepInterval     = 2 * time.Second
+)
+
+// The planned stop, as parts of the grace: until stopAccept new connections are
+// taken, because the balancer takes a while to notice; until stopWait open
+// requests are waited for.
+const (
+	stopAccept = 0.35
+	stopWait   = 0.94
+)
+
+// Outside is the platform that the daemon runs on.
+type Outside struct {
+	Store       Store
+	HistoryGone error
+	Documents   Documents
+	Codec       relay.Codec
+	// Front builds the callers' handler.
+	Front func(d *Daemon) http.Handler
+	// ReadyPath is asked by the balancer.
+	ReadyPath string
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	Relay   *relay.Relay
+	Log     *Log
+	Metrics *Metrics
+
+	settings *Settings
+	outside  Outside
+	control  *control
+	peers    *peers
+	pool     *relay.Pool
+	reader   *reader
+	stopping atomic.Bool
+	started  time.Time
+
+	callers, readiness, operators, news *listener
+}
+
+// listener is one server on its socket.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+}
+
+// New opens the listeners and puts the parts together. Nothing is served before
+// Run.
+func New(s *Settings, o Outside, logTo io.Writer) (*Daemon, error) {
+	d := &Daemon{settings: s, outside: o, Metrics: NewMetrics(), started: time.Now(), pool: relay.NewPool()}
+	d.Log = NewLog(logTo, s.Level, string(s.ID), d.Metrics)
+	limitMemory(s.Memory)
+	if err := d.open(); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.wire()
+	return d, nil
+}
+
+// Memory settings: the collector runs when the heap has grown by collectPercent,
+// and works harder near memoryShare of the process's memory.
+const (
+	collectPercent = 60
+	memoryShare    = 0.7
+	megabyte       = 1 << 20
+)
+
+func limitMemory(mb int) {
+	debug.SetGCPercent(collectPercent)
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * megabyte))
+	}
+}
+
+func (d *Daemon) open() error {
+	var err error
+	if d.peers, err = openPeers(d.settings.Listen.Peers, d.Metrics); err != nil {
+		return err
+	}
+	l := d.settings.Listen
+	for _, s := range []struct {
+		address string
+		to      **listener
+	}{{l.Callers, &d.callers}, {l.Readiness, &d.readiness}, {l.Operators, &d.operators}, {l.Peers, &d.news}} {
+		if *s.to, err = listen(s.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func listen(address string) (*listener, error) {
+	socket, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s; check that the address is this VM's and free", address)
+	}
+	return &listener{socket: socket, server: &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}}, nil
+}
+
+func (d *Daemon) wire() {
+	s := d.settings
+	loads, health := routing.NewLoads(), routing.NewHealth()
+	seeds := s.seedPeers()
+	budgets := routing.NewBudgets(s.budgetRule(), max(leastFleet, len(seeds)))
+	self := membership.Member{Address: membership.Address(s.Listen.Peers), Zone: string(s.Domain), Life: membership.Life(time.Now().UnixNano())}
+	d.control = &control{
+		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, budgets: budgets, log: d.Log,
+		send: d.peers.send, pull: d.peers.pull, events: make(chan event, eventQueue),
+		replicas: make(map[string]replicaEntry), vanished: make(map[string]vanishedEntry),
+		ahead: make(map[membership.Address]feed.Revision), bootstrap: true, daemons: 1,
+	}
+	d.control.publish(time.Now())
+	d.reader = &reader{
+		store: d.outside.Store, control: d.control, historyGone: d.outside.HistoryGone,
+		calls: func() { d.Metrics.StoreCalls.Inc(1) },
+	}
+	d.Relay = relay.New(relay.Options{
+		View: d.View, Placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: loads, Health: health},
+		Budgets: budgets, Codec: d.outside.Codec, Observer: d.Log, Pool: d.pool, Rule: relay.DefaultRule(),
+	})
+	d.callers.server.Handler = d.outside.Front(d)
+	d.readiness.server.Handler = d.readyHandler()
+	d.operators.server.Handler = d.operatorHandler()
+	d.news.server.Handler = newsHandler(d.control)
+}
+
+// leastFleet is the size of the fleet that is assumed for the shares of the
+// repeat budget until more daemons are known.
+const leastFleet = 8
+
+// View returns the newest view.
+func (d *Daemon) View() *routing.View { return d.control.view.Load() }
+
+// Stopping reports whether a planned stop has begun.
+func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+
+// ready reports whether the daemon should get new callers.
+func (d *Daemon) ready() bool { return !d.Stopping() && d.View().Table != nil }
+
+func (d *Daemon) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.outside.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// Run serves until ctx ends, and then stops as planned.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.control.run(work) })
+	wg.Go(func() { d.reader.run(work) })
+	wg.Go(func() { d.peers.receive(work, d.control) })
+	wg.Go(func() { d.sweep(work) })
+	failed := make(chan error, 4)
+	for _, l := range []*listener{d.callers, d.readiness, d.operators, d.news} {
+		wg.Go(func() { l.serve(failed) })
+	}
+	d.Log.Started(d.settings.Listen.Callers)
+	var err error
+	select {
+	case <-ctx.Done():
+		d.stop(work)
+	case err = <-failed:
+	}
+	endWork()
+	d.Log.Stopped(err)
+	d.close()
+	wg.Wait()
+	return err
+}
+
+func (l *listener) serve(failed chan<- error) {
+	if err := l.server.Serve(l.socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		failed <- eris.Wrapf(err, "serve on %s", l.socket.Addr())
+	}
+}
+
+// sweep closes connections to replicas that rested too long.
+func (d *Daemon) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, sweepInterval)
+		known := make(map[routing.ReplicaID]bool)
+		for _, p := range d.View().Pools {
+			for _, list := range [][]routing.Replica{p.Ready, p.Leaving} {
+				for i := range list {
+					known[list[i].ID] = true
+				}
+			}
+		}
+		d.pool.Sweep(func(id routing.ReplicaID) bool { return known[id] }, time.Now())
+	}
+}
+
+// stop is the planned stop: not ready at once, new connections until the
+// balancer has noticed, then the end of idle connections, and the wait for open
+// requests until the grace is nearly over.
+func (d *Daemon) stop(ctx context.Context) {
+	begun := time.Now()
+	d.Log.Stopping()
+	d.stopping.Store(true)
+	d.control.tell(ctx, query{run: func(c *control) {
+		c.roster.SetLeaving()
+		c.beat(time.Now())
+	}})
+	grace := d.settings.Stop.Grace
+	pause(ctx, time.Duration(stopAccept*float64(grace)))
+	wait, cancel := context.WithDeadline(ctx, begun.Add(time.Duration(stopWait*float64(grace))))
+	defer cancel()
+	_ = d.callers.server.Shutdown(wait)
+}
+
+func (d *Daemon) close() {
+	for _, l := range []*listener{d.callers, d.readiness, d.operators, d.news} {
+		if l != nil {
+			_ = l.server.Close()
+			_ = l.socket.Close()
+		}
+	}
+	if d.peers != nil {
+		_ = d.peers.socket.Close()
+	}
+	d.Log.Close()
+}
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,140 @@
+// This file defines the settings of a daemon and checks them as a whole.
+
+package router
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/membership"
+	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
+)
+
+// Settings are a daemon's settings file.
+type Settings struct {
+	ID     state.DaemonID      `yaml:"id"`
+	Domain state.FailureDomain `yaml:"domain"`
+	Listen Listeners           `yaml:"listen"`
+	Store  string              `yaml:"store"` // IP:PORT of the operators' store
+	Seeds  []string            `yaml:"seeds"` // IP:PORT of other daemons; only the IP counts
+	Stop   StopSettings        `yaml:"stop"`
+	Repeat RepeatSettings      `yaml:"repeat"`
+	Memory int                 `yaml:"memory_mb"` // of the process; 0: no bound is known
+	Level  string              `yaml:"log_level"`
+}
+
+// Listeners are the addresses that a daemon listens on, each IP:PORT.
+type Listeners struct {
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"` // beats over UDP, news over TCP
+}
+
+// StopSettings shape a planned stop.
+type StopSettings struct {
+	// Grace is the time from the signal to the kill.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// RepeatSettings bound how often requests are sent again, over all daemons.
+type RepeatSettings struct {
+	Ratio  float64       `yaml:"ratio"`
+	Extra  float64       `yaml:"extra"`
+	Window time.Duration `yaml:"window"`
+}
+
+// Defaults of the settings.
+const (
+	defaultGrace        = 8 * time.Second
+	defaultRepeatRatio  = 0.2
+	defaultRepeatExtra  = 10
+	defaultRepeatWindow = 10 * time.Second
+	defaultLevel        = "info"
+)
+
+// LoadSettings reads and checks a settings file. The error lists every problem
+// with file, line and remedy.
+func LoadSettings(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings; check the path and rights")
+	}
+	return ParseSettings(file, text)
+}
+
+// ParseSettings parses and checks the text of a settings file.
+func ParseSettings(file string, text []byte) (*Settings, error) {
+	s := Settings{
+		Stop:   StopSettings{Grace: defaultGrace},
+		Repeat: RepeatSettings{Ratio: defaultRepeatRatio, Extra: defaultRepeatExtra, Window: defaultRepeatWindow},
+		Level:  defaultLevel,
+	}
+	if err := state.DecodeStrict(file, text, &s); err != nil {
+		return nil, err
+	}
+	c := state.NewChecker(file, text)
+	s.check(c)
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+var levels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+
+func (s *Settings) check(c *state.Checker) {
+	if s.ID == "" {
+		c.Add("id is missing", "name this daemon", "id")
+	}
+	if s.Domain == "" {
+		c.Add("domain is missing", "name the failure domain of this VM", "domain")
+	}
+	checkAddress(c, s.Listen.Callers, "listen", "callers")
+	checkAddress(c, s.Listen.Readiness, "listen", "readiness")
+	checkAddress(c, s.Listen.Operators, "listen", "operators")
+	checkAddress(c, s.Listen.Peers, "listen", "peers")
+	checkAddress(c, s.Store, "store")
+	for i, seed := range s.Seeds {
+		checkAddress(c, seed, "seeds", i)
+	}
+	if s.Stop.Grace <= 0 {
+		c.Add("grace is not above 0", "write a time such as 8s", "stop", "grace")
+	}
+	if s.Repeat.Ratio < 0 || s.Repeat.Extra < 0 || s.Repeat.Window <= 0 {
+		c.Add("repeat has a negative value or no window", "write ratio and extra of 0 or more and a window such as 10s", "repeat")
+	}
+	if s.Memory < 0 {
+		c.Add("memory_mb is negative", "write the memory of the process, or leave it out", "memory_mb")
+	}
+	if !levels[s.Level] {
+		c.Add(fmt.Sprintf("log_level %q is unknown", s.Level), "write debug, info, warn or error", "log_level")
+	}
+}
+
+func checkAddress(c *state.Checker, address string, path ...any) {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		c.Add(fmt.Sprintf("address %q is not IP:PORT", address), "write an IP number and a port", path...)
+	}
+}
+
+// seedPeers returns where the seeds take beats: at the peers' port, which is
+// the same on all VMs.
+func (s *Settings) seedPeers() []membership.Address {
+	_, port, _ := net.SplitHostPort(s.Listen.Peers)
+	out := make([]membership.Address, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		out = append(out, membership.Address(net.JoinHostPort(host, port)))
+	}
+	return out
+}
+
+func (s *Settings) budgetRule() routing.BudgetRule {
+	return routing.BudgetRule{Ratio: s.Repeat.Ratio, Extra: s.Repeat.Extra, Window: s.Repeat.Window}
+}
--- /dev/null
+++ b/routing/load.go
@@ -0,0 +1,119 @@
+// This file estimates how many requests each replica holds. A daemon knows its
+// own exactly; peers publish theirs several times a second. The sum is the load
+// of the replica as of the age of the peers' figures, which is what keeps many
+// daemons from sending to the same replica: each sees the others' work.
+
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// PeerID names a daemon in the load table.
+type PeerID string
+
+// LoadKey names a replica in messages between daemons: the low half of its
+// hash. Two replicas that share one are counted together.
+type LoadKey uint32
+
+// LoadKey returns the replica's name in load figures.
+func (r *Replica) LoadKey() LoadKey { return LoadKey(r.Hash) }
+
+// Count is the number of requests at one replica.
+type Count struct {
+	_        struct{} `cbor:",toarray"`
+	Replica  LoadKey
+	Requests uint16
+}
+
+// peerLoadAge is the age at which a peer's figures no longer count.
+const peerLoadAge = 2 * time.Second
+
+// Loads counts the requests at each replica. It is safe for use by many
+// goroutines.
+type Loads struct {
+	mu    sync.Mutex
+	own   map[LoadKey]int
+	peers map[PeerID]peerLoad
+	// others is the sum over the peers, made anew with each message.
+	others map[LoadKey]int
+}
+
+type peerLoad struct {
+	at     time.Time
+	counts []Count
+}
+
+// NewLoads returns an empty table.
+func NewLoads() *Loads {
+	return &Loads{own: make(map[LoadKey]int), peers: make(map[PeerID]peerLoad), others: make(map[LoadKey]int)}
+}
+
+// Begin counts a request that goes to a replica.
+func (l *Loads) Begin(key LoadKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own[key]++
+}
+
+// End counts a request that has left a replica.
+func (l *Loads) End(key LoadKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own[key]--; l.own[key] <= 0 {
+		delete(l.own, key)
+	}
+}
+
+// Own returns this daemon's counts, for its peers.
+func (l *Loads) Own() []Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Count, 0, len(l.own))
+	for key, n := range l.own {
+		out = append(out, Count{Replica: key, Requests: uint16(min(n, 1<<16-1))})
+	}
+	return out
+}
+
+// Observe takes a peer's counts. They must not be changed afterwards.
+func (l *Loads) Observe(p PeerID, counts []Count, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers[p] = peerLoad{at: now, counts: counts}
+	l.sum(now)
+}
+
+func (l *Loads) sum(now time.Time) {
+	clear(l.others)
+	for p, load := range l.peers {
+		if now.Sub(load.at) > peerLoadAge {
+			delete(l.peers, p)
+			continue
+		}
+		for _, c := range load.counts {
+			l.others[c.Replica] += int(c.Requests)
+		}
+	}
+}
+
+// fill writes the load of each replica into out, and returns the sum.
+func (l *Loads) fill(replicas []Replica, out []int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := 0
+	for i := range replicas {
+		key := replicas[i].LoadKey()
+		out[i] = l.own[key] + l.others[key]
+		total += out[i]
+	}
+	return total
+}
+
+// Of returns the estimated load of one replica.
+func (l *Loads) Of(key LoadKey) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own[key] + l.others[key]
+}
--- /dev/null
+++ b/routing/placement.go
@@ -0,0 +1,225 @@
+// This file chooses the replica of a request.
+//
+// Requests that share a prompt go to the prompt's home, so that it is read once.
+// A home that holds much more than the mean is passed by in favour of the next
+// in the prompt's own order, which is the same in every daemon; the prompt is
+// then copied from the home rather than read again. Plain requests go to the
+// replica with the fewest requests for its slots, near ones first.
+
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// PlacementRule holds the figures of placement.
+type PlacementRule struct {
+	// Bound is the multiple of the service's mean load from which a home is
+	// passed by, and Slack the number of requests that is always allowed above
+	// the mean.
+	Bound float64
+	Slack float64
+	// FarCost is how many of its slots a plain replica of another zone must have
+	// free, beyond a near one, to be chosen; a share of the slots.
+	FarCost float64
+	// YoungAge is how long a replica that has joined copies prompts from those
+	// that held them before.
+	YoungAge time.Duration
+	// CopyTokens is the number of shared tokens from which a copy is worth its
+	// price.
+	CopyTokens int
+}
+
+// DefaultPlacementRule returns the figures that docs/design/users-platform.md
+// weighs.
+func DefaultPlacementRule() PlacementRule {
+	return PlacementRule{Bound: 1.6, Slack: 2, FarCost: 0.34, YoungAge: 15 * time.Second, CopyTokens: 256}
+}
+
+// Target is a chosen replica.
+type Target struct {
+	Replica Replica
+	// Source is the replica that the prompt should be copied from; its address
+	// is empty if there is none.
+	Source Replica
+	// Rank is the place of the replica in the prompt's order; 0 is the home.
+	Rank int
+	// Load and Mean are the inputs of the choice.
+	Load int
+	Mean float64
+}
+
+// Placer chooses replicas. It is safe for use by many goroutines.
+type Placer struct {
+	Rule   PlacementRule
+	Loads  *Loads
+	Health *Health
+}
+
+// Choose returns the target of a request among the ready replicas of its
+// service, none of which is in tried. It returns false if there is none.
+func (p *Placer) Choose(v *View, r *Request, tried []ReplicaID, now time.Time) (Target, bool) {
+	pool := v.Pool(r.Service)
+	if len(pool.Ready) == 0 {
+		return Target{}, false
+	}
+	c := newCandidates(p, pool.Ready, tried, now)
+	if c.allowed == 0 {
+		return Target{}, false
+	}
+	service, _ := v.Table.Service(r.Service)
+	if service != nil && service.Generates && len(r.Prompt) > 0 {
+		return p.chooseHome(c, pool, r, service, now), true
+	}
+	return p.chooseLeastLoaded(c, v.Zone, r), true
+}
+
+// candidates is the state of the ready replicas at the time of one choice.
+type candidates struct {
+	ready   []Replica
+	loads   []int
+	open    []bool // may be chosen
+	allowed int
+	mean    float64
+}
+
+func newCandidates(p *Placer, ready []Replica, tried []ReplicaID, now time.Time) *candidates {
+	c := &candidates{ready: ready, loads: make([]int, len(ready)), open: make([]bool, len(ready))}
+	total := p.Loads.fill(ready, c.loads)
+	c.mean = float64(total) / float64(len(ready))
+	usable := p.Health.fill(ready, now, c.open)
+	if 2*usable < len(ready) {
+		// Where most look ill, the evidence speaks against the service or this
+		// daemon's links, and passing over would only crowd the others.
+		for i := range c.open {
+			c.open[i] = true
+		}
+	}
+	c.count(tried)
+	if c.allowed == 0 {
+		for i := range c.open {
+			c.open[i] = true
+		}
+		c.count(tried)
+	}
+	return c
+}
+
+// count closes the replicas that were tried and counts the open ones.
+func (c *candidates) count(tried []ReplicaID) {
+	c.allowed = 0
+	for i := range c.ready {
+		if c.open[i] && slices.Contains(tried, c.ready[i].ID) {
+			c.open[i] = false
+		}
+		if c.open[i] {
+			c.allowed++
+		}
+	}
+}
+
+// spillTries is how many replicas of a prompt's order are asked before the
+// least loaded one is taken.
+const spillTries = 4
+
+func (p *Placer) chooseHome(c *candidates, pool *Pool, r *Request, s *Service, now time.Time) Target {
+	key := r.Key()
+	limit := max(p.Rule.Bound*c.mean, c.mean) + p.Rule.Slack
+	order := rankedOrder(key, c.ready)
+	chosen, at, tries := -1, 0, 0
+	for place, i := range order {
+		if !c.open[i] {
+			continue
+		}
+		if float64(c.loads[i]) < limit {
+			chosen, at = i, place
+			break
+		}
+		if tries++; tries >= spillTries {
+			break
+		}
+	}
+	if chosen < 0 {
+		chosen = c.leastLoaded()
+		at = slices.Index(order, chosen)
+	}
+	t := Target{Replica: c.ready[chosen], Rank: at, Load: c.loads[chosen], Mean: c.mean}
+	if s.CopiesPrompts && r.SharedTokens() >= p.Rule.CopyTokens {
+		t.Source = p.source(&t, key, pool, now)
+	}
+	return t
+}
+
+// source returns the replica that most likely holds the prompt, if the target
+// most likely does not: the one that ranks above it, or, where the target has
+// joined a short time ago, the one that ranked first before.
+func (p *Placer) source(t *Target, key uint64, pool *Pool, now time.Time) Replica {
+	own := rank(key, &t.Replica)
+	young := !t.Replica.Since.IsZero() && now.Sub(t.Replica.Since) < p.Rule.YoungAge
+	var best *Replica
+	var bestRank uint64
+	for _, list := range [][]Replica{pool.Ready, pool.Leaving} {
+		for i := range list {
+			r := &list[i]
+			if r.ID == t.Replica.ID {
+				continue
+			}
+			k := rank(key, r)
+			if (k > own || young) && (best == nil || k > bestRank) && p.Health.Usable(r, now) {
+				best, bestRank = r, k
+			}
+		}
+	}
+	if best == nil {
+		return Replica{}
+	}
+	return *best
+}
+
+// rankedOrder returns the indexes of the replicas in the key's order.
+func rankedOrder(key uint64, replicas []Replica) []int {
+	ranks := make([]uint64, len(replicas))
+	order := make([]int, len(replicas))
+	for i := range replicas {
+		ranks[i], order[i] = rank(key, &replicas[i]), i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if ranks[a] > ranks[b] {
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+func (c *candidates) leastLoaded() int {
+	best := -1
+	for i := range c.ready {
+		if c.open[i] && (best < 0 || c.loads[i] < c.loads[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *Placer) chooseLeastLoaded(c *candidates, zone string, r *Request) Target {
+	draw := r.Key()
+	best, bestCost := -1, 0.0
+	for i := range c.ready {
+		if !c.open[i] {
+			continue
+		}
+		replica := &c.ready[i]
+		cost := float64(c.loads[i]) / float64(max(1, replica.Slots))
+		if replica.Zone != zone {
+			cost += p.Rule.FarCost
+		}
+		// Ties are broken by a draw, or every daemon would send to the same one.
+		cost += float64(rank(draw, replica)>>56) / 256 / 16
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return Target{Replica: c.ready[best], Load: c.loads[best], Mean: c.mean}
+}
--- /dev/null
+++ b/routing/view.go
@@ -0,0 +1,74 @@
+// This file defines the immutable picture of the replicas that traffic reads.
+
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Replica is one replica as it announced itself.
+type Replica struct {
+	ID       ReplicaID
+	Service  ServiceName
+	Address  string // IP:PORT
+	Zone     string
+	Slots    int // requests at once
+	Draining bool
+	Cold     time.Duration // how much longer it is slow from its start
+	Since    time.Time     // when this daemon first knew it
+	Hash     uint64
+}
+
+// NewReplica fills in the hash.
+func NewReplica(r Replica) Replica {
+	r.Hash = xxhash.Sum64String(string(r.ID))
+	return r
+}
+
+// Pool is the replicas of one service, sorted by id.
+type Pool struct {
+	Ready   []Replica
+	Leaving []Replica // no new work goes there
+}
+
+// Find returns a replica of the pool by id, ready or leaving.
+func (p *Pool) Find(id ReplicaID) (*Replica, bool) {
+	for _, list := range [][]Replica{p.Ready, p.Leaving} {
+		for i := range list {
+			if list[i].ID == id {
+				return &list[i], true
+			}
+		}
+	}
+	return nil, false
+}
+
+// View is what traffic reads: one configuration and the replicas. It is
+// immutable.
+type View struct {
+	Table    *Table // nil until a configuration is known
+	Revision uint64 // of the source that it was built from
+	Pools    map[ServiceName]*Pool
+	Zone     string // of this daemon
+	Daemons  int    // live daemons, this one counted
+	Built    time.Time
+}
+
+// Pool returns the replicas of a service; it is never nil.
+func (v *View) Pool(s ServiceName) *Pool {
+	if p := v.Pools[s]; p != nil {
+		return p
+	}
+	return &Pool{}
+}
+
+// Sort orders the replicas by id, so that equal pools are equal everywhere.
+func (p *Pool) Sort() {
+	for _, list := range [][]Replica{p.Ready, p.Leaving} {
+		slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+}
