Health judged on the fleet's evidence; prompts copied from those that leave; one reader a zone

Cause: a daemon sees some 1.6 requests a second at one replica, so its own failure rate was noise: two failures in a row passed a good replica over and moved its prompts, while a grey one took 10 s to be found. Requests for some objects fail at every replica and were counted against each. Change: daemons tell each other their counts of the last 3 s and each judges on the sum; a request that fails at all replicas it was tried at blames none; no word of any daemon of a zone for 0.7 s passes its replicas over; replicas that vanished stay sources of copies for 3 s; a replica of the first list is not young; one reader a failure domain, another takes over after 0.7 s of silence. Ruled out: that poisoned requests can be served (they fail at every replica, on every try).

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -104,10 +104,12 @@
 	return joined
 }
 
-func (r *Roster) live(now time.Time) []*known {
+func (r *Roster) live(now time.Time) []*known { return r.heardWithin(now, deadAfter) }
+
+func (r *Roster) heardWithin(now time.Time, age time.Duration) []*known {
 	var out []*known
 	for _, k := range r.members {
-		if now.Sub(k.heard) <= deadAfter {
+		if now.Sub(k.heard) <= age {
 			out = append(out, k)
 		}
 	}
@@ -116,8 +118,11 @@
 }
 
 // Live returns the live members, this daemon not counted, sorted by address.
-func (r *Roster) Live(now time.Time) []Member {
-	live := r.live(now)
+func (r *Roster) Live(now time.Time) []Member { return r.Recent(now, deadAfter) }
+
+// Recent returns the members of which there was news within a time.
+func (r *Roster) Recent(now time.Time, age time.Duration) []Member {
+	live := r.heardWithin(now, age)
 	out := make([]Member, len(live))
 	for i, k := range live {
 		out[i] = k.Member
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -41,20 +41,32 @@
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, err: errTooLarge}
 	}
 	now := time.Now()
-	if status >= http.StatusInternalServerError {
-		// An answer with an error that may be repeated is worth another try; the
-		// replica's answer goes out if there is none.
-		s.blame(&t.Replica, routing.ResultFailed, errOwnFault)
-		if s.mayRepeat(mayHaveRun) && s.sent < s.call.Route.MaxAttempts {
-			x.end(true, now)
-			s.fallback = &fallback{status: status, header: x.response.Header, body: body}
-			return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errOwnFault}
-		}
-	} else {
+	x.end(true, now)
+	if status < http.StatusInternalServerError {
 		s.Placer.Health.Report(&t.Replica, routing.ResultGood, now)
+		s.blameFailed()
+		return s.answer(ctx, status, x.response.Header, body)
 	}
-	x.end(true, now)
-	return s.answer(ctx, x.response.StatusCode, x.response.Header, body)
+	s.failed = append(s.failed, t.Replica)
+	if s.mayRepeat(mayHaveRun) && s.sent < s.call.Route.MaxAttempts {
+		// Another replica may do better; if none does, this answer goes out.
+		s.fallback = &fallback{status: status, header: x.response.Header, body: body}
+		return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errOwnFault}
+	}
+	if s.sent == 1 {
+		s.blameFailed()
+	}
+	return s.answer(ctx, status, x.response.Header, body)
+}
+
+// blameFailed counts the errors that replicas answered with against them. Where
+// several replicas failed on a request and none served it, the request is at
+// fault and none is blamed.
+func (s *serving) blameFailed() {
+	for i := range s.failed {
+		s.blame(&s.failed[i], routing.ResultFailed, errOwnFault)
+	}
+	s.failed = nil
 }
 
 func (s *serving) answer(ctx context.Context, status int, h http.Header, body []byte) *failure {
@@ -101,6 +113,7 @@
 	}
 	now := time.Now()
 	s.Placer.Health.Report(&t.Replica, routing.ResultGood, now)
+	s.blameFailed()
 	x.end(true, now)
 	return nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,6 +80,8 @@
 	// fallback is a replica's own error answer, which goes out if no further
 	// attempt gives a better one.
 	fallback *fallback
+	// failed are the replicas that answered with errors of their own.
+	failed []routing.Replica
 }
 
 // fallback is a whole answer with an error.
--- a/router/control.go
+++ b/router/control.go
@@ -68,6 +68,11 @@
 	// vanishedAge is how long replicas that vanished unannounced are kept in
 	// mind, in case most of a service vanishes.
 	vanishedAge = 10 * time.Second
+	// copySourceAge is how long prompts are still copied from one that vanished.
+	copySourceAge = 3 * time.Second
+	// settleTime is how long after the first documents replicas that appear are
+	// taken to have been there before.
+	settleTime = 5 * time.Second
 )
 
 // control is the state of the control loop.
@@ -93,7 +98,7 @@
 	replicas    map[string]replicaEntry
 	vanished    map[string]vanishedEntry
 	daemons     int
-	bootstrap   bool // no list has been applied yet
+	firstAt     time.Time // when the first documents were applied
 	pulling     bool
 	ahead       map[membership.Address]feed.Revision // peers that know more
 	aheadSince  time.Time
@@ -179,7 +184,9 @@
 	}
 	c.applyConfig(now, source)
 	c.changedAt = now
-	c.bootstrap = false
+	if c.firstAt.IsZero() {
+		c.firstAt = now
+	}
 	c.log.Documents(len(items), source, c.feed.Revision())
 	c.publish(now)
 	c.beat(now)
@@ -207,7 +214,7 @@
 	switch {
 	case known:
 		r.Since = before.replica.Since
-	case !c.bootstrap:
+	case !c.firstAt.IsZero() && now.Sub(c.firstAt) > settleTime:
 		r.Since = now
 	}
 	if !known || known && before.replica.Draining != r.Draining {
@@ -284,6 +291,10 @@
 			continue
 		}
 		lost[e.replica.Service] = append(lost[e.replica.Service], e.replica)
+		if now.Sub(e.at) < copySourceAge {
+			p := poolOf(v, e.replica.Service)
+			p.Vanished = append(p.Vanished, e.replica)
+		}
 	}
 	for s, replicas := range lost {
 		p := poolOf(v, s)
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -15,13 +15,16 @@
 const (
 	// readersPerZone is how many daemons of a failure domain read the store. The
 	// others learn from peers.
-	readersPerZone = 3
+	readersPerZone = 1
 	// fleetReadInterval is the time within which some daemon of the fleet asks
 	// the store anew, should all watches be silent. Each waits so long times the
 	// number of readers that it knows.
 	fleetReadInterval = 350 * time.Millisecond
 	leastWait         = 700 * time.Millisecond
-	longestWait       = 10 * time.Second
+	// readerSilence is how long a reader may be silent before another one of its
+	// failure domain reads.
+	readerSilence = 700 * time.Millisecond
+	longestWait   = 10 * time.Second
 )
 
 // tick sends a beat and takes care of what only time changes.
@@ -34,16 +37,7 @@
 		c.publish(now)
 	}
 	c.roster.Known(now)
-	c.health.Forget(func(id routing.ReplicaID) bool { return c.knows(id) })
-}
-
-func (c *control) knows(id routing.ReplicaID) bool {
-	for _, e := range c.replicas {
-		if e.replica.ID == id {
-			return true
-		}
-	}
-	return false
+	c.health.Forget(c.zone, now)
 }
 
 // plan decides whether this daemon reads the store, and how long it waits. Of
@@ -53,7 +47,7 @@
 	self := c.roster.Entry()
 	before, readers := 0, 1
 	zones := make(map[string]int)
-	for _, m := range c.roster.Live(now) {
+	for _, m := range c.roster.Recent(now, readerSilence) {
 		if m.Leaving {
 			continue
 		}
@@ -73,14 +67,13 @@
 func (c *control) beat(now time.Time) {
 	b := Beat{
 		Sender: c.roster.Self(), Members: c.roster.Named(now, c.rng), Revision: c.feed.Revision(),
-		Loads: c.loads.Own(), Doubts: c.health.PassedOver(now),
+		Loads: c.loads.Own(), Evidence: c.health.Own(now),
 	}
 	if c.table != nil {
 		b.Version = c.table.Version
 	}
-	if len(b.Loads) > maxCounts {
-		b.Loads = b.Loads[:maxCounts]
-	}
+	b.Loads = b.Loads[:min(len(b.Loads), maxCounts)]
+	b.Evidence = b.Evidence[:min(len(b.Evidence), maxEvidence)]
 	payload, err := encode(&b)
 	if err != nil || len(payload) > maxBeatBytes {
 		return
@@ -100,7 +93,7 @@
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
 	c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
-	c.health.Doubt(b.Doubts, now)
+	c.health.Observe(routing.PeerID(b.Sender.Address), b.Sender.Zone, b.Evidence, now)
 	if b.Revision > c.feed.Revision() {
 		if len(c.ahead) == 0 {
 			c.aheadSince = now
@@ -128,7 +121,7 @@
 	if from == "" || c.pulling {
 		return
 	}
-	if grace := pullGrace - now.Sub(c.aheadSince); grace > 0 && own > 0 {
+	if grace := pullGrace - now.Sub(c.aheadSince); grace > 0 && own > 0 && c.reads.Load().reads {
 		time.AfterFunc(grace, func() { c.tell(ctx, query{run: func(c *control) { c.pullIfBehind(ctx, time.Now()) }}) })
 		return
 	}
--- a/router/log.go
+++ b/router/log.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -222,6 +223,9 @@
 		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.Gone).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
 		Uint64("revision", s.View)
+	if len(c.Prompt) > 0 {
+		e.Str("prompt", strconv.FormatUint(c.Key(), 36)).Int("shared", c.SharedTokens())
+	}
 	for i := range s.Trials {
 		t := &s.Trials[i]
 		e.Str("replica", string(t.Replica)).Int("rank", t.Rank).Str("copied", string(t.Copied)).Int("load", t.Load).
--- a/router/message.go
+++ b/router/message.go
@@ -20,7 +20,7 @@
 	Revision feed.Revision       // newest document that the sender holds
 	Version  routing.Version     // of its configuration
 	Loads    []routing.Count     // its own requests at replicas
-	Doubts   []routing.LoadKey   // replicas that its own evidence speaks against
+	Evidence []routing.Evidence  // its own counts at replicas where requests failed
 }
 
 // News answers a daemon that asks for documents.
@@ -34,8 +34,11 @@
 // maxBeatBytes is the size of the largest datagram that is sent.
 const maxBeatBytes = 1400
 
-// maxCounts bounds the load figures in one beat, so that it fits.
-const maxCounts = 100
+// maxCounts and maxEvidence bound the figures in one beat, so that it fits.
+const (
+	maxCounts   = 100
+	maxEvidence = 30
+)
 
 func encode(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
--- a/router/router.go
+++ b/router/router.go
@@ -143,7 +143,7 @@
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, budgets: budgets, log: d.Log,
 		send: d.peers.send, pull: d.peers.pull, events: make(chan event, eventQueue),
 		replicas: make(map[string]replicaEntry), vanished: make(map[string]vanishedEntry),
-		ahead: make(map[membership.Address]feed.Revision), bootstrap: true, daemons: 1,
+		ahead: make(map[membership.Address]feed.Revision), daemons: 1,
 	}
 	d.control.publish(time.Now())
 	d.reader = &reader{
--- a/routing/health.go
+++ b/routing/health.go
@@ -1,6 +1,10 @@
 // This file decides which replicas are passed over because requests to them
 // failed. The replicas' own health checks are not asked: they cost a slot, and
 // a replica can be ill while its check is good.
+//
+// One daemon sees few requests at one replica, so daemons tell each other what
+// they counted, and each judges on the sum: all come to the same conclusion at
+// about the same time, as soon as the fleet together has seen enough.
 
 package routing
 
@@ -14,7 +18,7 @@
 
 // The results of attempts.
 const (
-	// ResultGood is a whole answer, or an event of a stream.
+	// ResultGood is a whole answer.
 	ResultGood Result = iota
 	// ResultRefused is an answer that says that the request was not run.
 	ResultRefused
@@ -28,54 +32,69 @@
 	ResultUnreachable
 )
 
-// weight is how strongly a result counts against the replica.
-func (r Result) weight() float64 {
-	switch r {
-	case ResultGood:
-		return 0
-	case ResultRefused:
-		return 0.5
-	default:
-		return 1
-	}
+// String returns the name of the result in logs.
+func (r Result) String() string {
+	return [...]string{"good", "refused", "failed", "broken", "silent", "unreachable"}[r]
 }
 
 // Settings of the passing over.
 const (
-	// failureSmoothing is the weight of the newest result in the failure rate.
-	failureSmoothing = 0.2
-	// failureLimit is the failure rate from which a replica is passed over. A
-	// replica that spoils a few answers in a hundred stays below it.
-	failureLimit = 0.3
+	// evidenceWindow is the time whose results count, in evidenceSlots parts.
+	evidenceWindow = 3 * time.Second
+	evidenceSlots  = 6
+	// leastFailures and failureShare are the number of failures and their share
+	// from which a replica is passed over. Replicas that spoil a few answers in a
+	// hundred stay below it.
+	leastFailures = 4
+	failureShare  = 0.3
 	// firstPause and longestPause bound for how long a replica is passed over;
-	// the time doubles with each failure in a row.
+	// the time doubles while failures go on.
 	firstPause   = 500 * time.Millisecond
 	longestPause = 4 * time.Second
-	// forgiveAfter is how many good results in a row reset the pause.
-	forgiveAfter = 5
-	// peerDoubtAge is how long a peer's word that a replica is ill counts.
-	peerDoubtAge = time.Second
+	// forgiveAfter is the time without a pause after which the next one is short
+	// again.
+	forgiveAfter = 6 * time.Second
+	// peerEvidenceAge is how long a peer's counts are taken into account.
+	peerEvidenceAge = time.Second
+	// silentZone is the time without a word of any daemon of a zone after which
+	// its replicas are passed over: the zone is cut off.
+	silentZone = 700 * time.Millisecond
 )
 
+// Evidence is what a daemon counted at one replica within the window.
+type Evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Replica LoadKey
+	Good    uint16
+	Bad     uint16
+}
+
 // Health keeps the evidence for each replica. It is safe for use by many
 // goroutines.
 type Health struct {
 	mu      sync.Mutex
-	records map[ReplicaID]*record
-	doubts  map[LoadKey]time.Time // when peers last said so
+	records map[LoadKey]*record
+	peers   map[PeerID]peerEvidence
+	zones   map[string]time.Time // when daemons of other zones were last heard
 }
 
 type record struct {
-	rate   float64
-	pause  time.Duration
-	until  time.Time
-	streak int // good results in a row
-	key    LoadKey
+	good, bad [evidenceSlots]int
+	slot      int64
+	pause     time.Duration
+	until     time.Time
+	cause     Result
+	lastBad   time.Time
+}
+
+type peerEvidence struct {
+	at     time.Time
+	counts []Evidence
 }
 
 // NewHealth returns an empty table.
 func NewHealth() *Health {
-	return &Health{records: make(map[ReplicaID]*record), doubts: make(map[LoadKey]time.Time)}
+	return &Health{records: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time)}
 }
 
 // Report takes the result of an attempt. It returns true if the replica is
@@ -83,31 +102,98 @@
 func (h *Health) Report(r *Replica, result Result, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	rec := h.records[r.ID]
+	key := r.LoadKey()
+	rec := h.records[key]
 	if rec == nil {
-		if result == ResultGood {
-			return false
-		}
-		rec = &record{key: r.LoadKey()}
-		h.records[r.ID] = rec
+		rec = &record{}
+		h.records[key] = rec
 	}
-	rec.rate += failureSmoothing * (result.weight() - rec.rate)
+	rec.advance(now)
+	i := rec.slot % evidenceSlots
 	if result == ResultGood {
-		if rec.streak++; rec.streak >= forgiveAfter {
-			rec.pause = 0
-		}
+		rec.good[i]++
 		return false
 	}
-	rec.streak = 0
-	certain := result == ResultUnreachable || result == ResultSilent
-	if now.Before(rec.until) || (!certain && rec.rate < failureLimit && rec.pause == 0) {
+	rec.bad[i]++
+	rec.lastBad = now
+	if now.Before(rec.until) || !h.speaksAgainst(key, rec, result, now) {
 		return false
 	}
+	if now.Sub(rec.until) > forgiveAfter {
+		rec.pause = 0
+	}
 	rec.pause = min(max(firstPause, 2*rec.pause), longestPause)
-	rec.until = now.Add(rec.pause)
+	rec.until, rec.cause = now.Add(rec.pause), result
 	return true
 }
 
+// speaksAgainst judges a replica after a failure.
+func (h *Health) speaksAgainst(key LoadKey, rec *record, result Result, now time.Time) bool {
+	if result == ResultUnreachable || result == ResultSilent {
+		return true
+	}
+	good, bad := rec.sums()
+	for _, p := range h.peers {
+		if now.Sub(p.at) > peerEvidenceAge {
+			continue
+		}
+		for _, e := range p.counts {
+			if e.Replica == key {
+				good += int(e.Good)
+				bad += int(e.Bad)
+			}
+		}
+	}
+	return bad >= leastFailures && float64(bad) >= failureShare*float64(good+bad)
+}
+
+// advance clears the slots whose time is over.
+func (r *record) advance(now time.Time) {
+	slot := now.UnixNano() / int64(evidenceWindow/evidenceSlots)
+	if r.slot == 0 {
+		r.slot = slot
+	}
+	for steps := 0; r.slot < slot && steps < evidenceSlots; steps++ {
+		r.slot++
+		r.good[r.slot%evidenceSlots], r.bad[r.slot%evidenceSlots] = 0, 0
+	}
+	r.slot = max(r.slot, slot)
+}
+
+func (r *record) sums() (good, bad int) {
+	for i := range evidenceSlots {
+		good += r.good[i]
+		bad += r.bad[i]
+	}
+	return good, bad
+}
+
+// Observe takes a peer's counts and notes that its zone can be reached. The
+// counts must not be changed afterwards.
+func (h *Health) Observe(p PeerID, zone string, counts []Evidence, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers[p] = peerEvidence{at: now, counts: counts}
+	h.zones[zone] = now
+}
+
+// Own returns this daemon's counts of the replicas at which requests failed.
+func (h *Health) Own(now time.Time) []Evidence {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Evidence
+	for key, rec := range h.records {
+		rec.advance(now)
+		good, bad := rec.sums()
+		if bad > 0 {
+			out = append(out, Evidence{Replica: key, Good: saturate(good), Bad: saturate(bad)})
+		}
+	}
+	return out
+}
+
+func saturate(n int) uint16 { return uint16(min(n, 1<<16-1)) }
+
 // Usable reports whether a replica may be chosen.
 func (h *Health) Usable(r *Replica, now time.Time) bool {
 	h.mu.Lock()
@@ -116,11 +202,27 @@
 }
 
 func (h *Health) usable(r *Replica, now time.Time) bool {
-	if rec := h.records[r.ID]; rec != nil && now.Before(rec.until) {
+	if rec := h.records[r.LoadKey()]; rec != nil && now.Before(rec.until) {
 		return false
 	}
-	at, ok := h.doubts[r.LoadKey()]
-	return !ok || now.Sub(at) > peerDoubtAge
+	return !h.zoneIsSilent(r.Zone, now)
+}
+
+// zoneIsSilent reports whether daemons of a zone were heard once and all of them
+// have fallen silent.
+func (h *Health) zoneIsSilent(zone string, now time.Time) bool {
+	at, ok := h.zones[zone]
+	return ok && now.Sub(at) > silentZone
+}
+
+// Reachable reports whether a replica can be expected to answer, even if its
+// answers are errors.
+func (h *Health) Reachable(r *Replica, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rec := h.records[r.LoadKey()]
+	lost := rec != nil && now.Before(rec.until) && (rec.cause == ResultUnreachable || rec.cause == ResultSilent)
+	return !lost && !h.zoneIsSilent(r.Zone, now)
 }
 
 // fill writes into out which replicas are usable, and returns their number.
@@ -137,55 +239,51 @@
 	return n
 }
 
-// PassedOver returns the replicas that this daemon's own evidence speaks
-// against, for its peers.
-func (h *Health) PassedOver(now time.Time) []LoadKey {
+// Forget drops what is too old to matter. ownZone is never taken as silent.
+func (h *Health) Forget(ownZone string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []LoadKey
-	for _, rec := range h.records {
-		if now.Before(rec.until) {
-			out = append(out, rec.key)
+	for key, rec := range h.records {
+		rec.advance(now)
+		good, bad := rec.sums()
+		if good+bad == 0 && now.Sub(rec.until) > forgiveAfter {
+			delete(h.records, key)
 		}
 	}
-	return out
-}
-
-// Doubt takes a peer's word that replicas are ill. It counts for a short time
-// only, and no daemon hands on what it heard, so that a doubt ends with its
-// evidence.
-func (h *Health) Doubt(keys []LoadKey, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, k := range keys {
-		h.doubts[k] = now
+	for p, e := range h.peers {
+		if now.Sub(e.at) > peerEvidenceAge {
+			delete(h.peers, p)
+		}
 	}
-}
-
-// Forget drops the records of replicas that are gone.
-func (h *Health) Forget(known func(ReplicaID) bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for id := range h.records {
-		if !known(id) {
-			delete(h.records, id)
+	delete(h.zones, ownZone)
+	for zone, at := range h.zones {
+		// Daemons that are gone for good say nothing of the replicas there.
+		if now.Sub(at) > zoneForget {
+			delete(h.zones, zone)
 		}
 	}
 }
 
-// Explain returns the failure rate of a replica and why it is passed over; the
-// reason is empty if it is not.
-func (h *Health) Explain(r *Replica, now time.Time) (rate float64, why string) {
+// zoneForget is how long the silence of a zone's daemons speaks against its
+// replicas. After that requests find out.
+const zoneForget = 15 * time.Second
+
+// Explain returns the share of failures at a replica as this daemon saw it, and
+// why it is passed over; the reason is empty if it is not.
+func (h *Health) Explain(r *Replica, now time.Time) (share float64, why string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if rec := h.records[r.ID]; rec != nil {
-		rate = rec.rate
+	if rec := h.records[r.LoadKey()]; rec != nil {
+		good, bad := rec.sums()
+		if good+bad > 0 {
+			share = float64(bad) / float64(good+bad)
+		}
 		if now.Before(rec.until) {
-			return rate, "own requests failed"
+			return share, rec.cause.String()
 		}
 	}
-	if !h.usable(r, now) {
-		return rate, "a peer's requests failed"
+	if h.zoneIsSilent(r.Zone, now) {
+		return share, "no daemon of its zone is heard"
 	}
-	return rate, ""
+	return share, ""
 }
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -157,16 +157,17 @@
 func (p *Placer) source(t *Target, key uint64, pool *Pool, now time.Time) Replica {
 	own := rank(key, &t.Replica)
 	young := !t.Replica.Since.IsZero() && now.Sub(t.Replica.Since) < p.Rule.YoungAge
+	// The newest of those that ranked first before is the most likely holder.
 	var best *Replica
 	var bestRank uint64
-	for _, list := range [][]Replica{pool.Ready, pool.Leaving} {
+	for _, list := range [][]Replica{pool.Ready, pool.Leaving, pool.Vanished} {
 		for i := range list {
 			r := &list[i]
 			if r.ID == t.Replica.ID {
 				continue
 			}
 			k := rank(key, r)
-			if (k > own || young) && (best == nil || k > bestRank) && p.Health.Usable(r, now) {
+			if (k > own || young) && (best == nil || k > bestRank) && p.Health.Reachable(r, now) {
 				best, bestRank = r, k
 			}
 		}
--- a/routing/view.go
+++ b/routing/view.go
@@ -33,6 +33,9 @@
 type Pool struct {
 	Ready   []Replica
 	Leaving []Replica // no new work goes there
+	// Vanished are replicas whose entries went away a moment ago without notice.
+	// They serve a little longer, and prompts can be copied from them.
+	Vanished []Replica
 }
 
 // Find returns a replica of the pool by id, ready or leaving.
@@ -68,7 +71,7 @@
 
 // Sort orders the replicas by id, so that equal pools are equal everywhere.
 func (p *Pool) Sort() {
-	for _, list := range [][]Replica{p.Ready, p.Leaving} {
+	for _, list := range [][]Replica{p.Ready, p.Leaving, p.Vanished} {
 		slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
 }
