--- a/feed/feed.go
+++ b/feed/feed.go
@@ -46,7 +46,7 @@
 // New returns an empty feed.
 func New() *Feed { return &Feed{items: make(map[string]Item)} }
 
-// Revision returns the newest revision that was applied.
+// Revision returns the revision up to which everything is held.
 func (f *Feed) Revision() Revision { return f.revision }
 
 // Apply takes items over if they are newer than what is held, and returns those
@@ -101,9 +101,14 @@
 	for _, it := range gone {
 		f.put(it)
 	}
+	f.Advance(at)
 	return append(changed, gone...)
 }
 
+// Advance notes that everything up to a revision is held, because a list or a
+// peer's news was complete up to there.
+func (f *Feed) Advance(to Revision) { f.revision = max(f.revision, to) }
+
 // Since returns what changed after a revision, or everything if whole is true.
 func (f *Feed) Since(after Revision) (items []Item, whole bool) {
 	whole = after < f.horizon || after == 0
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,260 @@
+// This file plays the operators' store that can only be read: items by key with
+// one rising revision, lists in pages, watches, and its troubles.
+
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// StoreMode is how the store treats one daemon.
+type StoreMode int
+
+// The modes of a store's door.
+const (
+	// StoreServes answers.
+	StoreServes StoreMode = iota
+	// StoreBusy answers with 503.
+	StoreBusy
+	// StoreResets breaks connections.
+	StoreResets
+	// StoreSilent takes calls and never answers.
+	StoreSilent
+)
+
+// StoreItem is one item, or the news that it is gone.
+type StoreItem struct {
+	Key      string `json:"private_key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// Store is the store. It is safe for use by many goroutines.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]StoreItem
+	history  []StoreItem
+	lost     uint64 // newest revision that the history lacks
+	revision uint64
+	woken    chan struct{}
+	pageSize int
+	deaf     bool // watches hear nothing
+	calls    int
+}
+
+// NewStore returns an empty store whose pages hold a number of items.
+func NewStore(pageSize int) *Store {
+	return &Store{items: make(map[string]StoreItem), woken: make(chan struct{}), pageSize: pageSize}
+}
+
+// Put writes an item and returns its revision.
+func (s *Store) Put(key string, value []byte) uint64 {
+	return s.write(StoreItem{Key: key, Value: value})
+}
+
+// Delete removes an item.
+func (s *Store) Delete(key string) uint64 { return s.write(StoreItem{Key: key, Gone: true}) }
+
+func (s *Store) write(it StoreItem) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it.Revision = s.revision
+	if it.Gone {
+		delete(s.items, it.Key)
+	} else {
+		s.items[it.Key] = it
+	}
+	s.history = append(s.history, it)
+	if !s.deaf {
+		s.wake()
+	}
+	return s.revision
+}
+
+func (s *Store) wake() {
+	close(s.woken)
+	s.woken = make(chan struct{})
+}
+
+// Deafen makes watches hear nothing until Compact.
+func (s *Store) Deafen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = true
+}
+
+// Compact forgets the history. Watches that wait then hear that it is gone.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = false
+	s.history, s.lost = nil, s.revision
+	s.wake()
+}
+
+// Calls returns how many calls came.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// StoreDoor is one address of the store, with troubles of its own, so that some
+// daemons can be turned away and others served.
+type StoreDoor struct {
+	store    *Store
+	listener net.Listener
+	server   *http.Server
+
+	mu    sync.Mutex
+	mode  StoreMode
+	moved chan struct{}
+}
+
+// Open opens a door on a loopback address.
+func (s *Store) Open() (*StoreDoor, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &StoreDoor{store: s, listener: l, moved: make(chan struct{})}
+	d.server = &http.Server{Handler: d}
+	go func() { _ = d.server.Serve(l) }()
+	return d, nil
+}
+
+// Address returns the door's IP:PORT.
+func (d *StoreDoor) Address() string { return d.listener.Addr().String() }
+
+// Close closes the door.
+func (d *StoreDoor) Close() { _ = d.server.Close() }
+
+// SetMode changes how calls are treated, those that wait included.
+func (d *StoreDoor) SetMode(m StoreMode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mode = m
+	close(d.moved)
+	d.moved = make(chan struct{})
+}
+
+func (d *StoreDoor) state() (StoreMode, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mode, d.moved
+}
+
+// ServeHTTP answers one call.
+func (d *StoreDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.store.mu.Lock()
+	d.store.calls++
+	d.store.mu.Unlock()
+	if !d.treat(w, r) {
+		return
+	}
+	switch r.URL.Path {
+	case "/api/kv-range":
+		d.serveRange(w, r)
+	case "/api/kv-watch":
+		d.serveWatch(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// treat applies the door's mode. It returns true if the call is to be answered.
+func (d *StoreDoor) treat(w http.ResponseWriter, r *http.Request) bool {
+	mode, moved := d.state()
+	switch mode {
+	case StoreBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case StoreResets:
+		panic(http.ErrAbortHandler)
+	case StoreSilent:
+		select {
+		case <-r.Context().Done():
+		case <-moved:
+		}
+		panic(http.ErrAbortHandler)
+	case StoreServes:
+		return true
+	}
+	return false
+}
+
+func (d *StoreDoor) serveRange(w http.ResponseWriter, r *http.Request) {
+	s := d.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after_revision")
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > s.pageSize
+	items := []StoreItem{}
+	for _, key := range keys[:min(len(keys), s.pageSize)] {
+		items = append(items, s.items[key])
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "at": s.revision})
+}
+
+func (d *StoreDoor) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after_revision"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		events, at, gone, woken := d.store.since(after, r.URL.Query().Get("path_prefix"))
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "at": at})
+			return
+		}
+		_, moved := d.state()
+		select {
+		case <-woken:
+		case <-moved:
+			if !d.treat(w, r) {
+				return
+			}
+		case <-timeout.C:
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": []StoreItem{}, "at": after})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(after uint64, prefix string) (events []StoreItem, at uint64, gone bool, woken chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deaf {
+		return nil, after, false, s.woken
+	}
+	if after < s.lost {
+		return nil, 0, true, s.woken
+	}
+	for _, it := range s.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+	return events, s.revision, false, s.woken
+}
--- /dev/null
+++ b/membership/roster_test.go
@@ -0,0 +1,161 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/membership"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const beat = 200 * time.Millisecond
+
+// network plays daemons that beat in virtual time.
+type network struct {
+	rng     *rand.Rand
+	now     time.Time
+	rosters map[membership.Address]*membership.Roster
+	blocked func(from, to membership.Address) bool
+	sent    int
+}
+
+func newNetwork() *network {
+	return &network{
+		rng: rand.New(rand.NewPCG(1, 1)), now: epoch, rosters: make(map[membership.Address]*membership.Roster),
+		blocked: func(_, _ membership.Address) bool { return false },
+	}
+}
+
+func address(i int) membership.Address { return membership.Address(fmt.Sprintf("10.0.0.%03d:1", i)) }
+
+func (n *network) start(i int, life membership.Life, seeds ...int) {
+	var s []membership.Address
+	for _, seed := range seeds {
+		s = append(s, address(seed))
+	}
+	n.rosters[address(i)] = membership.NewRoster(membership.Member{Address: address(i), Zone: fmt.Sprint(i % 4), Life: life}, s)
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(beat) {
+		for from, r := range n.rosters {
+			members := append([]membership.Member{r.Self()}, r.Named(n.now, n.rng)...)
+			for _, to := range r.Targets(n.now, n.rng) {
+				n.sent++
+				if peer := n.rosters[to]; peer != nil && !n.blocked(from, to) {
+					peer.Observe(members, n.now)
+				}
+			}
+		}
+	}
+}
+
+func (n *network) live(i int) int { return len(n.rosters[address(i)].Live(n.now)) }
+
+var _ = Describe("Roster", func() {
+	var n *network
+	BeforeEach(func() { n = newNetwork() })
+
+	It("finds all daemons from one seed within a second", func() {
+		for i := range 8 {
+			n.start(i, 1, 0)
+		}
+		n.run(time.Second)
+		for i := range 8 {
+			Expect(n.live(i)).To(Equal(7))
+		}
+	})
+
+	It("finds all daemons though only one seed of three lives", func() {
+		for i := 2; i < 8; i++ {
+			n.start(i, 1, 0, 1, 2)
+		}
+		n.run(3 * time.Second)
+		for i := 2; i < 8; i++ {
+			Expect(n.live(i)).To(Equal(5))
+		}
+	})
+
+	It("goes on alone where no seed answers", func() {
+		n.start(5, 1, 0, 1)
+		n.run(10 * time.Second)
+		Expect(n.live(5)).To(BeZero())
+		n.start(0, 1)
+		n.run(time.Second)
+		Expect(n.live(5)).To(Equal(1))
+	})
+
+	It("drops a daemon that falls silent, and takes its next life", func() {
+		for i := range 4 {
+			n.start(i, 1, 0)
+		}
+		n.run(time.Second)
+		delete(n.rosters, address(3))
+		n.run(4 * time.Second)
+		Expect(n.live(1)).To(Equal(2))
+		n.start(3, 2, 0)
+		n.run(time.Second)
+		Expect(n.live(1)).To(Equal(3))
+	})
+
+	It("does not take an old life's beat after a new one", func() {
+		r := membership.NewRoster(membership.Member{Address: "a:1"}, nil)
+		r.Observe([]membership.Member{{Address: "b:1", Life: 2, Count: 1}}, epoch)
+		late := epoch.Add(5 * time.Second)
+		r.Observe([]membership.Member{{Address: "b:1", Life: 1, Count: 99}}, late)
+		Expect(r.Live(late)).To(BeEmpty())
+	})
+
+	It("heals after a cut", func() {
+		for i := range 8 {
+			n.start(i, 1, 0)
+		}
+		n.run(time.Second)
+		side := func(a membership.Address) bool { return a < address(4) }
+		n.blocked = func(from, to membership.Address) bool { return side(from) != side(to) }
+		n.run(5 * time.Second)
+		Expect(n.live(0)).To(Equal(3))
+		Expect(n.live(6)).To(Equal(3))
+		Expect(n.rosters[address(0)].Largest()).To(Equal(8), "shares of budgets must not grow in a cut")
+		n.blocked = func(_, _ membership.Address) bool { return false }
+		n.run(2 * time.Second)
+		Expect(n.live(0)).To(Equal(7))
+	})
+
+	It("bounds the messages of a large fleet", func() {
+		const daemons = 120
+		for i := range daemons {
+			n.start(i, 1, 0, 1, 2)
+		}
+		n.run(5 * time.Second)
+		Expect(n.live(77)).To(BeNumerically(">=", daemons*9/10))
+		n.sent = 0
+		n.run(2 * time.Second)
+		Expect(n.sent / daemons / 10).To(BeNumerically("<=", 8))
+	})
+})
+
+func TestLiveDaemonsAreFoundUnderLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork()
+		count := rapid.IntRange(2, 10).Draw(t, "daemons")
+		loss := rapid.IntRange(0, 30).Draw(t, "lost in 100")
+		for i := range count {
+			n.start(i, 1, rapid.IntRange(0, count-1).Draw(t, "seed"), 0)
+		}
+		n.blocked = func(_, _ membership.Address) bool { return n.rng.IntN(100) < loss }
+		n.run(6 * time.Second)
+		for i := range count {
+			if n.live(i) != count-1 {
+				t.Fatalf("daemon %d sees %d of %d others", i, n.live(i), count-1)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,455 @@
+package relay_test
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/relay"
+	"hingewinch.org/hingewinch/routing"
+)
+
+var (
+	once       = routing.Route{Kind: routing.Once, MaxAttempts: 3}
+	repeatable = routing.Route{Kind: routing.Repeatable, MaxAttempts: 3}
+	stream     = routing.Route{Kind: routing.Stream, MaxAttempts: 2, Gap: 100 * time.Millisecond}
+	resumable  = routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2, Gap: 100 * time.Millisecond}
+)
+
+func good(a *arrival) bool { return answer(a, 200, sealed, "fine "+a.id()) }
+
+func beMayHaveRun() OmegaMatcher { return BeAssignableToTypeOf(coordination.MayHaveRun{}) }
+func beNotRun() OmegaMatcher     { return BeAssignableToTypeOf(coordination.NotRun{}) }
+
+var _ = Describe("Relay of plain requests", func() {
+	It("passes method, target, headers and body on unchanged, and names the replica", func() {
+		r := startReplica("r", good)
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "POST", "the body"))
+		Expect(to.status).To(Equal(200))
+		Expect(string(to.body)).To(Equal("fine a"))
+		a := r.arrival(0)
+		Expect(a.request.Method).To(Equal("POST"))
+		Expect(a.request.RequestURI).To(Equal("/x?y=1"))
+		Expect(a.request.Host).To(Equal("h"))
+		Expect(string(a.body)).To(Equal("the body"))
+		Expect(a.request.Header.Get("Expect-Replica")).To(Equal("r"))
+		Expect(a.request.Header.Get("Deadline-Ms")).To(MatchRegexp(`^29\d\d$`))
+	})
+
+	It("uses a connection again after a whole answer", func() {
+		r := startReplica("r", good)
+		w := newWorld(once, r)
+		for range 5 {
+			w.serve(w.call("a", "GET", ""))
+		}
+		Expect(r.connections()).To(Equal(1))
+	})
+
+	DescribeTable("does not use a connection again on which something is left or amiss", func(script func(a *arrival) bool) {
+		r := startReplica("r", func(a *arrival) bool {
+			if a.nth == 0 {
+				return script(a)
+			}
+			return good(a)
+		})
+		w := newWorld(once, r)
+		w.serve(w.call("a", "GET", ""))
+		time.Sleep(20 * time.Millisecond)
+		to, _ := w.serve(w.call("b", "GET", ""))
+		Expect(string(to.body)).To(Equal("fine b"))
+		Expect(r.connections()).To(Equal(2))
+	},
+		Entry("a second answer at once", func(a *arrival) bool { return good(a) && good(a) }),
+		Entry("a second answer while the connection rests", func(a *arrival) bool {
+			good(a)
+			time.Sleep(5 * time.Millisecond)
+			return good(a)
+		}),
+		Entry("bytes after the end", func(a *arrival) bool { return good(a) && raw(a, "garbage") }),
+		Entry("the replica closes it", func(a *arrival) bool { good(a); return false }),
+		Entry("the replica says that it will close", func(a *arrival) bool {
+			return answer(a, 200, sealed+"Connection: close\r\n", "x")
+		}),
+		Entry("a broken answer", func(a *arrival) bool { return raw(a, "nonsense\r\n\r\n") }),
+		Entry("a stray answer before the right one", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: old\r\n"+sealed+"Content-Length: 3\r\n\r\nold")
+			return good(a)
+		}),
+	)
+
+	It("passes over an answer to an earlier request", func() {
+		r := startReplica("r", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: old\r\n"+sealed+"Content-Length: 3\r\n\r\nold")
+			return good(a)
+		})
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "GET", ""))
+		Expect(string(to.body)).To(Equal("fine a"))
+	})
+
+	DescribeTable("never gives a caller what is not the whole answer", func(script func(a *arrival) bool) {
+		r := startReplica("r", script)
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.whole).To(BeFalse())
+		Expect(to.refusal).To(beMayHaveRun())
+		Expect(r.count()).To(Equal(1), "what must run once is not sent again")
+	},
+		Entry("success without a seal", func(a *arrival) bool { return answer(a, 200, "", "x") }),
+		Entry("another request's answer", func(a *arrival) bool {
+			return raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: b\r\n"+sealed+"\r\nx") && reset(a.conn)
+		}),
+		Entry("no id", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\n"+sealed+"Content-Length: 1\r\n\r\nx")
+			return false
+		}),
+		Entry("less than the length", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"+sealed+"Content-Length: 10\r\n\r\nx")
+			return false
+		}),
+		Entry("chunks without their end", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"+sealed+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+			return false
+		}),
+		Entry("no length and a reset", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"+sealed+"\r\nx")
+			time.Sleep(20 * time.Millisecond)
+			return reset(a.conn)
+		}),
+		Entry("an encoding", func(a *arrival) bool { return answer(a, 200, sealed+"Content-Encoding: gzip\r\n", "x") }),
+		Entry("not the protocol", func(a *arrival) bool { return raw(a, "what?\r\n") && false }),
+		Entry("a reset", func(a *arrival) bool { return reset(a.conn) }),
+	)
+
+	It("takes an answer without a length whose connection ends well", func() {
+		r := startReplica("r", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n"+sealed+"\r\nwhole")
+			return false
+		})
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "GET", ""))
+		Expect(string(to.body)).To(Equal("whole"))
+	})
+
+	It("takes an answer that comes before a long body is read, and drops the connection", func() {
+		r := startReplica("r", func(a *arrival) bool {
+			answer(a, 413, sealed, "too long")
+			time.Sleep(50 * time.Millisecond)
+			return false
+		})
+		r.skipBody = true
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "POST", strings.Repeat("x", 8<<20)))
+		Expect(to.status).To(Equal(413))
+		w.serve(w.call("b", "GET", ""))
+		Expect(r.connections()).To(Equal(2))
+		Expect(r.arrival(1).id()).To(Equal("b"))
+	})
+
+	DescribeTable("sends what was not run elsewhere", func(script func(a *arrival) bool) {
+		scripts := []func(a *arrival) bool{script, good}
+		total := 0
+		shared := func(a *arrival) bool { total++; return scripts[min(total, 2)-1](a) }
+		w := newWorld(once, startReplica("r1", shared), startReplica("r2", shared))
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(to.status).To(Equal(200))
+		Expect(s.Trials).To(HaveLen(2))
+		Expect(s.Trials[0].Replica).NotTo(Equal(s.Trials[1].Replica))
+	},
+		Entry("a refusal", func(a *arrival) bool { return answer(a, 503, "Not-Executed: 1\r\n", "") }),
+		Entry("another replica at the address", func(a *arrival) bool { return answer(a, 421, "Replica-Id: other\r\n", "") }),
+	)
+
+	DescribeTable("says that a request may have run where a refusal is no promise", func(status int) {
+		r := startReplica("r", func(a *arrival) bool { return answer(a, status, sealed, "no") })
+		w := newWorld(once, r)
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.status).To(Equal(status), "the replica's own answer goes out unchanged")
+		Expect(r.count()).To(Equal(1))
+	},
+		Entry("500", 500), Entry("503 without the promise", 503), Entry("429 without the promise", 429),
+	)
+
+	It("refuses at once, with a time to come back, where nothing takes a connection", func() {
+		r := startReplica("r", good)
+		_ = r.listener.Close()
+		w := newWorld(once, r)
+		begun := time.Now()
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.refusal).To(beNotRun())
+		Expect(to.refusal.(coordination.NotRun).RetryAfter).To(BeNumerically(">", 0))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	})
+
+	It("sends a repeatable request elsewhere after any failure, within the attempts", func() {
+		scripts := 0
+		script := func(a *arrival) bool {
+			if scripts++; scripts < 3 {
+				return reset(a.conn)
+			}
+			return good(a)
+		}
+		w := newWorld(repeatable, startReplica("r1", script), startReplica("r2", script), startReplica("r3", script), startReplica("r4", script))
+		to, s := w.serve(w.call("a", "GET", ""))
+		Expect(to.status).To(Equal(200))
+		Expect(s.Trials).To(HaveLen(3))
+	})
+
+	It("leaves a silent replica where the request is repeatable", func() {
+		first := true
+		script := func(a *arrival) bool {
+			if first {
+				first = false
+				time.Sleep(2 * time.Second)
+				return false
+			}
+			return good(a)
+		}
+		w := newWorld(repeatable, startReplica("r1", script), startReplica("r2", script))
+		begun := time.Now()
+		to, _ := w.serve(w.call("a", "GET", ""))
+		Expect(to.status).To(Equal(200))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+		Expect(w.seen.passedOver).To(HaveLen(1))
+	})
+
+	It("gives the replica's own error where no replica does better, and blames none", func() {
+		script := func(a *arrival) bool { return answer(a, 500, sealed, "no") }
+		w := newWorld(repeatable, startReplica("r1", script), startReplica("r2", script), startReplica("r3", script))
+		for range 20 {
+			to, _ := w.serve(w.call("a", "GET", ""))
+			Expect(to.status).To(Equal(500))
+		}
+		Expect(w.seen.passedOver).To(BeEmpty())
+	})
+
+	It("answers at the deadline and not later", func() {
+		r := startReplica("r", func(*arrival) bool { time.Sleep(2 * time.Second); return false })
+		w := newWorld(once, r)
+		c := w.call("a", "POST", "x")
+		c.Deadline = c.Arrived.Add(300 * time.Millisecond)
+		to, _ := w.serve(c)
+		Expect(to.refusal).To(beMayHaveRun())
+		Expect(time.Since(c.Arrived)).To(BeNumerically("~", 300*time.Millisecond, 150*time.Millisecond))
+	})
+
+	It("does not send what has no time left", func() {
+		r := startReplica("r", good)
+		w := newWorld(once, r)
+		c := w.call("a", "POST", "x")
+		c.Deadline = c.Arrived
+		to, _ := w.serve(c)
+		Expect(to.refusal).To(beNotRun())
+		Expect(r.count()).To(BeZero())
+	})
+
+	It("does not send to a replica that left while the connection came up", func() {
+		r := startReplica("r", good)
+		w := newWorld(once, r)
+		empty := *w.view
+		empty.Pools = map[routing.ServiceName]*routing.Pool{}
+		views := []*routing.View{w.view, &empty}
+		w.relay.View = func() *routing.View {
+			v := views[0]
+			views = views[min(1, len(views)-1):]
+			return v
+		}
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.refusal).To(beNotRun())
+		Expect(r.count()).To(BeZero())
+	})
+
+	It("closes the replica's connection at once when the caller leaves", func() {
+		r := startReplica("r", nil)
+		reading := make(chan struct{})
+		r.script = func(a *arrival) bool {
+			close(reading)
+			_, _ = a.reader.ReadByte()
+			r.closed <- struct{}{}
+			return false
+		}
+		w := newWorld(once, r)
+		ctx, leave := context.WithCancel(context.Background())
+		done := make(chan *relay.Summary)
+		go func() { done <- w.relay.Serve(ctx, w.call("a", "POST", "x"), &caller{}) }()
+		<-reading
+		leave()
+		Eventually(r.closed, time.Second).Should(Receive())
+		Expect((<-done).Gone).To(BeTrue())
+	})
+})
+
+var _ = Describe("Relay of streams", func() {
+	whole := event(1) + event(2) + event(3)
+
+	It("passes events on as they come", func() {
+		gate := make(chan struct{})
+		r := startReplica("r", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			<-gate
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		})
+		w := newWorld(stream, r)
+		to := &caller{wrote: make(chan struct{}, 8)}
+		done := make(chan struct{})
+		go func() { w.relay.Serve(context.Background(), w.call("a", "POST", "x"), to); close(done) }()
+		Eventually(to.wrote, time.Second).Should(Receive())
+		close(gate)
+		<-done
+		Expect(string(to.body)).To(Equal(whole))
+		Expect(to.broken).To(BeFalse())
+	})
+
+	It("refuses a stream that breaks before its first event", func() {
+		r := startReplica("r", func(a *arrival) bool { streamHead(a); return reset(a.conn) })
+		w := newWorld(stream, r)
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.refusal).To(beMayHaveRun())
+		Expect(to.status).To(BeZero())
+	})
+
+	DescribeTable("breaks a stream that can't be finished, without a part of an event", func(script func(a *arrival) bool) {
+		r := startReplica("r", script)
+		w := newWorld(stream, r, startReplica("r2", script))
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.broken).To(BeTrue())
+		Expect(string(to.body)).To(Equal(event(1)))
+		Expect(r.count()).To(BeNumerically("<=", 1))
+	},
+		Entry("inside an event", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			return false
+		}),
+		Entry("whole chunks that end inside an event", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			return streamEnd(a)
+		}),
+		Entry("an id that does not rise", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			time.Sleep(20 * time.Millisecond)
+			chunk(a, event(1))
+			return streamEnd(a)
+		}),
+		Entry("a reset", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			time.Sleep(20 * time.Millisecond)
+			return reset(a.conn)
+		}),
+	)
+
+	DescribeTable("takes a resumable stream up at another replica, once, after the last event", func(first func(a *arrival) bool) {
+		n := 0
+		script := func(a *arrival) bool {
+			if n++; n == 1 {
+				return first(a)
+			}
+			streamHead(a)
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		}
+		r1, r2 := startReplica("r1", script), startReplica("r2", script)
+		w := newWorld(resumable, r1, r2)
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(whole))
+		Expect(to.broken).To(BeFalse())
+		Expect(s.Trials).To(HaveLen(2))
+		second := r1
+		if s.Trials[1].Replica == "r2" {
+			second = r2
+		}
+		Expect(second.arrival(0).request.Header.Get("Last-Event-Id")).To(Equal("1"))
+	},
+		Entry("inside an event", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			return reset(a.conn)
+		}),
+		Entry("silence", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			time.Sleep(1500 * time.Millisecond)
+			return false
+		}),
+	)
+
+	It("stops the first run before the second begins", func() {
+		n := 0
+		var first *arrival
+		gone := make(chan bool, 1)
+		script := func(a *arrival) bool {
+			if n++; n == 1 {
+				first = a
+				streamHead(a)
+				chunk(a, event(1))
+				_, err := a.reader.ReadByte() // until the daemon closes
+				gone <- err != nil
+				return false
+			}
+			Expect(first).NotTo(BeNil())
+			Eventually(gone, 300*time.Millisecond).Should(Receive(BeTrue()))
+			streamHead(a)
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		}
+		w := newWorld(resumable, startReplica("r1", script), startReplica("r2", script))
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(whole))
+	})
+
+	It("goes on from the caller's last event", func() {
+		r := startReplica("r", func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(8))
+			return streamEnd(a)
+		})
+		w := newWorld(resumable, r)
+		c := w.call("a", "POST", "x")
+		c.LastSeen = "7"
+		to, _ := w.serve(c)
+		Expect(r.arrival(0).request.Header.Get("Last-Event-Id")).To(Equal("7"))
+		Expect(string(to.body)).To(Equal(event(8)))
+	})
+
+	It("passes a failure with its status on", func() {
+		r := startReplica("r", func(a *arrival) bool { return answer(a, 500, sealed, "no") })
+		w := newWorld(stream, r)
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(to.status).To(Equal(500))
+		Expect(to.header.Get("Replica-Seal")).To(Equal("good"))
+	})
+
+	It("ends at the deadline without looking whole", func() {
+		r := startReplica("r", func(a *arrival) bool {
+			streamHead(a)
+			for i := range 100 {
+				chunk(a, event(i+1))
+				time.Sleep(50 * time.Millisecond)
+			}
+			return streamEnd(a)
+		})
+		w := newWorld(stream, r)
+		c := w.call("a", "POST", "x")
+		c.Deadline = c.Arrived.Add(400 * time.Millisecond)
+		to, _ := w.serve(c)
+		Expect(to.broken).To(BeTrue())
+		Expect(time.Since(c.Arrived)).To(BeNumerically("<", 700*time.Millisecond))
+	})
+
+	It("counts its own requests only while they are at the replica", func() {
+		r := startReplica("r", func(a *arrival) bool { streamHead(a); chunk(a, event(1)); return streamEnd(a) })
+		w := newWorld(stream, r)
+		w.serve(w.call("a", "POST", "x"))
+		Expect(w.relay.Placer.Loads.Own()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/relay/replica_test.go
@@ -0,0 +1,237 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/platform"
+	"hingewinch.org/hingewinch/relay"
+	"hingewinch.org/hingewinch/routing"
+)
+
+// arrival is a request as a replica read it.
+type arrival struct {
+	request *http.Request
+	body    []byte
+	conn    net.Conn
+	reader  *bufio.Reader
+	nth     int // of all requests at this replica
+}
+
+// id returns the request's id.
+func (a *arrival) id() string { return a.request.Header.Get("Attempt-Id") }
+
+// replica is a peer whose behaviour a test scripts.
+type replica struct {
+	routing.Replica
+	listener net.Listener
+	// script answers one request; false closes the connection.
+	script func(a *arrival) bool
+	// readBody says whether the body is read before the script.
+	skipBody bool
+
+	mu       sync.Mutex
+	arrivals []*arrival
+	conns    int
+	closed   chan struct{} // a connection was closed by the daemon
+}
+
+func startReplica(id string, script func(a *arrival) bool) *replica {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &replica{listener: l, script: script, closed: make(chan struct{}, 64)}
+	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Zone: "z", Slots: 8, Address: l.Addr().String()})
+	go r.accept()
+	DeferCleanup(func() { _ = l.Close() })
+	return r
+}
+
+func (r *replica) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns++
+		r.mu.Unlock()
+		go r.serve(c)
+	}
+}
+
+func (r *replica) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			r.closed <- struct{}{}
+			return
+		}
+		a := &arrival{request: req, conn: c, reader: reader}
+		if !r.skipBody {
+			a.body, _ = io.ReadAll(req.Body)
+		}
+		r.mu.Lock()
+		a.nth = len(r.arrivals)
+		r.arrivals = append(r.arrivals, a)
+		r.mu.Unlock()
+		if !r.script(a) {
+			return
+		}
+	}
+}
+
+func (r *replica) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.arrivals)
+}
+
+func (r *replica) connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.conns
+}
+
+func (r *replica) arrival(i int) *arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals[i]
+}
+
+const sealed = "Replica-Seal: good\r\n"
+
+// answer writes a whole plain answer.
+func answer(a *arrival, status int, headers, body string) bool {
+	return raw(a, fmt.Sprintf("HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, a.id(), headers, len(body), body))
+}
+
+func raw(a *arrival, text string) bool {
+	_, err := a.conn.Write([]byte(text))
+	return err == nil
+}
+
+// reset closes a connection so that the peer gets a reset.
+func reset(c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	return false
+}
+
+// streamHead begins a streamed answer in chunks.
+func streamHead(a *arrival) {
+	raw(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n")
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", n, n) }
+
+func chunk(a *arrival, text string) { raw(a, fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) }
+
+func streamEnd(a *arrival) bool { return raw(a, "0\r\n\r\n") }
+
+// caller is a sink that remembers.
+type caller struct {
+	status  int
+	header  http.Header
+	body    []byte
+	refusal coordination.Outcome
+	broken  bool
+	whole   bool
+	wrote   chan struct{}
+}
+
+func (c *caller) Answer(status int, h http.Header, body []byte) error {
+	c.status, c.header, c.body, c.whole = status, h, body, true
+	return nil
+}
+
+func (c *caller) Begin(status int, h http.Header) error {
+	c.status, c.header = status, h.Clone()
+	return nil
+}
+
+func (c *caller) Write(p []byte) error {
+	c.body = append(c.body, p...)
+	if c.wrote != nil {
+		select {
+		case c.wrote <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+func (c *caller) Refuse(o coordination.Outcome) { c.refusal = o }
+func (c *caller) Break()                        { c.broken = true }
+
+// nobody is an observer that counts what it is told.
+type nobody struct {
+	mu         sync.Mutex
+	passedOver []routing.ReplicaID
+}
+
+func (n *nobody) Finished(*relay.Call, *relay.Summary) {}
+
+func (n *nobody) PassedOver(r *routing.Replica, _ *relay.Call, _ error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.passedOver = append(n.passedOver, r.ID)
+}
+
+// world is a relay before some replicas.
+type world struct {
+	relay *relay.Relay
+	view  *routing.View
+	route *routing.Route
+	seen  *nobody
+}
+
+func newWorld(route routing.Route, replicas ...*replica) *world {
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	route.Shares = []routing.Share{{Service: "s", Weight: 1}}
+	route.MaxAttempts = max(route.MaxAttempts, 1)
+	if route.Aim == 0 {
+		route.Aim = 200 * time.Millisecond
+	}
+	t, err := routing.NewTable(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{{Name: "s"}}})
+	Expect(err).NotTo(HaveOccurred())
+	w := &world{seen: &nobody{}}
+	w.route, _ = t.Match("h", "/")
+	pool := &routing.Pool{}
+	for _, r := range replicas {
+		pool.Ready = append(pool.Ready, r.Replica)
+	}
+	w.view = &routing.View{Table: t, Zone: "z", Pools: map[routing.ServiceName]*routing.Pool{"s": pool}}
+	w.relay = relay.New(relay.Options{
+		View:    func() *routing.View { return w.view },
+		Placer:  &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: routing.NewLoads(), Health: routing.NewHealth()},
+		Budgets: routing.NewBudgets(routing.BudgetRule{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, 1),
+		Codec:   platform.Codec{}, Observer: w.seen, Pool: relay.NewPool(), Rule: relay.DefaultRule(),
+	})
+	return w
+}
+
+func (w *world) call(id, method, body string) *relay.Call {
+	c := &relay.Call{Method: method, Target: "/x?y=1", Host: "h", Body: []byte(body), Header: http.Header{"Attempt-Id": {id}}}
+	c.ID, c.Route, c.Service = routing.RequestID(id), w.route, "s"
+	c.Arrived = time.Now()
+	c.Deadline = c.Arrived.Add(3 * time.Second)
+	return c
+}
+
+func (w *world) serve(c *relay.Call) (*caller, *relay.Summary) {
+	to := &caller{}
+	s := w.relay.Serve(context.Background(), c, to)
+	return to, s
+}
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -143,7 +143,9 @@
 		c.apply(c.feed.ApplyList("", p.news.Items, p.news.Revision), string(p.from), now)
 		return
 	}
-	c.apply(c.feed.Apply(p.news.Items), string(p.from), now)
+	items := c.feed.Apply(p.news.Items)
+	c.feed.Advance(p.news.Revision)
+	c.apply(items, string(p.from), now)
 }
 
 // news answers a peer.
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,433 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func table(routes []routing.Route, tenants ...routing.Tenant) *routing.Table {
+	t, err := routing.NewTable(&routing.Config{
+		Version: 1, Routes: routes, Tenants: tenants,
+		Services: []routing.Service{{Name: "llm", Generates: true, CopiesPrompts: true}, {Name: "plain"}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return t
+}
+
+func shares(names ...routing.ServiceName) []routing.Share {
+	var out []routing.Share
+	for _, n := range names {
+		out = append(out, routing.Share{Service: n, Weight: 1})
+	}
+	return out
+}
+
+var _ = Describe("Table", func() {
+	It("takes the longest prefix of the host", func() {
+		t := table([]routing.Route{
+			{Name: "short", Host: "A.example", Prefix: "/x/", Shares: shares("plain")},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Shares: shares("plain")},
+			{Name: "other", Host: "b.example", Prefix: "/", Shares: shares("plain")},
+		})
+		for path, want := range map[string]string{"/x/y/z": "long", "/x/z": "short", "/x/y": "short"} {
+			r, ok := t.Match("a.example", path)
+			Expect(ok).To(BeTrue())
+			Expect(r.Name).To(Equal(want))
+		}
+		_, ok := t.Match("a.example", "/y/")
+		Expect(ok).To(BeFalse())
+	})
+
+	DescribeTable("refuses a route and says why", func(r routing.Route, why string) {
+		_, err := routing.NewTable(&routing.Config{Routes: []routing.Route{r}})
+		Expect(err).To(MatchError(ContainSubstring(why)))
+	},
+		Entry("no slash", routing.Route{Name: "r", Prefix: "/x", Shares: shares("s")}, "slash"),
+		Entry("no service", routing.Route{Name: "r", Prefix: "/x/"}, "no service"),
+		Entry("weight", routing.Route{Name: "r", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: -1}}}, "negative"),
+	)
+
+	It("splits by weight, alike in every daemon", func() {
+		t := table([]routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}})
+		r, _ := t.Match("h", "/")
+		n := 0
+		for i := range uint64(10_000) {
+			if r.Service(i) == "b" {
+				n++
+			}
+			Expect(r.Service(i)).To(Equal(r.Service(i)))
+		}
+		Expect(n).To(BeNumerically("~", 1000, 150))
+	})
+})
+
+var _ = Describe("Admit", func() {
+	closed := routing.Route{Name: "closed", Host: "h", Prefix: "/c/", Shares: shares("plain")}
+	open := routing.Route{Name: "open", Host: "h", Prefix: "/o/", OpenToAll: true, Shares: shares("plain")}
+	tenant := routing.Tenant{Name: "t", Keys: []string{"k1", "k2"}}
+
+	It("does not know what is allowed before a configuration is known", func() {
+		for _, v := range []*routing.View{nil, {}} {
+			_, d := v.Admit("h", "/c/", "k1")
+			Expect(d).To(Equal(routing.NoConfiguration))
+		}
+	})
+
+	It("asks for a key where there are tenants and the route is not open", func() {
+		v := &routing.View{Table: table([]routing.Route{closed, open}, tenant)}
+		a, d := v.Admit("h", "/c/x", "k2")
+		Expect(d).To(Equal(routing.Admitted))
+		Expect(a.Tenant.Name).To(Equal(routing.TenantName("t")))
+		_, d = v.Admit("h", "/c/x", "k3")
+		Expect(d).To(Equal(routing.UnknownKey))
+		a, d = v.Admit("h", "/o/x", "")
+		Expect(d).To(Equal(routing.Admitted))
+		Expect(a.Tenant).To(BeNil())
+		_, d = v.Admit("h", "/z/", "k1")
+		Expect(d).To(Equal(routing.NoRoute))
+	})
+})
+
+// fleet is a placer before a pool of replicas.
+type fleet struct {
+	placer *routing.Placer
+	view   *routing.View
+	pool   *routing.Pool
+}
+
+func newFleet(service routing.ServiceName, zones ...string) *fleet {
+	f := &fleet{
+		placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: routing.NewLoads(), Health: routing.NewHealth()},
+		pool:   &routing.Pool{},
+	}
+	for i, z := range zones {
+		f.pool.Ready = append(f.pool.Ready, routing.NewReplica(routing.Replica{
+			ID: routing.ReplicaID(fmt.Sprintf("r%d", i)), Service: service, Zone: z, Slots: 6, Address: fmt.Sprintf("10.0.0.%d:1", i),
+		}))
+	}
+	f.view = &routing.View{
+		Table: table([]routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares(service)}}),
+		Zone:  "z0", Pools: map[routing.ServiceName]*routing.Pool{service: f.pool},
+	}
+	return f
+}
+
+func (f *fleet) load(r routing.Replica, n int) {
+	for range n {
+		f.placer.Loads.Begin(r.LoadKey())
+	}
+}
+
+func (f *fleet) choose(r *routing.Request, tried ...routing.ReplicaID) routing.Target {
+	t, ok := f.placer.Choose(f.view, r, tried, epoch)
+	Expect(ok).To(BeTrue())
+	return t
+}
+
+func sameZone(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = "z0"
+	}
+	return out
+}
+
+func chat(subject string) *routing.Request {
+	return &routing.Request{
+		ID: "a", Service: "llm", Model: "m",
+		Prompt: []routing.Part{{ID: "system", Tokens: 500}, {ID: subject, Tokens: 5000}, {ID: "own-" + subject, Tokens: 100}},
+	}
+}
+
+var _ = Describe("Placement of prompts", func() {
+	It("sends requests that share a prompt to one replica, whatever their own part", func() {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s"))
+		other := chat("s")
+		other.Prompt[2].ID = "another"
+		Expect(f.choose(other).Replica.ID).To(Equal(home.Replica.ID))
+		Expect(home.Source.Address).To(BeEmpty())
+	})
+
+	It("keeps models apart", func() {
+		a, b := chat("s"), chat("s")
+		b.Model = "m2"
+		Expect(a.Key()).NotTo(Equal(b.Key()))
+	})
+
+	It("passes a crowded home by and copies the prompt from there", func() {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s"))
+		f.load(home.Replica, 30)
+		next := f.choose(chat("s"))
+		Expect(next.Rank).To(Equal(1))
+		Expect(next.Source.ID).To(Equal(home.Replica.ID))
+		Expect(f.choose(chat("s")).Replica.ID).To(Equal(next.Replica.ID), "the same second choice everywhere")
+	})
+
+	It("counts what peers sent", func() {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s"))
+		f.placer.Loads.Observe("p", []routing.Count{{Replica: home.Replica.LoadKey(), Requests: 30}}, epoch)
+		Expect(f.choose(chat("s")).Replica.ID).NotTo(Equal(home.Replica.ID))
+		f.placer.Loads.Observe("q", nil, epoch.Add(time.Minute))
+		Expect(f.choose(chat("s")).Replica.ID).To(Equal(home.Replica.ID), "old figures no longer count")
+	})
+
+	It("copies to a replica that has joined, from the one that ranked first before", func() {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s"))
+		i := 0
+		for f.pool.Ready[i].ID != home.Replica.ID {
+			i++
+		}
+		without := append([]routing.Replica{}, f.pool.Ready[:i]...)
+		without = append(without, f.pool.Ready[i+1:]...)
+		f.pool.Ready = without
+		before := f.choose(chat("s"))
+		joined := home.Replica
+		joined.Since = epoch.Add(-time.Second)
+		f.pool.Ready = append(f.pool.Ready, joined)
+		t := f.choose(chat("s"))
+		Expect(t.Replica.ID).To(Equal(joined.ID))
+		Expect(t.Source.ID).To(Equal(before.Replica.ID))
+	})
+
+	DescribeTable("copies from a home that leaves", func(leave func(*routing.Pool, routing.Replica)) {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s")).Replica
+		for i := range f.pool.Ready {
+			if f.pool.Ready[i].ID == home.ID {
+				f.pool.Ready = append(f.pool.Ready[:i:i], f.pool.Ready[i+1:]...)
+				break
+			}
+		}
+		leave(f.pool, home)
+		t := f.choose(chat("s"))
+		Expect(t.Replica.ID).NotTo(Equal(home.ID))
+		Expect(t.Source.ID).To(Equal(home.ID))
+	},
+		Entry("draining", func(p *routing.Pool, r routing.Replica) { p.Leaving = append(p.Leaving, r) }),
+		Entry("vanished", func(p *routing.Pool, r routing.Replica) { p.Vanished = append(p.Vanished, r) }),
+	)
+
+	It("does not copy from a replica that can't be reached", func() {
+		f := newFleet("llm", sameZone(18)...)
+		home := f.choose(chat("s")).Replica
+		f.placer.Health.Report(&home, routing.ResultUnreachable, epoch)
+		t := f.choose(chat("s"))
+		Expect(t.Replica.ID).NotTo(Equal(home.ID))
+		Expect(t.Source.Address).To(BeEmpty())
+	})
+
+	It("does not choose what was tried, unless nothing is left", func() {
+		f := newFleet("llm", sameZone(2)...)
+		first := f.choose(chat("s")).Replica.ID
+		second := f.choose(chat("s"), first).Replica.ID
+		Expect(second).NotTo(Equal(first))
+		_, ok := f.placer.Choose(f.view, chat("s"), []routing.ReplicaID{first, second}, epoch)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+func TestJoiningMovesFewPrompts(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "replicas")
+		f, g := newFleet("llm", sameZone(n)...), newFleet("llm", sameZone(n+1)...)
+		joined := g.pool.Ready[n].ID
+		for i := range 100 {
+			a, b := f.choose(chat(fmt.Sprint(i))).Replica.ID, g.choose(chat(fmt.Sprint(i))).Replica.ID
+			if a != b && b != joined {
+				t.Fatalf("prompt %d moved from %s to %s, which did not join", i, a, b)
+			}
+		}
+	})
+}
+
+func TestLoadStaysBelowBound(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet("llm", sameZone(18)...)
+		subjects := rapid.IntRange(1, 40).Draw(t, "subjects")
+		counts := make(map[routing.ReplicaID]int)
+		const requests = 400
+		for i := range requests {
+			target := f.choose(chat(fmt.Sprint(i % subjects)))
+			counts[target.Replica.ID]++
+			f.load(target.Replica, 1)
+		}
+		mean := float64(requests) / 18
+		for id, n := range counts {
+			if float64(n) > 2*mean+3 {
+				t.Fatalf("replica %s holds %d of %d requests", id, n, requests)
+			}
+		}
+	})
+}
+
+var _ = Describe("Placement of plain requests", func() {
+	plain := func(id string) *routing.Request {
+		return &routing.Request{ID: routing.RequestID(id), Service: "plain"}
+	}
+
+	It("prefers near replicas until they are busy", func() {
+		f := newFleet("plain", "z0", "z1", "z2")
+		Expect(f.choose(plain("a")).Replica.Zone).To(Equal("z0"))
+		f.load(f.pool.Ready[0], 3)
+		Expect(f.choose(plain("a")).Replica.Zone).NotTo(Equal("z0"))
+	})
+
+	It("spreads over equal replicas", func() {
+		f := newFleet("plain", sameZone(4)...)
+		counts := make(map[routing.ReplicaID]int)
+		for i := range 400 {
+			counts[f.choose(plain(fmt.Sprint(i))).Replica.ID]++
+		}
+		Expect(counts).To(HaveLen(4))
+		for _, n := range counts {
+			Expect(n).To(BeNumerically(">", 50))
+		}
+	})
+})
+
+var _ = Describe("Health", func() {
+	var h *routing.Health
+	r := routing.NewReplica(routing.Replica{ID: "r", Zone: "z1"})
+
+	BeforeEach(func() { h = routing.NewHealth() })
+
+	It("passes over a replica that takes no connection at once, and tries it again", func() {
+		Expect(h.Report(&r, routing.ResultUnreachable, epoch)).To(BeTrue())
+		Expect(h.Usable(&r, epoch)).To(BeFalse())
+		Expect(h.Reachable(&r, epoch)).To(BeFalse())
+		Expect(h.Usable(&r, epoch.Add(600*time.Millisecond))).To(BeTrue())
+	})
+
+	It("waits longer each time", func() {
+		at := epoch
+		var pauses []time.Duration
+		for range 5 {
+			h.Report(&r, routing.ResultUnreachable, at)
+			begun := at
+			for !h.Usable(&r, at) {
+				at = at.Add(100 * time.Millisecond)
+			}
+			pauses = append(pauses, at.Sub(begun))
+		}
+		Expect(pauses[0]).To(BeNumerically("<", pauses[1]))
+		Expect(pauses[4]).To(BeNumerically("<=", 4*time.Second))
+	})
+
+	It("does not pass over a replica that spoils a few answers", func() {
+		for i := range 200 {
+			at := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+			result := routing.ResultGood
+			if i%20 == 0 {
+				result = routing.ResultBroken
+			}
+			h.Report(&r, result, at)
+			Expect(h.Usable(&r, at)).To(BeTrue())
+		}
+	})
+
+	It("finds a grey replica on the sum of what daemons saw, earlier than one daemon could", func() {
+		Expect(h.Report(&r, routing.ResultFailed, epoch)).To(BeFalse())
+		for i := range 3 {
+			h.Observe(routing.PeerID(fmt.Sprint(i)), "z0", []routing.Evidence{{Replica: r.LoadKey(), Good: 1, Bad: 1}}, epoch)
+		}
+		Expect(h.Report(&r, routing.ResultFailed, epoch)).To(BeTrue())
+		Expect(h.Reachable(&r, epoch)).To(BeTrue(), "prompts can still be copied from it")
+	})
+
+	It("passes over a zone whose daemons all fell silent, until one is heard", func() {
+		h.Observe("p", "z1", nil, epoch)
+		Expect(h.Usable(&r, epoch)).To(BeTrue())
+		later := epoch.Add(2 * time.Second)
+		Expect(h.Usable(&r, later)).To(BeFalse())
+		h.Observe("p", "z1", nil, later)
+		Expect(h.Usable(&r, later)).To(BeTrue())
+	})
+
+	It("does not hold the silence of a zone against it for ever", func() {
+		h.Observe("p", "z1", nil, epoch)
+		h.Forget("z0", epoch.Add(time.Minute))
+		Expect(h.Usable(&r, epoch.Add(time.Minute))).To(BeTrue())
+	})
+
+	It("is not asked where most replicas look ill", func() {
+		f := newFleet("llm", sameZone(4)...)
+		for i := range f.pool.Ready[:3] {
+			f.placer.Health.Report(&f.pool.Ready[i], routing.ResultUnreachable, epoch)
+		}
+		seen := make(map[routing.ReplicaID]bool)
+		for i := range 100 {
+			seen[f.choose(chat(fmt.Sprint(i))).Replica.ID] = true
+		}
+		Expect(seen).To(HaveLen(4))
+	})
+})
+
+func TestRepeatsOfAllDaemonsStayWithinTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := routing.BudgetRule{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+		n := rapid.IntRange(1, 12).Draw(t, "daemons")
+		daemons := make([]*routing.Budgets, n)
+		for i := range daemons {
+			daemons[i] = routing.NewBudgets(rule, n)
+		}
+		const step = 100 * time.Millisecond
+		const steps = 300
+		firsts, repeats := make([]int, steps), make([]int, steps)
+		for i := range steps {
+			at := epoch.Add(time.Duration(i) * step)
+			for _, d := range daemons {
+				for range rapid.IntRange(0, 4).Draw(t, "requests") {
+					d.First("s", at)
+					firsts[i]++
+				}
+				for range rapid.IntRange(0, 6).Draw(t, "wanted") {
+					if d.Spend("s", at) {
+						repeats[i]++
+					}
+				}
+			}
+		}
+		window := int(rule.Window / step)
+		sum := func(v []int, from, to int) (s int) {
+			for i := max(0, from); i < to; i++ {
+				s += v[i]
+			}
+			return s
+		}
+		for end := window; end <= steps; end++ {
+			most := max(sum(firsts, end-window, end), sum(firsts, end-window-window/2, end-window/2))
+			allowed := rule.Ratio*float64(most) + rule.Extra
+			if spent := sum(repeats, end-window, end); float64(spent) > allowed {
+				t.Fatalf("%d repeats in the window that ends at step %d, %.0f allowed", spent, end, allowed)
+			}
+		}
+	})
+}
+
+func TestBudgetNeverGrowsWhenPeersAreLost(t *testing.T) {
+	rule := routing.BudgetRule{Ratio: 0, Extra: 80, Window: 10 * time.Second}
+	b := routing.NewBudgets(rule, 8)
+	b.SetDaemons(2)
+	n := 0
+	for b.Spend("s", epoch) {
+		n++
+	}
+	if n > 10 {
+		t.Fatalf("a daemon that sees 2 of 8 daemons spent %d of 80", n)
+	}
+}
