A zone that is cut off from all others keeps to its own replicas

In a zone that is alone, most replicas of a service stand in silent zones; the rule 'where most look ill, ignore the evidence' then opened all of them, and each request went to one or two replicas behind the cut. Ruled out: slow detection (the daemons of the other zones were silent for 0.7 s long before). Change: replicas in silent zones are out of the question first; the rule about most looking ill applies to the rest. Test: 'keeps to its own zone while all others are cut off' failed on the version before.

--- a/routing/health.go
+++ b/routing/health.go
@@ -225,18 +225,30 @@
 	return !lost && !h.zoneIsSilent(r.Zone, now)
 }
 
-// fill writes into out which replicas are usable, and returns their number.
-func (h *Health) fill(replicas []Replica, now time.Time, out []bool) int {
+// fill writes into open which replicas may be chosen. Those in zones that are
+// cut off are out of the question, unless nothing else is left. Of the others,
+// those that look ill are passed over, unless most do: then the evidence speaks
+// against the service or this daemon's links, and passing over would only crowd
+// the rest.
+func (h *Health) fill(replicas []Replica, now time.Time, open []bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := 0
+	near, usable := 0, 0
 	for i := range replicas {
-		out[i] = h.usable(&replicas[i], now)
-		if out[i] {
-			n++
+		if h.zoneIsSilent(replicas[i].Zone, now) {
+			continue
+		}
+		near++
+		if open[i] = h.usable(&replicas[i], now); open[i] {
+			usable++
 		}
 	}
-	return n
+	if 2*usable >= near && usable > 0 {
+		return
+	}
+	for i := range replicas {
+		open[i] = near == 0 || !h.zoneIsSilent(replicas[i].Zone, now)
+	}
 }
 
 // Forget drops what is too old to matter. ownZone is never taken as silent.
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -88,14 +88,7 @@
 	c := &candidates{ready: ready, loads: make([]int, len(ready)), open: make([]bool, len(ready))}
 	total := p.Loads.fill(ready, c.loads)
 	c.mean = float64(total) / float64(len(ready))
-	usable := p.Health.fill(ready, now, c.open)
-	if 2*usable < len(ready) {
-		// Where most look ill, the evidence speaks against the service or this
-		// daemon's links, and passing over would only crowd the others.
-		for i := range c.open {
-			c.open[i] = true
-		}
-	}
+	p.Health.fill(ready, now, c.open)
 	c.count(tried)
 	if c.allowed == 0 {
 		for i := range c.open {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -358,6 +358,18 @@
 		Expect(h.Usable(&r, later)).To(BeTrue())
 	})
 
+	It("keeps to its own zone while all others are cut off, though most replicas are there", func() {
+		f := newFleet("llm", "z0", "z1", "z1", "z2", "z2", "z2", "z2")
+		for _, z := range []string{"z1", "z2"} {
+			f.placer.Health.Observe(routing.PeerID(z), z, nil, epoch.Add(-time.Second))
+		}
+		for i := range 50 {
+			Expect(f.choose(chat(fmt.Sprint(i))).Replica.Zone).To(Equal("z0"))
+		}
+		f.pool.Ready = f.pool.Ready[1:]
+		Expect(f.choose(chat("s")).Replica.Zone).NotTo(BeEmpty(), "anything is better than nothing")
+	})
+
 	It("does not hold the silence of a zone against it for ever", func() {
 		h.Observe("p", "z1", nil, epoch)
 		h.Forget("z0", epoch.Add(time.Minute))
