Daemons tell each other where prompts are held; short prompts have a home in each zone

Cause: a copy's source was guessed from the ranking, and a prompt had one home for all zones, so that a cut zone lost every stream that crossed and each request's bytes were paid between zones. The rank-based guess and the age of replicas are removed.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -263,6 +263,9 @@
 	if f := x.readHead(ctx); f != nil {
 		return f
 	}
+	if len(s.call.Prompt) > 0 && x.response.StatusCode < http.StatusMultipleChoices {
+		s.Placer.Holders.Note(s.call.Key(), t.Replica.LoadKey(), time.Now())
+	}
 	if s.call.Route.Kind == routing.Stream && x.response.StatusCode < 300 {
 		return s.relayStream(ctx, x, t)
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -70,9 +70,6 @@
 	vanishedAge = 10 * time.Second
 	// copySourceAge is how long prompts are still copied from one that vanished.
 	copySourceAge = 3 * time.Second
-	// settleTime is how long after the first documents replicas that appear are
-	// taken to have been there before.
-	settleTime = 5 * time.Second
 )
 
 // control is the state of the control loop.
@@ -84,6 +81,7 @@
 	rng       *rand.Rand
 	loads     *routing.Loads
 	health    *routing.Health
+	holders   *routing.Holders
 	budgets   *routing.Budgets
 	log       *Log
 	send      func(to membership.Address, payload []byte)
@@ -98,7 +96,6 @@
 	replicas    map[string]replicaEntry
 	vanished    map[string]vanishedEntry
 	daemons     int
-	firstAt     time.Time // when the first documents were applied
 	pulling     bool
 	ahead       map[membership.Address]feed.Revision // peers that know more
 	aheadSince  time.Time
@@ -184,9 +181,6 @@
 	}
 	c.applyConfig(now, source)
 	c.changedAt = now
-	if c.firstAt.IsZero() {
-		c.firstAt = now
-	}
 	c.log.Documents(len(items), source, c.feed.Revision())
 	c.publish(now)
 	c.beat(now)
@@ -211,12 +205,6 @@
 		c.log.Bad(it.Key, err)
 		return
 	}
-	switch {
-	case known:
-		r.Since = before.replica.Since
-	case !c.firstAt.IsZero() && now.Sub(c.firstAt) > settleTime:
-		r.Since = now
-	}
 	if !known || known && before.replica.Draining != r.Draining {
 		c.log.Replica(id, stateName(&r), it.Revision)
 	}
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -68,6 +68,7 @@
 	b := Beat{
 		Sender: c.roster.Self(), Members: c.roster.Named(now, c.rng), Revision: c.feed.Revision(),
 		Loads: c.loads.Own(), Evidence: c.health.Own(now),
+		Holdings: c.holders.Untold(maxHoldings),
 	}
 	if c.table != nil {
 		b.Version = c.table.Version
@@ -92,6 +93,7 @@
 	}
 	c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
 	c.health.Observe(routing.PeerID(b.Sender.Address), b.Sender.Zone, b.Evidence, now)
+	c.holders.Observe(b.Holdings, now)
 	if b.Revision > c.feed.Revision() {
 		if len(c.ahead) == 0 {
 			c.aheadSince = now
--- a/router/message.go
+++ b/router/message.go
@@ -22,6 +22,7 @@
 	Revision feed.Revision       // newest document that the sender holds
 	Version  routing.Version     // of its configuration
 	Loads    []routing.Count     // its own requests at replicas
+	Holdings []routing.Holding   // prompts that replicas have read for it
 	Evidence []routing.Evidence  // its own counts at replicas where requests failed
 }
 
@@ -49,6 +50,8 @@
 		switch {
 		case len(b.Members) > leastNamed:
 			b.Members = b.Members[:len(b.Members)/2]
+		case len(b.Holdings) > leastHoldings:
+			b.Holdings = b.Holdings[:len(b.Holdings)/2]
 		case len(b.Loads) > 0:
 			b.Loads = b.Loads[:len(b.Loads)*3/4]
 		case len(b.Evidence) > 0:
@@ -59,8 +62,13 @@
 	}
 }
 
-// leastNamed is how many members a beat names at least.
-const leastNamed = 4
+// leastNamed and leastHoldings are how many members and holdings a beat names at
+// least; maxHoldings is how many it names at most.
+const (
+	leastNamed    = 4
+	leastHoldings = 8
+	maxHoldings   = 25
+)
 
 func encode(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
--- a/router/router.go
+++ b/router/router.go
@@ -134,13 +134,13 @@
 
 func (d *Daemon) wire() {
 	s := d.settings
-	loads, health := routing.NewLoads(), routing.NewHealth()
+	loads, health, holders := routing.NewLoads(), routing.NewHealth(), routing.NewHolders()
 	seeds := s.seedPeers()
 	budgets := routing.NewBudgets(s.budgetRule(), max(leastFleet, len(seeds)))
 	self := membership.Member{Address: membership.Address(s.Listen.Peers), Zone: string(s.Domain), Life: membership.Life(time.Now().UnixNano())}
 	d.control = &control{
 		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, budgets: budgets, log: d.Log,
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, holders: holders, budgets: budgets, log: d.Log,
 		send: d.peers.send, pull: d.peers.pull, events: make(chan event, eventQueue),
 		replicas: make(map[string]replicaEntry), vanished: make(map[string]vanishedEntry),
 		ahead: make(map[membership.Address]feed.Revision), daemons: 1,
@@ -151,7 +151,7 @@
 		calls: func() { d.Metrics.StoreCalls.Inc(1) },
 	}
 	d.Relay = relay.New(relay.Options{
-		View: d.View, Placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: loads, Health: health},
+		View: d.View, Placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: loads, Health: health, Holders: holders},
 		Budgets: budgets, Codec: d.outside.Codec, Observer: d.Log, Pool: d.pool, Rule: relay.DefaultRule(),
 	})
 	d.callers.server.Handler = d.outside.Front(d)
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -1,9 +1,10 @@
 // This file chooses the replica of a request.
 //
-// Requests that share a prompt go to the prompt's home, so that it is read once.
-// A home that holds much more than the mean is passed by in favour of the next
-// in the prompt's own order, which is the same in every daemon; the prompt is
-// then copied from the home rather than read again. Plain requests go to the
+// Requests that share a prompt go to the prompt's home in the daemon's own zone,
+// so that it is read once. A home that holds much more than the mean is passed by
+// in favour of the next in the prompt's own order, which is the same in every
+// daemon; the prompt is then copied from a replica that holds it rather than read
+// again. Plain requests go to the
 // replica with the fewest requests for its slots, near ones first.
 
 package routing
@@ -23,9 +24,14 @@
 	// FarCost is how many of its slots a plain replica of another zone must have
 	// free, beyond a near one, to be chosen; a share of the slots.
 	FarCost float64
-	// YoungAge is how long a replica that has joined copies prompts from those
-	// that held them before.
-	YoungAge time.Duration
+	// NearTokens is the number of shared tokens up to which each zone has its own
+	// home for a prompt: its requests go to replicas of the daemon's own zone
+	// first, and the prompt is copied there once. Longer prompts have one home for
+	// all zones, since their copies cost more than the way.
+	NearTokens int
+	// HoldersFirst prefers replicas that hold the prompt to those that rank above
+	// them.
+	HoldersFirst bool
 	// CopyTokens is the number of shared tokens from which a copy is worth its
 	// price.
 	CopyTokens int
@@ -34,7 +40,7 @@
 // DefaultPlacementRule returns the figures that docs/design/users-platform.md
 // weighs.
 func DefaultPlacementRule() PlacementRule {
-	return PlacementRule{Bound: 1.6, Slack: 2, FarCost: 0.34, YoungAge: 15 * time.Second, CopyTokens: 256}
+	return PlacementRule{Bound: 1.6, Slack: 2, FarCost: 0.34, NearTokens: 3000, HoldersFirst: true, CopyTokens: 256}
 }
 
 // Target is a chosen replica.
@@ -55,6 +61,8 @@
 	Rule   PlacementRule
 	Loads  *Loads
 	Health *Health
+	// Holders may be nil; then nothing is copied.
+	Holders *Holders
 }
 
 // Choose returns the target of a request among the ready replicas of its
@@ -70,7 +78,7 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	if service != nil && service.Generates && len(r.Prompt) > 0 {
-		return p.chooseHome(c, pool, r, service, now), true
+		return p.chooseHome(c, pool, v.Zone, r, service, now), true
 	}
 	return p.chooseLeastLoaded(c, v.Zone, r), true
 }
@@ -116,52 +124,77 @@
 // least loaded one is taken.
 const spillTries = 4
 
-func (p *Placer) chooseHome(c *candidates, pool *Pool, r *Request, s *Service, now time.Time) Target {
+func (p *Placer) chooseHome(c *candidates, pool *Pool, zone string, r *Request, s *Service, now time.Time) Target {
 	key := r.Key()
-	limit := max(p.Rule.Bound*c.mean, c.mean) + p.Rule.Slack
+	held := p.Holders.of(key, now)
 	order := rankedOrder(key, c.ready)
-	chosen, at, tries := -1, 0, 0
+	at := p.firstBelowLimit(c, order, r.SharedTokens() <= p.Rule.NearTokens, zone, held)
+	if at < 0 {
+		at = slices.Index(order, c.leastLoaded())
+	}
+	chosen := order[at]
+	t := Target{Replica: c.ready[chosen], Rank: at, Load: c.loads[chosen], Mean: c.mean}
+	if s.CopiesPrompts && r.SharedTokens() >= p.Rule.CopyTokens && !holds(held, &t.Replica) {
+		t.Source = p.source(&t, held, pool, now)
+	}
+	return t
+}
+
+// firstBelowLimit returns the place in the order of the replica to take, or -1
+// if all that may be asked hold too much. Near replicas come first where the
+// rule says so, then those that hold the prompt, then the rest.
+func (p *Placer) firstBelowLimit(c *candidates, order []int, near bool, zone string, held []holder) int {
+	limit := p.Rule.Bound*c.mean + p.Rule.Slack
+	below := func(i int) bool { return c.open[i] && float64(c.loads[i]) < limit }
+	if near {
+		for place, i := range order {
+			if c.ready[i].Zone == zone && below(i) {
+				return place
+			}
+		}
+	}
+	if p.Rule.HoldersFirst {
+		for place, i := range order {
+			if below(i) && holds(held, &c.ready[i]) {
+				return place
+			}
+		}
+	}
+	tries := 0
 	for place, i := range order {
 		if !c.open[i] {
 			continue
 		}
-		if float64(c.loads[i]) < limit {
-			chosen, at = i, place
-			break
+		if below(i) {
+			return place
 		}
 		if tries++; tries >= spillTries {
 			break
 		}
 	}
-	if chosen < 0 {
-		chosen = c.leastLoaded()
-		at = slices.Index(order, chosen)
-	}
-	t := Target{Replica: c.ready[chosen], Rank: at, Load: c.loads[chosen], Mean: c.mean}
-	if s.CopiesPrompts && r.SharedTokens() >= p.Rule.CopyTokens {
-		t.Source = p.source(&t, key, pool, now)
-	}
-	return t
+	return -1
+}
+
+func holds(held []holder, r *Replica) bool {
+	return slices.ContainsFunc(held, func(h holder) bool { return h.replica == r.LoadKey() })
 }
 
-// source returns the replica that most likely holds the prompt, if the target
-// most likely does not: the one that ranks above it, or, where the target has
-// joined a short time ago, the one that ranked first before.
-func (p *Placer) source(t *Target, key uint64, pool *Pool, now time.Time) Replica {
-	own := rank(key, &t.Replica)
-	young := !t.Replica.Since.IsZero() && now.Sub(t.Replica.Since) < p.Rule.YoungAge
-	// The newest of those that ranked first before is the most likely holder.
+// source returns a replica that holds the prompt and can be reached: a near one
+// if there is one, else the one that read it last.
+func (p *Placer) source(t *Target, held []holder, pool *Pool, now time.Time) Replica {
 	var best *Replica
-	var bestRank uint64
+	var bestUsed time.Time
 	for _, list := range [][]Replica{pool.Ready, pool.Leaving, pool.Vanished} {
 		for i := range list {
 			r := &list[i]
-			if r.ID == t.Replica.ID {
+			at := slices.IndexFunc(held, func(h holder) bool { return h.replica == r.LoadKey() })
+			if at < 0 || r.ID == t.Replica.ID || !p.Health.Reachable(r, now) {
 				continue
 			}
-			k := rank(key, r)
-			if (k > own || young) && (best == nil || k > bestRank) && p.Health.Reachable(r, now) {
-				best, bestRank = r, k
+			used := held[at].used
+			nearer := best != nil && (r.Zone == t.Replica.Zone) != (best.Zone == t.Replica.Zone)
+			if best == nil || (nearer && r.Zone == t.Replica.Zone) || (!nearer && used.After(bestUsed)) {
+				best, bestUsed = r, used
 			}
 		}
 	}
--- a/routing/view.go
+++ b/routing/view.go
@@ -19,7 +19,6 @@
 	Slots    int // requests at once
 	Draining bool
 	Cold     time.Duration // how much longer it is slow from its start
-	Since    time.Time     // when this daemon first knew it
 	Hash     uint64
 }
 
