--- a/router/operators.go
+++ b/router/operators.go
@@ -71,6 +71,13 @@
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.status) })
 	mux.HandleFunc("GET "+PathMembers, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.members) })
 	mux.HandleFunc("GET "+PathReplicas, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.replicas) })
+	mux.Handle("GET "+PathMetrics, d.metricsHandler())
+	return mux
+}
+
+// metricsHandler serves the figures to scrapers.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		var b bytes.Buffer
 		d.Metrics.WriteText(&b)
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,7 @@
 	stopping atomic.Bool
 	started  time.Time
 
-	callers, readiness, operators, news *listener
+	callers, readiness, operators, news, scrapers *listener // scrapers may be nil
 }
 
 // listener is one server on its socket.
@@ -113,7 +114,10 @@
 	for _, s := range []struct {
 		address string
 		to      **listener
-	}{{l.Callers, &d.callers}, {l.Readiness, &d.readiness}, {l.Operators, &d.operators}, {l.Peers, &d.news}} {
+	}{{l.Callers, &d.callers}, {l.Readiness, &d.readiness}, {l.Operators, &d.operators}, {l.Peers, &d.news}, {l.Metrics, &d.scrapers}} {
+		if s.address == "" {
+			continue
+		}
 		if *s.to, err = listen(s.address); err != nil {
 			return err
 		}
@@ -158,6 +162,9 @@
 	d.readiness.server.Handler = d.readyHandler()
 	d.operators.server.Handler = d.operatorHandler()
 	d.news.server.Handler = newsHandler(d.control)
+	if d.scrapers != nil {
+		d.scrapers.server.Handler = d.metricsHandler()
+	}
 }
 
 // leastFleet is the size of the fleet that is assumed for the shares of the
@@ -194,8 +201,8 @@
 	wg.Go(func() { d.reader.run(work) })
 	wg.Go(func() { d.peers.receive(work, d.control) })
 	wg.Go(func() { d.sweep(work) })
-	failed := make(chan error, 4)
-	for _, l := range []*listener{d.callers, d.readiness, d.operators, d.news} {
+	failed := make(chan error, len(d.listeners()))
+	for _, l := range d.listeners() {
 		wg.Go(func() { l.serve(failed) })
 	}
 	d.Log.Started(d.settings.Listen.Callers)
@@ -252,12 +259,16 @@
 	_ = d.callers.server.Shutdown(wait)
 }
 
+// listeners returns the listeners that are open.
+func (d *Daemon) listeners() []*listener {
+	all := []*listener{d.callers, d.readiness, d.operators, d.news, d.scrapers}
+	return slices.DeleteFunc(all, func(l *listener) bool { return l == nil })
+}
+
 func (d *Daemon) close() {
-	for _, l := range []*listener{d.callers, d.readiness, d.operators, d.news} {
-		if l != nil {
-			_ = l.server.Close()
-			_ = l.socket.Close()
-		}
+	for _, l := range d.listeners() {
+		_ = l.server.Close()
+		_ = l.socket.Close()
 	}
 	if d.peers != nil {
 		_ = d.peers.socket.Close()
--- a/router/settings.go
+++ b/router/settings.go
@@ -34,6 +34,8 @@
 	Readiness string `yaml:"readiness"`
 	Operators string `yaml:"operators"`
 	Peers     string `yaml:"peers"` // beats over UDP, news over TCP
+	// Metrics is an address for scrapers alone; empty: they ask the operators'.
+	Metrics string `yaml:"metrics"`
 }
 
 // StopSettings shape a planned stop.
@@ -99,6 +101,9 @@
 	checkAddress(c, s.Listen.Readiness, "listen", "readiness")
 	checkAddress(c, s.Listen.Operators, "listen", "operators")
 	checkAddress(c, s.Listen.Peers, "listen", "peers")
+	if s.Listen.Metrics != "" {
+		checkAddress(c, s.Listen.Metrics, "listen", "metrics")
+	}
 	checkAddress(c, s.Store, "store")
 	for i, seed := range s.Seeds {
 		checkAddress(c, seed, "seeds", i)
