One sentinel bounds the age of news while all watches are silent

Ways weighed: shorter waits in all readers (calls to the store rise by half); staggering by chance (what stood; no bound); one sentinel with waits of 0.34 to 0.56 s among readers with long ones. Change: the reader with the lowest address of those heard within 0.7 s that can read is the sentinel; daemons tell that they can't read; a wait ends when the plan changes. Tests: all daemons know within 1.5 s although the sentinel is turned away in the gap; at most 8 calls in 2 s of rest for three daemons.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -36,6 +36,7 @@
 	Life    Life
 	Count   uint64 // beats sent in this life
 	Leaving bool   // stops as planned
+	Blind   bool   // can't read the source of the documents
 }
 
 // Settings of the roster.
@@ -76,6 +77,9 @@
 	return r.self
 }
 
+// SetBlind marks whether the daemon can read the source of the documents.
+func (r *Roster) SetBlind(blind bool) { r.self.Blind = blind }
+
 // SetLeaving marks that the daemon stops.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
--- a/router/control.go
+++ b/router/control.go
@@ -117,6 +117,7 @@
 type readPlan struct {
 	reads bool          // this daemon reads the store
 	wait  time.Duration // how long a watch may wait
+	ended chan struct{} // closed when another plan takes its place
 }
 
 // tell hands an event to the loop and waits for room.
@@ -152,7 +153,7 @@
 	case changed:
 		c.apply(c.feed.Apply(e.items), "store", now)
 	case storeState:
-		c.noteStore(e)
+		c.noteStore(e, now)
 	case heard:
 		c.observe(ctx, &e.beat, now)
 	case pulled:
@@ -162,11 +163,14 @@
 	}
 }
 
-func (c *control) noteStore(e storeState) {
+func (c *control) noteStore(e storeState, now time.Time) {
 	if e.lost == c.storeIsLost {
 		return
 	}
 	c.storeIsLost = e.lost
+	c.roster.SetBlind(e.lost)
+	c.plan(now)
+	c.beat(now)
 	c.log.Store(e.lost, e.err, c.feed.Revision())
 }
 
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -11,20 +11,19 @@
 	"hingewinch.org/hingewinch/routing"
 )
 
-// Settings of the reading of the store.
+// Settings of the reading of the store. In each failure domain one daemon reads.
+// Of the readers that hear each other, one is the sentinel: its watches are
+// short, so that changes are noticed although all watches have fallen silent.
+// The watches of the others are long and cost little; news of a change comes
+// through whichever watch hears it first.
 const (
-	// readersPerZone is how many daemons of a failure domain read the store. The
-	// others learn from peers.
-	readersPerZone = 1
-	// fleetReadInterval is the time within which some daemon of the fleet asks
-	// the store anew, should all watches be silent. Each waits so long times the
-	// number of readers that it knows.
-	fleetReadInterval = 350 * time.Millisecond
-	leastWait         = 700 * time.Millisecond
-	// readerSilence is how long a reader may be silent before another one of its
-	// failure domain reads.
-	readerSilence = 700 * time.Millisecond
-	longestWait   = 10 * time.Second
+	sentinelWait = 450 * time.Millisecond
+	readerWait   = 4 * time.Second
+	// readerSilence is how long a reader may be silent before another one takes
+	// its part. In a large fleet news of members travels over several daemons.
+	readerSilence      = 700 * time.Millisecond
+	readerSilenceLarge = 1500 * time.Millisecond
+	largeFleet         = 12
 )
 
 // tick sends a beat and takes care of what only time changes.
@@ -41,26 +40,39 @@
 }
 
 // plan decides whether this daemon reads the store, and how long it waits. Of
-// the live daemons of a failure domain, those with the lowest addresses read;
-// two that disagree on the list may both read, which costs a call and no more.
+// the daemons of a failure domain that can read, the one with the lowest address
+// does; the reader with the lowest address of all is the sentinel. Two daemons
+// that disagree on the list may both do so, which costs calls and no more.
 func (c *control) plan(now time.Time) {
 	self := c.roster.Entry()
-	before, readers := 0, 1
-	zones := make(map[string]int)
-	for _, m := range c.roster.Recent(now, readerSilence) {
-		if m.Leaving {
+	silence := readerSilence
+	if c.daemons > largeFleet {
+		silence = readerSilenceLarge
+	}
+	reads, sentinel := true, true
+	for _, m := range c.roster.Recent(now, silence) {
+		if m.Leaving || m.Blind || m.Address > self.Address {
 			continue
 		}
-		if m.Zone == self.Zone && m.Address < self.Address {
-			before++
-		}
-		if zones[m.Zone] < readersPerZone {
-			zones[m.Zone]++
-			readers++
+		sentinel = false
+		if m.Zone == self.Zone {
+			reads = false
 		}
 	}
-	wait := min(max(fleetReadInterval*time.Duration(readers), leastWait), longestWait)
-	c.reads.Store(&readPlan{reads: before < readersPerZone, wait: wait})
+	// A daemon that can't read keeps trying, and leaves the sentinel's part to
+	// one that can.
+	wait := readerWait
+	if sentinel || self.Blind {
+		wait = sentinelWait
+	}
+	old := c.reads.Load()
+	if old != nil && old.reads == reads && old.wait == wait {
+		return
+	}
+	c.reads.Store(&readPlan{reads: reads, wait: wait, ended: make(chan struct{})})
+	if old != nil {
+		close(old.ended)
+	}
 }
 
 // beat tells the peers what they need to know of this daemon.
--- a/router/reader.go
+++ b/router/reader.go
@@ -26,7 +26,7 @@
 const (
 	listTimeout = 1500 * time.Millisecond
 	// watchSlack is how much later than asked a watch may answer.
-	watchSlack     = 500 * time.Millisecond
+	watchSlack     = 300 * time.Millisecond
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
 	idleCheck      = 100 * time.Millisecond
@@ -52,12 +52,33 @@
 			pause(ctx, idleCheck)
 			continue
 		}
-		if err := r.step(ctx, plan.wait); err != nil && ctx.Err() == nil {
+		if err := r.follow(ctx, plan); err != nil && ctx.Err() == nil {
 			r.lost(ctx, err)
 		}
 	}
 }
 
+// follow lists or watches once. A call that waits ends when the plan does: the
+// next one may have to be shorter.
+func (r *reader) follow(ctx context.Context, plan *readPlan) error {
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-plan.ended:
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	err := r.step(call, plan.wait)
+	select {
+	case <-plan.ended:
+		return nil
+	default:
+		return err
+	}
+}
+
 // step lists or watches once.
 func (r *reader) step(ctx context.Context, wait time.Duration) error {
 	r.calls()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -247,6 +247,36 @@
 		Eventually(n.statusOfK1, 2*time.Second, 20*time.Millisecond).Should(Equal(401))
 	})
 
+	It("notices within a second what no watch told, in every daemon, also when the sentinel has just gone", func() {
+		s.replica("i1", fine)
+		a, b, c := s.start(), s.start(0), s.start(0)
+		for _, n := range []*node{a, b, c} {
+			Eventually(func() int { return n.status().Daemons }, 3*time.Second).Should(Equal(3))
+			Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		}
+		s.store.Deafen()
+		s.configure("k2")
+		a.door.SetMode(standin.StoreBusy) // a has the lowest address: it is the sentinel
+		time.Sleep(100 * time.Millisecond)
+		s.store.Compact()
+		begun := time.Now()
+		for _, n := range []*node{a, b, c} {
+			Eventually(n.statusOfK1, 2*time.Second, 10*time.Millisecond).Should(Equal(401))
+		}
+		Expect(time.Since(begun)).To(BeNumerically("<", 1500*time.Millisecond))
+	})
+
+	It("asks the store seldom while nothing changes", func() {
+		a, b, c := s.start(), s.start(0), s.start(0)
+		for _, n := range []*node{a, b, c} {
+			Eventually(func() int { return n.status().Daemons }, 3*time.Second).Should(Equal(3))
+		}
+		time.Sleep(time.Second)
+		before := s.store.Calls()
+		time.Sleep(2 * time.Second)
+		Expect(s.store.Calls() - before).To(BeNumerically("<=", 8))
+	})
+
 	It("never goes back to an older configuration", func() {
 		s.replica("i1", fine)
 		a := s.start()
