--- a/cmd/hingectl/main.go
+++ b/cmd/hingectl/main.go
@@ -8,6 +8,7 @@
 //	hingectl engines  --daemon HOST:PORT
 //	hingectl chats    --daemon HOST:PORT --workspace W --model M CHAT ...
 //	hingectl timeline --daemon HOST:PORT ...
+//	hingectl router status|members|replicas --daemon HOST:PORT ...
 //	hingectl chat     --gateway URL --key KEY --model M TEXT
 //	hingectl once     --gateway URL --key KEY --service S --path /passes BODY
 //	hingectl key      [KEY]
@@ -42,6 +43,7 @@
 	Engines  enginesCommand  `command:"engines" description:"show the upstreams that a daemon chooses from"`
 	Chats    chatsCommand    `command:"chats" description:"show where chats go now"`
 	Timeline timelineCommand `command:"timeline" description:"show the merged time line of daemons"`
+	Router   routerCommand   `command:"router" description:"ask daemons that route by host and path"`
 	Chat     chatCommand     `command:"chat" description:"send one chat and print the answer as it comes"`
 	Once     onceCommand     `command:"once" description:"send one request that must not be repeated, safely"`
 	Key      keyCommand      `command:"key" description:"make an API key, or hash one, for the configuration file"`
--- /dev/null
+++ b/cmd/hingectl/router.go
@@ -0,0 +1,102 @@
+// This file holds the commands that ask daemons that route by host and path.
+
+package main
+
+import (
+	"fmt"
+
+	"hingewinch.org/hingewinch/router"
+)
+
+// routerCommand groups the commands.
+type routerCommand struct {
+	Status   routerStatusCommand   `command:"status" description:"show what each daemon knows, and how old it is"`
+	Members  routerMembersCommand  `command:"members" description:"show the daemons that a daemon knows"`
+	Replicas routerReplicasCommand `command:"replicas" description:"show the replicas, and why some are passed over"`
+}
+
+type routerStatusCommand struct{ daemonOptions }
+
+// Execute prints a line for each daemon.
+func (c *routerStatusCommand) Execute([]string) error {
+	w := table()
+	defer w.Flush()
+	fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIG\tREVISION\tCHANGED\tSTORE\tREADS\tDAEMONS\tREPLICAS\tUP")
+	return c.askAll(func(address string) error {
+		var a router.StatusAnswer
+		if err := ask(address, router.PathStatus, &a); err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%t\t%d\t%d\t%dms\n", a.Daemon, a.Domain, readiness(&a), a.Version, a.Revision,
+			age(a.ChangedMS), storeState(a.StoreLost), a.ReadsStore, a.Daemons, a.Replicas, a.UptimeMS)
+		return nil
+	})
+}
+
+func readiness(a *router.StatusAnswer) string {
+	switch {
+	case a.Stopping:
+		return "stopping"
+	case a.Ready:
+		return "yes"
+	}
+	return "no"
+}
+
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%dms", ms)
+}
+
+func storeState(lost bool) string {
+	if lost {
+		return "lost"
+	}
+	return "ok"
+}
+
+type routerMembersCommand struct{ daemonOptions }
+
+// Execute prints a line for each daemon that is known.
+func (c *routerMembersCommand) Execute([]string) error {
+	w := table()
+	defer w.Flush()
+	fmt.Fprintln(w, "ADDRESS\tZONE\tLIFE\tLEAVING")
+	return c.askAll(func(address string) error {
+		var list []router.MemberAnswer
+		if err := ask(address, router.PathMembers, &list); err != nil {
+			return err
+		}
+		for _, m := range list {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%t\n", m.Address, m.Zone, m.Life, m.Leaving)
+		}
+		return nil
+	})
+}
+
+type routerReplicasCommand struct {
+	daemonOptions
+	PassedOver bool `long:"passed-over" description:"only those that are passed over"`
+}
+
+// Execute prints a line for each replica.
+func (c *routerReplicasCommand) Execute([]string) error {
+	w := table()
+	defer w.Flush()
+	fmt.Fprintln(w, "SERVICE\tREPLICA\tZONE\tADDRESS\tSTATE\tLOAD\tFAILED\tPASSED OVER")
+	return c.askAll(func(address string) error {
+		var list []router.ReplicaAnswer
+		if err := ask(address, router.PathReplicas, &list); err != nil {
+			return err
+		}
+		for _, r := range list {
+			if c.PassedOver && !r.PassedOver {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", r.Service, r.ID, r.Zone, r.Address, r.State, r.Load, 100*r.FailRate, r.Why)
+		}
+		return nil
+	})
+}
--- a/router/log.go
+++ b/router/log.go
@@ -19,6 +19,7 @@
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/relay"
 	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 // errOlderVersion is a configuration that came later and says that it is older.
@@ -88,23 +89,25 @@
 
 // Log is the log of a daemon. It is safe for use by many goroutines.
 type Log struct {
-	logger  log.Logger
-	writer  *backgroundWriter
-	metrics *Metrics
-	done    chan struct{}
-	ended   chan struct{}
-	once    sync.Once
+	logger   log.Logger
+	writer   *backgroundWriter
+	timeline *timeline
+	metrics  *Metrics
+	done     chan struct{}
+	ended    chan struct{}
+	once     sync.Once
 }
 
 // NewLog returns a log that writes to out until Close.
 func NewLog(out io.Writer, level, daemon string, m *Metrics) *Log {
 	w := &backgroundWriter{out: out}
 	l := &Log{
-		logger:  log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("daemon", daemon).Value()},
-		writer:  w,
-		metrics: m,
-		done:    make(chan struct{}),
-		ended:   make(chan struct{}),
+		logger:   log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("daemon", daemon).Value()},
+		writer:   w,
+		timeline: newTimeline(state.DaemonID(daemon)),
+		metrics:  m,
+		done:     make(chan struct{}),
+		ended:    make(chan struct{}),
 	}
 	go l.run()
 	return l
@@ -135,6 +138,7 @@
 
 // Started tells that the daemon serves.
 func (l *Log) Started(callers string) {
+	l.timeline.add(coordination.EventStarted, callers, "", "daemon serves")
 	l.logger.Info().Str("callers", callers).Msg(prefixDaemon + "started")
 }
 
@@ -148,7 +152,10 @@
 }
 
 // Stopping tells that a planned stop begins.
-func (l *Log) Stopping() { l.logger.Info().Msg(prefixDaemon + "planned stop begins") }
+func (l *Log) Stopping() {
+	l.timeline.add(coordination.EventStopBegun, "", "", "planned stop begins")
+	l.logger.Info().Msg(prefixDaemon + "planned stop begins")
+}
 
 // Stopped tells that the daemon ends.
 func (l *Log) Stopped(err error) {
@@ -157,6 +164,7 @@
 
 // Store tells that the store was lost or regained.
 func (l *Log) Store(lost bool, err error, at feed.Revision) {
+	l.timeline.add(coordination.EventPlatform, "store", "", storeText(lost))
 	if lost {
 		l.logger.Warn().AnErr("error", err).Uint64("revision", uint64(at)).Msg(prefixStore + "lost; serving on what is known")
 		return
@@ -164,28 +172,39 @@
 	l.logger.Info().Uint64("revision", uint64(at)).Msg(prefixStore + "regained")
 }
 
+func storeText(lost bool) string {
+	if lost {
+		return "lost; serving on what is known"
+	}
+	return "regained"
+}
+
 // Documents tells that documents changed.
 func (l *Log) Documents(n int, source string, at feed.Revision) {
 	l.logger.Info().Int("documents", n).Str("source", source).Uint64("revision", uint64(at)).Msg(prefixControl + "documents changed")
 }
 
 // Replica tells that a replica came, drains or is gone.
-func (l *Log) Replica(id routing.ReplicaID, state string, at feed.Revision) {
-	l.logger.Info().Str("replica", string(id)).Str("state", state).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
+func (l *Log) Replica(id routing.ReplicaID, stage string, at feed.Revision) {
+	l.timeline.add(coordination.EventUpstreamState, string(id), "", stage)
+	l.logger.Info().Str("replica", string(id)).Str("state", stage).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
 }
 
 // Bad tells of a document that is not taken.
 func (l *Log) Bad(key string, err error) {
+	l.timeline.add(coordination.EventConfigRefused, key, "", err.Error())
 	l.logger.Error().Str("key", key).Err(err).Msg(prefixControl + "document is not taken; the last good one stays in force")
 }
 
 // Config tells that a configuration is in force.
 func (l *Log) Config(v routing.Version, at feed.Revision, source string) {
+	l.timeline.add(coordination.EventConfigTaken, strconv.FormatUint(uint64(v), 10), "", "from "+source)
 	l.logger.Info().Uint64("version", uint64(v)).Uint64("revision", uint64(at)).Str("source", source).Msg(prefixControl + "configuration is in force")
 }
 
 // Peer tells that a daemon was found.
 func (l *Log) Peer(m membership.Member) {
+	l.timeline.add(coordination.EventPeerState, string(m.Address), "", "found")
 	l.logger.Info().Str("peer", string(m.Address)).Str("zone", m.Zone).Uint64("life", uint64(m.Life)).Msg(prefixPeer + "found")
 }
 
@@ -208,6 +227,7 @@
 
 // PassedOver tells that a replica is passed over from now on.
 func (l *Log) PassedOver(r *routing.Replica, c *relay.Call, cause error) {
+	l.timeline.add(coordination.EventAttemptFailed, string(r.ID), state.RequestID(c.ID), "passed over: "+cause.Error())
 	l.metrics.PassedOver.Inc(1)
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).AnErr("cause", cause).Msg(prefixReplica + "passed over for a while")
 }
--- a/router/message.go
+++ b/router/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/feed"
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
@@ -18,6 +19,7 @@
 type Beat struct {
 	_        struct{}            `cbor:",toarray"`
 	Sender   membership.Member   //
+	Stamp    coordination.Stamp  // of the time line
 	Members  []membership.Member // some others that the sender believes live
 	Revision feed.Revision       // newest document that the sender holds
 	Version  routing.Version     // of its configuration
--- a/router/operators.go
+++ b/router/operators.go
@@ -13,6 +13,7 @@
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
 	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // Paths of the operators' listener.
@@ -71,6 +72,10 @@
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.status) })
 	mux.HandleFunc("GET "+PathMembers, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.members) })
 	mux.HandleFunc("GET "+PathReplicas, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.replicas) })
+	mux.HandleFunc("GET "+transport.PathTimeline, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.Log.timeline.events())
+	})
 	mux.Handle("GET "+PathMetrics, d.metricsHandler())
 	return mux
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -16,10 +16,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/internal/standin"
 	"hingewinch.org/hingewinch/platform"
 	"hingewinch.org/hingewinch/relay"
 	"hingewinch.org/hingewinch/router"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // buffer is a log that tests read while it is written.
@@ -55,6 +57,7 @@
 	door     *standin.StoreDoor
 	log      *buffer
 	stop     context.CancelFunc
+	sent     int
 	done     chan error
 }
 
@@ -146,14 +149,19 @@
 	return resp.StatusCode == 200
 }
 
-func (n *node) status() router.StatusAnswer {
-	var a router.StatusAnswer
-	resp, err := http.Get("http://" + n.Address(router.ServesOperators) + router.PathStatus)
+// ask asks the operators' address.
+func (n *node) ask(path string, into any) {
+	resp, err := http.Get("http://" + n.Address(router.ServesOperators) + path)
 	if err != nil {
-		return a
+		return
 	}
 	defer resp.Body.Close()
-	_ = json.NewDecoder(resp.Body).Decode(&a)
+	_ = json.NewDecoder(resp.Body).Decode(into)
+}
+
+func (n *node) status() router.StatusAnswer {
+	var a router.StatusAnswer
+	n.ask(router.PathStatus, &a)
 	return a
 }
 
@@ -161,7 +169,8 @@
 func (n *node) send(key string) (int, string) {
 	r, _ := http.NewRequest("POST", "http://"+n.Address(router.ServesCallers)+"/p/x", strings.NewReader("body"))
 	r.Host = "h.example"
-	r.Header.Set("Attempt-Id", "id")
+	n.sent++
+	r.Header.Set("Attempt-Id", fmt.Sprintf("id%d", n.sent))
 	r.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -410,12 +419,34 @@
 		n.send("k1")
 		n.send("k9")
 		Eventually(n.log.String, 2*time.Second).Should(And(
-			MatchRegexp(`"request":"id".*"outcome":"answered".*"status":200.*"replica":"i1"`),
-			MatchRegexp(`"request":"id".*"reason":"unknown_key"`),
+			MatchRegexp(`"request":"id1".*"outcome":"answered".*"status":200.*"replica":"i1"`),
+			MatchRegexp(`"request":"id2".*"reason":"unknown_key"`),
 			ContainSubstring("configuration is in force"),
 		))
 	})
 
+	It("shows operators its members, its replicas and why one is passed over, and the time line", func() {
+		server := s.replica("i1", fine)
+		s.replica("i2", fine)
+		a, b := s.start(), s.start(0)
+		Eventually(b.ready, 3*time.Second).Should(BeTrue())
+		Eventually(func() int { return b.status().Daemons }, 3*time.Second).Should(Equal(2))
+		var members []router.MemberAnswer
+		b.ask(router.PathMembers, &members)
+		Expect(members).To(HaveLen(2))
+		server.Close()
+		var replicas []router.ReplicaAnswer
+		Eventually(func() []router.ReplicaAnswer {
+			b.send("k1")
+			b.ask(router.PathReplicas, &replicas)
+			return replicas
+		}, 3*time.Second).Should(ContainElement(SatisfyAll(
+			HaveField("ID", BeEquivalentTo("i1")), HaveField("PassedOver", true), HaveField("Why", "unreachable"))))
+		var events []coordination.TimelineEvent
+		a.ask(transport.PathTimeline, &events)
+		Expect(events).To(ContainElement(HaveField("Kind", coordination.EventConfigTaken)))
+	})
+
 	It("serves metrics as text", func() {
 		n := s.start()
 		resp, err := http.Get("http://" + n.Address(router.ServesOperators) + router.PathMetrics)
