Large fleets: holdings are handed on, beats stay mostly in the zone, zones are heard over several daemons

Change: in a fleet of more than 12 a new holding is handed on once; of the five that a beat goes to one stands in another zone; a prompt of which nobody has told is copied from the likeliest holder. News of members counts now whoever brings it, and the limit is 1.2 s in a large fleet. Test: 'never takes a zone of a large fleet as silent while it can be heard'.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -45,14 +45,17 @@
 	deadAfter = 2500 * time.Millisecond
 	// forgetAfter is how long one that is gone is still tried.
 	forgetAfter = 90 * time.Second
-	// tellAll is the number of members up to which a beat goes to all of them;
-	// beyond it, beats go to fanOut of them.
-	tellAll = 12
-	fanOut  = 6
+	// fanOut is how many members a beat of a large fleet goes to, and farFanOut
+	// how many of them stand in other zones, whose links cost more.
+	fanOut    = 5
+	farFanOut = 1
 	// namedInBeat is how many other members a beat names.
-	namedInBeat = 16
+	namedInBeat = 12
 )
 
+// TellAll is the number of members up to which a beat goes to all of them.
+const TellAll = 12
+
 // Roster is the set of known daemons. Its owner guards it.
 type Roster struct {
 	self    Member
@@ -134,6 +137,18 @@
 	return out
 }
 
+// Zones returns when there was last news of any member of each zone, own news
+// or told by others.
+func (r *Roster) Zones() map[string]time.Time {
+	out := make(map[string]time.Time)
+	for _, k := range r.members {
+		if k.heard.After(out[k.Zone]) {
+			out[k.Zone] = k.heard
+		}
+	}
+	return out
+}
+
 // Known returns the number of members that are not forgotten, and forgets old
 // ones.
 func (r *Roster) Known(now time.Time) int {
@@ -154,9 +169,8 @@
 // is noticed.
 func (r *Roster) Targets(now time.Time, rng *rand.Rand) []Address {
 	live := r.live(now)
-	if len(live) > tellAll {
-		rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		live = live[:fanOut]
+	if len(live) > TellAll {
+		live = r.draw(live, rng)
 	}
 	out := make([]Address, 0, len(live)+1)
 	for _, k := range live {
@@ -168,6 +182,23 @@
 	return out
 }
 
+// draw picks whom a beat of a large fleet goes to: mostly members of the own
+// zone, and some of others, over which news crosses.
+func (r *Roster) draw(live []*known, rng *rand.Rand) []*known {
+	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	var near, far []*known
+	for _, k := range live {
+		if k.Zone == r.self.Zone {
+			near = append(near, k)
+		} else {
+			far = append(far, k)
+		}
+	}
+	far = far[:min(len(far), max(farFanOut, fanOut-len(near)))]
+	near = near[:min(len(near), fanOut-len(far))]
+	return append(near, far...)
+}
+
 // lost returns the seeds and known members that are not live.
 func (r *Roster) lost(now time.Time) []Address {
 	var out []Address
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -132,6 +132,22 @@
 		Expect(n.live(0)).To(Equal(7))
 	})
 
+	It("never takes a zone of a large fleet as silent while it can be heard", func() {
+		const daemons = 80
+		for i := range daemons {
+			n.start(i, 1, 0, 1, 2)
+		}
+		n.run(3 * time.Second)
+		for range 20 {
+			n.run(beat)
+			for a, r := range n.rosters {
+				for zone, at := range r.Zones() {
+					Expect(n.now.Sub(at)).To(BeNumerically("<", 1200*time.Millisecond), "%s of zone %s", a, zone)
+				}
+			}
+		}
+	})
+
 	It("bounds the messages of a large fleet", func() {
 		const daemons = 120
 		for i := range daemons {
--- /dev/null
+++ b/relay/exchange_test.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"hingewinch.org/hingewinch/coordination"
+)
+
+// TestOneByteMayHaveRun holds the evidence of a failed write: only a write of
+// which the system took nothing means that the request has not run.
+func TestOneByteMayHaveRun(t *testing.T) {
+	x := &exchange{}
+	failed := errors.New("broken pipe")
+	if o := x.wrote(context.Background(), 0, failed).outcome; !coordination.MayRepeat(o) {
+		t.Errorf("nothing written: %T", o)
+	}
+	if o := x.wrote(context.Background(), 1, failed).outcome; coordination.MayRepeat(o) {
+		t.Errorf("one byte written: %T", o)
+	}
+	if f := x.wrote(context.Background(), 10, nil); f != nil {
+		t.Errorf("all written: %v", f)
+	}
+}
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -23,7 +23,6 @@
 	// its part. In a large fleet news of members travels over several daemons.
 	readerSilence      = 700 * time.Millisecond
 	readerSilenceLarge = 1500 * time.Millisecond
-	largeFleet         = 12
 )
 
 // tick sends a beat and takes care of what only time changes.
@@ -46,7 +45,7 @@
 func (c *control) plan(now time.Time) {
 	self := c.roster.Entry()
 	silence := readerSilence
-	if c.daemons > largeFleet {
+	if c.daemons > membership.TellAll {
 		silence = readerSilenceLarge
 	}
 	reads, sentinel := true, true
@@ -105,8 +104,9 @@
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
 	c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
-	c.health.Observe(routing.PeerID(b.Sender.Address), b.Sender.Zone, b.Evidence, now)
-	c.holders.Observe(b.Holdings, now)
+	c.health.Observe(routing.PeerID(b.Sender.Address), b.Evidence, now)
+	c.observeZones()
+	c.holders.Observe(b.Holdings, c.daemons > membership.TellAll, now)
 	if b.Revision > c.feed.Revision() {
 		if len(c.ahead) == 0 {
 			c.aheadSince = now
@@ -116,6 +116,17 @@
 	}
 }
 
+// observeZones tells what is known of the other zones' daemons.
+func (c *control) observeZones() {
+	zones := c.roster.Zones()
+	delete(zones, c.zone)
+	silence := routing.SilentZone
+	if c.daemons > membership.TellAll {
+		silence = routing.SilentZoneLarge
+	}
+	c.health.ObserveZones(zones, silence)
+}
+
 // pullIfBehind asks a peer that knows more, unless the store's own news came
 // meanwhile.
 func (c *control) pullIfBehind(ctx context.Context, now time.Time) {
--- a/routing/health.go
+++ b/routing/health.go
@@ -56,9 +56,11 @@
 	forgiveAfter = 6 * time.Second
 	// peerEvidenceAge is how long a peer's counts are taken into account.
 	peerEvidenceAge = time.Second
-	// silentZone is the time without a word of any daemon of a zone after which
-	// its replicas are passed over: the zone is cut off.
-	silentZone = 700 * time.Millisecond
+	// SilentZone is the time without news of any daemon of a zone after which its
+	// replicas are passed over: the zone is cut off. In a large fleet, where news
+	// travels over several daemons, it is SilentZoneLarge.
+	SilentZone      = 700 * time.Millisecond
+	SilentZoneLarge = 1200 * time.Millisecond
 )
 
 // Evidence is what a daemon counted at one replica within the window.
@@ -75,7 +77,8 @@
 	mu      sync.Mutex
 	records map[LoadKey]*record
 	peers   map[PeerID]peerEvidence
-	zones   map[string]time.Time // when daemons of other zones were last heard
+	zones   map[string]time.Time // when there was last news of a zone's daemons
+	silence time.Duration        // after which a zone is taken as cut off
 }
 
 type record struct {
@@ -94,7 +97,7 @@
 
 // NewHealth returns an empty table.
 func NewHealth() *Health {
-	return &Health{records: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time)}
+	return &Health{records: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time), silence: SilentZone}
 }
 
 // Report takes the result of an attempt. It returns true if the replica is
@@ -168,13 +171,23 @@
 	return good, bad
 }
 
-// Observe takes a peer's counts and notes that its zone can be reached. The
-// counts must not be changed afterwards.
-func (h *Health) Observe(p PeerID, zone string, counts []Evidence, now time.Time) {
+// Observe takes a peer's counts. They must not be changed afterwards.
+func (h *Health) Observe(p PeerID, counts []Evidence, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.peers[p] = peerEvidence{at: now, counts: counts}
-	h.zones[zone] = now
+}
+
+// ObserveZones takes when there was last news of the daemons of other zones, and
+// after which silence a zone is taken as cut off. A zone that had no daemons at
+// all is never silent.
+func (h *Health) ObserveZones(heard map[string]time.Time, silence time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silence = silence
+	for zone, at := range heard {
+		h.zones[zone] = at
+	}
 }
 
 // Own returns this daemon's counts of the replicas at which requests failed.
@@ -212,7 +225,7 @@
 // have fallen silent.
 func (h *Health) zoneIsSilent(zone string, now time.Time) bool {
 	at, ok := h.zones[zone]
-	return ok && now.Sub(at) > silentZone
+	return ok && now.Sub(at) > h.silence
 }
 
 // Reachable reports whether a replica can be expected to answer, even if its
--- a/routing/holders.go
+++ b/routing/holders.go
@@ -65,12 +65,15 @@
 	}
 }
 
-// Observe takes holdings that a peer tells of.
-func (h *Holders) Observe(told []Holding, now time.Time) {
+// Observe takes holdings that a peer tells of. In a fleet too large for everyone
+// to tell all others, what was new here is handed on once.
+func (h *Holders) Observe(told []Holding, handOn bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, t := range told {
-		h.put(t.Prompt, t.Replica, now)
+		if h.put(t.Prompt, t.Replica, now) && handOn && len(h.untold) < maxUntold {
+			h.untold = append(h.untold, untold{Holding: t, times: 1})
+		}
 	}
 }
 
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -128,7 +128,8 @@
 	key := r.Key()
 	held := p.Holders.of(key, now)
 	order := rankedOrder(key, c.ready)
-	at := p.firstBelowLimit(c, order, r.SharedTokens() <= p.Rule.NearTokens, zone, held)
+	near := r.SharedTokens() <= p.Rule.NearTokens
+	at := p.firstBelowLimit(c, order, near, zone, held)
 	if at < 0 {
 		at = slices.Index(order, c.leastLoaded())
 	}
@@ -136,10 +137,29 @@
 	t := Target{Replica: c.ready[chosen], Rank: at, Load: c.loads[chosen], Mean: c.mean}
 	if s.CopiesPrompts && r.SharedTokens() >= p.Rule.CopyTokens && !holds(held, &t.Replica) {
 		t.Source = p.source(&t, held, pool, now)
+		if t.Source.ID == "" {
+			t.Source = p.likelySource(c, order, at, near, now)
+		}
 	}
 	return t
 }
 
+// likelySource guesses who holds a prompt of which nobody has told: the replica
+// that ranks above the target, and for a prompt with a home in each zone, the
+// best home of another zone. A wrong guess costs a copy that finds nothing.
+func (p *Placer) likelySource(c *candidates, order []int, at int, near bool, now time.Time) Replica {
+	target := &c.ready[order[at]]
+	for place, i := range order {
+		r := &c.ready[i]
+		above := place < at
+		elsewhere := near && r.Zone != target.Zone
+		if i != order[at] && (above || elsewhere) && p.Health.Reachable(r, now) {
+			return *r
+		}
+	}
+	return Replica{}
+}
+
 // firstBelowLimit returns the place in the order of the replica to take, or -1
 // if all that may be asked hold too much. Near replicas come first where the
 // rule says so, then those that hold the prompt, then the rest.
