Tests stricter where breaking the code was not noticed; sites of tests have addresses of their own

Cause: with the sentinel taken out, no test failed (the stand-in's compaction woke every watch); with it, a failing case hung the suite, since a daemon's end was told once and asked for twice. One case ('also when the sentinel has just gone') failed once in 4 runs beside another copy of the suite and once in 20 parallel ones: all copies used the same loopback addresses with a port drawn each for itself. Change: the stand-in can cut watches without a word; 'notices within a second what no watch told, while its watch is cut without a word' fails at 5.0 s without the sentinel; a daemon's end is a closed channel; each site draws its own loopback network. A daemon that hears a reader is blind plans at once and not at the next tick.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -101,6 +101,16 @@
 	s.wake()
 }
 
+// CompactSilently forgets the history, and the watches that wait hear nothing
+// more until their time is over: they were cut without a word.
+func (s *Store) CompactSilently() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = false
+	s.history, s.lost = nil, s.revision
+	s.woken = make(chan struct{})
+}
+
 // Calls returns how many calls came.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -100,6 +100,7 @@
 	for _, m := range joined {
 		c.log.Peer(m)
 	}
+	c.plan(now)
 	if len(joined) > 0 {
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -46,7 +47,8 @@
 // site is a store, replicas and daemons on loopback addresses of their own.
 type site struct {
 	store   *standin.Store
-	port    int // of all peers
+	port    int    // of all peers
+	network string // the first three numbers of all addresses
 	daemons []*node
 	version int
 }
@@ -59,7 +61,8 @@
 	log      *buffer
 	stop     context.CancelFunc
 	sent     atomic.Int64
-	done     chan error
+	done     chan struct{} // closed when it has ended
+	err      error
 }
 
 func newSite() *site {
@@ -67,7 +70,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	port := l.Addr().(*net.TCPAddr).Port
 	Expect(l.Close()).To(Succeed())
-	return &site{store: standin.NewStore(50), port: port}
+	// Each site has loopback addresses of its own: another process that draws the
+	// same port must not be in the way.
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
+	return &site{store: standin.NewStore(50), port: port, network: network}
 }
 
 func (s *site) configure(keys ...string) {
@@ -102,7 +108,7 @@
 	i := len(s.daemons)
 	door, err := s.store.Open()
 	Expect(err).NotTo(HaveOccurred())
-	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	ip := fmt.Sprintf("%s.%d", s.network, 10+i)
 	settings := &router.Settings{
 		ID: "d", Listen: router.Listeners{Callers: ip + ":0", Readiness: ip + ":0", Operators: ip + ":0", Peers: fmt.Sprintf("%s:%d", ip, s.port)},
 		Store: door.Address(), Level: "info",
@@ -111,7 +117,7 @@
 	settings.Stop.Grace = 2 * time.Second
 	settings.Repeat = router.RepeatSettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
 	for _, seed := range seeds {
-		settings.Seeds = append(settings.Seeds, fmt.Sprintf("127.0.0.%d:1", 10+seed))
+		settings.Seeds = append(settings.Seeds, fmt.Sprintf("%s.%d:1", s.network, 10+seed))
 	}
 	n := &node{settings: settings, door: door, log: &buffer{}}
 	n.run()
@@ -130,15 +136,17 @@
 	}, n.log)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	n.Daemon, n.stop, n.done = d, cancel, make(chan error, 1)
-	go func(done chan error) { done <- d.Run(ctx) }(n.done)
+	n.Daemon, n.stop, n.done = d, cancel, make(chan struct{})
+	go func(done chan struct{}) {
+		n.err = d.Run(ctx)
+		close(done)
+	}(n.done)
 }
 
 func (n *node) kill() {
 	n.stop()
 	n.door.Close()
 	<-n.done
-	n.done <- nil
 }
 
 func (n *node) ready() bool {
@@ -268,7 +276,7 @@
 		s.configure("k2")
 		a.door.SetMode(standin.StoreBusy) // a has the lowest address: it is the sentinel
 		time.Sleep(100 * time.Millisecond)
-		s.store.Compact()
+		s.store.CompactSilently()
 		begun := time.Now()
 		for _, n := range []*node{a, b, c} {
 			Eventually(n.statusOfK1, 2*time.Second, 10*time.Millisecond).Should(Equal(401))
@@ -276,6 +284,19 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", 1500*time.Millisecond))
 	})
 
+	It("notices within a second what no watch told, while its watch is cut without a word", func() {
+		s.replica("i1", fine)
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		time.Sleep(500 * time.Millisecond) // the watch waits
+		s.store.Deafen()
+		s.configure("k2")
+		s.store.CompactSilently()
+		begun := time.Now()
+		Eventually(n.statusOfK1, 6*time.Second, 10*time.Millisecond).Should(Equal(401))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	})
+
 	It("asks the store seldom while nothing changes", func() {
 		a, b, c := s.start(), s.start(0), s.start(0)
 		for _, n := range []*node{a, b, c} {
@@ -367,9 +388,8 @@
 		close(release)
 		Expect(<-answers).To(Equal(200))
 		Expect(<-answers).To(Equal(200))
-		err := <-n.done
-		Expect(err).NotTo(HaveOccurred())
-		n.done <- nil
+		<-n.done
+		Expect(n.err).NotTo(HaveOccurred())
 		Expect(n.log.String()).To(ContainSubstring("planned stop begins"))
 	})
 
@@ -382,7 +402,6 @@
 		begun := time.Now()
 		n.stop()
 		<-n.done
-		n.done <- nil
 		Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
 	})
 
@@ -409,7 +428,6 @@
 		}
 		reader.stop()
 		<-reader.done
-		reader.done <- nil
 		Eventually(func() bool { return other.status().ReadsStore }, 2*time.Second).Should(BeTrue())
 	})
 
