--- /dev/null
+++ b/relay/events_test.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"bytes"
+	"testing"
+)
+
+// FuzzEvents feeds a stream in pieces of any size. What is handed on is a
+// beginning of the stream that ends with an event, and no byte of it twice.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 3)
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n"), 1)
+	f.Add([]byte("weight-versions:3\nid: 7\ndata: x\n\nid: 7\n\n"), 5)
+	f.Add([]byte("\n\n\n\n"), 1)
+	f.Add([]byte("id: 5\n\nid: 4\n\n"), 100)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		if size < 1 || size > 1<<16 {
+			return
+		}
+		e := newEvents("")
+		var out []byte
+		for rest := stream; len(rest) > 0; {
+			n := min(size, len(rest))
+			whole, ok := e.take(rest[:n])
+			if !ok {
+				break
+			}
+			out = append(out, whole...)
+			rest = rest[n:]
+		}
+		if !bytes.HasPrefix(stream, out) {
+			t.Fatalf("%q is no beginning of %q", out, stream)
+		}
+		if len(out) > 0 && !bytes.HasSuffix(out, []byte("\n\n")) && !bytes.HasSuffix(out, []byte("\r\n\r\n")) {
+			t.Fatalf("%q ends inside an event", out)
+		}
+	})
+}
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -77,7 +77,7 @@
 // beat tells the peers what they need to know of this daemon.
 func (c *control) beat(now time.Time) {
 	b := Beat{
-		Sender: c.roster.Self(), Stamp: c.log.timeline.stamp(), Members: c.roster.Named(now, c.rng), Revision: c.feed.Revision(),
+		Sender: c.roster.Self(), Stamp: c.log.timeline.Stamp(), Members: c.roster.Named(now, c.rng), Revision: c.feed.Revision(),
 		Loads: c.loads.Own(), Evidence: c.health.Own(now),
 		Holdings: c.holders.Untold(maxHoldings),
 	}
@@ -95,7 +95,7 @@
 
 // observe takes a peer's beat.
 func (c *control) observe(ctx context.Context, b *Beat, now time.Time) {
-	c.log.timeline.observe(b.Stamp)
+	c.log.timeline.Observe(b.Stamp)
 	joined := c.roster.Observe(append([]membership.Member{b.Sender}, b.Members...), now)
 	for _, m := range joined {
 		c.log.Peer(m)
--- a/router/log.go
+++ b/router/log.go
@@ -20,6 +20,7 @@
 	"hingewinch.org/hingewinch/relay"
 	"hingewinch.org/hingewinch/routing"
 	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // errOlderVersion is a configuration that came later and says that it is older.
@@ -87,11 +88,14 @@
 	return w.total
 }
 
+// timelineEvents is how many events a daemon keeps for the time line.
+const timelineEvents = 512
+
 // Log is the log of a daemon. It is safe for use by many goroutines.
 type Log struct {
 	logger   log.Logger
 	writer   *backgroundWriter
-	timeline *timeline
+	timeline *transport.Recorder
 	metrics  *Metrics
 	done     chan struct{}
 	ended    chan struct{}
@@ -104,7 +108,7 @@
 	l := &Log{
 		logger:   log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("daemon", daemon).Value()},
 		writer:   w,
-		timeline: newTimeline(state.DaemonID(daemon)),
+		timeline: transport.NewRecorderSize(state.DaemonID(daemon), nil, timelineEvents),
 		metrics:  m,
 		done:     make(chan struct{}),
 		ended:    make(chan struct{}),
@@ -138,7 +142,7 @@
 
 // Started tells that the daemon serves.
 func (l *Log) Started(callers string) {
-	l.timeline.add(coordination.EventStarted, callers, "", "daemon serves")
+	l.timeline.Record(coordination.EventStarted, callers, "", "daemon serves")
 	l.logger.Info().Str("callers", callers).Msg(prefixDaemon + "started")
 }
 
@@ -153,7 +157,7 @@
 
 // Stopping tells that a planned stop begins.
 func (l *Log) Stopping() {
-	l.timeline.add(coordination.EventStopBegun, "", "", "planned stop begins")
+	l.timeline.Record(coordination.EventStopBegun, "", "", "planned stop begins")
 	l.logger.Info().Msg(prefixDaemon + "planned stop begins")
 }
 
@@ -164,7 +168,7 @@
 
 // Store tells that the store was lost or regained.
 func (l *Log) Store(lost bool, err error, at feed.Revision) {
-	l.timeline.add(coordination.EventPlatform, "store", "", storeText(lost))
+	l.timeline.Record(coordination.EventPlatform, "store", "", "%s", storeText(lost))
 	if lost {
 		l.logger.Warn().AnErr("error", err).Uint64("revision", uint64(at)).Msg(prefixStore + "lost; serving on what is known")
 		return
@@ -186,25 +190,25 @@
 
 // Replica tells that a replica came, drains or is gone.
 func (l *Log) Replica(id routing.ReplicaID, stage string, at feed.Revision) {
-	l.timeline.add(coordination.EventUpstreamState, string(id), "", stage)
+	l.timeline.Record(coordination.EventUpstreamState, string(id), "", "%s", stage)
 	l.logger.Info().Str("replica", string(id)).Str("state", stage).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
 }
 
 // Bad tells of a document that is not taken.
 func (l *Log) Bad(key string, err error) {
-	l.timeline.add(coordination.EventConfigRefused, key, "", err.Error())
+	l.timeline.Record(coordination.EventConfigRefused, key, "", "%s", err.Error())
 	l.logger.Error().Str("key", key).Err(err).Msg(prefixControl + "document is not taken; the last good one stays in force")
 }
 
 // Config tells that a configuration is in force.
 func (l *Log) Config(v routing.Version, at feed.Revision, source string) {
-	l.timeline.add(coordination.EventConfigTaken, strconv.FormatUint(uint64(v), 10), "", "from "+source)
+	l.timeline.Record(coordination.EventConfigTaken, strconv.FormatUint(uint64(v), 10), "", "%s", "from "+source)
 	l.logger.Info().Uint64("version", uint64(v)).Uint64("revision", uint64(at)).Str("source", source).Msg(prefixControl + "configuration is in force")
 }
 
 // Peer tells that a daemon was found.
 func (l *Log) Peer(m membership.Member) {
-	l.timeline.add(coordination.EventPeerState, string(m.Address), "", "found")
+	l.timeline.Record(coordination.EventPeerState, string(m.Address), "", "found")
 	l.logger.Info().Str("peer", string(m.Address)).Str("zone", m.Zone).Uint64("life", uint64(m.Life)).Msg(prefixPeer + "found")
 }
 
@@ -227,7 +231,7 @@
 
 // PassedOver tells that a replica is passed over from now on.
 func (l *Log) PassedOver(r *routing.Replica, c *relay.Call, cause error) {
-	l.timeline.add(coordination.EventAttemptFailed, string(r.ID), state.RequestID(c.ID), "passed over: "+cause.Error())
+	l.timeline.Record(coordination.EventAttemptFailed, string(r.ID), state.RequestID(c.ID), "%s", "passed over: "+cause.Error())
 	l.metrics.PassedOver.Inc(1)
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).AnErr("cause", cause).Msg(prefixReplica + "passed over for a while")
 }
--- a/router/operators.go
+++ b/router/operators.go
@@ -74,7 +74,7 @@
 	mux.HandleFunc("GET "+PathReplicas, func(w http.ResponseWriter, r *http.Request) { d.ask(w, r, d.replicas) })
 	mux.HandleFunc("GET "+transport.PathTimeline, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(d.Log.timeline.events())
+		_ = json.NewEncoder(w).Encode(d.Log.timeline.Events())
 	})
 	mux.Handle("GET "+PathMetrics, d.metricsHandler())
 	return mux
--- a/transport/recorder.go
+++ b/transport/recorder.go
@@ -29,7 +29,12 @@
 
 // NewRecorder returns the recorder of a daemon. logger may be nil.
 func NewRecorder(d state.DaemonID, logger *log.Logger) *Recorder {
-	return &Recorder{daemon: d, logger: logger, ring: coordination.NewRing(ringSize)}
+	return NewRecorderSize(d, logger, ringSize)
+}
+
+// NewRecorderSize returns a recorder that keeps so many events.
+func NewRecorderSize(d state.DaemonID, logger *log.Logger, events int) *Recorder {
+	return &Recorder{daemon: d, logger: logger, ring: coordination.NewRing(events)}
 }
 
 // Record adds an event.
