--- a/router/control.go
+++ b/router/control.go
@@ -101,6 +101,7 @@
 	aheadSince  time.Time
 	storeIsLost bool
 	changedAt   time.Time
+	ticked      time.Time
 }
 
 type replicaEntry struct {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -27,6 +27,7 @@
 
 // tick sends a beat and takes care of what only time changes.
 func (c *control) tick(ctx context.Context, now time.Time) {
+	c.notePause(now)
 	c.plan(now)
 	c.beat(now)
 	c.pullIfBehind(ctx, now)
@@ -38,6 +39,25 @@
 	c.health.Forget(c.zone, now)
 }
 
+// longestTick is the time between two ticks above which the process stood still:
+// what it believes is as old as the pause.
+const longestTick = time.Second
+
+// notePause tells of a pause of the process and asks the store anew: the watch
+// may have been cut meanwhile, and what it told last is old.
+func (c *control) notePause(now time.Time) {
+	last := c.ticked
+	c.ticked = now
+	if last.IsZero() || now.Sub(last) < longestTick {
+		return
+	}
+	c.log.Paused(now.Sub(last))
+	if old := c.reads.Load(); old != nil {
+		c.reads.Store(&readPlan{reads: old.reads, wait: old.wait, ended: make(chan struct{})})
+		close(old.ended)
+	}
+}
+
 // plan decides whether this daemon reads the store, and how long it waits. Of
 // the daemons of a failure domain that can read, the one with the lowest address
 // does; the reader with the lowest address of all is the sentinel. Two daemons
--- a/router/log.go
+++ b/router/log.go
@@ -206,6 +206,12 @@
 	l.logger.Info().Uint64("version", uint64(v)).Uint64("revision", uint64(at)).Str("source", source).Msg(prefixControl + "configuration is in force")
 }
 
+// Paused tells that the process stood still.
+func (l *Log) Paused(d time.Duration) {
+	l.timeline.Record(coordination.EventFreeze, "", "", "control loop stood still for %s", d.Round(time.Millisecond))
+	l.logger.Warn().Int64("ms", d.Milliseconds()).Msg(prefixControl + "the process stood still; the store is asked anew")
+}
+
 // Peer tells that a daemon was found.
 func (l *Log) Peer(m membership.Member) {
 	l.timeline.Record(coordination.EventPeerState, string(m.Address), "", "found")
