Beats of a small fleet name members once a second

Change: of five beats one names members, and the one after a member was found; the stamp is two numbers.

--- a/router/control.go
+++ b/router/control.go
@@ -102,6 +102,8 @@
 	storeIsLost bool
 	changedAt   time.Time
 	ticked      time.Time
+	beats       int
+	nameMembers bool // the next beat names members
 }
 
 type replicaEntry struct {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/feed"
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
@@ -94,12 +95,19 @@
 	}
 }
 
+// namingInterval is how many beats of a small fleet go out for each that names
+// members; in between only those that have just been found are named.
+const namingInterval = 5
+
 // beat tells the peers what they need to know of this daemon.
 func (c *control) beat(now time.Time) {
+	stamp := c.log.timeline.Stamp()
 	b := Beat{
-		Sender: c.roster.Self(), Stamp: c.log.timeline.Stamp(), Members: c.roster.Named(now, c.rng), Revision: c.feed.Revision(),
-		Loads: c.loads.Own(), Evidence: c.health.Own(now),
-		Holdings: c.holders.Untold(maxHoldings),
+		Sender: c.roster.Self(), Wall: stamp.Wall, Counter: stamp.Counter, Revision: c.feed.Revision(),
+		Loads: c.loads.Own(), Evidence: c.health.Own(now), Holdings: c.holders.Untold(maxHoldings),
+	}
+	if c.beats++; c.nameMembers || c.daemons > membership.TellAll || c.beats%namingInterval == 0 {
+		b.Members, c.nameMembers = c.roster.Named(now, c.rng), false
 	}
 	if c.table != nil {
 		b.Version = c.table.Version
@@ -115,13 +123,14 @@
 
 // observe takes a peer's beat.
 func (c *control) observe(ctx context.Context, b *Beat, now time.Time) {
-	c.log.timeline.Observe(b.Stamp)
+	c.log.timeline.Observe(coordination.Stamp{Wall: b.Wall, Counter: b.Counter})
 	joined := c.roster.Observe(append([]membership.Member{b.Sender}, b.Members...), now)
 	for _, m := range joined {
 		c.log.Peer(m)
 	}
 	c.plan(now)
 	if len(joined) > 0 {
+		c.nameMembers = true
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
 	c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
--- a/router/message.go
+++ b/router/message.go
@@ -8,7 +8,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/feed"
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
@@ -17,9 +16,10 @@
 // Beat is the message that a daemon sends its peers several times a second, as
 // one datagram.
 type Beat struct {
-	_        struct{}            `cbor:",toarray"`
-	Sender   membership.Member   //
-	Stamp    coordination.Stamp  // of the time line
+	_        struct{}          `cbor:",toarray"`
+	Sender   membership.Member //
+	Wall     int64             // stamp of the time line
+	Counter  uint32
 	Members  []membership.Member // some others that the sender believes live
 	Revision feed.Revision       // newest document that the sender holds
 	Version  routing.Version     // of its configuration
