--- a/coordination/hash.go
+++ b/coordination/hash.go
@@ -30,6 +30,10 @@
 // the keys that it wins or had won move.
 func score(key, candidate uint64) uint64 { return mix(key ^ candidate) }
 
+// Rank scores a candidate for a key; the candidate with the highest rank is the
+// key's home. Both are hashes.
+func Rank(key, candidate uint64) uint64 { return score(key, candidate) }
+
 // ChatKeyOf returns the placement key of a chat. The workspace and the model,
 // which may be an adapter, are part of it, because neither a cache nor an
 // answer may be shared across them. identity is the caller's chat id or prompt
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -95,7 +95,7 @@
 			return f
 		}
 		n, err := x.response.Body.Read(buf)
-		if f := s.pass(ctx, x, buf[:n]); f != nil {
+		if f := s.pass(x, buf[:n]); f != nil {
 			return f
 		}
 		if errors.Is(err, io.EOF) {
@@ -108,7 +108,7 @@
 	if len(s.events.rest) > 0 {
 		return x.broken(ctx, errEndInside)
 	}
-	if f := s.begin(ctx, x); f != nil {
+	if f := s.begin(x); f != nil {
 		return f
 	}
 	now := time.Now()
@@ -145,7 +145,7 @@
 }
 
 // pass hands the whole events among p to the caller.
-func (s *serving) pass(ctx context.Context, x *exchange, p []byte) *failure {
+func (s *serving) pass(x *exchange, p []byte) *failure {
 	whole, ok := s.events.take(p)
 	if !ok {
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, blame: true, err: errOrder}
@@ -153,7 +153,7 @@
 	if len(whole) == 0 {
 		return nil
 	}
-	if f := s.begin(ctx, x); f != nil {
+	if f := s.begin(x); f != nil {
 		return f
 	}
 	if err := s.sink.Write(whole); err != nil {
@@ -164,7 +164,7 @@
 
 // begin sends the first lines of a streamed answer once. An answer that is
 // resumed at another replica keeps those of the first.
-func (s *serving) begin(_ context.Context, x *exchange) *failure {
+func (s *serving) begin(x *exchange) *failure {
 	if s.begun {
 		return nil
 	}
--- a/relay/events.go
+++ b/relay/events.go
@@ -37,7 +37,6 @@
 		return nil, len(e.rest) <= maxEventBytes
 	}
 	whole := e.rest[:end]
-	begin := 0
 	for at := 0; at < end; {
 		next := at + nextBoundary(whole[at:])
 		seq, id, ok := eventID(whole[at:next])
@@ -50,7 +49,7 @@
 		e.count++
 		at = next
 	}
-	out := append([]byte(nil), whole[begin:]...)
+	out := append([]byte(nil), whole...)
 	e.rest = append(e.rest[:0], e.rest[end:]...)
 	return out, true
 }
