Replicas that left are not taken back when their service shrinks further

Ruled out: late news (all daemons knew within 0.3 s), connections kept too long. Change: only entries that vanish within a second of each other while the store was in trouble within 5 s (own calls failed, or a peer says it can't read) are doubted, and the log says so.

--- a/router/control.go
+++ b/router/control.go
@@ -68,6 +68,10 @@
 	// vanishedAge is how long replicas that vanished unannounced are kept in
 	// mind, in case most of a service vanishes.
 	vanishedAge = 10 * time.Second
+	// togetherTime is the time within which replicas vanish together, and
+	// troubleAge how long after the store was in trouble that is doubted.
+	togetherTime = time.Second
+	troubleAge   = 5 * time.Second
 	// copySourceAge is how long prompts are still copied from one that vanished.
 	copySourceAge = 3 * time.Second
 )
@@ -101,6 +105,7 @@
 	aheadSince  time.Time
 	storeIsLost bool
 	changedAt   time.Time
+	troubleAt   time.Time // when this daemon last knew the store to be in trouble
 	ticked      time.Time
 	beats       int
 	nameMembers bool // the next beat names members
@@ -114,6 +119,7 @@
 type vanishedEntry struct {
 	replica routing.Replica
 	at      time.Time
+	doubted bool // the store was in trouble at that time
 }
 
 // readPlan tells the store's reader what to do.
@@ -171,6 +177,7 @@
 		return
 	}
 	c.storeIsLost = e.lost
+	c.troubleAt = now
 	c.roster.SetBlind(e.lost)
 	c.plan(now)
 	c.beat(now)
@@ -201,7 +208,7 @@
 	before, known := c.replicas[it.Key]
 	if it.Gone {
 		if known && !before.replica.Draining {
-			c.vanished[it.Key] = vanishedEntry{replica: before.replica, at: now}
+			c.vanished[it.Key] = vanishedEntry{replica: before.replica, at: now, doubted: now.Sub(c.troubleAt) < troubleAge}
 		}
 		delete(c.replicas, it.Key)
 		c.log.Replica(id, "gone", it.Revision)
@@ -277,24 +284,49 @@
 }
 
 // restoreVanished keeps serving on a service of which most replicas vanished
-// together and unannounced: that is the store's trouble, not theirs.
+// together, unannounced, while the store was in trouble: they could not write
+// their entries then. Replicas that vanish one after the other, or while the
+// store is well, have left.
 func (c *control) restoreVanished(v *routing.View, now time.Time) {
-	lost := make(map[routing.ServiceName][]routing.Replica)
+	lost := make(map[routing.ServiceName][]vanishedEntry)
 	for key, e := range c.vanished {
 		if now.Sub(e.at) > vanishedAge {
 			delete(c.vanished, key)
 			continue
 		}
-		lost[e.replica.Service] = append(lost[e.replica.Service], e.replica)
+		if e.doubted {
+			lost[e.replica.Service] = append(lost[e.replica.Service], e)
+		}
 		if now.Sub(e.at) < copySourceAge {
 			p := poolOf(v, e.replica.Service)
 			p.Vanished = append(p.Vanished, e.replica)
 		}
 	}
-	for s, replicas := range lost {
+	for s, entries := range lost {
 		p := poolOf(v, s)
-		if len(replicas) > len(p.Ready) {
-			p.Ready = append(p.Ready, replicas...)
+		together := vanishedTogether(entries)
+		if len(together) <= len(p.Ready) {
+			continue
+		}
+		c.log.Doubted(s, len(together), len(p.Ready))
+		p.Ready = append(p.Ready, together...)
+	}
+}
+
+// vanishedTogether returns the replicas of the largest group that vanished
+// within togetherTime.
+func vanishedTogether(entries []vanishedEntry) []routing.Replica {
+	var best []routing.Replica
+	for _, first := range entries {
+		var group []routing.Replica
+		for _, e := range entries {
+			if d := e.at.Sub(first.at); d >= 0 && d <= togetherTime {
+				group = append(group, e.replica)
+			}
+		}
+		if len(group) > len(best) {
+			best = group
 		}
 	}
+	return best
 }
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -29,6 +29,9 @@
 // tick sends a beat and takes care of what only time changes.
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.notePause(now)
+	if c.storeIsLost {
+		c.troubleAt = now
+	}
 	c.plan(now)
 	c.beat(now)
 	c.pullIfBehind(ctx, now)
@@ -129,6 +132,9 @@
 		c.log.Peer(m)
 	}
 	c.plan(now)
+	if b.Sender.Blind {
+		c.troubleAt = now
+	}
 	if len(joined) > 0 {
 		c.nameMembers = true
 		c.budgets.SetDaemons(c.roster.Largest())
--- a/router/log.go
+++ b/router/log.go
@@ -194,6 +194,12 @@
 	l.logger.Info().Str("replica", string(id)).Str("state", stage).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
 }
 
+// Doubted tells that replicas are used although their entries vanished.
+func (l *Log) Doubted(s routing.ServiceName, vanished, left int) {
+	l.timeline.Record(coordination.EventListDoubted, string(s), "", "%d replicas vanished together, %d are left", vanished, left)
+	l.logger.Warn().Str("service", string(s)).Int("vanished", vanished).Int("left", left).Msg(prefixReplica + "vanished in the store's trouble; used on")
+}
+
 // Bad tells of a document that is not taken.
 func (l *Log) Bad(key string, err error) {
 	l.timeline.Record(coordination.EventConfigRefused, key, "", "%s", err.Error())
