--- a/router/router_test.go
+++ b/router/router_test.go
@@ -410,6 +410,8 @@
 
 	It("stops as planned: not ready at once, serves what comes and what runs, then ends", func() {
 		release := make(chan struct{})
+		finish := sync.OnceFunc(func() { close(release) })
+		defer finish() // a case that fails earlier must not hang on the replica
 		s.replica("i1", func(w http.ResponseWriter, _ *http.Request) { <-release; fmt.Fprint(w, "late") })
 		n := s.start()
 		Eventually(n.ready, 3*time.Second).Should(BeTrue())
@@ -420,7 +422,7 @@
 		Eventually(n.ready, 500*time.Millisecond).Should(BeFalse())
 		go func() { answers <- n.statusOfK1() }()
 		time.Sleep(300 * time.Millisecond)
-		close(release)
+		finish()
 		Expect(<-answers).To(Equal(200))
 		Expect(<-answers).To(Equal(200))
 		<-n.done
