Lapsed entries are decided two seconds after the store's return; a clock set back does not hide a daemon

Cause: (1) entries that lapsed in the store's trouble were used on for 10 s after they vanished, and longer still, since the view was built anew only by the next change; the users say that living replicas are back within two seconds of the store's return and that the rest are gone. (2) A daemon restarted after its clock was set back has a lower life number; peers ignored its beats for up to 90 s. Ruled out: keeping them until the store is quiet for all readers (one daemon that is turned away would keep replicas for as long as that lasts); a life drawn by chance (old and new could not be told apart); believing the first beat of a lower life (the test 'does not take an old life's beat' forbids it). A lower life is believed when its beats went on for 1 s while the higher one was silent for 2.5 s; the life that ended is not taken again.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -24,7 +24,7 @@
 	// Address is where a daemon takes beats, as IP:PORT.
 	Address string
 	// Life distinguishes the lives of a daemon at one address; a later one is
-	// higher.
+	// higher unless the clock was set back between them.
 	Life uint64
 )
 
@@ -43,6 +43,9 @@
 const (
 	// deadAfter is how long a member counts as live after news of it.
 	deadAfter = 2500 * time.Millisecond
+	// lowerAfter is how long the beats of a life with a lower number go on before
+	// it is believed.
+	lowerAfter = time.Second
 	// forgetAfter is how long one that is gone is still tried.
 	forgetAfter = 90 * time.Second
 	// fanOut is how many members a beat of a large fleet goes to, and farFanOut
@@ -67,6 +70,40 @@
 type known struct {
 	Member
 	heard time.Time // when its count last rose here
+	// lower is a life with a lower number that was heard of, and lowerSince when
+	// it was heard first; ended is a life that is over although its number is
+	// higher than the present one's.
+	lower      Member
+	lowerSince time.Time
+	ended      Life
+}
+
+// isNews reports whether m tells something new of the daemon. A lower life is
+// news if its beats went on for lowerAfter while the higher one was silent: the
+// clock that numbers lives was set back between the two. A single beat is late
+// news of a life that has ended.
+func (k *known) isNews(m Member, now time.Time) bool {
+	switch {
+	case m.Life == k.Life:
+		return m.Count > k.Count
+	case m.Life == k.ended:
+		return false
+	case m.Life > k.Life:
+		return true
+	case m.Life != k.lower.Life:
+		k.lower, k.lowerSince = m, now
+		return false
+	}
+	goesOn := m.Count > k.lower.Count && now.Sub(k.lowerSince) >= lowerAfter
+	return goesOn && now.Sub(k.heard) > deadAfter
+}
+
+// take takes news over.
+func (k *known) take(m Member, now time.Time) {
+	if m.Life < k.Life {
+		k.ended = k.Life
+	}
+	k.Member, k.heard = m, now
 }
 
 // NewRoster returns the roster of a daemon. Seeds may name the daemon itself.
@@ -99,13 +136,13 @@
 			k = &known{}
 			r.members[m.Address] = k
 		}
-		if m.Life < k.Life || (m.Life == k.Life && m.Count <= k.Count) {
+		if !k.isNews(m, now) {
 			continue
 		}
 		if now.Sub(k.heard) > deadAfter {
 			joined = append(joined, m)
 		}
-		k.Member, k.heard = m, now
+		k.take(m, now)
 	}
 	r.largest = max(r.largest, 1+len(r.live(now)))
 	return joined
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -76,6 +76,18 @@
 		}
 	})
 
+	It("takes a daemon back that was restarted after its clock had been set back", func() {
+		for i := range 20 {
+			n.start(i, 2000, 0)
+		}
+		n.run(3 * time.Second)
+		n.start(5, 1500, 0)
+		n.run(6 * time.Second)
+		for i := range 20 {
+			Expect(n.live(i)).To(Equal(19), "daemon %d", i)
+		}
+	})
+
 	It("finds all daemons though only one seed of three lives", func() {
 		for i := 2; i < 8; i++ {
 			n.start(i, 1, 0, 1, 2)
--- a/router/control.go
+++ b/router/control.go
@@ -65,15 +65,9 @@
 	// pullGrace is how long a peer may know more than this daemon before it is
 	// asked: the store's own news is mostly on its way.
 	pullGrace = 60 * time.Millisecond
-	// vanishedAge is how long replicas that vanished unannounced are kept in
-	// mind, in case most of a service vanishes.
-	vanishedAge = 10 * time.Second
-	// togetherTime is the time within which replicas vanish together, and
-	// troubleAge how long after the store was in trouble that is doubted.
-	togetherTime = time.Second
-	troubleAge   = 5 * time.Second
-	// copySourceAge is how long prompts are still copied from one that vanished.
-	copySourceAge = 3 * time.Second
+	// troubleAge is how long after the store was in trouble the vanishing of a
+	// replica's entry is doubted.
+	troubleAge = 5 * time.Second
 )
 
 // control is the state of the control loop.
@@ -98,7 +92,7 @@
 	table       *routing.Table
 	tableRev    feed.Revision
 	replicas    map[string]replicaEntry
-	vanished    map[string]vanishedEntry
+	lapses      *routing.Lapses
 	daemons     int
 	pulling     bool
 	ahead       map[membership.Address]feed.Revision // peers that know more
@@ -116,12 +110,6 @@
 	replica  routing.Replica
 }
 
-type vanishedEntry struct {
-	replica routing.Replica
-	at      time.Time
-	doubted bool // the store was in trouble at that time
-}
-
 // readPlan tells the store's reader what to do.
 type readPlan struct {
 	reads bool          // this daemon reads the store
@@ -208,7 +196,7 @@
 	before, known := c.replicas[it.Key]
 	if it.Gone {
 		if known && !before.replica.Draining {
-			c.vanished[it.Key] = vanishedEntry{replica: before.replica, at: now, doubted: now.Sub(c.troubleAt) < troubleAge}
+			c.lapses.Add(before.replica, now.Sub(c.troubleAt) < troubleAge, now)
 		}
 		delete(c.replicas, it.Key)
 		c.log.Replica(id, "gone", it.Revision)
@@ -222,7 +210,7 @@
 	if !known || known && before.replica.Draining != r.Draining {
 		c.log.Replica(id, stateName(&r), it.Revision)
 	}
-	delete(c.vanished, it.Key)
+	c.lapses.Remove(r.ID)
 	c.replicas[it.Key] = replicaEntry{revision: it.Revision, replica: r}
 }
 
@@ -267,7 +255,13 @@
 		}
 		p.Ready = append(p.Ready, e.replica)
 	}
-	c.restoreVanished(v, now)
+	for _, s := range c.lapses.Services() {
+		p := poolOf(v, s)
+		left := len(p.Ready)
+		if usedOn := c.lapses.Fill(s, p, now); len(usedOn) > 0 {
+			c.log.Doubted(s, len(usedOn), left)
+		}
+	}
 	for _, p := range v.Pools {
 		p.Sort()
 	}
@@ -282,51 +276,3 @@
 	}
 	return p
 }
-
-// restoreVanished keeps serving on a service of which most replicas vanished
-// together, unannounced, while the store was in trouble: they could not write
-// their entries then. Replicas that vanish one after the other, or while the
-// store is well, have left.
-func (c *control) restoreVanished(v *routing.View, now time.Time) {
-	lost := make(map[routing.ServiceName][]vanishedEntry)
-	for key, e := range c.vanished {
-		if now.Sub(e.at) > vanishedAge {
-			delete(c.vanished, key)
-			continue
-		}
-		if e.doubted {
-			lost[e.replica.Service] = append(lost[e.replica.Service], e)
-		}
-		if now.Sub(e.at) < copySourceAge {
-			p := poolOf(v, e.replica.Service)
-			p.Vanished = append(p.Vanished, e.replica)
-		}
-	}
-	for s, entries := range lost {
-		p := poolOf(v, s)
-		together := vanishedTogether(entries)
-		if len(together) <= len(p.Ready) {
-			continue
-		}
-		c.log.Doubted(s, len(together), len(p.Ready))
-		p.Ready = append(p.Ready, together...)
-	}
-}
-
-// vanishedTogether returns the replicas of the largest group that vanished
-// within togetherTime.
-func vanishedTogether(entries []vanishedEntry) []routing.Replica {
-	var best []routing.Replica
-	for _, first := range entries {
-		var group []routing.Replica
-		for _, e := range entries {
-			if d := e.at.Sub(first.at); d >= 0 && d <= togetherTime {
-				group = append(group, e.replica)
-			}
-		}
-		if len(group) > len(best) {
-			best = group
-		}
-	}
-	return best
-}
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -35,7 +35,8 @@
 	c.plan(now)
 	c.beat(now)
 	c.pullIfBehind(ctx, now)
-	if n := 1 + len(c.roster.Live(now)); n != c.daemons {
+	decided := c.lapses.Expire(now)
+	if n := 1 + len(c.roster.Live(now)); n != c.daemons || decided {
 		c.daemons = n
 		c.publish(now)
 	}
--- a/router/pause_test.go
+++ b/router/pause_test.go
@@ -22,6 +22,7 @@
 		feed: feed.New(), roster: membership.NewRoster(membership.Member{Address: "a:1"}, nil), rng: rand.New(rand.NewPCG(1, 1)),
 		loads: routing.NewLoads(), health: routing.NewHealth(), holders: routing.NewHolders(),
 		budgets: routing.NewBudgets(routing.BudgetRule{Window: time.Second}, 1), log: l, daemons: 1,
+		lapses: routing.NewLapses(),
 	}
 	begun := time.Unix(1_000_000, 0)
 	c.tick(context.Background(), begun)
--- a/router/router.go
+++ b/router/router.go
@@ -146,7 +146,7 @@
 		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, holders: holders, budgets: budgets, log: d.Log,
 		send: d.peers.send, pull: d.peers.pull, events: make(chan event, eventQueue),
-		replicas: make(map[string]replicaEntry), vanished: make(map[string]vanishedEntry),
+		replicas: make(map[string]replicaEntry), lapses: routing.NewLapses(),
 		ahead: make(map[membership.Address]feed.Revision), daemons: 1,
 	}
 	d.control.publish(time.Now())
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -361,6 +361,26 @@
 		Eventually(n.log.String, time.Second).Should(ContainSubstring("used on"))
 	})
 
+	It("takes as gone what is still missing two seconds after the store's return", func() {
+		var ran atomic.Int64
+		count := func(w http.ResponseWriter, _ *http.Request) { ran.Add(1); fmt.Fprint(w, "x") }
+		s.replica("i1", count)
+		s.replica("i2", count)
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		n.door.SetMode(standin.StoreBusy)
+		Eventually(func() bool { return n.status().StoreLost }, 3*time.Second).Should(BeTrue())
+		s.store.Delete("servers/i1")
+		s.store.Delete("servers/i2")
+		n.door.SetMode(standin.StoreServes)
+		Eventually(func() int { return n.status().Replicas }, 3*time.Second).Should(BeZero())
+		Expect(n.statusOfK1()).To(Equal(200))
+		Eventually(n.statusOfK1, 3*time.Second, 100*time.Millisecond).Should(Equal(503))
+		before := ran.Load()
+		Consistently(n.statusOfK1, 500*time.Millisecond, 100*time.Millisecond).Should(Equal(503))
+		Expect(ran.Load()).To(Equal(before))
+	})
+
 	DescribeTable("sends nothing to replicas that left unannounced, however many", func(pause time.Duration) {
 		var left atomic.Bool
 		late := atomic.Int64{}
