--- /dev/null
+++ b/cmd/hingesoak/main.go
@@ -0,0 +1,187 @@
+// Command hingesoak runs real daemons as processes on this machine, strikes them
+// with faults drawn from a seed, and checks the promises of docs/PROMISES.md
+// while they run. It is no part of the product.
+//
+// # Usage
+//
+//	go build -o target/ ./cmd/hingewinchd
+//	hingesoak --daemon target/hingewinchd --runs 4 --at-once 2
+//	hingesoak --daemon target/hingewinchd --seed 17 --keep
+//	hingesoak --daemon target/hingewinchd --seeds internal/soak/testdata/seeds.txt
+//
+// It ends with 1 if a promise was broken; the directory of that run is kept, with
+// its report, its faults and the daemons' logs.
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"hingewinch.org/hingewinch/internal/soak"
+)
+
+// Exit codes.
+const (
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Daemon  string        `long:"daemon" default:"target/hingewinchd" description:"program of the daemon"`
+	Seed    []uint64      `long:"seed" description:"play this seed; may be given several times"`
+	Seeds   string        `long:"seeds" description:"play the seeds of a file, one a line, each with its cause"`
+	Runs    int           `long:"runs" default:"1" description:"how many fresh seeds to play when none is named"`
+	AtOnce  int           `long:"at-once" default:"1" description:"how many runs at a time"`
+	Trouble time.Duration `long:"trouble" default:"18s" description:"time in which faults begin"`
+	Quiet   time.Duration `long:"quiet" default:"9s" description:"time after the last fault"`
+	Daemons int           `long:"daemons" default:"10" description:"most daemons of a run"`
+	Rate    float64       `long:"faults" default:"0.8" description:"faults a second"`
+	Dir     string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
+	Keep    bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	seeds, err := o.seeds()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hingesoak:", err)
+		return exitUsage
+	}
+	if o.Dir == "" {
+		if o.Dir, err = os.MkdirTemp("", "hingesoak-"); err != nil {
+			fmt.Fprintln(os.Stderr, "hingesoak:", err)
+			return exitUsage
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return o.playAll(ctx, seeds)
+}
+
+// seeds returns the seeds that are named, or fresh ones.
+func (o *options) seeds() ([]uint64, error) {
+	seeds := o.Seed
+	if o.Seeds != "" {
+		listed, err := readSeeds(o.Seeds)
+		if err != nil {
+			return nil, err
+		}
+		seeds = append(seeds, listed...)
+	}
+	if len(seeds) == 0 {
+		for range o.Runs {
+			seeds = append(seeds, uint64(rand.Uint32()))
+		}
+	}
+	return seeds, nil
+}
+
+// readSeeds reads lines of a seed and its cause; # begins a comment.
+func readSeeds(file string) ([]uint64, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var seeds []uint64
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		word, _, _ := strings.Cut(strings.TrimSpace(lines.Text()), " ")
+		if word == "" || strings.HasPrefix(word, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %q is no seed; write a number and the cause", file, word)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+func (o *options) playAll(ctx context.Context, seeds []uint64) int {
+	queue := make(chan uint64)
+	var (
+		wg     sync.WaitGroup
+		mu     sync.Mutex
+		broken []uint64
+		failed int
+	)
+	for range max(1, o.AtOnce) {
+		wg.Go(func() {
+			for seed := range queue {
+				report, err := o.play(ctx, seed)
+				mu.Lock()
+				switch {
+				case err != nil:
+					failed++
+					fmt.Printf("seed %d: not played: %v\n", seed, err)
+				case len(report.Violations) > 0:
+					broken = append(broken, seed)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, seed := range seeds {
+		select {
+		case queue <- seed:
+		case <-ctx.Done():
+		}
+	}
+	close(queue)
+	wg.Wait()
+	fmt.Printf("%d seeds, %d broke a promise, %d were not played\n", len(seeds), len(broken), failed)
+	if len(broken) > 0 || failed > 0 {
+		fmt.Println("broken:", broken, "kept in", o.Dir)
+		return exitBroken
+	}
+	return 0
+}
+
+// play plays one seed and prints a line on it, and one for each broken promise.
+func (o *options) play(ctx context.Context, seed uint64) (*soak.Report, error) {
+	shape := soak.DefaultShape()
+	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
+	plan := soak.NewPlan(seed, shape)
+	dir := filepath.Join(o.Dir, strconv.FormatUint(seed, 10))
+	report, err := soak.Play(ctx, plan, soak.Options{Daemon: o.Daemon, Dir: dir})
+	if err != nil {
+		return nil, err
+	}
+	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %d violations\n",
+		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, len(report.Violations))
+	for i, v := range report.Violations {
+		const shown = 12
+		if i == shown {
+			fmt.Printf("  and %d more in %s\n", len(report.Violations)-shown, dir)
+			break
+		}
+		fmt.Printf("  %s %s %s: %s\n", v.At.UTC().Format("15:04:05.000"), v.Promise, v.Subject, v.Detail)
+	}
+	if len(report.Violations) == 0 && !o.Keep {
+		_ = os.RemoveAll(dir)
+	}
+	return report, nil
+}
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,180 @@
+// This file plays callers. Each keeps a connection to one daemon for some
+// requests and uses it until the daemon ends it.
+
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Figures of callers.
+const (
+	requestsPerConn = 20
+	leastThink      = 40 * time.Millisecond
+	mostThink       = 140 * time.Millisecond
+	callerPatience  = 1500 * time.Millisecond // beyond the deadline
+	mostRequestBody = 40_000
+	refusedPause    = 300 * time.Millisecond
+)
+
+// manners are what all callers do at the moment.
+type manners struct {
+	leave  atomic.Int64 // of 100 requests, how many are left early
+	repeat atomic.Int64 // how often a failed request is sent again at once
+}
+
+// caller is one client.
+type caller struct {
+	site   *site
+	number int
+	sent   int
+	conn   net.Conn
+	reader *bufio.Reader
+	daemon int
+	life   int
+	uses   int
+}
+
+// run sends requests until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	defer c.hangUp()
+	for ctx.Err() == nil {
+		pause(ctx, leastThink+rand.N(mostThink-leastThink))
+		if !c.connected() && !c.connect() {
+			pause(ctx, refusedPause)
+			continue
+		}
+		q := c.draw()
+		a := c.send(&q)
+		for range c.site.manners.repeat.Load() {
+			if a.Status/100 == 2 || (!c.connected() && !c.connect()) {
+				break
+			}
+			q = c.draw()
+			a = c.send(&q)
+		}
+	}
+}
+
+func (c *caller) connected() bool { return c.conn != nil }
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *caller) connect() bool {
+	d, ok := c.site.fleet.pick(c.number)
+	if !ok {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp4", d.callers.Address(), time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader, c.daemon, c.life = conn, bufio.NewReader(conn), d.number, d.lives()
+	c.uses = 1 + rand.IntN(requestsPerConn)
+	return true
+}
+
+func (c *caller) draw() Request {
+	route := routes[rand.IntN(len(routes))]
+	c.sent++
+	q := Request{
+		ID: fmt.Sprintf("c%d-%d", c.number, c.sent), Route: route, Key: c.site.drawKey(),
+		Target: fmt.Sprintf("%s%d?n=%d", route.Prefix, rand.IntN(100), c.sent), Daemon: c.daemon, Life: c.life,
+	}
+	if route.Method == http.MethodPost {
+		q.Body = strings.Repeat("b", 1+rand.IntN(500))
+		if rand.IntN(20) == 0 {
+			q.Body = strings.Repeat("B", mostRequestBody)
+		}
+	}
+	return q
+}
+
+// text writes a request as it goes out.
+func (q *Request) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n%s: forged\r\n",
+		q.Route.Method, q.Target, routeHost, headerID, q.ID, headerDeadline, q.Route.Timeout.Milliseconds(), q.Key, headerWorkspace)
+	if q.Route.Stream {
+		topic := hashOf(q.Target) % 7
+		fmt.Fprintf(&b, "Model-Name: m\r\nToken-Count: 1460,80\r\nPrompt-Prefix: aa:800,%x:900,%x:250\r\n", topic+1, hashOf(q.ID))
+	}
+	switch {
+	case q.Body == "":
+		b.WriteString("\r\n")
+	case hashOf(q.ID)%3 == 0:
+		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(q.Body), q.Body)
+	default:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(q.Body), q.Body)
+	}
+	return b.String()
+}
+
+// send sends one request and waits for its answer, or leaves.
+func (c *caller) send(q *Request) Answer {
+	q.Sent = time.Now()
+	q.Deadline = q.Sent.Add(q.Route.Timeout)
+	ledger := c.site.ledger
+	ledger.Sent(*q)
+	_ = c.conn.SetDeadline(q.Deadline.Add(callerPatience))
+	if rand.Int64N(100) < c.site.manners.leave.Load() {
+		return c.abandon(q)
+	}
+	if _, err := c.conn.Write([]byte(q.text())); err != nil {
+		return c.failed(q, err)
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Route.Method})
+	if err != nil {
+		return c.failed(q, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	a := Answer{At: time.Now(), Status: resp.StatusCode, Seal: resp.Header.Get(headerSeal), Body: string(body), Whole: err == nil, Err: err}
+	ledger.Answered(q.ID, a)
+	if c.uses--; err != nil || resp.Close || c.uses <= 0 {
+		c.hangUp()
+	}
+	return a
+}
+
+func (c *caller) failed(q *Request, err error) Answer {
+	a := Answer{At: time.Now(), Err: err}
+	c.site.ledger.Answered(q.ID, a)
+	c.hangUp()
+	return a
+}
+
+// abandon sends a request and closes the connection before its answer.
+func (c *caller) abandon(q *Request) Answer {
+	_, _ = c.conn.Write([]byte(q.text()))
+	time.Sleep(rand.N(mostWork))
+	c.site.ledger.Left(q.ID, time.Now())
+	c.hangUp()
+	return Answer{}
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,350 @@
+// This file judges what the ledger holds. Bounds in time hold for daemons in
+// touch: those that, with the store, were undisturbed for Contact before.
+
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds are the figures of the promises.
+type Bounds struct {
+	Contact time.Duration // undisturbed time after which a daemon is in touch
+	Apply   time.Duration // until a configuration is in force
+	Drain   time.Duration // until a leaving replica gets no more work
+	Leave   time.Duration // until the work for a caller that left ends
+	Late    time.Duration // how much later than its deadline an answer may come
+	Resend  time.Duration // slack of the deadlines that replicas are given
+	Ratio   float64       // of the repeats
+	Extra   float64
+	Window  time.Duration
+	// Few is the number of cases up to which a rule that allows a few is kept.
+	Few int
+	// Share is the part of the requests that must be served at the end of the
+	// quiet time.
+	Share float64
+}
+
+// DefaultBounds returns the bounds of a run. Those in time are the users' and
+// half a second for the machine's own delays.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Contact: 3 * time.Second, Apply: 2500 * time.Millisecond, Drain: 2500 * time.Millisecond, Leave: time.Second,
+		Late: time.Second, Resend: 500 * time.Millisecond, Ratio: 0.2, Extra: 56, Window: 10 * time.Second, Few: 3, Share: 0.9,
+	}
+}
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise string    `json:"promise"`
+	Subject string    `json:"subject"` // a request, a daemon or a service
+	At      time.Time `json:"at"`
+	Detail  string    `json:"detail"`
+}
+
+// Judge judges everything so far and returns what was not returned before.
+func (l *Ledger) Judge(now time.Time) []Violation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := &judgement{Ledger: l, now: now}
+	for _, r := range l.order {
+		j.judge(r)
+	}
+	j.judgeFew()
+	j.judgeRepeats()
+	j.out = append(j.out, l.ended...)
+	var fresh []Violation
+	for _, v := range j.out {
+		key := v.Promise + " " + v.Subject
+		if _, ok := l.found[key]; !ok {
+			l.found[key] = v
+			fresh = append(fresh, v)
+		}
+	}
+	return fresh
+}
+
+// judgement collects violations. few are cases of which some are allowed.
+type judgement struct {
+	*Ledger
+	now time.Time
+	out []Violation
+	few []Violation
+}
+
+func (j *judgement) add(promise string, r *record, at time.Time, format string, args ...any) {
+	j.out = append(j.out, Violation{Promise: promise, Subject: r.ID, At: at, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (j *judgement) addFew(promise string, r *record, at time.Time, format string, args ...any) {
+	j.few = append(j.few, Violation{Promise: promise, Subject: r.ID, At: at, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (j *judgement) judge(r *record) {
+	if !r.known {
+		if len(r.runs) > 0 {
+			j.out = append(j.out, Violation{Promise: "UNASKED", Subject: r.runs[0].Target, At: r.runs[0].At, Detail: "nobody sent a request with this id"})
+		}
+		return
+	}
+	j.judgeRuns(r)
+	j.judgeArrivals(r)
+	j.judgeLeaving(r)
+	if r.answer != nil {
+		j.judgeAnswer(r)
+		j.judgeDenial(r)
+		j.judgeLoss(r)
+	}
+	j.judgeDeadline(r)
+}
+
+// inTouch reports whether a daemon and the store were undisturbed from Contact
+// before a time until another.
+func (j *judgement) inTouch(daemon int, from, to time.Time) bool {
+	from = from.Add(-j.bounds.Contact)
+	return calm(j.daemons[daemon], from, to) && calm(j.store, from, to) && calm(j.stops[daemon], from, to)
+}
+
+// undisturbed is the same without the store and with planned stops allowed.
+func (j *judgement) undisturbed(daemon int, from, to time.Time) bool {
+	return calm(j.daemons[daemon], from.Add(-j.bounds.Contact), to)
+}
+
+func (j *judgement) judgeRuns(r *record) {
+	if len(r.runs) > 1 && !r.Route.Repeatable {
+		j.add("TWICE", r, r.runs[1].At, "%s ran at %s and at %s", r.Route.Name, r.runs[0].Replica, r.runs[1].Replica)
+	}
+	key := j.keys[r.Key]
+	for _, run := range r.runs {
+		if run.Method != r.Route.Method || run.Target != r.Target || run.Body != r.Body {
+			j.add("UNASKED", r, run.At, "ran as %s %s with a body of %d bytes, sent as %s %s with %d", run.Method, run.Target, len(run.Body), r.Route.Method, r.Target, len(r.Body))
+		}
+		if key == nil {
+			j.add("ROUTE", r, run.At, "ran with a key that nobody ever held")
+			continue
+		}
+		if run.Workspace != key.workspace {
+			j.add("UNASKED", r, run.At, "ran for workspace %q, its key is of %q", run.Workspace, key.workspace)
+		}
+		if key.removed.IsZero() {
+			continue
+		}
+		if r.Sent.Sub(key.removed) > j.bounds.Apply && j.inTouch(r.Daemon, key.removed, run.At) {
+			j.add("CONFIG", r, run.At, "ran with a key that was taken away %v before it was sent, by way of daemon %d", r.Sent.Sub(key.removed), r.Daemon)
+		}
+	}
+	for _, run := range r.runs {
+		j.judgeService(r, run)
+		j.judgeDrain(r, run)
+	}
+}
+
+func (j *judgement) judgeService(r *record, run *Run) {
+	list := j.routes[r.Route.Name]
+	ever, allowed := false, false
+	var since time.Time
+	for i, c := range list {
+		if c.value != run.Service {
+			continue
+		}
+		ever = true
+		ends := j.now.Add(time.Hour)
+		if i+1 < len(list) {
+			ends = list[i+1].at
+		}
+		if r.Sent.Sub(ends) <= j.bounds.Apply {
+			allowed = true
+		}
+		since = ends
+	}
+	if !ever {
+		j.add("ROUTE", r, run.At, "%s never goes to %s", r.Route.Name, run.Service)
+		return
+	}
+	if !allowed && j.inTouch(r.Daemon, since, run.At) {
+		j.add("CONFIG", r, run.At, "%s ran at %s %v after it had moved, by way of daemon %d", r.Route.Name, run.Service, r.Sent.Sub(since), r.Daemon)
+	}
+}
+
+func (j *judgement) judgeDrain(r *record, run *Run) {
+	at, ok := j.leaving[run.Replica]
+	if ok && run.At.Sub(at) > j.bounds.Drain && j.inTouch(r.Daemon, at, run.At) && calm(j.replicas[run.Replica], at, run.At) {
+		j.add("DRAIN", r, run.At, "reached %s %v after the store took its leaving, by way of daemon %d", run.Replica, run.At.Sub(at), r.Daemon)
+	}
+}
+
+func (j *judgement) judgeArrivals(r *record) {
+	for _, a := range r.arrivals {
+		if late := a.Deadline.Sub(r.Deadline); late > j.bounds.Resend && j.undisturbed(r.Daemon, a.At, a.At) {
+			j.addFew("BUDGET", r, a.At, "replica %s was given %v more than the caller's deadline", a.Replica, late)
+		}
+	}
+}
+
+func (j *judgement) judgeLeaving(r *record) {
+	if r.left.IsZero() || !j.undisturbed(r.Daemon, r.left, r.left.Add(j.bounds.Leave)) {
+		return
+	}
+	for _, run := range r.runs {
+		ended := run.Ended
+		if ended.IsZero() {
+			ended = j.now
+		}
+		reached := calm(j.replicas[run.Replica], run.At, ended)
+		if reached && ended.Sub(r.left) > j.bounds.Leave {
+			j.addFew("GONE", r, ended, "%s worked %v longer than its caller waited", run.Replica, ended.Sub(r.left))
+		}
+	}
+}
+
+// promises are the statuses that say that a request has not run and never will.
+var promises = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+func (j *judgement) judgeAnswer(r *record) {
+	a := r.answer
+	if slices.Contains(promises, a.Status) && !r.Route.Repeatable && len(r.runs) > 0 {
+		j.add("REFUSED", r, a.At, "status %d says that it never runs, and it ran at %s", a.Status, r.runs[0].Replica)
+	}
+	switch {
+	case a.Status == 0:
+	case a.Status >= http.StatusMultipleChoices:
+		if a.Seal != "" && !slices.ContainsFunc(r.runs, func(run *Run) bool { return run.Replica == a.Seal && run.Status == a.Status }) {
+			j.add("MIXED", r, a.At, "status %d carries the seal of %s, which did not give it", a.Status, a.Seal)
+		}
+	case !slices.ContainsFunc(r.runs, func(run *Run) bool { return run.Replica == a.Seal }):
+		j.add("MIXED", r, a.At, "success carries the seal %q of no replica that ran it", a.Seal)
+	case r.Route.Stream:
+		j.judgeStream(r)
+	case a.Whole && a.Body != plainBody(r.ID, a.Seal):
+		j.add("MIXED", r, a.At, "body of %d bytes is not the replica's: %.60q", len(a.Body), a.Body)
+	}
+}
+
+func (j *judgement) judgeStream(r *record) {
+	want, got := streamBody(r.ID, 0), r.answer.Body
+	if r.answer.Whole && got != want {
+		j.add("ORDER", r, r.answer.At, "stream of %d bytes ended as complete, the replica's has %d", len(got), len(want))
+	}
+	if !r.answer.Whole && !strings.HasPrefix(want, got) {
+		j.add("ORDER", r, r.answer.At, "the part of %d bytes is not the beginning of the replica's stream", len(got))
+	}
+}
+
+func (j *judgement) judgeDenial(r *record) {
+	if r.answer.Seal != "" {
+		return
+	}
+	switch r.answer.Status {
+	case http.StatusNotFound:
+		j.add("DENIED", r, r.answer.At, "daemon %d does not know the route %s", r.Daemon, r.Route.Name)
+	case http.StatusUnauthorized, http.StatusForbidden:
+	default:
+		return
+	}
+	key := j.keys[r.Key]
+	if key == nil || !key.removed.IsZero() {
+		return
+	}
+	if key.added.IsZero() {
+		j.add("DENIED", r, r.answer.At, "daemon %d does not know a key that always held", r.Daemon)
+		return
+	}
+	if r.Sent.Sub(key.added) > j.bounds.Apply && j.inTouch(r.Daemon, key.added, r.answer.At) {
+		j.add("CONFIG", r, r.answer.At, "daemon %d does not know a key that was added %v before", r.Daemon, r.Sent.Sub(key.added))
+	}
+}
+
+// judgeLoss looks for a connection that ended without an answer although the
+// daemon was well, or stopped as planned, and the replica sound.
+func (j *judgement) judgeLoss(r *record) {
+	a := r.answer
+	if a.Status != 0 || a.Err == nil || len(r.runs) == 0 || !r.left.IsZero() || a.At.After(r.Deadline) {
+		return
+	}
+	run := r.runs[len(r.runs)-1]
+	if j.undisturbed(r.Daemon, r.Sent, a.At) && calm(j.replicas[run.Replica], run.At.Add(-j.bounds.Contact), a.At) {
+		j.add("LOST", r, a.At, "daemon %d closed the connection without an answer: %v", r.Daemon, a.Err)
+	}
+}
+
+func (j *judgement) judgeDeadline(r *record) {
+	at := j.now
+	if r.answer != nil {
+		at = r.answer.At
+	}
+	if late := at.Sub(r.Deadline); late > j.bounds.Late && r.left.IsZero() && j.undisturbed(r.Daemon, r.Sent, at) {
+		j.addFew("CONFIG", r, at, "final answer of daemon %d came %v after the deadline", r.Daemon, late)
+	}
+}
+
+// judgeFew takes the cases of which a few are allowed.
+func (j *judgement) judgeFew() {
+	byPromise := make(map[string][]Violation)
+	for _, v := range j.few {
+		byPromise[v.Promise] = append(byPromise[v.Promise], v)
+	}
+	for _, list := range byPromise {
+		if len(list) > j.bounds.Few {
+			j.out = append(j.out, list...)
+		}
+	}
+}
+
+// judgeRepeats counts, for each service, the arrivals beyond the first of each
+// request in every window that ends with one.
+func (j *judgement) judgeRepeats() {
+	repeats, firsts := make(map[string][]time.Time), make(map[string][]time.Time)
+	for _, r := range j.order {
+		for i, a := range r.arrivals {
+			if i > 0 {
+				repeats[a.Service] = append(repeats[a.Service], a.At)
+				continue
+			}
+			firsts[a.Service] = append(firsts[a.Service], a.At)
+		}
+	}
+	for service, list := range repeats {
+		slices.SortFunc(list, time.Time.Compare)
+		for i, end := range list {
+			n := countWithin(list[:i+1], end, j.bounds.Window)
+			// The users count the better of this window and the one before.
+			requests := max(countWithin(firsts[service], end, j.bounds.Window), countWithin(firsts[service], end.Add(-j.bounds.Window), j.bounds.Window))
+			if most := j.bounds.Ratio*float64(requests) + j.bounds.Extra; float64(n) > most {
+				j.out = append(j.out, Violation{Promise: "BUDGET", Subject: service, At: end, Detail: fmt.Sprintf("%d repeats in a window, allowed are %.0f", n, most)})
+				break
+			}
+		}
+	}
+}
+
+func countWithin(list []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range list {
+		if !t.After(end) && end.Sub(t) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// Served returns how many of the requests that were sent within a time, with a
+// key that held, got a success.
+func (l *Ledger) Served(from, to time.Time) (served, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.order {
+		key := l.keys[r.Key]
+		if !r.known || r.Sent.Before(from) || r.Sent.After(to) || !r.left.IsZero() || key == nil || !key.removed.IsZero() {
+			continue
+		}
+		all++
+		if r.answer != nil && r.answer.Whole && r.answer.Status/100 == 2 {
+			served++
+		}
+	}
+	return served, all
+}
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+
+// scene is a ledger with one request of a route, sent at 100 s by way of daemon 0
+// with a key that always held.
+type scene struct {
+	*Ledger
+	q Request
+}
+
+func newScene(route *Route) *scene {
+	s := &scene{Ledger: NewLedger(DefaultBounds())}
+	s.KeyAdded("k", "w", time.Time{})
+	s.RouteTo(route.Name, "gate", time.Time{})
+	s.q = Request{ID: "q", Route: route, Target: "/x", Key: "k", Sent: at(100), Deadline: at(100).Add(route.Timeout)}
+	return s
+}
+
+func (s *scene) send() *scene {
+	s.Sent(s.q)
+	return s
+}
+
+func (s *scene) run(replica string, when float64) *Run {
+	a := Arrival{Replica: replica, Service: "gate", At: at(when), Deadline: s.q.Deadline}
+	s.Arrived("q", a)
+	return s.Began("q", Run{Arrival: a, Method: s.q.Route.Method, Target: "/x", Workspace: "w"})
+}
+
+func (s *scene) answer(a Answer) {
+	if a.At.IsZero() {
+		a.At = at(100.2)
+	}
+	s.Answered("q", a)
+}
+
+func good() Answer { return Answer{Status: 200, Seal: "r1", Body: plainBody("q", "r1"), Whole: true} }
+
+// TestJudge plays one case for each promise, and its lawful twin.
+func TestJudge(t *testing.T) {
+	once, safe, chat := routes[0], routes[1], routes[2]
+	for _, c := range []struct {
+		name, want string // want is empty where nothing is broken
+		route      *Route
+		play       func(s *scene)
+	}{
+		{"a whole answer", "", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(good()) }},
+		{"an answer with another's body", "MIXED", once, func(s *scene) {
+			s.send().run("r1", 100.1)
+			a := good()
+			a.Body = plainBody("other", "r1")
+			s.answer(a)
+		}},
+		{"an answer with the seal of one that did not run it", "MIXED", once, func(s *scene) { s.send().run("r2", 100.1); s.answer(good()) }},
+		{"a failure that its replica did not give", "MIXED", once, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 200, at(100.2))
+			s.answer(Answer{Status: 500, Seal: "r1"})
+		}},
+		{"two runs", "TWICE", once, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.run("r2", 100.2)
+			s.Answered("q", Answer{At: at(100.3), Status: 502})
+		}},
+		{"two runs of what may be repeated", "", safe, func(s *scene) { s.send().run("r2", 100.1); s.run("r1", 100.2); s.answer(good()) }},
+		{"a refusal of what has run", "REFUSED", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(Answer{Status: 503}) }},
+		{"a refusal of what runs later", "REFUSED", once, func(s *scene) { s.send(); s.answer(Answer{Status: 503}); s.run("r1", 101) }},
+		{"a failure that promises nothing", "", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(Answer{Status: 502}) }},
+		{"a run that nobody asked for", "UNASKED", once, func(s *scene) { s.run("r1", 100.1) }},
+		{"a run for another workspace", "UNASKED", once, func(s *scene) {
+			s.send()
+			a := Arrival{Replica: "r1", Service: "gate", At: at(100.1), Deadline: s.q.Deadline}
+			s.Began("q", Run{Arrival: a, Method: "POST", Target: "/x", Workspace: "forged"})
+		}},
+		{"a run with nobody's key", "ROUTE", once, func(s *scene) { s.q.Key = "none"; s.send().run("r1", 100.1) }},
+		{"a run with a key taken away long ago", "CONFIG", once, func(s *scene) { s.KeyRemoved("k", at(90)); s.send().run("r1", 100.1) }},
+		{"a run with a key taken away just now", "", once, func(s *scene) { s.KeyRemoved("k", at(99)); s.send().run("r1", 100.1) }},
+		{"the same by a daemon out of touch", "", once, func(s *scene) {
+			s.KeyRemoved("k", at(90))
+			s.DisturbDaemon(0, at(89), at(99))
+			s.send().run("r1", 100.1)
+		}},
+		{"a run at a service that the route left", "CONFIG", once, func(s *scene) { s.RouteTo("once", "gate-2", at(90)); s.send().run("r1", 100.1) }},
+		{"a run at a service that the route never had", "ROUTE", once, func(s *scene) {
+			s.send()
+			a := Arrival{Replica: "r1", Service: "foreign", At: at(100.1), Deadline: s.q.Deadline}
+			s.Began("q", Run{Arrival: a, Method: "POST", Target: "/x", Workspace: "w"})
+		}},
+		{"a key that always held is not known", "DENIED", once, func(s *scene) { s.send(); s.answer(Answer{Status: 401}) }},
+		{"a new key is not known for long", "CONFIG", once, func(s *scene) { s.KeyAdded("k", "w", at(90)); s.send(); s.answer(Answer{Status: 401}) }},
+		{"work for a replica that left", "DRAIN", once, func(s *scene) { s.Leaves("r1", at(95)); s.send().run("r1", 100.1) }},
+		{"work for one that leaves just now", "", once, func(s *scene) { s.Leaves("r1", at(99)); s.send().run("r1", 100.1) }},
+		{"a connection that ends without an answer", "LOST", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(Answer{Err: errors.New("EOF")}) }},
+		{"the same of a killed daemon", "", once, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.DisturbDaemon(0, at(100.15), at(100.6))
+			s.answer(Answer{Err: errors.New("EOF")})
+		}},
+		{"a stream that ends too early as whole", "ORDER", chat, func(s *scene) {
+			s.RouteTo("chat", "gate", time.Time{})
+			s.send().run("r1", 100.1)
+			s.answer(Answer{Status: 200, Seal: "r1", Body: streamEvents("q")[0], Whole: true})
+		}},
+		{"a stream that breaks off", "", chat, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.answer(Answer{Status: 200, Seal: "r1", Body: streamEvents("q")[0], Err: errors.New("EOF")})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScene(c.route)
+			c.play(s)
+			found := s.Judge(at(101))
+			switch {
+			case c.want == "" && len(found) > 0:
+				t.Errorf("found %+v in what is lawful", found)
+			case c.want != "" && (len(found) == 0 || found[0].Promise != c.want):
+				t.Errorf("found %+v, want %s", found, c.want)
+			}
+			if again := s.Judge(at(101)); len(again) > 0 {
+				t.Errorf("told again: %+v", again)
+			}
+		})
+	}
+}
+
+// TestJudgeCountsWhatIsAllowedAFewTimes looks at the rules that a few cases do
+// not break.
+func TestJudgeCountsWhatIsAllowedAFewTimes(t *testing.T) {
+	for _, c := range []struct {
+		promise string
+		play    func(l *Ledger, id string, q Request)
+	}{
+		{"GONE", func(l *Ledger, id string, q Request) {
+			l.Began(id, Run{Arrival: Arrival{Replica: "r", Service: "gate", At: at(100.1), Deadline: q.Deadline}, Method: q.Route.Method, Target: "/x", Workspace: "w"})
+			l.Left(id, at(100.2))
+		}},
+		{"BUDGET", func(l *Ledger, id string, q Request) {
+			l.Arrived(id, Arrival{Replica: "r", Service: "gate", At: at(100.1), Deadline: q.Deadline.Add(time.Second)})
+			l.Answered(id, Answer{At: at(100.2), Status: 502})
+		}},
+		{"CONFIG", func(l *Ledger, id string, q Request) {
+			l.Answered(id, Answer{At: q.Deadline.Add(2 * time.Second), Status: 504})
+		}},
+	} {
+		t.Run(c.promise, func(t *testing.T) {
+			for _, n := range []int{DefaultBounds().Few, DefaultBounds().Few + 1} {
+				s := newScene(routes[0])
+				for i := range n {
+					q := s.q
+					q.ID = "q" + itoa(i)
+					s.Sent(q)
+					c.play(s.Ledger, q.ID, q)
+				}
+				found := s.Judge(at(110))
+				if broken := n > DefaultBounds().Few; broken != (len(found) > 0) {
+					t.Errorf("%d cases: found %+v", n, found)
+				}
+				for _, v := range found {
+					if v.Promise != c.promise {
+						t.Errorf("found %s, want %s", v.Promise, c.promise)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestJudgeCountsRepeats(t *testing.T) {
+	for _, c := range []struct {
+		repeats int
+		broken  bool
+	}{{60, false}, {100, true}} {
+		s := newScene(routes[1])
+		for i := range c.repeats {
+			q := s.q
+			q.ID = "q" + itoa(i)
+			s.Sent(q)
+			for _, replica := range []string{"r1", "r2"} {
+				s.Arrived(q.ID, Arrival{Replica: replica, Service: "gate", At: at(100.1), Deadline: q.Deadline})
+			}
+			s.Answered(q.ID, Answer{At: at(100.2), Status: 502})
+		}
+		if found := s.Judge(at(101)); c.broken != (len(found) > 0) {
+			t.Errorf("%d repeats: found %+v", c.repeats, found)
+		}
+	}
+}
+
+// TestPlanFollowsFromItsSeed holds that a seed gives one plan, and that all kinds
+// of faults are drawn.
+func TestPlanFollowsFromItsSeed(t *testing.T) {
+	seen := make(map[FaultKind]bool)
+	for seed := range uint64(100) {
+		a, b := NewPlan(seed, DefaultShape()), NewPlan(seed, DefaultShape())
+		for i, f := range a.Faults {
+			seen[f.Kind] = true
+			if f != b.Faults[i] {
+				t.Fatalf("seed %d: %+v and %+v", seed, f, b.Faults[i])
+			}
+		}
+	}
+	for _, w := range weights {
+		if !seen[w.kind] {
+			t.Errorf("%s is never drawn", w.kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/planted_test.go
@@ -0,0 +1,98 @@
+//go:build planted
+
+// These tests build daemons with one mechanism taken out, and require that the
+// soak finds each. They take some minutes and are run by hand:
+//
+//	go test -tags planted -v -timeout 20m -run TestPlantedFaultsAreFound ./internal/soak
+//
+// The faults are laid over the sources at build time, so that the product holds
+// no code for them.
+
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// plant is a fault: a text of a source file and what takes its place.
+type plant struct {
+	name, promise string
+	file          string
+	text, instead string
+}
+
+var plants = []plant{
+	{"sends again what may have run", "TWICE", "relay/relay.go", "\tif coordination.MayRepeat(o) {\n\t\treturn true", "\tif o != nil {\n\t\treturn true"},
+	{"takes every third configuration not", "CONFIG", "router/control.go", "c.table, c.tableRev = t, it.Revision", "if c.table == nil || it.Revision%3 != 0 {\n\t\tc.table = t\n\t}\n\tc.tableRev = it.Revision"},
+	{"passes on an answer to another request", "MIXED", "relay/exchange.go", "if x.head.Answers == x.call.ID {", "if x.head.Answers != \"\" {"},
+	{"sends work to leaving replicas", "DRAIN", "router/control.go", "if e.replica.Draining {", "if e.replica.Draining && e.replica.ID == \"\" {"},
+	{"goes on for a caller that left", "GONE", "relay/exchange.go", "func() { _ = x.conn.Close() })", "func() {})"},
+	{"stops without waiting", "LOST", "router/router.go", "_ = d.callers.server.Shutdown(wait)", "<-wait.Done()\n\t_ = d.callers.server.Close()"},
+	{"says not run of what may have run", "REFUSED", "platform/front.go", "status := http.StatusBadGateway", "status := http.StatusServiceUnavailable"},
+	{"takes a broken stream as whole", "ORDER", "relay/answer.go", "return x.broken(ctx, eris.Wrap(err, \"read stream\"))", "break"},
+}
+
+// seedsForEach is how many seeds may be played until a fault is found.
+const seedsForEach = 8
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range plants {
+		t.Run(p.name, func(t *testing.T) {
+			binary := p.build(t, root)
+			for seed := range uint64(seedsForEach) {
+				report, err := Play(context.Background(), NewPlan(seed, DefaultShape()), Options{Daemon: binary, Dir: t.TempDir()})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, v := range report.Violations {
+					if v.Promise == p.promise {
+						t.Logf("found with seed %d at %s: %s", seed, v.At.UTC().Format("15:04:05.000"), v.Detail)
+						return
+					}
+				}
+			}
+			t.Errorf("not found with %d seeds", seedsForEach)
+		})
+	}
+}
+
+// build builds the daemon with the fault laid over its source.
+func (p *plant) build(t *testing.T, root string) string {
+	t.Helper()
+	file := filepath.Join(root, p.file)
+	source, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Count(string(source), p.text) != 1 {
+		t.Fatalf("%s does not hold %q once; the fault must be planted anew", p.file, p.text)
+	}
+	dir := t.TempDir()
+	changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+	text, err := json.Marshal(map[string]map[string]string{"Replace": {file: changed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, content := range map[string][]byte{changed: []byte(strings.Replace(string(source), p.text, p.instead, 1)), overlay: text} {
+		if err := os.WriteFile(name, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	binary := filepath.Join(dir, "hingewinchd")
+	cmd := exec.Command("go", "build", "-overlay", overlay, "-o", binary, "./cmd/hingewinchd")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
--- /dev/null
+++ b/internal/soak/replica.go
@@ -0,0 +1,351 @@
+// This file plays replicas: they run requests, tell the ledger, and misbehave as
+// their mood says.
+
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Headers of the users' protocol that the two ends of a run speak.
+const (
+	headerID        = "Attempt-Id"
+	headerExpect    = "Expect-Replica"
+	headerSeal      = "Replica-Seal"
+	headerWorkspace = "Tenant-Name"
+	headerDeadline  = "Deadline-Ms"
+	headerLast      = "Last-Event-Id"
+)
+
+// Mood says how a replica misbehaves. Each share is of the requests.
+type Mood struct {
+	Fail    float64 // answers 500 after the work
+	Shed    float64 // refuses without having run
+	Hang    float64 // never answers
+	Break   float64 // ends its answer half-way
+	Lose    float64 // runs and resets the connection
+	Surplus float64 // answers twice, at once or in the place of the next answer
+	Early   float64 // answers before the work is done, and goes on reading
+}
+
+// moods are the variants of a grey replica.
+var moods = []Mood{
+	{Fail: 0.5}, {Shed: 0.6}, {Hang: 0.3}, {Break: 0.3}, {Lose: 0.2}, {Surplus: 0.6}, {Fail: 1}, {Surplus: 0.3, Lose: 0.1, Break: 0.1},
+}
+
+// Replica is one life of a replica.
+type Replica struct {
+	ID       string
+	Service  string
+	Domain   string
+	slots    int
+	ledger   *Ledger
+	listener net.Listener
+
+	mu    sync.Mutex
+	mood  Mood
+	busy  int
+	conns map[net.Conn]struct{}
+	ended bool
+}
+
+// StartReplica listens on a loopback address.
+func StartReplica(id, service, domain string, slots int, l *Ledger) (*Replica, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, ledger: l, listener: listener, conns: make(map[net.Conn]struct{})}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns where the replica listens.
+func (r *Replica) Address() string { return r.listener.Addr().String() }
+
+// SetMood changes how it misbehaves.
+func (r *Replica) SetMood(m Mood) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mood = m
+}
+
+// End closes the listener and resets all connections.
+func (r *Replica) End() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	for c := range r.conns {
+		resetConn(c.(*net.TCPConn))
+	}
+}
+
+func (r *Replica) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		ended := r.ended
+		r.conns[c] = struct{}{}
+		r.mu.Unlock()
+		if ended {
+			_ = c.Close()
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+// exchange is one request at a replica.
+type exchange struct {
+	*Replica
+	conn  net.Conn
+	id    string
+	run   *Run
+	mood  Mood
+	gone  chan struct{} // closed when the daemon's end is closed
+	draw  float64
+	stray *string // an answer that is written in the place of the next one
+}
+
+func (r *Replica) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
+	reader := bufio.NewReader(c)
+	var stray string
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		x := &exchange{Replica: r, conn: c, id: req.Header.Get(headerID), gone: make(chan struct{}), draw: rand.Float64(), stray: &stray}
+		watched := make(chan struct{})
+		go func() {
+			if _, err := reader.Peek(1); err != nil {
+				close(x.gone)
+			}
+			close(watched)
+		}()
+		if !x.serve(req, string(body)) {
+			return
+		}
+		<-watched
+	}
+}
+
+// serve answers one request. It returns false if the connection ends.
+func (x *exchange) serve(req *http.Request, body string) bool {
+	left, _ := strconv.Atoi(req.Header.Get(headerDeadline))
+	now := time.Now()
+	arrival := Arrival{Replica: x.ID, Service: x.Service, At: now, Deadline: now.Add(time.Duration(left) * time.Millisecond)}
+	if expected := req.Header.Get(headerExpect); expected != x.ID {
+		return x.write(421, "Replica-Id: "+x.ID+"\r\n", "")
+	}
+	x.ledger.Arrived(x.id, arrival)
+	x.mu.Lock()
+	x.mood = x.Replica.mood
+	full := x.busy >= x.slots
+	if !full {
+		x.busy++
+	}
+	x.mu.Unlock()
+	if full || x.strikes(x.mood.Shed) {
+		if !full {
+			x.leaveSlot()
+		}
+		return x.write(503, "Not-Executed: 1\r\n", "")
+	}
+	defer x.leaveSlot()
+	x.run = x.ledger.Began(x.id, Run{
+		Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: req.Header.Get(headerWorkspace),
+	})
+	if *x.stray != "" {
+		_, _ = x.conn.Write([]byte(*x.stray))
+		*x.stray = ""
+	}
+	if strings.HasPrefix(req.URL.Path, prefixChat) || strings.HasPrefix(req.URL.Path, prefixReply) {
+		return x.stream(req.Header.Get(headerLast))
+	}
+	return x.plain()
+}
+
+func (x *exchange) leaveSlot() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.busy--
+}
+
+// strikes takes its share of the one draw of the exchange.
+func (x *exchange) strikes(share float64) bool {
+	hit := x.draw >= 0 && x.draw < share
+	x.draw -= share
+	return hit
+}
+
+// work waits as long as the work takes, or until the daemon's end is closed.
+func (x *exchange) work(d time.Duration) bool {
+	select {
+	case <-x.gone:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (x *exchange) end(status int) { x.ledger.Ended(x.run, status, time.Now()) }
+
+const (
+	leastWork = 5 * time.Millisecond
+	mostWork  = 60 * time.Millisecond
+	hangTime  = 20 * time.Second
+)
+
+func drawWork() time.Duration { return leastWork + rand.N(mostWork-leastWork) }
+
+func (x *exchange) plain() bool {
+	if !x.work(drawWork()) {
+		x.end(0)
+		return false
+	}
+	switch {
+	case x.strikes(x.mood.Fail):
+		x.end(500)
+		return x.write(500, headerSeal+": "+x.ID+"\r\n", "failed")
+	case x.strikes(x.mood.Hang):
+		x.work(hangTime)
+		x.end(0)
+		return false
+	case x.strikes(x.mood.Break):
+		x.end(200)
+		whole := x.answer(200, headerSeal+": "+x.ID+"\r\n", plainBody(x.id, x.ID))
+		_, _ = x.conn.Write([]byte(whole[:len(whole)*2/3]))
+		return false
+	case x.strikes(x.mood.Lose):
+		x.end(0)
+		resetConn(x.conn.(*net.TCPConn))
+		return false
+	}
+	x.end(200)
+	whole := x.answer(200, headerSeal+": "+x.ID+"\r\n", plainBody(x.id, x.ID))
+	if x.strikes(x.mood.Surplus) {
+		if rand.IntN(2) == 0 {
+			whole += whole
+		} else {
+			*x.stray = whole
+		}
+	}
+	_, err := x.conn.Write([]byte(whole))
+	return err == nil
+}
+
+func (x *exchange) stream(last string) bool {
+	from, _ := strconv.Atoi(last)
+	if x.strikes(x.mood.Fail) {
+		x.end(500)
+		return x.write(500, headerSeal+": "+x.ID+"\r\n", "failed")
+	}
+	hang, broken, lose := x.strikes(x.mood.Hang), x.strikes(x.mood.Break), x.strikes(x.mood.Lose)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, x.id, headerSeal, x.ID)
+	events := streamEvents(x.id)
+	for i := from; i < len(events); i++ {
+		if !x.work(drawWork()) {
+			x.end(0)
+			return false
+		}
+		if i == from {
+			if _, err := x.conn.Write([]byte(head)); err != nil {
+				x.end(0)
+				return false
+			}
+		}
+		piece := events[i]
+		middle := i == (from+len(events))/2
+		switch {
+		case middle && hang:
+			x.work(hangTime)
+			x.end(0)
+			return false
+		case middle && broken:
+			x.end(200)
+			_, _ = fmt.Fprintf(x.conn, "%x\r\n%s", len(piece), piece[:len(piece)/2])
+			return false
+		case middle && lose:
+			x.end(0)
+			resetConn(x.conn.(*net.TCPConn))
+			return false
+		}
+		if _, err := fmt.Fprintf(x.conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+			x.end(0)
+			return false
+		}
+	}
+	x.end(200)
+	if from >= len(events) {
+		_, _ = x.conn.Write([]byte(head))
+	}
+	_, err := x.conn.Write([]byte("0\r\n\r\n"))
+	return err == nil
+}
+
+func (x *exchange) answer(status int, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headerID, x.id, headers, len(body), body)
+}
+
+func (x *exchange) write(status int, headers, body string) bool {
+	_, err := x.conn.Write([]byte(x.answer(status, headers, body)))
+	return err == nil
+}
+
+func hashOf(text string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum32()
+}
+
+const (
+	mostPadding = 2000
+	leastEvents = 2
+	moreEvents  = 6
+)
+
+// plainBody is what a replica answers to a plain request.
+func plainBody(id, replica string) string {
+	return "id=" + id + " replica=" + replica + " " + strings.Repeat("x", int(hashOf(id)%mostPadding))
+}
+
+// streamEvents are the events of a request's stream, the same at every replica.
+func streamEvents(id string) []string {
+	n := leastEvents + int(hashOf(id)%moreEvents)
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", i+1, id, i+1, n)
+	}
+	return out
+}
+
+// streamBody is the whole stream after some events.
+func streamBody(id string, after int) string { return strings.Join(streamEvents(id)[after:], "") }
+
+func isEOF(err error) bool { return errors.Is(err, io.EOF) }
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,220 @@
+// This file puts a run together: start, trouble, quiet, judgement, report.
+
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/internal/standin"
+)
+
+// Options say how a run is carried out.
+type Options struct {
+	Daemon string // path of the daemon's program
+	Dir    string // where settings, logs and the report go
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Plan       *Plan       `json:"plan"`
+	Requests   int         `json:"requests"` // of callers that stayed, with keys that held
+	Served     int         `json:"served"`
+	Share      float64     `json:"share_served"`
+	QuietShare float64     `json:"share_served_at_the_end"`
+	Violations []Violation `json:"violations"`
+	Events     []string    `json:"events"` // faults and their ends
+}
+
+// Figures of a run.
+const (
+	startTimeout  = 10 * time.Second
+	judgeInterval = 2 * time.Second
+	endWindow     = 4 * time.Second
+	leastAtEnd    = 20
+)
+
+// runner is a run under way.
+type runner struct {
+	plan    *Plan
+	options Options
+	site    *site
+	begun   time.Time
+
+	mu     sync.Mutex
+	report *Report
+}
+
+// Play plays a plan. The error tells that it could not be played; promises that
+// were broken stand in the report.
+func Play(ctx context.Context, p *Plan, o Options) (*Report, error) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, eris.Wrap(err, "make the run's directory; check the path and rights")
+	}
+	r := &runner{plan: p, options: o, report: &Report{Plan: p}, begun: time.Now()}
+	work, end := context.WithCancel(ctx)
+	defer end()
+	r.site = newSite(NewLedger(DefaultBounds()))
+	doors, err := r.build(work)
+	if r.site.fleet != nil {
+		defer r.site.fleet.end()
+	}
+	defer end() // before the fleet's end: nothing is started again
+	if err != nil {
+		return nil, err
+	}
+	defer r.site.close()
+	if err := r.play(work, doors); err != nil {
+		return nil, err
+	}
+	end()
+	return r.report, r.write()
+}
+
+// build starts the store's doors, the replicas and the daemons.
+func (r *runner) build(ctx context.Context) ([]*standin.StoreDoor, error) {
+	s, p := r.site, r.plan
+	for i := range p.Domains {
+		s.domains = append(s.domains, "z"+itoa(i))
+	}
+	for service, n := range map[string]int{serviceGate: p.Gate, serviceOther: p.Gate, serviceChat: p.Chat} {
+		for i := range n {
+			if err := s.addPlace(service, s.domains[i%len(s.domains)]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	s.mu.Lock()
+	s.publish()
+	s.mu.Unlock()
+	port, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
+	s.fleet = &fleet{binary: r.options.Daemon, dir: r.options.Dir, network: network, port: port, ledger: s.ledger, ctx: ctx}
+	var doors []*standin.StoreDoor
+	for i := range p.Daemons {
+		door, err := s.store.Open()
+		if err != nil {
+			return nil, err
+		}
+		doors = append(doors, door)
+		if _, err := s.fleet.add(i, s.domains[i%len(s.domains)], door.Address()); err != nil {
+			return nil, err
+		}
+	}
+	for _, d := range s.fleet.daemons {
+		if err := d.start(); err != nil {
+			return nil, eris.Wrapf(err, "start %s; build it first", r.options.Daemon)
+		}
+		go d.balance(ctx)
+	}
+	for deadline := time.Now().Add(startTimeout); !s.fleet.allIn(); pause(ctx, readyPoll) {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return nil, eris.Errorf("daemons are not ready after %v; look at their logs in %s", startTimeout, r.options.Dir)
+		}
+	}
+	return doors, nil
+}
+
+func (r *runner) play(ctx context.Context, doors []*standin.StoreDoor) error {
+	r.begun = time.Now()
+	var callers, judges sync.WaitGroup
+	calling, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	for i := range r.plan.Callers {
+		c := &caller{site: r.site, number: i}
+		callers.Go(func() { c.run(calling) })
+	}
+	judging, endJudging := context.WithCancel(ctx)
+	defer endJudging()
+	judges.Go(func() {
+		for judging.Err() == nil {
+			pause(judging, judgeInterval)
+			r.judge()
+		}
+	})
+	s := &striker{site: r.site, ctx: ctx, doors: doors, note: r.note}
+	s.run(r.plan)
+	pause(ctx, r.plan.Quiet)
+	hangUp()
+	callers.Wait()
+	endJudging()
+	judges.Wait()
+	r.judge()
+	r.judgeEnd()
+	return ctx.Err()
+}
+
+func (r *runner) judge() {
+	found := r.site.ledger.Judge(time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Violations = append(r.report.Violations, found...)
+}
+
+// judgeEnd judges the recovery: at the end of the quiet time all is served again,
+// and each daemon tells its figures.
+func (r *runner) judgeEnd() {
+	now := time.Now()
+	served, all := r.site.ledger.Served(now.Add(-endWindow), now.Add(-time.Second/2))
+	totalServed, total := r.site.ledger.Served(r.begun, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Requests, r.report.Served = total, totalServed
+	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
+	if all < leastAtEnd || r.report.QuietShare < r.site.ledger.bounds.Share {
+		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("%d of %d requests were served at the end of the quiet time", served, all)})
+	}
+	for _, d := range r.site.fleet.daemons {
+		if err := d.metrics(); err != nil {
+			r.report.Violations = append(r.report.Violations, Violation{Promise: "RUNS", Subject: "d" + itoa(d.number), At: now, Detail: "its figures can't be read: " + err.Error()})
+		}
+	}
+}
+
+func share(n, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+// metrics reads a daemon's figures.
+func (d *daemon) metrics() error {
+	client := &http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + d.operators + "/metrics")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func (r *runner) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := time.Now()
+	r.report.Events = append(r.report.Events, fmt.Sprintf("%s %6.2fs ", at.UTC().Format("15:04:05.000"), at.Sub(r.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// write keeps the report beside the daemons' logs.
+func (r *runner) write() error {
+	text, err := json.MarshalIndent(r.report, "", " ")
+	if err != nil {
+		return eris.Wrap(err, "encode report")
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(r.options.Dir, "report.json"), text, 0o600), "write report")
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,299 @@
+// This file holds what the operators publish in a run: routes, keys and
+// replicas, written to the store and noted in the ledger when it has taken them.
+
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"hingewinch.org/hingewinch/internal/standin"
+)
+
+const (
+	routeHost   = "calls.example"
+	prefixOnce  = "/once/"
+	prefixSafe  = "/safe/"
+	prefixChat  = "/chat/"
+	prefixReply = "/reply/"
+
+	serviceGate  = "gate"
+	serviceOther = "gate-2"
+	serviceChat  = "engines"
+)
+
+// routes are the routes of every run.
+var routes = []*Route{
+	{Name: "once", Prefix: prefixOnce, Method: http.MethodPost, Attempts: 2, Timeout: 2 * time.Second},
+	{Name: "safe", Prefix: prefixSafe, Method: http.MethodGet, Repeatable: true, Attempts: 2, Timeout: 2 * time.Second},
+	{Name: "chat", Prefix: prefixChat, Method: http.MethodPost, Stream: true, Attempts: 2, Timeout: 3 * time.Second},
+	{Name: "reply", Prefix: prefixReply, Method: http.MethodPost, Stream: true, Repeatable: true, Attempts: 2, Timeout: 3 * time.Second},
+}
+
+// place is one address of the site at which lives of replicas follow each other.
+type place struct {
+	link    *Link
+	domain  string
+	current *Replica
+	idle    bool // its replica has ended and nothing has taken its place
+}
+
+// site is everything around the fleet.
+type site struct {
+	ledger  *Ledger
+	store   *standin.Store
+	fleet   *fleet
+	manners manners
+	domains []string
+
+	mu       sync.Mutex
+	version  int
+	lives    int
+	services map[string]string // of the plain routes
+	keys     []siteKey
+	dropped  []siteKey
+	filler   int // routes that nobody uses
+	places   []*place
+}
+
+type siteKey struct{ key, workspace string }
+
+func newSite(l *Ledger) *site {
+	s := &site{ledger: l, store: standin.NewStore(50), services: map[string]string{"once": serviceGate, "safe": serviceGate, "chat": serviceChat, "reply": serviceChat}}
+	for i := range 6 {
+		k := siteKey{fmt.Sprintf("first-%d", i), fmt.Sprintf("w%d", i%3)}
+		s.keys = append(s.keys, k)
+		l.KeyAdded(k.key, k.workspace, time.Time{})
+	}
+	for name, service := range s.services {
+		l.RouteTo(name, service, time.Time{})
+	}
+	return s
+}
+
+type configDocument struct {
+	Version  int               `json:"version"`
+	Routes   []routeDocument   `json:"routes"`
+	Services []serviceDocument `json:"services"`
+	Tenants  []tenantDocument  `json:"tenants"`
+}
+
+type routeDocument struct {
+	Name      string `json:"name"`
+	Host      string `json:"host"`
+	Prefix    string `json:"path_prefix"`
+	Kind      string `json:"kind"`
+	TimeoutMS int64  `json:"timeout_ms"`
+	AimMS     int    `json:"target_latency_ms"`
+	GapMS     int    `json:"target_gap_ms"`
+	Service   string `json:"service"`
+	Attempts  int    `json:"max_attempts"`
+	Resumable bool   `json:"resumable"`
+}
+
+type serviceDocument struct {
+	Name   string     `json:"name"`
+	Engine *engineRef `json:"engine,omitempty"`
+}
+
+type engineRef struct {
+	Moves bool `json:"moves"`
+}
+
+type tenantDocument struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
+}
+
+const (
+	aimMS = 300
+	gapMS = 300
+)
+
+func kindOf(r *Route) string {
+	switch {
+	case r.Stream:
+		return "streaming"
+	case r.Repeatable:
+		return "idempotent"
+	}
+	return "non_idempotent"
+}
+
+// publish writes the configuration and returns when the store has taken it. The
+// caller holds the lock.
+func (s *site) publish() time.Time {
+	s.version++
+	d := configDocument{Version: s.version, Services: []serviceDocument{{Name: serviceGate}, {Name: serviceOther}, {Name: serviceChat, Engine: &engineRef{}}}}
+	for _, r := range routes {
+		d.Routes = append(d.Routes, routeDocument{
+			Name: r.Name, Host: routeHost, Prefix: r.Prefix, Kind: kindOf(r), TimeoutMS: r.Timeout.Milliseconds(),
+			AimMS: aimMS, GapMS: gapMS, Service: s.services[r.Name], Attempts: r.Attempts, Resumable: r.Stream && r.Repeatable,
+		})
+	}
+	for i := range s.filler {
+		d.Routes = append(d.Routes, routeDocument{Name: "filler-" + itoa(i), Host: "filler.example", Prefix: "/f" + itoa(i) + "/", Kind: "idempotent", Service: serviceGate, Attempts: 1})
+	}
+	byName := make(map[string][]string)
+	for _, k := range s.keys {
+		byName[k.workspace] = append(byName[k.workspace], k.key)
+	}
+	for name, keys := range byName {
+		d.Tenants = append(d.Tenants, tenantDocument{Name: name, Keys: keys})
+	}
+	text, err := json.Marshal(&d)
+	if err != nil {
+		panic(err) // the document is made of plain values
+	}
+	s.store.Put("op/config", text)
+	return time.Now()
+}
+
+func (s *site) addKey() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := siteKey{fmt.Sprintf("later-%d", s.version), "w" + itoa(s.version%3)}
+	s.keys = append(s.keys, k)
+	s.ledger.KeyAdded(k.key, k.workspace, s.publish())
+}
+
+// revokeKey takes a key away; the first three stay.
+func (s *site) revokeKey(draw int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const staying = 3
+	if len(s.keys) <= staying {
+		return
+	}
+	i := staying + draw%(len(s.keys)-staying)
+	k := s.keys[i]
+	s.keys = append(s.keys[:i:i], s.keys[i+1:]...)
+	s.dropped = append(s.dropped, k)
+	s.ledger.KeyRemoved(k.key, s.publish())
+}
+
+func (s *site) moveRoute(draw int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := []string{"once", "safe"}[draw%2]
+	to := serviceOther
+	if s.services[name] == serviceOther {
+		to = serviceGate
+	}
+	s.services[name] = to
+	s.ledger.RouteTo(name, to, s.publish())
+}
+
+func (s *site) grow(routes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.filler += routes
+	s.publish()
+}
+
+// drawKey returns a key: mostly one that holds, at times one that was taken away
+// or never held.
+func (s *site) drawKey() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch draw := rand.IntN(50); {
+	case draw == 0:
+		return "nobody's"
+	case draw < 8 && len(s.dropped) > 0:
+		return s.dropped[rand.IntN(len(s.dropped))].key
+	}
+	return s.keys[rand.IntN(len(s.keys))].key
+}
+
+type replicaDocument struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+const (
+	gateSlots = 6
+	chatSlots = 24
+)
+
+// addPlace opens an address of the site with its first replica.
+func (s *site) addPlace(service, domain string) error {
+	link, err := OpenLink("127.0.0.1:0", "127.0.0.1:1")
+	if err != nil {
+		return err
+	}
+	p := &place{link: link, domain: domain}
+	s.mu.Lock()
+	s.places = append(s.places, p)
+	s.mu.Unlock()
+	return s.begin(p, service)
+}
+
+// begin starts a new life at a place and announces it.
+func (s *site) begin(p *place, service string) error {
+	s.mu.Lock()
+	s.lives++
+	id := "i-" + itoa(s.lives)
+	s.mu.Unlock()
+	slots := gateSlots
+	if service == serviceChat {
+		slots = chatSlots
+	}
+	r, err := StartReplica(id, service, p.domain, slots, s.ledger)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	p.current, p.idle = r, false
+	s.mu.Unlock()
+	p.link.SetTarget(r.Address())
+	s.announce(p, r, "ready")
+	return nil
+}
+
+func (s *site) announce(p *place, r *Replica, state string) {
+	text, err := json.Marshal(&replicaDocument{Service: r.Service, Address: p.link.Address(), Zone: p.domain, Slots: r.slots, State: state})
+	if err != nil {
+		panic(err) // the document is made of plain values
+	}
+	s.store.Put("servers/"+r.ID, text)
+}
+
+// at returns a place whose replica lives, and the replica.
+func (s *site) at(draw int) (*place, *Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.places {
+		if p := s.places[(draw+k)%len(s.places)]; !p.idle {
+			return p, p.current
+		}
+	}
+	return s.places[0], s.places[0].current
+}
+
+// vacate marks a place whose replica ends.
+func (s *site) vacate(p *place) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.idle = true
+}
+
+// remove deletes a replica's entry.
+func (s *site) remove(r *Replica) {
+	s.store.Delete("servers/" + r.ID)
+	s.ledger.Leaves(r.ID, time.Now())
+}
+
+// close ends all replicas.
+func (s *site) close() {
+	for _, p := range s.places {
+		p.link.Close()
+		p.current.End()
+	}
+}
--- /dev/null
+++ b/internal/soak/strike.go
@@ -0,0 +1,362 @@
+// This file carries out the faults of a plan and notes what they disturb.
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"hingewinch.org/hingewinch/internal/standin"
+)
+
+// Figures of the faults.
+const (
+	// settling is how long after a fault's end its traces may last.
+	settling     = 500 * time.Millisecond
+	lapseTime    = 1500 * time.Millisecond // until a crashed replica's entry goes
+	backTime     = time.Second             // until lapsed entries are back
+	serveOn      = 3500 * time.Millisecond // how long a leaving replica serves
+	stormGap     = 250 * time.Millisecond
+	flapGap      = 700 * time.Millisecond
+	linkDelay    = 40 * time.Millisecond
+	fillerRoutes = 300
+)
+
+// striker carries out faults.
+type striker struct {
+	*site
+	ctx   context.Context
+	doors []*standin.StoreDoor
+	note  func(format string, args ...any)
+
+	// storeMu keeps troubles of the store apart: the last one would end all.
+	storeMu sync.Mutex
+}
+
+// run carries out the plan's faults at their times.
+func (s *striker) run(p *Plan) {
+	var wg sync.WaitGroup
+	begun := time.Now()
+	for _, f := range p.Faults {
+		wg.Go(func() {
+			pause(s.ctx, time.Until(begun.Add(f.At)))
+			if s.ctx.Err() == nil {
+				s.strike(&f)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (s *striker) daemon(f *Fault) *daemon { return s.fleet.daemons[f.Target%len(s.fleet.daemons)] }
+
+// disturb runs a fault of some daemons and notes the time.
+func (s *striker) disturb(daemons []*daemon, strike func()) {
+	from := time.Now()
+	// Until it is over, nothing bounds the disturbance.
+	far := from.Add(time.Hour)
+	for _, d := range daemons {
+		s.ledger.DisturbDaemon(d.number, from, far)
+	}
+	strike()
+	for _, d := range daemons {
+		s.ledger.Calm(d.number, from, time.Now().Add(settling))
+	}
+}
+
+func (s *striker) strike(f *Fault) {
+	s.note("%s target %d variant %d for %v", f.Kind, f.Target, f.Variant, f.For.Round(time.Millisecond))
+	switch f.Kind {
+	case KillDaemon, KillAll, FreezeDaemon, StopDaemon, HangupDaemon:
+		s.strikeProcess(f)
+	case StoreAway, StoreTurns, StoreLapses, StoreForgets:
+		s.strikeStore(f)
+	case CutDaemon, CutDomain:
+		s.cut(f)
+	case LinkReplica, LinkCallers, LinkStore:
+		s.strikeLink(f)
+	case GreyReplica, CrashReplica, FlapReplica, DrainReplica, ReuseAddress:
+		s.strikeReplica(f)
+	case AddKey, RevokeKey, MoveRoute, ConfigStorm:
+		s.changeConfig(f)
+	case CallersRepeat:
+		s.manners.repeat.Store(2)
+		pause(s.ctx, f.For)
+		s.manners.repeat.Store(0)
+	case CallersLeave:
+		s.manners.leave.Store(30)
+		pause(s.ctx, f.For)
+		s.manners.leave.Store(0)
+	}
+	s.note("%s target %d is over", f.Kind, f.Target)
+}
+
+func (s *striker) strikeProcess(f *Fault) {
+	d := s.daemon(f)
+	switch f.Kind {
+	case KillDaemon:
+		s.disturb([]*daemon{d}, func() { d.kill(); pause(s.ctx, restartPause) })
+	case KillAll:
+		s.disturb(s.fleet.daemons, func() {
+			for _, d := range s.fleet.daemons {
+				d.kill()
+			}
+			pause(s.ctx, restartPause)
+		})
+	case FreezeDaemon:
+		s.disturb([]*daemon{d}, func() { d.freeze(s.ctx, f.For) })
+	case StopDaemon:
+		s.stop(d)
+	case HangupDaemon:
+		s.hangUp(d, f.Variant)
+	}
+}
+
+// stop is a planned stop. One that begins while the process is frozen, or that a
+// kill ends, is judged by nobody: the other fault disturbs the daemon.
+func (s *striker) stop(d *daemon) {
+	from := time.Now()
+	s.ledger.Stopped(d.number, from, from.Add(time.Hour))
+	inTime := d.stop(s.ctx)
+	now := time.Now()
+	s.ledger.StoppedUntil(d.number, from, now.Add(restartPause+settling))
+	if !inTime {
+		s.ledger.StopTooLong(d.number, from, now)
+	}
+}
+
+// hangUp changes the settings file and signals it.
+func (s *striker) hangUp(d *daemon, variant int) {
+	text, err := os.ReadFile(d.file)
+	if err != nil {
+		return
+	}
+	_, rest, _ := strings.Cut(string(text), "\n")
+	_ = os.WriteFile(d.file, []byte(fmt.Sprintf("# generation %d\n%s", variant, rest)), 0o600)
+	d.signal(syscall.SIGHUP, false)
+}
+
+// doorModes are how the store can turn daemons away.
+var doorModes = []standin.StoreMode{standin.StoreBusy, standin.StoreResets, standin.StoreSilent}
+
+func (s *striker) strikeStore(f *Fault) {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	mode := doorModes[f.Variant%len(doorModes)]
+	from := time.Now()
+	switch f.Kind {
+	case StoreAway:
+		s.doorsFor(s.doors, mode, f.For, nil)
+	case StoreLapses:
+		s.doorsFor(s.doors, mode, f.For, s.lapse(f))
+	case StoreTurns:
+		// Daemons that are turned away learn from their peers, so that their
+		// bounds hold.
+		turned := 1 + f.Target%max(1, len(s.doors)/2)
+		s.doorsFor(s.doors[:turned], mode, f.For, nil)
+		return
+	case StoreForgets:
+		s.store.Deafen()
+		s.changeConfig(&Fault{Kind: RevokeKey, Target: f.Target})
+		pause(s.ctx, time.Second)
+		s.store.CompactSilently()
+		return
+	}
+	s.ledger.DisturbStore(from, time.Now().Add(settling))
+}
+
+// doorsFor sets the mode of some doors for a time; meanwhile runs then.
+func (s *striker) doorsFor(doors []*standin.StoreDoor, mode standin.StoreMode, d time.Duration, meanwhile func()) {
+	for _, door := range doors {
+		door.SetMode(mode)
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	pause(s.ctx, d)
+	for _, door := range doors {
+		door.SetMode(standin.StoreServes)
+	}
+}
+
+// lapse takes entries of living replicas away; they are back a moment after the
+// store's return.
+func (s *striker) lapse(f *Fault) func() {
+	return func() {
+		s.mu.Lock()
+		places := append([]*place(nil), s.places...)
+		s.mu.Unlock()
+		for _, p := range places {
+			s.mu.Lock()
+			r, idle := p.current, p.idle
+			s.mu.Unlock()
+			if idle || (f.Variant+hashInt(r.ID))%4 == 0 {
+				continue
+			}
+			s.store.Delete("servers/" + r.ID)
+			time.AfterFunc(f.For+backTime, func() {
+				s.mu.Lock()
+				same := p.current == r && !p.idle
+				s.mu.Unlock()
+				if same {
+					s.announce(p, r, "ready")
+				}
+			})
+		}
+	}
+}
+
+func hashInt(text string) int { return int(hashOf(text) >> 1) }
+
+// cut parts daemons from the others: in both directions, or in one.
+func (s *striker) cut(f *Fault) {
+	var inside []*daemon
+	domain := s.domains[f.Target%len(s.domains)]
+	for _, d := range s.fleet.daemons {
+		if (f.Kind == CutDomain && d.domain == domain) || (f.Kind == CutDaemon && d == s.daemon(f)) {
+			inside = append(inside, d)
+		}
+	}
+	isInside := make(map[string]bool)
+	for _, d := range inside {
+		isInside[d.ip] = true
+	}
+	inbound, outbound := f.Variant%3 != 1, f.Variant%3 != 2
+	s.disturb(inside, func() {
+		for _, d := range s.fleet.daemons {
+			in := isInside[d.ip]
+			d.peers.block(func(from string) bool {
+				return (in && inbound && !isInside[from]) || (!in && outbound && isInside[from])
+			}, in)
+		}
+		pause(s.ctx, f.For)
+		for _, d := range s.fleet.daemons {
+			d.peers.block(func(string) bool { return false }, false)
+		}
+	})
+}
+
+// linkTroubles are the variants of trouble on a link.
+var linkTroubles = []Trouble{
+	{Share: 1, Delay: linkDelay}, {Share: 0.5, Reset: true}, {Share: 0.5, Forward: true, Back: true},
+	{Share: 1, Forward: true}, {Share: 1, Back: true}, {Share: 1, Reset: true}, {Share: 0.3, Delay: 10 * linkDelay},
+}
+
+func (s *striker) strikeLink(f *Fault) {
+	t := linkTroubles[f.Variant%len(linkTroubles)]
+	hold := func(l *Link) {
+		l.SetTrouble(t)
+		pause(s.ctx, f.For)
+		l.SetTrouble(Trouble{})
+	}
+	d := s.daemon(f)
+	switch f.Kind {
+	case LinkReplica:
+		p, r := s.at(f.Target)
+		s.disturbReplica(r, func() { hold(p.link) })
+	case LinkCallers:
+		s.disturb([]*daemon{d}, func() { hold(d.callers) })
+	case LinkStore:
+		s.disturb([]*daemon{d}, func() { hold(d.store) })
+	}
+}
+
+func (s *striker) disturbReplica(r *Replica, strike func()) {
+	from := time.Now()
+	s.ledger.DisturbReplica(r.ID, from, from.Add(time.Hour))
+	strike()
+	s.ledger.CalmReplica(r.ID, from, time.Now().Add(settling))
+}
+
+func (s *striker) strikeReplica(f *Fault) {
+	p, r := s.at(f.Target)
+	switch f.Kind {
+	case GreyReplica:
+		s.disturbReplica(r, func() {
+			r.SetMood(moods[f.Variant%len(moods)])
+			pause(s.ctx, f.For)
+			r.SetMood(Mood{})
+		})
+	case CrashReplica:
+		s.crash(p, r, r.Service, f.For)
+	case ReuseAddress:
+		other := serviceGate
+		if r.Service == serviceGate {
+			other = serviceOther
+		}
+		s.crash(p, r, other, lapseTime)
+		// What was lost is made good at an address of its own.
+		_ = s.addPlace(r.Service, r.Domain)
+	case FlapReplica:
+		for range 3 {
+			if s.ctx.Err() != nil {
+				return
+			}
+			s.crash(p, r, r.Service, flapGap)
+			s.mu.Lock()
+			r = p.current
+			s.mu.Unlock()
+			pause(s.ctx, flapGap)
+		}
+	case DrainReplica:
+		s.drain(p, r, f.Variant%2 == 0)
+	}
+}
+
+// crash ends a replica without notice; its entry lapses, and a new life of a
+// service begins at its address.
+func (s *striker) crash(p *place, r *Replica, next string, down time.Duration) {
+	s.vacate(p)
+	s.disturbReplica(r, func() {
+		r.End()
+		pause(s.ctx, max(down, lapseTime))
+		s.remove(r)
+	})
+	_ = s.begin(p, next)
+}
+
+// drain replaces a replica: the new one starts, the old one says that it leaves,
+// or its entry goes, and it serves on for a while.
+func (s *striker) drain(p *place, r *Replica, announced bool) {
+	s.vacate(p)
+	if s.addPlace(r.Service, r.Domain) != nil {
+		return
+	}
+	if announced {
+		s.announce(p, r, "draining")
+		s.ledger.Leaves(r.ID, time.Now())
+	} else {
+		s.remove(r)
+	}
+	pause(s.ctx, serveOn)
+	s.disturbReplica(r, r.End)
+	s.remove(r)
+}
+
+func (s *striker) changeConfig(f *Fault) {
+	switch f.Kind {
+	case AddKey:
+		s.addKey()
+	case RevokeKey:
+		s.revokeKey(f.Target)
+	case MoveRoute:
+		s.moveRoute(f.Target)
+	case ConfigStorm:
+		for i := range 8 {
+			switch i % 3 {
+			case 0:
+				s.addKey()
+			case 1:
+				s.grow(fillerRoutes)
+			default:
+				s.revokeKey(f.Target + i)
+			}
+			pause(s.ctx, stormGap)
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -141,7 +141,7 @@
 	loads, health, holders := routing.NewLoads(), routing.NewHealth(), routing.NewHolders()
 	seeds := s.seedPeers()
 	budgets := routing.NewBudgets(s.budgetRule(), max(leastFleet, len(seeds)))
-	self := membership.Member{Address: membership.Address(s.Listen.Peers), Zone: string(s.Domain), Life: membership.Life(time.Now().UnixNano())}
+	self := membership.Member{Address: s.advertised(), Zone: string(s.Domain), Life: membership.Life(time.Now().UnixNano())}
 	d.control = &control{
 		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, holders: holders, budgets: budgets, log: d.Log,
--- a/router/settings.go
+++ b/router/settings.go
@@ -34,6 +34,9 @@
 	Readiness string `yaml:"readiness"`
 	Operators string `yaml:"operators"`
 	Peers     string `yaml:"peers"` // beats over UDP, news over TCP
+	// Advertise is where peers reach Peers if that is not its own address, as
+	// behind an address translation; empty: Peers itself.
+	Advertise string `yaml:"advertise"`
 	// Metrics is an address for scrapers alone; empty: they ask the operators'.
 	Metrics string `yaml:"metrics"`
 }
@@ -104,6 +107,9 @@
 	if s.Listen.Metrics != "" {
 		checkAddress(c, s.Listen.Metrics, "listen", "metrics")
 	}
+	if s.Listen.Advertise != "" {
+		checkAddress(c, s.Listen.Advertise, "listen", "advertise")
+	}
 	checkAddress(c, s.Store, "store")
 	for i, seed := range s.Seeds {
 		checkAddress(c, seed, "seeds", i)
@@ -140,6 +146,14 @@
 	return out
 }
 
+// advertised returns the address by which peers know this daemon.
+func (s *Settings) advertised() membership.Address {
+	if s.Listen.Advertise != "" {
+		return membership.Address(s.Listen.Advertise)
+	}
+	return membership.Address(s.Listen.Peers)
+}
+
 func (s *Settings) budgetRule() routing.BudgetRule {
 	return routing.BudgetRule{Ratio: s.Repeat.Ratio, Extra: s.Repeat.Extra, Window: s.Repeat.Window}
 }
