--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -3,7 +3,7 @@
 // These tests build daemons with one mechanism taken out, and require that the
 // soak finds each. They take some minutes and are run by hand:
 //
-//	go test -tags planted -v -timeout 20m -run TestPlantedFaultsAreFound ./internal/soak
+//	go test -tags planted -v -timeout 20m -parallel 2 -run TestPlantedFaultsAreFound ./internal/soak
 //
 // The faults are laid over the sources at build time, so that the product holds
 // no code for them.
@@ -48,6 +48,7 @@
 	}
 	for _, p := range plants {
 		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
 			binary := p.build(t, root)
 			for seed := range uint64(seedsForEach) {
 				report, err := Play(context.Background(), NewPlan(seed, DefaultShape()), Options{Daemon: binary, Dir: t.TempDir()})
