--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,7 @@
 	callerPatience  = 1500 * time.Millisecond // beyond the deadline
 	mostRequestBody = 40_000
 	refusedPause    = 300 * time.Millisecond
+	leaveAlways     = 2 // of 100 requests
 )
 
 // manners are what all callers do at the moment.
@@ -132,7 +133,7 @@
 	ledger := c.site.ledger
 	ledger.Sent(*q)
 	_ = c.conn.SetDeadline(q.Deadline.Add(callerPatience))
-	if rand.Int64N(100) < c.site.manners.leave.Load() {
+	if rand.Int64N(100) < leaveAlways+c.site.manners.leave.Load() {
 		return c.abandon(q)
 	}
 	if _, err := c.conn.Write([]byte(q.text())); err != nil {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -220,12 +220,22 @@
 	leastWork = 5 * time.Millisecond
 	mostWork  = 60 * time.Millisecond
 	hangTime  = 20 * time.Second
+	// One request in slowOneIn works much longer, so that callers leave and stops
+	// begin while it runs.
+	slowOneIn = 16
+	slowWork  = 1700 * time.Millisecond
 )
 
-func drawWork() time.Duration { return leastWork + rand.N(mostWork-leastWork) }
+// workOf returns how long a plain request works, or an event of a stream takes.
+func workOf(id string, pieces int) time.Duration {
+	if hashOf(id)%slowOneIn == 0 {
+		return slowWork / time.Duration(pieces)
+	}
+	return leastWork + rand.N(mostWork-leastWork)
+}
 
 func (x *exchange) plain() bool {
-	if !x.work(drawWork()) {
+	if !x.work(workOf(x.id, 1)) {
 		x.end(0)
 		return false
 	}
@@ -270,7 +280,7 @@
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, x.id, headerSeal, x.ID)
 	events := streamEvents(x.id)
 	for i := from; i < len(events); i++ {
-		if !x.work(drawWork()) {
+		if !x.work(workOf(x.id, len(events))) {
 			x.end(0)
 			return false
 		}
@@ -289,7 +299,7 @@
 			return false
 		case middle && broken:
 			x.end(200)
-			_, _ = fmt.Fprintf(x.conn, "%x\r\n%s", len(piece), piece[:len(piece)/2])
+			x.breakOff(piece)
 			return false
 		case middle && lose:
 			x.end(0)
@@ -309,6 +319,16 @@
 	return err == nil
 }
 
+// breakOff ends a stream inside an event, or between two: then only the end of
+// the stream is missing.
+func (x *exchange) breakOff(piece string) {
+	if hashOf(x.id)%2 == 0 {
+		_, _ = fmt.Fprintf(x.conn, "%x\r\n%s", len(piece), piece[:len(piece)/2])
+		return
+	}
+	_, _ = fmt.Fprintf(x.conn, "%x\r\n%s\r\n", len(piece), piece)
+}
+
 func (x *exchange) answer(status int, headers, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headerID, x.id, headers, len(body), body)
 }
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -30,7 +30,6 @@
 
 // Member is what daemons tell each other of one daemon.
 type Member struct {
-	_       struct{} `cbor:",toarray"`
 	Address Address
 	Zone    string
 	Life    Life
@@ -41,8 +40,12 @@
 
 // Settings of the roster.
 const (
-	// deadAfter is how long a member counts as live after news of it.
-	deadAfter = 2500 * time.Millisecond
+	// deadAfter is how long a member counts as live after news of it. In a large
+	// fleet news of one member is rarer: nearDeadAfter holds in the own zone,
+	// farDeadAfter in others.
+	deadAfter     = 2500 * time.Millisecond
+	nearDeadAfter = 10 * time.Second
+	farDeadAfter  = 60 * time.Second
 	// lowerAfter is how long the beats of a life with a lower number go on before
 	// it is believed.
 	lowerAfter = time.Second
@@ -52,8 +55,18 @@
 	// how many of them stand in other zones, whose links cost more.
 	fanOut    = 5
 	farFanOut = 1
-	// namedInBeat is how many other members a beat names.
+	// namedInBeat is how many other members a beat of a small fleet names. One of
+	// a large fleet names the first of each zone, and of the own zone namedNewest
+	// of which there is the newest news, which is what spreads it, and namedNear
+	// others, and namedFar of other zones.
 	namedInBeat = 12
+	namedNewest = 2
+	namedNear   = 2
+	namedFar    = 1
+	// introducedNear and introducedFar are how many members of its own zone and of
+	// others a new daemon of a large fleet is told of.
+	introducedNear = 8
+	introducedFar  = 8
 )
 
 // TellAll is the number of members up to which a beat goes to all of them.
@@ -139,7 +152,7 @@
 		if !k.isNews(m, now) {
 			continue
 		}
-		if now.Sub(k.heard) > deadAfter {
+		if !r.isLive(k, now) {
 			joined = append(joined, m)
 		}
 		k.take(m, now)
@@ -148,12 +161,30 @@
 	return joined
 }
 
-func (r *Roster) live(now time.Time) []*known { return r.heardWithin(now, deadAfter) }
+// large reports whether the fleet is too large for a beat to go to all.
+func (r *Roster) large() bool { return len(r.members) > TellAll }
 
-func (r *Roster) heardWithin(now time.Time, age time.Duration) []*known {
+// isLive reports whether the last news of a member is fresh enough.
+func (r *Roster) isLive(k *known, now time.Time) bool {
+	limit := deadAfter
+	if r.large() {
+		limit = farDeadAfter
+		if k.Zone == r.self.Zone {
+			limit = nearDeadAfter
+		}
+	}
+	return now.Sub(k.heard) <= limit
+}
+
+// live returns the live members, sorted by address.
+func (r *Roster) live(now time.Time) []*known {
+	return r.filter(func(k *known) bool { return r.isLive(k, now) })
+}
+
+func (r *Roster) filter(keep func(*known) bool) []*known {
 	var out []*known
 	for _, k := range r.members {
-		if now.Sub(k.heard) <= age {
+		if keep(k) {
 			out = append(out, k)
 		}
 	}
@@ -161,19 +192,23 @@
 	return out
 }
 
-// Live returns the live members, this daemon not counted, sorted by address.
-func (r *Roster) Live(now time.Time) []Member { return r.Recent(now, deadAfter) }
-
-// Recent returns the members of which there was news within a time.
-func (r *Roster) Recent(now time.Time, age time.Duration) []Member {
-	live := r.heardWithin(now, age)
-	out := make([]Member, len(live))
-	for i, k := range live {
+func membersOf(list []*known) []Member {
+	out := make([]Member, len(list))
+	for i, k := range list {
 		out[i] = k.Member
 	}
 	return out
 }
 
+// Live returns the live members, this daemon not counted, sorted by address.
+func (r *Roster) Live(now time.Time) []Member { return membersOf(r.live(now)) }
+
+// Recent returns the members of which there was news within a time, sorted by
+// address.
+func (r *Roster) Recent(now time.Time, age time.Duration) []Member {
+	return membersOf(r.filter(func(k *known) bool { return now.Sub(k.heard) <= age }))
+}
+
 // Zones returns when there was last news of any member of each zone, own news
 // or told by others.
 func (r *Roster) Zones() map[string]time.Time {
@@ -223,14 +258,7 @@
 // zone, and some of others, over which news crosses.
 func (r *Roster) draw(live []*known, rng *rand.Rand) []*known {
 	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	var near, far []*known
-	for _, k := range live {
-		if k.Zone == r.self.Zone {
-			near = append(near, k)
-		} else {
-			far = append(far, k)
-		}
-	}
+	near, far := r.split(live)
 	far = far[:min(len(far), max(farFanOut, fanOut-len(near)))]
 	near = near[:min(len(near), fanOut-len(far))]
 	return append(near, far...)
@@ -241,12 +269,12 @@
 	var out []Address
 	for _, s := range r.seeds {
 		k := r.members[s]
-		if s != r.self.Address && (k == nil || now.Sub(k.heard) > deadAfter) {
+		if s != r.self.Address && (k == nil || !r.isLive(k, now)) {
 			out = append(out, s)
 		}
 	}
 	for a, k := range r.members {
-		if now.Sub(k.heard) > deadAfter && !slices.Contains(out, a) {
+		if !r.isLive(k, now) && !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
@@ -254,22 +282,81 @@
 	return out
 }
 
-// Named returns the members that a beat names, besides its sender. A small
-// fleet is told of all; in a large one half are those of which there is the
-// newest news, which is what spreads it, and half are drawn.
+// Named returns the members that a beat names, besides its sender. A small fleet
+// is told of all. In a large one the first of each zone are named, on which the
+// others' duties depend, and some more.
 func (r *Roster) Named(now time.Time, rng *rand.Rand) []Member {
 	live := r.live(now)
-	if len(live) > namedInBeat {
-		slices.SortStableFunc(live, func(a, b *known) int { return b.heard.Compare(a.heard) })
-		drawn := live[namedInBeat/2:]
-		rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-		live = live[:namedInBeat]
+	if !r.large() {
+		rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+		return membersOf(live[:min(len(live), namedInBeat)])
 	}
-	out := make([]Member, 0, len(live))
+	firsts, rest := firstOfEachZone(live)
+	near, far := r.split(rest)
+	slices.SortStableFunc(near, func(a, b *known) int { return b.heard.Compare(a.heard) })
+	newest := min(len(near), namedNewest)
+	drawn := near[newest:]
+	rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	rng.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	out := append(firsts, near[:newest]...)
+	out = append(out, drawn[:min(len(drawn), namedNear)]...)
+	return membersOf(append(out, far[:min(len(far), namedFar)]...))
+}
+
+// Introduce returns the members that a daemon is told of that has just been
+// found: the first of each zone, some of its own zone and some others. In a large
+// fleet it would else learn of them slowly.
+func (r *Roster) Introduce(to Member, now time.Time, rng *rand.Rand) []Member {
+	firsts, rest := firstOfEachZone(r.live(now))
+	rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	out := firsts
+	neighbours, others := introducedNear, introducedFar
+	for _, k := range rest {
+		left := &others
+		if k.Zone == to.Zone {
+			left = &neighbours
+		}
+		if *left > 0 {
+			*left--
+			out = append(out, k)
+		}
+	}
+	return membersOf(out)
+}
+
+// firstOfEachZone takes the first member of each zone that neither leaves nor is
+// blind out of a sorted list.
+func firstOfEachZone(live []*known) (firsts, rest []*known) {
+	seen := make(map[string]bool)
 	for _, k := range live {
-		out = append(out, k.Member)
+		if seen[k.Zone] || k.Leaving || k.Blind {
+			rest = append(rest, k)
+			continue
+		}
+		seen[k.Zone] = true
+		firsts = append(firsts, k)
 	}
-	return out
+	return firsts, rest
+}
+
+// split parts the members of the own zone from the others.
+func (r *Roster) split(list []*known) (near, far []*known) {
+	for _, k := range list {
+		if k.Zone == r.self.Zone {
+			near = append(near, k)
+			continue
+		}
+		far = append(far, k)
+	}
+	return near, far
+}
+
+// Heard returns when there was last news of a member; zero if there was none.
+func (r *Roster) Heard(a Address) time.Time {
+	if k := r.members[a]; k != nil {
+		return k.heard
+	}
+	return time.Time{}
 }
 
 // Entry returns the daemon's own entry.
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -26,12 +26,14 @@
 	rosters map[membership.Address]*membership.Roster
 	blocked func(from, to membership.Address) bool
 	sent    int
+	every   time.Duration // between two beats of a daemon
+	zones   int
 }
 
 func newNetwork() *network {
 	return &network{
 		rng: rand.New(rand.NewPCG(1, 1)), now: epoch, rosters: make(map[membership.Address]*membership.Roster),
-		blocked: func(_, _ membership.Address) bool { return false },
+		blocked: func(_, _ membership.Address) bool { return false }, every: beat, zones: 4,
 	}
 }
 
@@ -42,24 +44,35 @@
 	for _, seed := range seeds {
 		s = append(s, address(seed))
 	}
-	n.rosters[address(i)] = membership.NewRoster(membership.Member{Address: address(i), Zone: fmt.Sprint(i % 4), Life: life}, s)
+	n.rosters[address(i)] = membership.NewRoster(membership.Member{Address: address(i), Zone: fmt.Sprint(i % n.zones), Life: life}, s)
 }
 
 func (n *network) run(d time.Duration) {
-	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(beat) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(n.every) {
 		for _, from := range slices.Sorted(maps.Keys(n.rosters)) {
 			r := n.rosters[from]
 			members := append([]membership.Member{r.Self()}, r.Named(n.now, n.rng)...)
 			for _, to := range r.Targets(n.now, n.rng) {
 				n.sent++
 				if peer := n.rosters[to]; peer != nil && !n.blocked(from, to) {
-					peer.Observe(members, n.now)
+					n.tell(peer, r, members)
 				}
 			}
 		}
 	}
 }
 
+// tell delivers a beat. A daemon that hears of its sender for the first time tells
+// it of others, in a large fleet.
+func (n *network) tell(peer, sender *membership.Roster, members []membership.Member) {
+	for _, m := range peer.Observe(members, n.now) {
+		self, to := peer.Entry().Address, members[0].Address
+		if m.Address == to && peer.Known(n.now) > membership.TellAll && !n.blocked(self, to) {
+			sender.Observe(append([]membership.Member{peer.Self()}, peer.Introduce(m, n.now, n.rng)...), n.now)
+		}
+	}
+}
+
 func (n *network) live(i int) int { return len(n.rosters[address(i)].Live(n.now)) }
 
 var _ = Describe("Roster", func() {
@@ -160,6 +173,43 @@
 		}
 	})
 
+	DescribeTable("keeps news of the first of each zone fresh in a large fleet, at its slower beats", func(daemons, zones int) {
+		n.every, n.zones = 2*beat, zones
+		for i := range daemons {
+			n.start(i, 1, 0, 1, 2)
+		}
+		n.run(12 * time.Second)
+		worst, worstFar := time.Duration(0), time.Duration(0)
+		for range 10 {
+			n.run(n.every)
+			for a, r := range n.rosters {
+				for z := range zones {
+					if first := address(z); first != a {
+						age := n.now.Sub(r.Heard(first))
+						if r.Entry().Zone == fmt.Sprint(z) {
+							worst = max(worst, age)
+						}
+						worstFar = max(worstFar, age)
+					}
+				}
+				near := 0
+				for _, m := range r.Live(n.now) {
+					if m.Zone == r.Entry().Zone {
+						near++
+					}
+				}
+				Expect(near).To(BeNumerically(">=", (daemons/zones-1)*9/10), "%s knows its own zone", a)
+				if daemons < 100 {
+					Expect(len(r.Live(n.now))).To(BeNumerically(">=", daemons*9/10), "%s", a)
+				}
+			}
+		}
+		Expect(worst).To(BeNumerically("<", 2*time.Second), "of the own zone")
+		Expect(worstFar).To(BeNumerically("<", 4*time.Second), "of any zone")
+	},
+		Entry("62 daemons", 62, 4), Entry("80 daemons", 80, 4), Entry("300 daemons", 300, 4), Entry("510 daemons in 6 zones", 510, 6),
+	)
+
 	It("bounds the messages of a large fleet", func() {
 		const daemons = 120
 		for i := range daemons {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -264,7 +264,7 @@
 		return f
 	}
 	if len(s.call.Prompt) > 0 && x.response.StatusCode < http.StatusMultipleChoices {
-		s.Placer.Holders.Note(s.call.Key(), t.Replica.LoadKey(), time.Now())
+		s.Placer.Holders.Note(s.call.Key(), s.call.SharedTokens(), t.Replica.LoadKey(), time.Now())
 	}
 	if s.call.Route.Kind == routing.Stream && x.response.StatusCode < 300 {
 		return s.relayStream(ctx, x, t)
--- a/router/control.go
+++ b/router/control.go
@@ -102,6 +102,7 @@
 	troubleAt   time.Time // when this daemon last knew the store to be in trouble
 	ticked      time.Time
 	figuresAt   time.Time
+	ticks       int
 	beats       int
 	nameMembers bool // the next beat names members
 }
@@ -192,7 +193,7 @@
 	c.changedAt = now
 	c.log.Documents(len(items), source, c.feed.Revision())
 	c.publish(now)
-	c.beat(now)
+	c.notify(c.untold(), now)
 }
 
 func (c *control) applyReplica(it feed.Item, now time.Time) {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -23,7 +23,7 @@
 	// readerSilence is how long a reader may be silent before another one takes
 	// its part. In a large fleet news of members travels over several daemons.
 	readerSilence      = 700 * time.Millisecond
-	readerSilenceLarge = 1500 * time.Millisecond
+	readerSilenceLarge = 2 * time.Second
 )
 
 // figuresInterval is how often the log tells what control has cost.
@@ -36,7 +36,7 @@
 		c.troubleAt = now
 	}
 	c.plan(now)
-	c.beat(now)
+	c.tickBeat(now)
 	c.pullIfBehind(ctx, now)
 	decided := c.lapses.Expire(now)
 	if n := 1 + len(c.roster.Live(now)); n != c.daemons || decided {
@@ -77,7 +77,7 @@
 func (c *control) plan(now time.Time) {
 	self := c.roster.Entry()
 	silence := readerSilence
-	if c.daemons > membership.TellAll {
+	if c.large() {
 		silence = readerSilenceLarge
 	}
 	reads, sentinel := true, true
@@ -110,24 +110,88 @@
 // members; in between only those that have just been found are named.
 const namingInterval = 5
 
-// beat tells the peers what they need to know of this daemon.
-func (c *control) beat(now time.Time) {
-	stamp := c.log.timeline.Stamp()
-	b := Beat{
-		Sender: c.roster.Self(), Wall: stamp.Wall, Counter: stamp.Counter, Revision: c.feed.Revision(),
-		Loads: c.loads.Own(), Evidence: c.health.Own(now), Holdings: c.holders.Untold(maxHoldings),
+// largeBeatTicks is how many ticks lie between the beats of a large fleet, which
+// keeps what a daemon spends on control from growing with the fleet.
+const largeBeatTicks = 2
+
+// tickBeat sends a beat if one is due at this tick.
+func (c *control) tickBeat(now time.Time) {
+	c.ticks++
+	if !c.large() || c.ticks%largeBeatTicks == 0 {
+		c.beat(now)
+		return
 	}
-	if c.beats++; c.nameMembers || c.daemons > membership.TellAll || c.beats%namingInterval == 0 {
-		b.Members, c.nameMembers = c.roster.Named(now, c.rng), false
+	// Who holds which prompt is told at once: each daemon that does not know it
+	// has the prompt read again.
+	if holdings := c.untold(); len(holdings) > 0 {
+		c.notify(holdings, now)
 	}
+}
+
+// large reports whether the fleet is too large for all to tell all others.
+func (c *control) large() bool { return c.daemons > membership.TellAll }
+
+// head returns a beat that says which documents this daemon holds.
+func (c *control) head() Beat {
+	stamp := c.log.timeline.Stamp()
+	b := Beat{Sender: c.roster.Self(), Wall: stamp.Wall, Counter: stamp.Counter, Revision: c.feed.Revision()}
 	if c.table != nil {
 		b.Version = c.table.Version
 	}
-	payload, err := encodeBeat(&b)
+	return b
+}
+
+// beat tells the peers what they need to know of this daemon.
+func (c *control) beat(now time.Time) {
+	b := c.head()
+	b.Loads, b.Evidence, b.Holdings = c.loads.Own(), c.health.Own(now), c.untold()
+	if c.beats++; c.nameMembers || c.large() || c.beats%namingInterval == 0 {
+		b.Members, c.nameMembers = c.roster.Named(now, c.rng), false
+	}
+	c.spread(&b, now)
+}
+
+// untold returns the holdings of a beat.
+func (c *control) untold() []routing.Holding {
+	if c.large() {
+		return c.holders.Untold(maxHoldingsLarge)
+	}
+	return c.holders.Untold(maxHoldings)
+}
+
+// notify sends a notice: the revision of the documents, and holdings if there are
+// any.
+func (c *control) notify(holdings []routing.Holding, now time.Time) {
+	b := c.head()
+	b.Notice, b.Holdings = true, holdings
+	c.spread(&b, now)
+}
+
+// noticeTargets is how many daemons of a large fleet a notice goes to. Each hands
+// it on, so that fewer do than of a beat.
+const noticeTargets = 3
+
+// introduce tells a daemon that has just been found of some others.
+func (c *control) introduce(to membership.Member, now time.Time) {
+	b := c.head()
+	b.Notice, b.Members = true, c.roster.Introduce(to, now, c.rng)
+	if payload, err := encodeBeat(&b); err == nil {
+		c.send(to.Address, payload)
+	}
+}
+
+func (c *control) spread(b *Beat, now time.Time) {
+	payload, err := encodeBeat(b)
 	if err != nil {
+		c.log.BadBeat(err)
 		return
 	}
-	for _, to := range c.roster.Targets(now, c.rng) {
+	targets := c.roster.Targets(now, c.rng)
+	if b.Notice && c.large() {
+		c.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		targets = targets[:min(len(targets), noticeTargets)]
+	}
+	for _, to := range targets {
 		c.send(to, payload)
 	}
 }
@@ -138,6 +202,9 @@
 	joined := c.roster.Observe(append([]membership.Member{b.Sender}, b.Members...), now)
 	for _, m := range joined {
 		c.log.Peer(m)
+		if m.Address == b.Sender.Address && c.large() {
+			c.introduce(m, now)
+		}
 	}
 	c.plan(now)
 	if b.Sender.Blind {
@@ -147,10 +214,12 @@
 		c.nameMembers = true
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
-	c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
-	c.health.Observe(routing.PeerID(b.Sender.Address), b.Evidence, now)
 	c.observeZones()
-	c.holders.Observe(b.Holdings, c.daemons > membership.TellAll, now)
+	if !b.Notice {
+		c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
+		c.health.Observe(routing.PeerID(b.Sender.Address), b.Evidence, now)
+	}
+	c.holders.Observe(b.Holdings, c.large(), now)
 	if b.Revision > c.feed.Revision() {
 		if len(c.ahead) == 0 {
 			c.aheadSince = now
@@ -165,7 +234,7 @@
 	zones := c.roster.Zones()
 	delete(zones, c.zone)
 	silence := routing.SilentZone
-	if c.daemons > membership.TellAll {
+	if c.large() {
 		silence = routing.SilentZoneLarge
 	}
 	c.health.ObserveZones(zones, silence)
--- a/router/log.go
+++ b/router/log.go
@@ -154,6 +154,11 @@
 		Int64("pulls", m.Pulls.Count()).Int64("pulled_bytes", m.PulledBytes.Count()).Msg(prefixDaemon + "figures so far")
 }
 
+// BadBeat tells that a beat could not be sent.
+func (l *Log) BadBeat(err error) {
+	l.logger.Error().Err(err).Msg(prefixPeer + "beat can't be encoded; check listen.peers and listen.advertise")
+}
+
 // Reloaded tells of a signal to read the settings again.
 func (l *Log) Reloaded(changed bool, err error) {
 	e := l.logger.Info()
--- a/router/message.go
+++ b/router/message.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,18 +17,134 @@
 )
 
 // Beat is the message that a daemon sends its peers several times a second, as
-// one datagram.
+// one datagram. A notice is a short beat that goes out between the others when
+// something must be known soon: it says nothing of loads and evidence.
 type Beat struct {
-	_        struct{}          `cbor:",toarray"`
-	Sender   membership.Member //
-	Wall     int64             // stamp of the time line
+	Sender   membership.Member
+	Wall     int64 // stamp of the time line
 	Counter  uint32
 	Members  []membership.Member // some others that the sender believes live
 	Revision feed.Revision       // newest document that the sender holds
 	Version  routing.Version     // of its configuration
-	Loads    []routing.Count     // its own requests at replicas
-	Holdings []routing.Holding   // prompts that replicas have read for it
-	Evidence []routing.Evidence  // its own counts at replicas where requests failed
+	Notice   bool
+	Loads    []routing.Count    // its own requests at replicas
+	Holdings []routing.Holding  // prompts that replicas have read for it
+	Evidence []routing.Evidence // its own counts at replicas where requests failed
+}
+
+// beatMessage is a beat on the wire. Zones are named once, the members refer to
+// them by their place, and addresses are numbers: members are most of a beat.
+type beatMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Zones    []string
+	Members  []memberMessage // the first is the sender
+	Wall     int64
+	Counter  uint32
+	Revision feed.Revision
+	Version  routing.Version
+	Notice   bool
+	Loads    []routing.Count
+	Holdings []routing.Holding
+	Evidence []routing.Evidence
+}
+
+type memberMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Address []byte   // IP and port, as netip.AddrPort writes them
+	Zone    int      // place in the message's zones
+	Life    membership.Life
+	Count   uint64
+	State   memberState
+}
+
+// memberState holds a member's flags.
+type memberState uint8
+
+const (
+	memberLeaving memberState = 1 << iota
+	memberBlind
+)
+
+func (m *beatMessage) addMember(of membership.Member) error {
+	at, err := netip.ParseAddrPort(string(of.Address))
+	if err != nil {
+		return eris.Wrapf(err, "encode address of member %s", of.Address)
+	}
+	address, err := at.MarshalBinary()
+	if err != nil {
+		return eris.Wrap(err, "encode address of a member")
+	}
+	zone := slices.Index(m.Zones, of.Zone)
+	if zone < 0 {
+		zone = len(m.Zones)
+		m.Zones = append(m.Zones, of.Zone)
+	}
+	out := memberMessage{Address: address, Zone: zone, Life: of.Life, Count: of.Count}
+	if of.Leaving {
+		out.State |= memberLeaving
+	}
+	if of.Blind {
+		out.State |= memberBlind
+	}
+	m.Members = append(m.Members, out)
+	return nil
+}
+
+func (m *beatMessage) member(i int) (membership.Member, error) {
+	in := &m.Members[i]
+	var at netip.AddrPort
+	if err := at.UnmarshalBinary(in.Address); err != nil {
+		return membership.Member{}, eris.Wrap(err, "decode address of a member")
+	}
+	if in.Zone < 0 || in.Zone >= len(m.Zones) {
+		return membership.Member{}, eris.Errorf("member's zone %d of %d", in.Zone, len(m.Zones))
+	}
+	return membership.Member{
+		Address: membership.Address(at.String()), Zone: m.Zones[in.Zone], Life: in.Life, Count: in.Count,
+		Leaving: in.State&memberLeaving != 0, Blind: in.State&memberBlind != 0,
+	}, nil
+}
+
+// packBeat encodes a beat as it is.
+func packBeat(b *Beat) ([]byte, error) {
+	m := beatMessage{
+		Wall: b.Wall, Counter: b.Counter, Revision: b.Revision, Version: b.Version, Notice: b.Notice,
+		Loads: b.Loads, Holdings: b.Holdings, Evidence: b.Evidence,
+	}
+	for _, of := range append([]membership.Member{b.Sender}, b.Members...) {
+		if err := m.addMember(of); err != nil {
+			return nil, err
+		}
+	}
+	return encode(&m)
+}
+
+// decodeBeat is the reverse of encodeBeat. It takes nothing of a message that is
+// not whole.
+func decodeBeat(payload []byte) (Beat, error) {
+	var m beatMessage
+	if err := decode(payload, &m); err != nil {
+		return Beat{}, err
+	}
+	if len(m.Members) == 0 {
+		return Beat{}, eris.New("beat without a sender")
+	}
+	b := Beat{
+		Wall: m.Wall, Counter: m.Counter, Revision: m.Revision, Version: m.Version, Notice: m.Notice,
+		Loads: m.Loads, Holdings: m.Holdings, Evidence: m.Evidence,
+	}
+	for i := range m.Members {
+		of, err := m.member(i)
+		if err != nil {
+			return Beat{}, err
+		}
+		if i == 0 {
+			b.Sender = of
+			continue
+		}
+		b.Members = append(b.Members, of)
+	}
+	return b, nil
 }
 
 // News answers a daemon that asks for documents.
@@ -47,7 +164,7 @@
 func encodeBeat(b *Beat) ([]byte, error) {
 	slices.SortFunc(b.Loads, func(x, y routing.Count) int { return int(y.Requests) - int(x.Requests) })
 	for {
-		payload, err := encode(b)
+		payload, err := packBeat(b)
 		if err != nil || len(payload) <= maxBeatBytes {
 			return payload, err
 		}
@@ -67,11 +184,13 @@
 }
 
 // leastNamed and leastHoldings are how many members and holdings a beat names at
-// least; maxHoldings is how many it names at most.
+// least; maxHoldings is how many it names at most, and maxHoldingsLarge how many in
+// a large fleet, where each is handed on by all.
 const (
-	leastNamed    = 4
-	leastHoldings = 8
-	maxHoldings   = 25
+	leastNamed       = 4
+	leastHoldings    = 8
+	maxHoldings      = 25
+	maxHoldingsLarge = 20
 )
 
 func encode(v any) ([]byte, error) {
--- a/router/peers.go
+++ b/router/peers.go
@@ -75,8 +75,8 @@
 			pause(ctx, idleCheck)
 			continue
 		}
-		var b Beat
-		if decode(buf[:n], &b) != nil || b.Sender.Address == "" {
+		b, err := decodeBeat(buf[:n])
+		if err != nil {
 			continue
 		}
 		p.metrics.BeatsHeard.Inc(1)
--- a/router/router.go
+++ b/router/router.go
@@ -141,7 +141,7 @@
 	loads, health, holders := routing.NewLoads(), routing.NewHealth(), routing.NewHolders()
 	seeds := s.seedPeers()
 	budgets := routing.NewBudgets(s.budgetRule(), max(leastFleet, len(seeds)))
-	self := membership.Member{Address: s.advertised(), Zone: string(s.Domain), Life: membership.Life(time.Now().UnixNano())}
+	self := membership.Member{Address: s.advertised(), Zone: string(s.Domain), Life: lifeAt(time.Now())}
 	d.control = &control{
 		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, holders: holders, budgets: budgets, log: d.Log,
@@ -167,6 +167,17 @@
 	}
 }
 
+// Lives are numbered by the time of their start, in units that are shorter than
+// any restart and from a day on that keeps the numbers short on the wire.
+const (
+	lifeUnit  = 100 * time.Millisecond
+	lifeEpoch = 1_577_836_800 // 2020-01-01, in seconds
+)
+
+func lifeAt(now time.Time) membership.Life {
+	return membership.Life(max(1, now.Sub(time.Unix(lifeEpoch, 0))/lifeUnit))
+}
+
 // leastFleet is the size of the fleet that is assumed for the shares of the
 // repeat budget until more daemons are known.
 const leastFleet = 8
--- a/routing/holders.go
+++ b/routing/holders.go
@@ -11,13 +11,26 @@
 	"time"
 )
 
+// PromptKey names a prompt in messages between daemons: the low half of its
+// placement key. Two prompts that share one are taken as the same, which costs a
+// copy that finds nothing.
+type PromptKey uint32
+
 // Holding says that a replica has read a prompt.
 type Holding struct {
 	_       struct{} `cbor:",toarray"`
-	Prompt  uint64
+	Prompt  PromptKey
 	Replica LoadKey
+	// Size is the number of shared tokens in units of sizeUnit, at least 1. What is
+	// large is told first: reading it again costs the most.
+	Size uint8
 }
 
+// sizeUnit is the unit of a holding's size, in tokens.
+const sizeUnit = 500
+
+func holdingSize(tokens int) uint8 { return uint8(min(255, max(1, tokens/sizeUnit))) }
+
 // Settings of the table.
 const (
 	// holdersPerPrompt bounds the replicas that are remembered for one prompt.
@@ -36,7 +49,7 @@
 // Holders is the table. It is safe for use by many goroutines.
 type Holders struct {
 	mu      sync.Mutex
-	prompts map[uint64][]holder
+	prompts map[PromptKey][]holder
 	untold  []untold
 }
 
@@ -51,17 +64,19 @@
 }
 
 // NewHolders returns an empty table.
-func NewHolders() *Holders { return &Holders{prompts: make(map[uint64][]holder)} }
+func NewHolders() *Holders { return &Holders{prompts: make(map[PromptKey][]holder)} }
 
-// Note takes down that a replica has read a prompt for this daemon.
-func (h *Holders) Note(prompt uint64, replica LoadKey, now time.Time) {
+// Note takes down that a replica has read a prompt of so many shared tokens for
+// this daemon.
+func (h *Holders) Note(prompt uint64, tokens int, replica LoadKey, now time.Time) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.put(prompt, replica, now) && len(h.untold) < maxUntold {
-		h.untold = append(h.untold, untold{Holding: Holding{Prompt: prompt, Replica: replica}, times: toldTimes})
+	key := PromptKey(prompt)
+	if h.put(key, replica, now) && len(h.untold) < maxUntold {
+		h.untold = append(h.untold, untold{Holding: Holding{Prompt: key, Replica: replica, Size: holdingSize(tokens)}, times: toldTimes})
 	}
 }
 
@@ -78,7 +93,7 @@
 }
 
 // put returns true if the holding is new.
-func (h *Holders) put(prompt uint64, replica LoadKey, now time.Time) bool {
+func (h *Holders) put(prompt PromptKey, replica LoadKey, now time.Time) bool {
 	list := h.prompts[prompt]
 	for i := range list {
 		if list[i].replica == replica {
@@ -112,10 +127,11 @@
 	}
 }
 
-// Untold returns up to n holdings for the next beat.
+// Untold returns up to n holdings for the next beat, the largest prompts first.
 func (h *Holders) Untold(n int) []Holding {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	slices.SortStableFunc(h.untold, func(a, b untold) int { return int(b.Size) - int(a.Size) })
 	n = min(n, len(h.untold))
 	out := make([]Holding, 0, n)
 	kept := h.untold[:0:0]
@@ -141,7 +157,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []holder
-	for _, a := range h.prompts[prompt] {
+	for _, a := range h.prompts[PromptKey(prompt)] {
 		if now.Sub(a.used) < holdingAge {
 			out = append(out, a)
 		}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -136,7 +136,7 @@
 // serve chooses a replica and takes down that it has read the prompt.
 func (f *fleet) serve(r *routing.Request) routing.Replica {
 	t := f.choose(r)
-	f.placer.Holders.Note(r.Key(), t.Replica.LoadKey(), epoch)
+	f.placer.Holders.Note(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), epoch)
 	return t.Replica
 }
 
@@ -475,8 +475,8 @@
 var _ = Describe("Holders", func() {
 	It("tells each holding twice and no more", func() {
 		h := routing.NewHolders()
-		h.Note(1, 2, epoch)
-		h.Note(1, 2, epoch)
+		h.Note(1, 1000, 2, epoch)
+		h.Note(1, 1000, 2, epoch)
 		Expect(h.Untold(10)).To(HaveLen(1))
 		Expect(h.Untold(10)).To(HaveLen(1))
 		Expect(h.Untold(10)).To(BeEmpty())
@@ -499,7 +499,7 @@
 		for i := range tables {
 			tables[i] = routing.NewHolders()
 		}
-		tables[0].Note(1, 2, epoch)
+		tables[0].Note(1, 1000, 2, epoch)
 		for range 6 {
 			for _, h := range tables {
 				told := h.Untold(10)
@@ -518,7 +518,7 @@
 	It("stays bounded", func() {
 		h := routing.NewHolders()
 		for i := range uint64(50_000) {
-			h.Note(i, routing.LoadKey(i), epoch.Add(time.Duration(i)*time.Millisecond))
+			h.Note(i, 1000, routing.LoadKey(i), epoch.Add(time.Duration(i)*time.Millisecond))
 		}
 		Expect(h.Prompts()).To(BeNumerically("<=", 20_000))
 		Expect(len(h.Untold(1 << 20))).To(BeNumerically("<=", 200))
