--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -88,6 +88,17 @@
 			s.DisturbDaemon(0, at(89), at(99))
 			s.send().run("r1", 100.1)
 		}},
+		{"the same while the store is in trouble that has not ended", "", once, func(s *scene) {
+			s.KeyRemoved("k", at(90))
+			s.DisturbStore(at(89), at(4000))
+			s.send().run("r1", 100.1)
+		}},
+		{"the same when the store is well again", "CONFIG", once, func(s *scene) {
+			s.KeyRemoved("k", at(90))
+			s.DisturbStore(at(80), at(4000))
+			s.CalmStore(at(80), at(81))
+			s.send().run("r1", 100.1)
+		}},
 		{"a run at a service that the route left", "CONFIG", once, func(s *scene) { s.RouteTo("once", "gate-2", at(90)); s.send().run("r1", 100.1) }},
 		{"a run at a service that the route never had", "ROUTE", once, func(s *scene) {
 			s.send()
@@ -173,6 +184,23 @@
 	}
 }
 
+// TestJudgeKnowsLinksThatHoldRequestsUp plays requests whose link to the replica
+// held them up: their deadlines look late there, and no daemon set them so.
+func TestJudgeKnowsLinksThatHoldRequestsUp(t *testing.T) {
+	s := newScene(routes[0])
+	s.DisturbReplica("r", at(99), at(101.5))
+	for i := range 2 * DefaultBounds().Few {
+		q := s.q
+		q.ID = "q" + itoa(i)
+		s.Sent(q)
+		s.Arrived(q.ID, Arrival{Replica: "r", Service: "gate", At: at(101.4), Deadline: q.Deadline.Add(time.Second)})
+		s.Answered(q.ID, Answer{At: at(101.5), Status: 502})
+	}
+	if found := s.Judge(at(110)); len(found) > 0 {
+		t.Errorf("found %+v", found)
+	}
+}
+
 func TestJudgeCountsRepeats(t *testing.T) {
 	for _, c := range []struct {
 		repeats int
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -195,6 +195,13 @@
 	endSpan(l.replicas[id], from, to)
 }
 
+// CalmStore notes the end of the store's trouble.
+func (l *Ledger) CalmStore(from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	endSpan(l.store, from, to)
+}
+
 // StoppedUntil notes the end of a planned stop.
 func (l *Ledger) StoppedUntil(i int, from, to time.Time) {
 	l.mu.Lock()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -148,26 +148,30 @@
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
 	mode := doorModes[f.Variant%len(doorModes)]
-	from := time.Now()
 	switch f.Kind {
 	case StoreAway:
-		s.doorsFor(s.doors, mode, f.For, nil)
+		s.disturbStore(func() { s.doorsFor(s.doors, mode, f.For, nil) })
 	case StoreLapses:
-		s.doorsFor(s.doors, mode, f.For, s.lapse(f))
+		s.disturbStore(func() { s.doorsFor(s.doors, mode, f.For, s.lapse(f)) })
 	case StoreTurns:
 		// Daemons that are turned away learn from their peers, so that their
 		// bounds hold.
 		turned := 1 + f.Target%max(1, len(s.doors)/2)
 		s.doorsFor(s.doors[:turned], mode, f.For, nil)
-		return
 	case StoreForgets:
 		s.store.Deafen()
 		s.changeConfig(&Fault{Kind: RevokeKey, Target: f.Target})
 		pause(s.ctx, time.Second)
 		s.store.CompactSilently()
-		return
 	}
-	s.ledger.DisturbStore(from, time.Now().Add(settling))
+}
+
+// disturbStore notes the trouble before it begins: judgement goes on meanwhile.
+func (s *striker) disturbStore(strike func()) {
+	from := time.Now()
+	s.ledger.DisturbStore(from, from.Add(time.Hour))
+	strike()
+	s.ledger.CalmStore(from, time.Now().Add(settling))
 }
 
 // doorsFor sets the mode of some doors for a time; meanwhile runs then.
