Placement without sorting the pool

Change: loads and health fill in only what they hold, by an index that the pool makes once; the home is the highest rank under a condition, found in one pass; spill asks at most four.

--- a/routing/health.go
+++ b/routing/health.go
@@ -76,9 +76,11 @@
 type Health struct {
 	mu      sync.Mutex
 	records map[LoadKey]*record
-	peers   map[PeerID]peerEvidence
-	zones   map[string]time.Time // when there was last news of a zone's daemons
-	silence time.Duration        // after which a zone is taken as cut off
+	// passedOver are the records of the replicas that are passed over.
+	passedOver map[LoadKey]*record
+	peers      map[PeerID]peerEvidence
+	zones      map[string]time.Time // when there was last news of a zone's daemons
+	silence    time.Duration        // after which a zone is taken as cut off
 }
 
 type record struct {
@@ -97,7 +99,7 @@
 
 // NewHealth returns an empty table.
 func NewHealth() *Health {
-	return &Health{records: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time), silence: SilentZone}
+	return &Health{records: make(map[LoadKey]*record), passedOver: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time), silence: SilentZone}
 }
 
 // Report takes the result of an attempt. It returns true if the replica is
@@ -127,6 +129,7 @@
 	}
 	rec.pause = min(max(firstPause, 2*rec.pause), longestPause)
 	rec.until, rec.cause = now.Add(rec.pause), result
+	h.passedOver[key] = rec
 	return true
 }
 
@@ -238,30 +241,54 @@
 	return !lost && !h.zoneIsSilent(r.Zone, now)
 }
 
-// fill writes into open which replicas may be chosen. Those in zones that are
-// cut off are out of the question, unless nothing else is left. Of the others,
-// those that look ill are passed over, unless most do: then the evidence speaks
-// against the service or this daemon's links, and passing over would only crowd
-// the rest.
-func (h *Health) fill(replicas []Replica, now time.Time, open []bool) {
+// fill writes into open which ready replicas of a pool may be chosen. Those in
+// zones that are cut off are out of the question, unless nothing else is left. Of
+// the others, those that look ill are passed over, unless most do: then the
+// evidence speaks against the service or this daemon's links, and passing over
+// would only crowd the rest.
+func (h *Health) fill(p *Pool, now time.Time, open []bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	near, usable := 0, 0
-	for i := range replicas {
-		if h.zoneIsSilent(replicas[i].Zone, now) {
+	near := h.openNear(p, now, open)
+	usable := near
+	for key, rec := range h.passedOver {
+		if !now.Before(rec.until) {
+			delete(h.passedOver, key)
 			continue
 		}
-		near++
-		if open[i] = h.usable(&replicas[i], now); open[i] {
-			usable++
+		if i, ok := p.positions[key]; ok && open[i] {
+			open[i] = false
+			usable--
 		}
 	}
-	if 2*usable >= near && usable > 0 {
-		return
+	if 2*usable < near || usable == 0 {
+		h.openNear(p, now, open)
 	}
-	for i := range replicas {
-		open[i] = near == 0 || !h.zoneIsSilent(replicas[i].Zone, now)
+}
+
+// openNear opens the replicas in zones that are not cut off, or all if there are
+// none, and returns how many it opened.
+func (h *Health) openNear(p *Pool, now time.Time, open []bool) int {
+	silent := make(map[string]bool)
+	for zone := range h.zones {
+		if h.zoneIsSilent(zone, now) {
+			silent[zone] = true
+		}
+	}
+	near := 0
+	for i := range p.Ready {
+		open[i] = len(silent) == 0 || !silent[p.Ready[i].Zone]
+		if open[i] {
+			near++
+		}
+	}
+	if near > 0 {
+		return near
+	}
+	for i := range open {
+		open[i] = true
 	}
+	return len(open)
 }
 
 // Forget drops what is too old to matter. ownZone is never taken as silent.
--- a/routing/load.go
+++ b/routing/load.go
@@ -98,15 +98,19 @@
 	}
 }
 
-// fill writes the load of each replica into out, and returns the sum.
-func (l *Loads) fill(replicas []Replica, out []int) int {
+// fill adds the load of each ready replica of a pool to out, and returns the sum.
+// Its cost follows the number of replicas that hold requests, not the pool's size.
+func (l *Loads) fill(p *Pool, out []int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	total := 0
-	for i := range replicas {
-		key := replicas[i].LoadKey()
-		out[i] = l.own[key] + l.others[key]
-		total += out[i]
+	for _, counts := range []map[LoadKey]int{l.own, l.others} {
+		for key, n := range counts {
+			if i, ok := p.positions[key]; ok {
+				out[i] += n
+				total += n
+			}
+		}
 	}
 	return total
 }
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -68,11 +68,11 @@
 // Choose returns the target of a request among the ready replicas of its
 // service, none of which is in tried. It returns false if there is none.
 func (p *Placer) Choose(v *View, r *Request, tried []ReplicaID, now time.Time) (Target, bool) {
-	pool := v.Pool(r.Service)
+	pool := v.Pool(r.Service).sorted()
 	if len(pool.Ready) == 0 {
 		return Target{}, false
 	}
-	c := newCandidates(p, pool.Ready, tried, now)
+	c := newCandidates(p, pool, tried, now)
 	if c.allowed == 0 {
 		return Target{}, false
 	}
@@ -87,16 +87,17 @@
 type candidates struct {
 	ready   []Replica
 	loads   []int
-	open    []bool // may be chosen
+	open    []bool   // may be chosen
+	ranks   []uint64 // place in the prompt's order: the highest is the home
 	allowed int
 	mean    float64
 }
 
-func newCandidates(p *Placer, ready []Replica, tried []ReplicaID, now time.Time) *candidates {
-	c := &candidates{ready: ready, loads: make([]int, len(ready)), open: make([]bool, len(ready))}
-	total := p.Loads.fill(ready, c.loads)
-	c.mean = float64(total) / float64(len(ready))
-	p.Health.fill(ready, now, c.open)
+func newCandidates(p *Placer, pool *Pool, tried []ReplicaID, now time.Time) *candidates {
+	n := len(pool.Ready)
+	c := &candidates{ready: pool.Ready, loads: make([]int, n), open: make([]bool, n)}
+	c.mean = float64(p.Loads.fill(pool, c.loads)) / float64(n)
+	p.Health.fill(pool, now, c.open)
 	c.count(tried)
 	if c.allowed == 0 {
 		for i := range c.open {
@@ -107,6 +108,40 @@
 	return c
 }
 
+// rank makes the order of a key.
+func (c *candidates) rank(key uint64) {
+	c.ranks = make([]uint64, len(c.ready))
+	for i := range c.ready {
+		c.ranks[i] = rank(key, &c.ready[i])
+	}
+}
+
+// none is the place of no replica.
+const none = -1
+
+// first returns the replica that ranks first among those that meet a condition,
+// or none.
+func (c *candidates) first(condition func(i int) bool) int {
+	best := none
+	for i, r := range c.ranks {
+		if (best == none || r > c.ranks[best]) && condition(i) {
+			best = i
+		}
+	}
+	return best
+}
+
+// place returns how many replicas rank above one.
+func (c *candidates) place(of int) int {
+	n := 0
+	for _, r := range c.ranks {
+		if r > c.ranks[of] {
+			n++
+		}
+	}
+	return n
+}
+
 // count closes the replicas that were tried and counts the open ones.
 func (c *candidates) count(tried []ReplicaID) {
 	c.allowed = 0
@@ -127,72 +162,69 @@
 func (p *Placer) chooseHome(c *candidates, pool *Pool, zone string, r *Request, s *Service, now time.Time) Target {
 	key := r.Key()
 	held := p.Holders.of(key, now)
-	order := rankedOrder(key, c.ready)
+	c.rank(key)
 	near := r.SharedTokens() <= p.Rule.NearTokens
-	at := p.firstBelowLimit(c, order, near, zone, held)
-	if at < 0 {
-		at = slices.Index(order, c.leastLoaded())
+	chosen := p.firstBelowLimit(c, near, zone, held)
+	if chosen == none {
+		chosen = c.leastLoaded()
 	}
-	chosen := order[at]
-	t := Target{Replica: c.ready[chosen], Rank: at, Load: c.loads[chosen], Mean: c.mean}
+	t := Target{Replica: c.ready[chosen], Rank: c.place(chosen), Load: c.loads[chosen], Mean: c.mean}
 	if s.CopiesPrompts && r.SharedTokens() >= p.Rule.CopyTokens && !holds(held, &t.Replica) {
 		t.Source = p.source(&t, held, pool, now)
 		if t.Source.ID == "" {
-			t.Source = p.likelySource(c, order, at, near, now)
+			t.Source = p.likelySource(c, chosen, near, now)
 		}
 	}
 	return t
 }
 
 // likelySource guesses who holds a prompt of which nobody has told: the replica
-// that ranks above the target, and for a prompt with a home in each zone, the
-// best home of another zone. A wrong guess costs a copy that finds nothing.
-func (p *Placer) likelySource(c *candidates, order []int, at int, near bool, now time.Time) Replica {
-	target := &c.ready[order[at]]
-	for place, i := range order {
-		r := &c.ready[i]
-		above := place < at
-		elsewhere := near && r.Zone != target.Zone
-		if i != order[at] && (above || elsewhere) && p.Health.Reachable(r, now) {
-			return *r
-		}
+// that ranks first above the target, and for a prompt with a home in each zone,
+// the best home of another zone. A wrong guess costs a copy that finds nothing.
+func (p *Placer) likelySource(c *candidates, target int, near bool, now time.Time) Replica {
+	zone := c.ready[target].Zone
+	likely := c.first(func(i int) bool {
+		above := c.ranks[i] > c.ranks[target]
+		elsewhere := near && c.ready[i].Zone != zone
+		return i != target && (above || elsewhere) && p.Health.Reachable(&c.ready[i], now)
+	})
+	if likely == none {
+		return Replica{}
 	}
-	return Replica{}
+	return c.ready[likely]
 }
 
-// firstBelowLimit returns the place in the order of the replica to take, or -1
-// if all that may be asked hold too much. Near replicas come first where the
-// rule says so, then those that hold the prompt, then the rest.
-func (p *Placer) firstBelowLimit(c *candidates, order []int, near bool, zone string, held []holder) int {
+// firstBelowLimit returns the replica to take, or none if all that may be asked
+// hold too much. Near replicas come first where the rule says so, then those that
+// hold the prompt, then the rest.
+func (p *Placer) firstBelowLimit(c *candidates, near bool, zone string, held []holder) int {
 	limit := p.Rule.Bound*c.mean + p.Rule.Slack
 	below := func(i int) bool { return c.open[i] && float64(c.loads[i]) < limit }
 	if near {
-		for place, i := range order {
-			if c.ready[i].Zone == zone && below(i) {
-				return place
-			}
+		if i := c.first(func(i int) bool { return below(i) && c.ready[i].Zone == zone }); i != none {
+			return i
 		}
 	}
-	if p.Rule.HoldersFirst {
-		for place, i := range order {
-			if below(i) && holds(held, &c.ready[i]) {
-				return place
-			}
+	if p.Rule.HoldersFirst && len(held) > 0 {
+		if i := c.first(func(i int) bool { return below(i) && holds(held, &c.ready[i]) }); i != none {
+			return i
 		}
 	}
-	tries := 0
-	for place, i := range order {
-		if !c.open[i] {
-			continue
-		}
-		if below(i) {
-			return place
-		}
-		if tries++; tries >= spillTries {
-			break
+	return c.spill(below)
+}
+
+// spill asks the open replicas in the prompt's order, a few of them, and returns
+// the first that is below the limit, or none.
+func (c *candidates) spill(below func(i int) bool) int {
+	last := none
+	for range spillTries {
+		next := c.first(func(i int) bool { return c.open[i] && (last == none || c.ranks[i] < c.ranks[last]) })
+		if next == none || below(next) {
+			return next
 		}
+		last = next
 	}
-	return -1
+	return none
 }
 
 func holds(held []holder, r *Replica) bool {
@@ -224,26 +256,10 @@
 	return *best
 }
 
-// rankedOrder returns the indexes of the replicas in the key's order.
-func rankedOrder(key uint64, replicas []Replica) []int {
-	ranks := make([]uint64, len(replicas))
-	order := make([]int, len(replicas))
-	for i := range replicas {
-		ranks[i], order[i] = rank(key, &replicas[i]), i
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		if ranks[a] > ranks[b] {
-			return -1
-		}
-		return 1
-	})
-	return order
-}
-
 func (c *candidates) leastLoaded() int {
-	best := -1
+	best := none
 	for i := range c.ready {
-		if c.open[i] && (best < 0 || c.loads[i] < c.loads[best]) {
+		if c.open[i] && (best == none || c.loads[i] < c.loads[best]) {
 			best = i
 		}
 	}
@@ -252,7 +268,7 @@
 
 func (p *Placer) chooseLeastLoaded(c *candidates, zone string, r *Request) Target {
 	draw := r.Key()
-	best, bestCost := -1, 0.0
+	best, bestCost := none, 0.0
 	for i := range c.ready {
 		if !c.open[i] {
 			continue
@@ -264,7 +280,7 @@
 		}
 		// Ties are broken by a draw, or every daemon would send to the same one.
 		cost += float64(rank(draw, replica)>>56) / 256 / 16
-		if best < 0 || cost < bestCost {
+		if best == none || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
--- /dev/null
+++ b/routing/placement_bench_test.go
@@ -0,0 +1,52 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/routing"
+)
+
+// BenchmarkPlace chooses replicas in pools of several sizes, with loads of this
+// daemon and its peers and some replicas that are passed over.
+func BenchmarkPlace(b *testing.B) {
+	for _, kind := range []string{"prompt", "plain"} {
+		for _, n := range []int{20, 190, 1000, 4500} {
+			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) {
+				RegisterTestingT(b)
+				service := routing.ServiceName("llm")
+				if kind == "plain" {
+					service = "gate"
+				}
+				f := newFleet(service, manyZones(n)...)
+				for i := range min(n, 200) {
+					r := &f.pool.Ready[i*n/min(n, 200)]
+					f.placer.Loads.Observe(routing.PeerID(fmt.Sprint(i%25)), []routing.Count{{Replica: r.LoadKey(), Requests: uint16(1 + i%3)}}, epoch)
+				}
+				f.placer.Health.Report(&f.pool.Ready[n/2], routing.ResultUnreachable, epoch)
+				requests := make([]*routing.Request, 64)
+				for i := range requests {
+					requests[i] = chat(fmt.Sprint(i))
+					requests[i].Service = service
+				}
+				f.pool.Sort()
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					if _, ok := f.placer.Choose(f.view, requests[i%len(requests)], nil, epoch); !ok {
+						b.Fatal("nothing chosen")
+					}
+				}
+			})
+		}
+	}
+}
+
+func manyZones(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("z%d", i%11)
+	}
+	return out
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -141,6 +141,7 @@
 }
 
 func (f *fleet) choose(r *routing.Request, tried ...routing.ReplicaID) routing.Target {
+	f.pool.Sort()
 	t, ok := f.placer.Choose(f.view, r, tried, epoch)
 	Expect(ok).To(BeTrue())
 	return t
--- a/routing/view.go
+++ b/routing/view.go
@@ -35,6 +35,8 @@
 	// Vanished are replicas whose entries went away a moment ago without notice.
 	// They serve a little longer, and prompts can be copied from them.
 	Vanished []Replica
+	// positions are the places in Ready by load key; Sort makes them.
+	positions map[LoadKey]int
 }
 
 // Find returns a replica of the pool by id, ready or leaving.
@@ -68,9 +70,24 @@
 	return &Pool{}
 }
 
-// Sort orders the replicas by id, so that equal pools are equal everywhere.
+// Sort orders the replicas by id, so that equal pools are equal everywhere, and
+// makes the pool ready for choices. It is called again after each change.
 func (p *Pool) Sort() {
 	for _, list := range [][]Replica{p.Ready, p.Leaving, p.Vanished} {
 		slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
+	p.positions = make(map[LoadKey]int, len(p.Ready))
+	for i := range p.Ready {
+		p.positions[p.Ready[i].LoadKey()] = i
+	}
+}
+
+// sorted returns the pool, or a sorted copy if Sort was never called.
+func (p *Pool) sorted() *Pool {
+	if p.positions != nil {
+		return p
+	}
+	c := &Pool{Ready: slices.Clone(p.Ready), Leaving: slices.Clone(p.Leaving), Vanished: slices.Clone(p.Vanished)}
+	c.Sort()
+	return c
 }
