--- a/feed/feed.go
+++ b/feed/feed.go
@@ -30,6 +30,14 @@
 	Gone     bool
 }
 
+// Page is a part of a list in the order of the keys. The pages of a list are no
+// snapshot: what is missing and not newer than the first page's At is gone.
+type Page struct {
+	Items []Item
+	At    Revision // of the source when it gave the page
+	Next  string   // the key after which the next page begins; empty: this is the last
+}
+
 // keptTombstones bounds how many removals are remembered.
 const keptTombstones = 4096
 
--- a/router/reader.go
+++ b/router/reader.go
@@ -14,9 +14,8 @@
 
 // Store is where the documents come from.
 type Store interface {
-	// List reads all documents, and the revision that they are of. Its patience
-	// holds for each call that this takes.
-	List(ctx context.Context, p transport.Patience) ([]feed.Item, feed.Revision, error)
+	// List reads a page of the documents whose keys come after one.
+	List(ctx context.Context, after string, p transport.Patience) (feed.Page, error)
 	// Watch waits for changes after a revision, and returns the revision to go
 	// on from. Its patience includes the wait.
 	Watch(ctx context.Context, after feed.Revision, wait time.Duration, p transport.Patience) ([]feed.Item, feed.Revision, error)
@@ -35,8 +34,19 @@
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
 	idleCheck      = 100 * time.Millisecond
+	// listAge is how long a list that met errors on its way is carried on.
+	listAge = 10 * time.Second
 )
 
+// listing is a list under way. In a fleet that starts as a whole the store turns
+// calls away: what has been read is kept, and the list goes on from there.
+type listing struct {
+	items []feed.Item
+	at    feed.Revision // of the first page
+	next  string
+	begun time.Time
+}
+
 // reader follows the store.
 type reader struct {
 	store       Store
@@ -45,15 +55,20 @@
 	calls       func()
 	after       feed.Revision
 	listed      bool
+	partial     *listing // nil: the next list begins anew
 	backoff     time.Duration
+	// delay is how long after its start this daemon begins to read, so that it may
+	// first hear of one that reads for it.
+	delay time.Duration
 }
 
 // run reads while this daemon is to read, until ctx ends.
 func (r *reader) run(ctx context.Context) {
+	pause(ctx, r.delay)
 	for ctx.Err() == nil {
 		plan := r.control.reads.Load()
 		if plan == nil || !plan.reads {
-			r.listed = false
+			r.listed, r.partial = false, nil
 			pause(ctx, idleCheck)
 			continue
 		}
@@ -94,15 +109,29 @@
 	return err
 }
 
-// list reads everything.
+// list reads everything, or what is left of it.
 func (r *reader) list(ctx context.Context) error {
-	r.calls()
-	items, at, err := r.store.List(ctx, transport.Patience{Answer: listPatience, Piece: piecePatience})
-	if err != nil {
-		return err
+	if r.partial == nil || time.Since(r.partial.begun) > listAge {
+		r.partial = &listing{begun: time.Now()}
+	}
+	l := r.partial
+	for {
+		r.calls()
+		page, err := r.store.List(ctx, l.next, transport.Patience{Answer: listPatience, Piece: piecePatience})
+		if err != nil {
+			return err
+		}
+		if l.next == "" {
+			l.at = page.At
+		}
+		l.items = append(l.items, page.Items...)
+		if l.next = page.Next; l.next == "" {
+			break
+		}
 	}
-	r.after, r.listed = at, true
-	r.control.tell(ctx, listed{items: items, at: at})
+	r.partial = nil
+	r.after, r.listed = l.at, true
+	r.control.tell(ctx, listed{items: l.items, at: l.at})
 	r.regained(ctx)
 	return nil
 }
--- /dev/null
+++ b/router/reader_test.go
@@ -0,0 +1,82 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/feed"
+	"hingewinch.org/hingewinch/transport"
+)
+
+// crowdedStore turns every third call away, as one does that a whole fleet asks
+// at once.
+type crowdedStore struct {
+	pages, calls int
+	watched      chan feed.Revision
+}
+
+var errCrowded = errors.New("too many calls")
+
+func (s *crowdedStore) List(_ context.Context, after string, _ transport.Patience) (feed.Page, error) {
+	if s.calls++; s.calls%3 == 0 {
+		return feed.Page{}, errCrowded
+	}
+	n := 0
+	if after != "" {
+		if _, err := fmt.Sscanf(after, "k%d", &n); err != nil {
+			return feed.Page{}, err
+		}
+		n++
+	}
+	p := feed.Page{At: feed.Revision(100 + n), Items: []feed.Item{{Key: fmt.Sprintf("k%d", n), Revision: feed.Revision(1 + n)}}}
+	if n+1 < s.pages {
+		p.Next = fmt.Sprintf("k%d", n)
+	}
+	return p, nil
+}
+
+func (s *crowdedStore) Watch(ctx context.Context, after feed.Revision, _ time.Duration, _ transport.Patience) ([]feed.Item, feed.Revision, error) {
+	select {
+	case s.watched <- after:
+	default:
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (s *crowdedStore) Forget() {}
+
+// TestListGoesOnWhereItWasTurnedAway lists 12 pages from a store that turns calls
+// away. A list that begins anew each time never ends there.
+func TestListGoesOnWhereItWasTurnedAway(t *testing.T) {
+	store := &crowdedStore{pages: 12, watched: make(chan feed.Revision, 1)}
+	c := &control{events: make(chan event, eventQueue)}
+	c.reads.Store(&readPlan{reads: true, wait: time.Second, ended: make(chan struct{})})
+	r := &reader{store: store, control: c, historyGone: errors.New("gone"), calls: func() {}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() { r.run(ctx); close(done) }()
+	select {
+	case after := <-store.watched:
+		if after != 100 {
+			t.Errorf("the watch begins at %d, want 100, the first page's revision", after)
+		}
+	case <-ctx.Done():
+		t.Errorf("the list does not end; %d calls", store.calls)
+	}
+	cancel()
+	<-done
+	var got []feed.Item
+	for len(c.events) > 0 {
+		if l, ok := (<-c.events).(listed); ok {
+			got = l.items
+		}
+	}
+	if len(got) != store.pages {
+		t.Errorf("%d items, want %d", len(got), store.pages)
+	}
+}
