--- a/cmd/hingectl/router.go
+++ b/cmd/hingectl/router.go
@@ -70,7 +70,7 @@
 			return err
 		}
 		for _, m := range list {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%t\n", m.Address, m.Zone, m.Life, m.Leaving)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%t\n", m.Address, m.Domain, m.Life, m.Leaving)
 		}
 		return nil
 	})
@@ -95,7 +95,7 @@
 			if c.PassedOver && !r.PassedOver {
 				continue
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", r.Service, r.ID, r.Zone, r.Address, r.State, r.Load, 100*r.FailRate, r.Why)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", r.Service, r.ID, r.Domain, r.Address, r.State, r.Load, 100*r.FailRate, r.Why)
 		}
 		return nil
 	})
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -33,7 +33,7 @@
 	{"passes on an answer to another request", "MIXED", "relay/exchange.go", "if x.head.Answers == x.call.ID {", "if x.head.Answers != \"\" {"},
 	{"sends work to leaving replicas", "DRAIN", "router/control.go", "if e.replica.Draining {", "if e.replica.Draining && e.replica.ID == \"\" {"},
 	{"goes on for a caller that left", "GONE", "relay/exchange.go", "func() { _ = x.conn.Close() })", "func() {})"},
-	{"stops without waiting", "LOST", "router/router.go", "_ = d.callers.server.Shutdown(wait)", "<-wait.Done()\n\t_ = d.callers.server.Close()"},
+	{"stops without waiting", "LOST", "router/router.go", "_ = d.callers.server.Shutdown(wait)", "_, _ = wait.Deadline()\n\t_ = d.callers.server.Close()"},
 	{"says not run of what may have run", "REFUSED", "platform/front.go", "status := http.StatusBadGateway", "status := http.StatusServiceUnavailable"},
 	{"takes a broken stream as whole", "ORDER", "relay/answer.go", "return x.broken(ctx, eris.Wrap(err, \"read stream\"))", "break"},
 }
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -18,6 +18,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"hingewinch.org/hingewinch/state"
 )
 
 type (
@@ -31,7 +33,7 @@
 // Member is what daemons tell each other of one daemon.
 type Member struct {
 	Address Address
-	Zone    string
+	Domain  state.FailureDomain
 	Life    Life
 	Count   uint64 // beats sent in this life
 	Leaving bool   // stops as planned
@@ -41,7 +43,7 @@
 // Settings of the roster.
 const (
 	// deadAfter is how long a member counts as live after news of it. In a large
-	// fleet news of one member is rarer: nearDeadAfter holds in the own zone,
+	// fleet news of one member is rarer: nearDeadAfter holds in the own domain,
 	// farDeadAfter in others.
 	deadAfter     = 2500 * time.Millisecond
 	nearDeadAfter = 10 * time.Second
@@ -52,18 +54,18 @@
 	// forgetAfter is how long one that is gone is still tried.
 	forgetAfter = 90 * time.Second
 	// fanOut is how many members a beat of a large fleet goes to, and farFanOut
-	// how many of them stand in other zones, whose links cost more.
+	// how many of them stand in other domains, whose links cost more.
 	fanOut    = 5
 	farFanOut = 1
 	// namedInBeat is how many other members a beat of a small fleet names. One of
-	// a large fleet names the first of each zone, and of the own zone namedNewest
+	// a large fleet names the first of each domain, and of the own domain namedNewest
 	// of which there is the newest news, which is what spreads it, and namedNear
-	// others, and namedFar of other zones.
+	// others, and namedFar of other domains.
 	namedInBeat = 12
 	namedNewest = 2
 	namedNear   = 2
 	namedFar    = 1
-	// introducedNear and introducedFar are how many members of its own zone and of
+	// introducedNear and introducedFar are how many members of its own domain and of
 	// others a new daemon of a large fleet is told of.
 	introducedNear = 8
 	introducedFar  = 8
@@ -169,7 +171,7 @@
 	limit := deadAfter
 	if r.large() {
 		limit = farDeadAfter
-		if k.Zone == r.self.Zone {
+		if k.Domain == r.self.Domain {
 			limit = nearDeadAfter
 		}
 	}
@@ -209,13 +211,13 @@
 	return membersOf(r.filter(func(k *known) bool { return now.Sub(k.heard) <= age }))
 }
 
-// Zones returns when there was last news of any member of each zone, own news
+// Domains returns when there was last news of any member of each domain, own news
 // or told by others.
-func (r *Roster) Zones() map[string]time.Time {
-	out := make(map[string]time.Time)
+func (r *Roster) Domains() map[state.FailureDomain]time.Time {
+	out := make(map[state.FailureDomain]time.Time)
 	for _, k := range r.members {
-		if k.heard.After(out[k.Zone]) {
-			out[k.Zone] = k.heard
+		if k.heard.After(out[k.Domain]) {
+			out[k.Domain] = k.heard
 		}
 	}
 	return out
@@ -255,7 +257,7 @@
 }
 
 // draw picks whom a beat of a large fleet goes to: mostly members of the own
-// zone, and some of others, over which news crosses.
+// domain, and some of others, over which news crosses.
 func (r *Roster) draw(live []*known, rng *rand.Rand) []*known {
 	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	near, far := r.split(live)
@@ -283,7 +285,7 @@
 }
 
 // Named returns the members that a beat names, besides its sender. A small fleet
-// is told of all. In a large one the first of each zone are named, on which the
+// is told of all. In a large one the first of each domain are named, on which the
 // others' duties depend, and some more.
 func (r *Roster) Named(now time.Time, rng *rand.Rand) []Member {
 	live := r.live(now)
@@ -291,7 +293,7 @@
 		rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 		return membersOf(live[:min(len(live), namedInBeat)])
 	}
-	firsts, rest := firstOfEachZone(live)
+	firsts, rest := firstOfEachDomain(live)
 	near, far := r.split(rest)
 	slices.SortStableFunc(near, func(a, b *known) int { return b.heard.Compare(a.heard) })
 	newest := min(len(near), namedNewest)
@@ -304,16 +306,16 @@
 }
 
 // Introduce returns the members that a daemon is told of that has just been
-// found: the first of each zone, some of its own zone and some others. In a large
+// found: the first of each domain, some of its own domain and some others. In a large
 // fleet it would else learn of them slowly.
 func (r *Roster) Introduce(to Member, now time.Time, rng *rand.Rand) []Member {
-	firsts, rest := firstOfEachZone(r.live(now))
+	firsts, rest := firstOfEachDomain(r.live(now))
 	rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	out := firsts
 	neighbours, others := introducedNear, introducedFar
 	for _, k := range rest {
 		left := &others
-		if k.Zone == to.Zone {
+		if k.Domain == to.Domain {
 			left = &neighbours
 		}
 		if *left > 0 {
@@ -324,25 +326,25 @@
 	return membersOf(out)
 }
 
-// firstOfEachZone takes the first member of each zone that neither leaves nor is
+// firstOfEachDomain takes the first member of each domain that neither leaves nor is
 // blind out of a sorted list.
-func firstOfEachZone(live []*known) (firsts, rest []*known) {
-	seen := make(map[string]bool)
+func firstOfEachDomain(live []*known) (firsts, rest []*known) {
+	seen := make(map[state.FailureDomain]bool)
 	for _, k := range live {
-		if seen[k.Zone] || k.Leaving || k.Blind {
+		if seen[k.Domain] || k.Leaving || k.Blind {
 			rest = append(rest, k)
 			continue
 		}
-		seen[k.Zone] = true
+		seen[k.Domain] = true
 		firsts = append(firsts, k)
 	}
 	return firsts, rest
 }
 
-// split parts the members of the own zone from the others.
+// split parts the members of the own domain from the others.
 func (r *Roster) split(list []*known) (near, far []*known) {
 	for _, k := range list {
-		if k.Zone == r.self.Zone {
+		if k.Domain == r.self.Domain {
 			near = append(near, k)
 			continue
 		}
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"hingewinch.org/hingewinch/membership"
+	"hingewinch.org/hingewinch/state"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -27,13 +28,13 @@
 	blocked func(from, to membership.Address) bool
 	sent    int
 	every   time.Duration // between two beats of a daemon
-	zones   int
+	domains int
 }
 
 func newNetwork() *network {
 	return &network{
 		rng: rand.New(rand.NewPCG(1, 1)), now: epoch, rosters: make(map[membership.Address]*membership.Roster),
-		blocked: func(_, _ membership.Address) bool { return false }, every: beat, zones: 4,
+		blocked: func(_, _ membership.Address) bool { return false }, every: beat, domains: 4,
 	}
 }
 
@@ -44,7 +45,7 @@
 	for _, seed := range seeds {
 		s = append(s, address(seed))
 	}
-	n.rosters[address(i)] = membership.NewRoster(membership.Member{Address: address(i), Zone: fmt.Sprint(i % n.zones), Life: life}, s)
+	n.rosters[address(i)] = membership.NewRoster(membership.Member{Address: address(i), Domain: state.FailureDomain(fmt.Sprint(i % n.domains)), Life: life}, s)
 }
 
 func (n *network) run(d time.Duration) {
@@ -157,7 +158,7 @@
 		Expect(n.live(0)).To(Equal(7))
 	})
 
-	It("never takes a zone of a large fleet as silent while it can be heard", func() {
+	It("never takes a domain of a large fleet as silent while it can be heard", func() {
 		const daemons = 80
 		for i := range daemons {
 			n.start(i, 1, 0, 1, 2)
@@ -166,15 +167,15 @@
 		for range 20 {
 			n.run(beat)
 			for a, r := range n.rosters {
-				for zone, at := range r.Zones() {
-					Expect(n.now.Sub(at)).To(BeNumerically("<", 1200*time.Millisecond), "%s of zone %s", a, zone)
+				for domain, at := range r.Domains() {
+					Expect(n.now.Sub(at)).To(BeNumerically("<", 1200*time.Millisecond), "%s of domain %s", a, domain)
 				}
 			}
 		}
 	})
 
-	DescribeTable("keeps news of the first of each zone fresh in a large fleet, at its slower beats", func(daemons, zones int) {
-		n.every, n.zones = 2*beat, zones
+	DescribeTable("keeps news of the first of each domain fresh in a large fleet, at its slower beats", func(daemons, domains int) {
+		n.every, n.domains = 2*beat, domains
 		for i := range daemons {
 			n.start(i, 1, 0, 1, 2)
 		}
@@ -183,10 +184,10 @@
 		for range 10 {
 			n.run(n.every)
 			for a, r := range n.rosters {
-				for z := range zones {
+				for z := range domains {
 					if first := address(z); first != a {
 						age := n.now.Sub(r.Heard(first))
-						if r.Entry().Zone == fmt.Sprint(z) {
+						if r.Entry().Domain == state.FailureDomain(fmt.Sprint(z)) {
 							worst = max(worst, age)
 						}
 						worstFar = max(worstFar, age)
@@ -194,20 +195,20 @@
 				}
 				near := 0
 				for _, m := range r.Live(n.now) {
-					if m.Zone == r.Entry().Zone {
+					if m.Domain == r.Entry().Domain {
 						near++
 					}
 				}
-				Expect(near).To(BeNumerically(">=", (daemons/zones-1)*9/10), "%s knows its own zone", a)
+				Expect(near).To(BeNumerically(">=", (daemons/domains-1)*9/10), "%s knows its own domain", a)
 				if daemons < 100 {
 					Expect(len(r.Live(n.now))).To(BeNumerically(">=", daemons*9/10), "%s", a)
 				}
 			}
 		}
-		Expect(worst).To(BeNumerically("<", 2*time.Second), "of the own zone")
-		Expect(worstFar).To(BeNumerically("<", 4*time.Second), "of any zone")
+		Expect(worst).To(BeNumerically("<", 2*time.Second), "of the own domain")
+		Expect(worstFar).To(BeNumerically("<", 4*time.Second), "of any domain")
 	},
-		Entry("62 daemons", 62, 4), Entry("80 daemons", 80, 4), Entry("300 daemons", 300, 4), Entry("510 daemons in 6 zones", 510, 6),
+		Entry("62 daemons", 62, 4), Entry("80 daemons", 80, 4), Entry("300 daemons", 300, 4), Entry("510 daemons in 6 domains", 510, 6),
 	)
 
 	It("bounds the messages of a large fleet", func() {
--- a/relay/call.go
+++ b/relay/call.go
@@ -9,19 +9,20 @@
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 // Call is one request of a caller, read whole.
 type Call struct {
 	routing.Request
-	Method   string
-	Target   string // path and query, as the caller wrote them
-	Host     string
-	Header   http.Header // what is passed on to the replica
-	Body     []byte
-	Tenant   routing.TenantName
-	Urgency  int    // priority at the replica
-	LastSeen string // id of the last event that the caller has; empty: from the start
+	Method    string
+	Target    string // path and query, as the caller wrote them
+	Host      string
+	Header    http.Header // what is passed on to the replica
+	Body      []byte
+	Workspace routing.WorkspaceName
+	Urgency   int    // priority at the replica
+	LastSeen  string // id of the last event that the caller has; empty: from the start
 }
 
 // Send says how a call goes to one replica.
@@ -66,7 +67,7 @@
 // Trial tells how one attempt at a replica went.
 type Trial struct {
 	Replica  routing.ReplicaID
-	Zone     string
+	Domain   state.FailureDomain
 	Rank     int
 	Copied   routing.ReplicaID // source of the prompt
 	Load     int
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -125,7 +125,7 @@
 	s.tried = append(s.tried, target.Replica.ID)
 	s.Placer.Loads.Begin(target.Replica.LoadKey())
 	trial := Trial{
-		Replica: target.Replica.ID, Zone: target.Replica.Zone, Rank: target.Rank, Copied: target.Source.ID,
+		Replica: target.Replica.ID, Domain: target.Replica.Domain, Rank: target.Rank, Copied: target.Source.ID,
 		Load: target.Load, Mean: target.Mean,
 	}
 	f := s.send(ctx, &target, &trial)
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -61,7 +61,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	r := &replica{listener: l, script: script, closed: make(chan struct{}, 64)}
-	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Zone: "z", Slots: 8, Address: l.Addr().String()})
+	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Domain: "z", Slots: 8, Address: l.Addr().String()})
 	go r.accept()
 	DeferCleanup(func() { _ = l.Close() })
 	return r
@@ -226,7 +226,7 @@
 	for _, r := range replicas {
 		pool.Ready = append(pool.Ready, r.Replica)
 	}
-	w.view = &routing.View{Table: t, Zone: "z", Pools: map[routing.ServiceName]*routing.Pool{"s": pool}}
+	w.view = &routing.View{Table: t, Domain: "z", Pools: map[routing.ServiceName]*routing.Pool{"s": pool}}
 	w.relay = relay.New(relay.Options{
 		View:    func() *routing.View { return w.view },
 		Placer:  &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: routing.NewLoads(), Health: routing.NewHealth()},
--- a/router/control.go
+++ b/router/control.go
@@ -12,6 +12,7 @@
 	"hingewinch.org/hingewinch/feed"
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 // Documents tells which of the store's documents are which.
@@ -75,7 +76,7 @@
 	documents Documents
 	feed      *feed.Feed
 	roster    *membership.Roster
-	zone      string
+	domain    state.FailureDomain
 	rng       *rand.Rand
 	loads     *routing.Loads
 	health    *routing.Health
@@ -252,7 +253,7 @@
 // publish builds a view and makes it visible to traffic.
 func (c *control) publish(now time.Time) {
 	v := &routing.View{
-		Table: c.table, Revision: uint64(c.feed.Revision()), Zone: c.zone, Daemons: c.daemons, Built: now,
+		Table: c.table, Revision: uint64(c.feed.Revision()), Domain: c.domain, Daemons: c.daemons, Built: now,
 		Pools: make(map[routing.ServiceName]*routing.Pool),
 	}
 	for _, e := range c.replicas {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -44,7 +44,7 @@
 		c.publish(now)
 	}
 	c.roster.Known(now)
-	c.health.Forget(c.zone, now)
+	c.health.Forget(c.domain, now)
 	if now.Sub(c.figuresAt) >= figuresInterval {
 		c.figuresAt = now
 		c.log.Figures(c.daemons, c.feed.Revision())
@@ -86,7 +86,7 @@
 			continue
 		}
 		sentinel = false
-		if m.Zone == self.Zone {
+		if m.Domain == self.Domain {
 			reads = false
 		}
 	}
@@ -214,30 +214,40 @@
 		c.nameMembers = true
 		c.budgets.SetDaemons(c.roster.Largest())
 	}
-	c.observeZones()
+	c.observeDomains()
 	if !b.Notice {
-		c.loads.Observe(routing.PeerID(b.Sender.Address), b.Loads, now)
-		c.health.Observe(routing.PeerID(b.Sender.Address), b.Evidence, now)
+		c.observeWork(b, now)
 	}
 	c.holders.Observe(b.Holdings, c.large(), now)
 	if b.Revision > c.feed.Revision() {
 		if len(c.ahead) == 0 {
 			c.aheadSince = now
 		}
-		c.ahead[b.Sender.Address] = aheadPeer{revision: b.Revision, near: b.Sender.Zone == c.zone}
+		c.ahead[b.Sender.Address] = aheadPeer{revision: b.Revision, near: b.Sender.Domain == c.domain}
 		c.pullIfBehind(ctx, now)
 	}
 }
 
-// observeZones tells what is known of the other zones' daemons.
-func (c *control) observeZones() {
-	zones := c.roster.Zones()
-	delete(zones, c.zone)
-	silence := routing.SilentZone
+// observeWork takes what a peer tells of its requests.
+func (c *control) observeWork(b *Beat, now time.Time) {
+	loadAge, evidenceAge := routing.PeerLoadAge, routing.PeerEvidenceAge
 	if c.large() {
-		silence = routing.SilentZoneLarge
+		loadAge, evidenceAge = routing.PeerLoadAgeLarge, routing.PeerEvidenceAgeLarge
 	}
-	c.health.ObserveZones(zones, silence)
+	peer := routing.PeerID(b.Sender.Address)
+	c.loads.Observe(peer, b.Loads, now, loadAge)
+	c.health.Observe(peer, b.Evidence, now, evidenceAge)
+}
+
+// observeDomains tells what is known of the other domains' daemons.
+func (c *control) observeDomains() {
+	domains := c.roster.Domains()
+	delete(domains, c.domain)
+	silence := routing.SilentDomain
+	if c.large() {
+		silence = routing.SilentDomainLarge
+	}
+	c.health.ObserveDomains(domains, silence)
 }
 
 // mostAhead returns the peer to ask for news: near ones first, whose links are
--- a/router/log.go
+++ b/router/log.go
@@ -234,7 +234,7 @@
 // Peer tells that a daemon was found.
 func (l *Log) Peer(m membership.Member) {
 	l.timeline.Record(coordination.EventPeerState, string(m.Address), "", "found")
-	l.logger.Info().Str("peer", string(m.Address)).Str("zone", m.Zone).Uint64("life", uint64(m.Life)).Msg(prefixPeer + "found")
+	l.logger.Info().Str("peer", string(m.Address)).Str("domain", string(m.Domain)).Uint64("life", uint64(m.Life)).Msg(prefixPeer + "found")
 }
 
 // PullFailed tells that a peer gave no news.
--- a/router/message.go
+++ b/router/message.go
@@ -14,6 +14,7 @@
 	"hingewinch.org/hingewinch/feed"
 	"hingewinch.org/hingewinch/membership"
 	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 // Beat is the message that a daemon sends its peers several times a second, as
@@ -32,11 +33,11 @@
 	Evidence []routing.Evidence // its own counts at replicas where requests failed
 }
 
-// beatMessage is a beat on the wire. Zones are named once, the members refer to
+// beatMessage is a beat on the wire. Domains are named once, the members refer to
 // them by their place, and addresses are numbers: members are most of a beat.
 type beatMessage struct {
 	_        struct{} `cbor:",toarray"`
-	Zones    []string
+	Domains  []state.FailureDomain
 	Members  []memberMessage // the first is the sender
 	Wall     int64
 	Counter  uint32
@@ -51,7 +52,7 @@
 type memberMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Address []byte   // IP and port, as netip.AddrPort writes them
-	Zone    int      // place in the message's zones
+	Domain  int      // place in the message's domains
 	Life    membership.Life
 	Count   uint64
 	State   memberState
@@ -74,12 +75,12 @@
 	if err != nil {
 		return eris.Wrap(err, "encode address of a member")
 	}
-	zone := slices.Index(m.Zones, of.Zone)
-	if zone < 0 {
-		zone = len(m.Zones)
-		m.Zones = append(m.Zones, of.Zone)
+	domain := slices.Index(m.Domains, of.Domain)
+	if domain < 0 {
+		domain = len(m.Domains)
+		m.Domains = append(m.Domains, of.Domain)
 	}
-	out := memberMessage{Address: address, Zone: zone, Life: of.Life, Count: of.Count}
+	out := memberMessage{Address: address, Domain: domain, Life: of.Life, Count: of.Count}
 	if of.Leaving {
 		out.State |= memberLeaving
 	}
@@ -96,11 +97,11 @@
 	if err := at.UnmarshalBinary(in.Address); err != nil {
 		return membership.Member{}, eris.Wrap(err, "decode address of a member")
 	}
-	if in.Zone < 0 || in.Zone >= len(m.Zones) {
-		return membership.Member{}, eris.Errorf("member's zone %d of %d", in.Zone, len(m.Zones))
+	if in.Domain < 0 || in.Domain >= len(m.Domains) {
+		return membership.Member{}, eris.Errorf("member's domain %d of %d", in.Domain, len(m.Domains))
 	}
 	return membership.Member{
-		Address: membership.Address(at.String()), Zone: m.Zones[in.Zone], Life: in.Life, Count: in.Count,
+		Address: membership.Address(at.String()), Domain: m.Domains[in.Domain], Life: in.Life, Count: in.Count,
 		Leaving: in.State&memberLeaving != 0, Blind: in.State&memberBlind != 0,
 	}, nil
 }
--- a/router/message_test.go
+++ b/router/message_test.go
@@ -13,9 +13,9 @@
 // TestBeatsOfLargeFleetsFit fills a beat with more than a datagram holds: it
 // still goes out, names some members and keeps the greatest loads.
 func TestBeatsOfLargeFleetsFit(t *testing.T) {
-	b := Beat{Sender: membership.Member{Address: "10.0.0.1:7340", Zone: "some-zone"}}
+	b := Beat{Sender: membership.Member{Address: "10.0.0.1:7340", Domain: "some-domain"}}
 	for i := range 16 {
-		b.Members = append(b.Members, membership.Member{Address: membership.Address(fmt.Sprintf("10.200.100.%d:7340", i)), Zone: "some-zone", Life: 1 << 60, Count: 1 << 30})
+		b.Members = append(b.Members, membership.Member{Address: membership.Address(fmt.Sprintf("10.200.100.%d:7340", i)), Domain: "some-domain", Life: 1 << 60, Count: 1 << 30})
 	}
 	for i := range 4500 {
 		b.Loads = append(b.Loads, routing.Count{Replica: routing.LoadKey(1<<31 + i), Requests: uint16(i)})
@@ -52,10 +52,10 @@
 // TestBeatsComeThroughAsTheyWere encodes and decodes a beat with everything in it.
 func TestBeatsComeThroughAsTheyWere(t *testing.T) {
 	b := Beat{
-		Sender: membership.Member{Address: "10.0.0.1:7340", Zone: "z1", Life: 7, Count: 9, Blind: true},
+		Sender: membership.Member{Address: "10.0.0.1:7340", Domain: "z1", Life: 7, Count: 9, Blind: true},
 		Members: []membership.Member{
-			{Address: "10.0.0.2:7340", Zone: "z2", Life: 1 << 40, Count: 1, Leaving: true},
-			{Address: "10.0.0.3:7340", Zone: "z1", Life: 8, Count: 2},
+			{Address: "10.0.0.2:7340", Domain: "z2", Life: 1 << 40, Count: 1, Leaving: true},
+			{Address: "10.0.0.3:7340", Domain: "z1", Life: 8, Count: 2},
 		},
 		Wall: 1, Counter: 2, Revision: 3, Version: 4, Notice: true,
 		Loads: []routing.Count{{Replica: 5, Requests: 6}}, Holdings: []routing.Holding{{Prompt: 7, Replica: 8}},
@@ -85,7 +85,7 @@
 	n := News{Revision: 9, Whole: true}
 	size := 0
 	for i := range 3000 {
-		it := feed.Item{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Revision: feed.Revision(i), Value: []byte(fmt.Sprintf(`{"service":"s","address":"10.3.%d.%d:8309","zone":"z","slots":16,"state":"ready"}`, i/250, i%250))}
+		it := feed.Item{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Revision: feed.Revision(i), Value: []byte(fmt.Sprintf(`{"service":"s","address":"10.3.%d.%d:8309","domain":"z","slots":16,"state":"ready"}`, i/250, i%250))}
 		n.Items = append(n.Items, it)
 		size += len(it.Key) + len(it.Value)
 	}
--- a/router/operators.go
+++ b/router/operators.go
@@ -45,17 +45,17 @@
 
 // MemberAnswer is one daemon in the answer to GET /members.
 type MemberAnswer struct {
-	Address membership.Address `json:"address"`
-	Zone    string             `json:"zone"`
-	Life    membership.Life    `json:"life"`
-	Leaving bool               `json:"leaving"`
+	Address membership.Address  `json:"address"`
+	Domain  state.FailureDomain `json:"domain"`
+	Life    membership.Life     `json:"life"`
+	Leaving bool                `json:"leaving"`
 }
 
 // ReplicaAnswer is one replica in the answer to GET /replicas.
 type ReplicaAnswer struct {
 	ID         routing.ReplicaID   `json:"id"`
 	Service    routing.ServiceName `json:"service"`
-	Zone       string              `json:"zone"`
+	Domain     state.FailureDomain `json:"domain"`
 	Address    string              `json:"address"`
 	State      string              `json:"state"`
 	Load       int                 `json:"load"`
@@ -124,7 +124,7 @@
 func (d *Daemon) members(c *control) any {
 	out := []MemberAnswer{}
 	for _, m := range append([]membership.Member{c.roster.Entry()}, c.roster.Live(time.Now())...) {
-		out = append(out, MemberAnswer{Address: m.Address, Zone: m.Zone, Life: m.Life, Leaving: m.Leaving})
+		out = append(out, MemberAnswer{Address: m.Address, Domain: m.Domain, Life: m.Life, Leaving: m.Leaving})
 	}
 	return out
 }
@@ -138,7 +138,7 @@
 				r := &list[i]
 				rate, why := c.health.Explain(r, now)
 				out = append(out, ReplicaAnswer{
-					ID: r.ID, Service: r.Service, Zone: r.Zone, Address: r.Address, State: stateName(r),
+					ID: r.ID, Service: r.Service, Domain: r.Domain, Address: r.Address, State: stateName(r),
 					Load: c.loads.Of(r.LoadKey()), PassedOver: why != "", Why: why, FailRate: rate,
 				})
 			}
--- a/router/router.go
+++ b/router/router.go
@@ -141,9 +141,9 @@
 	loads, health, holders := routing.NewLoads(), routing.NewHealth(), routing.NewHolders()
 	seeds := s.seedPeers()
 	budgets := routing.NewBudgets(s.budgetRule(), max(leastFleet, len(seeds)))
-	self := membership.Member{Address: s.advertised(), Zone: string(s.Domain), Life: lifeAt(time.Now())}
+	self := membership.Member{Address: s.advertised(), Domain: s.Domain, Life: lifeAt(time.Now())}
 	d.control = &control{
-		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), zone: string(s.Domain),
+		documents: d.outside.Documents, feed: feed.New(), roster: membership.NewRoster(self, seeds), domain: s.Domain,
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), loads: loads, health: health, holders: holders, budgets: budgets, log: d.Log,
 		send: d.peers.send, pull: d.peers.pull, events: make(chan event, eventQueue),
 		replicas: make(map[string]replicaEntry), lapses: routing.NewLapses(),
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -14,17 +14,17 @@
 	NoConfiguration
 	// NoRoute means that no route has the host and path.
 	NoRoute
-	// UnknownKey means that no tenant holds the key.
+	// UnknownKey means that no workspace holds the key.
 	UnknownKey
 )
 
 // Admission is a request that was let in.
 type Admission struct {
-	Route  *Route
-	Tenant *Tenant // nil if the route needs no key
+	Route     *Route
+	Workspace *Workspace // nil if the route needs no key
 }
 
-// Admit finds the route of a request and the tenant of its key.
+// Admit finds the route of a request and the workspace of its key.
 func (v *View) Admit(host, path, key string) (Admission, Denial) {
 	if v == nil || v.Table == nil {
 		return Admission{}, NoConfiguration
@@ -34,10 +34,10 @@
 		return Admission{}, NoRoute
 	}
 	a := Admission{Route: route}
-	if tenant, ok := v.Table.Authenticate(key); ok {
-		a.Tenant = tenant
+	if workspace, ok := v.Table.Authenticate(key); ok {
+		a.Workspace = workspace
 	}
-	if a.Tenant == nil && v.Table.NeedsKey() && !route.OpenToAll {
+	if a.Workspace == nil && v.Table.NeedsKey() && !route.OpenToAll {
 		return Admission{}, UnknownKey
 	}
 	return a, Admitted
--- a/routing/config.go
+++ b/routing/config.go
@@ -1,5 +1,5 @@
 // This file holds the configuration as the decisions need it: routes by host,
-// tenants by key. A Config is checked and indexed once, and never changes.
+// workspaces by key. A Config is checked and indexed once, and never changes.
 
 package routing
 
@@ -17,8 +17,8 @@
 	ReplicaID string
 	// ServiceName names a service, which is a set of replicas.
 	ServiceName string
-	// TenantName names a tenant, which is a workspace of the operators' files.
-	TenantName string
+	// WorkspaceName names a workspace, which is a workspace of the operators' files.
+	WorkspaceName string
 	// Version orders configurations.
 	Version uint64
 )
@@ -88,9 +88,9 @@
 	CopiesPrompts  bool // a replica can copy cached prompts from another
 }
 
-// Tenant is a workspace with the keys of its callers.
-type Tenant struct {
-	Name     TenantName
+// Workspace is a workspace with the keys of its callers.
+type Workspace struct {
+	Name     WorkspaceName
 	Keys     []string
 	Priority int
 }
@@ -105,40 +105,40 @@
 
 // Config is one version of the configuration.
 type Config struct {
-	Version  Version
-	Routes   []Route
-	Services []Service
-	Tenants  []Tenant
-	Limits   CallerLimits
+	Version    Version
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     CallerLimits
 }
 
 // Table is an indexed configuration. It is immutable.
 type Table struct {
-	Version  Version
-	Limits   CallerLimits
-	byHost   map[string][]*Route // longest prefix first
-	services map[ServiceName]*Service
-	tenants  map[uint64]tenantKey
-	count    int
-	anyKey   bool
+	Version    Version
+	Limits     CallerLimits
+	byHost     map[string][]*Route // longest prefix first
+	services   map[ServiceName]*Service
+	workspaces map[uint64]workspaceKey
+	count      int
+	anyKey     bool
 }
 
-type tenantKey struct {
-	key    string
-	tenant *Tenant
+type workspaceKey struct {
+	key       string
+	workspace *Workspace
 }
 
 // NewTable checks a configuration and indexes it. The error names what is wrong
 // and nothing of the configuration is taken.
 func NewTable(c *Config) (*Table, error) {
 	t := &Table{
-		Version:  c.Version,
-		Limits:   c.Limits,
-		byHost:   make(map[string][]*Route),
-		services: make(map[ServiceName]*Service, len(c.Services)),
-		tenants:  make(map[uint64]tenantKey),
-		count:    len(c.Routes),
-		anyKey:   len(c.Tenants) > 0,
+		Version:    c.Version,
+		Limits:     c.Limits,
+		byHost:     make(map[string][]*Route),
+		services:   make(map[ServiceName]*Service, len(c.Services)),
+		workspaces: make(map[uint64]workspaceKey),
+		count:      len(c.Routes),
+		anyKey:     len(c.Workspaces) > 0,
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -151,10 +151,10 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for i := range c.Tenants {
-		tenant := &c.Tenants[i]
-		for _, key := range tenant.Keys {
-			t.tenants[xxhash.Sum64String(key)] = tenantKey{key: key, tenant: tenant}
+	for i := range c.Workspaces {
+		workspace := &c.Workspaces[i]
+		for _, key := range workspace.Keys {
+			t.workspaces[xxhash.Sum64String(key)] = workspaceKey{key: key, workspace: workspace}
 		}
 	}
 	return t, nil
@@ -195,16 +195,16 @@
 	return nil, false
 }
 
-// Authenticate returns the tenant that holds a key.
-func (t *Table) Authenticate(key string) (*Tenant, bool) {
-	k, ok := t.tenants[xxhash.Sum64String(key)]
+// Authenticate returns the workspace that holds a key.
+func (t *Table) Authenticate(key string) (*Workspace, bool) {
+	k, ok := t.workspaces[xxhash.Sum64String(key)]
 	if !ok || k.key != key {
 		return nil, false
 	}
-	return k.tenant, true
+	return k.workspace, true
 }
 
-// NeedsKey reports whether the configuration has tenants, so that callers must
+// NeedsKey reports whether the configuration has workspaces, so that callers must
 // send a key.
 func (t *Table) NeedsKey() bool { return t.anyKey }
 
--- a/routing/health.go
+++ b/routing/health.go
@@ -11,6 +11,8 @@
 import (
 	"sync"
 	"time"
+
+	"hingewinch.org/hingewinch/state"
 )
 
 // Result says how an attempt at a replica ended, as evidence of its health.
@@ -54,13 +56,15 @@
 	// forgiveAfter is the time without a pause after which the next one is short
 	// again.
 	forgiveAfter = 6 * time.Second
-	// peerEvidenceAge is how long a peer's counts are taken into account.
-	peerEvidenceAge = time.Second
-	// SilentZone is the time without news of any daemon of a zone after which its
-	// replicas are passed over: the zone is cut off. In a large fleet, where news
-	// travels over several daemons, it is SilentZoneLarge.
-	SilentZone      = 700 * time.Millisecond
-	SilentZoneLarge = 1200 * time.Millisecond
+	// PeerEvidenceAge is how long a peer's counts are taken into account. In a large
+	// fleet, where each peer is heard more rarely, it is PeerEvidenceAgeLarge.
+	PeerEvidenceAge      = time.Second
+	PeerEvidenceAgeLarge = 3 * time.Second
+	// SilentDomain is the time without news of any daemon of a domain after which its
+	// replicas are passed over: the domain is cut off. In a large fleet, where news
+	// travels over several daemons, it is SilentDomainLarge.
+	SilentDomain      = 700 * time.Millisecond
+	SilentDomainLarge = 1200 * time.Millisecond
 )
 
 // Evidence is what a daemon counted at one replica within the window.
@@ -79,8 +83,8 @@
 	// passedOver are the records of the replicas that are passed over.
 	passedOver map[LoadKey]*record
 	peers      map[PeerID]peerEvidence
-	zones      map[string]time.Time // when there was last news of a zone's daemons
-	silence    time.Duration        // after which a zone is taken as cut off
+	domains    map[state.FailureDomain]time.Time // when there was last news of a domain's daemons
+	silence    time.Duration                     // after which a domain is taken as cut off
 }
 
 type record struct {
@@ -93,13 +97,13 @@
 }
 
 type peerEvidence struct {
-	at     time.Time
+	until  time.Time // when the counts no longer matter
 	counts []Evidence
 }
 
 // NewHealth returns an empty table.
 func NewHealth() *Health {
-	return &Health{records: make(map[LoadKey]*record), passedOver: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), zones: make(map[string]time.Time), silence: SilentZone}
+	return &Health{records: make(map[LoadKey]*record), passedOver: make(map[LoadKey]*record), peers: make(map[PeerID]peerEvidence), domains: make(map[state.FailureDomain]time.Time), silence: SilentDomain}
 }
 
 // Report takes the result of an attempt. It returns true if the replica is
@@ -140,7 +144,7 @@
 	}
 	good, bad := rec.sums()
 	for _, p := range h.peers {
-		if now.Sub(p.at) > peerEvidenceAge {
+		if now.After(p.until) {
 			continue
 		}
 		for _, e := range p.counts {
@@ -174,22 +178,23 @@
 	return good, bad
 }
 
-// Observe takes a peer's counts. They must not be changed afterwards.
-func (h *Health) Observe(p PeerID, counts []Evidence, now time.Time) {
+// Observe takes a peer's counts, which matter for a time. They must not be changed
+// afterwards.
+func (h *Health) Observe(p PeerID, counts []Evidence, now time.Time, age time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.peers[p] = peerEvidence{at: now, counts: counts}
+	h.peers[p] = peerEvidence{until: now.Add(age), counts: counts}
 }
 
-// ObserveZones takes when there was last news of the daemons of other zones, and
-// after which silence a zone is taken as cut off. A zone that had no daemons at
+// ObserveDomains takes when there was last news of the daemons of other domains, and
+// after which silence a domain is taken as cut off. A domain that had no daemons at
 // all is never silent.
-func (h *Health) ObserveZones(heard map[string]time.Time, silence time.Duration) {
+func (h *Health) ObserveDomains(heard map[state.FailureDomain]time.Time, silence time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.silence = silence
-	for zone, at := range heard {
-		h.zones[zone] = at
+	for domain, at := range heard {
+		h.domains[domain] = at
 	}
 }
 
@@ -221,13 +226,13 @@
 	if rec := h.records[r.LoadKey()]; rec != nil && now.Before(rec.until) {
 		return false
 	}
-	return !h.zoneIsSilent(r.Zone, now)
+	return !h.domainIsSilent(r.Domain, now)
 }
 
-// zoneIsSilent reports whether daemons of a zone were heard once and all of them
+// domainIsSilent reports whether daemons of a domain were heard once and all of them
 // have fallen silent.
-func (h *Health) zoneIsSilent(zone string, now time.Time) bool {
-	at, ok := h.zones[zone]
+func (h *Health) domainIsSilent(domain state.FailureDomain, now time.Time) bool {
+	at, ok := h.domains[domain]
 	return ok && now.Sub(at) > h.silence
 }
 
@@ -238,11 +243,11 @@
 	defer h.mu.Unlock()
 	rec := h.records[r.LoadKey()]
 	lost := rec != nil && now.Before(rec.until) && (rec.cause == ResultUnreachable || rec.cause == ResultSilent)
-	return !lost && !h.zoneIsSilent(r.Zone, now)
+	return !lost && !h.domainIsSilent(r.Domain, now)
 }
 
 // fill writes into open which ready replicas of a pool may be chosen. Those in
-// zones that are cut off are out of the question, unless nothing else is left. Of
+// domains that are cut off are out of the question, unless nothing else is left. Of
 // the others, those that look ill are passed over, unless most do: then the
 // evidence speaks against the service or this daemon's links, and passing over
 // would only crowd the rest.
@@ -266,18 +271,18 @@
 	}
 }
 
-// openNear opens the replicas in zones that are not cut off, or all if there are
+// openNear opens the replicas in domains that are not cut off, or all if there are
 // none, and returns how many it opened.
 func (h *Health) openNear(p *Pool, now time.Time, open []bool) int {
-	silent := make(map[string]bool)
-	for zone := range h.zones {
-		if h.zoneIsSilent(zone, now) {
-			silent[zone] = true
+	silent := make(map[state.FailureDomain]bool)
+	for domain := range h.domains {
+		if h.domainIsSilent(domain, now) {
+			silent[domain] = true
 		}
 	}
 	near := 0
 	for i := range p.Ready {
-		open[i] = len(silent) == 0 || !silent[p.Ready[i].Zone]
+		open[i] = len(silent) == 0 || !silent[p.Ready[i].Domain]
 		if open[i] {
 			near++
 		}
@@ -291,8 +296,8 @@
 	return len(open)
 }
 
-// Forget drops what is too old to matter. ownZone is never taken as silent.
-func (h *Health) Forget(ownZone string, now time.Time) {
+// Forget drops what is too old to matter. ownDomain is never taken as silent.
+func (h *Health) Forget(ownDomain state.FailureDomain, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, rec := range h.records {
@@ -303,22 +308,22 @@
 		}
 	}
 	for p, e := range h.peers {
-		if now.Sub(e.at) > peerEvidenceAge {
+		if now.After(e.until) {
 			delete(h.peers, p)
 		}
 	}
-	delete(h.zones, ownZone)
-	for zone, at := range h.zones {
+	delete(h.domains, ownDomain)
+	for domain, at := range h.domains {
 		// Daemons that are gone for good say nothing of the replicas there.
-		if now.Sub(at) > zoneForget {
-			delete(h.zones, zone)
+		if now.Sub(at) > domainForget {
+			delete(h.domains, domain)
 		}
 	}
 }
 
-// zoneForget is how long the silence of a zone's daemons speaks against its
+// domainForget is how long the silence of a domain's daemons speaks against its
 // replicas. After that requests find out.
-const zoneForget = 15 * time.Second
+const domainForget = 15 * time.Second
 
 // Explain returns the share of failures at a replica as this daemon saw it, and
 // why it is passed over; the reason is empty if it is not.
@@ -334,8 +339,8 @@
 			return share, rec.cause.String()
 		}
 	}
-	if h.zoneIsSilent(r.Zone, now) {
-		return share, "no daemon of its zone is heard"
+	if h.domainIsSilent(r.Domain, now) {
+		return share, "no daemon of its domain is heard"
 	}
 	return share, ""
 }
--- a/routing/load.go
+++ b/routing/load.go
@@ -27,8 +27,12 @@
 	Requests uint16
 }
 
-// peerLoadAge is the age at which a peer's figures no longer count.
-const peerLoadAge = 2 * time.Second
+// PeerLoadAge is the age at which a peer's figures no longer count. In a large
+// fleet, where each peer is heard more rarely, it is PeerLoadAgeLarge.
+const (
+	PeerLoadAge      = 2 * time.Second
+	PeerLoadAgeLarge = 4 * time.Second
+)
 
 // Loads counts the requests at each replica. It is safe for use by many
 // goroutines.
@@ -41,7 +45,7 @@
 }
 
 type peerLoad struct {
-	at     time.Time
+	until  time.Time // when the figures no longer count
 	counts []Count
 }
 
@@ -77,18 +81,19 @@
 	return out
 }
 
-// Observe takes a peer's counts. They must not be changed afterwards.
-func (l *Loads) Observe(p PeerID, counts []Count, now time.Time) {
+// Observe takes a peer's counts, which count for a time. They must not be changed
+// afterwards.
+func (l *Loads) Observe(p PeerID, counts []Count, now time.Time, age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers[p] = peerLoad{at: now, counts: counts}
+	l.peers[p] = peerLoad{until: now.Add(age), counts: counts}
 	l.sum(now)
 }
 
 func (l *Loads) sum(now time.Time) {
 	clear(l.others)
 	for p, load := range l.peers {
-		if now.Sub(load.at) > peerLoadAge {
+		if now.After(load.until) {
 			delete(l.peers, p)
 			continue
 		}
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -1,6 +1,6 @@
 // This file chooses the replica of a request.
 //
-// Requests that share a prompt go to the prompt's home in the daemon's own zone,
+// Requests that share a prompt go to the prompt's home in the daemon's own domain,
 // so that it is read once. A home that holds much more than the mean is passed by
 // in favour of the next in the prompt's own order, which is the same in every
 // daemon; the prompt is then copied from a replica that holds it rather than read
@@ -12,6 +12,8 @@
 import (
 	"slices"
 	"time"
+
+	"hingewinch.org/hingewinch/state"
 )
 
 // PlacementRule holds the figures of placement.
@@ -21,13 +23,13 @@
 	// the mean.
 	Bound float64
 	Slack float64
-	// FarCost is how many of its slots a plain replica of another zone must have
+	// FarCost is how many of its slots a plain replica of another domain must have
 	// free, beyond a near one, to be chosen; a share of the slots.
 	FarCost float64
-	// NearTokens is the number of shared tokens up to which each zone has its own
-	// home for a prompt: its requests go to replicas of the daemon's own zone
+	// NearTokens is the number of shared tokens up to which each domain has its own
+	// home for a prompt: its requests go to replicas of the daemon's own domain
 	// first, and the prompt is copied there once. Longer prompts have one home for
-	// all zones, since their copies cost more than the way.
+	// all domains, since their copies cost more than the way.
 	NearTokens int
 	// HoldersFirst prefers replicas that hold the prompt to those that rank above
 	// them.
@@ -78,9 +80,9 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	if service != nil && service.Generates && len(r.Prompt) > 0 {
-		return p.chooseHome(c, pool, v.Zone, r, service, now), true
+		return p.chooseHome(c, pool, v.Domain, r, service, now), true
 	}
-	return p.chooseLeastLoaded(c, v.Zone, r), true
+	return p.chooseLeastLoaded(c, v.Domain, r), true
 }
 
 // candidates is the state of the ready replicas at the time of one choice.
@@ -159,12 +161,12 @@
 // least loaded one is taken.
 const spillTries = 4
 
-func (p *Placer) chooseHome(c *candidates, pool *Pool, zone string, r *Request, s *Service, now time.Time) Target {
+func (p *Placer) chooseHome(c *candidates, pool *Pool, domain state.FailureDomain, r *Request, s *Service, now time.Time) Target {
 	key := r.Key()
 	held := p.Holders.of(key, now)
 	c.rank(key)
 	near := r.SharedTokens() <= p.Rule.NearTokens
-	chosen := p.firstBelowLimit(c, near, zone, held)
+	chosen := p.firstBelowLimit(c, near, domain, held)
 	if chosen == none {
 		chosen = c.leastLoaded()
 	}
@@ -179,13 +181,13 @@
 }
 
 // likelySource guesses who holds a prompt of which nobody has told: the replica
-// that ranks first above the target, and for a prompt with a home in each zone,
-// the best home of another zone. A wrong guess costs a copy that finds nothing.
+// that ranks first above the target, and for a prompt with a home in each domain,
+// the best home of another domain. A wrong guess costs a copy that finds nothing.
 func (p *Placer) likelySource(c *candidates, target int, near bool, now time.Time) Replica {
-	zone := c.ready[target].Zone
+	domain := c.ready[target].Domain
 	likely := c.first(func(i int) bool {
 		above := c.ranks[i] > c.ranks[target]
-		elsewhere := near && c.ready[i].Zone != zone
+		elsewhere := near && c.ready[i].Domain != domain
 		return i != target && (above || elsewhere) && p.Health.Reachable(&c.ready[i], now)
 	})
 	if likely == none {
@@ -197,11 +199,11 @@
 // firstBelowLimit returns the replica to take, or none if all that may be asked
 // hold too much. Near replicas come first where the rule says so, then those that
 // hold the prompt, then the rest.
-func (p *Placer) firstBelowLimit(c *candidates, near bool, zone string, held []holder) int {
+func (p *Placer) firstBelowLimit(c *candidates, near bool, domain state.FailureDomain, held []holder) int {
 	limit := p.Rule.Bound*c.mean + p.Rule.Slack
 	below := func(i int) bool { return c.open[i] && float64(c.loads[i]) < limit }
 	if near {
-		if i := c.first(func(i int) bool { return below(i) && c.ready[i].Zone == zone }); i != none {
+		if i := c.first(func(i int) bool { return below(i) && c.ready[i].Domain == domain }); i != none {
 			return i
 		}
 	}
@@ -244,8 +246,8 @@
 				continue
 			}
 			used := held[at].used
-			nearer := best != nil && (r.Zone == t.Replica.Zone) != (best.Zone == t.Replica.Zone)
-			if best == nil || (nearer && r.Zone == t.Replica.Zone) || (!nearer && used.After(bestUsed)) {
+			nearer := best != nil && (r.Domain == t.Replica.Domain) != (best.Domain == t.Replica.Domain)
+			if best == nil || (nearer && r.Domain == t.Replica.Domain) || (!nearer && used.After(bestUsed)) {
 				best, bestUsed = r, used
 			}
 		}
@@ -266,7 +268,7 @@
 	return best
 }
 
-func (p *Placer) chooseLeastLoaded(c *candidates, zone string, r *Request) Target {
+func (p *Placer) chooseLeastLoaded(c *candidates, domain state.FailureDomain, r *Request) Target {
 	draw := r.Key()
 	best, bestCost := none, 0.0
 	for i := range c.ready {
@@ -275,7 +277,7 @@
 		}
 		replica := &c.ready[i]
 		cost := float64(c.loads[i]) / float64(max(1, replica.Slots))
-		if replica.Zone != zone {
+		if replica.Domain != domain {
 			cost += p.Rule.FarCost
 		}
 		// Ties are broken by a draw, or every daemon would send to the same one.
--- a/routing/placement_bench_test.go
+++ b/routing/placement_bench_test.go
@@ -20,10 +20,10 @@
 				if kind == "plain" {
 					service = "gate"
 				}
-				f := newFleet(service, manyZones(n)...)
+				f := newFleet(service, manyDomains(n)...)
 				for i := range min(n, 200) {
 					r := &f.pool.Ready[i*n/min(n, 200)]
-					f.placer.Loads.Observe(routing.PeerID(fmt.Sprint(i%25)), []routing.Count{{Replica: r.LoadKey(), Requests: uint16(1 + i%3)}}, epoch)
+					f.placer.Loads.Observe(routing.PeerID(fmt.Sprint(i%25)), []routing.Count{{Replica: r.LoadKey(), Requests: uint16(1 + i%3)}}, epoch, routing.PeerLoadAge)
 				}
 				f.placer.Health.Report(&f.pool.Ready[n/2], routing.ResultUnreachable, epoch)
 				requests := make([]*routing.Request, 64)
@@ -43,7 +43,7 @@
 	}
 }
 
-func manyZones(n int) []string {
+func manyDomains(n int) []string {
 	out := make([]string, n)
 	for i := range out {
 		out[i] = fmt.Sprintf("z%d", i%11)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -12,13 +12,14 @@
 	"pgregory.net/rapid"
 
 	"hingewinch.org/hingewinch/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 var epoch = time.Unix(1_000_000, 0)
 
-func table(routes []routing.Route, tenants ...routing.Tenant) *routing.Table {
+func table(routes []routing.Route, workspaces ...routing.Workspace) *routing.Table {
 	t, err := routing.NewTable(&routing.Config{
-		Version: 1, Routes: routes, Tenants: tenants,
+		Version: 1, Routes: routes, Workspaces: workspaces,
 		Services: []routing.Service{{Name: "llm", Generates: true, CopiesPrompts: true}, {Name: "plain"}},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -75,7 +76,7 @@
 var _ = Describe("Admit", func() {
 	closed := routing.Route{Name: "closed", Host: "h", Prefix: "/c/", Shares: shares("plain")}
 	open := routing.Route{Name: "open", Host: "h", Prefix: "/o/", OpenToAll: true, Shares: shares("plain")}
-	tenant := routing.Tenant{Name: "t", Keys: []string{"k1", "k2"}}
+	workspace := routing.Workspace{Name: "t", Keys: []string{"k1", "k2"}}
 
 	It("does not know what is allowed before a configuration is known", func() {
 		for _, v := range []*routing.View{nil, {}} {
@@ -84,16 +85,16 @@
 		}
 	})
 
-	It("asks for a key where there are tenants and the route is not open", func() {
-		v := &routing.View{Table: table([]routing.Route{closed, open}, tenant)}
+	It("asks for a key where there are workspaces and the route is not open", func() {
+		v := &routing.View{Table: table([]routing.Route{closed, open}, workspace)}
 		a, d := v.Admit("h", "/c/x", "k2")
 		Expect(d).To(Equal(routing.Admitted))
-		Expect(a.Tenant.Name).To(Equal(routing.TenantName("t")))
+		Expect(a.Workspace.Name).To(Equal(routing.WorkspaceName("t")))
 		_, d = v.Admit("h", "/c/x", "k3")
 		Expect(d).To(Equal(routing.UnknownKey))
 		a, d = v.Admit("h", "/o/x", "")
 		Expect(d).To(Equal(routing.Admitted))
-		Expect(a.Tenant).To(BeNil())
+		Expect(a.Workspace).To(BeNil())
 		_, d = v.Admit("h", "/z/", "k1")
 		Expect(d).To(Equal(routing.NoRoute))
 	})
@@ -106,19 +107,19 @@
 	pool   *routing.Pool
 }
 
-func newFleet(service routing.ServiceName, zones ...string) *fleet {
+func newFleet(service routing.ServiceName, domains ...string) *fleet {
 	f := &fleet{
 		placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: routing.NewLoads(), Health: routing.NewHealth(), Holders: routing.NewHolders()},
 		pool:   &routing.Pool{},
 	}
-	for i, z := range zones {
+	for i, z := range domains {
 		f.pool.Ready = append(f.pool.Ready, routing.NewReplica(routing.Replica{
-			ID: routing.ReplicaID(fmt.Sprintf("r%d", i)), Service: service, Zone: z, Slots: 6, Address: fmt.Sprintf("10.0.0.%d:1", i),
+			ID: routing.ReplicaID(fmt.Sprintf("r%d", i)), Service: service, Domain: state.FailureDomain(z), Slots: 6, Address: fmt.Sprintf("10.0.0.%d:1", i),
 		}))
 	}
 	f.view = &routing.View{
-		Table: table([]routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares(service)}}),
-		Zone:  "z0", Pools: map[routing.ServiceName]*routing.Pool{service: f.pool},
+		Table:  table([]routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares(service)}}),
+		Domain: "z0", Pools: map[routing.ServiceName]*routing.Pool{service: f.pool},
 	}
 	return f
 }
@@ -147,7 +148,7 @@
 	return t
 }
 
-func sameZone(n int) []string {
+func sameDomain(n int) []string {
 	out := make([]string, n)
 	for i := range out {
 		out[i] = "z0"
@@ -164,7 +165,7 @@
 
 var _ = Describe("Placement of prompts", func() {
 	It("sends requests that share a prompt to one replica, whatever their own part", func() {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.choose(chat("s"))
 		other := chat("s")
 		other.Prompt[2].ID = "another"
@@ -179,7 +180,7 @@
 	})
 
 	It("passes a crowded home by and copies the prompt from there", func() {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.serve(chat("s"))
 		f.load(home, 30)
 		next := f.choose(chat("s"))
@@ -190,16 +191,16 @@
 	})
 
 	It("counts what peers sent", func() {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.choose(chat("s"))
-		f.placer.Loads.Observe("p", []routing.Count{{Replica: home.Replica.LoadKey(), Requests: 30}}, epoch)
+		f.placer.Loads.Observe("p", []routing.Count{{Replica: home.Replica.LoadKey(), Requests: 30}}, epoch, routing.PeerLoadAge)
 		Expect(f.choose(chat("s")).Replica.ID).NotTo(Equal(home.Replica.ID))
-		f.placer.Loads.Observe("q", nil, epoch.Add(time.Minute))
+		f.placer.Loads.Observe("q", nil, epoch.Add(time.Minute), routing.PeerLoadAge)
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(home.Replica.ID), "old figures no longer count")
 	})
 
 	It("keeps a long prompt where it is held when a replica joins that ranks above", func() {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.choose(chat("s")).Replica
 		f.remove(home.ID)
 		held := f.serve(chat("s"))
@@ -207,29 +208,29 @@
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(held.ID))
 	})
 
-	It("gives a short prompt a home in each zone, and copies it there from a holder", func() {
+	It("gives a short prompt a home in each domain, and copies it there from a holder", func() {
 		f := newFleet("llm", "z0", "z0", "z1", "z1", "z1")
 		short := chat("s")
 		short.Prompt[1].Tokens = 600
-		f.view.Zone = "z1"
+		f.view.Domain = "z1"
 		there := f.serve(short)
-		Expect(there.Zone).To(Equal("z1"))
-		f.view.Zone = "z0"
+		Expect(there.Domain).To(Equal(state.FailureDomain("z1")))
+		f.view.Domain = "z0"
 		here := f.choose(short)
-		Expect(here.Replica.Zone).To(Equal("z0"))
+		Expect(here.Replica.Domain).To(Equal(state.FailureDomain("z0")))
 		Expect(here.Source.ID).To(Equal(there.ID))
 	})
 
-	It("sends a long prompt to where it is held, whatever the zone", func() {
+	It("sends a long prompt to where it is held, whatever the domain", func() {
 		f := newFleet("llm", "z0", "z0", "z1", "z1", "z1")
-		f.view.Zone = "z1"
+		f.view.Domain = "z1"
 		there := f.serve(chat("s"))
-		f.view.Zone = "z0"
+		f.view.Domain = "z0"
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(there.ID))
 	})
 
 	It("learns from peers where a prompt is held", func() {
-		f, g := newFleet("llm", sameZone(18)...), newFleet("llm", sameZone(18)...)
+		f, g := newFleet("llm", sameDomain(18)...), newFleet("llm", sameDomain(18)...)
 		home := f.serve(chat("s"))
 		g.placer.Holders.Observe(f.placer.Holders.Untold(10), false, epoch)
 		g.load(home, 30)
@@ -237,7 +238,7 @@
 	})
 
 	DescribeTable("copies from a home that leaves", func(leave func(*routing.Pool, routing.Replica)) {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.serve(chat("s"))
 		f.remove(home.ID)
 		leave(f.pool, home)
@@ -250,7 +251,7 @@
 	)
 
 	It("does not copy from a replica that can't be reached", func() {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		home := f.serve(chat("s"))
 		f.placer.Health.Report(&home, routing.ResultUnreachable, epoch)
 		t := f.choose(chat("s"))
@@ -259,7 +260,7 @@
 	})
 
 	It("does not choose what was tried, unless nothing is left", func() {
-		f := newFleet("llm", sameZone(2)...)
+		f := newFleet("llm", sameDomain(2)...)
 		first := f.choose(chat("s")).Replica.ID
 		second := f.choose(chat("s"), first).Replica.ID
 		Expect(second).NotTo(Equal(first))
@@ -272,7 +273,7 @@
 	RegisterTestingT(t)
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 30).Draw(t, "replicas")
-		f, g := newFleet("llm", sameZone(n)...), newFleet("llm", sameZone(n+1)...)
+		f, g := newFleet("llm", sameDomain(n)...), newFleet("llm", sameDomain(n+1)...)
 		joined := g.pool.Ready[n].ID
 		for i := range 100 {
 			a, b := f.choose(chat(fmt.Sprint(i))).Replica.ID, g.choose(chat(fmt.Sprint(i))).Replica.ID
@@ -286,7 +287,7 @@
 func TestLoadStaysBelowBound(t *testing.T) {
 	RegisterTestingT(t)
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet("llm", sameZone(18)...)
+		f := newFleet("llm", sameDomain(18)...)
 		subjects := rapid.IntRange(1, 40).Draw(t, "subjects")
 		counts := make(map[routing.ReplicaID]int)
 		const requests = 400
@@ -311,13 +312,13 @@
 
 	It("prefers near replicas until they are busy", func() {
 		f := newFleet("plain", "z0", "z1", "z2")
-		Expect(f.choose(plain("a")).Replica.Zone).To(Equal("z0"))
+		Expect(f.choose(plain("a")).Replica.Domain).To(Equal(state.FailureDomain("z0")))
 		f.load(f.pool.Ready[0], 3)
-		Expect(f.choose(plain("a")).Replica.Zone).NotTo(Equal("z0"))
+		Expect(f.choose(plain("a")).Replica.Domain).NotTo(Equal(state.FailureDomain("z0")))
 	})
 
 	It("spreads over equal replicas", func() {
-		f := newFleet("plain", sameZone(4)...)
+		f := newFleet("plain", sameDomain(4)...)
 		counts := make(map[routing.ReplicaID]int)
 		for i := range 400 {
 			counts[f.choose(plain(fmt.Sprint(i))).Replica.ID]++
@@ -331,7 +332,7 @@
 
 var _ = Describe("Health", func() {
 	var h *routing.Health
-	r := routing.NewReplica(routing.Replica{ID: "r", Zone: "z1"})
+	r := routing.NewReplica(routing.Replica{ID: "r", Domain: "z1"})
 
 	BeforeEach(func() { h = routing.NewHealth() })
 
@@ -372,41 +373,41 @@
 	It("finds a grey replica on the sum of what daemons saw, earlier than one daemon could", func() {
 		Expect(h.Report(&r, routing.ResultFailed, epoch)).To(BeFalse())
 		for i := range 3 {
-			h.Observe(routing.PeerID(fmt.Sprint(i)), []routing.Evidence{{Replica: r.LoadKey(), Good: 1, Bad: 1}}, epoch)
+			h.Observe(routing.PeerID(fmt.Sprint(i)), []routing.Evidence{{Replica: r.LoadKey(), Good: 1, Bad: 1}}, epoch, routing.PeerEvidenceAge)
 		}
 		Expect(h.Report(&r, routing.ResultFailed, epoch)).To(BeTrue())
 		Expect(h.Reachable(&r, epoch)).To(BeTrue(), "prompts can still be copied from it")
 	})
 
-	It("passes over a zone whose daemons all fell silent, until one is heard", func() {
-		h.ObserveZones(map[string]time.Time{"z1": epoch}, routing.SilentZone)
+	It("passes over a domain whose daemons all fell silent, until one is heard", func() {
+		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": epoch}, routing.SilentDomain)
 		Expect(h.Usable(&r, epoch)).To(BeTrue())
 		later := epoch.Add(2 * time.Second)
 		Expect(h.Usable(&r, later)).To(BeFalse())
-		h.ObserveZones(map[string]time.Time{"z1": later}, routing.SilentZone)
+		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": later}, routing.SilentDomain)
 		Expect(h.Usable(&r, later)).To(BeTrue())
 	})
 
-	It("keeps to its own zone while all others are cut off, though most replicas are there", func() {
+	It("keeps to its own domain while all others are cut off, though most replicas are there", func() {
 		f := newFleet("llm", "z0", "z1", "z1", "z2", "z2", "z2", "z2")
 		for _, z := range []string{"z1", "z2"} {
-			f.placer.Health.ObserveZones(map[string]time.Time{z: epoch.Add(-time.Second)}, routing.SilentZone)
+			f.placer.Health.ObserveDomains(map[state.FailureDomain]time.Time{state.FailureDomain(z): epoch.Add(-time.Second)}, routing.SilentDomain)
 		}
 		for i := range 50 {
-			Expect(f.choose(chat(fmt.Sprint(i))).Replica.Zone).To(Equal("z0"))
+			Expect(f.choose(chat(fmt.Sprint(i))).Replica.Domain).To(Equal(state.FailureDomain("z0")))
 		}
 		f.pool.Ready = f.pool.Ready[1:]
-		Expect(f.choose(chat("s")).Replica.Zone).NotTo(BeEmpty(), "anything is better than nothing")
+		Expect(f.choose(chat("s")).Replica.Domain).NotTo(BeEmpty(), "anything is better than nothing")
 	})
 
-	It("does not hold the silence of a zone against it for ever", func() {
-		h.ObserveZones(map[string]time.Time{"z1": epoch}, routing.SilentZone)
+	It("does not hold the silence of a domain against it for ever", func() {
+		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": epoch}, routing.SilentDomain)
 		h.Forget("z0", epoch.Add(time.Minute))
 		Expect(h.Usable(&r, epoch.Add(time.Minute))).To(BeTrue())
 	})
 
 	It("is not asked where most replicas look ill", func() {
-		f := newFleet("llm", sameZone(4)...)
+		f := newFleet("llm", sameDomain(4)...)
 		for i := range f.pool.Ready[:3] {
 			f.placer.Health.Report(&f.pool.Ready[i], routing.ResultUnreachable, epoch)
 		}
--- a/routing/view.go
+++ b/routing/view.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hingewinch.org/hingewinch/state"
 )
 
 // Replica is one replica as it announced itself.
@@ -15,7 +17,7 @@
 	ID       ReplicaID
 	Service  ServiceName
 	Address  string // IP:PORT
-	Zone     string
+	Domain   state.FailureDomain
 	Slots    int // requests at once
 	Draining bool
 	Cold     time.Duration // how much longer it is slow from its start
@@ -57,8 +59,8 @@
 	Table    *Table // nil until a configuration is known
 	Revision uint64 // of the source that it was built from
 	Pools    map[ServiceName]*Pool
-	Zone     string // of this daemon
-	Daemons  int    // live daemons, this one counted
+	Domain   state.FailureDomain // of this daemon
+	Daemons  int                 // live daemons, this one counted
 	Built    time.Time
 }
 
