--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/url"
 	"os"
 	"regexp"
@@ -112,8 +111,6 @@
 
 var idRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
-var logLevels = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
-
 func (s *Settings) check(c *state.Checker) {
 	if !idRule.MatchString(string(s.ID)) {
 		c.Add(fmt.Sprintf("id %q is missing or not allowed", s.ID), "use at most 64 letters, digits and . _ -", "id")
@@ -121,31 +118,23 @@
 	if s.Domain == "" {
 		c.Add("domain is missing", "name the failure domain of this VM", "domain")
 	}
-	checkAddress(c, s.Listen.Callers, "listen", "callers")
-	checkAddress(c, s.Listen.Peers, "listen", "peers")
-	checkAddress(c, s.Listen.Operators, "listen", "operators")
+	c.Address(s.Listen.Callers, "listen", "callers")
+	c.Address(s.Listen.Peers, "listen", "peers")
+	c.Address(s.Listen.Operators, "listen", "operators")
 	if s.Peer != "" {
-		checkAddress(c, s.Peer, "peer_address")
+		c.Address(s.Peer, "peer_address")
 	}
 	for i, seed := range s.Seeds {
-		checkAddress(c, seed, "seeds", i)
+		c.Address(seed, "seeds", i)
 	}
 	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		c.Add(fmt.Sprintf("platform %q is not a base URL", s.Platform), "write http://HOST:PORT or https://HOST:PORT", "platform")
 	}
-	if !logLevels[s.LogLevel] {
-		c.Add(fmt.Sprintf("log_level %q is unknown", s.LogLevel), "write trace, debug, info, warn or error", "log_level")
-	}
+	c.LogLevel(s.LogLevel, "log_level")
 	s.checkTLS(c)
 	s.checkLimits(c)
 }
 
-func checkAddress(c *state.Checker, address string, path ...any) {
-	if _, _, err := net.SplitHostPort(address); err != nil {
-		c.Add(fmt.Sprintf("address %q is not HOST:PORT", address), "write an IP number and a port", path...)
-	}
-}
-
 func (s *Settings) checkTLS(c *state.Checker) {
 	if t := s.TLS.Callers; !t.IsZero() && (t.Certificate == "" || t.Key == "") {
 		c.Add("tls for callers lacks certificate or key", "name both files, or leave the whole part out", "tls", "callers")
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -112,7 +112,7 @@
   readiness: %s
   operators: %s
   peers: %s:%d
-  advertise: %s:%d
+peer_address: %s:%d
 store: %s
 seeds:
 %sstop:
--- a/router/log.go
+++ b/router/log.go
@@ -156,7 +156,7 @@
 
 // BadBeat tells that a beat could not be sent.
 func (l *Log) BadBeat(err error) {
-	l.logger.Error().Err(err).Msg(prefixPeer + "beat can't be encoded; check listen.peers and listen.advertise")
+	l.logger.Error().Err(err).Msg(prefixPeer + "beat can't be encoded; check listen.peers and peer_address")
 }
 
 // Reloaded tells of a signal to read the settings again.
--- a/router/settings.go
+++ b/router/settings.go
@@ -3,7 +3,6 @@
 package router
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"time"
@@ -20,12 +19,15 @@
 	ID     state.DaemonID      `yaml:"id"`
 	Domain state.FailureDomain `yaml:"domain"`
 	Listen Listeners           `yaml:"listen"`
-	Store  string              `yaml:"store"` // IP:PORT of the operators' store
-	Seeds  []string            `yaml:"seeds"` // IP:PORT of other daemons; only the IP counts
-	Stop   StopSettings        `yaml:"stop"`
-	Repeat RepeatSettings      `yaml:"repeat"`
-	Memory int                 `yaml:"memory_mb"` // of the process; 0: no bound is known
-	Level  string              `yaml:"log_level"`
+	// Peer is where peers reach listen.peers if that is not its own address, as
+	// behind an address translation; empty: listen.peers itself.
+	Peer   string         `yaml:"peer_address"`
+	Store  string         `yaml:"store"` // IP:PORT of the operators' store
+	Seeds  []string       `yaml:"seeds"` // IP:PORT of other daemons; only the IP counts
+	Stop   StopSettings   `yaml:"stop"`
+	Repeat RepeatSettings `yaml:"repeat"`
+	Memory int            `yaml:"memory_mb"` // of the process; 0: no bound is known
+	Level  string         `yaml:"log_level"`
 }
 
 // Listeners are the addresses that a daemon listens on, each IP:PORT.
@@ -34,9 +36,6 @@
 	Readiness string `yaml:"readiness"`
 	Operators string `yaml:"operators"`
 	Peers     string `yaml:"peers"` // beats over UDP, news over TCP
-	// Advertise is where peers reach Peers if that is not its own address, as
-	// behind an address translation; empty: Peers itself.
-	Advertise string `yaml:"advertise"`
 	// Metrics is an address for scrapers alone; empty: they ask the operators'.
 	Metrics string `yaml:"metrics"`
 }
@@ -91,8 +90,6 @@
 	return &s, nil
 }
 
-var levels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
-
 func (s *Settings) check(c *state.Checker) {
 	if s.ID == "" {
 		c.Add("id is missing", "name this daemon", "id")
@@ -100,19 +97,19 @@
 	if s.Domain == "" {
 		c.Add("domain is missing", "name the failure domain of this VM", "domain")
 	}
-	checkAddress(c, s.Listen.Callers, "listen", "callers")
-	checkAddress(c, s.Listen.Readiness, "listen", "readiness")
-	checkAddress(c, s.Listen.Operators, "listen", "operators")
-	checkAddress(c, s.Listen.Peers, "listen", "peers")
+	c.Address(s.Listen.Callers, "listen", "callers")
+	c.Address(s.Listen.Readiness, "listen", "readiness")
+	c.Address(s.Listen.Operators, "listen", "operators")
+	c.Address(s.Listen.Peers, "listen", "peers")
 	if s.Listen.Metrics != "" {
-		checkAddress(c, s.Listen.Metrics, "listen", "metrics")
+		c.Address(s.Listen.Metrics, "listen", "metrics")
 	}
-	if s.Listen.Advertise != "" {
-		checkAddress(c, s.Listen.Advertise, "listen", "advertise")
+	if s.Peer != "" {
+		c.Address(s.Peer, "peer_address")
 	}
-	checkAddress(c, s.Store, "store")
+	c.Address(s.Store, "store")
 	for i, seed := range s.Seeds {
-		checkAddress(c, seed, "seeds", i)
+		c.Address(seed, "seeds", i)
 	}
 	if s.Stop.Grace <= 0 {
 		c.Add("grace is not above 0", "write a time such as 8s", "stop", "grace")
@@ -123,15 +120,7 @@
 	if s.Memory < 0 {
 		c.Add("memory_mb is negative", "write the memory of the process, or leave it out", "memory_mb")
 	}
-	if !levels[s.Level] {
-		c.Add(fmt.Sprintf("log_level %q is unknown", s.Level), "write debug, info, warn or error", "log_level")
-	}
-}
-
-func checkAddress(c *state.Checker, address string, path ...any) {
-	if _, _, err := net.SplitHostPort(address); err != nil {
-		c.Add(fmt.Sprintf("address %q is not IP:PORT", address), "write an IP number and a port", path...)
-	}
+	c.LogLevel(s.Level, "log_level")
 }
 
 // seedPeers returns where the seeds take beats: at the peers' port, which is
@@ -148,8 +137,8 @@
 
 // advertised returns the address by which peers know this daemon.
 func (s *Settings) advertised() membership.Address {
-	if s.Listen.Advertise != "" {
-		return membership.Address(s.Listen.Advertise)
+	if s.Peer != "" {
+		return membership.Address(s.Peer)
 	}
 	return membership.Address(s.Listen.Peers)
 }
--- a/state/check.go
+++ b/state/check.go
@@ -6,7 +6,10 @@
 
 import (
 	"fmt"
+	"net"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +61,26 @@
 	c.problems = append(c.problems, Problem{File: c.file, Line: c.line(path), Text: text, Remedy: remedy})
 }
 
+// Address checks a setting that is an address.
+func (c *Checker) Address(address string, path ...any) {
+	host, port, err := net.SplitHostPort(address)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil || host == "" {
+		c.Add(fmt.Sprintf("address %q is not HOST:PORT", address), "write an IP number and a port", path...)
+	}
+}
+
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
+// LogLevel checks a setting that is the level of the log.
+func (c *Checker) LogLevel(level string, path ...any) {
+	if !slices.Contains(logLevels, level) {
+		c.Add(fmt.Sprintf("log_level %q is unknown", level), "write trace, debug, info, warn or error", path...)
+	}
+}
+
 func (c *Checker) line(path []any) int {
 	if c.root == nil {
 		c.root = &yaml.Node{}
