--- a/membership/roster.go
+++ b/membership/roster.go
@@ -69,7 +69,7 @@
 	// sizeFading is what is left of a size that others told at each beat. A fleet
 	// that has shrunk is known to be smaller after a while; while some daemon
 	// knows the size itself, all stand close to it.
-	sizeFading = 0.995
+	sizeFading = 0.99
 	// introducedNear and introducedFar are how many members of its own domain and of
 	// others a new daemon of a large fleet is told of.
 	introducedNear = 8
