Soak: all ports of a run are drawn together

Change: four ports, held until all are found, the same on all daemons, each of which has an address of its own.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -54,34 +54,37 @@
 	binary  string
 	dir     string
 	network string
-	port    int
+	ports   []int // callers, readiness, operators, peers
 	ledger  *Ledger
 	daemons []*daemon
 	ctx     context.Context
 	wg      sync.WaitGroup
 }
 
-// freePort returns a port that is free on loopback for now.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free on loopback for now. All are
+// held until all are found, so that none is given twice.
+func freePorts(n int) ([]int, error) {
+	var out []int
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return out, nil
 }
 
+// portsPerFleet are the peers' port and three listeners', which are the same on
+// all daemons: each has an address of its own.
+const portsPerFleet = 4
+
 // add prepares a daemon before a door of the store.
 func (f *fleet) add(i int, domain, door string) (*daemon, error) {
 	d := &daemon{number: i, domain: domain, fleet: f, ip: fmt.Sprintf("%s.%d", f.network, 10+i), public: fmt.Sprintf("%s.%d", f.network, 110+i)}
 	d.file = filepath.Join(f.dir, fmt.Sprintf("daemon-%d.yaml", i))
-	var ports [3]int
-	for k := range ports {
-		var err error
-		if ports[k], err = freePort(); err != nil {
-			return nil, err
-		}
-	}
+	ports := f.ports
 	at := func(port int) string { return net.JoinHostPort(d.ip, itoa(port)) }
 	d.readiness, d.operators = at(ports[1]), at(ports[2])
 	var err error
@@ -91,7 +94,7 @@
 	if d.store, err = OpenLink("127.0.0.1:0", door); err != nil {
 		return nil, err
 	}
-	if d.peers, err = openPeerLink(net.JoinHostPort(d.public, itoa(f.port)), at(f.port)); err != nil {
+	if d.peers, err = openPeerLink(net.JoinHostPort(d.public, itoa(f.ports[3])), at(f.ports[3])); err != nil {
 		return nil, err
 	}
 	f.daemons = append(f.daemons, d)
@@ -122,7 +125,7 @@
   extra: 56
   window: 10s
 memory_mb: %d
-`, generation, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.port, d.public, d.fleet.port, d.store.Address(), seeds, grace, memoryMB)
+`, generation, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.public, d.fleet.ports[3], d.store.Address(), seeds, grace, memoryMB)
 	return os.WriteFile(d.file, []byte(text), 0o600)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -97,12 +97,12 @@
 	s.mu.Lock()
 	s.publish()
 	s.mu.Unlock()
-	port, err := freePort()
+	ports, err := freePorts(portsPerFleet)
 	if err != nil {
 		return nil, err
 	}
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-	s.fleet = &fleet{binary: r.options.Daemon, dir: r.options.Dir, network: network, port: port, ledger: s.ledger, ctx: ctx}
+	s.fleet = &fleet{binary: r.options.Daemon, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx}
 	var doors []*standin.StoreDoor
 	for i := range p.Daemons {
 		door, err := s.store.Open()
