Soak: replicas that are well misbehave now and then; places stand in the same order in each run

Change: an everyday mood (1% break off, 0.4% lose, 2% twice); places in a fixed order. No product code changed.

--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -39,6 +39,10 @@
 	Early   float64 // answers before the work is done, and goes on reading
 }
 
+// everyday is the mood of a replica that is well: now and then an answer breaks
+// off, is lost or comes twice.
+var everyday = Mood{Break: 0.01, Lose: 0.004, Surplus: 0.02}
+
 // moods are the variants of a grey replica.
 var moods = []Mood{
 	{Fail: 0.5}, {Shed: 0.6}, {Hang: 0.3}, {Break: 0.3}, {Lose: 0.2}, {Surplus: 0.6}, {Fail: 1}, {Surplus: 0.3, Lose: 0.1, Break: 0.1},
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, ledger: l, listener: listener, conns: make(map[net.Conn]struct{})}
+	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, ledger: l, listener: listener, mood: everyday, conns: make(map[net.Conn]struct{})}
 	go r.accept()
 	return r, nil
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -87,9 +87,12 @@
 	for i := range p.Domains {
 		s.domains = append(s.domains, "z"+itoa(i))
 	}
-	for service, n := range map[string]int{serviceGate: p.Gate, serviceOther: p.Gate, serviceChat: p.Chat} {
-		for i := range n {
-			if err := s.addPlace(service, s.domains[i%len(s.domains)]); err != nil {
+	for _, service := range []struct {
+		name     string
+		replicas int
+	}{{serviceGate, p.Gate}, {serviceOther, p.Gate}, {serviceChat, p.Chat}} {
+		for i := range service.replicas {
+			if err := s.addPlace(service.name, s.domains[i%len(s.domains)]); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -318,7 +318,7 @@
 			s.disturbReplica(r, func() {
 				r.SetMood(moods[(f.Variant/mostGrey)%len(moods)])
 				pause(s.ctx, f.For)
-				r.SetMood(Mood{})
+				r.SetMood(everyday)
 			})
 		})
 	}
