A start in a large fleet leaves the lines that matter in the log; small moves of a large fleet's size build no view

And the size of a large fleet, an estimate that moves with each beat, had every tick build all pools anew. Change: above 100 changes at once there is one line with their number; in a large fleet a view is built for a tenth more or less. Tests: TestStartOfALargeFleetLeavesTheConfigurationInTheLog (with a line for each: three wanted lines were missing), TestSmallMovesOfALargeFleetBuildNoView. Not measured: the processor time that it saves.

--- a/router/control.go
+++ b/router/control.go
@@ -66,6 +66,10 @@
 	// pullGrace is how long a peer may know more than this daemon before it is
 	// asked: the store's own news is mostly on its way.
 	pullGrace = 60 * time.Millisecond
+	// mostSingleLines is the number of documents that change at once up to which
+	// the log has a line for each replica. A start in a large fleet changes
+	// thousands; the line of the documents tells their number.
+	mostSingleLines = 100
 	// troubleAge is how long after the store was in trouble the vanishing of a
 	// replica's entry is doubted.
 	troubleAge = 5 * time.Second
@@ -103,6 +107,7 @@
 	troubleAt   time.Time // when this daemon last knew the store to be in trouble
 	ticked      time.Time
 	figuresAt   time.Time
+	terse       bool // the documents under way change too many replicas for a line each
 	ticks       int
 	beats       int
 	nameMembers bool // the next beat names members
@@ -187,6 +192,7 @@
 	if len(items) == 0 {
 		return
 	}
+	c.terse = len(items) > mostSingleLines
 	for _, it := range items {
 		c.applyReplica(it, now)
 	}
@@ -208,7 +214,7 @@
 			c.lapses.Add(before.replica, now.Sub(c.troubleAt) < troubleAge, now)
 		}
 		delete(c.replicas, it.Key)
-		c.log.Replica(id, "gone", it.Revision)
+		c.logReplica(id, "gone", it.Revision)
 		return
 	}
 	r, err := c.documents.ParseReplica(it)
@@ -217,12 +223,20 @@
 		return
 	}
 	if !known || known && before.replica.Draining != r.Draining {
-		c.log.Replica(id, stateName(&r), it.Revision)
+		c.logReplica(id, stateName(&r), it.Revision)
 	}
 	c.lapses.Remove(r.ID)
 	c.replicas[it.Key] = replicaEntry{revision: it.Revision, replica: r}
 }
 
+// logReplica tells of one replica, unless so many change at once that their lines
+// would push others out of the log.
+func (c *control) logReplica(id routing.ReplicaID, state string, at feed.Revision) {
+	if !c.terse {
+		c.log.Replica(id, state, at)
+	}
+}
+
 func stateName(r *routing.Replica) string {
 	if r.Draining {
 		return "draining"
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -39,7 +39,7 @@
 	c.tickBeat(now)
 	c.pullIfBehind(ctx, now)
 	decided := c.lapses.Expire(now)
-	if n := c.roster.Size(now); n != c.daemons || decided {
+	if n := c.roster.Size(now); c.sizeChanged(n) || decided {
 		c.daemons = n
 		c.publish(now)
 	}
@@ -51,6 +51,18 @@
 	}
 }
 
+// sizeShare is the part of a large fleet's size by which it must change to be
+// taken over: there the number is an estimate that moves with each beat, and a
+// view is not built anew for that.
+const sizeShare = 10
+
+func (c *control) sizeChanged(n int) bool {
+	if !c.large() {
+		return n != c.daemons
+	}
+	return sizeShare*max(n-c.daemons, c.daemons-n) > c.daemons
+}
+
 // longestTick is the time between two ticks above which the process stood still:
 // what it believes is as old as the pause.
 const longestTick = time.Second
--- a/router/pause_test.go
+++ b/router/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -43,6 +44,65 @@
 	}
 }
 
+// fewDocuments reads a configuration and replicas that hold nothing but their keys.
+type fewDocuments struct{}
+
+func (fewDocuments) Config(f *feed.Feed) (feed.Item, bool) { return f.Get("config") }
+
+func (fewDocuments) ParseConfig(feed.Item) (*routing.Table, error) {
+	return routing.NewTable(&routing.Config{Version: 7})
+}
+
+func (fewDocuments) Replicas(*feed.Feed, func(feed.Item)) {}
+
+func (fewDocuments) ParseReplica(it feed.Item) (routing.Replica, error) {
+	return routing.NewReplica(routing.Replica{ID: routing.ReplicaID(it.Key), Service: "s"}), nil
+}
+
+func (fewDocuments) ReplicaID(key string) (routing.ReplicaID, bool) {
+	return routing.ReplicaID(key), key != "config"
+}
+
+// TestStartOfALargeFleetLeavesTheConfigurationInTheLog applies thousands of
+// documents at once: the lines that matter must not be among those left out.
+func TestStartOfALargeFleetLeavesTheConfigurationInTheLog(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLog(&out, "info", "d", NewMetrics())
+	c := &control{
+		documents: fewDocuments{}, feed: feed.New(), roster: membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, nil),
+		rng: rand.New(rand.NewPCG(1, 1)), loads: routing.NewLoads(), health: routing.NewHealth(), holders: routing.NewHolders(),
+		log: l, daemons: 1, replicas: make(map[string]replicaEntry), lapses: routing.NewLapses(),
+	}
+	items := []feed.Item{{Key: "config", Revision: 5000}}
+	for i := range 4500 {
+		items = append(items, feed.Item{Key: fmt.Sprintf("replica-%d", i), Revision: feed.Revision(i + 1)})
+	}
+	c.apply(c.feed.ApplyList("", items, 5000), "store", time.Unix(1_000_000, 0))
+	c.apply(c.feed.Apply([]feed.Item{{Key: "replica-1", Revision: 5001, Gone: true}}), "store", time.Unix(1_000_001, 0))
+	l.Close()
+	if l.writer.droppedTotal() != 0 {
+		t.Errorf("%d lines were left out", l.writer.droppedTotal())
+	}
+	for _, want := range []string{"configuration is in force", `"documents":4501`, `"replica":"replica-1","state":"gone"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log lacks %s", want)
+		}
+	}
+}
+
+// TestSmallMovesOfALargeFleetBuildNoView holds that a view is built for a real
+// change of the fleet's size only.
+func TestSmallMovesOfALargeFleetBuildNoView(t *testing.T) {
+	for _, c := range []struct {
+		from, to int
+		want     bool
+	}{{8, 7, true}, {8, 8, false}, {12, 13, true}, {300, 290, false}, {300, 260, true}, {300, 340, true}, {13, 1, true}} {
+		if got := (&control{daemons: c.from}).sizeChanged(c.to); got != c.want {
+			t.Errorf("from %d to %d: changed %t, want %t", c.from, c.to, got, c.want)
+		}
+	}
+}
+
 // TestLogIsBoundedAndNeverBlocks writes far more than the buffer holds to a
 // writer that takes nothing.
 func TestLogIsBoundedAndNeverBlocks(t *testing.T) {
