--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,6 +26,7 @@
 	mostRequestBody = 40_000
 	refusedPause    = 300 * time.Millisecond
 	leaveAlways     = 2 // of 100 requests
+	topics          = 7 // of chats
 )
 
 // manners are what all callers do at the moment.
@@ -44,6 +45,8 @@
 	daemon int
 	life   int
 	uses   int
+	// patient callers never leave before their answer.
+	patient bool
 }
 
 // run sends requests until ctx ends.
@@ -97,6 +100,7 @@
 		ID: fmt.Sprintf("c%d-%d", c.number, c.sent), Route: route, Key: c.site.drawKey(),
 		Target: fmt.Sprintf("%s%d?n=%d", route.Prefix, rand.IntN(100), c.sent), Daemon: c.daemon, Life: c.life,
 	}
+	q.Subject = int(hashOf(q.Target) % topics)
 	if route.Method == http.MethodPost {
 		q.Body = strings.Repeat("b", 1+rand.IntN(500))
 		if rand.IntN(20) == 0 {
@@ -112,8 +116,7 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n%s: forged\r\n",
 		q.Route.Method, q.Target, routeHost, headerID, q.ID, headerDeadline, q.Route.Timeout.Milliseconds(), q.Key, headerWorkspace)
 	if q.Route.Stream {
-		topic := hashOf(q.Target) % 7
-		fmt.Fprintf(&b, "Model-Name: m\r\nToken-Count: 1460,80\r\nPrompt-Prefix: aa:800,%x:900,%x:250\r\n", topic+1, hashOf(q.ID))
+		fmt.Fprintf(&b, "Model-Name: m\r\nToken-Count: 1460,80\r\nPrompt-Prefix: aa:800,%x:900,%x:250\r\n", q.Subject+1, hashOf(q.ID))
 	}
 	switch {
 	case q.Body == "":
@@ -133,7 +136,7 @@
 	ledger := c.site.ledger
 	ledger.Sent(*q)
 	_ = c.conn.SetDeadline(q.Deadline.Add(callerPatience))
-	if rand.Int64N(100) < leaveAlways+c.site.manners.leave.Load() {
+	if !c.patient && rand.Int64N(100) < leaveAlways+c.site.manners.leave.Load() {
 		return c.abandon(q)
 	}
 	if _, err := c.conn.Write([]byte(q.text())); err != nil {
@@ -143,8 +146,9 @@
 	if err != nil {
 		return c.failed(q, err)
 	}
+	first := time.Now()
 	body, err := io.ReadAll(resp.Body)
-	a := Answer{At: time.Now(), Status: resp.StatusCode, Seal: resp.Header.Get(headerSeal), Body: string(body), Whole: err == nil, Err: err}
+	a := Answer{At: time.Now(), First: first, Status: resp.StatusCode, Seal: resp.Header.Get(headerSeal), Body: string(body), Whole: err == nil, Err: err}
 	ledger.Answered(q.ID, a)
 	if c.uses--; err != nil || resp.Close || c.uses <= 0 {
 		c.hangUp()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -31,6 +31,7 @@
 	Life     int // of the daemon
 	Sent     time.Time
 	Deadline time.Time
+	Subject  int // of a chat: requests with one subject share their prompt
 }
 
 // Arrival is a request as it reached a replica.
@@ -51,9 +52,10 @@
 
 // Answer is what a caller got.
 type Answer struct {
-	At     time.Time
-	Status int    // 0: none
-	Seal   string // the replica that vouches for it; may be empty
+	At     time.Time // when it was over
+	First  time.Time // when its first lines came; zero: never
+	Status int       // 0: none
+	Seal   string    // the replica that vouches for it; may be empty
 	Body   string
 	Whole  bool  // it ended as complete
 	Err    error // why it is not whole
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -54,6 +54,7 @@
 	Service  string
 	Domain   string
 	slots    int
+	steady   bool // no slow requests, and no bad mood to begin with
 	ledger   *Ledger
 	listener net.Listener
 
@@ -65,12 +66,15 @@
 }
 
 // StartReplica listens on a loopback address.
-func StartReplica(id, service, domain string, slots int, l *Ledger) (*Replica, error) {
+func StartReplica(id, service, domain string, slots int, steady bool, l *Ledger) (*Replica, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, ledger: l, listener: listener, mood: everyday, conns: make(map[net.Conn]struct{})}
+	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, steady: steady, ledger: l, listener: listener, conns: make(map[net.Conn]struct{})}
+	if !steady {
+		r.mood = everyday
+	}
 	go r.accept()
 	return r, nil
 }
@@ -231,15 +235,15 @@
 )
 
 // workOf returns how long a plain request works, or an event of a stream takes.
-func workOf(id string, pieces int) time.Duration {
-	if hashOf(id)%slowOneIn == 0 {
+func (x *exchange) workOf(pieces int) time.Duration {
+	if !x.steady && hashOf(x.id)%slowOneIn == 0 {
 		return slowWork / time.Duration(pieces)
 	}
 	return leastWork + rand.N(mostWork-leastWork)
 }
 
 func (x *exchange) plain() bool {
-	if !x.work(workOf(x.id, 1)) {
+	if !x.work(x.workOf(1)) {
 		x.end(0)
 		return false
 	}
@@ -284,7 +288,7 @@
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, x.id, headerSeal, x.ID)
 	events := streamEvents(x.id)
 	for i := from; i < len(events); i++ {
-		if !x.work(workOf(x.id, len(events))) {
+		if !x.work(x.workOf(len(events))) {
 			x.end(0)
 			return false
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,6 +50,7 @@
 	options Options
 	site    *site
 	begun   time.Time
+	doors   []*standin.StoreDoor
 
 	mu     sync.Mutex
 	report *Report
@@ -58,31 +59,42 @@
 // Play plays a plan. The error tells that it could not be played; promises that
 // were broken stand in the report.
 func Play(ctx context.Context, p *Plan, o Options) (*Report, error) {
+	var report *Report
+	err := withSite(ctx, p, o, func(ctx context.Context, r *runner) error {
+		report = r.report
+		return r.play(ctx)
+	})
+	return report, err
+}
+
+// withSite starts a plan's replicas and daemons, runs something before them and
+// ends them.
+func withSite(ctx context.Context, p *Plan, o Options, run func(ctx context.Context, r *runner) error) error {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-		return nil, eris.Wrap(err, "make the run's directory; check the path and rights")
+		return eris.Wrap(err, "make the run's directory; check the path and rights")
 	}
 	r := &runner{plan: p, options: o, report: &Report{Plan: p}, begun: time.Now()}
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(NewLedger(DefaultBounds()))
-	doors, err := r.build(work)
+	r.site.steady = p.Steady
+	err := r.build(work)
 	if r.site.fleet != nil {
 		defer r.site.fleet.end()
 	}
 	defer end() // before the fleet's end: nothing is started again
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer r.site.close()
-	if err := r.play(work, doors); err != nil {
-		return nil, err
+	if err := run(work, r); err != nil {
+		return err
 	}
-	end()
-	return r.report, r.write()
+	return r.write()
 }
 
 // build starts the store's doors, the replicas and the daemons.
-func (r *runner) build(ctx context.Context) ([]*standin.StoreDoor, error) {
+func (r *runner) build(ctx context.Context) error {
 	s, p := r.site, r.plan
 	for i := range p.Domains {
 		s.domains = append(s.domains, "z"+itoa(i))
@@ -93,7 +105,7 @@
 	}{{serviceGate, p.Gate}, {serviceOther, p.Gate}, {serviceChat, p.Chat}} {
 		for i := range service.replicas {
 			if err := s.addPlace(service.name, s.domains[i%len(s.domains)]); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
@@ -102,36 +114,35 @@
 	s.mu.Unlock()
 	ports, err := freePorts(portsPerFleet)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	s.fleet = &fleet{binary: r.options.Daemon, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx}
-	var doors []*standin.StoreDoor
 	for i := range p.Daemons {
 		door, err := s.store.Open()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		doors = append(doors, door)
+		r.doors = append(r.doors, door)
 		if _, err := s.fleet.add(i, s.domains[i%len(s.domains)], door.Address()); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for _, d := range s.fleet.daemons {
 		if err := d.start(); err != nil {
-			return nil, eris.Wrapf(err, "start %s; build it first", r.options.Daemon)
+			return eris.Wrapf(err, "start %s; build it first", r.options.Daemon)
 		}
 		go d.balance(ctx)
 	}
 	for deadline := time.Now().Add(startTimeout); !s.fleet.allIn(); pause(ctx, readyPoll) {
 		if time.Now().After(deadline) || ctx.Err() != nil {
-			return nil, eris.Errorf("daemons are not ready after %v; look at their logs in %s", startTimeout, r.options.Dir)
+			return eris.Errorf("daemons are not ready after %v; look at their logs in %s", startTimeout, r.options.Dir)
 		}
 	}
-	return doors, nil
+	return nil
 }
 
-func (r *runner) play(ctx context.Context, doors []*standin.StoreDoor) error {
+func (r *runner) play(ctx context.Context) error {
 	r.begun = time.Now()
 	var callers, judges sync.WaitGroup
 	calling, hangUp := context.WithCancel(ctx)
@@ -148,7 +159,7 @@
 			r.judge()
 		}
 	})
-	s := &striker{site: r.site, ctx: ctx, doors: doors, note: r.note}
+	s := &striker{site: r.site, ctx: ctx, doors: r.doors, note: r.note}
 	s.run(r.plan)
 	pause(ctx, r.plan.Quiet)
 	hangUp()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -49,6 +49,7 @@
 	fleet   *fleet
 	manners manners
 	domains []string
+	steady  bool // replicas do as they should
 
 	mu       sync.Mutex
 	version  int
@@ -245,7 +246,7 @@
 	if service == serviceChat {
 		slots = chatSlots
 	}
-	r, err := StartReplica(id, service, p.domain, slots, s.ledger)
+	r, err := StartReplica(id, service, p.domain, slots, s.steady, s.ledger)
 	if err != nil {
 		return err
 	}
