Daemons read the store at once again

Change: no delay; lists still go on where they were turned away, which is what a start of 300 daemons needs.

--- a/router/reader.go
+++ b/router/reader.go
@@ -57,14 +57,10 @@
 	listed      bool
 	partial     *listing // nil: the next list begins anew
 	backoff     time.Duration
-	// delay is how long after its start this daemon begins to read, so that it may
-	// first hear of one that reads for it.
-	delay time.Duration
 }
 
 // run reads while this daemon is to read, until ctx ends.
 func (r *reader) run(ctx context.Context) {
-	pause(ctx, r.delay)
 	for ctx.Err() == nil {
 		plan := r.control.reads.Load()
 		if plan == nil || !plan.reads {
--- a/router/router.go
+++ b/router/router.go
@@ -152,7 +152,7 @@
 	d.control.publish(time.Now())
 	d.reader = &reader{
 		store: d.outside.Store, control: d.control, historyGone: d.outside.HistoryGone,
-		calls: func() { d.Metrics.StoreCalls.Inc(1) }, delay: startDelay(self.Address, seeds),
+		calls: func() { d.Metrics.StoreCalls.Inc(1) },
 	}
 	d.Relay = relay.New(relay.Options{
 		View: d.View, Placer: &routing.Placer{Rule: routing.DefaultPlacementRule(), Loads: loads, Health: health, Holders: holders},
@@ -178,17 +178,6 @@
 	return membership.Life(max(1, now.Sub(time.Unix(lifeEpoch, 0))/lifeUnit))
 }
 
-// listenFirst is how long a daemon that is no seed listens for one that reads the
-// store for it before it does so itself.
-const listenFirst = 300 * time.Millisecond
-
-func startDelay(self membership.Address, seeds []membership.Address) time.Duration {
-	if len(seeds) == 0 || slices.Contains(seeds, self) {
-		return 0
-	}
-	return listenFirst
-}
-
 // leastFleet is the size of the fleet that is assumed for the shares of the
 // repeat budget until more daemons are known.
 const leastFleet = 8
