Heartbeats say how old what they pass on is, so that a cut-off domain is found in a large fleet

A domain counts as cut off when none of its daemons was heard of for 1.2 s, and in a large fleet what is heard over others is news of many seconds ago: each daemon that passed an old count on to one that knew an even older one made the domain look alive.

Change: a member that is passed on carries its age (upper bits of the state byte, in 100 ms; an earlier build sends 0 and ignores them), and its time counts from when the daemon itself sent it. A heartbeat names the newest member of each other domain. Members of the own domain count as live for 15 s in place of 10 s, since ages now count.

Test: a domain of 62 and of 87 daemons is found to be cut off within 2 s, and none other; fails without the change.

--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -24,6 +24,9 @@
 	Heartbeats       uint64 // sent in this incarnation; orders messages about it
 	Leaving          bool   // it is in a planned stop
 	StoreUnreachable bool   // it can't read the store of documents
+	// Age is how long ago the daemon itself said this, as far as whoever passes it on
+	// knows. It is 0 in a daemon's own heartbeat.
+	Age time.Duration
 }
 
 // lowerIncarnationAfter is how long the heartbeats of a lower incarnation must go on
@@ -34,7 +37,9 @@
 // entry is a known member.
 type entry struct {
 	Member
-	seen time.Time // when its number of heartbeats last rose here
+	// seen is when the daemon sent the newest of its heartbeats that is known here,
+	// directly or over others.
+	seen time.Time
 	// lower is a member of a lower incarnation that was received, and lowerSince when
 	// it was received first. ended is an incarnation that is over although it is
 	// higher than the present one.
@@ -69,5 +74,9 @@
 	if m.Incarnation < e.Incarnation {
 		e.ended = e.Incarnation
 	}
-	e.Member, e.seen = m, now
+	sent := now.Add(-m.Age)
+	if m.Incarnation != e.Incarnation || sent.After(e.seen) {
+		e.seen = sent
+	}
+	e.Member = m
 }
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -20,9 +20,10 @@
 	// liveness is how long a member counts as live after its last message: some
 	// twelve heartbeats. In a large fleet a message about one member is rarer:
 	// livenessNear holds in the own domain, livenessFar in others
-	// (docs/design/large-fleets.md).
+	// (docs/design/large-fleets.md). They count from the time at which the member
+	// sent it, which is up to some 12 s ago among 85 daemons of one domain.
 	liveness     = 2500 * time.Millisecond
-	livenessNear = 10 * time.Second
+	livenessNear = 15 * time.Second
 	livenessFar  = 60 * time.Second
 	// forgetAfter is how long a member that is not live is still tried, so that a
 	// long cut heals without the seeds. Chosen, not measured.
@@ -80,10 +81,11 @@
 		if !e.supersedes(m, now) {
 			continue
 		}
-		if !r.isLive(e, now) {
+		wasLive := r.isLive(e, now)
+		e.update(m, now)
+		if !wasLive && r.isLive(e, now) {
 			joined = append(joined, m)
 		}
-		e.update(m, now)
 	}
 	r.largest = max(r.largest, 1+len(r.live(now)))
 	return joined
@@ -108,10 +110,10 @@
 func (r *Roster) Largest() int { return r.largest }
 
 // Live returns the live members, this daemon not counted, sorted by address.
-func (r *Roster) Live(now time.Time) []Member { return membersOf(r.live(now)) }
+func (r *Roster) Live(now time.Time) []Member { return membersOf(r.live(now), now) }
 
-// Domains returns when any member of each domain was last heard of, directly or
-// over others.
+// Domains returns when any member of each domain last sent a heartbeat that is known
+// here, directly or over others.
 func (r *Roster) Domains() map[state.FailureDomain]time.Time {
 	out := make(map[state.FailureDomain]time.Time)
 	for _, e := range r.members {
@@ -169,10 +171,12 @@
 	return out
 }
 
-func membersOf(list []*entry) []Member {
+// membersOf returns members as they are passed on, with the age of what is known.
+func membersOf(list []*entry, now time.Time) []Member {
 	out := make([]Member, len(list))
 	for i, e := range list {
 		out[i] = e.Member
+		out[i].Age = max(0, now.Sub(e.seen))
 	}
 	return out
 }
--- a/coordination/membership/roster_test.go
+++ b/coordination/membership/roster_test.go
@@ -175,6 +175,28 @@
 		}
 	})
 
+	DescribeTable("finds that a domain of a large fleet is cut off within two seconds", func(daemons int) {
+		n.every = 2 * beat
+		for i := range daemons {
+			n.start(i, 1, 0, 1, 2)
+		}
+		n.run(12 * time.Second)
+		cut := state.FailureDomain("3")
+		n.blocked = func(from, to membership.Address) bool {
+			return (n.rosters[from].Self().Domain == cut) != (n.rosters[to].Self().Domain == cut)
+		}
+		n.run(2 * time.Second)
+		for a, r := range n.rosters {
+			for domain, at := range r.Domains() {
+				if domain == r.Self().Domain {
+					continue
+				}
+				beyond := (domain == cut) != (r.Self().Domain == cut)
+				Expect(n.now.Sub(at) > 1200*time.Millisecond).To(Equal(beyond), "%s of domain %s", a, domain)
+			}
+		}
+	}, Entry("62 daemons", 62), Entry("87 daemons", 87))
+
 	DescribeTable("keeps what is known of the likely readers fresh in a large fleet, at its slower heartbeats", func(daemons, domains int) {
 		n.every, n.domains = 2*beat, domains
 		for i := range daemons {
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -11,7 +11,8 @@
 //     links cost more.
 //  3. It names the likely readers of the store, on which others' choice of readers
 //     depends; the members of the own domain that were heard of last, which is
-//     what spreads the latest of them; and some others by chance.
+//     what spreads the latest of them; of each other domain the one that was heard
+//     of last, by which its being cut off is found out; and some others by chance.
 //  4. A daemon that has just been found is sent more members at once, or it would
 //     learn of them slowly.
 //
@@ -96,7 +97,7 @@
 	live := r.live(now)
 	if !r.large() {
 		shuffle(live, rng)
-		return membersOf(live[:min(len(live), sampleSize)])
+		return membersOf(live[:min(len(live), sampleSize)], now)
 	}
 	readers, rest := likelyReaders(live)
 	near, far := r.splitByDomain(rest)
@@ -105,9 +106,12 @@
 	drawn := near[newest:]
 	shuffle(drawn, rng)
 	shuffle(far, rng)
+	newestFar, drawnFar := takeNewestOfDomains(far)
 	out := append(readers, near[:newest]...)
 	out = append(out, drawn[:min(len(drawn), sampleNear)]...)
-	return membersOf(append(out, far[:min(len(far), sampleFar)]...))
+	out = append(out, newestFar...)
+	out = append(out, drawnFar[:min(len(drawnFar), sampleFar)]...)
+	return membersOf(out, now)
 }
 
 // Bootstrap returns the members that a daemon is sent that has just been found: the
@@ -126,7 +130,26 @@
 			out = append(out, e)
 		}
 	}
-	return membersOf(out)
+	return membersOf(out, now)
+}
+
+// takeNewestOfDomains takes the member of each domain that was heard of last out of a
+// list.
+func takeNewestOfDomains(list []*entry) (newest, rest []*entry) {
+	best := make(map[state.FailureDomain]*entry)
+	for _, e := range list {
+		if n := best[e.Domain]; n == nil || e.seen.After(n.seen) {
+			best[e.Domain] = e
+		}
+	}
+	for _, e := range list {
+		if best[e.Domain] == e {
+			newest = append(newest, e)
+			continue
+		}
+		rest = append(rest, e)
+	}
+	return newest, rest
 }
 
 // likelyReaders takes the first member of each domain that is neither leaving nor
--- a/protocol/gossip/heartbeat.go
+++ b/protocol/gossip/heartbeat.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -132,14 +133,34 @@
 	State       memberState
 }
 
-// memberState holds a member's flags.
+// memberState holds a member's flags, and above them its age in units of ageUnit. An
+// earlier build leaves the age out and ignores it: to it, all is news of this moment.
 type memberState uint8
 
 const (
 	stateLeaving          memberState = 1 << iota // it is in a planned stop
 	stateStoreUnreachable                         // it can't read the store
+
+	ageShift = 2
+	// ageUnit is a part of the time after which a domain counts as cut off that is
+	// small enough; maxAge is what fits the byte, and stands for all that is older.
+	ageUnit = 100 * time.Millisecond
+	maxAge  = 63
 )
 
+func newMemberState(m *membership.Member) memberState {
+	s := memberState(min(maxAge, (m.Age+ageUnit/2)/ageUnit)) << ageShift
+	if m.Leaving {
+		s |= stateLeaving
+	}
+	if m.StoreUnreachable {
+		s |= stateStoreUnreachable
+	}
+	return s
+}
+
+func (s memberState) age() time.Duration { return time.Duration(s>>ageShift) * ageUnit }
+
 type loadMessage struct {
 	_        struct{} `cbor:",toarray"`
 	Replica  routing.LoadKey
@@ -208,14 +229,10 @@
 		domain = len(m.Domains)
 		m.Domains = append(m.Domains, member.Domain)
 	}
-	out := memberMessage{Address: address, Domain: domain, Incarnation: member.Incarnation, Heartbeats: member.Heartbeats}
-	if member.Leaving {
-		out.State |= stateLeaving
-	}
-	if member.StoreUnreachable {
-		out.State |= stateStoreUnreachable
-	}
-	m.Members = append(m.Members, out)
+	m.Members = append(m.Members, memberMessage{
+		Address: address, Domain: domain, Incarnation: member.Incarnation, Heartbeats: member.Heartbeats,
+		State: newMemberState(&member),
+	})
 	return nil
 }
 
@@ -232,6 +249,7 @@
 		Address: membership.Address(at.String()), Domain: m.Domains[in.Domain],
 		Incarnation: in.Incarnation, Heartbeats: in.Heartbeats,
 		Leaving: in.State&stateLeaving != 0, StoreUnreachable: in.State&stateStoreUnreachable != 0,
+		Age: in.State.age(),
 	}, nil
 }
 
