A request that meets a cut goes to its own domain next, and is refused at once if nothing can be reached

After a replica of another domain could not be reached the next attempt stays in the own domain if it can. Where all domains with replicas of the service are cut off and a replica of each could not be reached, requests are refused at once, with a time to come back, until the ejection ends and one of them finds out again.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -22,27 +22,28 @@
 	mean        float64 // of loads
 }
 
-func newCandidates(p *Placer, pool *Pool, tried []ReplicaID, now time.Time) *candidates {
+func newCandidates(p *Placer, pool *Pool, domain state.FailureDomain, tried Tried, now time.Time) *candidates {
 	n := len(pool.Ready)
 	c := &candidates{ready: pool.Ready, loads: make([]int, n), usable: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool)) / float64(n)
 	p.Health.markUsable(c.usable, pool, now)
-	c.exclude(tried)
-	if c.usableCount > 0 {
-		return c
+	c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
+	if c.usableCount == 0 {
+		p.Health.markNotCutOff(c.usable, pool, now)
+		c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
 	}
-	for i := range c.usable {
-		c.usable[i] = true
+	if tried.BeyondReach && c.hasUsable(domain) {
+		c.exclude(func(r *Replica) bool { return r.Domain != domain })
 	}
-	c.exclude(tried)
 	return c
 }
 
-// exclude takes out the replicas that were tried and counts those that are left.
-func (c *candidates) exclude(tried []ReplicaID) {
+// exclude takes out the replicas that meet a condition and counts those that are
+// left.
+func (c *candidates) exclude(condition func(r *Replica) bool) {
 	c.usableCount = 0
 	for i := range c.ready {
-		if c.usable[i] && slices.Contains(tried, c.ready[i].ID) {
+		if c.usable[i] && condition(&c.ready[i]) {
 			c.usable[i] = false
 		}
 		if c.usable[i] {
@@ -51,6 +52,16 @@
 	}
 }
 
+// hasUsable reports whether a replica of a domain may be chosen.
+func (c *candidates) hasUsable(domain state.FailureDomain) bool {
+	for i := range c.ready {
+		if c.usable[i] && c.ready[i].Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // order ranks the replicas for a key.
 func (c *candidates) order(key uint64) {
 	c.ranks = make([]uint64, len(c.ready))
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -16,10 +16,13 @@
 //     it the replica gets requests again; that is the only probe.
 //  4. The replicas of a domain of which no daemon was heard for the domain timeout
 //     are excluded first: the domain is cut off.
-//  5. Where fewer than half of the rest would be left, ejections are ignored: then
+//  5. Where all domains that have replicas are cut off, those in which a replica was
+//     found to be unreachable get no requests while its ejection lasts: requests
+//     are refused at once. The next one after that finds out.
+//  6. Where fewer than half of the rest would be left, ejections are ignored: then
 //     the evidence speaks against the service or this daemon's links, and
 //     ejecting would only crowd the others (docs/incidents/inc-8c0c.md is why rule
-//     4 comes before rule 5).
+//     4 comes before rule 6).
 
 package routing
 
@@ -69,6 +72,9 @@
 	// domainSeen is when a daemon of a domain was last heard from.
 	domainSeen    map[state.FailureDomain]time.Time
 	domainTimeout time.Duration
+	// unreachable is until when a domain that is cut off gets no requests, because a
+	// replica there could not be reached.
+	unreachable map[state.FailureDomain]time.Time
 }
 
 // NewHealth returns an empty table.
@@ -76,6 +82,7 @@
 	return &Health{
 		records: make(map[LoadKey]*record), ejected: make(map[LoadKey]*record), peers: make(map[PeerID]*peerEvidence),
 		domainSeen: make(map[state.FailureDomain]time.Time), domainTimeout: DomainTimeout,
+		unreachable: make(map[state.FailureDomain]time.Time),
 	}
 }
 
@@ -100,6 +107,9 @@
 	rec.ejection = min(max(firstEjection, 2*rec.ejection), longestEjection)
 	rec.until, rec.cause = now.Add(rec.ejection), result
 	h.ejected[key] = rec
+	if h.domainIsCutOff(r.Domain, now) {
+		h.unreachable[r.Domain] = rec.until
+	}
 	return true
 }
 
@@ -171,7 +181,7 @@
 }
 
 // markUsable writes into usable which ready replicas of a pool may be chosen, by
-// the rules 4 and 5.
+// the rules 4 to 6.
 func (h *Health) markUsable(usable []bool, p *Pool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -192,29 +202,45 @@
 	}
 }
 
-// markReachable marks the replicas in domains that are not cut off, or all if there
-// are none, and returns how many it marked.
+// markReachable marks the replicas in domains that are not cut off, or, if there are
+// none, in those that are only silent. It returns how many it marked.
 func (h *Health) markReachable(usable []bool, p *Pool, now time.Time) int {
-	cutOff := make(map[state.FailureDomain]bool)
-	for domain := range h.domainSeen {
-		if h.domainIsCutOff(domain, now) {
-			cutOff[domain] = true
-		}
+	marked := h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsCutOff(d, now) })
+	if marked > 0 {
+		return marked
+	}
+	return h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
+}
+
+// markNotCutOff marks all replicas but those of domains that are cut off and were
+// found to be unreachable.
+func (h *Health) markNotCutOff(usable []bool, p *Pool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
+}
+
+// domainIsUnreachable reports whether a domain is cut off and a replica there could
+// not be reached.
+func (h *Health) domainIsUnreachable(d state.FailureDomain, now time.Time) bool {
+	return now.Before(h.unreachable[d]) && h.domainIsCutOff(d, now)
+}
+
+// mark marks the replicas of the domains that meet a condition, and returns how many.
+func (h *Health) mark(usable []bool, p *Pool, condition func(state.FailureDomain) bool) int {
+	met := make(map[state.FailureDomain]bool, len(h.domainSeen))
+	for d := range h.domainSeen {
+		met[d] = condition(d)
 	}
 	marked := 0
 	for i := range p.Ready {
-		usable[i] = len(cutOff) == 0 || !cutOff[p.Ready[i].Domain]
+		ok, seen := met[p.Ready[i].Domain]
+		usable[i] = ok || !seen
 		if usable[i] {
 			marked++
 		}
 	}
-	if marked > 0 {
-		return marked
-	}
-	for i := range usable {
-		usable[i] = true
-	}
-	return len(usable)
+	return marked
 }
 
 // Forget drops what is too old to matter. ownDomain never counts as cut off.
--- a/coordination/routing/example_test.go
+++ b/coordination/routing/example_test.go
@@ -29,7 +29,7 @@
 	request := &routing.Request{ID: "a", Route: admission.Route}
 	request.Service = admission.Route.Service(request.Key())
 	placer := &routing.Placer{Loads: routing.NewLoads(), Health: routing.NewHealth()}
-	target, ok := placer.Choose(view, request, nil, time.Now())
+	target, ok := placer.Choose(view, request, routing.Tried{}, time.Now())
 	fmt.Println(ok, target.Replica.ID)
 	// Output: true i-1
 }
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -24,7 +24,8 @@
 // one of another failure domain must have otherDomainCost of its slots more free.
 //
 // Replicas that the request was sent to before are left out, and those that may not
-// be chosen too, unless nothing is left.
+// be chosen too, unless nothing is left. After a replica of another domain could not
+// be reached, one of the own domain is chosen if there is one.
 
 package routing
 
@@ -80,13 +81,14 @@
 }
 
 // Choose returns the target of a request among the ready replicas of its
-// service, none of which is in tried. It returns false if there is none.
-func (p *Placer) Choose(v *View, r *Request, tried []ReplicaID, now time.Time) (Target, bool) {
+// service, none of which was tried. It returns false if there is none that can be
+// reached.
+func (p *Placer) Choose(v *View, r *Request, tried Tried, now time.Time) (Target, bool) {
 	pool := v.Pool(r.Service).sorted()
 	if len(pool.Ready) == 0 {
 		return Target{}, false
 	}
-	c := newCandidates(p, pool, tried, now)
+	c := newCandidates(p, pool, v.Domain, tried, now)
 	if c.usableCount == 0 {
 		return Target{}, false
 	}
--- a/coordination/routing/place_bench_test.go
+++ b/coordination/routing/place_bench_test.go
@@ -34,7 +34,7 @@
 				f.pool.Sort()
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
-					if _, ok := f.placer.Choose(f.view, requests[i%len(requests)], nil, epoch); !ok {
+					if _, ok := f.placer.Choose(f.view, requests[i%len(requests)], routing.Tried{}, epoch); !ok {
 						b.Fatal("nothing chosen")
 					}
 				}
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -60,3 +60,11 @@
 	}
 	return d.Sum64()
 }
+
+// Tried is what became of a request's earlier attempts.
+type Tried struct {
+	Replicas []ReplicaID // that were chosen for it
+	// BeyondReach means that a replica of another domain could not be reached: the
+	// links between the domains may be cut.
+	BeyondReach bool
+}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -143,7 +143,7 @@
 
 func (f *fleet) choose(r *routing.Request, tried ...routing.ReplicaID) routing.Target {
 	f.pool.Sort()
-	t, ok := f.placer.Choose(f.view, r, tried, epoch)
+	t, ok := f.placer.Choose(f.view, r, routing.Tried{Replicas: tried}, epoch)
 	Expect(ok).To(BeTrue())
 	return t
 }
@@ -264,7 +264,7 @@
 		first := f.choose(chat("s")).Replica.ID
 		second := f.choose(chat("s"), first).Replica.ID
 		Expect(second).NotTo(Equal(first))
-		_, ok := f.placer.Choose(f.view, chat("s"), []routing.ReplicaID{first, second}, epoch)
+		_, ok := f.placer.Choose(f.view, chat("s"), routing.Tried{Replicas: []routing.ReplicaID{first, second}}, epoch)
 		Expect(ok).To(BeFalse())
 	})
 })
@@ -400,6 +400,40 @@
 		Expect(f.choose(chat("s")).Replica.Domain).NotTo(BeEmpty(), "anything is better than nothing")
 	})
 
+	It("goes to its own domain after a replica of another one could not be reached", func() {
+		f := newFleet("gate", "z0", "z1", "z1", "z2", "z2")
+		f.pool.Sort()
+		tried := routing.Tried{Replicas: []routing.ReplicaID{"r1"}, BeyondReach: true}
+		for i := range 20 {
+			t, ok := f.placer.Choose(f.view, &routing.Request{ID: routing.RequestID(fmt.Sprint(i)), Service: "gate"}, tried, epoch)
+			Expect(ok).To(BeTrue())
+			Expect(t.Replica.Domain).To(Equal(state.FailureDomain("z0")))
+		}
+		tried.Replicas = append(tried.Replicas, "r0")
+		_, ok := f.placer.Choose(f.view, &routing.Request{ID: "x", Service: "gate"}, tried, epoch)
+		Expect(ok).To(BeTrue(), "others where the own domain has none left")
+	})
+
+	It("refuses at once what only replicas behind a cut could serve, and finds out when they are back", func() {
+		f := newFleet("gate", "z1", "z2")
+		f.pool.Sort()
+		h := f.placer.Health
+		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": epoch.Add(-2 * time.Second), "z2": epoch.Add(-2 * time.Second)}, routing.DomainTimeout)
+		r := &routing.Request{ID: "x", Service: "gate"}
+		choose := func(now time.Time, tried ...routing.ReplicaID) bool {
+			_, ok := f.placer.Choose(f.view, r, routing.Tried{Replicas: tried}, now)
+			return ok
+		}
+		Expect(choose(epoch)).To(BeTrue(), "silence of daemons alone proves nothing of replicas")
+		h.Report(&f.pool.Ready[0], routing.ResultUnreachable, epoch)
+		Expect(choose(epoch)).To(BeTrue(), "the other domain is not tried yet")
+		h.Report(&f.pool.Ready[1], routing.ResultUnreachable, epoch)
+		Expect(choose(epoch)).To(BeFalse())
+		Expect(choose(epoch.Add(time.Second))).To(BeTrue(), "it is tried again")
+		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": epoch}, routing.DomainTimeout)
+		Expect(choose(epoch)).To(BeTrue(), "a daemon there is heard again")
+	})
+
 	It("does not hold the silence of a domain against it for ever", func() {
 		h.ObserveDomains(map[state.FailureDomain]time.Time{"z1": epoch}, routing.DomainTimeout)
 		h.Forget("z0", epoch.Add(time.Minute))
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// dialTimeout bounds the connection to a replica: links take milliseconds, and
-	// one packet may be lost. Chosen, not measured.
-	dialTimeout     = 400 * time.Millisecond
 	readBufferBytes = 4 << 10 // a header and some events fit
 	// idleShare is the part of the replica's own idle time for which a
 	// connection is kept, so that it is not used while the replica closes it.
@@ -68,7 +65,8 @@
 
 // Pool keeps idle connections. It is safe for use by many goroutines.
 type Pool struct {
-	dialer net.Dialer
+	dialer    net.Dialer
+	dialTimes routing.DialTimes
 
 	mu    sync.Mutex
 	idle  map[routing.ReplicaID][]*conn
@@ -78,7 +76,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		dialer: net.Dialer{KeepAlive: -1},
 		idle:   make(map[routing.ReplicaID][]*conn),
 		count:  make(map[routing.ReplicaID]int),
 	}
@@ -103,7 +101,7 @@
 	if !p.reserve(r.ID, limit) {
 		return nil, errFull
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp4", r.Address)
+	raw, err := p.dial(ctx, r.Address)
 	if err != nil {
 		p.release(r.ID)
 		return nil, err
@@ -111,6 +109,18 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), replica: r.ID, maxIdle: idleDefault}, nil
 }
 
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := p.dialer
+	dialer.Timeout = p.dialTimes.Timeout()
+	begun := time.Now()
+	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		p.dialTimes.Observe(time.Since(begun))
+	}
+	return raw, err
+}
+
 // errFull means that this daemon has its share of a replica's connections.
 var errFull = errors.New("all connections that this daemon may open to the replica are in use")
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -35,7 +35,7 @@
 	sink     Sink
 	summary  Summary
 	attempts routing.Attempts
-	tried    []routing.ReplicaID
+	tried    routing.Tried
 	served   bool         // the caller has the whole answer
 	events   *eventReader // of a streamed answer; nil before the first
 	// fallback is a replica's own error answer, which goes out if no further
@@ -78,12 +78,15 @@
 	if !ok || !s.attempts.MaySend(s.Budgets, s.call.Service, now) {
 		return false
 	}
-	s.tried = append(s.tried, target.Replica.ID)
+	s.tried.Replicas = append(s.tried.Replicas, target.Replica.ID)
 	failure := s.measured(ctx, &target, now)
 	if failure == nil {
 		s.served = true
 		return false
 	}
+	if failure.result == routing.ResultUnreachable && target.Replica.Domain != view.Domain {
+		s.tried.BeyondReach = true
+	}
 	return s.attempts.Failed(failure.outcome)
 }
 
