A prompt that nobody is known to hold goes to the home of all domains; copies are guessed to be at its former home

Change: a home in each domain is used for a prompt that is known to be held somewhere; until then it goes to the home of all domains, which is the likeliest to hold it. Where no location is known, the source is the replica that ranks first besides the target; for the home itself that is the one that was the home before it joined.

Tests: 'guesses that a prompt nobody has announced ...', 'sends a short prompt that nobody has announced to the home of all domains'. 'sends requests that share a prompt to one replica' and 'does not copy from a replica that can't be reached' expected no source at all where there is a guess now; the second one still holds that the replica out of reach is not it.

--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -10,9 +10,11 @@
 //     alike in every daemon. The first is the prompt's home.
 //  2. A replica is too loaded if it holds more than loadBound times the service's
 //     mean plus loadSlack requests.
-//  3. For a prompt of up to domainHomeTokens shared tokens, the first replica of the
-//     daemon's own failure domain that is not too loaded takes it. Longer prompts
-//     have one home for all domains, since copying them costs more than the way.
+//  3. For a prompt of up to domainHomeTokens shared tokens that a replica is known to
+//     hold, the first replica of the daemon's own failure domain that is not too
+//     loaded takes it. Longer prompts have one home for all domains, since copying
+//     them costs more than the way; so has a prompt that nobody is known to hold,
+//     since the home of all is the likeliest to hold it.
 //  4. Else the first that holds the prompt and is not too loaded takes it.
 //  5. Else the first of orderTries in the order that is not too loaded.
 //  6. Else the one that holds the fewest requests.
@@ -104,7 +106,7 @@
 	key := r.Key()
 	cached := p.Cache.locations(key, now)
 	c.order(key)
-	domainHome := r.SharedTokens() <= domainHomeTokens
+	domainHome := r.SharedTokens() <= domainHomeTokens && len(cached) > 0
 	chosen := c.firstNotTooLoaded(domainHome, domain, cached)
 	if chosen == none {
 		chosen = c.leastLoaded()
@@ -113,7 +115,7 @@
 	if s.CopiesPrompts && r.SharedTokens() >= copyTokens && !holdsPrompt(cached, &t.Replica) {
 		t.Source = p.source(&t, cached, pool, now)
 		if t.Source.ID == "" {
-			t.Source = p.likelySource(c, chosen, domainHome, now)
+			t.Source = p.likelySource(c, chosen, now)
 		}
 	}
 	return t
@@ -153,16 +155,11 @@
 	return usedLater
 }
 
-// likelySource guesses who holds a prompt that nobody has announced: the replica
-// that ranks first above the target, or, for a prompt with a home in each domain,
-// the best home of another domain. A wrong guess costs a copy that finds nothing.
-func (p *Placer) likelySource(c *candidates, target int, domainHome bool, now time.Time) Replica {
-	domain := c.ready[target].Domain
-	likely := c.first(func(i int) bool {
-		above := c.ranks[i] > c.ranks[target]
-		elsewhere := domainHome && c.ready[i].Domain != domain
-		return i != target && (above || elsewhere) && p.Health.Reachable(&c.ready[i], now)
-	})
+// likelySource guesses who holds a prompt that nobody has announced: the replica that
+// ranks first besides the target. If the target is the home, that one was the home
+// before the target joined. A wrong guess costs a copy that finds nothing.
+func (p *Placer) likelySource(c *candidates, target int, now time.Time) Replica {
+	likely := c.first(func(i int) bool { return i != target && p.Health.Reachable(&c.ready[i], now) })
 	if likely == none {
 		return Replica{}
 	}
