A silent replica is blamed by its route's target, also where requests have less than a second

Cause: silence before an answer was held against a replica after 1 s. A request with 600 ms (booking-hold) never waited that long, so that a replica that had gone dark got such requests until something else found out.

--- a/coordination/routing/giveup.go
+++ b/coordination/routing/giveup.go
@@ -9,7 +9,8 @@
 //     route's target. Short targets are not taken literally: there is a least
 //     wait for each.
 //  2. Where it can't, the replica is waited for until the deadline, and blamed for
-//     its silence after blameTimeout, so that other requests avoid it.
+//     its silence after blameShare times the route's target, so that other requests
+//     avoid it.
 //  3. [ReturnMargin] of the deadline is kept for the answer's way to the caller.
 //
 // None of these figures has a run of its own in the journal: chosen, not measured.
@@ -30,8 +31,11 @@
 	// the least wait.
 	eventShare = 2
 	eventLeast = 500 * time.Millisecond
-	// blameTimeout is the silence before an answer that is held against a replica.
-	blameTimeout = time.Second
+	// blameShare is the multiple of a route's target for the first byte after which
+	// silence is held against a replica; the least wait is firstByteLeast.
+	blameShare = 2
+	// blameDefault holds where the route has no target.
+	blameDefault = time.Second
 )
 
 // FirstByteTimeout returns how long to wait for the first byte of an answer, and
@@ -39,7 +43,10 @@
 // blamed, and waited for until the deadline.
 func (a *Attempts) FirstByteTimeout() (wait time.Duration, leave bool) {
 	if !a.Route.MayRunAgain() || !a.left() {
-		return blameTimeout, false
+		if a.Route.FirstByteTarget <= 0 {
+			return blameDefault, false
+		}
+		return max(blameShare*a.Route.FirstByteTarget, firstByteLeast), false
 	}
 	return max(time.Duration(firstByteShare*float64(a.Route.FirstByteTarget)), firstByteLeast), true
 }
