--- a/coordination/membership/readers.go
+++ b/coordination/membership/readers.go
@@ -1,7 +1,7 @@
 // This file decides which daemons read the store of documents, and how long their
 // watches wait.
 //
-// Inputs: the members that were heard of within readerTimeout, whether they are
+// Inputs: the members that were seen within readerTimeout, whether they are
 // leaving or can't read the store, and whether the fleet is large. The rule:
 //
 //  1. In each failure domain the daemon with the lowest address reads, of those
@@ -37,7 +37,7 @@
 	longGap  = 500 * time.Millisecond
 	// readerTimeout is how long a reader may be silent before another one takes its
 	// place: three heartbeats. readerTimeoutLarge holds in a large fleet, where
-	// a member is heard of over several daemons.
+	// a member is seen over several daemons.
 	readerTimeout      = 700 * time.Millisecond
 	readerTimeoutLarge = 2 * time.Second
 )
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -124,7 +124,7 @@
 	return out
 }
 
-// Forget drops the members that have not been heard of for long, and returns how
+// Forget drops the members that have not been seen for long, and returns how
 // many are left.
 func (r *Roster) Forget(now time.Time) int {
 	for a, e := range r.members {
@@ -138,7 +138,7 @@
 // large reports whether the fleet is too large for a heartbeat to go to all.
 func (r *Roster) large() bool { return len(r.members) > FullMeshSize }
 
-// isLive reports whether a member was heard of lately.
+// isLive reports whether a member was seen lately.
 func (r *Roster) isLive(e *entry, now time.Time) bool {
 	limit := liveness
 	if r.large() {
@@ -155,7 +155,7 @@
 	return r.filter(func(e *entry) bool { return r.isLive(e, now) })
 }
 
-// recent returns the members that were heard of within a time, sorted by address.
+// recent returns the members that were seen within a time, sorted by address.
 func (r *Roster) recent(now time.Time, within time.Duration) []*entry {
 	return r.filter(func(e *entry) bool { return now.Sub(e.seen) <= within })
 }
--- a/coordination/routing/admit.go
+++ b/coordination/routing/admit.go
@@ -3,7 +3,7 @@
 // Inputs: host and path as the caller wrote them, and its key. The rule:
 //
 //  1. Without a configuration nothing is judged: a daemon that has just started
-//     can't tell an unknown key from one that it has not heard of yet. Requests
+//     can't tell an unknown key from one that it does not know yet. Requests
 //     wait for the first configuration for [StartWait], and are refused then.
 //  2. The host's route with the longest prefix of the path takes the request.
 //  3. A key that a workspace holds admits it in that workspace's name.
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -2,8 +2,8 @@
 // failed, or because they are cut off from this daemon.
 //
 // Inputs: the results of this daemon's attempts within [evidenceWindow], those that
-// its peers publish, and when a daemon of each failure domain was last heard
-// from. Replicas' own health checks are not used: a check costs a slot, and a
+// its peers publish, and when a daemon of each failure domain was last
+// seen. Replicas' own health checks are not used: a check costs a slot, and a
 // replica can fail requests while its check is good. The rule:
 //
 //  1. A replica that takes no connection, or is silent for longer than giveup.go
@@ -14,7 +14,7 @@
 //  3. An ejection lasts firstEjection, twice as long each time up to
 //     longestEjection, and is short again after ejectionMemory without one. After
 //     it the replica gets requests again; that is the only probe.
-//  4. The replicas of a domain of which no daemon was heard for the domain timeout
+//  4. The replicas of a domain of which no daemon was seen for the domain timeout
 //     are excluded first: the domain is cut off.
 //  5. Where all domains that have replicas are cut off, those in which a replica was
 //     found to be unreachable get no requests while its ejection lasts: requests
@@ -69,7 +69,7 @@
 	records map[LoadKey]*record
 	ejected map[LoadKey]*record // those of records whose replica is ejected
 	peers   map[PeerID]*peerEvidence
-	// domainSeen is when a daemon of a domain was last heard from.
+	// domainSeen is when a daemon of a domain was last seen.
 	domainSeen    map[state.FailureDomain]time.Time
 	domainTimeout time.Duration
 	// unreachable is until when a domain that is cut off gets no requests, because a
@@ -135,7 +135,7 @@
 	h.peers[p] = &peerEvidence{until: now.Add(age), counts: counts}
 }
 
-// ObserveDomains takes in when a daemon of each other domain was last heard from,
+// ObserveDomains takes in when a daemon of each other domain was last seen,
 // and after which time a domain counts as cut off. A domain that never had a
 // daemon is never cut off.
 func (h *Health) ObserveDomains(seen map[state.FailureDomain]time.Time, timeout time.Duration) {
@@ -173,7 +173,7 @@
 	return !lost && !h.domainIsCutOff(r.Domain, now)
 }
 
-// domainIsCutOff reports whether daemons of a domain were heard from once and all
+// domainIsCutOff reports whether daemons of a domain were seen once and all
 // of them have been silent for the timeout.
 func (h *Health) domainIsCutOff(domain state.FailureDomain, now time.Time) bool {
 	at, ok := h.domainSeen[domain]
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -165,7 +165,7 @@
 	c.health.Observe(peer, h.Evidence, now, evidenceAge)
 }
 
-// observeDomains passes on when daemons of the other domains were last heard from.
+// observeDomains passes on when daemons of the other domains were last seen.
 func (c *control) observeDomains() {
 	domains := c.roster.Domains()
 	delete(domains, c.domain)
