A silent replica is left only if the retry is within the budget

A daemon in a planned stop left a resumable stream whose events paused, then had no retry in its budget, and broke the caller's stream off though the replica was still at work.

Change: the retry is reserved in the budget before the replica is left; without one it is waited for. Attempts.CountSend uses the reservation up.

Test: 'waits for a slow replica where the budget has no retry' (failed before: the stream was broken after its first event).

Ruled out: the planned stop itself; its grace had 6 s left.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -47,6 +47,8 @@
 	Begun bool
 	// Outcome is what is known of the request after all attempts so far.
 	Outcome coordination.Outcome
+	// reserved means that the next send is paid for.
+	reserved bool
 }
 
 // NewAttempts returns the state before the first attempt: not run, because no
@@ -105,5 +107,22 @@
 	if a.Sent == 0 {
 		return true
 	}
-	return a.left() && b.SpendRetry(s, now)
+	return a.ReserveRetry(b, s, now)
+}
+
+// CountSend counts that the request is written to a replica, which uses up a reserved
+// retry. It returns true the first time.
+func (a *Attempts) CountSend() bool {
+	a.Sent++
+	a.reserved = false
+	return a.Sent == 1
+}
+
+// ReserveRetry asks for a retry before the present attempt is given up. A replica
+// that may only be slow must not be left for a retry that the budget then forbids.
+func (a *Attempts) ReserveRetry(b *RetryBudgets, s ServiceName, now time.Time) bool {
+	if !a.reserved {
+		a.reserved = a.left() && b.SpendRetry(s, now)
+	}
+	return a.reserved
 }
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -126,10 +126,14 @@
 		return nil
 	}
 	until := x.deadline
-	if wait, leave := s.attempts.EventTimeout(); leave {
+	wait, leave := s.attempts.EventTimeout()
+	if leave {
 		until = time.Now().Add(wait)
 	}
 	arrived, err := x.await(until)
+	if err == nil && !arrived && leave && !s.reserveRetry() {
+		arrived, err = x.await(x.deadline)
+	}
 	if err != nil {
 		// The end of an answer without a length is found by reading.
 		if errors.Is(err, io.EOF) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -137,7 +137,7 @@
 		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonConnect, RetryAfter: routing.RetryAfter}, err: errDrained}
 	}
 	x := &exchange{pool: s.Pool, codec: s.Codec, call: s.call, conn: c, deadline: s.call.Deadline}
-	if s.attempts.Sent++; s.attempts.Sent == 1 {
+	if s.attempts.CountSend() {
 		s.Budgets.CountRequest(s.call.Service, now)
 	}
 	f := x.begin(ctx, RequestHead{
@@ -196,7 +196,7 @@
 	if !time.Now().Before(x.deadline) {
 		return x.expired()
 	}
-	if leave {
+	if leave && s.reserveRetry() {
 		return x.silent()
 	}
 	s.blame(r, routing.ResultSilent, errSilent)
@@ -209,6 +209,11 @@
 	return x.expired()
 }
 
+// reserveRetry reports whether the call may go to another replica if this one is left.
+func (s *serving) reserveRetry() bool {
+	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, time.Now())
+}
+
 // finish gives the caller its final answer if it has none.
 func (s *serving) finish(ctx context.Context) {
 	s.summary.Total = time.Since(s.call.Arrived)
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -438,6 +438,22 @@
 		}),
 	)
 
+	It("waits for a slow replica where the budget has no retry", func() {
+		script := func(a *arrival) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			time.Sleep(800 * time.Millisecond)
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		}
+		w := newWorld(resumable, startReplica("r1", script), startReplica("r2", script))
+		w.relay.Budgets = routing.NewRetryBudgets(routing.RetryRule{Window: 10 * time.Second}, 1)
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(whole))
+		Expect(to.broken).To(BeFalse())
+		Expect(s.Attempts).To(HaveLen(1))
+	})
+
 	It("stops the first run before the second begins", func() {
 		n := 0
 		gone := make(chan bool, 1)
