The decision on cut-off domains stands in a file of its own

eject.go held two decisions: which replicas are ejected, and which failure domains are cut off. The second one is cutoff.go now, with its inputs, rule and constants; the rule of giveup.go says that a replica is left only with a reserved retry. No behaviour changes.

--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -10,9 +10,9 @@
 //  2. A heartbeat goes to fanOut members, farFanOut of them in other domains, whose
 //     links cost more.
 //  3. It names the likely readers of the store, on which others' choice of readers
-//     depends; the members of the own domain that were seen last, which is what spreads the
-//     latest of them; of each other domain the one that was seen last, by which a
-//     cut is found out; and some others by chance.
+//     depends; the members of the own domain that were seen last, which is what
+//     spreads the latest of them; of each other domain the one that was seen last,
+//     by which a cut is found out; and some others by chance.
 //  4. A daemon that has just been found is sent more members at once, or it would
 //     learn of them slowly.
 //
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -27,10 +27,12 @@
 	c := &candidates{ready: pool.Ready, loads: make([]int, n), usable: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool)) / float64(n)
 	p.Health.markUsable(c.usable, pool, now)
-	c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
+	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
+	c.exclude(wasTried)
 	if c.usableCount == 0 {
+		// An ejected replica is better than none.
 		p.Health.markNotCutOff(c.usable, pool, now)
-		c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
+		c.exclude(wasTried)
 	}
 	if tried.BeyondReach && c.hasUsable(domain) {
 		c.exclude(func(r *Replica) bool { return r.Domain != domain })
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -1,10 +1,9 @@
-// This file decides which replicas get no requests because requests to them
-// failed, or because they are cut off from this daemon.
+// This file decides which replicas get no requests because requests to them failed.
+// cutoff.go has those that are cut off with their whole failure domain.
 //
-// Inputs: the results of this daemon's attempts within [evidenceWindow], those that
-// its peers publish, and when a daemon of each failure domain was last
-// seen. Replicas' own health checks are not used: a check costs a slot, and a
-// replica can fail requests while its check is good. The rule:
+// Inputs: the results of this daemon's attempts within [evidenceWindow], and those
+// that its peers publish. Replicas' own health checks are not used: a check costs a
+// slot, and a replica can fail requests while its check is good. The rule:
 //
 //  1. A replica that takes no connection, or is silent for longer than giveup.go
 //     allows, is ejected at once by the daemon that saw it.
@@ -14,15 +13,10 @@
 //  3. An ejection lasts firstEjection, twice as long each time up to
 //     longestEjection, and is short again after ejectionMemory without one. After
 //     it the replica gets requests again; that is the only probe.
-//  4. The replicas of a domain of which no daemon was seen for the domain timeout
-//     are excluded first: the domain is cut off.
-//  5. Where all domains that have replicas are cut off, those in which a replica was
-//     found to be unreachable get no requests while its ejection lasts: requests
-//     are refused at once. The next one after that finds out.
-//  6. Where fewer than half of the rest would be left, ejections are ignored: then
-//     the evidence speaks against the service or this daemon's links, and
-//     ejecting would only crowd the others (docs/incidents/inc-8c0c.md is why rule
-//     4 comes before rule 6).
+//  4. The replicas that are cut off are left out first. Where fewer than half of the
+//     rest would be left, ejections are ignored: then the evidence speaks against
+//     the service or this daemon's links, and ejecting would only crowd the others
+//     (docs/incidents/inc-8c0c.md is why the cut comes first).
 
 package routing
 
@@ -50,16 +44,6 @@
 	// every 5 s; after 1 s a daemon of 62 saw a fifth of the evidence (bfca240).
 	PeerEvidenceAge      = time.Second
 	PeerEvidenceAgeLarge = 3 * time.Second
-	// DomainTimeout is the time without a message of any daemon of a domain after
-	// which the domain counts as cut off: three heartbeats and the links' delay.
-	// DomainTimeoutLarge holds in a large fleet, where heartbeats cross domains
-	// over several daemons: at 700 ms a third of all windows looked like a cut (89dcc09).
-	DomainTimeout      = 700 * time.Millisecond
-	DomainTimeoutLarge = 1200 * time.Millisecond
-	// domainMemory is how long the silence of a domain's daemons excludes its
-	// replicas. Daemons that are gone for good say nothing of the replicas there;
-	// after that requests find out. Chosen, not measured.
-	domainMemory = 15 * time.Second
 )
 
 // Health keeps the evidence for each replica. It is safe for use by many
@@ -135,18 +119,6 @@
 	h.peers[p] = &peerEvidence{until: now.Add(age), counts: counts}
 }
 
-// ObserveDomains takes in when a daemon of each other domain was last seen,
-// and after which time a domain counts as cut off. A domain that never had a
-// daemon is never cut off.
-func (h *Health) ObserveDomains(seen map[state.FailureDomain]time.Time, timeout time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.domainTimeout = timeout
-	for domain, at := range seen {
-		h.domainSeen[domain] = at
-	}
-}
-
 // Own returns this daemon's counts of the replicas at which requests failed, for
 // its peers.
 func (h *Health) Own(now time.Time) []Evidence {
@@ -173,15 +145,8 @@
 	return !lost && !h.domainIsCutOff(r.Domain, now)
 }
 
-// domainIsCutOff reports whether daemons of a domain were seen once and all
-// of them have been silent for the timeout.
-func (h *Health) domainIsCutOff(domain state.FailureDomain, now time.Time) bool {
-	at, ok := h.domainSeen[domain]
-	return ok && now.Sub(at) > h.domainTimeout
-}
-
 // markUsable writes into usable which ready replicas of a pool may be chosen, by
-// the rules 4 to 6.
+// rule 4.
 func (h *Health) markUsable(usable []bool, p *Pool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -202,47 +167,6 @@
 	}
 }
 
-// markReachable marks the replicas in domains that are not cut off, or, if there are
-// none, in those that are only silent. It returns how many it marked.
-func (h *Health) markReachable(usable []bool, p *Pool, now time.Time) int {
-	marked := h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsCutOff(d, now) })
-	if marked > 0 {
-		return marked
-	}
-	return h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
-}
-
-// markNotCutOff marks all replicas but those of domains that are cut off and were
-// found to be unreachable.
-func (h *Health) markNotCutOff(usable []bool, p *Pool, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
-}
-
-// domainIsUnreachable reports whether a domain is cut off and a replica there could
-// not be reached.
-func (h *Health) domainIsUnreachable(d state.FailureDomain, now time.Time) bool {
-	return now.Before(h.unreachable[d]) && h.domainIsCutOff(d, now)
-}
-
-// mark marks the replicas of the domains that meet a condition, and returns how many.
-func (h *Health) mark(usable []bool, p *Pool, condition func(state.FailureDomain) bool) int {
-	met := make(map[state.FailureDomain]bool, len(h.domainSeen))
-	for d := range h.domainSeen {
-		met[d] = condition(d)
-	}
-	marked := 0
-	for i := range p.Ready {
-		ok, seen := met[p.Ready[i].Domain]
-		usable[i] = ok || !seen
-		if usable[i] {
-			marked++
-		}
-	}
-	return marked
-}
-
 // Forget drops what is too old to matter. ownDomain never counts as cut off.
 func (h *Health) Forget(ownDomain state.FailureDomain, now time.Time) {
 	h.mu.Lock()
@@ -286,6 +210,3 @@
 	}
 	return failures, ""
 }
-
-// reasonDomainCutOff is the reason that operators see; its words are published.
-const reasonDomainCutOff = "no daemon of its domain is heard"
--- a/coordination/routing/giveup.go
+++ b/coordination/routing/giveup.go
@@ -7,7 +7,8 @@
 //     answer within firstByteShare of the route's target is left; a stream that can
 //     go on elsewhere is left when its events pause for eventShare times the
 //     route's target. Short targets are not taken literally: there is a least
-//     wait for each.
+//     wait for each. It is left only if the retry can be reserved in the budget
+//     (retry.go); else it is waited for.
 //  2. Where it can't, the replica is waited for until the deadline, and blamed for
 //     its silence after blameShare times the route's target, so that other requests
 //     avoid it.
