--- a/coordination/routing/giveup.go
+++ b/coordination/routing/giveup.go
@@ -10,8 +10,7 @@
 //     wait for each. It is left only if the retry can be reserved in the budget
 //     (retry.go); else it is waited for.
 //  2. Where it can't, the replica is waited for until the deadline, and blamed for
-//     its silence after blameShare times the route's target, so that other requests
-//     avoid it.
+//     its silence after blameTimeout, so that other requests avoid it.
 //  3. [ReturnMargin] of the deadline is kept for the answer's way to the caller.
 //
 // Leaving earlier (half the target and 80 ms, 0.7 of the event target and 200 ms) scored
@@ -35,11 +34,10 @@
 	// the least wait.
 	eventShare = 2
 	eventLeast = 500 * time.Millisecond
-	// blameShare is the multiple of a route's target for the first byte after which
-	// silence is held against a replica; the least wait is firstByteLeast.
-	blameShare = 2
-	// blameDefault holds where the route has no target.
-	blameDefault = time.Second
+	// blameTimeout is the silence before an answer that is held against a replica.
+	// Twice the route's target scored the same on two sites
+	// (docs/design/decisions-under-load.md, round 6).
+	blameTimeout = time.Second
 )
 
 // FirstByteTimeout returns how long to wait for the first byte of an answer, and
@@ -47,10 +45,7 @@
 // blamed, and waited for until the deadline.
 func (a *Attempts) FirstByteTimeout() (wait time.Duration, leave bool) {
 	if !a.Route.MayRunAgain() || !a.left() {
-		if a.Route.FirstByteTarget <= 0 {
-			return blameDefault, false
-		}
-		return max(blameShare*a.Route.FirstByteTarget, firstByteLeast), false
+		return blameTimeout, false
 	}
 	return max(time.Duration(firstByteShare*float64(a.Route.FirstByteTarget)), firstByteLeast), true
 }
