--- /dev/null
+++ b/internal/soak/judge_counts.go
@@ -0,0 +1,78 @@
+// This file judges what only counts can tell: findings that are allowed a few times, and
+// retries within a window.
+
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// judgeFew takes the cases of which a few are allowed.
+func (j *judgement) judgeFew() {
+	byPromise := make(map[string][]Violation)
+	for _, v := range j.few {
+		byPromise[v.Promise] = append(byPromise[v.Promise], v)
+	}
+	for _, list := range byPromise {
+		if len(list) > j.bounds.Few {
+			j.out = append(j.out, list...)
+		}
+	}
+}
+
+// judgeRepeats counts, for each service, the arrivals beyond the first of each
+// request in every window that ends with one.
+func (j *judgement) judgeRepeats() {
+	repeats, firsts := make(map[string][]time.Time), make(map[string][]time.Time)
+	for _, r := range j.order {
+		for i, a := range r.arrivals {
+			if i > 0 {
+				repeats[a.Service] = append(repeats[a.Service], a.At)
+				continue
+			}
+			firsts[a.Service] = append(firsts[a.Service], a.At)
+		}
+	}
+	for service, list := range repeats {
+		slices.SortFunc(list, time.Time.Compare)
+		for i, end := range list {
+			n := countWithin(list[:i+1], end, j.bounds.Window)
+			// The users count the better of this window and the one before.
+			requests := max(countWithin(firsts[service], end, j.bounds.Window), countWithin(firsts[service], end.Add(-j.bounds.Window), j.bounds.Window))
+			if most := j.bounds.Ratio*float64(requests) + j.bounds.Extra; float64(n) > most {
+				j.out = append(j.out, Violation{Promise: "BUDGET", Subject: service, At: end, Detail: fmt.Sprintf("%d repeats in a window, allowed are %.0f", n, most)})
+				break
+			}
+		}
+	}
+}
+
+func countWithin(list []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range list {
+		if !t.After(end) && end.Sub(t) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// Served returns how many of the requests that were sent within a time, with a
+// key that held, got a success.
+func (l *Ledger) Served(from, to time.Time) (served, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.order {
+		key := l.keys[r.Key]
+		if !r.known || r.Sent.Before(from) || r.Sent.After(to) || !r.left.IsZero() || key == nil || !key.removed.IsZero() {
+			continue
+		}
+		all++
+		if r.answer != nil && r.answer.Whole && r.answer.Status/100 == 2 {
+			served++
+		}
+	}
+	return served, all
+}
