--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -10,11 +10,9 @@
 //     alike in every daemon. The first is the prompt's home.
 //  2. A replica is too loaded if it holds more than loadBound times the service's
 //     mean plus loadSlack requests.
-//  3. For a prompt of up to domainHomeTokens shared tokens that a replica is known to
-//     hold, the first replica of the daemon's own failure domain that is not too
-//     loaded takes it. Longer prompts have one home for all domains, since copying
-//     them costs more than the way; so has a prompt that nobody is known to hold,
-//     since the home of all is the likeliest to hold it.
+//  3. For a prompt of up to domainHomeTokens shared tokens, the first replica of the
+//     daemon's own failure domain that is not too loaded takes it. Longer prompts
+//     have one home for all domains, since copying them costs more than the way.
 //  4. Else the first that holds the prompt and is not too loaded takes it.
 //  5. Else the first of orderTries in the order that is not too loaded.
 //  6. Else the one that holds the fewest requests.
@@ -107,7 +105,7 @@
 	key := r.Key()
 	cached := p.Cache.locations(key, now)
 	c.order(key)
-	domainHome := r.SharedTokens() <= domainHomeTokens && len(cached) > 0
+	domainHome := r.SharedTokens() <= domainHomeTokens
 	chosen := c.firstNotTooLoaded(domainHome, domain, cached)
 	if chosen == none {
 		chosen = c.leastLoaded()
