A short prompt has two homes for all failure domains, not one in each

More news of locations: a daemon passes on 100 locations a second at most, six homes make some 16,000 in the first seconds.

Change: a short prompt goes to the one of the first two replicas of its order that holds fewer requests; the source that is guessed is the other one, so that no message is needed. The guess counts draining replicas too. The test of a home in each domain goes with that rule; four new ones hold the two homes (the third failed before: 11 readers).

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -100,11 +100,11 @@
 
 // firstNotTooLoaded applies the rules 3 to 5 of place.go. It returns none if all
 // that are considered hold too many requests.
-func (c *candidates) firstNotTooLoaded(domainHome bool, domain state.FailureDomain, cached []location) int {
+func (c *candidates) firstNotTooLoaded(twoHomes bool, domain state.FailureDomain, cached []location) int {
 	limit := loadBound*c.mean + loadSlack
 	fits := func(i int) bool { return c.usable[i] && float64(c.loads[i]) < limit }
-	if domainHome {
-		if i := c.first(func(i int) bool { return fits(i) && c.ready[i].Domain == domain }); i != none {
+	if twoHomes {
+		if i := c.lessLoadedHome(domain); i != none && fits(i) {
 			return i
 		}
 	}
@@ -116,12 +116,31 @@
 	return c.firstOfOrder(fits)
 }
 
+// lessLoadedHome returns the one of the first two usable replicas of the order that
+// holds fewer requests. Of two that hold as many it is the first, unless only the
+// second is in the daemon's own domain.
+func (c *candidates) lessLoadedHome(domain state.FailureDomain) int {
+	first := c.next(none)
+	if first == none {
+		return none
+	}
+	second := c.next(first)
+	if second == none || c.loads[first] < c.loads[second] {
+		return first
+	}
+	onlySecondIsNear := c.ready[second].Domain == domain && c.ready[first].Domain != domain
+	if c.loads[second] < c.loads[first] || onlySecondIsNear {
+		return second
+	}
+	return first
+}
+
 // firstOfOrder returns the first replica that fits among the first orderTries usable
 // ones of the order, or none.
 func (c *candidates) firstOfOrder(fits func(i int) bool) int {
 	last := none
 	for range orderTries {
-		next := c.first(func(i int) bool { return c.usable[i] && (last == none || c.ranks[i] < c.ranks[last]) })
+		next := c.next(last)
 		if next == none || fits(next) {
 			return next
 		}
@@ -130,6 +149,12 @@
 	return none
 }
 
+// next returns the usable replica that comes after another one in the order, or none;
+// after none comes the first.
+func (c *candidates) next(after int) int {
+	return c.first(func(i int) bool { return c.usable[i] && (after == none || c.ranks[i] < c.ranks[after]) })
+}
+
 func (c *candidates) leastLoaded() int {
 	best := none
 	for i := range c.ready {
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -10,9 +10,9 @@
 //     alike in every daemon. The first is the prompt's home.
 //  2. A replica is too loaded if it holds more than loadBound times the service's
 //     mean plus loadSlack requests.
-//  3. For a prompt of up to domainHomeTokens shared tokens, the first replica of the
-//     daemon's own failure domain that is not too loaded takes it. Longer prompts
-//     have one home for all domains, since copying them costs more than the way.
+//  3. A prompt of up to twoHomesTokens shared tokens has two homes, the first two of
+//     the order. The one that holds fewer requests takes it if it is not too loaded;
+//     of two that hold as many, the one in the daemon's own failure domain.
 //  4. Else the first that holds the prompt and is not too loaded takes it.
 //  5. Else the first of orderTries in the order that is not too loaded.
 //  6. Else the one that holds the fewest requests.
@@ -33,6 +33,7 @@
 	"slices"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/state"
 )
 
@@ -42,10 +43,13 @@
 	// "Tried without effect beyond noise").
 	loadBound = 1.6
 	loadSlack = 2
-	// domainHomeTokens is in shared tokens. No domain homes, 1,000, 3,000 and all
-	// prompts were scored; 3,000 was the best on days with trouble (journal
-	// "trial: near1000", "trial: near3000", "trial: near").
-	domainHomeTokens = 3000
+	// twoHomesTokens is in shared tokens. Two homes let requests avoid the busier one
+	// without reading a prompt again, and each knows where to copy it from: the other.
+	// A home in each of six failure domains in place of the two, before 153 replicas,
+	// had four times the tokens read again and twice as many copied, and filled the
+	// replicas less evenly. Longer prompts have one home, since a copy of them costs
+	// more than it evens out.
+	twoHomesTokens = 3000
 	// copyTokens is in shared tokens. 1,500 scored .029 less, no copies at all .094
 	// less (ablation, docs/design/decisions-under-load.md).
 	copyTokens = 256
@@ -105,8 +109,8 @@
 	key := r.Key()
 	cached := p.Cache.locations(key, now)
 	c.order(key)
-	domainHome := r.SharedTokens() <= domainHomeTokens
-	chosen := c.firstNotTooLoaded(domainHome, domain, cached)
+	twoHomes := r.SharedTokens() <= twoHomesTokens
+	chosen := c.firstNotTooLoaded(twoHomes, domain, cached)
 	if chosen == none {
 		chosen = c.leastLoaded()
 	}
@@ -114,7 +118,7 @@
 	if s.CopiesPrompts && r.SharedTokens() >= copyTokens && !holdsPrompt(cached, &t.Replica) {
 		t.Source = p.source(&t, cached, pool, now)
 		if t.Source.ID == "" {
-			t.Source = p.likelySource(c, chosen, now)
+			t.Source = p.likelySource(key, &t.Replica, pool, now)
 		}
 	}
 	return t
@@ -155,14 +159,26 @@
 }
 
 // likelySource guesses who holds a prompt that nobody has announced: the replica that
-// ranks first besides the target. If the target is the home, that one was the home
-// before the target joined. A wrong guess costs a copy that finds nothing.
-func (p *Placer) likelySource(c *candidates, target int, now time.Time) Replica {
-	likely := c.first(func(i int) bool { return i != target && p.Health.Reachable(&c.ready[i], now) })
-	if likely == none {
+// ranks first besides the target, draining ones counted. That is the other home, or the
+// home from before the target joined or before the former home began to leave. A wrong
+// guess costs a copy that finds nothing.
+func (p *Placer) likelySource(key uint64, target *Replica, pool *Pool, now time.Time) Replica {
+	var best *Replica
+	var bestRank uint64
+	for _, list := range [][]Replica{pool.Ready, pool.Draining} {
+		for i := range list {
+			r := &list[i]
+			rank := coordination.Rank(key, r.Hash)
+			if r.ID == target.ID || best != nil && rank < bestRank || !p.Health.Reachable(r, now) {
+				continue
+			}
+			best, bestRank = r, rank
+		}
+	}
+	if best == nil {
 		return Replica{}
 	}
-	return c.ready[likely]
+	return *best
 }
 
 func holdsPrompt(cached []location, r *Replica) bool {
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// short returns a request whose prompt has two homes.
+func short(subject string) *routing.Request {
+	r := chat(subject)
+	r.Prompt[1].Tokens = 600
+	return r
+}
+
 var _ = Describe("Placement of prompts", func() {
 	It("sends requests that share a prompt to one replica, whatever their own part", func() {
 		f := newFleet("llm", sameDomain(18)...)
@@ -222,17 +229,49 @@
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(held.ID))
 	})
 
-	It("gives a short prompt a home in each domain, and copies it there from a replica that holds it", func() {
-		f := newFleet("llm", "z0", "z0", "z1", "z1", "z1")
-		short := chat("s")
-		short.Prompt[1].Tokens = 600
-		f.view.Domain = "z1"
-		there := f.serve(short)
-		Expect(there.Domain).To(Equal(state.FailureDomain("z1")))
-		f.view.Domain = "z0"
-		here := f.choose(short)
-		Expect(here.Replica.Domain).To(Equal(state.FailureDomain("z0")))
-		Expect(here.Source.ID).To(Equal(there.ID))
+	It("sends a short prompt to the one of its two homes that holds fewer requests, and copies it from the other", func() {
+		f := newFleet("llm", sameDomain(18)...)
+		first := f.choose(short("s")).Replica
+		f.load(first, 1)
+		second := f.choose(short("s"))
+		Expect(second.Rank).To(Equal(1))
+		Expect(second.Source.ID).To(Equal(first.ID), "though nobody has announced it")
+		f.load(second.Replica, 2)
+		Expect(f.choose(short("s")).Replica.ID).To(Equal(first.ID))
+	})
+
+	It("prefers the home of its own domain where both hold as many requests", func() {
+		f := newFleet("llm", "z0", "z1", "z0", "z1", "z0", "z1")
+		for i := range 20 {
+			f.view.Domain = "z0"
+			here := f.choose(short(fmt.Sprint(i)))
+			f.view.Domain = "z1"
+			there := f.choose(short(fmt.Sprint(i)))
+			Expect(here.Rank).To(BeNumerically("<=", 1))
+			Expect(there.Rank).To(BeNumerically("<=", 1))
+			if here.Replica.ID != there.Replica.ID {
+				Expect(here.Replica.Domain).To(Equal(state.FailureDomain("z0")))
+				Expect(there.Replica.Domain).To(Equal(state.FailureDomain("z1")))
+			}
+		}
+	})
+
+	It("reads a short prompt at no more than two replicas of a fleet that nobody overloads", func() {
+		f := newFleet("llm", manyDomains(66)...)
+		readers := make(map[routing.ReplicaID]bool)
+		for i := range 66 {
+			f.view.Domain = state.FailureDomain(fmt.Sprintf("z%d", i%11))
+			readers[f.serve(short("s")).ID] = true
+		}
+		Expect(len(readers)).To(BeNumerically("<=", 2))
+	})
+
+	It("guesses that a draining former home holds a prompt that nobody has announced", func() {
+		f := newFleet("llm", sameDomain(18)...)
+		home := f.choose(chat("s")).Replica
+		f.remove(home.ID)
+		f.pool.Draining = append(f.pool.Draining, home)
+		Expect(f.choose(chat("s")).Source.ID).To(Equal(home.ID))
 	})
 
 	It("sends a long prompt to where it is held, whatever the domain", func() {
