Peers are not sent where a short prompt is read if that is one of its homes

Cause: a daemon of a large fleet passes on at most 100 locations a second, and each location is passed on by all.

Ruled out: not announcing long prompts at their home either. A replica that joins above the home would then take the prompt over in each daemon that did not send it itself.

Change: the placement records a read prompt and has it announced only if it is long, or was read at a third replica. Test first: three readers, one announcement.

--- a/coordination/routing/cache.go
+++ b/coordination/routing/cache.go
@@ -75,15 +75,16 @@
 func NewCacheTable() *CacheTable { return &CacheTable{prompts: make(map[PromptKey][]location)} }
 
 // Record notes that a replica has read a prompt for this daemon. prompt is the
-// placement key, tokens the number of shared tokens.
-func (t *CacheTable) Record(prompt uint64, tokens Tokens, replica LoadKey, now time.Time) {
+// placement key, tokens the number of shared tokens. With announce set, peers are sent
+// the location if it is new here.
+func (t *CacheTable) Record(prompt uint64, tokens Tokens, replica LoadKey, announce bool, now time.Time) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := CacheLocation{Prompt: PromptKey(prompt), Replica: replica, Size: locationSize(tokens)}
-	if t.put(l.Prompt, replica, now) {
+	if t.put(l.Prompt, replica, now) && announce {
 		t.announce(l, announceTimes)
 	}
 }
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -50,6 +50,8 @@
 	// replicas less evenly. Longer prompts have one home, since a copy of them costs
 	// more than it evens out.
 	twoHomesTokens = 3000
+	// secondHome is the rank of a short prompt's second home.
+	secondHome = 1
 	// copyTokens is in shared tokens. 1,500 scored .029 less, no copies at all .094
 	// less (ablation, docs/design/decisions-under-load.md).
 	copyTokens = 256
@@ -181,6 +183,14 @@
 	return *best
 }
 
+// RecordRead notes that the target of a request has read its prompt. Peers are not sent
+// that a home of a short prompt holds it: there they look without being told. With all
+// locations announced, a fleet of 295 daemons had more than its heartbeats could carry.
+func (p *Placer) RecordRead(r *Request, t *Target, now time.Time) {
+	announce := r.SharedTokens() > twoHomesTokens || t.Rank > secondHome
+	p.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), announce, now)
+}
+
 func holdsPrompt(cached []location, r *Replica) bool {
 	return slices.ContainsFunc(cached, func(l location) bool { return l.replica == r.LoadKey() })
 }
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -145,7 +145,7 @@
 // serve chooses a replica and takes down that it has read the prompt.
 func (f *fleet) serve(r *routing.Request) routing.Replica {
 	t := f.choose(r)
-	f.placer.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), epoch)
+	f.placer.RecordRead(r, &t, epoch)
 	return t.Replica
 }
 
@@ -266,6 +266,19 @@
 		Expect(len(readers)).To(BeNumerically("<=", 2))
 	})
 
+	It("announces a short prompt only where nobody expects it, and a long one everywhere", func() {
+		f := newFleet("llm", sameDomain(18)...)
+		homes := []routing.Replica{f.serve(short("s"))}
+		f.load(homes[0], 30)
+		homes = append(homes, f.serve(short("s")))
+		Expect(f.placer.Cache.TakePending(10)).To(BeEmpty())
+		f.load(homes[1], 30)
+		third := f.serve(short("s"))
+		Expect(f.placer.Cache.TakePending(10)).To(ConsistOf(HaveField("Replica", third.LoadKey())))
+		f.serve(chat("s"))
+		Expect(f.placer.Cache.TakePending(10)).To(ContainElement(HaveField("Prompt", routing.PromptKey(chat("s").Key()))))
+	})
+
 	It("guesses that a draining former home holds a prompt that nobody has announced", func() {
 		f := newFleet("llm", sameDomain(18)...)
 		home := f.choose(chat("s")).Replica
@@ -564,8 +577,8 @@
 var _ = Describe("CacheTable", func() {
 	It("announces each location twice and no more", func() {
 		h := routing.NewCacheTable()
-		h.Record(1, 1000, 2, epoch)
-		h.Record(1, 1000, 2, epoch)
+		h.Record(1, 1000, 2, true, epoch)
+		h.Record(1, 1000, 2, true, epoch)
 		Expect(h.TakePending(10)).To(HaveLen(1))
 		Expect(h.TakePending(10)).To(HaveLen(1))
 		Expect(h.TakePending(10)).To(BeEmpty())
@@ -588,7 +601,7 @@
 		for i := range tables {
 			tables[i] = routing.NewCacheTable()
 		}
-		tables[0].Record(1, 1000, 2, epoch)
+		tables[0].Record(1, 1000, 2, true, epoch)
 		for range 6 {
 			for _, h := range tables {
 				told := h.TakePending(10)
@@ -607,7 +620,7 @@
 	It("stays bounded", func() {
 		h := routing.NewCacheTable()
 		for i := range uint64(50_000) {
-			h.Record(i, 1000, routing.LoadKey(i), epoch.Add(time.Duration(i)*time.Millisecond))
+			h.Record(i, 1000, routing.LoadKey(i), true, epoch.Add(time.Duration(i)*time.Millisecond))
 		}
 		Expect(h.Len()).To(BeNumerically("<=", 20_000))
 		Expect(len(h.TakePending(1 << 20))).To(BeNumerically("<=", 200))
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -171,7 +171,7 @@
 	}
 	status := x.response.StatusCode
 	if len(s.call.Prompt) > 0 && isSuccess(status) {
-		s.Placer.Cache.Record(s.call.Key(), s.call.SharedTokens(), t.Replica.LoadKey(), time.Now())
+		s.Placer.RecordRead(&s.call.Request, t, time.Now())
 	}
 	if s.call.Route.Kind == routing.Stream && isSuccess(status) {
 		return s.relayStream(ctx, x, t)
