A daemon without documents asks some of the members that it is sent at once

Who got the members from a seed then waited for the next heartbeat to ask one of them, so that the seeds, on 20 Mbit/s each, were all that the fleet learnt from in the first moment.

Change: a daemon that holds no documents sends a heartbeat to six of the members that it has just been sent, at most once in 200 ms. Each answers with the revision of its documents, and is asked for them if it has some. Tests: asked at once, not again with each message, never with documents.

--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -11,6 +11,7 @@
 
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 )
 
@@ -79,6 +80,46 @@
 	}
 }
 
+// TestStartAsksTheMembersThatItIsSent plays a daemon without documents that a seed sends
+// some members: it asks a few of them at once, and not again with each message.
+func TestStartAsksTheMembersThatItIsSent(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&out, "info", "d", newMetrics())
+	defer l.Close()
+	c := newTestControl(l, fewDocuments{})
+	sent := make(map[membership.Address]int)
+	c.heartbeats.send = func(to membership.Address, _ []byte) { sent[to]++ }
+	now := time.Unix(1_000_000, 0)
+	receive := func(from, members int) {
+		h := gossip.Heartbeat{Sender: testMember(from), Partial: true}
+		for i := range members {
+			h.Members = append(h.Members, testMember(100*from+i))
+		}
+		c.receiveHeartbeat(context.Background(), &h, now)
+	}
+	c.planReads(now)
+	receive(1, 20)
+	if want := 1 + greetings; len(sent) > want || len(sent) < greetings {
+		t.Fatalf("asked %d of 21 members, want %d and the sender", len(sent), greetings)
+	}
+	before := len(sent)
+	receive(2, 20)
+	if len(sent) > before+1 {
+		t.Fatalf("asked %d more at once", len(sent)-before)
+	}
+	c.apply(c.catalog.feed.ApplyList([]feed.Item{{Key: "config", Revision: 5}}, 5), "store", now)
+	clear(sent)
+	now = now.Add(time.Second)
+	receive(3, 20)
+	if len(sent) > 1 {
+		t.Fatalf("asked %d although it holds documents", len(sent))
+	}
+}
+
+func testMember(i int) membership.Member {
+	return membership.Member{Address: membership.Address(fmt.Sprintf("10.0.%d.%d:1", i/100, 2+i%100)), Domain: "a", Incarnation: 1, Heartbeats: 1}
+}
+
 // fewDocuments reads a configuration and replicas that hold nothing but their keys.
 type fewDocuments struct{}
 
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -28,6 +28,10 @@
 	// partialTargets is how many daemons a partial heartbeat of a large fleet goes
 	// to. What it brings is forwarded, so that fewer do than of a whole one.
 	partialTargets = 3
+	// greetings is how many of the members that it is sent a daemon without documents
+	// asks at once: enough that one of them is likely to hold some when a whole fleet
+	// starts, and that seeds, which all ask first, are not all who serve them.
+	greetings = 6
 )
 
 // heartbeats is the state of sending.
@@ -37,6 +41,7 @@
 	ticks     int
 	sent      int
 	sampleDue bool // the next heartbeat names members
+	greetedAt time.Time
 }
 
 // tickHeartbeat sends a heartbeat if one is due at this tick.
@@ -89,12 +94,17 @@
 func (c *control) sendBootstrap(to membership.Member, now time.Time) {
 	h := c.newHeartbeat(now)
 	h.Partial, h.Members = true, c.roster.Bootstrap(to, now, c.heartbeats.rng)
-	payload, err := gossip.EncodeHeartbeat(&h)
+	c.sendTo(to.Address, &h)
+}
+
+// sendTo sends a heartbeat to one daemon.
+func (c *control) sendTo(to membership.Address, h *gossip.Heartbeat) {
+	payload, err := gossip.EncodeHeartbeat(h)
 	if err != nil {
 		c.log.HeartbeatFailed(err)
 		return
 	}
-	c.heartbeats.send(to.Address, payload)
+	c.heartbeats.send(to, payload)
 }
 
 // spread sends a heartbeat to its targets.
@@ -153,6 +163,24 @@
 	if len(joined) > 0 {
 		c.heartbeats.sampleDue = true
 	}
+	if c.catalog.feed.Revision() == 0 {
+		c.greet(joined, now)
+	}
+}
+
+// greet sends a heartbeat to some members at once, but not more often than others go
+// out. Each that finds this daemon by it answers, and says which documents it holds.
+func (c *control) greet(members []membership.Member, now time.Time) {
+	if len(members) == 0 || now.Sub(c.heartbeats.greetedAt) < heartbeatInterval {
+		return
+	}
+	c.heartbeats.greetedAt = now
+	c.heartbeats.rng.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	h := c.newHeartbeat(now)
+	h.Partial = true
+	for _, m := range members[:min(len(members), greetings)] {
+		c.sendTo(m.Address, &h)
+	}
 }
 
 // observeRequests takes in a peer's counts of its requests at replicas.
