In a small fleet a short prompt keeps a home in each failure domain

Change: two homes only in a fleet of more than 12 daemons, where not all send to all; below, a home in each domain as before, announced as before. For larger fleets nothing changes.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -98,22 +98,32 @@
 	return n
 }
 
-// firstNotTooLoaded applies the rules 3 to 5 of place.go. It returns none if all
-// that are considered hold too many requests.
-func (c *candidates) firstNotTooLoaded(twoHomes bool, domain state.FailureDomain, cached []location) int {
-	limit := loadBound*c.mean + loadSlack
-	fits := func(i int) bool { return c.usable[i] && float64(c.loads[i]) < limit }
-	if twoHomes {
-		if i := c.lessLoadedHome(domain); i != none && fits(i) {
-			return i
-		}
+// fits reports whether a replica may be chosen and is not too loaded.
+func (c *candidates) fits(i int) bool {
+	return c.usable[i] && float64(c.loads[i]) < loadBound*c.mean+loadSlack
+}
+
+// homeOfShort applies rule 3 of place.go: it returns the home of a short prompt that is
+// to take a request, or none if that is too loaded.
+func (c *candidates) homeOfShort(domain state.FailureDomain, oneInEachDomain bool) int {
+	if oneInEachDomain {
+		return c.first(func(i int) bool { return c.fits(i) && c.ready[i].Domain == domain })
 	}
+	if i := c.lessLoadedHome(domain); i != none && c.fits(i) {
+		return i
+	}
+	return none
+}
+
+// firstNotTooLoaded applies the rules 4 and 5 of place.go. It returns none if all
+// that are considered hold too many requests.
+func (c *candidates) firstNotTooLoaded(cached []location) int {
 	if len(cached) > 0 {
-		if i := c.first(func(i int) bool { return fits(i) && holdsPrompt(cached, &c.ready[i]) }); i != none {
+		if i := c.first(func(i int) bool { return c.fits(i) && holdsPrompt(cached, &c.ready[i]) }); i != none {
 			return i
 		}
 	}
-	return c.firstOfOrder(fits)
+	return c.firstOfOrder()
 }
 
 // lessLoadedHome returns the one of the first two usable replicas of the order that
@@ -137,11 +147,11 @@
 
 // firstOfOrder returns the first replica that fits among the first orderTries usable
 // ones of the order, or none.
-func (c *candidates) firstOfOrder(fits func(i int) bool) int {
+func (c *candidates) firstOfOrder() int {
 	last := none
 	for range orderTries {
 		next := c.next(last)
-		if next == none || fits(next) {
+		if next == none || c.fits(next) {
 			return next
 		}
 		last = next
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -10,10 +10,12 @@
 //     alike in every daemon. The first is the prompt's home.
 //  2. A replica is too loaded if it holds more than loadBound times the service's
 //     mean plus loadSlack requests.
-//  3. A prompt of up to twoHomesTokens shared tokens has two homes, the first two of
-//     the order. The one that holds fewer requests takes it if it is not too loaded;
-//     of two that hold as many, the one in the daemon's own failure domain, or else
-//     the first.
+//  3. A prompt of up to shortPromptTokens shared tokens has several homes. In a fleet
+//     of up to knownFleet daemons these are the first of the order in each failure
+//     domain, and that of the daemon's own domain takes it if it is not too loaded. In
+//     a larger fleet they are the first two of the order: the one that holds fewer
+//     requests takes it if it is not too loaded; of two that hold as many, the one in
+//     the daemon's own domain, or else the first.
 //  4. Else the first that holds the prompt and is not too loaded takes it.
 //  5. Else the first of orderTries in the order that is not too loaded.
 //  6. Else the one that holds the fewest requests.
@@ -43,13 +45,16 @@
 	// and 1.9 callers are served as well or worse.
 	loadBound = 1.6
 	loadSlack = 2
-	// twoHomesTokens is in shared tokens. Two homes let requests avoid the busier one
-	// without reading a prompt again, and each knows where to copy it from: the other.
-	// A home in each of six failure domains in place of the two, before 153 replicas,
-	// had four times the tokens read again and twice as many copied, and filled the
-	// replicas less evenly. Longer prompts have one home, since a copy of them costs
-	// more than it evens out.
-	twoHomesTokens = 3000
+	// shortPromptTokens is in shared tokens. Longer prompts have one home, since a copy
+	// of them costs more than it evens out.
+	shortPromptTokens = 3000
+	// knownFleet is the number of daemons up to which each knows all loads and cache
+	// locations, since all send to all. There a home in each domain serves .2% more
+	// than two for all domains, by requests that need not cross a cut. Among 295
+	// daemons in six domains few locations are known: the two homes, each of which is
+	// copied from the other, have a quarter of the tokens read again and half of those
+	// copied, and fill the replicas more evenly.
+	knownFleet = 12
 	// secondHome is the rank of a short prompt's second home.
 	secondHome = 1
 	// copyTokens is in shared tokens. Reading 10,000 tokens takes a replica some 70 ms,
@@ -78,6 +83,8 @@
 	// Load and Mean are the inputs of the choice, in requests.
 	Load int
 	Mean float64
+	// expected means that the replica is one of two homes of the prompt.
+	expected bool
 }
 
 // Placer chooses replicas. It is safe for use by many goroutines.
@@ -101,22 +108,29 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	if service != nil && service.Generates && len(r.Prompt) > 0 {
-		return p.choosePrompt(c, pool, v.Domain, r, service, now), true
+		return p.choosePrompt(c, pool, v, r, service, now), true
 	}
 	return c.choosePlain(v.Domain, r), true
 }
 
 // choosePrompt chooses for a request with a prompt.
-func (p *Placer) choosePrompt(c *candidates, pool *Pool, domain state.FailureDomain, r *Request, s *Service, now time.Time) Target {
+func (p *Placer) choosePrompt(c *candidates, pool *Pool, v *View, r *Request, s *Service, now time.Time) Target {
 	key := r.Key()
 	cached := p.Cache.locations(key, now)
 	c.order(key)
-	twoHomes := r.SharedTokens() <= twoHomesTokens
-	chosen := c.firstNotTooLoaded(twoHomes, domain, cached)
+	short, smallFleet := r.SharedTokens() <= shortPromptTokens, v.Daemons <= knownFleet
+	chosen := none
+	if short {
+		chosen = c.homeOfShort(v.Domain, smallFleet)
+	}
+	if chosen == none {
+		chosen = c.firstNotTooLoaded(cached)
+	}
 	if chosen == none {
 		chosen = c.leastLoaded()
 	}
 	t := Target{Replica: c.ready[chosen], Rank: c.place(chosen), Load: c.loads[chosen], Mean: c.mean}
+	t.expected = short && !smallFleet && t.Rank <= secondHome
 	if s.CopiesPrompts && r.SharedTokens() >= copyTokens && !holdsPrompt(cached, &t.Replica) {
 		t.Source = p.source(&t, cached, pool, now)
 		if t.Source.ID == "" {
@@ -184,11 +198,10 @@
 }
 
 // RecordRead notes that the target of a request has read its prompt. Peers are not sent
-// that a home of a short prompt holds it, since they try the homes first anyway. That
-// saves two fifths of the bytes that a daemon of a fleet of 295 sends.
+// that one of two homes holds it, since they try these first anyway. That saves two
+// fifths of the bytes that a daemon of a fleet of 295 sends.
 func (p *Placer) RecordRead(r *Request, t *Target, now time.Time) {
-	announce := r.SharedTokens() > twoHomesTokens || t.Rank > secondHome
-	p.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), announce, now)
+	p.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), !t.expected, now)
 }
 
 func holdsPrompt(cached []location, r *Replica) bool {
