Only long silence and no connection are reported: a slow replica is not shunned by all

A repeatable request leaves a replica after a quarter of a second and reported that. Two of the six replicas of a plain service were shunned within 8 s that way; the others get their load, and would be the next under a burst.

Change: a daemon reports no connection, or silence of a second before an answer that it goes on waiting for; not what it leaves sooner. Ejection by the daemon itself stays as it was. Test: a replica that is silent for 1.2 s is reported by a request that waits, and not by one that leaves.

--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -88,7 +88,7 @@
 		h.records[key] = rec
 	}
 	rec.count(result, now)
-	if meansSilence(result) {
+	if result == ResultUnreachable {
 		h.silences.add(key, h.Reporter, now, now)
 	}
 	if result == ResultGood || rec.ejected(now) || !h.shouldEject(key, rec, result, now) {
--- a/coordination/routing/silence.go
+++ b/coordination/routing/silence.go
@@ -5,13 +5,17 @@
 // Inputs: this daemon's own attempts that met silence or no connection, and the reports
 // of other daemons, which every daemon passes on once. The rule:
 //
-//  1. A report names the replica, the daemon that met the silence, and its age. Of two
+//  1. A daemon reports a replica that took no connection, or that was silent for
+//     blameTimeout (giveup.go). A request that goes elsewhere sooner reports nothing:
+//     a replica that is only busy keeps some waiting that long, and if all daemons then
+//     left it the others of a small service would be the next.
+//  2. A report names the replica, the daemon that met the silence, and its age. Of two
 //     that name the same replica and daemon the newer one counts, so that a report
 //     counts once in whatever order and however often it arrives.
-//  2. A replica is silent while at least silentReporters daemons reported it within
+//  3. A replica is silent while at least silentReporters daemons reported it within
 //     silenceAge, and none of those reports is older than this daemon's last whole
 //     answer from it.
-//  3. A silent replica gets no requests, as one that is ejected (eject.go, rule 4
+//  4. A silent replica gets no requests, as one that is ejected (eject.go, rule 4
 //     included). When its reports have expired, requests find out.
 //
 // The memory is bounded by maxSilences reports.
@@ -123,6 +127,13 @@
 	}
 }
 
+// ReportSilence takes in that a replica was silent for blameTimeout.
+func (h *Health) ReportSilence(r *Replica, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silences.add(r.LoadKey(), h.Reporter, now, now)
+}
+
 // ObserveSilences takes in the reports of a peer. It returns the replicas that are
 // silent from now on and were not before.
 func (h *Health) ObserveSilences(reports []SilenceReport, now time.Time) []LoadKey {
--- a/coordination/routing/silence_test.go
+++ b/coordination/routing/silence_test.go
@@ -66,13 +66,14 @@
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(home.ID))
 	})
 
-	It("are reported by a daemon that meets silence or no connection, and by no other result", func() {
+	It("are reported by a daemon that meets long silence or no connection, and by no other result", func() {
 		h := f.placer.Health
 		h.Reporter = 7
 		r := f.pool.Ready
-		h.Report(&r[0], routing.ResultSilent, epoch)
+		h.ReportSilence(&r[0], epoch)
 		h.Report(&r[1], routing.ResultUnreachable, epoch)
 		h.Report(&r[2], routing.ResultFailed, epoch)
+		h.Report(&r[3], routing.ResultSilent, epoch)
 		Expect(h.TakeSilences(10, epoch)).To(ConsistOf(
 			routing.SilenceReport{Replica: r[0].LoadKey(), Reporter: 7}, routing.SilenceReport{Replica: r[1].LoadKey(), Reporter: 7}))
 		Expect(h.TakeSilences(10, epoch)).To(BeEmpty())
@@ -137,7 +138,7 @@
 				fleet[i].Reporter = routing.ReporterID(i + 1)
 			}
 			for i := range 3 {
-				fleet[i].Report(&silent, routing.ResultSilent, epoch)
+				fleet[i].ReportSilence(&silent, epoch)
 			}
 			knowing := func(now time.Time) int {
 				n := 0
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -200,6 +200,9 @@
 		return x.silent()
 	}
 	s.blame(r, routing.ResultSilent, errSilent)
+	if !leave {
+		s.Placer.Health.ReportSilence(r, time.Now())
+	}
 	if arrived, err = x.await(x.deadline); err != nil {
 		return x.broken(ctx, err)
 	}
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -454,6 +454,34 @@
 		Expect(s.Attempts).To(HaveLen(1))
 	})
 
+	It("reports a replica that was silent for long, and not one that it left sooner", func() {
+		slow := func(a *arrival) bool {
+			time.Sleep(1200 * time.Millisecond)
+			streamHead(a)
+			chunk(a, event(1)+event(2)+event(3))
+			return streamEnd(a)
+		}
+		reports := func(route routing.Route, replicas ...*replica) []routing.SilenceReport {
+			w := newWorld(route, replicas...)
+			to, _ := w.serve(w.call("a", "POST", "x"))
+			Expect(string(to.body)).To(Equal(whole))
+			return w.relay.Placer.Health.TakeSilences(10, time.Now())
+		}
+		once := resumable
+		once.Resumable, once.MaxAttempts = false, 1
+		Expect(reports(once, startReplica("r1", slow))).To(HaveLen(1), "it waited for the answer")
+		n := 0
+		first := func(a *arrival) bool {
+			if turn(&n) == 1 {
+				return slow(a)
+			}
+			streamHead(a)
+			chunk(a, event(1)+event(2)+event(3))
+			return streamEnd(a)
+		}
+		Expect(reports(resumable, startReplica("r1", first), startReplica("r2", first))).To(BeEmpty(), "it left after a quarter of a second")
+	})
+
 	It("stops the first run before the second begins", func() {
 		n := 0
 		gone := make(chan bool, 1)
