Sight: what a replica says it holds beside what the daemon believed

Nothing told a request below the bound because the daemon knew too little from one sent too many: the log had believed load and mean only. Each attempt's log line now has the load that the replica reported on its answer and the share of the fleet's daemons whose counts the belief contains; metrics load_missed and load_coverage_percent hold the same as histograms. No decision reads them.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -20,12 +20,14 @@
 	ranks       []uint64 // in the prompt's order: the highest is the home
 	usableCount int
 	mean        float64 // of loads
+	coverage    float64 // share of the fleet's daemons that loads contain
 }
 
-func newCandidates(p *Placer, pool *Pool, domain state.FailureDomain, tried Tried, now time.Time) *candidates {
+func newCandidates(p *Placer, pool *Pool, v *View, tried Tried, now time.Time) *candidates {
 	n := len(pool.Ready)
 	c := &candidates{ready: pool.Ready, loads: make([]int, n), usable: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool)) / float64(n)
+	c.coverage = p.Loads.coverage(v.Daemons)
 	p.Health.markUsable(c.usable, pool, now)
 	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
 	c.exclude(wasTried)
@@ -34,8 +36,8 @@
 		p.Health.markNotCutOff(c.usable, pool, now)
 		c.exclude(wasTried)
 	}
-	if tried.BeyondReach && c.hasUsable(domain) {
-		c.exclude(func(r *Replica) bool { return r.Domain != domain })
+	if tried.BeyondReach && c.hasUsable(v.Domain) {
+		c.exclude(func(r *Replica) bool { return r.Domain != v.Domain })
 	}
 	return c
 }
@@ -187,7 +189,7 @@
 			best, bestCost = i, cost
 		}
 	}
-	return Target{Replica: c.ready[best], Load: c.loads[best], Mean: c.mean}
+	return Target{Replica: c.ready[best], Load: c.loads[best], Mean: c.mean, Coverage: c.coverage}
 }
 
 // plainCost is the load of a replica as a share of its slots, with the cost of
--- a/coordination/routing/load.go
+++ b/coordination/routing/load.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// coverage returns the share of the fleet's daemons whose counts the sum contains, this
+// one's own counted: 1 where all send to all, less in a large fleet, and the less the
+// larger it is.
+func (l *Loads) coverage(daemons int) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(1, float64(1+len(l.peers))/float64(max(1, daemons)))
+}
+
 // addTo adds the load of each ready replica of a pool to out, and returns the sum.
 // Its cost follows the number of replicas that hold requests, not the pool's size.
 func (l *Loads) addTo(out []int, p *Pool) int {
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -81,6 +81,8 @@
 	// Load and Mean are the inputs of the choice, in requests.
 	Load int
 	Mean float64
+	// Coverage is the share of the fleet's daemons whose requests Load and Mean contain.
+	Coverage float64
 	// expected means that the replica is one of two homes of the prompt.
 	expected bool
 }
@@ -100,7 +102,7 @@
 	if len(pool.Ready) == 0 {
 		return Target{}, false
 	}
-	c := newCandidates(p, pool, v.Domain, tried, now)
+	c := newCandidates(p, pool, v, tried, now)
 	if c.usableCount == 0 {
 		return Target{}, false
 	}
@@ -127,7 +129,7 @@
 	if chosen == none {
 		chosen = c.leastLoaded()
 	}
-	t := Target{Replica: c.ready[chosen], Rank: c.place(chosen), Load: c.loads[chosen], Mean: c.mean}
+	t := Target{Replica: c.ready[chosen], Rank: c.place(chosen), Load: c.loads[chosen], Mean: c.mean, Coverage: c.coverage}
 	t.expected = short && v.LargeFleet && t.Rank <= secondHome
 	if s.CopiesPrompts && r.SharedTokens() >= copyTokens && !holdsPrompt(cached, &t.Replica) {
 		t.Source = p.source(&t, cached, pool, now)
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -239,11 +239,22 @@
 	for i := range s.Attempts {
 		a := &s.Attempts[i]
 		e.Str("replica", string(a.Replica)).Int("rank", a.Rank).Str("copied", string(a.Copied)).Int("load", a.Load).
-			Float64("mean", float64(int(a.Mean*10))/10).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
+			Float64("mean", float64(int(a.Mean*10))/10).
+			Float64("coverage", float64(int(a.Coverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
 	}
 	e.Msg(prefixRequest + "ended")
 }
 
+// noReport stands in the log where a replica did not say what it holds.
+const noReport = -1
+
+func reportedLoad(l relay.ReportedLoad) int {
+	if !l.Known {
+		return noReport
+	}
+	return l.Requests
+}
+
 // answeredWell reports whether a request needs no line above the info level.
 func answeredWell(s *relay.Summary) bool {
 	a, ok := s.Outcome.(coordination.Answered)
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -38,6 +38,12 @@
 	HeartbeatsReceived metrics.Counter
 	FirstByte          metrics.Histogram // milliseconds
 	Total              metrics.Histogram // milliseconds
+	// LoadMissed is by how many requests a replica held more than the daemon believed
+	// when it chose it, the sent one left out; Coverage is the percentage of the fleet's
+	// daemons that the belief contained. Together they say whether the load bound of
+	// routing holds, and if not, whether for want of news.
+	LoadMissed metrics.Histogram
+	Coverage   metrics.Histogram
 }
 
 // sampleSize and sampleAlpha shape the histograms' reservoirs.
@@ -73,6 +79,8 @@
 	}
 	m.FirstByte = metrics.NewRegisteredHistogram("first_byte_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	m.Total = metrics.NewRegisteredHistogram("total_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	m.LoadMissed = metrics.NewRegisteredHistogram("load_missed", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	m.Coverage = metrics.NewRegisteredHistogram("load_coverage_percent", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	return m
 }
 
@@ -108,9 +116,15 @@
 		if !t.Reused {
 			m.NewConnections.Inc(1)
 		}
+		if t.Reported.Known {
+			m.LoadMissed.Update(int64(max(0, t.Reported.Requests-1-t.Load)))
+			m.Coverage.Update(int64(percent * t.Coverage))
+		}
 	}
 }
 
+const percent = 100
+
 // quantiles are those of the metrics page.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -39,6 +39,13 @@
 	NotRun  bool              // the replica says that the request has not run
 	Encoded bool              // the body has a content encoding
 	Idle    time.Duration     // how long the connection may be idle; 0: not said
+	Load    ReportedLoad      // of the replica, as it began to answer
+}
+
+// ReportedLoad is what a replica says of itself. The zero value says nothing.
+type ReportedLoad struct {
+	Known    bool
+	Requests int // that run or wait there, the answered one counted
 }
 
 // Codec translates between calls and the replicas' protocol.
@@ -70,6 +77,8 @@
 	Copied   routing.ReplicaID // source of the prompt; empty: none
 	Load     int               // of the replica when it was chosen, in requests
 	Mean     float64           // of the service, in requests
+	Coverage float64           // share of the fleet's daemons that Load and Mean contain
+	Reported ReportedLoad      // what the replica said it held; what Load should have been
 	Reused   bool              // the connection was used before
 	Err      error             // nil: the caller has the whole answer
 	Duration time.Duration
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -92,7 +92,7 @@
 
 // measured sends the call to a replica and takes down how that went.
 func (s *serving) measured(ctx context.Context, t *routing.Target, begun time.Time) *failure {
-	a := Attempt{Replica: t.Replica.ID, Rank: t.Rank, Copied: t.Source.ID, Load: t.Load, Mean: t.Mean}
+	a := Attempt{Replica: t.Replica.ID, Rank: t.Rank, Copied: t.Source.ID, Load: t.Load, Mean: t.Mean, Coverage: t.Coverage}
 	key := t.Replica.LoadKey()
 	s.Placer.Loads.Begin(key)
 	f := s.send(ctx, t, &a)
@@ -145,7 +145,7 @@
 		Left: time.Until(s.call.Deadline) - routing.ReturnMargin, LastEvent: s.lastEvent(),
 	})
 	if f == nil {
-		f = s.receive(ctx, x, t)
+		f = s.receive(ctx, x, t, a)
 	}
 	if f != nil && !x.ended {
 		x.abandon()
@@ -162,13 +162,14 @@
 }
 
 // receive waits for the answer and passes it on.
-func (s *serving) receive(ctx context.Context, x *exchange, t *routing.Target) *failure {
+func (s *serving) receive(ctx context.Context, x *exchange, t *routing.Target, a *Attempt) *failure {
 	if f := s.awaitFirstByte(ctx, x, &t.Replica); f != nil {
 		return f
 	}
 	if f := x.readHead(ctx); f != nil {
 		return f
 	}
+	a.Reported = x.head.Load
 	status := x.response.StatusCode
 	if len(s.call.Prompt) > 0 && isSuccess(status) {
 		s.Placer.RecordRead(&s.call.Request, t, time.Now())
