--- /dev/null
+++ b/coordination/routing/bound_test.go
@@ -0,0 +1,339 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/state"
+)
+
+// Seen: in a fleet of 87 daemons before 112 replicas, over 3 in 100 requests of five calm
+// seconds reached a replica that held more than twice its service's mean and 3.
+// How it came about: many requests were about one subject, so that a few prompts were asked
+// for a dozen times a second, a second of work each, while a short prompt has two homes and a
+// long one has one.
+// Cause: a daemon of a large fleet knows a third of the loads, of a moment up to 4 s ago, and
+// compares that part with a bound in whole requests; nothing counted what a prompt asks of
+// its homes.
+// Proved by: 134 of the 137 requests that were over were below the bound by what their
+// daemon believed, 98 of them at three homes; the loads that replicas report say the same
+// (metric load_missed). 8 daemons, which know all loads, keep the rule on the same traffic.
+// Landing 439b2e6 fails here and over real processes, with short and with long prompts;
+// 8c2ddb9, which had four homes for a short prompt, with long ones only.
+func TestReplicasKeepToTheLoadBoundUnderAHotSubject(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		daemons, replicas int
+		domains           int
+		traffic           []kindOfRequest
+	}{
+		{"8 daemons, hot replies", 8, 18, 3, scaled(16.0/112, hotReplies)},
+		{"87 daemons, hot replies", 87, 112, 4, hotReplies},
+		{"87 daemons, hot reviews", 87, 112, 4, hotReviews},
+		{"87 daemons, hot replies, twice as many requests", 87, 112, 4, scaled(2, hotReplies)},
+		{"295 daemons, hot replies", 295, 153, 6, scaled(153.0/112, hotReplies)},
+		{"295 daemons, hot reviews", 295, 153, 6, scaled(153.0/112, hotReviews)},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
+				RegisterTestingT(t)
+				w := newFleetWorld(c.daemons, c.replicas, c.domains, seed)
+				w.run(4*time.Second, calmTraffic(c.traffic))
+				w.run(12*time.Second, c.traffic)
+				n := float64(len(w.sends))
+				t.Logf("worst of five seconds: %.2f%% over the bound; tokens a request: %.0f copied, %.0f read again; believed %.2f of a true mean of %.2f",
+					100*w.worstShare(), float64(w.copied)/n, float64(w.readAgain)/n, w.believed/n, w.trueMean/n)
+				if share := w.worstShare(); share > allowedOver {
+					t.Errorf("%.2f%% of the requests of five seconds reached a replica over the bound, allowed are %.0f%%", 100*share, 100*allowedOver)
+				}
+			})
+		}
+	}
+}
+
+// The rule that callers are promised: of the requests of judgedTime, at most allowedOver
+// reach a replica that holds more than boundFactor times the mean and boundSlack.
+const (
+	boundFactor = 2
+	boundSlack  = 3
+	allowedOver = 0.03
+	judgedTime  = 5 * time.Second
+)
+
+// kindOfRequest is a part of a fleet's traffic. The figures are those of the day on which
+// the fault was traced.
+type kindOfRequest struct {
+	name      string
+	perSecond float64
+	tokens    routing.Tokens // that requests with one prompt share
+	work      time.Duration  // mean time at a replica
+	prompts   int            // asked for alike
+	// hot are prompts asked for more often, each with its share of the requests.
+	hot []float64
+}
+
+// hotSubject is how the prompts of one subject shared the requests of their kind.
+var hotSubject = []float64{.118, .087, .052, .041, .040, .035, .031, .022, .021, .019, .016, .016}
+
+var (
+	replies  = kindOfRequest{name: "reply", perSecond: 100, tokens: 700, work: 1030 * time.Millisecond, prompts: 400}
+	reviews  = kindOfRequest{name: "review", perSecond: 112, tokens: 10_500, work: 1390 * time.Millisecond, prompts: 500}
+	listings = kindOfRequest{name: "listing", perSecond: 245, tokens: 2041, work: 100 * time.Millisecond, prompts: 1400}
+
+	hotReplies = []kindOfRequest{replies.about(hotSubject), reviews, listings}
+	hotReviews = []kindOfRequest{replies, reviews.about(hotSubject), listings}
+)
+
+func (k kindOfRequest) about(subject []float64) kindOfRequest {
+	k.hot = subject
+	return k
+}
+
+// calmTraffic is the same traffic without a hot subject.
+func calmTraffic(traffic []kindOfRequest) []kindOfRequest {
+	out := slices.Clone(traffic)
+	for i := range out {
+		out[i].hot = nil
+	}
+	return out
+}
+
+// scaled is the same traffic for a fleet of another size.
+func scaled(by float64, traffic []kindOfRequest) []kindOfRequest {
+	out := slices.Clone(traffic)
+	for i := range out {
+		out[i].perSecond *= by
+	}
+	return out
+}
+
+// draw returns the number of the prompt of a request: the hot ones come first.
+func (k *kindOfRequest) draw(rng *rand.Rand) int {
+	at := rng.Float64()
+	for i, share := range k.hot {
+		if at -= share; at < 0 {
+			return i
+		}
+	}
+	return rng.IntN(k.prompts)
+}
+
+// fleetWorld is a fleet in virtual time: daemons that place requests and send each other
+// heartbeats as the daemon does, before replicas whose loads are known exactly.
+type fleetWorld struct {
+	rng      *rand.Rand
+	now      time.Time
+	step     int
+	domains  int
+	daemons  []*worldDaemon
+	held     map[routing.ReplicaID]int
+	total    int
+	open     []openSend
+	sends    []send
+	requests int
+
+	// holders are the replicas that have read a prompt; none gives way.
+	holders map[string]map[routing.ReplicaID]bool
+	// copied are tokens that a replica copied from one that holds them, readAgain those
+	// that it read although another one holds them.
+	copied, readAgain  routing.Tokens
+	believed, trueMean float64 // summed up over sends
+}
+
+type worldDaemon struct {
+	routing.Placer
+	domain int
+	view   *routing.View
+}
+
+// openSend is a request at a replica.
+type openSend struct {
+	daemon int
+	target routing.Replica
+	until  time.Time
+}
+
+// send is a request that was sent, and whether the replica was over the bound.
+type send struct {
+	at   time.Time
+	over bool
+}
+
+// fleetStep is the resolution of time.
+const fleetStep = 10 * time.Millisecond
+
+func newFleetWorld(daemons, replicas, domains int, seed uint64) *fleetWorld {
+	w := &fleetWorld{rng: rand.New(rand.NewPCG(seed, 7)), now: epoch, domains: domains, held: make(map[routing.ReplicaID]int), holders: make(map[string]map[routing.ReplicaID]bool)}
+	pool := &routing.Pool{}
+	for i := range replicas {
+		pool.Ready = append(pool.Ready, routing.NewReplica(routing.Replica{
+			ID: routing.ReplicaID(fmt.Sprintf("i-%d-%d", seed, i)), Service: "llm", Domain: worldDomain(i % domains), Slots: 12, Address: "10.0.0.1:1",
+		}))
+	}
+	pool.Sort()
+	shared := table([]routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: shares("llm")}})
+	for i := range daemons {
+		d := &worldDaemon{domain: i % domains}
+		d.Placer = routing.Placer{Loads: routing.NewLoads(), Health: routing.NewHealth(), Cache: routing.NewCacheTable()}
+		d.view = &routing.View{
+			Table: shared, Pools: map[routing.ServiceName]*routing.Pool{"llm": pool}, Domain: worldDomain(d.domain),
+			Daemons: daemons, LargeFleet: w.large(daemons),
+		}
+		w.daemons = append(w.daemons, d)
+	}
+	return w
+}
+
+func worldDomain(i int) state.FailureDomain { return state.FailureDomain("z" + strconv.Itoa(i)) }
+
+func (w *fleetWorld) large(daemons int) bool { return daemons > membership.FullMeshSize }
+
+func (w *fleetWorld) run(d time.Duration, traffic []kindOfRequest) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(fleetStep) {
+		w.endRequests()
+		for i := range traffic {
+			k := &traffic[i]
+			for range w.count(k.perSecond * fleetStep.Seconds()) {
+				w.begin(k)
+			}
+		}
+		for i := range w.daemons {
+			w.heartbeat(i)
+		}
+		w.step++
+	}
+}
+
+// count draws a whole number with the given small mean.
+func (w *fleetWorld) count(mean float64) int {
+	n := 0
+	for at := w.rng.ExpFloat64(); at < mean; at += w.rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+func (w *fleetWorld) endRequests() {
+	w.open = slices.DeleteFunc(w.open, func(o openSend) bool {
+		over := !w.now.Before(o.until)
+		if over {
+			w.held[o.target.ID]--
+			w.total--
+			w.daemons[o.daemon].Loads.End(o.target.LoadKey())
+		}
+		return over
+	})
+}
+
+func (w *fleetWorld) begin(k *kindOfRequest) {
+	from := w.rng.IntN(len(w.daemons))
+	d := w.daemons[from]
+	w.requests++
+	r := &routing.Request{
+		ID: routing.RequestID(strconv.Itoa(w.requests)), Service: "llm", Model: "m",
+		Prompt: []routing.PromptPart{{ID: k.name + strconv.Itoa(k.draw(w.rng)), Tokens: k.tokens}, {ID: "own" + strconv.Itoa(w.requests), Tokens: 100}},
+	}
+	t, ok := d.Choose(d.view, r, routing.Tried{}, w.now)
+	Expect(ok).To(BeTrue())
+	mean := float64(w.total) / float64(len(d.view.Pool("llm").Ready))
+	w.sends = append(w.sends, send{at: w.now, over: float64(w.held[t.Replica.ID]) > boundFactor*mean+boundSlack})
+	w.believed += t.Mean
+	w.trueMean += mean
+	w.read(r.Prompt[0].ID, k.tokens, &t)
+	w.held[t.Replica.ID]++
+	w.total++
+	d.Loads.Begin(t.Replica.LoadKey())
+	d.RecordRead(r, &t, w.now)
+	work := time.Duration((0.5 + w.rng.Float64()) * float64(k.work))
+	w.open = append(w.open, openSend{daemon: from, target: t.Replica, until: w.now.Add(work)})
+}
+
+// read notes what it takes the target to have the shared part of a prompt.
+func (w *fleetWorld) read(prompt string, tokens routing.Tokens, t *routing.Target) {
+	holders := w.holders[prompt]
+	if holders == nil {
+		holders = make(map[routing.ReplicaID]bool)
+		w.holders[prompt] = holders
+	}
+	switch {
+	case holders[t.Replica.ID] || len(holders) == 0:
+	case holders[t.Source.ID]:
+		w.copied += tokens
+	default:
+		w.readAgain += tokens
+	}
+	holders[t.Replica.ID] = true
+}
+
+// Heartbeats as the daemon sends them; membership/targets.go has the rule for their targets.
+const (
+	smallInterval = 200 * time.Millisecond
+	largeInterval = 400 * time.Millisecond
+	nearTargets   = 4
+	farTargets    = 1
+	locations     = 20
+)
+
+// heartbeat sends a daemon's figures if it is its turn.
+func (w *fleetWorld) heartbeat(from int) {
+	large := w.large(len(w.daemons))
+	interval, age := smallInterval, routing.PeerLoadAge
+	if large {
+		interval, age = largeInterval, routing.PeerLoadAgeLarge
+	}
+	steps := int(interval / fleetStep)
+	if w.step%steps != from%steps {
+		return
+	}
+	d := w.daemons[from]
+	counts, news := d.Loads.Own(), d.Cache.TakePending(locations)
+	for _, to := range w.targets(from) {
+		w.daemons[to].Loads.Observe(routing.PeerID(strconv.Itoa(from)), counts, w.now, age)
+		w.daemons[to].Cache.Observe(news, large, w.now)
+	}
+}
+
+func (w *fleetWorld) targets(from int) []int {
+	var near, far []int
+	for _, i := range w.rng.Perm(len(w.daemons)) {
+		switch {
+		case i == from:
+		case w.daemons[i].domain == w.daemons[from].domain:
+			near = append(near, i)
+		default:
+			far = append(far, i)
+		}
+	}
+	if !w.large(len(w.daemons)) {
+		return append(near, far...)
+	}
+	return append(near[:min(nearTargets, len(near))], far[:farTargets]...)
+}
+
+// worstShare returns the greatest share of requests over the bound in judgedTime.
+func (w *fleetWorld) worstShare() float64 {
+	worst, over, first := 0.0, 0, 0
+	for i := range w.sends {
+		if w.sends[i].over {
+			over++
+		}
+		for w.sends[i].at.Sub(w.sends[first].at) >= judgedTime {
+			if w.sends[first].over {
+				over--
+			}
+			first++
+		}
+		if w.sends[i].at.Sub(epoch) >= judgedTime {
+			worst = max(worst, float64(over)/float64(i-first+1))
+		}
+	}
+	return worst
+}
