--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -7,6 +7,7 @@
 //	go build -o target/ ./cmd/hingewinchd
 //	hingesoak --daemon target/hingewinchd --runs 4 --at-once 2
 //	hingesoak --daemon target/hingewinchd --seed 17 --keep
+//	hingesoak --daemon target/hingewinchd --steady --daemons 87 --seed 1
 //	hingesoak --daemon target/hingewinchd --seeds internal/soak/testdata/seeds.txt
 //
 // It ends with 1 if a promise was broken; the directory of that run is kept, with
@@ -49,6 +50,7 @@
 	Quiet   time.Duration `long:"quiet" default:"9s" description:"time after the last fault"`
 	Daemons int           `long:"daemons" default:"10" description:"most daemons of a run"`
 	Rate    float64       `long:"faults" default:"1.2" description:"faults a second"`
+	Steady  bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
 	Dir     string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
 	Keep    bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
 }
@@ -165,6 +167,9 @@
 	shape := soak.DefaultShape()
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
 	plan := soak.NewPlan(seed, shape)
+	if o.Steady {
+		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
+	}
 	dir := filepath.Join(o.Dir, strconv.FormatUint(seed, 10))
 	report, err := soak.Play(ctx, plan, soak.Options{Daemon: o.Daemon, Dir: dir})
 	if err != nil {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -94,13 +94,19 @@
 }
 
 func (c *caller) draw() Request {
-	route := routes[rand.IntN(len(routes))]
+	route, prefix := routes[rand.IntN(len(routes))], "c"
+	if c.site.steady != nil {
+		route, prefix = steadyRoute(), steadyPrefix
+	}
 	c.sent++
 	q := Request{
-		ID: fmt.Sprintf("c%d-%d", c.number, c.sent), Route: route, Key: c.site.drawKey(),
+		ID: fmt.Sprintf("%s%d-%d", prefix, c.number, c.sent), Route: route, Key: c.site.drawKey(),
 		Target: fmt.Sprintf("%s%d?n=%d", route.Prefix, rand.IntN(100), c.sent), Daemon: c.daemon, Incarnation: c.incarnation,
 	}
-	q.Subject = int(hashOf(q.Target) % topics)
+	q.Subject, q.Tokens = int(hashOf(q.Target)%topics), shortTokens
+	if s := c.site.steady; s != nil {
+		q.Subject, q.Tokens = s.subject(time.Since(c.site.begun))
+	}
 	if route.Method == http.MethodPost {
 		q.Body = strings.Repeat("b", 1+rand.IntN(500))
 		if rand.IntN(20) == 0 {
@@ -117,7 +123,7 @@
 		Body: q.Body, Chunked: hashOf(q.ID)%3 == 0,
 	}
 	if q.Route.Stream {
-		r.Prompt = fmt.Sprintf("aa:800,%x:900,%x:250", q.Subject+1, hashOf(q.ID))
+		r.Prompt = fmt.Sprintf("aa:800,%x:%d,%x:250", q.Subject+1, q.Tokens, hashOf(q.ID))
 	}
 	return r.Text()
 }
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -99,6 +99,9 @@
 
 // workOf returns how long a plain request works, or an event of a stream takes.
 func (x *exchange) workOf(pieces int) time.Duration {
+	if isSteady(x.id) && pieces > 1 {
+		return steadyWork/2 + rand.N(steadyWork)
+	}
 	if hashOf(x.id)%slowOneIn == 0 {
 		return slowWork / time.Duration(pieces)
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -27,6 +27,7 @@
 	// Share is the part of the requests that must be served at the end of the
 	// quiet time.
 	Share float64
+	Limit limitBounds
 }
 
 // defaultBounds returns the bounds of a run. Those in time are the users' and
@@ -35,6 +36,7 @@
 	return bounds{
 		Contact: 3 * time.Second, Apply: 2500 * time.Millisecond, Drain: 2500 * time.Millisecond, Leave: time.Second,
 		Late: time.Second, Resend: 500 * time.Millisecond, Ratio: 0.2, Extra: 56, Window: 10 * time.Second, Few: 3, Share: 0.9,
+		Limit: limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, Least: 20, Share: 0.03},
 	}
 }
 
@@ -56,6 +58,7 @@
 	}
 	j.judgeFew()
 	j.judgeRepeats()
+	j.judgeLimit()
 	j.out = append(j.out, l.ended...)
 	var fresh []Violation
 	for _, v := range j.out {
--- /dev/null
+++ b/internal/soak/judge_limit.go
@@ -0,0 +1,131 @@
+// This file judges how evenly replicas were loaded: LIMIT holds for calm times, in which no
+// replica of the service was in trouble.
+
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// limitBounds are the figures of LIMIT: of the requests of Window that daemons in touch
+// sent, Least or more, up to Share may reach a replica that holds more than Factor times its
+// service's mean and Slack.
+type limitBounds struct {
+	Window time.Duration
+	Factor float64
+	Slack  float64 // in requests
+	Least  int
+	Share  float64
+}
+
+// moment is a change of what a replica holds, or an arrival there.
+type moment struct {
+	at      time.Time
+	replica string
+	change  int // of the requests that it holds; 0 is an arrival
+	daemon  int
+	sent    time.Time
+}
+
+// judged is an arrival that counts.
+type judged struct {
+	at   time.Time
+	over bool
+}
+
+// judgeLimit looks for a calm window with too many arrivals at replicas that hold too much.
+func (j *judgement) judgeLimit() {
+	for service, moments := range j.moments() {
+		j.judgeWindows(service, j.arrivalsInTouch(service, moments))
+	}
+}
+
+// moments returns what happened at the replicas of each service, in its order.
+func (j *judgement) moments() map[string][]moment {
+	out := make(map[string][]moment)
+	for _, r := range j.order {
+		for _, a := range r.arrivals {
+			out[a.Service] = append(out[a.Service], moment{at: a.At, replica: a.Replica, daemon: r.Daemon, sent: r.Sent})
+		}
+		for _, run := range r.runs {
+			out[run.Service] = append(out[run.Service], moment{at: run.At, replica: run.Replica, change: 1})
+			if !run.Ended.IsZero() {
+				out[run.Service] = append(out[run.Service], moment{at: run.Ended, replica: run.Replica, change: -1})
+			}
+		}
+	}
+	for _, list := range out {
+		// At one time a request ends before another arrives, and arrives before it runs.
+		slices.SortStableFunc(list, func(a, b moment) int {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.change, b.change))
+		})
+	}
+	return out
+}
+
+// arrivalsInTouch returns the arrivals at a service that daemons in touch sent, and whether
+// the replica was over the bound.
+func (j *judgement) arrivalsInTouch(service string, moments []moment) []judged {
+	var out []judged
+	held, total := make(map[string]int), 0
+	for _, m := range moments {
+		held[m.replica] += m.change
+		total += m.change
+		if m.change != 0 || !j.inTouch(m.daemon, m.sent, m.at) || m.at.Sub(j.begun) < j.bounds.Contact {
+			continue
+		}
+		mean := float64(total) / float64(max(1, j.serving(service, m.at)))
+		most := j.bounds.Limit.Factor*mean + j.bounds.Limit.Slack
+		out = append(out, judged{at: m.at, over: float64(held[m.replica]) > most})
+	}
+	return out
+}
+
+// serving returns how many replicas a service had at a time.
+func (j *judgement) serving(service string, at time.Time) int {
+	n := 0
+	for replica, from := range j.joined[service] {
+		left, leaves := j.leaving[replica]
+		if !from.After(at) && (!leaves || left.After(at)) {
+			n++
+		}
+	}
+	return n
+}
+
+// judgeWindows slides a window over the arrivals at a service.
+func (j *judgement) judgeWindows(service string, list []judged) {
+	b := j.bounds.Limit
+	first, over := 0, 0
+	for i, a := range list {
+		if a.over {
+			over++
+		}
+		for a.at.Sub(list[first].at) >= b.Window {
+			if list[first].over {
+				over--
+			}
+			first++
+		}
+		n := i + 1 - first
+		if n < b.Least || float64(over) <= b.Share*float64(n) || !j.calmService(service, a.at.Add(-b.Window), a.at) {
+			continue
+		}
+		j.out = append(j.out, Violation{Promise: "LIMIT", Subject: service, At: a.at, Detail: fmt.Sprintf(
+			"%d of %d requests of %v reached a replica that held over %g times the mean and %g", over, n, b.Window, b.Factor, b.Slack)})
+		return
+	}
+}
+
+// calmService reports whether no replica of a service was in trouble during a time.
+func (j *judgement) calmService(service string, from, to time.Time) bool {
+	for replica := range j.joined[service] {
+		if !calm(j.replicas[replica], from, to) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 )
@@ -241,3 +242,96 @@
 		}
 	}
 }
+
+// TestJudgeKnowsCrowdedReplicas plays a service of three replicas, the first of which holds
+// as many requests as a case says, and then requests that reach it.
+func TestJudgeKnowsCrowdedReplicas(t *testing.T) {
+	const sent, over = 100, 4
+	for _, c := range []struct {
+		name    string
+		held    int // by the first replica
+		over    int // requests that reach it, others reach the second
+		disturb func(l *Ledger)
+		broken  bool
+	}{
+		{"more than the share", 20, over, nil, true},
+		{"just the share", 20, over - 1, nil, false},
+		{"above the bound", 10, over, nil, true},
+		{"at the bound", 9, over, nil, false},
+		{"a replica in trouble", 20, over, func(l *Ledger) { l.DisturbReplica("r2", at(99), at(101)) }, false},
+		{"a replica in trouble before", 20, over, func(l *Ledger) { l.DisturbReplica("r2", at(90), at(94)) }, true},
+		{"a daemon out of touch", 20, over, func(l *Ledger) { l.DisturbDaemon(0, at(90), at(98)) }, false},
+		{"traffic that has just begun", 20, over, func(l *Ledger) { l.TrafficBegan(at(98)) }, false},
+		{"a fourth replica without requests", 9, over, func(l *Ledger) { l.Joins("r4", "gate", at(1)) }, true},
+		{"a fourth replica that has left", 9, over, func(l *Ledger) {
+			l.Joins("r4", "gate", at(1))
+			l.Leaves("r4", at(50))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScene(routes[1])
+			for _, replica := range []string{"r1", "r2", "r3"} {
+				s.Joins(replica, "gate", at(1))
+			}
+			s.TrafficBegan(at(10))
+			n := 0
+			arrive := func(replica string, when float64) *Run {
+				n++
+				q := s.q
+				q.ID, q.Sent, q.Deadline = "q"+itoa(n), at(when), at(when+100)
+				s.Sent(q)
+				a := Arrival{Replica: replica, Service: "gate", At: at(when), Deadline: q.Deadline}
+				s.Arrived(q.ID, a)
+				return s.Began(q.ID, Run{Arrival: a, Method: q.Route.Method, Target: q.Target, Workspace: "w"})
+			}
+			for range c.held {
+				arrive("r1", 20)
+			}
+			if c.disturb != nil {
+				c.disturb(s.Ledger)
+			}
+			for i := range sent {
+				replica, when := "r2", 100+float64(i)/100
+				if i >= sent-c.over {
+					replica = "r1"
+				}
+				s.Ended(arrive(replica, when), 200, at(when+0.005))
+			}
+			found := slices.ContainsFunc(s.Judge(at(102)), func(v Violation) bool { return v.Promise == "LIMIT" })
+			if found != c.broken {
+				t.Errorf("found: %t, want %t", found, c.broken)
+			}
+		})
+	}
+}
+
+// TestSteadyPlanFollowsFromItsSeed holds that a seed gives one plan, that no fault strikes a
+// replica, a daemon or the store, and that prompts get hot as the plan says.
+func TestSteadyPlanFollowsFromItsSeed(t *testing.T) {
+	for seed := range uint64(50) {
+		a, b := NewSteadyPlan(seed, 30, DefaultShape()), NewSteadyPlan(seed, 30, DefaultShape())
+		if !slices.Equal(a.Faults, b.Faults) || !slices.Equal(a.Steady.HotShares, b.Steady.HotShares) {
+			t.Fatalf("seed %d gives two plans", seed)
+		}
+		if a.Daemons != 30 || a.Chat < 30 {
+			t.Errorf("seed %d: %d daemons before %d replicas", seed, a.Daemons, a.Chat)
+		}
+		for _, f := range a.Faults {
+			if !slices.Contains(steadyKinds, f.Kind) {
+				t.Errorf("seed %d has %s", seed, f.Kind)
+			}
+		}
+		hot, n := 0, 4000
+		for range n {
+			if before, _ := a.Steady.subject(a.Steady.HotAt - 1); before < len(a.Steady.HotShares) {
+				t.Fatalf("seed %d: prompt %d is hot too early", seed, before)
+			}
+			if subject, tokens := a.Steady.subject(a.Steady.HotAt); subject < len(a.Steady.HotShares) && tokens == a.Steady.HotTokens {
+				hot++
+			}
+		}
+		if share := float64(hot) / float64(n); share < leastHotShare-0.03 || share > mostHotShare+0.03 {
+			t.Errorf("seed %d: %.2f of the requests are about hot prompts", seed, share)
+		}
+	}
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -32,6 +32,7 @@
 	Sent        time.Time
 	Deadline    time.Time
 	Subject     int // of a chat: requests with one subject share their prompt
+	Tokens      int // of that prompt
 }
 
 // Arrival is a request as it reached a replica.
@@ -89,9 +90,11 @@
 	daemons  map[int][]span    // unplanned trouble of a daemon or its links
 	replicas map[string][]span // trouble of a replica or its link
 	store    []span
-	stops    map[int][]span       // planned stops
-	leaving  map[string]time.Time // when the store took a replica's leaving
-	routes   map[string][]change  // a route's service
+	stops    map[int][]span                  // planned stops
+	leaving  map[string]time.Time            // when the store took a replica's leaving
+	joined   map[string]map[string]time.Time // when each replica of a service began
+	begun    time.Time                       // when traffic began
+	routes   map[string][]change             // a route's service
 	keys     map[string]*keyLife
 	found    map[string]Violation
 	ended    []Violation // daemons that ended by themselves
@@ -107,7 +110,7 @@
 func newLedger(b bounds) *Ledger {
 	return &Ledger{
 		bounds: b, requests: make(map[string]*record), daemons: make(map[int][]span), replicas: make(map[string][]span),
-		stops: make(map[int][]span), leaving: make(map[string]time.Time), routes: make(map[string][]change),
+		stops: make(map[int][]span), leaving: make(map[string]time.Time), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
 	}
 }
@@ -251,6 +254,23 @@
 	}
 }
 
+// TrafficBegan notes when callers began to send.
+func (l *Ledger) TrafficBegan(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun = at
+}
+
+// Joins notes that a replica of a service began to serve.
+func (l *Ledger) Joins(replica, service string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.joined[service] == nil {
+		l.joined[service] = make(map[string]time.Time)
+	}
+	l.joined[service][replica] = at
+}
+
 // RouteTo notes that the store took a configuration in which a route goes to a
 // service.
 func (l *Ledger) RouteTo(route, service string, at time.Time) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -73,6 +73,7 @@
 	Faults  []Fault       `json:"faults"`
 	Trouble time.Duration `json:"trouble"` // time in which faults begin
 	Quiet   time.Duration `json:"quiet"`   // time after the last fault has ended
+	Steady  *Steady       `json:"steady,omitempty"`
 }
 
 // Shape bounds what is drawn.
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -157,6 +157,9 @@
 // streamEvents are the events of a request's stream, the same at every replica.
 func streamEvents(id string) []string {
 	n := leastEvents + int(hashOf(id)%moreEvents)
+	if isSteady(id) {
+		n = steadyEvents
+	}
 	out := make([]string, n)
 	for i := range out {
 		out[i] = fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", i+1, id, i+1, n)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,6 +66,7 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
+	r.site.steady = p.Steady
 	err := r.build(work)
 	if r.site.fleet != nil {
 		defer r.site.fleet.end()
@@ -155,6 +156,8 @@
 
 func (r *runner) play(ctx context.Context) error {
 	r.begun = time.Now()
+	r.site.begun = r.begun
+	r.site.ledger.TrafficBegan(r.begun)
 	var callers, judges sync.WaitGroup
 	calling, hangUp := context.WithCancel(ctx)
 	defer hangUp()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -48,6 +48,8 @@
 	fleet        *fleet
 	callerFaults callerFaults
 	domains      []string
+	steady       *Steady   // nil: ordinary traffic
+	begun        time.Time // of the traffic
 
 	mu       sync.Mutex
 	version  int
@@ -208,6 +210,7 @@
 	p.current, p.idle = r, false
 	s.mu.Unlock()
 	p.link.SetTarget(r.Address())
+	s.ledger.Joins(id, service, time.Now())
 	s.announce(p, r, false)
 	return nil
 }
--- /dev/null
+++ b/internal/soak/steady.go
@@ -0,0 +1,107 @@
+// This file plans steady runs: a fleet and replicas that are well, as many processes as are
+// asked for, and streams of a second's work about many prompts, of which a few are asked for
+// far more often from some moment on. What breaks there breaks by the fleet's own decisions.
+
+package soak
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Steady is the traffic of a steady run.
+type Steady struct {
+	Prompts   int           `json:"prompts"`    // that are asked for alike
+	HotAt     time.Duration `json:"hot_at"`     // from then on some are asked for more often
+	HotShares []float64     `json:"hot_shares"` // of the streams, one for each hot prompt
+	HotTokens int           `json:"hot_tokens"` // that requests with a hot prompt share
+}
+
+// Figures of steady runs.
+const (
+	replicasPerDaemon = 1.29 // 112 replicas before 87 daemons, as the fleet that runs
+	callersPerDaemon  = 4    // some 2.5 requests at each replica
+	promptsPerReplica = 9
+	leastHotShare     = 0.1
+	mostHotShare      = 0.3
+	mostHotPrompts    = 12
+	hotDecay          = 0.7 // prompt i of a subject is asked for (i+1)^-hotDecay as often
+	hotAfter          = 5 * time.Second
+	shortTokens       = 900
+	longTokens        = 9000
+	steadyFaults      = 0.4 // a second
+
+	// steadyPrefix begins the ids of the requests of a steady run, whose streams have
+	// steadyEvents events, each of steadyWork on average.
+	steadyPrefix = "s"
+	steadyEvents = 10
+	steadyWork   = 100 * time.Millisecond
+	// streamShare is the part of the requests that are streams.
+	streamShare = 0.85
+)
+
+// steadyKinds are the faults that leave replicas, daemons and the store alone.
+var steadyKinds = []faultKind{callersLeave, addKey, moveRoute}
+
+// NewSteadyPlan draws the plan of a steady run of some daemons.
+func NewSteadyPlan(seed uint64, daemons int, s Shape) *Plan {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	p := &Plan{
+		Seed: seed, Daemons: daemons, Domains: min(daemons, 3+rng.IntN(2)), Gate: 4,
+		Chat: max(4, int(replicasPerDaemon*float64(daemons))), Callers: callersPerDaemon * daemons, Trouble: s.Trouble, Quiet: s.Quiet,
+	}
+	p.Steady = &Steady{
+		Prompts: promptsPerReplica * p.Chat, HotAt: hotAfter, HotTokens: []int{shortTokens, longTokens}[rng.IntN(2)],
+		HotShares: drawSubject(rng),
+	}
+	for range int(steadyFaults * s.Trouble.Seconds()) {
+		f := drawFault(rng, s.Trouble)
+		f.Kind = steadyKinds[rng.IntN(len(steadyKinds))]
+		p.Faults = append(p.Faults, f)
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return p
+}
+
+// drawSubject draws how the hot prompts share the streams.
+func drawSubject(rng *rand.Rand) []float64 {
+	total := leastHotShare + rng.Float64()*(mostHotShare-leastHotShare)
+	shares, sum := make([]float64, 3+rng.IntN(mostHotPrompts-2)), 0.0
+	for i := range shares {
+		shares[i] = math.Pow(float64(i+1), -hotDecay)
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] *= total / sum
+	}
+	return shares
+}
+
+// subject draws what a stream is about at a time of the run, and how many tokens it shares.
+func (s *Steady) subject(at time.Duration) (subject, tokens int) {
+	draw := rand.Float64()
+	if at >= s.HotAt {
+		for i, share := range s.HotShares {
+			if draw -= share; draw < 0 {
+				return i, s.HotTokens
+			}
+		}
+	}
+	subject = len(s.HotShares) + rand.IntN(s.Prompts)
+	return subject, []int{shortTokens, longTokens}[subject%2]
+}
+
+// steadyRoute draws the route of a request.
+func steadyRoute() *Route {
+	isStream := rand.Float64() < streamShare
+	for {
+		if r := routes[rand.IntN(len(routes))]; r.Stream == isStream {
+			return r
+		}
+	}
+}
+
+func isSteady(id string) bool { return strings.HasPrefix(id, steadyPrefix) }
