Soak: replicas tell their load, a steady fleet is in touch when traffic begins

Replicas of the streaming service now tell their load with each answer, as the users' do. All of a steady run's traffic is judged: the fleet is ready for as long before it as a daemon needs to be in touch. Before, the first window held a few requests only and one or two crowded ones of 44 broke the rule. The report has the greatest share that LIMIT bounds.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -175,8 +175,8 @@
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %d violations\n",
-		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, len(report.Violations))
+	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at crowded replicas, %d violations\n",
+		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.Crowded, len(report.Violations))
 	for i, v := range report.Violations {
 		const shown = 12
 		if i == shown {
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -62,6 +62,13 @@
 	return x.plain()
 }
 
+// load is what the replica tells of itself.
+func (x *exchange) load() standin.Load {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return standin.Load{Running: x.busy, Slots: x.slots}
+}
+
 func (x *exchange) leaveSlot() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -153,7 +160,7 @@
 		return x.write(standin.Answer(500, x.id, x.ID, "failed"))
 	}
 	fault := x.streamFault()
-	head := standin.StreamHead(x.id, x.ID)
+	head := standin.StreamHead(x.id, x.ID, x.load())
 	events := streamEvents(x.id)
 	for i := from; i < len(events); i++ {
 		if !x.work(x.workOf(len(events))) || i == from && !x.write(head) {
--- a/internal/soak/judge_limit.go
+++ b/internal/soak/judge_limit.go
@@ -74,7 +74,7 @@
 	for _, m := range moments {
 		held[m.replica] += m.change
 		total += m.change
-		if m.change != 0 || !j.inTouch(m.daemon, m.sent, m.at) || m.at.Sub(j.begun) < j.bounds.Contact {
+		if m.change != 0 || !j.inTouch(m.daemon, m.sent, m.at) || m.at.Sub(j.ready) < j.bounds.Contact {
 			continue
 		}
 		mean := float64(total) / float64(max(1, j.serving(service, m.at)))
@@ -99,7 +99,7 @@
 // judgeWindows slides a window over the arrivals at a service.
 func (j *judgement) judgeWindows(service string, list []judged) {
 	b := j.bounds.Limit
-	first, over := 0, 0
+	first, over, broken := 0, 0, false
 	for i, a := range list {
 		if a.over {
 			over++
@@ -111,12 +111,16 @@
 			first++
 		}
 		n := i + 1 - first
-		if n < b.Least || float64(over) <= b.Share*float64(n) || !j.calmService(service, a.at.Add(-b.Window), a.at) {
+		if n < b.Least || over == 0 || !j.calmService(service, a.at.Add(-b.Window), a.at) {
 			continue
 		}
+		j.crowded = max(j.crowded, share(over, n))
+		if broken || share(over, n) <= b.Share {
+			continue
+		}
+		broken = true
 		j.out = append(j.out, Violation{Promise: "LIMIT", Subject: service, At: a.at, Detail: fmt.Sprintf(
 			"%d of %d requests of %v reached a replica that held over %g times the mean and %g", over, n, b.Window, b.Factor, b.Slack)})
-		return
 	}
 }
 
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -261,7 +261,7 @@
 		{"a replica in trouble", 20, over, func(l *Ledger) { l.DisturbReplica("r2", at(99), at(101)) }, false},
 		{"a replica in trouble before", 20, over, func(l *Ledger) { l.DisturbReplica("r2", at(90), at(94)) }, true},
 		{"a daemon out of touch", 20, over, func(l *Ledger) { l.DisturbDaemon(0, at(90), at(98)) }, false},
-		{"traffic that has just begun", 20, over, func(l *Ledger) { l.TrafficBegan(at(98)) }, false},
+		{"a fleet that has just begun", 20, over, func(l *Ledger) { l.Ready(at(98)) }, false},
 		{"a fourth replica without requests", 9, over, func(l *Ledger) { l.Joins("r4", "gate", at(1)) }, true},
 		{"a fourth replica that has left", 9, over, func(l *Ledger) {
 			l.Joins("r4", "gate", at(1))
@@ -273,7 +273,7 @@
 			for _, replica := range []string{"r1", "r2", "r3"} {
 				s.Joins(replica, "gate", at(1))
 			}
-			s.TrafficBegan(at(10))
+			s.Ready(at(10))
 			n := 0
 			arrive := func(replica string, when float64) *Run {
 				n++
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -93,10 +93,11 @@
 	stops    map[int][]span                  // planned stops
 	leaving  map[string]time.Time            // when the store took a replica's leaving
 	joined   map[string]map[string]time.Time // when each replica of a service began
-	begun    time.Time                       // when traffic began
+	ready    time.Time                       // when all daemons were ready first
 	routes   map[string][]change             // a route's service
 	keys     map[string]*keyLife
 	found    map[string]Violation
+	crowded  float64     // the greatest share that LIMIT bounds
 	ended    []Violation // daemons that ended by themselves
 }
 
@@ -254,11 +255,11 @@
 	}
 }
 
-// TrafficBegan notes when callers began to send.
-func (l *Ledger) TrafficBegan(at time.Time) {
+// Ready notes when all daemons were ready first.
+func (l *Ledger) Ready(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.begun = at
+	l.ready = at
 }
 
 // Joins notes that a replica of a service began to serve.
@@ -302,6 +303,14 @@
 	l.ended = append(l.ended, Violation{Promise: "RUNS", Subject: daemon, At: at, Detail: "ended by itself: " + why})
 }
 
+// Crowded returns the greatest share of the requests of a calm window that reached a replica
+// which held too much, as far as it was judged.
+func (l *Ledger) Crowded() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crowded
+}
+
 // calm reports whether nothing of a list overlaps a time.
 func calm(list []span, from, to time.Time) bool {
 	for _, s := range list {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,7 @@
 	Served     int         `json:"served"`
 	Share      float64     `json:"share_served"`
 	QuietShare float64     `json:"share_served_at_the_end"`
+	Crowded    float64     `json:"share_at_crowded_replicas"` // in the worst calm window
 	Violations []Violation `json:"violations"`
 	Events     []string    `json:"events"` // faults and their ends
 }
@@ -103,7 +104,15 @@
 		}
 		go d.balance(ctx)
 	}
-	return r.awaitReady(ctx)
+	if err := r.awaitReady(ctx); err != nil {
+		return err
+	}
+	s.ledger.Ready(time.Now())
+	if p.Steady != nil {
+		// All daemons are in touch when traffic begins, so that all of it is judged.
+		pause(ctx, s.ledger.bounds.Contact)
+	}
+	return ctx.Err()
 }
 
 // addReplicas opens the places of all services, by turns over the domains.
@@ -157,7 +166,6 @@
 func (r *runner) play(ctx context.Context) error {
 	r.begun = time.Now()
 	r.site.begun = r.begun
-	r.site.ledger.TrafficBegan(r.begun)
 	var callers, judges sync.WaitGroup
 	calling, hangUp := context.WithCancel(ctx)
 	defer hangUp()
@@ -201,6 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests, r.report.Served = total, totalServed
+	r.report.Crowded = r.site.ledger.Crowded()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < leastAtEnd || r.report.QuietShare < r.site.ledger.bounds.Share {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("%d of %d requests were served at the end of the quiet time", served, all)})
