Loads of peers expire although no peer sends any more

Cause: the sum over the peers was made anew with each message only. A daemon that is sent nothing more, being cut off from its peers, went on by their last figures for good, where ARCHITECTURE says 2 s. Change: the sum is made anew when the first of the figures expires. Test: 'forgets what peers sent once it is old, also where no peer sends any more', failed before; it passes now.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -30,8 +30,8 @@
 func newCandidates(p *Placer, pool *Pool, v *View, tried Tried, now time.Time) *candidates {
 	n := len(pool.Ready)
 	c := &candidates{ready: pool.Ready, loads: make([]int, n), usable: make([]bool, n), crowded: make([]bool, n)}
-	c.mean = float64(p.Loads.addTo(c.loads, pool)) / float64(n)
-	c.coverage = p.Loads.coverage(v.Daemons)
+	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
+	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, now)
 	p.Health.markUsable(c.usable, pool, now)
 	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
--- a/coordination/routing/load.go
+++ b/coordination/routing/load.go
@@ -34,8 +34,10 @@
 	mu    sync.Mutex
 	own   map[LoadKey]int
 	peers map[PeerID]peerLoad
-	// others is the sum over the peers, recomputed with each message.
-	others map[LoadKey]int
+	// others is the sum over the peers, recomputed with each message and when the first of
+	// them expires: a daemon that is sent nothing more must not go by old figures.
+	others  map[LoadKey]int
+	expires time.Time // the first of the peers' figures; zero: there are none
 }
 
 type peerLoad struct {
@@ -89,31 +91,44 @@
 
 func (l *Loads) sumPeers(now time.Time) {
 	clear(l.others)
+	l.expires = time.Time{}
 	for p, load := range l.peers {
 		if now.After(load.until) {
 			delete(l.peers, p)
 			continue
 		}
+		if l.expires.IsZero() || load.until.Before(l.expires) {
+			l.expires = load.until
+		}
 		for _, c := range load.counts {
 			l.others[c.Replica] += int(c.Requests)
 		}
 	}
 }
 
+// refresh drops what has expired. The caller holds the lock.
+func (l *Loads) refresh(now time.Time) {
+	if !l.expires.IsZero() && now.After(l.expires) {
+		l.sumPeers(now)
+	}
+}
+
 // coverage returns the share of the fleet's daemons whose counts the sum contains, this
 // one's own counted: 1 where all send to all, less in a large fleet, and the less the
 // larger it is.
-func (l *Loads) coverage(daemons int) float64 {
+func (l *Loads) coverage(daemons int, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	return min(1, float64(1+len(l.peers))/float64(max(1, daemons)))
 }
 
 // addTo adds the load of each ready replica of a pool to out, and returns the sum.
 // Its cost follows the number of replicas that hold requests, not the pool's size.
-func (l *Loads) addTo(out []int, p *Pool) int {
+func (l *Loads) addTo(out []int, p *Pool, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	total := 0
 	for _, counts := range []map[LoadKey]int{l.own, l.others} {
 		for key, n := range counts {
@@ -127,8 +142,9 @@
 }
 
 // Of returns the estimated load of one replica.
-func (l *Loads) Of(key LoadKey) int {
+func (l *Loads) Of(key LoadKey, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	return l.own[key] + l.others[key]
 }
--- a/coordination/routing/load_bench_test.go
+++ b/coordination/routing/load_bench_test.go
@@ -140,7 +140,7 @@
 	const samples = 20_000
 	for range samples {
 		d, r := w.rng.IntN(len(w.daemons)), w.rng.IntN(len(w.truth))
-		x, y := float64(w.daemons[d].Of(routing.LoadKey(r))), float64(w.truth[r])
+		x, y := float64(w.daemons[d].Of(routing.LoadKey(r), w.now)), float64(w.truth[r])
 		errs = append(errs, math.Abs(x-y))
 		sx, sy, sxx, syy, sxy = sx+x, sy+y, sxx+x*x, syy+y*y, sxy+x*y
 	}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -220,6 +220,15 @@
 		Expect(f.choose(chat("s")).Replica.ID).To(Equal(home.Replica.ID), "old figures no longer count")
 	})
 
+	It("forgets what peers sent once it is old, also where no peer sends any more", func() {
+		f := newFleet("llm", sameDomain(18)...)
+		home := f.choose(chat("s"))
+		f.placer.Loads.Observe("p", []routing.LoadCount{{Replica: home.Replica.LoadKey(), Requests: 30}}, epoch, routing.PeerLoadAge)
+		t, ok := f.placer.Choose(f.view, chat("s"), routing.Tried{}, epoch.Add(time.Minute))
+		Expect(ok).To(BeTrue())
+		Expect(t.Replica.ID).To(Equal(home.Replica.ID))
+	})
+
 	It("keeps a long prompt where it is held when a replica joins that ranks above", func() {
 		f := newFleet("llm", sameDomain(18)...)
 		home := f.choose(chat("s")).Replica
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -161,6 +161,6 @@
 	rate, why := c.health.Explain(r, now)
 	return ReplicaAnswer{
 		ID: r.ID, Service: r.Service, Domain: r.Domain, Address: r.Address, State: stateName(r),
-		Load: c.loads.Of(r.LoadKey()), Ejected: why != "", Why: why, FailRate: rate,
+		Load: c.loads.Of(r.LoadKey(), now), Ejected: why != "", Why: why, FailRate: rate,
 	}
 }
