--- a/coordination/routing/crowd_test.go
+++ b/coordination/routing/crowd_test.go
@@ -51,6 +51,9 @@
 		f.placer.Crowds = routing.NewCrowds()
 		r := short("hot")
 		t := f.choose(r)
+		for i := range 6 {
+			f.placer.ReportLoad(r, &routing.Target{Replica: f.pool.Ready[i]}, 0, epoch)
+		}
 		Expect(f.placer.ReportLoad(r, &t, 50, epoch)).To(BeFalse())
 	})
 
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -199,7 +199,13 @@
 	}()
 	report := routing.CrowdReport{Replica: 1, Prompt: 2, Homes: 4}
 	c.post(ctx, crowdsReceived{reports: []routing.CrowdReport{report}})
-	got, err := gossip.DecodeCrowds(<-sent)
+	var payload []byte
+	select {
+	case payload = <-sent:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing went out")
+	}
+	got, err := gossip.DecodeCrowds(payload)
 	if err != nil || len(got) != 1 || got[0].Homes != report.Homes {
 		t.Errorf("%+v, %v went out", got, err)
 	}
