Heartbeats are encoded once for all they go to; reports in a file of their own

One now sends a payload to a list of daemons. Reports of silent and crowded replicas stand in daemon/routes/reports.go. markNotCutOff also marked domains that are cut off and not yet found unreachable: markDespiteEjections says what it is for, and its condition stands once.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -38,7 +38,7 @@
 	c.exclude(wasTried)
 	if c.usableCount == 0 {
 		// An ejected replica is better than none.
-		p.Health.markNotCutOff(c.usable, pool, now)
+		p.Health.markDespiteEjections(c.usable, pool, now)
 		c.exclude(wasTried)
 	}
 	if tried.BeyondReach && c.hasUsable(v.Domain) {
--- a/coordination/routing/cutoff.go
+++ b/coordination/routing/cutoff.go
@@ -58,15 +58,21 @@
 	if marked > 0 {
 		return marked
 	}
-	return h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
+	return h.markNotUnreachable(usable, p, now)
 }
 
-// markNotCutOff marks all replicas but those of domains that are cut off and were
-// found to be unreachable.
-func (h *Health) markNotCutOff(usable []bool, p *Pool, now time.Time) {
+// markDespiteEjections marks all replicas, ejected or not, but those of domains that are
+// cut off and were found to be unreachable.
+func (h *Health) markDespiteEjections(usable []bool, p *Pool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
+	h.markNotUnreachable(usable, p, now)
+}
+
+// markNotUnreachable marks the replicas of domains that were not found to be unreachable,
+// and returns how many. The caller holds the lock.
+func (h *Health) markNotUnreachable(usable []bool, p *Pool, now time.Time) int {
+	return h.mark(usable, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
 }
 
 // domainIsUnreachable reports whether a domain is cut off and a replica there could
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -31,10 +31,6 @@
 	// contacts at once. One of six is likely to hold documents when a whole fleet starts;
 	// else all would ask the seeds, which they find first. Chosen, not varied.
 	firstContacts = 6
-	// crowdsDelay is how long reports of crowded replicas wait for others, which bounds the
-	// datagrams that they cost. With 200 ms, the time between two ticks, up to four times as
-	// many requests reach a crowded replica in a fleet of 87 (virtual time); 25 ms do as well.
-	crowdsDelay = 10 * time.Millisecond
 )
 
 // heartbeats is the state of sending.
@@ -97,79 +93,42 @@
 func (c *control) sendBootstrap(to membership.Member, now time.Time) {
 	h := c.newHeartbeat(now)
 	h.Partial, h.Members = true, c.roster.Bootstrap(to, now, c.heartbeats.rng)
-	c.sendTo(to.Address, &h)
+	c.sendTo([]membership.Address{to.Address}, &h)
 }
 
-// sendTo sends a heartbeat to one daemon.
-func (c *control) sendTo(to membership.Address, h *gossip.Heartbeat) {
+// sendTo sends a heartbeat to some daemons.
+func (c *control) sendTo(to []membership.Address, h *gossip.Heartbeat) {
 	payload, err := gossip.EncodeHeartbeat(h)
-	if err != nil {
-		c.log.HeartbeatFailed(err)
-		return
-	}
-	c.heartbeats.send(to, payload)
+	c.sendPayload(to, payload, err)
 }
 
 // spread sends a heartbeat to its targets.
 func (c *control) spread(h *gossip.Heartbeat, now time.Time) {
-	payload, err := gossip.EncodeHeartbeat(h)
-	if err != nil {
-		c.log.HeartbeatFailed(err)
-		return
-	}
-	c.sendToTargets(payload, h.Partial, now)
-}
-
-// sendSilences passes reports of silent replicas on, if any wait. They go to as many
-// daemons as a whole heartbeat: each is passed on once only, and over three daemons a
-// fleet of 930 had four in five that knew after 1.8 s.
-func (c *control) sendSilences(now time.Time) {
-	reports := c.health.TakeSilences(gossip.MaxSilences, now)
-	if len(reports) == 0 {
-		return
-	}
-	payload, err := gossip.EncodeSilences(reports)
-	c.sendReports(payload, err, now)
+	c.sendTo(c.targets(h.Partial, now), h)
 }
 
-// awaitMoreCrowds has the reports of crowded replicas sent that wait, together with those
-// that come within crowdsDelay.
-func (c *control) awaitMoreCrowds(ctx context.Context) {
-	time.AfterFunc(crowdsDelay, func() { c.post(ctx, crowdsDue{}) })
-}
-
-// sendCrowds passes reports of crowded replicas on.
-func (c *control) sendCrowds(now time.Time) {
-	reports := c.crowds.TakeReports(gossip.MaxCrowds, now)
-	if len(reports) == 0 {
-		return
-	}
-	payload, err := gossip.EncodeCrowds(reports)
-	c.sendReports(payload, err, now)
-}
-
-// sendReports sends an encoded datagram of reports to as many daemons as a whole heartbeat
-// goes to.
-func (c *control) sendReports(payload []byte, err error, now time.Time) {
+// sendPayload sends an encoded datagram to some daemons, or logs why it could not be
+// encoded.
+func (c *control) sendPayload(to []membership.Address, payload []byte, err error) {
 	if err != nil {
 		c.log.HeartbeatFailed(err)
 		return
 	}
-	c.sendToTargets(payload, false, now)
+	for _, address := range to {
+		c.heartbeats.send(address, payload)
+	}
 }
 
-// sendToTargets sends a datagram to the targets of a heartbeat; in a large fleet to
-// some of them only if partial is set.
-func (c *control) sendToTargets(payload []byte, partial bool, now time.Time) {
+// targets returns where a heartbeat goes; in a large fleet a partial one goes to some of
+// them only.
+func (c *control) targets(partial bool, now time.Time) []membership.Address {
 	rng := c.heartbeats.rng
 	targets := c.roster.Targets(now, rng)
 	if partial && c.largeFleet() {
 		rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 		targets = targets[:min(len(targets), partialTargets)]
 	}
-	for _, to := range targets {
-		c.heartbeats.send(to, payload)
-	}
+	return targets
 }
 
 // pendingLocations takes the cache locations for the next heartbeat.
@@ -225,9 +184,11 @@
 	c.heartbeats.rng.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	h := c.newHeartbeat(now)
 	h.Partial = true
+	var to []membership.Address
 	for _, m := range members[:min(len(members), firstContacts)] {
-		c.sendTo(m.Address, &h)
+		to = append(to, m.Address)
 	}
+	c.sendTo(to, &h)
 }
 
 // observeRequests takes in a peer's counts of its requests at replicas.
@@ -241,15 +202,6 @@
 	c.health.Observe(peer, h.Evidence, now, evidenceAge)
 }
 
-// receiveSilences takes in a peer's reports of silent replicas.
-func (c *control) receiveSilences(reports []routing.SilenceReport, now time.Time) {
-	for _, key := range c.health.ObserveSilences(reports, now) {
-		if id, ok := c.view.Load().ReplicaOf(key); ok {
-			c.log.FoundSilent(id)
-		}
-	}
-}
-
 // observeDomains passes on when daemons of the other domains were last seen.
 func (c *control) observeDomains() {
 	domains := c.roster.Domains()
--- a/internal/soak/judge_limit.go
+++ b/internal/soak/judge_limit.go
@@ -1,4 +1,4 @@
-// This file judges how evenly replicas were loaded: LIMIT holds for calm times, in which no
+// This file notes and judges how evenly replicas were loaded: LIMIT holds for calm times, in which no
 // replica of the service was in trouble.
 
 package soak
@@ -36,6 +36,31 @@
 	over bool
 }
 
+// Ready notes when all daemons were ready first.
+func (l *Ledger) Ready(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready = at
+}
+
+// Joins notes that a replica of a service began to serve.
+func (l *Ledger) Joins(replica, service string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.joined[service] == nil {
+		l.joined[service] = make(map[string]time.Time)
+	}
+	l.joined[service][replica] = at
+}
+
+// Crowded returns the greatest share of the requests of a calm window that reached a replica
+// which held too much, as far as it was judged.
+func (l *Ledger) Crowded() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crowded
+}
+
 // judgeLimit looks for a calm window with too many arrivals at replicas that hold too much.
 func (j *judgement) judgeLimit() {
 	for service, moments := range j.moments() {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -255,23 +255,6 @@
 	}
 }
 
-// Ready notes when all daemons were ready first.
-func (l *Ledger) Ready(at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ready = at
-}
-
-// Joins notes that a replica of a service began to serve.
-func (l *Ledger) Joins(replica, service string, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.joined[service] == nil {
-		l.joined[service] = make(map[string]time.Time)
-	}
-	l.joined[service][replica] = at
-}
-
 // RouteTo notes that the store took a configuration in which a route goes to a
 // service.
 func (l *Ledger) RouteTo(route, service string, at time.Time) {
@@ -303,14 +286,6 @@
 	l.ended = append(l.ended, Violation{Promise: "RUNS", Subject: daemon, At: at, Detail: "ended by itself: " + why})
 }
 
-// Crowded returns the greatest share of the requests of a calm window that reached a replica
-// which held too much, as far as it was judged.
-func (l *Ledger) Crowded() float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.crowded
-}
-
 // calm reports whether nothing of a list overlaps a time.
 func calm(list []span, from, to time.Time) bool {
 	for _, s := range list {
