Names: a crowded replica is avoided, a need remains

'Left' stood for both a replica that gets no requests for a moment and the homes that a prompt still needs. No behaviour changes but a word of the log line of crowded replicas.

--- a/coordination/routing/crowd.go
+++ b/coordination/routing/crowd.go
@@ -1,5 +1,5 @@
-// This file keeps replicas from being crowded: it decides which replicas are left for a
-// moment because they hold too much, and how many homes a prompt has that is asked for far
+// This file keeps replicas from being crowded: it decides which replicas are avoided for
+// a moment because they hold too much, and how many homes a prompt has that is asked for far
 // more often than others.
 //
 // The bound of place.go can't do that in a large fleet. It compares what a daemon knows of a
@@ -52,7 +52,7 @@
 	// replica over them, and a tenth to a seventh fewer tokens are copied.
 	crowdedFactor = 1.8
 	crowdedSlack  = 2.5
-	// crowdedAge is how long a crowded replica is left: its requests take .1 to 1.4 s.
+	// crowdedAge is how long a crowded replica is avoided: its requests take .1 to 1.4 s.
 	// With 1.2 s as many requests are over the bound, and 4 to 9% more tokens are copied.
 	crowdedAge = 800 * time.Millisecond
 	// leastHomesFactor is the least factor by which homes grow, and homesMargin how far
@@ -64,7 +64,7 @@
 	// many requests are over the bound.
 	homesHalfLife = 4 * time.Second
 	// newsFactor is how many times as many homes as are known a report must ask for to be
-	// passed on, and newsAge by how much longer it must have a replica left.
+	// passed on, and newsAge by how much longer it must have a replica avoided.
 	newsFactor = 1.3
 	newsAge    = crowdedAge / 2
 	// maxNeeds bounds the prompts, and maxPendingCrowds the reports that wait to be sent.
@@ -84,7 +84,7 @@
 	waiting chan struct{}
 
 	mu      sync.Mutex
-	left    map[LoadKey]time.Time // until when a crowded replica is left
+	avoided map[LoadKey]time.Time // crowded replicas, until when
 	needs   map[PromptKey]homesNeed
 	loads   map[ServiceName]reportedLoads
 	pending []pendingCrowd
@@ -99,8 +99,8 @@
 	at    time.Time
 }
 
-// leftAt returns how many of the homes are left of a need.
-func (n homesNeed) leftAt(now time.Time) float64 {
+// remaining returns how many of the homes are still needed.
+func (n homesNeed) remaining(now time.Time) float64 {
 	return n.homes * math.Exp2(-float64(now.Sub(n.at))/float64(homesHalfLife))
 }
 
@@ -113,7 +113,7 @@
 // NewCrowds returns an empty table.
 func NewCrowds() *Crowds {
 	return &Crowds{
-		waiting: make(chan struct{}, 1), left: make(map[LoadKey]time.Time),
+		waiting: make(chan struct{}, 1), avoided: make(map[LoadKey]time.Time),
 		needs: make(map[PromptKey]homesNeed), loads: make(map[ServiceName]reportedLoads),
 	}
 }
@@ -128,7 +128,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(base, int(c.needs[PromptKey(prompt)].leftAt(now)))
+	return max(base, int(c.needs[PromptKey(prompt)].remaining(now)))
 }
 
 // mark marks the crowded ones among the ready replicas of a pool.
@@ -138,9 +138,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, until := range c.left {
+	for key, until := range c.avoided {
 		if !until.After(now) {
-			delete(c.left, key)
+			delete(c.avoided, key)
 			continue
 		}
 		if i, ok := pool.positions[key]; ok {
@@ -196,7 +196,7 @@
 func (c *Crowds) take(r CrowdReport, at, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	news := c.leave(r.Replica, at, now)
+	news := c.avoid(r.Replica, at, now)
 	news = c.raise(r, at, now) || news
 	if !news || len(c.pending) >= maxPendingCrowds {
 		return
@@ -213,14 +213,14 @@
 	}
 }
 
-// leave has a crowded replica left. It returns true if that is new.
-func (c *Crowds) leave(replica LoadKey, at, now time.Time) bool {
+// avoid has a crowded replica avoided. It returns true if that is new.
+func (c *Crowds) avoid(replica LoadKey, at, now time.Time) bool {
 	until := at.Add(crowdedAge)
-	known := c.left[replica]
+	known := c.avoided[replica]
 	if !until.After(now) || !until.After(known) {
 		return false
 	}
-	c.left[replica] = until
+	c.avoided[replica] = until
 	return until.Sub(known) > newsAge
 }
 
@@ -228,8 +228,8 @@
 // true if that is new.
 func (c *Crowds) raise(r CrowdReport, at, now time.Time) bool {
 	need := homesNeed{homes: float64(r.Homes), at: at}
-	left, known := need.leftAt(now), c.needs[r.Prompt].leftAt(now)
-	if left < 1 || left <= known {
+	asked, known := need.remaining(now), c.needs[r.Prompt].remaining(now)
+	if asked < 1 || asked <= known {
 		return false
 	}
 	if len(c.needs) >= maxNeeds {
@@ -239,13 +239,13 @@
 		return false
 	}
 	c.needs[r.Prompt] = need
-	return left >= newsFactor*known
+	return asked >= newsFactor*known
 }
 
 // forget drops the prompts that need no more homes than others.
 func (c *Crowds) forget(now time.Time) {
 	for prompt, need := range c.needs {
-		if need.leftAt(now) <= 1 {
+		if need.remaining(now) <= 1 {
 			delete(c.needs, prompt)
 		}
 	}
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -186,12 +186,12 @@
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).AnErr("cause", cause).Msg(prefixReplica + "ejected for a while")
 }
 
-// Crowded says that a replica holds too much and is left for a moment, and that the prompt
+// Crowded says that a replica holds too much and is avoided for a moment, and that the prompt
 // of a request may get more homes.
 func (l *Log) Crowded(r *routing.Replica, c *relay.Call, load relay.ReportedLoad) {
 	l.metrics.Crowded.Inc(1)
 	l.logger.Info().Str("replica", string(r.ID)).Str("request", string(c.ID)).Str("prompt", strconv.FormatUint(c.Key(), 36)).
-		Int("reported_load", reportedLoad(load)).Msg(prefixReplica + "crowded; left for a moment")
+		Int("reported_load", reportedLoad(load)).Msg(prefixReplica + "crowded; avoided for a moment")
 }
 
 // FoundSilent says that a replica gets no requests because other daemons find it silent.
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -62,7 +62,7 @@
 	return x.plain()
 }
 
-// load is what the replica tells of itself.
+// load is what the replica reports of itself.
 func (x *exchange) load() standin.Load {
 	x.mu.Lock()
 	defer x.mu.Unlock()
