A replica of the relay's tests answers requests that are meant for another with 421

Traced: 9,680 runs of that table beside short soaks on the same machine failed three times, and each time the second arrival was a request of a soak's daemon (another id, another route, meant for replica i-2), on a loopback port that the soak's replica had freed and the test's replica got. The relay sent its own request once. 900 runs of the case without a soak beside them passed.

Change: the test's replica does what the protocol says of replicas, 421 to what is not meant for it, and does not count it. That is stricter for the relay: a request without the replica's name, or with a wrong one, fails now.

--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -93,6 +93,12 @@
 		if !r.skipBody {
 			a.body, _ = io.ReadAll(req.Body)
 		}
+		if req.Header.Get("Expect-Replica") != string(r.ID) {
+			// As replicas do. Another process's request may come in on a port that was its
+			// replica's a moment ago.
+			answer(a, http.StatusMisdirectedRequest, "", "")
+			return
+		}
 		r.mu.Lock()
 		a.nth = len(r.arrivals)
 		r.arrivals = append(r.arrivals, a)
