--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -219,8 +219,8 @@
 
 // RecordRead notes that the target of a request has read its prompt. Peers are not sent
 // that one of several homes holds it, since they try these first anyway. That saves two
-// fifths of the bytes that a daemon of a fleet of 295 sends, and while a prompt is hot as
-// many again in one of 87: it has more homes than locations are remembered.
+// fifths of the bytes that a daemon of a fleet of 295 sends, and in one of 87 3.8 of 8.6
+// KB/s while a prompt is hot: it has more homes than locations are remembered.
 func (p *Placer) RecordRead(r *Request, t *Target, now time.Time) {
 	p.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), !t.expected, now)
 }
--- a/internal/soak/judge_limit.go
+++ b/internal/soak/judge_limit.go
@@ -1,5 +1,5 @@
-// This file notes and judges how evenly replicas were loaded: LIMIT holds for calm times, in which no
-// replica of the service was in trouble.
+// This file notes and judges how evenly replicas were loaded: LIMIT holds for calm times, in
+// which no replica of the service was in trouble.
 
 package soak
 
