Evacuated domains get nothing, and cold replicas no more than they bear

Cause: nothing in the product knew that operators empty a failure domain, or that a replica is cold.

Change: two pure modules. evacuate.go takes the replicas of evacuated domains out of every choice (retries, resumptions, homes, what a cut leaves); their prompts can still be copied. cold.go leaves cold ones out while half of the usable replicas are warm; else each daemon may send a whole number a second, its part of half the rate rounded by a hash of daemon and replica, so that nobody is asked and daemons that know different fleets, or have just started, stay below. A domain that was taken back counts as cold for a cold start. Refusals name the reason and come at once; hingectl, log and metrics show both.

Property tests in virtual time at 8, 65, 300, 930 daemons; they fail with four times the share spent, and with daemons that assume to be alone after a start.

Ruled out: a token bucket of each daemon's part with at least one request (fails by construction above 24 daemons); only leaving cold ones out (refuses everything when all are cold); shares of the daemons that are live just now (30 that start at once each know only themselves).

--- a/cmd/hingectl/router.go
+++ b/cmd/hingectl/router.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"hingewinch.org/hingewinch/daemon/routes"
+	"hingewinch.org/hingewinch/state"
 )
 
 // routerCommand groups the commands.
@@ -21,14 +23,14 @@
 func (c *routerStatusCommand) Execute([]string) error {
 	w := table()
 	defer w.Flush()
-	fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIG\tREVISION\tCHANGED\tSTORE\tREADS\tDAEMONS\tREPLICAS\tUP")
+	fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIG\tREVISION\tCHANGED\tSTORE\tREADS\tDAEMONS\tREPLICAS\tCOLD\tEVACUATED\tUP")
 	return c.askAll(func(address string) error {
 		var a routes.StatusAnswer
 		if err := ask(address, routes.PathStatus, &a); err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%t\t%d\t%d\t%dms\n", a.Daemon, a.Domain, readiness(&a), a.Version, a.Revision,
-			age(a.ChangedMS), storeState(a.StoreLost), a.ReadsStore, a.Daemons, a.Replicas, a.UptimeMS)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%t\t%d\t%d\t%d\t%s\t%dms\n", a.Daemon, a.Domain, readiness(&a), a.Version, a.Revision,
+			age(a.ChangedMS), storeState(a.StoreLost), a.ReadsStore, a.Daemons, a.Replicas, a.Cold, domains(a.Evacuated), a.UptimeMS)
 		return nil
 	})
 }
@@ -43,6 +45,18 @@
 	return "no"
 }
 
+// domains lists failure domains, or says that there are none.
+func domains(list []state.FailureDomain) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	names := make([]string, len(list))
+	for i, d := range list {
+		names[i] = string(d)
+	}
+	return strings.Join(names, ",")
+}
+
 func age(ms int64) string {
 	if ms < 0 {
 		return "never"
@@ -85,7 +99,7 @@
 func (c *routerReplicasCommand) Execute([]string) error {
 	w := table()
 	defer w.Flush()
-	fmt.Fprintln(w, "SERVICE\tREPLICA\tDOMAIN\tADDRESS\tSTATE\tLOAD\tFAILED\tEJECTED")
+	fmt.Fprintln(w, "SERVICE\tREPLICA\tDOMAIN\tADDRESS\tSTATE\tLOAD\tFAILED\tCOLD\tEJECTED")
 	return c.askAll(func(address string) error {
 		var list []routes.ReplicaAnswer
 		if err := ask(address, routes.PathReplicas, &list); err != nil {
@@ -95,7 +109,7 @@
 			if c.Ejected && !r.Ejected {
 				continue
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%s\n", r.Service, r.ID, r.Domain, r.Address, r.State, r.Load, 100*r.FailRate, r.Why)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%dms\t%s\n", r.Service, r.ID, r.Domain, r.Address, r.State, r.Load, 100*r.FailRate, r.ColdMS, r.Why)
 		}
 		return nil
 	})
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -45,6 +45,8 @@
 // The reasons of refusals.
 const (
 	ReasonNoUpstream       Reason = "no_upstream"
+	ReasonEvacuated        Reason = "upstreams_evacuated"
+	ReasonCold             Reason = "upstreams_cold"
 	ReasonConnect          Reason = "connect_failed"
 	ReasonUpstreamBusy     Reason = "upstream_refused"
 	ReasonBrokenAnswer     Reason = "answer_broken"
@@ -63,6 +65,8 @@
 
 var remedies = map[Reason]string{
 	ReasonNoUpstream:       "no upstream is in service; send again after the time in Retry-After",
+	ReasonEvacuated:        "operators have evacuated all that serve this; send again after the time in Retry-After",
+	ReasonCold:             "all that serve this are cold and take few requests; send again after the time in Retry-After",
 	ReasonConnect:          "no upstream took the connection; send again after the time in Retry-After",
 	ReasonUpstreamBusy:     "the upstream refused the request; send again after the time in Retry-After",
 	ReasonBrokenAnswer:     "the answer broke off; check the effect before sending again",
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -47,6 +47,23 @@
 	return c
 }
 
+// excludeCold takes out the cold replicas, by the rules 1 and 4 of cold.go.
+func (c *candidates) excludeCold(rates *ColdRates, s *Service, now time.Time) {
+	warm := 0
+	for i := range c.ready {
+		if c.usable[i] && !rates.bounds(&c.ready[i], s, now) {
+			warm++
+		}
+	}
+	if warm == c.usableCount {
+		return
+	}
+	enough := float64(warm) >= warmShare*float64(c.usableCount)
+	c.exclude(func(r *Replica) bool {
+		return rates.bounds(r, s, now) && (enough || !rates.allows(r, s, now))
+	})
+}
+
 // exclude takes out the replicas that meet a condition and counts those that are
 // left.
 func (c *candidates) exclude(condition func(r *Replica) bool) {
--- /dev/null
+++ b/coordination/routing/cold_test.go
@@ -0,0 +1,255 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/state"
+)
+
+// What a cold replica bears, and what all daemons together may send it in any second: one
+// and a half times as much and 5.
+const (
+	coldPerSecond = 13
+	mostWhileCold = 24
+	coldStart     = 3 * time.Second
+)
+
+// coldWorld is a fleet of which each daemon has more requests than cold replicas bear. Its
+// replicas stand in as many domains as its daemons.
+type coldWorld struct {
+	rng     *rand.Rand
+	view    map[state.FailureDomain]*routing.View // by the domain of the daemon
+	daemons []*coldDaemon
+	arrived map[routing.ReplicaID][]time.Time
+	refused int
+}
+
+type coldDaemon struct {
+	domain state.FailureDomain
+	placer *routing.Placer
+}
+
+func newColdWorld(daemons, replicas, domains int, seed uint64) *coldWorld {
+	w := &coldWorld{rng: rand.New(rand.NewPCG(seed, 7)), view: make(map[state.FailureDomain]*routing.View), arrived: make(map[routing.ReplicaID][]time.Time)}
+	pool := &routing.Pool{}
+	for i := range replicas {
+		pool.Ready = append(pool.Ready, routing.NewReplica(routing.Replica{
+			ID: routing.ReplicaID(fmt.Sprintf("i-%d-%d", seed, i)), Service: "llm", Slots: 12,
+			Domain: state.FailureDomain(fmt.Sprint("z", i%domains)), ColdUntil: epoch.Add(time.Hour),
+		}))
+	}
+	t, err := routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "llm", Generates: true, ColdStart: coldStart, ColdPerSecond: coldPerSecond}}})
+	Expect(err).NotTo(HaveOccurred())
+	for i := range domains {
+		domain := state.FailureDomain(fmt.Sprint("z", i))
+		w.view[domain] = &routing.View{Table: t, Domain: domain, Daemons: daemons, Pools: map[routing.ServiceName]*routing.Pool{"llm": pool}}
+	}
+	pool.Sort()
+	for i := range daemons {
+		w.daemons = append(w.daemons, &coldDaemon{
+			domain: state.FailureDomain(fmt.Sprint("z", i%domains)),
+			placer: &routing.Placer{Loads: routing.NewLoads(), Health: routing.NewHealth(), Cold: routing.NewColdRates(routing.PeerID(fmt.Sprintf("10.%d.%d.%d:7020", seed%250, i/250, i%250)))},
+		})
+	}
+	return w
+}
+
+// cut parts a domain from the others: its daemons reach its replicas alone, and no other
+// daemon reaches them.
+func (w *coldWorld) cut(domain state.FailureDomain) {
+	for d, v := range w.view {
+		pool := &routing.Pool{}
+		for _, r := range v.Pool("llm").Ready {
+			if (r.Domain == domain) == (d == domain) {
+				pool.Ready = append(pool.Ready, r)
+			}
+		}
+		pool.Sort()
+		w.view[d] = &routing.View{Table: v.Table, Domain: d, Daemons: v.Daemons, Pools: map[routing.ServiceName]*routing.Pool{"llm": pool}}
+	}
+}
+
+// run has each daemon place a request each 50 ms, at moments of its own.
+func (w *coldWorld) run(from, d time.Duration) {
+	const step = 50 * time.Millisecond
+	for at := from; at < from+d; at += step {
+		for i, daemon := range w.daemons {
+			now := epoch.Add(at + time.Duration(w.rng.Int64N(int64(step))))
+			r := chat(fmt.Sprint("s", w.rng.IntN(50)))
+			r.ID = routing.RequestID(fmt.Sprint(i, at))
+			t, ok := daemon.placer.Choose(w.view[daemon.domain], r, routing.Tried{}, now)
+			if !ok {
+				w.refused++
+				continue
+			}
+			w.arrived[t.Replica.ID] = append(w.arrived[t.Replica.ID], now)
+		}
+	}
+}
+
+// most returns how many requests reached one replica in any second at most.
+func (w *coldWorld) most() int {
+	most := 0
+	for _, list := range w.arrived {
+		for i := range list {
+			n := 0
+			for j := range list {
+				if d := list[j].Sub(list[i]); d >= 0 && d <= time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+var fleetSizes = []int{8, 65, 300, 930}
+
+// TestAColdReplicaKeepsItsRate is the heaviest moment of a fleet whose replicas all came back
+// cold: each daemon has ten times the requests that they bear. Daemons believe different
+// sizes of the fleet, some or all have started a moment ago, and one domain may be cut off
+// with what only it knows. No replica may get more than promised in any second.
+func TestAColdReplicaKeepsItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		RegisterTestingT(t)
+		n := rapid.SampledFrom(fleetSizes).Draw(t, "daemons")
+		w := newColdWorld(n, 8, 4, rapid.Uint64Range(0, 1<<20).Draw(t, "seed"))
+		fresh := rapid.SampledFrom([]float64{0, .1, .5, 1}).Draw(t, "started just now")
+		isCut := rapid.Bool().Draw(t, "one domain is cut off")
+		if isCut {
+			w.cut("z0")
+		}
+		for _, d := range w.daemons {
+			if w.rng.Float64() < fresh {
+				continue
+			}
+			known := int(float64(n) * (.75 + .25*w.rng.Float64()))
+			if isCut && d.domain == "z0" {
+				known = n / 4
+			}
+			d.placer.Cold.SetDaemons(known)
+		}
+		w.run(0, 1500*time.Millisecond)
+		if most := w.most(); most > mostWhileCold {
+			t.Fatalf("%d requests reached a cold replica within a second, at most %d may", most, mostWhileCold)
+		}
+	})
+}
+
+// TestTheLoadOfColdReplicasBreaksWhatKeepsNoRate holds that the load above is heavy enough: a
+// cold replica gets too much without a rate, and with one that each daemon makes of the
+// daemons that it knows when all have started a moment ago and know only themselves.
+func TestTheLoadOfColdReplicasBreaksWhatKeepsNoRate(t *testing.T) {
+	RegisterTestingT(t)
+	for name, naive := range map[string]func(*routing.Placer){
+		"no rate":                 func(p *routing.Placer) { p.Cold = nil },
+		"the daemons that I know": func(p *routing.Placer) { p.Cold.SetDaemons(1) },
+	} {
+		for _, n := range fleetSizes {
+			w := newColdWorld(n, 8, 4, 1)
+			for _, d := range w.daemons {
+				naive(d.placer)
+			}
+			w.run(0, 1500*time.Millisecond)
+			if most := w.most(); most <= mostWhileCold {
+				t.Errorf("%s, %d daemons: %d in a second; the load is too light to find a fault", name, n, most)
+			}
+		}
+	}
+}
+
+// TestPartsOfARateAreSpreadEvenly counts the parts of 930 daemons at 4,500 replicas: rounding
+// gives no replica more senders than it bears, and the mean is the share that is spent.
+func TestPartsOfARateAreSpreadEvenly(t *testing.T) {
+	RegisterTestingT(t)
+	const daemons, replicas = 930, 4500
+	w := newColdWorld(daemons, 1, 1, 3)
+	parts := make([]int, replicas)
+	for _, d := range w.daemons {
+		d.placer.Cold.SetDaemons(daemons)
+		for i := range parts {
+			r := routing.Replica{ID: routing.ReplicaID(fmt.Sprint("i-", i))}
+			parts[i] += d.placer.Cold.Part(&r, coldPerSecond)
+		}
+	}
+	sum, most := 0, 0
+	for _, n := range parts {
+		sum, most = sum+n, max(most, n)
+	}
+	if most > mostWhileCold {
+		t.Errorf("a replica has %d senders, at most %d may be", most, mostWhileCold)
+	}
+	if mean := float64(sum) / replicas; mean < .45*coldPerSecond || mean > .55*coldPerSecond {
+		t.Errorf("%.2f requests a second are spent on a replica, want half of %d", mean, coldPerSecond)
+	}
+}
+
+var _ = Describe("Cold replicas", func() {
+	coldFleet := func(domains ...string) *fleet {
+		f := newFleet("llm", domains...)
+		f.view.Table, _ = routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "llm", Generates: true, CopiesPrompts: true, ColdPerSecond: coldPerSecond}}})
+		f.placer.Cold = routing.NewColdRates("d")
+		f.placer.Cold.SetDaemons(8)
+		return f
+	}
+	turnCold := func(f *fleet, n int) {
+		for i := range n {
+			f.pool.Ready[i].ColdUntil = epoch.Add(time.Second)
+		}
+	}
+
+	It("get nothing while half are warm", func() {
+		f := coldFleet(sameDomain(8)...)
+		turnCold(f, 4)
+		for i := range 200 {
+			t := f.choose(chat(fmt.Sprint(i)))
+			Expect(t.Replica.IsCold(epoch)).To(BeFalse())
+		}
+	})
+
+	It("get their part where fewer are warm, and the rest goes to warm ones", func() {
+		f := coldFleet(sameDomain(8)...)
+		turnCold(f, 6)
+		cold := make(map[routing.ReplicaID]int)
+		for i := range 400 {
+			if t := f.choose(chat(fmt.Sprint(i))); t.Replica.IsCold(epoch) {
+				cold[t.Replica.ID]++
+			}
+		}
+		Expect(cold).NotTo(BeEmpty())
+		for id, n := range cold {
+			Expect(n).To(BeNumerically("<=", 1), string(id))
+		}
+	})
+
+	It("serve within their rate where none is warm, and refuse the rest at once", func() {
+		f := coldFleet(sameDomain(8)...)
+		turnCold(f, 8)
+		served := 0
+		for i := range 100 {
+			if _, ok := f.placer.Choose(f.view, chat(fmt.Sprint(i)), routing.Tried{}, epoch); ok {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically(">=", 4))
+		Expect(served).To(BeNumerically("<=", 8))
+	})
+
+	It("are like others once they are warm", func() {
+		f := coldFleet(sameDomain(8)...)
+		home := f.choose(chat("s")).Replica.ID
+		turnCold(f, 8)
+		t, ok := f.placer.Choose(f.view, chat("s"), routing.Tried{}, epoch.Add(2*time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(t.Replica.ID).To(Equal(home))
+	})
+})
--- a/coordination/routing/config.go
+++ b/coordination/routing/config.go
@@ -89,6 +89,10 @@
 	MaxConnections int  // to one replica, from all daemons together; 0: no bound
 	Generates      bool // the replicas generate text and cache prompts
 	CopiesPrompts  bool // a replica can copy cached prompts from another
+	// ColdStart is how long a replica is cold after a start, and ColdPerSecond how many
+	// requests a second it bears meanwhile; 0: it has no cold time, or bears all.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Workspace is a workspace with the keys of its callers.
--- a/coordination/routing/export_test.go
+++ b/coordination/routing/export_test.go
@@ -28,3 +28,10 @@
 	defer c.mu.Unlock()
 	return len(c.needs)
 }
+
+// Part returns how many requests the daemon may send to a cold replica in any second.
+func (c *ColdRates) Part(r *Replica, perSecond float64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part(r, &Service{ColdPerSecond: perSecond})
+}
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -29,7 +29,8 @@
 // one of another failure domain must have otherDomainCost of its slots more free.
 //
 // Replicas that the request was sent to before are left out, and those that may not
-// be chosen too, unless nothing is left. After a replica of another domain could not
+// be chosen too, unless nothing is left; evacuated ones always (evacuate.go), and cold ones
+// while enough others are warm (cold.go). After a replica of another domain could not
 // be reached, one of the own domain is chosen if there is one.
 
 package routing
@@ -97,6 +98,7 @@
 	Health *Health
 	Cache  *CacheTable // nil: nothing is known to be cached
 	Crowds *Crowds     // nil: no replica is crowded
+	Cold   *ColdRates  // nil: cold replicas get as much as warm ones
 }
 
 // Choose returns the target of a request among the ready replicas of its
@@ -107,15 +109,25 @@
 	if len(pool.Ready) == 0 {
 		return Target{}, false
 	}
+	service, _ := v.Table.Service(r.Service)
 	c := newCandidates(p, pool, v, tried, now)
-	if c.usableCount == 0 {
-		return Target{}, false
+	c.excludeCold(p.Cold, service, now)
+	for c.usableCount > 0 {
+		t := p.chooseUsable(c, pool, v, r, service, now)
+		if p.Cold.take(&t.Replica, service, now) {
+			return t, true
+		}
+		c.exclude(func(r *Replica) bool { return r.ID == t.Replica.ID })
 	}
-	service, _ := v.Table.Service(r.Service)
-	if service != nil && service.Generates && len(r.Prompt) > 0 {
-		return p.choosePrompt(c, pool, v, r, service, now), true
+	return Target{}, false
+}
+
+// chooseUsable chooses among the usable candidates, of which there is at least one.
+func (p *Placer) chooseUsable(c *candidates, pool *Pool, v *View, r *Request, s *Service, now time.Time) Target {
+	if s != nil && s.Generates && len(r.Prompt) > 0 {
+		return p.choosePrompt(c, pool, v, r, s, now)
 	}
-	return c.choosePlain(v.Domain, r), true
+	return c.choosePlain(v.Domain, r)
 }
 
 // choosePrompt chooses for a request with a prompt.
@@ -159,7 +171,7 @@
 func (p *Placer) source(t *Target, cached []location, pool *Pool, now time.Time) Replica {
 	var best *Replica
 	var bestUsed time.Time
-	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Expired} {
+	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Evacuated, pool.Expired} {
 		for i := range list {
 			r := &list[i]
 			at := slices.IndexFunc(cached, func(l location) bool { return l.replica == r.LoadKey() })
@@ -189,13 +201,13 @@
 }
 
 // likelySource guesses who holds a prompt that nobody has announced: the replica that
-// ranks first besides the target, draining ones counted. That is the other home, or the
+// ranks first besides the target, draining and evacuated ones counted. That is the other home, or the
 // home from before the target joined or before the former home began to leave. A wrong
 // guess costs a copy that finds nothing.
 func (p *Placer) likelySource(key uint64, target *Replica, pool *Pool, now time.Time) Replica {
 	var best *Replica
 	var bestRank uint64
-	for _, list := range [][]Replica{pool.Ready, pool.Draining} {
+	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Evacuated} {
 		for i := range list {
 			r := &list[i]
 			rank := coordination.Rank(key, r.Hash)
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -36,6 +36,10 @@
 	// RetryAfter is the time after which a caller whose request was refused is
 	// asked to come back. With 30 ms as many are served.
 	RetryAfter = 100 * time.Millisecond
+	// retryAfterCold is what a cold replica needs to take another request of this daemon, and
+	// retryAfterEvacuated less than any evacuation lasts: who asks sooner is refused again.
+	retryAfterCold      = coldWindow
+	retryAfterEvacuated = time.Second
 )
 
 // Attempts is the state of one request's attempts. One goroutine uses it.
@@ -57,6 +61,21 @@
 	return Attempts{Route: r, Outcome: coordination.NotRun{Reason: coordination.ReasonNoUpstream, RetryAfter: RetryAfter}}
 }
 
+// NoReplica records that no replica may be chosen, and why. It changes nothing if the request
+// was sent before, or a replica took no connection: then that says more.
+func (a *Attempts) NoReplica(v *View, s ServiceName, now time.Time) {
+	if o, ok := a.Outcome.(coordination.NotRun); !ok || o.Reason != coordination.ReasonNoUpstream {
+		return
+	}
+	p := v.Pool(s)
+	switch {
+	case len(p.Ready) == 0 && len(p.Evacuated) > 0:
+		a.Outcome = coordination.NotRun{Reason: coordination.ReasonEvacuated, RetryAfter: retryAfterEvacuated}
+	case p.allCold(now):
+		a.Outcome = coordination.NotRun{Reason: coordination.ReasonCold, RetryAfter: retryAfterCold}
+	}
+}
+
 // Failed records how an attempt failed. It returns true if the request may be sent
 // again as far as that attempt goes.
 func (a *Attempts) Failed(o coordination.Outcome) bool {
--- a/coordination/routing/retry_test.go
+++ b/coordination/routing/retry_test.go
@@ -93,3 +93,32 @@
 	}
 	golden.Compare(t, "retry.txt", b.String())
 }
+
+// TestARefusalSaysWhyThereIsNoReplica holds the reasons of a request that no replica may take,
+// and that they replace nothing that says more.
+func TestARefusalSaysWhyThereIsNoReplica(t *testing.T) {
+	warm := routing.Replica{ID: "w"}
+	cold := routing.Replica{ID: "c", ColdUntil: epoch.Add(time.Second)}
+	for _, c := range []struct {
+		name string
+		pool routing.Pool
+		want coordination.Reason
+	}{
+		{"nothing", routing.Pool{}, coordination.ReasonNoUpstream},
+		{"all evacuated", routing.Pool{Evacuated: []routing.Replica{warm}}, coordination.ReasonEvacuated},
+		{"all cold", routing.Pool{Ready: []routing.Replica{cold}}, coordination.ReasonCold},
+		{"one warm and failing", routing.Pool{Ready: []routing.Replica{warm, cold}, Evacuated: []routing.Replica{warm}}, coordination.ReasonNoUpstream},
+	} {
+		v := &routing.View{Pools: map[routing.ServiceName]*routing.Pool{"s": &c.pool}}
+		a := routing.NewAttempts(&routing.Route{MaxAttempts: 1})
+		a.NoReplica(v, "s", epoch)
+		if got, ok := a.Outcome.(coordination.NotRun); !ok || got.Reason != c.want || got.RetryAfter <= 0 {
+			t.Errorf("%s: %s, want %s", c.name, outcomeText(a.Outcome), c.want)
+		}
+		a.Outcome = answerBroken
+		a.NoReplica(v, "s", epoch)
+		if a.Outcome != coordination.Outcome(answerBroken) {
+			t.Errorf("%s: a request that may have run ends as %s", c.name, outcomeText(a.Outcome))
+		}
+	}
+}
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,7 +21,11 @@
 	Domain   state.FailureDomain
 	Slots    int  // requests that it runs at once
 	Draining bool // it has announced that it leaves
-	Hash     uint64
+	// ColdFor is how much longer it is cold, as of its entry, and ColdUntil until when, by
+	// the clock of the daemon that took the entry in; zero: it is warm.
+	ColdFor   time.Duration
+	ColdUntil time.Time
+	Hash      uint64
 }
 
 // NewReplica fills in the hash.
@@ -40,6 +45,9 @@
 type Pool struct {
 	Ready    []Replica
 	Draining []Replica // they get no new requests
+	// Evacuated are replicas that are well and whose failure domain is evacuated. They get
+	// no new requests, and prompts can be copied from them.
+	Evacuated []Replica
 	// Expired are replicas whose entries expired a moment ago. They serve a little
 	// longer, and prompts can be copied from them.
 	Expired []Replica
@@ -50,7 +58,7 @@
 // Sort orders the replicas by id, so that equal pools are equal everywhere, and
 // makes the pool ready for choices. It is called again after each change.
 func (p *Pool) Sort() {
-	for _, list := range [][]Replica{p.Ready, p.Draining, p.Expired} {
+	for _, list := range [][]Replica{p.Ready, p.Draining, p.Evacuated, p.Expired} {
 		slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
 	p.positions = make(map[LoadKey]int, len(p.Ready))
@@ -64,7 +72,9 @@
 	if p.positions != nil {
 		return p
 	}
-	c := &Pool{Ready: slices.Clone(p.Ready), Draining: slices.Clone(p.Draining), Expired: slices.Clone(p.Expired)}
+	c := &Pool{
+		Ready: slices.Clone(p.Ready), Draining: slices.Clone(p.Draining), Evacuated: slices.Clone(p.Evacuated), Expired: slices.Clone(p.Expired),
+	}
 	c.Sort()
 	return c
 }
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -8,6 +8,7 @@
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
+	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
 )
 
@@ -23,6 +24,9 @@
 	// ReplicaID returns which replica a document is about; false if it is about
 	// something else.
 	ReplicaID(key string) (routing.ReplicaID, bool)
+	// EvacuatedDomain returns the failure domain whose evacuation a document is about;
+	// false if it is about something else.
+	EvacuatedDomain(key string) (state.FailureDomain, bool)
 }
 
 // sourceStore is the source, in the log, of documents that came from the store;
@@ -45,12 +49,14 @@
 	tableRevision feed.Revision
 	replicas      map[string]routing.Replica // by key of their documents
 	expired       *routing.ExpiredEntries
+	evacuations   *routing.Evacuations
 	changedAt     time.Time
 }
 
 func newCatalog(d Documents, l *Log) *catalog {
 	return &catalog{
 		documents: d, log: l, feed: feed.New(), replicas: make(map[string]routing.Replica), expired: routing.NewExpiredEntries(),
+		evacuations: routing.NewEvacuations(),
 	}
 }
 
@@ -61,6 +67,7 @@
 	logEach := len(changed) <= maxReplicaLines
 	for _, it := range changed {
 		c.applyReplica(it, storeTrouble, logEach, now)
+		c.applyEvacuation(it, now)
 	}
 	c.applyConfig(source)
 	c.changedAt = now
@@ -72,6 +79,8 @@
 	stateReady    = "ready"
 	stateDraining = "draining"
 	stateGone     = "gone"
+	stateCold     = "cold"
+	stateWarm     = "warm"
 )
 
 func stateName(r *routing.Replica) string {
@@ -108,10 +117,33 @@
 	if logEach && (!known || before.Draining != r.Draining) {
 		c.log.Replica(id, stateName(&r), it.Revision)
 	}
+	if r.ColdFor > 0 {
+		r.ColdUntil = now.Add(r.ColdFor)
+	}
+	if wasCold := before.ColdFor > 0; wasCold != (r.ColdFor > 0) && logEach {
+		c.log.Cold(id, r.ColdFor, it.Revision)
+	}
 	c.expired.Remove(r.ID)
 	c.replicas[it.Key] = r
 }
 
+// applyEvacuation takes in that a failure domain is evacuated or taken back.
+func (c *catalog) applyEvacuation(it feed.Item, now time.Time) {
+	domain, ok := c.documents.EvacuatedDomain(it.Key)
+	if !ok {
+		return
+	}
+	changed := false
+	if it.Gone {
+		changed = c.evacuations.End(domain, now)
+	} else {
+		changed = c.evacuations.Begin(domain)
+	}
+	if changed {
+		c.log.Evacuation(domain, !it.Gone, it.Revision)
+	}
+}
+
 // applyConfig takes a newer configuration. One that can't be read changes nothing.
 func (c *catalog) applyConfig(source string) {
 	it, ok := c.documents.Config(c.feed)
@@ -152,12 +184,25 @@
 			c.log.Restored(s, len(restored), left)
 		}
 	}
-	for _, p := range v.Pools {
+	for name, p := range v.Pools {
+		c.evacuations.Apply(p, c.coldStart(name))
 		p.Sort()
 	}
 	return v
 }
 
+// coldStart returns how long the replicas of a service are cold after a start.
+func (c *catalog) coldStart(name routing.ServiceName) time.Duration {
+	if c.table == nil {
+		return 0
+	}
+	s, ok := c.table.Service(name)
+	if !ok {
+		return 0
+	}
+	return s.ColdStart
+}
+
 func poolOf(v *routing.View, s routing.ServiceName) *routing.Pool {
 	p := v.Pools[s]
 	if p == nil {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -43,6 +43,7 @@
 	health  *routing.Health
 	cache   *routing.CacheTable
 	crowds  *routing.Crowds
+	cold    *routing.ColdRates
 	budgets *routing.RetryBudgets
 }
 
@@ -66,6 +67,7 @@
 	storeLost      bool
 	storeTroubleAt time.Time // when the store was last known to be unreachable, here or at a peer
 	tickedAt       time.Time
+	startedAt      time.Time
 	figuresAt      time.Time
 }
 
@@ -87,7 +89,8 @@
 func (c *control) run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	c.roster.ListenFirst(time.Now())
+	c.startedAt = time.Now()
+	c.roster.ListenFirst(c.startedAt)
 	c.planReads(time.Now())
 	c.sendHeartbeat(time.Now())
 	for {
@@ -151,6 +154,9 @@
 	c.tickHeartbeat(now)
 	c.sendSilences(now)
 	c.syncIfBehind(ctx, now)
+	if now.Sub(c.startedAt) >= routing.FleetKnownAfter {
+		c.cold.SetDaemons(c.roster.Largest())
+	}
 	expired := c.catalog.expired.Expire(now)
 	if n := c.roster.Size(now); c.sizeChanged(n) || expired {
 		c.daemons = n
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -12,6 +12,7 @@
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
+	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
 )
 
@@ -21,6 +22,7 @@
 		tables: tables{
 			loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(),
 			crowds:  routing.NewCrowds(),
+			cold:    routing.NewColdRates("10.0.0.1:1"),
 			budgets: routing.NewRetryBudgets(routing.RetryRule{Window: time.Second}, 1),
 		},
 		log: l, daemons: 1, catalog: newCatalog(d, l),
@@ -259,15 +261,22 @@
 func (fewDocuments) Config(f *feed.Feed) (feed.Item, bool) { return f.Get("config") }
 
 func (fewDocuments) ParseConfig(feed.Item) (*routing.Table, error) {
-	return routing.NewTable(&routing.Config{Version: 7})
+	return routing.NewTable(&routing.Config{Version: 7, Services: []routing.Service{{Name: "s", ColdStart: testColdStart, ColdPerSecond: 5}}})
 }
 
+const testColdStart = 3 * time.Second
+
 func (fewDocuments) ParseReplica(it feed.Item) (routing.Replica, string, error) {
-	return routing.NewReplica(routing.Replica{ID: routing.ReplicaID(it.Key), Service: "s"}), "", nil
+	return routing.NewReplica(routing.Replica{ID: routing.ReplicaID(it.Key), Service: "s", Domain: "z"}), "", nil
+}
+
+func (fewDocuments) EvacuatedDomain(key string) (state.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate-")
+	return state.FailureDomain(domain), ok
 }
 
 func (fewDocuments) ReplicaID(key string) (routing.ReplicaID, bool) {
-	return routing.ReplicaID(key), key != "config"
+	return routing.ReplicaID(key), strings.HasPrefix(key, "replica-")
 }
 
 // TestStartOfALargeFleetLeavesTheConfigurationInTheLog applies thousands of
@@ -353,3 +362,45 @@
 	<-b.release
 	return len(p), nil
 }
+
+// TestEvacuatedReplicasLeaveTheView evacuates a domain and takes it back, by documents as the
+// store and peers give them, one of which comes late: the newest holds.
+func TestEvacuatedReplicasLeaveTheView(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&out, "info", "d", newMetrics())
+	c := newTestControl(l, fewDocuments{})
+	now := time.Unix(1_000_000, 0)
+	c.planReads(now)
+	apply := func(items ...feed.Item) {
+		c.apply(c.catalog.feed.Apply(items), sourceStore, now)
+	}
+	pool := func() *routing.Pool { return c.view.Load().Pool("s") }
+	apply(feed.Item{Key: "config", Revision: 1}, feed.Item{Key: "replica-1", Revision: 2}, feed.Item{Key: "replica-2", Revision: 3})
+	apply(feed.Item{Key: "evacuate-z", Revision: 5})
+	if len(pool().Ready) != 0 || len(pool().Evacuated) != 2 {
+		t.Fatalf("ready %d, evacuated %d, want none and 2", len(pool().Ready), len(pool().Evacuated))
+	}
+	apply(feed.Item{Key: "evacuate-z", Revision: 4, Gone: true})
+	if len(pool().Ready) != 0 {
+		t.Fatal("an old document takes the domain back")
+	}
+	if a := c.statusAnswer(now); len(a.Evacuated) != 1 || a.Evacuated[0] != "z" {
+		t.Errorf("operators see %v as evacuated", a.Evacuated)
+	}
+	if a := c.replicaAnswers(now); len(a) != 2 || a[0].Why != whyEvacuated {
+		t.Errorf("operators see %+v", a)
+	}
+	apply(feed.Item{Key: "evacuate-z", Revision: 6, Gone: true})
+	if len(pool().Ready) != 2 || !pool().Ready[0].IsCold(now.Add(testColdStart-1)) || pool().Ready[0].IsCold(now.Add(testColdStart)) {
+		t.Fatalf("taken back as %+v, want two that are cold for %v", pool().Ready, testColdStart)
+	}
+	if a := c.statusAnswer(now); len(a.Evacuated) != 0 || a.Cold != 2 {
+		t.Errorf("operators see %v as evacuated and %d cold replicas", a.Evacuated, a.Cold)
+	}
+	l.Close()
+	for _, want := range []string{`"evacuated":true`, `"evacuated":false`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log lacks %s", want)
+		}
+	}
+}
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -121,6 +121,7 @@
 	t := tables{
 		loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(),
 		crowds:  routing.NewCrowds(),
+		cold:    routing.NewColdRates(routing.PeerID(s.advertised())),
 		budgets: routing.NewRetryBudgets(s.retryRule(), max(leastFleet, len(s.Seeds))),
 	}
 	t.health.Reporter = routing.NewReporterID(string(s.advertised()))
@@ -131,7 +132,7 @@
 		countCall: func() { d.Metrics.StoreCalls.Inc(1) },
 	}
 	d.Relay = relay.New(relay.Options{
-		View: d.View, Placer: &routing.Placer{Loads: t.loads, Health: t.health, Cache: t.cache, Crowds: t.crowds},
+		View: d.View, Placer: &routing.Placer{Loads: t.loads, Health: t.health, Cache: t.cache, Crowds: t.crowds, Cold: t.cold},
 		Budgets: t.budgets, Codec: d.outside.Codec, Observer: d.Log, Pool: d.pool,
 	})
 	d.callers.Server.Handler = d.outside.Front(d)
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -77,6 +77,8 @@
 		func() { l.Ejected(&replica, call, errors.New("e")) },
 		func() { l.Finished(call, summary) },
 		func() { l.NotUnderstood("k", "w") },
+		func() { l.Cold("i-1", time.Second, 2) },
+		func() { l.Evacuation("z", true, 2) },
 		func() { l.Crowded(&replica, call, relay.ReportedLoad{Known: true, Requests: 9}) },
 	} {
 		write()
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -171,6 +171,28 @@
 	l.logger.Info().Str("replica", string(id)).Str("state", stage).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
 }
 
+// Cold says that a replica is cold for a while, or with 0 that it is warm again.
+func (l *Log) Cold(id routing.ReplicaID, d time.Duration, at feed.Revision) {
+	stage := stateWarm
+	if d > 0 {
+		stage = stateCold
+		l.metrics.Cold.Inc(1)
+	}
+	l.timeline.Record(coordination.EventUpstreamState, string(id), "", "%s", stage)
+	l.logger.Info().Str("replica", string(id)).Str("state", stage).Int64("cold_ms", d.Milliseconds()).Uint64("revision", uint64(at)).Msg(prefixReplica + "state changed")
+}
+
+// Evacuation says that a failure domain is evacuated or was taken back.
+func (l *Log) Evacuation(d state.FailureDomain, begun bool, at feed.Revision) {
+	text := "failure domain was taken back; its replicas count as cold for a while"
+	if begun {
+		text = "failure domain is evacuated; its replicas get no requests"
+		l.metrics.Evacuations.Inc(1)
+	}
+	l.timeline.Record(coordination.EventUpstreamState, string(d), "", "%s", text)
+	l.logger.Warn().Str("domain", string(d)).Bool("evacuated", begun).Uint64("revision", uint64(at)).Msg(prefixControl + text)
+}
+
 // Restored says that replicas are used on although their entries expired; left is how
 // many others the service has.
 func (l *Log) Restored(s routing.ServiceName, expired, left int) {
@@ -246,7 +268,7 @@
 	}
 	for i := range s.Attempts {
 		a := &s.Attempts[i]
-		e.Str("replica", string(a.Replica)).Int("rank", a.Rank).Str("copied", string(a.Copied)).Int("load", a.Load).
+		e.Str("replica", string(a.Replica)).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.Copied)).Int("load", a.Load).
 			Float64("mean", float64(int(a.Mean*10))/10).
 			Float64("coverage", float64(int(a.Coverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
 	}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -30,9 +30,13 @@
 	// FoundSilent counts the replicas that only other daemons found silent.
 	FoundSilent metrics.Counter
 	// Crowded counts the requests that found their replica crowded.
-	Crowded    metrics.Counter
-	StoreCalls metrics.Counter
-	Syncs      metrics.Counter
+	Crowded metrics.Counter
+	// Cold counts the replicas that turned cold, Evacuations the failure domains that
+	// operators evacuated.
+	Cold        metrics.Counter
+	Evacuations metrics.Counter
+	StoreCalls  metrics.Counter
+	Syncs       metrics.Counter
 	// SyncedBytes and HeartbeatBytes are payloads, without headers of lower layers.
 	SyncedBytes        metrics.Counter
 	HeartbeatBytes     metrics.Counter
@@ -71,6 +75,8 @@
 		"passed_over_total":     &m.Ejections,
 		"found_silent_total":    &m.FoundSilent,
 		"crowded_total":         &m.Crowded,
+		"turned_cold_total":     &m.Cold,
+		"evacuations_total":     &m.Evacuations,
 		"store_calls_total":     &m.StoreCalls,
 		"pulls_total":           &m.Syncs,
 		"pulled_bytes_total":    &m.SyncedBytes,
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -40,6 +40,9 @@
 	Replicas    int                   `json:"replicas"`
 	LinesLost   int64                 `json:"log_lines_left_out"`
 	Connections int                   `json:"idle_connections"`
+	// Evacuated are the failure domains that operators evacuate.
+	Evacuated []state.FailureDomain `json:"evacuated_domains"`
+	Cold      int                   `json:"cold_replicas"`
 }
 
 // MemberAnswer is one daemon in the answer to GET /members.
@@ -61,8 +64,15 @@
 	Ejected  bool                `json:"passed_over"`
 	Why      string              `json:"why,omitempty"` // why it gets no requests
 	FailRate float64             `json:"fail_rate"`     // share of failures as this daemon counted them
+	ColdMS   int64               `json:"cold_ms"`       // how much longer it is cold
 }
 
+// Reasons why a replica gets no requests, or few; others are those of routing.Health.
+const (
+	whyEvacuated = "its failure domain is evacuated"
+	whyCold      = "it is cold and gets few requests or none"
+)
+
 // askTimeout bounds how long an operator waits for the control loop.
 const askTimeout = time.Second
 
@@ -120,6 +130,14 @@
 	a := StatusAnswer{
 		Domain: c.domain, Revision: c.catalog.feed.Revision(), ChangedMS: -1, StoreLost: c.storeLost,
 		ReadsStore: c.readPlan.Load().Reads, Daemons: c.daemons, Replicas: len(c.catalog.replicas),
+		Evacuated: c.catalog.evacuations.Domains(),
+	}
+	for _, p := range c.view.Load().Pools {
+		for i := range p.Ready {
+			if p.Ready[i].IsCold(now) {
+				a.Cold++
+			}
+		}
 	}
 	if t := c.catalog.table; t != nil {
 		a.Version, a.Routes = t.Version, t.RouteCount()
@@ -153,14 +171,23 @@
 				out = append(out, c.replicaAnswer(&list[i], now))
 			}
 		}
+		for i := range p.Evacuated {
+			a := c.replicaAnswer(&p.Evacuated[i], now)
+			a.Ejected, a.Why = true, whyEvacuated
+			out = append(out, a)
+		}
 	}
 	return out
 }
 
 func (c *control) replicaAnswer(r *routing.Replica, now time.Time) ReplicaAnswer {
 	rate, why := c.health.Explain(r, now)
+	coldFor := max(0, r.ColdUntil.Sub(now))
+	if why == "" && coldFor > 0 {
+		why = whyCold
+	}
 	return ReplicaAnswer{
 		ID: r.ID, Service: r.Service, Domain: r.Domain, Address: r.Address, State: stateName(r),
-		Load: c.loads.Of(r.LoadKey(), now), Ejected: why != "", Why: why, FailRate: rate,
+		Load: c.loads.Of(r.LoadKey(), now), Ejected: why != "", Why: why, FailRate: rate, ColdMS: coldFor.Milliseconds(),
 	}
 }
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -59,7 +59,7 @@
 		pause(ctx, sweepInterval)
 		known := make(map[routing.ReplicaID]bool)
 		for _, p := range d.View().Pools {
-			for _, list := range [][]routing.Replica{p.Ready, p.Draining} {
+			for _, list := range [][]routing.Replica{p.Ready, p.Draining, p.Evacuated} {
 				for i := range list {
 					known[list[i].ID] = true
 				}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -74,6 +74,7 @@
 type Attempt struct {
 	Replica  routing.ReplicaID
 	Rank     int               // place of the replica in the prompt's order
+	Cold     bool              // the replica was cold
 	Copied   routing.ReplicaID // source of the prompt; empty: none
 	Load     int               // of the replica when it was chosen, in requests
 	Mean     float64           // of the service, in requests
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -75,7 +75,11 @@
 	view := s.View()
 	s.summary.Revision = view.Revision
 	target, ok := s.Placer.Choose(view, &s.call.Request, s.tried, now)
-	if !ok || !s.attempts.MaySend(s.Budgets, s.call.Service, now) {
+	if !ok {
+		s.attempts.NoReplica(view, s.call.Service, now)
+		return false
+	}
+	if !s.attempts.MaySend(s.Budgets, s.call.Service, now) {
 		return false
 	}
 	s.tried.Replicas = append(s.tried.Replicas, target.Replica.ID)
@@ -92,7 +96,10 @@
 
 // measured sends the call to a replica and takes down how that went.
 func (s *serving) measured(ctx context.Context, t *routing.Target, begun time.Time) *failure {
-	a := Attempt{Replica: t.Replica.ID, Rank: t.Rank, Copied: t.Source.ID, Load: t.Load, Mean: t.Mean, Coverage: t.Coverage}
+	a := Attempt{
+		Replica: t.Replica.ID, Rank: t.Rank, Cold: t.Replica.IsCold(begun), Copied: t.Source.ID,
+		Load: t.Load, Mean: t.Mean, Coverage: t.Coverage,
+	}
 	key := t.Replica.LoadKey()
 	s.Placer.Loads.Begin(key)
 	f := s.send(ctx, t, &a)
