Soak: domains are evacuated, replicas turn cold and fall over

The soak judges EVAC (2.5 s after the store took it, for daemons in touch) and FAILBACK (14 requests in any second, from all daemons), each with a planted fault.

--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -35,6 +35,10 @@
 		return x.write(standin.Misdirected(x.id, x.ID))
 	}
 	x.ledger.Arrived(x.id, arrival)
+	if x.fallsOver(now) {
+		resetConn(x.conn.(*net.TCPConn))
+		return false
+	}
 	x.mu.Lock()
 	x.behaviour = x.Replica.behaviour
 	full := x.busy >= x.slots
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -85,6 +85,8 @@
 		s.injectReplica(f)
 	case addKey, revokeKey, moveRoute, configStorm:
 		s.changeConfig(f)
+	case evacuateDomain:
+		s.evacuate(f)
 	case callersRepeat:
 		s.callerFaults.repeat.Store(2)
 		pause(s.ctx, f.For)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -28,6 +28,10 @@
 	// quiet time.
 	Share float64
 	Limit limitBounds
+	// Evacuate is the time until an evacuated domain gets no more requests, and Cold how
+	// many requests all daemons may send a cold replica in a second.
+	Evacuate time.Duration
+	Cold     int
 }
 
 // defaultBounds returns the bounds of a run. Those in time are the users' and
@@ -36,7 +40,8 @@
 	return bounds{
 		Contact: 3 * time.Second, Apply: 2500 * time.Millisecond, Drain: 2500 * time.Millisecond, Leave: time.Second,
 		Late: time.Second, Resend: 500 * time.Millisecond, Ratio: 0.2, Extra: 56, Window: 10 * time.Second, Few: 3, Share: 0.9,
-		Limit: limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, Least: 20, Share: 0.03},
+		Limit:    limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, Least: 20, Share: 0.03},
+		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
 	}
 }
 
@@ -59,6 +64,7 @@
 	j.judgeFew()
 	j.judgeRepeats()
 	j.judgeLimit()
+	j.judgeCold()
 	j.out = append(j.out, l.ended...)
 	var fresh []Violation
 	for _, v := range j.out {
@@ -96,6 +102,7 @@
 	}
 	j.judgeRuns(r)
 	j.judgeArrivals(r)
+	j.judgeEvacuated(r)
 	j.judgeLeaving(r)
 	if r.answer != nil {
 		j.judgeAnswer(r)
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -110,6 +110,20 @@
 		{"a new key is not known for long", "CONFIG", once, func(s *scene) { s.KeyAdded("k", "w", at(90)); s.send(); s.answer(Answer{Status: 401}) }},
 		{"work for a replica that left", "DRAIN", once, func(s *scene) { s.Leaves("r1", at(95)); s.send().run("r1", 100.1) }},
 		{"work for one that leaves just now", "", once, func(s *scene) { s.Leaves("r1", at(99)); s.send().run("r1", 100.1) }},
+		{"work for an evacuated domain", "EVAC", once, func(s *scene) { s.StandsIn("r1", "z"); s.Evacuates("z", at(95)); s.send().run("r1", 100.1) }},
+		{"work for one evacuated just now", "", once, func(s *scene) { s.StandsIn("r1", "z"); s.Evacuates("z", at(99)); s.send().run("r1", 100.1) }},
+		{"work for one taken back", "", once, func(s *scene) {
+			s.StandsIn("r1", "z")
+			s.Evacuates("z", at(90))
+			s.TakesBack("z", at(90), at(100))
+			s.send().run("r1", 100.1)
+		}},
+		{"work for an evacuated domain by a daemon out of touch", "", once, func(s *scene) {
+			s.StandsIn("r1", "z")
+			s.Evacuates("z", at(95))
+			s.DisturbDaemon(0, at(96), at(99))
+			s.send().run("r1", 100.1)
+		}},
 		{"a connection that ends without an answer", "LOST", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(Answer{Err: errors.New("EOF")}) }},
 		{"the same of a killed daemon", "", once, func(s *scene) {
 			s.send().run("r1", 100.1)
@@ -223,6 +237,51 @@
 	}
 }
 
+// TestJudgeCountsWhatReachesAColdReplica sends a replica requests within a second.
+func TestJudgeCountsWhatReachesAColdReplica(t *testing.T) {
+	most := defaultBounds().Cold
+	for _, c := range []struct {
+		name   string
+		n      int
+		turn   func(*Ledger)
+		broken bool
+	}{
+		{"as many as it may get", most, func(l *Ledger) { l.TurnsCold("r1", coldSpan{span: span{at(99), at(103)}}) }, false},
+		{"one more", most + 1, func(l *Ledger) { l.TurnsCold("r1", coldSpan{span: span{at(99), at(103)}}) }, true},
+		{"one more at a warm replica", most + 1, func(l *Ledger) { l.TurnsCold("r1", coldSpan{span: span{at(90), at(99)}}) }, false},
+		{"one more by a daemon that could not know", most + 1, func(l *Ledger) {
+			l.TurnsCold("r1", coldSpan{span: span{at(99), at(103)}, known: at(98)})
+			l.DisturbDaemon(0, at(97), at(100))
+		}, false},
+		{"one more by one that could", most + 1, func(l *Ledger) { l.TurnsCold("r1", coldSpan{span: span{at(99), at(103)}, known: at(98)}) }, true},
+	} {
+		l := newLedger(defaultBounds())
+		c.turn(l)
+		for i := range c.n {
+			id := "q" + itoa(i)
+			l.Sent(Request{ID: id, Route: routes[1], Sent: at(100), Deadline: at(102)})
+			l.Arrived(id, Arrival{Replica: "r1", Service: "gate", At: at(100 + float64(i)*.01), Deadline: at(102)})
+		}
+		broken := slices.ContainsFunc(l.Judge(at(104)), func(v Violation) bool { return v.Promise == "FAILBACK" })
+		if broken != c.broken {
+			t.Errorf("%s: broken %t, want %t", c.name, broken, c.broken)
+		}
+	}
+}
+
+// TestEvacuationsLeaveTheOtherFaultsOfASeedAlone holds that seeds that were kept before there
+// were evacuations can be played as they were.
+func TestEvacuationsLeaveTheOtherFaultsOfASeedAlone(t *testing.T) {
+	shape := DefaultShape()
+	with := NewPlan(5, shape)
+	shape.EvacuationsPerSec = 0
+	without := NewPlan(5, shape)
+	others := slices.DeleteFunc(slices.Clone(with.Faults), func(f Fault) bool { return f.Kind == evacuateDomain })
+	if !slices.Equal(others, without.Faults) || len(with.Faults) == len(others) {
+		t.Errorf("%d faults with evacuations, %d besides them, %d without", len(with.Faults), len(others), len(without.Faults))
+	}
+}
+
 // TestPlanFollowsFromItsSeed holds that a seed gives one plan, and that all kinds
 // of faults are drawn.
 func TestPlanFollowsFromItsSeed(t *testing.T) {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -97,8 +97,11 @@
 	routes   map[string][]change             // a route's service
 	keys     map[string]*keyLife
 	found    map[string]Violation
-	crowded  float64     // the greatest share that LIMIT bounds
-	ended    []Violation // daemons that ended by themselves
+	domains  map[string]string     // of replicas
+	emptied  map[string][]span     // evacuations of domains, as the store took them
+	cold     map[string][]coldSpan // of replicas
+	crowded  float64               // the greatest share that LIMIT bounds
+	ended    []Violation           // daemons that ended by themselves
 }
 
 type keyLife struct {
@@ -113,6 +116,7 @@
 		bounds: b, requests: make(map[string]*record), daemons: make(map[int][]span), replicas: make(map[string][]span),
 		stops: make(map[int][]span), leaving: make(map[string]time.Time), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
+		domains: make(map[string]string), emptied: make(map[string][]span), cold: make(map[string][]coldSpan),
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,6 +39,8 @@
 	configStorm   faultKind = "config_storm"   // changes in quick succession
 	callersRepeat faultKind = "callers_repeat" // callers repeat at once and often
 	callersLeave  faultKind = "callers_leave"  // callers leave before their answer
+
+	evacuateDomain faultKind = "evacuate_domain" // a failure domain is emptied and taken back
 )
 
 // weights say how often a kind is drawn.
@@ -74,6 +77,8 @@
 	Trouble time.Duration `json:"trouble"` // time in which faults begin
 	Quiet   time.Duration `json:"quiet"`   // time after the last fault has ended
 	Steady  *Steady       `json:"steady,omitempty"`
+	// Cold says that replicas are cold after a start, and when their domain is taken back.
+	Cold bool `json:"cold"`
 }
 
 // Shape bounds what is drawn.
@@ -82,11 +87,14 @@
 	Quiet        time.Duration
 	MostDaemons  int
 	FaultsPerSec float64
+	// EvacuationsPerSec is how often domains are evacuated. Above 0 replicas are cold
+	// after a start. Seeds that were kept before there were any are played with 0.
+	EvacuationsPerSec float64
 }
 
 // DefaultShape returns the shape of a run by hand.
 func DefaultShape() Shape {
-	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2}
+	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15}
 }
 
 // bounds of the draws.
@@ -94,6 +102,8 @@
 	leastDaemons  = 3
 	longestFault  = 4 * time.Second
 	shortestFault = 300 * time.Millisecond
+	// leastEvacuation is longer than the time after which evacuations are judged.
+	leastEvacuation = 2 * time.Second
 )
 
 // NewPlan draws the plan of a seed.
@@ -108,10 +118,24 @@
 	for range int(s.FaultsPerSec * s.Trouble.Seconds()) {
 		p.Faults = append(p.Faults, drawFault(rng, s.Trouble))
 	}
+	p.drawEvacuations(seed, s)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
 
+// drawEvacuations adds the evacuations of a seed. They have draws of their own, so that the
+// other faults of a seed are the same without them.
+func (p *Plan) drawEvacuations(seed uint64, s Shape) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	p.Cold = s.EvacuationsPerSec > 0
+	for range int(math.Ceil(s.EvacuationsPerSec * s.Trouble.Seconds())) {
+		f := drawFault(rng, s.Trouble)
+		f.Kind = evacuateDomain
+		f.For += leastEvacuation
+		p.Faults = append(p.Faults, f)
+	}
+}
+
 func drawFault(rng *rand.Rand, within time.Duration) Fault {
 	total := 0
 	for _, w := range weights {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -24,6 +24,8 @@
 	{"stops without waiting", "LOST", "daemon/routes/run.go", "_ = d.callers.Server.Shutdown(wait)", "_, _ = wait.Deadline()\n\t_ = d.callers.Server.Close()", false},
 	{"says not run of what may have run", "REFUSED", "platform/front.go", "status := http.StatusBadGateway", "status := http.StatusServiceUnavailable", false},
 	{"takes a broken stream as whole", "ORDER", "transport/relay/answer.go", "return x.broken(ctx, eris.Wrap(err, \"read stream\"))", "break", false},
+	{"sends work to evacuated domains", "EVAC", "coordination/routing/evacuate.go", "if !e.evacuated[r.Domain] {", "if r.ID != \"\" || !e.evacuated[r.Domain] {", false},
+	{"takes cold replicas for warm ones", "FAILBACK", "coordination/routing/cold.go", "return now.Before(r.ColdUntil)", "return now.Before(r.ColdUntil) && r.ID == \"\"", false},
 	{"does not see crowded replicas", "LIMIT", "coordination/routing/crowd.go", "|| float64(held) <= most {", "|| float64(held) >= 0 {", true},
 }
 
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"hingewinch.org/hingewinch/platform/standin"
 )
@@ -51,6 +52,8 @@
 	busy      int
 	conns     map[net.Conn]struct{}
 	ended     bool
+	coldUntil time.Time
+	arrivals  []time.Time // of the last second, while it is cold
 }
 
 // startReplica listens on a loopback address.
@@ -74,6 +77,36 @@
 	r.behaviour = m
 }
 
+// TurnCold makes it cold until a time.
+func (r *Replica) TurnCold(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldUntil = until
+}
+
+// coldLeft returns how much longer it is cold.
+func (r *Replica) coldLeft(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.coldUntil.Sub(now))
+}
+
+// fallsOver counts an arrival, and reports whether a cold replica falls over by it: it got
+// far more within a second than it bears.
+func (r *Replica) fallsOver(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(r.coldUntil) {
+		r.arrivals = nil
+		return false
+	}
+	r.arrivals = append(r.arrivals, now)
+	for now.Sub(r.arrivals[0]) > time.Second {
+		r.arrivals = r.arrivals[1:]
+	}
+	return float64(len(r.arrivals)) > fallOver*coldPerSecond
+}
+
 // End closes the listener and resets all connections.
 func (r *Replica) End() {
 	_ = r.listener.Close()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -67,7 +67,7 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
-	r.site.steady = p.Steady
+	r.site.steady, r.site.cold = p.Steady, p.Cold
 	err := r.build(work)
 	if r.site.fleet != nil {
 		defer r.site.fleet.end()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -49,6 +49,7 @@
 	callerFaults callerFaults
 	domains      []string
 	steady       *Steady   // nil: ordinary traffic
+	cold         bool      // replicas are cold after a start
 	begun        time.Time // of the traffic
 
 	mu       sync.Mutex
@@ -97,6 +98,11 @@
 func (s *site) publish() time.Time {
 	s.version++
 	c := standin.Config{Version: s.version, Services: []standin.Service{{Name: serviceGate}, {Name: serviceOther}, {Name: serviceChat, Engine: &standin.Engine{}}}}
+	if s.cold {
+		for i := range c.Services {
+			c.Services[i].ColdSeconds, c.Services[i].ColdPerSecond = coldStart.Seconds(), coldPerSecond
+		}
+	}
 	for _, r := range routes {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: r.Name, Host: routeHost, Prefix: r.Prefix, Kind: kindOf(r), TimeoutMS: r.Timeout.Milliseconds(),
@@ -211,12 +217,16 @@
 	s.mu.Unlock()
 	p.link.SetTarget(r.Address())
 	s.ledger.Joins(id, service, time.Now())
+	s.ledger.StandsIn(id, p.domain)
+	if s.cold && !s.begun.IsZero() {
+		s.chill(p, r, time.Time{})
+	}
 	s.announce(p, r, false)
 	return nil
 }
 
 func (s *site) announce(p *place, r *Replica, draining bool) {
-	s.store.PutReplica(standin.Replica{ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, Draining: draining})
+	s.store.PutReplica(standin.Replica{ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, ColdMS: r.coldLeft(time.Now()).Milliseconds(), Draining: draining})
 }
 
 // at returns a place whose replica lives, and the replica.
