A replica that turned cold holds no prompts

Cause: a failure domain that is emptied and taken back comes back with empty memories under the same ids.

Change: an entry that says cold of a known replica drops its cache locations, so that the prompt is copied from whoever served it meanwhile.

--- a/coordination/routing/cache.go
+++ b/coordination/routing/cache.go
@@ -128,6 +128,25 @@
 	return true
 }
 
+// Forget drops what replicas held: one that turned cold starts with an empty memory. Without
+// it the prompts of a failure domain of 28 replicas, taken back cold, are all expected there
+// and read again (1.2 million tokens), although those that served meanwhile hold them.
+func (t *CacheTable) Forget(replicas []LoadKey) {
+	if t == nil || len(replicas) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for prompt, list := range t.prompts {
+		list = slices.DeleteFunc(list, func(l location) bool { return slices.Contains(replicas, l.replica) })
+		if len(list) == 0 {
+			delete(t.prompts, prompt)
+			continue
+		}
+		t.prompts[prompt] = list
+	}
+}
+
 // oldestLocation returns the index of the location that was used first.
 func oldestLocation(list []location) int {
 	oldest := 0
--- a/coordination/routing/cold_test.go
+++ b/coordination/routing/cold_test.go
@@ -244,6 +244,24 @@
 		Expect(served).To(BeNumerically("<=", 8))
 	})
 
+	// A failure domain is emptied and comes back cold: the prompts whose home is there were
+	// served by others meanwhile, which hold them. Expected at their homes they would be read
+	// again, all in the seconds after the return.
+	It("are no sources of prompts that they held before, and copy them", func() {
+		f := newFleet("llm", sameDomain(18)...)
+		home := f.serve(chat("s"))
+		f.remove(home.ID)
+		meanwhile := f.serve(chat("s"))
+		f.pool.Ready = append(f.pool.Ready, home)
+		f.placer.Cache.Forget([]routing.LoadKey{home.LoadKey()})
+		t := f.choose(chat("s"))
+		Expect(t.Replica.ID).To(Equal(meanwhile.ID), "it holds the prompt")
+		f.load(meanwhile, 30)
+		t = f.choose(chat("s"))
+		Expect(t.Replica.ID).To(Equal(home.ID))
+		Expect(t.Source.ID).To(Equal(meanwhile.ID))
+	})
+
 	It("are like others once they are warm", func() {
 		f := coldFleet(sameDomain(8)...)
 		home := f.choose(chat("s")).Replica.ID
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -62,16 +62,20 @@
 
 // apply takes over documents that changed in the feed. storeTrouble says that the
 // store was unreachable lately, so that entries may have expired though the
-// replicas live.
-func (c *catalog) apply(changed []feed.Item, source string, storeTrouble bool, now time.Time) {
+// replicas live. It returns the known replicas that turned cold, which have lost what
+// they cached.
+func (c *catalog) apply(changed []feed.Item, source string, storeTrouble bool, now time.Time) (turnedCold []routing.LoadKey) {
 	logEach := len(changed) <= maxReplicaLines
 	for _, it := range changed {
-		c.applyReplica(it, storeTrouble, logEach, now)
+		if r, ok := c.applyReplica(it, storeTrouble, logEach, now); ok {
+			turnedCold = append(turnedCold, r.LoadKey())
+		}
 		c.applyEvacuation(it, now)
 	}
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Revision())
+	return turnedCold
 }
 
 // States of replicas in the log and in operators' answers.
@@ -90,10 +94,12 @@
 	return stateReady
 }
 
-func (c *catalog) applyReplica(it feed.Item, storeTrouble, logEach bool, now time.Time) {
+// applyReplica takes over the document of a replica, if it is one. It returns true if the
+// replica was known and turned cold.
+func (c *catalog) applyReplica(it feed.Item, storeTrouble, logEach bool, now time.Time) (r routing.Replica, turnedCold bool) {
 	id, ok := c.documents.ReplicaID(it.Key)
 	if !ok {
-		return
+		return r, false
 	}
 	before, known := c.replicas[it.Key]
 	if it.Gone {
@@ -104,27 +110,36 @@
 		if logEach {
 			c.log.Replica(id, stateGone, it.Revision)
 		}
-		return
+		return r, false
 	}
 	r, warning, err := c.documents.ParseReplica(it)
 	if err != nil {
 		c.log.Rejected(it.Key, err)
-		return
-	}
-	if warning != "" && logEach {
-		c.log.NotUnderstood(it.Key, warning)
-	}
-	if logEach && (!known || before.Draining != r.Draining) {
-		c.log.Replica(id, stateName(&r), it.Revision)
+		return r, false
 	}
 	if r.ColdFor > 0 {
 		r.ColdUntil = now.Add(r.ColdFor)
 	}
-	if wasCold := before.ColdFor > 0; wasCold != (r.ColdFor > 0) && logEach {
-		c.log.Cold(id, r.ColdFor, it.Revision)
+	turnedCold = known && before.ColdFor == 0 && r.ColdFor > 0
+	if logEach {
+		c.logReplica(it, &before, known, &r, warning)
 	}
 	c.expired.Remove(r.ID)
 	c.replicas[it.Key] = r
+	return r, turnedCold
+}
+
+// logReplica writes what changed about a replica.
+func (c *catalog) logReplica(it feed.Item, before *routing.Replica, known bool, r *routing.Replica, warning string) {
+	if warning != "" {
+		c.log.NotUnderstood(it.Key, warning)
+	}
+	if !known || before.Draining != r.Draining {
+		c.log.Replica(r.ID, stateName(r), it.Revision)
+	}
+	if wasCold := before.ColdFor > 0; wasCold != (r.ColdFor > 0) {
+		c.log.Cold(r.ID, r.ColdFor, it.Revision)
+	}
 }
 
 // applyEvacuation takes in that a failure domain is evacuated or taken back.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -220,7 +220,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	c.catalog.apply(changed, source, now.Sub(c.storeTroubleAt) < storeTroubleMemory, now)
+	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeTroubleAt) < storeTroubleMemory, now))
 	c.publish(now)
 	c.sendPartial(c.pendingLocations(), now)
 }
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -267,7 +267,11 @@
 const testColdStart = 3 * time.Second
 
 func (fewDocuments) ParseReplica(it feed.Item) (routing.Replica, string, error) {
-	return routing.NewReplica(routing.Replica{ID: routing.ReplicaID(it.Key), Service: "s", Domain: "z"}), "", nil
+	r := routing.Replica{ID: routing.ReplicaID(it.Key), Service: "s", Domain: "z"}
+	if string(it.Value) == "cold" {
+		r.ColdFor = testColdStart
+	}
+	return routing.NewReplica(r), "", nil
 }
 
 func (fewDocuments) EvacuatedDomain(key string) (state.FailureDomain, bool) {
@@ -404,3 +408,27 @@
 		}
 	}
 }
+
+// TestAColdReplicaHoldsNoPrompts turns a known replica cold: what it had cached is lost, and
+// what a new one holds is not, which is cold from its first entry.
+func TestAColdReplicaHoldsNoPrompts(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&out, "info", "d", newMetrics())
+	defer l.Close()
+	c := newTestControl(l, fewDocuments{})
+	now := time.Unix(1_000_000, 0)
+	for i, step := range []struct {
+		item feed.Item
+		lost int
+	}{
+		{feed.Item{Key: "replica-1", Value: []byte("cold"), Revision: 1}, 0},
+		{feed.Item{Key: "replica-1", Value: []byte("cold"), Revision: 2}, 0},
+		{feed.Item{Key: "replica-1", Revision: 3}, 0},
+		{feed.Item{Key: "replica-1", Value: []byte("cold"), Revision: 4}, 1},
+	} {
+		lost := c.catalog.apply(c.catalog.feed.Apply([]feed.Item{step.item}), sourceStore, false, now)
+		if len(lost) != step.lost {
+			t.Errorf("step %d: %d replicas lost what they cached, want %d", i, len(lost), step.lost)
+		}
+	}
+}
