Idle connections to a failure domain whose link broke are not used again

Cause: when a domain is cut off by resets, each daemon goes on writing requests to connections that were idle when the links broke, for the 1.2 s until it misses heartbeats.

After a connection broke before a byte of the answer came, none to its domain that was idle before is used; a new one that fails proves that nothing has run, and the request goes elsewhere.

--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -11,14 +11,18 @@
 //	budget.go       how many retries the fleet may spend
 //	giveup.go       how long a silent replica is waited for
 //	connections.go  how many connections a daemon opens to a replica
+//	doubt.go        which idle connections are not used, after links broke
+//	evacuate.go     which replicas get nothing because operators empty their failure domain
+//	cold.go         how many requests a cold replica gets
 //
 // It owns no goroutine and does no I/O; the time is an argument. It relies on a
 // [View], which the control loop builds from the published documents, and on
 // what the relay reports of each attempt.
 //
 // A [View] is immutable and replaced as a whole. [Loads], [Health], [CacheTable],
-// [Crowds] and [RetryBudgets] are shared by the traffic goroutines and guard themselves.
-// [ExpiredEntries] belongs to the control loop.
+// [Crowds], [ColdRates], [LinkDoubts] and [RetryBudgets] are shared by the traffic goroutines
+// and guard themselves.
+// [ExpiredEntries] and [Evacuations] belong to the control loop.
 //
 // # Usage
 //
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -67,6 +67,7 @@
 	writing  sync.WaitGroup
 	writeErr error
 	whole    bool // the request was written whole before the answer was read
+	arrived  bool // bytes of the replica have arrived
 	response *http.Response
 	head     ResponseHead
 	ended    bool // the connection was given back or closed
@@ -119,6 +120,7 @@
 // silent until then.
 func (x *exchange) await(until time.Time) (bool, error) {
 	if x.conn.reader.Buffered() > 0 {
+		x.arrived = true
 		return true, nil
 	}
 	if until.After(x.deadline) {
@@ -127,6 +129,7 @@
 	_ = x.conn.SetReadDeadline(until) // an error shows at the read
 	_, err := x.conn.reader.Peek(1)
 	if err == nil {
+		x.arrived = true
 		_ = x.conn.SetReadDeadline(x.deadline)
 		return true, nil
 	}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -67,6 +67,7 @@
 type Pool struct {
 	dialer    net.Dialer
 	dialTimes routing.DialTimes
+	doubts    routing.LinkDoubts
 
 	mu    sync.Mutex
 	idle  map[routing.ReplicaID][]*conn
@@ -92,7 +93,7 @@
 		if c == nil {
 			break
 		}
-		if c.clean() {
+		if p.doubts.Trusts(r.Domain, c.idleSince) && c.clean() {
 			c.reused = true
 			return c, nil
 		}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -154,6 +154,9 @@
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
+	if f != nil && f.result == routing.ResultBroken && f.blame && !x.arrived {
+		s.Pool.doubts.Broke(t.Replica.Domain, time.Now())
+	}
 	if f != nil && !x.ended {
 		x.abandon()
 	}
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -133,6 +133,38 @@
 		}),
 	)
 
+	It("opens new connections to a failure domain whose link broke under a request", func() {
+		breaks := false
+		script := func(a *arrival) bool {
+			scripts.Lock()
+			defer scripts.Unlock()
+			if breaks {
+				return reset(a.conn)
+			}
+			return good(a)
+		}
+		broken, other := startReplica("broken", script), startReplica("other", good)
+		w := newWorld(once, broken, other)
+		n := 0
+		serveUntil := func(done func() bool) {
+			for ; !done(); n++ {
+				Expect(n).To(BeNumerically("<", 200))
+				w.serve(w.call(fmt.Sprint("r", n), "GET", ""))
+			}
+		}
+		serveUntil(func() bool { return broken.connections() == 1 && other.connections() == 1 })
+		scripts.Lock()
+		breaks = true
+		scripts.Unlock()
+		before := broken.count()
+		serveUntil(func() bool { return broken.count() > before })
+		reached := other.count()
+		serveUntil(func() bool { return other.count() > reached })
+		Expect(other.connections()).To(Equal(2))
+		serveUntil(func() bool { return other.count() > reached+5 })
+		Expect(other.connections()).To(Equal(2), "the new one is trusted")
+	})
+
 	It("skips an answer to an earlier request", func() {
 		r := startReplica("r", func(a *arrival) bool {
 			raw(a, "HTTP/1.1 200 X\r\nAttempt-Id: old\r\n"+sealed+"Content-Length: 3\r\n\r\nold")
