Test of doubted links: the link breaks once

The test of the last commit failed as committed: its replica went on breaking connections, so that the other's new connection was doubted again, rightly. It now breaks once. Passes six times of six; fails where the doubt is left out.

--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -134,11 +134,11 @@
 	)
 
 	It("opens new connections to a failure domain whose link broke under a request", func() {
-		breaks := false
+		breaks := 0 // how many requests still meet a broken link
 		script := func(a *arrival) bool {
 			scripts.Lock()
 			defer scripts.Unlock()
-			if breaks {
+			if breaks--; breaks >= 0 {
 				return reset(a.conn)
 			}
 			return good(a)
@@ -154,7 +154,7 @@
 		}
 		serveUntil(func() bool { return broken.connections() == 1 && other.connections() == 1 })
 		scripts.Lock()
-		breaks = true
+		breaks = 1
 		scripts.Unlock()
 		before := broken.count()
 		serveUntil(func() bool { return broken.count() > before })
