Choice of a replica: passes that change nothing are left out

Cause: a choice goes over all replicas of the service eight times, most of them for cases that are not there: no replica is cold, none was tried, no domain is cut off; and the source of a copy was looked for among all in place of the few that hold the prompt.

Change: those passes are left out, and holders are found by their key. What is chosen is the same.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -18,10 +18,11 @@
 // element for each replica.
 type candidates struct {
 	ready       []Replica
-	loads       []int    // requests
-	usable      []bool   // may be chosen
-	crowded     []bool   // hold too much, by their own reports
-	ranks       []uint64 // in the prompt's order: the highest is the home
+	coldUntil   time.Time // when the last of them is warm
+	loads       []int     // requests
+	usable      []bool    // may be chosen
+	crowded     []bool    // hold too much, by their own reports
+	ranks       []uint64  // in the prompt's order: the highest is the home
 	usableCount int
 	mean        float64 // of loads
 	coverage    float64 // share of the fleet's daemons that loads contain
@@ -29,13 +30,15 @@
 
 func newCandidates(p *Placer, pool *Pool, v *View, tried Tried, now time.Time) *candidates {
 	n := len(pool.Ready)
-	c := &candidates{ready: pool.Ready, loads: make([]int, n), usable: make([]bool, n), crowded: make([]bool, n)}
+	c := &candidates{ready: pool.Ready, coldUntil: pool.coldUntil, loads: make([]int, n), usable: make([]bool, n), crowded: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, now)
-	p.Health.markUsable(c.usable, pool, now)
+	c.usableCount = p.Health.markUsable(c.usable, pool, now)
 	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
-	c.exclude(wasTried)
+	if len(tried.Replicas) > 0 {
+		c.exclude(wasTried)
+	}
 	if c.usableCount == 0 {
 		// An ejected replica is better than none.
 		p.Health.markDespiteEjections(c.usable, pool, now)
@@ -49,6 +52,9 @@
 
 // excludeCold takes out the cold replicas, by the rules 1 and 4 of cold.go.
 func (c *candidates) excludeCold(rates *ColdRates, s *Service, now time.Time) {
+	if !now.Before(c.coldUntil) {
+		return
+	}
 	warm := 0
 	for i := range c.ready {
 		if c.usable[i] && !rates.bounds(&c.ready[i], s, now) {
--- a/coordination/routing/cutoff.go
+++ b/coordination/routing/cutoff.go
@@ -14,6 +14,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"hingewinch.org/hingewinch/state"
@@ -83,14 +84,16 @@
 
 // mark marks the replicas of the domains that meet a condition, and returns how many.
 func (h *Health) mark(usable []bool, p *Pool, condition func(state.FailureDomain) bool) int {
-	met := make(map[state.FailureDomain]bool, len(h.domainSeen))
+	unmet := make([]state.FailureDomain, 0, len(h.domainSeen))
 	for d := range h.domainSeen {
-		met[d] = condition(d)
+		if !condition(d) {
+			unmet = append(unmet, d)
+		}
 	}
 	marked := 0
 	for i := range p.Ready {
-		ok, seen := met[p.Ready[i].Domain]
-		usable[i] = ok || !seen
+		// Mostly no domain is cut off, and none is looked up.
+		usable[i] = len(unmet) == 0 || !slices.Contains(unmet, p.Ready[i].Domain)
 		if usable[i] {
 			marked++
 		}
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -158,8 +158,8 @@
 }
 
 // markUsable writes into usable which ready replicas of a pool may be chosen, by
-// rule 4.
-func (h *Health) markUsable(usable []bool, p *Pool, now time.Time) {
+// rule 4, and returns how many.
+func (h *Health) markUsable(usable []bool, p *Pool, now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	reachable := h.markReachable(usable, p, now)
@@ -181,8 +181,9 @@
 		}
 	}
 	if 2*left < reachable || left == 0 {
-		h.markReachable(usable, p, now)
+		return h.markReachable(usable, p, now)
 	}
+	return left
 }
 
 // Forget drops what is too old to matter. ownDomain never counts as cut off.
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -171,17 +171,13 @@
 func (p *Placer) source(t *Target, cached []location, pool *Pool, now time.Time) Replica {
 	var best *Replica
 	var bestUsed time.Time
-	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Evacuated, pool.Expired} {
-		for i := range list {
-			r := &list[i]
-			at := slices.IndexFunc(cached, func(l location) bool { return l.replica == r.LoadKey() })
-			if at < 0 || r.ID == t.Replica.ID || !p.Health.Reachable(r, now) {
-				continue
-			}
-			used := cached[at].used
-			if best == nil || betterSource(r, best, t.Replica.Domain, used.After(bestUsed)) {
-				best, bestUsed = r, used
-			}
+	for _, l := range cached {
+		r := pool.holder(l.replica)
+		if r == nil || r.ID == t.Replica.ID || !p.Health.Reachable(r, now) {
+			continue
+		}
+		if best == nil || betterSource(r, best, t.Replica.Domain, l.used.After(bestUsed)) {
+			best, bestUsed = r, l.used
 		}
 	}
 	if best == nil {
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -51,8 +51,10 @@
 	// Expired are replicas whose entries expired a moment ago. They serve a little
 	// longer, and prompts can be copied from them.
 	Expired []Replica
-	// positions are the places in Ready by load key; Sort makes them.
+	// positions are the places in Ready by load key, and coldUntil is when the last of them
+	// is warm; Sort makes both.
 	positions map[LoadKey]int
+	coldUntil time.Time
 }
 
 // Sort orders the replicas by id, so that equal pools are equal everywhere, and
@@ -61,12 +63,26 @@
 	for _, list := range [][]Replica{p.Ready, p.Draining, p.Evacuated, p.Expired} {
 		slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
-	p.positions = make(map[LoadKey]int, len(p.Ready))
+	p.positions, p.coldUntil = make(map[LoadKey]int, len(p.Ready)), time.Time{}
 	for i := range p.Ready {
 		p.positions[p.Ready[i].LoadKey()] = i
+		p.coldUntil = latest(p.coldUntil, p.Ready[i].ColdUntil)
 	}
 }
 
+// holder returns the replica of a key that prompts can be copied from, or nil.
+func (p *Pool) holder(key LoadKey) *Replica {
+	if i, ok := p.positions[key]; ok {
+		return &p.Ready[i]
+	}
+	for _, list := range [][]Replica{p.Draining, p.Evacuated, p.Expired} {
+		if i := slices.IndexFunc(list, func(r Replica) bool { return r.LoadKey() == key }); i >= 0 {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
 // sorted returns the pool, or a sorted copy if Sort was never called.
 func (p *Pool) sorted() *Pool {
 	if p.positions != nil {
