--- a/coordination/membership/example_test.go
+++ b/coordination/membership/example_test.go
@@ -19,5 +19,5 @@
 	fmt.Println(len(roster.Live(now)), roster.PlanReads(now, false))
 	// Output:
 	// [10.0.0.1:1] {true 450ms 100ms}
-	// 1 {false 4s 500ms}
+	// 1 {false 4s 1s}
 }
