Rates at cold replicas: memory is bounded, and two comments say what is known

Replicas that got nothing lately are forgotten above 1,000. The comment on the spread of senders has the figures of the Poisson tail (24 exceeded: 2.7e-8 at a mean of 6.5, 3.2e-5 at 9.75), and that on the start says that its time is chosen.

--- a/coordination/routing/cold.go
+++ b/coordination/routing/cold.go
@@ -21,8 +21,8 @@
 //     refused at once, as not run.
 //
 // The number of senders that rounding gives a replica is spread like a Poisson variable. With
-// coldShare at .5 of 13 a second it passes the promised 24 for one replica in fifty million;
-// at .75 for one in thirty thousand, which a large fleet would see in its first year.
+// coldShare at .5 of 13 a second it passes the promised 24 for one replica in 37 million; at
+// .75 for one in 32 thousand.
 
 package routing
 
@@ -46,9 +46,12 @@
 	// assumedFleet is the number of daemons that one assumes that knows no others yet: more
 	// than the largest fleet that is planned, 930.
 	assumedFleet = 1000
-	// FleetKnownAfter is how long after its start a daemon assumes assumedFleet. Among 295
-	// that start at once each is told of the fleet's size within 2 s.
+	// FleetKnownAfter is how long after its start a daemon assumes assumedFleet: some twelve
+	// heartbeats of a large fleet, each of which carries the fleet's size. Chosen, not measured.
 	FleetKnownAfter = 5 * time.Second
+	// maxRates is the number of replicas above which those that got nothing lately are
+	// forgotten. A daemon sends to a hundred cold ones at most, by its parts.
+	maxRates = 1000
 )
 
 // ColdRates holds what this daemon has sent to cold replicas. It is safe for use by many
@@ -103,10 +106,21 @@
 	if len(recent) >= c.part(r, s) {
 		return false
 	}
+	if len(c.sent) >= maxRates {
+		c.forget(now)
+	}
 	c.sent[key] = append(recent, now)
 	return true
 }
 
+// forget drops the replicas that got nothing in the last coldWindow. The caller holds the
+// lock.
+func (c *ColdRates) forget(now time.Time) {
+	for key := range c.sent {
+		c.recent(key, now)
+	}
+}
+
 // bounds reports whether there is a bound on what a replica gets.
 func (c *ColdRates) bounds(r *Replica, s *Service, now time.Time) bool {
 	return c != nil && s != nil && s.ColdPerSecond > 0 && r.IsCold(now)
