--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -5,11 +5,17 @@
 //	admit.go        may the request in, and on which route
 //	place.go        which replica takes it
 //	crowd.go        which replicas hold too much, and how many homes a hot prompt has
-//	eject.go        which replicas get no requests because they fail
+//	load.go         how many requests each replica holds, as daemons count them;
+//	                load_reported.go, as the replicas report it
+//	cache.go        where prompts are cached
+//	eject.go        which replicas get no requests because they fail; evidence.go counts
+//	cutoff.go       which failure domains are cut off
+//	silence.go      which replicas other daemons find silent
 //	expired.go      what becomes of replicas whose entries expired
 //	retry.go        is it sent again after a failed attempt
 //	budget.go       how many retries the fleet may spend
 //	giveup.go       how long a silent replica is waited for
+//	dial.go         how long a connection may take
 //	connections.go  how many connections a daemon opens to a replica
 //	doubt.go        which idle connections are not used, after links broke
 //	evacuate.go     which replicas get nothing because operators empty their failure domain
