--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -41,19 +41,19 @@
 )
 
 type options struct {
-	Daemon  string        `long:"daemon" default:"target/hingewinchd" description:"program of the daemon"`
-	Seed    []uint64      `long:"seed" description:"play this seed; may be given several times"`
-	Seeds   string        `long:"seeds" description:"play the seeds of a file, one a line, each with its cause"`
-	Runs    int           `long:"runs" default:"1" description:"how many fresh seeds to play when none is named"`
-	AtOnce  int           `long:"at-once" default:"1" description:"how many runs at a time"`
-	Trouble time.Duration `long:"trouble" default:"18s" description:"time in which faults begin"`
-	Quiet   time.Duration `long:"quiet" default:"9s" description:"time after the last fault"`
-	Daemons int           `long:"daemons" default:"10" description:"most daemons of a run"`
-	Rate    float64       `long:"faults" default:"1.2" description:"faults a second"`
-	Empty   float64       `long:"evacuations" default:"0.15" description:"evacuations of failure domains a second; with 0 replicas are never cold, as for seeds kept from before"`
-	Steady  bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
-	Dir     string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
-	Keep    bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
+	Daemon   string        `long:"daemon" default:"target/hingewinchd" description:"program of the daemon"`
+	Seed     []uint64      `long:"seed" description:"play this seed; may be given several times"`
+	Seeds    string        `long:"seeds" description:"play the seeds of a file, one a line, each with its cause"`
+	Runs     int           `long:"runs" default:"1" description:"how many fresh seeds to play when none is named"`
+	AtOnce   int           `long:"at-once" default:"1" description:"how many runs at a time"`
+	Trouble  time.Duration `long:"trouble" default:"18s" description:"time in which faults begin"`
+	Quiet    time.Duration `long:"quiet" default:"9s" description:"time after the last fault"`
+	Daemons  int           `long:"daemons" default:"10" description:"most daemons of a run"`
+	Rate     float64       `long:"faults" default:"1.2" description:"faults a second"`
+	Evacuate float64       `long:"evacuations" default:"0.15" description:"evacuations of failure domains a second; with 0 replicas are never cold, as for seeds kept from before"`
+	Steady   bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
+	Dir      string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
+	Keep     bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
 }
 
 func main() { os.Exit(run()) }
@@ -167,7 +167,7 @@
 func (o *options) play(ctx context.Context, seed uint64) (*soak.Report, error) {
 	shape := soak.DefaultShape()
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
-	shape.EvacuationsPerSec = o.Empty
+	shape.EvacuationsPerSec = o.Evacuate
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
