--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -279,11 +279,31 @@
 		return
 	}
 	run := r.runs[len(r.runs)-1]
+	if j.cutByStop(r, run) {
+		return
+	}
 	if j.undisturbed(r.Daemon, r.Sent, a.At) && calm(j.replicas[run.Replica], run.At.Add(-j.bounds.Contact), a.At) {
 		j.add("LOST", r, a.At, "daemon %d closed the connection without an answer: %v", r.Daemon, a.Err)
 	}
 }
 
+// The end of a planned stop may cut a request that was sent within stopTakes of its begin if
+// the replica is still at work on it in the last part of the grace, one of stopParts.
+const (
+	stopTakes = 3 * time.Second
+	stopParts = 6
+)
+
+// cutByStop reports whether a request was cut, as it may be, by the end of a planned stop.
+func (j *judgement) cutByStop(r *record, run *Run) bool {
+	at := r.answer.At
+	atWork := run.Ended.IsZero() || run.Ended.After(at.Add(-settling))
+	return atWork && slices.ContainsFunc(j.stops[r.Daemon], func(s span) bool {
+		sinceStop := at.Sub(s.from)
+		return r.Sent.Sub(s.from) <= stopTakes && sinceStop >= grace*(stopParts-1)/stopParts && sinceStop <= grace+settling
+	})
+}
+
 func (j *judgement) judgeDeadline(r *record) {
 	at := j.now
 	if r.answer != nil {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -125,6 +125,22 @@
 			s.send().run("r1", 100.1)
 		}},
 		{"a connection that ends without an answer", "LOST", once, func(s *scene) { s.send().run("r1", 100.1); s.answer(Answer{Err: errors.New("EOF")}) }},
+		{"the same at the end of a planned stop, while the replica works", "", once, func(s *scene) {
+			s.Stopped(0, at(97.4), at(101))
+			s.send().run("r1", 100.1)
+			s.answer(Answer{Err: errors.New("EOF")})
+		}},
+		{"the same earlier in a planned stop", "LOST", once, func(s *scene) {
+			s.Stopped(0, at(99), at(102))
+			s.send().run("r1", 100.1)
+			s.answer(Answer{Err: errors.New("EOF")})
+		}},
+		{"the same at the end of a planned stop, when the replica had long answered", "LOST", once, func(s *scene) {
+			s.Stopped(0, at(97.4), at(101))
+			run := s.send().run("r1", 99)
+			s.Ended(run, 200, at(99.2))
+			s.answer(Answer{Err: errors.New("EOF")})
+		}},
 		{"the same of a killed daemon", "", once, func(s *scene) {
 			s.send().run("r1", 100.1)
 			s.DisturbDaemon(0, at(100.15), at(100.6))
