--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -3,6 +3,8 @@
 package routing
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +22,7 @@
 // Request is what the decisions need to know of a caller's request.
 type Request struct {
 	ID       RequestID
+	Content  ContentKey
 	Route    *Route
 	Service  ServiceName
 	Model    string
@@ -68,3 +71,23 @@
 	// links between the domains may be cut.
 	BeyondReach bool
 }
+
+// ContentKey names what a request is, whatever id it comes under: two requests with the
+// same path, caller and body have the same key at all daemons. 0 means that it is not known.
+type ContentKey uint64
+
+// NewContentKey returns the key of a request. The caller is its workspace: a replica is shown
+// nothing else of who asks, so that the same bytes from one workspace are one request to it.
+// The query belongs to the path.
+func NewContentKey(host, target string, w WorkspaceName, body []byte) ContentKey {
+	d := xxhash.New()
+	for _, part := range []string{strings.ToLower(host), target, string(w)} {
+		_, _ = d.WriteString(part) // a hash takes every write
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(body)
+	return ContentKey(max(1, d.Sum64()))
+}
+
+// String returns the key as logs and operators' answers show it.
+func (k ContentKey) String() string { return strconv.FormatUint(uint64(k), 36) }
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -653,3 +653,22 @@
 		Expect(len(h.TakePending(1 << 20))).To(BeNumerically("<=", 200))
 	})
 })
+
+var _ = Describe("ContentKey", func() {
+	key := func(host, target string, w routing.WorkspaceName, body string) routing.ContentKey {
+		return routing.NewContentKey(host, target, w, []byte(body))
+	}
+	It("is the same for one request, also where the host is written in other letters", func() {
+		Expect(key("H.example", "/a", "w", "b")).To(Equal(key("h.example", "/a", "w", "b")))
+	})
+	DescribeTable("differs", func(other routing.ContentKey) {
+		Expect(other).NotTo(Equal(key("h", "/a", "w", "b")))
+	},
+		Entry("for another host", key("g", "/a", "w", "b")),
+		Entry("for another path", key("h", "/A", "w", "b")),
+		Entry("for a query", key("h", "/a?", "w", "b")),
+		Entry("for another workspace", key("h", "/a", "v", "b")),
+		Entry("for another body", key("h", "/a", "w", "c")),
+		Entry("where the parts only join to the same text", key("h", "/aw", "", "b")),
+	)
+})
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -80,6 +80,7 @@
 		func() { l.Cold("i-1", time.Second, 2) },
 		func() { l.Evacuation("z", true, 2) },
 		func() { l.Crowded(&replica, call, relay.ReportedLoad{Known: true, Requests: 9}) },
+		func() { l.EndedUnder(&replica, call) },
 	} {
 		write()
 	}
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -208,6 +208,13 @@
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).AnErr("cause", cause).Msg(prefixReplica + "ejected for a while")
 }
 
+// EndedUnder says that a replica ended while it had a request.
+func (l *Log) EndedUnder(r *routing.Replica, c *relay.Call) {
+	l.metrics.EndedUnder.Inc(1)
+	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).Str("content", c.Content.String()).
+		Str("workspace", string(c.Workspace)).Str("route", c.Route.Name).Msg(prefixReplica + "ended while it had a request")
+}
+
 // Crowded says that a replica holds too much and is avoided for a moment, and that the prompt
 // of a request may get more homes.
 func (l *Log) Crowded(r *routing.Replica, c *relay.Call, load relay.ReportedLoad) {
@@ -259,7 +266,7 @@
 	if l.logger.Level > log.InfoLevel && !answeredWell(s) {
 		e = l.logger.Warn()
 	}
-	e.Str("request", string(c.ID)).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
+	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
 		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.Gone).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
 		Uint64("revision", uint64(s.Revision))
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -31,6 +31,8 @@
 	FoundSilent metrics.Counter
 	// Crowded counts the requests that found their replica crowded.
 	Crowded metrics.Counter
+	// EndedUnder counts the requests whose replica ended while it had them.
+	EndedUnder metrics.Counter
 	// Cold counts the replicas that turned cold, Evacuations the failure domains that
 	// operators evacuated.
 	Cold        metrics.Counter
@@ -75,6 +77,7 @@
 		"passed_over_total":     &m.Ejections,
 		"found_silent_total":    &m.FoundSilent,
 		"crowded_total":         &m.Crowded,
+		"ended_under_total":     &m.EndedUnder,
 		"turned_cold_total":     &m.Cold,
 		"evacuations_total":     &m.Evacuations,
 		"store_calls_total":     &m.StoreCalls,
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -103,6 +103,8 @@
 	Finished(c *Call, s *Summary)
 	// Ejected says that a replica gets no requests for a while.
 	Ejected(r *routing.Replica, c *Call, cause error)
+	// EndedUnder says that a replica ended while it had a request.
+	EndedUnder(r *routing.Replica, c *Call)
 	// Crowded says that a replica holds too much, by its own report.
 	Crowded(r *routing.Replica, c *Call, l ReportedLoad)
 }
--- /dev/null
+++ b/transport/relay/ended_test.go
@@ -0,0 +1,61 @@
+package relay_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+var _ = Describe("The end of a replica", func() {
+	It("is noted for all requests that were there, with one connection that is refused", func() {
+		const requests = 6
+		var arrived sync.WaitGroup
+		arrived.Add(requests)
+		var r *replica
+		r = startReplica("r", func(*arrival) bool {
+			arrived.Done()
+			arrived.Wait()
+			return r.end()
+		})
+		w := newWorld(once, r)
+		var served sync.WaitGroup
+		for i := range requests {
+			served.Go(func() { w.serve(w.call(string(rune('a'+i)), "POST", "x")) })
+		}
+		served.Wait()
+		Expect(w.seen.endedUnder).To(ConsistOf(routing.RequestID("a"), routing.RequestID("b"), routing.RequestID("c"), routing.RequestID("d"), routing.RequestID("e"), routing.RequestID("f")))
+	})
+
+	DescribeTable("is not noted where it goes on", func(script func(a *arrival) bool) {
+		r := startReplica("r", script)
+		w := newWorld(once, r)
+		w.serve(w.call("a", "POST", "x"))
+		Expect(w.seen.endedUnder).To(BeEmpty())
+		w.serve(w.call("b", "POST", "x"))
+		Expect(r.connections()).To(BeNumerically("<=", 3), "the connection that was opened to find out is used again")
+	},
+		Entry("a reset connection", func(a *arrival) bool { return reset(a.conn) }),
+		Entry("an answer that breaks off", func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"Content-Length: 9\r\n\r\nx")
+			return false
+		}),
+		Entry("an answer that is none", func(a *arrival) bool { raw(a, "none\r\n\r\n"); return false }),
+		Entry("a whole answer", good),
+	)
+
+	It("is not noted for a request whose caller left", func() {
+		var r *replica
+		arrived := make(chan struct{})
+		r = startReplica("r", func(a *arrival) bool { close(arrived); time.Sleep(50 * time.Millisecond); return r.end() })
+		w := newWorld(once, r)
+		ctx, leave := context.WithCancel(context.Background())
+		go func() { <-arrived; leave() }()
+		w.relay.Serve(ctx, w.call("a", "POST", "x"), &caller{})
+		Expect(w.seen.endedUnder).To(BeEmpty())
+	})
+})
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -50,6 +50,7 @@
 	outcome coordination.Outcome // of the request
 	result  routing.Result       // of the replica, if blame is set
 	blame   bool                 // the result is held against the replica
+	cut     bool                 // the replica's end of the connection closed under the whole request
 	err     error
 }
 
@@ -193,7 +194,10 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		reason = coordination.ReasonDeadline
 	}
-	return &failure{outcome: coordination.MayHaveRun{Reason: reason}, result: routing.ResultBroken, blame: ctx.Err() == nil, err: err}
+	return &failure{
+		outcome: coordination.MayHaveRun{Reason: reason}, result: routing.ResultBroken,
+		blame: ctx.Err() == nil, cut: ctx.Err() == nil && isCut(err), err: err,
+	}
 }
 
 // silent is the failure of a replica that does not answer although there is time.
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -68,6 +68,7 @@
 	dialer    net.Dialer
 	dialTimes routing.DialTimes
 	doubts    routing.LinkDoubts
+	checks    endChecks
 
 	mu    sync.Mutex
 	idle  map[routing.ReplicaID][]*conn
@@ -102,6 +103,11 @@
 	if !p.reserve(r.ID, limit) {
 		return nil, errFull
 	}
+	return p.open(ctx, r)
+}
+
+// open opens a connection that was reserved.
+func (p *Pool) open(ctx context.Context, r *routing.Replica) (*conn, error) {
 	raw, err := p.dial(ctx, r.Address)
 	if err != nil {
 		p.release(r.ID)
@@ -196,6 +202,7 @@
 
 // Sweep closes connections that were idle for too long, or whose replica is gone.
 func (p *Pool) Sweep(known func(routing.ReplicaID) bool, now time.Time) {
+	p.checks.forget(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, list := range p.idle {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -110,6 +110,9 @@
 		if f.blame {
 			s.blame(&t.Replica, f.result, f.err)
 		}
+		if f.cut {
+			s.noteEnd(ctx, &t.Replica)
+		}
 	}
 	s.summary.Attempts = append(s.summary.Attempts, a)
 	return f
@@ -122,6 +125,13 @@
 	}
 }
 
+// noteEnd finds out whether a replica that broke an answer off has ended.
+func (s *serving) noteEnd(ctx context.Context, r *routing.Replica) {
+	if s.Pool.hasEnded(ctx, r, s.View().ConnectionLimit(s.call.Service), time.Now()) {
+		s.Observer.EndedUnder(r, s.call)
+	}
+}
+
 // praise counts a whole answer in a replica's favour, and the errors of those that
 // were asked before against them.
 func (s *serving) praise(r *routing.Replica, now time.Time) {
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -43,6 +43,7 @@
 	mu       sync.Mutex
 	arrivals []*arrival
 	conns    int
+	open     []net.Conn
 	closed   chan struct{} // a connection was closed by the daemon
 }
 
@@ -75,6 +76,7 @@
 		}
 		r.mu.Lock()
 		r.conns++
+		r.open = append(r.open, c)
 		r.mu.Unlock()
 		go r.serve(c)
 	}
@@ -112,6 +114,17 @@
 	}
 }
 
+// end ends the replica as a crash does: connections break, new ones are refused.
+func (r *replica) end() bool {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.open {
+		reset(c)
+	}
+	return false
+}
+
 func (r *replica) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -200,6 +213,7 @@
 	mu         sync.Mutex
 	passedOver []routing.ReplicaID
 	crowded    []routing.ReplicaID
+	endedUnder []routing.RequestID
 }
 
 func (n *nobody) Finished(*relay.Call, *relay.Summary) {}
@@ -216,6 +230,12 @@
 	n.crowded = append(n.crowded, r.ID)
 }
 
+func (n *nobody) EndedUnder(_ *routing.Replica, c *relay.Call) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endedUnder = append(n.endedUnder, c.ID)
+}
+
 // world is a relay before some replicas.
 type world struct {
 	relay *relay.Relay
@@ -252,6 +272,7 @@
 func (w *world) call(id, method, body string) *relay.Call {
 	c := &relay.Call{Method: method, Target: "/x?y=1", Host: "h", Body: []byte(body), Header: http.Header{"Attempt-Id": {id}}}
 	c.ID, c.Route, c.Service = routing.RequestID(id), w.route, "s"
+	c.Content = routing.NewContentKey(c.Host, c.Target, c.Workspace, c.Body)
 	c.Arrived = time.Now()
 	c.Deadline = c.Arrived.Add(3 * time.Second)
 	return c
