--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -51,6 +51,7 @@
 	Daemons  int           `long:"daemons" default:"10" description:"most daemons of a run"`
 	Rate     float64       `long:"faults" default:"1.2" description:"faults a second"`
 	Evacuate float64       `long:"evacuations" default:"0.15" description:"evacuations of failure domains a second; with 0 replicas are never cold, as for seeds kept from before"`
+	Crashing int           `long:"crashing" default:"1" description:"requests that crash the replicas that run them; with 0 there are none, as for seeds kept from before"`
 	Steady   bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
 	Dir      string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
 	Keep     bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
@@ -167,7 +168,7 @@
 func (o *options) play(ctx context.Context, seed uint64) (*soak.Report, error) {
 	shape := soak.DefaultShape()
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
-	shape.EvacuationsPerSec = o.Evacuate
+	shape.EvacuationsPerSec, shape.Crashing = o.Evacuate, o.Crashing
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
@@ -177,8 +178,8 @@
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at crowded replicas, %d violations\n",
-		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.Crowded, len(report.Violations))
+	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at crowded replicas, %d replicas ended by requests, %d violations\n",
+		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.Crowded, report.Ended, len(report.Violations))
 	for i, v := range report.Violations {
 		const shown = 12
 		if i == shown {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -104,6 +104,9 @@
 		Target: fmt.Sprintf("%s%d?n=%d", route.Prefix, rand.IntN(100), c.sent), Daemon: c.daemon, Incarnation: c.incarnation,
 	}
 	q.Subject, q.Tokens = int(hashOf(q.Target)%topics), shortTokens
+	if c.site.refuses && rand.IntN(pollOneIn) == 0 {
+		q = c.poll(q)
+	}
 	if s := c.site.steady; s != nil {
 		q.Subject, q.Tokens = s.subject(time.Since(c.site.begun))
 	}
@@ -130,14 +133,23 @@
 
 // send sends one request and waits for its answer, or leaves.
 func (c *caller) send(q *Request) Answer {
-	q.Sent = time.Now()
-	q.Deadline = q.Sent.Add(q.Route.Timeout)
-	ledger := c.site.ledger
-	ledger.Sent(*q)
-	_ = c.conn.SetDeadline(q.Deadline.Add(callerPatience))
+	c.begin(q)
 	if rand.Int64N(100) < leaveAlways+c.site.callerFaults.leave.Load() {
 		return c.abandon(q)
 	}
+	return c.exchange(q)
+}
+
+// begin notes a request that is about to be sent.
+func (c *caller) begin(q *Request) {
+	q.Sent = time.Now()
+	q.Deadline = q.Sent.Add(q.Route.Timeout)
+	c.site.ledger.Sent(*q)
+	_ = c.conn.SetDeadline(q.Deadline.Add(callerPatience))
+}
+
+// exchange sends a request and waits for its answer.
+func (c *caller) exchange(q *Request) Answer {
 	if _, err := c.conn.Write([]byte(q.text())); err != nil {
 		return c.failed(q, err)
 	}
@@ -147,7 +159,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	a := Answer{At: time.Now(), Status: resp.StatusCode, Seal: standin.Sealed(resp.Header), Body: string(body), Whole: err == nil, Err: err}
-	ledger.Answered(q.ID, a)
+	c.site.ledger.Answered(q.ID, a)
 	if c.uses--; err != nil || resp.Close || c.uses <= 0 {
 		c.hangUp()
 	}
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -60,6 +60,9 @@
 		_, _ = x.conn.Write([]byte(*x.stray))
 		*x.stray = ""
 	}
+	if n := crashingNumber(req.URL.Path); n > 0 {
+		return x.crash(n)
+	}
 	if strings.HasPrefix(req.URL.Path, prefixChat) || strings.HasPrefix(req.URL.Path, prefixReply) {
 		return x.stream()
 	}
--- a/internal/soak/inject_replica.go
+++ b/internal/soak/inject_replica.go
@@ -64,13 +64,15 @@
 // crash ends a replica without draining; its entry expires, and a new replica of a
 // service begins at its address.
 func (s *injector) crash(p *place, r *Replica, next string, down time.Duration) {
-	s.vacate(p)
+	if !s.takeDown(p, r) {
+		return
+	}
 	s.disturbReplica(r, func() {
-		r.End()
+		s.endReplica(p, r)
 		pause(s.ctx, max(down, expiryTime))
 		s.remove(r)
 	})
-	_ = s.begin(p, next)
+	_ = s.beginAgain(p, next)
 }
 
 // drain replaces a replica: the new one starts, the old one says that it leaves,
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -32,6 +32,8 @@
 	// many requests all daemons may send a cold replica in a second.
 	Evacuate time.Duration
 	Cold     int
+	// Crashing bounds the requests that crash the replicas that run them.
+	Crashing crashingBounds
 }
 
 // defaultBounds returns the bounds of a run. Those in time are the users' and
@@ -42,6 +44,7 @@
 		Late: time.Second, Resend: 500 * time.Millisecond, Ratio: 0.2, Extra: 56, Window: 10 * time.Second, Few: 3, Share: 0.9,
 		Limit:    limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, Least: 20, Share: 0.03},
 		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
+		Crashing: crashingBounds{Ends: 3, More: 3},
 	}
 }
 
@@ -63,6 +66,7 @@
 	}
 	j.judgeFew()
 	j.judgeRepeats()
+	j.judgeCrashing()
 	j.judgeLimit()
 	j.judgeCold()
 	j.out = append(j.out, l.ended...)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -33,6 +33,7 @@
 	Deadline    time.Time
 	Subject     int // of a chat: requests with one subject share their prompt
 	Tokens      int // of that prompt
+	Crashing    int // number of the crashing request, from 1; 0: it is an ordinary one
 }
 
 // Arrival is a request as it reached a replica.
@@ -102,6 +103,7 @@
 	cold     map[string][]coldSpan // of replicas
 	crowded  float64               // the greatest share that LIMIT bounds
 	ended    []Violation           // daemons that ended by themselves
+	crashes  map[int][]crash       // by number of the crashing request
 }
 
 type keyLife struct {
@@ -117,6 +119,7 @@
 		stops: make(map[int][]span), leaving: make(map[string]time.Time), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
 		domains: make(map[string]string), emptied: make(map[string][]span), cold: make(map[string][]coldSpan),
+		crashes: make(map[int][]crash),
 	}
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -24,12 +24,11 @@
 
 // Link is a forwarder. It is safe for use by many goroutines.
 type Link struct {
+	mu       sync.Mutex
 	listener net.Listener
-
-	mu      sync.Mutex
-	target  string
-	trouble Trouble
-	conns   map[*linkConn]struct{}
+	target   string
+	trouble  Trouble
+	conns    map[*linkConn]struct{}
 }
 
 type linkConn struct {
@@ -44,12 +43,16 @@
 		return nil, err
 	}
 	link := &Link{listener: l, target: target, conns: make(map[*linkConn]struct{})}
-	go link.accept()
+	go link.accept(l)
 	return link, nil
 }
 
 // Address returns where the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listener.Addr().String()
+}
 
 // SetTarget sends new connections to another target.
 func (l *Link) SetTarget(target string) {
@@ -73,19 +76,36 @@
 	}
 }
 
-// Close ends the link and its connections.
+// Close ends the link and its connections. New ones are refused.
 func (l *Link) Close() {
-	_ = l.listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_ = l.listener.Close()
 	for c := range l.conns {
 		c.reset()
 	}
 }
 
-func (l *Link) accept() {
+// Reopen listens again after Close, at the same address unless that was taken meanwhile.
+func (l *Link) Reopen() error {
+	address := l.Address()
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		listener, err = net.Listen("tcp4", "127.0.0.1:0")
+	}
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go l.accept(listener)
+	return nil
+}
+
+func (l *Link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -79,6 +79,9 @@
 	Steady  *Steady       `json:"steady,omitempty"`
 	// Cold says that replicas are cold after a start, and when their domain is taken back.
 	Cold bool `json:"cold"`
+	// Crashing are requests that crash each replica that begins to run them. With any,
+	// replicas that end refuse connections, and some callers ask for one thing over and over.
+	Crashing []Crashing `json:"crashing,omitempty"`
 }
 
 // Shape bounds what is drawn.
@@ -90,11 +93,13 @@
 	// EvacuationsPerSec is how often domains are evacuated. Above 0 replicas are cold
 	// after a start. Seeds that were kept before there were any are played with 0.
 	EvacuationsPerSec float64
+	// Crashing is how many requests crash the replicas that run them.
+	Crashing int
 }
 
 // DefaultShape returns the shape of a run by hand.
 func DefaultShape() Shape {
-	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15}
+	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1}
 }
 
 // bounds of the draws.
@@ -120,6 +125,7 @@
 		p.Faults = append(p.Faults, drawFault(rng, s.Trouble))
 	}
 	p.drawEvacuations(seed, s)
+	p.drawCrashing(seed, s)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -54,6 +54,8 @@
 	ended     bool
 	coldUntil time.Time
 	arrivals  []time.Time // of the last second, while it is cold
+	// crashed is called when a request has crashed the replica.
+	crashed func()
 }
 
 // startReplica listens on a loopback address.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,7 @@
 	Share      float64     `json:"share_served"`
 	QuietShare float64     `json:"share_served_at_the_end"`
 	Crowded    float64     `json:"share_at_crowded_replicas"` // in the worst calm window
+	Ended      int         `json:"replicas_ended"`            // by crashing requests
 	Violations []Violation `json:"violations"`
 	Events     []string    `json:"events"` // faults and their ends
 }
@@ -67,7 +68,7 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
-	r.site.steady, r.site.cold = p.Steady, p.Cold
+	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing) > 0
 	err := r.build(work)
 	if r.site.fleet != nil {
 		defer r.site.fleet.end()
@@ -173,6 +174,10 @@
 		c := &caller{site: r.site, number: i}
 		callers.Go(func() { c.run(calling) })
 	}
+	for i := range r.plan.Crashing {
+		c := &crasher{site: r.site, Crashing: r.plan.Crashing[i], number: i + 1}
+		callers.Go(func() { c.run(calling) })
+	}
 	judging, endJudging := context.WithCancel(ctx)
 	defer endJudging()
 	judges.Go(func() {
@@ -209,11 +214,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests, r.report.Served = total, totalServed
-	r.report.Crowded = r.site.ledger.Crowded()
+	r.report.Crowded, r.report.Ended = r.site.ledger.Crowded(), r.site.ledger.Ends()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < leastAtEnd || r.report.QuietShare < r.site.ledger.bounds.Share {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("%d of %d requests were served at the end of the quiet time", served, all)})
 	}
+	r.judgePolls(now)
 	for _, d := range r.site.fleet.daemons {
 		if err := d.metrics(); err != nil {
 			r.report.Violations = append(r.report.Violations, Violation{Promise: "RUNS", Subject: "d" + itoa(d.number), At: now, Detail: "its figures can't be read: " + err.Error()})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -49,6 +49,7 @@
 	callerFaults callerFaults
 	domains      []string
 	steady       *Steady   // nil: ordinary traffic
+	refuses      bool      // replicas that end refuse connections
 	cold         bool      // replicas are cold after a start
 	begun        time.Time // of the traffic
 
@@ -213,6 +214,7 @@
 	if err != nil {
 		return err
 	}
+	r.crashed = func() { s.crashedByRequest(p, r) }
 	s.mu.Lock()
 	p.current, p.idle = r, false
 	s.mu.Unlock()
@@ -249,6 +251,18 @@
 	p.idle = true
 }
 
+// takeDown marks the place of a replica that ends. It returns false if something else ends
+// the replica, or has done so.
+func (s *site) takeDown(p *place, r *Replica) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.current != r || p.idle {
+		return false
+	}
+	p.idle = true
+	return true
+}
+
 // remove deletes a replica's entry.
 func (s *site) remove(r *Replica) {
 	s.store.DeleteReplica(r.ID)
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -64,7 +64,7 @@
 	r := &replica{listener: l, script: script, closed: make(chan struct{}, 64)}
 	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Domain: "z", Slots: 8, Address: l.Addr().String()})
 	go r.accept()
-	DeferCleanup(func() { _ = l.Close() })
+	cleanUp(func() { _ = l.Close() })
 	return r
 }
 
@@ -283,3 +283,11 @@
 	s := w.relay.Serve(context.Background(), c, to)
 	return to, s
 }
+
+// cleanUp runs at the end of a spec. In a plain test, which has none, the test ends its
+// replicas itself.
+func cleanUp(f func()) {
+	if CurrentSpecReport().LeafNodeText != "" {
+		DeferCleanup(f)
+	}
+}
