--- a/coordination/routing/crowd.go
+++ b/coordination/routing/crowd.go
@@ -32,7 +32,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
@@ -81,17 +80,11 @@
 // Crowds knows the crowded replicas and the prompts that need more homes. It is safe for
 // use by many goroutines. A nil one knows none.
 type Crowds struct {
-	// waiting has a value once reports wait to be sent.
-	waiting chan struct{}
-
 	mu      sync.Mutex
 	avoided map[LoadKey]time.Time // crowded replicas, until when
 	needs   map[PromptKey]homesNeed
 	loads   map[ServiceName]reportedLoads
-	pending []pendingCrowd
-	// allowance is how many reports may be sent, as of allowedAt.
-	allowance float64
-	allowedAt time.Time
+	outbox  outbox[CrowdReport]
 }
 
 // homesNeed is how many homes a prompt needed at a time.
@@ -105,22 +98,19 @@
 	return n.homes * math.Exp2(-float64(now.Sub(n.at))/float64(homesHalfLife))
 }
 
-// pendingCrowd is a report that waits to be sent.
-type pendingCrowd struct {
-	CrowdReport
-	at time.Time // when it was found
-}
-
 // NewCrowds returns an empty table.
 func NewCrowds() *Crowds {
 	return &Crowds{
-		waiting: make(chan struct{}, 1), avoided: make(map[LoadKey]time.Time),
-		needs: make(map[PromptKey]homesNeed), loads: make(map[ServiceName]reportedLoads),
+		avoided: make(map[LoadKey]time.Time), needs: make(map[PromptKey]homesNeed), loads: make(map[ServiceName]reportedLoads),
+		outbox: outbox[CrowdReport]{
+			waiting: make(chan struct{}, 1), most: maxPendingCrowds, perSecond: crowdsPerSecond, maxAge: crowdedAge,
+			before: func(a, b pendingReport[CrowdReport]) int { return int(b.report.Homes) - int(a.report.Homes) },
+		},
 	}
 }
 
 // Waiting has a value once reports wait for [Crowds.TakeReports].
-func (c *Crowds) Waiting() <-chan struct{} { return c.waiting }
+func (c *Crowds) Waiting() <-chan struct{} { return c.outbox.waiting }
 
 // homes returns how many homes a prompt has; base is how many others of its size have.
 func (c *Crowds) homes(prompt uint64, base int, now time.Time) int {
@@ -199,18 +189,8 @@
 	defer c.mu.Unlock()
 	news := c.avoid(r.Replica, at, now)
 	news = c.raise(r, at, now) || news
-	if !news || len(c.pending) >= maxPendingCrowds {
-		return
-	}
-	c.pending = append(c.pending, pendingCrowd{CrowdReport: r, at: at})
-	c.signal()
-}
-
-// signal fills waiting, unless it is full.
-func (c *Crowds) signal() {
-	select {
-	case c.waiting <- struct{}{}:
-	default:
+	if news {
+		c.outbox.add(r, at)
 	}
 }
 
@@ -257,24 +237,8 @@
 func (c *Crowds) TakeReports(n int, now time.Time) []CrowdReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pending := c.pending
-	c.pending = nil
-	slices.SortStableFunc(pending, func(a, b pendingCrowd) int { return int(b.Homes) - int(a.Homes) })
-	n = min(n, c.allow(now))
-	out := make([]CrowdReport, 0, min(n, len(pending)))
-	for _, p := range pending {
-		if p.Age = max(0, now.Sub(p.at)); len(out) < n && p.Age < crowdedAge {
-			out = append(out, p.CrowdReport)
-		}
-	}
-	c.allowance -= float64(len(out))
-	return out
-}
-
-// allow returns how many reports may be sent: what crowdsPerSecond leaves, saved up for a
-// second at most.
-func (c *Crowds) allow(now time.Time) int {
-	saved := c.allowance + crowdsPerSecond*now.Sub(c.allowedAt).Seconds()
-	c.allowance, c.allowedAt = min(crowdsPerSecond, saved), now
-	return int(c.allowance)
+	return c.outbox.take(n, now, func(r CrowdReport, age time.Duration) CrowdReport {
+		r.Age = age
+		return r
+	})
 }
--- a/coordination/routing/silence.go
+++ b/coordination/routing/silence.go
@@ -24,7 +24,6 @@
 package routing
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,7 +60,7 @@
 type silences struct {
 	reports map[LoadKey]map[ReporterID]silence
 	count   int
-	pending []pendingSilence
+	outbox  outbox[SilenceReport]
 }
 
 // silence is the newest that one daemon reported of one replica.
@@ -70,15 +69,14 @@
 	passed time.Time // the time of the newest report that was passed on
 }
 
-// pendingSilence is a report that waits to be passed on.
-type pendingSilence struct {
-	replica  LoadKey
-	reporter ReporterID
-	at       time.Time
-}
-
 func newSilences() silences {
-	return silences{reports: make(map[LoadKey]map[ReporterID]silence)}
+	return silences{
+		reports: make(map[LoadKey]map[ReporterID]silence),
+		outbox: outbox[SilenceReport]{
+			waiting: make(chan struct{}, 1), most: maxSilences, maxAge: silenceAge, keeps: true,
+			before: func(a, b pendingReport[SilenceReport]) int { return b.at.Compare(a.at) },
+		},
+	}
 }
 
 // add takes in a report, and has it passed on if it is new.
@@ -96,7 +94,7 @@
 	known.at = at
 	if at.Sub(known.passed) >= refreshAfter {
 		known.passed = at
-		s.pending = append(s.pending, pendingSilence{replica, reporter, at})
+		s.outbox.add(SilenceReport{Replica: replica, Reporter: reporter}, at)
 	}
 	s.reports[replica][reporter] = known
 }
@@ -155,15 +153,10 @@
 func (h *Health) TakeSilences(n int, now time.Time) []SilenceReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := &h.silences
-	slices.SortStableFunc(s.pending, func(a, b pendingSilence) int { return b.at.Compare(a.at) })
-	n = min(n, len(s.pending))
-	out := make([]SilenceReport, 0, n)
-	for _, p := range s.pending[:n] {
-		out = append(out, SilenceReport{Replica: p.replica, Reporter: p.reporter, Age: max(0, now.Sub(p.at))})
-	}
-	s.pending = slices.DeleteFunc(slices.Clone(s.pending[n:]), func(p pendingSilence) bool { return now.Sub(p.at) >= silenceAge })
-	return out
+	return h.silences.outbox.take(n, now, func(r SilenceReport, age time.Duration) SilenceReport {
+		r.Age = age
+		return r
+	})
 }
 
 func (h *Health) isSilent(key LoadKey, now time.Time) bool {
