--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -224,7 +224,7 @@
 		if good+bad > 0 {
 			failures = float64(bad) / float64(good+bad)
 		}
-		if rec.ejected(now) {
+		if rec.ejected(now) && !h.hasEnded(r.LoadKey(), now) {
 			return failures, rec.cause.String()
 		}
 	}
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -14,6 +14,7 @@
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 const (
@@ -91,22 +92,22 @@
 func (c *control) run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	c.startedAt = time.Now()
+	c.startedAt = clock.Now()
 	c.roster.ListenFirst(c.startedAt)
-	c.planReads(time.Now())
-	c.sendHeartbeat(time.Now())
+	c.planReads(clock.Now())
+	c.sendHeartbeat(clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.tick(ctx, time.Now())
+			c.tick(ctx, clock.Now())
 		case <-c.crowds.Waiting():
 			c.awaitMoreReports(ctx, crowdsDue{})
 		case <-c.crashes.Waiting():
 			c.awaitMoreReports(ctx, crashesDue{})
 		case e := <-c.events:
-			c.handle(ctx, e, time.Now())
+			c.handle(ctx, e, clock.Now())
 		}
 	}
 }
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -15,6 +15,7 @@
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/daemon"
+	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
@@ -61,7 +62,7 @@
 // New opens the listeners and puts the parts together. Nothing is served before
 // Run.
 func New(s *Settings, o Outside, logTo io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: s, outside: o, Metrics: newMetrics(), started: time.Now(), pool: relay.NewPool()}
+	d := &Daemon{settings: s, outside: o, Metrics: newMetrics(), started: clock.Now(), pool: relay.NewPool()}
 	d.Log = newLog(logTo, s.Level, string(s.ID), d.Metrics)
 	limitMemory(s.Memory)
 	if err := d.open(); err != nil {
@@ -127,7 +128,7 @@
 	}
 	t.health.Reporter = routing.NewReporterID(string(s.advertised()))
 	d.control = d.newControl(t)
-	d.control.publish(time.Now())
+	d.control.publish(clock.Now())
 	d.reader = &reader{
 		store: d.outside.Store, control: d.control, historyGone: d.outside.HistoryGone,
 		countCall: func() { d.Metrics.StoreCalls.Inc(1) },
@@ -185,7 +186,7 @@
 		return v
 	}
 	d.control.post(ctx, callerWaits{})
-	wait := time.NewTimer(routing.StartWait(left, time.Since(d.started)))
+	wait := time.NewTimer(routing.StartWait(left, clock.Since(d.started)))
 	defer wait.Stop()
 	select {
 	case <-d.control.configured:
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -15,6 +15,7 @@
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // Paths of the operators' listener.
@@ -172,7 +173,7 @@
 // completeStatus adds what the daemon knows beside the control loop.
 func (d *Daemon) completeStatus(a *StatusAnswer) {
 	a.Daemon, a.Ready, a.Stopping = d.settings.ID, d.ready(), d.Stopping()
-	a.UptimeMS = time.Since(d.started).Milliseconds()
+	a.UptimeMS = clock.Since(d.started).Milliseconds()
 	a.LinesLost, a.Connections = d.Log.writer.droppedTotal(), d.pool.Idle()
 }
 
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -10,6 +10,7 @@
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/daemon"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // sweepInterval is how often connections to replicas are closed that were idle for
@@ -65,7 +66,7 @@
 				}
 			}
 		}
-		d.pool.Sweep(func(id routing.Incarnation) bool { return known[id] }, time.Now())
+		d.pool.Sweep(func(id routing.Incarnation) bool { return known[id] }, clock.Now())
 	}
 }
 
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -11,6 +11,7 @@
 
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // Store is where the documents come from.
@@ -130,8 +131,8 @@
 
 // list reads everything, or what is left of it.
 func (r *reader) list(ctx context.Context) error {
-	if r.partial == nil || time.Since(r.partial.begun) > listAge {
-		r.partial = &listing{begun: time.Now()}
+	if r.partial == nil || clock.Since(r.partial.begun) > listAge {
+		r.partial = &listing{begun: clock.Now()}
 	}
 	l := r.partial
 	for {
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -6,7 +6,9 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -115,3 +117,33 @@
 	}
 	return out
 }
+
+// TestAgesGoByTheClockThatCountsSuspensions reads the sources of the front end in production:
+// ages and deadlines go by transport/clock. The time of day, and the runtime's clock for the
+// runtime's own waits, stand where they are named here.
+func TestAgesGoByTheClockThatCountsSuspensions(t *testing.T) {
+	allowed := map[string]int{
+		"daemon/routes/daemon.go": 1, // the number of the incarnation
+		"daemon/routes/run.go":    1, // the grace of a planned stop, which the runtime waits for
+	}
+	runtimeClock := regexp.MustCompile(`time\.(Now|Since|Until)\(`)
+	for _, folder := range []string{"transport/relay", "daemon/routes", "platform"} {
+		files, err := filepath.Glob(filepath.Join("..", "..", filepath.FromSlash(folder), "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatal("no sources in", folder, err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			name := folder + "/" + filepath.Base(file)
+			if n := len(runtimeClock.FindAll(text, -1)); n != allowed[name] {
+				t.Errorf("%s reads the runtime's clock %d times, want %d; use transport/clock", name, n, allowed[name])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/transport/clock/clock_test.go
@@ -0,0 +1,93 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// fakeSource is a machine whose clocks a test moves.
+type fakeSource struct {
+	steady, wall, boot time.Duration
+	unknown            bool // there is no clock that counts suspensions
+}
+
+func (f *fakeSource) Read() Reading {
+	return Reading{At: time.Unix(1_000_000, 0).Add(f.steady), Steady: f.steady, Wall: f.wall}
+}
+
+func (f *fakeSource) Lead() (time.Duration, bool) { return f.boot - f.steady, !f.unknown }
+
+func (f *fakeSource) run(d time.Duration)     { f.steady += d; f.wall += d; f.boot += d }
+func (f *fakeSource) suspend(d time.Duration) { f.wall += d; f.boot += d }
+func (f *fakeSource) step(d time.Duration)    { f.wall += d }
+
+func TestClockCountsSuspensions(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(f *fakeSource, look func())
+		want time.Duration // that has passed by the clock
+	}{
+		{"nothing happens", func(f *fakeSource, _ func()) { f.run(time.Minute) }, time.Minute},
+		{"suspended for 5 s", func(f *fakeSource, _ func()) { f.run(time.Second); f.suspend(5 * time.Second); f.run(time.Second) }, 7 * time.Second},
+		{"twice", func(f *fakeSource, look func()) {
+			f.suspend(5 * time.Second)
+			look()
+			f.run(time.Second)
+			f.suspend(3 * time.Second)
+		}, 9 * time.Second},
+		{"the time of day steps ahead", func(f *fakeSource, _ func()) { f.run(time.Second); f.step(time.Hour) }, time.Second},
+		{"and back", func(f *fakeSource, look func()) { f.step(time.Hour); look(); f.run(time.Second); f.step(-time.Hour) }, time.Second},
+		{"a suspension after a step back", func(f *fakeSource, look func()) { f.step(-time.Hour); look(); f.suspend(4 * time.Second) }, 4 * time.Second},
+		{"no clock counts suspensions", func(f *fakeSource, _ func()) { f.unknown = true; f.run(time.Second); f.suspend(5 * time.Second) }, time.Second},
+		{"a clock that says nonsense", func(f *fakeSource, _ func()) { f.boot += 1000 * time.Hour; f.step(time.Second) }, time.Second + noticed},
+		{"small adjustments", func(f *fakeSource, look func()) {
+			for range 50 {
+				f.run(time.Second)
+				f.step(time.Millisecond)
+				look()
+			}
+		}, 50 * time.Second},
+	} {
+		f := &fakeSource{boot: time.Hour}
+		clock := New(f)
+		begun := clock.Now()
+		c.play(f, func() { clock.Now() })
+		if got := clock.Now().Sub(begun); got != c.want {
+			t.Errorf("%s: %v have passed, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestTimersAreThoseOfTheRuntime holds that a deadline that passed in a suspension is over for
+// the runtime too, and one that has not is as far away as it is.
+func TestTimersAreThoseOfTheRuntime(t *testing.T) {
+	f := &fakeSource{}
+	clock := New(f)
+	deadline := clock.Now().Add(8 * time.Second)
+	f.suspend(5 * time.Second)
+	clock.Now()
+	if left := clock.Timer(deadline).Sub(f.Read().At); left != 3*time.Second {
+		t.Errorf("the runtime would wait %v, want 3 s", left)
+	}
+}
+
+// TestProcessClockRuns reads the clocks of this machine.
+func TestProcessClockRuns(t *testing.T) {
+	a := Now()
+	time.Sleep(2 * time.Millisecond)
+	if d := Since(a); d < 2*time.Millisecond || d > time.Minute {
+		t.Errorf("%v have passed", d)
+	}
+	if lead, ok := (processSource{}).Lead(); !ok || lead < 0 {
+		t.Errorf("lead %v, known %t", lead, ok)
+	}
+	if left := Until(a.Add(time.Hour)); left > time.Hour || left < 59*time.Minute {
+		t.Errorf("%v are left of an hour", left)
+	}
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -8,11 +8,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // Errors of answers.
@@ -43,7 +43,7 @@
 	if len(body) > maxAnswerBytes {
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, err: errTooLarge}
 	}
-	now := time.Now()
+	now := clock.Now()
 	x.end(true, now)
 	if status < http.StatusInternalServerError {
 		s.praise(&t.Replica, now)
@@ -77,7 +77,7 @@
 	}
 	s.attempts.Begun = true
 	s.summary.Status = status
-	s.summary.FirstByte = time.Since(s.call.Arrived)
+	s.summary.FirstByte = clock.Since(s.call.Arrived)
 	if err := s.sink.Answer(status, h, body); err != nil && ctx.Err() == nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: eris.Wrap(err, "write answer")}
 	}
@@ -113,7 +113,7 @@
 	if f := s.begin(x); f != nil {
 		return f
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.praise(&t.Replica, now)
 	x.end(true, now)
 	return nil
@@ -128,7 +128,7 @@
 	until := x.deadline
 	wait, leave := s.attempts.EventTimeout()
 	if leave {
-		until = time.Now().Add(wait)
+		until = clock.Now().Add(wait)
 	}
 	arrived, err := x.await(until)
 	if err == nil && !arrived && leave && !s.reserveRetry() {
@@ -145,7 +145,7 @@
 		return nil
 	}
 	f := x.silent()
-	f.blame = time.Now().Before(x.deadline)
+	f.blame = clock.Now().Before(x.deadline)
 	return f
 }
 
@@ -175,7 +175,7 @@
 	}
 	s.attempts.Begun = true
 	s.summary.Status = x.response.StatusCode
-	s.summary.FirstByte = time.Since(s.call.Arrived)
+	s.summary.FirstByte = clock.Since(s.call.Arrived)
 	if err := s.sink.Begin(x.response.StatusCode, x.response.Header); err != nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCaller}
 	}
--- a/transport/relay/ended.go
+++ b/transport/relay/ended.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // endCheckAge is how long the result of one check holds: all that ran at a replica breaks
@@ -87,7 +88,7 @@
 	}
 	c, err := p.open(ctx, r)
 	if err == nil {
-		p.put(c, time.Now())
+		p.put(c, clock.Now())
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -18,6 +18,7 @@
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 const (
@@ -82,7 +83,7 @@
 // the answer. The failure is nil unless the writing failed.
 func (x *exchange) begin(ctx context.Context, h RequestHead) *failure {
 	x.stopWatching = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
-	_ = x.conn.SetWriteDeadline(x.deadline) // an error shows at the write
+	_ = x.conn.SetWriteDeadline(clock.Timer(x.deadline)) // an error shows at the write
 	buf := buffers.Get().(*[]byte)
 	head := x.codec.AppendRequest((*buf)[:0], x.call, h)
 	if len(x.call.Body) < separateWriteBytes {
@@ -128,11 +129,11 @@
 	if until.After(x.deadline) {
 		until = x.deadline
 	}
-	_ = x.conn.SetReadDeadline(until) // an error shows at the read
+	_ = x.conn.SetReadDeadline(clock.Timer(until)) // an error shows at the read
 	_, err := x.conn.reader.Peek(1)
 	if err == nil {
 		x.arrived = true
-		_ = x.conn.SetReadDeadline(x.deadline)
+		_ = x.conn.SetReadDeadline(clock.Timer(x.deadline))
 		return true, nil
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -173,7 +174,7 @@
 	switch {
 	case x.head.NotRun:
 		_, err := io.CopyN(io.Discard, x.response.Body, maxRefusalBytes)
-		x.end(errors.Is(err, io.EOF), time.Now())
+		x.end(errors.Is(err, io.EOF), clock.Now())
 		return &failure{
 			outcome: coordination.NotRun{Reason: coordination.ReasonUpstreamBusy},
 			result:  routing.ResultRefused, blame: status != http.StatusMisdirectedRequest, err: errRefused,
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 const (
@@ -121,10 +122,10 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := p.dialer
 	dialer.Timeout = p.dialTimes.Timeout()
-	begun := time.Now()
+	begun := clock.Now()
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err == nil {
-		p.dialTimes.Observe(time.Since(begun))
+		p.dialTimes.Observe(clock.Since(begun))
 	}
 	return raw, err
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // Options are the parts of a Relay. All are needed.
@@ -69,7 +70,7 @@
 // attempt sends the call to one replica. It returns true if another one may be
 // chosen.
 func (s *serving) attempt(ctx context.Context) bool {
-	now := time.Now()
+	now := clock.Now()
 	if ctx.Err() != nil || !s.attempts.InTime(s.call.Deadline, now) {
 		return false
 	}
@@ -108,7 +109,7 @@
 	s.Placer.Loads.Begin(key)
 	f := s.send(ctx, t, &a)
 	s.Placer.Loads.End(key)
-	a.Duration = time.Since(begun)
+	a.Duration = clock.Since(begun)
 	if f != nil {
 		a.Err = f.err
 		if f.blame {
@@ -124,7 +125,7 @@
 
 // blame holds a result against a replica.
 func (s *serving) blame(r *routing.Replica, result routing.Result, err error) {
-	if s.Placer.Health.Report(r, result, time.Now()) {
+	if s.Placer.Health.Report(r, result, clock.Now()) {
 		s.Observer.Ejected(r, s.call, err)
 	}
 }
@@ -141,7 +142,7 @@
 // noteEnd finds out whether a replica that broke an answer off has ended. That is known
 // before the call may be sent again.
 func (s *serving) noteEnd(ctx context.Context, r *routing.Replica) {
-	now := time.Now()
+	now := clock.Now()
 	if !s.Pool.hasEnded(ctx, r, s.View().ConnectionLimit(s.call.Service), now) {
 		return
 	}
@@ -163,7 +164,7 @@
 // send carries out one exchange and passes the answer on. It returns nil if the
 // caller has the whole answer.
 func (s *serving) send(ctx context.Context, t *routing.Target, a *Attempt) *failure {
-	now := time.Now()
+	now := clock.Now()
 	c, err := s.Pool.get(ctx, &t.Replica, s.View().ConnectionLimit(s.call.Service), now)
 	if err != nil {
 		return unreachable(ctx, err)
@@ -174,8 +175,8 @@
 		s.Pool.discard(c)
 		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonConnect, RetryAfter: routing.RetryAfter}, err: errDrained}
 	}
-	if s.heldBack(time.Now()) {
-		s.Pool.put(c, time.Now())
+	if s.heldBack(clock.Now()) {
+		s.Pool.put(c, clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errHeldBack}
 	}
 	x := &exchange{pool: s.Pool, codec: s.Codec, call: s.call, conn: c, deadline: s.call.Deadline}
@@ -184,13 +185,13 @@
 	}
 	f := x.begin(ctx, RequestHead{
 		Replica: &t.Replica, Source: t.Source.Address,
-		Left: time.Until(s.call.Deadline) - routing.ReturnMargin, LastEvent: s.lastEvent(),
+		Left: clock.Until(s.call.Deadline) - routing.ReturnMargin, LastEvent: s.lastEvent(),
 	})
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
 	if f != nil && f.result == routing.ResultBroken && f.blame && !x.arrived {
-		s.Pool.doubts.Broke(t.Replica.Domain, time.Now())
+		s.Pool.doubts.Broke(t.Replica.Domain, clock.Now())
 	}
 	if f != nil && !x.ended {
 		x.abandon()
@@ -217,7 +218,7 @@
 	s.noteLoad(t, a, x.head.Load)
 	status := x.response.StatusCode
 	if len(s.call.Prompt) > 0 && isSuccess(status) {
-		s.Placer.RecordRead(&s.call.Request, t, time.Now())
+		s.Placer.RecordRead(&s.call.Request, t, clock.Now())
 	}
 	if s.call.Route.Kind == routing.Stream && isSuccess(status) {
 		return s.relayStream(ctx, x, t)
@@ -228,7 +229,7 @@
 // noteLoad takes in what a replica says it holds; the answered request is not counted.
 func (s *serving) noteLoad(t *routing.Target, a *Attempt, l ReportedLoad) {
 	a.Reported = l
-	if l.Known && s.Placer.ReportLoad(&s.call.Request, t, max(0, l.Requests-1), time.Now()) {
+	if l.Known && s.Placer.ReportLoad(&s.call.Request, t, max(0, l.Requests-1), clock.Now()) {
 		s.Observer.Crowded(&t.Replica, s.call, l)
 	}
 }
@@ -240,14 +241,14 @@
 // another replica it waits only for a while.
 func (s *serving) awaitFirstByte(ctx context.Context, x *exchange, r *routing.Replica) *failure {
 	wait, leave := s.attempts.FirstByteTimeout()
-	arrived, err := x.await(time.Now().Add(wait))
+	arrived, err := x.await(clock.Now().Add(wait))
 	if err != nil {
 		return x.broken(ctx, err)
 	}
 	if arrived {
 		return nil
 	}
-	if !time.Now().Before(x.deadline) {
+	if !clock.Now().Before(x.deadline) {
 		return x.expired()
 	}
 	if leave && s.reserveRetry() {
@@ -255,7 +256,7 @@
 	}
 	s.blame(r, routing.ResultSilent, errSilent)
 	if !leave {
-		s.Placer.Health.ReportSilence(r, time.Now())
+		s.Placer.Health.ReportSilence(r, clock.Now())
 	}
 	if arrived, err = x.await(x.deadline); err != nil {
 		return x.broken(ctx, err)
@@ -268,12 +269,12 @@
 
 // reserveRetry reports whether the call may go to another replica if this one is left.
 func (s *serving) reserveRetry() bool {
-	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, time.Now())
+	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, clock.Now())
 }
 
 // finish gives the caller its final answer if it has none.
 func (s *serving) finish(ctx context.Context) {
-	s.summary.Total = time.Since(s.call.Arrived)
+	s.summary.Total = clock.Since(s.call.Arrived)
 	s.summary.Outcome = s.attempts.Outcome
 	s.summary.Gone = ctx.Err() != nil
 	if s.events != nil {
