--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -66,6 +66,9 @@
 	heldEnds = 3
 	// maxEnds bounds the ends that are kept of one content; more change nothing.
 	maxEnds = 6
+	// repeatMemory bounds what is repeated: contents that one or two replicas ended under long
+	// ago, most of them beside others, are kept by the daemons that know them and not repeated.
+	repeatMemory = time.Minute
 	// acquittalMemory is far longer than it takes until a daemon that missed an acquittal is
 	// sent it again; till then it sends others the ends that it knows.
 	acquittalMemory = time.Minute
@@ -277,15 +280,16 @@
 	})
 }
 
-// All returns up to n reports that tell another daemon what is known here. They begin after the
-// given content, in an order that is the same for each call; last is the content of the last
-// one, or 0 at the end of all.
+// All returns up to n reports that tell another daemon what is known here of the contents that
+// are held back or were reported within repeatMemory. They begin after the given content, in an
+// order that is the same for each call; last is the content of the last one, or 0 at the end.
 func (c *Crashes) All(after ContentKey, n int, now time.Time) (reports []CrashReport, last ContentKey) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	contents := make([]ContentKey, 0, len(c.suspects))
-	for content := range c.suspects {
-		if content > after {
+	for content, s := range c.suspects {
+		isNews := s.isHeld() || now.Sub(s.usedAt) < repeatMemory
+		if content > after && isNews {
 			contents = append(contents, content)
 		}
 	}
--- /dev/null
+++ b/coordination/routing/crash_bench_test.go
@@ -0,0 +1,64 @@
+package routing_test
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// BenchmarkContentKey hashes a request without a body, a usual one and the largest.
+func BenchmarkContentKey(b *testing.B) {
+	for name, size := range map[string]int{"0": 0, "2KB": 2 << 10, "4MB": 4 << 20} {
+		body := make([]byte, size)
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				routing.NewContentKey("h.example", "/path/x", "w", body)
+			}
+		})
+	}
+}
+
+// BenchmarkHeld asks for a content as each request does: with nothing known, and beside all
+// that is remembered at most.
+func BenchmarkHeld(b *testing.B) {
+	now := time.Now()
+	for name, contents := range map[string]int{"nothing_known": 0, "all_known": 2000} {
+		c := crashesOf(contents, now)
+		b.Run(name, func(b *testing.B) {
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					c.Held(5, now)
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkMemoryOfCrashes reports what is held at most, in bytes.
+func BenchmarkMemoryOfCrashes(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := crashesOf(2000, time.Now())
+		c.TakeReports(1<<20, time.Now())
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes-held")
+		runtime.KeepAlive(c)
+	}
+}
+
+// crashesOf remembers contents that are held back.
+func crashesOf(contents int, now time.Time) *routing.Crashes {
+	c := routing.NewCrashes()
+	for i := range contents {
+		for r := range 3 {
+			c.ReportEnd(routing.ContentKey(1000+i), "w", numbered(r), now)
+		}
+	}
+	return c
+}
--- a/coordination/routing/crash_test.go
+++ b/coordination/routing/crash_test.go
@@ -178,6 +178,20 @@
 		}
 	})
 
+	It("repeats what is held back for good, and other contents for a minute", func() {
+		end(content, 0, epoch)
+		for i := range 3 {
+			end(content+1, i, epoch)
+		}
+		reports, _ := c.All(0, 100, epoch.Add(59*time.Second))
+		Expect(reports).To(HaveLen(4))
+		reports, _ = c.All(0, 100, epoch.Add(time.Hour))
+		Expect(reports).To(HaveLen(3))
+		Expect(reports).To(HaveEach(HaveField("Content", content+1)))
+		end(content, 1, epoch.Add(time.Hour))
+		Expect(end(content, 2, epoch.Add(2*time.Hour))).To(BeTrue(), "it is remembered all the same")
+	})
+
 	It("does nothing where there is none", func() {
 		var none *routing.Crashes
 		Expect(none.ReportEnd(content, workspace, numbered(0), epoch)).To(BeFalse())
