--- a/cmd/hingectl/daemons.go
+++ b/cmd/hingectl/daemons.go
@@ -27,9 +27,19 @@
 
 // ask gets JSON from one daemon.
 func ask(address, path string, into any) error {
+	return call(address, http.MethodGet, path, func(resp *http.Response) error {
+		if resp.StatusCode != http.StatusOK {
+			return eris.Errorf("daemon %s answered status %d", address, resp.StatusCode)
+		}
+		return eris.Wrap(json.NewDecoder(resp.Body).Decode(into), "read the daemon's answer")
+	})
+}
+
+// call calls the operators' address of a daemon and hands the answer to read.
+func call(address, method, path string, read func(*http.Response) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return eris.Wrap(err, "build request; check the address")
 	}
@@ -38,10 +48,7 @@
 		return eris.Wrapf(err, "daemon %s can't be reached; check the address and that it runs", address)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("daemon %s answered status %d", address, resp.StatusCode)
-	}
-	return eris.Wrap(json.NewDecoder(resp.Body).Decode(into), "read the daemon's answer")
+	return read(resp)
 }
 
 // askAll asks every daemon, prints which could not be asked, and fails if any.
--- a/cmd/hingectl/held.go
+++ b/cmd/hingectl/held.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,27 +47,20 @@
 	return c.askAll(func(address string) error { return release(address, c.Args.Content) })
 }
 
+// mostExplanation bounds what is read of a refusal, in bytes.
+const mostExplanation = 500
+
 // release asks one daemon to release a content.
 func release(address, content string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	target := "http://" + address + routes.PathRelease + "?content=" + url.QueryEscape(content)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
-	if err != nil {
-		return eris.Wrap(err, "build request; check the address")
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return eris.Wrapf(err, "daemon %s can't be reached; check the address and that it runs", address)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNoContent {
-		return nil
-	}
-	const mostText = 500 // bytes of an explanation
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostText))
-	if err != nil {
-		return eris.Wrapf(err, "daemon %s answered status %d", address, resp.StatusCode)
-	}
-	return eris.Errorf("daemon %s: %s", address, strings.TrimSpace(string(text)))
+	path := routes.PathRelease + "?content=" + url.QueryEscape(content)
+	return call(address, http.MethodPost, path, func(resp *http.Response) error {
+		if resp.StatusCode == http.StatusNoContent {
+			return nil
+		}
+		text, err := io.ReadAll(io.LimitReader(resp.Body, mostExplanation))
+		if err != nil {
+			return eris.Wrapf(err, "daemon %s answered status %d", address, resp.StatusCode)
+		}
+		return eris.Errorf("daemon %s: %s", address, strings.TrimSpace(string(text)))
+	})
 }
--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -134,32 +134,21 @@
 	return len(c.Observe([]CrashReport{report}, now)) > 0
 }
 
-// Acquit takes in a whole answer to a request. Of contents that no replica ended under
+// Acquit lets a content be sent again, after a whole answer or on an operator's word. It returns
+// false if no replica is known to have ended under it since it was acquitted last; then
 // nothing is remembered.
-func (c *Crashes) Acquit(content ContentKey, now time.Time) {
+func (c *Crashes) Acquit(content ContentKey, now time.Time) bool {
 	if c == nil || c.known.Load() == 0 {
-		return
-	}
-	c.mu.RLock()
-	s := c.suspects[content]
-	ends := s != nil && len(s.ends) > 0
-	c.mu.RUnlock()
-	if ends {
-		c.Observe([]CrashReport{{Content: content, Caller: s.caller, Acquits: true}}, now)
+		return false
 	}
-}
-
-// Release lets a content be sent again, on an operator's word. It returns false if no replica
-// is known to have ended under it.
-func (c *Crashes) Release(content ContentKey, now time.Time) bool {
 	c.mu.RLock()
 	s := c.suspects[content]
-	known := s != nil && len(s.ends) > 0
+	ended := s != nil && len(s.ends) > 0
 	c.mu.RUnlock()
-	if known {
+	if ended {
 		c.Observe([]CrashReport{{Content: content, Caller: s.caller, Acquits: true}}, now)
 	}
-	return known
+	return ended
 }
 
 // Observe takes in reports. It returns the contents that are held back from now on and were
--- a/coordination/routing/crash_test.go
+++ b/coordination/routing/crash_test.go
@@ -67,14 +67,14 @@
 		c.Acquit(content, epoch)
 		reports, _ := c.All(0, 100, epoch)
 		Expect(reports).To(HaveLen(1))
-		Expect(c.Release(content, epoch)).To(BeFalse())
+		Expect(c.Acquit(content, epoch)).To(BeFalse())
 	})
 
 	It("is released by an operator, and held back again after three more ends", func() {
 		for i := range 3 {
 			end(content, i, epoch)
 		}
-		Expect(c.Release(content, epoch.Add(time.Hour))).To(BeTrue())
+		Expect(c.Acquit(content, epoch.Add(time.Hour))).To(BeTrue())
 		Expect(c.Held(content, epoch.Add(time.Hour))).To(BeFalse())
 		Expect(c.AllHeld(epoch)).To(BeEmpty())
 		for i := range 3 {
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -128,18 +128,29 @@
 // ask puts a question to the control loop and writes its answer, after complete, if
 // there is one, has added what the loop does not know.
 func ask[T any](c *control, w http.ResponseWriter, r *http.Request, question func(reply chan T) event, complete func(*T)) {
+	a, ok := await(c, w, r, question)
+	if !ok {
+		return
+	}
+	if complete != nil {
+		complete(&a)
+	}
+	writeJSON(w, a)
+}
+
+// await puts a question to the control loop. Where there is no answer it says so to the
+// operator, and returns false.
+func await[T any](c *control, w http.ResponseWriter, r *http.Request, question func(reply chan T) event) (a T, ok bool) {
 	reply := make(chan T, 1)
 	c.post(r.Context(), question(reply))
 	select {
-	case a := <-reply:
-		if complete != nil {
-			complete(&a)
-		}
-		writeJSON(w, a)
+	case a = <-reply:
+		return a, true
 	case <-time.After(askTimeout):
 		http.Error(w, "the control loop does not answer", http.StatusServiceUnavailable)
 	case <-r.Context().Done():
 	}
+	return a, false
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -249,7 +260,7 @@
 
 // release lets a content be sent again, here and, by the report that goes out, at all daemons.
 func (c *control) release(content routing.ContentKey, now time.Time) bool {
-	known := c.crashes.Release(content, now)
+	known := c.crashes.Acquit(content, now)
 	if known {
 		c.log.Released(content)
 	}
@@ -263,17 +274,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	reply := make(chan bool, 1)
-	d.control.post(r.Context(), releaseAsked{content: content, reply: reply})
-	select {
-	case known := <-reply:
-		if !known {
-			http.Error(w, "no replica is known to have ended under this content; GET "+PathHeld+" lists those that are held back", http.StatusNotFound)
-			return
-		}
+	known, ok := await(d.control, w, r, func(reply chan bool) event { return releaseAsked{content, reply} })
+	switch {
+	case !ok:
+	case known:
 		w.WriteHeader(http.StatusNoContent)
-	case <-time.After(askTimeout):
-		http.Error(w, "the control loop does not answer", http.StatusServiceUnavailable)
-	case <-r.Context().Done():
+	default:
+		http.Error(w, "no replica is known to have ended under this content; GET "+PathHeld+" lists those that are held back", http.StatusNotFound)
 	}
 }
