--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -33,7 +33,7 @@
 	c := &candidates{ready: pool.Ready, coldUntil: pool.coldUntil, loads: make([]int, n), usable: make([]bool, n), crowded: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
-	p.Crowds.mark(c.crowded, pool, now)
+	p.Crowds.mark(c.crowded, pool, v.LargeFleet, now)
 	c.usableCount = p.Health.markUsable(c.usable, pool, now)
 	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
 	if len(tried.Replicas) > 0 {
--- a/coordination/routing/crowd.go
+++ b/coordination/routing/crowd.go
@@ -11,8 +11,8 @@
 //
 //  1. A replica is crowded if it held more than crowdedFactor times the mean of what the
 //     replicas of its service reported last to this daemon, plus crowdedSlack requests.
-//  2. The daemon that finds it so reports that to the fleet at once. For crowdedAge it is
-//     too loaded for all daemons (place.go, rule 2). A long prompt goes on at its one home
+//  2. The daemon that finds it so reports that to the fleet at once. For crowdedAge, in a small
+//     fleet crowdedAgeSmall, it is too loaded for all daemons (place.go, rule 2). A long prompt goes on at its one home
 //     all the same: copies of long prompts cost more than a crowd that others caused.
 //  3. If the replica was among the homes of the request's prompt, the report also asks for
 //     more homes: twice as many, or as many as bring the crowd half-way back to the mean.
@@ -51,9 +51,14 @@
 	// replica over them, and a tenth to a seventh fewer tokens are copied.
 	crowdedFactor = 1.8
 	crowdedSlack  = 2.5
-	// crowdedAge is how long a crowded replica is avoided: its requests take .1 to 1.4 s.
-	// With 1.2 s as many requests are over the bound, and 4 to 9% more tokens are copied.
-	crowdedAge = 800 * time.Millisecond
+	// crowdedAge is how long a crowded replica is avoided in a large fleet: its requests take .1
+	// to 1.4 s. With 1.2 s as many requests are over the bound, and 4 to 9% more tokens are
+	// copied. crowdedAgeSmall holds in a small fleet, whose daemons know all loads after .2 s:
+	// with .8 s what one crowded replica does not get crowds the next, up to 4.2% of the requests
+	// of five seconds are over the bound of 3%, with .3 s up to 1.6% (virtual time, 8 daemons, 7
+	// replicas, requests of .15 s, six seeds).
+	crowdedAge      = 800 * time.Millisecond
+	crowdedAgeSmall = 300 * time.Millisecond
 	// leastHomesFactor is the least factor by which homes grow, and homesMargin how far
 	// beyond the bound they bring a crowd back: at the bound every second request would
 	// find the replica crowded again.
@@ -81,7 +86,7 @@
 // use by many goroutines. A nil one knows none.
 type Crowds struct {
 	mu      sync.Mutex
-	avoided map[LoadKey]time.Time // crowded replicas, until when
+	avoided map[LoadKey]time.Time // crowded replicas, and when they were found so
 	needs   map[PromptKey]homesNeed
 	loads   map[ServiceName]reportedLoads
 	outbox  outbox[CrowdReport]
@@ -123,14 +128,18 @@
 }
 
 // mark marks the crowded ones among the ready replicas of a pool.
-func (c *Crowds) mark(crowded []bool, pool *Pool, now time.Time) {
+func (c *Crowds) mark(crowded []bool, pool *Pool, largeFleet bool, now time.Time) {
 	if c == nil {
 		return
 	}
+	age := crowdedAgeSmall
+	if largeFleet {
+		age = crowdedAge
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, until := range c.avoided {
-		if !until.After(now) {
+	for key, at := range c.avoided {
+		if now.Sub(at) >= age {
 			delete(c.avoided, key)
 			continue
 		}
@@ -196,13 +205,12 @@
 
 // avoid has a crowded replica avoided. It returns true if that is new.
 func (c *Crowds) avoid(replica LoadKey, at, now time.Time) bool {
-	until := at.Add(crowdedAge)
 	known := c.avoided[replica]
-	if !until.After(now) || !until.After(known) {
+	if now.Sub(at) >= crowdedAge || !at.After(known) {
 		return false
 	}
-	c.avoided[replica] = until
-	return until.Sub(known) > newsAge
+	c.avoided[replica] = at
+	return at.Sub(known) > newsAge
 }
 
 // raise takes over how many homes a prompt needs if that is more than is known. It returns
