--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -144,16 +144,24 @@
 		c.sendHeartbeat(now)
 	case documentsAsked:
 		e.reply <- c.catalog.documentsAfter(e.after)
+	case question:
+		c.answer(e, now)
+	}
+}
+
+// answer answers an operator.
+func (c *control) answer(q question, now time.Time) {
+	switch q := q.(type) {
 	case statusAsked:
-		e.reply <- c.statusAnswer(now)
+		q.reply <- c.statusAnswer(now)
 	case membersAsked:
-		e.reply <- c.memberAnswers(now)
+		q.reply <- c.memberAnswers(now)
 	case replicasAsked:
-		e.reply <- c.replicaAnswers(now)
+		q.reply <- c.replicaAnswers(now)
 	case heldAsked:
-		e.reply <- c.heldAnswers(now)
+		q.reply <- c.heldAnswers(now)
 	case releaseAsked:
-		e.reply <- c.release(e.content, now)
+		q.reply <- c.release(q.content, now)
 	}
 }
 
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -13,6 +13,12 @@
 // event is what the control loop takes.
 type event interface{ isEvent() }
 
+// question is what an operator asks of the control loop.
+type question interface {
+	event
+	isQuestion()
+}
+
 type (
 	// storeListed is a whole list from the store.
 	storeListed struct {
@@ -88,3 +94,9 @@
 func (statusAsked) isEvent()       {}
 func (membersAsked) isEvent()      {}
 func (replicasAsked) isEvent()     {}
+
+func (statusAsked) isQuestion()   {}
+func (membersAsked) isQuestion()  {}
+func (replicasAsked) isQuestion() {}
+func (heldAsked) isQuestion()     {}
+func (releaseAsked) isQuestion()  {}
