--- a/coordination/routing/ended_test.go
+++ b/coordination/routing/ended_test.go
@@ -63,9 +63,16 @@
 		Expect(t.Replica.ID).To(Equal(gone.ID))
 	})
 
+	It("are not named by an acquittal", func() {
+		other, _ := choose(0)
+		f.placer.Health.ReportEnds([]routing.CrashReport{{Replica: other.Replica.LoadKey(), Acquits: true}}, epoch)
+		again, _ := choose(0)
+		Expect(again.Replica.ID).To(Equal(other.Replica.ID))
+	})
+
 	It("are known from others, as of when they ended", func() {
 		for i := range f.pool.Ready {
-			f.placer.Health.ReportEnds([]routing.CrashReport{{Replica: f.pool.Ready[i].LoadKey(), Age: 4 * time.Second}, {Replica: 1, Acquits: true}}, epoch)
+			f.placer.Health.ReportEnds([]routing.CrashReport{{Replica: f.pool.Ready[i].LoadKey(), Age: 4 * time.Second}}, epoch)
 		}
 		_, ok := choose(5 * time.Second)
 		Expect(ok).To(BeFalse())
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -493,12 +494,32 @@
 	if receive() != 1 {
 		t.Error("a daemon that started again is not sent it")
 	}
+	tick := func() {
+		now = now.Add(heartbeatInterval)
+		c.tick(context.Background(), now)
+	}
+	tick() // sends what is new
 	kinds = nil
 	for range 3 * repeatTicks {
-		c.repeatCrashes(now)
+		tick()
 	}
-	if len(kinds) != 3 {
-		t.Errorf("%d datagrams repeat what is known in 3 s, want 3", len(kinds))
+	repeated := len(slices.DeleteFunc(kinds, func(isCrashes bool) bool { return !isCrashes }))
+	if repeated != 3 {
+		t.Errorf("%d datagrams repeat what is known in 3 s, want 3", repeated)
+	}
+}
+
+// TestReplicasThatOthersSawEndGetNothing plays a peer's report of an end.
+func TestReplicasThatOthersSawEndGetNothing(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&out, "info", "d", newMetrics())
+	defer l.Close()
+	c := newTestControl(l, fewDocuments{})
+	r := routing.NewReplica(routing.Replica{ID: "replica-1", Service: "s"})
+	now := time.Unix(1_000_000, 0)
+	c.handle(context.Background(), crashesReceived{reports: []routing.CrashReport{{Content: 5, Replica: r.LoadKey()}}}, now)
+	if _, why := c.health.Explain(&r, now); why == "" {
+		t.Error("a replica that has ended by a peer's report gets requests")
 	}
 }
 
@@ -521,6 +542,11 @@
 		c.apply(c.catalog.feed.Apply(items), "store", now)
 		return c.view.Load().Pool("s").Ready[0]
 	}
+	unsaid := write("")
+	if keys := c.catalog.apply([]feed.Item{{Key: "replica-1", Value: []byte("born=1"), Revision: 2}}, "store", false, now); !slices.Contains(keys, unsaid.LoadKey()) {
+		t.Errorf("what the start that said nothing of itself had cached is not dropped: %v", keys)
+	}
+	revision++
 	former := write("born=1")
 	peerSays := func(key routing.LoadKey) {
 		c.receiveHeartbeat(context.Background(), &gossip.Heartbeat{Sender: testMember(1), Loads: []routing.LoadCount{{Replica: key, Requests: 7}}}, now)
--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -14,9 +14,11 @@
 )
 
 var _ = Describe("A request that replicas end under", func() {
+	gone := 0
 	crashed := func(w *world, c *relay.Call, ends int) {
-		for i := range ends {
-			r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("gone", i))})
+		for range ends {
+			gone++
+			r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("gone", gone))})
 			w.relay.Crashes.ReportEnd(c.Content, c.Workspace, &r, time.Now())
 		}
 	}
@@ -31,12 +33,31 @@
 		Expect(ok).To(BeTrue())
 		Expect(refusal.Reason).To(Equal(coordination.ReasonHeldBack))
 		Expect(refusal.RetryAfter).To(BeNumerically(">=", 10*time.Second))
-		Expect(s.Total).To(BeNumerically("<", 50*time.Millisecond))
-		Expect(r.count()).To(BeZero())
+		Expect(s.Attempts).To(BeEmpty(), "no replica is chosen, no connection opened")
+		Expect(r.connections()).To(BeZero())
 		other, _ := w.serve(w.call("b", "POST", "y"))
 		Expect(other.status).To(Equal(200))
 	})
 
+	It("is refused as not run when the third ends elsewhere while its connection comes up", func() {
+		r := startReplica("r", good)
+		w := newWorld(once, r)
+		c := w.call("a", "POST", "x")
+		crashed(w, c, 2)
+		views := 0
+		w.relay.View = func() *routing.View {
+			if views++; views == 2 { // the attempt has begun
+				crashed(w, c, 1)
+			}
+			return w.view
+		}
+		to, _ := w.serve(c)
+		Expect(to.refusal).To(HaveField("Reason", coordination.ReasonHeldBack))
+		Expect(r.count()).To(BeZero())
+		w.serve(w.call("b", "POST", "y"))
+		Expect(r.connections()).To(Equal(1), "the connection is kept for the next request")
+	})
+
 	It("is not sent on, and said to have run maybe, when the third ends", func() {
 		first, second := startReplica("a", nil), startReplica("b", nil)
 		for _, r := range []*replica{first, second} {
--- a/transport/relay/ended_test.go
+++ b/transport/relay/ended_test.go
@@ -56,7 +56,12 @@
 	It("is not noted for a request whose caller left", func() {
 		var r *replica
 		arrived := make(chan struct{})
-		r = startReplica("r", func(a *arrival) bool { close(arrived); time.Sleep(50 * time.Millisecond); return r.end() })
+		r = startReplica("r", func(a *arrival) bool {
+			_ = r.listener.Close() // it takes no more, and works on
+			close(arrived)
+			time.Sleep(50 * time.Millisecond)
+			return r.end()
+		})
 		w := newWorld(once, r)
 		ctx, leave := context.WithCancel(context.Background())
 		go func() { <-arrived; leave() }()
@@ -64,3 +69,21 @@
 		Expect(w.seen.endedUnder).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Connections", func() {
+	It("to a replica before it started again under its id are not used", func() {
+		r := startReplica("r", good)
+		r.Replica.Born = 1
+		r.Replica = routing.NewReplica(r.Replica)
+		w := newWorld(once, r)
+		w.serve(w.call("a", "POST", "x"))
+		w.serve(w.call("b", "POST", "x"))
+		Expect(r.connections()).To(Equal(1))
+		again := *w.view
+		r.Replica.Born = 2
+		again.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{routing.NewReplica(r.Replica)}}}
+		w.view = &again
+		w.serve(w.call("c", "POST", "x"))
+		Expect(r.connections()).To(Equal(2))
+	})
+})
