--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -85,8 +85,9 @@
 		return
 	}
 	c.syncs.underWay = true
+	after := c.catalog.feed.AskAfter()
 	go func() {
-		documents, err := c.syncs.fetch(ctx, from, own)
+		documents, err := c.syncs.fetch(ctx, from, after)
 		c.post(ctx, synced{documents: documents, from: from, err: err})
 	}()
 }
@@ -115,7 +116,5 @@
 		c.apply(f.ApplyList(d.Items, d.Revision), string(s.from), now)
 		return
 	}
-	changed := f.Apply(d.Items)
-	f.Advance(d.Revision)
-	c.apply(changed, string(s.from), now)
+	c.apply(f.ApplyChanges(d.Items, d.Revision), string(s.from), now)
 }
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -46,21 +46,59 @@
 type Feed struct {
 	items    map[string]Item
 	revision Revision
+	newest   Revision // of the documents
 	// horizon is the newest removal that was forgotten: what changed since an earlier
 	// revision can't be listed without it.
 	horizon    Revision
 	tombstones []string
+	// skipped are the ranges that lists jumped over: what was written and removed within one is
+	// not known here.
+	skipped []revisionRange
 }
 
+// revisionRange is what lies after one revision and up to another.
+type revisionRange struct{ after, until Revision }
+
+// maxSkipped bounds the ranges that are remembered; the oldest two become one. A daemon lists
+// the store at its start and when the store's history is gone.
+const maxSkipped = 16
+
 // New returns an empty feed.
 func New() *Feed { return &Feed{items: make(map[string]Item)} }
 
 // Revision returns the revision up to which everything is held.
 func (f *Feed) Revision() Revision { return f.revision }
 
-// Apply takes items over if they are newer than what is held, and returns those
-// that were.
+// Apply takes over what changed after the feed's revision, as a watch gives it: all from there on
+// up to the last of the items. It returns what is news.
 func (f *Feed) Apply(items []Item) []Item {
+	changed := f.merge(items)
+	for _, it := range items {
+		f.Advance(it.Revision)
+	}
+	return changed
+}
+
+// ApplyChanges takes over all that changed after the feed's revision, as a peer answered that
+// stands at a revision. It returns what is news.
+func (f *Feed) ApplyChanges(items []Item, at Revision) []Item {
+	changed := f.merge(items)
+	f.Advance(at)
+	return changed
+}
+
+// AskAfter returns the revision after which a peer is to be asked for changes. A feed that holds
+// documents newer than its revision, from the later pages of a list, asks for everything: a peer
+// that never held them would not say that they were removed.
+func (f *Feed) AskAfter() Revision {
+	if f.newest > f.revision {
+		return 0
+	}
+	return f.revision
+}
+
+// merge takes items over if they are newer than what is held, and returns those that were.
+func (f *Feed) merge(items []Item) []Item {
 	var changed []Item
 	for _, it := range items {
 		if held, ok := f.items[it.Key]; ok && held.Revision >= it.Revision {
@@ -74,7 +112,7 @@
 
 func (f *Feed) put(it Item) {
 	f.items[it.Key] = it
-	f.revision = max(f.revision, it.Revision)
+	f.newest = max(f.newest, it.Revision)
 	if !it.Gone {
 		return
 	}
@@ -93,10 +131,12 @@
 // ApplyList takes a whole list, read when the store stood at the given revision or
 // later. Held documents that are missing there and are not newer are gone.
 func (f *Feed) ApplyList(items []Item, at Revision) []Item {
-	changed := f.Apply(items)
+	changed := f.merge(items)
 	listed := make(map[string]struct{}, len(items))
 	for _, it := range items {
-		listed[it.Key] = struct{}{}
+		if !it.Gone { // a removal may be older than what is held
+			listed[it.Key] = struct{}{}
+		}
 	}
 	var gone []Item
 	for key, held := range f.items {
@@ -109,17 +149,37 @@
 	for _, it := range gone {
 		f.put(it)
 	}
+	f.skip(revisionRange{after: f.revision, until: at})
 	f.Advance(at)
 	return append(changed, gone...)
 }
 
-// Advance records that everything up to a revision is held, because a list or a
+// skip remembers that a list jumped over a range.
+func (f *Feed) skip(r revisionRange) {
+	if r.until <= r.after {
+		return
+	}
+	f.skipped = append(f.skipped, r)
+	if len(f.skipped) > maxSkipped {
+		f.skipped[1].after = f.skipped[0].after
+		f.skipped = f.skipped[1:]
+	}
+}
+
+// hasSkipped reports whether what changed since a revision may not be known. That holds for
+// those, too, who stand where a list began to skip: the pages of the list before are no
+// snapshot, and may have lacked what was removed after its first.
+func (f *Feed) hasSkipped(since Revision) bool {
+	return slices.ContainsFunc(f.skipped, func(r revisionRange) bool { return r.after <= since && since < r.until })
+}
+
+// Advance records that everything up to a revision is held, because a list, a watch or a
 // peer's answer was complete up to there.
 func (f *Feed) Advance(to Revision) { f.revision = max(f.revision, to) }
 
 // Since returns what changed after a revision, or everything if whole is true.
 func (f *Feed) Since(after Revision) (items []Item, whole bool) {
-	whole = after < f.horizon || after == 0
+	whole = after < f.horizon || after == 0 || f.hasSkipped(after)
 	for _, it := range f.items {
 		if it.Revision > after || whole {
 			items = append(items, it)
--- a/state/feed/feed_test.go
+++ b/state/feed/feed_test.go
@@ -149,25 +149,28 @@
 		Expect(keys(old)).To(Equal([]string{"b19", "c20"}))
 	})
 
-	It("answers with what changed where it held all before", func() {
+	It("answers with what changed before and after what its lists skipped", func() {
 		f := feed.New()
 		f.ApplyList([]feed.Item{item("a", 5), item("b", 9)}, 10)
-		f.ApplyList([]feed.Item{item("b", 9), item("c", 14)}, 15)
-		items, whole := f.Since(10)
-		Expect(whole).To(BeFalse())
-		Expect(items).To(ConsistOf(feed.Item{Key: "a", Revision: 15, Gone: true}, item("c", 14)))
-		_, whole = f.Since(12)
-		Expect(whole).To(BeTrue(), "what was written and removed between the lists is not known")
-		_, whole = f.Since(15)
-		Expect(whole).To(BeFalse())
+		f.Apply([]feed.Item{item("b", 11), {Key: "a", Revision: 12, Gone: true}})
+		f.ApplyList([]feed.Item{item("b", 11), item("c", 14)}, 15)
+		f.Apply([]feed.Item{item("d", 16)})
+		for after, want := range map[feed.Revision]bool{9: true, 10: false, 11: false, 12: true, 14: true, 15: false, 16: false} {
+			_, whole := f.Since(after)
+			Expect(whole).To(Equal(want), "after %d", after)
+		}
+		items, _ := f.Since(10)
+		Expect(items).To(ContainElement(feed.Item{Key: "a", Revision: 12, Gone: true}))
 	})
 
 	It("holds no more than its first page says", func() {
 		f := feed.New()
 		f.ApplyList([]feed.Item{item("a", 5), item("z", 22)}, 20) // a was removed at 21, after its page
 		Expect(f.Revision()).To(Equal(feed.Revision(20)))
+		Expect(f.AskAfter()).To(BeZero(), "another that never held z would not say that it was removed")
 		f.Apply([]feed.Item{{Key: "a", Revision: 21, Gone: true}, item("z", 22)})
 		Expect(f.Revision()).To(Equal(feed.Revision(22)), "also by an event that is not news")
+		Expect(f.AskAfter()).To(Equal(feed.Revision(22)))
 	})
 })
 
@@ -222,13 +225,12 @@
 				if from.Revision() <= d.Revision() {
 					break
 				}
-				items, whole := from.Since(d.Revision())
+				items, whole := from.Since(d.AskAfter())
 				if whole {
 					d.ApplyList(items, from.Revision())
 					break
 				}
-				d.Apply(items)
-				d.Advance(from.Revision())
+				d.ApplyChanges(items, from.Revision())
 			}
 			for n, d := range daemons {
 				held := make(map[string]feed.Revision)
