--- a/transport/clock/clock.go
+++ b/transport/clock/clock.go
@@ -130,6 +130,3 @@
 
 // Timer returns a time of [Now] as the runtime's timers and deadlines understand it.
 func Timer(t time.Time) time.Time { return system.Timer(t) }
-
-// Suspended returns for how long the VM was suspended since the process began.
-func Suspended() time.Duration { return system.Suspended() }
