Sight: what replicas say of themselves in answers is one statement, counted and logged

Cause: lines could not tell whether an answer asked for rest, for how long, or said that its replica leaves; load and idle time were read in two places.

Lines of requests carry rest_ms and leaving for each attempt; counters rests_asked_total, leaving_said_total, not_understood_total. Nothing is decided by it yet.

--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -250,6 +250,17 @@
 		Int("reported_load", reportedLoad(load)).Msg(prefixReplica + "crowded; avoided for a moment")
 }
 
+// Said counts what a replica said of itself in an answer.
+func (l *Log) Said(r *routing.Replica, c *relay.Call, says relay.Statement) {
+	if says.Rest > 0 {
+		l.metrics.RestsAsked.Inc(1)
+	}
+	if says.Leaving {
+		l.metrics.LeavingSaid.Inc(1)
+	}
+	l.metrics.NotUnderstood.Inc(int64(len(says.NotUnderstood)))
+}
+
 // FoundSilent says that a replica gets no requests because other daemons find it silent.
 func (l *Log) FoundSilent(id routing.ReplicaID) {
 	l.timeline.Record(coordination.EventAttemptFailed, string(id), "", "several daemons find it silent")
@@ -304,7 +315,8 @@
 		a := &s.Attempts[i]
 		e.Str("replica", string(a.Replica)).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.Copied)).Int("load", a.Load).
 			Float64("mean", float64(int(a.Mean*10))/10).
-			Float64("coverage", float64(int(a.Coverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
+			Float64("coverage", float64(int(a.Coverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).
+			Int64("rest_ms", a.Rest.Milliseconds()).Bool("leaving", a.Leaving).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
 	}
 	e.Msg(prefixRequest + "ended")
 }
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -35,6 +35,12 @@
 	EndedUnder metrics.Counter
 	// ContentsHeld counts the contents that were held back because replicas end under them.
 	ContentsHeld metrics.Counter
+	// RestsAsked counts the answers that asked for a time without requests, and LeavingSaid
+	// those that said that their replica leaves.
+	RestsAsked  metrics.Counter
+	LeavingSaid metrics.Counter
+	// NotUnderstood counts the fields of answers that could not be read.
+	NotUnderstood metrics.Counter
 	// UnusableEntries counts the entries that named no replica when they changed.
 	UnusableEntries metrics.Counter
 	// Cold counts the replicas that turned cold, Evacuations the failure domains that
@@ -83,6 +89,9 @@
 		"crowded_total":          &m.Crowded,
 		"ended_under_total":      &m.EndedUnder,
 		"contents_held_total":    &m.ContentsHeld,
+		"rests_asked_total":      &m.RestsAsked,
+		"leaving_said_total":     &m.LeavingSaid,
+		"not_understood_total":   &m.NotUnderstood,
 		"unusable_entries_total": &m.UnusableEntries,
 		"turned_cold_total":      &m.Cold,
 		"evacuations_total":      &m.Evacuations,
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -38,11 +38,22 @@
 	Sealed  bool              // the replica vouches for the answer
 	NotRun  bool              // the replica says that the request has not run
 	Encoded bool              // the body has a content encoding
-	Idle    time.Duration     // how long the connection may be idle; 0: not said
-	Load    ReportedLoad      // of the replica, as it began to answer
+	Says    Statement
 }
 
-// ReportedLoad is what a replica says of itself. The zero value says nothing.
+// Statement is what a replica says of itself in the header of an answer, whatever answer that
+// is. The zero value says nothing.
+type Statement struct {
+	Load ReportedLoad  // as it began to answer
+	Idle time.Duration // how long the connection may be idle; 0: not said
+	// Rest is for how long it wants no more requests from this daemon; 0: it did not ask.
+	Rest    time.Duration
+	Leaving bool // it leaves: it takes no new requests and ends soon
+	// NotUnderstood are the fields that can't be read, as "Name: value". They say nothing.
+	NotUnderstood []string
+}
+
+// ReportedLoad is how many requests a replica says it holds. The zero value says nothing.
 type ReportedLoad struct {
 	Known    bool
 	Requests int // that run or wait there, the answered one counted
@@ -80,6 +91,8 @@
 	Mean     float64           // of the service, in requests
 	Coverage float64           // share of the fleet's daemons that Load and Mean contain
 	Reported ReportedLoad      // what the replica said it held; what Load should have been
+	Rest     time.Duration     // that the replica asked for; 0: none
+	Leaving  bool              // the replica said that it leaves
 	Reused   bool              // the connection was used before
 	Err      error             // nil: the caller has the whole answer
 	Duration time.Duration
@@ -107,6 +120,8 @@
 	EndedUnder(r *routing.Replica, c *Call)
 	// HeldBack says that requests of a content are not sent any more.
 	HeldBack(content routing.ContentKey)
+	// Said hands on what a replica said of itself in an answer.
+	Said(r *routing.Replica, c *Call, says Statement)
 	// Crowded says that a replica holds too much, by its own report.
 	Crowded(r *routing.Replica, c *Call, l ReportedLoad)
 }
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -73,7 +73,9 @@
 	arrived  bool // bytes of the replica have arrived
 	response *http.Response
 	head     ResponseHead
-	ended    bool // the connection was given back or closed
+	// heard takes what the replica says of itself in each answer, late ones included.
+	heard func(Statement)
+	ended bool // the connection was given back or closed
 }
 
 // buffers holds the buffers in which requests are put together.
@@ -151,6 +153,9 @@
 			return x.broken(ctx, eris.Wrap(err, "read answer"))
 		}
 		x.response, x.head = resp, x.codec.ReadResponse(resp.StatusCode, resp.Header)
+		if resp.StatusCode != http.StatusMisdirectedRequest { // that is another replica's
+			x.heard(x.head.Says)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -233,8 +238,8 @@
 		x.writing.Wait()
 		return
 	}
-	if x.head.Idle > 0 {
-		x.conn.maxIdle = time.Duration(float64(x.head.Idle) * idleShare)
+	if idle := x.head.Says.Idle; idle > 0 {
+		x.conn.maxIdle = time.Duration(float64(idle) * idleShare)
 	}
 	x.pool.put(x.conn, now)
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -179,7 +179,10 @@
 		s.Pool.put(c, clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errHeldBack}
 	}
-	x := &exchange{pool: s.Pool, codec: s.Codec, call: s.call, conn: c, deadline: s.call.Deadline}
+	x := &exchange{
+		pool: s.Pool, codec: s.Codec, call: s.call, conn: c, deadline: s.call.Deadline,
+		heard: func(says Statement) { s.hear(&t.Replica, a, says) },
+	}
 	if s.attempts.CountSend() {
 		s.Budgets.CountRequest(s.call.Service, now)
 	}
@@ -215,7 +218,7 @@
 	if f := x.readHead(ctx); f != nil {
 		return f
 	}
-	s.noteLoad(t, a, x.head.Load)
+	s.noteLoad(t, a, x.head.Says.Load)
 	status := x.response.StatusCode
 	if len(s.call.Prompt) > 0 && isSuccess(status) {
 		s.Placer.RecordRead(&s.call.Request, t, clock.Now())
@@ -226,6 +229,12 @@
 	return s.relayWhole(ctx, x, t)
 }
 
+// hear takes in what a replica says of itself in an answer.
+func (s *serving) hear(r *routing.Replica, a *Attempt, says Statement) {
+	a.Rest, a.Leaving = max(a.Rest, says.Rest), a.Leaving || says.Leaving
+	s.Observer.Said(r, s.call, says)
+}
+
 // noteLoad takes in what a replica says it holds; the answered request is not counted.
 func (s *serving) noteLoad(t *routing.Target, a *Attempt, l ReportedLoad) {
 	a.Reported = l
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -219,6 +219,8 @@
 
 func (n *nobody) Finished(*relay.Call, *relay.Summary) {}
 
+func (n *nobody) Said(*routing.Replica, *relay.Call, relay.Statement) {}
+
 func (n *nobody) Ejected(r *routing.Replica, _ *relay.Call, _ error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
