Reproduction, failing: replicas at rest, and those that leave by their answers, get requests

The soak's replicas can turn everything away and ask each daemon for rest (some texts are no time), one, some or all of a service, with entries that lapse; and leave while only their answers say so. Its judge holds both rules: at most two requests from half a second after the refusal to the end of the rest, excused by the daemon's restart or freeze alone; and none sent later than the drain time after a daemon passed on that the replica leaves, in touch or not, by that daemon, nor by others in touch.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -53,6 +53,8 @@
 	Evacuate float64       `long:"evacuations" default:"0.15" description:"evacuations of failure domains a second; with 0 replicas are never cold, as for seeds kept from before"`
 	Crashing int           `long:"crashing" default:"1" description:"requests that crash the replicas that run them; with 0 there are none, as for seeds kept from before"`
 	Foreign  float64       `long:"foreign" default:"0.15" description:"how often another writer writes among the replicas' entries, a second; with 0 never, as for seeds kept from before"`
+	Rests    float64       `long:"rests" default:"0.3" description:"how often replicas turn all away and ask for rest, a second; with 0 never, as for seeds kept from before"`
+	Leavings float64       `long:"leavings" default:"0.15" description:"how often a replica leaves and says so in its answers only, a second; with 0 never, as for seeds kept from before"`
 	Steady   bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
 	Dir      string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
 	Keep     bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
@@ -170,6 +172,7 @@
 	shape := soak.DefaultShape()
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuate, o.Crashing, o.Foreign
+	shape.RestsPerSec, shape.LeavingsPerSec = o.Rests, o.Leavings
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
@@ -179,8 +182,8 @@
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at crowded replicas, %d replicas ended by requests, %d violations\n",
-		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.Crowded, report.Ended, len(report.Violations))
+	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at crowded replicas, %d replicas ended by requests, %d rests, %d left by answers, %d violations\n",
+		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.Crowded, report.Ended, report.Rests, report.Leavers, len(report.Violations))
 	for i, v := range report.Violations {
 		const shown = 12
 		if i == shown {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -159,8 +159,9 @@
 	if err != nil {
 		return c.failed(q, err)
 	}
+	begun := time.Now()
 	body, err := io.ReadAll(resp.Body)
-	a := Answer{At: time.Now(), Status: resp.StatusCode, Seal: standin.Sealed(resp.Header), Body: string(body), Whole: err == nil, Err: err}
+	a := Answer{At: time.Now(), Begun: begun, Status: resp.StatusCode, Seal: standin.Sealed(resp.Header), Body: string(body), Whole: err == nil, Err: err}
 	a.Held = resp.Header.Get(protocol.HeaderReason) == string(coordination.ReasonHeldBack)
 	c.site.ledger.Answered(q.ID, a)
 	if c.uses--; err != nil || resp.Close || c.uses <= 0 {
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -126,7 +126,7 @@
 		return false
 	}
 	if strings.HasSuffix(x.run.Target, latePath) {
-		x.write(standin.StreamHead(x.id, x.ID, x.load()))
+		x.write(standin.StreamHead(x.id, x.ID, x.saysLoad()))
 		x.work(rand.N(crashWork))
 	}
 	x.end(0)
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -50,7 +50,7 @@
 		if !full {
 			x.leaveSlot()
 		}
-		return x.write(standin.NotRun(x.id))
+		return x.turnAway()
 	}
 	defer x.leaveSlot()
 	x.run = x.ledger.Began(x.id, Run{
@@ -69,11 +69,24 @@
 	return x.plain()
 }
 
-// load is what the replica reports of itself.
-func (x *exchange) load() standin.Load {
+// says is what the replica says of itself in an answer that is about to go out, its load left
+// out.
+func (x *exchange) says() standin.Says {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return standin.Load{Running: x.busy, Slots: x.slots}
+	if x.leaving {
+		x.ledger.SaysThatItLeaves(x.id, x.ID)
+	}
+	return standin.Says{Leaving: x.leaving}
+}
+
+// saysLoad is the same with the load.
+func (x *exchange) saysLoad() standin.Says {
+	says := x.says()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	says.Load = &standin.Load{Running: x.busy, Slots: x.slots}
+	return says
 }
 
 func (x *exchange) leaveSlot() {
@@ -130,14 +143,14 @@
 	switch {
 	case x.drawn(x.behaviour.Fail):
 		x.end(500)
-		return x.write(standin.Answer(500, x.id, x.ID, "failed"))
+		return x.write(standin.Answer(500, x.id, x.ID, "failed", x.says()))
 	case x.drawn(x.behaviour.Hang):
 		x.work(hangTime)
 		x.end(0)
 		return false
 	case x.drawn(x.behaviour.Break):
 		x.end(200)
-		whole := standin.Answer(200, x.id, x.ID, plainBody(x.id, x.ID))
+		whole := standin.Answer(200, x.id, x.ID, plainBody(x.id, x.ID), x.says())
 		_, _ = x.conn.Write([]byte(whole[:len(whole)*2/3]))
 		return false
 	case x.drawn(x.behaviour.Lose):
@@ -146,7 +159,7 @@
 		return false
 	}
 	x.end(200)
-	whole := standin.Answer(200, x.id, x.ID, plainBody(x.id, x.ID))
+	whole := standin.Answer(200, x.id, x.ID, plainBody(x.id, x.ID), x.says())
 	if x.drawn(x.behaviour.Surplus) {
 		if rand.IntN(2) == 0 {
 			whole += whole
@@ -164,10 +177,10 @@
 	from := x.head.LastEvent
 	if x.drawn(x.behaviour.Fail) {
 		x.end(500)
-		return x.write(standin.Answer(500, x.id, x.ID, "failed"))
+		return x.write(standin.Answer(500, x.id, x.ID, "failed", x.says()))
 	}
 	fault := x.streamFault()
-	head := standin.StreamHead(x.id, x.ID, x.load())
+	head := standin.StreamHead(x.id, x.ID, x.saysLoad())
 	events := streamEvents(x.id)
 	for i := from; i < len(events); i++ {
 		if !x.work(x.workOf(len(events))) || i == from && !x.write(head) {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -89,6 +89,10 @@
 		s.evacuate(f)
 	case foreignEntries:
 		s.writeForeign(f)
+	case restReplicas:
+		s.rest(f)
+	case leaveByAnswers:
+		s.leaveByAnswers(f)
 	case callersRepeat:
 		s.callerFaults.repeat.Store(2)
 		pause(s.ctx, f.For)
@@ -114,7 +118,11 @@
 			pause(s.ctx, restartPause)
 		})
 	case freezeDaemon:
-		s.disturb([]*daemon{d}, func() { d.freeze(s.ctx, f.For) })
+		s.disturb([]*daemon{d}, func() {
+			from := time.Now()
+			d.freeze(s.ctx, f.For)
+			s.ledger.Froze(d.number, from, time.Now())
+		})
 	case stopDaemon:
 		s.stop(d)
 	case hangupDaemon:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -34,6 +34,8 @@
 	Cold     int
 	// Crashing bounds the requests that crash the replicas that run them.
 	Crashing crashingBounds
+	// Resting bounds what reaches replicas that asked for rest.
+	Resting restingBounds
 }
 
 // defaultBounds returns the bounds of a run. Those in time are the users' and
@@ -45,6 +47,7 @@
 		Limit:    limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, Least: 20, Share: 0.03},
 		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
 		Crashing: crashingBounds{Ends: 3, More: 3},
+		Resting:  restingBounds{Grace: 500 * time.Millisecond, Most: 2},
 	}
 }
 
@@ -67,6 +70,8 @@
 	j.judgeFew()
 	j.judgeRepeats()
 	j.judgeCrashing()
+	j.judgeResting()
+	j.judgeLeavers()
 	j.judgeLimit()
 	j.judgeCold()
 	j.out = append(j.out, l.ended...)
--- a/internal/soak/judge_limit.go
+++ b/internal/soak/judge_limit.go
@@ -152,7 +152,7 @@
 // calmService reports whether no replica of a service was in trouble during a time.
 func (j *judgement) calmService(service string, from, to time.Time) bool {
 	for replica := range j.joined[service] {
-		if !calm(j.replicas[replica], from, to) {
+		if !calm(j.replicas[replica], from, to) || !calm(j.aside[replica], from, to) {
 			return false
 		}
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -58,9 +58,10 @@
 	Status int       // 0: none
 	Seal   string    // the replica that vouches for it; may be empty
 	Body   string
-	Held   bool  // a refusal that says that replicas end under the request
-	Whole  bool  // it ended as complete
-	Err    error // why it is not whole
+	Begun  time.Time // when its header was read
+	Held   bool      // a refusal that says that replicas end under the request
+	Whole  bool      // it ended as complete
+	Err    error     // why it is not whole
 }
 
 // record is all that is known of a request.
@@ -69,6 +70,7 @@
 	known    bool // a caller sent it
 	arrivals []Arrival
 	runs     []*Run
+	leavers  []string  // replicas that said in their answers to it that they leave
 	left     time.Time // the caller left before its answer
 	answer   *Answer
 }
@@ -105,6 +107,9 @@
 	crowded  float64               // the greatest share that LIMIT bounds
 	ended    []Violation           // daemons that ended by themselves
 	crashes  map[int][]crash       // by number of the crashing request
+	rests    []restAsked
+	freezes  map[int][]span    // of daemons
+	aside    map[string][]span // when replicas rested, or left by their answers alone
 	// quietFrom is when the end of the quiet time begins, whose requests must be served.
 	quietFrom time.Time
 }
@@ -122,7 +127,7 @@
 		stops: make(map[int][]span), leaving: make(map[string][]span), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
 		domains: make(map[string]string), emptied: make(map[string][]span), cold: make(map[string][]coldSpan),
-		crashes: make(map[int][]crash),
+		crashes: make(map[int][]crash), freezes: make(map[int][]span), aside: make(map[string][]span),
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,8 +40,10 @@
 	callersRepeat faultKind = "callers_repeat" // callers repeat at once and often
 	callersLeave  faultKind = "callers_leave"  // callers leave before their answer
 
-	evacuateDomain faultKind = "evacuate_domain" // a failure domain is emptied and taken back
-	foreignEntries faultKind = "foreign_entries" // another writer writes among the replicas' entries
+	evacuateDomain faultKind = "evacuate_domain"  // a failure domain is emptied and taken back
+	foreignEntries faultKind = "foreign_entries"  // another writer writes among the replicas' entries
+	restReplicas   faultKind = "rest_replicas"    // some turn all away and ask for rest
+	leaveByAnswers faultKind = "leave_by_answers" // a replica leaves and says so in its answers only
 )
 
 // weights say how often a kind is drawn.
@@ -98,11 +100,15 @@
 	Crashing int
 	// ForeignPerSec is how often another writer writes among the replicas' entries.
 	ForeignPerSec float64
+	// RestsPerSec is how often some replicas ask for rest, and LeavingsPerSec how often one
+	// leaves by its answers alone.
+	RestsPerSec    float64
+	LeavingsPerSec float64
 }
 
 // DefaultShape returns the shape of a run by hand.
 func DefaultShape() Shape {
-	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15}
+	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15, RestsPerSec: 0.3, LeavingsPerSec: 0.15}
 }
 
 // bounds of the draws.
@@ -130,6 +136,7 @@
 	p.drawEvacuations(seed, s)
 	p.drawCrashing(seed, s)
 	p.drawForeign(seed, s)
+	p.drawStatements(seed, s)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -27,6 +27,9 @@
 	Break   float64 // ends its answer half-way
 	Lose    float64 // runs and resets the connection
 	Surplus float64 // answers twice, at once or in the place of the next answer
+	// Rest is what a refusal asks the daemon for; 0: nothing. Of its refusals, one in
+	// unreadableOneIn asks with a text that is no time.
+	Rest time.Duration
 }
 
 // ordinary is the behaviour of a replica that is well: now and then an answer breaks
@@ -53,6 +56,7 @@
 	busy      int
 	conns     map[net.Conn]struct{}
 	ended     bool
+	leaving   bool // it says in all answers that it leaves
 	coldUntil time.Time
 	arrivals  []time.Time // of the last second, while it is cold
 	// crashed is called when a request has crashed the replica.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,8 @@
 	QuietShare float64     `json:"share_served_at_the_end"`
 	Crowded    float64     `json:"share_at_crowded_replicas"` // in the worst calm window
 	Ended      int         `json:"replicas_ended"`            // by crashing requests
+	Rests      int         `json:"rests"`                     // that replicas asked for
+	Leavers    int         `json:"left_by_answers"`           // replicas that said so to a caller
 	Violations []Violation `json:"violations"`
 	Events     []string    `json:"events"` // faults and their ends
 }
@@ -221,6 +223,7 @@
 	defer r.mu.Unlock()
 	r.report.Requests, r.report.Served = total, totalServed
 	r.report.Crowded, r.report.Ended = r.site.ledger.Crowded(), r.site.ledger.Ends()
+	r.report.Rests, r.report.Leavers = r.site.ledger.Rests(), r.site.ledger.Leavers()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < leastAtEnd || r.report.QuietShare < r.site.ledger.bounds.Share {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("%d of %d requests were served at the end of the quiet time", served, all)})
--- /dev/null
+++ b/transport/relay/statement_test.go
@@ -0,0 +1,70 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// notRun is the header with which replicas turn a request away.
+const notRun = "Not-Executed: 1\r\n"
+
+// TestWhatReplicasSayOfThemselvesIsObeyed plays replicas that ask for rest, and that leave.
+func TestWhatReplicasSayOfThemselvesIsObeyed(t *testing.T) {
+	t.Run("rest", testRest)
+	t.Run("leaving", testLeaving)
+}
+
+// testRest is the incident of internal/soak's
+// TestReplicasThatAskForRestAreLeftAlone at one daemon: a replica turns a request away and asks
+// for rest, and is the only one, so that all that stands in for rest is void.
+func testRest(t *testing.T) {
+	for name, route := range map[string]routing.Route{"may run more than once": repeatable, "runs once": once, "may go on elsewhere": resumable} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			r := startReplica("r", func(a *arrival) bool { return answer(a, 503, notRun+"Retry-After: 30\r\n", "") })
+			t.Cleanup(func() { r.end() })
+			w := newWorld(route, r)
+			for i := range 8 {
+				to, _ := w.serve(w.call(fmt.Sprint(i), "POST", "x"))
+				if to.refusal == nil {
+					t.Errorf("request %d got status %d, want a refusal", i, to.status)
+				}
+			}
+			if n := r.count(); n != 1 {
+				t.Errorf("%d requests reached the replica, want only the one that it turned away", n)
+			}
+		})
+	}
+}
+
+// testLeaving plays one that says so in an answer, and whose entry
+// goes on saying that it is ready.
+func testLeaving(t *testing.T) {
+	for name, script := range map[string]func(a *arrival) bool{
+		"in a success": func(a *arrival) bool { return answer(a, 200, sealed+"Server-Leaving: 1\r\n", "fine") },
+		"in a failure": func(a *arrival) bool { return answer(a, 500, sealed+"Server-Leaving: 1\r\n", "") },
+		"in a refusal": func(a *arrival) bool { return answer(a, 503, notRun+"Server-Leaving: 1\r\n", "") },
+		"in a late answer": func(a *arrival) bool {
+			raw(a, "HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+			return good(a)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			r := startReplica("r", script)
+			t.Cleanup(func() { r.end() })
+			w := newWorld(once, r)
+			w.serve(w.call("first", "POST", "x"))
+			for i := range 4 {
+				w.serve(w.call(fmt.Sprint(i), "POST", "x"))
+			}
+			if n := r.count(); n != 1 {
+				t.Errorf("%d requests reached the replica, want only the one that it answered", n)
+			}
+		})
+	}
+}
