Rests and leavings go by starts of a replica as its entries tell them, not by a clock

Cause: a statement was taken for that of every start which, by this daemon's clock, had begun when it was made. The clock may step; with one that is ahead, a replica that starts again under its id would count as leaving for good.

Change: a rest binds the start that asked, a leaving the one that said so; an entry that does not say when its start began is held to be the same one. An answer of a start whose entry is not known yet costs one request more, of two that are allowed.

Ruled out: carrying a statement over to the next start for some seconds; final for a leaving, it would be a guess.

--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -7,9 +7,8 @@
 //  1. A replica that said so gets no new request from then on, not even where nothing else is
 //     left. What runs there ends in peace, prompts are copied from it, and its place among the
 //     ready ones is taken as if its entry said that it is draining.
-//  2. That is final for the start that said so, and for others that had begun then: an answer may
-//     come from a start whose entry is not known yet. No entry, list or answer undoes it; a later
-//     start is free.
+//  2. That is final for the start that said so: no entry, list or answer undoes it. Another start
+//     is free; an entry that does not say when its start began is held to be the same one.
 //  3. What is new is told to other daemons at once, and passed on once by each that learns of it.
 //     While an entry still calls the replica ready, daemons that start are sent it first, and one
 //     daemon, drawn by chance, each second (daemon/routes): the store would not tell them.
@@ -53,23 +52,11 @@
 	known atomic.Int64
 
 	mu     sync.RWMutex
-	told   map[ReplicaID]told // what replicas told this daemon
+	told   map[ReplicaID]time.Time // when replicas told this daemon, whichever start
 	starts map[LoadKey]*leaving
 	outbox outbox[LeavingReport]
 }
 
-// told is when a replica told this daemon that it leaves.
-type told struct {
-	born Born
-	at   time.Time
-}
-
-// binds reports whether a start of the replica is meant, by rule 2. Starts that do not say when
-// they began are.
-func (t told) binds(r *Replica) bool {
-	return t.born == r.Born || !time.UnixMilli(int64(r.Born)).After(t.at)
-}
-
 // leaving is what is known of one start, from whomever.
 type leaving struct {
 	at      time.Time // when it said so
@@ -80,7 +67,7 @@
 // NewLeavings returns an empty memory.
 func NewLeavings() *Leavings {
 	return &Leavings{
-		told: make(map[ReplicaID]told), starts: make(map[LoadKey]*leaving),
+		told: make(map[ReplicaID]time.Time), starts: make(map[LoadKey]*leaving),
 		outbox: outbox[LeavingReport]{
 			waiting: make(chan struct{}, 1), most: maxLeavings, keeps: true,
 			before: func(a, b pendingReport[LeavingReport]) int { return b.at.Compare(a.at) },
@@ -99,7 +86,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.told[r.ID] = told{r.Born, now}
+	l.told[r.ID] = now
 	return l.add(r.LoadKey(), now, now)
 }
 
@@ -151,11 +138,8 @@
 	}
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if l.starts[r.LoadKey()] != nil {
-		return true
-	}
-	t, ok := l.told[r.ID]
-	return ok && t.binds(r)
+	_, wasTold := l.told[r.ID]
+	return l.starts[r.LoadKey()] != nil || r.Born == 0 && wasTold
 }
 
 // bar marks the ready replicas of a pool that leave. Views that are built anew hold them among
@@ -225,9 +209,6 @@
 	}
 	for i := range replicas {
 		r := &replicas[i]
-		if t, ok := l.told[r.ID]; ok && t.binds(r) {
-			l.add(r.LoadKey(), t.at, now)
-		}
 		if s := l.starts[r.LoadKey()]; s != nil {
 			s.namedAt, s.ready = now, !r.Draining
 		}
@@ -237,8 +218,8 @@
 			delete(l.starts, key)
 		}
 	}
-	for id, t := range l.told {
-		if now.Sub(t.at) > leavingMemory {
+	for id, at := range l.told {
+		if now.Sub(at) > leavingMemory {
 			delete(l.told, id)
 		}
 	}
--- a/coordination/routing/resting.go
+++ b/coordination/routing/resting.go
@@ -10,9 +10,10 @@
 //     at first and is void where most replicas are left out.
 //  2. Of several rests the one that ends last counts. A shorter one that is asked for later, a
 //     success, a refusal that asks for none, and a text that is no time change nothing.
-//  3. A rest is known by the replica's id. It outlives the entry, a list, a view and a reload. It
-//     binds the start of the replica that asked, and others that had begun when it was asked
-//     for: an answer may come from a start whose entry is not known yet. A later start is free.
+//  3. A rest binds the start of the replica that asked, as far as entries tell starts apart. It
+//     outlives the entry, a list, a view and a reload; another start is free. An answer of a
+//     start whose entry is not known yet is taken for the former one's: then one request more
+//     may be turned away, and two are allowed.
 //  4. It binds the daemon that was told and no other, and is no evidence of failure: a replica
 //     that is full with the requests of one daemon is not broken.
 //  5. More than longestRest is cut to that.
@@ -61,8 +62,7 @@
 
 // rest is the time of one replica.
 type rest struct {
-	born  Born      // the start that asked
-	asked time.Time // when it asked last
+	born  Born // the start that asked
 	until time.Time
 	by    RequestID // whose answer asked last
 }
@@ -70,11 +70,9 @@
 // NewRests returns an empty memory.
 func NewRests() *Rests { return &Rests{rests: make(map[ReplicaID]rest)} }
 
-// binds reports whether a start of the replica is bound by the rest, by rule 3. Starts that do
-// not say when they began are.
-func (t rest) binds(r *Replica) bool {
-	return t.born == r.Born || !time.UnixMilli(int64(r.Born)).After(t.asked)
-}
+// binds reports whether a start of the replica is bound by the rest, by rule 3. An entry that
+// does not say when its start began is held to be the same one.
+func (t rest) binds(r *Replica) bool { return t.born == r.Born || t.born == 0 || r.Born == 0 }
 
 // Ask takes in that a replica, in its answer to a request, asked for rest. It returns how much longer the replica rests, and
 // whether it did not before.
@@ -86,7 +84,7 @@
 	defer s.mu.Unlock()
 	before, ok := s.rests[r.ID]
 	isNew = !ok || !before.binds(r) || !now.Before(before.until)
-	t := rest{born: r.Born, asked: now, until: now.Add(min(d, longestRest)), by: by}
+	t := rest{born: r.Born, until: now.Add(min(d, longestRest)), by: by}
 	if !isNew {
 		t.until = latest(t.until, before.until)
 	}
