Soak: daemons that are told of ends of living replicas; a service that lives is not refused

A promise more, SERVES: a daemon in touch does not refuse for over a second, for want of a replica, what a living, warm, ready one could serve. A fault more: daemons are told, as after a cut by links that refuse, that all replicas of a service have ended.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -162,7 +162,8 @@
 	begun := time.Now()
 	body, err := io.ReadAll(resp.Body)
 	a := Answer{At: time.Now(), Begun: begun, Status: resp.StatusCode, Seal: standin.Sealed(resp.Header), Body: string(body), Whole: err == nil, Err: err}
-	a.Held = resp.Header.Get(protocol.HeaderReason) == string(coordination.ReasonHeldBack)
+	a.Reason = resp.Header.Get(protocol.HeaderReason)
+	a.Held = a.Reason == string(coordination.ReasonHeldBack)
 	c.site.ledger.Answered(q.ID, a)
 	if c.uses--; err != nil || resp.Close || c.uses <= 0 {
 		c.hangUp()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -91,6 +91,8 @@
 		s.writeForeign(f)
 	case restReplicas:
 		s.rest(f)
+	case falseEnds:
+		s.tellFalseEnds(f)
 	case leaveByAnswers:
 		s.leaveByAnswers(f)
 	case callersRepeat:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -36,6 +36,8 @@
 	Crashing crashingBounds
 	// Resting bounds what reaches replicas that asked for rest.
 	Resting restingBounds
+	// Refusing is for how long a daemon may refuse what a living replica could serve.
+	Refusing time.Duration
 }
 
 // defaultBounds returns the bounds of a run. Those in time are the users' and
@@ -48,6 +50,7 @@
 		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
 		Crashing: crashingBounds{Ends: 3, More: 3},
 		Resting:  restingBounds{Grace: 500 * time.Millisecond, Most: 2},
+		Refusing: time.Second,
 	}
 }
 
@@ -72,6 +75,7 @@
 	j.judgeCrashing()
 	j.judgeResting()
 	j.judgeLeavers()
+	j.judgeServing()
 	j.judgeLimit()
 	j.judgeCold()
 	j.out = append(j.out, l.ended...)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -59,6 +59,7 @@
 	Seal   string    // the replica that vouches for it; may be empty
 	Body   string
 	Begun  time.Time // when its header was read
+	Reason string    // of a refusal, as the daemon names it
 	Held   bool      // a refusal that says that replicas end under the request
 	Whole  bool      // it ended as complete
 	Err    error     // why it is not whole
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,6 +43,7 @@
 	evacuateDomain faultKind = "evacuate_domain"  // a failure domain is emptied and taken back
 	foreignEntries faultKind = "foreign_entries"  // another writer writes among the replicas' entries
 	restReplicas   faultKind = "rest_replicas"    // some turn all away and ask for rest
+	falseEnds      faultKind = "false_ends"       // daemons are told of ends of replicas that live
 	leaveByAnswers faultKind = "leave_by_answers" // a replica leaves and says so in its answers only
 )
 
@@ -104,11 +105,13 @@
 	// leaves by its answers alone.
 	RestsPerSec    float64
 	LeavingsPerSec float64
+	// FalseEndsPerSec is how often daemons are told of ends of replicas that live.
+	FalseEndsPerSec float64
 }
 
 // DefaultShape returns the shape of a run by hand.
 func DefaultShape() Shape {
-	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15, RestsPerSec: 0.3, LeavingsPerSec: 0.15}
+	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15, RestsPerSec: 0.3, LeavingsPerSec: 0.15, FalseEndsPerSec: 0.1}
 }
 
 // bounds of the draws.
@@ -137,6 +140,7 @@
 	p.drawCrashing(seed, s)
 	p.drawForeign(seed, s)
 	p.drawStatements(seed, s)
+	p.drawFalseEnds(seed, s)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
--- /dev/null
+++ b/internal/soak/serving.go
@@ -0,0 +1,151 @@
+// This file plays a daemon that was cut off by links that refuse: it took replicas for ended, and
+// tells the others so when the cut has healed. The replicas live. And it judges that a daemon
+// does not go on refusing what a living replica could serve.
+
+package soak
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol/gossip"
+)
+
+// Figures of false ends.
+const (
+	// endsRepeat is how often they are told again, as daemons do.
+	endsRepeat = 200 * time.Millisecond
+	// oldestFalseEnd bounds how long before it was told an end is said to have been.
+	oldestFalseEnd = 5 * time.Second
+)
+
+// drawFalseEnds adds the faults of daemons that tell of ends, with draws of their own.
+func (p *Plan) drawFalseEnds(seed uint64, s Shape) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	for range int(math.Ceil(s.FalseEndsPerSec * s.Trouble.Seconds())) {
+		f := drawFault(rng, s.Trouble)
+		f.Kind = falseEnds
+		p.Faults = append(p.Faults, f)
+	}
+}
+
+// tellFalseEnds tells all daemons for a while that all replicas of a service ended a moment ago,
+// each under another request.
+func (s *injector) tellFalseEnds(f *Fault) {
+	_, first := s.at(f.Target)
+	at := time.Now().Add(-time.Duration(f.Variant%1000) * oldestFalseEnd / 1000)
+	reports := s.falseEnds(first.Service, f.Variant)
+	for end := time.Now().Add(f.For); time.Now().Before(end) && s.ctx.Err() == nil; pause(s.ctx, endsRepeat) {
+		for i := range reports {
+			reports[i].Age = time.Since(at)
+		}
+		payload, err := gossip.EncodeCrashes(reports)
+		if err != nil {
+			s.note("%s: %v", f.Kind, err)
+			return
+		}
+		for _, d := range s.fleet.daemons {
+			d.datagram(payload)
+		}
+	}
+}
+
+// falseEnds returns reports of ends of the replicas of a service.
+func (s *injector) falseEnds(service string, variant int) []routing.CrashReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []routing.CrashReport
+	for i, p := range s.places {
+		if r := p.current; !p.idle && r.Service == service && len(out) < gossip.MaxCrashes {
+			known := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(r.ID), Born: routing.Born(r.born.UnixMilli())})
+			out = append(out, routing.CrashReport{Content: routing.ContentKey(1 + variant<<8 + i), Replica: known.LoadKey()})
+		}
+	}
+	return out
+}
+
+// datagram sends a daemon a datagram, as another daemon does.
+func (d *daemon) datagram(payload []byte) {
+	conn, err := net.Dial("udp4", net.JoinHostPort(d.ip, itoa(d.fleet.ports[3])))
+	if err != nil {
+		return // the next one is sent soon
+	}
+	defer conn.Close()
+	_, _ = conn.Write(payload) // a lost one is made good by the next
+}
+
+// findsNone are the reasons of refusals by a daemon that has found nothing to send to.
+var findsNone = []string{string(coordination.ReasonNoUpstream), string(coordination.ReasonCold), string(coordination.ReasonResting)}
+
+// judgeServing looks for a daemon in touch that refused all requests for a service, for too long,
+// because it found no replica, while one lived that was undisturbed, warm and ready all the time.
+func (j *judgement) judgeServing() {
+	type key struct {
+		daemon, incarnation int
+		service             string
+	}
+	refused := make(map[key][]*record) // without another answer between
+	for _, r := range j.answeredInOrder() {
+		service, ok := j.serviceOf(r)
+		if !ok {
+			continue
+		}
+		k := key{r.Daemon, r.Incarnation, service}
+		if !slices.Contains(findsNone, r.answer.Reason) || len(r.arrivals) > 0 {
+			delete(refused, k)
+			continue
+		}
+		refused[k] = append(refused[k], r)
+		first := refused[k][0].Sent
+		if took := r.answer.At.Sub(first); took > j.bounds.Refusing && j.inTouch(r.Daemon, first, r.answer.At) && j.someServes(service, first, r.answer.At) {
+			j.out = append(j.out, Violation{
+				Promise: "SERVES", Subject: fmt.Sprintf("%s at daemon %d, %v", service, r.Daemon, first.UnixMilli()), At: r.answer.At,
+				Detail: fmt.Sprintf("daemon %d refused %d requests in %v for want of a replica (%s), though one lives", r.Daemon, len(refused[k]), took, r.answer.Reason),
+			})
+		}
+	}
+}
+
+// answeredInOrder returns the requests that were answered, in the order of their answers.
+func (j *judgement) answeredInOrder() []*record {
+	var out []*record
+	for _, r := range j.order {
+		if r.known && r.answer != nil && r.answer.Status != 0 {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *record) int { return a.answer.At.Compare(b.answer.At) })
+	return out
+}
+
+// serviceOf returns the service that a request was for; false if the route moved a moment ago.
+func (j *judgement) serviceOf(r *record) (string, bool) {
+	service := ""
+	for _, c := range j.routes[r.Route.Name] {
+		if !c.at.After(r.Sent) {
+			service = c.value
+		}
+		if since := r.Sent.Sub(c.at); since > -j.bounds.Apply && since < j.bounds.Apply {
+			return "", false
+		}
+	}
+	return service, service != ""
+}
+
+// someServes reports whether a replica of a service could be used all through a time.
+func (j *judgement) someServes(service string, from, to time.Time) bool {
+	for replica, joined := range j.joined[service] {
+		before := from.Add(-j.bounds.Contact)
+		well := calm(j.replicas[replica], before, to) && calm(j.aside[replica], before, to) && calm(j.leaving[replica], before, to)
+		if well && joined.Before(before) && !j.heldBack(replica, from) && !j.heldBack(replica, to) {
+			return true
+		}
+	}
+	return false
+}
