An end of a replica is disproved by its answers, and yields where nothing else is left

Cause: connections that break and new ones that are refused are taken for the end of a replica, which then gets nothing for 10 s, at all daemons, even where nothing else is left. Links that refuse look the same. Each side of a cut failure domain took the other side's replicas for ended, and after the heal believed what it heard of its own, which had answered it all the time.

Change: the answer to a request proves that the same start lived from the opening of the connection until the request was sent (coordination/routing/lives.go). Ends within that time are not believed, and are forgotten with the suspicion that they cast on requests; who knows better tells the others, in a datagram that an earlier build drops. Where nothing else may be chosen, ended replicas are tried, and get what cold ones may: that is what the hold was built for.

The tests that held the old rule (nothing, not even where nothing else is left) now hold the new one as strictly: an ejected replica goes first, each daemon sends an ended one exactly its cold part, a daemon that does not know its fleet nothing, and nothing while another may be chosen.

Ruled out: the time at which an answer is read as proof (a frozen daemon reads late); a second connection as proof (a start under the same id takes it too).

--- a/coordination/routing/barred.go
+++ b/coordination/routing/barred.go
@@ -1,7 +1,7 @@
-// This file joins the rules by which a replica gets nothing, whatever else is left: it has ended
-// (ended.go), it asked this daemon for rest (resting.go), or it said that it leaves
-// (leaving.go). Each of them is certain: what may end in a refusal is no guess. Evidence of
-// failure (eject.go) is one, and is void where too little is left.
+// This file joins the rules by which a replica gets nothing, whatever else is left: it asked this
+// daemon for rest (resting.go), or it said that it leaves (leaving.go). Both are its own word: what
+// may end in a refusal must be certain. That it has ended (ended.go) or fails (eject.go) is what
+// others conclude, and yields where nothing else is left.
 //
 // They hold for each choice, and once more right before the first byte of a request is written:
 // a connection may take a while to come up.
@@ -17,7 +17,6 @@
 // barred returns which ready replicas of a pool get nothing.
 func (p *Placer) barred(pool *Pool, now time.Time) []bool {
 	barred := make([]bool, len(pool.Ready))
-	p.Health.barEnded(barred, pool, now)
 	p.Rests.bar(barred, pool, now)
 	p.Leavings.bar(barred, pool)
 	return barred
@@ -25,7 +24,7 @@
 
 // Bars reports whether a replica gets nothing.
 func (p *Placer) Bars(r *Replica, now time.Time) bool {
-	return p.Health.HasEnded(r, now) || p.Rests.Left(r, now) > 0 || p.Leavings.Leaves(r)
+	return p.Rests.Left(r, now) > 0 || p.Leavings.Leaves(r)
 }
 
 // WhyNone says why a request found no replica that may be chosen, and when its caller should
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -34,16 +34,25 @@
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, v.LargeFleet, now)
-	barred := p.barred(pool, now)
-	c.usableCount = p.Health.markUsable(c.usable, barred, pool, now)
+	barred, ended := p.barred(pool, now), p.Health.markEnded(pool, now)
+	leftOut := slices.Clone(barred)
+	for i := range ended {
+		leftOut[i] = true
+	}
+	c.usableCount = p.Health.markUsable(c.usable, leftOut, pool, now)
 	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
 	if len(tried.Replicas) > 0 {
 		c.exclude(wasTried)
 	}
 	if c.usableCount == 0 {
 		// An ejected replica is better than none.
+		p.Health.markDespiteEjections(c.usable, leftOut, pool, now)
+		c.exclude(wasTried)
+	}
+	if c.usableCount == 0 && len(ended) > 0 {
 		p.Health.markDespiteEjections(c.usable, barred, pool, now)
 		c.exclude(wasTried)
+		c.takeForCold(ended)
 	}
 	if tried.BeyondReach && c.hasUsable(v.Domain) {
 		c.exclude(func(r *Replica) bool { return r.Domain != v.Domain })
@@ -51,6 +60,15 @@
 	return c
 }
 
+// takeForCold has replicas that have ended count as cold ones, by rule 2 of ended.go.
+func (c *candidates) takeForCold(ended map[int]time.Time) {
+	c.ready = slices.Clone(c.ready)
+	for i, until := range ended {
+		c.ready[i].ColdUntil = latest(c.ready[i].ColdUntil, until)
+		c.coldUntil = latest(c.coldUntil, until)
+	}
+}
+
 // excludeCold takes out the cold replicas, by the rules 1 and 4 of cold.go.
 func (c *candidates) excludeCold(rates *ColdRates, s *Service, now time.Time) {
 	if !now.Before(c.coldUntil) {
--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -305,6 +305,18 @@
 	return out
 }
 
+// Disprove drops the ends that were none, by the given knowledge of replicas.
+func (c *Crashes) Disprove(wasNone func(replica LoadKey, at time.Time) bool) {
+	if c.known.Load() == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.suspects {
+		s.ends = slices.DeleteFunc(s.ends, func(e replicaEnd) bool { return wasNone(e.replica, e.at) })
+	}
+}
+
 // Forget drops contents that were acquitted long ago.
 func (c *Crashes) Forget(now time.Time) {
 	c.mu.Lock()
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -14,7 +14,7 @@
 //  3. An ejection lasts firstEjection, twice as long each time up to
 //     longestEjection, and is short again after ejectionMemory without one. After
 //     it the replica gets requests again; that is the only probe.
-//  4. The replicas that are barred (barred.go) or cut off are left out first. Where fewer than half
+//  4. The replicas that are barred (barred.go), ended or cut off are left out first. Where fewer than half
 //     of the others would be left, ejections are ignored: then the evidence speaks against
 //     the service or this daemon's links, and ejecting would only crowd the others.
 //     The cut comes first, or the silence of a large domain would bring its replicas back.
@@ -66,6 +66,9 @@
 	unreachable map[state.FailureDomain]time.Time
 	silences    silences
 	ended       map[LoadKey]time.Time // when incarnations ended
+	// lives are through which times incarnations lived, which disproves ends.
+	lives       map[LoadKey]*life
+	lifeReports outbox[LifeReport]
 }
 
 // NewHealth returns an empty table.
@@ -74,7 +77,11 @@
 		records: make(map[LoadKey]*record), ejected: make(map[LoadKey]*record), peers: make(map[PeerID]*peerEvidence),
 		domainSeen: make(map[state.FailureDomain]time.Time), domainTimeout: DomainTimeout,
 		unreachable: make(map[state.FailureDomain]time.Time), silences: newSilences(),
-		ended: make(map[LoadKey]time.Time),
+		ended: make(map[LoadKey]time.Time), lives: make(map[LoadKey]*life),
+		lifeReports: outbox[LifeReport]{
+			waiting: make(chan struct{}, 1), most: maxLifeReports, keeps: true,
+			before: func(a, b pendingReport[LifeReport]) int { return a.at.Compare(b.at) },
+		},
 	}
 }
 
@@ -206,6 +213,7 @@
 	}
 	h.silences.forget(now)
 	h.forgetEnds(now)
+	h.forgetLives(now)
 	delete(h.domainSeen, ownDomain)
 	for domain, at := range h.domainSeen {
 		if now.Sub(at) > domainMemory {
--- a/coordination/routing/ended.go
+++ b/coordination/routing/ended.go
@@ -4,12 +4,14 @@
 // Inputs: the ends that this daemon saw and that others reported (crash.go), and the entries of
 // replicas. The rule:
 //
-//  1. An incarnation that has ended gets nothing more, not even where nothing else is left.
-//     Its entry stays for three of its heartbeats, and one that starts again within that time
-//     takes the connections of those who mean the former one: it is cold, and must not get
-//     what a warm one gets. Its new entry names another incarnation, to which none of this
-//     applies.
-//  2. After endedHold it is tried again: the entry has not changed although the replica is not
+//  1. An incarnation that has ended gets nothing more while anything else may be chosen. Its entry
+//     stays for three of its heartbeats, and one that starts again within that time takes the
+//     connections of those who mean the former one: it is cold, and must not get what a warm one
+//     gets. Its new entry names another incarnation, to which none of this applies.
+//  2. Where nothing else may be chosen it is tried, and gets what a cold one may (cold.go). Links
+//     that refuse look like ends, so that all replicas of a service may be taken for ended that
+//     live; a trial that is answered on a connection from before proves so (lives.go).
+//  3. After endedHold it is tried again: the entry has not changed although the replica is not
 //     gone, because the store is away or the end was none.
 //
 // Without it, replicas that came back under their id while the store was away got 15 and more
@@ -47,22 +49,23 @@
 	return ok && now.Sub(at) < endedHold
 }
 
-// barEnded marks the ready replicas of a pool that have ended.
-func (h *Health) barEnded(barred []bool, p *Pool, now time.Time) {
+// markEnded returns which ready replicas of a pool have ended, and until when each is held for
+// that; nil if none has.
+func (h *Health) markEnded(p *Pool, now time.Time) map[int]time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for key := range h.ended {
-		if i, ok := p.positions[key]; ok && p.Ready[i].LoadKey() == key && h.hasEnded(key, now) {
-			barred[i] = true
+	var out map[int]time.Time
+	for key, at := range h.ended {
+		i, ok := p.positions[key]
+		if !ok || p.Ready[i].LoadKey() != key || !h.hasEnded(key, now) {
+			continue
+		}
+		if out == nil {
+			out = make(map[int]time.Time)
 		}
+		out[i] = at.Add(endedHold)
 	}
-}
-
-// HasEnded reports whether an incarnation of a replica has ended and gets nothing.
-func (h *Health) HasEnded(r *Replica, now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.hasEnded(r.LoadKey(), now)
+	return out
 }
 
 // forgetEnds drops the ends that no longer matter. The caller holds the lock.
--- /dev/null
+++ b/coordination/routing/lives_test.go
@@ -0,0 +1,117 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// TestLivesDisproveEnds holds which answers prove that an end, at second 100, was none.
+func TestLivesDisproveEnds(t *testing.T) {
+	type answer struct{ opened, at float64 }
+	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name    string
+		answers []answer
+		none    bool
+	}{
+		{"nothing", nil, false},
+		{"an answer on a connection from before", []answer{{50, 101}}, true},
+		{"an answer before it", []answer{{50, 99.9}}, false},
+		{"an answer right after it, that may have been on its way", []answer{{50, 100.1}}, false},
+		{"an answer on a connection that was opened after it", []answer{{100.5, 101}}, false},
+		{"the same after one on a connection from before", []answer{{50, 99.9}, {100.5, 101}}, false},
+		{"two connections that overlap", []answer{{50, 99}, {98, 101}}, true},
+		{"the newer answer first", []answer{{98, 101}, {50, 99}}, true},
+	} {
+		h := routing.NewHealth()
+		r := routing.NewReplica(routing.Replica{ID: "r"})
+		for _, a := range c.answers {
+			h.Lived(&r, at(a.opened), at(a.at))
+		}
+		if got := h.Disproves(r.LoadKey(), at(100)); got != c.none {
+			t.Errorf("%s: disproved %t, want %t", c.name, got, c.none)
+		}
+	}
+}
+
+// TestDaemonsThatKnowBetterTellOthers plays two daemons: one believes an end, the other answers
+// its report, and both go on with the replica. The suspicion of its requests goes too.
+func TestDaemonsThatKnowBetterTellOthers(t *testing.T) {
+	here, there := routing.NewHealth(), routing.NewHealth()
+	crashes := routing.NewCrashes()
+	r := routing.NewReplica(routing.Replica{ID: "r"})
+	there.ReportEnd(&r, epoch)
+	reports := []routing.CrashReport{{Content: 5, Replica: r.LoadKey(), Age: 2 * time.Second}, {Content: 6, Acquits: true}}
+	crashes.Observe([]routing.CrashReport{{Content: 5, Replica: r.LoadKey()}}, epoch)
+	now := epoch.Add(2 * time.Second)
+	here.Lived(&r, epoch.Add(-time.Minute), now)
+	if got := here.Believable(reports, now); len(got) != 1 || !got[0].Acquits {
+		t.Fatalf("believed are %+v, want the acquittal alone", got)
+	}
+	lives := here.TakeLives(10, now)
+	if len(lives) != 1 || lives[0].Since < time.Minute {
+		t.Fatalf("told are %+v, want one life", lives)
+	}
+	if here.Believable(reports, now); len(here.TakeLives(10, now)) != 0 {
+		t.Error("the same is told again at once")
+	}
+	found := there.ObserveLives(lives, now)
+	if _, why := there.Explain(&r, now); len(found) != 1 || why != "" {
+		t.Errorf("found are %v, it gets nothing there because %q", found, why)
+	}
+	if len(there.TakeLives(10, now)) != 1 {
+		t.Error("what disproves an end is not passed on")
+	}
+	if there.ObserveLives(lives, now); len(there.TakeLives(10, now)) != 0 {
+		t.Error("it is passed on twice")
+	}
+	crashes.Disprove(there.Disproves)
+	for _, replica := range []string{"a", "b"} {
+		other := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(replica)})
+		crashes.ReportEnd(5, "w", &other, now)
+	}
+	if crashes.Held(5, now) {
+		t.Error("a request is held back for three ends of which one was none")
+	}
+}
+
+// TestRealEndsAreNeverDisproved plays, in virtual time, a replica that starts again and again, any
+// number of connections to it that are opened and answered at any time while a start lives, reports
+// that arrive late, in any order, and holds that no end is disproved.
+func TestRealEndsAreNeverDisproved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := []*routing.Health{routing.NewHealth(), routing.NewHealth(), routing.NewHealth()}
+		r := routing.NewReplica(routing.Replica{ID: "r"}) // one key for all starts
+		draw := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		now := epoch
+		var ends []time.Time
+		for range rapid.IntRange(1, 8).Draw(t, "starts") {
+			began := now
+			now = now.Add(draw("lives", 3000))
+			end := now
+			for range rapid.IntRange(0, 6).Draw(t, "answers") {
+				opened := began.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "opened") * float64(end.Sub(began))))
+				sent := opened.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "sent") * float64(end.Sub(opened))))
+				rapid.SampledFrom(daemons).Draw(t, "daemon").Lived(&r, opened, sent)
+			}
+			ends = append(ends, end)
+			now = now.Add(draw("down", 2000) + time.Millisecond)
+			for _, d := range daemons {
+				d.ObserveLives(rapid.SampledFrom(daemons).Draw(t, "teller").TakeLives(10, now), now.Add(draw("way", 100)))
+			}
+		}
+		for i, d := range daemons {
+			for _, end := range ends {
+				if d.Disproves(r.LoadKey(), end.Add(draw("late", 40))) {
+					t.Fatalf("daemon %d disproves the end at %v", i, end.Sub(epoch))
+				}
+			}
+		}
+	})
+}
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -118,6 +118,8 @@
 			c.awaitMoreReports(ctx, crowdsDue{})
 		case <-c.crashes.Waiting():
 			c.awaitMoreReports(ctx, crashesDue{})
+		case <-c.health.LivesWaiting():
+			c.awaitMoreReports(ctx, livesDue{})
 		case <-c.leavings.Waiting():
 			c.publish(clock.Now())
 			c.awaitMoreReports(ctx, leavingsDue{})
@@ -147,6 +149,10 @@
 		c.receiveCrashes(e.reports, now)
 	case crashesDue:
 		c.sendCrashes(now)
+	case livesReceived:
+		c.receiveLives(e.reports, now)
+	case livesDue:
+		c.sendLives(now)
 	case leavingsReceived:
 		c.receiveLeavings(e.reports, now)
 	case leavingsDue:
@@ -196,6 +202,7 @@
 	c.tickHeartbeat(now)
 	c.sendSilences(now)
 	c.sendCrashes(now)
+	c.sendLives(now)
 	c.sendLeavings(now)
 	c.repeatReports(now)
 	c.syncIfBehind(ctx, now)
@@ -208,6 +215,7 @@
 		c.publish(now)
 	}
 	c.roster.Forget(now)
+	c.crashes.Disprove(c.health.Disproves)
 	c.health.Forget(c.domain, now)
 	c.crashes.Forget(now)
 	c.rests.Forget(now)
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -44,6 +44,10 @@
 	crashesReceived struct{ reports []routing.CrashReport }
 	// crashesDue says that such reports are to be sent.
 	crashesDue struct{}
+	// livesReceived are a peer's reports of replicas that are said to have ended and live.
+	livesReceived struct{ reports []routing.LifeReport }
+	// livesDue says that such reports are to be sent.
+	livesDue struct{}
 	// leavingsReceived are a peer's reports of replicas that leave by their own word.
 	leavingsReceived struct{ reports []routing.LeavingReport }
 	// leavingsDue says that such reports are to be sent.
@@ -94,6 +98,8 @@
 func (crowdsDue) isEvent()         {}
 func (crashesReceived) isEvent()   {}
 func (crashesDue) isEvent()        {}
+func (livesReceived) isEvent()     {}
+func (livesDue) isEvent()          {}
 func (leavingsReceived) isEvent()  {}
 func (leavingsDue) isEvent()       {}
 func (restLifted) isEvent()        {}
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -87,6 +87,7 @@
 		func() { l.Unusable("k", 2, errors.New("e")) },
 		func() { l.Rests(&replica, call, time.Second) },
 		func() { l.RestLifted("i-1") },
+		func() { l.Lives("i-1") },
 		func() { l.Leaves(&replica, call) },
 		func() { l.LeavesByReport("i-1") },
 		func() { l.Said(&replica, call, relay.Statement{NotUnderstood: []string{"Retry-After: soon"}}) },
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -231,6 +231,12 @@
 		Str("workspace", string(c.Workspace)).Str("route", c.Route.Name).Msg(prefixReplica + "ended while it had a request")
 }
 
+// Lives says that a replica which was held to have ended lives, as other daemons know.
+func (l *Log) Lives(id routing.ReplicaID) {
+	l.timeline.Record(coordination.EventUpstreamState, string(id), "", "has not ended: it answers other daemons")
+	l.logger.Info().Str("replica", string(id)).Msg(prefixReplica + "has not ended; it answers other daemons on connections from before")
+}
+
 // HeldBack says that requests of a content are not sent any more because replicas end under
 // them.
 func (l *Log) HeldBack(content routing.ContentKey) {
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -106,6 +106,9 @@
 	case gossip.IsCrashes(payload):
 		reports, err := gossip.DecodeCrashes(payload)
 		return crashesReceived{reports: reports}, err
+	case gossip.IsLives(payload):
+		reports, err := gossip.DecodeLives(payload)
+		return livesReceived{reports: reports}, err
 	case gossip.IsLeavings(payload):
 		reports, err := gossip.DecodeLeavings(payload)
 		return leavingsReceived{reports: reports}, err
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -1,7 +1,7 @@
 // This file is the part of the control loop that passes reports on to other daemons: which
 // replicas are silent (coordination/routing/silence.go), which are crowded (crowd.go), under
-// which requests replicas end (crash.go), and which replicas leave by their own word
-// (leaving.go). They are rare, and go out as datagrams of their own.
+// which requests replicas end (crash.go), of which ends that is not true (lives.go), and which
+// replicas leave by their own word (leaving.go). They are rare, and go out as datagrams of their own.
 
 package routes
 
@@ -89,12 +89,30 @@
 
 // receiveCrashes takes in a peer's reports of ends.
 func (c *control) receiveCrashes(reports []routing.CrashReport, now time.Time) {
+	reports = c.health.Believable(reports, now)
 	c.health.ReportEnds(reports, now)
 	for _, content := range c.crashes.Observe(reports, now) {
 		c.log.HeldBack(content)
 	}
 }
 
+// sendLives passes reports of replicas that live on, if any wait.
+func (c *control) sendLives(now time.Time) {
+	if reports := c.health.TakeLives(gossip.MaxLives, now); len(reports) > 0 {
+		payload, err := gossip.EncodeLives(reports)
+		c.sendPayload(c.targets(false, now), payload, err)
+	}
+}
+
+// receiveLives takes in a peer's reports of replicas that live.
+func (c *control) receiveLives(reports []routing.LifeReport, now time.Time) {
+	for _, key := range c.health.ObserveLives(reports, now) {
+		if id, ok := c.view.Load().ReplicaOf(key); ok {
+			c.log.Lives(id)
+		}
+	}
+}
+
 // sendLeavings passes reports of replicas that leave on, if any wait.
 func (c *control) sendLeavings(now time.Time) {
 	if reports := c.leavings.TakeReports(gossip.MaxLeavings, now); len(reports) > 0 {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -73,6 +73,12 @@
 	{name: "sends to replicas at rest where nothing else is left", promise: "BUDGET", subject: restSubject, file: "coordination/routing/candidates.go",
 		text: "markDespiteEjections(c.usable, barred, pool, now)", instead: "markDespiteEjections(c.usable, make([]bool, len(barred)), pool, now)",
 		also: []edit{{"coordination/routing/barred.go", "p.Rests.Left(r, now) > 0 || ", ""}}},
+	{name: "believes that replicas have ended which answer it", promise: "SERVES", file: "daemon/routes/reports.go",
+		text: "\treports = c.health.Believable(reports, now)\n", instead: "",
+		also: []edit{
+			{"coordination/routing/candidates.go", "if c.usableCount == 0 && len(ended) > 0 {", "if c.usableCount == 0 && len(ended) < 0 {"},
+			{"coordination/routing/lives.go", "return l != nil && at.Sub(l.from) > lifeSlack", "return l != nil && l.from.IsZero() && at.Sub(l.from) > lifeSlack"},
+		}},
 	{name: "takes back that a replica leaves by its next entry", promise: "DRAIN", file: "coordination/routing/leaving.go",
 		text: "s.namedAt, s.ready = now, !r.Draining", instead: "s.namedAt, s.ready = now.Add(-2*leavingMemory), !r.Draining"},
 	{name: "does not tell other daemons which replicas leave", promise: "DRAIN", file: "daemon/routes/peers.go",
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -265,6 +265,8 @@
 	write("crashes", payload, err)
 	payload, err = EncodeLeavings([]routing.LeavingReport{{Replica: 5, Age: 250 * time.Millisecond}, {Replica: 1 << 31}})
 	write("leavings", payload, err)
+	payload, err = EncodeLives([]routing.LifeReport{{Replica: 5, Since: time.Hour, Age: 250 * time.Millisecond}})
+	write("lives", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
--- /dev/null
+++ b/protocol/gossip/lives.go
@@ -0,0 +1,37 @@
+// This file encodes reports of replicas that are said to have ended and live. A daemon of an
+// earlier build drops them, and gives such a replica nothing for 10 s.
+
+package gossip
+
+import (
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// MaxLives is how many reports fit a datagram with room to spare.
+const MaxLives = 80
+
+type lifeMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Replica routing.LoadKey
+	Since   uint32 // in milliseconds
+	Age     uint32 // in milliseconds
+}
+
+// EncodeLives encodes up to [MaxLives] reports.
+func EncodeLives(reports []routing.LifeReport) ([]byte, error) {
+	return encodeReports(kindLives, MaxLives, reports, func(r routing.LifeReport) lifeMessage {
+		return lifeMessage{Replica: r.Replica, Since: milliseconds(r.Since), Age: milliseconds(r.Age)}
+	})
+}
+
+// IsLives reports whether a datagram is meant for [DecodeLives].
+func IsLives(payload []byte) bool { return isReports(payload, kindLives) }
+
+// DecodeLives is the reverse of [EncodeLives].
+func DecodeLives(payload []byte) ([]routing.LifeReport, error) {
+	return decodeReports(payload, kindLives, func(m lifeMessage) routing.LifeReport {
+		return routing.LifeReport{Replica: m.Replica, Since: time.Duration(m.Since) * time.Millisecond, Age: time.Duration(m.Age) * time.Millisecond}
+	})
+}
--- a/protocol/gossip/reports.go
+++ b/protocol/gossip/reports.go
@@ -19,6 +19,7 @@
 	kindCrowds   reportKind = 2
 	kindCrashes  reportKind = 3
 	kindLeavings reportKind = 4
+	kindLives    reportKind = 5
 )
 
 // arrayOfTwo is the first byte of an encoded reportsMessage. A heartbeat, which is a longer
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -43,7 +43,7 @@
 	errUnsealed = errors.New("success without the replica's seal")
 	errEncoded  = errors.New("answer is encoded, which nobody asked for")
 	errSilent   = errors.New("replica is silent")
-	errBarred   = errors.New("replica rests, leaves or has ended, as was learnt while the connection came up")
+	errBarred   = errors.New("replica rests or leaves, as was learnt while the connection came up")
 	errHeldBack = errors.New("held back while the connection came up")
 	errRefused  = errors.New("replica says that it did not run the request")
 )
@@ -68,6 +68,7 @@
 	// caller has left.
 	stopWatching func() bool
 
+	sent     time.Time // before its first byte was written
 	writing  sync.WaitGroup
 	writeErr error
 	whole    bool // the request was written whole before the answer was read
@@ -85,6 +86,7 @@
 // begin writes the request; a large body goes on being written beside the reading of
 // the answer. The failure is nil unless the writing failed.
 func (x *exchange) begin(ctx context.Context, h RequestHead) *failure {
+	x.sent = clock.Now()
 	x.stopWatching = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	_ = x.conn.SetWriteDeadline(clock.Timer(x.deadline)) // an error shows at the write
 	buf := buffers.Get().(*[]byte)
@@ -174,6 +176,11 @@
 	return x.broken(ctx, errStray)
 }
 
+// isAnswered reports whether the replica that was meant has answered the request, in whatever way.
+func (x *exchange) isAnswered() bool {
+	return x.response != nil && x.head.Request == x.call.ID && x.response.StatusCode != http.StatusMisdirectedRequest
+}
+
 // check reports whether the answer can be passed on; nil if it can.
 func (x *exchange) check() *failure {
 	status := x.response.StatusCode
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -36,6 +36,7 @@
 	reader  *bufio.Reader
 	replica routing.Incarnation
 	reused  bool
+	opened  time.Time
 	// maxIdle is how long it may be idle; below 0: it must not be used again.
 	maxIdle   time.Duration
 	idleSince time.Time
@@ -115,7 +116,7 @@
 		p.release(r.Incarnation())
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), replica: r.Incarnation(), maxIdle: idleDefault}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), replica: r.Incarnation(), opened: clock.Now(), maxIdle: idleDefault}, nil
 }
 
 // dial opens a connection.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -219,7 +219,11 @@
 	if f := s.awaitFirstByte(ctx, x, &t.Replica); f != nil {
 		return f
 	}
-	if f := x.readHead(ctx); f != nil {
+	f := x.readHead(ctx)
+	if x.isAnswered() {
+		s.Placer.Health.Lived(&t.Replica, x.conn.opened, x.sent)
+	}
+	if f != nil {
 		return f
 	}
 	s.noteLoad(t, a, x.head.Says.Load)
