Soak: upgrades from the last build, and back; ends that nothing disproves count for 3 s

Replicas that were said to have ended and live, in a domain that was evacuated meanwhile or without traffic of their own, had no answers that could disprove it; they got nothing for 10 s, or only a cold one's part.

Change: an end counts for 3 s where the store is well, which would have told of another start, and for 10 s where it is in trouble, as before. An idle connection that is found open disproves an end too. Where fewer replicas may be chosen than have ended, those get a cold one's part.

The soak upgrades daemons in series while it runs (--previous PROGRAM), all or half, and back; it begins with the last build. Daemons of that build are held to all promises but the new ones.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -42,6 +42,7 @@
 
 type options struct {
 	Daemon   string        `long:"daemon" default:"target/hingewinchd" description:"program of the daemon"`
+	Previous string        `long:"previous" description:"program of the last build; daemons are upgraded from it, and back, while the run goes on"`
 	Seed     []uint64      `long:"seed" description:"play this seed; may be given several times"`
 	Seeds    string        `long:"seeds" description:"play the seeds of a file, one a line, each with its cause"`
 	Runs     int           `long:"runs" default:"1" description:"how many fresh seeds to play when none is named"`
@@ -174,13 +175,13 @@
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuate, o.Crashing, o.Foreign
 	shape.RestsPerSec, shape.LeavingsPerSec = o.Rests, o.Leavings
-	shape.FalseEndsPerSec = o.Ends
+	shape.FalseEndsPerSec, shape.Upgrades = o.Ends, o.Previous != ""
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
 	}
 	dir := filepath.Join(o.Dir, strconv.FormatUint(seed, 10))
-	report, err := soak.Play(ctx, plan, soak.Options{Daemon: o.Daemon, Dir: dir})
+	report, err := soak.Play(ctx, plan, soak.Options{Daemon: o.Daemon, Previous: o.Previous, Dir: dir})
 	if err != nil {
 		return nil, err
 	}
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -28,43 +28,68 @@
 	coverage    float64 // share of the fleet's daemons that loads contain
 }
 
-func newCandidates(p *Placer, pool *Pool, v *View, tried Tried, now time.Time) *candidates {
+func newCandidates(p *Placer, pool *Pool, v *View, s *Service, tried Tried, now time.Time) *candidates {
 	n := len(pool.Ready)
 	c := &candidates{ready: pool.Ready, coldUntil: pool.coldUntil, loads: make([]int, n), usable: make([]bool, n), crowded: make([]bool, n)}
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, v.LargeFleet, now)
 	barred, ended := p.barred(pool, now), p.Health.markEnded(pool, now)
-	leftOut := slices.Clone(barred)
-	for i := range ended {
-		leftOut[i] = true
+	c.markUsable(p, pool, without(barred, ended), tried, now)
+	if c.areTried(ended, s) {
+		c.include(p, pool, barred, ended, now)
+		c.excludeTried(tried)
 	}
-	c.usableCount = p.Health.markUsable(c.usable, leftOut, pool, now)
-	wasTried := func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) }
-	if len(tried.Replicas) > 0 {
-		c.exclude(wasTried)
+	if tried.BeyondReach && c.hasUsable(v.Domain) {
+		c.exclude(func(r *Replica) bool { return r.Domain != v.Domain })
 	}
+	return c
+}
+
+// markUsable marks the replicas that may be chosen, none of those that are left out.
+func (c *candidates) markUsable(p *Placer, pool *Pool, leftOut []bool, tried Tried, now time.Time) {
+	c.usableCount = p.Health.markUsable(c.usable, leftOut, pool, now)
+	c.excludeTried(tried)
 	if c.usableCount == 0 {
 		// An ejected replica is better than none.
 		p.Health.markDespiteEjections(c.usable, leftOut, pool, now)
-		c.exclude(wasTried)
+		c.excludeTried(tried)
 	}
-	if c.usableCount == 0 && len(ended) > 0 {
-		p.Health.markDespiteEjections(c.usable, barred, pool, now)
-		c.exclude(wasTried)
-		c.takeForCold(ended)
-	}
-	if tried.BeyondReach && c.hasUsable(v.Domain) {
-		c.exclude(func(r *Replica) bool { return r.Domain != v.Domain })
+}
+
+// excludeTried takes out the replicas that the request was sent to before.
+func (c *candidates) excludeTried(tried Tried) {
+	c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
+}
+
+// without returns which replicas are left out when those that have ended are too.
+func without(barred []bool, ended map[int]time.Time) []bool {
+	leftOut := slices.Clone(barred)
+	for i := range ended {
+		leftOut[i] = true
 	}
-	return c
+	return leftOut
+}
+
+// areTried applies rule 2 of ended.go.
+func (c *candidates) areTried(ended map[int]time.Time, s *Service) bool {
+	isBounded := s != nil && s.ColdPerSecond > 0
+	return len(ended) > 0 && (c.usableCount == 0 || isBounded && c.usableCount < len(ended))
 }
 
-// takeForCold has replicas that have ended count as cold ones, by rule 2 of ended.go.
-func (c *candidates) takeForCold(ended map[int]time.Time) {
+// include adds the replicas that have ended, as cold ones. One that refused a connection a moment
+// ago is not among them while others may be chosen.
+func (c *candidates) include(p *Placer, pool *Pool, barred []bool, ended map[int]time.Time, now time.Time) {
+	reachable := make([]bool, len(c.ready))
+	p.Health.markDespiteEjections(reachable, barred, pool, now)
 	c.ready = slices.Clone(c.ready)
 	for i, until := range ended {
-		c.ready[i].ColdUntil = latest(c.ready[i].ColdUntil, until)
+		r := &c.ready[i]
+		if !reachable[i] || c.usableCount > 0 && p.Health.isEjected(r, now) {
+			continue
+		}
+		c.usable[i] = true
+		r.ColdUntil = latest(r.ColdUntil, until)
 		c.coldUntil = latest(c.coldUntil, until)
 	}
 }
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -66,6 +66,7 @@
 	unreachable map[state.FailureDomain]time.Time
 	silences    silences
 	ended       map[LoadKey]time.Time // when incarnations ended
+	endedHold   time.Duration         // how long an end counts
 	// lives are through which times incarnations lived, which disproves ends.
 	lives       map[LoadKey]*life
 	lifeReports outbox[LifeReport]
@@ -77,7 +78,7 @@
 		records: make(map[LoadKey]*record), ejected: make(map[LoadKey]*record), peers: make(map[PeerID]*peerEvidence),
 		domainSeen: make(map[state.FailureDomain]time.Time), domainTimeout: DomainTimeout,
 		unreachable: make(map[state.FailureDomain]time.Time), silences: newSilences(),
-		ended: make(map[LoadKey]time.Time), lives: make(map[LoadKey]*life),
+		ended: make(map[LoadKey]time.Time), endedHold: endedHold, lives: make(map[LoadKey]*life),
 		lifeReports: outbox[LifeReport]{
 			waiting: make(chan struct{}, 1), most: maxLifeReports, keeps: true,
 			before: func(a, b pendingReport[LifeReport]) int { return a.at.Compare(b.at) },
@@ -195,6 +196,14 @@
 	return left
 }
 
+// isEjected reports whether a replica is ejected.
+func (h *Health) isEjected(r *Replica, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rec := h.records[r.LoadKey()]
+	return rec != nil && rec.ejected(now)
+}
+
 // Forget drops what is too old to matter. ownDomain never counts as cut off.
 func (h *Health) Forget(ownDomain state.FailureDomain, now time.Time) {
 	h.mu.Lock()
--- a/coordination/routing/ended.go
+++ b/coordination/routing/ended.go
@@ -8,11 +8,12 @@
 //     stays for three of its heartbeats, and one that starts again within that time takes the
 //     connections of those who mean the former one: it is cold, and must not get what a warm one
 //     gets. Its new entry names another incarnation, to which none of this applies.
-//  2. Where nothing else may be chosen it is tried, and gets what a cold one may (cold.go). Links
-//     that refuse look like ends, so that all replicas of a service may be taken for ended that
-//     live; a trial that is answered on a connection from before proves so (lives.go).
-//  3. After endedHold it is tried again: the entry has not changed although the replica is not
-//     gone, because the store is away or the end was none.
+//  2. Where nothing else may be chosen, or fewer than have ended and the service bounds what cold
+//     ones get, it is tried, and gets what a cold one may (cold.go). Links that refuse look like
+//     ends, so that most replicas of a service may be taken for ended that live; a trial that is
+//     answered on a connection from before proves so (lives.go).
+//  3. After endedHold the end counts no more: a store that is well would have told of another
+//     start. While it is in trouble, or was a moment ago, it may not, and endedHoldStale holds.
 //
 // Without it, replicas that came back under their id while the store was away got 15 and more
 // requests a second of the 14 that all daemons together may send a cold one, in 3 of 12 runs
@@ -22,16 +23,32 @@
 
 import "time"
 
-// endedHold outlasts a restart of some seconds and the cold time after it. Chosen, not measured
-// by itself.
-const endedHold = 10 * time.Second
+const (
+	// endedHold is how long a new start's entry may be unknown: the store's watches can be silent
+	// for 1.7 s, and peers pass it on in tenths of a second. Chosen, not measured by itself.
+	endedHold = 3 * time.Second
+	// endedHoldStale outlasts a restart of some seconds and the cold time after it. With
+	// endedHold in its place replicas that come back while the store is away get too much.
+	endedHoldStale = 10 * time.Second
+)
+
+// SetEntriesStale says whether the store is in trouble, or was a moment ago, so that entries may
+// be those of former starts.
+func (h *Health) SetEntriesStale(stale bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endedHold = endedHold
+	if stale {
+		h.endedHold = endedHoldStale
+	}
+}
 
 // ReportEnds takes in that incarnations of replicas ended a while ago.
 func (h *Health) ReportEnds(reports []CrashReport, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range reports {
-		if !r.Acquits && r.Age < endedHold {
+		if !r.Acquits && r.Age < endedHoldStale {
 			h.ended[r.Replica] = latest(h.ended[r.Replica], now.Add(-r.Age))
 		}
 	}
@@ -46,7 +63,7 @@
 // lock.
 func (h *Health) hasEnded(key LoadKey, now time.Time) bool {
 	at, ok := h.ended[key]
-	return ok && now.Sub(at) < endedHold
+	return ok && now.Sub(at) < h.endedHold
 }
 
 // markEnded returns which ready replicas of a pool have ended, and until when each is held for
@@ -63,7 +80,20 @@
 		if out == nil {
 			out = make(map[int]time.Time)
 		}
-		out[i] = at.Add(endedHold)
+		out[i] = at.Add(h.endedHold)
+	}
+	return out
+}
+
+// Ended returns the incarnations that have ended, by what is known here.
+func (h *Health) Ended(now time.Time) []LoadKey {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []LoadKey
+	for key := range h.ended {
+		if h.hasEnded(key, now) {
+			out = append(out, key)
+		}
 	}
 	return out
 }
@@ -71,7 +101,7 @@
 // forgetEnds drops the ends that no longer matter. The caller holds the lock.
 func (h *Health) forgetEnds(now time.Time) {
 	for key, at := range h.ended {
-		if now.Sub(at) >= endedHold {
+		if now.Sub(at) >= endedHoldStale {
 			delete(h.ended, key)
 		}
 	}
--- a/coordination/routing/ended_test.go
+++ b/coordination/routing/ended_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,6 +28,7 @@
 	}
 
 	It("get nothing for as long as their entry may be that of the former incarnation", func() {
+		f.placer.Health.SetEntriesStale(true)
 		t, ok := choose(9 * time.Second)
 		Expect(ok).To(BeTrue())
 		Expect(t.Replica.ID).NotTo(Equal(gone.ID))
@@ -34,6 +36,11 @@
 		Expect(why).To(ContainSubstring("ended"))
 		t, _ = choose(10 * time.Second)
 		Expect(t.Replica.ID).To(Equal(gone.ID))
+		f.placer.Health.SetEntriesStale(false)
+		t, _ = choose(2999 * time.Millisecond)
+		Expect(t.Replica.ID).NotTo(Equal(gone.ID))
+		t, _ = choose(3 * time.Second)
+		Expect(t.Replica.ID).To(Equal(gone.ID), "a store that is well would have told of another start")
 	})
 
 	It("get nothing where others are ejected, and what cold ones may where all have ended", func() {
@@ -67,6 +74,38 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	It("are tried as cold ones where most have ended, and serve once an answer proves that they live", func() {
+		f := newFleet("llm", sameDomain(7)...)
+		f.pool.Sort()
+		f.view.Table, _ = routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "llm", Generates: true, ColdPerSecond: coldPerSecond}}})
+		f.placer.Cold = routing.NewColdRates("10.0.0.1:1")
+		f.placer.Cold.SetDaemons(2)
+		ended := f.pool.Ready[:5]
+		for i := range ended {
+			f.placer.Health.ReportEnd(&ended[i], epoch)
+		}
+		f.placer.Health.Report(&ended[0], routing.ResultUnreachable, epoch)
+		taken := make(map[routing.ReplicaID]int)
+		for i := range 200 {
+			t, ok := f.placer.Choose(f.view, chat(fmt.Sprint(i)), routing.Tried{}, epoch)
+			Expect(ok).To(BeTrue())
+			taken[t.Replica.ID]++
+		}
+		Expect(taken[ended[0].ID]).To(BeZero(), "it refused a connection")
+		for _, r := range ended[1:] {
+			Expect(taken[r.ID]).To(And(BeNumerically(">", 0), Equal(f.placer.Cold.Part(&r, coldPerSecond))))
+		}
+		for i := range ended {
+			f.placer.Health.Lived(&ended[i], epoch.Add(-time.Minute), epoch.Add(time.Second))
+		}
+		taken = make(map[routing.ReplicaID]int)
+		for i := range 200 {
+			t, _ := f.placer.Choose(f.view, chat(fmt.Sprint(i)), routing.Tried{}, epoch.Add(time.Second))
+			taken[t.Replica.ID]++
+		}
+		Expect(taken[ended[1].ID]).To(BeNumerically(">", 10))
+	})
+
 	It("get requests again at once under a new entry of their own", func() {
 		for i := range f.pool.Ready {
 			if r := &f.pool.Ready[i]; r.ID == gone.ID {
@@ -86,6 +125,7 @@
 	})
 
 	It("are known from others, as of when they ended", func() {
+		f.placer.Health.SetEntriesStale(true)
 		for i := range f.pool.Ready {
 			f.placer.Health.ReportEnds([]routing.CrashReport{{Replica: f.pool.Ready[i].LoadKey(), Age: 4 * time.Second}}, epoch)
 		}
--- a/coordination/routing/lives.go
+++ b/coordination/routing/lives.go
@@ -3,11 +3,14 @@
 // cut off, and what these saw is believed by others.
 //
 // Inputs: which requests replicas answered, when they were sent, and on connections of which age;
-// the ends that are known here; the reports of other daemons. The rule:
+// idle connections that are open; the ends that are known here; the reports of other daemons. The
+// rule:
 //
 //  1. An answer proves that the same start lived from the opening of its connection until the
 //     request was sent: no connection outlives its process. When the answer is read proves
-//     nothing, since a daemon may be slow or frozen. Such times that overlap are one.
+//     nothing, since a daemon may be slow or frozen. An idle connection proves as much until
+//     it is found open: the end of a process that leaves new ones refused closes it. Such times
+//     that overlap are one.
 //  2. An end within that time was none, by lifeSlack at both sides: reports of ends say how old
 //     they are, and are themselves on their way for a while. It is forgotten, with the suspicion
 //     that it casts on requests (crash.go).
@@ -34,7 +37,7 @@
 	lifeSlack = 300 * time.Millisecond
 	// lifeMemory is how long a time without answers is kept: as long as ends matter, and
 	// reports of them are on their way.
-	lifeMemory = 2 * endedHold
+	lifeMemory = 2 * endedHoldStale
 	// lifeInterval is how often a daemon says the same again.
 	lifeInterval = time.Second
 	// maxLifeReports bounds those that wait: each daemon of a large fleet may know as much.
@@ -64,7 +67,7 @@
 }
 
 // Lived takes in that a replica answered a request of this daemon, which was sent at a time on a
-// connection that was opened at a time.
+// connection that was opened at a time; or that such a connection was found open.
 func (h *Health) Lived(r *Replica, opened, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -113,7 +113,7 @@
 		return Target{}, false
 	}
 	service, _ := v.Table.Service(r.Service)
-	c := newCandidates(p, pool, v, tried, now)
+	c := newCandidates(p, pool, v, service, tried, now)
 	c.excludeCold(p.Cold, service, now)
 	for c.usableCount > 0 {
 		t := p.chooseUsable(c, pool, v, r, service, now)
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -137,12 +137,21 @@
 	return slices.ContainsFunc(v.Pool(r.Service).Ready, func(ready Replica) bool { return ready.Incarnation() == r.Incarnation() })
 }
 
-// ReplicaOf returns the ready replica that a key of messages between daemons names.
-func (v *View) ReplicaOf(key LoadKey) (ReplicaID, bool) {
+// Replica returns the ready replica that a key names, or nil.
+func (v *View) Replica(key LoadKey) *Replica {
 	for _, p := range v.Pools {
 		if i, ok := p.positions[key]; ok {
-			return p.Ready[i].ID, true
+			return &p.Ready[i]
 		}
 	}
-	return "", false
+	return nil
+}
+
+// ReplicaOf returns the id of the ready replica that a key of messages between daemons names.
+func (v *View) ReplicaOf(key LoadKey) (ReplicaID, bool) {
+	r := v.Replica(key)
+	if r == nil {
+		return "", false
+	}
+	return r.ID, true
 }
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -72,6 +72,9 @@
 	repeats    repeats
 	syncs      syncs
 
+	// openSince returns when the oldest idle connection to a replica that is open was opened.
+	openSince func(routing.Incarnation) (time.Time, bool)
+
 	events chan event
 	view   atomic.Pointer[routing.View]
 	// configured is closed when the first configuration is in force.
@@ -215,6 +218,8 @@
 		c.publish(now)
 	}
 	c.roster.Forget(now)
+	c.health.SetEntriesStale(now.Sub(c.storeTroubleAt) < storeTroubleMemory)
+	c.disproveEnds(now)
 	c.crashes.Disprove(c.health.Disproves)
 	c.health.Forget(c.domain, now)
 	c.crashes.Forget(now)
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// disproveEnds looks for open connections to replicas that are held to have ended.
+func (c *control) disproveEnds(now time.Time) {
+	for _, key := range c.health.Ended(now) {
+		r := c.view.Load().Replica(key)
+		if r == nil {
+			continue
+		}
+		if opened, ok := c.openSince(r.Incarnation()); ok {
+			c.health.Lived(r, opened, now)
+		}
+	}
+}
+
 // sendLives passes reports of replicas that live on, if any wait.
 func (c *control) sendLives(now time.Time) {
 	if reports := c.health.TakeLives(gossip.MaxLives, now); len(reports) > 0 {
--- a/internal/soak/departing.go
+++ b/internal/soak/departing.go
@@ -80,7 +80,7 @@
 	for _, r := range j.order {
 		for _, a := range r.arrivals {
 			p, ok := first[a.Replica]
-			if !ok || !calm(j.replicas[a.Replica], r.Sent, a.At) {
+			if !ok || j.isPrevious(r.Daemon, r.Incarnation) || !calm(j.replicas[a.Replica], r.Sent, a.At) {
 				continue
 			}
 			own, wasTold := told[path{a.Replica, r.Daemon, r.Incarnation}]
@@ -99,7 +99,7 @@
 func (j *judgement) leavings() (told map[path]time.Time, first map[string]passedOn) {
 	told, first = make(map[path]time.Time), make(map[string]passedOn)
 	for _, r := range j.order {
-		if r.answer == nil || !slices.Contains(r.leavers, r.answer.Seal) {
+		if r.answer == nil || !slices.Contains(r.leavers, r.answer.Seal) || j.isPrevious(r.Daemon, r.Incarnation) {
 			continue
 		}
 		replica, at := r.answer.Seal, r.answer.Begun
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -41,6 +41,7 @@
 	fleet     *fleet
 
 	mu          sync.Mutex
+	build       Build // of the process, or of the next one
 	process     *os.Process
 	incarnation int
 	expected    bool // the end of the process was asked for
@@ -51,14 +52,14 @@
 
 // fleet is all daemons of a run.
 type fleet struct {
-	binary  string
-	dir     string
-	network string
-	ports   []int // callers, readiness, operators, peers
-	ledger  *Ledger
-	daemons []*daemon
-	ctx     context.Context
-	wg      sync.WaitGroup
+	binaries map[Build]string
+	dir      string
+	network  string
+	ports    []int // callers, readiness, operators, peers
+	ledger   *Ledger
+	daemons  []*daemon
+	ctx      context.Context
+	wg       sync.WaitGroup
 }
 
 // freePorts returns different ports that are free on loopback for now. All are
@@ -135,7 +136,10 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(d.fleet.binary, "--front", "routes", "--settings", d.file)
+	d.mu.Lock()
+	build := d.build
+	d.mu.Unlock()
+	cmd := exec.Command(d.fleet.binaries[build], "--front", "routes", "--settings", d.file)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
@@ -145,7 +149,9 @@
 	d.mu.Lock()
 	d.process, d.expected, d.exited = cmd.Process, false, exited
 	d.incarnation++
+	incarnation := d.incarnation
 	d.mu.Unlock()
+	d.fleet.ledger.Runs(d.number, incarnation, build)
 	d.fleet.wg.Go(func() {
 		err := cmd.Wait()
 		_ = out.Close()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -86,6 +86,8 @@
 	// Crashing are requests that crash each replica that begins to run them. With any,
 	// replicas that end refuse connections, and some callers ask for one thing over and over.
 	Crashing []Crashing `json:"crashing,omitempty"`
+	// Upgrades replace daemons by another build. With any, the run begins with the last build.
+	Upgrades []Upgrade `json:"upgrades,omitempty"`
 }
 
 // Shape bounds what is drawn.
@@ -107,6 +109,8 @@
 	LeavingsPerSec float64
 	// FalseEndsPerSec is how often daemons are told of ends of replicas that live.
 	FalseEndsPerSec float64
+	// Upgrades says that the fleet is upgraded while it runs.
+	Upgrades bool
 }
 
 // DefaultShape returns the shape of a run by hand.
@@ -141,6 +145,9 @@
 	p.drawForeign(seed, s)
 	p.drawStatements(seed, s)
 	p.drawFalseEnds(seed, s)
+	if s.Upgrades {
+		p.drawUpgrades(seed)
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/soak/resting.go
+++ b/internal/soak/resting.go
@@ -169,6 +169,9 @@
 	}
 	arrivals := j.arrivalsByPath()
 	for _, a := range j.rests {
+		if j.isPrevious(a.daemon, a.incarnation) {
+			continue
+		}
 		from, to := a.at.Add(j.bounds.Resting.Grace), j.restEnds(&a)
 		n, last := 0, from
 		for _, at := range arrivals[path{a.replica, a.daemon, a.incarnation}] {
--- a/internal/soak/resting_test.go
+++ b/internal/soak/resting_test.go
@@ -46,6 +46,11 @@
 			}
 		}},
 		{"three after the daemon was frozen", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Froze(0, at(100.5), at(100.9)) }},
+		{"three by the last build, which knows no rests", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Runs(0, 1, BuildPrevious) }},
+		{"three by this build, after the last one", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) {
+			l.Runs(0, 0, BuildPrevious)
+			l.Runs(0, 1, BuildCurrent)
+		}},
 		{"three before it was frozen", true, 3, []float64{101, 102, 102.5}, func(l *Ledger) { l.Froze(0, at(102.8), at(104)) }},
 		{"the store's trouble is no excuse", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbStore(at(100), at(104)) }},
 		{"nor is trouble of the daemon's links", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbDaemon(0, at(100), at(104)) }},
@@ -95,6 +100,9 @@
 			l.DisturbDaemon(0, at(101), at(101.5))
 		}},
 		{"the store's trouble is no excuse for it", true, later{103, 0, 1}, func(l *Ledger) { l.DisturbStore(at(99), at(104)) }},
+		{"one by the same daemon of the last build", false, later{103, 0, 1}, func(l *Ledger) { l.Runs(0, 1, BuildPrevious) }},
+		{"one by another daemon of the last build", false, later{103, 1, 1}, func(l *Ledger) { l.Runs(1, 1, BuildPrevious) }},
+		{"one by another daemon, told by one of the last build", false, later{103, 1, 1}, func(l *Ledger) { l.Runs(0, 1, BuildPrevious) }},
 		{"one by another daemon in touch", true, later{103, 1, 1}, nil},
 		{"one by another daemon while the store is in trouble", false, later{103, 1, 1}, func(l *Ledger) { l.DisturbStore(at(99), at(104)) }},
 		{"one by another daemon that was out of touch", false, later{103, 1, 1}, func(l *Ledger) { l.DisturbDaemon(1, at(99), at(101)) }},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,8 +21,9 @@
 
 // Options say how a run is carried out.
 type Options struct {
-	Daemon string // path of the daemon's program
-	Dir    string // where settings, logs and the report go
+	Daemon   string // path of the daemon's program
+	Previous string // path of the last build's, for plans with upgrades
+	Dir      string // where settings, logs and the report go
 }
 
 // Report is the outcome of a run.
@@ -106,6 +107,9 @@
 		return err
 	}
 	for _, d := range s.fleet.daemons {
+		if len(p.Upgrades) > 0 {
+			d.setBuild(BuildPrevious)
+		}
 		if err := d.start(); err != nil {
 			return eris.Wrapf(err, "start %s; build it first", r.options.Daemon)
 		}
@@ -146,7 +150,7 @@
 		return err
 	}
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-	s.fleet = &fleet{binary: r.options.Daemon, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx}
+	s.fleet = &fleet{binaries: map[Build]string{BuildCurrent: r.options.Daemon, BuildPrevious: r.options.Previous}, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx}
 	for i := range r.plan.Daemons {
 		endpoint, err := s.store.Open()
 		if err != nil {
@@ -193,7 +197,14 @@
 		}
 	})
 	s := &injector{site: r.site, ctx: ctx, endpoints: r.endpoints, note: r.note}
+	var upgrades sync.WaitGroup
+	upgrades.Go(func() {
+		for i := range r.plan.Upgrades {
+			s.upgrade(&r.plan.Upgrades[i])
+		}
+	})
 	s.run(r.plan)
+	upgrades.Wait()
 	pause(ctx, r.plan.Quiet-endWindow)
 	r.site.ledger.EndsSoon(time.Now())
 	pause(ctx, min(r.plan.Quiet, endWindow))
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -93,7 +93,7 @@
 	refused := make(map[key][]*record) // without another answer between
 	for _, r := range j.answeredInOrder() {
 		service, ok := j.serviceOf(r)
-		if !ok {
+		if !ok || j.isPrevious(r.Daemon, r.Incarnation) {
 			continue
 		}
 		k := key{r.Daemon, r.Incarnation, service}
--- a/transport/relay/lives_test.go
+++ b/transport/relay/lives_test.go
@@ -47,3 +47,25 @@
 		t.Errorf("%d connections, want the one that proves that it lives", n)
 	}
 }
+
+// TestOpenConnectionsProveThatAReplicaLives asks for the oldest idle connection that is open.
+func TestOpenConnectionsProveThatAReplicaLives(t *testing.T) {
+	RegisterTestingT(t)
+	r := startReplica("r", good)
+	t.Cleanup(func() { r.end() })
+	w := newWorld(once, r)
+	before := time.Now()
+	if _, ok := w.relay.Pool.OpenSince(r.Incarnation()); ok {
+		t.Error("one is open before the first request")
+	}
+	w.serve(w.call("a", "POST", "x"))
+	opened, ok := w.relay.Pool.OpenSince(r.Incarnation())
+	if !ok || opened.Before(before) || opened.After(time.Now()) {
+		t.Errorf("opened at %v, %t", opened, ok)
+	}
+	if w.serve(w.call("b", "POST", "x")); r.connections() != 1 {
+		t.Error("the connection was not used again")
+	}
+	r.end()
+	Eventually(func() bool { _, ok := w.relay.Pool.OpenSince(r.Incarnation()); return ok }).Should(BeFalse())
+}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -225,6 +225,20 @@
 	}
 }
 
+// OpenSince returns when the oldest idle connection to a replica was opened that is still open; false
+// if there is none.
+func (p *Pool) OpenSince(id routing.Incarnation) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest time.Time
+	for _, c := range p.idle[id] {
+		if (oldest.IsZero() || c.opened.Before(oldest)) && c.clean() {
+			oldest = c.opened
+		}
+	}
+	return oldest, !oldest.IsZero()
+}
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
