--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -7,11 +7,13 @@
 import (
 	"encoding/json"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
@@ -52,6 +54,10 @@
 	// Evacuated are the failure domains that operators evacuate.
 	Evacuated []state.FailureDomain `json:"evacuated_domains"`
 	Cold      int                   `json:"cold_replicas"`
+	// Build is the revision that the program was built from, and Reads the kinds of messages of
+	// other daemons that it reads: two builds side by side show here.
+	Build string   `json:"build"`
+	Reads []string `json:"reads"`
 }
 
 // MemberAnswer is one daemon in the answer to GET /members.
@@ -167,9 +173,32 @@
 func (d *Daemon) completeStatus(a *StatusAnswer) {
 	a.Daemon, a.Ready, a.Stopping = d.settings.ID, d.ready(), d.Stopping()
 	a.UptimeMS = clock.Since(d.started).Milliseconds()
+	a.Build, a.Reads = buildRevision(), gossip.Kinds()
 	a.LinesLost, a.Connections = d.Log.writer.droppedTotal(), d.pool.Idle()
 }
 
+// shownRevision is how many characters of a revision are shown.
+const shownRevision = 12
+
+// buildRevision returns the revision that the program was built from, with a plus if it was
+// changed, or "unknown".
+func buildRevision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	revision, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(len(s.Value), shownRevision)]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+"
+		}
+	}
+	return revision + changed
+}
+
 func (c *control) memberAnswers(now time.Time) []MemberAnswer {
 	out := []MemberAnswer{}
 	for _, m := range append([]membership.Member{c.roster.Self()}, c.roster.Live(now)...) {
--- a/protocol/gossip/doc.go
+++ b/protocol/gossip/doc.go
@@ -4,6 +4,11 @@
 // the fields is the format. A fleet runs two builds during each replacement:
 // fields are neither moved nor removed (gossip_test.go holds the bytes).
 //
+// How the wire changes: a field is never added to a message that exists, since an array of another
+// length is not read by the build before. What is new goes into a kind of datagram of its own
+// (reports.go), which the build before drops, and whose loss must be harmless. A kind goes only
+// one build after nobody reads it any more; its number is not used again.
+//
 // It owns no state. The types of the decisions carry no encoding; they are
 // converted here. What a peer sends is checked here: nothing is taken of a
 // message that is not whole.
--- a/protocol/gossip/reports.go
+++ b/protocol/gossip/reports.go
@@ -5,7 +5,9 @@
 package gossip
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +24,20 @@
 	kindLives    reportKind = 5
 )
 
+// kindNames are the names of the kinds for operators.
+var kindNames = map[reportKind]string{
+	kindSilences: "silences", kindCrowds: "crowds", kindCrashes: "crashes", kindLeavings: "leavings", kindLives: "lives",
+}
+
+// Kinds returns the names of the kinds of reports that this build reads, in their order.
+func Kinds() []string {
+	var out []string
+	for _, kind := range slices.Sorted(maps.Keys(kindNames)) {
+		out = append(out, kindNames[kind])
+	}
+	return out
+}
+
 // arrayOfTwo is the first byte of an encoded reportsMessage. A heartbeat, which is a longer
 // array, begins with another one. The kind, a small number, is the second.
 const arrayOfTwo = 0x82
