A choice costs as before where nothing rests, leaves or has ended

Change: sets of left-out replicas are nil while empty, and replicas that were tried are only looked for on a retry. A test of a rest and a leaving that are learnt while a connection comes up.

--- a/coordination/routing/barred.go
+++ b/coordination/routing/barred.go
@@ -14,11 +14,33 @@
 	"hingewinch.org/hingewinch/coordination"
 )
 
+// replicaSet is a set of the ready replicas of a pool, by their place there. Mostly it is empty, and
+// nil, which costs a choice nothing.
+type replicaSet []bool
+
+// has reports whether the replica at a place is in the set.
+func (s replicaSet) has(i int) bool { return len(s) > 0 && s[i] }
+
+// with returns the set with a replica added to it, of a pool of n.
+func (s replicaSet) with(i, n int) replicaSet {
+	if s == nil {
+		s = make(replicaSet, n)
+	}
+	s[i] = true
+	return s
+}
+
 // barred returns which ready replicas of a pool get nothing.
-func (p *Placer) barred(pool *Pool, now time.Time) []bool {
-	barred := make([]bool, len(pool.Ready))
-	p.Rests.bar(barred, pool, now)
-	p.Leavings.bar(barred, pool)
+func (p *Placer) barred(pool *Pool, now time.Time) replicaSet {
+	if !p.Rests.Known() && !p.Leavings.Known() {
+		return nil
+	}
+	var barred replicaSet
+	for i := range pool.Ready {
+		if p.Bars(&pool.Ready[i], now) {
+			barred = barred.with(i, len(pool.Ready))
+		}
+	}
 	return barred
 }
 
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -35,9 +35,10 @@
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, v.LargeFleet, now)
 	barred, ended := p.barred(pool, now), p.Health.markEnded(pool, now)
-	c.markUsable(p, pool, without(barred, ended), tried, now)
+	c.markUsable(p, pool, leftOut(barred, ended, n), tried, now)
 	if c.areTried(ended, s) {
 		c.include(p, pool, barred, ended, now)
+		c.count()
 		c.excludeTried(tried)
 	}
 	if tried.BeyondReach && c.hasUsable(v.Domain) {
@@ -47,28 +48,32 @@
 }
 
 // markUsable marks the replicas that may be chosen, none of those that are left out.
-func (c *candidates) markUsable(p *Placer, pool *Pool, leftOut []bool, tried Tried, now time.Time) {
+func (c *candidates) markUsable(p *Placer, pool *Pool, leftOut replicaSet, tried Tried, now time.Time) {
 	c.usableCount = p.Health.markUsable(c.usable, leftOut, pool, now)
 	c.excludeTried(tried)
 	if c.usableCount == 0 {
 		// An ejected replica is better than none.
 		p.Health.markDespiteEjections(c.usable, leftOut, pool, now)
+		c.count()
 		c.excludeTried(tried)
 	}
 }
 
 // excludeTried takes out the replicas that the request was sent to before.
 func (c *candidates) excludeTried(tried Tried) {
+	if len(tried.Replicas) == 0 {
+		return
+	}
 	c.exclude(func(r *Replica) bool { return slices.Contains(tried.Replicas, r.ID) })
 }
 
-// without returns which replicas are left out when those that have ended are too.
-func without(barred []bool, ended map[int]time.Time) []bool {
-	leftOut := slices.Clone(barred)
+// leftOut returns which replicas are left out when those that have ended are too.
+func leftOut(barred replicaSet, ended map[int]time.Time, n int) replicaSet {
+	out := slices.Clone(barred)
 	for i := range ended {
-		leftOut[i] = true
+		out = out.with(i, n)
 	}
-	return leftOut
+	return out
 }
 
 // areTried applies rule 2 of ended.go.
@@ -79,7 +84,7 @@
 
 // include adds the replicas that have ended, as cold ones. One that refused a connection a moment
 // ago is not among them while others may be chosen.
-func (c *candidates) include(p *Placer, pool *Pool, barred []bool, ended map[int]time.Time, now time.Time) {
+func (c *candidates) include(p *Placer, pool *Pool, barred replicaSet, ended map[int]time.Time, now time.Time) {
 	reachable := make([]bool, len(c.ready))
 	p.Health.markDespiteEjections(reachable, barred, pool, now)
 	c.ready = slices.Clone(c.ready)
@@ -114,18 +119,25 @@
 	})
 }
 
+// count counts the replicas that may be chosen.
+func (c *candidates) count() {
+	c.usableCount = 0
+	for _, usable := range c.usable {
+		if usable {
+			c.usableCount++
+		}
+	}
+}
+
 // exclude takes out the replicas that meet a condition and counts those that are
 // left.
 func (c *candidates) exclude(condition func(r *Replica) bool) {
-	c.usableCount = 0
 	for i := range c.ready {
 		if c.usable[i] && condition(&c.ready[i]) {
 			c.usable[i] = false
 		}
-		if c.usable[i] {
-			c.usableCount++
-		}
 	}
+	c.count()
 }
 
 // hasUsable reports whether a replica of a domain may be chosen.
--- a/coordination/routing/cutoff.go
+++ b/coordination/routing/cutoff.go
@@ -54,26 +54,26 @@
 
 // markReachable marks the replicas in domains that are not cut off, or, if there are
 // none, in those that are only silent. It returns how many it marked.
-func (h *Health) markReachable(usable, barred []bool, p *Pool, now time.Time) int {
-	marked := h.mark(usable, barred, p, func(d state.FailureDomain) bool { return !h.domainIsCutOff(d, now) })
+func (h *Health) markReachable(usable []bool, leftOut replicaSet, p *Pool, now time.Time) int {
+	marked := h.mark(usable, leftOut, p, func(d state.FailureDomain) bool { return !h.domainIsCutOff(d, now) })
 	if marked > 0 {
 		return marked
 	}
-	return h.markNotUnreachable(usable, barred, p, now)
+	return h.markNotUnreachable(usable, leftOut, p, now)
 }
 
-// markDespiteEjections marks all replicas, ejected or not, but those that are barred and those
+// markDespiteEjections marks all replicas, ejected or not, but those that are left out and those
 // of domains that are cut off and were found to be unreachable.
-func (h *Health) markDespiteEjections(usable, barred []bool, p *Pool, now time.Time) {
+func (h *Health) markDespiteEjections(usable []bool, leftOut replicaSet, p *Pool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.markNotUnreachable(usable, barred, p, now)
+	h.markNotUnreachable(usable, leftOut, p, now)
 }
 
 // markNotUnreachable marks the replicas of domains that were not found to be unreachable,
 // and returns how many. The caller holds the lock.
-func (h *Health) markNotUnreachable(usable, barred []bool, p *Pool, now time.Time) int {
-	return h.mark(usable, barred, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
+func (h *Health) markNotUnreachable(usable []bool, leftOut replicaSet, p *Pool, now time.Time) int {
+	return h.mark(usable, leftOut, p, func(d state.FailureDomain) bool { return !h.domainIsUnreachable(d, now) })
 }
 
 // domainIsUnreachable reports whether a domain is cut off and a replica there could
@@ -83,8 +83,8 @@
 }
 
 // mark marks the replicas of the domains that meet a condition, and returns how many. Those
-// that are barred are left out.
-func (h *Health) mark(usable, barred []bool, p *Pool, condition func(state.FailureDomain) bool) int {
+// that are left out are not marked.
+func (h *Health) mark(usable []bool, leftOut replicaSet, p *Pool, condition func(state.FailureDomain) bool) int {
 	unmet := make([]state.FailureDomain, 0, len(h.domainSeen))
 	for d := range h.domainSeen {
 		if !condition(d) {
@@ -94,7 +94,7 @@
 	marked := 0
 	for i := range p.Ready {
 		// Mostly no domain is cut off, and none is looked up.
-		usable[i] = !barred[i] && (len(unmet) == 0 || !slices.Contains(unmet, p.Ready[i].Domain))
+		usable[i] = !leftOut.has(i) && (len(unmet) == 0 || !slices.Contains(unmet, p.Ready[i].Domain))
 		if usable[i] {
 			marked++
 		}
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -168,11 +168,11 @@
 }
 
 // markUsable writes into usable which ready replicas of a pool may be chosen, by
-// rule 4, and returns how many. None of those that are barred may.
-func (h *Health) markUsable(usable, barred []bool, p *Pool, now time.Time) int {
+// rule 4, and returns how many. None of those that are left out may.
+func (h *Health) markUsable(usable []bool, leftOut replicaSet, p *Pool, now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	reachable := h.markReachable(usable, barred, p, now)
+	reachable := h.markReachable(usable, leftOut, p, now)
 	left := reachable
 	for key, rec := range h.ejected {
 		if !rec.ejected(now) {
@@ -191,7 +191,7 @@
 		}
 	}
 	if 2*left < reachable || left == 0 {
-		return h.markReachable(usable, barred, p, now)
+		return h.markReachable(usable, leftOut, p, now)
 	}
 	return left
 }
--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -131,9 +131,12 @@
 // count sets known. The caller holds the lock.
 func (l *Leavings) count() { l.known.Store(int64(len(l.told) + len(l.starts))) }
 
+// Known reports whether any replica is known to leave by its own word.
+func (l *Leavings) Known() bool { return l != nil && l.known.Load() > 0 }
+
 // Leaves reports whether a start of a replica leaves by its own word, by rule 2.
 func (l *Leavings) Leaves(r *Replica) bool {
-	if l == nil || l.known.Load() == 0 {
+	if !l.Known() {
 		return false
 	}
 	l.mu.RLock()
@@ -142,21 +145,10 @@
 	return l.starts[r.LoadKey()] != nil || r.Born == 0 && wasTold
 }
 
-// bar marks the ready replicas of a pool that leave. Views that are built anew hold them among
-// the draining ones.
-func (l *Leavings) bar(barred []bool, p *Pool) {
-	if l == nil || l.known.Load() == 0 {
-		return
-	}
-	for i := range p.Ready {
-		barred[i] = barred[i] || l.Leaves(&p.Ready[i])
-	}
-}
-
 // Apply moves the replicas that leave by their own word from the ready ones of a pool to the
 // draining ones.
 func (l *Leavings) Apply(p *Pool) {
-	if l == nil || l.known.Load() == 0 {
+	if !l.Known() {
 		return
 	}
 	p.Ready = slices.DeleteFunc(p.Ready, func(r Replica) bool {
@@ -225,6 +217,3 @@
 	}
 	l.count()
 }
-
-// Known reports whether any replica is known to leave by its own word.
-func (l *Leavings) Known() bool { return l.known.Load() > 0 }
--- a/coordination/routing/resting.go
+++ b/coordination/routing/resting.go
@@ -107,9 +107,12 @@
 	delete(s.rests, first)
 }
 
+// Known reports whether any replica rests.
+func (s *Rests) Known() bool { return s != nil && s.known.Load() > 0 }
+
 // Left returns how much longer a replica rests; 0: it does not.
 func (s *Rests) Left(r *Replica, now time.Time) time.Duration {
-	if s == nil || s.known.Load() == 0 {
+	if !s.Known() {
 		return 0
 	}
 	s.mu.RLock()
@@ -132,19 +135,12 @@
 	return s.rests[r.ID].by
 }
 
-// bar marks the ready replicas of a pool that rest.
-func (s *Rests) bar(barred []bool, p *Pool, now time.Time) {
-	if s == nil || s.known.Load() == 0 {
-		return
-	}
-	for i := range p.Ready {
-		barred[i] = barred[i] || s.Left(&p.Ready[i], now) > 0
-	}
-}
-
 // backIn returns the time after which the caller of a request should come back that was refused
 // because replicas of a pool rest, by rule 6; false: none rests.
 func (s *Rests) backIn(p *Pool, id RequestID, now time.Time) (time.Duration, bool) {
+	if !s.Known() {
+		return 0, false
+	}
 	var first time.Duration
 	for i := range p.Ready {
 		if left := s.Left(&p.Ready[i], now); left > 0 && (first == 0 || left < first) {
--- a/transport/relay/statement_test.go
+++ b/transport/relay/statement_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/routing"
 )
 
@@ -68,3 +70,35 @@
 		})
 	}
 }
+
+// TestRestIsLookedAtAgainBeforeTheFirstByte plays a rest and a leaving that are learnt while the
+// connection comes up.
+func TestRestIsLookedAtAgainBeforeTheFirstByte(t *testing.T) {
+	for name, learn := range map[string]func(w *world, r *replica){
+		"rest": func(w *world, r *replica) {
+			w.relay.Placer.Rests.Ask(&r.Replica, time.Minute, "other", time.Now())
+		},
+		"leaving": func(w *world, r *replica) { w.relay.Placer.Leavings.Say(&r.Replica, time.Now()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			r := startReplica("r", good)
+			t.Cleanup(func() { r.end() })
+			w := newWorld(once, r)
+			views := 0
+			w.relay.View = func() *routing.View {
+				if views++; views == 2 { // the attempt has begun
+					learn(w, r)
+				}
+				return w.view
+			}
+			to, _ := w.serve(w.call("a", "POST", "x"))
+			if r.count() != 0 {
+				t.Errorf("%d requests reached the replica", r.count())
+			}
+			if _, ok := to.refusal.(coordination.NotRun); !ok {
+				t.Errorf("the caller got %#v, want a refusal that says not run", to.refusal)
+			}
+		})
+	}
+}
