--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -18,11 +18,12 @@
 // element for each replica.
 type candidates struct {
 	ready       []Replica
-	coldUntil   time.Time // when the last of them is warm
-	loads       []int     // requests
-	usable      []bool    // may be chosen
-	crowded     []bool    // hold too much, by their own reports
-	ranks       []uint64  // in the prompt's order: the highest is the home
+	coldUntil   time.Time  // when the last of them is warm
+	loads       []int      // requests
+	usable      []bool     // may be chosen
+	leftOut     replicaSet // get nothing while others may be chosen
+	crowded     []bool     // hold too much, by their own reports
+	ranks       []uint64   // in the prompt's order: the highest is the home
 	usableCount int
 	mean        float64 // of loads
 	coverage    float64 // share of the fleet's daemons that loads contain
@@ -35,7 +36,8 @@
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Crowds.mark(c.crowded, pool, v.LargeFleet, now)
 	barred, ended := p.barred(pool, now), p.Health.markEnded(pool, now)
-	c.markUsable(p, pool, leftOut(barred, ended, n), tried, now)
+	c.leftOut = leftOut(barred, ended, n)
+	c.markUsable(p, pool, tried, now)
 	if c.areTried(ended, s) {
 		c.include(p, pool, barred, ended, now)
 		c.count()
@@ -48,17 +50,21 @@
 }
 
 // markUsable marks the replicas that may be chosen, none of those that are left out.
-func (c *candidates) markUsable(p *Placer, pool *Pool, leftOut replicaSet, tried Tried, now time.Time) {
-	c.usableCount = p.Health.markUsable(c.usable, leftOut, pool, now)
+func (c *candidates) markUsable(p *Placer, pool *Pool, tried Tried, now time.Time) {
+	c.usableCount = p.Health.markUsable(c.usable, c.leftOut, pool, now)
 	c.excludeTried(tried)
 	if c.usableCount == 0 {
-		// An ejected replica is better than none.
-		p.Health.markDespiteEjections(c.usable, leftOut, pool, now)
-		c.count()
-		c.excludeTried(tried)
+		c.ignoreEjections(p, pool, tried, now)
 	}
 }
 
+// ignoreEjections marks ejected replicas too: each is better than none.
+func (c *candidates) ignoreEjections(p *Placer, pool *Pool, tried Tried, now time.Time) {
+	p.Health.markDespiteEjections(c.usable, c.leftOut, pool, now)
+	c.count()
+	c.excludeTried(tried)
+}
+
 // excludeTried takes out the replicas that the request was sent to before.
 func (c *candidates) excludeTried(tried Tried) {
 	if len(tried.Replicas) == 0 {
--- a/coordination/routing/cold_test.go
+++ b/coordination/routing/cold_test.go
@@ -271,3 +271,28 @@
 		Expect(t.Replica.ID).To(Equal(home))
 	})
 })
+
+// Seen: a daemon refused for over a second what a living replica could serve. All others had
+// just started, and the daemon had no part of what cold ones bear.
+// Cause: the replica was ejected for some refusals, and cold ones that get nothing counted as what
+// is left without it.
+func TestAnEjectedReplicaIsBetterThanColdOnesThatGetNothing(t *testing.T) {
+	RegisterTestingT(t)
+	f := newFleet("llm", sameDomain(3)...)
+	f.view.Table, _ = routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "llm", Generates: true, ColdPerSecond: coldPerSecond}}})
+	f.placer.Cold = routing.NewColdRates("10.0.0.1:1") // it does not know its fleet
+	f.pool.Sort()
+	warm := f.pool.Ready[0]
+	for i := range f.pool.Ready[1:] {
+		f.pool.Ready[1+i].ColdUntil = epoch.Add(time.Minute)
+	}
+	f.pool.Sort()
+	f.placer.Health.Report(&warm, routing.ResultUnreachable, epoch)
+	target, ok := f.placer.Choose(f.view, chat("s"), routing.Tried{}, epoch)
+	if !ok || target.Replica.ID != warm.ID {
+		t.Errorf("chosen is %q (%t), want %s", target.Replica.ID, ok, warm.ID)
+	}
+	if _, ok := f.placer.Choose(f.view, chat("s"), routing.Tried{Replicas: []routing.ReplicaID{warm.ID}}, epoch); ok {
+		t.Error("a replica that was tried is chosen again, or a cold one that gets nothing")
+	}
+}
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -114,10 +114,20 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	c := newCandidates(p, pool, v, service, tried, now)
-	c.excludeCold(p.Cold, service, now)
+	if t, ok := p.takeUsable(c, pool, v, r, service, now); ok {
+		return t, true
+	}
+	// Cold ones that get nothing are none: an ejected replica is better.
+	c.ignoreEjections(p, pool, tried, now)
+	return p.takeUsable(c, pool, v, r, service, now)
+}
+
+// takeUsable chooses among the usable candidates, of which cold ones take what they may.
+func (p *Placer) takeUsable(c *candidates, pool *Pool, v *View, r *Request, s *Service, now time.Time) (Target, bool) {
+	c.excludeCold(p.Cold, s, now)
 	for c.usableCount > 0 {
-		t := p.chooseUsable(c, pool, v, r, service, now)
-		if p.Cold.take(&t.Replica, service, now) {
+		t := p.chooseUsable(c, pool, v, r, s, now)
+		if p.Cold.take(&t.Replica, s, now) {
 			return t, true
 		}
 		c.exclude(func(r *Replica) bool { return r.ID == t.Replica.ID })
--- a/internal/soak/departing.go
+++ b/internal/soak/departing.go
@@ -64,9 +64,8 @@
 
 // passedOn is the first answer with which a daemon passed on that a replica leaves.
 type passedOn struct {
-	at          time.Time
-	daemon      int
-	incarnation int
+	at     time.Time
+	daemon int
 }
 
 // judgeLeavers looks for requests that reached a replica although it had said in an answer that
@@ -80,10 +79,10 @@
 	for _, r := range j.order {
 		for _, a := range r.arrivals {
 			p, ok := first[a.Replica]
-			if !ok || j.isPrevious(r.Daemon, r.Incarnation) || !calm(j.replicas[a.Replica], r.Sent, a.At) {
+			if !ok || j.isPrevious(r.by()) || !calm(j.replicas[a.Replica], r.Sent, a.At) {
 				continue
 			}
-			own, wasTold := told[path{a.Replica, r.Daemon, r.Incarnation}]
+			own, wasTold := told[path{a.Replica, r.by()}]
 			switch {
 			case wasTold && r.Sent.Sub(own) > j.bounds.Drain && calm(j.freezes[r.Daemon], own, a.At):
 				j.add("DRAIN", r, a.At, "reached %s, which had said %v before that it leaves, by way of daemon %d, which had passed that on", a.Replica, r.Sent.Sub(own), r.Daemon)
@@ -99,16 +98,16 @@
 func (j *judgement) leavings() (told map[path]time.Time, first map[string]passedOn) {
 	told, first = make(map[path]time.Time), make(map[string]passedOn)
 	for _, r := range j.order {
-		if r.answer == nil || !slices.Contains(r.leavers, r.answer.Seal) || j.isPrevious(r.Daemon, r.Incarnation) {
+		if r.answer == nil || !slices.Contains(r.leavers, r.answer.Seal) || j.isPrevious(r.by()) {
 			continue
 		}
 		replica, at := r.answer.Seal, r.answer.Begun
-		key := path{replica, r.Daemon, r.Incarnation}
+		key := path{replica, r.by()}
 		if before, ok := told[key]; !ok || at.Before(before) {
 			told[key] = at
 		}
 		if before, ok := first[replica]; !ok || at.Before(before.at) {
-			first[replica] = passedOn{at, r.Daemon, r.Incarnation}
+			first[replica] = passedOn{at, r.Daemon}
 		}
 	}
 	return told, first
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -352,6 +352,19 @@
 			l.Joins("r4", "gate", at(1))
 			l.TurnsCold("r4", coldSpan{span: span{at(90), at(99)}})
 		}, false},
+		{"a fourth replica that rests for the daemon that sent them", 9, over, func(l *Ledger) {
+			l.Joins("r4", "gate", at(1))
+			l.AsksForRest("q1", "r4", 5*time.Second, at(98))
+		}, false},
+		{"a fourth replica whose rest is over", 9, over, func(l *Ledger) {
+			l.Joins("r4", "gate", at(1))
+			l.AsksForRest("q1", "r4", 5*time.Second, at(90))
+		}, true},
+		{"a fourth replica that rests for another daemon", 9, over, func(l *Ledger) {
+			l.Joins("r4", "gate", at(1))
+			l.Sent(Request{ID: "other", Route: routes[1], Daemon: 1, Sent: at(97)})
+			l.AsksForRest("other", "r4", 5*time.Second, at(98))
+		}, true},
 		{"a fourth replica that was cold long ago", 9, over, func(l *Ledger) {
 			l.Joins("r4", "gate", at(1))
 			l.TurnsCold("r4", coldSpan{span: span{at(90), at(96)}})
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -36,6 +36,9 @@
 	Crashing    int // number of the crashing request, from 1; 0: it is an ordinary one
 }
 
+// by returns the process of a daemon that took the request.
+func (q *Request) by() processLife { return processLife{q.Daemon, q.Incarnation} }
+
 // Arrival is a request as it reached a replica.
 type Arrival struct {
 	Replica  string
@@ -102,13 +105,13 @@
 	routes   map[string][]change             // a route's service
 	keys     map[string]*keyLife
 	found    map[string]Violation
-	domains  map[string]string     // of replicas
-	emptied  map[string][]span     // evacuations of domains, as the store took them
-	cold     map[string][]coldSpan // of replicas
-	crowded  float64               // the greatest share that LIMIT bounds
-	ended    []Violation           // daemons that ended by themselves
-	crashes  map[int][]crash       // by number of the crashing request
-	rests    []restAsked
+	domains  map[string]string           // of replicas
+	emptied  map[string][]span           // evacuations of domains, as the store took them
+	cold     map[string][]coldSpan       // of replicas
+	crowded  float64                     // the greatest share that LIMIT bounds
+	ended    []Violation                 // daemons that ended by themselves
+	crashes  map[int][]crash             // by number of the crashing request
+	restsBy  map[processLife][]restAsked // by the daemon that was asked
 	builds   map[processLife]Build
 	freezes  map[int][]span    // of daemons
 	aside    map[string][]span // when replicas rested, or left by their answers alone
@@ -129,7 +132,7 @@
 		stops: make(map[int][]span), leaving: make(map[string][]span), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
 		domains: make(map[string]string), emptied: make(map[string][]span), cold: make(map[string][]coldSpan),
-		crashes: make(map[int][]crash), freezes: make(map[int][]span), aside: make(map[string][]span), builds: make(map[processLife]Build),
+		crashes: make(map[int][]crash), freezes: make(map[int][]span), aside: make(map[string][]span), builds: make(map[processLife]Build), restsBy: make(map[processLife][]restAsked),
 	}
 }
 
--- a/internal/soak/resting.go
+++ b/internal/soak/resting.go
@@ -36,11 +36,9 @@
 
 // restAsked is a refusal that asked a daemon for rest.
 type restAsked struct {
-	replica     string
-	daemon      int
-	incarnation int // of the daemon
-	at          time.Time
-	rest        time.Duration
+	replica string
+	at      time.Time
+	rest    time.Duration
 }
 
 // drawStatements adds the faults of replicas that ask for rest, and of those that leave by
@@ -127,7 +125,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(request)
-	l.rests = append(l.rests, restAsked{replica: replica, daemon: r.Daemon, incarnation: r.Incarnation, at: at, rest: rest})
+	d := r.by()
+	l.restsBy[d] = append(l.restsBy[d], restAsked{replica: replica, at: at, rest: rest})
 }
 
 // StandsAside notes when a replica rests, or leaves by its answers alone.
@@ -148,7 +147,11 @@
 func (l *Ledger) Rests() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.rests)
+	n := 0
+	for _, list := range l.restsBy {
+		n += len(list)
+	}
+	return n
 }
 
 // restSubject begins the subjects of rests that were broken.
@@ -156,36 +159,43 @@
 
 // path is a replica and a process of a daemon.
 type path struct {
-	replica             string
-	daemon, incarnation int
+	replica string
+	by      processLife
 }
 
 // judgeResting looks for rests in which too much reached the replica. Each counts for itself. A
 // daemon that starts knows nothing of what was asked before, and requests of one that was
 // frozen are on their way for as long; nothing else is an excuse.
 func (j *judgement) judgeResting() {
-	if len(j.rests) == 0 {
+	if len(j.restsBy) == 0 {
 		return
 	}
 	arrivals := j.arrivalsByPath()
-	for _, a := range j.rests {
-		if j.isPrevious(a.daemon, a.incarnation) {
+	for by, list := range j.restsBy {
+		if j.isPrevious(by) {
 			continue
 		}
-		from, to := a.at.Add(j.bounds.Resting.Grace), j.restEnds(&a)
-		n, last := 0, from
-		for _, at := range arrivals[path{a.replica, a.daemon, a.incarnation}] {
-			if at.After(from) && at.Before(to) {
-				n, last = n+1, at
-			}
+		for i := range list {
+			j.judgeRest(&list[i], by, arrivals[path{list[i].replica, by}])
 		}
-		if n > j.bounds.Resting.Most && calm(j.freezes[a.daemon], a.at, last) {
-			j.out = append(j.out, Violation{
-				Promise: "BUDGET", Subject: fmt.Sprintf("%s%s at daemon %d, %v", restSubject, a.replica, a.daemon, a.at.UnixMilli()), At: last,
-				Detail: fmt.Sprintf("%s had asked daemon %d for %v of rest and got %d requests from it in that time", a.replica, a.daemon, a.rest, n),
-			})
+	}
+}
+
+// judgeRest judges one rest by the arrivals at the replica from the daemon that was asked.
+func (j *judgement) judgeRest(a *restAsked, by processLife, arrivals []time.Time) {
+	from, to := a.at.Add(j.bounds.Resting.Grace), j.restEnds(a)
+	n, last := 0, from
+	for _, at := range arrivals {
+		if at.After(from) && at.Before(to) {
+			n, last = n+1, at
 		}
 	}
+	if n > j.bounds.Resting.Most && calm(j.freezes[by.daemon], a.at, last) {
+		j.out = append(j.out, Violation{
+			Promise: "BUDGET", Subject: fmt.Sprintf("%s%s at daemon %d, %v", restSubject, a.replica, by.daemon, a.at.UnixMilli()), At: last,
+			Detail: fmt.Sprintf("%s had asked daemon %d for %v of rest and got %d requests from it in that time", a.replica, by.daemon, a.rest, n),
+		})
+	}
 }
 
 // restEnds returns when a rest is over: a replica that starts again under its id did not ask.
@@ -199,6 +209,17 @@
 	return to
 }
 
+// rests reports whether a replica wants nothing from a daemon at a time.
+func (j *judgement) rests(replica string, d processLife, at time.Time) bool {
+	for i := range j.restsBy[d] {
+		a := &j.restsBy[d][i]
+		if a.replica == replica && !at.Before(a.at) && at.Before(a.at.Add(a.rest)) {
+			return true
+		}
+	}
+	return false
+}
+
 // arrivalsByPath returns when requests reached replicas, those left out that a link may have
 // held up.
 func (j *judgement) arrivalsByPath() map[path][]time.Time {
@@ -206,7 +227,7 @@
 	for _, r := range j.order {
 		for _, a := range r.arrivals {
 			if calm(j.replicas[a.Replica], r.Sent, a.At) {
-				key := path{a.Replica, r.Daemon, r.Incarnation}
+				key := path{a.Replica, r.by()}
 				out[key] = append(out[key], a.At)
 			}
 		}
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -87,16 +87,16 @@
 // because it found no replica, while one lived that was undisturbed, warm and ready all the time.
 func (j *judgement) judgeServing() {
 	type key struct {
-		daemon, incarnation int
-		service             string
+		by      processLife
+		service string
 	}
 	refused := make(map[key][]*record) // without another answer between
 	for _, r := range j.answeredInOrder() {
 		service, ok := j.serviceOf(r)
-		if !ok || j.isPrevious(r.Daemon, r.Incarnation) {
+		if !ok || j.isPrevious(r.by()) {
 			continue
 		}
-		k := key{r.Daemon, r.Incarnation, service}
+		k := key{r.by(), service}
 		if !slices.Contains(findsNone, r.answer.Reason) || len(r.arrivals) > 0 {
 			delete(refused, k)
 			continue
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -92,6 +92,4 @@
 
 // isPrevious reports whether a process of a daemon is of the last build, which knows nothing of
 // what replicas say of themselves and of ends that are disproved.
-func (j *judgement) isPrevious(daemon, incarnation int) bool {
-	return j.builds[processLife{daemon, incarnation}] == BuildPrevious
-}
+func (j *judgement) isPrevious(d processLife) bool { return j.builds[d] == BuildPrevious }
