An end counts for 3 s unless nobody reads the store

Ends that nothing could disprove counted for 10 s because the store had been away in the 5 s before, or turned some daemons away while others read it.

Change: entries may be stale only while no daemon that is known reads the store, and for 3 s after: entries of living replicas are back within about two seconds.

--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -64,6 +64,15 @@
 // SetStoreUnreachable marks whether this daemon can read the store.
 func (r *Roster) SetStoreUnreachable(unreachable bool) { r.self.StoreUnreachable = unreachable }
 
+// StoreIsRead reports whether any live daemon that is known reads the store, this one counted: what
+// it learns reaches the others.
+func (r *Roster) StoreIsRead(now time.Time) bool {
+	if !r.self.StoreUnreachable {
+		return true
+	}
+	return slices.ContainsFunc(r.live(now), func(e *entry) bool { return !e.StoreUnreachable })
+}
+
 // SetLeaving marks that the daemon stops.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
--- a/coordination/routing/ended.go
+++ b/coordination/routing/ended.go
@@ -12,8 +12,8 @@
 //     ones get, it is tried, and gets what a cold one may (cold.go). Links that refuse look like
 //     ends, so that most replicas of a service may be taken for ended that live; a trial that is
 //     answered on a connection from before proves so (lives.go).
-//  3. After endedHold the end counts no more: a store that is well would have told of another
-//     start. While it is in trouble, or was a moment ago, it may not, and endedHoldStale holds.
+//  3. After endedHold the end counts no more: the store would have told of another start. While no
+//     daemon that is known reads it, or none did a moment ago, it may not, and endedHoldStale holds.
 //
 // Without it, replicas that came back under their id while the store was away got 15 and more
 // requests a second of the 14 that all daemons together may send a cold one, in 3 of 12 runs
@@ -32,8 +32,8 @@
 	endedHoldStale = 10 * time.Second
 )
 
-// SetEntriesStale says whether the store is in trouble, or was a moment ago, so that entries may
-// be those of former starts.
+// SetEntriesStale says whether nobody reads the store, or nobody did a moment ago, so that entries
+// may be those of former starts.
 func (h *Health) SetEntriesStale(stale bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -27,6 +27,9 @@
 	// storeTroubleMemory is how long after the store was unreachable the expiry of a
 	// replica's entry is doubted.
 	storeTroubleMemory = 5 * time.Second
+	// entriesReturn is how long after the store was read again its entries may be those of before:
+	// those of living replicas are back within about two seconds, and are passed on by peers.
+	entriesReturn = 3 * time.Second
 	// figuresInterval is how often the log says what control has cost.
 	figuresInterval = 10 * time.Second
 	// pauseLimit is the time between two ticks above which the process was paused:
@@ -83,6 +86,7 @@
 
 	daemons        int // in the view; see sizeChanged
 	storeLost      bool
+	storeUnreadAt  time.Time // when no daemon that is known could read the store
 	storeTroubleAt time.Time // when the store was last known to be unreachable, here or at a peer
 	tickedAt       time.Time
 	startedAt      time.Time
@@ -218,7 +222,10 @@
 		c.publish(now)
 	}
 	c.roster.Forget(now)
-	c.health.SetEntriesStale(now.Sub(c.storeTroubleAt) < storeTroubleMemory)
+	if !c.roster.StoreIsRead(now) {
+		c.storeUnreadAt = now
+	}
+	c.health.SetEntriesStale(now.Sub(c.storeUnreadAt) < entriesReturn)
 	c.disproveEnds(now)
 	c.crashes.Disprove(c.health.Disproves)
 	c.health.Forget(c.domain, now)
