--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -253,12 +253,18 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	known, ok := await(d.control, w, r, func(reply chan bool) event { return releaseAsked{content, reply} })
+	order(d.control, w, r, func(reply chan bool) event { return releaseAsked{content, reply} },
+		"no replica is known to have ended under this content; GET "+PathHeld+" lists those that are held back")
+}
+
+// order has the control loop do what an operator asks for. Where there is nothing to do it says so.
+func order(c *control, w http.ResponseWriter, r *http.Request, question func(reply chan bool) event, nothing string) {
+	done, ok := await(c, w, r, question)
 	switch {
 	case !ok:
-	case known:
+	case done:
 		w.WriteHeader(http.StatusNoContent)
 	default:
-		http.Error(w, "no replica is known to have ended under this content; GET "+PathHeld+" lists those that are held back", http.StatusNotFound)
+		http.Error(w, nothing, http.StatusNotFound)
 	}
 }
--- a/daemon/routes/operator_replicas.go
+++ b/daemon/routes/operator_replicas.go
@@ -88,12 +88,6 @@
 // liftRest answers an operator who ends the rest of a replica.
 func (d *Daemon) liftRest(w http.ResponseWriter, r *http.Request) {
 	id := routing.ReplicaID(r.URL.Query().Get("replica"))
-	rested, ok := await(d.control, w, r, func(reply chan bool) event { return restLifted{id, reply} })
-	switch {
-	case !ok:
-	case rested:
-		w.WriteHeader(http.StatusNoContent)
-	default:
-		http.Error(w, "this replica does not rest here; GET "+PathReplicas+" shows those that do", http.StatusNotFound)
-	}
+	order(d.control, w, r, func(reply chan bool) event { return restLifted{id, reply} },
+		"this replica does not rest here; GET "+PathReplicas+" shows those that do")
 }
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -38,16 +38,36 @@
 	leavings routing.LoadKey
 }
 
+// sendReports sends reports to some daemons, if there are any.
+func sendReports[R any](c *control, to []membership.Address, reports []R, encode func([]R) ([]byte, error)) {
+	if len(reports) == 0 {
+		return
+	}
+	payload, err := encode(reports)
+	c.sendPayload(to, payload, err)
+}
+
+// spreadReports sends reports to as many daemons as a whole heartbeat, if there are any.
+func spreadReports[R any](c *control, reports []R, encode func([]R) ([]byte, error), now time.Time) {
+	if len(reports) > 0 {
+		sendReports(c, c.targets(false, now), reports, encode)
+	}
+}
+
+// logReplicas writes a line for each replica of the view that is among some.
+func (c *control) logReplicas(keys []routing.LoadKey, line func(routing.ReplicaID)) {
+	for _, key := range keys {
+		if id, ok := c.view.Load().ReplicaOf(key); ok {
+			line(id)
+		}
+	}
+}
+
 // sendSilences passes reports of silent replicas on, if any wait. They go to as many
 // daemons as a whole heartbeat: each is passed on once only, and over three daemons a
 // fleet of 930 had four in five that knew after 1.8 s.
 func (c *control) sendSilences(now time.Time) {
-	reports := c.health.TakeSilences(gossip.MaxSilences, now)
-	if len(reports) == 0 {
-		return
-	}
-	payload, err := gossip.EncodeSilences(reports)
-	c.sendPayload(c.targets(false, now), payload, err)
+	spreadReports(c, c.health.TakeSilences(gossip.MaxSilences, now), gossip.EncodeSilences, now)
 }
 
 // awaitMoreReports has the reports sent that wait, by the event that says so, together with
@@ -58,33 +78,17 @@
 
 // sendCrowds passes reports of crowded replicas on.
 func (c *control) sendCrowds(now time.Time) {
-	reports := c.crowds.TakeReports(gossip.MaxCrowds, now)
-	if len(reports) == 0 {
-		return
-	}
-	payload, err := gossip.EncodeCrowds(reports)
-	c.sendPayload(c.targets(false, now), payload, err)
+	spreadReports(c, c.crowds.TakeReports(gossip.MaxCrowds, now), gossip.EncodeCrowds, now)
 }
 
 // receiveSilences takes in a peer's reports of silent replicas.
 func (c *control) receiveSilences(reports []routing.SilenceReport, now time.Time) {
-	for _, key := range c.health.ObserveSilences(reports, now) {
-		if id, ok := c.view.Load().ReplicaOf(key); ok {
-			c.log.FoundSilent(id)
-		}
-	}
+	c.logReplicas(c.health.ObserveSilences(reports, now), c.log.FoundSilent)
 }
 
 // sendCrashes passes reports of ends on, if any wait.
 func (c *control) sendCrashes(now time.Time) {
-	if reports := c.crashes.TakeReports(gossip.MaxCrashes, now); len(reports) > 0 {
-		c.sendCrashesTo(c.targets(false, now), reports)
-	}
-}
-
-func (c *control) sendCrashesTo(to []membership.Address, reports []routing.CrashReport) {
-	payload, err := gossip.EncodeCrashes(reports)
-	c.sendPayload(to, payload, err)
+	spreadReports(c, c.crashes.TakeReports(gossip.MaxCrashes, now), gossip.EncodeCrashes, now)
 }
 
 // receiveCrashes takes in a peer's reports of ends.
@@ -111,40 +115,22 @@
 
 // sendLives passes reports of replicas that live on, if any wait.
 func (c *control) sendLives(now time.Time) {
-	if reports := c.health.TakeLives(gossip.MaxLives, now); len(reports) > 0 {
-		payload, err := gossip.EncodeLives(reports)
-		c.sendPayload(c.targets(false, now), payload, err)
-	}
+	spreadReports(c, c.health.TakeLives(gossip.MaxLives, now), gossip.EncodeLives, now)
 }
 
 // receiveLives takes in a peer's reports of replicas that live.
 func (c *control) receiveLives(reports []routing.LifeReport, now time.Time) {
-	for _, key := range c.health.ObserveLives(reports, now) {
-		if id, ok := c.view.Load().ReplicaOf(key); ok {
-			c.log.Lives(id)
-		}
-	}
+	c.logReplicas(c.health.ObserveLives(reports, now), c.log.Lives)
 }
 
 // sendLeavings passes reports of replicas that leave on, if any wait.
 func (c *control) sendLeavings(now time.Time) {
-	if reports := c.leavings.TakeReports(gossip.MaxLeavings, now); len(reports) > 0 {
-		c.sendLeavingsTo(c.targets(false, now), reports)
-	}
-}
-
-func (c *control) sendLeavingsTo(to []membership.Address, reports []routing.LeavingReport) {
-	payload, err := gossip.EncodeLeavings(reports)
-	c.sendPayload(to, payload, err)
+	spreadReports(c, c.leavings.TakeReports(gossip.MaxLeavings, now), gossip.EncodeLeavings, now)
 }
 
 // receiveLeavings takes in a peer's reports of replicas that leave.
 func (c *control) receiveLeavings(reports []routing.LeavingReport, now time.Time) {
-	for _, key := range c.leavings.Observe(reports, now) {
-		if id, ok := c.view.Load().ReplicaOf(key); ok {
-			c.log.LeavesByReport(id)
-		}
-	}
+	c.logReplicas(c.leavings.Observe(reports, now), c.log.LeavesByReport)
 }
 
 // repeatReports sends one daemon a part of what is known of ends and of replicas that leave.
@@ -184,17 +170,13 @@
 // where the next one begins, 0 after the last.
 func (c *control) sendKnownCrashes(to []membership.Address, after routing.ContentKey, now time.Time) routing.ContentKey {
 	reports, last := c.crashes.All(after, gossip.MaxCrashes, now)
-	if len(reports) > 0 {
-		c.sendCrashesTo(to, reports)
-	}
+	sendReports(c, to, reports, gossip.EncodeCrashes)
 	return last
 }
 
 // sendKnownLeavings does the same with replicas that leave.
 func (c *control) sendKnownLeavings(to []membership.Address, after routing.LoadKey, now time.Time) routing.LoadKey {
 	reports, last := c.leavings.All(after, gossip.MaxLeavings, now)
-	if len(reports) > 0 {
-		c.sendLeavingsTo(to, reports)
-	}
+	sendReports(c, to, reports, gossip.EncodeLeavings)
 	return last
 }
