--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -64,6 +64,7 @@
 	}
 	if p.plain {
 		shape.RestsPerSec, shape.LeavingsPerSec, shape.FalseEndsPerSec = 0, 0, 0
+		shape.Crashing = 2
 	}
 	plan := NewPlan(seed, shape)
 	if p.faults != nil {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -16,7 +16,7 @@
 	steady        bool                      // found by steady runs
 	quiet         time.Duration             // of the runs that find it; 0: as others
 	faults        func(daemons int) []Fault // of the runs that find it; nil: as they are drawn
-	plain         bool                      // found by runs without replicas that rest or leave, and without false ends
+	plain         bool                      // found by runs with two crashing requests, and without rests, leavings and false ends
 	subject       string                    // that the subject of what is broken begins with
 	also          []edit                    // further changes of the sources
 }
