Members are kept in the order of their addresses; a heartbeat that comes in walks none of them

Cause: each heartbeat that was taken in filtered and sorted the whole member list five times (how many live, the largest fleet, who reads the store, when each domain was seen), each that was sent three times, and looked for members that are gone in a list of lists: n log n for each of 20 to 30 datagrams a second.

Change: one sorted slice, kept by insertion; the number of live members is counted when one joins; when a domain was seen is noted as it is seen; the plan of the reader stops at its own address; targets and named members are drawn in place of shuffling all.

What is left of sending is one walk over the members.

Failed on the way: with the newest member of each domain taken by address where several were seen at one moment, daemons of 300 that start together knew too few (the test of the fleet's size failed); it is drawn again, as the shuffle did.

--- a/coordination/membership/readers.go
+++ b/coordination/membership/readers.go
@@ -83,8 +83,11 @@
 		timeout = readerTimeoutLarge
 	}
 	reads, lowest := true, true
-	for _, e := range r.recent(now, timeout) {
-		if e.Leaving || e.StoreUnreachable || e.Address > r.self.Address {
+	for _, e := range r.ordered {
+		if e.Address > r.self.Address {
+			break
+		}
+		if e.Leaving || e.StoreUnreachable || now.Sub(e.seen) > timeout {
 			continue
 		}
 		lowest = false
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -39,6 +40,10 @@
 	self    Member
 	seeds   []Address
 	members map[Address]*entry
+	// ordered are the members sorted by address, kept so that no heartbeat sorts them.
+	ordered []*entry
+	// domains is when any member of each domain last sent a heartbeat that is known here.
+	domains map[state.FailureDomain]time.Time
 	largest int
 	// reportedSize is the size of the fleet as others reported it, decaying.
 	reportedSize float64
@@ -48,7 +53,9 @@
 
 // NewRoster returns the roster of a daemon. Seeds may name the daemon itself.
 func NewRoster(self Member, seeds []Address) *Roster {
-	return &Roster{self: self, seeds: seeds, members: make(map[Address]*entry), largest: 1}
+	return &Roster{
+		self: self, seeds: seeds, members: make(map[Address]*entry), domains: make(map[state.FailureDomain]time.Time), largest: 1,
+	}
 }
 
 // Self returns the daemon's own member.
@@ -70,7 +77,7 @@
 	if !r.self.StoreUnreachable {
 		return true
 	}
-	return slices.ContainsFunc(r.live(now), func(e *entry) bool { return !e.StoreUnreachable })
+	return slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.StoreUnreachable && r.isLive(e, now) })
 }
 
 // SetLeaving marks that the daemon stops.
@@ -84,24 +91,44 @@
 		if m.Address == r.self.Address {
 			continue
 		}
-		e := r.members[m.Address]
-		if e == nil {
-			e = &entry{}
-			r.members[m.Address] = e
-		}
+		e := r.entry(m.Address)
 		if !e.supersedes(m, now) {
 			continue
 		}
 		wasLive := r.isLive(e, now)
 		e.update(m, now)
+		r.noteDomain(e)
 		if !wasLive && r.isLive(e, now) {
 			joined = append(joined, m)
 		}
 	}
-	r.largest = max(r.largest, 1+len(r.live(now)))
+	if len(joined) > 0 {
+		r.largest = max(r.largest, 1+r.countLive(now))
+	}
 	return joined
 }
 
+// entry returns the entry of a member, which is new if it was not known.
+func (r *Roster) entry(a Address) *entry {
+	e := r.members[a]
+	if e == nil {
+		e = &entry{Member: Member{Address: a}}
+		r.members[a] = e
+		i, _ := slices.BinarySearchFunc(r.ordered, a, byAddress)
+		r.ordered = slices.Insert(r.ordered, i, e)
+	}
+	return e
+}
+
+func byAddress(e *entry, a Address) int { return strings.Compare(string(e.Address), string(a)) }
+
+// noteDomain takes in when a member was seen.
+func (r *Roster) noteDomain(e *entry) {
+	if e.seen.After(r.domains[e.Domain]) {
+		r.domains[e.Domain] = e.seen
+	}
+}
+
 // IsNew reports whether a member is not live yet, or has started again since it was seen last.
 func (r *Roster) IsNew(m Member, now time.Time) bool {
 	e := r.members[m.Address]
@@ -113,13 +140,13 @@
 // seeds know all daemons within a second, and the others learn the number from
 // them long before they know each member.
 func (r *Roster) Size(now time.Time) int {
-	return max(1+len(r.live(now)), int(math.Round(r.reportedSize)))
+	return max(1+r.countLive(now), int(math.Round(r.reportedSize)))
 }
 
 // ObserveSize takes in the number of daemons that another one reported.
-func (r *Roster) ObserveSize(n int, now time.Time) {
+func (r *Roster) ObserveSize(n int) {
 	r.reportedSize = max(r.reportedSize, float64(n))
-	r.largest = max(r.largest, r.Size(now))
+	r.largest = max(r.largest, n)
 }
 
 // Largest returns the greatest number of daemons that were ever known or reported,
@@ -131,25 +158,26 @@
 
 // Domains returns when any member of each domain last sent a heartbeat that is known
 // here, directly or over others.
-func (r *Roster) Domains() map[state.FailureDomain]time.Time {
-	out := make(map[state.FailureDomain]time.Time)
-	for _, e := range r.members {
-		if e.seen.After(out[e.Domain]) {
-			out[e.Domain] = e.seen
-		}
-	}
-	return out
-}
+func (r *Roster) Domains() map[state.FailureDomain]time.Time { return maps.Clone(r.domains) }
 
 // Forget drops the members that have not been seen for long, and returns how
 // many are left.
 func (r *Roster) Forget(now time.Time) int {
-	for a, e := range r.members {
-		if now.Sub(e.seen) > forgetAfter {
-			delete(r.members, a)
+	before := len(r.ordered)
+	r.ordered = slices.DeleteFunc(r.ordered, func(e *entry) bool {
+		isOld := now.Sub(e.seen) > forgetAfter
+		if isOld {
+			delete(r.members, e.Address)
+		}
+		return isOld
+	})
+	if len(r.ordered) < before {
+		clear(r.domains)
+		for _, e := range r.ordered {
+			r.noteDomain(e)
 		}
 	}
-	return len(r.members)
+	return len(r.ordered)
 }
 
 // large reports whether the fleet is too large for a heartbeat to go to all.
@@ -169,25 +197,26 @@
 
 // live returns the live members, sorted by address.
 func (r *Roster) live(now time.Time) []*entry {
-	return r.filter(func(e *entry) bool { return r.isLive(e, now) })
-}
-
-// recent returns the members that were seen within a time, sorted by address.
-func (r *Roster) recent(now time.Time, within time.Duration) []*entry {
-	return r.filter(func(e *entry) bool { return now.Sub(e.seen) <= within })
-}
-
-func (r *Roster) filter(keep func(*entry) bool) []*entry {
-	var out []*entry
-	for _, e := range r.members {
-		if keep(e) {
+	out := make([]*entry, 0, len(r.ordered))
+	for _, e := range r.ordered {
+		if r.isLive(e, now) {
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b *entry) int { return strings.Compare(string(a.Address), string(b.Address)) })
 	return out
 }
 
+// countLive returns how many members are live.
+func (r *Roster) countLive(now time.Time) int {
+	n := 0
+	for _, e := range r.ordered {
+		if r.isLive(e, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // membersOf returns members as they are passed on, with the age of what is known.
 func membersOf(list []*entry, now time.Time) []Member {
 	out := make([]Member, len(list))
--- a/coordination/membership/roster_test.go
+++ b/coordination/membership/roster_test.go
@@ -66,7 +66,7 @@
 // tell delivers a beat. A daemon that hears of its sender for the first time tells
 // it of others, in a large fleet.
 func (n *network) tell(peer, sender *membership.Roster, members []membership.Member) {
-	peer.ObserveSize(sender.Size(n.now), n.now)
+	peer.ObserveSize(sender.Size(n.now))
 	for _, m := range peer.Observe(members, n.now) {
 		self, to := peer.Self().Address, members[0].Address
 		if m.Address == to && peer.Forget(n.now) > membership.FullMeshSize && !n.blocked(self, to) {
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -24,7 +24,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"hingewinch.org/hingewinch/state"
@@ -67,28 +66,25 @@
 // chooseTargets draws the targets of a large fleet: mostly members of the own
 // domain, and some of others.
 func (r *Roster) chooseTargets(live []*entry, rng *rand.Rand) []*entry {
-	shuffle(live, rng)
 	near, far := r.splitByDomain(live)
-	far = far[:min(len(far), max(farFanOut, fanOut-len(near)))]
-	near = near[:min(len(near), fanOut-len(far))]
+	far = draw(far, max(farFanOut, fanOut-len(near)), rng)
+	near = draw(near, fanOut-len(far), rng)
 	return append(near, far...)
 }
 
-// notLive returns the seeds and known members that are not live, sorted.
+// notLive returns the seeds and known members that are not live, seeds that are not known first.
 func (r *Roster) notLive(now time.Time) []Address {
 	var out []Address
 	for _, s := range r.seeds {
-		e := r.members[s]
-		if s != r.self.Address && (e == nil || !r.isLive(e, now)) {
+		if s != r.self.Address && r.members[s] == nil {
 			out = append(out, s)
 		}
 	}
-	for a, e := range r.members {
-		if !r.isLive(e, now) && !slices.Contains(out, a) {
-			out = append(out, a)
+	for _, e := range r.ordered {
+		if !r.isLive(e, now) {
+			out = append(out, e.Address)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -101,16 +97,12 @@
 	}
 	readers, rest := likelyReaders(live)
 	near, far := r.splitByDomain(rest)
-	slices.SortStableFunc(near, func(a, b *entry) int { return b.seen.Compare(a.seen) })
-	newest := min(len(near), sampleNewest)
-	drawn := near[newest:]
-	shuffle(drawn, rng)
-	shuffle(far, rng)
-	newestFar, drawnFar := takeNewestOfDomains(far)
-	out := append(readers, near[:newest]...)
-	out = append(out, drawn[:min(len(drawn), sampleNear)]...)
+	newest := takeNewest(near, sampleNewest)
+	newestFar, drawnFar := takeNewestOfDomains(far, rng)
+	out := append(readers, newest...)
+	out = append(out, draw(near[len(newest):], sampleNear, rng)...)
 	out = append(out, newestFar...)
-	out = append(out, drawnFar[:min(len(drawnFar), sampleFar)]...)
+	out = append(out, draw(drawnFar, sampleFar, rng)...)
 	return membersOf(out, now)
 }
 
@@ -133,10 +125,16 @@
 	return membersOf(out, now)
 }
 
-// takeNewestOfDomains takes the member of each domain that was seen last out of a list.
-func takeNewestOfDomains(list []*entry) (newest, rest []*entry) {
+// takeNewestOfDomains takes the member of each domain that was seen last out of a list; of those
+// that were seen at the same time, one by chance.
+func takeNewestOfDomains(list []*entry, rng *rand.Rand) (newest, rest []*entry) {
+	if len(list) == 0 {
+		return nil, nil
+	}
 	best := make(map[state.FailureDomain]*entry)
-	for _, e := range list {
+	first := rng.IntN(len(list))
+	for i := range list {
+		e := list[(first+i)%len(list)]
 		if n := best[e.Domain]; n == nil || e.seen.After(n.seen) {
 			best[e.Domain] = e
 		}
@@ -178,6 +176,30 @@
 	return near, far
 }
 
-func shuffle(list []*entry, rng *rand.Rand) {
-	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+// takeNewest moves the n members that were seen last to the front of a list, and returns them.
+func takeNewest(list []*entry, n int) []*entry {
+	n = min(n, len(list))
+	for i := range n {
+		best := i
+		for k := i + 1; k < len(list); k++ {
+			if list[k].seen.After(list[best].seen) {
+				best = k
+			}
+		}
+		list[i], list[best] = list[best], list[i]
+	}
+	return list[:n]
+}
+
+// draw moves n members by chance to the front of a list, and returns them: a few are taken of
+// many, which are not worth shuffling.
+func draw(list []*entry, n int, rng *rand.Rand) []*entry {
+	n = min(n, len(list))
+	for i := range n {
+		k := i + rng.IntN(len(list)-i)
+		list[i], list[k] = list[k], list[i]
+	}
+	return list[:n]
 }
+
+func shuffle(list []*entry, rng *rand.Rand) { draw(list, len(list), rng) }
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -143,7 +143,7 @@
 func (c *control) receiveHeartbeat(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
 	c.log.timeline.Observe(h.Stamp)
 	c.observeMembers(h, now)
-	c.roster.ObserveSize(h.FleetSize, now)
+	c.roster.ObserveSize(h.FleetSize)
 	c.planReads(now)
 	if h.Sender.StoreUnreachable {
 		c.storeTroubleAt = now
