Daemons of a large fleet lend each other retries

Cause: the fleet's retries are split into equal parts of .7 x (.2 x own requests + extra / daemons). Before 986 daemons a part is about one; a daemon gets 2.7 plain requests in a window, and whether the one that failed has a retry is chance, while nine tenths of the fleet's are not spent.

Who is asked counts it as spent before it says so; what is lost is lost. Two kinds of datagram of their own, which the build before drops.

Under storms with lost loans no window of any drawn fleet has more retries than the rule (property test). Ruled out: rounding parts up by a hash, as for cold replicas: at 2,000 daemons a third would never have one.

--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -63,6 +63,15 @@
 	return out
 }
 
+// Neighbour returns a live member of the own failure domain, by chance.
+func (r *Roster) Neighbour(now time.Time, rng *rand.Rand) (Address, bool) {
+	near, _ := r.splitByDomain(r.live(now))
+	if len(near) == 0 {
+		return "", false
+	}
+	return near[rng.IntN(len(near))].Address, true
+}
+
 // chooseTargets draws the targets of a large fleet: mostly members of the own
 // domain, and some of others.
 func (r *Roster) chooseTargets(live []*entry, rng *rand.Rand) []*entry {
--- a/coordination/routing/budget.go
+++ b/coordination/routing/budget.go
@@ -3,8 +3,8 @@
 // Inputs: the fleet's bound on retries at one service within a sliding window,
 // and the number of daemons. The rule: within a window a daemon retries at most
 // budgetShare times the ratio of its own requests, plus its equal part of the
-// fleet's extra. Each daemon keeps to its part without asking the others, so
-// the parts sum to less than the whole whatever the daemons know of each other.
+// fleet's extra. The parts sum to less than the whole whatever the daemons know of
+// each other. Where a part is a retry or two, daemons lend each other theirs (loan.go).
 
 package routing
 
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// Retries is an amount of retries within a window. A part of the fleet's may be less than one.
+type Retries float64
+
 // RetryRule is the fleet's bound on retries at one service: Ratio times the
 // requests within Window, plus Extra retries for the whole fleet.
 type RetryRule struct {
@@ -45,7 +48,7 @@
 type budget struct {
 	slot     int64
 	requests [budgetSlots]int
-	retries  [budgetSlots]int
+	spent    [budgetSlots]Retries // on own retries and loans
 }
 
 // NewRetryBudgets returns budgets under a rule, for one daemon of a fleet of the
@@ -71,23 +74,39 @@
 }
 
 // SpendRetry asks for one retry and counts it if it is allowed.
-func (b *RetryBudgets) SpendRetry(s ServiceName, now time.Time) bool {
+func (b *RetryBudgets) SpendRetry(s ServiceName, now time.Time) bool { return b.SpendWith(s, 0, now) }
+
+// SpendWith does the same with what was borrowed for this retry.
+func (b *RetryBudgets) SpendWith(s ServiceName, loan Retries, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(s, now)
-	requests, retries := 0, 0
-	for i := range budgetSlots {
-		requests += w.requests[i]
-		retries += w.retries[i]
-	}
-	allowed := budgetShare * (b.rule.Ratio*float64(requests) + b.rule.Extra/float64(b.daemons))
-	if float64(retries+1) > allowed {
+	own := max(0, 1-loan)
+	if own > b.left(w) {
 		return false
 	}
-	w.retries[w.slot%budgetSlots]++
+	w.spent[w.slot%budgetSlots] += own
 	return true
 }
 
+// left returns what is left of the daemon's part. The caller holds the lock.
+func (b *RetryBudgets) left(w *budget) Retries {
+	left := b.part(w)
+	for _, spent := range w.spent {
+		left -= spent
+	}
+	return left
+}
+
+// part returns what the daemon may spend in a window. The caller holds the lock.
+func (b *RetryBudgets) part(w *budget) Retries {
+	requests := 0
+	for _, n := range w.requests {
+		requests += n
+	}
+	return Retries(budgetShare * (b.rule.Ratio*float64(requests) + b.rule.Extra/float64(b.daemons)))
+}
+
 // window returns the service's counts with what is too old cleared.
 func (b *RetryBudgets) window(s ServiceName, now time.Time) *budget {
 	w := b.services[s]
@@ -99,7 +118,7 @@
 	for steps := 0; w.slot < slot && steps < budgetSlots; steps++ {
 		w.slot++
 		w.requests[w.slot%budgetSlots] = 0
-		w.retries[w.slot%budgetSlots] = 0
+		w.spent[w.slot%budgetSlots] = 0
 	}
 	w.slot = max(w.slot, slot)
 	return w
--- /dev/null
+++ b/coordination/routing/loan_test.go
@@ -0,0 +1,139 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// lendingFleet is daemons that share a rule, and lend each other retries without a network.
+type lendingFleet struct {
+	rng     *rand.Rand
+	budgets []*routing.RetryBudgets
+	lost    float64 // share of the loans that are lost on the way
+}
+
+func newLendingFleet(daemons int, rule routing.RetryRule) *lendingFleet {
+	f := &lendingFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons)))}
+	for range daemons {
+		f.budgets = append(f.budgets, routing.NewRetryBudgets(rule, daemons))
+	}
+	return f
+}
+
+// retry asks for a retry at a daemon, which borrows where it lacks one.
+func (f *lendingFleet) retry(daemon int, lends bool, now time.Time) bool {
+	b := f.budgets[daemon]
+	if b.SpendRetry("s", now) {
+		return true
+	}
+	loan := routing.Retries(0)
+	for range routing.MaxLenders {
+		missing := b.Missing("s", loan, now)
+		if !lends || missing == 0 {
+			return false
+		}
+		lent := f.budgets[f.rng.IntN(len(f.budgets))].Lend("s", missing, now)
+		if f.rng.Float64() >= f.lost {
+			loan += lent
+		}
+		if b.SpendWith("s", loan, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRetriesGoWhereFailuresAre plays the pattern of few requests at each of very many daemons: a
+// tenth of them fails once, and each daemon's part of the retries is about one. Few may lack a
+// retry while the fleet has hundreds.
+func TestRetriesGoWhereFailuresAre(t *testing.T) {
+	for _, c := range []struct {
+		daemons int
+		extra   float64
+	}{{300, 630}, {986, 1040}, {2000, 1400}} {
+		denied := func(lends bool) float64 {
+			f := newLendingFleet(c.daemons, routing.RetryRule{Ratio: 0.2, Extra: c.extra, Window: 10 * time.Second})
+			failed, without := 0, 0
+			const perSecond = 0.27 // requests at each daemon
+			for step := range 2500 {
+				now := epoch.Add(time.Duration(step) * 10 * time.Millisecond)
+				for range int(float64(c.daemons)*perSecond/100 + f.rng.Float64()) {
+					daemon := f.rng.IntN(c.daemons)
+					f.budgets[daemon].CountRequest("s", now)
+					if f.rng.IntN(10) > 0 {
+						continue
+					}
+					failed++
+					if !f.retry(daemon, lends, now) {
+						without++
+					}
+				}
+			}
+			return float64(without) / float64(failed)
+		}
+		alone, lending := denied(false), denied(true)
+		t.Logf("%d daemons: %.3f of the failed requests lack a retry, %.3f with loans", c.daemons, alone, lending)
+		if lending > 0.01 {
+			t.Errorf("%d daemons: %.3f of the failed requests lack a retry (%.3f without loans)", c.daemons, lending, alone)
+		}
+	}
+}
+
+// TestLoansNeverAddToTheFleetsRetries plays storms in which all that can fail does, with loans
+// lost on the way: the whole of what is spent in any window stays within the rule.
+func TestLoansNeverAddToTheFleetsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := routing.RetryRule{Ratio: 0.2, Extra: float64(rapid.IntRange(0, 60).Draw(t, "extra")), Window: 10 * time.Second}
+		daemons := rapid.IntRange(1, 60).Draw(t, "daemons")
+		f := newLendingFleet(daemons, rule)
+		f.lost = float64(rapid.IntRange(0, 10).Draw(t, "lost")) / 10
+		busy := rapid.IntRange(1, daemons).Draw(t, "daemons with requests")
+		var requests, retries []time.Time
+		for step := range 300 {
+			now := epoch.Add(time.Duration(step) * 100 * time.Millisecond)
+			for range rapid.IntRange(0, 6).Draw(t, "requests") {
+				daemon := f.rng.IntN(busy)
+				f.budgets[daemon].CountRequest("s", now)
+				requests = append(requests, now)
+				for f.retry(daemon, true, now) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for _, end := range retries {
+			n, of := within(retries, end, rule.Window), within(requests, end, rule.Window)
+			if most := rule.Ratio*float64(of) + rule.Extra; float64(n) > most {
+				t.Fatalf("%d retries in a window of %d requests, allowed are %.1f", n, of, most)
+			}
+		}
+	})
+}
+
+func within(list []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range list {
+		if !at.After(end) && end.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// TestALargePartBorrowsNothing holds that daemons of a small fleet, whose parts are many retries,
+// go by their own.
+func TestALargePartBorrowsNothing(t *testing.T) {
+	b := routing.NewRetryBudgets(routing.RetryRule{Extra: 56, Window: 10 * time.Second}, 8)
+	for b.SpendRetry("s", epoch) {
+	}
+	if missing := b.Missing("s", 0, epoch); missing != 0 {
+		t.Errorf("asks for %v", missing)
+	}
+	if lent := b.Lend("s", 1, epoch); lent >= 1 {
+		t.Errorf("lends %v of what it has spent", lent)
+	}
+}
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -148,8 +148,22 @@
 // ReserveRetry asks for a retry before the present attempt is given up. A replica
 // that may only be slow must not be left for a retry that the budget then forbids.
 func (a *Attempts) ReserveRetry(b *RetryBudgets, s ServiceName, now time.Time) bool {
+	return a.ReserveWith(b, s, 0, now)
+}
+
+// ReserveWith does the same with what was borrowed for this retry (loan.go).
+func (a *Attempts) ReserveWith(b *RetryBudgets, s ServiceName, loan Retries, now time.Time) bool {
 	if !a.reserved {
-		a.reserved = a.left() && b.SpendRetry(s, now)
+		a.reserved = a.left() && b.SpendWith(s, loan, now)
 	}
 	return a.reserved
 }
+
+// Missing returns what is to be borrowed for the next send besides a loan that there is; 0 if the
+// route allows no further one.
+func (a *Attempts) Missing(b *RetryBudgets, s ServiceName, loan Retries, now time.Time) Retries {
+	if !a.left() {
+		return 0
+	}
+	return b.Missing(s, loan, now)
+}
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -74,6 +74,7 @@
 	heartbeats heartbeats
 	repeats    repeats
 	syncs      syncs
+	loans      loans
 
 	// openSince returns when the oldest idle connection to a replica that is open was opened.
 	openSince func(routing.Incarnation) (time.Time, bool)
@@ -166,6 +167,12 @@
 		c.receiveLeavings(e.reports, now)
 	case leavingsDue:
 		c.sendLeavings(now)
+	case loanWanted:
+		c.askForLoan(&e, now)
+	case loanAsksReceived:
+		c.lend(e.asks, now)
+	case loansReceived:
+		c.takeLoans(e.loans)
 	case syncDue:
 		c.syncIfBehind(ctx, now)
 	case synced:
@@ -214,6 +221,7 @@
 	c.sendLives(now)
 	c.sendLeavings(now)
 	c.repeatReports(now)
+	c.loans.forget(now)
 	c.syncIfBehind(ctx, now)
 	if now.Sub(c.startedAt) >= routing.FleetKnownAfter {
 		c.cold.SetDaemons(c.roster.Largest())
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -59,6 +59,17 @@
 	leavingsReceived struct{ reports []routing.LeavingReport }
 	// leavingsDue says that such reports are to be sent.
 	leavingsDue struct{}
+	// loanWanted says that a request lacks a retry at a service, or a part of one. The reply
+	// channel has room for one answer.
+	loanWanted struct {
+		service routing.ServiceName
+		missing routing.Retries
+		reply   chan<- routing.Retries
+	}
+	// loanAsksReceived are a peer's requests for loans.
+	loanAsksReceived struct{ asks []gossip.LoanAsk }
+	// loansReceived are a peer's loans.
+	loansReceived struct{ loans []gossip.Loan }
 	// syncDue says that the time before a sync has passed.
 	syncDue struct{}
 	// synced is a peer's answer to a request for documents.
@@ -114,6 +125,9 @@
 func (restLifted) isEvent()        {}
 func (heldAsked) isEvent()         {}
 func (releaseAsked) isEvent()      {}
+func (loanWanted) isEvent()        {}
+func (loanAsksReceived) isEvent()  {}
+func (loansReceived) isEvent()     {}
 func (syncDue) isEvent()           {}
 func (synced) isEvent()            {}
 func (callerWaits) isEvent()       {}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -114,6 +114,12 @@
 	case gossip.IsLeavings(payload):
 		reports, err := gossip.DecodeLeavings(payload)
 		return leavingsReceived{reports: reports}, err
+	case gossip.IsLoanAsks(payload):
+		asks, err := gossip.DecodeLoanAsks(payload)
+		return loanAsksReceived{asks: asks}, err
+	case gossip.IsLoans(payload):
+		loans, err := gossip.DecodeLoans(payload)
+		return loansReceived{loans: loans}, err
 	}
 	h, err := gossip.DecodeHeartbeat(payload)
 	return heartbeatReceived{heartbeat: h}, err
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -267,6 +267,10 @@
 	write("leavings", payload, err)
 	payload, err = EncodeLives([]routing.LifeReport{{Replica: 5, Since: time.Hour, Age: 250 * time.Millisecond}})
 	write("lives", payload, err)
+	payload, err = EncodeLoanAsks([]LoanAsk{{ID: 3, From: "10.0.0.1:1", Service: "s", Missing: 0.25}})
+	write("loan asks", payload, err)
+	payload, err = EncodeLoans([]Loan{{ID: 3, Lent: 0.25}})
+	write("loans", payload, err)
 	payload, err = EncodeDigest(&feed.Digest{Revision: 9, Sums: []uint64{1, 0, 1 << 63, 0, 0, 0, 0, 7}})
 	write("digest", payload, err)
 	write("parts", EncodeParts(feed.Parts{0: true, 9: true, 15: false}), nil)
@@ -294,3 +298,28 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// TestLoansComeThroughWithoutGrowing encodes and decodes loans of any size: no more arrives than
+// was lent, and hardly less.
+func TestLoansComeThroughWithoutGrowing(t *testing.T) {
+	for i := range 1001 {
+		lent := routing.Retries(i) / 1000
+		payload, err := EncodeLoans([]Loan{{ID: 7, Lent: lent}})
+		if err != nil || !IsLoans(payload) || IsLoanAsks(payload) {
+			t.Fatal(err)
+		}
+		got, err := DecodeLoans(payload)
+		if err != nil || got[0].ID != 7 || got[0].Lent > lent+1e-9 || got[0].Lent < lent-0.0011 {
+			t.Fatalf("lent %v, got %v, %v", lent, got, err)
+		}
+	}
+	ask := LoanAsk{ID: 7, From: "10.0.0.1:1", Service: "s", Missing: 0.1234}
+	payload, err := EncodeLoanAsks([]LoanAsk{ask})
+	if err != nil || !IsLoanAsks(payload) {
+		t.Fatal(err)
+	}
+	got, err := DecodeLoanAsks(payload)
+	if err != nil || got[0].Missing < ask.Missing || got[0].Missing > ask.Missing+0.0011 || got[0].From != ask.From || got[0].Service != ask.Service {
+		t.Fatalf("got %v, %v", got, err)
+	}
+}
--- a/protocol/gossip/reports.go
+++ b/protocol/gossip/reports.go
@@ -22,11 +22,14 @@
 	kindCrashes  reportKind = 3
 	kindLeavings reportKind = 4
 	kindLives    reportKind = 5
+	kindLoanAsks reportKind = 6
+	kindLoans    reportKind = 7
 )
 
 // kindNames are the names of the kinds for operators.
 var kindNames = map[reportKind]string{
 	kindSilences: "silences", kindCrowds: "crowds", kindCrashes: "crashes", kindLeavings: "leavings", kindLives: "lives",
+	kindLoanAsks: "loan_asks", kindLoans: "loans",
 }
 
 // Kinds returns the names of the kinds of reports that this build reads, in their order.
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -133,7 +133,7 @@
 		until = clock.Now().Add(wait)
 	}
 	arrived, err := x.await(until)
-	if err == nil && !arrived && leave && !s.reserveRetry() {
+	if err == nil && !arrived && leave && !s.reserveRetry(ctx) {
 		arrived, err = x.await(x.deadline)
 	}
 	if err != nil {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -22,6 +22,9 @@
 	Codec    Codec
 	Observer Observer
 	Pool     *Pool
+	// Borrow asks another daemon for what is missing of a retry at a service, and returns what
+	// it lends.
+	Borrow func(ctx context.Context, s routing.ServiceName, missing routing.Retries) routing.Retries
 }
 
 // Relay serves calls. It is safe for use by many goroutines.
@@ -84,7 +87,7 @@
 		s.attempts.NoReplica(s.Placer.WhyNone(view, &s.call.Request, now))
 		return false
 	}
-	if !s.attempts.MaySend(s.Budgets, s.call.Service, now) {
+	if !s.attempts.MaySend(s.Budgets, s.call.Service, now) && !s.borrowRetry(ctx) {
 		return false
 	}
 	s.tried.Replicas = append(s.tried.Replicas, target.Replica.ID)
@@ -276,7 +279,7 @@
 	if !clock.Now().Before(x.deadline) {
 		return x.expired()
 	}
-	if leave && s.reserveRetry() {
+	if leave && s.reserveRetry(ctx) {
 		return x.silent()
 	}
 	s.blame(r, routing.ResultSilent, errSilent)
@@ -293,8 +296,24 @@
 }
 
 // reserveRetry reports whether the call may go to another replica if this one is left.
-func (s *serving) reserveRetry() bool {
-	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, clock.Now())
+func (s *serving) reserveRetry(ctx context.Context) bool {
+	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, clock.Now()) || s.borrowRetry(ctx)
+}
+
+// borrowRetry asks other daemons for what this one lacks of a retry, and reserves it.
+func (s *serving) borrowRetry(ctx context.Context) bool {
+	loan := routing.Retries(0)
+	for range routing.MaxLenders {
+		missing := s.attempts.Missing(s.Budgets, s.call.Service, loan, clock.Now())
+		if missing == 0 {
+			return false
+		}
+		loan += s.Borrow(ctx, s.call.Service, missing)
+		if s.attempts.ReserveWith(s.Budgets, s.call.Service, loan, clock.Now()) {
+			return true
+		}
+	}
+	return false
 }
 
 // finish gives the caller its final answer if it has none.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -513,6 +513,30 @@
 		Expect(s.Attempts).To(HaveLen(1))
 	})
 
+	It("sends again with what other daemons lend, and asks for nothing that the route does not allow", func() {
+		lent := []routing.Retries{0.5, 0, 0.5}
+		serve := func(route routing.Route) (attempts, asked int) {
+			failing := func(a *arrival) bool { return answer(a, 500, sealed, "no") }
+			w := newWorld(route, startReplica("r1", failing), startReplica("r2", failing))
+			w.relay.Budgets = routing.NewRetryBudgets(routing.RetryRule{Window: 10 * time.Second}, 1)
+			w.relay.Borrow = func(_ context.Context, _ routing.ServiceName, missing routing.Retries) routing.Retries {
+				Expect(missing).To(BeNumerically(">", 0))
+				asked++
+				return lent[asked-1]
+			}
+			_, s := w.serve(w.call("a", "GET", ""))
+			return len(s.Attempts), asked
+		}
+		twice := repeatable
+		twice.MaxAttempts = 2
+		attempts, asked := serve(twice)
+		Expect(attempts).To(Equal(2))
+		Expect(asked).To(Equal(3))
+		attempts, asked = serve(once)
+		Expect(attempts).To(Equal(1))
+		Expect(asked).To(BeZero(), "it may have run")
+	})
+
 	It("reports a replica that was silent for long, and not one that it left sooner", func() {
 		slow := func(a *arrival) bool {
 			time.Sleep(1200 * time.Millisecond)
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -278,6 +278,7 @@
 			Loads: routing.NewLoads(), Health: routing.NewHealth(), Rests: routing.NewRests(), Leavings: routing.NewLeavings(),
 		},
 		Budgets: routing.NewRetryBudgets(routing.RetryRule{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, 1),
+		Borrow:  func(context.Context, routing.ServiceName, routing.Retries) routing.Retries { return 0 },
 		Codec:   platform.Codec{}, Observer: w.seen, Pool: relay.NewPool(), Crashes: routing.NewCrashes(),
 	})
 	return w
