The planted fault of ended replicas is found again, by runs in which the store is away

Cause of its not being found: since ends count for 3 s while the store is read, what the mechanism guards against happens only where a replica comes back under its id while nobody reads the store. The drawn runs hardly have that: requests that crash replicas come in the first seconds, the store is away at other times.

Change: the plan of this planted fault keeps the store away from second 1 to 13, has four crashing requests and three times as many callers. The check and its bound stay.

--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -76,9 +76,12 @@
 	}
 	if p.plain {
 		shape.RestsPerSec, shape.LeavingsPerSec, shape.FalseEndsPerSec = 0, 0, 0
-		shape.Crashing = 2
+	}
+	if p.crashing > 0 {
+		shape.Crashing = p.crashing
 	}
 	plan := NewPlan(seed, shape)
+	plan.Callers *= max(1, p.callers)
 	if p.faults != nil {
 		plan.Faults = p.faults(plan.Daemons)
 	}
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -17,7 +17,9 @@
 	quiet         time.Duration             // of the runs that find it; 0: as others
 	faults        func(daemons int) []Fault // of the runs that find it; nil: as they are drawn
 	seeds         []uint64                  // that are played; nil: the first seedsForEach
-	plain         bool                      // found by runs with two crashing requests, and without rests, leavings and false ends
+	plain         bool                      // found by runs without rests, leavings and false ends
+	crashing      int                       // requests that crash replicas in the runs that find it; 0: as others
+	callers       int                       // how many times as many callers there are; 0: as others
 	subject       string                    // that the subject of what is broken begins with
 	also          []edit                    // further changes of the sources
 }
@@ -65,7 +67,7 @@
 	{name: "keeps a replica whose entry was overwritten", promise: "DRAIN", file: "daemon/routes/catalog.go",
 		text: "c.unusable[it.Key] = unusableEntry{id: id, why: err}", instead: "if known {\n\t\t\tc.replicas[it.Key] = before\n\t\t}"},
 	{name: "sends to replicas that ended as if they had not", promise: "FAILBACK", file: "coordination/routing/ended.go",
-		text: "return ok && now.Sub(at) < h.endedHold", instead: "return ok && now.Sub(at) < 0", plain: true, seeds: []uint64{625277866, 3608933662, 353983852, 2, 7, 11}},
+		text: "return ok && now.Sub(at) < h.endedHold", instead: "return ok && now.Sub(at) < 0", plain: true, crashing: 4, callers: 3, faults: storeAwayFromTheStart},
 	{name: "forgets after 10 s what replicas end under", promise: "BUDGET", file: "coordination/routing/crash.go",
 		text: "return len(s.ends) >= heldEnds }", instead: "return len(s.ends) >= heldEnds && time.Since(s.ends[len(s.ends)-1].at) < 10*time.Second }", quiet: longQuiet},
 	{name: "does not read for how long a replica asks for rest", promise: "BUDGET", subject: restSubject, file: "platform/statement.go",
@@ -97,6 +99,12 @@
 	return out
 }
 
+// storeAwayFromTheStart keeps the store away while requests crash replicas: those that come back
+// under their id do so unseen, and the fleet still holds them for warm.
+func storeAwayFromTheStart(int) []Fault {
+	return []Fault{{At: time.Second, For: 12 * time.Second, Kind: storeAway}}
+}
+
 // falseEndsInSeries tells of ends of one service after another, each a tenth of a second old.
 func falseEndsInSeries(int) []Fault {
 	var out []Fault
