Compressors are kept for the next answer

Cause: each answer to a peer, mostly of a few entries, made a compressor and the other side a decompressor, with 1.3 MB of tables for the collector to clear.

--- a/protocol/gossip/documents.go
+++ b/protocol/gossip/documents.go
@@ -4,6 +4,8 @@
 package gossip
 
 import (
+	"sync"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
@@ -26,6 +28,10 @@
 	compressionWindow = 1 << 20
 )
 
+// encoders and decoders are kept for the next answer: each has tables of more than a megabyte, and
+// most answers are a few documents.
+var encoders, decoders sync.Pool
+
 type documentsMessage struct {
 	_        struct{} `cbor:",toarray"`
 	Items    []itemMessage
@@ -47,11 +53,14 @@
 	if err != nil {
 		return nil, err
 	}
-	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(compressionWindow), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		return nil, eris.Wrap(err, "compress documents")
+	w, ok := encoders.Get().(*zstd.Encoder)
+	if !ok {
+		w, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(compressionWindow), zstd.WithLowerEncoderMem(true))
+		if err != nil {
+			return nil, eris.Wrap(err, "compress documents")
+		}
 	}
-	defer w.Close()
+	defer encoders.Put(w)
 	return w.EncodeAll(plain, nil), nil
 }
 
@@ -65,11 +74,15 @@
 
 // DecodeDocuments is the reverse of [EncodeDocuments].
 func DecodeDocuments(packed []byte) (Documents, error) {
-	r, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxDocumentsBytes), zstd.WithDecoderMaxWindow(compressionWindow))
-	if err != nil {
-		return Documents{}, eris.Wrap(err, "unpack documents")
+	r, ok := decoders.Get().(*zstd.Decoder)
+	if !ok {
+		var err error
+		r, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxDocumentsBytes), zstd.WithDecoderMaxWindow(compressionWindow))
+		if err != nil {
+			return Documents{}, eris.Wrap(err, "unpack documents")
+		}
 	}
-	defer r.Close()
+	defer decoders.Put(r)
 	plain, err := r.DecodeAll(packed, nil)
 	if err != nil {
 		return Documents{}, eris.Wrap(err, "unpack documents")
