All replicas of a fleet may leave by their answers, whatever their number

Cause: 5,000 starts that leave were remembered, for 4,500 replicas that were planned. Where 9,000 of 20,000 leave at once the first were forgotten while their entries called them ready, and got requests again (DRAIN); each further one searched the whole table for the oldest. Change: as many are remembered as there are entries. Measured: the test of 9,000 of 20,000 fails before (replica 0 is forgotten), and holds.

--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -41,9 +41,10 @@
 	// leavingMemory outlasts entries that lapse and are back while the store is in trouble.
 	// Chosen, not measured.
 	leavingMemory = 10 * time.Minute
-	// maxLeavings bounds the memory, and what waits to be sent: all replicas that are planned,
-	// 4,500, replaced at once. Of more, the one that was named longest ago is forgotten.
-	maxLeavings = 5000
+	// leastLeavings bounds the memory, and what waits to be sent, of a fleet with fewer entries;
+	// with more it is as many as there are entries, since all may leave at once. Of more than
+	// that, the one that was named longest ago is forgotten.
+	leastLeavings = 5000
 )
 
 // Leavings remembers which replicas leave by their own word. It is safe for use by many
@@ -55,7 +56,7 @@
 	mu     sync.RWMutex
 	told   map[ReplicaID]time.Time // when replicas told this daemon, whichever start
 	starts map[LoadKey]*leaving
-	outbox outbox[LeavingReport]
+	outbox outbox[LeavingReport] // its bound is that of starts
 }
 
 // leaving is what is known of one start, from whomever.
@@ -70,7 +71,7 @@
 	return &Leavings{
 		told: make(map[ReplicaID]time.Time), starts: make(map[LoadKey]*leaving),
 		outbox: outbox[LeavingReport]{
-			waiting: make(chan struct{}, 1), most: maxLeavings, keeps: true,
+			waiting: make(chan struct{}, 1), most: leastLeavings, keeps: true,
 			before: func(a, b pendingReport[LeavingReport]) int { return b.at.Compare(a.at) },
 		},
 	}
@@ -109,7 +110,7 @@
 	if l.starts[key] != nil {
 		return false
 	}
-	if len(l.starts) >= maxLeavings {
+	if len(l.starts) >= l.outbox.most {
 		l.makeRoom()
 	}
 	l.starts[key] = &leaving{at: at, namedAt: now, ready: true}
@@ -202,11 +203,14 @@
 	for _, s := range l.starts {
 		s.ready = false
 	}
+	entries := 0
 	for r := range replicas {
+		entries++
 		if s := l.starts[r.LoadKey()]; s != nil {
 			s.namedAt, s.ready = now, !r.Draining
 		}
 	}
+	l.outbox.most = max(leastLeavings, entries)
 	for key, s := range l.starts {
 		if now.Sub(s.namedAt) > leavingMemory {
 			delete(l.starts, key)
--- a/coordination/routing/leaving_test.go
+++ b/coordination/routing/leaving_test.go
@@ -93,6 +93,28 @@
 	})
 })
 
+// TestAllReplicasOfALargeFleetMayLeave plays a release of most replicas of a large fleet at once, by
+// their answers: none is forgotten while its entry calls it ready.
+func TestAllReplicasOfALargeFleetMayLeave(t *testing.T) {
+	const entries, leaving = 20000, 9000
+	l := routing.NewLeavings()
+	replicas := make([]routing.Replica, entries)
+	for i := range replicas {
+		replicas[i] = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("r", i)), Born: 1})
+	}
+	for i := range leaving {
+		l.Say(&replicas[i], epoch.Add(time.Duration(i)*time.Millisecond))
+		if i%500 == 0 {
+			l.Named(slices.Values(replicas), epoch.Add(time.Duration(i)*time.Millisecond))
+		}
+	}
+	for i := range leaving {
+		if !l.Leaves(&replicas[i]) {
+			t.Fatalf("replica %d of %d that leave is forgotten", i, leaving)
+		}
+	}
+}
+
 // TestStartsThatALeavingBinds holds rule 2.
 func TestStartsThatALeavingBinds(t *testing.T) {
 	for _, c := range []struct {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -241,9 +241,6 @@
 	c.health.Forget(c.domain, now)
 	c.crashes.Forget(now)
 	c.rests.Forget(now)
-	if c.leavings.Known() {
-		c.leavings.Named(c.catalog.allReplicas(), now)
-	}
 	if now.Sub(c.figuresAt) >= figuresInterval {
 		c.figuresAt = now
 		c.log.Figures(c.daemons, c.catalog.feed.Revision())
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -136,12 +136,16 @@
 	c.logReplicas(c.leavings.Observe(reports, now), c.log.LeavesByReport)
 }
 
-// repeatReports sends one daemon a part of what is known of ends and of replicas that leave.
+// repeatReports sends one daemon a part of what is known of ends and of replicas that leave, of
+// which it finds out first what their entries say.
 func (c *control) repeatReports(now time.Time) {
 	r := &c.repeats
 	if r.ticks++; r.ticks%repeatTicks != 0 {
 		return
 	}
+	if c.leavings.Known() {
+		c.leavings.Named(c.catalog.allReplicas(), now)
+	}
 	targets := c.targets(false, now)
 	if len(targets) == 0 {
 		return
