--- a/coordination/fleet/budget.go
+++ b/coordination/fleet/budget.go
@@ -5,7 +5,7 @@
 
 package fleet
 
-// Chosen, not measured.
+// The shares of the budget, in further attempts for each request.
 const (
 	retryShare = 0.1 // retries earned by one first attempt
 	retryBurst = 10  // retries that may be saved up
--- a/coordination/fleet/documents.go
+++ b/coordination/fleet/documents.go
@@ -105,7 +105,7 @@
 
 // collapseShare is the part of the live members that a list must keep to be taken
 // at once, and collapseMin the number of members from which that rule makes
-// sense. Chosen, not measured.
+// sense.
 const (
 	collapseShare = 0.5
 	collapseMin   = 4
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -29,9 +29,8 @@
 	Age time.Duration
 }
 
-// lowerIncarnationAfter is how long the heartbeats of a lower incarnation must go on
-// before it replaces a higher one: longer than a late datagram travels. Chosen, not
-// measured.
+// lowerIncarnationAfter is how long the heartbeats of a lower incarnation must go on before it
+// replaces a higher one: longer than a late datagram travels.
 const lowerIncarnationAfter = time.Second
 
 // entry is a known member.
--- a/coordination/membership/readers.go
+++ b/coordination/membership/readers.go
@@ -37,10 +37,8 @@
 	// to find that a watch is silent; the long one costs few calls.
 	shortWatch = 450 * time.Millisecond
 	longWatch  = 4 * time.Second
-	// shortGap and longGap are pauses after changes. When 116 replicas announced
-	// themselves in 10 s, each reader made 100 calls without them; a shortGap alone and a
-	// longGap of .5 s save two fifths of the calls of a day, and 1 s in its place a sixth of
-	// the rest. A domain that is cut off knows a change that much later, of 3 s that it has.
+	// shortGap and longGap are pauses after changes. A domain that is cut off knows a change that much
+	// later, of 3 s that it has.
 	shortGap = 100 * time.Millisecond
 	longGap  = time.Second
 	// readerTimeout is how long a reader may be silent before another one takes its
@@ -48,10 +46,8 @@
 	// a member is seen over several daemons.
 	readerTimeout      = 700 * time.Millisecond
 	readerTimeoutLarge = 2 * time.Second
-	// listenFirst is long enough for seeds that start some 0.3 s later, the next
-	// heartbeat to them and their answer. Without it each daemon of a fleet that
-	// starts lists the store for itself, which was half of all calls of a calm day at
-	// 295 daemons.
+	// listenFirst is long enough for seeds that start some 0.3 s later, the next heartbeat to them and
+	// their answer. Without it each daemon of a fleet that starts lists the store for itself.
 	listenFirst = time.Second
 )
 
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -12,9 +12,8 @@
 	"hingewinch.org/hingewinch/state"
 )
 
-// FullMeshSize is the number of other members up to which a heartbeat goes to all of
-// them. A fleet above it is large: each daemon sends to a few and learns of most
-// members over others. Chosen, not measured: the sites of today have 8 daemons.
+// FullMeshSize is the number of other members up to which a heartbeat goes to all of them. A fleet
+// above it is large: each daemon sends to a few and learns of most members over others.
 const FullMeshSize = 12
 
 const (
@@ -26,8 +25,8 @@
 	liveness     = 2500 * time.Millisecond
 	livenessNear = 15 * time.Second
 	livenessFar  = 60 * time.Second
-	// forgetAfter is how long a member that is not live is still tried, so that a
-	// long cut heals without the seeds. Chosen, not measured.
+	// forgetAfter is how long a member that is not live is still tried, so that a long cut heals
+	// without the seeds.
 	forgetAfter = 90 * time.Second
 	// sizeDecay is what is left, at each heartbeat, of a fleet size that others
 	// reported. A fleet that has shrunk is known to be smaller after a while; while
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -41,8 +41,7 @@
 	sampleNewest = 2
 	sampleNear   = 2
 	sampleFar    = 1
-	// bootstrapNear and bootstrapFar are how many members a daemon that has just been
-	// found is sent. Chosen, not measured by themselves.
+	// bootstrapNear and bootstrapFar are how many members a daemon that has just been found is sent.
 	bootstrapNear = 8
 	bootstrapFar  = 8
 )
--- a/coordination/routing/budget.go
+++ b/coordination/routing/budget.go
@@ -25,9 +25,8 @@
 }
 
 const (
-	// budgetShare is the part of the rule that is spent. Windows of daemons and of
-	// those who count begin at different moments, so that a window of theirs can
-	// see more than one of ours. Chosen, not measured.
+	// budgetShare is the part of the rule that is spent. Windows of daemons and of those who count
+	// begin at different moments, so that a window of theirs can see more than one of ours.
 	budgetShare = 0.7
 	// budgetSlots is how many parts a window is counted in; the oldest part is
 	// forgotten as a whole, so the window is exact to a tenth.
--- a/coordination/routing/cache.go
+++ b/coordination/routing/cache.go
@@ -34,20 +34,16 @@
 
 const (
 	// locationsPerPrompt bounds the replicas that are remembered for one prompt.
-	// More would hardly be chosen as a source: with 2 callers are served as well.
 	locationsPerPrompt = 6
-	// maxPrompts bounds the prompts that are remembered, which bounds the memory at
-	// some megabytes. Chosen, not measured.
+	// maxPrompts bounds the prompts that are remembered, which bounds the memory at some megabytes.
 	maxPrompts = 20_000
-	// locationAge is how long a replica is expected to hold a prompt that nobody
-	// asks for; after that its memory has likely been given to others. With 10 s
-	// .1% fewer are served.
+	// locationAge is how long a replica is expected to hold a prompt that nobody asks for; after that
+	// its memory has likely been given to others.
 	locationAge = 2 * time.Minute
-	// announceTimes is how many heartbeats carry a location of this daemon's own:
-	// datagrams are lost. With once callers of a fleet of 8 are served as well.
+	// announceTimes is how many heartbeats carry a location of this daemon's own: datagrams are lost.
 	announceTimes = 2
-	// maxPending bounds the locations that wait to be announced: ten heartbeats'
-	// worth of a large fleet. Chosen, not measured.
+	// maxPending bounds the locations that wait to be announced: ten heartbeats' worth of a large
+	// fleet.
 	maxPending = 200
 )
 
--- a/coordination/routing/cold.go
+++ b/coordination/routing/cold.go
@@ -43,11 +43,11 @@
 	coldShare = 0.5
 	// coldWindow is the time that the rate is counted in.
 	coldWindow = time.Second
-	// assumedFleet is the number of daemons that one assumes that knows no others yet: more
-	// than the largest fleet that is planned, 930.
+	// assumedFleet is the number of daemons that one assumes that knows no others yet: a
+	// fleet of up to three times as many, of which none knows another, still keeps the bound.
 	assumedFleet = 1000
 	// FleetKnownAfter is how long after its start a daemon assumes assumedFleet: some twelve
-	// heartbeats of a large fleet, each of which carries the fleet's size. Chosen, not measured.
+	// heartbeats of a large fleet, each of which carries the fleet's size.
 	FleetKnownAfter = 5 * time.Second
 	// maxRates is the number of replicas above which those that got nothing lately are
 	// forgotten. A daemon sends to a hundred cold ones at most, by its parts.
--- a/coordination/routing/connections.go
+++ b/coordination/routing/connections.go
@@ -7,9 +7,8 @@
 
 package routing
 
-// sharedConnections is the part of a replica's connections that the daemons divide
-// among them. Callers are served as well without a share; it
-// keeps the replicas' bound, beyond which they reset connections.
+// sharedConnections is the part of a replica's connections that the daemons divide among them.
+// It keeps the replicas' bound, beyond which they reset connections.
 const sharedConnections = 0.9
 
 // ConnectionLimit returns how many connections this daemon may have to one replica
--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -20,17 +20,14 @@
 //     datagram, a cut and a restart are made good by that.
 //
 // Why three ends and not two: where one of 18 replicas ends a second, and requests last half a
-// second, one request in 30 meets an end, one in 900 two and one in 30,000 three; with three
-// ends a second one in 6, 37 and 210. So many would be refused without cause. Each of these has
-// lost three attempts, and few callers come a fourth time. Measured in virtual time,
-// TestInnocentRequestsAreRarelyHeldBack.
+// second, one request in 30 meets an end, one in 900 two and one in 30,000 three; with three ends
+// a second one in 6, 37 and 210. So many would be refused without cause. Each of these has lost
+// three attempts, and few callers come a fourth time.
 //
 // The memory is bounded by maxContents, of which the caller with the most gives way. When all
-// daemons are killed at once nothing is remembered, and three more replicas may end. A caller
-// with many different requests of the kind ends three replicas with each; to hold back all
-// that a caller sends anew after some of them would cost its good requests their retries, 15
-// in 100 where three replicas end a second (virtual time), so that it is left to operators,
-// who see the caller.
+// daemons are killed at once nothing is remembered, and three more replicas may end. A caller with
+// many different requests of the kind ends three replicas with each: to hold back all that a caller
+// sends would cost its good requests their retries, so that it is left to operators, who see it.
 
 package routing
 
--- a/coordination/routing/crowd.go
+++ b/coordination/routing/crowd.go
@@ -46,17 +46,13 @@
 }
 
 const (
-	// crowdedFactor (a multiple of the mean) and crowdedSlack (requests) stay below twice
-	// the mean and 3, which is promised. With just these twice as many requests reach a
-	// replica over them, and a tenth to a seventh fewer tokens are copied.
+	// crowdedFactor (a multiple of the mean) and crowdedSlack (requests) stay below twice the mean and
+	// 3, which is promised.
 	crowdedFactor = 1.8
 	crowdedSlack  = 2.5
-	// crowdedAge is how long a crowded replica is avoided in a large fleet: its requests take .1
-	// to 1.4 s. With 1.2 s as many requests are over the bound, and 4 to 9% more tokens are
-	// copied. crowdedAgeSmall holds in a small fleet, whose daemons know all loads after .2 s:
-	// with .8 s what one crowded replica does not get crowds the next, up to 4.2% of the requests
-	// of five seconds are over the bound of 3%, with .3 s up to 1.6% (virtual time, 8 daemons, 7
-	// replicas, requests of .15 s, six seeds).
+	// crowdedAge is how long a crowded replica is avoided in a large fleet: its requests take .1 to
+	// 1.4 s. crowdedAgeSmall holds in a small fleet, whose daemons know all loads a moment later:
+	// what one crowded replica does not get for longer crowds the next.
 	crowdedAge      = 800 * time.Millisecond
 	crowdedAgeSmall = 300 * time.Millisecond
 	// leastHomesFactor is the least factor by which homes grow, and homesMargin how far
@@ -64,8 +60,7 @@
 	// find the replica crowded again.
 	leastHomesFactor = 2
 	homesMargin      = 2
-	// homesHalfLife is the time in which the homes of a prompt are halved. With 8 s as
-	// many requests are over the bound.
+	// homesHalfLife is the time in which the homes of a prompt are halved.
 	homesHalfLife = 4 * time.Second
 	// newsFactor is how many times as many homes as are known a report must ask for to be
 	// passed on, and newsAge by how much longer it must have a replica avoided.
@@ -75,10 +70,8 @@
 	// Both are far above what twelve hot prompts cause.
 	maxNeeds         = 1000
 	maxPendingCrowds = 200
-	// crowdsPerSecond bounds what a daemon spends on reports: 20 of some 16 bytes to five
-	// daemons are 1.6 KB/s. A fleet of 87 with 12 hot prompts has 8 to 16 a second. At 930
-	// daemons reports of chance crowds get lost on their way and those of hot prompts do
-	// not: 1.8% of the requests reach a replica over the bound (virtual time).
+	// crowdsPerSecond bounds what a daemon spends on reports: 20 of some 16 bytes to five daemons are
+	// 1.6 KB/s. A fleet of 87 with 12 hot prompts has 8 to 16 a second.
 	crowdsPerSecond = 20
 )
 
--- a/coordination/routing/cutoff.go
+++ b/coordination/routing/cutoff.go
@@ -27,9 +27,8 @@
 	// over several daemons: at 700 ms a third of all windows looked like a cut.
 	DomainTimeout      = 700 * time.Millisecond
 	DomainTimeoutLarge = 1200 * time.Millisecond
-	// domainMemory is how long the silence of a domain's daemons excludes its
-	// replicas. Daemons that are gone for good say nothing of the replicas there;
-	// after that requests find out. With 5 s callers are served as well.
+	// domainMemory is how long the silence of a domain's daemons excludes its replicas. Daemons that
+	// are gone for good say nothing of the replicas there; after that requests find out.
 	domainMemory = 15 * time.Second
 )
 
--- a/coordination/routing/dial.go
+++ b/coordination/routing/dial.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// dialLeast leaves room for a replica or a VM that is slow for a moment. Chosen,
-	// not measured by itself.
+	// dialLeast leaves room for a replica or a VM that is slow for a moment.
 	dialLeast = 100 * time.Millisecond
 	// dialMost holds before the first connection, too. As the only time-out it
 	// would cost a request 400 ms for each replica behind a cut.
--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -1,6 +1,5 @@
 // Package routing holds the decisions on a request in the front end that routes by
-// host and path. Each stands in one file, with its inputs, its rule and the
-// source of its constants at the head:
+// host and path. Each stands in one file, with its inputs and its rule at the head:
 //
 //	admit.go        may the request in, and on which route
 //	place.go        which replica takes it
@@ -13,13 +12,19 @@
 //	silence.go      which replicas other daemons find silent
 //	expired.go      what becomes of replicas whose entries expired
 //	retry.go        is it sent again after a failed attempt
-//	budget.go       how many retries the fleet may spend
+//	budget.go       how many retries the fleet may spend; loan.go, what daemons lend each other
 //	giveup.go       how long a silent replica is waited for
 //	dial.go         how long a connection may take
 //	connections.go  how many connections a daemon opens to a replica
 //	doubt.go        which idle connections are not used, after links broke
 //	evacuate.go     which replicas get nothing because operators empty their failure domain
 //	cold.go         how many requests a cold replica gets
+//	resting.go      which replicas asked for rest; leaving.go, which said that they leave;
+//	                barred.go, what of that holds whatever else is left
+//	crash.go        which requests are held back because replicas end under them
+//	ended.go        which replicas have ended; lives.go, what disproves that
+//	view.go         the replicas of a service as traffic reads them; replicas.go keeps them in
+//	                order as they change, index.go finds one by its key
 //
 // It owns no goroutine and does no I/O; the time is an argument. It relies on a
 // [View], which the control loop builds from the published documents, and on
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -33,12 +33,10 @@
 	// stays below them. Not varied one at a time.
 	leastFailures = 4
 	failureShare  = 0.3
-	// firstEjection and longestEjection bound one ejection. After a first one
-	// of 2 s or more, replicas that have recovered are missed: .1% fewer are served.
+	// firstEjection and longestEjection bound one ejection.
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
-	// ejectionMemory is the time without an ejection after which the next one is
-	// short again. With 2 s callers are served as well.
+	// ejectionMemory is the time without an ejection after which the next one is short again.
 	ejectionMemory = 6 * time.Second
 	// PeerEvidenceAge is how long a peer's counts are used: five of its heartbeats.
 	// PeerEvidenceAgeLarge holds in a large fleet, where a peer's heartbeat comes
--- a/coordination/routing/ended.go
+++ b/coordination/routing/ended.go
@@ -14,18 +14,14 @@
 //     answered on a connection from before proves so (lives.go).
 //  3. After endedHold the end counts no more: the store would have told of another start. While no
 //     daemon that is known reads it, or none did a moment ago, it may not, and endedHoldStale holds.
-//
-// Without it, replicas that came back under their id while the store was away got 15 and more
-// requests a second of the 14 that all daemons together may send a cold one, in 3 of 12 runs
-// of real processes with requests that crash replicas.
 
 package routing
 
 import "time"
 
 const (
-	// endedHold is how long a new start's entry may be unknown: the store's watches can be silent
-	// for 1.7 s, and peers pass it on in tenths of a second. Chosen, not measured by itself.
+	// endedHold is how long a new start's entry may be unknown: the store's watches can be silent for
+	// 1.7 s, and peers pass it on in tenths of a second.
 	endedHold = 3 * time.Second
 	// endedHoldStale outlasts a restart of some seconds and the cold time after it. With
 	// endedHold in its place replicas that come back while the store is away get too much.
--- a/coordination/routing/expired.go
+++ b/coordination/routing/expired.go
@@ -25,11 +25,9 @@
 	// seconds of the store's return, and one that is still missing is gone. That
 	// an entry expired is only learned from a store that has returned.
 	gracePeriod = 2 * time.Second
-	// batchTime is the time within which entries expire together. Chosen with the
-	// incident's fix, not measured.
+	// batchTime is the time within which entries expire together.
 	batchTime = time.Second
-	// copySourceAge is how long prompts are still copied from a replica whose entry
-	// expired. Chosen, not measured.
+	// copySourceAge is how long prompts are still copied from a replica whose entry expired.
 	copySourceAge = 3 * time.Second
 )
 
--- a/coordination/routing/giveup.go
+++ b/coordination/routing/giveup.go
@@ -12,12 +12,6 @@
 //  2. Where it can't, the replica is waited for until the deadline, and blamed for
 //     its silence after blameTimeout, so that other requests avoid it.
 //  3. [ReturnMargin] of the deadline is kept for the answer's way to the caller.
-//
-// Leaving earlier (half the target and 80 ms, 0.7 of the event target and 200 ms)
-// serves .1% more and breaks off so many requests at replicas that are only slow that it
-// costs more than it gains. Never leaving before the first byte, no resuming, and no
-// margin for the way back serve as many in a fleet of 8; they are for callers whose
-// replica hangs.
 
 package routing
 
@@ -35,7 +29,6 @@
 	eventShare = 2
 	eventLeast = 500 * time.Millisecond
 	// blameTimeout is the silence before an answer that is held against a replica.
-	// With twice the route's target in its place as many are served.
 	blameTimeout = time.Second
 )
 
--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -16,10 +16,6 @@
 //
 // Unlike a rest (resting.go) it is a fact about the replica and not about one daemon's share of
 // it, so that one daemon's word is enough for all.
-//
-// Before 8 daemons, replicas that left by their answers got 67 to 90 requests too late without
-// this, 2.5 s and more after a caller had the first such answer, and none with it
-// (TestReplicasThatLeaveByTheirAnswersAreLeftAlone).
 
 package routing
 
@@ -39,7 +35,6 @@
 
 const (
 	// leavingMemory outlasts entries that lapse and are back while the store is in trouble.
-	// Chosen, not measured.
 	leavingMemory = 10 * time.Minute
 	// leastLeavings bounds the memory, and what waits to be sent, of a fleet with fewer entries;
 	// with more it is as many as there are entries, since all may leave at once. Of more than
--- a/coordination/routing/lives.go
+++ b/coordination/routing/lives.go
@@ -17,9 +17,6 @@
 //     casts on requests (crash.go).
 //  3. A daemon that hears of an end, and knows better, tells others. Each that learns something by
 //     that passes it on once.
-//
-// Before 8 daemons that were told of ends of all replicas, .308 of the requests were served without
-// this and the trials of ended.go (TestRepliesThoughReplicasAreSaidToHaveEnded).
 
 package routing
 
@@ -34,9 +31,8 @@
 
 const (
 	// lifeSlack bounds by how much later an end is held to be. Reports are passed on within tens of
-	// milliseconds. Chosen, not measured. On the other side ageRounding is enough; with lifeSlack
-	// there, 12 in 100 requests of the 8 s after a cut of .2 s are refused for want of a replica,
-	// with ageRounding none (virtual time, TestACutThatRefusesLeavesNoReplicaOut).
+	// milliseconds. On the other side ageRounding is enough: more would let ends count that a cut
+	// made up.
 	lifeSlack   = 300 * time.Millisecond
 	ageRounding = 10 * time.Millisecond
 	// lifeMemory is how long a time without answers is kept: as long as ends matter, and
--- a/coordination/routing/load_reported.go
+++ b/coordination/routing/load_reported.go
@@ -10,8 +10,8 @@
 	// reportedLoadAge is how long a replica's last report counts. In it a daemon with five
 	// answers a second sees half of 112 replicas.
 	reportedLoadAge = 15 * time.Second
-	// leastReports is how many replicas must have reported to make a mean, or half of a
-	// small service's. With 16 a daemon of a fleet of 295 knows none for its first 4 s.
+	// leastReports is how many replicas must have reported to make a mean, or half of a small
+	// service's.
 	leastReports = 8
 )
 
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -44,28 +44,22 @@
 )
 
 const (
-	// loadBound (a multiple of the mean) and loadSlack (requests). With 1.3
-	// and 1.9 callers are served as well or worse.
+	// loadBound (a multiple of the mean) and loadSlack (requests).
 	loadBound = 1.6
 	loadSlack = 2
-	// shortPromptTokens is in shared tokens. Longer prompts have one home, since a copy
-	// of them costs more than it evens out. In a small fleet each daemon knows all
-	// loads and cache locations: there a home in each domain serves .2% to .4% more
-	// than two for all domains, by requests that need not cross a cut. Among 295
-	// daemons in six domains few locations are known: the two homes, each of which is
-	// copied from the other, have a quarter of the tokens read again and half of those
-	// copied, and fill the replicas more evenly.
+	// shortPromptTokens is in shared tokens. Longer prompts have one home, since a copy of them costs
+	// more than it evens out. In a small fleet each daemon knows all loads and cache locations: there
+	// a home in each domain serves more, by requests that need not cross a cut. In a large one few
+	// locations are known: of two homes for all domains each is copied from the other.
 	shortPromptTokens = 3000
 	// shortHomes is how many homes a short prompt has in a large fleet.
 	shortHomes = 2
-	// copyTokens is in shared tokens. Reading 10,000 tokens takes a replica some 70 ms,
-	// copying them 3. With copies from 1,500 on, or none, far more prompts are read again.
+	// copyTokens is in shared tokens. Reading 10,000 tokens takes a replica some 70 ms, copying them
+	// 3.
 	copyTokens = 256
-	// otherDomainCost is a share of a replica's slots. With 0.6
-	// callers are served no better.
+	// otherDomainCost is a share of a replica's slots.
 	otherDomainCost = 0.34
-	// orderTries bounds the cost of a choice in a large pool. With 1 callers are served
-	// as well.
+	// orderTries bounds the cost of a choice in a large pool.
 	orderTries = 4
 	// tieRange is the share of a replica's slots below which plain replicas count as
 	// equally loaded. A draw decides between them, or every daemon would send to
@@ -238,10 +232,8 @@
 	return p.Crowds.reportLoad(r, t, held, now)
 }
 
-// RecordRead notes that the target of a request has read its prompt. Peers are not sent
-// that one of several homes holds it, since they try these first anyway. That saves two
-// fifths of the bytes that a daemon of a fleet of 295 sends, and in one of 87 3.8 of 8.6
-// KB/s while a prompt is hot: it has more homes than locations are remembered.
+// RecordRead notes that the target of a request has read its prompt. Peers are not sent that one
+// of several homes holds it, since they try these first anyway.
 func (p *Placer) RecordRead(r *Request, t *Target, now time.Time) {
 	p.Cache.Record(r.Key(), r.SharedTokens(), t.Replica.LoadKey(), !t.expected, now)
 }
--- a/coordination/routing/resting.go
+++ b/coordination/routing/resting.go
@@ -22,9 +22,6 @@
 //
 // A replica that rests is still counted in the service's mean, and prompts can be copied from
 // it: a copy is a request of another replica, not of this daemon.
-//
-// Before 8 daemons, 24 replicas that rest by turns got more than two requests in 530 to 585 of
-// some 900 rests without this, and in none with it (TestReplicasThatAskForRestAreLeftAlone).
 
 package routing
 
@@ -38,15 +35,15 @@
 )
 
 const (
-	// longestRest bounds what a replica can ask for: one that is broken may ask for years, and
-	// nothing but a new start would end that. A replica that means to serve again asks for
-	// seconds; operators see rests and can lift them. Chosen, not measured.
+	// longestRest bounds what a replica can ask for: one that is broken may ask for years, and nothing
+	// but a new start would end that. A replica that means to serve again asks for seconds; operators
+	// see rests and can lift them.
 	longestRest = time.Hour
 	// maxRests bounds the memory: far more replicas than are planned, 4,500. Of more, the one
 	// that ends first is forgotten.
 	maxRests = 10_000
-	// restSpread is the time over which callers come back after the first rest has ended, so
-	// that they do not all find the one replica that is back. Chosen, not varied.
+	// restSpread is the time over which callers come back after the first rest has ended, so that they
+	// do not all find the one replica that is back.
 	restSpread = 300 * time.Millisecond
 )
 
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -30,12 +30,10 @@
 )
 
 const (
-	// MaxChoices bounds the replicas that are chosen for one request, those that
-	// took no connection counted: a request must not walk through a service of
-	// which most is gone. With 2 as many are served.
+	// MaxChoices bounds the replicas that are chosen for one request, those that took no connection
+	// counted: a request must not walk through a service of which most is gone.
 	MaxChoices = 4
-	// RetryAfter is the time after which a caller whose request was refused is
-	// asked to come back. With 30 ms as many are served.
+	// RetryAfter is the time after which a caller whose request was refused is asked to come back.
 	RetryAfter = 100 * time.Millisecond
 	// retryAfterCold is what a cold replica needs to take another request of this daemon, and
 	// retryAfterEvacuated less than any evacuation lasts: who asks sooner is refused again.
--- a/coordination/routing/silence.go
+++ b/coordination/routing/silence.go
@@ -1,7 +1,6 @@
-// This file shares which replicas are silent, so that a daemon need not find out by a
-// request of its own: before a hundred replicas and more, each daemon sends to a given
-// one a few times a minute. When a fifth of the replicas of a service went dark for 6 s
-// before 62 daemons, a quarter fewer of the requests that may run once failed.
+// This file shares which replicas are silent, so that a daemon need not find out by a request of
+// its own: before a hundred replicas and more, each daemon sends to a given one a few times a
+// minute.
 //
 // Inputs: this daemon's own attempts that met silence or no connection, and the reports
 // of other daemons, which every daemon passes on once. The rule:
@@ -43,8 +42,8 @@
 }
 
 const (
-	// silentReporters is how many daemons must have met the silence. One may be cut off
-	// itself, or have lost a packet; two may be so at a time. Chosen, not varied.
+	// silentReporters is how many daemons must have met the silence. One may be cut off itself, or
+	// have lost a packet; two may be so at a time.
 	silentReporters = 3
 	// silenceAge is how long a report counts: as long as other evidence.
 	silenceAge = evidenceWindow
--- a/daemon/openai/daemon.go
+++ b/daemon/openai/daemon.go
@@ -26,7 +26,7 @@
 	"hingewinch.org/hingewinch/transport/gateway"
 )
 
-// serverLimits are those of all listeners. Chosen, not measured.
+// serverLimits are those of all listeners.
 var serverLimits = daemon.Limits{ReadHeader: 10 * time.Second, Idle: 2 * time.Minute, HeaderBytes: 32 << 10}
 
 // secretBytes is the length of the secret that signs tickets.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -20,9 +20,8 @@
 const (
 	// eventQueue is how many events may wait. Who posts one waits for room.
 	eventQueue = 512
-	// heartbeatInterval is the time between two ticks, at each of which a heartbeat
-	// goes out in a small fleet. With 100 ms callers are served no better;
-	// 400 ms would save 9% of the processor time.
+	// heartbeatInterval is the time between two ticks, at each of which a heartbeat goes out in a
+	// small fleet.
 	heartbeatInterval = 200 * time.Millisecond
 	// storeTroubleMemory is how long after the store was unreachable the expiry of a
 	// replica's entry is doubted.
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -73,9 +73,8 @@
 	return d, nil
 }
 
-// The garbage collector runs when the heap has grown by collectPercent, and works
-// harder near memoryShare of the process's memory. 200% saves 9% of the processor
-// time and takes 45% more memory.
+// The garbage collector runs when the heap has grown by collectPercent, and works harder near
+// memoryShare of the process's memory.
 const (
 	collectPercent = 60
 	memoryShare    = 0.7
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -27,9 +27,9 @@
 	// partialTargets is how many daemons a partial heartbeat of a large fleet goes
 	// to. What it brings is forwarded, so that fewer do than of a whole one.
 	partialTargets = 3
-	// firstContacts is how many of the members that it is sent a daemon without documents
-	// contacts at once. One of six is likely to hold documents when a whole fleet starts;
-	// else all would ask the seeds, which they find first. Chosen, not varied.
+	// firstContacts is how many of the members that it is sent a daemon without documents contacts at
+	// once. One of six is likely to hold documents when a whole fleet starts; else all would ask the
+	// seeds, which they find first.
 	firstContacts = 6
 )
 
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -38,8 +38,7 @@
 	prefixDaemon  = "daemon: "
 )
 
-// timelineEvents is how many events a daemon keeps for the time line: some minutes
-// of a calm day. Chosen, not measured.
+// timelineEvents is how many events a daemon keeps for the time line: some minutes of them.
 const timelineEvents = 512
 
 // Log is the log of a daemon. It is safe for use by many goroutines.
--- a/daemon/routes/logwriter.go
+++ b/daemon/routes/logwriter.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// logBufferBytes bounds the lines that wait; logFlushInterval is how long they
-	// wait at most. Chosen, not measured; the log takes 3% of the processor time.
+	// logBufferBytes bounds the lines that wait; logFlushInterval is how long they wait at most.
 	logBufferBytes   = 256 << 10
 	logFlushInterval = 250 * time.Millisecond
 )
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -25,11 +25,9 @@
 const (
 	// pathDocuments is where a daemon answers peers that ask for documents.
 	pathDocuments = "/news"
-	// peerDialTimeout bounds the connection to a peer: links within a region take
-	// milliseconds. Chosen, not measured.
+	// peerDialTimeout bounds the connection to a peer: links within a region take milliseconds.
 	peerDialTimeout = 300 * time.Millisecond
 	// peerIdleTimeout is how long a connection to a peer is kept for the next request.
-	// Chosen, not measured.
 	peerIdleTimeout = 5 * time.Second
 	// receiveRetry is the pause after a failed read of the socket.
 	receiveRetry = 100 * time.Millisecond
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -15,18 +15,15 @@
 )
 
 const (
-	// reportsDelay is how long reports of crowded replicas and of ends wait for others, which
-	// bounds the datagrams that they cost. With 200 ms, the time between two ticks, up to four
-	// times as many requests reach a crowded replica in a fleet of 87 (virtual time); 25 ms do
-	// as well.
+	// reportsDelay is how long reports of crowded replicas and of ends wait for others, which bounds
+	// the datagrams that they cost.
 	reportsDelay = 10 * time.Millisecond
 	// repeatTicks is how many ticks lie between two times at which what is known of ends and of
 	// replicas that leave is repeated to a daemon drawn by chance: one datagram of each a
 	// second, 1.4 KB at most. A daemon that missed all has been sent a part by some other within
 	// a second on average, at any size of the fleet.
 	repeatTicks = 5
-	// closeDelay is how long the end of a process may take to close a connection here. Chosen, not
-	// measured.
+	// closeDelay is how long the end of a process may take to close a connection here.
 	closeDelay = 300 * time.Millisecond
 	// introductions bounds the datagrams of each kind with which a daemon that has just started
 	// is sent what is known: some 60 contents that are held back, 400 replicas that leave. The
@@ -66,9 +63,8 @@
 	}
 }
 
-// sendSilences passes reports of silent replicas on, if any wait. They go to as many
-// daemons as a whole heartbeat: each is passed on once only, and over three daemons a
-// fleet of 930 had four in five that knew after 1.8 s.
+// sendSilences passes reports of silent replicas on, if any wait. They go to as many daemons as a
+// whole heartbeat: each is passed on once only.
 func (c *control) sendSilences(now time.Time) {
 	spreadReports(c, c.health.TakeSilences(gossip.MaxSilences, now), gossip.EncodeSilences, now)
 }
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -17,10 +17,9 @@
 // too long.
 const sweepInterval = 2 * time.Second
 
-// The planned stop, as parts of the grace: until stopAccept new connections are
-// taken, because the balancer takes a while to notice (two misses of its question);
-// until stopWait open requests are waited for. Chosen, not measured; the rule LOST
-// was broken in no hunt since.
+// The planned stop, as parts of the grace: until stopAccept new connections are taken, because the
+// balancer takes a while to notice (two misses of its question); until stopWait open requests are
+// waited for.
 const (
 	stopAccept = 0.35
 	stopWait   = 0.94
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -31,18 +31,16 @@
 	// answer 4 ms.
 	listTimeout = 1500 * time.Millisecond
 	idleTimeout = 600 * time.Millisecond
-	// watchSlack is how much later than asked a watch may answer. Chosen, not
-	// measured.
+	// watchSlack is how much later than asked a watch may answer.
 	watchSlack = 300 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call; it doubles.
-	// Chosen, not measured.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
 	// firstPlanCheck is how often the reader looks whether the control loop has made
 	// its first plan.
 	firstPlanCheck = 5 * time.Millisecond
-	// listAge is how long a list that met errors on its way is carried on; later its
-	// first pages are too old. Chosen, not measured.
+	// listAge is how long a list that met errors on its way is carried on; later its first pages are
+	// too old.
 	listAge = 10 * time.Second
 )
 
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -26,9 +26,8 @@
 	"hingewinch.org/hingewinch/state/feed"
 )
 
-// syncDelay is how long a reader of the store waits for the store's own answer, once
-// a peer is known to hold newer documents: some links' delays and an answer of the
-// store. With 0 a fleet of 8 does as well.
+// syncDelay is how long a reader of the store waits for the store's own answer, once a peer is
+// known to hold newer documents: some links' delays and an answer of the store.
 const syncDelay = 60 * time.Millisecond
 
 // firstSyncDelay is a few times the links' delay. When a whole fleet starts, all find the
--- a/protocol/gossip/heartbeat.go
+++ b/protocol/gossip/heartbeat.go
@@ -37,9 +37,8 @@
 const MaxHeartbeatBytes = 1400
 
 const (
-	// leastMembers and leastLocations are how many members and locations are left in
-	// a heartbeat that doesn't fit, before loads and evidence are cut. Chosen, not
-	// measured.
+	// leastMembers and leastLocations are how many members and locations are left in a heartbeat that
+	// doesn't fit, before loads and evidence are cut.
 	leastMembers   = 4
 	leastLocations = 8
 )
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -39,8 +39,7 @@
 	Next  string   // the key after which the next page begins; empty: this is the last
 }
 
-// keptTombstones bounds how many removals are remembered: more than a large fleet
-// has replicas. Chosen, not measured.
+// keptTombstones bounds how many removals are remembered: more than a large fleet has replicas.
 const keptTombstones = 4096
 
 // Feed is the set of documents. Its owner guards it.
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -25,11 +25,10 @@
 	errEndInside = errors.New("stream ended inside an event")
 )
 
-// streamReadBytes is the size of one read of a stream: some events. Chosen, not
-// measured.
+// streamReadBytes is the size of one read of a stream: some events.
 const streamReadBytes = 2 << 10
 
-// maxAnswerBytes bounds a plain answer, which is held whole. Chosen, not measured.
+// maxAnswerBytes bounds a plain answer, which is held whole.
 const maxAnswerBytes = 8 << 20
 
 // relayWhole reads an answer to its end and passes it on. Only a whole one goes
--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -16,7 +16,7 @@
 	count int
 }
 
-// maxEventBytes bounds the size of one event. Chosen, not measured.
+// maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
 func newEventReader(last string) *eventReader {
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -26,14 +26,11 @@
 	// reading of the answer, because a replica may answer before it has read all.
 	// Smaller ones fit the socket's buffer.
 	separateWriteBytes = 16 << 10
-	// strayAnswers is how many late answers to earlier requests are skipped. Chosen,
-	// not measured.
+	// strayAnswers is how many late answers to earlier requests are skipped.
 	strayAnswers = 2
-	// maxRefusalBytes is how much of a refusal's body is read to be able to use
-	// its connection again. Chosen, not measured.
+	// maxRefusalBytes is how much of a refusal's body is read to be able to use its connection again.
 	maxRefusalBytes = 4 << 10
-	// bodyWriteGrace is how long the end of a body's writing is waited for after a
-	// whole answer. Chosen, not measured.
+	// bodyWriteGrace is how long the end of a body's writing is waited for after a whole answer.
 	bodyWriteGrace = 2 * time.Millisecond
 )
 
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -23,10 +23,9 @@
 	// connection is kept, so that it is not used while the replica closes it. With
 	// 0.9 callers are served as well.
 	idleShare = 0.7
-	// idleDefault holds where the replica names no time. Chosen, not measured.
+	// idleDefault holds where the replica names no time.
 	idleDefault = 20 * time.Second
-	// idlePerReplica bounds the idle connections to one replica. Chosen, not
-	// measured.
+	// idlePerReplica bounds the idle connections to one replica.
 	idlePerReplica = 32
 )
 
