Idle connections are looked up among the replicas; no set of all is made for them

Cause: each two seconds a map of all replicas was made to ask it for some thirty idle connections: 10,000 entries, a megabyte of garbage. Change: the index of the view answers (View.KeepsConnections). A function that nothing calls any more, ExpiredEntries.Services, is gone.

--- a/coordination/routing/expired.go
+++ b/coordination/routing/expired.go
@@ -98,19 +98,6 @@
 	return batch
 }
 
-// Services returns the services of the remembered replicas.
-func (x *ExpiredEntries) Services() []ServiceName {
-	seen := make(map[ServiceName]bool)
-	var out []ServiceName
-	for _, e := range x.entries {
-		if !seen[e.replica.Service] {
-			seen[e.replica.Service] = true
-			out = append(out, e.replica.Service)
-		}
-	}
-	return out
-}
-
 // largestBatch returns the replicas of the largest group that expired within
 // batchTime. After a failure of a part of a large fleet there are thousands.
 func largestBatch(entries []expiredEntry) []Replica {
--- a/coordination/routing/expired_test.go
+++ b/coordination/routing/expired_test.go
@@ -68,7 +68,7 @@
 		t.Errorf("%d sources of copies and %d ready, want 2 and 0", len(p.Expired), len(p.Ready))
 	}
 	l.Expire(epoch.Add(copySourceAge))
-	if n := len(l.Services()); n != 0 {
-		t.Errorf("%d services are remembered for ever", n)
+	if n := len(l.entries); n != 0 {
+		t.Errorf("%d replicas are remembered for ever", n)
 	}
 }
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -36,10 +36,7 @@
 // NewReplica fills in the hashes.
 func NewReplica(r Replica) Replica {
 	r.Hash = xxhash.Sum64String(string(r.ID))
-	r.key = LoadKey(r.Hash)
-	if r.Born != 0 {
-		r.key = LoadKey(xxhash.Sum64String(string(r.ID) + "\x00" + strconv.FormatInt(int64(r.Born), 10)))
-	}
+	r.key = newLoadKey(r.Incarnation())
 	return r
 }
 
@@ -47,6 +44,13 @@
 // of a hash. Two that share one are counted together.
 type LoadKey uint32
 
+func newLoadKey(i Incarnation) LoadKey {
+	if i.Born == 0 {
+		return LoadKey(xxhash.Sum64String(string(i.ID)))
+	}
+	return LoadKey(xxhash.Sum64String(string(i.ID) + "\x00" + strconv.FormatInt(int64(i.Born), 10)))
+}
+
 // LoadKey returns the name of the replica's incarnation.
 func (r *Replica) LoadKey() LoadKey { return r.key }
 
@@ -141,13 +145,32 @@
 }
 
 // IsReady reports whether an incarnation of a replica is among the ready ones of its service.
-func (v *View) IsReady(r *Replica) bool {
-	p := v.Pool(r.Service)
-	if i, ok := p.places.place(r.LoadKey()); ok && p.Ready[i].Incarnation() == r.Incarnation() {
-		return true
+func (v *View) IsReady(r *Replica) bool { return v.Pool(r.Service).isReady(r.Incarnation()) }
+
+// KeepsConnections reports whether idle connections to an incarnation of a replica are kept: it gets
+// requests, or does again once its failure domain is taken back. One that leaves waits for the end
+// of its connections.
+func (v *View) KeepsConnections(i Incarnation) bool {
+	for _, p := range v.Pools {
+		if p.isReady(i) || hasIncarnation(p.Evacuated, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// isReady reports whether an incarnation is among the ready replicas.
+func (p *Pool) isReady(incarnation Incarnation) bool {
+	i, ok := p.places.place(newLoadKey(incarnation))
+	if p.places != nil && !ok {
+		return false
 	}
 	// Two may share a key.
-	return slices.ContainsFunc(p.Ready, func(ready Replica) bool { return ready.Incarnation() == r.Incarnation() })
+	return ok && p.Ready[i].Incarnation() == incarnation || hasIncarnation(p.Ready, incarnation)
+}
+
+func hasIncarnation(list []Replica, incarnation Incarnation) bool {
+	return slices.ContainsFunc(list, func(r Replica) bool { return r.Incarnation() == incarnation })
 }
 
 // Replica returns the ready replica that a key names, or nil.
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/daemon"
 	"hingewinch.org/hingewinch/transport/clock"
 )
@@ -57,26 +56,10 @@
 func (d *Daemon) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
-		wanted := wantedConnections(d.View())
-		d.pool.Sweep(func(id routing.Incarnation) bool { return wanted[id] }, clock.Now())
+		d.pool.Sweep(d.View().KeepsConnections, clock.Now())
 	}
 }
 
-// wantedConnections returns the replicas to which idle connections are kept: those that get
-// requests, or do again once their failure domain is taken back. One that leaves waits for the
-// end of its connections.
-func wantedConnections(v *routing.View) map[routing.Incarnation]bool {
-	wanted := make(map[routing.Incarnation]bool)
-	for _, p := range v.Pools {
-		for _, list := range [][]routing.Replica{p.Ready, p.Evacuated} {
-			for i := range list {
-				wanted[list[i].Incarnation()] = true
-			}
-		}
-	}
-	return wanted
-}
-
 // stop is the planned stop: not ready at once, new connections until the
 // balancer has noticed, then the end of idle connections, and the wait for open
 // requests until the grace is nearly over.
--- a/daemon/routes/statements_test.go
+++ b/daemon/routes/statements_test.go
@@ -150,9 +150,10 @@
 		Ready: []routing.Replica{named("ready")}, Draining: []routing.Replica{named("draining")},
 		Evacuated: []routing.Replica{named("evacuated")}, Expired: []routing.Replica{named("expired")},
 	}
-	wanted := wantedConnections(&routing.View{Pools: map[routing.ServiceName]*routing.Pool{"s": p}})
+	p.Sort()
+	v := &routing.View{Pools: map[routing.ServiceName]*routing.Pool{"s": p}}
 	for id, want := range map[routing.ReplicaID]bool{"ready": true, "evacuated": true, "draining": false, "expired": false} {
-		if wanted[routing.Incarnation{ID: id}] != want {
+		if v.KeepsConnections(routing.Incarnation{ID: id}) != want {
 			t.Errorf("connections to the %s replica are kept: %t, want %t", id, !want, want)
 		}
 	}
