--- a/daemon/routes/loans.go
+++ b/daemon/routes/loans.go
@@ -31,6 +31,7 @@
 		w.reply <- 0
 		return
 	}
+	c.log.metrics.LoansAsked.Inc(1)
 	l := &c.loans
 	l.last++
 	if l.open == nil {
@@ -45,6 +46,9 @@
 func (c *control) lend(asks []gossip.LoanAsk, now time.Time) {
 	for _, a := range asks {
 		loan := gossip.Loan{ID: a.ID, Lent: c.budgets.Lend(a.Service, a.Missing, now)}
+		if loan.Lent > 0 {
+			c.log.metrics.LoansGiven.Inc(1)
+		}
 		sendReports(c, []membership.Address{a.From}, []gossip.Loan{loan}, gossip.EncodeLoans)
 	}
 }
--- a/daemon/routes/loans_test.go
+++ b/daemon/routes/loans_test.go
@@ -75,6 +75,9 @@
 	if lent := p.want(1); lent != 0 {
 		t.Fatalf("lent %v of what is spent", lent)
 	}
+	if asked, given := p.controls[borrower].log.metrics.LoansAsked.Count(), p.controls[lender].log.metrics.LoansGiven.Count(); asked != 3 || given != 2 {
+		t.Errorf("%d loans are counted as asked for and %d as given, want 3 and 2", asked, given)
+	}
 	p.now = p.now.Add(11 * time.Second)
 	p.controls[borrower].roster.Observe([]membership.Member{{Address: lender, Domain: "a", Incarnation: 1, Heartbeats: 2}}, p.now)
 	if lent := p.want(0.3); lent < 0.3 {
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -16,13 +16,17 @@
 type Metrics struct {
 	registry metrics.Registry
 
-	Requests       metrics.Counter
-	Answered       metrics.Counter
-	NotRun         metrics.Counter
-	MayHaveRun     metrics.Counter
-	CallerGone     metrics.Counter
-	Denied         metrics.Counter
-	Retries        metrics.Counter
+	Requests   metrics.Counter
+	Answered   metrics.Counter
+	NotRun     metrics.Counter
+	MayHaveRun metrics.Counter
+	CallerGone metrics.Counter
+	Denied     metrics.Counter
+	Retries    metrics.Counter
+	// LoansAsked counts the times that another daemon was asked for a retry, and LoansGiven those
+	// that this one lent one, or a part.
+	LoansAsked     metrics.Counter
+	LoansGiven     metrics.Counter
 	Spilled        metrics.Counter
 	Copied         metrics.Counter
 	NewConnections metrics.Counter
@@ -85,6 +89,8 @@
 		"caller_gone_total":      &m.CallerGone,
 		"denied_total":           &m.Denied,
 		"repeats_total":          &m.Retries,
+		"loans_asked_total":      &m.LoansAsked,
+		"loans_given_total":      &m.LoansGiven,
 		"spilled_total":          &m.Spilled,
 		"prompts_copied_total":   &m.Copied,
 		"new_connections_total":  &m.NewConnections,
