Windows of retries and of evidence go by the steady clock; six lenders at most

Cause: the parts of these windows were numbered by the time of day, which may jump by seconds and back: a jump of 10 s forgot all retries that were spent, a smaller one a part of them, and the evidence of failures. Change: the parts are numbered by the difference from the first time (routing/slots.go); a test over the sources holds that no decision asks for the time of day, and fails on the code before.

--- a/coordination/routing/budget.go
+++ b/coordination/routing/budget.go
@@ -39,6 +39,7 @@
 	rule RetryRule
 
 	mu       sync.Mutex
+	clock    slotClock
 	daemons  int
 	services map[ServiceName]*budget
 }
@@ -109,7 +110,7 @@
 // window returns the service's counts with what is too old cleared.
 func (b *RetryBudgets) window(s ServiceName, now time.Time) *budget {
 	w := b.services[s]
-	slot := now.UnixNano() / int64(b.rule.Window/budgetSlots)
+	slot := b.clock.slot(now, b.rule.Window/budgetSlots)
 	if w == nil {
 		w = &budget{slot: slot}
 		b.services[s] = w
--- a/coordination/routing/evidence.go
+++ b/coordination/routing/evidence.go
@@ -48,6 +48,7 @@
 type record struct {
 	good, bad [evidenceSlots]int
 	slot      int64
+	clock     slotClock
 	// ejection is how long the last ejection was, until its end and cause why.
 	ejection time.Duration
 	until    time.Time
@@ -57,10 +58,7 @@
 
 // advance clears the slots whose time is over.
 func (r *record) advance(now time.Time) {
-	slot := now.UnixNano() / int64(evidenceWindow/evidenceSlots)
-	if r.slot == 0 {
-		r.slot = slot
-	}
+	slot := r.clock.slot(now, evidenceWindow/evidenceSlots)
 	for steps := 0; r.slot < slot && steps < evidenceSlots; steps++ {
 		r.slot++
 		r.good[r.slot%evidenceSlots], r.bad[r.slot%evidenceSlots] = 0, 0
--- a/coordination/routing/loan.go
+++ b/coordination/routing/loan.go
@@ -20,9 +20,9 @@
 const (
 	// largestPart is the part, in retries of a window, above which a daemon does not borrow.
 	largestPart Retries = 3
-	// MaxLenders is how many daemons are asked for one retry: with parts of a third, of which some
-	// have lent theirs already, as many give one.
-	MaxLenders = 4
+	// MaxLenders is how many daemons are asked for one retry: where a third has nothing left, hardly
+	// a request finds none. Mostly the first one gives enough.
+	MaxLenders = 6
 	// LoanTimeout is how long a lender is waited for: some times the way to a daemon of the same
 	// domain and back, and short beside what callers wait for an answer.
 	LoanTimeout = 25 * time.Millisecond
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -147,3 +147,26 @@
 		}
 	}
 }
+
+// timeOfDay finds what asks a time for the time of day.
+var timeOfDay = regexp.MustCompile(`\.Unix(Nano|Micro|Milli)?\(\)`)
+
+// TestDecisionsGoByTheSteadyClock holds that no decision hangs on the time of day, which may jump by
+// seconds and back: a window of retries would forget what was spent.
+func TestDecisionsGoByTheSteadyClock(t *testing.T) {
+	for _, folder := range []string{"coordination/routing", "coordination/membership"} {
+		files, err := filepath.Glob(filepath.Join("..", "..", folder, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatal(folder, err)
+		}
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.HasSuffix(file, "_test.go") && timeOfDay.Match(source) {
+				t.Errorf("%s asks for the time of day; take differences of times", file)
+			}
+		}
+	}
+}
