--- a/coordination/routing/place_bench_test.go
+++ b/coordination/routing/place_bench_test.go
@@ -13,7 +13,7 @@
 // daemon and its peers and some replicas that are passed over.
 func BenchmarkPlace(b *testing.B) {
 	for _, kind := range []string{"prompt", "plain"} {
-		for _, n := range []int{20, 190, 1000, 4500} {
+		for _, n := range []int{20, 190, 1000, 4500, 10000, 20000} {
 			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) {
 				RegisterTestingT(b)
 				service := routing.ServiceName("llm")
--- a/daemon/routes/sync_test.go
+++ b/daemon/routes/sync_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"runtime"
 	"testing"
 	"time"
 
@@ -236,3 +237,33 @@
 		})
 	}
 }
+
+// BenchmarkMemoryOfDocuments reports what a daemon holds of a fleet's entries: the documents, what
+// they mean, and one view.
+func BenchmarkMemoryOfDocuments(b *testing.B) {
+	for _, replicas := range []int{100, 1000, 10000, 20000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			var out bytes.Buffer
+			l := newLog(&out, "info", "d", newMetrics())
+			defer l.Close()
+			for range b.N {
+				before := heldBytes()
+				c := newCatalog(versionedDocuments{}, l)
+				c.apply(c.feed.ApplyList(fleetEntries(replicas), feed.Revision(replicas+1)), sourceStore, false, time.Unix(1, 0))
+				v := c.view(routing.NewLeavings(), time.Unix(1, 0))
+				b.ReportMetric(float64(heldBytes()-before)/float64(replicas), "B/replica")
+				runtime.KeepAlive(v)
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// heldBytes returns what the heap holds after a collection.
+func heldBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
