The likely source of a prompt is found by the ranks that the choice has made

Cause: it ranked all replicas again, and compared ids before ranks: two fifths of a choice at 10,000.

--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -167,7 +167,7 @@
 	if s.CopiesPrompts && r.SharedTokens() >= copyTokens && !holdsPrompt(cached, &t.Replica) {
 		t.Source = p.source(&t, cached, pool, now)
 		if t.Source.ID == "" {
-			t.Source = p.likelySource(key, &t.Replica, pool, now)
+			t.Source = p.likelySource(c, key, &t.Replica, pool, now)
 		}
 	}
 	return t
@@ -207,19 +207,23 @@
 // ranks first besides the target, draining and evacuated ones counted. That is the other home, or the
 // home from before the target joined or before the former home began to leave. A wrong
 // guess costs a copy that finds nothing.
-func (p *Placer) likelySource(key uint64, target *Replica, pool *Pool, now time.Time) Replica {
+func (p *Placer) likelySource(c *candidates, key uint64, target *Replica, pool *Pool, now time.Time) Replica {
 	var best *Replica
 	var bestRank uint64
-	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Evacuated} {
-		for i := range list {
-			r := &list[i]
-			rank := coordination.Rank(key, r.Hash)
-			if r.ID == target.ID || best != nil && rank < bestRank || !p.Health.Reachable(r, now) {
-				continue
-			}
+	consider := func(r *Replica, rank uint64) {
+		isBetter := best == nil || rank > bestRank
+		if isBetter && r.ID != target.ID && p.Health.Reachable(r, now) {
 			best, bestRank = r, rank
 		}
 	}
+	for i := range c.ready {
+		consider(&c.ready[i], c.ranks[i])
+	}
+	for _, list := range [][]Replica{pool.Draining, pool.Evacuated} {
+		for i := range list {
+			consider(&list[i], coordination.Rank(key, list[i].Hash))
+		}
+	}
 	if best == nil {
 		return Replica{}
 	}
