A peer that did not answer is not held to have given its configuration

The version was marked as asked for when the request went out; where that peer fell silent no other was asked for it, and it came with the revision only. Found by reading the diff; the test of a configuration that spreads before a list ends plays a request without an answer first, and fails on the code before.

--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -10,7 +10,8 @@
 //  4. A daemon whose revision does not say what it lacks is sent a digest, and asks for the
 //     parts that differ. One that holds nothing is sent everything.
 //  5. A peer whose configuration is newer is asked for that, although its revision may be no
-//     higher: it may be in the middle of a list of the store. It is asked once for each version.
+//     higher: it may be in the middle of a list of the store. Once one has answered, none is asked
+//     for that version again.
 
 package routes
 
@@ -42,8 +43,8 @@
 	newer      map[membership.Address]newerPeer
 	newerSince time.Time
 	underWay   bool
-	// asked is the highest version of the configuration that a peer was asked for.
-	asked routing.ConfigVersion
+	// answered is the highest version of the configuration that a peer was asked for and answered.
+	answered routing.ConfigVersion
 }
 
 // newerPeer is a peer that holds newer documents.
@@ -71,6 +72,7 @@
 	parts       feed.Parts
 	digest      feed.Digest // by which the parts differ
 	takesDigest bool
+	version     routing.ConfigVersion // of the configuration that the peer is known to hold
 }
 
 // documentsAnswer is an answer to it: a digest, everything, or documents where both are nil.
@@ -128,7 +130,7 @@
 
 // position returns how new this daemon's documents are, by rule 5.
 func (c *control) position() position {
-	p := position{revision: c.catalog.feed.Revision(), version: c.syncs.asked}
+	p := position{revision: c.catalog.feed.Revision(), version: c.syncs.answered}
 	if t := c.catalog.table; t != nil {
 		p.version = max(p.version, t.Version)
 	}
@@ -162,10 +164,9 @@
 		time.AfterFunc(wait, func() { c.post(ctx, syncDue{}) })
 		return
 	}
-	c.syncs.asked = max(c.syncs.asked, peer.version)
-	q := documentsRequest{after: f.AskAfter(), takesDigest: f.Revision() > 0}
+	q := documentsRequest{after: f.AskAfter(), takesDigest: f.Revision() > 0, version: peer.version}
 	if peer.revision <= f.Revision() {
-		q = documentsRequest{after: f.Revision()} // for the configuration alone
+		q.after, q.takesDigest = f.Revision(), false // for the configuration alone
 	}
 	c.ask(ctx, from, q)
 }
@@ -198,6 +199,7 @@
 		c.log.SyncFailed(s.from, s.err)
 		return
 	}
+	c.syncs.answered = max(c.syncs.answered, s.asked.version)
 	f, d := c.catalog.feed, &s.answer.documents
 	switch {
 	case s.answer.digest != nil:
--- a/daemon/routes/sync_test.go
+++ b/daemon/routes/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
 	"runtime"
@@ -27,6 +28,7 @@
 	daemon, peer *control
 	now          time.Time
 	asked        int // requests
+	failing      int // of them, that get no answer
 	sent         int // bytes of the answers
 	items        int // documents in them
 	takesDigest  bool
@@ -53,6 +55,10 @@
 
 func (p *syncedPair) answer(q documentsRequest) (documentsAnswer, error) {
 	p.asked++
+	if p.failing > 0 {
+		p.failing--
+		return documentsAnswer{}, errors.New("no answer")
+	}
 	query, err := url.ParseQuery(q.encode())
 	if err != nil {
 		return documentsAnswer{}, err
@@ -142,6 +148,9 @@
 	}
 	page := storePaged{items: []feed.Item{{Key: "config", Revision: 300}}, upTo: "config", at: 310}
 	p.peer.handle(context.Background(), page, p.now)
+	p.failing = 1
+	p.hear()
+	p.asked = 0
 	p.hear()
 	if got := p.daemon.catalog.table.Version; got != 300 {
 		t.Fatalf("configuration %d is in force, want 300", got)
