A replica at whose address another one answers gets nothing more, from any daemon

A request of a prompt goes to its home, whose entry is still the former one; the answer says that another replica is there and nothing has run; the route allows one replica, so the caller is refused, comes back by another daemon, which knows no more, and is refused again: 205 requests. Cause: the answer proves that the replica has gone, and was taken for a refusal like any other, of which four within 3 s eject; a replica there gets one request in 12 s.

Measured: the test of 40 requests has them all or most go there before (fails), one after; one report, and none of 40 of another daemon that was told. Ruled out: sending the request to a second replica where the route allows one: it is the largest number that it may be sent to.

--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -2,7 +2,8 @@
 // replica that leaves says so in all its answers.
 //
 // Inputs: such answers (transport/relay hands them on), the reports of other daemons, and the
-// entries of replicas. The rule:
+// entries of replicas. An answer by another replica at the address says as much: the one that was
+// meant has gone. The rule:
 //
 //  1. A replica that said so gets no new request from then on, not even where nothing else is
 //     left. What runs there ends in peace, prompts are copied from it, and its place among the
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -90,6 +90,7 @@
 		func() { l.Lives("i-1") },
 		func() { l.Leaves(&replica, call) },
 		func() { l.LeavesByReport("i-1") },
+		func() { l.Replaced(&replica, call) },
 		func() { l.Said(&replica, call, relay.Statement{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/log_replicas.go
+++ b/daemon/routes/log_replicas.go
@@ -120,10 +120,16 @@
 	l.logger.Info().Str("replica", string(r.ID)).Str("request", string(c.ID)).Int64("born", int64(r.Born)).Msg(prefixReplica + "says in an answer that it leaves; it gets nothing more")
 }
 
-// LeavesByReport says that a replica told another daemon that it leaves.
+// Replaced says that another replica answered at a replica's address.
+func (l *Log) Replaced(r *routing.Replica, c *relay.Call) {
+	l.timeline.Record(coordination.EventUpstreamState, string(r.ID), state.RequestID(c.ID), "another replica answers at its address")
+	l.logger.Info().Str("replica", string(r.ID)).Str("request", string(c.ID)).Int64("born", int64(r.Born)).Msg(prefixReplica + "another one answers at its address; it gets nothing more")
+}
+
+// LeavesByReport says that another daemon knows by an answer that a replica leaves or has gone.
 func (l *Log) LeavesByReport(id routing.ReplicaID) {
-	l.timeline.Record(coordination.EventUpstreamState, string(id), "", "told another daemon that it leaves")
-	l.logger.Info().Str("replica", string(id)).Msg(prefixReplica + "told another daemon that it leaves; it gets nothing more")
+	l.timeline.Record(coordination.EventUpstreamState, string(id), "", "leaves or has gone, by another daemon's word")
+	l.logger.Info().Str("replica", string(id)).Msg(prefixReplica + "leaves or has gone, by another daemon's word; it gets nothing more")
 }
 
 // FoundSilent says that a replica gets no requests because other daemons find it silent.
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -126,6 +126,8 @@
 	Rests(r *routing.Replica, c *Call, left time.Duration)
 	// Leaves says that a replica said that it leaves.
 	Leaves(r *routing.Replica, c *Call)
+	// Replaced says that another replica answers at a replica's address.
+	Replaced(r *routing.Replica, c *Call)
 	// Crowded says that a replica holds too much, by its own report.
 	Crowded(r *routing.Replica, c *Call, l ReportedLoad)
 }
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -51,7 +51,9 @@
 	result  routing.Result       // of the replica, if blame is set
 	blame   bool                 // the result is held against the replica
 	cut     bool                 // the replica's end of the connection closed under the whole request
-	err     error
+	// replaced says that another replica answered at the address.
+	replaced bool
+	err      error
 }
 
 // exchange is one request on one connection.
@@ -186,10 +188,10 @@
 		_, err := io.CopyN(io.Discard, x.response.Body, maxRefusalBytes)
 		x.end(errors.Is(err, io.EOF), clock.Now())
 		// One that asks for rest is obeyed (coordination/routing/resting.go); it has not failed.
-		blame := status != http.StatusMisdirectedRequest && x.head.Says.Rest == 0
+		replaced := status == http.StatusMisdirectedRequest
 		return &failure{
 			outcome: coordination.NotRun{Reason: coordination.ReasonUpstreamBusy},
-			result:  routing.ResultRefused, blame: blame, err: errRefused,
+			result:  routing.ResultRefused, blame: !replaced && x.head.Says.Rest == 0, replaced: replaced, err: errRefused,
 		}
 	case status < http.StatusMultipleChoices && !x.head.Sealed:
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, blame: true, err: errUnsealed}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -121,6 +121,9 @@
 		if f.cut {
 			s.noteEnd(ctx, &t.Replica)
 		}
+		if f.replaced {
+			s.noteReplaced(&t.Replica)
+		}
 	}
 	s.summary.Attempts = append(s.summary.Attempts, a)
 	return f
@@ -156,6 +159,17 @@
 	}
 }
 
+// noteReplaced takes in that another replica answered at a replica's address: the one that was meant
+// has ended, and its entry is not up to date. Other daemons are told, or each would find out by
+// requests of its own, and a caller that comes back by one of them would be turned away again.
+func (s *serving) noteReplaced(r *routing.Replica) {
+	now := clock.Now()
+	s.Placer.Health.ReportEnd(r, now)
+	if s.Placer.Leavings.Say(r, now) {
+		s.Observer.Replaced(r, s.call)
+	}
+}
+
 // praise counts a whole answer in a replica's favour, and the errors of those that
 // were asked before against them.
 func (s *serving) praise(r *routing.Replica, now time.Time) {
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -223,6 +223,7 @@
 
 func (n *nobody) Rests(*routing.Replica, *relay.Call, time.Duration) {}
 func (n *nobody) Leaves(*routing.Replica, *relay.Call)               {}
+func (n *nobody) Replaced(*routing.Replica, *relay.Call)             {}
 
 func (n *nobody) Ejected(r *routing.Replica, _ *relay.Call, _ error) {
 	n.mu.Lock()
--- a/transport/relay/statement_test.go
+++ b/transport/relay/statement_test.go
@@ -18,6 +18,40 @@
 func TestWhatReplicasSayOfThemselvesIsObeyed(t *testing.T) {
 	t.Run("rest", testRest)
 	t.Run("leaving", testLeaving)
+	t.Run("another at the address", testReplaced)
+}
+
+// testReplaced plays a replica that ended and came back under another id, while its entry is still
+// the former one: the first request finds out, and those after it go elsewhere, here and, by what
+// this daemon reports, at others. A route that allows one replica has that one refused.
+func testReplaced(t *testing.T) {
+	for name, route := range map[string]routing.Route{"may run more than once": repeatable, "runs once": once} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			former := startReplica("former", func(a *arrival) bool { return answer(a, 421, "Replica-Id: other\r\n", "") })
+			living := startReplica("living", good)
+			t.Cleanup(func() { former.end(); living.end() })
+			w := newWorld(route, former, living)
+			for i := range 40 {
+				w.serve(w.call(fmt.Sprint(i), "POST", "x"))
+			}
+			if n := former.count(); n > 1 {
+				t.Errorf("%d requests went to the address of the replica that has gone, want one", n)
+			}
+			reports := w.relay.Placer.Leavings.TakeReports(10, time.Now())
+			if len(reports) != 1 {
+				t.Fatalf("%d reports to other daemons, want one", len(reports))
+			}
+			other := newWorld(route, former, living)
+			other.relay.Placer.Leavings.Observe(reports, time.Now())
+			for i := range 40 {
+				other.serve(other.call(fmt.Sprint("other ", i), "POST", "x"))
+			}
+			if n := former.count(); n > 1 {
+				t.Errorf("%d requests of another daemon that was told", n-1)
+			}
+		})
+	}
 }
 
 // testRest is the incident of internal/soak's
