--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -32,7 +32,7 @@
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			binary := p.build(t, root)
-			for _, seed := range p.playedSeeds() {
+			for seed := range uint64(seedsForEach) {
 				report, err := Play(context.Background(), p.plan(seed), Options{Daemon: binary, Dir: t.TempDir()})
 				if err != nil {
 					t.Fatal(err)
@@ -44,7 +44,7 @@
 					}
 				}
 			}
-			t.Errorf("not found with %d seeds", len(p.playedSeeds()))
+			t.Errorf("not found with %d seeds", seedsForEach)
 		})
 	}
 }
@@ -53,18 +53,6 @@
 // mechanism broke the promise with one seed in four.
 const steadyDaemons = 87
 
-// playedSeeds returns the seeds that are played until the fault is found.
-func (p *plant) playedSeeds() []uint64 {
-	if p.seeds != nil {
-		return p.seeds
-	}
-	var out []uint64
-	for seed := range uint64(seedsForEach) {
-		out = append(out, seed)
-	}
-	return out
-}
-
 // plan returns the plan of a seed that may find the fault.
 func (p *plant) plan(seed uint64) *Plan {
 	if p.steady {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -16,7 +16,6 @@
 	steady        bool                      // found by steady runs
 	quiet         time.Duration             // of the runs that find it; 0: as others
 	faults        func(daemons int) []Fault // of the runs that find it; nil: as they are drawn
-	seeds         []uint64                  // that are played; nil: the first seedsForEach
 	plain         bool                      // found by runs without rests, leavings and false ends
 	crashing      int                       // requests that crash replicas in the runs that find it; 0: as others
 	callers       int                       // how many times as many callers there are; 0: as others
