Replicas that leave are looked up by their keys; a view for them is built at the next tick

Some 600 replicas are told of one by one, and each report built a view, for which all replicas were asked, under a lock, whether they leave; so did each choice. Change: those that leave are looked up in the index, by views and by choices; a report marks the view as old, and the next tick, a fifth of a second later at most, builds one. What leaves gets nothing meanwhile: each choice looks it up.

--- a/coordination/routing/barred.go
+++ b/coordination/routing/barred.go
@@ -32,12 +32,12 @@
 
 // barred returns which ready replicas of a pool get nothing.
 func (p *Placer) barred(pool *Pool, now time.Time) replicaSet {
-	if !p.Rests.Known() && !p.Leavings.Known() {
-		return nil
+	barred := p.Leavings.among(pool)
+	if !p.Rests.Known() {
+		return barred
 	}
-	var barred replicaSet
 	for i := range pool.Ready {
-		if p.Bars(&pool.Ready[i], now) {
+		if p.Rests.Left(&pool.Ready[i], now) > 0 {
 			barred = barred.with(i, len(pool.Ready))
 		}
 	}
--- a/coordination/routing/leaving.go
+++ b/coordination/routing/leaving.go
@@ -146,20 +146,52 @@
 // Apply moves the replicas that leave by their own word from the ready ones of a pool to the
 // draining ones. It returns false if there are none.
 func (l *Leavings) Apply(p *Pool) bool {
-	leaves := func(r Replica) bool { return l.Leaves(&r) }
-	if !l.Known() || !slices.ContainsFunc(p.Ready, leaves) {
+	leaving := l.among(p)
+	if leaving == nil {
 		return false
 	}
-	p.Ready = slices.DeleteFunc(slices.Clone(p.Ready), func(r Replica) bool {
-		if !leaves(r) {
-			return false
+	ready := make([]Replica, 0, len(p.Ready))
+	for i, r := range p.Ready {
+		if leaving.has(i) {
+			p.Draining = append(p.Draining, r)
+			continue
 		}
-		p.Draining = append(p.Draining, r)
-		return true
-	})
+		ready = append(ready, r)
+	}
+	p.Ready = ready
 	return true
 }
 
+// among returns which ready replicas of a pool leave by their own word. It looks them up by their
+// keys: few leave, of very many.
+func (l *Leavings) among(p *Pool) (out replicaSet) {
+	if !l.Known() {
+		return nil
+	}
+	indexed := 0
+	if p.places != nil {
+		indexed = p.indexed
+		l.mu.RLock()
+		for key := range l.starts {
+			if i, ok := p.places.place(key); ok && p.Ready[i].LoadKey() == key {
+				out = out.with(i, len(p.Ready))
+			}
+		}
+		for id := range l.told {
+			if i, ok := p.places.place(newLoadKey(Incarnation{ID: id})); ok && p.Ready[i].Incarnation() == (Incarnation{ID: id}) {
+				out = out.with(i, len(p.Ready))
+			}
+		}
+		l.mu.RUnlock()
+	}
+	for i := indexed; i < len(p.Ready); i++ {
+		if l.Leaves(&p.Ready[i]) {
+			out = out.with(i, len(p.Ready))
+		}
+	}
+	return out
+}
+
 // TakeReports returns up to n reports to pass on. What is left waits.
 func (l *Leavings) TakeReports(n int, now time.Time) []LeavingReport {
 	l.mu.Lock()
--- a/coordination/routing/replicas_test.go
+++ b/coordination/routing/replicas_test.go
@@ -172,3 +172,26 @@
 		})
 	}
 }
+
+// BenchmarkLeavingOfMany lays over a pool the replicas that leave by their own word, a sixteenth of
+// all, as each view and each choice does while their entries call them ready.
+func BenchmarkLeavingOfMany(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000, 20000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list, l := routing.NewReplicaList(), routing.NewLeavings()
+			for i := range n {
+				r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("r", i)), Service: "s", Born: 1})
+				list.Put(r)
+				if i%16 == 0 {
+					l.Observe([]routing.LeavingReport{{Replica: r.LoadKey()}}, epoch)
+				}
+			}
+			pool := list.Pool()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.Apply(pool.Overlay())
+			}
+		})
+	}
+}
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -70,6 +70,7 @@
 	// places are the places in Ready by load key, and coldUntil is when the last of them
 	// is warm; Sort makes both.
 	places    *index
+	indexed   int // how many of Ready are in places
 	coldUntil time.Time
 }
 
@@ -82,7 +83,7 @@
 			slices.SortFunc(list, byID)
 		}
 	}
-	p.places, p.coldUntil = newIndex(2*len(p.Ready)), time.Time{}
+	p.places, p.indexed, p.coldUntil = newIndex(2*len(p.Ready)), len(p.Ready), time.Time{}
 	for i := range p.Ready {
 		// By the id too, for the reports of daemons that know no incarnations.
 		p.places.put(LoadKey(p.Ready[i].Hash), i)
@@ -95,7 +96,7 @@
 
 // Overlay returns a copy whose lists can be changed; the replicas are still shared with the pool.
 func (p *Pool) Overlay() *Pool {
-	return &Pool{Ready: slices.Clip(p.Ready), Draining: slices.Clip(p.Draining), places: p.places, coldUntil: p.coldUntil}
+	return &Pool{Ready: slices.Clip(p.Ready), Draining: slices.Clip(p.Draining), places: p.places, indexed: p.indexed, coldUntil: p.coldUntil}
 }
 
 // holder returns the replica of a key that prompts can be copied from, or nil.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -84,7 +84,10 @@
 	configured chan struct{}
 	readPlan   atomic.Pointer[readPlan]
 
-	daemons        int // in the view; see sizeChanged
+	daemons int // in the view; see sizeChanged
+	// viewIsOld says that replicas leave which the view calls ready. They get nothing all the same
+	// (coordination/routing/barred.go); the next tick builds a view, for all that are new by then.
+	viewIsOld      bool
 	storeLost      bool
 	storeUnreadAt  time.Time // when no daemon that is known could read the store
 	storeTroubleAt time.Time // when the store was last known to be unreachable, here or at a peer
@@ -128,7 +131,7 @@
 		case <-c.health.LivesWaiting():
 			c.awaitMoreReports(ctx, livesDue{})
 		case <-c.leavings.Waiting():
-			c.publish(clock.Now())
+			c.viewIsOld = true
 			c.awaitMoreReports(ctx, leavingsDue{})
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
@@ -226,7 +229,7 @@
 		c.cold.SetDaemons(c.roster.Largest())
 	}
 	expired := c.catalog.expired.Expire(now)
-	if n := c.roster.Size(now); c.sizeChanged(n) || expired {
+	if n := c.roster.Size(now); c.sizeChanged(n) || expired || c.viewIsOld {
 		c.daemons = n
 		c.publish(now)
 	}
@@ -313,6 +316,7 @@
 
 // publish builds a view and makes it visible to traffic.
 func (c *control) publish(now time.Time) {
+	c.viewIsOld = false
 	v := c.catalog.view(c.leavings, now)
 	v.Domain, v.Daemons, v.LargeFleet = c.domain, c.daemons, c.largeFleet()
 	old := c.view.Swap(v)
