--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -88,6 +88,7 @@
 	// viewIsOld says that replicas leave which the view calls ready. They get nothing all the same
 	// (coordination/routing/barred.go); the next tick builds a view, for all that are new by then.
 	viewIsOld      bool
+	storeAt        feed.Position // of the store's last answer with documents
 	storeLost      bool
 	storeUnreadAt  time.Time // when no daemon that is known could read the store
 	storeTroubleAt time.Time // when the store was last known to be unreachable, here or at a peer
@@ -142,11 +143,13 @@
 func (c *control) handle(ctx context.Context, e event, now time.Time) {
 	switch e := e.(type) {
 	case storeListed:
-		c.apply(c.catalog.feed.ApplyList(e.items, e.at), sourceStore, now)
+		c.noteList(&e)
+		c.apply(c.catalog.feed.ApplyList(e.items, e.at.Revision), sourceStore, now)
 	case storePaged:
 		c.takePage(&e, now)
 	case storeChanged:
-		c.apply(c.catalog.feed.Apply(e.items), sourceStore, now)
+		c.noteEra(e.At)
+		c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
 	case storeReachable:
 		c.setStoreLost(e, now)
 	case heartbeatReceived:
@@ -293,6 +296,23 @@
 	c.log.Store(e.lost, e.err, c.catalog.feed.Revision())
 }
 
+// noteEra notes in which era the store answers.
+func (c *control) noteEra(at feed.Position) {
+	if from := c.storeAt; from != (feed.Position{}) && from.Era != at.Era {
+		c.log.Era(from, at)
+	}
+	c.storeAt = at
+}
+
+// noteList notes where a list of the store stands, and that it is older than what is held.
+func (c *control) noteList(l *storeListed) {
+	c.noteEra(l.at)
+	f := c.catalog.feed
+	if l.at.Revision < f.Revision() {
+		c.log.OlderList(l.at.Revision, f.Revision(), f.CountOlder(l.items))
+	}
+}
+
 // apply takes over documents that changed and publishes the view. Peers are sent the
 // new revision at once, so that one that the store turns away learns of it.
 func (c *control) apply(changed []feed.Item, source string, now time.Time) {
@@ -310,7 +330,7 @@
 func (c *control) takePage(p *storePaged, now time.Time) {
 	f := c.catalog.feed
 	if f.Revision() > 0 {
-		c.apply(f.ApplyPage(p.items, p.after, p.upTo, p.at), sourceStore, now)
+		c.apply(f.ApplyPage(p.items, p.after, p.upTo, p.at.Revision), sourceStore, now)
 	}
 }
 
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -23,17 +23,17 @@
 	// storeListed is a whole list from the store.
 	storeListed struct {
 		items []feed.Item
-		at    feed.Revision
+		at    feed.Position
 	}
 	// storePaged is a page of a list that goes on: the documents whose keys come after one and up
 	// to another, which is empty on the last page.
 	storePaged struct {
 		items       []feed.Item
 		after, upTo string
-		at          feed.Revision // of the list
+		at          feed.Position // of the list
 	}
 	// storeChanged is what a watch of the store returned.
-	storeChanged struct{ items []feed.Item }
+	storeChanged struct{ feed.Changes }
 	// storeReachable says that the store was lost or regained.
 	storeReachable struct {
 		lost bool
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -13,6 +13,7 @@
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/internal/golden"
+	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
@@ -91,6 +92,8 @@
 		func() { l.Leaves(&replica, call) },
 		func() { l.LeavesByReport("i-1") },
 		func() { l.Replaced(&replica, call) },
+		func() { l.Era(feed.Position{Era: 1, Revision: 9}, feed.Position{Era: 2, Revision: 5}) },
+		func() { l.OlderList(5, 9, 2) },
 		func() { l.Said(&replica, call, relay.Statement{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -143,6 +143,23 @@
 	l.logger.Info().Uint64("revision", uint64(at)).Msg(prefixStore + "regained")
 }
 
+// Era says that the store answers in another era: it came back from a copy of itself.
+func (l *Log) Era(from, to feed.Position) {
+	const text = "came back from a copy of itself; what was written since is gone there"
+	l.timeline.Record(coordination.EventPlatform, "store", "", "era %d begins", uint64(to.Era))
+	l.metrics.StoreEras.Inc(1)
+	l.logger.Warn().Uint64("from_era", uint64(from.Era)).Uint64("from_revision", uint64(from.Revision)).
+		Uint64("era", uint64(to.Era)).Uint64("revision", uint64(to.Revision)).Msg(prefixStore + text)
+}
+
+// OlderList says that a list of the store is older than what is held, and how many of its documents
+// are not taken over for that.
+func (l *Log) OlderList(list, held feed.Revision, leftOut int) {
+	l.metrics.OlderLists.Inc(1)
+	l.logger.Warn().Uint64("revision", uint64(list)).Uint64("held_revision", uint64(held)).Int("left_out", leftOut).
+		Msg(prefixStore + "list is older than what is held")
+}
+
 // Documents says that documents changed. source is the store or a peer's address.
 func (l *Log) Documents(n int, source string, at feed.Revision) {
 	l.logger.Info().Int("documents", n).Str("source", source).Uint64("revision", uint64(at)).Msg(prefixControl + "documents changed")
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -56,7 +56,11 @@
 	Cold        metrics.Counter
 	Evacuations metrics.Counter
 	StoreCalls  metrics.Counter
-	Syncs       metrics.Counter
+	// StoreEras counts how often the store came back from a copy of itself, and OlderLists its lists
+	// that were older than what was held.
+	StoreEras  metrics.Counter
+	OlderLists metrics.Counter
+	Syncs      metrics.Counter
 	// SyncedBytes and HeartbeatBytes are payloads, without headers of lower layers.
 	SyncedBytes        metrics.Counter
 	HeartbeatBytes     metrics.Counter
@@ -108,6 +112,8 @@
 		"turned_cold_total":      &m.Cold,
 		"evacuations_total":      &m.Evacuations,
 		"store_calls_total":      &m.StoreCalls,
+		"store_eras_total":       &m.StoreEras,
+		"older_lists_total":      &m.OlderLists,
 		"pulls_total":            &m.Syncs,
 		"pulled_bytes_total":     &m.SyncedBytes,
 		"beat_bytes_total":       &m.HeartbeatBytes,
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -18,9 +18,8 @@
 type Store interface {
 	// List reads a page of the documents whose keys come after one.
 	List(ctx context.Context, after string, t transport.Timeouts) (feed.Page, error)
-	// Watch waits for changes after a revision, and returns the revision to go
-	// on from. Its timeouts include the wait.
-	Watch(ctx context.Context, after feed.Revision, wait time.Duration, t transport.Timeouts) ([]feed.Item, feed.Revision, error)
+	// Watch waits for changes after a revision. Its timeouts include the wait.
+	Watch(ctx context.Context, after feed.Revision, wait time.Duration, t transport.Timeouts) (feed.Changes, error)
 	// Forget closes connections that may have died.
 	Forget()
 }
@@ -48,7 +47,7 @@
 // what has been read is kept, and the list goes on from there.
 type listing struct {
 	items []feed.Item
-	at    feed.Revision // of the first page
+	at    feed.Position // of the first page
 	next  string
 	begun time.Time
 }
@@ -59,7 +58,7 @@
 	control     *control
 	historyGone error  // of the store: it must be listed again
 	countCall   func() // is called for each call to the store
-	after       feed.Revision
+	after       feed.Position
 	listed      bool
 	partial     *listing // nil: the next list begins with the first page
 	backoff     time.Duration
@@ -161,16 +160,16 @@
 	// Between 3/4 and 5/4 of the wait: daemons must not ask in step.
 	wait := plan.Wait
 	wait = wait*3/4 + rand.N(wait/2)
-	items, at, err := r.store.Watch(ctx, r.after, wait, transport.Timeouts{FirstByte: wait + watchSlack, Idle: idleTimeout})
+	changes, err := r.store.Watch(ctx, r.after.Revision, wait, transport.Timeouts{FirstByte: wait + watchSlack, Idle: idleTimeout})
 	if err != nil {
 		return err
 	}
-	r.after = max(r.after, at)
-	if len(items) > 0 {
-		r.control.post(ctx, storeChanged{items: items})
+	r.after.Revision = max(r.after.Revision, changes.At.Revision)
+	if len(changes.Items) > 0 {
+		r.control.post(ctx, storeChanged{changes})
 	}
 	r.succeeded(ctx)
-	if len(items) > 0 {
+	if len(changes.Items) > 0 {
 		pause(ctx, plan.Gap)
 	}
 	return nil
--- a/daemon/routes/store_test.go
+++ b/daemon/routes/store_test.go
@@ -32,20 +32,20 @@
 		}
 		n++
 	}
-	p := feed.Page{At: feed.Revision(100 + n), Items: []feed.Item{{Key: fmt.Sprintf("k%d", n), Revision: feed.Revision(1 + n)}}}
+	p := feed.Page{At: feed.Position{Revision: feed.Revision(100 + n)}, Items: []feed.Item{{Key: fmt.Sprintf("k%d", n), Revision: feed.Revision(1 + n)}}}
 	if n+1 < s.pages {
 		p.Next = fmt.Sprintf("k%d", n)
 	}
 	return p, nil
 }
 
-func (s *crowdedStore) Watch(ctx context.Context, after feed.Revision, _ time.Duration, _ transport.Timeouts) ([]feed.Item, feed.Revision, error) {
+func (s *crowdedStore) Watch(ctx context.Context, after feed.Revision, _ time.Duration, _ transport.Timeouts) (feed.Changes, error) {
 	select {
 	case s.watched <- after:
 	default:
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return feed.Changes{}, ctx.Err()
 }
 
 func (s *crowdedStore) Forget() {}
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -20,9 +20,6 @@
 	"strings"
 )
 
-// Revision orders the changes of the store. 0 is before all of them.
-type Revision uint64
-
 // Item is a document, or the removal of one.
 type Item struct {
 	Key      string
@@ -35,10 +32,16 @@
 // snapshot: what is missing and not newer than the first page's At is gone.
 type Page struct {
 	Items []Item
-	At    Revision // of the source when it gave the page
+	At    Position // of the source when it gave the page
 	Next  string   // the key after which the next page begins; empty: this is the last
 }
 
+// Changes are what a watch of the store returned, and the position to go on from.
+type Changes struct {
+	Items []Item
+	At    Position
+}
+
 // keptTombstones bounds how many removals are remembered: more than a large fleet has replicas.
 const keptTombstones = 4096
 
@@ -181,6 +184,17 @@
 	return items, whole
 }
 
+// CountOlder returns how many of some documents are older than those that are held.
+func (f *Feed) CountOlder(items []Item) int {
+	n := 0
+	for _, it := range items {
+		if held, ok := f.items[it.Key]; ok && held.Revision > it.Revision {
+			n++
+		}
+	}
+	return n
+}
+
 // Get returns a document that is held.
 func (f *Feed) Get(key string) (Item, bool) {
 	it, ok := f.items[key]
