--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -57,6 +57,7 @@
 	Rests    float64       `long:"rests" default:"0.3" description:"how often replicas turn all away and ask for rest, a second; with 0 never, as for seeds kept from before"`
 	Leavings float64       `long:"leavings" default:"0.15" description:"how often a replica leaves and says so in its answers only, a second; with 0 never, as for seeds kept from before"`
 	Ends     float64       `long:"false-ends" default:"0.1" description:"how often daemons are told of ends of replicas that live, a second; with 0 never, as for seeds kept from before"`
+	Restores float64       `long:"restores" default:"0.1" description:"how often the store comes back from a copy of itself, a second; with 0 never, as for seeds kept from before"`
 	Steady   bool          `long:"steady" description:"no faults at daemons, replicas and the store; prompts that get hot, before exactly --daemons daemons"`
 	Dir      string        `long:"dir" description:"where runs are kept (default: a temporary directory)"`
 	Keep     bool          `long:"keep" description:"keep the directories of runs that broke nothing, too"`
@@ -175,7 +176,7 @@
 	shape.Trouble, shape.Quiet, shape.MostDaemons, shape.FaultsPerSec = o.Trouble, o.Quiet, o.Daemons, o.Rate
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuate, o.Crashing, o.Foreign
 	shape.RestsPerSec, shape.LeavingsPerSec = o.Rests, o.Leavings
-	shape.FalseEndsPerSec, shape.Upgrades = o.Ends, o.Previous != ""
+	shape.FalseEndsPerSec, shape.RestoresPerSec, shape.Upgrades = o.Ends, o.Restores, o.Previous != ""
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -152,6 +152,7 @@
 	incarnation := d.incarnation
 	d.mu.Unlock()
 	d.fleet.ledger.Runs(d.number, incarnation, build)
+	d.fleet.ledger.Begins(d.number, incarnation, time.Now())
 	d.fleet.wg.Go(func() {
 		err := cmd.Wait()
 		_ = out.Close()
--- a/internal/soak/foreign.go
+++ b/internal/soak/foreign.go
@@ -62,7 +62,10 @@
 		s.store.PutEntry(key, foreignEntry(f.Variant+i, r.Service, s.trap.address()))
 		defer s.store.DeleteReplica(key)
 	}
+	s.mu.Lock()
+	delete(s.entries, r.ID)
 	s.store.PutEntry(r.ID, foreignEntry(f.Variant/8, r.Service, p.link.Address()))
+	s.mu.Unlock()
 	s.ledger.Leaves(r.ID, time.Now())
 	pause(s.ctx, f.For)
 	s.mu.Lock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +36,8 @@
 	endpoints []*standin.StoreEndpoint
 	note      func(format string, args ...any)
 
+	copies copies // of the store
+
 	// storeMu keeps troubles of the store apart: the last one would end all.
 	storeMu sync.Mutex
 }
@@ -43,6 +46,9 @@
 func (s *injector) run(p *Plan) {
 	var wg sync.WaitGroup
 	begun := time.Now()
+	if slices.ContainsFunc(p.Faults, func(f Fault) bool { return f.Kind == restoreStore }) {
+		go s.keepCopies()
+	}
 	for _, f := range p.Faults {
 		wg.Go(func() {
 			pause(s.ctx, time.Until(begun.Add(f.At)))
@@ -77,6 +83,8 @@
 		s.injectProcess(f)
 	case storeAway, storeTurns, storeExpires, storeForgets:
 		s.injectStore(f)
+	case restoreStore:
+		s.restore(f)
 	case cutDaemon, cutDomain:
 		s.cut(f)
 	case linkReplica, linkCallers, linkStore:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -114,6 +114,7 @@
 		return
 	}
 	j.judgeRuns(r)
+	j.judgeRegress(r)
 	j.judgeArrivals(r)
 	j.judgeEvacuated(r)
 	j.judgeLeaving(r)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -113,8 +113,9 @@
 	crashes  map[int][]crash             // by number of the crashing request
 	restsBy  map[processLife][]restAsked // by the daemon that was asked
 	builds   map[processLife]Build
-	freezes  map[int][]span    // of daemons
-	aside    map[string][]span // when replicas rested, or left by their answers alone
+	begins   map[processLife]time.Time // of processes
+	freezes  map[int][]span            // of daemons
+	aside    map[string][]span         // when replicas rested, or left by their answers alone
 	// quietFrom is when the end of the quiet time begins, whose requests must be served.
 	quietFrom time.Time
 }
@@ -132,7 +133,7 @@
 		stops: make(map[int][]span), leaving: make(map[string][]span), joined: make(map[string]map[string]time.Time), routes: make(map[string][]change),
 		keys: make(map[string]*keyLife), found: make(map[string]Violation),
 		domains: make(map[string]string), emptied: make(map[string][]span), cold: make(map[string][]coldSpan),
-		crashes: make(map[int][]crash), freezes: make(map[int][]span), aside: make(map[string][]span), builds: make(map[processLife]Build), restsBy: make(map[processLife][]restAsked),
+		crashes: make(map[int][]crash), freezes: make(map[int][]span), aside: make(map[string][]span), builds: make(map[processLife]Build), begins: make(map[processLife]time.Time), restsBy: make(map[processLife][]restAsked),
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -23,6 +23,7 @@
 	storeTurns    faultKind = "store_turns"    // turns some daemons away
 	storeExpires  faultKind = "store_lapses"   // away, and entries expire meanwhile
 	storeForgets  faultKind = "store_forgets"  // watches fall silent, then the history is gone
+	restoreStore  faultKind = "restore_store"  // away, and back from a copy of itself
 	cutDaemon     faultKind = "cut_daemon"     // from the other daemons
 	cutDomain     faultKind = "cut_domain"     // a failure domain's daemons from the others
 	linkReplica   faultKind = "link_replica"   // trouble on connections to a replica
@@ -109,13 +110,15 @@
 	LeavingsPerSec float64
 	// FalseEndsPerSec is how often daemons are told of ends of replicas that live.
 	FalseEndsPerSec float64
+	// RestoresPerSec is how often the store comes back from a copy of itself.
+	RestoresPerSec float64
 	// Upgrades says that the fleet is upgraded while it runs.
 	Upgrades bool
 }
 
 // DefaultShape returns the shape of a run by hand.
 func DefaultShape() Shape {
-	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15, RestsPerSec: 0.3, LeavingsPerSec: 0.15, FalseEndsPerSec: 0.1}
+	return Shape{Trouble: 18 * time.Second, Quiet: 9 * time.Second, MostDaemons: 10, FaultsPerSec: 1.2, EvacuationsPerSec: 0.15, Crashing: 1, ForeignPerSec: 0.15, RestsPerSec: 0.3, LeavingsPerSec: 0.15, FalseEndsPerSec: 0.1, RestoresPerSec: 0.1}
 }
 
 // bounds of the draws.
@@ -145,6 +148,7 @@
 	p.drawForeign(seed, s)
 	p.drawStatements(seed, s)
 	p.drawFalseEnds(seed, s)
+	p.drawRestores(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -63,12 +63,15 @@
 	filler   int // routes that nobody uses
 	places   []*place
 	emptied  map[string]bool // domains that are evacuated
+	// entries are what the replicas wrote last, and written how often each wrote.
+	entries map[string]standin.Replica
+	written map[string]uint64
 }
 
 type siteKey struct{ key, workspace string }
 
 func newSite(l *Ledger) *site {
-	s := &site{ledger: l, store: standin.NewStore(50), emptied: make(map[string]bool), services: map[string]string{"once": serviceGate, "safe": serviceGate, "chat": serviceChat, "reply": serviceChat}}
+	s := &site{ledger: l, store: standin.NewStore(50), emptied: make(map[string]bool), entries: make(map[string]standin.Replica), written: make(map[string]uint64), services: map[string]string{"once": serviceGate, "safe": serviceGate, "chat": serviceChat, "reply": serviceChat}}
 	for i := range 6 {
 		k := siteKey{fmt.Sprintf("first-%d", i), fmt.Sprintf("w%d", i%3)}
 		s.keys = append(s.keys, k)
@@ -235,7 +238,15 @@
 }
 
 func (s *site) announce(p *place, r *Replica, draining bool) {
-	s.store.PutReplica(standin.Replica{ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, ColdMS: r.coldLeft(time.Now()).Milliseconds(), Born: r.born.UnixMilli(), Draining: draining})
+	s.mu.Lock()
+	s.written[r.ID]++
+	e := standin.Replica{
+		ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, ColdMS: r.coldLeft(time.Now()).Milliseconds(),
+		Born: r.born.UnixMilli(), Sequence: s.written[r.ID], Draining: draining,
+	}
+	s.entries[r.ID] = e
+	s.store.PutReplica(e)
+	s.mu.Unlock()
 	if !draining {
 		s.ledger.Returns(r.ID, time.Now())
 	}
@@ -274,7 +285,10 @@
 
 // remove deletes a replica's entry.
 func (s *site) remove(r *Replica) {
+	s.mu.Lock()
+	delete(s.entries, r.ID)
 	s.store.DeleteReplica(r.ID)
+	s.mu.Unlock()
 	s.ledger.Leaves(r.ID, time.Now())
 }
 
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -90,6 +90,13 @@
 	l.builds[processLife{daemon, incarnation}] = b
 }
 
+// Begins notes when a process of a daemon began.
+func (l *Ledger) Begins(daemon, incarnation int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begins[processLife{daemon, incarnation}] = at
+}
+
 // isPrevious reports whether a process of a daemon is of the last build, which knows nothing of
 // what replicas say of themselves and of ends that are disproved.
 func (j *judgement) isPrevious(d processLife) bool { return j.builds[d] == BuildPrevious }
