--- a/cmd/hingectl/router.go
+++ b/cmd/hingectl/router.go
@@ -27,13 +27,13 @@
 func (c *routerStatusCommand) Execute([]string) error {
 	w := table()
 	defer w.Flush()
-	fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIG\tREVISION\tCHANGED\tSTORE\tREADS\tDAEMONS\tREPLICAS\tCOLD\tEVACUATED\tUP\tBUILD\tREADS")
+	fmt.Fprintln(w, "DAEMON\tDOMAIN\tREADY\tCONFIG\tERA\tREVISION\tCHANGED\tSTORE\tREADS\tDAEMONS\tREPLICAS\tCOLD\tEVACUATED\tUP\tBUILD\tREADS")
 	return c.askAll(func(address string) error {
 		var a routes.StatusAnswer
 		if err := ask(address, routes.PathStatus, &a); err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%t\t%d\t%d\t%d\t%s\t%dms\t%s\t%s\n", a.Daemon, a.Domain, readiness(&a), a.Version, a.Revision,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%t\t%d\t%d\t%d\t%s\t%dms\t%s\t%s\n", a.Daemon, a.Domain, readiness(&a), a.Version, a.Era, a.Revision,
 			age(a.ChangedMS), storeState(a.StoreLost), a.ReadsStore, a.Daemons, a.Replicas, a.Cold, domains(a.Evacuated), a.UptimeMS, a.Build, strings.Join(a.Reads, ","))
 		return nil
 	})
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -45,6 +45,8 @@
 	lower      Member
 	lowerSince time.Time
 	ended      Incarnation
+	// eralessAt is when it last named no era of the store in a heartbeat of its own; zero: it names one.
+	eralessAt time.Time
 }
 
 // supersedes reports whether m is newer than what is known of the daemon. A lower
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/state"
+	"hingewinch.org/hingewinch/state/feed"
 )
 
 // FullMeshSize is the number of other members up to which a heartbeat goes to all of them. A fleet
@@ -48,6 +49,8 @@
 	reportedSize float64
 	// listenUntil is until when a daemon that has just started does not read the store.
 	listenUntil time.Time
+	// restored says that the store has come back from a copy, which builds that know no eras miss.
+	restored bool
 }
 
 // NewRoster returns the roster of a daemon. Seeds may name the daemon itself.
@@ -79,6 +82,21 @@
 	return slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.StoreUnreachable && r.isLive(e, now) })
 }
 
+// SetRestored says that the store has come back from a copy of itself.
+func (r *Roster) SetRestored() { r.restored = true }
+
+// ObserveEra takes in the era that a member named in its own heartbeat, 0 for none.
+func (r *Roster) ObserveEra(a Address, era feed.Era, now time.Time) {
+	e := r.members[a]
+	if e == nil {
+		return
+	}
+	e.eralessAt = time.Time{}
+	if era == 0 {
+		e.eralessAt = now
+	}
+}
+
 // SetLeaving marks that the daemon stops.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
--- a/coordination/routing/evacuate_test.go
+++ b/coordination/routing/evacuate_test.go
@@ -52,7 +52,7 @@
 func newEvacuationWorld(daemons int, seed uint64) *evacuationWorld {
 	w := &evacuationWorld{rng: rand.New(rand.NewPCG(seed, 9)), mail: make(map[time.Duration][]evacuationMail), obey: obeyNewest}
 	for range daemons {
-		w.daemons = append(w.daemons, &evacuationDaemon{feed: feed.New(), evacuated: routing.NewEvacuations()})
+		w.daemons = append(w.daemons, &evacuationDaemon{feed: feed.New(nil), evacuated: routing.NewEvacuations()})
 	}
 	return w
 }
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -128,7 +128,7 @@
 // immutable.
 type View struct {
 	Table    *Table        // nil until a configuration is known
-	Revision feed.Revision // of the documents that it was built from
+	Position feed.Position // of the documents that it was built from
 	Pools    map[ServiceName]*Pool
 	Domain   state.FailureDomain // of this daemon
 	Daemons  int                 // live daemons, this one counted
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -4,6 +4,7 @@
 package routes
 
 import (
+	"bytes"
 	"iter"
 	"maps"
 	"time"
@@ -22,6 +23,7 @@
 	ParseConfig(it feed.Item) (*routing.Table, error)
 	// ParseReplica reads the document of a replica. The error says why it names none.
 	ParseReplica(it feed.Item) (routing.Replica, error)
+	feed.Order
 	// ReplicaID returns which replica a document is about; false if it is about
 	// something else.
 	ReplicaID(key string) (routing.ReplicaID, bool)
@@ -44,17 +46,16 @@
 	documents Documents
 	log       *Log
 	feed      *feed.Feed
-	// table is the configuration in force, nil at first, and tableRevision the
-	// revision of its document.
-	table         *routing.Table
-	tableRevision feed.Revision
-	replicas      map[string]routing.Replica // by key of their documents
-	lists         map[routing.ServiceName]*routing.ReplicaList
-	unusable      map[string]unusableEntry // by key
-	expired       *routing.ExpiredEntries
-	evacuations   *routing.Evacuations
-	everything    *packing // nil: no peer has asked for all documents since the last change
-	changedAt     time.Time
+	// table is the configuration in force, nil at first, and tableItem its document.
+	table       *routing.Table
+	tableItem   feed.Item
+	replicas    map[string]routing.Replica // by key of their documents
+	lists       map[routing.ServiceName]*routing.ReplicaList
+	unusable    map[string]unusableEntry // by key
+	expired     *routing.ExpiredEntries
+	evacuations *routing.Evacuations
+	everything  *packing // nil: no peer has asked for all documents since the last change
+	changedAt   time.Time
 }
 
 // unusableEntry is an entry that names no replica, and why.
@@ -65,7 +66,7 @@
 
 func newCatalog(d Documents, l *Log) *catalog {
 	return &catalog{
-		documents: d, log: l, feed: feed.New(), replicas: make(map[string]routing.Replica), expired: routing.NewExpiredEntries(),
+		documents: d, log: l, feed: feed.New(d), replicas: make(map[string]routing.Replica), expired: routing.NewExpiredEntries(),
 		lists: make(map[routing.ServiceName]*routing.ReplicaList), unusable: make(map[string]unusableEntry), evacuations: routing.NewEvacuations(),
 	}
 }
@@ -85,7 +86,7 @@
 	}
 	c.applyConfig(source)
 	c.changedAt = now
-	c.log.Documents(len(changed), source, c.feed.Revision())
+	c.log.Documents(len(changed), source, c.feed.Position())
 	return emptied
 }
 
@@ -185,7 +186,7 @@
 // applyConfig takes a newer configuration. One that can't be read changes nothing.
 func (c *catalog) applyConfig(source string) {
 	it, ok := c.documents.Config(c.feed)
-	if !ok || it.Revision <= c.tableRevision {
+	if !ok || c.table != nil && it.Revision == c.tableItem.Revision && bytes.Equal(it.Value, c.tableItem.Value) {
 		return
 	}
 	t, err := c.documents.ParseConfig(it)
@@ -197,7 +198,7 @@
 		c.log.Rejected(it.Key, errOlderVersion)
 		return
 	}
-	c.table, c.tableRevision = t, it.Revision
+	c.table, c.tableItem = t, it
 	for _, warning := range t.Warnings {
 		c.log.NotUnderstood(it.Key, warning)
 	}
@@ -210,7 +211,7 @@
 // view builds the view of the documents. Replicas that leave by their own word are draining,
 // whatever their entries say.
 func (c *catalog) view(leavings *routing.Leavings, now time.Time) *routing.View {
-	v := &routing.View{Table: c.table, Revision: c.feed.Revision(), Pools: make(map[routing.ServiceName]*routing.Pool)}
+	v := &routing.View{Table: c.table, Position: c.feed.Position(), Pools: make(map[routing.ServiceName]*routing.Pool)}
 	for name, list := range c.lists {
 		if c.isService(name) {
 			v.Pools[name] = c.pool(name, list.Pool(), leavings, now)
@@ -269,25 +270,34 @@
 
 // answer returns what a peer is answered that asks for documents.
 func (c *catalog) answer(q *documentsRequest) documentsAnswer {
-	if q.after == 0 && !q.takesDigest {
+	at := c.feed.Position()
+	if q.knowsEras && at.Era < q.after.Era {
+		return documentsAnswer{documents: gossip.Documents{Items: c.feed.Lasting(), Era: at.Era, Revision: at.Revision}}
+	}
+	after := q.after.Revision
+	if q.knowsEras && q.after.Era != at.Era {
+		after = 0 // its revision says nothing of this era
+	}
+	if after == 0 && !q.takesDigest {
 		return documentsAnswer{everything: c.packEverything()}
 	}
-	items, whole := c.feed.SinceWith(q.after, q.parts)
+	items, whole := c.feed.SinceWith(after, q.parts)
 	switch {
 	case whole && q.takesDigest:
-		d := c.feed.Digest()
+		d := c.feed.Digest(!q.knowsEras || q.after.Era == at.Era)
 		return documentsAnswer{digest: &d}
 	case whole:
 		return documentsAnswer{everything: c.packEverything()}
 	}
-	return documentsAnswer{documents: gossip.Documents{Items: items, Revision: c.feed.Revision()}}
+	return documentsAnswer{documents: gossip.Documents{Items: items, Era: at.Era, Revision: at.Revision}}
 }
 
 // packEverything returns all documents, to be packed when the first peer is answered with them.
 func (c *catalog) packEverything() *packing {
-	if c.everything == nil || c.everything.documents.Revision != c.feed.Revision() {
+	at := c.feed.Position()
+	if c.everything == nil || c.everything.at != at {
 		items, _ := c.feed.Since(0)
-		c.everything = &packing{documents: gossip.Documents{Items: items, Revision: c.feed.Revision(), Whole: true}}
+		c.everything = &packing{at: at, documents: gossip.Documents{Items: items, Era: at.Era, Revision: at.Revision, Whole: true}}
 	}
 	return c.everything
 }
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -88,9 +88,9 @@
 	// viewIsOld says that replicas leave which the view calls ready. They get nothing all the same
 	// (coordination/routing/barred.go); the next tick builds a view, for all that are new by then.
 	viewIsOld      bool
-	storeAt        feed.Position // of the store's last answer with documents
 	storeLost      bool
 	storeUnreadAt  time.Time // when no daemon that is known could read the store
+	era            eraState
 	storeTroubleAt time.Time // when the store was last known to be unreachable, here or at a peer
 	tickedAt       time.Time
 	startedAt      time.Time
@@ -143,13 +143,14 @@
 func (c *control) handle(ctx context.Context, e event, now time.Time) {
 	switch e := e.(type) {
 	case storeListed:
-		c.noteList(&e)
-		c.apply(c.catalog.feed.ApplyList(e.items, e.at.Revision), sourceStore, now)
+		c.syncs.unasked = c.syncs.unasked || c.catalog.feed.Revision() == 0
+		c.takeList(e.items, e.at, sourceStore, now)
 	case storePaged:
 		c.takePage(&e, now)
 	case storeChanged:
-		c.noteEra(e.At)
-		c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
+		if e.At.Era == c.catalog.feed.Position().Era {
+			c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
+		}
 	case storeReachable:
 		c.setStoreLost(e, now)
 	case heartbeatReceived:
@@ -226,6 +227,7 @@
 	c.sendLives(now)
 	c.sendLeavings(now)
 	c.repeatReports(now)
+	c.settleFormer(now)
 	c.loans.forget(now)
 	c.syncIfBehind(ctx, now)
 	if now.Sub(c.startedAt) >= routing.FleetKnownAfter {
@@ -296,23 +298,6 @@
 	c.log.Store(e.lost, e.err, c.catalog.feed.Revision())
 }
 
-// noteEra notes in which era the store answers.
-func (c *control) noteEra(at feed.Position) {
-	if from := c.storeAt; from != (feed.Position{}) && from.Era != at.Era {
-		c.log.Era(from, at)
-	}
-	c.storeAt = at
-}
-
-// noteList notes where a list of the store stands, and that it is older than what is held.
-func (c *control) noteList(l *storeListed) {
-	c.noteEra(l.at)
-	f := c.catalog.feed
-	if l.at.Revision < f.Revision() {
-		c.log.OlderList(l.at.Revision, f.Revision(), f.CountOlder(l.items))
-	}
-}
-
 // apply takes over documents that changed and publishes the view. Peers are sent the
 // new revision at once, so that one that the store turns away learns of it.
 func (c *control) apply(changed []feed.Item, source string, now time.Time) {
@@ -320,16 +305,22 @@
 		return
 	}
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeTroubleAt) < storeTroubleMemory, now))
+	c.announce(now)
+}
+
+// announce publishes a view and tells peers the new position.
+func (c *control) announce(now time.Time) {
 	c.publish(now)
 	c.sendPartial(c.pendingLocations(), now)
 }
 
 // takePage takes over a page of a list that goes on. The first page has the configuration: with ten
 // thousand replicas the last comes seconds later. A daemon that holds nothing yet waits for the
-// whole list: it would take callers before it knows most replicas.
+// whole list: it would take callers before it knows most replicas. So does one that is in another era:
+// all that it holds would become former.
 func (c *control) takePage(p *storePaged, now time.Time) {
 	f := c.catalog.feed
-	if f.Revision() > 0 {
+	if f.Revision() > 0 && f.Position().Era == p.at.Era {
 		c.apply(f.ApplyPage(p.items, p.after, p.upTo, p.at.Revision), sourceStore, now)
 	}
 }
@@ -345,6 +336,15 @@
 	}
 }
 
+// viewPosition returns where the documents of the view stand. Any goroutine may ask.
+func (c *control) viewPosition() feed.Position {
+	v := c.view.Load()
+	if v == nil {
+		return feed.Position{}
+	}
+	return v.Position
+}
+
 // largeFleet reports whether the fleet is too large for all to send to all others.
 func (c *control) largeFleet() bool { return c.daemons > membership.FullMeshSize }
 
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -66,7 +66,7 @@
 		func() { l.Stopped(errors.New("e")) },
 		func() { l.Store(true, errors.New("e"), 1) },
 		func() { l.Store(false, nil, 1) },
-		func() { l.Documents(1, "store", 2) },
+		func() { l.Documents(1, "store", feed.Position{Revision: 2}) },
 		func() { l.Replica("i-1", "gone", 2) },
 		func() { l.Rejected("k", errors.New("e")) },
 		func() { l.Restored("s", 1, 2) },
@@ -92,8 +92,8 @@
 		func() { l.Leaves(&replica, call) },
 		func() { l.LeavesByReport("i-1") },
 		func() { l.Replaced(&replica, call) },
-		func() { l.Era(feed.Position{Era: 1, Revision: 9}, feed.Position{Era: 2, Revision: 5}) },
-		func() { l.OlderList(5, 9, 2) },
+		func() { l.Era(feed.Position{Era: 1, Revision: 9}, feed.Position{Era: 2, Revision: 5}, "store", 3, 4) },
+		func() { l.Former(2, "gone") },
 		func() { l.Said(&replica, call, relay.Statement{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -61,11 +61,10 @@
 func (c *control) newHeartbeat(now time.Time) gossip.Heartbeat {
 	h := gossip.Heartbeat{
 		Sender: c.roster.NextHeartbeat(), Stamp: c.log.timeline.Stamp(),
-		Revision: c.catalog.feed.Revision(), FleetSize: c.roster.Size(now),
-	}
-	if c.catalog.table != nil {
-		h.Version = c.catalog.table.Version
+		Version: c.version(), FleetSize: c.roster.Size(now),
 	}
+	at := c.catalog.feed.Position()
+	h.Era, h.Revision = at.Era, at.Revision
 	return h
 }
 
@@ -143,6 +142,7 @@
 func (c *control) receiveHeartbeat(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
 	c.log.timeline.Observe(h.Stamp)
 	c.observeMembers(h, now)
+	c.roster.ObserveEra(h.Sender.Address, h.Era, now)
 	c.roster.ObserveSize(h.FleetSize)
 	c.planReads(now)
 	if h.Sender.StoreUnreachable {
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -143,26 +143,25 @@
 	l.logger.Info().Uint64("revision", uint64(at)).Msg(prefixStore + "regained")
 }
 
-// Era says that the store answers in another era: it came back from a copy of itself.
-func (l *Log) Era(from, to feed.Position) {
-	const text = "came back from a copy of itself; what was written since is gone there"
+// Era says that the store came back from a copy of itself, and who said so: the store or a peer's
+// address. differs is how many documents are others than before, kept the version of the configuration
+// in force.
+func (l *Log) Era(from, to feed.Position, source string, differs int, kept routing.ConfigVersion) {
 	l.timeline.Record(coordination.EventPlatform, "store", "", "era %d begins", uint64(to.Era))
 	l.metrics.StoreEras.Inc(1)
 	l.logger.Warn().Uint64("from_era", uint64(from.Era)).Uint64("from_revision", uint64(from.Revision)).
-		Uint64("era", uint64(to.Era)).Uint64("revision", uint64(to.Revision)).Msg(prefixStore + text)
+		Uint64("era", uint64(to.Era)).Uint64("revision", uint64(to.Revision)).Str("source", source).
+		Int("documents", differs).Uint64("version", uint64(kept)).Msg(prefixStore + "came back from a copy of itself; what was written last is written again")
 }
 
-// OlderList says that a list of the store is older than what is held, and how many of its documents
-// are not taken over for that.
-func (l *Log) OlderList(list, held feed.Revision, leftOut int) {
-	l.metrics.OlderLists.Inc(1)
-	l.logger.Warn().Uint64("revision", uint64(list)).Uint64("held_revision", uint64(held)).Int("left_out", leftOut).
-		Msg(prefixStore + "list is older than what is held")
+// Former says what became of documents of before that the store's copy lacks, or has older ones of.
+func (l *Log) Former(n int, text string) {
+	l.logger.Warn().Int("documents", n).Msg(prefixControl + text)
 }
 
 // Documents says that documents changed. source is the store or a peer's address.
-func (l *Log) Documents(n int, source string, at feed.Revision) {
-	l.logger.Info().Int("documents", n).Str("source", source).Uint64("revision", uint64(at)).Msg(prefixControl + "documents changed")
+func (l *Log) Documents(n int, source string, at feed.Position) {
+	l.logger.Info().Int("documents", n).Str("source", source).Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Msg(prefixControl + "documents changed")
 }
 
 // Config says that a configuration is in force.
@@ -247,7 +246,7 @@
 	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
 		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.Gone).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
-		Uint64("revision", uint64(s.Revision))
+		Uint64("revision", uint64(s.Position.Revision)).Uint64("era", uint64(s.Position.Era))
 	if len(c.Prompt) > 0 {
 		e.Str("prompt", strconv.FormatUint(c.Key(), 36)).Int("shared", int(c.SharedTokens()))
 	}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -56,10 +56,10 @@
 	Cold        metrics.Counter
 	Evacuations metrics.Counter
 	StoreCalls  metrics.Counter
-	// StoreEras counts how often the store came back from a copy of itself, and OlderLists its lists
-	// that were older than what was held.
+	// StoreEras counts how often the store came back from a copy of itself, and StoreOlder its answers
+	// that were not believed because they were older than what was known.
 	StoreEras  metrics.Counter
-	OlderLists metrics.Counter
+	StoreOlder metrics.Counter
 	Syncs      metrics.Counter
 	// SyncedBytes and HeartbeatBytes are payloads, without headers of lower layers.
 	SyncedBytes        metrics.Counter
@@ -113,7 +113,7 @@
 		"evacuations_total":      &m.Evacuations,
 		"store_calls_total":      &m.StoreCalls,
 		"store_eras_total":       &m.StoreEras,
-		"older_lists_total":      &m.OlderLists,
+		"store_older_total":      &m.StoreOlder,
 		"pulls_total":            &m.Syncs,
 		"pulled_bytes_total":     &m.SyncedBytes,
 		"beat_bytes_total":       &m.HeartbeatBytes,
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -43,6 +43,7 @@
 	UptimeMS    int64                 `json:"uptime_ms"`
 	Version     routing.ConfigVersion `json:"config_version"`
 	Revision    feed.Revision         `json:"revision"`
+	Era         feed.Era              `json:"era"`            // of the revision: how often the store came back from a copy
 	ChangedMS   int64                 `json:"changed_ms_ago"` // since the documents changed; -1: never
 	StoreLost   bool                  `json:"store_lost"`
 	ReadsStore  bool                  `json:"reads_store"`
@@ -149,7 +150,7 @@
 // statusAnswer is what the control loop knows of the status.
 func (c *control) statusAnswer(now time.Time) StatusAnswer {
 	a := StatusAnswer{
-		Domain: c.domain, Revision: c.catalog.feed.Revision(), ChangedMS: -1, StoreLost: c.storeLost,
+		Domain: c.domain, Revision: c.catalog.feed.Revision(), Era: c.catalog.feed.Position().Era, ChangedMS: -1, StoreLost: c.storeLost,
 		ReadsStore: c.readPlan.Load().Reads, Daemons: c.daemons, Replicas: len(c.catalog.replicas),
 		Evacuated: c.catalog.evacuations.Domains(),
 	}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -123,12 +123,13 @@
 	return heartbeatReceived{heartbeat: h}, err
 }
 
-// Parameters of a request for documents. A build that does not know the last two leaves them out
+// Parameters of a request for documents. A build that does not know the last three leaves them out
 // of account, and answers with everything where it can't say what changed.
 const (
 	paramAfter  = "after"  // a revision
 	paramDigest = "digest" // a digest is taken
 	paramParts  = "parts"  // a bit for each part, in hexadecimal
+	paramEra    = "era"    // of the revision; 0: the store does not say
 	// statusDigest marks an answer that is a digest.
 	statusDigest = http.StatusPreconditionFailed
 )
@@ -168,7 +169,10 @@
 
 // encode returns the query of a request.
 func (q *documentsRequest) encode() string {
-	v := url.Values{paramAfter: {strconv.FormatUint(uint64(q.after), 10)}}
+	v := url.Values{paramAfter: {strconv.FormatUint(uint64(q.after.Revision), 10)}}
+	if q.knowsEras {
+		v.Set(paramEra, strconv.FormatUint(uint64(q.after.Era), 10))
+	}
 	if q.takesDigest {
 		v.Set(paramDigest, "1")
 	}
@@ -184,7 +188,14 @@
 	if err != nil {
 		return documentsRequest{}, eris.New("after is not a revision")
 	}
-	q := documentsRequest{after: feed.Revision(after), takesDigest: v.Get(paramDigest) != ""}
+	q := documentsRequest{after: feed.Position{Revision: feed.Revision(after)}, takesDigest: v.Get(paramDigest) != "", knowsEras: v.Has(paramEra)}
+	if q.knowsEras {
+		era, err := strconv.ParseUint(v.Get(paramEra), 10, 64)
+		if err != nil {
+			return documentsRequest{}, eris.New("era is not a number")
+		}
+		q.after.Era = feed.Era(era)
+	}
 	if !v.Has(paramParts) {
 		return q, nil
 	}
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
@@ -43,6 +45,16 @@
 	listAge = 10 * time.Second
 )
 
+// OlderAnswerError means that the store answered from an earlier era, or an earlier revision, than it
+// did before. At is what it named, Known where the daemon stood.
+type OlderAnswerError struct{ At, Known feed.Position }
+
+// Error names both positions and what to do.
+func (e *OlderAnswerError) Error() string {
+	return fmt.Sprintf("the store answers from era %d, revision %d, after era %d, revision %d; check that an old copy of it is not served",
+		e.At.Era, e.At.Revision, e.Known.Era, e.Known.Revision)
+}
+
 // listing is a list under way. When a whole fleet starts the store turns calls away:
 // what has been read is kept, and the list goes on from there.
 type listing struct {
@@ -56,8 +68,10 @@
 type reader struct {
 	store       Store
 	control     *control
-	historyGone error  // of the store: it must be listed again
+	historyGone error // of the store: it must be listed again
+	eras        membership.Eras
 	countCall   func() // is called for each call to the store
+	countOlder  func() // is called for each answer that is older than what was known
 	after       feed.Position
 	listed      bool
 	partial     *listing // nil: the next list begins with the first page
@@ -133,13 +147,25 @@
 	}
 	l := r.partial
 	for {
+		known := l.at.Beginning()
+		if l.next == "" {
+			known = r.control.viewPosition()
+		}
 		r.countCall()
 		page, err := r.store.List(ctx, l.next, transport.Timeouts{FirstByte: listTimeout, Idle: idleTimeout})
 		if err != nil {
 			return err
 		}
+		at, err := r.place(page.At, known)
+		if err != nil {
+			return err
+		}
 		if l.next == "" {
-			l.at = page.At
+			l.at = at
+		}
+		if at.Era != l.at.Era { // pages of two eras make no list
+			r.partial = nil
+			return nil
 		}
 		l.items = append(l.items, page.Items...)
 		r.control.post(ctx, storePaged{items: page.Items, after: l.next, upTo: page.Next, at: l.at})
@@ -154,7 +180,18 @@
 	return nil
 }
 
-// watch waits for a change, and then for more that come with it.
+// place returns the position of an answer. The error says that it is older than what was known.
+func (r *reader) place(at, known feed.Position) (feed.Position, error) {
+	placed, ok := r.eras.Place(at, known, clock.Now())
+	if !ok {
+		r.countOlder()
+		return placed, &OlderAnswerError{At: at, Known: known}
+	}
+	return placed, nil
+}
+
+// watch waits for a change, and then for more that come with it. A change of another era says that the
+// store is to be listed.
 func (r *reader) watch(ctx context.Context, plan *readPlan) error {
 	r.countCall()
 	// Between 3/4 and 5/4 of the wait: daemons must not ask in step.
@@ -164,7 +201,18 @@
 	if err != nil {
 		return err
 	}
-	r.after.Revision = max(r.after.Revision, changes.At.Revision)
+	known := r.after
+	if own := r.control.viewPosition(); known.Era < own.Era {
+		known = own.Beginning()
+	}
+	if changes.At, err = r.place(changes.At, known); err != nil {
+		return err
+	}
+	if changes.At.Era != r.after.Era {
+		r.listed = false
+		return nil
+	}
+	r.after = changes.At
 	if len(changes.Items) > 0 {
 		r.control.post(ctx, storeChanged{changes})
 	}
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -12,6 +12,10 @@
 //  5. A peer whose configuration is newer is asked for that, although its revision may be no
 //     higher: it may be in the middle of a list of the store. Once one has answered, none is asked
 //     for that version again.
+//  6. A peer in a later era of the store is newer, whatever the revisions. Of an answer from an
+//     earlier era only the configuration counts, by its own version.
+//  7. A daemon whose first documents came from the store asks one peer once: the store may have come
+//     back from a copy, and peers know what it lacks.
 
 package routes
 
@@ -43,6 +47,7 @@
 	newer      map[membership.Address]newerPeer
 	newerSince time.Time
 	underWay   bool
+	unasked    bool // the first documents came from the store, and no peer was asked since
 	// answered is the highest version of the configuration that a peer was asked for and answered.
 	answered routing.ConfigVersion
 }
@@ -55,20 +60,21 @@
 
 // position is how new the documents are that a daemon holds.
 type position struct {
-	revision feed.Revision
-	version  routing.ConfigVersion
+	feed.Position
+	version routing.ConfigVersion
 }
 
 // newerThan reports whether either is newer than another one's.
 func (p position) newerThan(other position) bool {
-	return p.revision > other.revision || p.version > other.version
+	return other.Before(p.Position) || p.version > other.version
 }
 
 // documentsRequest is what a peer is asked for: what changed after a revision, and all that it
 // holds in some parts, nil for none. Where it can't say what changed, it answers with a digest if
 // that is taken, and else with everything.
 type documentsRequest struct {
-	after       feed.Revision
+	after       feed.Position
+	knowsEras   bool // false: a build that does not, and whose revision counts in any era
 	parts       feed.Parts
 	digest      feed.Digest // by which the parts differ
 	takesDigest bool
@@ -86,6 +92,7 @@
 // packing is all documents of a daemon. They are packed once for all who ask while nothing
 // changes: when a whole fleet starts, hundreds ask the same few daemons.
 type packing struct {
+	at        feed.Position
 	documents gossip.Documents
 	once      sync.Once
 	payload   []byte
@@ -117,8 +124,10 @@
 
 // noteRevision takes in the revision of a heartbeat's sender.
 func (c *control) noteRevision(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
-	p := newerPeer{position: position{h.Revision, h.Version}, sameDomain: h.Sender.Domain == c.domain}
+	at := feed.Position{Era: c.placeEra(h.Era), Revision: h.Revision}
+	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
+		c.askOnce(ctx, h.Sender.Address, at)
 		return
 	}
 	if len(c.syncs.newer) == 0 {
@@ -130,11 +139,24 @@
 
 // position returns how new this daemon's documents are, by rule 5.
 func (c *control) position() position {
-	p := position{revision: c.catalog.feed.Revision(), version: c.syncs.answered}
-	if t := c.catalog.table; t != nil {
-		p.version = max(p.version, t.Version)
+	return position{c.catalog.feed.Position(), max(c.syncs.answered, c.version())}
+}
+
+// version returns the version of the configuration in force, 0 for none.
+func (c *control) version() routing.ConfigVersion {
+	if c.catalog.table == nil {
+		return 0
 	}
-	return p
+	return c.catalog.table.Version
+}
+
+// askOnce asks a peer that is in the same era by rule 7.
+func (c *control) askOnce(ctx context.Context, from membership.Address, at feed.Position) {
+	own := c.catalog.feed.Position()
+	if !c.syncs.unasked || c.syncs.underWay || own.Era == 0 || at.Era != own.Era || at.Before(own) {
+		return
+	}
+	c.ask(ctx, from, documentsRequest{after: own, takesDigest: true})
 }
 
 // source returns the peer to ask, and forgets those that hold nothing newer any
@@ -164,9 +186,10 @@
 		time.AfterFunc(wait, func() { c.post(ctx, syncDue{}) })
 		return
 	}
-	q := documentsRequest{after: f.AskAfter(), takesDigest: f.Revision() > 0, version: peer.version}
-	if peer.revision <= f.Revision() {
-		q.after, q.takesDigest = f.Revision(), false // for the configuration alone
+	own := f.Position()
+	q := documentsRequest{after: feed.Position{Era: own.Era, Revision: f.AskAfter()}, takesDigest: f.Revision() > 0, version: peer.version}
+	if !own.Before(peer.Position) {
+		q.after, q.takesDigest = own, false // for the configuration alone
 	}
 	c.ask(ctx, from, q)
 }
@@ -174,6 +197,7 @@
 // ask asks a peer.
 func (c *control) ask(ctx context.Context, from membership.Address, q documentsRequest) {
 	c.syncs.underWay = true
+	q.knowsEras = true
 	go func() {
 		answer, err := c.syncs.fetch(ctx, from, q)
 		c.post(ctx, synced{asked: q, answer: answer, from: from, err: err})
@@ -200,26 +224,41 @@
 		return
 	}
 	c.syncs.answered = max(c.syncs.answered, s.asked.version)
-	f, d := c.catalog.feed, &s.answer.documents
-	switch {
-	case s.answer.digest != nil:
+	c.syncs.unasked = false
+	f, d, source := c.catalog.feed, &s.answer.documents, string(s.from)
+	if s.answer.digest != nil {
 		c.askForParts(ctx, s.from, *s.answer.digest, now)
+		return
+	}
+	at := feed.Position{Era: c.placeEra(d.Era), Revision: d.Revision}
+	own := f.Position()
+	switch {
+	case at.Era < own.Era:
+		c.apply(f.ApplyFormer(d.Items), source, now)
 	case d.Whole:
-		c.apply(f.ApplyList(d.Items, d.Revision), string(s.from), now)
-	case s.asked.parts != nil:
-		c.apply(f.ApplyParts(d.Items, d.Revision, s.asked.digest, s.asked.parts), string(s.from), now)
-	default:
-		c.apply(f.ApplyChanges(d.Items, d.Revision), string(s.from), now)
+		c.takeList(d.Items, at, source, now)
+	case s.asked.parts != nil && s.asked.digest.Era == at.Era:
+		changed := f.ApplyParts(d.Items, d.Revision, s.asked.digest, s.asked.parts)
+		c.apply(changed, source, now)
+		c.noteEra(own, source, len(changed), now)
+	case s.asked.parts == nil && own.Era == at.Era && s.asked.after.Era == at.Era:
+		c.apply(f.ApplyChanges(d.Items, d.Revision), source, now)
 	}
 }
 
 // askForParts asks a peer for the parts in which this daemon's documents differ from its digest.
 func (c *control) askForParts(ctx context.Context, from membership.Address, d feed.Digest, now time.Time) {
 	f := c.catalog.feed
+	own := f.Position()
+	if d.Era = c.placeEra(d.Era); d.Era < own.Era {
+		return
+	}
 	parts := f.Differing(d)
 	if !parts.Any() {
-		c.apply(f.ApplyParts(nil, d.Revision, d, parts), string(from), now)
+		changed := f.ApplyParts(nil, d.Revision, d, parts)
+		c.apply(changed, string(from), now)
+		c.noteEra(own, string(from), len(changed), now)
 		return
 	}
-	c.ask(ctx, from, documentsRequest{after: d.Revision, parts: parts, digest: d, takesDigest: true})
+	c.ask(ctx, from, documentsRequest{after: feed.Position{Era: d.Era, Revision: d.Revision}, parts: parts, digest: d, takesDigest: true})
 }
--- a/protocol/gossip/digest.go
+++ b/protocol/gossip/digest.go
@@ -13,13 +13,13 @@
 
 type digestMessage struct {
 	_        struct{} `cbor:",toarray"`
-	Revision feed.Revision
+	Position positionMessage
 	Sums     []uint64
 }
 
 // EncodeDigest encodes a digest.
 func EncodeDigest(d *feed.Digest) ([]byte, error) {
-	return encode(&digestMessage{Revision: d.Revision, Sums: d.Sums})
+	return encode(&digestMessage{Position: positionMessage{d.Era, d.Revision}, Sums: d.Sums})
 }
 
 // DecodeDigest is the reverse of [EncodeDigest].
@@ -31,7 +31,7 @@
 	if !isNumberOfParts(len(m.Sums)) {
 		return feed.Digest{}, eris.Errorf("a digest of %d parts; want a power of two from %d to %d", len(m.Sums), feed.LeastParts, feed.MostParts)
 	}
-	return feed.Digest{Revision: m.Revision, Sums: m.Sums}, nil
+	return feed.Digest{Era: m.Position.Era, Revision: m.Position.Revision, Sums: m.Sums}, nil
 }
 
 func isNumberOfParts(n int) bool {
--- a/protocol/gossip/documents.go
+++ b/protocol/gossip/documents.go
@@ -16,6 +16,7 @@
 // Documents answers a daemon that asks for the documents that changed.
 type Documents struct {
 	Items    []feed.Item
+	Era      feed.Era      // of all revisions
 	Revision feed.Revision // of the sender
 	Whole    bool          // Items is everything, not only what changed
 }
@@ -35,7 +36,7 @@
 type documentsMessage struct {
 	_        struct{} `cbor:",toarray"`
 	Items    []itemMessage
-	Revision feed.Revision
+	Position positionMessage
 	Whole    bool
 }
 
@@ -65,7 +66,7 @@
 }
 
 func encodeDocuments(d *Documents) ([]byte, error) {
-	m := documentsMessage{Revision: d.Revision, Whole: d.Whole}
+	m := documentsMessage{Position: positionMessage{d.Era, d.Revision}, Whole: d.Whole}
 	m.Items = convert(d.Items, func(it feed.Item) itemMessage {
 		return itemMessage{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Gone}
 	})
@@ -94,7 +95,7 @@
 	items := convert(m.Items, func(it itemMessage) feed.Item {
 		return feed.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Gone}
 	})
-	return Documents{Items: items, Revision: m.Revision, Whole: m.Whole}, nil
+	return Documents{Items: items, Era: m.Position.Era, Revision: m.Position.Revision, Whole: m.Whole}, nil
 }
 
 func encode(v any) ([]byte, error) {
--- a/protocol/gossip/heartbeat.go
+++ b/protocol/gossip/heartbeat.go
@@ -21,6 +21,7 @@
 	Sender    membership.Member
 	Stamp     coordination.Stamp    // of the time line
 	Members   []membership.Member   // some others that the sender believes live
+	Era       feed.Era              // of the store, in which the revision counts
 	Revision  feed.Revision         // newest document that the sender holds
 	Version   routing.ConfigVersion // of its configuration
 	FleetSize int                   // number of daemons, as the sender knows it
@@ -87,7 +88,7 @@
 		return Heartbeat{}, eris.New("heartbeat without a sender")
 	}
 	h := Heartbeat{
-		Stamp: coordination.Stamp{Wall: m.Wall, Counter: m.Counter}, Revision: m.Revision, Version: m.Version,
+		Stamp: coordination.Stamp{Wall: m.Wall, Counter: m.Counter}, Era: m.Position.Era, Revision: m.Position.Revision, Version: m.Version,
 		FleetSize: m.FleetSize, Partial: m.Partial,
 		Loads: convert(m.Loads, loadMessage.value), Locations: convert(m.Locations, locationMessage.value),
 		Evidence: convert(m.Evidence, evidenceMessage.value),
@@ -114,7 +115,7 @@
 	Members   []memberMessage // the first is the sender
 	Wall      int64
 	Counter   uint32
-	Revision  feed.Revision
+	Position  positionMessage
 	Version   routing.ConfigVersion
 	FleetSize int
 	Partial   bool
@@ -194,7 +195,7 @@
 
 func encodeWhole(h *Heartbeat) ([]byte, error) {
 	m := heartbeatMessage{
-		Wall: h.Stamp.Wall, Counter: h.Stamp.Counter, Revision: h.Revision, Version: h.Version,
+		Wall: h.Stamp.Wall, Counter: h.Stamp.Counter, Position: positionMessage{h.Era, h.Revision}, Version: h.Version,
 		FleetSize: h.FleetSize, Partial: h.Partial,
 		Loads: convert(h.Loads, func(c routing.LoadCount) loadMessage {
 			return loadMessage{Replica: c.Replica, Requests: c.Requests}
--- a/state/feed/example_test.go
+++ b/state/feed/example_test.go
@@ -8,7 +8,7 @@
 
 // Example takes a list and a change, and answers a peer.
 func Example() {
-	f := feed.New()
+	f := feed.New(nil)
 	f.ApplyList([]feed.Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 4)
 	f.Apply([]feed.Item{{Key: "a", Revision: 5, Gone: true}})
 	items, whole := f.Since(4)
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -3,12 +3,15 @@
 // bytes and the store's revision; what the bytes mean is not known here.
 //
 // For every key the newest revision wins, so that a daemon never goes back to an
-// older document, whoever sends it. The package relies on the store's revisions
-// rising with each change.
+// older document, whoever sends it. Revisions rise with each change, until the store
+// comes back from a copy of itself: then another era begins, whose revisions say nothing
+// about those of before. A feed is in one era. What it held when it entered it are former
+// documents (era.go): each stays until the store's word on it in the new era is known.
 //
 // # Usage
 //
-//	f := feed.New()
+//	f := feed.New(order)
+//	f.Enter(era)                       // before the first list of another era
 //	changed := f.Apply(items)          // from a watch or a peer
 //	changed = f.ApplyList(items, at)   // a whole list: what is missing is gone
 //	items, whole := f.Since(revision)  // for a peer
@@ -20,11 +23,12 @@
 	"strings"
 )
 
-// Item is a document, or the removal of one.
+// Item is a document, or the removal of one. The value of a removal is the last document, if that is
+// known.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision Revision
+	Revision Revision // 0: it is a former document, of an era before the feed's
 	Gone     bool
 }
 
@@ -47,7 +51,11 @@
 
 // Feed is the set of documents. Its owner guards it.
 type Feed struct {
+	order    Order
+	era      Era
 	items    map[string]Item
+	overrule map[string]Item // by key, the store's documents that former ones stand against
+	former   bool            // there may be former documents that the store does not have
 	revision Revision
 	newest   Revision // of the documents
 	// horizon is the revision up to which removals may not be known here: they were forgotten, or
@@ -57,12 +65,20 @@
 	tombstones []string
 }
 
-// New returns an empty feed.
-func New() *Feed { return &Feed{items: make(map[string]Item)} }
+// New returns an empty feed. A nil order knows nothing of what documents say of themselves.
+func New(o Order) *Feed {
+	if o == nil {
+		o = noOrder{}
+	}
+	return &Feed{order: o, items: make(map[string]Item), overrule: make(map[string]Item)}
+}
 
 // Revision returns the revision up to which everything is held.
 func (f *Feed) Revision() Revision { return f.revision }
 
+// Position returns the same with the era.
+func (f *Feed) Position() Position { return Position{Era: f.era, Revision: f.revision} }
+
 // Apply takes over what changed after the feed's revision, as a watch gives it: all from there on
 // up to the last of the items. It returns what is news.
 func (f *Feed) Apply(items []Item) []Item {
@@ -95,18 +111,33 @@
 func (f *Feed) merge(items []Item) []Item {
 	var changed []Item
 	for _, it := range items {
-		if held, ok := f.items[it.Key]; ok && held.Revision >= it.Revision {
-			continue
+		if f.mergeItem(it) {
+			changed = append(changed, f.items[it.Key])
 		}
-		f.put(it)
-		changed = append(changed, it)
 	}
 	return changed
 }
 
+// mergeItem takes an item over if it is newer than what is held. It returns true if it is news.
+func (f *Feed) mergeItem(it Item) bool {
+	held, ok := f.items[it.Key]
+	if ok && (held.Revision == 0 || it.Revision == 0) {
+		return f.mergeFormer(held, it)
+	}
+	if ok && held.Revision >= it.Revision {
+		return false
+	}
+	f.put(it)
+	return true
+}
+
 func (f *Feed) put(it Item) {
+	if it.Gone && len(it.Value) == 0 {
+		it.Value = f.items[it.Key].Value
+	}
 	f.items[it.Key] = it
 	f.newest = max(f.newest, it.Revision)
+	f.former = f.former || it.Revision == 0
 	if !it.Gone {
 		return
 	}
@@ -136,22 +167,19 @@
 func (f *Feed) removeUnlisted(items []Item, at Revision, inRange func(key string) bool) []Item {
 	listed := make(map[string]struct{}, len(items))
 	for _, it := range items {
-		if !it.Gone { // a removal may be older than what is held
+		if !it.Gone && it.Revision > 0 { // a removal may be older than what is held, a former document is not the store's
 			listed[it.Key] = struct{}{}
 		}
 	}
 	var gone []Item
 	for key, held := range f.items {
 		_, ok := listed[key]
-		if !ok && !held.Gone && held.Revision <= at && inRange(key) {
-			gone = append(gone, Item{Key: key, Revision: max(at, held.Revision+1), Gone: true})
+		revision, isCurrent := f.currentRevision(held)
+		if !ok && isCurrent && revision <= at && inRange(key) {
+			gone = append(gone, Item{Key: key, Revision: max(at, revision+1), Gone: true})
 		}
 	}
-	slices.SortFunc(gone, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	for _, it := range gone {
-		f.put(it)
-	}
-	return gone
+	return f.putAll(gone)
 }
 
 // skipTo records that everything up to a revision is held, but not what was written and removed on
@@ -167,14 +195,18 @@
 // peer's answer was complete up to there.
 func (f *Feed) Advance(to Revision) { f.revision = max(f.revision, to) }
 
-// Since returns what changed after a revision, or everything if whole is true.
+// Since returns what changed after a revision of the era, or everything if whole is true. Former
+// documents, and what they stand against, are always with it: no revision tells who lacks them.
 func (f *Feed) Since(after Revision) (items []Item, whole bool) {
 	whole = after < f.horizon || after == 0
 	for _, it := range f.items {
-		if it.Revision > after || whole {
-			items = append(items, it)
+		if it.Revision > after || whole && it.Revision > 0 || f.tellsFormer(it) {
+			items = append(items, withoutLast(it))
 		}
 	}
+	for _, it := range f.overrule {
+		items = append(items, it)
+	}
 	slices.SortFunc(items, func(a, b Item) int {
 		if a.Revision != b.Revision {
 			return int(int64(a.Revision) - int64(b.Revision))
@@ -184,17 +216,6 @@
 	return items, whole
 }
 
-// CountOlder returns how many of some documents are older than those that are held.
-func (f *Feed) CountOlder(items []Item) int {
-	n := 0
-	for _, it := range items {
-		if held, ok := f.items[it.Key]; ok && held.Revision > it.Revision {
-			n++
-		}
-	}
-	return n
-}
-
 // Get returns a document that is held.
 func (f *Feed) Get(key string) (Item, bool) {
 	it, ok := f.items[key]
--- a/state/feed/feed_test.go
+++ b/state/feed/feed_test.go
@@ -23,7 +23,7 @@
 
 var _ = Describe("Feed", func() {
 	It("never goes back to an older document", func() {
-		f := feed.New()
+		f := feed.New(nil)
 		Expect(f.Apply([]feed.Item{item("a", 5)})).To(HaveLen(1))
 		Expect(f.Apply([]feed.Item{item("a", 4), item("a", 5)})).To(BeEmpty())
 		Expect(f.Apply([]feed.Item{{Key: "a", Revision: 3, Gone: true}})).To(BeEmpty())
@@ -31,7 +31,7 @@
 	})
 
 	It("takes what a whole list lacks as gone, unless it is newer than the list", func() {
-		f := feed.New()
+		f := feed.New(nil)
 		f.Apply([]feed.Item{item("p/a", 5), item("p/b", 9)})
 		changed := f.ApplyList(nil, 7)
 		Expect(changed).To(HaveLen(1))
@@ -42,7 +42,7 @@
 	})
 
 	It("returns everything where it has forgotten removals", func() {
-		f := feed.New()
+		f := feed.New(nil)
 		for i := range 5000 {
 			f.Apply([]feed.Item{{Key: fmt.Sprint(i), Revision: feed.Revision(i + 1), Gone: true}})
 		}
@@ -62,7 +62,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := make(map[string]feed.Item)
 		var history []feed.Item
-		daemons := []*feed.Feed{feed.New(), feed.New(), feed.New()}
+		daemons := []*feed.Feed{feed.New(nil), feed.New(nil), feed.New(nil)}
 		revision := feed.Revision(0)
 		seen := make(map[string]feed.Revision)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -140,7 +140,7 @@
 // all by way of the one that had started.
 var _ = Describe("A feed that was filled by a list", func() {
 	It("answers with everything where the list skipped what had changed", func() {
-		old, started := feed.New(), feed.New()
+		old, started := feed.New(nil), feed.New(nil)
 		old.ApplyList([]feed.Item{item("a", 5), item("b", 19)}, 19)
 		started.ApplyList([]feed.Item{item("b", 19), item("c", 20)}, 21) // a was removed at 21
 		items, whole := started.Since(old.Revision())
@@ -150,7 +150,7 @@
 	})
 
 	It("answers with what changed after what its lists skipped", func() {
-		f := feed.New()
+		f := feed.New(nil)
 		f.ApplyList([]feed.Item{item("a", 5), item("b", 9)}, 10)
 		f.Apply([]feed.Item{item("b", 11), {Key: "a", Revision: 12, Gone: true}})
 		f.ApplyList([]feed.Item{item("b", 11), item("c", 14)}, 15)
@@ -167,7 +167,7 @@
 	// store, stood at the list's revision from then on, and knew of no removal that the list had
 	// skipped. A third one, which stood within that range and asked it, kept what was removed.
 	It("passes on what its list skipped to nobody who does not know of the skip", func() {
-		listed, behind, between := feed.New(), feed.New(), feed.New()
+		listed, behind, between := feed.New(nil), feed.New(nil), feed.New(nil)
 		behind.ApplyList([]feed.Item{item("b", 1)}, 1)
 		listed.ApplyList([]feed.Item{item("b", 1)}, 1)
 		listed.Apply([]feed.Item{item("b", 9)})
@@ -187,7 +187,7 @@
 	})
 
 	It("holds no more than its first page says", func() {
-		f := feed.New()
+		f := feed.New(nil)
 		f.ApplyList([]feed.Item{item("a", 5), item("z", 22)}, 20) // a was removed at 21, after its page
 		Expect(f.Revision()).To(Equal(feed.Revision(20)))
 		Expect(f.AskAfter()).To(BeZero(), "another that never held z would not say that it was removed")
@@ -246,7 +246,7 @@
 		// compare plays a sync by parts: things happen between the two answers of the peer, and
 		// while the second is on its way.
 		compare := func(d, from *feed.Feed) {
-			digest := from.Digest()
+			digest := from.Digest(true)
 			parts := d.Differing(digest)
 			if rapid.Bool().Draw(t, "the peer goes on") {
 				write()
@@ -262,7 +262,7 @@
 				d.ApplyParts(items, at, digest, parts)
 			}
 		}
-		daemons := []*feed.Feed{feed.New(), feed.New(), feed.New()}
+		daemons := []*feed.Feed{feed.New(nil), feed.New(nil), feed.New(nil)}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, 2).Draw(t, "daemon")
 			d := daemons[i]
@@ -270,7 +270,7 @@
 			case 0, 1:
 				write()
 			case 2:
-				daemons[i] = feed.New()
+				daemons[i] = feed.New(nil)
 			case 3:
 				list(d)
 			case 4: // from where it stands
@@ -318,7 +318,7 @@
 	}
 
 	DescribeTable("send what differs, whatever the number of documents", func(documents int) {
-		from, to := feed.New(), feed.New()
+		from, to := feed.New(nil), feed.New(nil)
 		all := fill(documents)
 		to.ApplyList(all, feed.Revision(documents))
 		all[7] = item(all[7].Key, feed.Revision(documents+1))
@@ -327,7 +327,7 @@
 		_, whole := from.Since(to.Revision())
 		Expect(whole).To(BeTrue(), "it never held what was removed, and can't name it")
 
-		digest := from.Digest()
+		digest := from.Digest(true)
 		parts := to.Differing(digest)
 		Expect(parts.Any()).To(BeTrue())
 		items, whole := from.SinceWith(digest.Revision, parts)
@@ -338,16 +338,16 @@
 		Expect(to.ApplyParts(items, from.Revision(), digest, parts)).To(HaveLen(2))
 		Expect(keys(to)).To(Equal(keys(from)))
 		Expect(to.Revision()).To(Equal(from.Revision()))
-		Expect(to.Differing(from.Digest()).Any()).To(BeFalse())
+		Expect(to.Differing(from.Digest(true)).Any()).To(BeFalse())
 	},
 		Entry("100", 100), Entry("10,000", 10000), Entry("20,000", 20000))
 
 	It("stay at their revision where another part has changed meanwhile", func() {
-		from, to := feed.New(), feed.New()
+		from, to := feed.New(nil), feed.New(nil)
 		all := fill(1000)
 		to.ApplyList(all, 1000)
 		from.ApplyList(append(all[:1:1], all[2:]...), 1010)
-		digest := from.Digest()
+		digest := from.Digest(true)
 		parts := to.Differing(digest)
 		items, _ := from.SinceWith(digest.Revision, parts)
 		to.Apply([]feed.Item{item("other", 1001)}) // an event that the peer has seen undone
--- a/state/feed/parts.go
+++ b/state/feed/parts.go
@@ -3,8 +3,10 @@
 // the parts that differ are sent, and what goes around follows what has changed, not the number
 // of documents.
 //
-// The keys are spread over parts by hashing. A digest has a sum for each part, of the keys and
-// revisions of the documents there. Parts with equal sums hold the same documents.
+// The keys are spread over parts by hashing. A digest has a sum for each part. Parts with equal sums
+// hold the same documents. Within an era the sums are of keys and revisions. Between eras revisions
+// say nothing, and they are of keys and contents: when the store comes back from a copy nearly all
+// documents are as they were.
 
 package feed
 
@@ -17,6 +19,7 @@
 
 // Digest sums up what a feed holds.
 type Digest struct {
+	Era      Era
 	Revision Revision // up to which it holds everything
 	Sums     []uint64 // of each part; their number is a power of two
 }
@@ -33,36 +36,53 @@
 	MostParts  = 1 << 14
 )
 
-// Digest returns the digest of the feed.
-func (f *Feed) Digest() Digest {
+// Digest returns the digest of the feed, by revisions for one in the same era, else by contents.
+func (f *Feed) Digest(byRevision bool) Digest {
 	n := LeastParts
 	for n < MostParts && n*partDocuments < len(f.items) {
 		n *= 2
 	}
-	return Digest{Revision: f.revision, Sums: f.sums(n)}
+	return Digest{Era: f.era, Revision: f.revision, Sums: f.sums(n, byRevision)}
 }
 
-// sums returns the sums of n parts.
-func (f *Feed) sums(n int) []uint64 {
+// sums returns the sums of n parts, by revisions or by contents.
+func (f *Feed) sums(n int, byRevision bool) []uint64 {
 	sums := make([]uint64, n)
-	buf := make([]byte, 0, 128)
+	var buf []byte
 	for _, it := range f.items {
-		if it.Gone {
-			continue
+		if _, stands := f.overrule[it.Key]; !it.Gone || stands {
+			buf = appendSummed(buf[:0], it, byRevision)
+			sums[partOf(it.Key, n)] ^= xxhash.Sum64(buf)
 		}
-		buf = binary.LittleEndian.AppendUint64(buf[:0], uint64(it.Revision))
-		buf = append(buf, it.Key...)
-		sums[partOf(it.Key, n)] ^= xxhash.Sum64(buf)
+	}
+	for _, it := range f.overrule {
+		buf = appendSummed(buf[:0], it, byRevision)
+		sums[partOf(it.Key, n)] ^= xxhash.Sum64(append(buf, "overruled"...))
 	}
 	return sums
 }
 
+// appendSummed appends what of a document goes into a sum. A former document has no revision, and
+// differs from one that stands in the era.
+func appendSummed(buf []byte, it Item, byRevision bool) []byte {
+	if byRevision && it.Revision > 0 {
+		buf = binary.LittleEndian.AppendUint64(buf, uint64(it.Revision))
+		return append(buf, it.Key...)
+	}
+	buf = append(buf, it.Key...)
+	buf = append(buf, it.Value...)
+	if it.Revision == 0 {
+		buf = append(buf, "former"...)
+	}
+	return buf
+}
+
 // partOf returns which of n parts a key is in.
 func partOf(key string, n int) int { return int(xxhash.Sum64String(key) & uint64(n-1)) }
 
 // Differing returns the parts in which the feed differs from the digest of another one.
 func (f *Feed) Differing(d Digest) Parts {
-	own := f.sums(len(d.Sums))
+	own := f.sums(len(d.Sums), d.Era == f.era)
 	out := make(Parts, len(d.Sums))
 	for i := range out {
 		out[i] = own[i] != d.Sums[i]
@@ -78,7 +98,7 @@
 		return items, whole
 	}
 	for _, it := range f.items {
-		if !it.Gone && it.Revision <= after && parts[partOf(it.Key, len(parts))] {
+		if !it.Gone && it.Revision > 0 && it.Revision <= after && parts[partOf(it.Key, len(parts))] {
 			items = append(items, it)
 		}
 	}
@@ -88,12 +108,18 @@
 // ApplyParts takes over what another feed answered that stands at a revision: all that it holds
 // in the parts in which this feed differed from its digest, and what changed since the digest. It
 // returns what is news. Where another part has changed here meanwhile, the revision stays, so that
-// the other one is asked again.
+// the other one is asked again; the feed enters the other one's era only with all of it.
 func (f *Feed) ApplyParts(items []Item, at Revision, d Digest, parts Parts) []Item {
 	isWhole := true
 	for i, differs := range f.Differing(d) {
 		isWhole = isWhole && (parts[i] || !differs)
 	}
+	if d.Era != f.era {
+		if !isWhole {
+			return nil
+		}
+		f.enter(d.Era, d.Revision, func(key string) bool { return !parts[partOf(key, len(parts))] })
+	}
 	changed := f.merge(items)
 	changed = append(changed, f.removeUnlisted(items, at, func(key string) bool { return parts[partOf(key, len(parts))] })...)
 	if isWhole {
--- a/state/feed/position.go
+++ b/state/feed/position.go
@@ -21,6 +21,9 @@
 	Revision Revision
 }
 
+// Beginning returns the beginning of the position's era.
+func (p Position) Beginning() Position { return Position{Era: p.Era} }
+
 // Before reports whether p comes before another position.
 func (p Position) Before(q Position) bool {
 	if p.Era != q.Era {
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -107,7 +107,7 @@
 	Total     time.Duration
 	Events    int
 	Gone      bool          // the caller left
-	Revision  feed.Revision // of the documents on which the last attempt was decided
+	Position  feed.Position // of the documents on which the last attempt was decided
 }
 
 // Observer takes note of decisions. Its methods must not block.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	view := s.View()
-	s.summary.Revision = view.Revision
+	s.summary.Position = view.Position
 	target, ok := s.Placer.Choose(view, &s.call.Request, s.tried, now)
 	if !ok {
 		s.attempts.NoReplica(s.Placer.WhyNone(view, &s.call.Request, now))
