Tests of eras: positions on the wire, answers of the store, what daemons hold and tell, planted faults

What has no test that fails without it gets one: the tag of the era as the build before reads it, older answers, a list of two eras, a watch of another, late answers, daemons that start in the gap, peers without the store, revisions without an era, what a fleet ships. The soak has six planted faults of its own for it, and a test of the check that a process does not go back.

--- a/daemon/routes/restored_test.go
+++ b/daemon/routes/restored_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
+	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state/feed"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // writtenDocuments reads configurations whose version is their text, and replicas that say "draining"
@@ -28,6 +34,14 @@
 	}), nil
 }
 
+func (writtenDocuments) Age(it feed.Item) feed.Age {
+	if it.Key != "config" {
+		return feed.Age{Known: true, Final: strings.HasPrefix(string(it.Value), "draining")}
+	}
+	v, err := strconv.ParseUint(string(it.Value), 10, 64)
+	return feed.Age{Known: err == nil, Write: v}
+}
+
 // config and replica are documents as the store holds them.
 func config(version int, at feed.Revision) feed.Item {
 	return feed.Item{Key: "config", Value: []byte(strconv.Itoa(version)), Revision: at}
@@ -42,7 +56,7 @@
 func newRestoredPair(t *testing.T) *syncedPair {
 	p := newSyncedPair(t)
 	for _, c := range []*control{p.daemon, p.peer} {
-		c.catalog.documents = writtenDocuments{}
+		c.catalog = newCatalog(writtenDocuments{}, c.log)
 	}
 	for _, c := range []*control{p.daemon, p.peer} {
 		c.handle(context.Background(), storeListed{
@@ -80,3 +94,271 @@
 		}
 	}
 }
+
+// TestNoProcessGoesBackToTheCopysConfiguration guards against an older version from the copy, at
+// daemons that ran before it was put back and at one that starts in the gap and reads it first.
+func TestNoProcessGoesBackToTheCopysConfiguration(t *testing.T) {
+	p := newRestoredPair(t)
+	p.list(2, 26, config(20, 25), replica(1, "ready", 3), replica(2, "ready", 4))
+	if got := p.peer.version(); got != 23 {
+		t.Fatalf("the reader goes by configuration %d, want 23", got)
+	}
+	p.start(t)
+	p.daemon.handle(context.Background(), storeListed{items: []feed.Item{config(20, 25), replica(1, "ready", 3)}, at: feed.Position{Era: 2, Revision: 26}}, p.now)
+	if got := p.daemon.version(); got != 20 {
+		t.Fatalf("a daemon that knows the copy alone goes by configuration %d, want 20", got)
+	}
+	p.hear()
+	if got := p.daemon.version(); got != 23 {
+		t.Errorf("after a peer's heartbeat it goes by configuration %d, want 23", got)
+	}
+	p.peer.handle(context.Background(), storeChanged{feed.Changes{Items: []feed.Item{config(25, 27)}, At: feed.Position{Era: 2, Revision: 27}}}, p.now)
+	p.hear()
+	if got := p.daemon.version(); got != 25 {
+		t.Errorf("after a new one it goes by configuration %d, want 25", got)
+	}
+}
+
+// start replaces the daemon by one that has just started and holds nothing.
+func (p *syncedPair) start(t *testing.T) {
+	started := newSyncedPair(t)
+	started.daemon.catalog = newCatalog(writtenDocuments{}, started.daemon.log)
+	started.daemon.syncs.fetch = p.daemon.syncs.fetch
+	p.daemon = started.daemon
+}
+
+// TestAStartedDaemonLearnsWhichReplicasHaveLeft guards against requests to a replica that has left or
+// leaves, by a daemon whose first documents are the copy's.
+func TestAStartedDaemonLearnsWhichReplicasHaveLeft(t *testing.T) {
+	p := newRestoredPair(t)
+	p.watch(1, replica(1, "draining", 30))
+	copied := []feed.Item{config(23, 20), replica(1, "ready", 3), replica(2, "ready", 4)}
+	p.list(2, 26, copied...)
+	p.start(t)
+	p.daemon.handle(context.Background(), storeListed{items: copied, at: feed.Position{Era: 2, Revision: 26}}, p.now)
+	p.hear()
+	if got := len(p.daemon.view.Load().Pool("s").Ready); got != 1 {
+		t.Errorf("%d ready replicas, want 1: one said that it leaves", got)
+	}
+	asked := p.asked
+	p.hear()
+	if p.asked != asked {
+		t.Error("it asks again although nothing has changed")
+	}
+}
+
+// TestAnEraWithoutChangesReachesPeers guards against peers that stand in the old era, where the next
+// change would be an older one to them, because the return itself changed nothing.
+func TestAnEraWithoutChangesReachesPeers(t *testing.T) {
+	p := newRestoredPair(t)
+	sent := 0
+	p.peer.heartbeats.send = func(membership.Address, []byte) { sent++ }
+	p.peer.roster.Observe([]membership.Member{testMember(1)}, p.now)
+	p.list(2, 29, config(23, 29), replica(1, "ready", 3), replica(2, "ready", 4))
+	if sent == 0 {
+		t.Error("the era is told to nobody")
+	}
+	p.hear()
+	if got := p.daemon.catalog.feed.Position(); got != (feed.Position{Era: 2, Revision: 29}) {
+		t.Errorf("the peer stands at %v", got)
+	}
+	if p.items > 3 {
+		t.Errorf("%d documents were sent, though none changed", p.items)
+	}
+}
+
+// TestDocumentsOfBeforeHoldForAWhile plays entries that the copy lacks, or has older ones of: replicas
+// are used on while they may be written again, and the store's word holds after that.
+func TestDocumentsOfBeforeHoldForAWhile(t *testing.T) {
+	p := newRestoredPair(t)
+	p.watch(1, replica(3, "ready", 30))
+	p.watch(1, replica(2, "draining", 31))
+	p.list(2, 26, config(20, 20), replica(1, "ready", 3), replica(2, "ready", 4))
+	for _, step := range []struct {
+		after   time.Duration
+		ready   int
+		version routing.ConfigVersion
+	}{
+		{0, 2, 23}, // 1 and 3
+		{2900 * time.Millisecond, 2, 23},
+		{3100 * time.Millisecond, 1, 23},
+		{9900 * time.Millisecond, 1, 23},
+		{10100 * time.Millisecond, 2, 23}, // 2 has not said again that it leaves
+	} {
+		p.peer.settleFormer(p.now.Add(step.after))
+		if got := len(p.peer.view.Load().Pool("s").Ready); got != step.ready || p.peer.version() != step.version {
+			t.Errorf("after %v: %d ready replicas and configuration %d, want %d and %d", step.after, got, p.peer.version(), step.ready, step.version)
+		}
+	}
+}
+
+// TestAPeersAnswerFromAnEraThatIsOverChangesNothing guards against answers that were on their way
+// when the store came back.
+func TestAPeersAnswerFromAnEraThatIsOverChangesNothing(t *testing.T) {
+	p := newRestoredPair(t)
+	before := p.peer.catalog.answer(&documentsRequest{knowsEras: true})
+	_, payload, err := before.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late, err := decodeAnswer(payload, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.daemon.handle(context.Background(), storeListed{items: []feed.Item{config(23, 20), replica(1, "draining", 21)}, at: feed.Position{Era: 2, Revision: 22}}, p.now)
+	p.daemon.handle(context.Background(), synced{answer: late}, p.now)
+	if got := p.daemon.catalog.feed.Position(); got != (feed.Position{Era: 2, Revision: 22}) {
+		t.Errorf("stands at %v", got)
+	}
+	if got := len(p.daemon.view.Load().Pool("s").Ready); got != 1 {
+		t.Errorf("%d ready replicas, want 1: the one that the copy lacks", got)
+	}
+}
+
+// TestRevisionsWithoutAnEraCountUntilTheStoreCameBack plays a peer of the build before: its revisions
+// are this daemon's, until they may be those of before the return.
+func TestRevisionsWithoutAnEraCountUntilTheStoreCameBack(t *testing.T) {
+	p := newRestoredPair(t)
+	eraless := func(revision feed.Revision, version routing.ConfigVersion) (asks int) {
+		asked := p.asked
+		h := p.peer.newHeartbeat(p.now)
+		h.Era, h.Revision, h.Version = 0, revision, version
+		p.daemon.noteRevision(context.Background(), &h, p.now)
+		for p.daemon.syncs.underWay {
+			p.daemon.handle(context.Background(), <-p.daemon.events, p.now)
+		}
+		return p.asked - asked
+	}
+	if eraless(30, 23) != 1 {
+		t.Error("a later revision is not asked for")
+	}
+	p.daemon.handle(context.Background(), storeListed{items: []feed.Item{config(23, 20)}, at: feed.Position{Era: 2, Revision: 26}}, p.now)
+	if eraless(31, 23) != 0 {
+		t.Error("a revision of before the return is asked for")
+	}
+	if eraless(31, 24) != 1 {
+		t.Error("a later configuration is not asked for")
+	}
+}
+
+// TestTheWholeFleetIsNotShippedAfterTheStoreCameBack bounds what a daemon is sent, whatever the number
+// of entries.
+func TestTheWholeFleetIsNotShippedAfterTheStoreCameBack(t *testing.T) {
+	for _, replicas := range []int{100, 10000, 20000} {
+		p := newRestoredPair(t)
+		items := []feed.Item{config(23, 1)}
+		for i := range replicas {
+			items = append(items, replica(i, "ready", feed.Revision(i+2)))
+		}
+		at := feed.Revision(replicas + 2)
+		for _, c := range []*control{p.daemon, p.peer} {
+			c.handle(context.Background(), storeListed{items: items, at: feed.Position{Era: 1, Revision: at + 100}}, p.now)
+		}
+		items[7] = replica(6, "draining", at-1)
+		p.asked, p.sent, p.items = 0, 0, 0
+		p.list(2, at, items...)
+		p.hear()
+		if got, want := p.daemon.catalog.feed.Position(), (feed.Position{Era: 2, Revision: at}); got != want {
+			t.Errorf("%d entries: stands at %v, want %v", replicas, got, want)
+		}
+		if got := len(p.daemon.view.Load().Pool("s").Ready); got != replicas-1 {
+			t.Errorf("%d entries: %d ready replicas", replicas, got)
+		}
+		if p.asked != 2 || p.items > 100 {
+			t.Errorf("%d entries: %d documents and %d bytes in %d answers", replicas, p.items, p.sent, p.asked)
+		}
+		t.Logf("%d entries: %d documents and %d bytes in %d answers", replicas, p.items, p.sent, p.asked)
+	}
+}
+
+// restoringStore comes back from a copy between two pages of a list, and during a watch.
+type restoringStore struct {
+	pages   []feed.Page
+	watches []feed.Changes
+	lists   int
+	done    chan struct{}
+}
+
+func (s *restoringStore) List(context.Context, string, transport.Timeouts) (feed.Page, error) {
+	page := s.pages[min(s.lists, len(s.pages)-1)]
+	s.lists++
+	return page, nil
+}
+
+func (s *restoringStore) Watch(ctx context.Context, _ feed.Revision, _ time.Duration, _ transport.Timeouts) (feed.Changes, error) {
+	if len(s.watches) == 0 {
+		close(s.done)
+		<-ctx.Done()
+		return feed.Changes{}, ctx.Err()
+	}
+	c := s.watches[0]
+	s.watches = s.watches[1:]
+	return c, nil
+}
+
+func (s *restoringStore) Forget() {}
+
+// TestPagesOfTwoErasAreNoList guards against documents of before between those of after, and against
+// changes of a new era that a watch of the old one brings.
+func TestPagesOfTwoErasAreNoList(t *testing.T) {
+	page := func(era feed.Era, at feed.Revision, next string, key string) feed.Page {
+		return feed.Page{Items: []feed.Item{{Key: key, Revision: 5}}, At: feed.Position{Era: era, Revision: at}, Next: next}
+	}
+	store := &restoringStore{
+		pages: []feed.Page{
+			page(1, 20, "a", "a"), page(2, 12, "", "b"), // the second is of another era
+			page(2, 12, "a", "c"), page(2, 13, "", "d"),
+			page(3, 9, "", "e"),
+		},
+		watches: []feed.Changes{
+			{Items: []feed.Item{{Key: "f", Revision: 14}}, At: feed.Position{Era: 2, Revision: 14}},
+			{Items: []feed.Item{{Key: "g", Revision: 15}}, At: feed.Position{Era: 3, Revision: 15}},
+		},
+		done: make(chan struct{}),
+	}
+	c := &control{events: make(chan event, eventQueue)}
+	c.readPlan.Store(&readPlan{ReadPlan: membership.ReadPlan{Reads: true, Wait: time.Second}, ended: make(chan struct{})})
+	r := &reader{store: store, control: c, historyGone: errors.New("gone"), countCall: func() {}, countOlder: func() {}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go r.run(ctx)
+	select {
+	case <-store.done:
+	case <-ctx.Done():
+		t.Fatal("the reader does not get to the last watch")
+	}
+	var got []string
+	for len(c.events) > 0 {
+		switch e := (<-c.events).(type) {
+		case storeListed:
+			for _, it := range e.items {
+				got = append(got, fmt.Sprint("list ", it.Key, " in ", e.at.Era))
+			}
+		case storeChanged:
+			got = append(got, fmt.Sprint("change ", e.Items[0].Key, " in ", e.At.Era))
+		}
+	}
+	want := []string{"list c in 2", "list d in 2", "change f in 2", "list e in 3"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestOlderAnswersCountAsAStoreThatIsAway guards against a copy of the store that is served beside it.
+func TestOlderAnswersCountAsAStoreThatIsAway(t *testing.T) {
+	older := 0
+	c := &control{events: make(chan event, eventQueue)}
+	c.view.Store(&routing.View{Position: feed.Position{Era: 3, Revision: 9}})
+	store := &restoringStore{pages: []feed.Page{{At: feed.Position{Era: 2, Revision: 50}}}}
+	r := &reader{store: store, control: c, countCall: func() {}, countOlder: func() { older++ }}
+	err := r.list(context.Background())
+	var e *OlderAnswerError
+	if !errors.As(err, &e) || older != 1 || !strings.Contains(err.Error(), "era 2, revision 50, after era 3, revision 9") {
+		t.Errorf("%v, counted %d", err, older)
+	}
+	for len(c.events) > 0 {
+		if _, ok := (<-c.events).(storeListed); ok {
+			t.Error("the list is taken over")
+		}
+	}
+}
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -84,6 +84,21 @@
 		}, faults: falseEndsInSeries},
 	{name: "takes back that a replica leaves by its next entry", promise: "DRAIN", file: "coordination/routing/leaving.go",
 		text: "s.namedAt, s.ready = now, !r.Draining", instead: "s.namedAt, s.ready = now.Add(-2*leavingMemory), !r.Draining"},
+	{name: "does not read the store's era", promise: "CONFIG", file: "platform/store.go",
+		text: "era = parseEra(resp.Header.Get(headerEra))", instead: "era = parseEra(\"\")", faults: restoresInSeries, plain: true},
+	{name: "does not tell its peers the era", promise: "DRAIN", file: "protocol/gossip/position.go",
+		text: "if p.Era == 0 {", instead: "if p.Era >= 0 {", faults: restoresInSeries, plain: true},
+	{name: "takes the copy's older configuration", promise: "CONFIG", file: "platform/documents.go",
+		text: "return feed.Age{Known: true, Write: uint64(d.Version)}", instead: "return feed.Age{}", faults: restoresInSeries, plain: true,
+		also: []edit{{"daemon/routes/catalog.go", "if c.table != nil && t.Version < c.table.Version {", "if c.table != nil && t.Version == 0 {"}}},
+	{name: "believes the copy's entry of a replica that leaves", promise: "DRAIN", file: "platform/replica.go",
+		text: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" {", instead: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" || d.State == stateReady {", faults: restoresInSeries, plain: true},
+	{name: "believes the copy's entry of a replica that has left", promise: "DRAIN", file: "state/feed/era.go",
+		text: "return b.Write <= a.Write", instead: "return b.Write < a.Write", faults: restoresInSeries, plain: true,
+		also: []edit{{"state/feed/era.go", "return former.Gone //", "return false //"}}},
+	{name: "takes equal revisions of two eras for equal documents", promise: "CONFIG", file: "daemon/routes/catalog.go",
+		text: "d := c.feed.Digest(!q.knowsEras || q.after.Era == at.Era)", instead: "d := c.feed.Digest(true)", faults: restoresInSeries, plain: true,
+		also: []edit{{"state/feed/parts.go", "own := f.sums(len(d.Sums), d.Era == f.era)", "own := f.sums(len(d.Sums), true)"}}},
 	{name: "does not tell other daemons which replicas leave", promise: "DRAIN", file: "daemon/routes/peers.go",
 		text: "case gossip.IsLeavings(payload):", instead: "case gossip.IsLeavings(payload) && len(payload) == 0:"},
 }
@@ -104,6 +119,21 @@
 	return []Fault{{At: time.Second, For: 12 * time.Second, Kind: storeAway}}
 }
 
+// restoresInSeries has the store come back from copies over and over, some of them a moment after a
+// key was taken away and a replica has left, with time between them in which all is judged.
+func restoresInSeries(int) []Fault {
+	var out []Fault
+	for i := range 4 {
+		at := time.Duration(4+8*i) * time.Second
+		out = append(out,
+			Fault{At: at - 3*time.Second, Kind: revokeKey, Target: i},
+			Fault{At: at - 3*time.Second, Kind: drainReplica, Target: 5 * i, Variant: i},
+			Fault{At: at, For: 500 * time.Millisecond, Kind: restoreStore, Target: i + 1, Variant: 4500},
+		)
+	}
+	return out
+}
+
 // falseEndsInSeries tells of ends of one service after another, each a tenth of a second old.
 func falseEndsInSeries(int) []Fault {
 	var out []Fault
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -274,6 +274,10 @@
 	payload, err = EncodeDigest(&feed.Digest{Revision: 9, Sums: []uint64{1, 0, 1 << 63, 0, 0, 0, 0, 7}})
 	write("digest", payload, err)
 	write("parts", EncodeParts(feed.Parts{0: true, 9: true, 15: false}), nil)
+	era := goldenHeartbeat()
+	era.Era = 7
+	payload, err = EncodeHeartbeat(&era)
+	write("heartbeat in an era", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
