Daemons that start after the store's return learn of it from peers; a reader goes by what it has read itself

Cause, found by reading: a daemon of this build that started after a return placed revisions of the build before, which go on from before the return, in its own era. They hid changes for as long as the store needs to pass them, and the reader, whose own answers then looked older, would have counted an era of its own after 10 s. Change: the tag of a heartbeat's revision says whether the store is known to have come back; a reader compares answers with its own last one. The wire has room for eras above those that the store may name. Measured: tests of gossip, platform, state and of eras in daemon/routes pass.

--- a/daemon/routes/era.go
+++ b/daemon/routes/era.go
@@ -23,8 +23,8 @@
 // eraState is what the control loop knows of the store's eras beside the feed's.
 type eraState struct {
 	enteredAt time.Time
-	// restored says that this process has seen the store come back from a copy: revisions of builds
-	// that know no eras can't be placed since then.
+	// restored says that the store has come back from a copy, seen here or by a peer: revisions of
+	// builds that know no eras can't be placed since then.
 	restored bool
 }
 
@@ -51,8 +51,7 @@
 	}
 	c.era.enteredAt = now
 	if from.Era > 0 {
-		c.era.restored = true
-		c.roster.SetRestored()
+		c.setRestored()
 		c.storeTroubleAt = now // entries of living replicas may be missing
 		c.log.Era(from, at, source, changed, c.version())
 	}
@@ -65,6 +64,12 @@
 	}
 }
 
+// setRestored takes in that the store has come back from a copy.
+func (c *control) setRestored() {
+	c.era.restored = true
+	c.roster.SetRestored()
+}
+
 // settleFormer ends the time for which documents of before hold without the store's word.
 func (c *control) settleFormer(now time.Time) {
 	f, age := c.catalog.feed, now.Sub(c.era.enteredAt)
@@ -83,7 +88,7 @@
 }
 
 // placeEra returns the era in which a message counts that names one, or none. A build that knows no
-// eras goes by revisions alone: they are this daemon's until it has seen the store come back.
+// eras goes by revisions alone: they are this daemon's until the store is known to have come back.
 func (c *control) placeEra(named feed.Era) feed.Era {
 	if named == 0 && !c.era.restored {
 		return c.catalog.feed.Position().Era
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -147,9 +147,9 @@
 	}
 	l := r.partial
 	for {
-		known := l.at.Beginning()
-		if l.next == "" {
-			known = r.control.viewPosition()
+		known := r.known()
+		if l.next != "" {
+			known = l.at.Beginning()
 		}
 		r.countCall()
 		page, err := r.store.List(ctx, l.next, transport.Timeouts{FirstByte: listTimeout, Idle: idleTimeout})
@@ -180,6 +180,15 @@
 	return nil
 }
 
+// known returns where the daemon stands: in which era, and up to which revision it has read itself. What
+// peers said is no measure of the store: their build may know no eras.
+func (r *reader) known() feed.Position {
+	if own := r.control.viewPosition(); r.after.Era < own.Era {
+		return own.Beginning()
+	}
+	return r.after
+}
+
 // place returns the position of an answer. The error says that it is older than what was known.
 func (r *reader) place(at, known feed.Position) (feed.Position, error) {
 	placed, ok := r.eras.Place(at, known, clock.Now())
@@ -201,11 +210,7 @@
 	if err != nil {
 		return err
 	}
-	known := r.after
-	if own := r.control.viewPosition(); known.Era < own.Era {
-		known = own.Beginning()
-	}
-	if changes.At, err = r.place(changes.At, known); err != nil {
+	if changes.At, err = r.place(changes.At, r.known()); err != nil {
 		return err
 	}
 	if changes.At.Era != r.after.Era {
--- a/protocol/gossip/digest.go
+++ b/protocol/gossip/digest.go
@@ -19,7 +19,7 @@
 
 // EncodeDigest encodes a digest.
 func EncodeDigest(d *feed.Digest) ([]byte, error) {
-	return encode(&digestMessage{Position: positionMessage{d.Era, d.Revision}, Sums: d.Sums})
+	return encode(&digestMessage{Position: positionMessage{Era: d.Era, Revision: d.Revision}, Sums: d.Sums})
 }
 
 // DecodeDigest is the reverse of [EncodeDigest].
--- a/protocol/gossip/doc.go
+++ b/protocol/gossip/doc.go
@@ -7,7 +7,8 @@
 // How the wire changes: a field is never added to a message that exists, since an array of another
 // length is not read by the build before. What is new goes into a kind of datagram of its own
 // (reports.go), which the build before drops, and whose loss must be harmless. A kind goes only
-// one build after nobody reads it any more; its number is not used again.
+// one build after nobody reads it any more; its number is not used again. What a field means more
+// exactly may be said by a tag of its value (position.go): who does not know the tag reads past it.
 //
 // It owns no state. The types of the decisions carry no encoding; they are
 // converted here. What a peer sends is checked here: nothing is taken of a
--- a/protocol/gossip/documents.go
+++ b/protocol/gossip/documents.go
@@ -66,7 +66,7 @@
 }
 
 func encodeDocuments(d *Documents) ([]byte, error) {
-	m := documentsMessage{Position: positionMessage{d.Era, d.Revision}, Whole: d.Whole}
+	m := documentsMessage{Position: positionMessage{Era: d.Era, Revision: d.Revision}, Whole: d.Whole}
 	m.Items = convert(d.Items, func(it feed.Item) itemMessage {
 		return itemMessage{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Gone}
 	})
--- a/state/feed/position.go
+++ b/state/feed/position.go
@@ -11,9 +11,8 @@
 	Revision uint64
 )
 
-// MostEra is the highest era that is believed. A store that is restored each second takes a century
-// to get there.
-const MostEra Era = 1 << 32
+// MostEra is the highest era. A store that comes back each second takes longer than anyone waits.
+const MostEra Era = 1 << 40
 
 // Position orders the changes of the store: by era, then by revision.
 type Position struct {
