Revisions without an era count only where there is nothing better; the soak's returns lose more than is written again

Cause, from the daemons' lines: a daemon of this build that had just started took revisions of the last build, which go on from before the return (125), for ones of the store's era (62), and passed them on. Now such revisions count only where neither the daemon nor one that names an era reaches the store, and a daemon that knows the era reads the store itself where nobody of its domain does. The flag is gone from the wire again.

The soak was too mild: the site wrote all entries again, so that the store's numbers passed the daemons' at once, and planted faults were not found. It writes again what was lost, and loses eight changes of one document.

--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -45,8 +45,9 @@
 	lower      Member
 	lowerSince time.Time
 	ended      Incarnation
-	// eralessAt is when it last named no era of the store in a heartbeat of its own; zero: it names one.
-	eralessAt time.Time
+	// eraAt is when its newest heartbeat came, if that named an era of the store, and eralessAt if it
+	// named none; the other is zero.
+	eraAt, eralessAt time.Time
 }
 
 // supersedes reports whether m is newer than what is known of the daemon. A lower
--- a/coordination/membership/readers.go
+++ b/coordination/membership/readers.go
@@ -19,8 +19,8 @@
 //  5. A daemon that has just started listens to others for listenFirst and reads only
 //     then, unless it is a seed, knows no other seed, or has a caller that waits for
 //     its first configuration. Peers send all documents, and compressed.
-//  6. Once the store has come back from a copy, nobody relies on a daemon that names no era of the
-//     store: it may be of a build that takes changes after that for older ones.
+//  6. A daemon that knows the era of the store relies on none that names no era: it may be of a build
+//     that takes changes for older ones once the store has come back from a copy.
 //
 // Two daemons that know different members may both read; that costs calls and
 // nothing else. With one reader a domain and one short watch a calm day takes 311
@@ -85,7 +85,7 @@
 		if e.Address > r.self.Address {
 			break
 		}
-		if e.Leaving || e.StoreUnreachable || now.Sub(e.seen) > timeout || r.restored && now.Sub(e.eralessAt) <= timeout {
+		if e.Leaving || e.StoreUnreachable || now.Sub(e.seen) > timeout || r.eraKnown && now.Sub(e.eralessAt) <= timeout {
 			continue
 		}
 		lowest = false
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -49,8 +49,8 @@
 	reportedSize float64
 	// listenUntil is until when a daemon that has just started does not read the store.
 	listenUntil time.Time
-	// restored says that the store has come back from a copy, which builds that know no eras miss.
-	restored bool
+	// eraKnown says that this daemon knows the era of the store, which the build before does not.
+	eraKnown bool
 }
 
 // NewRoster returns the roster of a daemon. Seeds may name the daemon itself.
@@ -82,8 +82,8 @@
 	return slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.StoreUnreachable && r.isLive(e, now) })
 }
 
-// SetRestored says that the store has come back from a copy of itself.
-func (r *Roster) SetRestored() { r.restored = true }
+// SetEraKnown says that this daemon knows the era of the store.
+func (r *Roster) SetEraKnown() { r.eraKnown = true }
 
 // ObserveEra takes in the era that a member named in its own heartbeat, 0 for none.
 func (r *Roster) ObserveEra(a Address, era feed.Era, now time.Time) {
@@ -91,12 +91,19 @@
 	if e == nil {
 		return
 	}
-	e.eralessAt = time.Time{}
+	e.eraAt, e.eralessAt = now, time.Time{}
 	if era == 0 {
-		e.eralessAt = now
+		e.eraAt, e.eralessAt = time.Time{}, now
 	}
 }
 
+// EraIsRead reports whether another daemon names the era of the store and can read it.
+func (r *Roster) EraIsRead(now time.Time) bool {
+	return slices.ContainsFunc(r.ordered, func(e *entry) bool {
+		return now.Sub(e.eraAt) <= readerTimeout && !e.Leaving && !e.StoreUnreachable
+	})
+}
+
 // SetLeaving marks that the daemon stops.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
--- a/daemon/routes/era.go
+++ b/daemon/routes/era.go
@@ -23,8 +23,7 @@
 // eraState is what the control loop knows of the store's eras beside the feed's.
 type eraState struct {
 	enteredAt time.Time
-	// restored says that the store has come back from a copy, seen here or by a peer: revisions of
-	// builds that know no eras can't be placed since then.
+	// restored says that this process has seen the store come back from a copy.
 	restored bool
 }
 
@@ -50,8 +49,9 @@
 		return
 	}
 	c.era.enteredAt = now
+	c.roster.SetEraKnown()
 	if from.Era > 0 {
-		c.setRestored()
+		c.era.restored = true
 		c.storeTroubleAt = now // entries of living replicas may be missing
 		c.log.Era(from, at, source, changed, c.version())
 	}
@@ -64,12 +64,6 @@
 	}
 }
 
-// setRestored takes in that the store has come back from a copy.
-func (c *control) setRestored() {
-	c.era.restored = true
-	c.roster.SetRestored()
-}
-
 // settleFormer ends the time for which documents of before hold without the store's word.
 func (c *control) settleFormer(now time.Time) {
 	f, age := c.catalog.feed, now.Sub(c.era.enteredAt)
@@ -88,9 +82,11 @@
 }
 
 // placeEra returns the era in which a message counts that names one, or none. A build that knows no
-// eras goes by revisions alone: they are this daemon's until the store is known to have come back.
-func (c *control) placeEra(named feed.Era) feed.Era {
-	if named == 0 && !c.era.restored {
+// eras goes by revisions alone, which may be those of before a return. They count where there is nothing
+// better: this daemon does not reach the store, nor does one that names an era, and has not seen the
+// store come back.
+func (c *control) placeEra(named feed.Era, now time.Time) feed.Era {
+	if named == 0 && c.storeLost && !c.era.restored && !c.roster.EraIsRead(now) {
 		return c.catalog.feed.Position().Era
 	}
 	return named
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -64,7 +64,7 @@
 		Version: c.version(), FleetSize: c.roster.Size(now),
 	}
 	at := c.catalog.feed.Position()
-	h.Era, h.Revision, h.Restored = at.Era, at.Revision, c.era.restored
+	h.Era, h.Revision = at.Era, at.Revision
 	return h
 }
 
@@ -143,9 +143,6 @@
 	c.log.timeline.Observe(h.Stamp)
 	c.observeMembers(h, now)
 	c.roster.ObserveEra(h.Sender.Address, h.Era, now)
-	if h.Restored {
-		c.setRestored()
-	}
 	c.roster.ObserveSize(h.FleetSize)
 	c.planReads(now)
 	if h.Sender.StoreUnreachable {
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -124,7 +124,7 @@
 
 // noteRevision takes in the revision of a heartbeat's sender.
 func (c *control) noteRevision(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
-	at := feed.Position{Era: c.placeEra(h.Era), Revision: h.Revision}
+	at := feed.Position{Era: c.placeEra(h.Era, now), Revision: h.Revision}
 	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
 		c.askOnce(ctx, h.Sender.Address, at)
@@ -230,7 +230,7 @@
 		c.askForParts(ctx, s.from, *s.answer.digest, now)
 		return
 	}
-	at := feed.Position{Era: c.placeEra(d.Era), Revision: d.Revision}
+	at := feed.Position{Era: c.placeEra(d.Era, now), Revision: d.Revision}
 	own := f.Position()
 	switch {
 	case at.Era < own.Era:
@@ -250,7 +250,7 @@
 func (c *control) askForParts(ctx context.Context, from membership.Address, d feed.Digest, now time.Time) {
 	f := c.catalog.feed
 	own := f.Position()
-	if d.Era = c.placeEra(d.Era); d.Era < own.Era {
+	if d.Era = c.placeEra(d.Era, now); d.Era < own.Era {
 		return
 	}
 	parts := f.Differing(d)
--- a/internal/soak/judge_regress.go
+++ b/internal/soak/judge_regress.go
@@ -17,6 +17,21 @@
 		calm(j.daemons[r.Daemon], from, to) && calm(j.stops[r.Daemon], from, to) && calm(j.store, from, to)
 }
 
+// missesEras reports whether the process that took a request is of the last build, which knows no eras of
+// the store, and the store has come back from a copy: that build takes what changes for older then.
+func (j *judgement) missesEras(r *record) bool {
+	return j.isPrevious(r.by()) && !j.restored.IsZero() && r.Sent.After(j.restored)
+}
+
+// Restored notes that the store came back from a copy of itself.
+func (l *Ledger) Restored(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.restored.IsZero() {
+		l.restored = at
+	}
+}
+
 // judgeRegress looks for what an older configuration, or an older entry, allows alone.
 func (j *judgement) judgeRegress(r *record) {
 	key := j.keys[r.Key]
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -114,6 +114,7 @@
 	restsBy  map[processLife][]restAsked // by the daemon that was asked
 	builds   map[processLife]Build
 	begins   map[processLife]time.Time // of processes
+	restored time.Time                 // when the store came back from a copy of itself first
 	freezes  map[int][]span            // of daemons
 	aside    map[string][]span         // when replicas rested, or left by their answers alone
 	// quietFrom is when the end of the quiet time begins, whose requests must be served.
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -21,6 +21,10 @@
 	moreAway     = 2 * time.Second
 	// rewriteTime is how long after the store's return what was lost is written again.
 	rewriteTime = 200 * time.Millisecond
+	// changesLost are written to one document shortly before the store goes away: one of them is written
+	// again, so that daemons stand above the store's revision when it is back.
+	changesLost = 8
+	lostBefore  = 300 * time.Millisecond
 	// changesAtOnce are written at once after that in half of the restores, so that the revisions of
 	// before are soon given out again. In the other half they stay unused for long.
 	changesAtOnce = 6
@@ -78,6 +82,10 @@
 func (s *injector) restore(f *Fault) {
 	age := time.Second + time.Duration(f.Variant%int(oldestCopy/time.Millisecond))*time.Millisecond
 	s.storeMu.Lock()
+	for range changesLost {
+		s.addKey()
+	}
+	pause(s.ctx, lostBefore)
 	s.disturbStore(func() {
 		mode := storeModes[f.Variant%len(storeModes)]
 		s.setModes(s.endpoints, mode, f.For, func() {
@@ -85,6 +93,7 @@
 			copied := s.copies.of(age, time.Now())
 			s.mu.Unlock()
 			s.store.Restore(copied)
+			s.ledger.Restored(time.Now())
 		})
 		pause(s.ctx, rewriteTime)
 		s.rewrite()
@@ -105,12 +114,13 @@
 // replicas that have gone since expire.
 func (s *injector) rewrite() {
 	s.mu.Lock()
-	s.version-- // the same version
-	s.publish()
+	c := s.config()
+	s.store.PutConfigAgain(&c)
 	for domain, emptied := range s.emptied {
-		if emptied {
+		switch isEvacuated := s.store.IsEvacuated(domain); {
+		case emptied && !isEvacuated:
 			s.store.Evacuate(domain)
-		} else {
+		case !emptied && isEvacuated:
 			s.store.TakeBack(domain)
 		}
 	}
@@ -121,7 +131,7 @@
 		}
 	}
 	for _, r := range s.entries {
-		s.store.PutReplica(r)
+		s.store.PutReplicaAgain(r)
 	}
 	s.mu.Unlock()
 	if len(gone) == 0 {
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -57,6 +57,22 @@
 			s.DisturbDaemon(0, at(78), at(79))
 			s.send().run("r1", 100.1)
 		}},
+		{"a key that was taken away after the store came back, by the last build", "", func(s *scene) {
+			removed(s)
+			s.Restored(at(70))
+			s.Runs(0, 1, BuildPrevious)
+			s.send().run("r1", 100.1)
+		}},
+		{"the same by this build", "CONFIG", func(s *scene) {
+			removed(s)
+			s.Restored(at(70))
+			s.send().run("r1", 100.1)
+		}},
+		{"the same by the last build, and the store has not come back", "CONFIG", func(s *scene) {
+			removed(s)
+			s.Runs(0, 1, BuildPrevious)
+			s.send().run("r1", 100.1)
+		}},
 		{"a key that was added long before", "CONFIG", func(s *scene) {
 			s.KeyAdded("k", "w", at(80))
 			trouble(s)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -5,8 +5,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +105,13 @@
 // caller holds the lock.
 func (s *site) publish() time.Time {
 	s.version++
+	c := s.config()
+	s.store.PutConfig(&c)
+	return time.Now()
+}
+
+// config returns the configuration of the present version. The caller holds the lock.
+func (s *site) config() standin.Config {
 	c := standin.Config{Version: s.version, Services: []standin.Service{{Name: serviceGate}, {Name: serviceOther}, {Name: serviceChat, Engine: &standin.Engine{}}}}
 	if s.cold {
 		for i := range c.Services {
@@ -122,11 +131,10 @@
 	for _, k := range s.keys {
 		byName[k.workspace] = append(byName[k.workspace], k.key)
 	}
-	for name, keys := range byName {
-		c.Workspaces = append(c.Workspaces, standin.Workspace{Name: name, Keys: keys})
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		c.Workspaces = append(c.Workspaces, standin.Workspace{Name: name, Keys: byName[name]})
 	}
-	s.store.PutConfig(&c)
-	return time.Now()
+	return c
 }
 
 func (s *site) addKey() {
--- a/protocol/gossip/heartbeat.go
+++ b/protocol/gossip/heartbeat.go
@@ -23,7 +23,6 @@
 	Members   []membership.Member   // some others that the sender believes live
 	Era       feed.Era              // of the store, in which the revision counts
 	Revision  feed.Revision         // newest document that the sender holds
-	Restored  bool                  // the store is known to have come back from a copy of itself
 	Version   routing.ConfigVersion // of its configuration
 	FleetSize int                   // number of daemons, as the sender knows it
 	// Partial marks a short heartbeat between two others, sent when something must be
@@ -89,7 +88,7 @@
 		return Heartbeat{}, eris.New("heartbeat without a sender")
 	}
 	h := Heartbeat{
-		Stamp: coordination.Stamp{Wall: m.Wall, Counter: m.Counter}, Era: m.Position.Era, Revision: m.Position.Revision, Restored: m.Position.Restored, Version: m.Version,
+		Stamp: coordination.Stamp{Wall: m.Wall, Counter: m.Counter}, Era: m.Position.Era, Revision: m.Position.Revision, Version: m.Version,
 		FleetSize: m.FleetSize, Partial: m.Partial,
 		Loads: convert(m.Loads, loadMessage.value), Locations: convert(m.Locations, locationMessage.value),
 		Evidence: convert(m.Evidence, evidenceMessage.value),
@@ -196,7 +195,7 @@
 
 func encodeWhole(h *Heartbeat) ([]byte, error) {
 	m := heartbeatMessage{
-		Wall: h.Stamp.Wall, Counter: h.Stamp.Counter, Position: positionMessage{h.Era, h.Revision, h.Restored}, Version: h.Version,
+		Wall: h.Stamp.Wall, Counter: h.Stamp.Counter, Position: positionMessage{h.Era, h.Revision}, Version: h.Version,
 		FleetSize: h.FleetSize, Partial: h.Partial,
 		Loads: convert(h.Loads, func(c routing.LoadCount) loadMessage {
 			return loadMessage{Replica: c.Replica, Requests: c.Requests}
--- a/protocol/gossip/position.go
+++ b/protocol/gossip/position.go
@@ -1,5 +1,4 @@
-// This file encodes positions: a revision, tagged with its era, and with whether the store is known to
-// have come back from a copy.
+// This file encodes positions: a revision, tagged with its era.
 //
 // A tag says what a value means, and who does not know it reads the value alone. So the build before,
 // which knows no eras, reads revisions as it did, and nothing is added to a message.
@@ -13,15 +12,14 @@
 	"hingewinch.org/hingewinch/state/feed"
 )
 
-// eraTag is the number of the tag of era 0. Each era has two, the second for a store that is known to have
-// come back. They lie where numbers are free for any use.
+// eraTag is the number of the tag of era 0; that of another era is higher by the era. It lies where
+// numbers are free for any use.
 const eraTag = 0x48570000
 
 // positionMessage is a position on the wire. In era 0 it is the revision without a tag.
 type positionMessage struct {
 	Era      feed.Era
 	Revision feed.Revision
-	Restored bool
 }
 
 // MarshalCBOR encodes the position.
@@ -29,11 +27,7 @@
 	if p.Era == 0 {
 		return cbor.Marshal(uint64(p.Revision))
 	}
-	tag := eraTag + 2*uint64(p.Era)
-	if p.Restored {
-		tag++
-	}
-	return cbor.Marshal(cbor.Tag{Number: tag, Content: uint64(p.Revision)})
+	return cbor.Marshal(cbor.Tag{Number: eraTag + uint64(p.Era), Content: uint64(p.Revision)})
 }
 
 // UnmarshalCBOR decodes it. A revision with another tag is taken without its era.
@@ -47,9 +41,8 @@
 	if cbor.Unmarshal(payload, &tag) != nil {
 		return nil // no tag
 	}
-	above := tag.Number - eraTag
-	if era := feed.Era(above / 2); tag.Number > eraTag && era > 0 && era <= feed.MostEra {
-		p.Era, p.Restored = era, above%2 == 1
+	if era := feed.Era(tag.Number - eraTag); tag.Number > eraTag && era <= feed.MostEra {
+		p.Era = era
 	}
 	return nil
 }
