--- a/state/feed/era.go
+++ b/state/feed/era.go
@@ -68,46 +68,54 @@
 		}
 		f.items[key] = it
 	}
-	for key, it := range f.overrule {
+	for key, it := range f.overruled {
 		if !stands(key) {
-			delete(f.overrule, key)
+			delete(f.overruled, key)
 			continue
 		}
 		it.Revision = at
-		f.overrule[key] = it
+		f.overruled[key] = it
 	}
 }
 
 // mergeFormer takes an item over where it or what is held is former. It returns true if that is news.
 func (f *Feed) mergeFormer(held, it Item) bool {
-	former, current, isHeld := held, it, true
-	if held.Revision > 0 {
-		former, current, isHeld = it, held, false
+	switch {
+	case held.Revision > 0:
+		return f.mergeFormerWord(held, it)
+	case it.Revision > 0:
+		return f.mergeStoresWord(held, it)
+	case !f.outlasts(it, held):
+		return false
 	}
-	if current.Revision == 0 { // both are former
-		if !f.outlasts(it, held) {
-			return false
-		}
-		f.put(it)
-		return true
+	f.put(it) // both are former, and this one is newer
+	return true
+}
+
+// mergeFormerWord takes over a peer's former document where it outlasts the store's.
+func (f *Feed) mergeFormerWord(current, former Item) bool {
+	if !f.outlasts(former, current) {
+		return false
 	}
-	known, isKnown := f.overrule[it.Key]
-	if isHeld && (isKnown && known.Revision >= it.Revision || !isKnown && !it.Gone && it.Revision <= f.revision) {
-		return false // it is older than what is known, or has been removed since
+	f.overruled[current.Key] = current
+	f.put(former)
+	return true
+}
+
+// mergeStoresWord takes over the store's document, or its removal, unless a former one outlasts it.
+func (f *Feed) mergeStoresWord(former, current Item) bool {
+	known, isKnown := f.overruled[current.Key]
+	wasRemoved := !isKnown && !current.Gone && current.Revision <= f.revision
+	if wasRemoved || isKnown && known.Revision >= current.Revision {
+		return false
 	}
 	if f.outlasts(former, current) {
-		f.overrule[it.Key] = current
-		if !isHeld {
-			f.put(former)
-		}
-		return !isHeld
-	}
-	if !isHeld {
+		f.overruled[current.Key] = current
 		return false
 	}
-	delete(f.overrule, it.Key)
-	f.put(it)
-	return differ(held, it)
+	delete(f.overruled, current.Key)
+	f.put(current)
+	return differ(former, current)
 }
 
 // differ reports whether two documents of a key mean different things.
@@ -168,7 +176,7 @@
 	f.former = false
 	var gone []Item
 	for key, it := range f.items {
-		_, stands := f.overrule[key]
+		_, stands := f.overruled[key]
 		if it.Revision == 0 && !it.Gone && !stands && !f.order.Lasts(key) {
 			gone = append(gone, Item{Key: key, Revision: f.revision, Gone: true})
 		}
@@ -180,7 +188,7 @@
 // those that last. It returns what is news.
 func (f *Feed) Yield() []Item {
 	var changed []Item
-	for key, it := range f.overrule {
+	for key, it := range f.overruled {
 		held := f.items[key]
 		if !held.Gone && held.Revision == 0 && f.order.Lasts(key) {
 			continue
@@ -194,7 +202,7 @@
 func (f *Feed) putAll(items []Item) []Item {
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	for _, it := range items {
-		delete(f.overrule, it.Key)
+		delete(f.overruled, it.Key)
 		f.put(it)
 	}
 	return items
@@ -203,7 +211,7 @@
 // currentRevision returns the revision of the store's document of a key in this era, whether it is held or
 // a former one stands against it; false if there is none.
 func (f *Feed) currentRevision(held Item) (Revision, bool) {
-	if over, ok := f.overrule[held.Key]; ok {
+	if over, ok := f.overruled[held.Key]; ok {
 		return over.Revision, true
 	}
 	return held.Revision, !held.Gone && held.Revision > 0
@@ -215,7 +223,7 @@
 	if it.Revision > 0 {
 		return false
 	}
-	_, stands := f.overrule[it.Key]
+	_, stands := f.overruled[it.Key]
 	return stands || !it.Gone
 }
 
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -51,13 +51,13 @@
 
 // Feed is the set of documents. Its owner guards it.
 type Feed struct {
-	order    Order
-	era      Era
-	items    map[string]Item
-	overrule map[string]Item // by key, the store's documents that former ones stand against
-	former   bool            // there may be former documents that the store does not have
-	revision Revision
-	newest   Revision // of the documents
+	order     Order
+	era       Era
+	items     map[string]Item
+	overruled map[string]Item // by key, the store's documents that former ones outlast
+	former    bool            // there may be former documents that the store does not have
+	revision  Revision
+	newest    Revision // of the documents
 	// horizon is the revision up to which removals may not be known here: they were forgotten, or
 	// a list jumped over them. Who stands before it can't be told what changed: it would hold what
 	// was removed, or, where it holds nothing of that, not know what others may hold.
@@ -70,7 +70,7 @@
 	if o == nil {
 		o = noOrder{}
 	}
-	return &Feed{order: o, items: make(map[string]Item), overrule: make(map[string]Item)}
+	return &Feed{order: o, items: make(map[string]Item), overruled: make(map[string]Item)}
 }
 
 // Revision returns the revision up to which everything is held.
@@ -204,7 +204,7 @@
 			items = append(items, withoutLast(it))
 		}
 	}
-	for _, it := range f.overrule {
+	for _, it := range f.overruled {
 		items = append(items, it)
 	}
 	slices.SortFunc(items, func(a, b Item) int {
--- a/state/feed/parts.go
+++ b/state/feed/parts.go
@@ -50,12 +50,12 @@
 	sums := make([]uint64, n)
 	var buf []byte
 	for _, it := range f.items {
-		if _, stands := f.overrule[it.Key]; !it.Gone || stands {
+		if _, stands := f.overruled[it.Key]; !it.Gone || stands {
 			buf = appendSummed(buf[:0], it, byRevision)
 			sums[partOf(it.Key, n)] ^= xxhash.Sum64(buf)
 		}
 	}
-	for _, it := range f.overrule {
+	for _, it := range f.overruled {
 		buf = appendSummed(buf[:0], it, byRevision)
 		sums[partOf(it.Key, n)] ^= xxhash.Sum64(append(buf, "overruled"...))
 	}
