A document that is as it was need not say its age to enter another era

Cause: a reader that enters an era read the age of each document twice, in the control loop. Change: equal documents are taken over without.

--- a/state/feed/era.go
+++ b/state/feed/era.go
@@ -125,6 +125,9 @@
 
 // outlasts reports whether a former document is newer than one of the era, by what both say.
 func (f *Feed) outlasts(former, current Item) bool {
+	if !former.Gone && !differ(former, current) {
+		return false // nearly all are as they were; their ages need not be read
+	}
 	a, b := f.order.Age(former), f.order.Age(current)
 	switch {
 	case current.Gone && current.Revision > 0 || !b.Known:
