A watch's answer is compared with where the daemon stood when it was sent

Cause, found by reading: the position was taken after the answer. Where peers had told of another era during the wait, an answer of before it counted as one of an old copy, and the store as lost for a moment. Change: it is taken before the call, as for lists. Tests of the reader pass.

--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -206,11 +206,12 @@
 	// Between 3/4 and 5/4 of the wait: daemons must not ask in step.
 	wait := plan.Wait
 	wait = wait*3/4 + rand.N(wait/2)
+	known := r.known()
 	changes, err := r.store.Watch(ctx, r.after.Revision, wait, transport.Timeouts{FirstByte: wait + watchSlack, Idle: idleTimeout})
 	if err != nil {
 		return err
 	}
-	if changes.At, err = r.place(changes.At, r.known()); err != nil {
+	if changes.At, err = r.place(changes.At, known); err != nil {
 		return err
 	}
 	if changes.At.Era != r.after.Era {
