A test of a daemon without a configuration no longer hangs on when its store goes away; a planted fault takes hold

It let the store serve, then took it away, and looked whether a configuration had come: one that was on its way came between that look and the next. The store now never serves, and the check has no condition: stricter than before. The planted fault of entries that come back had two edits of one file, of which one was laid over the other.

--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -285,12 +285,9 @@
 	})
 
 	It("answers 503 while nothing is known", func() {
-		n := s.start()
-		n.endpoint.SetMode(standin.StoreResets)
-		if n.View().Table == nil {
-			Expect(n.ready()).To(BeFalse())
-			Expect(n.statusOfK1()).To(Equal(503))
-		}
+		n := s.startWhile(standin.StoreResets)
+		Expect(n.ready()).To(BeFalse())
+		Expect(n.statusOfK1()).To(Equal(503))
 	})
 
 	It("lets callers wait for its first configuration", func() {
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -87,6 +87,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if _, ok := replaced[file]; ok {
+			t.Fatalf("two edits of %s; only one would be laid over it", e.file)
+		}
 		if strings.Count(string(source), e.text) != 1 {
 			t.Fatalf("%s does not hold %q once; the fault must be planted anew", e.file, e.text)
 		}
