A daemon tells its own lost links from lost replicas, and says so

What callers saw: 503 from daemons that had lost their links to all replicas. No line, metric or operator's answer told whether a daemon lacks its links or the replicas are gone: each line names one replica (docs/incidents/lost-links-to-replicas.md, hypotheses 1 and 3).

Change: routing.Reach takes failed new connections, silence and probes as evidence, for each service; a log line, links_lost_total and lost_links of the status say what it found. Requests are routed as before. Cost while nothing is wrong: two locked counts a request, no message.

--- a/coordination/routing/config.go
+++ b/coordination/routing/config.go
@@ -99,9 +99,10 @@
 // Service describes a service's replicas.
 type Service struct {
 	Name           ServiceName
-	MaxConnections int  // to one replica, from all daemons together; 0: unlimited
-	Generates      bool // the replicas generate text and cache prompts
-	CopiesPrompts  bool // a replica can copy cached prompts from another
+	MaxConnections int    // to one replica, from all daemons together; 0: unlimited
+	Generates      bool   // the replicas generate text and cache prompts
+	CopiesPrompts  bool   // a replica can copy cached prompts from another
+	HealthPath     string // of the replicas' health check; empty: none is published
 	// ColdStart is how long a replica is cold after a start, and ColdPerSecond how many requests
 	// a second it can take meanwhile. If ColdStart is 0 it has no cold period, and if
 	// ColdPerSecond is 0 there is no limit.
--- /dev/null
+++ b/coordination/routing/reach.go
@@ -0,0 +1,288 @@
+// This file decides whether this daemon has lost its own links to the replicas of a service. Its
+// connections to them then go through another daemon (carriers.go), which reaches them.
+//
+// That one replica gives no sign says nothing about the links: it may have crashed or be silent for a
+// while, and eject.go avoids it. Inputs: connections to replicas that could not be opened, or that
+// broke or stayed silent before the first byte of a response; when bytes of any replica arrived; the
+// requests that wait for a response; and probes. Only connections of this daemon's own count, not
+// those through others. The rule, for each service:
+//
+//  1. The links are suspect once connections to minUnreached replicas, or to the only one, failed
+//     within reachWindow, and no new connection carried a response since. Silence counts as such a
+//     failure if nothing arrived from any replica of the service since the request was sent.
+//  2. They are suspect too if requests wait at as many replicas and nothing arrived from any for
+//     silentTicks ticks in a row. Ticks are counted rather than time, so that a daemon that was
+//     paused does not take its own pause for silence. Each false alarm doubles the number, up to
+//     maxSilentTicks: a service may be slow by nature.
+//  3. Probes of some replicas follow at once, and every ProbeInterval from then on. If none of the
+//     first ones reaches a replica, the links are down. If one does, they are up.
+//  4. Links that are down are up again when probes reached a replica in probesToRecover rounds in a
+//     row, so that one packet that gets through does not end a detour.
+//  5. While the links are suspect or down, no new or idle connection of this daemon's own is used.
+//     Idle ones are not used afterwards either: they may have been cut in silence.
+
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// LinkState says whether a daemon's own links to the replicas of a service work.
+type LinkState int
+
+// The states of links.
+const (
+	LinksUp      LinkState = iota
+	LinksSuspect           // not yet probed
+	LinksDown              // confirmed by probes
+)
+
+const (
+	minUnreached = 2
+	// reachWindow is how long a failed connection counts: two replicas that crash a while apart are
+	// no sign of broken links.
+	reachWindow = 2 * time.Second
+	// silentTicks is the number of ticks of the control loop, 200 ms each.
+	silentTicks    = 3
+	maxSilentTicks = 48
+	// ProbeInterval is the time between two rounds of probes, and probeReplicas the number of replicas
+	// that a round tries.
+	ProbeInterval   = 500 * time.Millisecond
+	probeReplicas   = 2
+	probesToRecover = 2
+)
+
+// Reach records which services this daemon reaches through its own links. It is safe for concurrent
+// use.
+type Reach struct {
+	mu       sync.Mutex
+	services map[ServiceName]*serviceReach
+	suspects chan struct{}
+}
+
+// serviceReach is the state of one service.
+type serviceReach struct {
+	state LinkState
+	since time.Time // when the links became suspect; zero: they are up
+	// bySilence means that rule 2 made the links suspect.
+	bySilence bool
+	failed    map[Incarnation]time.Time // when connections failed, since a new one last worked
+	waiting   map[Incarnation]int       // requests on connections of this daemon's own
+	replicas  int                       // number of ready replicas, as last reported
+	arrivedAt time.Time                 // when bytes last arrived on a connection of this daemon's own
+	arrived   bool                      // since the last tick
+	quiet     int                       // ticks in a row in which nothing arrived
+	patience  int                       // ticks of rule 2
+	regained  time.Time                 // when the links were last found to be up again
+	rounds    int                       // rounds of probes in a row that reached a replica
+}
+
+// NewReach returns a Reach for which all links are up.
+func NewReach() *Reach {
+	return &Reach{services: make(map[ServiceName]*serviceReach), suspects: make(chan struct{}, 1)}
+}
+
+// Suspected returns a channel that receives a value when links became suspect and are to be probed.
+func (r *Reach) Suspected() <-chan struct{} { return r.suspects }
+
+// notify signals that links became suspect.
+func (r *Reach) notify() {
+	select {
+	case r.suspects <- struct{}{}:
+	default: // a signal is pending
+	}
+}
+
+// service returns the state of a service. The caller holds the lock.
+func (r *Reach) service(s ServiceName) *serviceReach {
+	v := r.services[s]
+	if v == nil {
+		v = &serviceReach{failed: make(map[Incarnation]time.Time), waiting: make(map[Incarnation]int), patience: silentTicks}
+		r.services[s] = v
+	}
+	return v
+}
+
+// State returns the state of the links to a service's replicas.
+func (r *Reach) State(s ServiceName) LinkState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.services[s]; v != nil {
+		return v.state
+	}
+	return LinksUp
+}
+
+// MayReuse reports whether an idle connection of this daemon's own may be used.
+func (r *Reach) MayReuse(s ServiceName, idleSince time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.services[s]
+	return v == nil || v.state == LinksUp && idleSince.After(v.regained)
+}
+
+// Begin records that a request waits for a response of a replica, on a connection of this daemon's
+// own. replicas is the number of ready replicas of the service.
+func (r *Reach) Begin(to *Replica, replicas int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.service(to.Service)
+	v.replicas = replicas
+	v.waiting[to.Incarnation()]++
+}
+
+// End records the end of a request that was recorded by Begin.
+func (r *Reach) End(to *Replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.service(to.Service)
+	if v.waiting[to.Incarnation()]--; v.waiting[to.Incarnation()] <= 0 {
+		delete(v.waiting, to.Incarnation())
+	}
+}
+
+// Arrived records that bytes of a service's replica arrived on a connection of this daemon's own. If
+// they are the first on a new connection, earlier failures no longer count, and links that were
+// suspect or down are up. It returns true in the latter case.
+func (r *Reach) Arrived(s ServiceName, firstOnNew bool, now time.Time) (regained bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.service(s)
+	v.arrived, v.arrivedAt = true, now
+	if !firstOnNew {
+		return false
+	}
+	clear(v.failed)
+	if v.state == LinksUp {
+		return false
+	}
+	v.recover(now)
+	return true
+}
+
+// Failed records that a connection of this daemon's own could not be opened, or that it broke before
+// the first byte of a response. It returns true if this makes the links suspect.
+func (r *Reach) Failed(to *Replica, replicas int, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fail(to, replicas, now)
+}
+
+// Silent records that a replica has sent nothing since a request was sent to it. It returns true if
+// this makes the links suspect.
+func (r *Reach) Silent(to *Replica, replicas int, sent, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.service(to.Service).arrivedAt.After(sent) {
+		return false
+	}
+	return r.fail(to, replicas, now)
+}
+
+// fail applies rule 1. The caller holds the lock.
+func (r *Reach) fail(to *Replica, replicas int, now time.Time) bool {
+	v := r.service(to.Service)
+	v.replicas = replicas
+	for other, at := range v.failed {
+		if now.Sub(at) > reachWindow {
+			delete(v.failed, other)
+		}
+	}
+	v.failed[to.Incarnation()] = now
+	if v.state != LinksUp || len(v.failed) < v.enough() {
+		return false
+	}
+	v.suspect(false, now)
+	r.notify()
+	return true
+}
+
+// enough returns at how many replicas failures make the links suspect.
+func (v *serviceReach) enough() int { return max(1, min(minUnreached, v.replicas)) }
+
+// suspect makes the links suspect.
+func (v *serviceReach) suspect(bySilence bool, now time.Time) {
+	v.state, v.since, v.bySilence, v.rounds, v.quiet = LinksSuspect, now, bySilence, 0, 0
+}
+
+// recover makes the links up again.
+func (v *serviceReach) recover(now time.Time) {
+	v.state, v.since, v.regained, v.rounds, v.quiet = LinksUp, time.Time{}, now, 0, 0
+	clear(v.failed)
+}
+
+// Tick applies rule 2. It returns the services whose links became suspect.
+func (r *Reach) Tick(now time.Time) []ServiceName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var suspects []ServiceName
+	for name, v := range r.services {
+		silent := !v.arrived && v.state == LinksUp && len(v.waiting) >= v.enough()
+		v.arrived = false
+		if !silent {
+			v.quiet = 0
+			continue
+		}
+		if v.quiet++; v.quiet > v.patience {
+			v.suspect(true, now)
+			r.notify()
+			suspects = append(suspects, name)
+		}
+	}
+	return suspects
+}
+
+// Probed records a round of probes, reached of which got a response. It returns the state before and
+// after.
+func (r *Reach) Probed(s ServiceName, reached int, now time.Time) (before, after LinkState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.service(s)
+	before = v.state
+	switch {
+	case before == LinksUp:
+	case reached == 0:
+		v.state, v.rounds, v.patience = LinksDown, 0, silentTicks
+	case before == LinksSuspect:
+		if v.bySilence {
+			v.patience = min(2*v.patience, maxSilentTicks)
+		}
+		v.recover(now)
+	default:
+		if v.rounds++; v.rounds >= probesToRecover {
+			v.recover(now)
+		}
+	}
+	return before, v.state
+}
+
+// ProbeTargets returns random ready replicas of a pool for a round of probes.
+func ProbeTargets(p *Pool) []Replica {
+	out := make([]Replica, 0, probeReplicas)
+	for _, i := range rand.Perm(len(p.Ready))[:min(probeReplicas, len(p.Ready))] {
+		out = append(out, p.Ready[i])
+	}
+	return out
+}
+
+// LostService is a service whose links are suspect or down.
+type LostService struct {
+	Service ServiceName
+	State   LinkState
+	Since   time.Time
+}
+
+// Lost returns the services whose links are suspect or down.
+func (r *Reach) Lost() []LostService {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []LostService
+	for name, v := range r.services {
+		if v.state != LinksUp {
+			out = append(out, LostService{Service: name, State: v.state, Since: v.since})
+		}
+	}
+	return out
+}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -135,6 +135,20 @@
 	return s, ok
 }
 
+// defaultHealthPath applies to services that publish none. Any response shows that a replica is reached.
+const defaultHealthPath = "/"
+
+// HealthPath returns the path of the health check of a service's replicas. It accepts a nil table.
+func (t *Table) HealthPath(name ServiceName) string {
+	if t == nil {
+		return defaultHealthPath
+	}
+	if s, ok := t.services[name]; ok && s.HealthPath != "" {
+		return s.HealthPath
+	}
+	return defaultHealthPath
+}
+
 // HasTarget reports whether a route with a latency target leads to a service.
 func (t *Table) HasTarget(s ServiceName) bool { return t.hasTarget[s] }
 
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -84,6 +84,8 @@
 	transfers  transfers
 	permits    *permits
 
+	// reach says which services this daemon reaches through its own links.
+	reach *routing.Reach
 	// openSince returns when the oldest open idle connection to a replica was opened.
 	openSince func(routing.Incarnation) (time.Time, bool)
 
@@ -270,6 +272,7 @@
 	c.repeatReports(now)
 	c.expirePreRestore(now)
 	c.transfers.dropExpired(now)
+	c.reach.Tick(now)
 	c.tickPermits(now)
 	c.syncIfBehind(ctx, now)
 	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -154,6 +154,7 @@
 		events:     make(chan event, eventQueue),
 		configured: make(chan struct{}),
 		ended:      make(chan struct{}),
+		reach:      d.pool.Reach(),
 		openSince:  d.pool.OldestOpenConn,
 	}
 	c.permits.gate.control = c
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -37,6 +37,7 @@
 	prefixStore   = "store: "
 	prefixPeer    = "peer: "
 	prefixDaemon  = "daemon: "
+	prefixLinks   = "links: "
 )
 
 // timelineEvents is the number of events that a daemon keeps for the timeline, which is
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -34,6 +34,9 @@
 	Ejections          metrics.Counter
 	// ReportedSilent counts the replicas that were silent according to other daemons' reports.
 	ReportedSilent metrics.Counter
+	// LinksLost counts how often this daemon's own links to the replicas of a service were found to be
+	// down.
+	LinksLost metrics.Counter
 	// Overloaded counts the requests that found their replica overloaded.
 	Overloaded metrics.Counter
 	// Crashed counts the requests whose replica crashed while serving them.
@@ -112,6 +115,7 @@
 		"new_connections_total":     &m.NewConnections,
 		"passed_over_total":         &m.Ejections,
 		"found_silent_total":        &m.ReportedSilent,
+		"links_lost_total":          &m.LinksLost,
 		"crowded_total":             &m.Overloaded,
 		"ended_under_total":         &m.Crashed,
 		"contents_held_total":       &m.ContentsQuarantined,
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -61,6 +61,16 @@
 	// that it accepts from other daemons. They show if two builds run side by side.
 	Build string   `json:"build"`
 	Reads []string `json:"reads"`
+	// LostLinks lists the services that this daemon does not reach on connections of its own.
+	LostLinks []LostLinksAnswer `json:"lost_links,omitempty"`
+}
+
+// LostLinksAnswer is a service that a daemon does not reach on connections of its own.
+type LostLinksAnswer struct {
+	Service routing.ServiceName `json:"service"`
+	// Confirmed means that probes reached no replica either.
+	Confirmed bool  `json:"confirmed"`
+	SinceMS   int64 `json:"since_ms"`
 }
 
 // MemberAnswer is one daemon in the response to GET /members.
@@ -159,6 +169,11 @@
 		ReadsStore: c.readPlan.Load().Reads, Daemons: c.daemons, Replicas: len(c.catalog.replicas),
 		Evacuated: c.catalog.evacuations.Domains(),
 	}
+	for _, l := range c.reach.Lost() {
+		a.LostLinks = append(a.LostLinks, LostLinksAnswer{
+			Service: l.Service, Confirmed: l.State == routing.LinksDown, SinceMS: now.Sub(l.Since).Milliseconds(),
+		})
+	}
 	for _, p := range c.view.Load().Pools {
 		for i := range p.Ready {
 			if p.Ready[i].IsCold(now) {
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -32,6 +32,7 @@
 	wg.Go(func() { d.reader.run(work) })
 	wg.Go(func() { d.peers.receive(work, d.control) })
 	wg.Go(func() { d.sweepConnections(work) })
+	wg.Go(func() { d.Relay.WatchLinks(work) })
 	failed := make(chan error, len(d.listeners()))
 	for _, l := range d.listeners() {
 		wg.Go(func() { l.Serve(failed) })
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -65,6 +65,8 @@
 type Codec interface {
 	// AppendRequest appends the request line and header, including the empty line after them.
 	AppendRequest(buf []byte, c *Call, h RequestHead) []byte
+	// AppendHealthCheck appends a complete request for the health check of a replica.
+	AppendHealthCheck(buf []byte, r *routing.Replica, path string) []byte
 	// ReadResponse parses the header of a response.
 	ReadResponse(status int, h http.Header) ResponseHead
 }
@@ -134,4 +136,9 @@
 	Replaced(r *routing.Replica, c *Call)
 	// Overloaded is called when a replica is overloaded by its own report.
 	Overloaded(r *routing.Replica, c *Call, l ReportedLoad)
+	// LinksLost is called when this daemon's own links to the replicas of a service are found to be
+	// down: none of the replicas that were probed responded.
+	LinksLost(s routing.ServiceName, probed int)
+	// LinksRegained is called when they are up again after the given time.
+	LinksRegained(s routing.ServiceName, after time.Duration)
 }
--- a/transport/relay/crash_check.go
+++ b/transport/relay/crash_check.go
@@ -74,21 +74,21 @@
 // hasTerminated reports whether a replica refuses connections. Requests whose connections broke
 // at the same time share one dial, which goes on if the caller of the request that started it
 // disconnects. An accepted connection is put into the pool.
-func (p *Pool) hasTerminated(ctx context.Context, r *routing.Replica, limit int, now time.Time) bool {
+func (p *Pool) hasTerminated(ctx context.Context, r *routing.Replica, v *routing.View, now time.Time) bool {
 	c, isNew := p.crashChecks.current(r.Incarnation(), now)
 	if isNew {
-		c.refused = p.refusesConnection(context.WithoutCancel(ctx), r, limit)
+		c.refused = p.refusesConnection(context.WithoutCancel(ctx), r, v)
 		close(c.done)
 	}
 	<-c.done
 	return c.refused
 }
 
-func (p *Pool) refusesConnection(ctx context.Context, r *routing.Replica, limit int) bool {
-	if !p.reserve(r.Incarnation(), limit) {
+func (p *Pool) refusesConnection(ctx context.Context, r *routing.Replica, v *routing.View) bool {
+	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return false // the limit is reached, so other connections are open
 	}
-	c, err := p.open(ctx, r)
+	c, err := p.open(ctx, r, v)
 	if err == nil {
 		p.put(c, clock.Now())
 	}
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -67,6 +67,7 @@
 	// disconnects. It returns false if that function has already started.
 	stopCancelWatch func() bool
 
+	replica        *routing.Replica
 	sent           time.Time // taken before the first byte was written
 	writing        sync.WaitGroup
 	writeErr       error
@@ -137,7 +138,7 @@
 	_ = x.conn.SetReadDeadline(clock.RuntimeTime(until)) // on failure, the read fails too
 	_, err := x.conn.reader.Peek(1)
 	if err == nil {
-		x.received = true
+		x.recordArrival()
 		_ = x.conn.SetReadDeadline(clock.RuntimeTime(x.deadline))
 		return true, nil
 	}
@@ -147,6 +148,12 @@
 	return false, err
 }
 
+// recordArrival records that bytes arrived from the replica.
+func (x *exchange) recordArrival() {
+	x.pool.reach.Arrived(x.replica.Service, !x.received && !x.conn.reused, clock.Now())
+	x.received = true
+}
+
 // readHeader reads the header of the response to this request. It skips late responses to
 // earlier requests.
 func (x *exchange) readHeader(ctx context.Context) *failure {
--- /dev/null
+++ b/transport/relay/links.go
@@ -0,0 +1,119 @@
+// This file records whether this daemon's own links to replicas work, and probes those that are
+// suspect. coordination/routing/reach.go decides.
+
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
+)
+
+// probeTimeout bounds a probe. A replica may let a health check wait for a slot.
+const probeTimeout = time.Second
+
+// reportLink records what an exchange that failed says about this daemon's own link to the replica.
+func (s *activeCall) reportLink(ctx context.Context, x *exchange, r *routing.Replica, f *failure) {
+	if x.received || ctx.Err() != nil {
+		return
+	}
+	switch {
+	case f.result == routing.ResultSilent:
+		s.Pool.reach.Silent(r, s.replicas(r), x.sent, clock.Now())
+	case f.result == routing.ResultBroken && !x.conn.reused:
+		// That an idle connection broke may mean that the replica closed it.
+		s.Pool.reach.Failed(r, s.replicas(r), clock.Now())
+	}
+}
+
+// replicas returns the number of ready replicas of a replica's service.
+func (s *activeCall) replicas(r *routing.Replica) int { return len(s.View().Pool(r.Service).Ready) }
+
+// WatchLinks probes links that are suspect or down until ctx is done.
+func (r *Relay) WatchLinks(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Pool.reach.Suspected():
+		}
+		for lost := r.Pool.reach.Lost(); len(lost) > 0 && ctx.Err() == nil; lost = r.Pool.reach.Lost() {
+			r.probeServices(ctx, lost)
+			r.awaitProbes(ctx)
+		}
+	}
+}
+
+// awaitProbes waits until the next round of probes is due.
+func (r *Relay) awaitProbes(ctx context.Context) {
+	timer := time.NewTimer(routing.ProbeInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.Pool.reach.Suspected():
+	case <-timer.C:
+	}
+}
+
+// probeServices performs a round of probes for each service.
+func (r *Relay) probeServices(ctx context.Context, lost []routing.LostService) {
+	var wg sync.WaitGroup
+	for _, l := range lost {
+		wg.Go(func() { r.probeService(ctx, l) })
+	}
+	wg.Wait()
+}
+
+// probeService probes some replicas of a service and records the result.
+func (r *Relay) probeService(ctx context.Context, l routing.LostService) {
+	view := r.View()
+	replicas := routing.ProbeTargets(view.Pool(l.Service))
+	reached := make([]bool, len(replicas))
+	var wg sync.WaitGroup
+	for i := range replicas {
+		wg.Go(func() { reached[i] = r.probe(ctx, view, &replicas[i]) })
+	}
+	wg.Wait()
+	n := 0
+	for _, ok := range reached {
+		if ok {
+			n++
+		}
+	}
+	now := clock.Now()
+	before, after := r.Pool.reach.Probed(l.Service, n, now)
+	switch {
+	case before == routing.LinksSuspect && after == routing.LinksDown:
+		r.Observer.LinksLost(l.Service, len(replicas))
+	case before == routing.LinksDown && after == routing.LinksUp:
+		r.Observer.LinksRegained(l.Service, now.Sub(l.Since))
+	}
+}
+
+// probe reports whether a replica responds to a health check on a new connection of this daemon's own.
+// Any response will do, since only the link is in question.
+func (r *Relay) probe(ctx context.Context, v *routing.View, to *routing.Replica) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := r.Pool.dial(ctx, to.Address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if _, err := conn.Write(r.Codec.AppendHealthCheck(nil, to, v.Table.HealthPath(to.Service))); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // the connection is closed in any case
+	return true
+}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -71,6 +71,7 @@
 	dialTimes   routing.DialTimes
 	linkDoubts  routing.BrokenLinks
 	crashChecks crashChecks
+	reach       *routing.Reach
 
 	mu        sync.Mutex
 	idle      map[routing.Incarnation][]*conn
@@ -81,16 +82,20 @@
 func NewPool() *Pool {
 	return &Pool{
 		dialer:    net.Dialer{KeepAlive: -1},
+		reach:     routing.NewReach(),
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
 	}
 }
 
+// Reach returns the record of whether this daemon's own links to replicas work.
+func (p *Pool) Reach() *routing.Reach { return p.reach }
+
 // get returns a connection to a replica: the most recently used idle one, or else a new
 // one. The most recently used is the least likely to have been closed by the replica, and
 // the others time out, so that the number of connections follows the demand.
-// At most limit connections are open to a replica at a time; 0 means no limit.
-func (p *Pool) get(ctx context.Context, r *routing.Replica, limit int, now time.Time) (*conn, error) {
+// The view limits the connections that are open to a replica at a time.
+func (p *Pool) get(ctx context.Context, r *routing.Replica, v *routing.View, now time.Time) (*conn, error) {
 	for {
 		c := p.takeIdle(r.Incarnation(), now)
 		if c == nil {
@@ -102,16 +107,19 @@
 		}
 		p.discard(c)
 	}
-	if !p.reserve(r.Incarnation(), limit) {
+	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return nil, errConnectionLimit
 	}
-	return p.open(ctx, r)
+	return p.open(ctx, r, v)
 }
 
 // open opens a connection that was counted by reserve, and uncounts it on failure.
-func (p *Pool) open(ctx context.Context, r *routing.Replica) (*conn, error) {
+func (p *Pool) open(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
 	raw, err := p.dial(ctx, r.Address)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
+		}
 		p.release(r.Incarnation())
 		return nil, err
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -192,7 +192,7 @@
 // It returns before the call may be retried, since the crash may quarantine its content.
 func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica) {
 	now := clock.Now()
-	if !s.Pool.hasTerminated(ctx, r, s.View().ConnectionLimit(s.call.Service), now) {
+	if !s.Pool.hasTerminated(ctx, r, s.View(), now) {
 		return
 	}
 	s.Observer.CrashedDuring(r, s.call)
@@ -225,7 +225,7 @@
 // the complete response.
 func (s *activeCall) send(ctx context.Context, t *routing.Target, a *Attempt) *failure {
 	now := clock.Now()
-	c, err := s.Pool.get(ctx, &t.Replica, s.View().ConnectionLimit(s.call.Service), now)
+	c, err := s.Pool.get(ctx, &t.Replica, s.View(), now)
 	if err != nil {
 		return unreachable(ctx, err)
 	}
@@ -243,8 +243,10 @@
 		s.Pool.put(c, clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errQuarantined}
 	}
+	s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
+	defer s.Pool.reach.End(&t.Replica)
 	x := &exchange{
-		pool: s.Pool, codec: s.Codec, call: s.call, conn: c, deadline: s.call.Deadline,
+		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.call.Deadline,
 		onSelfReport: func(report SelfReport) { s.applySelfReport(&t.Replica, a, report) },
 	}
 	if s.attempts.CountSend() {
@@ -258,6 +260,9 @@
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
+	if f != nil {
+		s.reportLink(ctx, x, &t.Replica, f)
+	}
 	if f != nil && f.result == routing.ResultBroken && f.countsAgainst && !x.received {
 		s.Pool.linkDoubts.Record(t.Replica.Domain, clock.Now())
 	}
@@ -342,6 +347,7 @@
 	if canRetry && s.reserveRetry(ctx) {
 		return x.silentReplica()
 	}
+	s.Pool.reach.Silent(r, s.replicas(r), x.sent, clock.Now())
 	s.recordFailure(r, routing.ResultSilent, errSilent)
 	if !canRetry {
 		s.Placer.Health.ReportSilence(r, clock.Now())
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -226,6 +226,8 @@
 
 func (n *recordingObserver) BackoffRequested(*routing.Replica, *relay.Call, time.Duration) {}
 func (n *recordingObserver) DepartureAnnounced(*routing.Replica, *relay.Call)              {}
+func (n *recordingObserver) LinksLost(routing.ServiceName, int)                            {}
+func (n *recordingObserver) LinksRegained(routing.ServiceName, time.Duration)              {}
 func (n *recordingObserver) Replaced(*routing.Replica, *relay.Call)                        {}
 
 func (n *recordingObserver) Ejected(r *routing.Replica, _ *relay.Call, _ error) {
