A test of daemons that lose their links to all replicas; it fails

The soak couldn't bring it about: its links to replicas served all daemons alike.

Change: links to replicas tell daemons apart by a source address, which is a setting of its own for VMs with several addresses; a partition resets open and new connections, silences them, or resets new ones alone. The check RECOVER has the users' numbers: from 3 s on less than two thirds of the others' share of requests, and more than 10 + 1 in 50 failures.

TestCheckPartitions has lawful and broken cases.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -58,6 +58,7 @@
 	Departures        float64       `long:"leavings" default:"0.15" description:"times per second that a replica departs and announces it only in its responses; use 0 for seeds recorded before this option existed"`
 	FalseTerminations float64       `long:"false-ends" default:"0.1" description:"false reports per second to daemons that a live replica has terminated; use 0 for seeds recorded before this option existed"`
 	Restores          float64       `long:"restores" default:"0.1" description:"times per second that the store is restored from a backup; use 0 for seeds recorded before this option existed"`
+	Partitions        float64       `long:"partitions" default:"0" description:"times per second that daemons lose their links to all replicas; 0.1 is a good rate"`
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
 	Dir               string        `long:"dir" description:"directory of the runs (default: a temporary directory)"`
@@ -179,7 +180,7 @@
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuations, o.Crashing, o.Foreign
 	shape.BackoffsPerSec, shape.DeparturesPerSec = o.Backoffs, o.Departures
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
-	shape.Crowded = o.Crowded
+	shape.Crowded, shape.PartitionsPerSec = o.Crowded, o.Partitions
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -7,6 +7,7 @@
 	"io"
 	stdlog "log"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -63,7 +64,7 @@
 
 // New opens the listeners and assembles a daemon. Nothing is served before Run.
 func New(s *Settings, p Platform, logTo io.Writer) (*Daemon, error) {
-	d := &Daemon{settings: s, platform: p, Metrics: newMetrics(), started: clock.Now(), pool: relay.NewPool()}
+	d := &Daemon{settings: s, platform: p, Metrics: newMetrics(), started: clock.Now(), pool: relay.NewPool(net.ParseIP(s.SourceAddress))}
 	d.Log = newLog(logTo, s.LogLevel, string(s.ID), d.Metrics)
 	limitMemory(s.MemoryMB)
 	if err := d.open(); err != nil {
--- a/daemon/routes/settings.go
+++ b/daemon/routes/settings.go
@@ -3,6 +3,7 @@
 package routes
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -19,13 +20,16 @@
 	Listen Listeners           `yaml:"listen"`
 	// PeerAddress is the address at which peers reach this daemon if it differs from
 	// listen.peers, as behind NAT. If empty, it is listen.peers.
-	PeerAddress string        `yaml:"peer_address"`
-	Store       string        `yaml:"store"` // IP:PORT of the operators' store
-	Seeds       []string      `yaml:"seeds"` // IP:PORT of other daemons; the port is ignored
-	Stop        StopSettings  `yaml:"stop"`
-	Retry       RetrySettings `yaml:"repeat"`
-	MemoryMB    int           `yaml:"memory_mb"` // memory of the process; 0 if no limit is known
-	LogLevel    string        `yaml:"log_level"`
+	PeerAddress string `yaml:"peer_address"`
+	// SourceAddress is the IP number from which this daemon connects to replicas, on a VM that has
+	// several. If empty, the operating system chooses it.
+	SourceAddress string        `yaml:"source_address"`
+	Store         string        `yaml:"store"` // IP:PORT of the operators' store
+	Seeds         []string      `yaml:"seeds"` // IP:PORT of other daemons; the port is ignored
+	Stop          StopSettings  `yaml:"stop"`
+	Retry         RetrySettings `yaml:"repeat"`
+	MemoryMB      int           `yaml:"memory_mb"` // memory of the process; 0 if no limit is known
+	LogLevel      string        `yaml:"log_level"`
 }
 
 // Listeners are the addresses that a daemon listens on, each IP:PORT.
@@ -92,6 +96,9 @@
 	if s.PeerAddress != "" {
 		c.Address(s.PeerAddress, "peer_address")
 	}
+	if s.SourceAddress != "" && net.ParseIP(s.SourceAddress) == nil {
+		c.Add(fmt.Sprintf("source_address %q is no IP number", s.SourceAddress), "write an IP number of this VM, or leave it out", "source_address")
+	}
 	c.Address(s.Store, "store")
 	for i, seed := range s.Seeds {
 		c.Address(seed, "seeds", i)
--- a/daemon/routes/settings_test.go
+++ b/daemon/routes/settings_test.go
@@ -47,6 +47,7 @@
 		Entry("a level", "stop:", "log_level: loud\nstop:", "debug, info, warn or error"),
 		Entry("the budget", "stop:", "repeat: {ratio: -1}\nstop:", "window such as 10s"),
 		Entry("memory", "stop:", "memory_mb: -1\nstop:", "memory of the process"),
+		Entry("the source address", "stop:", "source_address: here\nstop:", "IP number of this VM"),
 		Entry("an unknown key", "stop:", "stopp: 1\nstop:", "stopp"),
 	)
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,6 +37,8 @@
 	Crashing crashingBounds
 	// Backoffs limits what reaches replicas that requested a backoff.
 	Backoffs backoffBounds
+	// Partition limits what callers of daemons without links to replicas have to bear.
+	Partition partitionBounds
 	// MaxRefusal is how long a daemon may refuse requests that a live replica could serve.
 	MaxRefusal time.Duration
 }
@@ -51,6 +53,7 @@
 		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
 		Crashing:   crashingBounds{Crashes: 3, LaterArrivals: 3},
 		Backoffs:   backoffBounds{Grace: 500 * time.Millisecond, Max: 2},
+		Partition:  partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
 		MaxRefusal: time.Second,
 	}
 }
@@ -78,6 +81,7 @@
 	j.checkBackoffs()
 	j.checkDepartures()
 	j.checkServing()
+	j.checkPartitions()
 	j.checkLimit()
 	j.checkCold()
 	j.out = append(j.out, l.terminations...)
@@ -202,7 +206,7 @@
 func (j *checker) checkDrain(r *record, run *Run) {
 	for _, left := range j.departures[run.Replica] {
 		late := run.At.Sub(left.from)
-		if late > j.bounds.Drain && run.At.Before(left.to) && j.upToDate(r.Daemon, left.from, run.At) && noneOverlaps(j.replicas[run.Replica], left.from, run.At) && !j.missesEras(r) {
+		if late > j.bounds.Drain && run.At.Before(left.to) && !j.linkWasCut(r.Daemon, r.Sent, run.At) && j.upToDate(r.Daemon, left.from, run.At) && noneOverlaps(j.replicas[run.Replica], left.from, run.At) && !j.missesEras(r) {
 			j.add("DRAIN", r, run.At, "reached %s %v after the store accepted its departure, through daemon %d", run.Replica, late, r.Daemon)
 		}
 	}
@@ -212,7 +216,7 @@
 	for _, a := range r.arrivals {
 		// A link that delayed the request makes its deadline look later than the
 		// daemon set it.
-		delayed := !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At)
+		delayed := !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) || j.linkWasCut(r.Daemon, r.Sent, a.At)
 		if late := a.Deadline.Sub(r.Deadline); late > j.bounds.DeadlineSlack && !delayed && j.undisturbed(r.Daemon, a.At, a.At) {
 			j.addTolerated("BUDGET", r, a.At, "replica %s got a deadline %v later than the caller's", a.Replica, late)
 		}
@@ -228,7 +232,7 @@
 		if ended.IsZero() {
 			ended = j.now
 		}
-		reached := noneOverlaps(j.replicas[run.Replica], run.At, ended)
+		reached := noneOverlaps(j.replicas[run.Replica], run.At, ended) && !j.linkWasCut(r.Daemon, run.At, ended)
 		if reached && ended.Sub(r.disconnected) > j.bounds.Cancel {
 			j.addTolerated("GONE", r, ended, "%s worked for %v after its caller disconnected", run.Replica, ended.Sub(r.disconnected))
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -60,6 +60,9 @@
 	daemons  []*daemon
 	ctx      context.Context
 	wg       sync.WaitGroup
+	// bindsSource makes each daemon connect to replicas from its own IP address, by which links to
+	// replicas tell the daemons apart.
+	bindsSource bool
 }
 
 // freePorts returns n distinct ports that are currently free on loopback. Each stays bound
@@ -111,6 +114,10 @@
 	for k := range min(3, len(d.fleet.daemons)) {
 		seeds += fmt.Sprintf("  - %s.%d:1\n", d.fleet.network, 110+k)
 	}
+	source := ""
+	if d.fleet.bindsSource {
+		source = "source_address: " + d.ip + "\n"
+	}
 	text := fmt.Sprintf(`# generation %d
 id: d%d
 domain: %s
@@ -129,7 +136,7 @@
   extra: 56
   window: 10s
 memory_mb: %d
-`, generation, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.peerIP, d.fleet.ports[3], d.store.Address(), seeds, gracePeriod, memoryMB)
+%s`, generation, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.peerIP, d.fleet.ports[3], d.store.Address(), seeds, gracePeriod, memoryMB, source)
 	return os.WriteFile(d.file, []byte(text), 0o600)
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -123,6 +123,7 @@
 	freezes          map[int][]span          // of daemons
 	setAside         map[string][]span       // when replicas backed off, or announced their departure in responses alone
 	crowdedServices  map[string]*crowdedService
+	partitions       []partitionSpan
 	// recoveryCheckFrom is when the last part of the quiet time begins, in which requests must be served.
 	recoveryCheckFrom time.Time
 }
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -29,10 +29,13 @@
 	target   string
 	fault    LinkFault
 	conns    map[*linkConn]struct{}
+	// partitions are those of the daemons that open the link's connections; nil: they have none.
+	partitions *partitions
 }
 
 type linkConn struct {
 	near, far *net.TCPConn
+	source    string  // IP address of the side that opened the connection
 	random    float64 // random number in [0, 1); a fault applies if its Share is greater
 }
 
@@ -118,8 +121,8 @@
 	l.mu.Lock()
 	target, t := l.target, l.fault
 	l.mu.Unlock()
-	c := &linkConn{near: near, random: rand.Float64()}
-	if t.Reset && c.random < t.Share {
+	c := &linkConn{near: near, source: sourceOf(near), random: rand.Float64()}
+	if t.Reset && c.random < t.Share || l.partitions.resetsNew(c.source) {
 		resetConn(near)
 		return
 	}
@@ -143,6 +146,20 @@
 	l.mu.Unlock()
 }
 
+// sourceOf returns the IP address of the side that opened a connection.
+func sourceOf(c *net.TCPConn) string { return c.RemoteAddr().(*net.TCPAddr).IP.String() }
+
+// resetFrom resets the connections that a side opened.
+func (l *Link) resetFrom(source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.source == source {
+			c.reset()
+		}
+	}
+}
+
 // copyBytes copies one direction. It forwards the end of the stream with CloseWrite.
 func (l *Link) copyBytes(c *linkConn, to, from *net.TCPConn, stalled func(*LinkFault) bool) {
 	buf := make([]byte, 16<<10)
@@ -166,12 +183,17 @@
 	}
 }
 
-// stall waits for the delay of the link's fault, and while the fault stalls this direction.
+// stall waits for the delay of the link's fault, and while the fault or a partition stalls this
+// direction.
 func (l *Link) stall(c *linkConn, stalled func(*LinkFault) bool) {
 	for delayed := false; ; {
 		l.mu.Lock()
 		t := l.fault
 		l.mu.Unlock()
+		if l.partitions.silences(c.source) {
+			time.Sleep(linkPoll)
+			continue
+		}
 		if c.random >= t.Share {
 			return
 		}
--- /dev/null
+++ b/internal/soak/partition_test.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestDaemonsWithoutLinksToReplicasServeTheirCallers guards against daemons that refuse their callers
+// because their own links to all replicas are lost, although other daemons reach the replicas.
+func TestDaemonsWithoutLinksToReplicasServeTheirCallers(t *testing.T) {
+	const daemons, lasts = 8, 5500 * time.Millisecond
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := &Plan{
+		Daemons: daemons, Domains: 3, Gate: 4, Chat: 8, Callers: 4 * daemons, Trouble: time.Second, Quiet: 5 * time.Second,
+		Partitions: []Partition{
+			{At: time.Second, For: lasts, Mode: resetAll, Daemons: []int{0, 1}},
+			{At: 8 * time.Second, For: lasts, Mode: silentAll, Daemons: []int{2, 3, 4}},
+			{At: 15 * time.Second, For: lasts, Mode: resetNew, Daemons: []int{1, 4, 7}}, // a failure domain
+			{At: 22 * time.Second, For: lasts, Mode: resetAll, Daemons: []int{0, 1, 2, 3, 6}},
+			{At: 23 * time.Second, For: lasts, Mode: silentAll, Daemons: []int{4}},
+		},
+	}
+	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%.3f of %d requests were served, %.3f at the end", report.Share, report.Requests, report.QuietShare)
+	for _, v := range report.Violations {
+		t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
+	}
+}
+
+// TestCheckPartitions records a partition of daemon 0 from second 100 to 110, and requests from second
+// 103 on.
+func TestCheckPartitions(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		inside, served  int // requests at daemon 0, and how many of them succeed
+		others, succeed int // at daemon 1
+		play            func(l *Ledger)
+		broken          bool
+	}{
+		{"served like the others", 100, 95, 100, 95, nil, false},
+		{"served two thirds as often", 100, 67, 100, 100, nil, false},
+		{"served less than two thirds as often", 100, 60, 100, 100, nil, true},
+		{"the others are served no better", 100, 60, 100, 60, nil, false},
+		{"twelve of a hundred fail, and few others are served", 100, 88, 100, 100, nil, false},
+		{"twelve of sixteen fail", 16, 4, 100, 100, nil, true},
+		{"eleven of eleven fail", 11, 0, 100, 100, nil, true},
+		{"ten of ten fail", 10, 0, 100, 100, nil, false},
+		{"there are no others", 100, 0, 0, 0, nil, false},
+		{"the others are in another partition", 100, 0, 100, 100, func(l *Ledger) {
+			l.PartitionBegan([]int{1}, at(99))
+			l.PartitionEnded([]int{1}, at(99), at(120))
+		}, false},
+		{"the daemon was frozen meanwhile", 100, 0, 100, 100, func(l *Ledger) { l.DisturbDaemon(0, at(102), at(108)) }, false},
+	} {
+		l := newLedger(defaultBounds())
+		l.KeyAdded("k", "w", time.Time{})
+		l.PartitionBegan([]int{0}, at(100))
+		l.PartitionEnded([]int{0}, at(100), at(110))
+		if c.play != nil {
+			c.play(l)
+		}
+		send := func(daemon, n, served int) {
+			for i := range n {
+				sent := 103 + 6*float64(i)/float64(n)
+				id := fmt.Sprint(daemon, "-", i)
+				l.Sent(Request{ID: id, Route: routes[1], Daemon: daemon, Key: "k", Sent: at(sent), Deadline: at(sent + 2)})
+				a := Answer{At: at(sent + .01), Status: 503}
+				if i < served {
+					a.Status, a.Complete = 200, true
+				}
+				l.Answered(id, a)
+			}
+		}
+		send(0, c.inside, c.served)
+		send(1, c.others, c.succeed)
+		broken := slices.ContainsFunc(l.Check(at(150)), func(v Violation) bool { return v.Promise == "RECOVER" })
+		if broken != c.broken {
+			t.Errorf("%s: broken %t, want %t", c.name, broken, c.broken)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -90,6 +90,8 @@
 	Upgrades []Upgrade `json:"upgrades,omitempty"`
 	// Crowded is a service that callers ask for more than it can serve; nil: there is none.
 	Crowded *Crowded `json:"crowded,omitempty"`
+	// Partitions cut daemons off from all replicas.
+	Partitions []Partition `json:"partitions,omitempty"`
 }
 
 // Shape limits the random choices of a plan.
@@ -113,6 +115,8 @@
 	FalseCrashesPerSec float64
 	// RestoresPerSec is how often the store is restored from a backup.
 	RestoresPerSec float64
+	// PartitionsPerSec is how often daemons lose their links to all replicas.
+	PartitionsPerSec float64
 	// Upgrades says whether the fleet is upgraded while it runs.
 	Upgrades bool
 	// Crowded says whether there is a crowded service.
@@ -153,8 +157,10 @@
 	p.drawFalseCrashes(seed, s)
 	p.drawRestores(seed, s)
 	p.drawCrowded(seed, s)
+	p.drawPartitions(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
+		p.Partitions = nil // the previous build has no setting by which links tell daemons apart
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -153,7 +153,7 @@
 		return err
 	}
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-	s.fleet = &fleet{binaries: map[Build]string{BuildCurrent: r.options.Daemon, BuildPrevious: r.options.Previous}, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx}
+	s.fleet = &fleet{binaries: map[Build]string{BuildCurrent: r.options.Daemon, BuildPrevious: r.options.Previous}, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx, bindsSource: len(r.plan.Partitions) > 0}
 	for i := range r.plan.Daemons {
 		endpoint, err := s.store.Open()
 		if err != nil {
@@ -205,14 +205,17 @@
 		}
 	})
 	s := &injector{site: r.site, ctx: ctx, endpoints: r.endpoints, logf: r.note}
-	var upgrades sync.WaitGroup
-	upgrades.Go(func() {
+	var others sync.WaitGroup // faults that are not in Plan.Faults
+	others.Go(func() {
 		for i := range r.plan.Upgrades {
 			s.upgrade(&r.plan.Upgrades[i])
 		}
 	})
+	for i := range r.plan.Partitions {
+		others.Go(func() { s.partition(&r.plan.Partitions[i]) })
+	}
 	s.run(r.plan)
-	upgrades.Wait()
+	others.Wait()
 	crowds.Wait()
 	pause(ctx, r.plan.Quiet-recoveryWindow)
 	r.site.ledger.BeginRecoveryCheck(time.Now())
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -52,9 +52,10 @@
 	fleet        *fleet
 	callerFaults callerFaults
 	domains      []string
-	steady       *Steady   // nil: ordinary traffic
-	crowded      *Crowded  // nil: no service is crowded
-	refuses      bool      // the links of terminated replicas refuse connections
+	steady       *Steady  // nil: ordinary traffic
+	crowded      *Crowded // nil: no service is crowded
+	refuses      bool     // the links of terminated replicas refuse connections
+	partitions   partitions
 	trap         *trap     // address in the entries of the foreign writer
 	cold         bool      // replicas are cold after a start
 	begun        time.Time // start of the traffic
@@ -210,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	link.partitions = &s.partitions
 	p := &place{link: link, domain: domain}
 	s.mu.Lock()
 	s.places = append(s.places, p)
--- a/transport/relay/doc.go
+++ b/transport/relay/doc.go
@@ -11,6 +11,6 @@
 //
 // # Usage
 //
-//	r := relay.New(relay.Options{View: view, Placer: placer, Budgets: budgets, Codec: codec, Observer: observer, Pool: relay.NewPool(), RequestTransfer: requestTransfer})
+//	r := relay.New(relay.Options{View: view, Placer: placer, Budgets: budgets, Codec: codec, Observer: observer, Pool: relay.NewPool(nil), RequestTransfer: requestTransfer})
 //	summary := r.Serve(ctx, call, sink) // returns when the caller has its final response
 package relay
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -78,10 +78,15 @@
 	openCount map[routing.Incarnation]int // open connections
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// NewPool returns an empty pool. Its connections are opened from the source address; if that is nil,
+// the operating system chooses one.
+func NewPool(source net.IP) *Pool {
+	dialer := net.Dialer{KeepAlive: -1}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	return &Pool{
-		dialer:    net.Dialer{KeepAlive: -1},
+		dialer:    dialer,
 		reach:     routing.NewReach(),
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -285,7 +285,7 @@
 		},
 		Budgets:         routing.NewRetryBudgets(routing.RetryRule{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, 1),
 		RequestTransfer: func(context.Context, routing.ServiceName, routing.Retries) routing.Retries { return 0 },
-		Codec:           platform.Codec{}, Observer: w.observer, Pool: relay.NewPool(), Crashes: routing.NewCrashes(),
+		Codec:           platform.Codec{}, Observer: w.observer, Pool: relay.NewPool(nil), Crashes: routing.NewCrashes(),
 	})
 	return w
 }
