soak: a backoff is judged unless the daemon can't have read it

What callers saw: nothing; the requests were answered.

Cause, traced: a link that stalls holds a request; the daemon gives it up after .25 s, closes the connection and has another replica answer; 54 ms later the stall ends, and the replica refuses on the closed connection. Its fault ends soon after, so that no later refusal tells the daemon.

Now links record what they deliver and when the daemon closed its side; only a refusal that was delivered to a closed connection, or to one closed within 50 ms, is not judged, and each such case is printed.

Two lawful cases of TestBackoffViolations became broken ones.

Ruled out: reading on after giving up. The first replica would go on working beside the second, and a stall ends whenever it ends.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -192,6 +192,9 @@
 	}
 	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at overloaded replicas, %d replicas crashed by requests, %d backoffs, %d departures announced in responses, %d violations\n",
 		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.OverloadShare, report.Crashed, report.Backoffs, report.Departures, len(report.Violations))
+	for _, v := range report.Excused {
+		fmt.Printf("  not judged: %s %s %s: %s\n", v.At.UTC().Format("15:04:05.000"), v.Promise, v.Subject, v.Detail)
+	}
 	for i, v := range report.Violations {
 		const maxShown = 12
 		if i == maxShown {
--- a/internal/soak/backoff.go
+++ b/internal/soak/backoff.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -40,6 +41,7 @@
 	at       time.Time
 	duration time.Duration
 	request  *record // that was refused
+	conn     string  // the daemon's end of the connection
 }
 
 // drawStatements adds the faults of replicas that request a backoff, and of those that announce
@@ -118,18 +120,19 @@
 		says.Backoff = []string{"-1", "NaN", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}[rand.IntN(4)]
 	default:
 		says.Backoff = strconv.FormatFloat(x.behaviour.Backoff.Seconds(), 'f', -1, 64)
-		x.ledger.BackoffRequested(x.id, x.ID, x.behaviour.Backoff, now)
+		x.ledger.BackoffRequested(x.id, x.ID, x.behaviour.Backoff, now, x.conn.RemoteAddr().String())
 	}
 	return x.write(standin.NotRun(x.id, says))
 }
 
-// BackoffRequested records that the response to a request asked the daemon for a backoff.
-func (l *Ledger) BackoffRequested(request, replica string, backoff time.Duration, at time.Time) {
+// BackoffRequested records that the response to a request asked the daemon for a backoff. conn is the other end
+// of the replica's connection.
+func (l *Ledger) BackoffRequested(request, replica string, backoff time.Duration, at time.Time, conn string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(request)
 	d := r.by()
-	l.backoffs[d] = append(l.backoffs[d], backoffRequest{replica: replica, at: at, duration: backoff, request: r})
+	l.backoffs[d] = append(l.backoffs[d], backoffRequest{replica: replica, at: at, duration: backoff, request: r, conn: conn})
 }
 
 // SetAside records a period in which a replica refuses all requests, or announces its
@@ -158,6 +161,13 @@
 	return n
 }
 
+// Excused returns the violations of backoffs that the daemon can't have read.
+func (l *Ledger) Excused() []Violation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.SortedFunc(maps.Values(l.excused), func(a, b Violation) int { return a.At.Compare(b.At) })
+}
+
 // backoffSubject is the prefix of the subject of violations of a backoff.
 const backoffSubject = "backoff of "
 
@@ -171,8 +181,8 @@
 // backoff is checked on its own. A restarted daemon doesn't know of backoffs that were requested
 // before, and requests from a frozen daemon may be in flight for as long as it is frozen. A daemon
 // closes the connection to the replica once its caller has disconnected, or once the replica has been
-// silent for too long, and then does not read the refusal. No other disturbance of a daemon or of the
-// store is an excuse.
+// silent for too long; a refusal that arrives later is not judged. No other disturbance of a daemon, of
+// the replica's link or of the store is an excuse.
 func (j *checker) checkBackoffs() {
 	if len(j.backoffs) == 0 {
 		return
@@ -183,22 +193,11 @@
 			continue
 		}
 		for i := range list {
-			if !j.mayBeUnread(&list[i]) {
-				j.checkBackoff(&list[i], by, arrivals[path{list[i].replica, by}])
-			}
+			j.checkBackoff(&list[i], by, arrivals[path{list[i].replica, by}])
 		}
 	}
 }
 
-// mayBeUnread reports whether the daemon may have closed the connection before it read a refusal: the
-// caller of the refused request disconnected before the daemon must have read it, or a fault of the
-// replica or its link may have delayed the request.
-func (j *checker) mayBeUnread(a *backoffRequest) bool {
-	left := a.request.disconnected
-	hasLeft := !left.IsZero() && left.Before(a.at.Add(j.bounds.Backoffs.Grace))
-	return hasLeft || !noneOverlaps(j.replicas[a.replica], a.request.Sent, a.at)
-}
-
 // checkBackoff checks one backoff, given the arrivals at the replica from the daemon it asked.
 func (j *checker) checkBackoff(a *backoffRequest, by processID, arrivals []time.Time) {
 	from, to := a.at.Add(j.bounds.Backoffs.Grace), j.backoffEnd(a)
@@ -208,12 +207,19 @@
 			n, last = n+1, at
 		}
 	}
-	if n > j.bounds.Backoffs.Max && noneOverlaps(j.freezes[by.daemon], a.at, last) {
-		j.out = append(j.out, Violation{
-			Promise: "BUDGET", Subject: fmt.Sprintf("%s%s at daemon %d, %v", backoffSubject, a.replica, by.daemon, a.at.UnixMilli()), At: last,
-			Detail: fmt.Sprintf("%s had asked daemon %d for a backoff of %v and received %d requests from it meanwhile", a.replica, by.daemon, a.duration, n),
-		})
+	if n <= j.bounds.Backoffs.Max || !noneOverlaps(j.freezes[by.daemon], a.at, last) {
+		return
+	}
+	read, what := j.wasRead(a.conn, a.at)
+	v := Violation{
+		Promise: "BUDGET", Subject: fmt.Sprintf("%s%s at daemon %d, %v", backoffSubject, a.replica, by.daemon, a.at.UnixMilli()), At: last,
+		Detail: fmt.Sprintf("%s had asked daemon %d for a backoff of %v and received %d requests from it meanwhile; %s", a.replica, by.daemon, a.duration, n, what),
+	}
+	if !read {
+		j.excused[v.Subject] = v
+		return
 	}
+	j.out = append(j.out, v)
 }
 
 // backoffEnd returns when a backoff ends: after the requested time, or when the replica restarts
--- a/internal/soak/backoff_test.go
+++ b/internal/soak/backoff_test.go
@@ -27,6 +27,9 @@
 		l.Sent(q)
 		l.Arrived(q.ID, Arrival{Replica: "r", At: at(when)})
 	}
+	unread := func(conn string) func(string, time.Time) (bool, string) {
+		return func(c string, _ time.Time) (bool, string) { return c != conn, "" }
+	}
 	for _, c := range []restCase{
 		{"two requests", false, 3, []float64{101, 102}, nil},
 		{"three", true, 3, []float64{101, 102, 102.9}, nil},
@@ -34,8 +37,8 @@
 		{"three, one of them after the end of the backoff", false, 3, []float64{101, 102, 103.1}, nil},
 		{"three within a fraction of a second", true, .75, []float64{100.6, 100.65, 100.7}, nil},
 		{"a backoff shorter than the grace", false, .4, []float64{100.1, 100.2, 100.3}, nil},
-		{"a shorter backoff requested later doesn't shorten it", true, 3, []float64{101, 102, 102.5}, func(l *Ledger) { l.BackoffRequested("0 1 100", "r", time.Second, at(100.2)) }},
-		{"a longer backoff requested later is checked on its own", true, 1, []float64{102, 103, 104}, func(l *Ledger) { l.BackoffRequested("0 1 100", "r", 5*time.Second, at(100.5)) }},
+		{"a shorter backoff requested later doesn't shorten it", true, 3, []float64{101, 102, 102.5}, func(l *Ledger) { l.BackoffRequested("0 1 100", "r", time.Second, at(100.2), "conn") }},
+		{"a longer backoff requested later is checked on its own", true, 1, []float64{102, 103, 104}, func(l *Ledger) { l.BackoffRequested("0 1 100", "r", 5*time.Second, at(100.5), "conn") }},
 		{"three from another daemon, which wasn't asked to back off", false, 3, nil, func(l *Ledger) {
 			for _, when := range []float64{101, 102, 102.5} {
 				send(l, 1, 1, when)
@@ -61,20 +64,21 @@
 		}},
 		{"three that a fault of the replica's link may have delayed", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbReplica("r", at(99), at(104)) }},
 		{"three after the replica restarted", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Joined("r", "s", at(100.7)) }},
-		{"three after a refusal that the daemon may not have read, because its caller had disconnected", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Disconnected("0 1 100", at(99.99)) }},
+		{"three after a refusal that the daemon can't have read", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.wasRead = unread("conn") }},
+		{"three after a refusal that the daemon read, though its caller had disconnected", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Disconnected("0 1 100", at(99.99)) }},
 		{"three after a refusal whose caller disconnected later", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Disconnected("0 1 100", at(100.6)) }},
 		{"three after a second refusal, which the daemon read", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) {
-			l.Disconnected("0 1 100", at(99.99))
+			l.wasRead = unread("conn")
 			send(l, 0, 1, 100.2)
-			l.BackoffRequested("0 1 100.2", "r", 3*time.Second, at(100.2))
+			l.BackoffRequested("0 1 100.2", "r", 3*time.Second, at(100.2), "another")
 		}},
-		{"three after a refusal of a request that a fault of the replica's link may have delayed", false, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbReplica("r", at(99), at(100.1)) }},
+		{"three after a refusal that the daemon read, though a fault of the replica's link may have delayed its request", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbReplica("r", at(99), at(100.1)) }},
 		{"three after a refusal just after a fault of the replica's link", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.DisturbReplica("r", at(99), at(99.9)) }},
 		{"three at a replica that had started before the backoff", true, 3, []float64{101, 102, 102.9}, func(l *Ledger) { l.Joined("r", "s", at(99)) }},
 	} {
 		l := newLedger(defaultBounds())
 		send(l, 0, 1, 100)
-		l.BackoffRequested("0 1 100", "r", time.Duration(c.rest*float64(time.Second)), at(100))
+		l.BackoffRequested("0 1 100", "r", time.Duration(c.rest*float64(time.Second)), at(100), "conn")
 		for _, when := range c.arrivals {
 			send(l, 0, 1, when)
 		}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -366,16 +366,16 @@
 		}, false},
 		{"a fourth replica that backs off for the daemon that sent them", 9, over, func(l *Ledger) {
 			l.Joined("r4", "gate", at(1))
-			l.BackoffRequested("q1", "r4", 5*time.Second, at(98))
+			l.BackoffRequested("q1", "r4", 5*time.Second, at(98), "conn")
 		}, false},
 		{"a fourth replica whose backoff is over", 9, over, func(l *Ledger) {
 			l.Joined("r4", "gate", at(1))
-			l.BackoffRequested("q1", "r4", 5*time.Second, at(90))
+			l.BackoffRequested("q1", "r4", 5*time.Second, at(90), "conn")
 		}, true},
 		{"a fourth replica that backs off for another daemon", 9, over, func(l *Ledger) {
 			l.Joined("r4", "gate", at(1))
 			l.Sent(Request{ID: "other", Route: routes[1], Daemon: 1, Sent: at(97)})
-			l.BackoffRequested("other", "r4", 5*time.Second, at(98))
+			l.BackoffRequested("other", "r4", 5*time.Second, at(98), "conn")
 		}, true},
 		{"a fourth replica that was cold long ago", 9, over, func(l *Ledger) {
 			l.Joined("r4", "gate", at(1))
--- /dev/null
+++ b/internal/soak/delivery.go
@@ -0,0 +1,109 @@
+// This file records when links to replicas delivered responses to daemons, and when daemons closed their
+// connections: a daemon can't know what a replica said on a connection that was closed before.
+
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// readTime is how long a connection must stay open after a response was delivered for the daemon to have
+// read it. A daemon that cancels a request closes the connection without reading what has just arrived.
+const readTime = 50 * time.Millisecond
+
+// deliveries records what links to replicas delivered, by the address from which a link connects to its
+// replica. It is safe for concurrent use.
+type deliveries struct {
+	mu    sync.Mutex
+	conns map[string][]*delivery
+}
+
+// delivery is the record of one connection through a link.
+type delivery struct {
+	opened    time.Time
+	delivered []time.Time // when bytes of the replica were written to the daemon's side
+	closed    time.Time   // when the daemon closed its side; zero: not yet
+}
+
+// open records a new connection. It accepts a nil receiver, and then returns nil.
+func (d *deliveries) open(address string, now time.Time) *delivery {
+	if d == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns == nil {
+		d.conns = make(map[string][]*delivery)
+	}
+	c := &delivery{opened: now}
+	d.conns[address] = append(d.conns[address], c)
+	return c
+}
+
+// recordDelivery records that bytes were written to the daemon's side. It accepts a nil receiver and a nil
+// connection.
+func (d *deliveries) recordDelivery(c *delivery, now time.Time) {
+	if c == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.delivered = append(c.delivered, now)
+}
+
+// recordClose records that the daemon closed its side. It accepts a nil receiver and a nil connection.
+func (d *deliveries) recordClose(c *delivery, now time.Time) {
+	if c == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.closed.IsZero() {
+		c.closed = now
+	}
+}
+
+// read reports whether a daemon must have read what a replica wrote at a time on the connection from an
+// address, and describes what became of it.
+func (d *deliveries) read(address string, at time.Time) (read bool, what string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var c *delivery
+	for _, other := range d.conns[address] {
+		if !other.opened.After(at) {
+			c = other
+		}
+	}
+	if c == nil {
+		return true, "connection is not known"
+	}
+	arrived := c.firstDelivery(at)
+	switch {
+	case arrived.IsZero() && c.closed.IsZero():
+		return false, "the link never delivered it"
+	case arrived.IsZero():
+		return false, "the daemon closed the connection " + describeDelay(at, c.closed)
+	case !c.closed.IsZero() && c.closed.Before(arrived.Add(readTime)):
+		return false, "the link delivered it " + describeDelay(at, arrived) + ", the daemon closed the connection " + describeDelay(at, c.closed)
+	}
+	return true, "the link delivered it " + describeDelay(at, arrived)
+}
+
+// firstDelivery returns the first time at or after the given one at which bytes were delivered, or zero.
+func (c *delivery) firstDelivery(at time.Time) time.Time {
+	for _, t := range c.delivered {
+		if !t.Before(at) {
+			return t
+		}
+	}
+	return time.Time{}
+}
+
+// describeDelay describes a time relative to that of a response.
+func describeDelay(of, t time.Time) string {
+	if d := t.Sub(of).Round(time.Millisecond); d >= 0 {
+		return d.String() + " after the replica sent it"
+	}
+	return of.Sub(t).Round(time.Millisecond).String() + " before the replica sent it"
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -124,6 +124,10 @@
 	setAside         map[string][]span       // when replicas backed off, or announced their departure in responses alone
 	crowdedServices  map[string]*crowdedService
 	partitions       []partitionSpan
+	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
+	// describes what became of it.
+	wasRead func(conn string, at time.Time) (bool, string)
+	excused map[string]Violation // backoffs that were violated, but that the daemon can't have read
 	// recoveryCheckFrom is when the last part of the quiet time begins, in which requests must be served.
 	recoveryCheckFrom time.Time
 }
@@ -141,7 +145,8 @@
 		keys: make(map[string]*keyHistory), found: make(map[string]Violation),
 		domains: make(map[string]string), evacuations: make(map[string][]span), cold: make(map[string][]coldSpan),
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
-		crowdedServices: make(map[string]*crowdedService),
+		crowdedServices: make(map[string]*crowdedService), excused: make(map[string]Violation),
+		wasRead: func(string, time.Time) (bool, string) { return true, "" },
 	}
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -31,11 +31,14 @@
 	conns    map[*linkConn]struct{}
 	// partitions are those of the daemons that open the link's connections; nil: they have none.
 	partitions *partitions
+	// deliveries records what the link delivers; nil: it is not recorded.
+	deliveries *deliveries
 }
 
 type linkConn struct {
 	near, far *net.TCPConn
-	source    string  // IP address of the side that opened the connection
+	source    string // IP address of the side that opened the connection
+	delivery  *delivery
 	random    float64 // random number in [0, 1); a fault applies if its Share is greater
 }
 
@@ -132,6 +135,7 @@
 		return
 	}
 	c.far = far.(*net.TCPConn)
+	c.delivery = l.deliveries.open(far.LocalAddr().String(), time.Now())
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -165,12 +169,18 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if err != nil && from == c.near {
+			l.deliveries.recordClose(c.delivery, time.Now())
+		}
 		l.stall(c, stalled)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				c.reset()
 				return
 			}
+			if to == c.near {
+				l.deliveries.recordDelivery(c.delivery, time.Now())
+			}
 		}
 		if err != nil {
 			if isEOF(err) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -38,7 +38,8 @@
 	Backoffs      int         `json:"rests"`                     // backoffs that replicas requested
 	Departures    int         `json:"left_by_answers"`           // replicas that announced their departure to a caller
 	Violations    []Violation `json:"violations"`
-	Events        []string    `json:"events"` // faults and their ends
+	Excused       []Violation `json:"excused"` // of backoffs that the daemon can't have read
+	Events        []string    `json:"events"`  // faults and their ends
 }
 
 // Parameters of a run.
@@ -247,6 +248,7 @@
 	r.report.Requests, r.report.Served = total, totalServed
 	r.report.OverloadShare, r.report.Crashed = r.site.ledger.MaxOverloadShare(), r.site.ledger.Crashes()
 	r.report.Backoffs, r.report.Departures = r.site.ledger.Backoffs(), r.site.ledger.Departures()
+	r.report.Excused = r.site.ledger.Excused()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("only %d of %d requests were served at the end of the quiet time", served, all)})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -56,6 +56,7 @@
 	crowded      *Crowded // nil: no service is crowded
 	refuses      bool     // the links of terminated replicas refuse connections
 	partitions   partitions
+	deliveries   deliveries
 	trap         *trap     // address in the entries of the foreign writer
 	cold         bool      // replicas are cold after a start
 	begun        time.Time // start of the traffic
@@ -83,6 +84,7 @@
 		s.keys = append(s.keys, k)
 		l.KeyAdded(k.key, k.workspace, time.Time{})
 	}
+	l.wasRead = s.deliveries.read
 	for name, service := range s.services {
 		l.RouteTo(name, service, time.Time{})
 	}
@@ -211,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	link.partitions = &s.partitions
+	link.partitions, link.deliveries = &s.partitions, &s.deliveries
 	p := &place{link: link, domain: domain}
 	s.mu.Lock()
 	s.places = append(s.places, p)
