A daemon that doesn't reach one service still opens connections to the others

Cause: a daemon whose connections to two replicas of a service failed took its links for suspect and refused peers; these excluded it for 2 s, for all services. Left without carriers, a cut daemon tried its own links, where requests were lost.

Change: a refusal for want of links is about one service, and lasts .5 s while there is no carrier. Once one service is found lost, all others are suspect and probed.

Three planted faults of daemons without links.

--- a/coordination/routing/carriers.go
+++ b/coordination/routing/carriers.go
@@ -11,8 +11,9 @@
 //     daemon finds others, which spreads the load of a whole failure domain.
 //  2. While there are fewer, another daemon is tried first: one of the own failure domain, or, once
 //     domainRefusals of these have refused and none carries, any.
-//  3. A daemon that refuses, is silent or is shutting down is not tried for carrierPause. One whose
-//     build opens no connections for others is not tried for unsupportedPause.
+//  3. A daemon that is silent, shutting down or full is not tried for carrierPause, and one whose build
+//     opens no connections for others for unsupportedPause. One that has lost its own links to the service
+//     is not tried for this service, for carrierPause too or, while there is no carrier, for noLinkPause.
 //  4. Up to MaxCarrierTries daemons are tried for one connection.
 
 package routing
@@ -27,14 +28,14 @@
 const (
 	maxCarriers    = 8
 	domainRefusals = 2
-	// carrierPause is shorter than a partition usually lasts, and long enough that few connections
-	// wait for a refusal.
+	// noLinkPause is short, because nobody is served meanwhile, and a refusal takes one round trip.
+	noLinkPause  = 500 * time.Millisecond
 	carrierPause = 2 * time.Second
 	// unsupportedPause is about as long as an upgrade takes to reach the next daemon.
 	unsupportedPause = 30 * time.Second
 	// searchPause is how long no further daemon is tried after none was found, or after one refused while
 	// others carry.
-	searchPause = 500 * time.Millisecond
+	searchPause = 200 * time.Millisecond
 	// MaxCarrierTries bounds the daemons that are tried for one connection.
 	MaxCarrierTries = 3
 )
@@ -44,9 +45,10 @@
 
 // The kinds of failures.
 const (
-	// CarrierRefused: it does not reach the replica either, is shutting down or has too many
-	// connections.
-	CarrierRefused CarrierFailure = iota
+	// CarrierGone: it is silent, shutting down or has too many connections.
+	CarrierGone CarrierFailure = iota
+	// CarrierNoLink: it has lost its own links to the replicas of the service.
+	CarrierNoLink
 	// CarrierUnsupported: its build opens no connections for others.
 	CarrierUnsupported
 )
@@ -54,10 +56,17 @@
 // Carriers holds the daemons through which this one connects to replicas. It is safe for concurrent
 // use.
 type Carriers struct {
-	mu          sync.Mutex
-	inUse       map[PeerID]*carrierState
-	excluded    map[PeerID]excludedCarrier
-	searchAfter time.Time
+	mu    sync.Mutex
+	inUse map[PeerID]*carrierState
+	// excluded are the daemons that are not to be tried.
+	excluded    map[exclusion]excludedCarrier
+	searchAfter map[ServiceName]time.Time
+}
+
+// exclusion is a daemon and the service for which it is excluded; empty: for all.
+type exclusion struct {
+	peer    PeerID
+	service ServiceName
 }
 
 // Carrier is a daemon that opens connections for this one.
@@ -78,20 +87,25 @@
 
 // NewCarriers returns an empty Carriers.
 func NewCarriers() *Carriers {
-	return &Carriers{inUse: make(map[PeerID]*carrierState), excluded: make(map[PeerID]excludedCarrier)}
+	return &Carriers{
+		inUse: make(map[PeerID]*carrierState), excluded: make(map[exclusion]excludedCarrier), searchAfter: make(map[ServiceName]time.Time),
+	}
 }
 
-// Pick returns the carrier for the next connection, by rule 1. It returns false if another daemon
-// should be tried first, or if there is no carrier.
-func (c *Carriers) Pick(now time.Time) (Carrier, bool) {
+// Pick returns the carrier for the next connection to a service, by rule 1. It returns false if another
+// daemon should be tried first, or if there is no carrier.
+func (c *Carriers) Pick(s ServiceName, now time.Time) (Carrier, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.inUse) < maxCarriers && now.After(c.searchAfter) {
+	if len(c.inUse) < maxCarriers && now.After(c.searchAfter[s]) {
 		return Carrier{}, false
 	}
 	var best PeerID
-	for p, s := range c.inUse {
-		if best == "" || s.open < c.inUse[best].open || s.open == c.inUse[best].open && p < best {
+	for p, state := range c.inUse {
+		if c.isExcluded(p, s, now) {
+			continue
+		}
+		if best == "" || state.open < c.inUse[best].open || state.open == c.inUse[best].open && p < best {
 			best = p
 		}
 	}
@@ -108,22 +122,30 @@
 	AnyDomain bool
 }
 
-// Search returns which daemons may be tried next, by rules 2 and 3.
-func (c *Carriers) Search(now time.Time) Search {
+// isExcluded reports whether a daemon is not to be tried for a service. The caller holds the lock.
+func (c *Carriers) isExcluded(p PeerID, s ServiceName, now time.Time) bool {
+	return now.Before(c.excluded[exclusion{peer: p}].until) || now.Before(c.excluded[exclusion{p, s}].until)
+}
+
+// Search returns which daemons may be tried next for a service, by rules 2 and 3.
+func (c *Carriers) Search(service ServiceName, now time.Time) Search {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := Search{Excluded: make(map[PeerID]bool, len(c.inUse)+len(c.excluded))}
 	refusals, carries := 0, false
 	for p, state := range c.inUse {
 		s.Excluded[p] = true
-		carries = carries || state.local
+		carries = carries || state.local && !c.isExcluded(p, service, now)
 	}
-	for p, e := range c.excluded {
-		if now.After(e.until) {
-			delete(c.excluded, p)
+	for of, e := range c.excluded {
+		if !now.Before(e.until) {
+			delete(c.excluded, of)
 			continue
 		}
-		s.Excluded[p] = true
+		if of.service != "" && of.service != service {
+			continue
+		}
+		s.Excluded[of.peer] = true
 		if e.local {
 			refusals++
 		}
@@ -132,11 +154,11 @@
 	return s
 }
 
-// NoneFound records that there is no further daemon to try.
-func (c *Carriers) NoneFound(now time.Time) {
+// NoneFound records that there is no further daemon to try for a service.
+func (c *Carriers) NoneFound(s ServiceName, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.searchAfter = now.Add(searchPause)
+	c.searchAfter[s] = now.Add(searchPause)
 }
 
 // Opened records that a daemon opened a connection.
@@ -160,19 +182,28 @@
 	}
 }
 
-// Exclude records that a daemon opened no connection, or that it can't be expected to open any.
-func (c *Carriers) Exclude(from Carrier, why CarrierFailure, now time.Time) {
+// Exclude records that a daemon opened no connection to a service, or that it can't be expected to open
+// any. Unless the reason is CarrierNoLink, that goes for all services.
+func (c *Carriers) Exclude(from Carrier, s ServiceName, why CarrierFailure, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pause := carrierPause
-	if why == CarrierUnsupported {
+	of, pause := exclusion{peer: from.Peer}, carrierPause
+	switch why {
+	case CarrierNoLink:
+		of.service = s
+		if len(c.inUse) == 0 {
+			pause = noLinkPause
+		}
+	case CarrierUnsupported:
 		pause = unsupportedPause
 	}
-	delete(c.inUse, from.Peer)
+	if why != CarrierNoLink {
+		delete(c.inUse, from.Peer)
+	}
 	if len(c.inUse) > 0 {
-		c.searchAfter = now.Add(searchPause)
+		c.searchAfter[s] = now.Add(searchPause)
 	}
-	c.excluded[from.Peer] = excludedCarrier{until: now.Add(pause), local: from.Local}
+	c.excluded[of] = excludedCarrier{until: now.Add(pause), local: from.Local}
 }
 
 // Usable reports whether idle connections through a daemon may be used.
@@ -200,5 +231,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.inUse)
-	c.searchAfter = time.Time{}
+	clear(c.searchAfter)
 }
--- a/coordination/routing/reach.go
+++ b/coordination/routing/reach.go
@@ -16,6 +16,8 @@
 //     maxSilentTicks: a service may be slow by nature.
 //  3. Probes of some replicas follow at once, and every ProbeInterval from then on. If none of the
 //     first ones reaches a replica, the links are down. If one does, they are up.
+//     Once they are down although another daemon reaches the replicas, the links to all other services
+//     are suspect: those that get few requests would be found late.
 //  4. Links that are down are up again when probes reached a replica in probesToRecover rounds in a
 //     row, so that one packet that gets through does not end a detour.
 //  5. While the links are suspect or down, other daemons open this one's connections. Idle ones of its
@@ -81,6 +83,7 @@
 	patience  int                       // ticks of rule 2
 	regained  time.Time                 // when the links were last found to be up again
 	rounds    int                       // rounds of probes in a row that reached a replica
+	probedAt  time.Time                 // when the last round ended
 }
 
 // NewReach returns a Reach for which all links are up.
@@ -236,6 +239,16 @@
 	return v != nil && v.detoured
 }
 
+// Suspect makes the links to a service suspect that are up.
+func (r *Reach) Suspect(s ServiceName, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.service(s); v.state == LinksUp {
+		v.suspect(false, now)
+		r.notify()
+	}
+}
+
 // Tick applies rule 2. It returns the services whose links became suspect.
 func (r *Reach) Tick(now time.Time) []ServiceName {
 	r.mu.Lock()
@@ -262,6 +275,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.service(s)
+	v.probedAt = now
 	switch {
 	case v.state == LinksUp:
 	case reached == 0:
@@ -278,6 +292,19 @@
 	}
 }
 
+// ProbesDue returns the services that are to be probed now.
+func (r *Reach) ProbesDue(now time.Time) []ServiceName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []ServiceName
+	for name, v := range r.services {
+		if v.state == LinksSuspect || v.state == LinksDown && now.Sub(v.probedAt) >= ProbeInterval {
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
 // ProbeTargets returns random ready replicas of a pool for a round of probes.
 func ProbeTargets(p *Pool) []Replica {
 	out := make([]Replica, 0, probeReplicas)
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -160,7 +160,7 @@
 		ended:       make(chan struct{}),
 		reach:       d.pool.Reach(),
 		carriers:    routing.NewCarriers(),
-		dropCarrier: func(r routing.Carrier) { d.pool.ExcludeCarrier(r, routing.CarrierRefused) },
+		dropCarrier: func(r routing.Carrier) { d.pool.ExcludeCarrier(r, "", routing.CarrierGone) },
 		openSince:   d.pool.OldestOpenConn,
 	}
 	c.permits.gate.control = c
--- a/internal/soak/backoff.go
+++ b/internal/soak/backoff.go
@@ -246,12 +246,12 @@
 }
 
 // arrivalsByPath returns the arrival times of requests by replica and daemon process, without
-// those that a fault of the replica or its link may have delayed.
+// those that a fault of the replica or its link, or a partition, may have delayed.
 func (j *checker) arrivalsByPath() map[path][]time.Time {
 	out := make(map[path][]time.Time)
 	for _, r := range j.order {
 		for _, a := range r.arrivals {
-			if noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) {
+			if !j.mayBeDelayed(r, &a) {
 				key := path{a.Replica, r.by()}
 				out[key] = append(out[key], a.At)
 			}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -206,7 +206,7 @@
 func (j *checker) checkDrain(r *record, run *Run) {
 	for _, left := range j.departures[run.Replica] {
 		late := run.At.Sub(left.from)
-		if late > j.bounds.Drain && run.At.Before(left.to) && !j.linkWasCut(r.Daemon, r.Sent, run.At) && j.upToDate(r.Daemon, left.from, run.At) && noneOverlaps(j.replicas[run.Replica], left.from, run.At) && !j.missesEras(r) {
+		if late > j.bounds.Drain && run.At.Before(left.to) && !j.mayBeDelayed(r, &run.Arrival) && j.upToDate(r.Daemon, left.from, run.At) && noneOverlaps(j.replicas[run.Replica], left.from, run.At) && !j.missesEras(r) {
 			j.add("DRAIN", r, run.At, "reached %s %v after the store accepted its departure, through daemon %d", run.Replica, late, r.Daemon)
 		}
 	}
@@ -216,8 +216,7 @@
 	for _, a := range r.arrivals {
 		// A link that delayed the request makes its deadline look later than the
 		// daemon set it.
-		delayed := !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) || j.linkWasCut(r.Daemon, r.Sent, a.At)
-		if late := a.Deadline.Sub(r.Deadline); late > j.bounds.DeadlineSlack && !delayed && j.undisturbed(r.Daemon, a.At, a.At) {
+		if late := a.Deadline.Sub(r.Deadline); late > j.bounds.DeadlineSlack && !j.mayBeDelayed(r, &a) && j.undisturbed(r.Daemon, a.At, a.At) {
 			j.addTolerated("BUDGET", r, a.At, "replica %s got a deadline %v later than the caller's", a.Replica, late)
 		}
 	}
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -230,8 +230,7 @@
 func (j *checker) lateArrivals(r *record, after time.Time) []time.Time {
 	var out []time.Time
 	for _, a := range r.arrivals {
-		delayed := !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At)
-		if a.At.After(after) && !delayed && j.upToDate(r.Daemon, a.At, a.At) {
+		if a.At.After(after) && !j.mayBeDelayed(r, &a) && j.upToDate(r.Daemon, a.At, a.At) {
 			out = append(out, a.At)
 		}
 	}
--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -81,7 +81,7 @@
 	for _, r := range j.order {
 		for _, a := range r.arrivals {
 			p, ok := earliest[a.Replica]
-			if !ok || j.runsPreviousBuild(r.by()) || !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) {
+			if !ok || j.runsPreviousBuild(r.by()) || j.mayBeDelayed(r, &a) {
 				continue
 			}
 			at, hasForwarded := forwarded[path{a.Replica, r.by()}]
--- a/internal/soak/evacuate.go
+++ b/internal/soak/evacuate.go
@@ -127,8 +127,8 @@
 			if late <= j.bounds.Evacuate || !a.At.Before(e.to) {
 				continue
 			}
-			delayed := !noneOverlaps(j.replicas[a.Replica], e.from, a.At) // a link fault may have delayed it
-			if !delayed && j.upToDate(r.Daemon, e.from, a.At) {
+			disturbed := !noneOverlaps(j.replicas[a.Replica], e.from, a.At)
+			if !disturbed && !j.mayBeDelayed(r, &a) && j.upToDate(r.Daemon, e.from, a.At) {
 				j.add("EVAC", r, a.At, "reached %s %v after the store accepted the evacuation of domain %s, via daemon %d", a.Replica, late, j.domains[a.Replica], r.Daemon)
 			}
 		}
@@ -162,7 +162,7 @@
 
 // countsWhileCold reports whether an arrival counts toward the limit of a cold replica.
 func (j *checker) countsWhileCold(r *record, a *Arrival) bool {
-	if !noneOverlaps(j.replicas[a.Replica], a.At.Add(-time.Second), a.At) {
+	if !noneOverlaps(j.replicas[a.Replica], a.At.Add(-time.Second), a.At) || j.mayBeDelayed(r, a) {
 		return false
 	}
 	return slices.ContainsFunc(j.cold[a.Replica], func(c coldSpan) bool {
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -175,7 +175,16 @@
 // tally counts requests.
 type tally struct{ served, all int }
 
-func (t *tally) share() float64 { return share(t.served, t.all) }
+// comparison compares the requests of one route, sent in the same second of a partition, at the
+// partitioned daemons and at the others.
+type comparison struct{ inside, others tally }
+
+// moment is the route and the second of a partition by which requests are compared: other faults hit one
+// service after the other, and only daemons that are up to date count, which differ from moment to moment.
+type moment struct {
+	route  string
+	second int
+}
 
 // checkPartitions reports partitions in which the callers of partitioned daemons were served far less
 // often than those of the others. Only daemons that were otherwise undisturbed count.
@@ -184,24 +193,44 @@
 		if j.now.Sub(p.to) < j.bounds.SyncTime {
 			continue
 		}
-		var inside, others tally
-		for _, r := range j.order {
-			if j.countsInPartition(r, p) {
-				j.tallyIn(&inside, &others, r, p)
-			}
-		}
+		inside, expected := j.compare(p)
 		b := j.bounds.Partition
 		failed := inside.all - inside.served
 		allowed := float64(b.Failures) + b.FailureShare*float64(inside.all)
-		if others.all > 0 && float64(failed) > allowed && inside.share() < b.MinShare*others.share() {
+		if float64(failed) > allowed && float64(inside.served) < b.MinShare*expected {
 			j.out = append(j.out, Violation{
 				Promise: "RECOVER", Subject: fmt.Sprintf("daemons %v, %v", p.daemons, p.from.UnixMilli()), At: p.to,
-				Detail: fmt.Sprintf("daemons that were partitioned from all replicas served %d of %d requests, the others %d of %d", inside.served, inside.all, others.served, others.all),
+				Detail: fmt.Sprintf("daemons that were partitioned from all replicas served %d of %d requests, the others would have served %.0f", inside.served, inside.all, expected),
 			})
 		}
 	}
 }
 
+// compare returns the requests at the daemons of a partition that can be compared with those of others,
+// and how many of them would have been served as often as at the others.
+func (j *checker) compare(p partitionSpan) (inside tally, expected float64) {
+	moments := make(map[moment]*comparison)
+	for _, r := range j.order {
+		if !j.countsInPartition(r, p) {
+			continue
+		}
+		at := moment{r.Route.Name, int(r.Sent.Sub(p.from) / time.Second)}
+		if moments[at] == nil {
+			moments[at] = &comparison{}
+		}
+		j.tallyIn(&moments[at].inside, &moments[at].others, r, p)
+	}
+	for _, c := range moments {
+		if c.others.all == 0 {
+			continue
+		}
+		inside.all += c.inside.all
+		inside.served += c.inside.served
+		expected += float64(c.inside.all) * share(c.others.served, c.others.all)
+	}
+	return inside, expected
+}
+
 // countsInPartition reports whether a request counts in the comparison of a partition.
 func (j *checker) countsInPartition(r *record, p partitionSpan) bool {
 	key := j.keys[r.Key]
@@ -236,12 +265,20 @@
 	})
 }
 
-// linkWasCut reports whether a partition of a daemon may have kept a request, or the end of its
-// connection, from a replica between two times: the daemon sent it on a link that was cut.
+// mayBeDelayed reports whether a fault of the replica or its link, or a partition, may have delayed the
+// arrival of a request.
+func (j *checker) mayBeDelayed(r *record, a *Arrival) bool {
+	return !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) || j.linkWasCut(r.Daemon, r.Sent, a.At)
+}
+
+// linkWasCut reports whether a partition may have kept a request, or the end of its connection, from a
+// replica between two times: it was sent on a link that was cut, that of the daemon or, if the daemon was
+// in a partition itself, that of any other which may have opened the connection for it.
 func (j *checker) linkWasCut(daemon int, from, to time.Time) bool {
+	throughOthers := j.isPartitioned(daemon, from)
 	return slices.ContainsFunc(j.partitions, func(p partitionSpan) bool {
 		cutAfterwards := p.from.After(from.Add(-j.bounds.SyncTime)) && p.from.Before(to)
 		heldUp := p.to.After(from) && p.to.Before(to)
-		return slices.Contains(p.daemons, daemon) && (cutAfterwards || heldUp)
+		return (throughOthers || slices.Contains(p.daemons, daemon)) && (cutAfterwards || heldUp)
 	})
 }
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -60,6 +60,13 @@
 			l.PartitionBegan([]int{1}, at(99))
 			l.PartitionEnded([]int{1}, at(99), at(120))
 		}, false},
+		{"the others send at other times", 0, 0, 100, 100, func(l *Ledger) {
+			for i := range 50 {
+				id := fmt.Sprint("late-", i)
+				l.Sent(Request{ID: id, Route: routes[1], Daemon: 0, Key: "k", Sent: at(109.5), Deadline: at(111)})
+				l.Answered(id, Answer{At: at(109.6), Status: 503})
+			}
+		}, false},
 		{"the daemon was frozen meanwhile", 100, 0, 100, 100, func(l *Ledger) { l.DisturbDaemon(0, at(102), at(108)) }, false},
 	} {
 		l := newLedger(defaultBounds())
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -76,6 +76,9 @@
 	if p.faults != nil {
 		plan.Faults = p.faults(plan.Daemons)
 	}
+	if p.partitions != nil {
+		plan.Partitions, plan.Faults = p.partitions, nil
+	}
 	return plan
 }
 
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -20,6 +20,7 @@
 	plain         bool                      // found by runs without backoff requests, departures and false terminations
 	crashing      int                       // requests that crash replicas in the runs that find it; 0: the default
 	callers       int                       // factor applied to the number of callers; 0: 1
+	partitions    []Partition               // of the runs that find it; nil: none
 	subject       string                    // required prefix of the violation's subject
 	also          []edit                    // further changes of other source files
 }
@@ -101,6 +102,13 @@
 		also: []edit{{"state/feed/parts.go", "own := f.checksums(len(d.Sums), d.Era == f.era)", "own := f.checksums(len(d.Sums), true)"}}},
 	{name: "does not tell other daemons which replicas leave", promise: "DRAIN", file: "daemon/routes/peers.go",
 		text: "case gossip.IsDepartures(payload):", instead: "case gossip.IsDepartures(payload) && len(payload) == 0:"},
+	{name: "does not connect to replicas through other daemons", promise: "RECOVER", subject: "daemons", file: "transport/relay/detour.go",
+		text: "if p.detours == nil {", instead: "if p.detours != nil {", partitions: partitionsInSeries, plain: true},
+	{name: "asks daemons that have lost their links too", promise: "RECOVER", subject: "daemons", file: "transport/relay/detour.go",
+		text: "case p.reach.State(r.Service) != routing.LinksUp:", instead: "case p.reach.State(r.Service) < routing.LinksUp:",
+		also: []edit{{"transport/tunnel/tunnel.go", "return r.Reason == ReasonReplicaRefused || r.Reason == ReasonReplicaUnreachable", "return true"}}, partitions: partitionsInSeries, plain: true},
+	{name: "goes on at the replica for a caller that left, through another daemon", promise: "GONE", file: "transport/tunnel/server.go",
+		text: "\t\t_ = replica.Close()\n\t})", instead: "\t})", partitions: partitionsInSeries, plain: true},
 	{name: "grants more permits than there are places", promise: "PLACES", file: "coordination/admission/coordinator.go",
 		text: "return max(0, r.Slots) + extraPlaces }", instead: "return max(0, r.Slots) + extraPlaces + 10 }", crowded: true},
 	{name: "takes all workspaces for one", promise: "SHARE", file: "coordination/admission/messages.go",
@@ -166,6 +174,13 @@
 	return out
 }
 
+// partitionsInSeries cuts most of three daemons or more off from all replicas, again and again.
+var partitionsInSeries = []Partition{
+	{At: 2 * time.Second, For: 9 * time.Second, Mode: resetAll, Daemons: []int{0, 1}},
+	{At: 13 * time.Second, For: 9 * time.Second, Mode: silentAll, Daemons: []int{1, 2}},
+	{At: 24 * time.Second, For: 9 * time.Second, Mode: resetNew, Daemons: []int{0, 2}},
+}
+
 // falseEndsInSeries reports false terminations of the replicas of one service after another,
 // each a tenth of a second old.
 func falseEndsInSeries(int) []Fault {
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -291,8 +291,7 @@
 // unreachable returns the failure for a connection that could not be opened. Nothing
 // was sent.
 func unreachable(ctx context.Context, err error) *failure {
-	var own *ownLinkError
-	countsAgainst := ctx.Err() == nil && !errors.Is(err, errConnectionLimit) && !errors.Is(err, errNoCarrier) && !errors.As(err, &own)
+	countsAgainst := ctx.Err() == nil && !errors.Is(err, errConnectionLimit) && !errors.Is(err, errNoCarrier)
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && errors.Is(opErr.Err, os.ErrDeadlineExceeded) && ctx.Err() != nil {
 		countsAgainst = false
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -54,7 +54,7 @@
 		known := linkReports{exonerated: make(map[routing.ServiceName]bool), down: make(map[routing.ServiceName]time.Time)}
 		for lost := r.Pool.reach.Lost(); len(lost) > 0 && ctx.Err() == nil; lost = r.Pool.reach.Lost() {
 			r.exonerate(lost, &known)
-			r.probeServices(ctx, lost)
+			r.probeServices(ctx, r.Pool.reach.ProbesDue(clock.Now()))
 			r.reportLinks(&known)
 			r.awaitProbes(ctx)
 			r.reportLinks(&known)
@@ -89,6 +89,7 @@
 		if _, ok := known.down[l.Service]; !ok && l.State == routing.LinksDown && l.Detoured {
 			known.down[l.Service] = l.Since
 			r.Observer.LinksLost(l.Service, now.Sub(l.Since))
+			r.suspectAll(now)
 		}
 	}
 	for s, since := range known.down {
@@ -115,19 +116,28 @@
 	}
 }
 
+// suspectAll makes the links to all services suspect that have replicas.
+func (r *Relay) suspectAll(now time.Time) {
+	for s, pool := range r.View().Pools {
+		if len(pool.Ready) > 0 {
+			r.Pool.reach.Suspect(s, now)
+		}
+	}
+}
+
 // probeServices performs a round of probes for each service.
-func (r *Relay) probeServices(ctx context.Context, lost []routing.LostService) {
+func (r *Relay) probeServices(ctx context.Context, due []routing.ServiceName) {
 	var wg sync.WaitGroup
-	for _, l := range lost {
-		wg.Go(func() { r.probeService(ctx, l) })
+	for _, s := range due {
+		wg.Go(func() { r.probeService(ctx, s) })
 	}
 	wg.Wait()
 }
 
 // probeService probes some replicas of a service and records the result.
-func (r *Relay) probeService(ctx context.Context, l routing.LostService) {
+func (r *Relay) probeService(ctx context.Context, s routing.ServiceName) {
 	view := r.View()
-	replicas := routing.ProbeTargets(view.Pool(l.Service))
+	replicas := routing.ProbeTargets(view.Pool(s))
 	reached := make([]bool, len(replicas))
 	var wg sync.WaitGroup
 	for i := range replicas {
@@ -140,7 +150,7 @@
 			n++
 		}
 	}
-	r.Pool.reach.Probed(l.Service, n, clock.Now())
+	r.Pool.reach.Probed(s, n, clock.Now())
 }
 
 // probe reports whether a replica responds to a health check on a new connection of this daemon's own.
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -69,13 +69,13 @@
 
 // Pool keeps idle connections to replicas and counts the open ones. It is safe for concurrent use.
 type Pool struct {
-	dialer      net.Dialer
+	dialer      net.Dialer // to replicas
+	peerDialer  net.Dialer // to other daemons
 	dialTimes   routing.DialTimes
 	linkDoubts  routing.BrokenLinks
 	crashChecks crashChecks
 	reach       *routing.Reach
-	detours     *Detours   // nil: there are none
-	trying      serviceSet // services for which a direct connection is being tried
+	detours     *Detours // nil: there are none
 
 	mu        sync.Mutex
 	idle      map[routing.Incarnation][]*conn
@@ -90,7 +90,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
 	return &Pool{
-		dialer:    dialer,
+		dialer: dialer, peerDialer: net.Dialer{KeepAlive: -1},
 		reach:     routing.NewReach(),
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
