Daemons without traffic learn that their links are lost; links between domains are no lost links

Cause: a daemon refuses peers once it knows that others reach the replicas, and learned so by its own requests alone.

Change: a daemon whose probes fail asks another one for a connection, once a round, and takes connections that break before a byte for failures of its links. Probes go to replicas of several failure domains, the own one first: a daemon whose domain is cut off from others would else have taken the other replicas' silence for its own links'. Peers get .2 s to accept a connection.

--- a/coordination/routing/carriers.go
+++ b/coordination/routing/carriers.go
@@ -3,7 +3,7 @@
 //
 // A carrier opens the connection and copies bytes in both directions; this daemon goes on to choose
 // replicas, to send requests and to count them. Inputs: live daemons, as the control loop proposes
-// them, and how they responded. A daemon whose own links are suspect or down refuses, so a connection
+// them, and how they responded. A carrier connects over its own link or not at all, so that a connection
 // never goes through more than one. The rule:
 //
 //  1. A new connection goes through the carrier with the fewest open ones among those that opened
--- a/coordination/routing/reach.go
+++ b/coordination/routing/reach.go
@@ -14,8 +14,10 @@
 //     silentTicks ticks in a row. Ticks are counted rather than time, so that a daemon that was
 //     paused does not take its own pause for silence. Each false alarm doubles the number, up to
 //     maxSilentTicks: a service may be slow by nature.
-//  3. Probes of some replicas follow at once, and every ProbeInterval from then on. If none of the
-//     first ones reaches a replica, the links are down. If one does, they are up.
+//  3. Probes of some replicas follow at once, and every ProbeInterval from then on: one replica in the
+//     own failure domain, and one in each of some others, so that links between domains are told from
+//     this daemon's own. If none of the first ones gets a response, the links are down. If one does,
+//     they are up.
 //     Once they are down although another daemon reaches the replicas, the links to all other services
 //     are suspect: those that get few requests would be found late.
 //  4. Links that are down are up again when probes reached a replica in probesToRecover rounds in a
@@ -29,9 +31,13 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"hingewinch.org/hingewinch/state"
 )
 
 // LinkState says whether a daemon's own links to the replicas of a service work.
@@ -53,9 +59,9 @@
 	silentTicks    = 3
 	maxSilentTicks = 48
 	// ProbeInterval is the time between two rounds of probes, and probeReplicas the number of replicas
-	// that a round tries.
+	// that a round tries at most.
 	ProbeInterval   = 500 * time.Millisecond
-	probeReplicas   = 2
+	probeReplicas   = 3
 	probesToRecover = 2
 )
 
@@ -305,13 +311,33 @@
 	return due
 }
 
-// ProbeTargets returns random ready replicas of a pool for a round of probes.
-func ProbeTargets(p *Pool) []Replica {
-	out := make([]Replica, 0, probeReplicas)
-	for _, i := range rand.Perm(len(p.Ready))[:min(probeReplicas, len(p.Ready))] {
-		out = append(out, p.Ready[i])
+// ProbeTargets returns random ready replicas of a pool for a round of probes, each of another failure
+// domain, the own one among them. If there are fewer domains, others fill the round up.
+func ProbeTargets(p *Pool, own state.FailureDomain) []Replica {
+	order := rand.Perm(len(p.Ready))
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(boolToInt(p.Ready[a].Domain != own), boolToInt(p.Ready[b].Domain != own))
+	})
+	var out, rest []Replica
+	probed := make(map[state.FailureDomain]bool)
+	for _, i := range order {
+		r := p.Ready[i]
+		if probed[r.Domain] {
+			rest = append(rest, r)
+			continue
+		}
+		probed[r.Domain] = true
+		out = append(out, r)
 	}
-	return out
+	out = append(out, rest...)
+	return out[:min(probeReplicas, len(out))]
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // LostService is a service whose links are suspect or down.
--- a/coordination/routing/reach_test.go
+++ b/coordination/routing/reach_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/state"
 )
 
 // reachReplica returns the n-th replica of service s.
@@ -152,3 +153,26 @@
 		t.Errorf("%d alarms in a minute, want 9 at most", alarms)
 	}
 }
+
+// TestProbesReachOtherFailureDomains guards against links between failure domains that are taken for this
+// daemon's own: where replicas of the own domain respond, only the others are cut off.
+func TestProbesReachOtherFailureDomains(t *testing.T) {
+	pool := &routing.Pool{}
+	for i, domain := range []state.FailureDomain{"a", "b", "b", "b", "b", "b", "c", "c"} {
+		r := reachReplica(i)
+		r.Domain = domain
+		pool.Ready = append(pool.Ready, *r)
+	}
+	for range 50 {
+		got := make(map[state.FailureDomain]int)
+		for _, r := range routing.ProbeTargets(pool, "a") {
+			got[r.Domain]++
+		}
+		if len(got) != 3 || got["a"] != 1 {
+			t.Fatalf("probes %v, want one replica in each domain", got)
+		}
+	}
+	if got := routing.ProbeTargets(&routing.Pool{Ready: pool.Ready[1:3]}, "a"); len(got) != 2 {
+		t.Errorf("%d probes of two replicas in one domain, want both", len(got))
+	}
+}
--- a/daemon/routes/carriers.go
+++ b/daemon/routes/carriers.go
@@ -67,6 +67,12 @@
 			}
 			return d.pool.OpenForPeer(ctx, r, view)
 		},
+		Broken: func(id routing.Incarnation) {
+			view := d.View()
+			if r := view.Lookup(id); r != nil {
+				d.pool.BrokenForPeer(r, view)
+			}
+		},
 		Opened: func(peer string) {
 			d.Metrics.CarriedConnections.Inc(1)
 			if host, _, err := net.SplitHostPort(peer); err == nil && log.due(host, clock.Now()) {
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -167,7 +167,8 @@
 type partitionBounds struct {
 	After    time.Duration // from the start of the partition
 	MinShare float64       // of the others' share of requests served
-	// Failures is how many requests may fail in any case, and FailureShare which share of all.
+	// Failures is how many more requests may fail than at the others in any case, and FailureShare which
+	// share of all.
 	Failures     int
 	FailureShare float64
 }
@@ -195,9 +196,10 @@
 		}
 		inside, expected := j.compare(p)
 		b := j.bounds.Partition
-		failed := inside.all - inside.served
+		// Where other faults are absent, the others serve all, and these are all failures.
+		failed := expected - float64(inside.served)
 		allowed := float64(b.Failures) + b.FailureShare*float64(inside.all)
-		if float64(failed) > allowed && float64(inside.served) < b.MinShare*expected {
+		if failed > allowed && float64(inside.served) < b.MinShare*expected {
 			j.out = append(j.out, Violation{
 				Promise: "RECOVER", Subject: fmt.Sprintf("daemons %v, %v", p.daemons, p.from.UnixMilli()), At: p.to,
 				Detail: fmt.Sprintf("daemons that were partitioned from all replicas served %d of %d requests, the others would have served %.0f", inside.served, inside.all, expected),
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -55,6 +55,7 @@
 		{"twelve of sixteen fail", 16, 4, 100, 100, nil, true},
 		{"eleven of eleven fail", 11, 0, 100, 100, nil, true},
 		{"ten of ten fail", 10, 0, 100, 100, nil, false},
+		{"twenty of thirty fail, where half of the others' do", 30, 10, 100, 50, nil, false},
 		{"there are no others", 100, 0, 0, 0, nil, false},
 		{"the others are in another partition", 100, 0, 100, 100, func(l *Ledger) {
 			l.PartitionBegan([]int{1}, at(99))
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -152,6 +152,27 @@
 	}
 }
 
+// tryDetour finds out whether another daemon reaches a replica of a service whose links are down, as long
+// as no request has shown it. A daemon without requests would otherwise open connections for others that
+// lead nowhere.
+func (p *Pool) tryDetour(ctx context.Context, r *routing.Replica, v *routing.View) {
+	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
+		return
+	}
+	c, err := p.openThrough(ctx, r)
+	if err != nil {
+		p.release(r.Incarnation())
+		return
+	}
+	p.put(c, clock.Now())
+}
+
+// BrokenForPeer records that a connection which was opened for another daemon broke before the replica sent
+// a byte.
+func (p *Pool) BrokenForPeer(r *routing.Replica, v *routing.View) {
+	p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
+}
+
 // OpenForPeer opens a connection to a replica for another daemon. The error is a [*tunnel.Refused].
 func (p *Pool) OpenForPeer(ctx context.Context, r *routing.Replica, v *routing.View) (net.Conn, error) {
 	if p.reach.IsDetoured(r.Service) {
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -69,7 +69,8 @@
 	down       map[routing.ServiceName]time.Time // since when
 }
 
-// exonerate takes back what this daemon has held against replicas whose links turn out to be at fault.
+// exonerate takes back what this daemon has held against replicas, once its own links turn out to be at
+// fault.
 func (r *Relay) exonerate(lost []routing.LostService, known *linkReports) {
 	view, now := r.View(), clock.Now()
 	for _, l := range lost {
@@ -137,7 +138,7 @@
 // probeService probes some replicas of a service and records the result.
 func (r *Relay) probeService(ctx context.Context, s routing.ServiceName) {
 	view := r.View()
-	replicas := routing.ProbeTargets(view.Pool(s))
+	replicas := routing.ProbeTargets(view.Pool(s), view.Domain)
 	reached := make([]bool, len(replicas))
 	var wg sync.WaitGroup
 	for i := range replicas {
@@ -151,6 +152,9 @@
 		}
 	}
 	r.Pool.reach.Probed(s, n, clock.Now())
+	if r.Pool.reach.State(s) == routing.LinksDown && !r.Pool.reach.IsDetoured(s) && len(replicas) > 0 {
+		r.Pool.tryDetour(ctx, &replicas[0], view)
+	}
 }
 
 // probe reports whether a replica responds to a health check on a new connection of this daemon's own.
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -25,6 +25,8 @@
 	idleTimeoutFraction = 0.7
 	// defaultIdleTimeout is the idle timeout for replicas that state none.
 	defaultIdleTimeout = 20 * time.Second
+	// peerDialTimeout bounds connecting to another daemon. Links within a region take milliseconds.
+	peerDialTimeout = 200 * time.Millisecond
 	// maxIdlePerReplica is the maximum number of idle connections to one replica.
 	maxIdlePerReplica = 32
 )
@@ -90,7 +92,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
 	return &Pool{
-		dialer: dialer, peerDialer: net.Dialer{KeepAlive: -1},
+		dialer: dialer, peerDialer: net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1},
 		reach:     routing.NewReach(),
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
@@ -30,6 +31,9 @@
 	Open func(ctx context.Context, id routing.Incarnation) (net.Conn, error)
 	// Opened is called with the peer's address for each connection that is opened; nil: not needed.
 	Opened func(peer string)
+	// Broken is called when a connection to a replica broke before the replica sent a byte; nil: not
+	// needed.
+	Broken func(id routing.Incarnation)
 
 	mu      sync.Mutex
 	open    int
@@ -117,7 +121,9 @@
 	if _, err := io.WriteString(peer, accepted); err != nil {
 		return
 	}
-	join(peer, buffered, replica)
+	if join(peer, buffered, replica) && s.Broken != nil {
+		s.Broken(id)
+	}
 }
 
 // refuse responds to a request for a connection that is not opened.
@@ -131,31 +137,38 @@
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
-// join copies bytes in both directions until either side ends. fromPeer reads from peer.
-func join(peer net.Conn, fromPeer io.Reader, replica net.Conn) {
-	var wg sync.WaitGroup
+// join copies bytes in both directions until either side ends. fromPeer reads from peer. It reports
+// whether the replica's connection broke before it sent a byte.
+func join(peer net.Conn, fromPeer io.Reader, replica net.Conn) (broken bool) {
+	var (
+		wg       sync.WaitGroup
+		peerLeft atomic.Bool
+	)
 	wg.Go(func() {
-		copyAll(replica, fromPeer)
+		_, _ = copyAll(replica, fromPeer) // the other direction finds out about a failure
+		peerLeft.Store(true)
 		// The peer's end means that its caller has disconnected, or that it reuses no connection.
 		_ = replica.Close()
 	})
-	if copyAll(peer, replica) != nil {
+	n, err := copyAll(peer, replica)
+	broken = err != nil && n == 0 && !peerLeft.Load()
+	if err != nil {
 		reset(peer) // a response without a length must not look complete
 	}
 	_ = peer.Close()
 	wg.Wait()
+	return broken
 }
 
 // buffers pools the copying buffers.
 var buffers = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
 
-// copyAll copies until the source ends, which is no error, or either side fails. It hides the methods
-// by which io.Copy would avoid the buffer: each piece is passed on as soon as it has arrived.
-func copyAll(to io.Writer, from io.Reader) error {
+// copyAll copies until the source ends, which is no error, or either side fails, and returns the number
+// of bytes. It hides the methods by which io.Copy would avoid the buffer: each piece is passed on as soon as it has arrived.
+func copyAll(to io.Writer, from io.Reader) (int64, error) {
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *buf)
-	return err
+	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *buf)
 }
 
 // reset makes closing a connection reset it.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -28,6 +28,7 @@
 	replica *net.TCPConn
 	server  *tunnel.Server
 	peer    string // address
+	broken  chan routing.Incarnation
 }
 
 // newPair opens a connection through a peer.
@@ -45,6 +46,8 @@
 		}
 		return net.Dial("tcp4", listener.Addr().String())
 	}}
+	p.broken = make(chan routing.Incarnation, 1)
+	p.server.Broken = func(id routing.Incarnation) { p.broken <- id }
 	p.peer = startPeer(t, p.server)
 	p.daemon, p.reader, err = tunnel.Dial(context.Background(), &net.Dialer{}, p.peer, replicaID)
 	if err != nil {
@@ -128,6 +131,28 @@
 	awaitClosed(t, p.server)
 }
 
+// TestConnectionThatNeverWorkedIsReported guards against a peer that goes on opening connections which its
+// own links accept and then reset.
+func TestConnectionThatNeverWorkedIsReported(t *testing.T) {
+	p := newPair(t)
+	_ = p.replica.SetLinger(0)
+	_ = p.replica.Close()
+	select {
+	case id := <-p.broken:
+		if id != replicaID {
+			t.Errorf("%v is reported, want %v", id, replicaID)
+		}
+	case <-time.After(waitTime):
+		t.Error("the broken connection is not reported")
+	}
+	p = newPair(t)
+	_ = p.daemon.Close()
+	awaitClosed(t, p.server)
+	if len(p.broken) > 0 {
+		t.Error("a connection that the daemon closed is reported as broken")
+	}
+}
+
 // TestEndIsPassedOn checks the regular end of a response without a length.
 func TestEndIsPassedOn(t *testing.T) {
 	p := newPair(t)
