soak: a new address is idle until its replica has started

Change: the address is marked idle until the replica has started, as after a termination. No check or bound is touched.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -42,7 +42,7 @@
 	link    *Link
 	domain  string
 	current *Replica
-	idle    bool // its replica has terminated or is departing, and has no successor here
+	idle    bool // its replica has not started, has terminated or is departing, and has no successor here
 }
 
 // site is the environment of the fleet: the store, the configuration and the replicas.
@@ -214,7 +214,7 @@
 		return err
 	}
 	link.partitions, link.deliveries = &s.partitions, &s.deliveries
-	p := &place{link: link, domain: domain}
+	p := &place{link: link, domain: domain, idle: true}
 	s.mu.Lock()
 	s.places = append(s.places, p)
 	s.mu.Unlock()
