soak: partitions beside daemons of the last build, and what they hold up

Daemons of the last build don't know the source address by which links tell daemons apart: they get none, are never cut off, and don't count in RECOVER; their peers of this build ask them for connections and are refused.

The planted fault of callers that leave gets callers that do.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -231,7 +231,7 @@
 		if ended.IsZero() {
 			ended = j.now
 		}
-		reached := noneOverlaps(j.replicas[run.Replica], run.At, ended) && !j.linkWasCut(r.Daemon, run.At, ended)
+		reached := noneOverlaps(j.replicas[run.Replica], run.At, ended) && !j.linkWasCut(r.Daemon, r.Sent, ended)
 		if reached && ended.Sub(r.disconnected) > j.bounds.Cancel {
 			j.addTolerated("GONE", r, ended, "%s worked for %v after its caller disconnected", run.Replica, ended.Sub(r.disconnected))
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -102,23 +102,24 @@
 		return nil, err
 	}
 	f.daemons = append(f.daemons, d)
-	return d, d.writeSettings(at(ports[0]), 0)
+	return d, nil
 }
 
 // peerAddress returns the address that the daemon announces to its peers.
 func (d *daemon) peerAddress() string { return net.JoinHostPort(d.peerIP, itoa(d.fleet.ports[3])) }
 
-// writeSettings writes the settings file. The generation only makes the file's content differ.
-func (d *daemon) writeSettings(callers string, generation int) error {
+// writeSettings writes the settings file for a build. The previous one does not know the source address.
+func (d *daemon) writeSettings(b Build) error {
+	callers := net.JoinHostPort(d.ip, itoa(d.fleet.ports[0]))
 	seeds := ""
-	for k := range min(3, len(d.fleet.daemons)) {
+	for k := range min(3, d.number+1) {
 		seeds += fmt.Sprintf("  - %s.%d:1\n", d.fleet.network, 110+k)
 	}
 	source := ""
-	if d.fleet.bindsSource {
+	if d.fleet.bindsSource && b == BuildCurrent {
 		source = "source_address: " + d.ip + "\n"
 	}
-	text := fmt.Sprintf(`# generation %d
+	text := fmt.Sprintf(`# generation 0
 id: d%d
 domain: %s
 listen:
@@ -136,7 +137,7 @@
   extra: 56
   window: 10s
 memory_mb: %d
-%s`, generation, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.peerIP, d.fleet.ports[3], d.store.Address(), seeds, gracePeriod, memoryMB, source)
+%s`, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.peerIP, d.fleet.ports[3], d.store.Address(), seeds, gracePeriod, memoryMB, source)
 	return os.WriteFile(d.file, []byte(text), 0o600)
 }
 
@@ -149,6 +150,9 @@
 	d.mu.Lock()
 	build := d.build
 	d.mu.Unlock()
+	if err := d.writeSettings(build); err != nil {
+		return err
+	}
 	cmd := exec.Command(d.fleet.binaries[build], "--front", "routes", "--settings", d.file)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -233,10 +233,11 @@
 	return inside, expected
 }
 
-// countsInPartition reports whether a request counts in the comparison of a partition.
+// countsInPartition reports whether a request counts in the comparison of a partition. Links can't tell
+// daemons of the previous build apart, so that these are never cut off.
 func (j *checker) countsInPartition(r *record, p partitionSpan) bool {
 	key := j.keys[r.Key]
-	if !r.known || r.Service != "" || r.Crashing > 0 || !r.disconnected.IsZero() || key == nil || !key.removed.IsZero() {
+	if j.runsPreviousBuild(r.by()) || !r.known || r.Service != "" || r.Crashing > 0 || !r.disconnected.IsZero() || key == nil || !key.removed.IsZero() {
 		return false
 	}
 	if r.Sent.Before(p.from.Add(j.bounds.Partition.After)) || !r.Sent.Before(p.to) || r.answer == nil {
@@ -251,7 +252,7 @@
 	switch {
 	case slices.Contains(p.daemons, r.Daemon):
 		t = inside
-	case j.isPartitioned(r.Daemon, r.Sent):
+	case j.isPartitioned(r.Daemon, r.Sent, settling):
 		return
 	}
 	t.all++
@@ -260,10 +261,10 @@
 	}
 }
 
-// isPartitioned reports whether a daemon is in a partition at a time, or was a moment ago.
-func (j *checker) isPartitioned(daemon int, at time.Time) bool {
+// isPartitioned reports whether a daemon is in a partition at a time, or was until some time before.
+func (j *checker) isPartitioned(daemon int, at time.Time, before time.Duration) bool {
 	return slices.ContainsFunc(j.partitions, func(p partitionSpan) bool {
-		return slices.Contains(p.daemons, daemon) && at.After(p.from) && at.Before(p.to.Add(settling))
+		return slices.Contains(p.daemons, daemon) && at.After(p.from) && at.Before(p.to.Add(before))
 	})
 }
 
@@ -275,9 +276,9 @@
 
 // linkWasCut reports whether a partition may have kept a request, or the end of its connection, from a
 // replica between two times: it was sent on a link that was cut, that of the daemon or, if the daemon was
-// in a partition itself, that of any other which may have opened the connection for it.
+// in a partition itself a moment ago, that of any other which may have opened the connection for it.
 func (j *checker) linkWasCut(daemon int, from, to time.Time) bool {
-	throughOthers := j.isPartitioned(daemon, from)
+	throughOthers := j.isPartitioned(daemon, from, j.bounds.SyncTime)
 	return slices.ContainsFunc(j.partitions, func(p partitionSpan) bool {
 		cutAfterwards := p.from.After(from.Add(-j.bounds.SyncTime)) && p.from.Before(to)
 		heldUp := p.to.After(from) && p.to.Before(to)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -160,7 +160,6 @@
 	p.drawPartitions(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
-		p.Partitions = nil // the previous build has no setting by which links tell daemons apart
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -73,12 +73,12 @@
 	}
 	plan := NewPlan(seed, shape)
 	plan.Callers *= max(1, p.callers)
-	if p.faults != nil {
-		plan.Faults = p.faults(plan.Daemons)
-	}
 	if p.partitions != nil {
 		plan.Partitions, plan.Faults = p.partitions, nil
 	}
+	if p.faults != nil {
+		plan.Faults = p.faults(plan.Daemons)
+	}
 	return plan
 }
 
