A request whose links are suspect waits for the first probe before it goes through another daemon

What callers would have seen: where a failure domain is lost, the second connection that a daemon opens to it in vain makes its links suspect, and the request went on through another daemon, which waits for the lost replica again, up to .6 s more.

Change: requests wait up to 30 ms for the first round of probes. Where the links are well, a replica of the own domain responds in a few milliseconds, and the request goes to another replica as before.

--- a/coordination/routing/reach.go
+++ b/coordination/routing/reach.go
@@ -63,6 +63,10 @@
 	ProbeInterval   = 500 * time.Millisecond
 	probeReplicas   = 3
 	probesToRecover = 2
+	// ProbeWait is how long a request waits for the first round of probes before it goes through another
+	// daemon. Where replicas are lost rather than links, a probe gets a response in a few milliseconds,
+	// and the other daemon would only wait for the lost replica too.
+	ProbeWait = 30 * time.Millisecond
 )
 
 // Reach records which services this daemon reaches through its own links. It is safe for concurrent
@@ -90,6 +94,7 @@
 	regained  time.Time                 // when the links were last found to be up again
 	rounds    int                       // rounds of probes in a row that reached a replica
 	probedAt  time.Time                 // when the last round ended
+	probed    chan struct{}             // closed once links that became suspect were probed, or are up
 }
 
 // NewReach returns a Reach for which all links are up.
@@ -217,12 +222,14 @@
 // suspect makes the links suspect.
 func (v *serviceReach) suspect(bySilence bool, now time.Time) {
 	v.state, v.since, v.bySilence, v.rounds, v.quiet, v.detoured = LinksSuspect, now, bySilence, 0, 0, false
+	v.probed = make(chan struct{})
 }
 
 // recover makes the links up again.
 func (v *serviceReach) recover(now time.Time) {
 	v.state, v.since, v.regained, v.rounds, v.quiet, v.detoured = LinksUp, time.Time{}, now, 0, 0, false
 	clear(v.failed)
+	v.endProbing()
 }
 
 // Detoured records that another daemon opened a connection to a replica of a service whose links are
@@ -255,6 +262,25 @@
 	}
 }
 
+// endProbing releases the requests that wait for the first round of probes.
+func (v *serviceReach) endProbing() {
+	if v.probed != nil {
+		close(v.probed)
+		v.probed = nil
+	}
+}
+
+// Probing returns a channel that is closed once the links to a service, which are suspect, were probed or
+// are up. It returns nil if they are not suspect.
+func (r *Reach) Probing(s ServiceName) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.services[s]; v != nil {
+		return v.probed
+	}
+	return nil
+}
+
 // Tick applies rule 2. It returns the services whose links became suspect.
 func (r *Reach) Tick(now time.Time) []ServiceName {
 	r.mu.Lock()
@@ -286,6 +312,7 @@
 	case v.state == LinksUp:
 	case reached == 0:
 		v.state, v.rounds, v.patience = LinksDown, 0, silentTicks
+		v.endProbing()
 	case v.state == LinksSuspect:
 		if v.bySilence {
 			v.patience = min(2*v.patience, maxSilentTicks)
--- a/coordination/routing/reach_test.go
+++ b/coordination/routing/reach_test.go
@@ -116,7 +116,16 @@
 		}
 	}
 	suspect()
+	waiting := r.Probing("s")
 	probed(1, routing.LinksUp) // false alarm
+	select {
+	case <-waiting:
+	default:
+		t.Error("requests still wait for the first probes")
+	}
+	if r.Probing("s") != nil {
+		t.Error("requests wait for probes while the links are up")
+	}
 	suspect()
 	probed(0, routing.LinksDown)
 	probed(1, routing.LinksDown)
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport/clock"
@@ -31,12 +32,16 @@
 
 // connect opens a connection to a replica, directly or through another daemon.
 func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
+	p.awaitProbes(ctx, r.Service)
 	if p.reach.State(r.Service) == routing.LinksUp {
 		c, err := p.openDirect(ctx, r, v)
-		if err == nil || ctx.Err() != nil || p.reach.State(r.Service) == routing.LinksUp {
+		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
-		// This failure made the links suspect.
+		p.awaitProbes(ctx, r.Service) // this failure may have made the links suspect
+		if p.reach.State(r.Service) == routing.LinksUp {
+			return nil, err
+		}
 		if c, detourErr := p.openThrough(ctx, r); !errors.Is(detourErr, errNoCarrier) {
 			return c, detourErr
 		}
@@ -50,6 +55,21 @@
 	return c, err
 }
 
+// awaitProbes waits for the first probes if the links to a service have just become suspect.
+func (p *Pool) awaitProbes(ctx context.Context, s routing.ServiceName) {
+	probing := p.reach.Probing(s)
+	if probing == nil {
+		return
+	}
+	timer := time.NewTimer(p.probeWait)
+	defer timer.Stop()
+	select {
+	case <-probing:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // openDirect opens a connection over this daemon's own link.
 func (p *Pool) openDirect(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
 	raw, err := p.dial(ctx, r.Address)
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -172,6 +172,24 @@
 		Expect(p.opened.Load()).To(BeZero())
 	})
 
+	It("does not ask another daemon for replicas that are lost, while one of them responds to probes", func() {
+		a, b, alive := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
+		p := startCarrier(a, b, alive)
+		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{p}, a, b, alive)
+		w.view.Pools["s"].Ready[2].Address = alive.listener.Addr().String()
+		w.relay.Pool.SetProbeWait(10 * time.Second)
+		w.view.Pools["s"].Ready[2].Domain = "other" // the others, of the own domain, are chosen first
+		w.view.Pools["s"].Sort()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.relay.WatchLinks(ctx)
+		for i := range 20 {
+			to, _ := w.serve(w.call(string(rune('a'+i)), "POST", "x"))
+			Expect(to.status).To(Equal(200))
+		}
+		Expect(p.opened.Load()).To(BeZero())
+	})
+
 	It("stops the replica when the caller disconnects", func() {
 		begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
 		script := func(a *receivedRequest) bool {
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -77,7 +77,8 @@
 	linkDoubts  routing.BrokenLinks
 	crashChecks crashChecks
 	reach       *routing.Reach
-	detours     *Detours // nil: there are none
+	detours     *Detours      // nil: there are none
+	probeWait   time.Duration // routing.ProbeWait
 
 	mu        sync.Mutex
 	idle      map[routing.Incarnation][]*conn
@@ -94,6 +95,7 @@
 	return &Pool{
 		dialer: dialer, peerDialer: net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1},
 		reach:     routing.NewReach(),
+		probeWait: routing.ProbeWait,
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
 	}
