--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -174,7 +174,7 @@
 	return out
 }
 
-// partitionsInSeries cuts most of three daemons or more off from all replicas, again and again.
+// partitionsInSeries cuts two of three daemons or more off from all replicas, again and again.
 var partitionsInSeries = []Partition{
 	{At: 2 * time.Second, For: 9 * time.Second, Mode: resetAll, Daemons: []int{0, 1}},
 	{At: 13 * time.Second, For: 9 * time.Second, Mode: silentAll, Daemons: []int{1, 2}},
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -1,22 +1,15 @@
-// This file records whether this daemon's own links to replicas work, and probes those that are
-// suspect. coordination/routing/reach.go decides.
+// This file records what exchanges say about this daemon's own links to replicas.
+// coordination/routing/reach.go decides whether they work, and probes.go probes them.
 
 package relay
 
 import (
-	"bufio"
 	"context"
-	"net/http"
-	"sync"
-	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// probeTimeout bounds a probe. A replica may let a health check wait for a slot.
-const probeTimeout = time.Second
-
 // reportLink records what an exchange that failed says about this daemon's own link to the replica.
 func (s *activeCall) reportLink(ctx context.Context, x *exchange, r *routing.Replica, f *failure) {
 	if !s.isOwnLink(x.conn) || x.received || ctx.Err() != nil {
@@ -42,140 +35,3 @@
 
 // replicas returns the number of ready replicas of a replica's service.
 func (s *activeCall) replicas(r *routing.Replica) int { return len(s.View().Pool(r.Service).Ready) }
-
-// WatchLinks probes links that are suspect or down until ctx is done.
-func (r *Relay) WatchLinks(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.Pool.reach.Suspected():
-		}
-		known := linkReports{exonerated: make(map[routing.ServiceName]bool), down: make(map[routing.ServiceName]time.Time)}
-		for lost := r.Pool.reach.Lost(); len(lost) > 0 && ctx.Err() == nil; lost = r.Pool.reach.Lost() {
-			r.exonerate(lost, &known)
-			r.probeServices(ctx, r.Pool.reach.ProbesDue(clock.Now()))
-			r.reportLinks(&known)
-			r.awaitProbes(ctx)
-			r.reportLinks(&known)
-		}
-		r.Pool.clearDetours()
-	}
-}
-
-// linkReports is what was done and reported about links until all are up again.
-type linkReports struct {
-	exonerated map[routing.ServiceName]bool
-	down       map[routing.ServiceName]time.Time // since when
-}
-
-// exonerate takes back what this daemon has held against replicas, once its own links turn out to be at
-// fault.
-func (r *Relay) exonerate(lost []routing.LostService, known *linkReports) {
-	view, now := r.View(), clock.Now()
-	for _, l := range lost {
-		if l.Detoured && !known.exonerated[l.Service] {
-			known.exonerated[l.Service] = true
-			r.Placer.Health.Exonerate(view.Pool(l.Service), now)
-		}
-	}
-}
-
-// reportLinks notifies the observer of links that are newly down, while another daemon reaches the
-// replicas, or up again.
-func (r *Relay) reportLinks(known *linkReports) {
-	now, lost := clock.Now(), make(map[routing.ServiceName]bool)
-	for _, l := range r.Pool.reach.Lost() {
-		lost[l.Service] = true
-		if _, ok := known.down[l.Service]; !ok && l.State == routing.LinksDown && l.Detoured {
-			known.down[l.Service] = l.Since
-			r.Observer.LinksLost(l.Service, now.Sub(l.Since))
-			r.suspectAll(now)
-		}
-	}
-	for s, since := range known.down {
-		if !lost[s] {
-			delete(known.down, s)
-			r.Observer.LinksRegained(s, now.Sub(since))
-		}
-	}
-	for s := range known.exonerated {
-		if !lost[s] {
-			delete(known.exonerated, s)
-		}
-	}
-}
-
-// awaitProbes waits until the next round of probes is due.
-func (r *Relay) awaitProbes(ctx context.Context) {
-	timer := time.NewTimer(routing.ProbeInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-r.Pool.reach.Suspected():
-	case <-timer.C:
-	}
-}
-
-// suspectAll makes the links to all services suspect that have replicas.
-func (r *Relay) suspectAll(now time.Time) {
-	for s, pool := range r.View().Pools {
-		if len(pool.Ready) > 0 {
-			r.Pool.reach.Suspect(s, now)
-		}
-	}
-}
-
-// probeServices performs a round of probes for each service.
-func (r *Relay) probeServices(ctx context.Context, due []routing.ServiceName) {
-	var wg sync.WaitGroup
-	for _, s := range due {
-		wg.Go(func() { r.probeService(ctx, s) })
-	}
-	wg.Wait()
-}
-
-// probeService probes some replicas of a service and records the result.
-func (r *Relay) probeService(ctx context.Context, s routing.ServiceName) {
-	view := r.View()
-	replicas := routing.ProbeTargets(view.Pool(s), view.Domain)
-	reached := make([]bool, len(replicas))
-	var wg sync.WaitGroup
-	for i := range replicas {
-		wg.Go(func() { reached[i] = r.probe(ctx, view, &replicas[i]) })
-	}
-	wg.Wait()
-	n := 0
-	for _, ok := range reached {
-		if ok {
-			n++
-		}
-	}
-	r.Pool.reach.Probed(s, n, clock.Now())
-	if r.Pool.reach.State(s) == routing.LinksDown && !r.Pool.reach.IsDetoured(s) && len(replicas) > 0 {
-		r.Pool.tryDetour(ctx, &replicas[0], view)
-	}
-}
-
-// probe reports whether a replica responds to a health check on a new connection of this daemon's own.
-// Any response will do, since only the link is in question.
-func (r *Relay) probe(ctx context.Context, v *routing.View, to *routing.Replica) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := r.Pool.dial(ctx, to.Address)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	if _, err := conn.Write(r.Codec.AppendHealthCheck(nil, to, v.Table.HealthPath(to.Service))); err != nil {
-		return false
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close() // the connection is closed in any case
-	return true
-}
