--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -150,19 +150,7 @@
 	if p.detours.Carriers.Usable(c.Peer) {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, list := range p.idle {
-		kept := list[:0]
-		for _, idle := range list {
-			if idle.via == c.Peer {
-				p.closeLocked(idle)
-				continue
-			}
-			kept = append(kept, idle)
-		}
-		p.idle[id] = kept
-	}
+	p.closeIdle(func(idle *conn) bool { return idle.via == c.Peer })
 }
 
 // clearDetours forgets the daemons in use, since all links are up.
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -241,16 +241,23 @@
 // another daemon without need.
 func (p *Pool) Sweep(wanted func(routing.Incarnation) bool, now time.Time) {
 	p.crashChecks.removeExpired(now)
+	p.closeIdle(func(c *conn) bool {
+		return !wanted(c.replica) || now.Sub(c.idleSince) > c.idleTimeout || c.via != "" && !p.mayReuseDetour(c)
+	})
+}
+
+// closeIdle closes the idle connections that meet a condition.
+func (p *Pool) closeIdle(condition func(c *conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if wanted(id) && now.Sub(c.idleSince) <= c.idleTimeout && (c.via == "" || p.mayReuseDetour(c)) {
-				kept = append(kept, c)
+			if condition(c) {
+				p.closeLocked(c)
 				continue
 			}
-			p.closeLocked(c)
+			kept = append(kept, c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, id)
