--- a/internal/soak/backoff.go
+++ b/internal/soak/backoff.go
@@ -40,8 +40,7 @@
 	replica  string
 	at       time.Time
 	duration time.Duration
-	request  *record // that was refused
-	conn     string  // the daemon's end of the connection
+	conn     string // the daemon's end of the connection
 }
 
 // drawStatements adds the faults of replicas that request a backoff, and of those that announce
@@ -130,9 +129,8 @@
 func (l *Ledger) BackoffRequested(request, replica string, backoff time.Duration, at time.Time, conn string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.record(request)
-	d := r.by()
-	l.backoffs[d] = append(l.backoffs[d], backoffRequest{replica: replica, at: at, duration: backoff, request: r, conn: conn})
+	d := l.record(request).by()
+	l.backoffs[d] = append(l.backoffs[d], backoffRequest{replica: replica, at: at, duration: backoff, conn: conn})
 }
 
 // SetAside records a period in which a replica refuses all requests, or announces its
