Lines of requests say at which software version each attempt ran and which stream they resume

Request lines now have `version` for each attempt, and `resumes` and `last_event` for a request that takes a stream up; GET /replicas and hingectl show each replica's version. No decision reads it.

The log and operators' golden files gain these fields; none is renamed.

--- a/cmd/hingectl/router.go
+++ b/cmd/hingectl/router.go
@@ -105,7 +105,7 @@
 func (c *routerReplicasCommand) Execute([]string) error {
 	w := newTable()
 	defer w.Flush()
-	fmt.Fprintln(w, "SERVICE\tREPLICA\tDOMAIN\tADDRESS\tSTATE\tLOAD\tFAILED\tCOLD\tREST\tASKED BY\tEJECTED")
+	fmt.Fprintln(w, "SERVICE\tREPLICA\tDOMAIN\tADDRESS\tSTATE\tVERSION\tLOAD\tFAILED\tCOLD\tREST\tASKED BY\tEJECTED")
 	return c.forEach(func(address string) error {
 		var list []routes.ReplicaAnswer
 		if err := fetchJSON(address, routes.PathReplicas, &list); err != nil {
@@ -115,7 +115,7 @@
 			if c.Ejected && !r.Ejected {
 				continue
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%dms\t%dms\t%s\t%s\n", r.Service, r.ID, r.Domain, r.Address, r.State, r.Load, 100*r.FailRate, r.ColdMS, r.BackoffMS, r.BackoffBy, r.Why)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.0f%%\t%dms\t%dms\t%s\t%s\n", r.Service, r.ID, r.Domain, r.Address, r.State, r.Version, r.Load, 100*r.FailRate, r.ColdMS, r.BackoffMS, r.BackoffBy, r.Why)
 		}
 		return nil
 	})
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -21,8 +21,9 @@
 	Service   ServiceName
 	Address   string // IP:PORT
 	Domain    state.FailureDomain
-	Slots     int  // requests that it runs concurrently
-	Draining  bool // it has announced its departure
+	Slots     int             // requests that it runs concurrently
+	Draining  bool            // it has announced its departure
+	Version   SoftwareVersion // empty: its entry does not give one
 	// ColdFor is the remaining cold time according to the replica's entry. ColdUntil is the end
 	// of that time by the clock of the daemon that received the entry; zero: it is warm.
 	ColdFor   time.Duration
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -53,7 +53,7 @@
 	var out bytes.Buffer
 	l := newLog(&out, "debug", "d1", newMetrics())
 	replica := routing.NewReplica(routing.Replica{ID: "i-1"})
-	call := &relay.Call{Request: routing.Request{ID: "r1", Route: &routing.Route{Name: "n"}, Prompt: []routing.PromptPart{{ID: "p", Tokens: 5}}}}
+	call := &relay.Call{Request: routing.Request{ID: "r1", Route: &routing.Route{Name: "n"}, Prompt: []routing.PromptPart{{ID: "p", Tokens: 5}}}, LastEventID: "3"}
 	summary := &relay.Summary{
 		Outcome: coordination.NotRun{Reason: coordination.ReasonDeadline}, Status: 503, FirstByte: time.Second, Total: time.Second,
 		Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
--- a/daemon/routes/operator_replicas.go
+++ b/daemon/routes/operator_replicas.go
@@ -18,7 +18,8 @@
 	Domain    state.FailureDomain `json:"domain"`
 	Address   string              `json:"address"`
 	State     string              `json:"state"`
-	Load      int                 `json:"load"` // number of requests, from all daemons
+	Version   string              `json:"version"` // of its software; empty if its entry gives none
+	Load      int                 `json:"load"`    // number of requests, from all daemons
 	Ejected   bool                `json:"passed_over"`
 	Why       string              `json:"why,omitempty"` // why it gets no requests
 	FailRate  float64             `json:"fail_rate"`     // share of failed requests, as counted by this daemon
@@ -62,7 +63,7 @@
 func (c *control) replicaAnswer(r *routing.Replica, now time.Time) ReplicaAnswer {
 	rate, why := c.health.Explain(r, now)
 	a := ReplicaAnswer{
-		ID: r.ID, Service: r.Service, Domain: r.Domain, Address: r.Address, State: stateName(r),
+		ID: r.ID, Service: r.Service, Domain: r.Domain, Address: r.Address, State: stateName(r), Version: r.Version.String(),
 		Load: c.loads.Estimate(r.LoadKey(), now), FailRate: rate, ColdMS: max(0, r.ColdUntil.Sub(now)).Milliseconds(), StartTime: r.StartTime,
 		BackoffMS: c.backoffs.Remaining(r, now).Milliseconds(), BackoffBy: c.backoffs.RequestedBy(r, now), Departing: c.departures.IsLeaving(r),
 	}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -23,6 +23,8 @@
 	// WorkspacePriority is that of the workspace; see [routing.Workspace].
 	WorkspacePriority int
 	LastEventID       string // id of the last event that the caller received; empty: from the start
+	// Resumes is the request that brought the caller the first event of the stream; empty: not given.
+	Resumes routing.RequestID
 }
 
 // RequestHead holds what one attempt adds to the call's header fields.
@@ -88,18 +90,19 @@
 // Attempt describes one attempt at a replica.
 type Attempt struct {
 	Replica      routing.ReplicaID
-	Rank         int               // position of the replica in the prompt's order of preference
-	Cold         bool              // the replica was cold when it was chosen
-	PromptSource routing.ReplicaID // replica that the prompt is copied from; empty: none
-	Load         int               // of the replica when it was chosen, as estimated by this daemon, in requests
-	MeanLoad     float64           // mean load of the service's replicas, in requests
-	LoadCoverage float64           // fraction of the fleet's daemons whose load is included in Load and Mean
-	Reported     ReportedLoad      // load that the replica reported; Load is the estimate of it
-	Backoff      time.Duration     // backoff that the replica requested; 0: none
-	Leaving      bool              // the replica announced its departure
-	Reused       bool              // the connection was used before
-	Via          routing.PeerID    // daemon that opened the connection for this one; empty: its own
-	Err          error             // nil: the caller has the complete response
+	Version      routing.SoftwareVersion // of the replica
+	Rank         int                     // position of the replica in the prompt's order of preference
+	Cold         bool                    // the replica was cold when it was chosen
+	PromptSource routing.ReplicaID       // replica that the prompt is copied from; empty: none
+	Load         int                     // of the replica when it was chosen, as estimated by this daemon, in requests
+	MeanLoad     float64                 // mean load of the service's replicas, in requests
+	LoadCoverage float64                 // fraction of the fleet's daemons whose load is included in Load and Mean
+	Reported     ReportedLoad            // load that the replica reported; Load is the estimate of it
+	Backoff      time.Duration           // backoff that the replica requested; 0: none
+	Leaving      bool                    // the replica announced its departure
+	Reused       bool                    // the connection was used before
+	Via          routing.PeerID          // daemon that opened the connection for this one; empty: its own
+	Err          error                   // nil: the caller has the complete response
 	Duration     time.Duration
 }
 
