--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -60,6 +60,7 @@
 	Restores          float64       `long:"restores" default:"0.1" description:"times per second that the store is restored from a backup; use 0 for seeds recorded before this option existed"`
 	Partitions        float64       `long:"partitions" default:"0" description:"times per second that daemons lose their links to all replicas; 0.1 is a good rate"`
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
+	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
 	Dir               string        `long:"dir" description:"directory of the runs (default: a temporary directory)"`
 	Keep              bool          `long:"keep" description:"also keep the directories of runs without violations"`
@@ -180,7 +181,7 @@
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuations, o.Crashing, o.Foreign
 	shape.BackoffsPerSec, shape.DeparturesPerSec = o.Backoffs, o.Departures
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
-	shape.Crowded, shape.PartitionsPerSec = o.Crowded, o.Partitions
+	shape.Crowded, shape.PartitionsPerSec, shape.Versions = o.Crowded, o.Partitions, o.Versions
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
@@ -192,6 +193,9 @@
 	}
 	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at overloaded replicas, %d replicas crashed by requests, %d backoffs, %d departures announced in responses, %d violations\n",
 		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.OverloadShare, report.Crashed, report.Backoffs, report.Departures, len(report.Violations))
+	if n := report.Streams; n.Begun > 0 {
+		fmt.Printf("  %d of %d long streams began, %d of them hold events of several versions; %d of %d resumes by callers went on\n", n.Begun, n.Sent, n.Mixed, n.Resumed, n.Resumes)
+	}
 	for _, v := range report.Excused {
 		fmt.Printf("  not judged: %s %s %s: %s\n", v.At.UTC().Format("15:04:05.000"), v.Promise, v.Subject, v.Detail)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -125,7 +125,7 @@
 func (q *Request) encode() string {
 	r := standin.CallerRequest{
 		Method: q.Route.Method, Target: q.Target, Host: routeHost, ID: q.ID, Key: q.Key, Timeout: q.Deadline.Sub(q.Sent),
-		Body: q.Body, Chunked: hashOf(q.ID)%3 == 0,
+		Body: q.Body, Chunked: hashOf(q.ID)%3 == 0, LastEventID: q.After, Resumes: q.Resumes,
 	}
 	if q.Route.Stream {
 		r.Prompt = fmt.Sprintf("aa:800,%x:%d,%x:250", q.Subject+1, q.Tokens, hashOf(q.ID))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,6 +39,8 @@
 	Backoffs backoffBounds
 	// Partition limits what callers of daemons without links to replicas have to bear.
 	Partition partitionBounds
+	// Versions limits streams of several software versions, and streams that callers can't resume.
+	Versions versionBounds
 	// MaxRefusal is how long a daemon may refuse requests that a live replica could serve.
 	MaxRefusal time.Duration
 }
@@ -54,6 +56,7 @@
 		Crashing:   crashingBounds{Crashes: 3, LaterArrivals: 3},
 		Backoffs:   backoffBounds{Grace: 500 * time.Millisecond, Max: 2},
 		Partition:  partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
+		Versions:   versionBounds{Mixed: 2, MinResumes: 12, MinReplicas: 2, MinShare: 0.5},
 		MaxRefusal: time.Second,
 	}
 }
@@ -82,6 +85,7 @@
 	j.checkDepartures()
 	j.checkServing()
 	j.checkPartitions()
+	j.checkVersions()
 	j.checkLimit()
 	j.checkCold()
 	j.out = append(j.out, l.terminations...)
@@ -262,7 +266,7 @@
 }
 
 func (j *checker) checkStream(r *record) {
-	want, got := streamBody(r.ID, 0), r.answer.Body
+	want, got := streamBody(r.streamID(), r.After), withoutVersions(r.answer.Body)
 	if r.answer.Complete && got != want {
 		j.add("ORDER", r, r.answer.At, "stream of %d bytes ended as complete, but the replica's has %d", len(got), len(want))
 	}
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -150,6 +150,9 @@
 		if rand.IntN(2) == 0 {
 			pause(ctx, minRestartDelay+rand.N(maxSameIDRestartDelay-minRestartDelay))
 			s.ledger.EndReplicaDisturbance(r.ID, from, time.Now())
+			s.mu.Lock()
+			p.version = s.versions.restartVersion(p.version)
+			s.mu.Unlock()
 			if ctx.Err() == nil && p.link.Reopen() == nil {
 				_ = s.startAs(r.ID, p, r.Service)
 			}
--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -16,7 +16,7 @@
 // departure in every response until it terminates. Its entry stays ready.
 func (s *injector) leaveByAnswers(f *Fault) {
 	p, r := s.pickPlace(f.Target)
-	if !s.tryMarkIdle(p, r) || s.addPlace(r.Service, r.Domain) != nil {
+	if !s.tryMarkIdle(p, r) || s.addPlaceAt(r.Service, r.Domain, p.version) != nil {
 		return
 	}
 	from := time.Now()
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -68,12 +69,17 @@
 	if n := crashingNumber(req.URL.Path); n > 0 {
 		return x.crash(n)
 	}
-	if strings.HasPrefix(req.URL.Path, prefixChat) || strings.HasPrefix(req.URL.Path, prefixReply) {
+	if isStreamPath(req.URL.Path) {
 		return x.stream()
 	}
 	return x.plain()
 }
 
+// isStreamPath reports whether the path is of a route with streams.
+func isStreamPath(path string) bool {
+	return slices.ContainsFunc([]string{prefixChat, prefixReply, prefixSingle}, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
+
 // recordArrival records the request in the ledger. It returns false if the replica has terminated:
 // the connection was reset, and the request counts as sent to a replica that is gone.
 func (x *exchange) recordArrival(a Arrival) bool {
@@ -199,9 +205,12 @@
 	}
 	fault := x.streamFault()
 	head := standin.StreamHead(x.id, x.ID, x.statementsWithLoad())
-	events := streamEvents(x.id)
+	events := streamEvents(x.streamID())
+	for i := range events {
+		events[i] = withVersion(events[i], x.version)
+	}
 	for i := from; i < len(events); i++ {
-		if !x.work(x.workDuration(len(events))) || i == from && !x.write(head) {
+		if !x.work(x.eventDuration(len(events))) || i == from && !x.write(head) {
 			x.finish(0)
 			return false
 		}
--- a/internal/soak/inject_replica.go
+++ b/internal/soak/inject_replica.go
@@ -28,7 +28,7 @@
 		}
 		s.crash(p, r, other, expiryTime)
 		// Another replica, at a new address, replaces the one that crashed.
-		_ = s.addPlace(r.Service, r.Domain)
+		_ = s.addPlaceAt(r.Service, r.Domain, p.version)
 	case flapReplica:
 		for range 3 {
 			if s.ctx.Err() != nil {
@@ -78,8 +78,13 @@
 // drain replaces a replica: a new one starts, and the old one announces its departure in its
 // entry or deletes the entry, and serves on for a while.
 func (s *injector) drain(p *place, r *Replica, inEntry bool) {
+	s.drainTo(p, r, p.version, inEntry)
+}
+
+// drainTo is drain with a replacement of a software version.
+func (s *injector) drainTo(p *place, r *Replica, version string, inEntry bool) {
 	s.markIdle(p)
-	if s.addPlace(r.Service, r.Domain) != nil {
+	if s.addPlaceAt(r.Service, r.Domain, version) != nil {
 		return
 	}
 	if inEntry {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -34,6 +34,10 @@
 	Subject     int // of a chat: requests with the same subject share their prompt
 	Tokens      int // of that prompt
 	Crashing    int // number of the crashing request, from 1; 0 for an ordinary request
+	// Resumes is the request that brought the first event of the stream that this one resumes, and After
+	// the number of the last event that the caller has; empty and 0: it does not resume any.
+	Resumes string
+	After   int
 	// Service, Workspace and Urgency are set for a request to a crowded service.
 	Service   string
 	Workspace string
@@ -124,6 +128,7 @@
 	setAside         map[string][]span       // when replicas backed off, or announced their departure in responses alone
 	crowdedServices  map[string]*crowdedService
 	partitions       []partitionSpan
+	versions         map[string][]versionSpan // of replicas
 	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
 	// describes what became of it.
 	wasRead func(conn string, at time.Time) (bool, string)
@@ -145,6 +150,7 @@
 		keys: make(map[string]*keyHistory), found: make(map[string]Violation),
 		domains: make(map[string]string), evacuations: make(map[string][]span), cold: make(map[string][]coldSpan),
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
+		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService), excused: make(map[string]Violation),
 		wasRead: func(string, time.Time) (bool, string) { return true, "" },
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -92,6 +92,8 @@
 	Crowded *Crowded `json:"crowded,omitempty"`
 	// Partitions cut daemons off from all replicas.
 	Partitions []Partition `json:"partitions,omitempty"`
+	// Versions lets replicas run several software versions; nil: they don't name theirs.
+	Versions *Versions `json:"versions,omitempty"`
 }
 
 // Shape limits the random choices of a plan.
@@ -121,6 +123,8 @@
 	Upgrades bool
 	// Crowded says whether there is a crowded service.
 	Crowded bool
+	// Versions says whether replicas run several software versions.
+	Versions bool
 }
 
 // DefaultShape returns the shape of a run that is started by hand.
@@ -158,6 +162,7 @@
 	p.drawRestores(seed, s)
 	p.drawCrowded(seed, s)
 	p.drawPartitions(seed, s)
+	p.drawVersions(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -46,6 +46,7 @@
 	ID        string
 	Service   string
 	Domain    string
+	version   string // of its software, as its entry gives it; empty: none
 	slots     int
 	crowded   *crowdedReplica // nil: requests beyond the slots are refused at once
 	startTime time.Time
@@ -209,8 +210,11 @@
 // every replica, so that a stream can be resumed at another one.
 func streamEvents(id string) []string {
 	n := minEvents + int(hashOf(id)%extraEvents)
-	if isSteady(id) {
+	switch {
+	case isSteady(id):
 		n = steadyEvents
+	case isLongStream(id):
+		n = longEvents
 	}
 	out := make([]string, n)
 	for i := range out {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,7 @@
 	Crashed       int         `json:"replicas_ended"`            // by crashing requests
 	Backoffs      int         `json:"rests"`                     // backoffs that replicas requested
 	Departures    int         `json:"left_by_answers"`           // replicas that announced their departure to a caller
+	Streams       StreamCount `json:"streams"`                   // of callers that resume them
 	Violations    []Violation `json:"violations"`
 	Excused       []Violation `json:"excused"` // of backoffs that the daemon can't have read
 	Events        []string    `json:"events"`  // faults and their ends
@@ -72,7 +73,10 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
-	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing) > 0
+	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing) > 0 || p.Versions != nil
+	if p.Versions != nil {
+		r.site.setVersions(p.Versions)
+	}
 	if p.Crowded != nil {
 		r.site.setCrowded(p.Crowded)
 	}
@@ -192,6 +196,10 @@
 		c := &crasher{site: r.site, Crashing: r.plan.Crashing[i], number: i + 1}
 		callers.Go(func() { c.run(calling) })
 	}
+	for i := range r.plan.Versions.resumers() {
+		c := &resumer{site: r.site, number: i}
+		callers.Go(func() { c.run(calling) })
+	}
 	if c := r.plan.Crowded; c != nil {
 		crowd := &crowdedCallers{Crowded: c, site: r.site, service: serviceCrowded}
 		crowds.Go(func() { crowd.run(ctx, r.begun, r.plan.Trouble) })
@@ -212,6 +220,12 @@
 			s.upgrade(&r.plan.Upgrades[i])
 		}
 	})
+	if v := r.plan.Versions; v != nil {
+		others.Go(func() { s.crashInSeries(v, r.plan.Trouble) })
+		for i := range v.Rollouts {
+			others.Go(func() { s.rollOut(&v.Rollouts[i]) })
+		}
+	}
 	for i := range r.plan.Partitions {
 		others.Go(func() { s.partition(&r.plan.Partitions[i]) })
 	}
@@ -249,6 +263,7 @@
 	r.report.OverloadShare, r.report.Crashed = r.site.ledger.MaxOverloadShare(), r.site.ledger.Crashes()
 	r.report.Backoffs, r.report.Departures = r.site.ledger.Backoffs(), r.site.ledger.Departures()
 	r.report.Excused = r.site.ledger.Excused()
+	r.report.Streams = r.site.ledger.Streams()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("only %d of %d requests were served at the end of the quiet time", served, all)})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -41,6 +41,7 @@
 type place struct {
 	link    *Link
 	domain  string
+	version string // of the software of its replicas; empty: they don't name one
 	current *Replica
 	idle    bool // its replica has not started, has terminated or is departing, and has no successor here
 }
@@ -59,6 +60,7 @@
 	deliveries   deliveries
 	trap         *trap     // address in the entries of the foreign writer
 	cold         bool      // replicas are cold after a start
+	versions     *Versions // nil: replicas don't name their software versions
 	begun        time.Time // start of the traffic
 
 	mu        sync.Mutex
@@ -116,6 +118,20 @@
 	return time.Now()
 }
 
+// routes returns the configured routes but that of a crowded service.
+func (s *site) routes() []*Route {
+	if s.versions == nil {
+		return routes
+	}
+	return append(slices.Clip(routes), singleRoute)
+}
+
+// setVersions lets the replicas run the versions of a run.
+func (s *site) setVersions(v *Versions) {
+	s.versions, s.services[routeSingle] = v, serviceChat
+	s.ledger.RouteTo(routeSingle, serviceChat, time.Time{})
+}
+
 // config returns the configuration of the current version. The caller must hold s.mu.
 func (s *site) config() standin.Config {
 	c := standin.Config{Version: s.version, Services: []standin.Service{{Name: serviceGate}, {Name: serviceOther}, {Name: serviceChat, Engine: &standin.Engine{}}}}
@@ -124,7 +140,7 @@
 			c.Services[i].ColdSeconds, c.Services[i].ColdPerSecond = coldStart.Seconds(), coldPerSecond
 		}
 	}
-	for _, r := range routes {
+	for _, r := range s.routes() {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: r.Name, Host: routeHost, Prefix: r.Prefix, Kind: kindOf(r), TimeoutMS: r.Timeout.Milliseconds(),
 			FirstByteMS: firstByteTargetMS, EventMS: eventTargetMS, Service: s.services[r.Name], Attempts: r.Attempts, Resumable: r.Stream && r.Repeatable,
@@ -209,12 +225,17 @@
 
 // addPlace opens a new address of the site and starts its first replica.
 func (s *site) addPlace(service, domain string) error {
+	return s.addPlaceAt(service, domain, s.versions.next())
+}
+
+// addPlaceAt is addPlace for a replica of a software version.
+func (s *site) addPlaceAt(service, domain, version string) error {
 	link, err := openLink("127.0.0.1:0", "127.0.0.1:1")
 	if err != nil {
 		return err
 	}
 	link.partitions, link.deliveries = &s.partitions, &s.deliveries
-	p := &place{link: link, domain: domain, idle: true}
+	p := &place{link: link, domain: domain, version: version, idle: true}
 	s.mu.Lock()
 	s.places = append(s.places, p)
 	s.mu.Unlock()
@@ -242,8 +263,10 @@
 	}
 	r.crashed = func() { s.restartAfterCrash(p, r) }
 	s.mu.Lock()
+	r.version = p.version
 	p.current, p.idle = r, false
 	s.mu.Unlock()
+	s.ledger.HasVersion(id, r.version, time.Now())
 	p.link.SetTarget(r.Address())
 	s.ledger.Joined(id, service, time.Now())
 	if service == serviceCrowded {
@@ -263,7 +286,7 @@
 	s.mu.Lock()
 	s.writes[r.ID]++
 	e := standin.Replica{
-		ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, ColdMS: r.coldRemaining(time.Now()).Milliseconds(),
+		ID: r.ID, Service: r.Service, Address: p.link.Address(), Domain: p.domain, Slots: r.slots, Version: r.version, ColdMS: r.coldRemaining(time.Now()).Milliseconds(),
 		StartTime: r.startTime.UnixMilli(), Sequence: s.writes[r.ID], Draining: draining,
 	}
 	s.entries[r.ID] = e
--- /dev/null
+++ b/internal/soak/versions_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestStreamsGoOnAtTheVersionThatBeganThem guards against streams that hold events of two software versions
+// of a service, because a daemon or another one that their caller asks resumes them at any replica.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	const daemons = 8
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := &Plan{
+		Daemons: daemons, Domains: 3, Gate: 3, Chat: versionedReplicas, Callers: daemons, Trouble: 12 * time.Second, Quiet: 5 * time.Second,
+		Versions: &Versions{
+			Count: 2, Replicas: versionedReplicas, Resumers: resumersPerDaemon * daemons, Interval: 600 * time.Millisecond,
+			Rollouts: []Rollout{{At: 6 * time.Second, Version: 2, Replicas: 6, Gap: rolloutGap}},
+		},
+	}
+	for i := range 6 {
+		plan.Faults = append(plan.Faults, Fault{At: time.Duration(3+i) * 1500 * time.Millisecond, Kind: killDaemon, Target: 3 * i})
+	}
+	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v; %.3f of %d requests were served", report.Streams, report.Share, report.Requests)
+	for i, v := range report.Violations {
+		if i < 5 {
+			t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
+		}
+	}
+}
+
+// TestCheckVersions records streams that began at second 100 and were resumed at second 101 through
+// daemon 0, while three replicas of version v1 serve.
+func TestCheckVersions(t *testing.T) {
+	events := func(versions ...string) string {
+		var b strings.Builder
+		for _, v := range versions {
+			b.WriteString(withVersion("id: 1\ndata: x\n\n", v))
+		}
+		return b.String()
+	}
+	for _, c := range []struct {
+		name        string
+		begin       string // body of the first request of each stream
+		resume      string // body of the request that resumes it
+		streams     int
+		play        func(l *Ledger)
+		order, lost bool
+	}{
+		{name: "streams stay at their version", begin: events("v1", "v1"), resume: events("v1"), streams: 20},
+		{name: "two streams change it", begin: events("v1"), resume: events("v2"), streams: 2},
+		{name: "three do", begin: events("v1"), resume: events("v2"), streams: 3, order: true},
+		{name: "three do within one response", begin: events("v1", "v2"), streams: 3, order: true},
+		{name: "three do through a daemon that is not up to date", begin: events("v1"), resume: events("v2"), streams: 3, order: true,
+			play: func(l *Ledger) { l.DisturbDaemon(0, at(99), at(102)) }},
+		{name: "replicas name no version", begin: events("", ""), streams: 20},
+		{name: "none of twelve goes on", begin: events("v1"), streams: 12, lost: true},
+		{name: "none of eleven goes on", begin: events("v1"), streams: 11},
+		{name: "none of twelve goes on, one replica of the version serves", begin: events("v1"), streams: 12, play: func(l *Ledger) {
+			l.Departed("i-1", at(50))
+			l.Departed("i-2", at(50))
+		}},
+		{name: "none of twelve goes on, two of the replicas have another version by now", begin: events("v1"), streams: 12, play: func(l *Ledger) {
+			l.HasVersion("i-1", "v2", at(60))
+			l.HasVersion("i-2", "v2", at(60))
+		}},
+		{name: "none of twelve goes on through a daemon that is not up to date", begin: events("v1"), streams: 12,
+			play: func(l *Ledger) { l.DisturbDaemon(0, at(99), at(102)) }},
+	} {
+		l := newLedger(defaultBounds())
+		l.KeyAdded("k", "w", time.Time{})
+		for i := range 3 {
+			id := fmt.Sprint("i-", i)
+			l.Joined(id, serviceChat, at(10))
+			l.HasVersion(id, "v1", at(10))
+		}
+		if c.play != nil {
+			c.play(l)
+		}
+		for i := range c.streams {
+			first, second := fmt.Sprint(longPrefix, "1-", i), fmt.Sprint(longPrefix, "2-", i)
+			l.Sent(Request{ID: first, Route: singleRoute, Key: "k", Sent: at(100), Deadline: at(103)})
+			l.Answered(first, Answer{At: at(100.5), Status: 200, Body: c.begin})
+			l.Sent(Request{ID: second, Route: singleRoute, Key: "k", Sent: at(101), Deadline: at(103), Resumes: first, After: 1})
+			l.Answered(second, Answer{At: at(101.5), Status: 200, Body: c.resume})
+		}
+		found := l.Check(at(150))
+		has := func(promise, subject string) bool {
+			return slices.ContainsFunc(found, func(v Violation) bool {
+				return v.Promise == promise && strings.HasPrefix(v.Subject, subject) && !strings.Contains(v.Detail, "prefix")
+			})
+		}
+		if order, lost := has("ORDER", longPrefix), has("LOST", "resumes"); order != c.order || lost != c.lost {
+			t.Errorf("%s: ORDER broken %t, want %t; LOST broken %t, want %t", c.name, order, c.order, lost, c.lost)
+		}
+	}
+}
