A daemon resumes a stream only at the software version that began it

Cause: a resume within an answer was placed like a new request; no decision read a replica's version. Class: replicas of a service were taken for interchangeable after work on a request had begun.

Change: the first event binds a stream to its replica's version (coordination/routing/versions.go). Replicas of other versions are ineligible for it, whatever else is left: the rule stands where those of backoffs and departures stand, so that no fallback widens the choice. Where a service has several versions, replicas without a version match none, and terminated ones are not tried: another incarnation may listen there. If none is left the stream is broken off at once, and its caller decides. An entry that changes its version in place is another replica for a request on its way.

What was ruled out: binding by comparing clocks with a replica's start time, which other VMs' clocks don't allow.

--- a/coordination/routing/backoffs_test.go
+++ b/coordination/routing/backoffs_test.go
@@ -68,7 +68,7 @@
 		Expect(f.chosen(0)).To(BeEmpty())
 		seen := make(map[time.Duration]bool)
 		for i := range 50 {
-			why := f.placer.NoReplicaReason(f.view, &routing.Request{ID: routing.RequestID(fmt.Sprint(i)), Service: "llm"}, epoch)
+			why := f.placer.NoReplicaReason(f.view, &routing.Request{ID: routing.RequestID(fmt.Sprint(i)), Service: "llm"}, routing.Tried{}, epoch)
 			Expect(why.Reason).To(Equal(coordination.ReasonBackingOff))
 			Expect(why.RetryAfter).To(And(BeNumerically(">=", 2*time.Second), BeNumerically("<", 2500*time.Millisecond)))
 			seen[why.RetryAfter] = true
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -50,10 +50,11 @@
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Overloads.markAvoided(c.overloaded, pool, v.LargeFleet, now)
-	ineligible, terminated := p.ineligible(pool, now), p.Health.terminatedReplicas(pool, now)
+	ineligible, terminated := pool.withOtherVersions(p.ineligible(pool, now), tried.Version), p.Health.terminatedReplicas(pool, now)
 	c.skip = withTerminated(ineligible, terminated, n)
 	mark(c, p, pool, tried, now)
-	if c.mayTryTerminated(terminated, s) {
+	isBound := tried.Version != 0 && pool.mixed // rule 2 of versions.go
+	if !isBound && c.mayTryTerminated(terminated, s) {
 		c.includeTerminated(p, pool, ineligible, terminated, now)
 		c.count()
 		c.excludeTried(tried)
--- a/coordination/routing/doc.go
+++ b/coordination/routing/doc.go
@@ -27,7 +27,7 @@
 //	view.go         the replicas of a service as the request path reads them; replicas.go keeps them
 //	                sorted as they change, index.go finds one by its key
 //	config.go       the configuration; table.go validates and indexes it
-//	versions.go     the software versions of replicas
+//	versions.go     at which software version a stream goes on
 //	request.go      a request, its placement key and its content key
 //	outbox.go       reports that wait to be sent to other daemons
 //	slots.go        the slots of sliding windows
--- a/coordination/routing/ineligible.go
+++ b/coordination/routing/ineligible.go
@@ -1,5 +1,5 @@
 // This file combines the rules by which a replica is ineligible, that is, gets no request even if
-// no other replica is left: it requested a backoff from this daemon (backoffs.go), or it
+// no other replica is left (versions.go has another one, for streams that have begun): it requested a backoff from this daemon (backoffs.go), or it
 // announced that it is leaving (departures.go). Both come from the replica itself, because a rule
 // that can lead to a refused request must not be based on an inference. That a replica has
 // terminated (terminated.go) or fails (eject.go) is inferred by daemons, and is ignored if no
@@ -53,10 +53,12 @@
 
 // NoReplicaReason returns the reason why no replica can be chosen for a request, and the time
 // after which its caller should retry.
-func (p *Placer) NoReplicaReason(v *View, r *Request, now time.Time) coordination.NotRun {
+func (p *Placer) NoReplicaReason(v *View, r *Request, tried Tried, now time.Time) coordination.NotRun {
 	pool := v.Pool(r.Service)
 	retryAfter, backingOff := p.Backoffs.retryAfter(pool, r.ID, now)
 	switch {
+	case pool.lacksVersion(tried.Version):
+		return noVersion
 	case len(pool.Ready) == 0 && len(pool.Evacuated) > 0:
 		return coordination.NotRun{Reason: coordination.ReasonEvacuated, RetryAfter: retryAfterEvacuated}
 	case backingOff:
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -71,6 +71,9 @@
 	// RemoteUnreachable means that a replica of another domain was unreachable: the links between
 	// the domains may be down.
 	RemoteUnreachable bool
+	// Version is the software version at which the request's stream began, to which it is bound; 0: it has
+	// not begun.
+	Version VersionKey
 }
 
 // ContentKey identifies the content of a request, independent of the request's id: two requests
--- a/coordination/routing/retry_test.go
+++ b/coordination/routing/retry_test.go
@@ -115,12 +115,12 @@
 	} {
 		v := &routing.View{Pools: map[routing.ServiceName]*routing.Pool{"s": &c.pool}}
 		a := routing.NewAttempts(&routing.Route{MaxAttempts: 1})
-		a.RecordNoReplica(placer.NoReplicaReason(v, &routing.Request{Service: "s"}, epoch))
+		a.RecordNoReplica(placer.NoReplicaReason(v, &routing.Request{Service: "s"}, routing.Tried{}, epoch))
 		if got, ok := a.Outcome.(coordination.NotRun); !ok || got.Reason != c.want || got.RetryAfter <= 0 {
 			t.Errorf("%s: outcome %s, want %s", c.name, outcomeText(a.Outcome), c.want)
 		}
 		a.Outcome = brokenResponse
-		a.RecordNoReplica(placer.NoReplicaReason(v, &routing.Request{Service: "s"}, epoch))
+		a.RecordNoReplica(placer.NoReplicaReason(v, &routing.Request{Service: "s"}, routing.Tried{}, epoch))
 		if a.Outcome != coordination.Outcome(brokenResponse) {
 			t.Errorf("%s: outcome of a request that may have run changed to %s", c.name, outcomeText(a.Outcome))
 		}
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -30,14 +30,16 @@
 	ColdUntil time.Time
 	// Hash determines the replica's rank for each prompt. It is a hash of the id, so that a
 	// replica keeps its ranks when it restarts.
-	Hash uint64
-	key  LoadKey
+	Hash       uint64
+	key        LoadKey
+	versionKey VersionKey
 }
 
 // NewReplica returns the replica with its hashes computed.
 func NewReplica(r Replica) Replica {
 	r.Hash = xxhash.Sum64String(string(r.ID))
 	r.key = newLoadKey(r.Incarnation())
+	r.versionKey = newVersionKey(r.Service, r.Version)
 	return r
 }
 
@@ -73,6 +75,7 @@
 	positions *index
 	indexed   int // the number of replicas of Ready that are in positions
 	coldUntil time.Time
+	mixed     bool // ready or draining replicas have different software versions
 }
 
 // Sort orders the replicas by id, so that equal pools have the same order in every daemon, and
@@ -85,6 +88,7 @@
 		}
 	}
 	p.positions, p.indexed, p.coldUntil = newIndex(2*len(p.Ready)), len(p.Ready), time.Time{}
+	p.mixed = hasSeveralVersions(p.Ready, p.Draining)
 	for i := range p.Ready {
 		// Also by the hash of the id, for reports from daemons that don't know incarnations.
 		p.positions.put(LoadKey(p.Ready[i].Hash), i)
@@ -98,7 +102,7 @@
 // Overlay returns a copy of the pool whose lists can be appended to and replaced. Their elements
 // are still shared with the original and must not be modified.
 func (p *Pool) Overlay() *Pool {
-	return &Pool{Ready: slices.Clip(p.Ready), Draining: slices.Clip(p.Draining), positions: p.positions, indexed: p.indexed, coldUntil: p.coldUntil}
+	return &Pool{Ready: slices.Clip(p.Ready), Draining: slices.Clip(p.Draining), positions: p.positions, indexed: p.indexed, coldUntil: p.coldUntil, mixed: p.mixed}
 }
 
 // copySource returns the replica with the given key among those that prompts can be copied from, or
@@ -147,41 +151,51 @@
 	return &Pool{}
 }
 
-// IsReady reports whether the replica's incarnation is among the ready replicas of its service.
-func (v *View) IsReady(r *Replica) bool { return v.Pool(r.Service).isReady(r.Incarnation()) }
+// IsReady reports whether the replica's incarnation is among the ready replicas of its service, with the
+// same software version.
+func (v *View) IsReady(r *Replica) bool {
+	current := v.Pool(r.Service).ready(r.Incarnation())
+	return current != nil && current.versionKey == r.versionKey
+}
 
 // KeepsConnections reports whether idle connections to an incarnation are kept: it gets requests,
 // or will get them again when its failure domain returns to service. Connections to a replica
 // that leaves must be closed, because it waits for that.
 func (v *View) KeepsConnections(i Incarnation) bool {
 	for _, p := range v.Pools {
-		if p.isReady(i) || hasIncarnation(p.Evacuated, i) {
+		if p.ready(i) != nil || findIncarnation(p.Evacuated, i) != nil {
 			return true
 		}
 	}
 	return false
 }
 
-// isReady reports whether an incarnation is among the ready replicas.
-func (p *Pool) isReady(incarnation Incarnation) bool {
+// ready returns the ready replica with an incarnation, or nil.
+func (p *Pool) ready(incarnation Incarnation) *Replica {
 	i, ok := p.positions.lookup(newLoadKey(incarnation))
-	if p.positions != nil && !ok {
-		return false
+	switch {
+	case p.positions != nil && !ok:
+		return nil
+	case ok && p.Ready[i].Incarnation() == incarnation:
+		return &p.Ready[i]
 	}
-	// Two incarnations may have the same key.
-	return ok && p.Ready[i].Incarnation() == incarnation || hasIncarnation(p.Ready, incarnation)
+	return findIncarnation(p.Ready, incarnation) // two incarnations may have the same key
 }
 
-func hasIncarnation(list []Replica, incarnation Incarnation) bool {
-	return slices.ContainsFunc(list, func(r Replica) bool { return r.Incarnation() == incarnation })
+// findIncarnation returns the replica of a list with an incarnation, or nil.
+func findIncarnation(list []Replica, incarnation Incarnation) *Replica {
+	if i := slices.IndexFunc(list, func(r Replica) bool { return r.Incarnation() == incarnation }); i >= 0 {
+		return &list[i]
+	}
+	return nil
 }
 
 // Lookup returns the replica with the given incarnation that is ready, draining or evacuated, or nil.
 func (v *View) Lookup(incarnation Incarnation) *Replica {
 	for _, p := range v.Pools {
 		for _, list := range [][]Replica{p.Ready, p.Draining, p.Evacuated} {
-			if i := slices.IndexFunc(list, func(r Replica) bool { return r.Incarnation() == incarnation }); i >= 0 {
-				return &list[i]
+			if r := findIncarnation(list, incarnation); r != nil {
+				return r
 			}
 		}
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -118,7 +118,7 @@
 	s.summary.Position = view.Position
 	target, ok := s.Placer.Choose(view, &s.call.Request, s.tried.Tried, now)
 	if !ok {
-		s.attempts.RecordNoReplica(s.Placer.NoReplicaReason(view, &s.call.Request, now))
+		s.attempts.RecordNoReplica(s.Placer.NoReplicaReason(view, &s.call.Request, s.tried.Tried, now))
 		return routing.Target{}, false
 	}
 	return target, s.reserveSend(ctx)
@@ -237,7 +237,7 @@
 	}
 	if now := clock.Now(); s.Placer.IsIneligible(&t.Replica, now) {
 		s.Pool.put(c, now)
-		return &failure{outcome: s.Placer.NoReplicaReason(s.View(), &s.call.Request, now), err: errIneligible}
+		return &failure{outcome: s.Placer.NoReplicaReason(s.View(), &s.call.Request, s.tried.Tried, now), err: errIneligible}
 	}
 	if s.isQuarantined(clock.Now()) {
 		s.Pool.put(c, clock.Now())
