--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -50,6 +50,7 @@
 	cold      *routing.ColdLimiter
 	budgets   *routing.RetryBudgets
 	backoffs  *routing.Backoffs
+	origins   *routing.StreamOrigins
 	// departures is applied to each view that is built.
 	departures *routing.Departures
 }
@@ -60,7 +61,7 @@
 	return sharedTables{
 		loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(), overloads: routing.NewOverloads(),
 		crashes: routing.NewCrashes(), cold: routing.NewColdLimiter(daemon), budgets: routing.NewRetryBudgets(rule, daemons),
-		backoffs: routing.NewBackoffs(), departures: routing.NewDepartures(),
+		backoffs: routing.NewBackoffs(), origins: routing.NewStreamOrigins(), departures: routing.NewDepartures(),
 	}
 }
 
@@ -84,7 +85,6 @@
 	transfers  transfers
 	permits    *permits
 
-	origins         *routing.StreamOrigins
 	originQuestions originQuestions
 	// mayBeBehind says that other daemons may have documents that this one lacks.
 	mayBeBehind atomic.Bool
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -154,7 +154,6 @@
 		catalog:     newCatalog(d.platform.Documents, d.Log),
 		heartbeats:  heartbeatState{send: d.peers.send, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		syncs:       syncState{fetch: d.peers.fetch, newer: make(map[membership.Address]newerPeer)},
-		origins:     routing.NewStreamOrigins(),
 		permits:     newPermits(admission.NewDaemon(self), t.placer()),
 		events:      make(chan event, eventQueue),
 		configured:  make(chan struct{}),
