The line of a crash says which parts the request's prompt has, and whether its response had begun

In the incident of the crashing part, lines named the content of each request that a replica had when it ended, which is another one each time; nothing told what these requests have in common, nor which of them had been writing for long. The line has `parts`, the ids of the prompt's parts, cut at 200 bytes, and `responding_ms`, -1 without an event. No decision reads it.

--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -82,7 +82,7 @@
 		func() { l.Cold("i-1", time.Second, 2) },
 		func() { l.Evacuation("z", true, 2) },
 		func() { l.Overloaded(&replica, call, relay.ReportedLoad{Known: true, Requests: 9}) },
-		func() { l.CrashedDuring(&replica, call) },
+		func() { l.CrashedDuring(&replica, call, -1) },
 		func() { l.Quarantined(5) },
 		func() { l.Released(5) },
 		func() { l.Restarted("i-1", 5, 2) },
--- a/daemon/routes/log_replicas.go
+++ b/daemon/routes/log_replicas.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination"
@@ -59,11 +60,35 @@
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).AnErr("cause", cause).Msg(prefixReplica + "ejected for a while")
 }
 
-// CrashedDuring logs that a replica crashed while serving a request.
-func (l *Log) CrashedDuring(r *routing.Replica, c *relay.Call) {
+// maxPartsText is how much of the parts of a prompt a line shows, in bytes.
+const maxPartsText = 200
+
+// CrashedDuring logs that a replica crashed while serving a request. responding_ms is for how long it had sent
+// events, or -1.
+func (l *Log) CrashedDuring(r *routing.Replica, c *relay.Call, responding time.Duration) {
 	l.metrics.Crashed.Inc(1)
+	responded := int64(-1)
+	if responding >= 0 {
+		responded = responding.Milliseconds()
+	}
 	l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).Str("content", c.Content.String()).
-		Str("workspace", string(c.Workspace)).Str("route", c.Route.Name).Msg(prefixReplica + "ended while it had a request")
+		Str("workspace", string(c.Workspace)).Str("route", c.Route.Name).Int64("responding_ms", responded).Str("parts", partsText(c.Prompt)).
+		Msg(prefixReplica + "ended while it had a request")
+}
+
+// partsText returns the ids of the parts of a prompt.
+func partsText(prompt []routing.PromptPart) string {
+	var b strings.Builder
+	for i, p := range prompt {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(p.ID)
+		if b.Len() > maxPartsText {
+			return b.String()[:maxPartsText]
+		}
+	}
+	return b.String()
 }
 
 // Alive logs that a replica which was considered terminated is alive, as reported by other daemons.
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -126,8 +126,9 @@
 	Finished(c *Call, s *Summary)
 	// Ejected is called when a replica is ejected: it gets no requests for a while.
 	Ejected(r *routing.Replica, c *Call, cause error)
-	// CrashedDuring is called when a replica crashed while it had the request.
-	CrashedDuring(r *routing.Replica, c *Call)
+	// CrashedDuring is called when a replica crashed while it had the request. responding is for how long
+	// it had sent events of the response; negative: it had sent none.
+	CrashedDuring(r *routing.Replica, c *Call, responding time.Duration)
 	// Quarantined is called when a content is quarantined: its requests are not sent any more.
 	Quarantined(content routing.ContentKey)
 	// SelfReported is called with what a replica reported about itself in a response.
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -51,6 +51,8 @@
 	result        routing.Result       // of the replica; recorded only if countsAgainst is set
 	countsAgainst bool                 // result counts against the replica
 	connClosed    bool                 // the replica closed the connection while it had the request
+	// responding is for how long the replica had sent events of the response; negative: it had sent none.
+	responding time.Duration
 	// replaced means that another replica responded at the address.
 	replaced bool
 	err      error
@@ -71,8 +73,9 @@
 	sent           time.Time // taken before the first byte was written
 	writing        sync.WaitGroup
 	writeErr       error
-	requestWritten bool // the complete request was written before reading began
-	received       bool // the replica has sent at least one byte
+	requestWritten bool      // the complete request was written before reading began
+	received       bool      // the replica has sent at least one byte
+	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
 	response       *http.Response
 	head           ResponseHead
 	// onSelfReport is called with the replica's self-report in each response, including late
@@ -222,10 +225,21 @@
 	}
 	return &failure{
 		outcome: coordination.MayHaveRun{Reason: reason}, result: routing.ResultBroken,
-		countsAgainst: ctx.Err() == nil, connClosed: ctx.Err() == nil && isConnectionClosed(err), err: err,
+		countsAgainst: ctx.Err() == nil, connClosed: ctx.Err() == nil && isConnectionClosed(err), responding: x.responding(), err: err,
 	}
 }
 
+// notResponding is the time for which a replica has sent events if it has sent none.
+const notResponding time.Duration = -1
+
+// responding returns for how long the replica has sent events of the response.
+func (x *exchange) responding() time.Duration {
+	if x.firstEvent.IsZero() {
+		return notResponding
+	}
+	return clock.Since(x.firstEvent)
+}
+
 // silentReplica returns the failure for a replica that sends nothing, although the deadline has
 // not passed.
 func (x *exchange) silentReplica() *failure {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -157,7 +157,7 @@
 			s.recordFailure(&t.Replica, f.result, f.err)
 		}
 		if f.connClosed {
-			s.checkCrash(ctx, &t.Replica)
+			s.checkCrash(ctx, &t.Replica, f.responding)
 		}
 		if f.replaced {
 			s.recordReplaced(&t.Replica)
@@ -200,12 +200,12 @@
 
 // checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
 // It returns before the call may be retried, since the crash may quarantine its content.
-func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica) {
+func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) {
 	now := clock.Now()
 	if !s.Pool.hasTerminated(ctx, r, s.View(), now) {
 		return
 	}
-	s.Observer.CrashedDuring(r, s.call)
+	s.Observer.CrashedDuring(r, s.call, responding)
 	s.Placer.Health.ReportTermination(r, now)
 	if s.Crashes.ReportCrash(s.call.Content, s.call.Workspace, r, now) {
 		s.Observer.Quarantined(s.call.Content)
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -242,7 +242,7 @@
 	n.overloaded = append(n.overloaded, r.ID)
 }
 
-func (n *recordingObserver) CrashedDuring(_ *routing.Replica, c *relay.Call) {
+func (n *recordingObserver) CrashedDuring(_ *routing.Replica, c *relay.Call, _ time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.crashedDuring = append(n.crashedDuring, c.ID)
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -173,6 +173,9 @@
 	if len(events) == 0 {
 		return nil
 	}
+	if x.firstEvent.IsZero() {
+		x.firstEvent = clock.Now()
+	}
 	s.bind(&t.Replica)
 	s.recordOrigin(ctx)
 	if f := s.sendHeader(x); f != nil {
