--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -53,6 +53,7 @@
 	FaultRate         float64       `long:"faults" default:"1.2" description:"faults per second"`
 	Evacuations       float64       `long:"evacuations" default:"0.15" description:"failure domain evacuations per second; with 0, replicas are never cold either; use 0 for seeds recorded before this option existed"`
 	Crashing          int           `long:"crashing" default:"1" description:"number of requests that crash the replicas that run them; use 0 for seeds recorded before this option existed"`
+	CrashingParts     int           `long:"crashing-parts" default:"0" description:"number of prompt parts that crash the replicas that begin to respond on them"`
 	Foreign           float64       `long:"foreign" default:"0.15" description:"writes per second by a foreign writer among the replicas' entries; use 0 for seeds recorded before this option existed"`
 	Backoffs          float64       `long:"rests" default:"0.3" description:"times per second that replicas refuse all requests and request a backoff; use 0 for seeds recorded before this option existed"`
 	Departures        float64       `long:"leavings" default:"0.15" description:"times per second that a replica departs and announces it only in its responses; use 0 for seeds recorded before this option existed"`
@@ -181,6 +182,7 @@
 	shape.EvacuationsPerSec, shape.Crashing, shape.ForeignPerSec = o.Evacuations, o.Crashing, o.Foreign
 	shape.BackoffsPerSec, shape.DeparturesPerSec = o.Backoffs, o.Departures
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
+	shape.CrashingParts = o.CrashingParts
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions = o.Crowded, o.Partitions, o.Versions
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -112,6 +112,9 @@
 	if s := c.site.steady; s != nil {
 		q.Subject, q.Tokens = s.drawPrompt(time.Since(c.site.begun))
 	}
+	if c.site.partCrashes && rand.IntN(2) == 0 {
+		q.Middle = []string{rarePart(rand.IntN(rareParts))}
+	}
 	if route.Method == http.MethodPost {
 		q.Body = strings.Repeat("b", 1+rand.IntN(500))
 		if rand.IntN(20) == 0 {
@@ -128,7 +131,7 @@
 		Body: q.Body, Chunked: hashOf(q.ID)%3 == 0, LastEventID: q.After, Resumes: q.Resumes,
 	}
 	if q.Route.Stream {
-		r.Prompt = fmt.Sprintf("aa:800,%x:%d,%x:250", q.Subject+1, q.Tokens, hashOf(q.ID))
+		r.Prompt = q.prompt()
 	}
 	return r.Text()
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,6 +41,8 @@
 	Partition partitionBounds
 	// Versions limits streams of several software versions, and streams that callers can't resume.
 	Versions versionBounds
+	// Parts limits the spread of requests with a part that crashes replicas.
+	Parts partBounds
 	// MaxRefusal is how long a daemon may refuse requests that a live replica could serve.
 	MaxRefusal time.Duration
 }
@@ -57,6 +59,7 @@
 		Backoffs:   backoffBounds{Grace: 500 * time.Millisecond, Max: 2},
 		Partition:  partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
 		Versions:   versionBounds{Mixed: 2, MinResumes: 12, MinReplicas: 2, MinShare: 0.5},
+		Parts:      partBounds{Crashes: 5, LaterArrivals: 3, MinShare: 0.5, MinRequests: 20},
 		MaxRefusal: time.Second,
 	}
 }
@@ -86,6 +89,7 @@
 	j.checkServing()
 	j.checkPartitions()
 	j.checkVersions()
+	j.checkCrashingParts()
 	j.checkLimit()
 	j.checkCold()
 	j.out = append(j.out, l.terminations...)
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -208,7 +208,7 @@
 // checkCrashing reports crashing requests that kept reaching replicas.
 func (j *checker) checkCrashing() {
 	for number, ends := range j.crashes {
-		if len(ends) < j.bounds.Crashing.Crashes {
+		if number >= crashingPartBase || len(ends) < j.bounds.Crashing.Crashes {
 			continue
 		}
 		third := ends[j.bounds.Crashing.Crashes-1].at
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -69,6 +69,9 @@
 	if n := crashingNumber(req.URL.Path); n > 0 {
 		return x.crash(n)
 	}
+	if n := crashingPart(x.head.Prompt); n > 0 {
+		return x.crashWriting(n)
+	}
 	if isStreamPath(req.URL.Path) {
 		return x.stream()
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -31,9 +31,10 @@
 	Incarnation int // of the daemon
 	Sent        time.Time
 	Deadline    time.Time
-	Subject     int // of a chat: requests with the same subject share their prompt
-	Tokens      int // of that prompt
-	Crashing    int // number of the crashing request, from 1; 0 for an ordinary request
+	Subject     int      // of a chat: requests with the same subject share their prompt
+	Tokens      int      // of that prompt
+	Middle      []string // further parts of the prompt, before the last one
+	Crashing    int      // number of the crashing request, from 1; 0 for an ordinary request
 	// Resumes is the request that brought the first event of the stream that this one resumes, and After
 	// the number of the last event that the caller has; empty and 0: it does not resume any.
 	Resumes string
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -92,6 +92,8 @@
 	Crowded *Crowded `json:"crowded,omitempty"`
 	// Partitions cut daemons off from all replicas.
 	Partitions []Partition `json:"partitions,omitempty"`
+	// CrashingParts are parts of prompts that crash each replica that begins to write a response on them.
+	CrashingParts []CrashingPart `json:"crashing_parts,omitempty"`
 	// Versions lets replicas run several software versions; nil: they don't name theirs.
 	Versions *Versions `json:"versions,omitempty"`
 }
@@ -107,6 +109,8 @@
 	EvacuationsPerSec float64
 	// Crashing is how many requests crash the replicas that run them.
 	Crashing int
+	// CrashingParts is how many parts of prompts crash the replicas.
+	CrashingParts int
 	// ForeignPerSec is how often another client writes among the replicas' entries.
 	ForeignPerSec float64
 	// BackoffsPerSec is how often some replicas request a backoff, and DeparturesPerSec how often one
@@ -163,6 +167,7 @@
 	p.drawCrowded(seed, s)
 	p.drawPartitions(seed, s)
 	p.drawVersions(seed, s)
+	p.drawCrashingParts(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -73,7 +73,8 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
-	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing) > 0 || p.Versions != nil
+	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing)+len(p.CrashingParts) > 0 || p.Versions != nil
+	r.site.partCrashes = len(p.CrashingParts) > 0
 	if p.Versions != nil {
 		r.site.setVersions(p.Versions)
 	}
@@ -196,6 +197,10 @@
 		c := &crasher{site: r.site, Crashing: r.plan.Crashing[i], number: i + 1}
 		callers.Go(func() { c.run(calling) })
 	}
+	for i := range r.plan.CrashingParts {
+		c := &partCrasher{site: r.site, CrashingPart: r.plan.CrashingParts[i], number: crashingPartBase + i}
+		callers.Go(func() { c.run(calling) })
+	}
 	for i := range r.plan.Versions.resumers() {
 		c := &resumer{site: r.site, number: i}
 		callers.Go(func() { c.run(calling) })
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -55,6 +55,7 @@
 	domains      []string
 	steady       *Steady  // nil: ordinary traffic
 	crowded      *Crowded // nil: no service is crowded
+	partCrashes  bool     // some part of prompts crashes replicas
 	refuses      bool     // the links of terminated replicas refuse connections
 	partitions   partitions
 	deliveries   deliveries
