--- a/cmd/hingectl/held.go
+++ b/cmd/hingectl/held.go
@@ -17,11 +17,11 @@
 
 type routerHeldCommand struct{ daemonOptions }
 
-// Execute prints one line per quarantined request content.
+// Execute prints one line per quarantined request content, or part of prompts.
 func (c *routerHeldCommand) Execute([]string) error {
 	w := newTable()
 	defer w.Flush()
-	fmt.Fprintln(w, "CONTENT\tWORKSPACE\tLAST END\tREFUSED HERE\tREPLICAS THAT ENDED")
+	fmt.Fprintln(w, "CONTENT\tKIND\tPART\tWORKSPACE\tLAST END\tREFUSED HERE\tREPLICAS THAT ENDED")
 	return c.forEach(func(address string) error {
 		var list []routes.HeldAnswer
 		if err := fetchJSON(address, routes.PathHeld, &list); err != nil {
@@ -29,7 +29,7 @@
 		}
 		for _, h := range list {
 			sinceCrash := time.Duration(h.CrashedMS) * time.Millisecond
-			fmt.Fprintf(w, "%s\t%s\t%s ago\t%d\t%s\n", h.Content, h.Workspace, sinceCrash.Round(time.Second), h.Refused, strings.Join(h.Replicas, ","))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s ago\t%d\t%s\n", h.Content, h.Kind, h.Part, h.Workspace, sinceCrash.Round(time.Second), h.Refused, strings.Join(h.Replicas, ","))
 		}
 		return nil
 	})
--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -35,6 +35,27 @@
 
 // Holders returns the daemons that hold the record of a key, which may include this one.
 func (r *Roster) Holders(key uint64, now time.Time) []Address {
+	var out []Address
+	for i, h := range r.rankResponsible(key, now) {
+		if i < holderDomains || h.domain == r.self.Domain {
+			out = append(out, h.address)
+		}
+	}
+	return out
+}
+
+// Responsible returns the one daemon of the fleet that is responsible for a key.
+func (r *Roster) Responsible(key uint64, now time.Time) Address {
+	ranked := r.rankResponsible(key, now)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].address
+}
+
+// rankResponsible returns the daemon of each failure domain that is responsible for a key, the highest
+// ranked first.
+func (r *Roster) rankResponsible(key uint64, now time.Time) []holder {
 	responsible := make(map[state.FailureDomain]holder)
 	consider := func(m *Member) {
 		h := holder{address: m.Address, domain: m.Domain, rank: coordination.Rank(key, coordination.Hash(string(m.Address)))}
@@ -48,14 +69,7 @@
 			consider(&e.Member)
 		}
 	}
-	ranked := slices.SortedFunc(maps.Values(responsible), func(a, b holder) int { return cmp.Compare(b.rank, a.rank) })
-	var out []Address
-	for i, h := range ranked {
-		if i < holderDomains || h.domain == r.self.Domain {
-			out = append(out, h.address)
-		}
-	}
-	return out
+	return slices.SortedFunc(maps.Values(responsible), func(a, b holder) int { return cmp.Compare(b.rank, a.rank) })
 }
 
 // memberTimeout is how long no heartbeat of a member may be known before it is missed: five heartbeats of
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -51,6 +51,7 @@
 	ReasonOriginUnknown     Reason = "origin_unknown"
 	ReasonVersionGone       Reason = "version_gone"
 	ReasonQuarantined       Reason = "upstreams_end"
+	ReasonPartQuarantined   Reason = "upstreams_end_on_part"
 	ReasonConnect           Reason = "connect_failed"
 	ReasonUpstreamBusy      Reason = "upstream_refused"
 	ReasonBrokenAnswer      Reason = "answer_broken"
@@ -74,6 +75,7 @@
 	ReasonBackingOff:        "all that could serve this have asked for a pause; send again after the time in Retry-After",
 	ReasonUpstreamsFull:     "all that serve this are full; send again after the time in Retry-After, when a place is likely free",
 	ReasonQuarantined:       "upstreams ended while they ran this request; it is held back. Change it, or ask the operators to release it",
+	ReasonPartQuarantined:   "upstreams ended while they ran requests with a part of this prompt; it is held back. Leave that part out, or ask the operators to release it",
 	ReasonOriginUnknown:     "it is not known at which software version this stream began, and several are in service; resume it with the id of the request that brought its first event, after the time in Retry-After, or start it anew",
 	ReasonVersionGone:       "no upstream of the software version that began this stream is in service; resume it after the time in Retry-After, or start it anew",
 	ReasonConnect:           "no upstream took the connection; send again after the time in Retry-After",
--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -27,6 +27,8 @@
 // one in 30,000 three; with three crashes a second, one in 6, 37 and 210. Those would be refused
 // without cause. Each of them has lost three attempts, and few callers retry a fourth time.
 //
+// Parts of prompts are quarantined by the same record with a rule of their own (crash_part.go).
+//
 // Memory is bounded by maxContents; contents of the caller that has the most are evicted first.
 // If all daemons are killed at once the knowledge is lost, and three more replicas may crash. A
 // caller with many different crashing requests crashes three replicas with each. Quarantining
@@ -52,13 +54,19 @@
 
 // CrashReport says that a replica crashed while serving a request, or that a request is cleared:
 // it got a complete response or an operator released it, so its earlier crashes no longer count.
+//
+// A report of a part of prompts has the key of the part in place of the content.
 type CrashReport struct {
 	Content ContentKey
 	Caller  CallerKey
 	// Replica is the incarnation that crashed; unset if the request is cleared.
-	Replica    LoadKey
-	Clears     bool
-	Age        time.Duration // since the crash or the complete response
+	Replica LoadKey
+	Clears  bool
+	// Request is the content of the request that had the part, and Verdict says that the sender
+	// quarantined the part. Both are unset for contents.
+	Request    ContentKey
+	Verdict    bool
+	Age        time.Duration // since the crash, the complete response or the verdict
 	crashCount int           // crashes known of the content; sorts pending reports
 }
 
@@ -91,31 +99,30 @@
 type Crashes struct {
 	// known is the number of suspects. It lets requests skip the lock while there are none.
 	known atomic.Int64
+	// watching says that it is recorded which parts of prompts are sound.
+	watching atomic.Bool
 
 	mu       sync.RWMutex
 	suspects map[ContentKey]*suspect
 	outbox   outbox[CrashReport]
+	rule     crashRule
+	recent   map[LoadKey]time.Time // replicas that crashed lately
 }
 
-// suspect is what is known of one content.
-type suspect struct {
-	caller    CallerKey
-	crashes   []replicaCrash // since the content was last cleared, oldest first
-	clearedAt time.Time
-	lastUsed  time.Time // when it was last reported or requested
-	refused   int       // requests refused by this daemon
-}
+// crashRule says when a suspect is quarantined. It is [*contentRule] or [*partRule].
+type crashRule interface{ isCrashRule() }
 
-// replicaCrash is the crash of a replica while it served a request.
-type replicaCrash struct {
-	replica LoadKey
-	at      time.Time
-}
+// contentRule is rule 3: a content is quarantined after a number of crashes.
+type contentRule struct{}
+
+func (*contentRule) isCrashRule() {}
 
-// NewCrashes returns an empty record.
-func NewCrashes() *Crashes {
+// NewCrashes returns an empty record of contents.
+func NewCrashes() *Crashes { return newCrashes(&contentRule{}) }
+
+func newCrashes(rule crashRule) *Crashes {
 	return &Crashes{
-		suspects: make(map[ContentKey]*suspect),
+		suspects: make(map[ContentKey]*suspect), rule: rule, recent: make(map[LoadKey]time.Time),
 		outbox: outbox[CrashReport]{
 			notify: make(chan struct{}, 1), capacity: maxPendingCrashReports, rate: crashReportsPerSecond, keepUnsent: true,
 			compare: func(a, b pendingReport[CrashReport]) int { return b.report.crashCount - a.report.crashCount },
@@ -146,7 +153,7 @@
 	}
 	c.mu.RLock()
 	s := c.suspects[content]
-	crashed := s != nil && len(s.crashes) > 0
+	crashed := s != nil && (len(s.crashes) > 0 || s.verdict)
 	c.mu.RUnlock()
 	if crashed {
 		c.Observe([]CrashReport{{Content: content, Caller: s.caller, Clears: true}}, now)
@@ -161,82 +168,75 @@
 	defer c.mu.Unlock()
 	var quarantined []ContentKey
 	for _, r := range reports {
-		s := c.suspect(r.Content, r.Caller, now)
-		before := s.isQuarantined()
-		if !s.apply(r, now.Add(-r.Age)) {
-			continue
-		}
-		s.lastUsed = now
-		r.crashCount = len(s.crashes)
-		c.outbox.add(r, now.Add(-r.Age))
-		if !before && s.isQuarantined() {
+		if c.observe(r, now, c.outbox.add) {
 			quarantined = append(quarantined, r.Content)
 		}
 	}
 	return quarantined
 }
 
-// apply applies a report of an event at the given time and returns true if it is new. A clearance
-// is new if it is the first one known or if it removes crashes; times alone can't tell, because
-// the time of one clearance differs from daemon to daemon by the network delay.
-func (s *suspect) apply(r CrashReport, at time.Time) bool {
-	if r.Clears {
-		isNew, before := s.clearedAt.IsZero(), len(s.crashes)
-		s.clearedAt = latest(s.clearedAt, at)
-		s.crashes = slices.DeleteFunc(s.crashes, func(e replicaCrash) bool { return !e.at.After(at) })
-		return isNew || len(s.crashes) < before
+// observe applies a report, and queues it with send if it is new. It returns true if the content is
+// quarantined from now on and was not before. c.mu must be held.
+func (c *Crashes) observe(r CrashReport, now time.Time, send func(CrashReport, time.Time)) bool {
+	at := now.Add(-r.Age)
+	if c.isRefuted(r, at) {
+		return false
 	}
-	isSame := func(e replicaCrash) bool { return e.replica == r.Replica }
-	if !at.After(s.clearedAt) || len(s.crashes) >= maxCrashesKept || slices.ContainsFunc(s.crashes, isSame) {
+	s := c.suspect(r.Content, r.Caller, now)
+	before := c.isQuarantined(s)
+	if !s.apply(r, at, c.crashesKept()) {
 		return false
 	}
-	s.crashes = append(s.crashes, replicaCrash{r.Replica, at})
-	slices.SortFunc(s.crashes, func(a, b replicaCrash) int { return a.at.Compare(b.at) })
-	return true
+	if r.Replica != 0 {
+		c.recent[r.Replica] = latest(c.recent[r.Replica], at)
+	}
+	s.lastUsed = now
+	r.crashCount = len(s.crashes)
+	send(r, at)
+	return !before && c.isQuarantined(s)
 }
 
-// suspect returns the record of a content, which is created if needed. c.mu must be held.
-func (c *Crashes) suspect(content ContentKey, caller CallerKey, now time.Time) *suspect {
-	s := c.suspects[content]
-	if s == nil {
-		if len(c.suspects) >= maxContents {
-			c.evict()
-		}
-		s = &suspect{caller: caller, lastUsed: now}
-		c.suspects[content] = s
-		c.known.Store(int64(len(c.suspects)))
+// crashesKept returns how many crashes are kept of one suspect.
+func (c *Crashes) crashesKept() int {
+	switch c.rule.(type) {
+	case *partRule:
+		return keptPartCrashes
+	default:
+		return maxCrashesKept
 	}
-	return s
 }
 
-// evict removes one content: a cleared one if there is any, else one of the caller that has the
-// most. Among those it prefers one that is not quarantined, then the least recently used.
-func (c *Crashes) evict() {
-	counts := make(map[CallerKey]int)
-	for _, s := range c.suspects {
-		counts[s.caller]++
-	}
-	var victim ContentKey
-	var worst *suspect
-	for content, s := range c.suspects {
-		if worst == nil || s.evictBefore(worst, counts) {
-			victim, worst = content, s
-		}
+// isQuarantined applies rule 3, or that of crash_part.go.
+func (c *Crashes) isQuarantined(s *suspect) bool {
+	switch c.rule.(type) {
+	case *partRule:
+		return s.verdict
+	default:
+		return len(s.crashes) >= crashesToQuarantine
 	}
-	delete(c.suspects, victim)
 }
 
-func (s *suspect) evictBefore(than *suspect, counts map[CallerKey]int) bool {
-	if a, b := len(s.crashes) == 0, len(than.crashes) == 0; a != b {
-		return a
-	}
-	if a, b := counts[s.caller], counts[than.caller]; a != b {
-		return a > b
-	}
-	if a, b := s.isQuarantined(), than.isQuarantined(); a != b {
-		return b
+// crashRateWindows are the times over which the rate of crashes is taken: replicas may crash in bursts.
+var crashRateWindows = []time.Duration{time.Second, 3 * time.Second, 10 * time.Second}
+
+// maxCrashRateWindow is the longest of them.
+const maxCrashRateWindow = 10 * time.Second
+
+// Rate returns how many replicas crash per second, as far as is known: the highest rate of several windows.
+func (c *Crashes) Rate(now time.Time) float64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	highest := 0.0
+	for _, window := range crashRateWindows {
+		n := 0
+		for _, at := range c.recent {
+			if now.Sub(at) < window {
+				n++
+			}
+		}
+		highest = max(highest, float64(n)/window.Seconds())
 	}
-	return s.lastUsed.Before(than.lastUsed)
+	return highest
 }
 
 // Quarantined reports whether requests of a content must not be sent, and if so counts a refusal.
@@ -246,7 +246,7 @@
 	}
 	c.mu.RLock()
 	s := c.suspects[content]
-	quarantined := s != nil && s.isQuarantined()
+	quarantined := s != nil && c.isQuarantined(s)
 	c.mu.RUnlock()
 	if !quarantined {
 		return false
@@ -258,14 +258,12 @@
 	return true
 }
 
-// isQuarantined applies rule 3.
-func (s *suspect) isQuarantined() bool { return len(s.crashes) >= crashesToQuarantine }
-
 // TakeReports returns up to n reports to send to other daemons, as far as crashReportsPerSecond
 // allows. The others stay queued.
 func (c *Crashes) TakeReports(n int, now time.Time) []CrashReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releaseWithheld(now)
 	return c.outbox.take(n, now, func(r CrashReport, age time.Duration) CrashReport {
 		r.Age, r.crashCount = age, 0
 		return r
@@ -281,7 +279,7 @@
 	defer c.mu.RUnlock()
 	contents := make([]ContentKey, 0, len(c.suspects))
 	for content, s := range c.suspects {
-		mustRepeat := s.isQuarantined() || now.Sub(s.lastUsed) < repeatPeriod
+		mustRepeat := c.isQuarantined(s) || now.Sub(s.lastUsed) < repeatPeriod
 		if content > after && mustRepeat {
 			contents = append(contents, content)
 		}
@@ -297,18 +295,6 @@
 	return reports, 0
 }
 
-// reports returns all that is known of a content.
-func (s *suspect) reports(content ContentKey, now time.Time) []CrashReport {
-	var out []CrashReport
-	if !s.clearedAt.IsZero() {
-		out = append(out, CrashReport{Content: content, Caller: s.caller, Clears: true, Age: max(0, now.Sub(s.clearedAt))})
-	}
-	for _, e := range s.crashes {
-		out = append(out, CrashReport{Content: content, Caller: s.caller, Replica: e.replica, Age: max(0, now.Sub(e.at))})
-	}
-	return out
-}
-
 // Disprove removes the crashes that were false alarms according to isFalse.
 func (c *Crashes) Disprove(isFalse func(replica LoadKey, at time.Time) bool) {
 	if c.known.Load() == 0 {
@@ -317,7 +303,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.suspects {
+		before := len(s.crashes)
 		s.crashes = slices.DeleteFunc(s.crashes, func(e replicaCrash) bool { return isFalse(e.replica, e.at) })
+		if len(s.crashes) < before && len(s.crashes) < minPartCrashes {
+			s.verdict = false
+		}
 	}
 }
 
@@ -326,16 +316,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for content, s := range c.suspects {
-		if len(s.crashes) == 0 && now.Sub(s.clearedAt) > clearedRetention {
+		if len(s.crashes) == 0 && !s.verdict && now.Sub(s.clearedAt) > clearedRetention {
 			delete(c.suspects, content)
 		}
 	}
 	c.known.Store(int64(len(c.suspects)))
+	for replica, at := range c.recent {
+		if now.Sub(at) > maxCrashRateWindow {
+			delete(c.recent, replica)
+		}
+	}
+	c.forgetSound(now)
 }
 
 // QuarantinedContent describes a content that is quarantined.
 type QuarantinedContent struct {
 	Content  ContentKey
+	Part     string // id of a part of prompts, if this daemon knows it; empty for contents
 	Caller   CallerKey
 	Replicas []LoadKey     // that crashed while serving it
 	For      time.Duration // since the last of these crashes
@@ -348,10 +345,10 @@
 	defer c.mu.RUnlock()
 	var out []QuarantinedContent
 	for content, s := range c.suspects {
-		if !s.isQuarantined() {
+		if !c.isQuarantined(s) {
 			continue
 		}
-		h := QuarantinedContent{Content: content, Caller: s.caller, For: now.Sub(s.crashes[len(s.crashes)-1].at), Refused: s.refused}
+		h := QuarantinedContent{Content: content, Part: s.part, Caller: s.caller, For: now.Sub(s.since()), Refused: s.refused}
 		for _, e := range s.crashes {
 			h.Replicas = append(h.Replicas, e.replica)
 		}
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -75,11 +75,11 @@
 	}
 }
 
-// RecordQuarantined records that the request is not sent because it is quarantined (crash.go). It
-// does not replace the outcome of an attempt that may have run the request.
-func (a *Attempts) RecordQuarantined() {
+// RecordQuarantined records that the request is not sent because it is quarantined (crash.go), or a part of
+// its prompt (crash_part.go). It does not replace the outcome of an attempt that may have run the request.
+func (a *Attempts) RecordQuarantined(why coordination.Reason) {
 	if _, ok := a.Outcome.(coordination.NotRun); ok {
-		a.Outcome = coordination.NotRun{Reason: coordination.ReasonQuarantined, RetryAfter: retryAfterQuarantined}
+		a.Outcome = coordination.NotRun{Reason: why, RetryAfter: retryAfterQuarantined}
 	}
 }
 
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -204,6 +204,15 @@
 	return nil
 }
 
+// ReadyReplicas returns how many replicas of all services are ready.
+func (v *View) ReadyReplicas() int {
+	n := 0
+	for _, p := range v.Pools {
+		n += len(p.Ready)
+	}
+	return n
+}
+
 // Replica returns the ready replica with the given key, or nil.
 func (v *View) Replica(key LoadKey) *Replica {
 	for _, p := range v.Pools {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -47,10 +47,12 @@
 	cache     *routing.CacheTable
 	overloads *routing.Overloads
 	crashes   *routing.Crashes
-	cold      *routing.ColdLimiter
-	budgets   *routing.RetryBudgets
-	backoffs  *routing.Backoffs
-	origins   *routing.StreamOrigins
+	// partCrashes records the parts of prompts on which replicas crashed.
+	partCrashes *routing.Crashes
+	cold        *routing.ColdLimiter
+	budgets     *routing.RetryBudgets
+	backoffs    *routing.Backoffs
+	origins     *routing.StreamOrigins
 	// departures is applied to each view that is built.
 	departures *routing.Departures
 }
@@ -60,7 +62,7 @@
 func newSharedTables(daemon routing.PeerID, rule routing.RetryRule, daemons int) sharedTables {
 	return sharedTables{
 		loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(), overloads: routing.NewOverloads(),
-		crashes: routing.NewCrashes(), cold: routing.NewColdLimiter(daemon), budgets: routing.NewRetryBudgets(rule, daemons),
+		crashes: routing.NewCrashes(), partCrashes: routing.NewPartCrashes(), cold: routing.NewColdLimiter(daemon), budgets: routing.NewRetryBudgets(rule, daemons),
 		backoffs: routing.NewBackoffs(), origins: routing.NewStreamOrigins(), departures: routing.NewDepartures(),
 	}
 }
@@ -161,6 +163,8 @@
 			c.scheduleReports(ctx, overloadsDue{})
 		case <-c.crashes.Waiting():
 			c.scheduleReports(ctx, crashesDue{})
+		case <-c.partCrashes.Waiting():
+			c.scheduleReports(ctx, partCrashesDue{})
 		case <-c.health.LivenessWaiting():
 			c.scheduleReports(ctx, livenessDue{})
 		case <-c.departures.Waiting():
@@ -199,6 +203,10 @@
 		c.receiveCrashes(e.reports, now)
 	case crashesDue:
 		c.sendCrashes(now)
+	case partCrashesReceived:
+		c.receivePartCrashes(e.reports, now)
+	case partCrashesDue:
+		c.sendPartCrashes(now)
 	case livenessReceived:
 		c.receiveLiveness(e.reports, now)
 	case livenessDue:
@@ -287,6 +295,7 @@
 	c.tickHeartbeat(now)
 	c.sendSilences(now)
 	c.sendCrashes(now)
+	c.sendPartCrashes(now)
 	c.sendLiveness(now)
 	c.sendDepartures(now)
 	c.repeatReports(now)
@@ -314,8 +323,11 @@
 	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime)
 	c.disproveTerminations(now)
 	c.crashes.Disprove(c.health.Disproves)
+	c.partCrashes.Disprove(c.health.Disproves)
+	c.quarantineParts(now)
 	c.health.Forget(c.domain, now)
 	c.crashes.Forget(now)
+	c.partCrashes.Forget(now)
 	c.backoffs.Forget(now)
 	if now.Sub(c.statsLoggedAt) >= statsInterval {
 		c.statsLoggedAt = now
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -132,7 +132,7 @@
 	}
 	d.Relay = relay.New(relay.Options{
 		View: d.View, Placer: d.control.permits.placer,
-		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes,
+		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes, PartCrashes: t.partCrashes,
 		RequestTransfer: d.control.borrow, Permits: d.control.permits.gate, Origins: streamOrigins{d.control},
 	})
 	d.callers.Server.Handler = d.platform.Front(d)
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -52,6 +52,10 @@
 	crashesReceived struct{ reports []routing.CrashReport }
 	// crashesDue says that crash reports are to be sent.
 	crashesDue struct{}
+	// partCrashesReceived carries a peer's reports of parts of prompts on which replicas crashed.
+	partCrashesReceived struct{ reports []routing.CrashReport }
+	// partCrashesDue says that reports of parts on which replicas crashed are to be sent.
+	partCrashesDue struct{}
 	// livenessReceived carries a peer's reports of replicas that are alive although they were
 	// reported as terminated.
 	livenessReceived struct{ reports []routing.LivenessReport }
@@ -157,6 +161,8 @@
 func (overloadsDue) isEvent()             {}
 func (crashesReceived) isEvent()          {}
 func (crashesDue) isEvent()               {}
+func (partCrashesReceived) isEvent()      {}
+func (partCrashesDue) isEvent()           {}
 func (livenessReceived) isEvent()         {}
 func (livenessDue) isEvent()              {}
 func (departuresReceived) isEvent()       {}
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -34,7 +34,7 @@
 // TestOperatorsAnswersKeepTheirFields checks the JSON of the responses to operators.
 func TestOperatorsAnswersKeepTheirFields(t *testing.T) {
 	var b strings.Builder
-	for _, a := range []any{StatusAnswer{}, MemberAnswer{}, ReplicaAnswer{Why: "silent"}, HeldAnswer{}, AdmissionAnswer{ByUrgency: []UrgencyAnswer{{}}, ByWorkspace: []WorkspaceAnswer{{}}}} {
+	for _, a := range []any{StatusAnswer{}, MemberAnswer{}, ReplicaAnswer{Why: "silent"}, HeldAnswer{Part: "p"}, AdmissionAnswer{ByUrgency: []UrgencyAnswer{{}}, ByWorkspace: []WorkspaceAnswer{{}}}} {
 		text, err := json.Marshal(a)
 		if err != nil {
 			t.Fatal(err)
@@ -56,7 +56,7 @@
 	call := &relay.Call{Request: routing.Request{ID: "r1", Route: &routing.Route{Name: "n"}, Prompt: []routing.PromptPart{{ID: "p", Tokens: 5}}}, LastEventID: "3"}
 	summary := &relay.Summary{
 		Outcome: coordination.NotRun{Reason: coordination.ReasonDeadline}, Status: 503, FirstByte: time.Second, Total: time.Second,
-		Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
+		QuarantinedPart: "p", Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
 	}
 	for _, write := range []func(){
 		func() { l.Started("a") },
@@ -84,6 +84,7 @@
 		func() { l.Overloaded(&replica, call, relay.ReportedLoad{Known: true, Requests: 9}) },
 		func() { l.CrashedDuring(&replica, call, -1) },
 		func() { l.Quarantined(5) },
+		func() { l.PartQuarantined(5, "p") },
 		func() { l.Released(5) },
 		func() { l.Restarted("i-1", 5, 2) },
 		func() { l.Unusable("k", 2, errors.New("e")) },
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -206,6 +206,14 @@
 	l.logger.Warn().Str("content", content.String()).Msg(prefixRequest + "held back from now on; replicas end under it")
 }
 
+// PartQuarantined logs that requests with a part of prompts are quarantined from now on. The part is
+// empty if another daemon reported it.
+func (l *Log) PartQuarantined(key routing.ContentKey, part string) {
+	l.timeline.Record(coordination.EventAttemptFailed, key.String(), "", "requests with a part of prompts are quarantined: replicas crash on it")
+	l.metrics.PartsQuarantined.Inc(1)
+	l.logger.Warn().Str("content", key.String()).Str("part", part).Msg(prefixRequest + "requests with a part of prompts are held back from now on; replicas end under it")
+}
+
 // Released logs that an operator released a quarantined content.
 func (l *Log) Released(content routing.ContentKey) {
 	l.timeline.Record(coordination.EventAttemptFailed, content.String(), "", "requests were released by an operator")
@@ -259,6 +267,9 @@
 	if c.LastEventID != "" {
 		e.Str("resumes", string(c.Resumes)).Str("last_event", c.LastEventID).Int64("origin_ms", s.OriginWait.Milliseconds())
 	}
+	if s.QuarantinedPart != "" {
+		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
+	}
 	for i := range s.Attempts {
 		a := &s.Attempts[i]
 		e.Str("replica", string(a.Replica)).Str("version", a.Version.String()).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.PromptSource)).Int("load", a.Load).
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -47,6 +47,8 @@
 	Crashed metrics.Counter
 	// ContentsQuarantined counts the contents that were quarantined because replicas crash while serving them.
 	ContentsQuarantined metrics.Counter
+	// PartsQuarantined counts the parts of prompts that were quarantined, RefusedForParts the requests refused for one.
+	PartsQuarantined, RefusedForParts metrics.Counter
 	// BackoffsRequested counts the responses that requested a backoff, and DeparturesAnnounced
 	// those that announced the departure of their replica.
 	BackoffsRequested metrics.Counter
@@ -133,6 +135,8 @@
 		"crowded_total":              &m.Overloaded,
 		"ended_under_total":          &m.Crashed,
 		"contents_held_total":        &m.ContentsQuarantined,
+		"parts_held_total":           &m.PartsQuarantined,
+		"refused_for_parts_total":    &m.RefusedForParts,
 		"rests_asked_total":          &m.BackoffsRequested,
 		"resting_total":              &m.BackoffsBegun,
 		"all_resting_total":          &m.AllBackingOff,
@@ -185,6 +189,9 @@
 	case coordination.ReasonVersionGone:
 		m.ResumesVersionGone.Inc(1)
 	}
+	if s.QuarantinedPart != "" {
+		m.RefusedForParts.Inc(1)
+	}
 	if c.LastEventID != "" {
 		m.CallerResumes.Inc(1)
 	}
--- a/daemon/routes/operator.go
+++ b/daemon/routes/operator.go
@@ -85,9 +85,19 @@
 	Leaving     bool                   `json:"leaving"`
 }
 
-// HeldAnswer is one content in the response to GET /held.
+// Kinds of what is quarantined, in responses to operators.
+const (
+	heldContent = "content"
+	heldPart    = "part"
+)
+
+// HeldAnswer is one content, or one part of prompts, in the response to GET /held.
 type HeldAnswer struct {
 	Content string `json:"content"` // as in the log
+	// Kind is "content", or "part" if requests with a part of prompts are quarantined. Part is the id of
+	// the part; empty for a content, and if this daemon has not got a request with it.
+	Kind string `json:"kind"`
+	Part string `json:"part,omitempty"`
 	// Workspace is empty if the active configuration no longer has the caller's workspace.
 	Workspace routing.WorkspaceName `json:"workspace"`
 	Replicas  []string              `json:"replicas"` // that crashed; a number for a replica that is no longer known
@@ -243,11 +253,16 @@
 	return out
 }
 
-// quarantinedAnswers lists the quarantined contents.
+// quarantinedAnswers lists the quarantined contents and parts of prompts.
 func (c *control) quarantinedAnswers(now time.Time) []HeldAnswer {
+	out := c.heldAnswers(heldContent, c.crashes.AllQuarantined(now))
+	return append(out, c.heldAnswers(heldPart, c.partCrashes.AllQuarantined(now))...)
+}
+
+func (c *control) heldAnswers(kind string, list []routing.QuarantinedContent) []HeldAnswer {
 	out := []HeldAnswer{}
-	for _, h := range c.crashes.AllQuarantined(now) {
-		a := HeldAnswer{Content: h.Content.String(), Workspace: c.workspace(h.Caller), CrashedMS: h.For.Milliseconds(), Refused: h.Refused}
+	for _, h := range list {
+		a := HeldAnswer{Content: h.Content.String(), Kind: kind, Part: h.Part, Workspace: c.workspace(h.Caller), CrashedMS: h.For.Milliseconds(), Refused: h.Refused}
 		for _, key := range h.Replicas {
 			a.Replicas = append(a.Replicas, c.replicaName(key))
 		}
@@ -274,10 +289,10 @@
 	return strconv.FormatUint(uint64(key), 10)
 }
 
-// release releases a quarantined content, here and, by a report to the peers, at all daemons. It
+// release releases a quarantined content or part of prompts, here and, by a report to the peers, at all daemons. It
 // returns false if the content is not known.
 func (c *control) release(content routing.ContentKey, now time.Time) bool {
-	released := c.crashes.Clear(content, now)
+	released := c.crashes.Clear(content, now) || c.partCrashes.Clear(content, now)
 	if released {
 		c.log.Released(content)
 	}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -108,6 +108,9 @@
 	case gossip.IsCrashes(payload):
 		reports, err := gossip.DecodeCrashes(payload)
 		return crashesReceived{reports: reports}, err
+	case gossip.IsPartCrashes(payload):
+		reports, err := gossip.DecodePartCrashes(payload)
+		return partCrashesReceived{reports: reports}, err
 	case gossip.IsLiveness(payload):
 		reports, err := gossip.DecodeLiveness(payload)
 		return livenessReceived{reports: reports}, err
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -35,9 +35,10 @@
 
 // repeatState is the state of the periodic repetition of reports.
 type repeatState struct {
-	ticks      int
-	crashes    routing.ContentKey // position at which the next datagram begins
-	departures routing.LoadKey
+	ticks       int
+	crashes     routing.ContentKey // position at which the next datagram begins
+	partCrashes routing.ContentKey
+	departures  routing.LoadKey
 }
 
 // sendReports sends reports, if there are any, to the given daemons.
@@ -96,11 +97,39 @@
 func (c *control) receiveCrashes(reports []routing.CrashReport, now time.Time) {
 	reports = c.health.FilterDisproved(reports, now)
 	c.health.ReportTerminations(reports, now)
+	c.partCrashes.Watch(now)
 	for _, content := range c.crashes.Observe(reports, now) {
 		c.log.Quarantined(content)
 	}
 }
 
+// sendPartCrashes forwards pending reports of parts of prompts on which replicas crashed.
+func (c *control) sendPartCrashes(now time.Time) {
+	sendReportsToTargets(c, c.partCrashes.TakeReports(gossip.MaxPartCrashes, now), gossip.EncodePartCrashes, now)
+}
+
+// receivePartCrashes processes a peer's reports of parts of prompts on which replicas crashed.
+func (c *control) receivePartCrashes(reports []routing.CrashReport, now time.Time) {
+	c.partCrashes.Watch(now)
+	for _, part := range c.partCrashes.Observe(c.health.FilterDisproved(reports, now), now) {
+		c.log.PartQuarantined(part, "")
+	}
+}
+
+// quarantineParts quarantines the parts of prompts on which replicas crash.
+func (c *control) quarantineParts(now time.Time) {
+	if !c.partCrashes.IsWatching() {
+		return
+	}
+	c.partCrashes.SetCrashRate(c.crashes.Rate(now), c.view.Load().ReadyReplicas()-len(c.health.Terminated(now)))
+	mayProbe := func(part routing.ContentKey) bool {
+		return c.roster.Responsible(uint64(part), now) == c.roster.Self().Address
+	}
+	for _, q := range c.partCrashes.QuarantineParts(now, mayProbe) {
+		c.log.PartQuarantined(q.Key, q.Part)
+	}
+}
+
 // disproveTerminations looks for open connections to replicas that are considered terminated. An open
 // connection proves that the replica has not terminated since it was opened.
 func (c *control) disproveTerminations(now time.Time) {
@@ -151,6 +180,7 @@
 	}
 	to := []membership.Address{targets[c.heartbeats.rng.IntN(len(targets))]}
 	r.crashes = c.sendKnownCrashes(to, r.crashes, now)
+	r.partCrashes = c.sendKnownPartCrashes(to, r.partCrashes, now)
 	r.departures = c.sendKnownDepartures(to, r.departures, now)
 }
 
@@ -164,6 +194,12 @@
 			break
 		}
 	}
+	var part routing.ContentKey
+	for range maxInitialDatagrams {
+		if part = c.sendKnownPartCrashes(peer, part, now); part == 0 {
+			break
+		}
+	}
 	c.sendKnownSaturations(peer, now)
 	var replica routing.LoadKey
 	for range maxInitialDatagrams {
@@ -181,6 +217,13 @@
 	return last
 }
 
+// sendKnownPartCrashes sends one datagram of parts of prompts, as sendKnownCrashes does for contents.
+func (c *control) sendKnownPartCrashes(to []membership.Address, after routing.ContentKey, now time.Time) routing.ContentKey {
+	reports, last := c.partCrashes.All(after, gossip.MaxPartCrashes, now)
+	sendReports(c, to, reports, gossip.EncodePartCrashes)
+	return last
+}
+
 // sendKnownDepartures sends one datagram of departures, as sendKnownCrashes does for crashes.
 func (c *control) sendKnownDepartures(to []membership.Address, after routing.LoadKey, now time.Time) routing.LoadKey {
 	reports, last := c.departures.All(after, gossip.MaxDepartures, now)
--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/platform/standin"
 )
 
@@ -146,6 +147,19 @@
 	return s.keys[rand.IntN(min(3, len(s.keys)))].key
 }
 
+// HeldForParts returns how many ordinary requests were refused for a part of their prompts.
+func (l *Ledger) HeldForParts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.order {
+		if r.known && r.Crashing == 0 && r.answer != nil && r.answer.Reason == string(coordination.ReasonPartQuarantined) {
+			n++
+		}
+	}
+	return n
+}
+
 // checkCrashingParts reports parts that crash replicas and whose requests kept reaching them, and ordinary
 // streams that begin far less often than before while such requests come.
 func (j *checker) checkCrashingParts() {
@@ -172,8 +186,12 @@
 	j.checkBesideCrashingParts()
 }
 
+// otherFaultReasons are reasons of refusals that only other faults cause.
+var otherFaultReasons = []string{string(coordination.ReasonEvacuated), string(coordination.ReasonBackingOff), string(coordination.ReasonCold)}
+
 // checkBesideCrashingParts compares ordinary streams from twice SyncTime after the fifth crash on, or after
-// the last if there are fewer, with those of before the first crash, at daemons that are up to date.
+// the last if there are fewer, with those of before the first crash, at daemons that are up to date. Those that
+// other faults refuse don't count, nor those of moments in which these leave fewer than half of the replicas.
 func (j *checker) checkBesideCrashingParts() {
 	b := j.bounds.Parts
 	var first, settled time.Time
@@ -191,16 +209,20 @@
 	if first.IsZero() {
 		return
 	}
+	usable := j.usableReplicas(serviceChat, first, first)
 	var before, beside tally
 	for _, r := range j.order {
 		if !r.known || !r.Route.Stream || r.Crashing > 0 || r.answer == nil || !r.disconnected.IsZero() || !j.upToDate(r.Daemon, r.Sent, r.answer.At) || j.runsPreviousBuild(r.by()) {
 			continue
 		}
+		if slices.Contains(otherFaultReasons, r.answer.Reason) {
+			continue
+		}
 		begins := btoi(r.answer.Status/100 == 2)
 		switch {
 		case r.Sent.Before(first.Add(-settling)):
 			before = tally{before.served + begins, before.all + 1}
-		case r.Sent.After(settled):
+		case r.Sent.After(settled) && 2*j.usableReplicas(serviceChat, r.Sent, r.answer.At) >= usable:
 			beside = tally{beside.served + begins, beside.all + 1}
 		}
 	}
--- a/internal/soak/crashing_part_test.go
+++ b/internal/soak/crashing_part_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d replicas crashed; %.3f of %d ordinary requests were served, %.3f at the end", report.Crashed, report.Share, report.Requests, report.QuietShare)
+	t.Logf("%d replicas crashed; %.3f of %d ordinary requests were served, %.3f at the end, %d refused for a part", report.Crashed, report.Share, report.Requests, report.QuietShare, report.HeldForParts)
 	for i, v := range report.Violations {
 		if i < 8 {
 			t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -71,7 +71,12 @@
 	if p.crowded {
 		return newCrowdedPlan(seed)
 	}
+	shape.Versions, shape.CrashingParts = p.versions, p.parts
 	plan := NewPlan(seed, shape)
+	if p.versions || p.parts > 0 {
+		plan.Faults, plan.Crashing, plan.Cold = nil, nil, false
+		plan.Chat = versionedReplicas
+	}
 	plan.Callers *= max(1, p.callers)
 	if p.partitions != nil {
 		plan.Partitions, plan.Faults = p.partitions, nil
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -21,6 +21,8 @@
 	crashing      int                       // requests that crash replicas in the runs that find it; 0: the default
 	callers       int                       // factor applied to the number of callers; 0: 1
 	partitions    []Partition               // of the runs that find it; nil: none
+	versions      bool                      // found by runs with several software versions and no faults but kills of daemons
+	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	subject       string                    // required prefix of the violation's subject
 	also          []edit                    // further changes of other source files
 }
@@ -62,7 +64,7 @@
 	{name: "leaves daemons that start without what replicas end under", promise: "BUDGET", file: "coordination/routing/crash.go",
 		text: "if content > after && mustRepeat {", instead: "if content > after && mustRepeat && content == 0 {", faults: restartsInSeries},
 	{name: "asks for a retry only whether replicas end under it", promise: "BUDGET", file: "transport/relay/relay.go",
-		text: "if !s.Crashes.Quarantined(", instead: "if s.attempts.Sent == 0 || !s.Crashes.Quarantined("},
+		text: "if s.Crashes.Quarantined(", instead: "if s.attempts.Sent > 0 && s.Crashes.Quarantined("},
 	{name: "takes entries of other writers for replicas", promise: "ENTRY", file: "platform/replica.go",
 		text: "case d.State != stateReady && d.State != stateDraining:", instead: "case d.State == \"x\":"},
 	{name: "keeps a replica whose entry was overwritten", promise: "DRAIN", file: "daemon/routes/catalog.go",
@@ -70,7 +72,7 @@
 	{name: "sends to replicas that ended as if they had not", promise: "FAILBACK", file: "coordination/routing/terminated.go",
 		text: "return ok && now.Sub(at) < h.terminatedHold", instead: "return ok && now.Sub(at) < 0", plain: true, crashing: 4, callers: 3, faults: storeAwayFromTheStart},
 	{name: "forgets after 10 s what replicas end under", promise: "BUDGET", file: "coordination/routing/crash.go",
-		text: "return len(s.crashes) >= crashesToQuarantine }", instead: "return len(s.crashes) >= crashesToQuarantine && time.Since(s.crashes[len(s.crashes)-1].at) < 10*time.Second }", quiet: longQuiet},
+		text: "return len(s.crashes) >= crashesToQuarantine\n", instead: "return len(s.crashes) >= crashesToQuarantine && time.Since(s.crashes[len(s.crashes)-1].at) < 10*time.Second\n", quiet: longQuiet},
 	{name: "does not read for how long a replica asks for rest", promise: "BUDGET", subject: backoffSubject, file: "platform/selfreport.go",
 		text: "s.Backoff = max(s.Backoff, backoff)", instead: "s.Backoff = max(s.Backoff, 0*backoff)"},
 	{name: "forgets a rest when the entry goes", promise: "BUDGET", subject: backoffSubject, file: "daemon/routes/control.go",
@@ -109,6 +111,25 @@
 		also: []edit{{"transport/tunnel/tunnel.go", "return r.Reason == ReasonReplicaRefused || r.Reason == ReasonReplicaUnreachable", "return true"}}, partitions: partitionsInSeries, plain: true},
 	{name: "goes on at the replica for a caller that left, through another daemon", promise: "GONE", file: "transport/tunnel/server.go",
 		text: "\t\t_ = replica.Close()\n\t})", instead: "\t})", partitions: partitionsInSeries, plain: true, callers: 4, faults: callersLeave},
+	{name: "resumes its own streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
+		text: "s.tried.Version = s.Placer.VersionAt(r, clock.Now())", instead: "_ = s.Placer.VersionAt(r, clock.Now())", versions: true, faults: killsInSeries},
+	{name: "resumes callers' streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
+		text: "if s.Origins == nil || s.call.LastEventID == \"\" ||", instead: "if s.Origins != nil ||", versions: true, faults: killsInSeries},
+	{name: "resumes streams of which nobody knows where they began", promise: "ORDER", file: "transport/relay/resume.go",
+		text: "if !ok {\n\t\ts.attempts", instead: "if !ok && s.call.ID == \"\" {\n\t\ts.attempts", versions: true, faults: killsInSeries,
+		also: []edit{{"daemon/routes/origins.go", "v, _ := c.origins.Find(r.Stream, now)", "v, _ := c.origins.Find(r.Stream*0, now)"}}},
+	{name: "resumes callers' streams only where they began", promise: "LOST", subject: "resumes", file: "daemon/routes/origins.go",
+		text: "v, _ := c.origins.Find(r.Stream, now)", instead: "v, _ := c.origins.Find(r.Stream*0, now)", versions: true, faults: killsInSeries},
+	{name: "takes the request that resumes a stream for the first one", promise: "LOST", subject: "resumes", file: "transport/relay/resume.go",
+		text: "return routing.NewStreamKey(c.Workspace, c.Resumes)", instead: "return routing.NewStreamKey(c.Workspace, c.ID)", versions: true, faults: killsInSeries},
+	{name: "counts only whole contents", promise: "BUDGET", subject: crashingPartPrefix, file: "transport/relay/relay.go",
+		text: "\ts.PartCrashes.ReportPartCrashes(", instead: "\t(*routing.Crashes)(nil).ReportPartCrashes(", parts: 2},
+	{name: "takes no part for sound", promise: "LOST", subject: "beside", file: "coordination/routing/crash_part.go",
+		text: "if !ok || c.known.Load() == 0 && !c.watching.Load() {", instead: "if ok || !ok {", parts: 2},
+	{name: "does not tell other daemons which parts are quarantined", promise: "BUDGET", subject: crashingPartPrefix, file: "daemon/routes/peers.go",
+		text: "case gossip.IsPartCrashes(payload):", instead: "case gossip.IsPartCrashes(payload) && len(payload) == 0:", parts: 1},
+	{name: "forgets quarantined parts after 5 s", promise: "BUDGET", subject: crashingPartPrefix, file: "coordination/routing/crash.go",
+		text: "\t\treturn s.verdict\n", instead: "\t\treturn s.verdict && time.Since(s.verdictAt) < 5*time.Second\n", parts: 1},
 	{name: "grants more permits than there are places", promise: "PLACES", file: "coordination/admission/coordinator.go",
 		text: "return max(0, r.Slots) + extraPlaces }", instead: "return max(0, r.Slots) + extraPlaces + 10 }", crowded: true},
 	{name: "takes all workspaces for one", promise: "SHARE", file: "coordination/admission/messages.go",
@@ -117,6 +138,15 @@
 		text: "if p.urgency == w.Urgency {", instead: "if p.urgency == w.Urgency && p.at.IsZero() {", crowded: true},
 }
 
+// killsInSeries kills one daemon after another, so that their callers resume the streams elsewhere.
+func killsInSeries(daemons int) []Fault {
+	var out []Fault
+	for i := range 8 {
+		out = append(out, Fault{At: time.Duration(2+2*i) * time.Second, Kind: killDaemon, Target: i % daemons})
+	}
+	return out
+}
+
 // restartsInSeries kills one daemon after another, each once every ten seconds.
 func restartsInSeries(daemons int) []Fault {
 	const each, rounds = 10 * time.Second, 4
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,7 @@
 	Crashed       int         `json:"replicas_ended"`            // by crashing requests
 	Backoffs      int         `json:"rests"`                     // backoffs that replicas requested
 	Departures    int         `json:"left_by_answers"`           // replicas that announced their departure to a caller
+	HeldForParts  int         `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
 	Streams       StreamCount `json:"streams"`                   // of callers that resume them
 	Violations    []Violation `json:"violations"`
 	Excused       []Violation `json:"excused"` // of backoffs that the daemon can't have read
@@ -268,6 +269,7 @@
 	r.report.OverloadShare, r.report.Crashed = r.site.ledger.MaxOverloadShare(), r.site.ledger.Crashes()
 	r.report.Backoffs, r.report.Departures = r.site.ledger.Backoffs(), r.site.ledger.Departures()
 	r.report.Excused = r.site.ledger.Excused()
+	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.Streams = r.site.ledger.Streams()
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -143,12 +143,18 @@
 
 // hasUsableReplica reports whether a replica of a service was usable throughout a period.
 func (j *checker) hasUsableReplica(service string, from, to time.Time) bool {
+	return j.usableReplicas(service, from, to) > 0
+}
+
+// usableReplicas returns how many replicas of a service were usable throughout a period.
+func (j *checker) usableReplicas(service string, from, to time.Time) int {
+	n := 0
 	for replica, joined := range j.joined[service] {
 		before := from.Add(-j.bounds.SyncTime)
 		well := noneOverlaps(j.replicas[replica], before, to) && noneOverlaps(j.setAside[replica], before, to) && noneOverlaps(j.departures[replica], before, to)
 		if well && joined.Before(before) && !j.isIneligible(replica, from) && !j.isIneligible(replica, to) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -294,6 +294,8 @@
 	write("origin requests", payload, err)
 	payload, err = EncodeOriginReplies([]OriginReply{{ID: 3, Version: 1 << 31}, {ID: 4}})
 	write("origin replies", payload, err)
+	payload, err = EncodePartCrashes([]routing.CrashReport{{Content: 1 << 40, Caller: 1 << 31, Replica: 5, Request: 1 << 50, Age: 250 * time.Millisecond}, {Content: 7, Clears: true}, {Content: 8, Verdict: true}})
+	write("part crashes", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
--- a/protocol/gossip/origins_test.go
+++ b/protocol/gossip/reports_test.go
@@ -9,9 +9,9 @@
 	"hingewinch.org/hingewinch/coordination/routing"
 )
 
-// TestOriginsAreReadAsWritten guards against origins, questions and replies that change on their way or
-// exceed a datagram.
-func TestOriginsAreReadAsWritten(t *testing.T) {
+// TestReportsAreReadAsWritten guards against origins of streams, questions and replies about them, and
+// crashes of parts that change on their way or exceed a datagram.
+func TestReportsAreReadAsWritten(t *testing.T) {
 	var origins []routing.StreamOrigin
 	var requests []OriginRequest
 	var replies []OriginReply
@@ -20,6 +20,13 @@
 		requests = append(requests, OriginRequest{ID: math.MaxUint32, From: "255.255.255.255:65535", Stream: math.MaxUint64})
 		replies = append(replies, OriginReply{ID: math.MaxUint32, Version: math.MaxUint32})
 	}
+	var crashes []routing.CrashReport
+	for range MaxPartCrashes {
+		crashes = append(crashes, routing.CrashReport{
+			Content: math.MaxUint64, Caller: math.MaxUint32, Replica: math.MaxUint32, Request: math.MaxUint64, Clears: true, Verdict: true, Age: 49 * 24 * time.Hour,
+		})
+	}
+	check(t, crashes, EncodePartCrashes, DecodePartCrashes, IsPartCrashes)
 	check(t, origins, EncodeOrigins, DecodeOrigins, IsOrigins)
 	check(t, requests, EncodeOriginRequests, DecodeOriginRequests, IsOriginRequests)
 	check(t, replies, EncodeOriginReplies, DecodeOriginReplies, IsOriginReplies)
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -117,7 +117,9 @@
 	PermitWait time.Duration // for permits, over all attempts; 0: none were needed
 	OriginWait time.Duration // to find out at which software version a resumed stream began; 0: not asked
 	CallerGone bool          // the caller disconnected
-	Position   feed.Position // of the documents that the last attempt's routing was based on
+	// QuarantinedPart is the part of the prompt for which the call was refused; empty: none.
+	QuarantinedPart string
+	Position        feed.Position // of the documents that the last attempt's routing was based on
 }
 
 // Observer is notified of events, for logs and metrics. Its methods must not block.
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -75,6 +75,7 @@
 	writeErr       error
 	requestWritten bool      // the complete request was written before reading began
 	received       bool      // the replica has sent at least one byte
+	sound          bool      // it was recorded that the replica does not crash on the request
 	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
 	response       *http.Response
 	head           ResponseHead
--- a/transport/relay/quarantine_test.go
+++ b/transport/relay/quarantine_test.go
@@ -39,6 +39,65 @@
 		Expect(other.status).To(Equal(200))
 	})
 
+	It("is refused at once as not run if a part of its prompt is quarantined, whatever else it holds", func() {
+		r := startReplica("r", respondOK)
+		w := newFixture(atMostOnce, r)
+		w.relay.PartCrashes = routing.NewPartCrashes()
+		now := time.Now()
+		for i := range 5 {
+			gone++
+			replica := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("gone", gone))})
+			q := &routing.Request{Content: routing.ContentKey(i + 1), Prompt: []routing.PromptPart{{ID: "first"}, {ID: "bad"}, {ID: fmt.Sprint("own", i)}}}
+			w.relay.PartCrashes.ReportPartCrashes(q, "w", &replica, -1, now)
+		}
+		w.relay.PartCrashes.RecordSound(&routing.Request{Prompt: []routing.PromptPart{{ID: "first"}, {ID: "own"}}}, now)
+		w.relay.PartCrashes.QuarantineParts(now.Add(time.Second), func(routing.ContentKey) bool { return false })
+		send := func(id string, parts ...string) (*recordingSink, *relay.Summary) {
+			c := w.call(id, "POST", id)
+			for _, p := range parts {
+				c.Prompt = append(c.Prompt, routing.PromptPart{ID: p, Tokens: 10})
+			}
+			return w.serve(c)
+		}
+		to, s := send("a", "other", "bad", "x")
+		Expect(to.refusal).To(And(HaveField("Reason", coordination.ReasonPartQuarantined), HaveField("RetryAfter", BeNumerically(">=", 10*time.Second))))
+		Expect(s.QuarantinedPart).To(Equal("bad"))
+		Expect(r.connections()).To(BeZero())
+		to, _ = send("b", "first", "other", "x")
+		Expect(to.status).To(Equal(200))
+		to, _ = send("c", "first", "bad")
+		Expect(to.status).To(Equal(200), "the last part is the request's own")
+	})
+
+	It("is not sent again once the fifth crash quarantined a part of its prompt", func() {
+		var replicas []*replica
+		for i := range 7 {
+			var r *replica
+			r = startReplica(fmt.Sprint("r", i), func(*receivedRequest) bool { return r.crash() })
+			replicas = append(replicas, r)
+		}
+		w := newFixture(resumable, replicas...)
+		w.relay.PartCrashes = routing.NewPartCrashes()
+		sent := func() (n int) {
+			for _, r := range replicas {
+				n += r.count()
+			}
+			return n
+		}
+		for i := range 3 {
+			c := w.call(fmt.Sprint(i), "POST", fmt.Sprint(i))
+			c.Prompt = []routing.PromptPart{{ID: "bad", Tokens: 10}, {ID: fmt.Sprint("own", i), Tokens: 10}}
+			w.serve(c)
+		}
+		Expect(sent()).To(Equal(6))
+		w.relay.PartCrashes.QuarantineParts(time.Now().Add(time.Second), func(routing.ContentKey) bool { return false })
+		c := w.call("z", "POST", "z")
+		c.Prompt = []routing.PromptPart{{ID: "bad", Tokens: 10}, {ID: "ownz", Tokens: 10}}
+		to, _ := w.serve(c)
+		Expect(to.refusal).To(HaveField("Reason", coordination.ReasonPartQuarantined))
+		Expect(sent()).To(Equal(6))
+	})
+
 	It("is refused as not run when another daemon reports the third crash during connection setup", func() {
 		r := startReplica("r", respondOK)
 		w := newFixture(atMostOnce, r)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -14,15 +14,17 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// Options configures a Relay. All fields but Permits and Origins are required.
+// Options configures a Relay. All fields but PartCrashes, Permits and Origins are required.
 type Options struct {
-	View     func() *routing.View
-	Placer   *routing.Placer
-	Crashes  *routing.Crashes
-	Budgets  *routing.RetryBudgets
-	Codec    Codec
-	Observer Observer
-	Pool     *Pool
+	View    func() *routing.View
+	Placer  *routing.Placer
+	Crashes *routing.Crashes
+	// PartCrashes records the parts of prompts on which replicas crashed; nil: none are recorded.
+	PartCrashes *routing.Crashes
+	Budgets     *routing.RetryBudgets
+	Codec       Codec
+	Observer    Observer
+	Pool        *Pool
 	// RequestTransfer asks another daemon to transfer the missing amount of retry budget for a
 	// service. It returns the amount received.
 	RequestTransfer func(ctx context.Context, s routing.ServiceName, missing routing.Retries) routing.Retries
@@ -48,6 +50,7 @@
 	hasPermit bool
 	sent      time.Time    // when the request of the current attempt was sent; zero: it was not
 	completed bool         // the caller has the complete response
+	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
 	events    *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
@@ -188,14 +191,31 @@
 	}
 }
 
-// isQuarantined reports whether the call's content is quarantined because replicas crash on it. If
-// so, it sets the outcome.
+// isQuarantined reports whether the call's content, or a part of its prompt, is quarantined because
+// replicas crash on it. If so, it sets the outcome.
 func (s *activeCall) isQuarantined(now time.Time) bool {
-	if !s.Crashes.Quarantined(s.call.Content, now) {
-		return false
+	if part, ok := s.quarantinedPart(now); ok {
+		s.summary.QuarantinedPart = part
+		s.attempts.RecordQuarantined(coordination.ReasonPartQuarantined)
+		return true
+	}
+	if s.Crashes.Quarantined(s.call.Content, now) {
+		s.attempts.RecordQuarantined(coordination.ReasonQuarantined)
+		return true
+	}
+	return false
+}
+
+// quarantinedPart returns a part of the call's prompt that is quarantined, unless the call may be sent to
+// one replica to probe it.
+func (s *activeCall) quarantinedPart(now time.Time) (string, bool) {
+	if s.attempts.Sent == 0 {
+		s.isProbe = s.isProbe || s.PartCrashes.BeginProbe(&s.call.Request, now)
+		if s.isProbe {
+			return "", false
+		}
 	}
-	s.attempts.RecordQuarantined()
-	return true
+	return s.PartCrashes.QuarantinedPart(&s.call.Request, now)
 }
 
 // checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
@@ -210,6 +230,16 @@
 	if s.Crashes.ReportCrash(s.call.Content, s.call.Workspace, r, now) {
 		s.Observer.Quarantined(s.call.Content)
 	}
+	s.PartCrashes.ReportPartCrashes(&s.call.Request, s.call.Workspace, r, responding, now)
+}
+
+// recordSound records that a replica has responded to the call for long enough to show that it does not
+// crash on the parts of its prompt.
+func (s *activeCall) recordSound(x *exchange) {
+	if !x.sound && x.responding() >= routing.PartSoundAfter {
+		x.sound = true
+		s.PartCrashes.RecordSound(&s.call.Request, clock.Now())
+	}
 }
 
 // recordReplaced records that another replica responded at a replica's address: the addressed one
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -47,6 +47,9 @@
 	now := clock.Now()
 	x.releaseConn(true, now)
 	s.releasePermit(completion(status))
+	if isSuccess(status) {
+		s.PartCrashes.RecordSound(&s.call.Request, now)
+	}
 	if status < http.StatusInternalServerError {
 		s.recordSuccess(&t.Replica, now)
 		return s.respond(ctx, status, x.response.Header, body)
@@ -128,6 +131,7 @@
 	}
 	now := clock.Now()
 	s.recordSuccess(&t.Replica, now)
+	s.PartCrashes.RecordSound(&s.call.Request, now)
 	x.releaseConn(true, now)
 	s.releasePermit(admission.Completed)
 	return nil
@@ -181,6 +185,7 @@
 	if f := s.sendHeader(x); f != nil {
 		return f
 	}
+	s.recordSound(x)
 	if err := s.sink.Write(events); err != nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCallerWrite}
 	}
