--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -126,7 +126,7 @@
 			others = tally{others.served + goesOn, others.all + 1}
 			continue
 		}
-		if version, ok := j.versionOf(r.Resumes); ok && j.serving(version, r.Sent) >= b.MinReplicas && j.serving(version, r.answer.At) >= b.MinReplicas {
+		if version, ok := j.versionOf(r.Resumes); ok && j.serving(version, r.Sent, r.answer.At) >= b.MinReplicas {
 			resumes = tally{resumes.served + goesOn, resumes.all + 1}
 		}
 	}
@@ -152,22 +152,17 @@
 	return list[0], true
 }
 
-// serving returns how many replicas of a version serve at a time, undisturbed and known to all daemons.
-func (j *checker) serving(version string, at time.Time) int {
-	n := 0
-	for replica, joined := range j.joined[serviceChat] {
+// serving returns how many replicas of a version are usable throughout a period.
+func (j *checker) serving(version string, from, to time.Time) int {
+	return j.countUsable(serviceChat, from, to, func(replica string) bool {
 		current := ""
 		for _, v := range j.versions[replica] {
-			if !v.from.After(at) {
+			if !v.from.After(from) {
 				current = v.version
 			}
 		}
-		well := noneOverlaps(j.replicas[replica], at.Add(-j.bounds.SyncTime), at) && noneOverlaps(j.departures[replica], at, at.Add(settling))
-		if current == version && well && joined.Before(at.Add(-settling)) {
-			n++
-		}
-	}
-	return n
+		return current == version
+	})
 }
 
 func btoi(b bool) int {
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -256,11 +256,31 @@
 // by the end of the quiet time a complete response has cleared it.
 func (j *checker) checkFalseQuarantine(r *record) {
 	isPoll := r.Target == pollTarget
-	if r.Crashing == 0 && r.answer.Quarantined && (!isPoll || r.Sent.After(j.recoveryCheckFrom) && !j.recoveryCheckFrom.IsZero()) {
+	if r.Crashing == 0 && r.answer.Quarantined && !j.metThreeCrashes(r) && (!isPoll || r.Sent.After(j.recoveryCheckFrom) && !j.recoveryCheckFrom.IsZero()) {
 		j.add("HELD", r, r.answer.At, "daemon %d quarantined a request for %s, which crashes no replica", r.Daemon, r.Target)
 	}
 }
 
+// metThreeCrashes reports whether a request resumes a stream whose earlier requests, which are the same
+// content, were in flight at the crashes of three replicas: for that it is quarantined.
+func (j *checker) metThreeCrashes(r *record) bool {
+	if r.After == 0 && !isLongStream(r.ID) {
+		return false
+	}
+	crashes := 0
+	for _, earlier := range j.order {
+		if !earlier.known || earlier.Target != r.Target || earlier.Key != r.Key || earlier.Sent.After(r.Sent) {
+			continue
+		}
+		for _, a := range earlier.arrivals {
+			if !noneOverlaps(j.replicas[a.Replica], a.At, a.At.Add(earlier.Route.Timeout)) {
+				crashes++
+			}
+		}
+	}
+	return crashes >= j.bounds.Crashing.Crashes
+}
+
 // BeginRecoveryCheck records the time from which requests that are sent must be served.
 func (l *Ledger) BeginRecoveryCheck(at time.Time) {
 	l.mu.Lock()
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -148,11 +148,16 @@
 
 // usableReplicas returns how many replicas of a service were usable throughout a period.
 func (j *checker) usableReplicas(service string, from, to time.Time) int {
+	return j.countUsable(service, from, to, func(string) bool { return true })
+}
+
+// countUsable returns how many replicas of a service that meet a condition were usable throughout a period.
+func (j *checker) countUsable(service string, from, to time.Time, condition func(replica string) bool) int {
 	n := 0
 	for replica, joined := range j.joined[service] {
 		before := from.Add(-j.bounds.SyncTime)
 		well := noneOverlaps(j.replicas[replica], before, to) && noneOverlaps(j.setAside[replica], before, to) && noneOverlaps(j.departures[replica], before, to)
-		if well && joined.Before(before) && !j.isIneligible(replica, from) && !j.isIneligible(replica, to) {
+		if condition(replica) && well && joined.Before(before) && !j.isIneligible(replica, from) && !j.isIneligible(replica, to) {
 			n++
 		}
 	}
