--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -66,7 +66,6 @@
 	silences       silenceTable
 	terminated     map[LoadKey]time.Time // when incarnations terminated
 	terminatedHold time.Duration         // how long a termination counts
-	staleSince     time.Time             // from when on entries may be out of date; zero: they are not
 	// liveness is the time through which each incarnation is known to have lived. It disproves
 	// terminations.
 	liveness        map[LoadKey]*liveInterval
--- a/coordination/routing/terminated.go
+++ b/coordination/routing/terminated.go
@@ -30,32 +30,19 @@
 	// With terminatedHold instead, replicas that come back while the store is unavailable get too
 	// much.
 	terminatedHoldStale = 10 * time.Second
-	// staleNoticeTime is how long it may take until it is known that no daemon reads the store.
-	staleNoticeTime = 3 * time.Second
 )
 
 // SetEntriesStale sets whether no daemon reads the store, or none did a moment ago, so that
 // entries may be those of former incarnations.
-func (h *Health) SetEntriesStale(stale bool, now time.Time) {
+func (h *Health) SetEntriesStale(stale bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case !stale:
-		h.terminatedHold, h.staleSince = terminatedHold, time.Time{}
-	case h.staleSince.IsZero():
-		h.terminatedHold, h.staleSince = terminatedHoldStale, now.Add(-staleNoticeTime)
+	h.terminatedHold = terminatedHold
+	if stale {
+		h.terminatedHold = terminatedHoldStale
 	}
 }
 
-// mayBeReplaced reports whether another incarnation than the one that the entry names may be at the other
-// end of a connection that was opened at a time: the replica is known to have terminated, or the entry may
-// have been out of date then.
-func (h *Health) mayBeReplaced(r *Replica, opened, now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.isTerminated(r.LoadKey(), now) || !h.staleSince.IsZero() && opened.After(h.staleSince)
-}
-
 // ReportTerminations records terminations of replicas from crash reports.
 func (h *Health) ReportTerminations(reports []CrashReport, now time.Time) {
 	h.mu.Lock()
@@ -79,6 +66,13 @@
 	return ok && now.Sub(at) < h.terminatedHold
 }
 
+// HasTerminated reports whether an incarnation is known to have terminated.
+func (h *Health) HasTerminated(r *Replica, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isTerminated(r.LoadKey(), now)
+}
+
 // terminatedReplicas returns the positions of the ready replicas of a pool that have terminated,
 // with the time until which each is skipped for that; nil if there are none.
 func (h *Health) terminatedReplicas(p *Pool, now time.Time) map[int]time.Time {
--- a/coordination/routing/versions.go
+++ b/coordination/routing/versions.go
@@ -10,8 +10,7 @@
 //     left. Its version belongs to an incarnation: a replica that restarted under its id may have another.
 //  2. Where a service has, or lately had, several versions, replicas that don't name theirs match none,
 //     and neither do terminated ones: another incarnation with another version may already listen at
-//     their address. The same holds for connections that were opened while no daemon could read entries. A
-//     stream that began at one of these is bound to no version that any replica has.
+//     their address. A stream that began at one of these is bound to no version that any replica has.
 //  3. If no replica of the version is ready, the stream is broken off, or refused, at once.
 
 package routing
@@ -52,21 +51,14 @@
 // VersionKey returns the key of the replica's software version.
 func (r *Replica) VersionKey() VersionKey { return r.versionKey }
 
-// VersionAt returns the key of the software version at the other end of a connection to a replica, which was
-// opened at the given time, as far as it is certain.
-func (p *Placer) VersionAt(r *Replica, opened, now time.Time) VersionKey {
-	if p.Health.mayBeReplaced(r, opened, now) {
+// VersionAt returns the key of the software version that a replica runs at a time, as far as it is certain.
+func (p *Placer) VersionAt(r *Replica, now time.Time) VersionKey {
+	if p.Health.HasTerminated(r, now) {
 		return uncertainVersion
 	}
 	return r.versionKey
 }
 
-// MayGoOnAt reports whether a stream that began at a version may go on over a connection to a replica, which
-// was opened at the given time.
-func (p *Placer) MayGoOnAt(v *View, r *Replica, version VersionKey, opened, now time.Time) bool {
-	return version == 0 || !v.HasSeveralVersions(r.Service) || p.VersionAt(r, opened, now) == version
-}
-
 // hasVersion reports whether a stream that began at a version may go on at the replica. several says that
 // the service has, or lately had, several versions.
 func (r *Replica) hasVersion(v VersionKey, several bool) bool {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -320,7 +320,7 @@
 	if !c.roster.HasStoreReader(now) {
 		c.storeUnreadableAt = now
 	}
-	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime, now)
+	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime)
 	c.disproveTerminations(now)
 	c.crashes.Disprove(c.health.Disproves)
 	c.partCrashes.Disprove(c.health.Disproves)
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -36,14 +36,13 @@
 
 // Causes of failed exchanges.
 var (
-	errStrayResponses   = errors.New("responses on the connection belong to other requests")
-	errUnsealed         = errors.New("successful response without the replica's seal")
-	errEncoded          = errors.New("response has a content encoding that was not requested")
-	errSilent           = errors.New("replica is silent")
-	errIneligible       = errors.New("replica requested a backoff or announced its departure during connection setup")
-	errQuarantined      = errors.New("request was quarantined during connection setup")
-	errUncertainVersion = errors.New("replica may have restarted at another software version than its entry names")
-	errRejected         = errors.New("replica rejected the request without running it")
+	errStrayResponses = errors.New("responses on the connection belong to other requests")
+	errUnsealed       = errors.New("successful response without the replica's seal")
+	errEncoded        = errors.New("response has a content encoding that was not requested")
+	errSilent         = errors.New("replica is silent")
+	errIneligible     = errors.New("replica requested a backoff or announced its departure during connection setup")
+	errQuarantined    = errors.New("request was quarantined during connection setup")
+	errRejected       = errors.New("replica rejected the request without running it")
 )
 
 // failure describes an exchange without a usable response.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -283,10 +283,6 @@
 		s.Pool.put(c, clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errQuarantined}
 	}
-	if now := clock.Now(); !s.Placer.MayGoOnAt(s.View(), &t.Replica, s.tried.Version, c.opened, now) {
-		s.Pool.put(c, now)
-		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonVersionGone, RetryAfter: routing.RetryAfter}, err: errUncertainVersion}
-	}
 	if c.via == "" {
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
 		defer s.Pool.reach.End(&t.Replica)
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -180,7 +180,7 @@
 	if x.firstEvent.IsZero() {
 		x.firstEvent = clock.Now()
 	}
-	s.bind(&t.Replica, x.conn)
+	s.bind(&t.Replica)
 	s.recordOrigin(ctx)
 	if f := s.sendHeader(x); f != nil {
 		return f
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -55,9 +55,9 @@
 
 // bind binds the stream to the software version of the replica that sent its first event, unless it is
 // bound.
-func (s *activeCall) bind(r *routing.Replica, c *conn) {
+func (s *activeCall) bind(r *routing.Replica) {
 	if s.tried.Version == 0 {
-		s.tried.Version = s.Placer.VersionAt(r, c.opened, clock.Now())
+		s.tried.Version = s.Placer.VersionAt(r, clock.Now())
 	}
 }
 
