--- a/coordination/routing/crash_part_test.go
+++ b/coordination/routing/crash_part_test.go
@@ -137,6 +137,7 @@
 		{"by no other", false, []time.Duration{3 * time.Second}, []string{"a"}, 0},
 		{"not much later", true, []time.Duration{time.Minute}, []string{"a"}, 0},
 		{"not with another part that is quarantined", true, []time.Duration{3 * time.Second}, []string{"a", "b"}, 0},
+		{"again after it was sound and was quarantined anew", true, []time.Duration{3 * time.Second, 9 * time.Second}, []string{"a"}, 2},
 		{"not a part that is not quarantined", true, []time.Duration{3 * time.Second}, []string{"c"}, 0},
 	} {
 		parts := routing.NewPartCrashes()
@@ -147,6 +148,13 @@
 		parts.QuarantineParts(begun, func(routing.ContentKey) bool { return c.mayProbe })
 		probes := 0
 		for i, after := range c.after {
+			if after == 9*time.Second {
+				parts.RecordSound(promptOf(40, "a"), begun.Add(4*time.Second))
+				for k := range 5 {
+					parts.ReportPartCrashes(promptOf(60+k, "a"), "w", numberedReplica(10+k), -1, begun.Add(5*time.Second))
+				}
+				parts.QuarantineParts(begun.Add(6*time.Second), func(routing.ContentKey) bool { return true })
+			}
 			if parts.BeginProbe(promptOf(50+i, c.parts...), begun.Add(after)) {
 				probes++
 			}
--- a/coordination/routing/crash_suspect.go
+++ b/coordination/routing/crash_suspect.go
@@ -34,7 +34,8 @@
 
 // apply applies a report of an event at the given time and returns true if it is new. A clearance
 // is new if it is the first one known or if it removes crashes; times alone can't tell, because
-// the time of one clearance differs from daemon to daemon by the network delay.
+// the time of one clearance differs from daemon to daemon by the network delay. At most kept crashes are
+// kept.
 func (s *suspect) apply(r CrashReport, at time.Time, kept int) bool {
 	switch {
 	case r.Clears:
@@ -60,7 +61,7 @@
 	s.clearedAt = latest(s.clearedAt, at)
 	s.crashes = slices.DeleteFunc(s.crashes, func(e replicaCrash) bool { return !e.at.After(at) })
 	if s.verdict && !s.verdictAt.After(at) {
-		s.verdict, isNew = false, true
+		s.verdict, s.probed, isNew = false, false, true
 	}
 	return isNew || len(s.crashes) < before
 }
