--- a/coordination/routing/crash_part.go
+++ b/coordination/routing/crash_part.go
@@ -82,11 +82,11 @@
 	maxPartText = 64
 )
 
-// partRule is rule 3 of this file, and what is only needed for parts.
+// partRule is rule 3 of this file, with the state that only parts need. It is guarded by Crashes.mu.
 type partRule struct {
-	chance     float64 // that a sound request meets a crash
-	sound      map[ContentKey]time.Time
-	withheld   []pendingReport[CrashReport] // own crashes, by rule 6
+	chance     float64                      // that a sound request meets a crash
+	sound      map[ContentKey]time.Time     // when each part was last sound
+	withheld   []pendingReport[CrashReport] // own crashes, by rule 7
 	watchUntil time.Time
 }
 
@@ -248,15 +248,15 @@
 	return true
 }
 
-// QuarantinedPartKey is a part that was quarantined.
-type QuarantinedPartKey struct {
+// QuarantinedPart is a part that was quarantined.
+type QuarantinedPart struct {
 	Key  ContentKey
 	Part string // id of the part; empty if this daemon has had no request with it
 }
 
 // QuarantineParts quarantines parts by rules 3 to 5, and returns them. mayProbe reports whether this daemon
 // is the one to probe a part.
-func (c *Crashes) QuarantineParts(now time.Time, mayProbe func(part ContentKey) bool) []QuarantinedPartKey {
+func (c *Crashes) QuarantineParts(now time.Time, mayProbe func(part ContentKey) bool) []QuarantinedPart {
 	p, ok := c.partRule()
 	if !ok || c.known.Load() == 0 {
 		return nil
@@ -267,7 +267,7 @@
 	for _, n := range counts {
 		most = max(most, n)
 	}
-	var out []QuarantinedPartKey
+	var out []QuarantinedPart
 	for key, n := range counts {
 		s := c.suspects[key]
 		if n < p.neededCrashes() || float64(n) < besideShare*float64(most) || s.requests() < minPartRequests {
@@ -275,7 +275,7 @@
 		}
 		s.verdict, s.verdictAt = true, now
 		c.outbox.add(CrashReport{Content: key, Caller: s.caller, Verdict: true, crashCount: verdictPriority}, now)
-		out = append(out, QuarantinedPartKey{key, s.part})
+		out = append(out, QuarantinedPart{key, s.part})
 	}
 	c.dropExplained()
 	for key, s := range c.suspects {
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -81,19 +81,17 @@
 	}
 }
 
-// otherHolders returns the holders of a stream's origin except this daemon, and whether it is one.
-func (c *control) otherHolders(s routing.StreamKey, now time.Time) (others []membership.Address, self bool) {
+// otherHolders returns the holders of a stream's origin except this daemon.
+func (c *control) otherHolders(s routing.StreamKey, now time.Time) []membership.Address {
 	own := c.roster.Self().Address
-	holders := c.roster.Holders(uint64(s), now)
-	self = slices.Contains(holders, own)
-	return slices.DeleteFunc(holders, func(a membership.Address) bool { return a == own }), self
+	return slices.DeleteFunc(c.roster.Holders(uint64(s), now), func(a membership.Address) bool { return a == own })
 }
 
 // recordOrigin records the origin of a stream of this daemon at its holders. This daemon keeps it in any case:
 // callers mostly return to a daemon that they know.
 func (c *control) recordOrigin(o routing.StreamOrigin, now time.Time) {
 	c.origins.Observe(o, now)
-	others, _ := c.otherHolders(o.Stream, now)
+	others := c.otherHolders(o.Stream, now)
 	c.log.metrics.OriginsRecorded.Inc(1)
 	sendReports(c, others, []routing.StreamOrigin{o}, gossip.EncodeOrigins)
 }
@@ -111,7 +109,7 @@
 		need.reply <- originFound{v}
 		return
 	}
-	others, _ := c.otherHolders(need.stream, now)
+	others := c.otherHolders(need.stream, now)
 	if len(others) == 0 {
 		need.reply <- originFound{}
 		return
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -74,16 +74,22 @@
 // run sends the request until ctx is done, each time on a new connection to a random
 // daemon. It ignores the backoff that refusals request.
 func (c *crasher) run(ctx context.Context) {
-	pause(ctx, c.At)
+	c.site.sendRepeatedly(ctx, c.At, c.Interval, c.request)
+}
+
+// sendRepeatedly sends requests from a time on until ctx is done, each on a new connection to a random
+// daemon. It ignores the backoff that refusals request.
+func (s *site) sendRepeatedly(ctx context.Context, at, interval time.Duration, newRequest func(out *caller) Request) {
+	pause(ctx, at)
 	for ctx.Err() == nil {
-		out := &caller{site: c.site, number: rand.IntN(1 << 16)}
+		out := &caller{site: s, number: rand.IntN(1 << 16)}
 		if out.connect() {
-			q := c.request(out)
+			q := newRequest(out)
 			out.prepare(&q)
 			out.roundTrip(&q)
 			out.disconnect()
 		}
-		pause(ctx, c.Interval/2+rand.N(c.Interval))
+		pause(ctx, interval/2+rand.N(interval))
 	}
 }
 
--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -67,17 +67,7 @@
 
 // run sends requests until ctx is done, each on a new connection to a random daemon.
 func (c *partCrasher) run(ctx context.Context) {
-	pause(ctx, c.At)
-	for ctx.Err() == nil {
-		out := &caller{site: c.site, number: rand.IntN(1 << 16)}
-		if out.connect() {
-			q := c.request(out)
-			out.prepare(&q)
-			out.roundTrip(&q)
-			out.disconnect()
-		}
-		pause(ctx, c.Interval/2+rand.N(c.Interval))
-	}
+	c.site.sendRepeatedly(ctx, c.At, c.Interval, c.request)
 }
 
 // request returns a request that is like no other but for the crashing part.
