One timeout tells when a member's heartbeat is missed

Cause: HearsAll brought memberTimeout, one second or five heartbeats of a small fleet, beside carrierTimeout, which had the same value, meaning and reason.

Change: entry.isMissed, with memberTimeout, serves both HearsAll and mayCarry; carrierTimeout is gone. The bound and its comparison stay as they were.

Ruled out: merging Pool.mixed into View.SeveralVersions; the pool knows now, the view lately, and unsorted pools rely on the first.

--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -76,6 +76,9 @@
 // a small fleet. In a large fleet most members are heard of through others, much later.
 const memberTimeout = time.Second
 
+// isMissed reports whether no heartbeat of a member of a small fleet has been known for too long.
+func (e *entry) isMissed(now time.Time) bool { return now.Sub(e.lastSeen) > memberTimeout }
+
 // HearsAll reports whether this daemon hears of all members that it knows, but for those that have shut
 // down; in a large fleet, of some in every failure domain.
 func (r *Roster) HearsAll(now time.Time) bool {
@@ -87,5 +90,5 @@
 		}
 		return true
 	}
-	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.Leaving && now.Sub(e.lastSeen) > memberTimeout })
+	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.Leaving && e.isMissed(now) })
 }
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -74,10 +74,6 @@
 	return local[rng.IntN(len(local))].Address, true
 }
 
-// carrierTimeout is how recently a member of a small fleet must have been heard to open connections for
-// this daemon: five heartbeats. In a large fleet most members are heard of through others, much later.
-const carrierTimeout = time.Second
-
 // RandomCarrier returns a random live member that may open connections for this daemon: one that is not
 // shutting down and not excluded. It is of the own failure domain if there is one, unless anyDomain is
 // set. It returns false if there is none.
@@ -100,7 +96,7 @@
 }
 
 func (r *Roster) mayCarry(e *entry, now time.Time) bool {
-	return !e.Leaving && r.isLive(e, now) && (r.isLarge() || now.Sub(e.lastSeen) <= carrierTimeout)
+	return !e.Leaving && r.isLive(e, now) && (r.isLarge() || !e.isMissed(now))
 }
 
 // chooseTargets chooses random recipients in a large fleet: mostly members of the own
