--- a/coordination/routing/crash_part.go
+++ b/coordination/routing/crash_part.go
@@ -236,7 +236,7 @@
 // isRefuted reports whether a part was sound at the time of a crash that a report tells, or later. Other
 // daemons are told. c.mu must be held.
 func (c *Crashes) isRefuted(r CrashReport, at time.Time) bool {
-	p, ok := c.rule.(*partRule)
+	p, ok := c.partRule()
 	if !ok || r.Clears {
 		return false
 	}
@@ -336,7 +336,7 @@
 // releaseWithheld queues the withheld reports whose delay is over, unless their parts have been sound since.
 // c.mu must be held.
 func (c *Crashes) releaseWithheld(now time.Time) {
-	p, ok := c.rule.(*partRule)
+	p, ok := c.partRule()
 	if !ok {
 		return
 	}
@@ -353,19 +353,9 @@
 	p.withheld = kept
 }
 
-// hasCrash reports whether the crash of a replica counts against the suspect.
-func (s *suspect) hasCrash(replica LoadKey) bool {
-	for _, e := range s.crashes {
-		if e.replica == replica {
-			return true
-		}
-	}
-	return false
-}
-
 // forgetSound removes what is remembered of sound parts too long. c.mu must be held.
 func (c *Crashes) forgetSound(now time.Time) {
-	p, ok := c.rule.(*partRule)
+	p, ok := c.partRule()
 	if !ok {
 		return
 	}
--- a/coordination/routing/crash_suspect.go
+++ b/coordination/routing/crash_suspect.go
@@ -46,8 +46,7 @@
 		s.verdictAt = latest(s.verdictAt, at)
 		return isNew
 	}
-	isSame := func(e replicaCrash) bool { return e.replica == r.Replica }
-	if !at.After(s.clearedAt) || len(s.crashes) >= kept || slices.ContainsFunc(s.crashes, isSame) {
+	if !at.After(s.clearedAt) || len(s.crashes) >= kept || s.hasCrash(r.Replica) {
 		return false
 	}
 	s.crashes = append(s.crashes, replicaCrash{replica: r.Replica, request: r.Request, at: at})
@@ -55,6 +54,11 @@
 	return true
 }
 
+// hasCrash reports whether the crash of a replica counts against the suspect.
+func (s *suspect) hasCrash(replica LoadKey) bool {
+	return slices.ContainsFunc(s.crashes, func(e replicaCrash) bool { return e.replica == replica })
+}
+
 // clear removes what counts against the suspect up to a time. It returns true if that is new.
 func (s *suspect) clear(at time.Time) bool {
 	isNew, before := s.clearedAt.IsZero(), len(s.crashes)
