A daemon asked to open a connection waits for its probes before it says that it has no link

Cause: a replica that refuses a connection, asked for by a peer, is the second failure within two seconds and makes the links of a sound daemon suspect. It told the peer that it had no link, 1 ms before its probes reached three replicas, and the peer didn't ask it for any replica of the service for 2 s (traced with lines in a scratch copy: d1 suspect at 42.692, refused as no_link in the same millisecond, probed with 3 of 3 at 42.693; its only other carrier likewise at 42.719; no carrier until 44.7).

Change: after such a failure the daemon waits for its first probes, 30 ms at most, as its own requests do, and then says which of the two it is.

--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -192,6 +192,7 @@
 	}
 	if ctx.Err() == nil {
 		p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
+		p.awaitProbes(ctx, r.Service) // they tell a lost replica from lost links
 	}
 	switch {
 	case p.reach.State(r.Service) != routing.LinksUp:
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -263,3 +264,43 @@
 		Expect(s.Attempts[0].Via).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Pool that opens connections for another daemon", func() {
+	// openLost makes two replicas of three be lost, or all, and asks for connections to the first two.
+	openLost := func(links func() *link, all bool) []error {
+		a, b, c := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
+		w := newCutFixture(atMostOnce, links, nil, a, b, c)
+		pool := w.view.Pools["s"]
+		if !all {
+			pool.Ready[2].Address = c.listener.Addr().String()
+		}
+		w.relay.Pool.SetProbeWait(10 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.relay.WatchLinks(ctx)
+		var errs []error
+		for i := range pool.Ready[:2] {
+			_, err := w.relay.Pool.OpenForPeer(ctx, &pool.Ready[i], w.view)
+			errs = append(errs, err)
+		}
+		return errs
+	}
+	reason := func(err error) tunnel.Reason {
+		var refused *tunnel.Refused
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		return refused.Reason
+	}
+
+	// Guards against a daemon whose links work, and which peers avoid for all replicas of a service
+	// because some of them are lost.
+	It("says that replicas refuse connections while another responds to probes", func() {
+		for _, err := range openLost(refusingLink, false) {
+			Expect(reason(err)).To(Equal(tunnel.ReasonReplicaRefused))
+		}
+	})
+
+	It("says that it has no link once no replica responds to probes", func() {
+		errs := openLost(refusingLink, true)
+		Expect(reason(errs[1])).To(Equal(tunnel.ReasonNoLink))
+	})
+})
