A service that no carrier is left for is searched again after half a second

Cause: a daemon that has lost its links asks no carrier that refused it for 2 s, or .5 s while there is none. A carrier for any service counted as one, so a service whose carriers had all refused got no connection for 2 s, as long as they carried for other services.

Change: only a carrier that may be asked for that service counts.

Measured: the test fails before, passes after.

--- a/coordination/routing/carriers.go
+++ b/coordination/routing/carriers.go
@@ -13,7 +13,7 @@
 //     domainRefusals of these have refused and none carries, any.
 //  3. A daemon that is silent, shutting down or full is not tried for carrierPause, and one whose build
 //     opens no connections for others for unsupportedPause. One that has lost its own links to the service
-//     is not tried for this service, for carrierPause too or, while there is no carrier, for noLinkPause.
+//     is not tried for this service, for carrierPause too or, while no other carries for it, for noLinkPause.
 //  4. Up to MaxCarrierTries daemons are tried for one connection.
 
 package routing
@@ -127,6 +127,17 @@
 	return now.Before(c.excluded[exclusion{peer: p}].until) || now.Before(c.excluded[exclusion{p, s}].until)
 }
 
+// othersCarry reports whether a carrier other than p may be asked for connections to a service. The caller
+// holds the lock.
+func (c *Carriers) othersCarry(p PeerID, s ServiceName, now time.Time) bool {
+	for other := range c.inUse {
+		if other != p && !c.isExcluded(other, s, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Search returns which daemons may be tried next for a service, by rules 2 and 3.
 func (c *Carriers) Search(service ServiceName, now time.Time) Search {
 	c.mu.Lock()
@@ -188,10 +199,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	of, pause := exclusion{peer: from.Peer}, carrierPause
+	othersCarry := c.othersCarry(from.Peer, s, now)
 	switch why {
 	case CarrierNoLink:
 		of.service = s
-		if len(c.inUse) == 0 {
+		if !othersCarry {
 			pause = noLinkPause
 		}
 	case CarrierUnsupported:
@@ -200,7 +212,7 @@
 	if why != CarrierNoLink {
 		delete(c.inUse, from.Peer)
 	}
-	if len(c.inUse) > 0 {
+	if othersCarry {
 		c.searchAfter[s] = now.Add(searchPause)
 	}
 	c.excluded[of] = excludedCarrier{until: now.Add(pause), local: from.Local}
--- a/coordination/routing/carriers_test.go
+++ b/coordination/routing/carriers_test.go
@@ -185,3 +185,20 @@
 		}
 	}
 }
+
+// TestServiceWithoutCarrierIsSearchedSoon guards against a service that gets no connections for long because
+// the daemons that carry for other services refused it a moment ago.
+func TestServiceWithoutCarrierIsSearchedSoon(t *testing.T) {
+	carriers := routing.NewCarriers()
+	for _, p := range []routing.PeerID{"p", "q"} {
+		carriers.Opened(routing.Carrier{Peer: p})
+	}
+	for _, p := range []routing.PeerID{"p", "q"} {
+		carriers.Exclude(routing.Carrier{Peer: p}, "s", routing.CarrierNoLink, epoch)
+	}
+	later := epoch.Add(time.Second)
+	carriers.NoneFound("s", later) // there are no further daemons
+	if _, ok := carriers.Pick("s", later); !ok {
+		t.Error("no daemon is asked 1 s after the last one refused")
+	}
+}
