The first response to probes of links decides; the slowest replica no longer holds it up

Cause: a round of probes waited for all of up to three replicas, up to a second if one is silent or at rest.

Change: one response settles the round, and the other probes are given up.

--- a/coordination/routing/reach.go
+++ b/coordination/routing/reach.go
@@ -302,15 +302,15 @@
 	return suspects
 }
 
-// Probed records a round of probes, reached of which got a response.
-func (r *Reach) Probed(s ServiceName, reached int, now time.Time) {
+// Probed records a round of probes. reached says whether one of them got a response.
+func (r *Reach) Probed(s ServiceName, reached bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.service(s)
 	v.probedAt = now
 	switch {
 	case v.state == LinksUp:
-	case reached == 0:
+	case !reached:
 		v.state, v.rounds, v.patience = LinksDown, 0, silentTicks
 		v.endProbing()
 	case v.state == LinksSuspect:
--- a/coordination/routing/reach_test.go
+++ b/coordination/routing/reach_test.go
@@ -108,16 +108,16 @@
 		r.Failed(reachReplica(1), 5, now)
 		r.Failed(reachReplica(2), 5, now)
 	}
-	probed := func(reached int, want routing.LinkState) {
+	probed := func(reached bool, want routing.LinkState) {
 		t.Helper()
 		now = now.Add(routing.ProbeInterval)
 		if r.Probed("s", reached, now); r.State("s") != want {
-			t.Errorf("state %d after a round that reached %d, want %d", r.State("s"), reached, want)
+			t.Errorf("state %d after a round that reached a replica: %t, want %d", r.State("s"), reached, want)
 		}
 	}
 	suspect()
 	waiting := r.Probing("s")
-	probed(1, routing.LinksUp) // false alarm
+	probed(true, routing.LinksUp) // false alarm
 	select {
 	case <-waiting:
 	default:
@@ -127,11 +127,11 @@
 		t.Error("requests wait for probes while the links are up")
 	}
 	suspect()
-	probed(0, routing.LinksDown)
-	probed(1, routing.LinksDown)
-	probed(0, routing.LinksDown)
-	probed(1, routing.LinksDown)
-	probed(2, routing.LinksUp)
+	probed(false, routing.LinksDown)
+	probed(true, routing.LinksDown)
+	probed(false, routing.LinksDown)
+	probed(true, routing.LinksDown)
+	probed(true, routing.LinksUp)
 	if r.MayReuse("s", now.Add(-time.Second)) {
 		t.Error("a connection that was idle while the links were down may be used")
 	}
@@ -139,7 +139,7 @@
 		t.Error("a connection of afterwards may not be used")
 	}
 	suspect()
-	probed(0, routing.LinksDown)
+	probed(false, routing.LinksDown)
 	if r.Arrived("s", true, now); r.State("s") != routing.LinksUp {
 		t.Error("a response on a new connection does not end the loss")
 	}
@@ -155,7 +155,7 @@
 	for range minute {
 		if len(r.Tick(epoch)) > 0 {
 			alarms++
-			r.Probed("s", 1, epoch)
+			r.Probed("s", true, epoch)
 		}
 	}
 	if alarms > 9 {
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -299,6 +299,27 @@
 		}
 	})
 
+	// Guards against probes that wait for the slowest replica, while peers take this daemon for one without
+	// links.
+	It("needs one replica's response to probes, although another is silent", func() {
+		a, b := startReplica("a", respondOK), startReplica("b", respondOK)
+		silent, sound := startReplica("c", respondOK), startReplica("d", respondOK)
+		w := newCutFixture(atMostOnce, refusingLink, nil, a, b, silent, sound)
+		pool := w.view.Pools["s"]
+		pool.Ready[2].Address, pool.Ready[2].Domain = silentLink().address, "x"
+		pool.Ready[3].Address, pool.Ready[3].Domain = sound.listener.Addr().String(), "y"
+		w.relay.Pool.SetProbeWait(10 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.relay.WatchLinks(ctx)
+		asked := time.Now()
+		for i := range pool.Ready[:2] {
+			_, err := w.relay.Pool.OpenForPeer(ctx, &pool.Ready[i], w.view)
+			Expect(reason(err)).To(Equal(tunnel.ReasonReplicaRefused))
+		}
+		Expect(time.Since(asked)).To(BeNumerically("<", 700*time.Millisecond), "a probe of the silent replica takes a second")
+	})
+
 	It("says that it has no link once no replica responds to probes", func() {
 		errs := openLost(refusingLink, true)
 		Expect(reason(errs[1])).To(Equal(tunnel.ReasonNoLink))
--- a/transport/relay/probes.go
+++ b/transport/relay/probes.go
@@ -113,22 +113,27 @@
 func (r *Relay) probeService(ctx context.Context, s routing.ServiceName) {
 	view := r.View()
 	replicas := routing.ProbeTargets(view.Pool(s), view.Domain)
-	reached := make([]bool, len(replicas))
-	var wg sync.WaitGroup
+	r.Pool.reach.Probed(s, r.probeAny(ctx, view, replicas), clock.Now())
+	if r.Pool.reach.State(s) == routing.LinksDown && !r.Pool.reach.IsDetoured(s) && len(replicas) > 0 {
+		r.Pool.tryDetour(ctx, &replicas[0], view)
+	}
+}
+
+// probeAny probes replicas at the same time and reports whether one of them responds. It does not wait for
+// the others then: one of them may be silent, and requests and peers wait for the result.
+func (r *Relay) probeAny(ctx context.Context, v *routing.View, replicas []routing.Replica) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan bool, len(replicas))
 	for i := range replicas {
-		wg.Go(func() { reached[i] = r.probe(ctx, view, &replicas[i]) })
+		go func() { responses <- r.probe(ctx, v, &replicas[i]) }()
 	}
-	wg.Wait()
-	n := 0
-	for _, ok := range reached {
-		if ok {
-			n++
+	for range replicas {
+		if <-responses {
+			return true
 		}
 	}
-	r.Pool.reach.Probed(s, n, clock.Now())
-	if r.Pool.reach.State(s) == routing.LinksDown && !r.Pool.reach.IsDetoured(s) && len(replicas) > 0 {
-		r.Pool.tryDetour(ctx, &replicas[0], view)
-	}
+	return false
 }
 
 // probe reports whether a replica responds to a health check on a new connection of this daemon's own.
