A daemon whose links are suspect says that a replica refuses connections, not that it has no link

Change: until probes have shown the links to be lost, a connection that the replica refused is reported as that. Where links refuse everything probes end within milliseconds, so that the daemon knows by then. What times out while the links are suspect is no link, as before.

Measured: the spec fails before and passes after. Ruled out: a longer wait for probes, since a caller waits with it.

--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -194,10 +194,12 @@
 		p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
 		p.awaitProbes(ctx, r.Service) // they tell a lost replica from lost links
 	}
+	links, replicaRefused := p.reach.State(r.Service), errors.Is(err, syscall.ECONNREFUSED)
 	switch {
-	case p.reach.State(r.Service) != routing.LinksUp:
+	case links == routing.LinksDown, links == routing.LinksSuspect && !replicaRefused:
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonNoLink}
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case replicaRefused:
+		// Where links refuse everything, probes have ended by now.
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaRefused}
 	}
 	return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaUnreachable}
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -320,6 +320,26 @@
 		Expect(time.Since(asked)).To(BeNumerically("<", 700*time.Millisecond), "a probe of the silent replica takes a second")
 	})
 
+	// Guards against peers that avoid a daemon for all replicas of a service while its probes of a slow one
+	// have not ended.
+	It("says that replicas refuse connections until probes show that its links are lost", func() {
+		a, b, silent := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
+		w := newCutFixture(atMostOnce, refusingLink, nil, a, b, silent)
+		pool := w.view.Pools["s"]
+		pool.Ready[2].Address = silentLink().address
+		w.relay.Pool.SetProbeWait(time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.relay.WatchLinks(ctx)
+		for i := range pool.Ready[:2] {
+			_, err := w.relay.Pool.OpenForPeer(ctx, &pool.Ready[i], w.view)
+			Expect(reason(err)).To(Equal(tunnel.ReasonReplicaRefused))
+		}
+		Eventually(func() routing.LinkState { return w.relay.Pool.Reach().State("s") }, 5*time.Second).Should(Equal(routing.LinksDown))
+		_, err := w.relay.Pool.OpenForPeer(ctx, &pool.Ready[0], w.view)
+		Expect(reason(err)).To(Equal(tunnel.ReasonNoLink))
+	})
+
 	It("says that it has no link once no replica responds to probes", func() {
 		errs := openLost(refusingLink, true)
 		Expect(reason(errs[1])).To(Equal(tunnel.ReasonNoLink))
