--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -179,54 +179,55 @@
 		return
 	}
 	to := []membership.Address{targets[c.heartbeats.rng.IntN(len(targets))]}
-	r.crashes = c.sendKnownCrashes(to, r.crashes, now)
-	r.partCrashes = c.sendKnownPartCrashes(to, r.partCrashes, now)
-	r.departures = c.sendKnownDepartures(to, r.departures, now)
+	r.crashes = c.knownCrashes().send(c, to, r.crashes, now)
+	r.partCrashes = c.knownPartCrashes().send(c, to, r.partCrashes, now)
+	r.departures = c.knownDepartures().send(c, to, r.departures, now)
 }
 
 // sendKnownReports sends a newly found daemon the known crashes, departures and saturated services, before it
 // learns of documents and accepts requests.
 func (c *control) sendKnownReports(to membership.Address, now time.Time) {
 	peer := []membership.Address{to}
-	var content routing.ContentKey
-	for range maxInitialDatagrams {
-		if content = c.sendKnownCrashes(peer, content, now); content == 0 {
-			break
-		}
-	}
-	var part routing.ContentKey
-	for range maxInitialDatagrams {
-		if part = c.sendKnownPartCrashes(peer, part, now); part == 0 {
-			break
-		}
-	}
+	c.knownCrashes().sendFirst(c, peer, now)
+	c.knownPartCrashes().sendFirst(c, peer, now)
 	c.sendKnownSaturations(peer, now)
-	var replica routing.LoadKey
-	for range maxInitialDatagrams {
-		if replica = c.sendKnownDepartures(peer, replica, now); replica == 0 {
-			break
-		}
-	}
+	c.knownDepartures().sendFirst(c, peer, now)
 }
 
-// sendKnownCrashes sends one datagram of known crashes, beginning after the given content. It returns
-// the position at which the next datagram begins, or 0 after the last one.
-func (c *control) sendKnownCrashes(to []membership.Address, after routing.ContentKey, now time.Time) routing.ContentKey {
-	reports, last := c.crashes.All(after, gossip.MaxCrashes, now)
-	sendReports(c, to, reports, gossip.EncodeCrashes)
-	return last
+// knownReports are the reports of one kind that this daemon keeps for others.
+type knownReports[Key comparable, Report any] struct {
+	// list returns up to n reports after a key, and the last one's key, or the zero key at the end.
+	list   func(after Key, n int, now time.Time) ([]Report, Key)
+	most   int // in a datagram
+	encode func([]Report) ([]byte, error)
 }
 
-// sendKnownPartCrashes sends one datagram of parts of prompts, as sendKnownCrashes does for contents.
-func (c *control) sendKnownPartCrashes(to []membership.Address, after routing.ContentKey, now time.Time) routing.ContentKey {
-	reports, last := c.partCrashes.All(after, gossip.MaxPartCrashes, now)
-	sendReports(c, to, reports, gossip.EncodePartCrashes)
-	return last
+func (c *control) knownCrashes() knownReports[routing.ContentKey, routing.CrashReport] {
+	return knownReports[routing.ContentKey, routing.CrashReport]{c.crashes.All, gossip.MaxCrashes, gossip.EncodeCrashes}
+}
+
+func (c *control) knownPartCrashes() knownReports[routing.ContentKey, routing.CrashReport] {
+	return knownReports[routing.ContentKey, routing.CrashReport]{c.partCrashes.All, gossip.MaxPartCrashes, gossip.EncodePartCrashes}
+}
+
+func (c *control) knownDepartures() knownReports[routing.LoadKey, routing.DepartureReport] {
+	return knownReports[routing.LoadKey, routing.DepartureReport]{c.departures.All, gossip.MaxDepartures, gossip.EncodeDepartures}
 }
 
-// sendKnownDepartures sends one datagram of departures, as sendKnownCrashes does for crashes.
-func (c *control) sendKnownDepartures(to []membership.Address, after routing.LoadKey, now time.Time) routing.LoadKey {
-	reports, last := c.departures.All(after, gossip.MaxDepartures, now)
-	sendReports(c, to, reports, gossip.EncodeDepartures)
+// send sends one datagram of reports, beginning after the given key. It returns the key after which the next
+// datagram begins, or the zero key after the last one.
+func (k knownReports[Key, Report]) send(c *control, to []membership.Address, after Key, now time.Time) Key {
+	reports, last := k.list(after, k.most, now)
+	sendReports(c, to, reports, k.encode)
 	return last
 }
+
+// sendFirst sends the first reports, up to maxInitialDatagrams.
+func (k knownReports[Key, Report]) sendFirst(c *control, to []membership.Address, now time.Time) {
+	var after, end Key
+	for range maxInitialDatagrams {
+		if after = k.send(c, to, after, now); after == end {
+			return
+		}
+	}
+}
