Each ask for a permit is judged at once, also if a daemon has more than a message lists

Cause: a message lists 16 asks. With more waiting at a daemon, the same 16 were listed again and again, as long as none was decided; the coordinator heard of the others only when there was room. The coordinator keeps queued asks that such a message leaves out, but the daemon didn't use it.

Change: a message lists first the asks that the coordinator has not queued, the most urgent ones ahead, and a reply is followed by the next message at once while such asks are left.

--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -30,12 +30,14 @@
 //     a complete roster, because otherwise it would decide alone. So do members that are with this
 //     daemon three quarters of the fleet, as soon as another daemon has reported more daemons than
 //     this one knew: until then, the size of the fleet is the number of known daemons.
-//  6. A message lists all asks without a decision (up to MaxPending, the most urgent first) and all
-//     permits that this coordinator granted. Requests in flight with permits of others are reported
+//  6. A message lists all asks without a decision and all permits that this coordinator granted. If
+//     more than MaxPending asks wait, it lists first those that the coordinator has not queued yet, the
+//     most urgent ones ahead, and then those that were listed longest ago. The coordinator keeps the
+//     queued ones that such a message leaves out. Requests in flight with permits of others are reported
 //     as requests without a permit. This includes permits of a coordinator that was silent or
 //     restarted, because it no longer knows them.
-//  7. A message is sent at once for an ask, when a decision makes room for an ask that did not fit
-//     into the last message, and when another coordinator is chosen while asks wait or permits are
+//  7. A message is sent at once for an ask, when a reply comes while asks wait that are not queued and
+//     did not fit into the last message, and when another coordinator is chosen while asks wait or permits are
 //     held: until it is told of them, the new coordinator grants their places a second time. It is
 //     sent releaseAfter after a permit has ended or an ask was withdrawn, unless another message is
 //     sent before; every askingEvery while asks wait; every holdingEvery while permits are held.
@@ -122,6 +124,7 @@
 	repeated    bool          // the oldest unanswered request was repeated
 	heard       time.Time     // of the last message from the coordinator
 	sent        time.Time     // of the last message to it
+	sequence    Sequence      // of that message
 	due         time.Time     // when a message is due because of a change; zero if none is
 	finished    []Finished    // not known to have arrived
 	pending     bool          // the last message listed asks
@@ -162,7 +165,8 @@
 type pendingAsk struct {
 	Ask
 	asked, target, deadline time.Time
-	listed                  bool // in the last message to the current coordinator
+	queued                  bool     // by the current coordinator
+	listed                  Sequence // of the last message to the current coordinator that lists it; 0: none
 }
 
 // heldPermit is a permit that the daemon holds.
@@ -279,9 +283,7 @@
 	if before := c.current; before != nil && before.pending && c.silent[before.to.address] == nil {
 		before.schedule(now) // withdraws the asks
 	}
-	for _, a := range c.asks {
-		a.listed = false
-	}
+	c.forgetQueued()
 	if c.current != nil {
 		c.former = c.current.to
 	}
@@ -457,14 +459,14 @@
 		Unpermitted: c.unpermittedFor(l),
 	}
 	if l == c.current {
-		r.Pending = c.listAsks(now)
+		r.Pending = c.listAsks(r.Sequence, now)
 	}
 	for _, p := range c.held {
 		if p.from == l {
 			r.Held = append(r.Held, p.id)
 		}
 	}
-	l.pending, l.sent, l.due = len(r.Pending) > 0, now, time.Time{}
+	l.pending, l.sent, l.due, l.sequence = len(r.Pending) > 0, now, time.Time{}, r.Sequence
 	if s := c.silent[l.to.address]; s != nil {
 		s.probed = now
 		c.chosen = false
@@ -474,26 +476,22 @@
 	return r
 }
 
-// listAsks returns the asks of a message. If there are too many, asks that were listed before stay,
-// unless a more urgent one waits: an ask that is no longer listed loses its position.
-func (c *client) listAsks(now time.Time) []Ask {
+// listAsks returns the asks of the message with a sequence number, by rule 6.
+func (c *client) listAsks(in Sequence, now time.Time) []Ask {
 	list := c.asks
 	if len(list) > MaxPending {
 		list = slices.Clone(list)
 		slices.SortStableFunc(list, func(a, b *pendingAsk) int {
-			if a.Urgency != b.Urgency {
-				return cmp.Compare(a.Urgency, b.Urgency)
+			if a.queued || b.queued {
+				return cmp.Or(cmp.Compare(boolToInt(a.queued), boolToInt(b.queued)), cmp.Compare(a.listed, b.listed))
 			}
-			return cmp.Compare(boolToInt(b.listed), boolToInt(a.listed))
+			return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(a.listed, b.listed))
 		})
-		for _, a := range list[MaxPending:] {
-			a.listed = false
-		}
 		list = list[:MaxPending]
 	}
 	out := make([]Ask, 0, len(list))
 	for _, a := range list {
-		a.listed = true
+		a.listed = in
 		ask := a.Ask
 		ask.UntilTarget, ask.UntilDeadline = a.target.Sub(now), a.deadline.Sub(now)
 		out = append(out, ask)
@@ -501,6 +499,19 @@
 	return out
 }
 
+// forgetQueued makes all asks new to the current coordinator, which is another one or has restarted.
+func (c *client) forgetQueued() {
+	for _, a := range c.asks {
+		a.queued, a.listed = false, 0
+	}
+}
+
+// hasUnlisted reports whether an ask waits that the current coordinator has not queued and that did not fit
+// into the last message.
+func (c *client) hasUnlisted() bool {
+	return slices.ContainsFunc(c.asks, func(a *pendingAsk) bool { return !a.queued && a.listed < c.current.sequence })
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -542,6 +553,9 @@
 	}
 	if l.incarnation != 0 && r.Incarnation != l.incarnation {
 		c.orphan(l)
+		if l == c.current {
+			c.forgetQueued()
+		}
 	}
 	l.incarnation, l.heard = r.Incarnation, now
 	c.heardFrom(r.From)
@@ -557,13 +571,11 @@
 	if r.Saturated {
 		c.saturate(now)
 	}
-	waiting := len(c.asks)
 	for _, d := range r.Decisions {
 		c.decide(l, d, r.From, now)
 	}
-	isUnlisted := func(a *pendingAsk) bool { return !a.listed }
-	if len(c.asks) < waiting && c.current != nil && slices.ContainsFunc(c.asks, isUnlisted) {
-		c.current.schedule(now) // asks that did not fit into the last message
+	if l == c.current && c.hasUnlisted() {
+		l.schedule(now)
 	}
 }
 
@@ -571,6 +583,7 @@
 func (c *client) decide(l *link, d Decision, from membership.Address, now time.Time) {
 	switch d := d.(type) {
 	case Queued:
+		c.recordQueued(l, d.ID)
 	case Granted:
 		if i := slices.IndexFunc(c.held, func(p heldPermit) bool { return p.id == d.ID }); i >= 0 {
 			if c.held[i].from != l { // not sent again, but by another coordinator
@@ -596,6 +609,14 @@
 	}
 }
 
+// recordQueued records that a coordinator has queued an ask.
+func (c *client) recordQueued(l *link, id PermitID) {
+	i := slices.IndexFunc(c.asks, func(a *pendingAsk) bool { return a.ID == id })
+	if i >= 0 && l == c.current {
+		c.asks[i].queued = true
+	}
+}
+
 // reportDecision adds the effect that tells this daemon a decision on an ask.
 func (c *client) reportDecision(a *pendingAsk, d Decision, l *link, from membership.Address, now time.Time) {
 	c.d.effects = append(c.d.effects, Decided{Service: c.service, Decision: d, Coordinator: from,
--- a/coordination/admission/load_test.go
+++ b/coordination/admission/load_test.go
@@ -600,6 +600,19 @@
 	}
 }
 
+// Guards against calls that are held and then refused at daemons with more asks than fit into a message:
+// few daemons remain of a fleet, or one gets most of the calls.
+func TestAsksBeyondAMessageAreDecidedAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{1, 2, 3} {
+		c := crowded(2)
+		c.daemons = daemons
+		if r := c.playSeeds(t, seeds(1, 4)); r.held > 0 {
+			t.Errorf("%d daemons: %d calls were held and then refused", daemons, r.held)
+		}
+	}
+}
+
 // longestWait is a third of the time that callers have.
 const longestWait = loadDeadline / 3
 
