--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -136,11 +136,6 @@
 // config returns the configuration of the current version. The caller must hold s.mu.
 func (s *site) config() standin.Config {
 	c := standin.Config{Version: s.version, Services: []standin.Service{{Name: serviceGate}, {Name: serviceOther}, {Name: serviceChat, Engine: &standin.Engine{}}}}
-	if s.cold {
-		for i := range c.Services {
-			c.Services[i].ColdSeconds, c.Services[i].ColdPerSecond = coldStart.Seconds(), coldPerSecond
-		}
-	}
 	for _, r := range s.routes() {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: r.Name, Host: routeHost, Prefix: r.Prefix, Kind: kindOf(r), TimeoutMS: r.Timeout.Milliseconds(),
@@ -154,6 +149,11 @@
 	if s.crowded != nil {
 		s.crowded.addTo(&c)
 	}
+	if s.cold {
+		for i := range c.Services {
+			c.Services[i].ColdSeconds, c.Services[i].ColdPerSecond = coldStart.Seconds(), coldPerSecond
+		}
+	}
 	for _, k := range s.keys {
 		byName[k.workspace] = append(byName[k.workspace], k.key)
 	}
