soak: the checks read a copy and no longer hold up the run

Cause: every 2 s all that was recorded is checked, under the lock that callers, replicas and the store need to record anything. It looked like daemons that hold requests: QUEUED, deadlines that are late by as much at replicas (BUDGET), bursts.

Change: the checks read a copy, made under the lock. What is checked, when and by which bounds is the same.

Ruled out: a machine that stood still (no gap in all logs together), pauses of the collector and the scheduler in the soak's process (none over 100 ms).

--- a/internal/soak/backoff.go
+++ b/internal/soak/backoff.go
@@ -214,7 +214,7 @@
 		Detail: fmt.Sprintf("%s had asked daemon %d for a backoff of %v and received %d requests from it meanwhile; %s", a.replica, by.daemon, a.duration, n, what),
 	}
 	if !read {
-		j.excused[v.Subject] = v
+		j.excused = append(j.excused, v)
 		return
 	}
 	j.out = append(j.out, v)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -72,12 +72,11 @@
 	Detail  string    `json:"detail"`
 }
 
-// Check checks everything recorded so far and returns the violations that it has not returned before.
+// Check checks everything recorded so far and returns the violations that it has not returned before. It
+// must not be called by two goroutines at a time.
 func (l *Ledger) Check(now time.Time) []Violation {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	j := &checker{Ledger: l, now: now}
-	for _, r := range l.order {
+	j := &checker{observations: l.snapshot(), now: now}
+	for _, r := range j.order {
 		j.checkRequest(r)
 	}
 	j.checkCrowded()
@@ -92,7 +91,18 @@
 	j.checkCrashingParts()
 	j.checkLimit()
 	j.checkCold()
-	j.out = append(j.out, l.terminations...)
+	j.out = append(j.out, j.terminations...)
+	return l.keep(j)
+}
+
+// keep records the results of a check, and returns the violations that are new.
+func (l *Ledger) keep(j *checker) []Violation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxOverloadShare = max(l.maxOverloadShare, j.maxOverloadShare)
+	for _, v := range j.excused {
+		l.excused[v.Subject] = v
+	}
 	var fresh []Violation
 	for _, v := range j.out {
 		key := v.Promise + " " + v.Subject
@@ -104,12 +114,15 @@
 	return fresh
 }
 
-// checker collects violations. tolerated holds those of rules with a tolerance.
+// checker collects violations. tolerated holds those of rules with a tolerance, excused those of backoffs that
+// the daemon can't have read.
 type checker struct {
-	*Ledger
-	now       time.Time
-	out       []Violation
-	tolerated []Violation
+	*observations
+	now              time.Time
+	out              []Violation
+	tolerated        []Violation
+	excused          []Violation
+	maxOverloadShare float64
 }
 
 func (j *checker) add(promise string, r *record, at time.Time, format string, args ...any) {
--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -46,9 +46,7 @@
 
 // Streams returns the counts of all streams of callers that resume them.
 func (l *Ledger) Streams() StreamCount {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	j := &checker{Ledger: l}
+	j := &checker{observations: l.snapshot()}
 	var n StreamCount
 	for _, r := range j.longStreams() {
 		isBegun := r.answer != nil && len(versionsOf(r.answer.Body)) > 0
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -100,42 +100,12 @@
 
 // Ledger records the events of a run. It is safe for concurrent use.
 type Ledger struct {
-	mu       sync.Mutex
-	bounds   bounds
-	requests map[string]*record
-	order    []*record
-
-	daemons          map[int][]span    // unplanned disturbances of a daemon or its links
-	replicas         map[string][]span // disturbances of a replica or its link
-	store            []span
-	shutdowns        map[int][]span                  // graceful shutdowns
-	departures       map[string][]span               // from when the store accepted a replica's departure, until it returned
-	joined           map[string]map[string]time.Time // when each replica of a service began to serve
-	ready            time.Time                       // when all daemons were first ready
-	routes           map[string][]routeChange        // a route's service
-	keys             map[string]*keyHistory
+	mu sync.Mutex
+	observations
+	// Results of checks.
 	found            map[string]Violation
-	domains          map[string]string              // of replicas
-	evacuations      map[string][]span              // evacuations of domains, as the store accepted them
-	cold             map[string][]coldSpan          // of replicas
-	maxOverloadShare float64                        // the largest fraction that LIMIT bounds
-	terminations     []Violation                    // daemons that terminated by themselves, or did not shut down in time
-	crashes          map[int][]crash                // by number of the crashing request
-	backoffs         map[processID][]backoffRequest // by the daemon process that got the request
-	builds           map[processID]Build
-	begins           map[processID]time.Time // of processes
-	restored         time.Time               // when the store was first restored from a backup
-	freezes          map[int][]span          // of daemons
-	setAside         map[string][]span       // when replicas backed off, or announced their departure in responses alone
-	crowdedServices  map[string]*crowdedService
-	partitions       []partitionSpan
-	versions         map[string][]versionSpan // of replicas
-	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
-	// describes what became of it.
-	wasRead func(conn string, at time.Time) (bool, string)
-	excused map[string]Violation // backoffs that were violated, but that the daemon can't have read
-	// recoveryCheckFrom is when the last part of the quiet time begins, in which requests must be served.
-	recoveryCheckFrom time.Time
+	excused          map[string]Violation // backoffs that were violated, but that the daemon can't have read
+	maxOverloadShare float64              // the largest fraction that LIMIT bounds
 }
 
 type keyHistory struct {
@@ -145,16 +115,16 @@
 }
 
 func newLedger(b bounds) *Ledger {
-	return &Ledger{
+	return &Ledger{found: make(map[string]Violation), excused: make(map[string]Violation), observations: observations{
 		bounds: b, requests: make(map[string]*record), daemons: make(map[int][]span), replicas: make(map[string][]span),
 		shutdowns: make(map[int][]span), departures: make(map[string][]span), joined: make(map[string]map[string]time.Time), routes: make(map[string][]routeChange),
-		keys: make(map[string]*keyHistory), found: make(map[string]Violation),
+		keys:    make(map[string]*keyHistory),
 		domains: make(map[string]string), evacuations: make(map[string][]span), cold: make(map[string][]coldSpan),
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
 		versions:        make(map[string][]versionSpan),
-		crowdedServices: make(map[string]*crowdedService), excused: make(map[string]Violation),
-		wasRead: func(string, time.Time) (bool, string) { return true, "" },
-	}
+		crowdedServices: make(map[string]*crowdedService),
+		wasRead:         func(string, time.Time) (bool, string) { return true, "" },
+	}}
 }
 
 func (l *Ledger) record(id string) *record {
