A response that ends with its connection is not whole if the daemon that carried it has terminated

A caller could get a truncated answer, or a stream cut between two events, as a whole one.

Cause: a response with neither a length nor chunks ends when its connection does. Through another daemon (docs/design/detours.md) the connection also ends in the same way when that daemon is killed. Resets are passed on as such, but a killed process sends none.

Change: at such an end the daemon connects to the carrier. If that is refused, the carrier is gone, and the response is broken off: refused as may have run, or a stream that is resumed or ended as broken. Framed responses, and those over the daemon's own links, cost nothing more.

Ruled out: refusing all such responses through carriers, since callers of a daemon without links would get none.

--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -47,6 +47,30 @@
 	server  *tunnel.Server
 	address string
 	opened  atomic.Int32
+	http    *httptest.Server
+
+	mu    sync.Mutex
+	conns []net.Conn // from other daemons
+}
+
+// die ends the daemon's connections as the operating system does when its process is killed.
+func (p *carrierPeer) die() {
+	_ = p.http.Listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+}
+
+// record records a connection from another daemon.
+func (p *carrierPeer) record(c net.Conn, s http.ConnState) {
+	if s != http.StateNew {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, c)
 }
 
 // startCarrier starts a daemon that connects to replicas at their own addresses.
@@ -65,9 +89,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+tunnel.Path, p.server)
-	s := httptest.NewServer(mux)
-	cleanUp(s.CloseClientConnections)
-	p.address = strings.TrimPrefix(s.URL, "http://")
+	p.http = httptest.NewUnstartedServer(mux)
+	p.http.Config.ConnState = p.record
+	p.http.Start()
+	cleanUp(p.http.CloseClientConnections)
+	p.address = strings.TrimPrefix(p.http.URL, "http://")
 	return p
 }
 
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -38,6 +38,9 @@
 func (s *activeCall) forwardComplete(ctx context.Context, x *exchange, t *routing.Target) *failure {
 	status := x.response.StatusCode
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBytes+1))
+	if err == nil {
+		err = x.checkEnd(ctx)
+	}
 	if err != nil {
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
@@ -126,6 +129,9 @@
 	if len(s.events.pending) > 0 {
 		return x.brokenResponse(ctx, errIncompleteEvent)
 	}
+	if err := x.checkEnd(ctx); err != nil {
+		return x.brokenResponse(ctx, err)
+	}
 	if f := s.sendHeader(x); f != nil {
 		return f
 	}
--- /dev/null
+++ b/transport/relay/unframed_test.go
@@ -0,0 +1,129 @@
+package relay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// unframedHead writes the header of a response that has neither a length nor chunks.
+func unframedHead(a *receivedRequest, headers string) {
+	write(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+headers+"\r\n")
+}
+
+const eventStream = "Content-Type: text/event-stream\r\n"
+
+// outcome is what a caller sees of a response.
+type outcome int
+
+const (
+	whole     outcome = iota
+	refused           // nothing was forwarded, and it may have run
+	brokenOff         // a part of a stream was forwarded, and the caller can tell
+)
+
+func outcomeOf(to *recordingSink) outcome {
+	switch {
+	case to.broken:
+		return brokenOff
+	case to.refusal != nil:
+		return refused
+	}
+	return whole
+}
+
+// Guards against responses that end with their connection and are taken for whole although they were broken
+// off, or for broken off although they are whole.
+var _ = Describe("Response that ends with its connection", func() {
+	DescribeTable("over this daemon's own link", func(streams bool, script func(a *receivedRequest) bool, want outcome, body string) {
+		route := atMostOnce
+		if streams {
+			route = resumable
+			route.MaxAttempts = 1
+		}
+		w := newFixture(route, startReplica("r", script))
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Expect(outcomeOf(to)).To(Equal(want))
+		Expect(string(to.body)).To(Equal(body))
+	},
+		Entry("whole", false, func(a *receivedRequest) bool { unframedHead(a, ""); write(a, "fine"); return false }, whole, "fine"),
+		Entry("whole, Connection: close", false, func(a *receivedRequest) bool {
+			unframedHead(a, "Connection: close\r\n")
+			write(a, "fine")
+			return false
+		}, whole, "fine"),
+		Entry("whole, HTTP/1.0", false, func(a *receivedRequest) bool {
+			write(a, "HTTP/1.0 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"\r\nfine")
+			return false
+		}, whole, "fine"),
+		Entry("empty", false, func(a *receivedRequest) bool { unframedHead(a, ""); return false }, whole, ""),
+		Entry("reset instead of an end", false, func(a *receivedRequest) bool {
+			unframedHead(a, "")
+			write(a, "fi")
+			time.Sleep(20 * time.Millisecond) // the part arrives
+			return reset(a.conn)
+		}, refused, ""),
+		Entry("length not reached", false, func(a *receivedRequest) bool {
+			unframedHead(a, "Content-Length: 4\r\n")
+			write(a, "fi")
+			return false
+		}, refused, ""),
+		Entry("stream, whole", true, func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			write(a, event(1)+event(2))
+			return false
+		}, whole, event(1)+event(2)),
+		Entry("stream that ends inside an event", true, func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			write(a, event(1)+"id: 2\nda")
+			return false
+		}, brokenOff, event(1)),
+		Entry("stream that ends inside its first event", true, func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			write(a, "id: 1\nda")
+			return false
+		}, refused, ""),
+		Entry("stream, reset after a whole event", true, func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			write(a, event(1))
+			time.Sleep(20 * time.Millisecond)
+			return reset(a.conn)
+		}, brokenOff, event(1)),
+	)
+
+	DescribeTable("through another daemon", func(streams, dies bool, want outcome, body string) {
+		var carrier *carrierPeer
+		script := func(a *receivedRequest) bool {
+			if streams {
+				unframedHead(a, eventStream)
+				write(a, event(1))
+			} else {
+				unframedHead(a, "")
+				write(a, "fi")
+			}
+			time.Sleep(50 * time.Millisecond) // the part arrives
+			if dies {
+				carrier.die()
+				time.Sleep(100 * time.Millisecond)
+			}
+			return false
+		}
+		route := atMostOnce
+		if streams {
+			route = resumable
+			route.MaxAttempts = 1
+		}
+		a, b := startReplica("a", script), startReplica("b", script)
+		carrier = startCarrier(a, b)
+		w := newCutFixture(route, refusingLink, []*carrierPeer{carrier}, a, b)
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Expect(outcomeOf(to)).To(Equal(want))
+		Expect(string(to.body)).To(Equal(body))
+	},
+		Entry("whole", false, false, whole, "fi"),
+		Entry("whole stream", true, false, whole, event(1)),
+		Entry("the other daemon dies", false, true, refused, ""),
+		Entry("the other daemon dies between two events", true, true, brokenOff, event(1)),
+	)
+})
