--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -62,6 +62,7 @@
 	Partitions        float64       `long:"partitions" default:"0" description:"times per second that daemons lose their links to all replicas; 0.1 is a good rate"`
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
 	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
+	Unframed          bool          `long:"unframed" description:"let one in six responses of the replicas, streams too, end with their connections, with neither a length nor chunks"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
 	Dir               string        `long:"dir" description:"directory of the runs (default: a temporary directory)"`
 	Keep              bool          `long:"keep" description:"also keep the directories of runs without violations"`
@@ -183,7 +184,7 @@
 	shape.BackoffsPerSec, shape.DeparturesPerSec = o.Backoffs, o.Departures
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
 	shape.CrashingParts = o.CrashingParts
-	shape.Crowded, shape.PartitionsPerSec, shape.Versions = o.Crowded, o.Partitions, o.Versions
+	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -116,12 +116,12 @@
 
 // crashWriting crashes the replica when it has begun to write the response.
 func (x *exchange) crashWriting(number int) bool {
-	if !x.work(x.workDuration(1)) || !x.write(standin.StreamHead(x.id, x.ID, x.statementsWithLoad())) {
+	if !x.work(x.workDuration(1)) || !x.write(x.framed(standin.StreamHead(x.id, x.ID, x.statementsWithLoad()))) {
 		x.finish(0)
 		return false
 	}
 	if rand.IntN(2) == 0 {
-		x.write(chunk(withVersion(streamEvents(x.streamID())[0], x.version)))
+		x.write(x.chunk(withVersion(streamEvents(x.streamID())[0], x.version)))
 	}
 	x.work(rand.N(maxCrashAfterEvent))
 	x.finish(0)
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -177,9 +177,9 @@
 		return false
 	case x.selected(x.behaviour.Truncate):
 		x.finish(200)
-		response := standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements())
+		response := x.framed(standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements()))
 		_, _ = x.conn.Write([]byte(response[:len(response)*2/3]))
-		return false
+		return x.breakOff()
 	case x.selected(x.behaviour.ResetAfterRun):
 		x.finish(0)
 		resetConn(x.conn.(*net.TCPConn))
@@ -187,6 +187,10 @@
 	}
 	x.finish(200)
 	response := standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements())
+	if x.isUnframed() {
+		x.write(standin.Unframed(response))
+		return false
+	}
 	if x.selected(x.behaviour.Surplus) {
 		if rand.IntN(2) == 0 {
 			response += response
@@ -207,7 +211,7 @@
 		return x.write(standin.Response(500, x.id, x.ID, "failed", x.statements()))
 	}
 	fault := x.streamFault()
-	head := standin.StreamHead(x.id, x.ID, x.statementsWithLoad())
+	head := x.framed(standin.StreamHead(x.id, x.ID, x.statementsWithLoad()))
 	events := streamEvents(x.streamID())
 	for i := range events {
 		events[i] = withVersion(events[i], x.version)
@@ -221,7 +225,7 @@
 			fault(events[i])
 			return false
 		}
-		if !x.write(chunk(events[i])) {
+		if !x.write(x.chunk(events[i])) {
 			x.finish(0)
 			return false
 		}
@@ -230,7 +234,7 @@
 	if from >= len(events) {
 		x.write(head)
 	}
-	return x.write("0\r\n\r\n")
+	return !x.isUnframed() && x.write("0\r\n\r\n")
 }
 
 // streamFault returns the failure that ends the stream halfway, or nil if none was selected.
@@ -256,17 +260,24 @@
 	return nil
 }
 
-// chunk encodes a piece of a body with chunked transfer coding.
-func chunk(piece string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece) }
+// chunk encodes a piece of a stream with chunked transfer coding, unless the stream is unframed.
+func (x *exchange) chunk(piece string) string {
+	if x.isUnframed() {
+		return piece
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+}
 
 // truncate truncates a stream, either within an event or after it. In the latter case only the
 // final chunk is missing.
 func (x *exchange) truncate(piece string) {
 	if hashOf(x.id)%2 == 0 {
-		_, _ = fmt.Fprintf(x.conn, "%x\r\n%s", len(piece), piece[:len(piece)/2])
+		whole := x.chunk(piece)
+		x.write(whole[:len(whole)-len(piece)/2-len("\r\n")])
 		return
 	}
-	x.write(chunk(piece))
+	x.write(x.chunk(piece))
+	x.breakOff()
 }
 
 func (x *exchange) write(answer string) bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -96,6 +96,8 @@
 	CrashingParts []CrashingPart `json:"crashing_parts,omitempty"`
 	// Versions lets replicas run several software versions; nil: they don't name theirs.
 	Versions *Versions `json:"versions,omitempty"`
+	// Unframed lets a part of the responses end with their connections.
+	Unframed bool `json:"unframed,omitempty"`
 }
 
 // Shape limits the random choices of a plan.
@@ -129,6 +131,8 @@
 	Crowded bool
 	// Versions says whether replicas run several software versions.
 	Versions bool
+	// Unframed says whether a part of the responses ends with their connections.
+	Unframed bool
 }
 
 // DefaultShape returns the shape of a run that is started by hand.
@@ -151,7 +155,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	p := &Plan{
 		Seed: seed, Daemons: minDaemons + rng.IntN(max(1, s.MaxDaemons-minDaemons+1)), Domains: 2 + rng.IntN(3),
-		Gate: 3 + rng.IntN(3), Chat: 4 + rng.IntN(4), Trouble: s.Trouble, Quiet: s.Quiet,
+		Gate: 3 + rng.IntN(3), Chat: 4 + rng.IntN(4), Trouble: s.Trouble, Quiet: s.Quiet, Unframed: s.Unframed,
 	}
 	p.Domains = min(p.Domains, p.Daemons)
 	p.Callers = 4 * p.Daemons
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -71,7 +71,7 @@
 	if p.crowded {
 		return newCrowdedPlan(seed)
 	}
-	shape.Versions, shape.CrashingParts = p.versions, p.parts
+	shape.Versions, shape.CrashingParts, shape.Unframed = p.versions, p.parts, p.unframed
 	plan := NewPlan(seed, shape)
 	if p.versions || p.parts > 0 {
 		plan.Faults, plan.Crashing, plan.Cold = nil, nil, false
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	callers       int                       // factor applied to the number of callers; 0: 1
 	partitions    []Partition               // of the runs that find it; nil: none
 	versions      bool                      // found by runs with several software versions and no faults but kills of daemons
+	unframed      bool                      // found by runs in which a part of the responses ends with their connections
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	subject       string                    // required prefix of the violation's subject
 	also          []edit                    // further changes of other source files
@@ -111,6 +113,10 @@
 		also: []edit{{"transport/tunnel/tunnel.go", "return r.Reason == ReasonReplicaRefused || r.Reason == ReasonReplicaUnreachable", "return true"}}, partitions: partitionsInSeries, plain: true},
 	{name: "goes on at the replica for a caller that left, through another daemon", promise: "GONE", file: "transport/tunnel/server.go",
 		text: "\t\t_ = replica.Close()\n\t})", instead: "\t})", partitions: partitionsInSeries, plain: true, callers: 4, faults: callersLeave},
+	{name: "takes a stream that ends inside an event as whole", promise: "ORDER", file: "transport/relay/response.go",
+		text: "if len(s.events.pending) > 0 {", instead: "if len(s.events.pending) > maxEventBytes {", unframed: true, plain: true, faults: truncationsInSeries},
+	{name: "takes the death of another daemon for the replica's end", promise: "ORDER", file: "transport/relay/detour.go",
+		text: "if isFramed || x.conn.via == \"\" {", instead: "if isFramed || x.conn != nil {", unframed: true, plain: true, partitions: partitionsInSeries, faults: killsInSeries},
 	{name: "resumes its own streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
 		text: "s.tried.Version = s.Placer.VersionAt(r, clock.Now())", instead: "_ = s.Placer.VersionAt(r, clock.Now())", versions: true, faults: killsInSeries},
 	{name: "resumes callers' streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
@@ -147,6 +153,16 @@
 	return out
 }
 
+// truncationsInSeries makes replicas truncate many of their responses.
+func truncationsInSeries(int) []Fault {
+	truncates := slices.IndexFunc(greyBehaviours, func(b behaviour) bool { return b.Truncate > 0 })
+	var out []Fault
+	for i := range 12 {
+		out = append(out, Fault{At: time.Duration(2+i) * time.Second, For: 4 * time.Second, Kind: greyReplica, Target: 3 * i, Variant: truncates})
+	}
+	return out
+}
+
 // restartsInSeries kills one daemon after another, each once every ten seconds.
 func restartsInSeries(daemons int) []Fault {
 	const each, rounds = 10 * time.Second, 4
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -47,6 +47,7 @@
 	Service   string
 	Domain    string
 	version   string // of its software, as its entry gives it; empty: none
+	unframed  bool   // a part of its responses ends with the connection
 	slots     int
 	crowded   *crowdedReplica // nil: requests beyond the slots are refused at once
 	startTime time.Time
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -75,7 +75,7 @@
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
 	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing)+len(p.CrashingParts) > 0 || p.Versions != nil
-	r.site.partCrashes = len(p.CrashingParts) > 0
+	r.site.partCrashes, r.site.unframed = len(p.CrashingParts) > 0, p.Unframed
 	if p.Versions != nil {
 		r.site.setVersions(p.Versions)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -62,6 +62,7 @@
 	trap         *trap     // address in the entries of the foreign writer
 	cold         bool      // replicas are cold after a start
 	versions     *Versions // nil: replicas don't name their software versions
+	unframed     bool      // a part of the responses ends with their connections
 	begun        time.Time // start of the traffic
 
 	mu        sync.Mutex
@@ -264,7 +265,7 @@
 	}
 	r.crashed = func() { s.restartAfterCrash(p, r) }
 	s.mu.Lock()
-	r.version = p.version
+	r.version, r.unframed = p.version, s.unframed
 	p.current, p.idle = r, false
 	s.mu.Unlock()
 	s.ledger.HasVersion(id, r.version, time.Now())
