--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -13,6 +13,7 @@
 //	status.go       what operators see of a coordinator
 //	client.go       a daemon's side: when permits are needed, which daemon is asked for them, and
 //	                what happens if it does not reply
+//	asks.go         which requests for permits a message lists
 //	daemon.go       the client of a daemon and the coordinators that it runs, behind one interface
 //
 // The coordinator is not elected. Each daemon computes it from the members that it knows. All
