--- a/coordination/admission/asks.go
+++ b/coordination/admission/asks.go
@@ -34,9 +34,14 @@
 	}
 }
 
+// indexOfAsk returns the index of an ask, or -1 if it has a decision.
+func (c *client) indexOfAsk(id PermitID) int {
+	return slices.IndexFunc(c.asks, func(a *pendingAsk) bool { return a.ID == id })
+}
+
 // removeAsk removes an ask and returns it, or nil if it has a decision.
 func (c *client) removeAsk(id PermitID) *pendingAsk {
-	i := slices.IndexFunc(c.asks, func(a *pendingAsk) bool { return a.ID == id })
+	i := c.indexOfAsk(id)
 	if i < 0 {
 		return nil
 	}
@@ -79,8 +84,7 @@
 
 // recordQueued records that a coordinator has queued an ask.
 func (c *client) recordQueued(l *link, id PermitID) {
-	i := slices.IndexFunc(c.asks, func(a *pendingAsk) bool { return a.ID == id })
-	if i >= 0 && l == c.current {
+	if i := c.indexOfAsk(id); i >= 0 && l == c.current {
 		c.asks[i].queued = true
 	}
 }
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -144,8 +144,7 @@
 // through which the connection goes has terminated, its operating system ended the connection as the replica
 // would have. It closed the daemon's listener too.
 func (x *exchange) checkEnd(ctx context.Context) error {
-	isFramed := x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0
-	if isFramed || x.conn.via == "" {
+	if !endsWithConn(x.response) || x.conn.via == "" {
 		return nil
 	}
 	c, err := x.pool.peerDialer.DialContext(ctx, "tcp4", string(x.conn.via))
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -179,8 +179,8 @@
 			return x.checkResponse()
 		}
 		x.conn.idleTimeout = -1
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			break // the body ends only when the connection does
+		if endsWithConn(resp) {
+			break
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return x.brokenResponse(ctx, eris.Wrap(err, "read stray response"))
@@ -189,6 +189,12 @@
 	return x.brokenResponse(ctx, errStrayResponses)
 }
 
+// endsWithConn reports whether a response has neither a length nor chunks, so that its body ends only when the
+// connection does.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // hasResponse reports whether the addressed replica has responded to the request, with any status.
 func (x *exchange) hasResponse() bool {
 	return x.response != nil && x.head.RequestID == x.call.ID && x.response.StatusCode != http.StatusMisdirectedRequest
