A daemon sees that the replicas of a service are brittle, and counts what replicas reject

Callers saw replicas fall over under rejected requests; no line of the code read what replicas say of it, and nothing counted rejections. The statement is read at the platform's edge (an invalid one counts as limit 0, and is logged as any invalid field), kept for the service, reported to all daemons at once and to those that start, and ends with a later response without it. One line a spell, three counters (brittle_total, rejected_total, rejected_brittle_total). No decision uses it yet.

--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -97,10 +97,11 @@
 type Placer struct {
 	Loads     *Loads
 	Health    *Health
-	Cache     *CacheTable  // nil: no cache locations are known
-	Overloads *Overloads   // nil: no replica is overloaded
-	Cold      *ColdLimiter // nil: cold replicas are not limited
-	Backoffs  *Backoffs    // nil: no replica has requested a backoff
+	Cache     *CacheTable      // nil: no cache locations are known
+	Overloads *Overloads       // nil: no replica is overloaded
+	Cold      *ColdLimiter     // nil: cold replicas are not limited
+	Backoffs  *Backoffs        // nil: no replica has requested a backoff
+	Brittle   *BrittleServices // nil: no service is brittle
 	// Departures is nil where replicas don't announce their departure in responses.
 	Departures *Departures
 }
--- /dev/null
+++ b/daemon/routes/brittle.go
@@ -0,0 +1,43 @@
+// This file is the part of the control loop for services whose replicas are brittle
+// (coordination/routing/brittle.go).
+
+package routes
+
+import (
+	"slices"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol/gossip"
+)
+
+// receiveBrittle processes a peer's reports of brittle services.
+func (c *control) receiveBrittle(reports []routing.BrittleReport, now time.Time) {
+	c.brittle.Observe(reports, now)
+	c.updateBrittle(now)
+}
+
+// sendBrittle sends pending reports of brittle services.
+func (c *control) sendBrittle(now time.Time) {
+	sendReportsToTargets(c, c.brittle.TakeReports(gossip.MaxBrittle, now), gossip.EncodeBrittle, now)
+}
+
+// updateBrittle logs which services became brittle and which no longer are.
+func (c *control) updateBrittle(now time.Time) {
+	before, known := c.brittleKnown, c.brittle.Services(now)
+	c.brittleKnown = known
+	for _, s := range known {
+		if !isBrittleIn(before, s.Service) {
+			c.log.BrittleBegan(s)
+		}
+	}
+	for _, s := range before {
+		if !isBrittleIn(known, s.Service) {
+			c.log.BrittleEnded(s, now)
+		}
+	}
+}
+
+func isBrittleIn(list []routing.BrittleStatus, s routing.ServiceName) bool {
+	return slices.ContainsFunc(list, func(b routing.BrittleStatus) bool { return b.Service == s })
+}
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -46,6 +46,7 @@
 	health    *routing.Health
 	cache     *routing.CacheTable
 	overloads *routing.Overloads
+	brittle   *routing.BrittleServices
 	crashes   *routing.Crashes
 	// partCrashes records the parts of prompts on which replicas crashed.
 	partCrashes *routing.Crashes
@@ -61,7 +62,7 @@
 // given number of daemons, among which the retry budget is divided.
 func newSharedTables(daemon routing.PeerID, rule routing.RetryRule, daemons int) sharedTables {
 	return sharedTables{
-		loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(), overloads: routing.NewOverloads(),
+		loads: routing.NewLoads(), health: routing.NewHealth(), cache: routing.NewCacheTable(), overloads: routing.NewOverloads(), brittle: routing.NewBrittleServices(),
 		crashes: routing.NewCrashes(), partCrashes: routing.NewPartCrashes(), cold: routing.NewColdLimiter(daemon), budgets: routing.NewRetryBudgets(rule, daemons),
 		backoffs: routing.NewBackoffs(), origins: routing.NewStreamOrigins(), departures: routing.NewDepartures(),
 	}
@@ -70,7 +71,7 @@
 // placer returns a placer that chooses replicas by these tables.
 func (t *sharedTables) placer() *routing.Placer {
 	return &routing.Placer{
-		Loads: t.loads, Health: t.health, Cache: t.cache, Overloads: t.overloads, Cold: t.cold, Backoffs: t.backoffs, Departures: t.departures,
+		Loads: t.loads, Health: t.health, Cache: t.cache, Overloads: t.overloads, Brittle: t.brittle, Cold: t.cold, Backoffs: t.backoffs, Departures: t.departures,
 	}
 }
 
@@ -86,6 +87,8 @@
 	syncs      syncState
 	transfers  transfers
 	permits    *permits
+	// brittleKnown are the services that were brittle at the last update.
+	brittleKnown []routing.BrittleStatus
 
 	originQuestions originQuestions
 	// mayBeBehind says that other daemons may have documents that this one lacks.
@@ -161,6 +164,9 @@
 			c.tick(ctx, clock.Now())
 		case <-c.overloads.Waiting():
 			c.scheduleReports(ctx, overloadsDue{})
+		case <-c.brittle.Waiting():
+			c.updateBrittle(clock.Now())
+			c.scheduleReports(ctx, brittleDue{})
 		case <-c.crashes.Waiting():
 			c.scheduleReports(ctx, crashesDue{})
 		case <-c.partCrashes.Waiting():
@@ -197,6 +203,10 @@
 		c.receiveSilences(e.reports, now)
 	case overloadsReceived:
 		c.overloads.Observe(e.reports, now)
+	case brittleReceived:
+		c.receiveBrittle(e.reports, now)
+	case brittleDue:
+		c.sendBrittle(now)
 	case overloadsDue:
 		c.sendOverloads(now)
 	case crashesReceived:
@@ -306,6 +316,7 @@
 	c.updateBehind(now)
 	c.reach.Tick(now)
 	c.dropLostCarriers(now)
+	c.updateBrittle(now)
 	c.tickPermits(now)
 	c.syncIfBehind(ctx, now)
 	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
@@ -329,6 +340,7 @@
 	c.crashes.Forget(now)
 	c.partCrashes.Forget(now)
 	c.backoffs.Forget(now)
+	c.brittle.Forget(now)
 	if now.Sub(c.statsLoggedAt) >= statsInterval {
 		c.statsLoggedAt = now
 		c.log.Statistics(c.daemons, c.catalog.feed.Revision())
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -46,6 +46,10 @@
 	silencesReceived struct{ reports []routing.SilenceReport }
 	// overloadsReceived carries a peer's reports of overloaded replicas.
 	overloadsReceived struct{ reports []routing.OverloadReport }
+	// brittleReceived carries a peer's reports of services whose replicas are brittle.
+	brittleReceived struct{ reports []routing.BrittleReport }
+	// brittleDue says that reports of brittle services are to be sent.
+	brittleDue struct{}
 	// overloadsDue says that reports of overloaded replicas are to be sent.
 	overloadsDue struct{}
 	// crashesReceived carries a peer's reports of requests during which replicas crashed.
@@ -159,6 +163,8 @@
 func (silencesReceived) isEvent()         {}
 func (overloadsReceived) isEvent()        {}
 func (overloadsDue) isEvent()             {}
+func (brittleReceived) isEvent()          {}
+func (brittleDue) isEvent()               {}
 func (crashesReceived) isEvent()          {}
 func (crashesDue) isEvent()               {}
 func (partCrashesReceived) isEvent()      {}
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -103,6 +103,8 @@
 		func() {
 			l.PermitRefused(&permitAsk{call: call}, &admission.Decided{Service: "s"}, time.Second, func() int { return 0 }, time.Now())
 		},
+		func() { l.BrittleBegan(routing.BrittleStatus{Service: "s", Limit: 3}) },
+		func() { l.BrittleEnded(routing.BrittleStatus{Service: "s", Since: time.Unix(1, 0)}, time.Unix(2, 0)) },
 		func() { l.SelfReported(&replica, call, relay.SelfReport{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/log_replicas.go
+++ b/daemon/routes/log_replicas.go
@@ -163,3 +163,16 @@
 	l.metrics.ReportedSilent.Inc(1)
 	l.logger.Warn().Str("replica", string(id)).Msg(prefixReplica + "several daemons find it silent; it gets no requests for a while")
 }
+
+// BrittleBegan logs that the replicas of a service say that they are brittle.
+func (l *Log) BrittleBegan(s routing.BrittleStatus) {
+	l.metrics.BrittleBegun.Inc(1)
+	l.timeline.Record(coordination.EventUpstreamState, string(s.Service), "", "replicas are brittle; limit %d", s.Limit)
+	l.logger.Warn().Str("service", string(s.Service)).Int("limit", int(s.Limit)).Msg(prefixReplica + "replicas of a service say that they terminate if they reject more requests a second than the limit")
+}
+
+// BrittleEnded logs that the replicas of a service no longer say that they are brittle.
+func (l *Log) BrittleEnded(s routing.BrittleStatus, now time.Time) {
+	l.timeline.Record(coordination.EventUpstreamState, string(s.Service), "", "%s", "replicas are no longer brittle")
+	l.logger.Warn().Str("service", string(s.Service)).Int64("after_ms", now.Sub(s.Since).Milliseconds()).Msg(prefixReplica + "replicas of a service are no longer brittle")
+}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -57,6 +57,9 @@
 	BackoffsBegun       metrics.Counter
 	AllBackingOff       metrics.Counter
 	DeparturesAnnounced metrics.Counter
+	// BrittleBegun counts how often a service was found to be brittle. Rejections counts the requests that
+	// replicas rejected without running them, BrittleRejections those of replicas that said they are brittle.
+	BrittleBegun, Rejections, BrittleRejections metrics.Counter
 	// InvalidFields counts the invalid fields of responses.
 	InvalidFields metrics.Counter
 	// UnusableEntries counts the changes of entries that made them, or left them, unusable.
@@ -142,6 +145,9 @@
 		"all_resting_total":          &m.AllBackingOff,
 		"leaving_said_total":         &m.DeparturesAnnounced,
 		"not_understood_total":       &m.InvalidFields,
+		"brittle_total":              &m.BrittleBegun,
+		"rejected_total":             &m.Rejections,
+		"rejected_brittle_total":     &m.BrittleRejections,
 		"unusable_entries_total":     &m.UnusableEntries,
 		"turned_cold_total":          &m.TurnedCold,
 		"evacuations_total":          &m.Evacuations,
@@ -170,9 +176,23 @@
 	m.PermitWait.Update(waited.Milliseconds())
 }
 
+// countRejection updates the metrics for an attempt that a replica may have rejected.
+func (m *Metrics) countRejection(a *relay.Attempt) {
+	if !a.Rejected {
+		return
+	}
+	m.Rejections.Inc(1)
+	if a.Brittle {
+		m.BrittleRejections.Inc(1)
+	}
+}
+
 // finished updates the metrics for a completed request.
 func (m *Metrics) finished(c *relay.Call, s *relay.Summary) {
 	m.Requests.Inc(1)
+	for i := range s.Attempts {
+		m.countRejection(&s.Attempts[i])
+	}
 	switch s.Outcome.(type) {
 	case coordination.Answered:
 		m.Answered.Inc(1)
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -138,6 +138,9 @@
 	case gossip.IsOriginReplies(payload):
 		replies, err := gossip.DecodeOriginReplies(payload)
 		return originRepliesReceived{replies: replies}, err
+	case gossip.IsBrittle(payload):
+		reports, err := gossip.DecodeBrittle(payload)
+		return brittleReceived{reports: reports}, err
 	case gossip.IsSaturations(payload):
 		services, err := gossip.DecodeSaturations(payload)
 		return saturationsReceived{services: services}, err
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -191,6 +191,7 @@
 	c.knownCrashes().sendFirst(c, peer, now)
 	c.knownPartCrashes().sendFirst(c, peer, now)
 	c.sendKnownSaturations(peer, now)
+	sendReports(c, peer, c.brittle.All(gossip.MaxBrittle, now), gossip.EncodeBrittle)
 	c.knownDepartures().sendFirst(c, peer, now)
 }
 
--- a/protocol/gossip/reports.go
+++ b/protocol/gossip/reports.go
@@ -31,6 +31,7 @@
 	kindOriginRequests   reportKind = 12
 	kindOriginReplies    reportKind = 13
 	kindPartCrashes      reportKind = 14
+	kindBrittle          reportKind = 15
 )
 
 // kindNames are the names of the kinds as shown to operators.
@@ -39,7 +40,7 @@
 	kindTransferRequests: "loan_asks", kindTransferGrants: "loans",
 	kindPermitRequests: "permit_requests", kindPermitReplies: "permit_replies", kindSaturations: "saturations",
 	kindOrigins: "origins", kindOriginRequests: "origin_requests", kindOriginReplies: "origin_replies",
-	kindPartCrashes: "part_crashes",
+	kindPartCrashes: "part_crashes", kindBrittle: "brittle_services",
 }
 
 // Kinds returns the names of the kinds of reports that this build reads, ordered by their numbers.
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -52,6 +52,9 @@
 	// Backoff is for how long the replica wants no requests from this daemon; 0: not requested.
 	Backoff time.Duration
 	Leaving bool // it takes no new requests and terminates soon
+	// Brittle says that it terminates if it rejects more than RejectionLimit requests within a second.
+	Brittle        bool
+	RejectionLimit routing.RejectionLimit
 	// NotUnderstood are the header fields that could not be parsed, as "Name: value". They are
 	// ignored otherwise.
 	NotUnderstood []string
@@ -100,6 +103,8 @@
 	Reported     ReportedLoad            // load that the replica reported; Load is the estimate of it
 	Backoff      time.Duration           // backoff that the replica requested; 0: none
 	Leaving      bool                    // the replica announced its departure
+	Brittle      bool                    // the replica said that it is brittle
+	Rejected     bool                    // the replica rejected the request without running it
 	Reused       bool                    // the connection was used before
 	Via          routing.PeerID          // daemon that opened the connection for this one; empty: its own
 	Err          error                   // nil: the caller has the complete response
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -153,7 +154,7 @@
 	f := s.sendCounted(ctx, t, &a)
 	a.Duration = clock.Since(started)
 	if f != nil {
-		a.Err = f.err
+		a.Err, a.Rejected = f.err, errors.Is(f.err, errRejected)
 		s.releaseFailed(ctx, f)
 		s.reportRejection(f)
 		if f.countsAgainst {
@@ -333,6 +334,9 @@
 	f := x.readHeader(ctx)
 	if x.hasResponse() {
 		s.Placer.Health.RecordAlive(&t.Replica, x.conn.opened, x.sent)
+		if !x.head.SelfReport.Brittle {
+			s.Placer.Brittle.RecordOrdinary(t.Replica.Service, x.sent, clock.Now())
+		}
 	}
 	if f != nil {
 		return f
@@ -353,7 +357,10 @@
 // forwarded, and whatever becomes of the request.
 func (s *activeCall) applySelfReport(r *routing.Replica, a *Attempt, report SelfReport) {
 	now := clock.Now()
-	a.Backoff, a.Leaving = max(a.Backoff, report.Backoff), a.Leaving || report.Leaving
+	a.Backoff, a.Leaving, a.Brittle = max(a.Backoff, report.Backoff), a.Leaving || report.Leaving, a.Brittle || report.Brittle
+	if report.Brittle {
+		s.Placer.Brittle.Record(r.Service, report.RejectionLimit, now)
+	}
 	s.Observer.SelfReported(r, s.call, report)
 	if left, isNew := s.Placer.Backoffs.Record(r, report.Backoff, s.call.ID, now); isNew {
 		s.Observer.BackoffRequested(r, s.call, left)
