--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -61,6 +61,7 @@
 	Restores          float64       `long:"restores" default:"0.1" description:"times per second that the store is restored from a backup; use 0 for seeds recorded before this option existed"`
 	Partitions        float64       `long:"partitions" default:"0" description:"times per second that daemons lose their links to all replicas; 0.1 is a good rate"`
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
+	Brittle           bool          `long:"brittle" description:"with --crowded: the replicas of the crowded service are brittle at times; it may have a model, and up to 40 replicas"`
 	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
 	Unframed          bool          `long:"unframed" description:"let one in six responses of the replicas, streams too, end with their connections, with neither a length nor chunks"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
@@ -185,6 +186,7 @@
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
 	shape.CrashingParts = o.CrashingParts
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
+	shape.Brittle = o.Brittle
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
@@ -202,6 +204,10 @@
 	if n := report.Streams; n.Begun > 0 {
 		fmt.Printf("  %d of %d long streams began, %d of them hold events of several versions; %d of %d resumes by callers went on\n", n.Begun, n.Sent, n.Mixed, n.Resumed, n.Resumes)
 	}
+	for _, b := range report.Brittle {
+		fmt.Printf("  brittle, limit %d, queue %d: %d of %d falls counted, %d allowed; %d rejected; %.3f of %d calls served (room %.3f), %.3f in the warning\n",
+			b.Spell.Limit, b.Spell.Queue, b.Counted, b.Falls, b.Allowed, b.Rejected, b.Share, b.Calls, b.Room, b.Warning)
+	}
 	for _, v := range report.Excused {
 		fmt.Printf("  not judged: %s %s %s: %s\n", v.At.UTC().Format("15:04:05.000"), v.Promise, v.Subject, v.Detail)
 	}
--- /dev/null
+++ b/internal/soak/brittle_test.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// brittleRun is a run whose replicas become brittle once.
+type brittleRun struct {
+	name    string
+	daemons int
+	crowded Crowded
+	faults  []Fault
+}
+
+// killsFrom returns kills of daemons, one after another.
+func killsFrom(at time.Duration, n, daemons int) []Fault {
+	var out []Fault
+	for i := range n {
+		out = append(out, Fault{At: at + time.Duration(i)*1500*time.Millisecond, For: time.Second, Kind: killDaemon, Target: i % daemons})
+	}
+	return out
+}
+
+// brittleFor returns a spell that begins after 2 s and bites for the given time.
+func brittleFor(bites time.Duration, limit, queue int) []BrittleSpell {
+	return []BrittleSpell{{At: 2 * time.Second, For: brittleWarning + bites, Limit: limit, Queue: queue}}
+}
+
+const brittleBites = 8 * time.Second
+
+var brittleRuns = []brittleRun{
+	{"plain", 8, Crowded{Replicas: 4, Load: 1, Brittle: brittleFor(brittleBites, 1, 0)}, nil},
+	{"plain, slow replicas", 8, Crowded{Replicas: 4, Load: 1.2, Brittle: brittleFor(brittleBites, 2, 1), Slow: []SlowSpell{{0, 7 * time.Second}, {1, 9 * time.Second}, {2, 11 * time.Second}}}, nil},
+	{"plain, daemons killed", 8, Crowded{Replicas: 4, Load: 0.7, Brittle: brittleFor(brittleBites, 3, 0)}, killsFrom(6*time.Second, 5, 8)},
+	{"plain, 40 replicas", 12, Crowded{Replicas: 40, Slots: 2, Load: 0.6, Brittle: brittleFor(brittleBites, 2, 0)}, nil},
+	{"model, 40 replicas", 12, Crowded{Replicas: 40, Slots: 4, Work: 400 * time.Millisecond, Generates: true, Load: 0.9, Brittle: brittleFor(brittleBites, 1, 0)}, nil},
+}
+
+// TestBrittleReplicasDoNotFallUnderRejections guards against a fleet whose daemons make brittle replicas reject
+// more requests than they survive, so that they terminate again and again.
+func TestBrittleReplicasDoNotFallUnderRejections(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	binary := buildDaemon(t, root)
+	for _, run := range brittleRuns {
+		t.Run(run.name, func(t *testing.T) {
+			c := run.crowded
+			c.Seed, c.Period, c.Workspaces, c.Impatient = 6, 4*time.Second, senders, 0.25
+			plan := &Plan{
+				Daemons: run.daemons, Domains: 3, Gate: 2, Chat: 2, Callers: run.daemons, Faults: run.faults,
+				Trouble: 2*time.Second + brittleWarning + brittleBites, Quiet: 5 * time.Second, Crowded: &c,
+			}
+			report, err := Play(context.Background(), plan, Options{Daemon: binary, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range report.Brittle {
+				t.Logf("%d of %d falls counted, %d allowed; %d rejected, %.2f by one daemon; %.3f of %d calls served, room for %.3f; %.3f before, %.3f in the warning; %.2f of the rejections were retries; refused %v",
+					b.Counted, b.Falls, b.Allowed, b.Rejected, b.ByDaemon, b.Share, b.Calls, b.Room, b.Before, b.Warning, b.AsRetry, b.Refused)
+			}
+			for _, v := range report.Violations {
+				t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
+			}
+		})
+	}
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -130,7 +130,7 @@
 		Method: q.Route.Method, Target: q.Target, Host: routeHost, ID: q.ID, Key: q.Key, Timeout: q.Deadline.Sub(q.Sent),
 		Body: q.Body, Chunked: hashOf(q.ID)%3 == 0, LastEventID: q.After, Resumes: q.Resumes,
 	}
-	if q.Route.Stream {
+	if q.Route.Stream || q.Generates {
 		r.Prompt = q.prompt()
 	}
 	return r.Text()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -42,7 +42,8 @@
 	// Versions limits streams of several software versions, and streams that callers can't resume.
 	Versions versionBounds
 	// Parts limits the spread of requests with a part that crashes replicas.
-	Parts partBounds
+	Parts   partBounds
+	Brittle brittleBounds
 	// MaxRefusal is how long a daemon may refuse requests that a live replica could serve.
 	MaxRefusal time.Duration
 }
@@ -60,6 +61,7 @@
 		Partition:  partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
 		Versions:   versionBounds{Mixed: 2, MinResumes: 12, MinReplicas: 2, MinShare: 0.5},
 		Parts:      partBounds{Crashes: 5, LaterArrivals: 3, MinShare: 0.5, MinRequests: 20},
+		Brittle:    brittleBounds{AllowedFalls: 2, Settle: time.Second, MinServed: 0.5, MinCalls: 50},
 		MaxRefusal: time.Second,
 	}
 }
@@ -80,6 +82,7 @@
 		j.checkRequest(r)
 	}
 	j.checkCrowded()
+	j.checkBrittle()
 	j.checkTolerated()
 	j.checkRetries()
 	j.checkCrashing()
--- a/internal/soak/crowded.go
+++ b/internal/soak/crowded.go
@@ -24,13 +24,21 @@
 
 // Crowded is the crowded service of a run.
 type Crowded struct {
-	Seed       uint64        `json:"seed"`
-	Replicas   int           `json:"replicas"`
-	Load       float64       `json:"load"`   // mean, as a multiple of what the service can serve
-	Period     time.Duration `json:"period"` // of the waves
-	Workspaces []Sender      `json:"workspaces"`
-	Surges     []Surge       `json:"surges"`
-	Slow       []SlowSpell   `json:"slow"`
+	Seed     uint64 `json:"seed"`
+	Replicas int    `json:"replicas"`
+	// Slots are those of each replica; 0: gateSlots. Work is the usual time of a request; 0: crowdedWork.
+	Slots int           `json:"slots,omitempty"`
+	Work  time.Duration `json:"work,omitempty"`
+	// Generates says that the service has a model and its requests have prompts.
+	Generates bool `json:"generates,omitempty"`
+	// Impatient is the share of the callers that return early, whatever they are told.
+	Impatient  float64        `json:"impatient,omitempty"`
+	Load       float64        `json:"load"`   // mean, as a multiple of what the service can serve
+	Period     time.Duration  `json:"period"` // of the waves
+	Workspaces []Sender       `json:"workspaces"`
+	Surges     []Surge        `json:"surges"`
+	Slow       []SlowSpell    `json:"slow"`
+	Brittle    []BrittleSpell `json:"brittle,omitempty"`
 }
 
 // Sender is a workspace that sends requests to the crowded service.
@@ -120,9 +128,28 @@
 	p.Crowded = c
 }
 
+// isBrittle reports whether the replicas are brittle at times.
+func (c *Crowded) isBrittle() bool { return c != nil && len(c.Brittle) > 0 }
+
+// slots returns the slots of each replica.
+func (c *Crowded) slots() int {
+	if c.Slots == 0 {
+		return gateSlots
+	}
+	return c.Slots
+}
+
+// work returns the usual time of a request.
+func (c *Crowded) work() time.Duration {
+	if c.Work == 0 {
+		return crowdedWork
+	}
+	return c.Work
+}
+
 // capacity returns how many requests a second the service can serve.
 func (c *Crowded) capacity() float64 {
-	return float64(c.Replicas*gateSlots) / crowdedWork.Seconds()
+	return float64(c.Replicas*c.slots()) / c.work().Seconds()
 }
 
 // crowdedReplicas returns the number of replicas of the crowded service.
@@ -136,7 +163,11 @@
 // addTo adds the crowded service, its route and its workspaces to a configuration. Each workspace has
 // its name as its key.
 func (c *Crowded) addTo(config *standin.Config) {
-	config.Services = append(config.Services, standin.Service{Name: serviceCrowded})
+	service := standin.Service{Name: serviceCrowded}
+	if c.Generates {
+		service.Engine = &standin.Engine{}
+	}
+	config.Services = append(config.Services, service)
 	config.Routes = append(config.Routes, standin.Route{
 		Name: crowdedRoute.Name, Host: routeHost, Prefix: crowdedRoute.Prefix, Kind: kindOf(crowdedRoute), TimeoutMS: crowdedRoute.Timeout.Milliseconds(),
 		FirstByteMS: int(crowdedTarget.Milliseconds()), Service: serviceCrowded, Attempts: crowdedRoute.Attempts,
@@ -149,6 +180,7 @@
 // setCrowded sets the crowded service of the site and records its workspaces and its route.
 func (s *site) setCrowded(c *Crowded) {
 	s.crowded = c
+	s.ledger.setCrowdedPlan(c)
 	for _, w := range c.Workspaces {
 		s.ledger.KeyAdded(w.Name, w.Name, time.Time{})
 	}
--- a/internal/soak/crowded_caller.go
+++ b/internal/soak/crowded_caller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -41,7 +42,9 @@
 
 // run sends the load until a time after begun, and returns when all requests have ended.
 func (c *crowdedCallers) run(ctx context.Context, begun time.Time, until time.Duration) {
-	c.site.ledger.Crowds(c.service, begun, begun.Add(until))
+	if !c.isBrittle() {
+		c.site.ledger.Crowds(c.service, begun, begun.Add(until))
+	}
 	var all sync.WaitGroup
 	for workspace := range c.Workspaces {
 		all.Go(func() {
@@ -66,29 +69,43 @@
 // call sends a request, and sends it again under a new id when a refusal says that it may come back.
 func (c *crowdedCallers) call(ctx context.Context, from *Sender) {
 	deadline := time.Now().Add(crowdedTimeout)
+	impatient := rand.Float64() < c.Impatient
+	var record *crowdedCall
 	for returns := 0; ctx.Err() == nil; returns++ {
-		a, ok := c.send(from, deadline)
-		if !ok || returns == maxReturns || a.RetryAfter == 0 || time.Now().Add(a.RetryAfter).After(deadline) {
+		a, daemon, ok := c.send(from, deadline)
+		if record == nil && ok {
+			record = c.site.ledger.CallBegan(time.Now(), daemon)
+		}
+		wait := a.RetryAfter
+		if impatient && ok && a.Status/100 != 2 {
+			wait = impatientReturn
+		}
+		if !ok || returns == maxReturns || wait == 0 || time.Now().Add(wait).After(deadline) {
+			if record != nil {
+				c.site.ledger.CallEnded(record, a.Status/100 == 2)
+			}
 			return
 		}
-		pause(ctx, a.RetryAfter)
+		pause(ctx, wait)
 	}
 }
 
 // send sends a request on an idle connection or a new one. It returns false if there is none.
-func (c *crowdedCallers) send(from *Sender, deadline time.Time) (Answer, bool) {
+func (c *crowdedCallers) send(from *Sender, deadline time.Time) (a Answer, daemon int, ok bool) {
 	out, id := c.take()
 	if !out.connected() && !out.connect() {
-		return Answer{}, false
+		return Answer{}, 0, false
 	}
 	q := Request{
 		ID: id, Route: crowdedRoute, Target: crowdedRoute.Prefix + id, Key: from.Name, Body: "b", Daemon: out.daemon, Incarnation: out.incarnation,
 		Service: c.service, Workspace: from.Name, Urgency: from.Urgency, Sent: time.Now(), Deadline: deadline,
+		Generates: c.Generates, Subject: int(hashOf(id) % chatTopics), Tokens: shortTokens,
 	}
 	out.begin(&q)
-	a := out.roundTrip(&q)
+	daemon = q.Daemon
+	a = out.roundTrip(&q)
 	c.put(out)
-	return a, true
+	return a, daemon, true
 }
 
 // take returns an idle caller or a new one, and the id of its next request.
--- a/internal/soak/crowded_replica.go
+++ b/internal/soak/crowded_replica.go
@@ -13,10 +13,14 @@
 type crowdedReplica struct {
 	queue *slotQueue
 	work  workTime
+	// brittle is the spell in which the replica is brittle; nil: it is not. rejections are those of the last
+	// second while it bites.
+	brittle    *brittleState
+	rejections []time.Time
 }
 
-func newCrowdedReplica(slots int) *crowdedReplica {
-	return &crowdedReplica{queue: newSlotQueue(slots), work: workTime{usual: crowdedWork}}
+func newCrowdedReplica(slots int, work time.Duration) *crowdedReplica {
+	return &crowdedReplica{queue: newSlotQueue(slots), work: workTime{usual: work}}
 }
 
 // TurnSlow makes a replica of a crowded service slow until a time, for requests that begin to run.
@@ -30,10 +34,11 @@
 // connection must be closed.
 func (x *exchange) serveCrowded(run *Run) bool {
 	x.mu.Lock()
+	x.crowded.queue.maxQueued = x.crowded.queueLimit(run.At)
 	place := x.crowded.queue.arrive()
 	x.mu.Unlock()
 	if place == nil {
-		return x.write(standin.NotRun(x.id, x.statements()))
+		return x.rejectFull(run.At)
 	}
 	here := x.ledger.Enters(x.Service, x.ID, run.At)
 	defer func() {
@@ -60,3 +65,16 @@
 	x.finish(200)
 	return x.write(standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements()))
 }
+
+// rejectFull rejects a request because the queue is full. A brittle replica may terminate under it.
+func (x *exchange) rejectFull(now time.Time) bool {
+	x.mu.Lock()
+	falls := x.crowded.fallsAfterRejection(now)
+	x.mu.Unlock()
+	x.ledger.RejectedWhileBrittle(x.Service, x.ID, x.id, now)
+	if falls {
+		x.fell()
+		return false
+	}
+	return x.write(standin.NotRun(x.id, x.statements()))
+}
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -102,7 +102,11 @@
 	if x.departing {
 		x.ledger.DepartureAnnounced(x.id, x.ID)
 	}
-	return standin.SelfReport{Leaving: x.departing}
+	says := standin.SelfReport{Leaving: x.departing}
+	if x.crowded != nil && x.crowded.brittle.isOn(time.Now()) {
+		says.Brittle = itoa(x.crowded.brittle.limit)
+	}
+	return says
 }
 
 // statementsWithLoad is like statements, with the load.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -42,7 +42,8 @@
 	// Service, Workspace and Urgency are set for a request to a crowded service.
 	Service   string
 	Workspace string
-	Urgency   int // 0 is the most urgent
+	Urgency   int  // 0 is the most urgent
+	Generates bool // the service has a model, and the request a prompt
 }
 
 // by returns the process of a daemon that accepted the request.
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -35,6 +35,9 @@
 	freezes         map[int][]span          // of daemons
 	setAside        map[string][]span       // when replicas backed off, or announced their departure in responses alone
 	crowdedServices map[string]*crowdedService
+	crowdedPlan     *Crowded // nil: no service is crowded
+	crowdedCalls    []*crowdedCall
+	brittle         []brittleSpan
 	partitions      []partitionSpan
 	versions        map[string][]versionSpan // of replicas
 	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
@@ -66,6 +69,7 @@
 	for _, s := range o.crowdedServices {
 		s.copyStays()
 	}
+	o.copyBrittle()
 	return &o
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -129,6 +129,8 @@
 	Upgrades bool
 	// Crowded says whether there is a crowded service.
 	Crowded bool
+	// Brittle says whether the replicas of the crowded service are brittle at times.
+	Brittle bool
 	// Versions says whether replicas run several software versions.
 	Versions bool
 	// Unframed says whether a part of the responses ends with their connections.
@@ -169,6 +171,7 @@
 	p.drawFalseCrashes(seed, s)
 	p.drawRestores(seed, s)
 	p.drawCrowded(seed, s)
+	p.drawBrittle(seed, s)
 	p.drawPartitions(seed, s)
 	p.drawVersions(seed, s)
 	p.drawCrashingParts(seed, s)
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -64,6 +64,8 @@
 	arrivals   []time.Time // within the last second, recorded while the replica is cold
 	// crashed is called when a request has crashed the replica.
 	crashed func()
+	// fell is called when a brittle replica had to reject too much.
+	fell func()
 }
 
 // startReplica starts a replica on a free port of the loopback address.
@@ -79,7 +81,7 @@
 func serveReplica(listener net.Listener, id, service, domain string, slots int, l *Ledger) *Replica {
 	r := &Replica{ID: id, Service: service, Domain: domain, slots: slots, startTime: time.Now(), behaviour: ordinary, ledger: l, listener: listener, conns: make(map[net.Conn]struct{})}
 	if service == serviceCrowded {
-		r.crowded = newCrowdedReplica(slots)
+		r.crowded = newCrowdedReplica(slots, crowdedWork)
 	}
 	go r.accept()
 	return r
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,20 +28,21 @@
 
 // Report is the result of a run.
 type Report struct {
-	Plan          *Plan       `json:"plan"`
-	Requests      int         `json:"requests"` // of callers that did not disconnect, with valid keys
-	Served        int         `json:"served"`
-	Share         float64     `json:"share_served"`
-	QuietShare    float64     `json:"share_served_at_the_end"`
-	OverloadShare float64     `json:"share_at_crowded_replicas"` // in the worst undisturbed window
-	Crashed       int         `json:"replicas_ended"`            // by crashing requests
-	Backoffs      int         `json:"rests"`                     // backoffs that replicas requested
-	Departures    int         `json:"left_by_answers"`           // replicas that announced their departure to a caller
-	HeldForParts  int         `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
-	Streams       StreamCount `json:"streams"`                   // of callers that resume them
-	Violations    []Violation `json:"violations"`
-	Excused       []Violation `json:"excused"` // of backoffs that the daemon can't have read
-	Events        []string    `json:"events"`  // faults and their ends
+	Plan          *Plan           `json:"plan"`
+	Requests      int             `json:"requests"` // of callers that did not disconnect, with valid keys
+	Served        int             `json:"served"`
+	Share         float64         `json:"share_served"`
+	QuietShare    float64         `json:"share_served_at_the_end"`
+	OverloadShare float64         `json:"share_at_crowded_replicas"` // in the worst undisturbed window
+	Crashed       int             `json:"replicas_ended"`            // by crashing requests
+	Backoffs      int             `json:"rests"`                     // backoffs that replicas requested
+	Departures    int             `json:"left_by_answers"`           // replicas that announced their departure to a caller
+	HeldForParts  int             `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
+	Streams       StreamCount     `json:"streams"`                   // of callers that resume them
+	Brittle       []BrittleResult `json:"brittle,omitempty"`
+	Violations    []Violation     `json:"violations"`
+	Excused       []Violation     `json:"excused"` // of backoffs that the daemon can't have read
+	Events        []string        `json:"events"`  // faults and their ends
 }
 
 // Parameters of a run.
@@ -74,7 +75,7 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	r.site = newSite(newLedger(defaultBounds()))
-	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing)+len(p.CrashingParts) > 0 || p.Versions != nil
+	r.site.steady, r.site.cold, r.site.refuses = p.Steady, p.Cold, len(p.Crashing)+len(p.CrashingParts) > 0 || p.Versions != nil || p.Crowded.isBrittle()
 	r.site.partCrashes, r.site.unframed = len(p.CrashingParts) > 0, p.Unframed
 	if p.Versions != nil {
 		r.site.setVersions(p.Versions)
@@ -210,6 +211,7 @@
 		crowd := &crowdedCallers{Crowded: c, site: r.site, service: serviceCrowded}
 		crowds.Go(func() { crowd.run(ctx, r.begun, r.plan.Trouble) })
 		crowds.Go(func() { r.site.slowDown(ctx, r.begun, c.Slow) })
+		crowds.Go(func() { r.site.makeBrittle(ctx, r.begun, c.Brittle) })
 	}
 	checking, stopChecking := context.WithCancel(ctx)
 	defer stopChecking()
@@ -271,6 +273,7 @@
 	r.report.Excused = r.site.ledger.Excused()
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.Streams = r.site.ledger.Streams()
+	r.report.Brittle = r.site.ledger.BrittleResults(now)
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
 		r.report.Violations = append(r.report.Violations, Violation{Promise: "RECOVER", Subject: "fleet", At: now, Detail: fmt.Sprintf("only %d of %d requests were served at the end of the quiet time", served, all)})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -53,10 +53,11 @@
 	fleet        *fleet
 	callerFaults callerFaults
 	domains      []string
-	steady       *Steady  // nil: ordinary traffic
-	crowded      *Crowded // nil: no service is crowded
-	partCrashes  bool     // some part of prompts crashes replicas
-	refuses      bool     // the links of terminated replicas refuse connections
+	steady       *Steady       // nil: ordinary traffic
+	crowded      *Crowded      // nil: no service is crowded
+	brittle      *brittleState // of the crowded service; nil: its replicas are not brittle. mu protects it
+	partCrashes  bool          // some part of prompts crashes replicas
+	refuses      bool          // the links of terminated replicas refuse connections
 	partitions   partitions
 	deliveries   deliveries
 	trap         *trap     // address in the entries of the foreign writer
@@ -259,11 +260,23 @@
 	if service == serviceChat {
 		slots = chatSlots
 	}
+	if service == serviceCrowded {
+		slots = s.crowded.slots()
+	}
 	r, err := startReplica(id, service, p.domain, slots, s.ledger)
 	if err != nil {
 		return err
 	}
 	r.crashed = func() { s.restartAfterCrash(p, r) }
+	r.fell = func() { s.restartAfterFall(p, r) }
+	if r.crowded != nil {
+		s.mu.Lock()
+		brittle := s.brittle
+		s.mu.Unlock()
+		r.mu.Lock()
+		r.crowded.work.usual, r.crowded.brittle = s.crowded.work(), brittle
+		r.mu.Unlock()
+	}
 	s.mu.Lock()
 	r.version, r.unframed = p.version, s.unframed
 	p.current, p.idle = r, false
