--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -48,9 +48,9 @@
 // queueLimit returns how many requests a replica queues now.
 func (r *crowdedReplica) queueLimit(now time.Time) int {
 	if r.brittle.bites(now) {
-		return min(r.brittle.queue, maxQueued)
+		return min(r.brittle.queue, r.queue.maxQueued)
 	}
-	return maxQueued
+	return r.queue.maxQueued
 }
 
 // fallsAfterRejection counts a rejection and reports whether the replica terminates under it.
--- a/internal/soak/crowded_replica.go
+++ b/internal/soak/crowded_replica.go
@@ -34,8 +34,7 @@
 // connection must be closed.
 func (x *exchange) serveCrowded(run *Run) bool {
 	x.mu.Lock()
-	x.crowded.queue.maxQueued = x.crowded.queueLimit(run.At)
-	place := x.crowded.queue.arrive()
+	place := x.crowded.queue.arriveWithin(x.crowded.queueLimit(run.At))
 	x.mu.Unlock()
 	if place == nil {
 		return x.rejectFull(run.At)
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -44,12 +44,15 @@
 }
 
 // arrive adds a request. It returns nil if the request is rejected.
-func (q *slotQueue) arrive() *slotRequest {
+func (q *slotQueue) arrive() *slotRequest { return q.arriveWithin(q.maxQueued) }
+
+// arriveWithin is arrive for a queue that is shorter at the moment.
+func (q *slotQueue) arriveWithin(maxQueued int) *slotRequest {
 	r := &slotRequest{started: make(chan struct{})}
 	switch {
 	case q.running < q.slots:
 		q.start(r)
-	case len(q.queued) < q.maxQueued:
+	case len(q.queued) < maxQueued:
 		q.queued = append(q.queued, r)
 	default:
 		return nil
