Requests to a brittle plain service need permits from the first word of its replicas, one for each slot

Cause: permits began only after a rejection or a slow response, and counted on two requests in the queue of each replica, which is no longer there. While replicas are brittle: a place for each slot; a new coordinator first learns which permits are out; a request that was given up keeps its place for a while; rejections close a replica; a daemon that has just started grants itself nothing. Why it works: what is sent is bounded by what surely runs, so that nothing is left to reject.

--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -198,6 +198,8 @@
 	unpermitted []routing.LoadCount
 
 	saturatedUntil time.Time
+	brittle        bool      // its replicas are, see strict.go
+	rejectionLimit int       // of a brittle replica
 	saturated      bool      // the end is not reported yet
 	renewed        time.Time // the saturatedUntil for which the coordinator was asked, rule 1
 	lastAsk        time.Time
--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -44,6 +44,7 @@
 //     been granted since. A daemon whose queued ask is granted gets a reply without a message. A
 //     coordinator without replicas does not reply: it knows nothing of the service yet, and daemons
 //     ask another one if a coordinator is silent.
+//  9. While the replicas are brittle, other bounds hold (strict.go).
 
 package admission
 
@@ -132,6 +133,7 @@
 	speed     serviceSpeed
 	tally     tally
 	paused    time.Time // until when no permit is granted, because the share is less than a place
+	strict    strictMode
 	busyUntil time.Time // until when the service is saturated
 }
 
@@ -139,10 +141,12 @@
 type replica struct {
 	Replica
 	usable      bool
-	permits     int       // out
-	unpermitted int       // requests in flight without a permit
-	failures    int       // permitted requests that failed since one was completed
-	closedUntil time.Time // until when it gets no permit, by rule 5
+	permits     int         // out
+	unpermitted int         // requests in flight without a permit
+	failures    int         // permitted requests that failed since one was completed
+	closedUntil time.Time   // until when it gets no permit, by rule 5
+	lingering   []time.Time // until when requests that were given up still occupy a place, in order
+	rejections  []time.Time // within the last second, in order
 	speed       replicaSpeed
 }
 
@@ -246,7 +250,7 @@
 
 // forgetUnused removes a replica that is not usable and has no requests.
 func (c *Coordinator) forgetUnused(r *replica) {
-	if !r.usable && r.permits == 0 && r.unpermitted == 0 {
+	if !r.usable && r.permits == 0 && r.unpermitted == 0 && len(r.lingering) == 0 {
 		delete(c.known, r.Key)
 	}
 }
@@ -316,10 +320,13 @@
 		r.speed.finished(f.Took, now)
 		c.speed.finished(f.Took, now.Sub(p.granted), now)
 	case Rejected:
-		r.closedUntil = now.Add(c.speed.usual())
+		r.closedUntil = now.Add(c.closedAfterRejection(r, now))
 	case Failed:
 		r.closedUntil = now.Add(closedFor(r.failures, c.speed.usual()))
 		r.failures++
+		c.linger(r, f.Took, now)
+	case Abandoned:
+		c.linger(r, f.Took, now)
 	}
 }
 
@@ -482,7 +489,11 @@
 	if ahead == 0 {
 		return false
 	}
-	wait := time.Duration(float64(ahead+1) / c.throughput(now) * float64(time.Second))
+	throughput := c.throughput(now)
+	if throughput <= 0 {
+		return false // it grants nothing yet, and another coordinator is chosen soon
+	}
+	wait := time.Duration(float64(ahead+1) / throughput * float64(time.Second))
 	left := w.target.Sub(now)
 	return wait > time.Duration(queueShare*float64(max(left-usual, left/2)))
 }
@@ -532,7 +543,7 @@
 
 // choose returns the replica for an ask, by rule 4, or nil if there is no place for it.
 func (c *Coordinator) choose(w *waiting, now time.Time) *replica {
-	if c.occupied() >= c.places() || now.Before(c.paused) {
+	if c.occupied() >= c.places() || c.isPaused(now) {
 		return nil
 	}
 	var best *replica
@@ -555,7 +566,7 @@
 
 // hasFree reports whether there is a free place.
 func (c *Coordinator) hasFree(now time.Time) bool {
-	return !now.Before(c.paused) && c.occupied() < c.places() &&
+	return !c.isPaused(now) && c.occupied() < c.places() &&
 		slices.ContainsFunc(c.replicas, func(r *replica) bool { return c.isOpen(r, now) })
 }
 
@@ -564,20 +575,30 @@
 	return r.requests() < c.placesOf(r) && !(r.failures > 0 && r.permits > 0) && !now.Before(r.closedUntil)
 }
 
+// isPaused reports whether no permit is granted for a while.
+func (c *Coordinator) isPaused(now time.Time) bool {
+	return now.Before(c.paused) || now.Before(c.strict.learningUntil)
+}
+
 // requests returns the number of requests at a replica.
-func (r *replica) requests() int { return r.permits + r.unpermitted }
+func (r *replica) requests() int { return r.permits + r.unpermitted + len(r.lingering) }
 
-// places returns the number of places of a replica.
-func (r *replica) places() int { return max(0, r.Slots) + extraPlaces }
+// placesAt returns the number of places of a replica.
+func (c *Coordinator) placesAt(r *replica) int {
+	if c.strict.on {
+		return max(0, r.Slots)
+	}
+	return max(0, r.Slots) + extraPlaces
+}
 
 // placesOf returns the number of places of a replica that this coordinator may grant.
 func (c *Coordinator) placesOf(r *replica) int {
-	return int(math.Ceil(c.share*float64(r.places()) - rounding))
+	return int(math.Ceil(c.share*float64(c.placesAt(r)) - rounding))
 }
 
 // places returns the number of places that this coordinator may grant.
 func (c *Coordinator) places() int {
-	if len(c.replicas) == 0 {
+	if len(c.replicas) == 0 || c.share == 0 {
 		return 0
 	}
 	return max(1, int(c.shareOfPlaces()+rounding))
@@ -590,7 +611,7 @@
 func (c *Coordinator) allPlaces() int {
 	n := 0
 	for _, r := range c.replicas {
-		n += r.places()
+		n += c.placesAt(r)
 	}
 	return n
 }
@@ -610,7 +631,7 @@
 func (c *Coordinator) occupied() int {
 	n := c.unknown
 	for _, r := range c.replicas {
-		n += min(r.requests(), r.places())
+		n += min(r.requests(), c.placesAt(r))
 	}
 	return n
 }
@@ -621,7 +642,7 @@
 	usual, overhead := c.speed.usual(), c.speed.overhead()
 	perSecond := 0.0
 	for _, r := range c.replicas {
-		places := r.places()
+		places := c.placesAt(r)
 		if r.failures > 0 {
 			places = 1
 		}
@@ -643,6 +664,7 @@
 // expire ends the permits and asks that end because no message arrived in time, by rules 2 and 7.
 func (c *Coordinator) expire(now time.Time) {
 	c.extendSaturated(now)
+	c.expireLingering(now)
 	c.expireDaemons(now)
 	c.expireUnlisted(now)
 	c.expireAsks(now)
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -182,6 +182,29 @@
 	return c != nil && c.saturate(now)
 }
 
+// SetBrittle records whether the replicas of a service are brittle, and how many rejections within a second
+// one survives. Requests to the service need permits while they are, and coordinators grant them by strict
+// bounds. It is to be called more often than each [saturationTime] while they are.
+func (d *Daemon) SetBrittle(s routing.ServiceName, on bool, limit int, now time.Time) {
+	c := d.clients[s]
+	if c == nil {
+		return
+	}
+	if on {
+		c.saturate(now)
+	}
+	if c.brittle == on && c.rejectionLimit == limit {
+		return
+	}
+	c.brittle, c.rejectionLimit = on, limit
+	for _, r := range d.coordinators {
+		if r.service == s {
+			r.setStrict(on, limit, false, now)
+			r.replies = true
+		}
+	}
+}
+
 // Saturated reports whether requests to a service need a permit.
 func (d *Daemon) Saturated(s routing.ServiceName, now time.Time) bool {
 	c := d.clients[s]
@@ -258,7 +281,10 @@
 	share := 1.0
 	if alone {
 		share = 1 / float64(max(d.daemons, 1))
-		if d.isSettling(now) {
+		switch {
+		case d.isSettling(now) && c.brittle:
+			share = 0
+		case d.isSettling(now):
 			share = settlingShare
 		}
 	}
@@ -276,6 +302,7 @@
 		break
 	}
 	r := &running{Coordinator: NewCoordinator(d.self, c.service, scope, share), alone: alone}
+	r.setStrict(c.brittle, c.rejectionLimit, !alone, now)
 	r.SetReplicas(replicas, now)
 	d.coordinators = append(d.coordinators, r)
 	return r
--- /dev/null
+++ b/coordination/admission/strict_test.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// strictTest is a strict coordinator of one replica with two slots, and one daemon that asks it.
+type strictTest struct {
+	*Coordinator
+	request PermitRequest
+	now     time.Time
+}
+
+func newStrictTest(limit int) *strictTest {
+	now := time.Unix(1_000_000, 0)
+	c := NewCoordinator(membership.Member{Address: "10.0.0.1:1"}, "s", "", 1)
+	c.setStrict(true, limit, false, now)
+	c.SetReplicas([]Replica{{Key: 1, Slots: 2}}, now)
+	return &strictTest{Coordinator: c, request: PermitRequest{From: "10.0.0.2:1", Incarnation: 1, Service: "s"}, now: now}
+}
+
+// send sends a message with new asks and finished permits, and returns the permits that are granted.
+func (s *strictTest) send(asks int, finished ...Finished) []PermitID {
+	s.request.Sequence++
+	for range asks {
+		id := PermitID(100*int(s.request.Sequence) + len(s.request.Pending))
+		s.request.Pending = append(s.request.Pending, Ask{ID: id, UntilTarget: 5 * time.Second, UntilDeadline: 9 * time.Second})
+	}
+	for _, f := range finished {
+		s.request.Held = slices.DeleteFunc(s.request.Held, func(id PermitID) bool { return id == f.ID })
+	}
+	r := s.request
+	r.Pending, r.Held, r.Finished = slices.Clone(s.request.Pending), slices.Clone(s.request.Held), finished
+	s.Receive(&r, "z", s.now)
+	return s.granted()
+}
+
+// granted returns the permits that were granted since the last call.
+func (s *strictTest) granted() []PermitID {
+	var out []PermitID
+	for _, reply := range s.Replies(s.now) {
+		for _, d := range reply.Reply.Decisions {
+			if _, ok := d.(Granted); ok && !slices.Contains(s.request.Held, d.Permit()) {
+				out = append(out, d.Permit())
+				s.request.Held = append(s.request.Held, d.Permit())
+				s.request.Pending = slices.DeleteFunc(s.request.Pending, func(a Ask) bool { return a.ID == d.Permit() })
+			}
+		}
+	}
+	return out
+}
+
+// wait lets time pass with a message each 40 ms, and returns the permits that are granted.
+func (s *strictTest) wait(d time.Duration) []PermitID {
+	var out []PermitID
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(min(askingEvery, end.Sub(s.now)))
+		s.Tick(s.now)
+		out = append(append(out, s.granted()...), s.send(0)...)
+	}
+	return out
+}
+
+// TestBrittleReplicaHasAPlaceForEachSlotOnly guards against requests that a brittle replica has to reject because
+// the coordinator counts on its queue.
+func TestBrittleReplicaHasAPlaceForEachSlotOnly(t *testing.T) {
+	s := newStrictTest(3)
+	if n := len(s.send(4)); n != 2 {
+		t.Errorf("%d permits while the replica is brittle, want 2", n)
+	}
+	s.setStrict(false, 0, false, s.now)
+	if n := len(s.wait(20 * time.Millisecond)); n != extraPlaces {
+		t.Errorf("%d more permits after the spell, want %d", n, extraPlaces)
+	}
+}
+
+// TestNewCoordinatorOfBrittleReplicasLearnsFirst guards against a coordinator that takes over and grants places
+// that permits of the former one occupy.
+func TestNewCoordinatorOfBrittleReplicasLearnsFirst(t *testing.T) {
+	s := newStrictTest(3)
+	s.setStrict(true, 3, true, s.now)
+	if n := len(s.send(2)); n != 0 {
+		t.Fatalf("%d permits at once, want none", n)
+	}
+	other := PermitRequest{From: "10.0.0.3:1", Incarnation: 1, Sequence: 1, Service: "s", Unpermitted: []routing.LoadCount{{Replica: 1, Requests: 1}}}
+	s.Receive(&other, "z", s.now)
+	if n := len(s.wait(learnTime - time.Millisecond)); n != 0 {
+		t.Fatalf("%d permits before the permits of all daemons are known, want none", n)
+	}
+	if n := len(s.wait(10 * time.Millisecond)); n != 1 {
+		t.Errorf("%d permits beside a request of another daemon, want 1", n)
+	}
+}
+
+// TestGivenUpRequestKeepsItsPlace guards against a place that is granted again while the replica still runs the
+// request that was given up.
+func TestGivenUpRequestKeepsItsPlace(t *testing.T) {
+	s := newStrictTest(3)
+	usual := s.speed.usual()
+	first := s.send(3)
+	if n := len(s.send(0, Finished{ID: first[0], Took: usual / 3, Result: Abandoned})); n != 0 {
+		t.Errorf("%d permits right after a request was given up, want none", n)
+	}
+	if n := len(s.wait(usual)); n != 1 {
+		t.Errorf("%d permits after the usual time, want 1", n)
+	}
+}
+
+// TestRejectionsCloseABrittleReplica guards against daemons that go on sending to a brittle replica that rejects
+// permitted requests.
+func TestRejectionsCloseABrittleReplica(t *testing.T) {
+	s := newStrictTest(4)
+	rejected := func(id PermitID) Finished { return Finished{ID: id, Took: time.Millisecond, Result: Rejected} }
+	first := s.send(4)
+	next := s.send(0, rejected(first[0]))
+	if len(next) != 0 {
+		t.Fatal("a permit right after a rejection")
+	}
+	if next = s.wait(s.speed.usual()); len(next) != 1 {
+		t.Fatalf("%d permits after the usual time, want 1", len(next))
+	}
+	s.send(0, rejected(next[0]))
+	if n := len(s.wait(800 * time.Millisecond)); n != 0 {
+		t.Errorf("%d permits within a second of two rejections of four that the replica survives, want none", n)
+	}
+	if n := len(s.wait(400 * time.Millisecond)); n != 1 {
+		t.Errorf("%d permits after that second, want 1", n)
+	}
+}
--- a/daemon/routes/brittle.go
+++ b/daemon/routes/brittle.go
@@ -22,10 +22,14 @@
 	sendReportsToTargets(c, c.brittle.TakeReports(gossip.MaxBrittle, now), gossip.EncodeBrittle, now)
 }
 
-// updateBrittle logs which services became brittle and which no longer are.
+// updateBrittle makes requests to the services that are brittle need permits, and logs which services became
+// brittle and which no longer are.
 func (c *control) updateBrittle(now time.Time) {
-	before, known := c.brittleKnown, c.brittle.Services(now)
-	c.brittleKnown = known
+	before, known := c.permits.brittle, c.brittle.Services(now)
+	if len(before) == 0 && len(known) == 0 {
+		return
+	}
+	c.permits.brittle = known
 	for _, s := range known {
 		if !isBrittleIn(before, s.Service) {
 			c.log.BrittleBegan(s)
@@ -33,9 +37,16 @@
 	}
 	for _, s := range before {
 		if !isBrittleIn(known, s.Service) {
+			c.permits.daemon.SetBrittle(s.Service, false, 0, now)
 			c.log.BrittleEnded(s, now)
 		}
 	}
+	for _, s := range known {
+		if c.updatePermitService(s.Service, now) {
+			c.permits.daemon.SetBrittle(s.Service, true, int(s.Limit), now)
+		}
+	}
+	c.settlePermits(now)
 }
 
 func isBrittleIn(list []routing.BrittleStatus, s routing.ServiceName) bool {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -87,8 +87,6 @@
 	syncs      syncState
 	transfers  transfers
 	permits    *permits
-	// brittleKnown are the services that were brittle at the last update.
-	brittleKnown []routing.BrittleStatus
 
 	originQuestions originQuestions
 	// mayBeBehind says that other daemons may have documents that this one lacks.
--- a/daemon/routes/permits.go
+++ b/daemon/routes/permits.go
@@ -33,6 +33,7 @@
 	SetLeaving()
 	SetReplicas(s routing.ServiceName, list []admission.Replica, now time.Time)
 	ReportSaturated(s routing.ServiceName, now time.Time) bool
+	SetBrittle(s routing.ServiceName, on bool, limit int, now time.Time)
 	Saturated(s routing.ServiceName, now time.Time) bool
 	SaturatedServices(now time.Time) []routing.ServiceName
 	Ask(s routing.ServiceName, a admission.Ask, now time.Time)
@@ -60,6 +61,8 @@
 	// services are those with recent events, and when the last one was.
 	services     map[routing.ServiceName]time.Time
 	membersSetAt time.Time
+	// brittle are the services whose replicas were brittle at the last update.
+	brittle []routing.BrittleStatus
 	// timer fires at due, when the daemon has something to do. If due is zero, it is stopped.
 	timer *time.Timer
 	due   time.Time
--- a/daemon/routes/permits_test.go
+++ b/daemon/routes/permits_test.go
@@ -43,6 +43,8 @@
 
 func (d *fakePermitDaemon) SetLeaving() { d.leaving = true }
 
+func (f *fakePermitDaemon) SetBrittle(routing.ServiceName, bool, int, time.Time) {}
+
 func (d *fakePermitDaemon) SetReplicas(s routing.ServiceName, list []admission.Replica, _ time.Time) {
 	d.replicas[s] = list
 	d.calls++
