Requests to brittle services with a model, or with many replicas, need a permit at the replica their daemon chooses

Cause: such services have no coordinator, so that each daemon found out by itself that a replica is full. While a service is brittle, a daemon chooses the replica as ever (by prompt, load, domain) and asks for a permit there, of the daemon that rendezvous hashing gives for that replica; if it is full it tries up to three others and waits at the first. Ruled out: one coordinator for a group of replicas, whose size has to follow the number of replicas, so that daemons disagree while it changes; shares of the slots by daemon, which lose the prompts' homes.

--- a/coordination/admission/asks.go
+++ b/coordination/admission/asks.go
@@ -14,6 +14,7 @@
 	Ask
 	asked, target, deadline time.Time
 	queued                  bool     // by the current coordinator
+	mayNotWait              bool     // it is given up unless a place is free
 	listed                  Sequence // of the last message to the current coordinator that lists it; 0: none
 }
 
--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -189,17 +189,15 @@
 
 // client is the daemon's side of one service.
 type client struct {
-	d       *Daemon
-	service routing.ServiceName
-	hash    uint64
-	active  bool // in the daemon's list of clients with something to do
+	d *Daemon
+	pool
+	hash   uint64
+	active bool // in the daemon's list of clients with something to do
 
 	replicas    []Replica
 	unpermitted []routing.LoadCount
 
 	saturatedUntil time.Time
-	brittle        bool      // its replicas are, see strict.go
-	rejectionLimit int       // of a brittle replica
 	saturated      bool      // the end is not reported yet
 	renewed        time.Time // the saturatedUntil for which the coordinator was asked, rule 1
 	lastAsk        time.Time
@@ -229,7 +227,7 @@
 // saturate records an event that shows that the service is saturated. It reports whether it was
 // not before.
 func (c *client) saturate(now time.Time) bool {
-	if !c.needed() {
+	if !c.needed() || c.isReplica() {
 		return false
 	}
 	isNew := !c.isSaturated(now)
@@ -295,6 +293,9 @@
 
 // chooseTarget returns the coordinator to ask.
 func (c *client) chooseTarget(now time.Time) target {
+	if c.isReplica() {
+		return c.chooseReplicaTarget(now)
+	}
 	self := c.d.self
 	alone := target{address: self.Address, alone: true}
 	if c.d.isSettling(now) {
@@ -356,6 +357,9 @@
 
 // inScope returns a predicate for the replicas of a scope.
 func inScope(s Scope) func(Replica) bool {
+	if key, ok := s.Replica(); ok {
+		return func(r Replica) bool { return r.Key == key }
+	}
 	return func(r Replica) bool { return s == "" || r.Domain == state.FailureDomain(s) }
 }
 
@@ -506,24 +510,26 @@
 func (c *client) decide(l *link, d Decision, from membership.Address, now time.Time) {
 	switch d := d.(type) {
 	case Queued:
-		c.recordQueued(l, d.ID)
+		if !c.endWait(l, d.ID, now) {
+			c.recordQueued(l, d.ID)
+		}
 	case Granted:
 		if i := slices.IndexFunc(c.held, func(p heldPermit) bool { return p.id == d.ID }); i >= 0 {
 			if c.held[i].from != l { // not sent again, but by another coordinator
-				l.schedule(now.Add(unneededAfter))
+				c.returnGrant(l, d.ID, now)
 			}
 			return
 		}
 		a := c.removeAsk(d.ID)
 		if a == nil {
-			l.schedule(now.Add(unneededAfter))
+			c.returnGrant(l, d.ID, now)
 			return
 		}
 		c.held = append(c.held, heldPermit{id: d.ID, replica: d.Replica, from: l})
 		l.held++
 		c.reportDecision(a, d, l, from, now)
 	case Refused:
-		if l != c.current {
+		if c.endWait(l, d.ID, now) || l != c.current {
 			return
 		}
 		if a := c.removeAsk(d.ID); a != nil {
@@ -577,9 +583,9 @@
 			at = earliest(at, l.sent.Add(repeatAfter))
 		}
 	case l == c.current && len(c.asks) > 0:
-		at = earliest(at, l.sent.Add(askingEvery))
+		at = earliest(at, l.sent.Add(c.askingInterval()))
 	case l.held > 0:
-		at = earliest(at, l.sent.Add(holdingEvery))
+		at = earliest(at, l.sent.Add(c.holdingInterval()))
 	}
 	return at
 }
--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -447,7 +447,7 @@
 		if p.listed == d.messages || p.counts && d.asks[id] != nil {
 			continue
 		}
-		if !p.counts || now.Sub(p.granted) > grantDelay {
+		if !p.counts || now.Sub(p.granted) > c.grantDelay() {
 			c.drop(p)
 		} else if !slices.Contains(c.unlisted, p) {
 			c.unlisted = append(c.unlisted, p)
@@ -508,7 +508,7 @@
 func (c *Coordinator) grantFree(now time.Time) {
 	usual := c.speed.usual()
 	grantable := func(w *waiting) bool {
-		return now.Sub(c.daemons[w.from].heard) < waitingSilentAfter && c.choose(w, now) != nil
+		return now.Sub(c.daemons[w.from].heard) < c.waitingSilentAfter() && c.choose(w, now) != nil
 	}
 	for c.queue.len() > 0 && c.hasFree(now) {
 		w := c.queue.next(grantable, usual, now)
@@ -672,7 +672,7 @@
 
 // expireDaemons ends everything of the daemons that are silent.
 func (c *Coordinator) expireDaemons(now time.Time) {
-	for d := first(c.heard); d != nil && now.Sub(d.heard) >= silentAfter; d = first(c.heard) {
+	for d := first(c.heard); d != nil && now.Sub(d.heard) >= c.silentAfter(); d = first(c.heard) {
 		c.end(d)
 	}
 	for d := first(c.silent); d != nil && now.Sub(d.heard) >= forgetAfter; d = first(c.silent) {
@@ -687,7 +687,7 @@
 		if p.by.permits[p.id] != p || !p.counts || p.listed == p.by.messages || p.by.asks[p.id] != nil {
 			return true
 		}
-		if now.Sub(p.granted) <= grantDelay {
+		if now.Sub(p.granted) <= c.grantDelay() {
 			return false
 		}
 		c.drop(p)
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -21,6 +21,8 @@
 type Daemon struct {
 	self         membership.Member
 	members      []membership.Member
+	hash         uint64   // of its own address
+	hashes       []uint64 // of the addresses of members
 	incarnations map[membership.Address]membership.Incarnation
 	domains      map[membership.Address]state.FailureDomain
 	daemons      int       // in the fleet, including this one
@@ -28,7 +30,8 @@
 	sizeReported bool      // another daemon reported a larger fleet than this one knew
 	first        Sequence  // the messages of this incarnation have higher sequence numbers
 	sequence     Sequence  // of the newest message
-	clients      map[routing.ServiceName]*client
+	clients      map[pool]*client
+	brittle      map[routing.ServiceName]int // services whose replicas are brittle, with their limits
 	active       []*client
 	coordinators []*running
 	effects      []Effect
@@ -47,6 +50,8 @@
 	// coordinatorTick is how often a coordinator checks expired permits and deadlines. It bounds the
 	// time for which a place that becomes free without a message stays unused.
 	coordinatorTick = 5 * time.Millisecond
+	// replicaTick is coordinatorTick for the coordinator of a single replica, of which a daemon has many.
+	replicaTick = 25 * time.Millisecond
 	// coordinatorIdle is how long after the last request a coordinator needs no ticks any more. All
 	// permits have expired by then (silentAfter).
 	coordinatorIdle = time.Second
@@ -60,20 +65,23 @@
 	// Incarnations use different sequence numbers, so that replies to a former one are recognized.
 	// They begin in the lower half, which leaves at least 2^31 messages until they wrap around.
 	first := Sequence(coordination.Scramble(uint64(self.Incarnation)) >> 33)
-	return &Daemon{self: self, daemons: 1, first: first, sequence: first,
-		clients: make(map[routing.ServiceName]*client)}
+	return &Daemon{self: self, hash: coordination.Hash(string(self.Address)), daemons: 1, first: first, sequence: first,
+		clients: make(map[pool]*client), brittle: make(map[routing.ServiceName]int)}
 }
 
 // hasSent reports whether this incarnation sent a message with a sequence number.
 func (d *Daemon) hasSent(s Sequence) bool { return s != d.first && s-d.first <= d.sequence-d.first }
 
 // client returns the client of a service.
-func (d *Daemon) client(s routing.ServiceName) *client {
-	c := d.clients[s]
+func (d *Daemon) client(s routing.ServiceName) *client { return d.pool(servicePool(s)) }
+
+// pool returns the client of a pool.
+func (d *Daemon) pool(p pool) *client {
+	c := d.clients[p]
 	if c == nil {
-		c = &client{d: d, service: s, hash: coordination.Hash(string(s)),
+		c = &client{d: d, pool: p, hash: coordination.Hash(string(p.service) + string(p.scope)),
 			silent: make(map[membership.Address]*silence)}
-		d.clients[s] = c
+		d.clients[p] = c
 	}
 	return c
 }
@@ -109,6 +117,10 @@
 	}
 	d.members, d.daemons = slices.Clone(live), daemons
 	d.incarnations, d.domains = incarnations, domains
+	d.hashes = d.hashes[:0]
+	for _, m := range live {
+		d.hashes = append(d.hashes, coordination.Hash(string(m.Address)))
+	}
 	for _, c := range d.clients {
 		c.membersChanged(incarnations)
 	}
@@ -143,18 +155,18 @@
 // SetReplicas sets the usable replicas of a service. A service without any, or with more than
 // [MaxReplicas], needs no permits.
 func (d *Daemon) SetReplicas(s routing.ServiceName, list []Replica, now time.Time) {
-	c := d.clients[s]
+	c := d.clients[servicePool(s)]
 	if c == nil && len(list) == 0 || c != nil && slices.Equal(c.replicas, list) {
 		return
 	}
 	c = d.client(s)
 	c.replicas, c.chosen = slices.Clone(list), false
 	if len(list) == 0 && !c.active {
-		delete(d.clients, s)
+		delete(d.clients, servicePool(s))
 	}
 	// A coordinator without replicas is kept, because the permits are still out when they come back.
 	for _, r := range d.coordinators {
-		if r.service == s {
+		if poolOf(r.service, r.scope) == servicePool(s) {
 			r.SetReplicas(d.replicasIn(c, r.scope), now)
 			r.replies = true
 		}
@@ -178,7 +190,7 @@
 
 // ReportSaturated records that a service is saturated. It reports whether it was not before.
 func (d *Daemon) ReportSaturated(s routing.ServiceName, now time.Time) bool {
-	c := d.clients[s]
+	c := d.clients[servicePool(s)]
 	return c != nil && c.saturate(now)
 }
 
@@ -186,17 +198,16 @@
 // one survives. Requests to the service need permits while they are, and coordinators grant them by strict
 // bounds. It is to be called more often than each [saturationTime] while they are.
 func (d *Daemon) SetBrittle(s routing.ServiceName, on bool, limit int, now time.Time) {
-	c := d.clients[s]
-	if c == nil {
-		return
-	}
-	if on {
+	if c := d.clients[servicePool(s)]; c != nil && on {
 		c.saturate(now)
 	}
-	if c.brittle == on && c.rejectionLimit == limit {
+	if before, ok := d.brittle[s]; ok == on && before == limit {
 		return
 	}
-	c.brittle, c.rejectionLimit = on, limit
+	delete(d.brittle, s)
+	if on {
+		d.brittle[s] = limit
+	}
 	for _, r := range d.coordinators {
 		if r.service == s {
 			r.setStrict(on, limit, false, now)
@@ -207,7 +218,7 @@
 
 // Saturated reports whether requests to a service need a permit.
 func (d *Daemon) Saturated(s routing.ServiceName, now time.Time) bool {
-	c := d.clients[s]
+	c := d.clients[servicePool(s)]
 	return c != nil && c.isSaturated(now)
 }
 
@@ -216,7 +227,7 @@
 func (d *Daemon) SaturatedServices(now time.Time) []routing.ServiceName {
 	var out []routing.ServiceName
 	for _, c := range d.active {
-		if c.isSaturated(now) {
+		if !c.isReplica() && c.isSaturated(now) {
 			out = append(out, c.service)
 		}
 	}
@@ -230,14 +241,14 @@
 
 // Withdraw ends an ask that is not decided, because its caller has gone.
 func (d *Daemon) Withdraw(s routing.ServiceName, id PermitID, now time.Time) {
-	if c := d.clients[s]; c != nil {
+	if c := d.clients[servicePool(s)]; c != nil {
 		c.withdraw(id, now)
 	}
 }
 
 // Finish ends a permit.
 func (d *Daemon) Finish(s routing.ServiceName, f Finished, now time.Time) {
-	if c := d.clients[s]; c != nil {
+	if c := d.clients[servicePool(s)]; c != nil {
 		c.finish(f, now)
 	}
 }
@@ -245,7 +256,7 @@
 // SetUnpermitted sets the daemon's requests in flight without a permit at the replicas of a
 // service.
 func (d *Daemon) SetUnpermitted(s routing.ServiceName, counts []routing.LoadCount) {
-	if c := d.clients[s]; c != nil {
+	if c := d.clients[servicePool(s)]; c != nil {
 		c.unpermitted = slices.Clone(counts)
 	}
 }
@@ -253,7 +264,7 @@
 // ReceiveRequest processes another daemon's message to this daemon as a coordinator. A coordinator
 // without replicas does not reply, so that the other daemon asks elsewhere.
 func (d *Daemon) ReceiveRequest(r *PermitRequest, now time.Time) {
-	c := d.clients[r.Service]
+	c := d.clients[poolOf(r.Service, r.Scope)]
 	if c == nil {
 		return
 	}
@@ -264,7 +275,7 @@
 			c.chosen = false
 		}
 	}
-	if r.Scope != "" && r.Scope != Scope(d.self.Domain) {
+	if !c.isReplica() && r.Scope != "" && r.Scope != Scope(d.self.Domain) {
 		return // each domain has a coordinator of its own
 	}
 	if g := d.coordinator(c, r.Scope, false, now); g != nil {
@@ -278,11 +289,12 @@
 	if len(replicas) == 0 {
 		return nil
 	}
+	limit, isBrittle := d.brittle[c.service]
 	share := 1.0
 	if alone {
 		share = 1 / float64(max(d.daemons, 1))
 		switch {
-		case d.isSettling(now) && c.brittle:
+		case d.isSettling(now) && (isBrittle || c.isReplica()):
 			share = 0
 		case d.isSettling(now):
 			share = settlingShare
@@ -297,23 +309,39 @@
 		}
 		// The share changes with the size of the fleet. The new coordinator does not know the
 		// permits of the former one.
-		c.orphan(c.link(target{address: d.self.Address, alone: true}))
+		c.orphan(c.link(target{address: d.self.Address, scope: scope, alone: true}))
 		d.coordinators = slices.Delete(d.coordinators, i, i+1)
 		break
 	}
 	r := &running{Coordinator: NewCoordinator(d.self, c.service, scope, share), alone: alone}
-	r.setStrict(c.brittle, c.rejectionLimit, !alone, now)
+	r.setStrict(isBrittle || c.isReplica(), limit, !alone, now)
 	r.SetReplicas(replicas, now)
 	d.coordinators = append(d.coordinators, r)
 	return r
 }
 
+// tickInterval returns how often the coordinator checks what has expired.
+func (g *running) tickInterval() time.Duration {
+	if _, ok := g.scope.Replica(); ok {
+		return replicaTick
+	}
+	return coordinatorTick
+}
+
+// idleAfter returns how long after the last request the coordinator needs no ticks any more.
+func (g *running) idleAfter() time.Duration {
+	if g.strict.on {
+		return strictIdle
+	}
+	return coordinatorIdle
+}
+
 // take passes a request to the coordinator.
 func (g *running) take(r *PermitRequest, domain state.FailureDomain, now time.Time) {
 	g.Receive(r, domain, now)
 	g.received, g.replies = now, true
 	if g.tick.IsZero() {
-		g.tick = now.Add(coordinatorTick)
+		g.tick = now.Add(g.tickInterval())
 	}
 }
 
@@ -331,7 +359,7 @@
 
 // ReceiveReply processes a coordinator's message.
 func (d *Daemon) ReceiveReply(r *PermitReply, now time.Time) {
-	if c := d.clients[r.Service]; c != nil {
+	if c := d.clients[poolOf(r.Service, r.Scope)]; c != nil {
 		c.receive(c.link(target{address: r.From, scope: r.Scope}), r, now)
 		d.activate(c)
 	}
@@ -344,15 +372,15 @@
 		if !g.tick.IsZero() && !now.Before(g.tick) {
 			g.Tick(now)
 			g.tick, g.replies = time.Time{}, true
-			if now.Before(g.received.Add(coordinatorIdle)) {
-				g.tick = now.Add(coordinatorTick)
+			if now.Before(g.received.Add(g.idleAfter())) {
+				g.tick = now.Add(g.tickInterval())
 			}
 		}
 		if !g.replies {
 			continue
 		}
 		g.replies = false
-		c := d.clients[g.service]
+		c := d.clients[poolOf(g.service, g.scope)]
 		if c == nil {
 			continue // without replicas, so there are no replies either
 		}
@@ -399,13 +427,31 @@
 		}
 		c.active, c.links, c.current, c.chosen = false, nil, nil, false
 		if len(c.replicas) == 0 {
-			delete(d.clients, c.service)
+			delete(d.clients, c.pool)
 		}
+		d.dropUnused(c.pool)
 		return true
 	})
+	d.dropCoordinators(now)
+}
+
+// dropCoordinators removes the coordinators that were not asked for coordinatorKept.
+func (d *Daemon) dropCoordinators(now time.Time) {
+	isOver := func(g *running) bool { return now.After(g.received.Add(coordinatorKept)) }
+	if !slices.ContainsFunc(d.coordinators, isOver) {
+		return
+	}
+	var dropped []pool
 	d.coordinators = slices.DeleteFunc(d.coordinators, func(g *running) bool {
-		return now.After(g.received.Add(coordinatorKept))
+		if isOver(g) {
+			dropped = append(dropped, poolOf(g.service, g.scope))
+			return true
+		}
+		return false
 	})
+	for _, p := range dropped {
+		d.dropUnused(p)
+	}
 }
 
 // Due returns when [Daemon.Tick] is to be called next, and false if nothing waits for it.
@@ -450,6 +496,9 @@
 func (d *Daemon) Status(now time.Time) []ServiceStatus {
 	var out []ServiceStatus
 	for _, c := range d.clients {
+		if c.isReplica() {
+			continue
+		}
 		s := ServiceStatus{Service: c.service, Saturated: c.isSaturated(now), Waiting: len(c.asks), Held: len(c.held)}
 		if c.current != nil {
 			s.Coordinator, s.Scope, s.Alone = c.current.to.address, c.current.to.scope, c.current.to.alone
@@ -461,7 +510,7 @@
 		}
 		slices.Sort(s.Silent)
 		for _, g := range d.coordinators {
-			if g.service == c.service && now.Before(g.received.Add(coordinatorIdle)) {
+			if poolOf(g.service, g.scope) == c.pool && now.Before(g.received.Add(coordinatorIdle)) {
 				s.Coordinates = append(s.Coordinates, g.Status(now))
 			}
 		}
--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -5,23 +5,39 @@
 //
 //  1. A replica has a place for each of its slots and no more: it is not known how many requests it
 //     still queues.
-//  2. A coordinator that does not know the permits of the one before it grants none for learnTime.
-//     Within that time each daemon that holds permits has found the former coordinator silent, and lists
-//     them here.
+//  2. A coordinator that does not know the permits of the one before it grants none for learnTime, or
+//     learnReplicaTime if it is that of a single replica. Within that time each daemon that holds permits
+//     has found the former coordinator silent, and lists them here.
 //  3. A request that was given up after it was sent occupies its place for the rest of the usual time of a
 //     request, lingerTime at most: the replica may not have noticed yet. The same holds for a failed one.
 //  4. After a rejection a replica gets no permit for the usual time of a request. After as many as half of
 //     the limit within a second it gets none until a second after the first of them: somebody sends
 //     without permits.
 //  5. A daemon that has just started, and does not know who coordinates, grants itself nothing.
+//  6. A permit counts for longer without a message of its daemon, and after a grant of which the daemon does
+//     not know yet: machines that are busy delay messages by tenths of a second, and a place that is granted
+//     twice costs more than one that stays unused. A daemon returns a grant that it does not need at once.
+//  7. The coordinators of single replicas hear less often of permits and asks. A daemon holds permits of many
+//     of them, which would otherwise cost more than its control budget.
 
 package admission
 
 import "time"
 
 const (
-	// learnTime is longer than holdingEvery, replyTimeout and the time that a message takes.
-	learnTime = 150 * time.Millisecond
+	// learnTime and learnReplicaTime are longer than holdingEvery and holdingReplicaEvery, replyTimeout and
+	// the time that a message takes.
+	learnTime        = 150 * time.Millisecond
+	learnReplicaTime = 550 * time.Millisecond
+	// strictSilent replaces silentAfter, strictWaitingSilent waitingSilentAfter, and strictGrantDelay
+	// grantDelay, by rule 6. strictIdle is longer than strictSilent.
+	strictSilent        = 1200 * time.Millisecond
+	strictWaitingSilent = 500 * time.Millisecond
+	strictGrantDelay    = 250 * time.Millisecond
+	strictIdle          = 2 * time.Second
+	// askingReplicaEvery and holdingReplicaEvery replace askingEvery and holdingEvery, by rule 7.
+	askingReplicaEvery  = 200 * time.Millisecond
+	holdingReplicaEvery = 500 * time.Millisecond
 	// lingerTime bounds the time for which a place stays unused because a request was given up.
 	lingerTime = time.Second
 	// rejectionWindow is the time in which a brittle replica counts its rejections.
@@ -39,7 +55,7 @@
 func (c *Coordinator) setStrict(on bool, limit int, isNew bool, now time.Time) {
 	c.strict.on, c.strict.limit = on, limit
 	if on && isNew {
-		c.strict.learningUntil = now.Add(learnTime)
+		c.strict.learningUntil = now.Add(c.learnTime())
 	}
 	if on {
 		return
@@ -51,6 +67,67 @@
 	}
 }
 
+// learnTime returns for how long a new coordinator grants no permits, by rule 2.
+func (c *Coordinator) learnTime() time.Duration {
+	if _, ok := c.scope.Replica(); ok {
+		return learnReplicaTime
+	}
+	return learnTime
+}
+
+// silentAfter returns the time without a message after which nothing of a daemon counts.
+func (c *Coordinator) silentAfter() time.Duration {
+	if c.strict.on {
+		return strictSilent
+	}
+	return silentAfter
+}
+
+// waitingSilentAfter returns the time without a message after which the queued asks of a daemon get no permits.
+func (c *Coordinator) waitingSilentAfter() time.Duration {
+	if c.strict.on {
+		return strictWaitingSilent
+	}
+	return waitingSilentAfter
+}
+
+// grantDelay returns the time within which a daemon knows of a grant, and its message says so.
+func (c *Coordinator) grantDelay() time.Duration {
+	if c.strict.on {
+		return strictGrantDelay
+	}
+	return grantDelay
+}
+
+// askingInterval returns the time between messages while asks wait.
+func (c *client) askingInterval() time.Duration {
+	if c.isReplica() {
+		return askingReplicaEvery
+	}
+	return askingEvery
+}
+
+// holdingInterval returns the time between messages while permits are held.
+func (c *client) holdingInterval() time.Duration {
+	if c.isReplica() {
+		return holdingReplicaEvery
+	}
+	return holdingEvery
+}
+
+// returnGrant returns a grant that is not needed, by rule 6, or leaves it out of the messages until the
+// coordinator no longer takes it to be on its way.
+func (c *client) returnGrant(l *link, id PermitID, now time.Time) {
+	if _, isBrittle := c.d.brittle[c.service]; !isBrittle && !c.isReplica() {
+		l.schedule(now.Add(unneededAfter))
+		return
+	}
+	if len(l.finished) < maxFinished {
+		l.finished = append(l.finished, Finished{ID: id, Result: Abandoned})
+	}
+	l.schedule(now)
+}
+
 // linger lets a request that was given up occupy its place for some time, by rule 3.
 func (c *Coordinator) linger(r *replica, took time.Duration, now time.Time) {
 	rest := min(lingerTime, c.speed.usual()-took)
--- a/coordination/routing/load.go
+++ b/coordination/routing/load.go
@@ -103,6 +103,13 @@
 	return out
 }
 
+// LocalUnpermittedAt returns the number of this daemon's requests without a permit at a replica.
+func (l *Loads) LocalUnpermittedAt(key LoadKey) uint16 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return saturate(l.own[key] - l.permitted[key])
+}
+
 // LocalCounts returns this daemon's counts, to be sent to its peers.
 func (l *Loads) LocalCounts() []LoadCount {
 	l.mu.Lock()
--- a/daemon/routes/brittle.go
+++ b/daemon/routes/brittle.go
@@ -41,10 +41,10 @@
 			c.log.BrittleEnded(s, now)
 		}
 	}
+	c.updateAtReplica(known)
 	for _, s := range known {
-		if c.updatePermitService(s.Service, now) {
-			c.permits.daemon.SetBrittle(s.Service, true, int(s.Limit), now)
-		}
+		c.updatePermitService(s.Service, now)
+		c.permits.daemon.SetBrittle(s.Service, true, int(s.Limit), now)
 	}
 	c.settlePermits(now)
 }
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -92,6 +92,7 @@
 	// permitDone says that a request with a permit has ended.
 	permitDone struct {
 		service  routing.ServiceName
+		replica  routing.LoadKey // at which it was acquired; 0: the coordinator chose the replica
 		finished admission.Finished
 	}
 	// saturationObserved says that a request of this daemon was rejected by a full replica, or its
--- a/daemon/routes/permits.go
+++ b/daemon/routes/permits.go
@@ -40,6 +40,10 @@
 	Withdraw(s routing.ServiceName, id admission.PermitID, now time.Time)
 	Finish(s routing.ServiceName, f admission.Finished, now time.Time)
 	SetUnpermitted(s routing.ServiceName, counts []routing.LoadCount)
+	SetReplica(s routing.ServiceName, r admission.Replica)
+	AskAt(s routing.ServiceName, key routing.LoadKey, a admission.Ask, mayWait bool, unpermitted uint16, now time.Time)
+	WithdrawAt(s routing.ServiceName, key routing.LoadKey, id admission.PermitID, now time.Time)
+	FinishAt(s routing.ServiceName, key routing.LoadKey, f admission.Finished, now time.Time)
 	ReceiveRequest(r *admission.PermitRequest, now time.Time)
 	ReceiveReply(r *admission.PermitReply, now time.Time)
 	Tick(now time.Time)
@@ -63,6 +67,8 @@
 	membersSetAt time.Time
 	// brittle are the services whose replicas were brittle at the last update.
 	brittle []routing.BrittleStatus
+	// atReplica are those of them whose requests need permits at single replicas.
+	atReplica []routing.ServiceName
 	// timer fires at due, when the daemon has something to do. If due is zero, it is stopped.
 	timer *time.Timer
 	due   time.Time
@@ -80,6 +86,10 @@
 // needPermit asks for a permit for a request.
 func (c *control) needPermit(a *permitAsk, now time.Time) {
 	p, s := c.permits, a.call.Service
+	if a.replica != nil {
+		c.needPermitAt(a, now)
+		return
+	}
 	if !c.updatePermitService(s, now) || !p.daemon.Saturated(s, now) {
 		a.reply <- relay.PermitDirect{}
 		c.settlePermits(now)
@@ -115,10 +125,13 @@
 		return
 	}
 	delete(p.asks, a.id)
-	if a.granted {
-		p.daemon.Finish(a.call.Service, admission.Finished{ID: a.id, Result: admission.Abandoned}, now)
-	} else {
-		p.daemon.Withdraw(a.call.Service, a.id, now)
+	switch abandoned := (admission.Finished{ID: a.id, Result: admission.Abandoned}); {
+	case a.granted && a.replica != nil:
+		p.daemon.FinishAt(a.call.Service, a.replica.LoadKey(), abandoned, now)
+	case a.granted:
+		p.daemon.Finish(a.call.Service, abandoned, now)
+	default:
+		p.withdraw(a, now)
 	}
 	c.settlePermits(now)
 }
@@ -127,6 +140,11 @@
 func (c *control) finishPermit(e *permitDone, now time.Time) {
 	p := c.permits
 	delete(p.asks, e.finished.ID)
+	if e.replica != 0 {
+		p.daemon.FinishAt(e.service, e.replica, e.finished, now)
+		c.settlePermits(now)
+		return
+	}
 	c.updatePermitService(e.service, now)
 	p.daemon.Finish(e.service, e.finished, now)
 	c.settlePermits(now)
@@ -157,7 +175,11 @@
 // knows no replica of the service that it may send to, it does not reply, and the other daemon asks
 // another coordinator (coordination/admission/client.go).
 func (c *control) receivePermitRequest(r *admission.PermitRequest, now time.Time) {
-	if !c.updatePermitService(r.Service, now) {
+	if key, ok := r.Scope.Replica(); ok {
+		if !c.setReplicaOfRequest(r.Service, key, now) {
+			return
+		}
+	} else if !c.updatePermitService(r.Service, now) {
 		return
 	}
 	c.permits.daemon.ReceiveRequest(r, now)
@@ -166,7 +188,9 @@
 
 // receivePermitReply processes a coordinator's message.
 func (c *control) receivePermitReply(r *admission.PermitReply, now time.Time) {
-	c.updatePermitService(r.Service, now)
+	if _, ok := r.Scope.Replica(); !ok {
+		c.updatePermitService(r.Service, now)
+	}
 	c.permits.daemon.ReceiveReply(r, now)
 	c.settlePermits(now)
 }
@@ -175,7 +199,7 @@
 // started learns of its members in any case: it can't tell yet whether it is alone.
 func (c *control) tickPermits(now time.Time) {
 	p := c.permits
-	if len(p.services) == 0 {
+	if len(p.services) == 0 && len(p.brittle) == 0 {
 		if p.membersSetAt.IsZero() {
 			c.setPermitMembers(now)
 		}
@@ -220,7 +244,7 @@
 	var list []admission.Replica
 	if v.MayCoordinate(s, admission.MaxReplicas) {
 		for _, r := range p.placer.PlainReplicas(v, s, now) {
-			list = append(list, admission.Replica{Key: r.LoadKey(), Domain: r.Domain, Slots: r.Slots})
+			list = append(list, admissionReplica(&r))
 		}
 	}
 	if len(list) == 0 {
@@ -257,6 +281,7 @@
 		}
 	}
 	c.publishSaturated(now)
+	c.publishAtReplica(now)
 	c.schedulePermits(now)
 }
 
@@ -287,12 +312,20 @@
 	switch decision := d.Decision.(type) {
 	case admission.Granted:
 		if a == nil {
-			p.daemon.Finish(d.Service, admission.Finished{ID: id, Result: admission.Abandoned}, now)
+			abandoned := admission.Finished{ID: id, Result: admission.Abandoned}
+			p.daemon.Finish(d.Service, abandoned, now)
+			p.daemon.FinishAt(d.Service, decision.Replica, abandoned, now)
 			return
 		}
 		c.log.metrics.permitGranted(d.Waited)
 		a.granted = true
-		a.reply <- relay.PermitGranted{Service: d.Service, ID: id, Replica: decision.Replica}
+		a.reply <- relay.PermitGranted{Service: d.Service, ID: id, Replica: decision.Replica, AtReplica: a.replica != nil}
+	case admission.Full:
+		if a == nil {
+			return
+		}
+		delete(p.asks, id)
+		a.reply <- relay.PermitFull{}
 	case admission.Refused:
 		if a == nil {
 			return
@@ -389,7 +422,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.asks)) {
 		if a := p.asks[id]; a.call.Service == s && !a.granted {
 			delete(p.asks, id)
-			p.daemon.Withdraw(s, id, now)
+			p.withdraw(a, now)
 			a.reply <- relay.PermitDirect{}
 		}
 	}
--- a/daemon/routes/permits_test.go
+++ b/daemon/routes/permits_test.go
@@ -43,7 +43,18 @@
 
 func (d *fakePermitDaemon) SetLeaving() { d.leaving = true }
 
-func (f *fakePermitDaemon) SetBrittle(routing.ServiceName, bool, int, time.Time) {}
+func (d *fakePermitDaemon) SetBrittle(routing.ServiceName, bool, int, time.Time) {}
+
+func (d *fakePermitDaemon) SetReplica(routing.ServiceName, admission.Replica) {}
+
+func (d *fakePermitDaemon) AskAt(routing.ServiceName, routing.LoadKey, admission.Ask, bool, uint16, time.Time) {
+}
+
+func (d *fakePermitDaemon) WithdrawAt(routing.ServiceName, routing.LoadKey, admission.PermitID, time.Time) {
+}
+
+func (d *fakePermitDaemon) FinishAt(routing.ServiceName, routing.LoadKey, admission.Finished, time.Time) {
+}
 
 func (d *fakePermitDaemon) SetReplicas(s routing.ServiceName, list []admission.Replica, _ time.Time) {
 	d.replicas[s] = list
--- a/transport/relay/permits.go
+++ b/transport/relay/permits.go
@@ -19,6 +19,12 @@
 	// Needed reports whether attempts at replicas of a service need a permit. It costs one atomic
 	// read while no service is saturated.
 	Needed(s routing.ServiceName) bool
+	// NeededAtReplica reports whether attempts at replicas of a service need a permit at the replica that
+	// this daemon chooses. It costs one atomic read while no service is brittle.
+	NeededAtReplica(s routing.ServiceName) bool
+	// AcquireAt is Acquire for one replica. If the call is not to wait there, it returns [PermitFull] as soon
+	// as it is known that no place is free.
+	AcquireAt(ctx context.Context, c *Call, r *routing.Replica, mayWait bool) Permit
 	// Acquire waits for a permit for an attempt of a call. tried are the replicas that the call was
 	// sent to before. It returns [PermitExpired] as soon as ctx is done or the call's deadline
 	// leaves no time for an attempt.
@@ -30,8 +36,8 @@
 	ReportSaturated(s routing.ServiceName)
 }
 
-// Permit is the result of [Permits.Acquire]: [PermitDirect], [PermitGranted], [PermitRefused] or
-// [PermitExpired].
+// Permit is the result of [Permits.Acquire] and [Permits.AcquireAt]: [PermitDirect], [PermitGranted],
+// [PermitRefused], [PermitFull] or [PermitExpired].
 type Permit interface{ isPermit() }
 
 type (
@@ -42,9 +48,13 @@
 		Service routing.ServiceName
 		ID      admission.PermitID
 		Replica routing.LoadKey
+		// AtReplica says that it was acquired for this one replica.
+		AtReplica bool
 	}
 	// PermitRefused means that the request is not to be sent.
 	PermitRefused struct{ RetryAfter time.Duration }
+	// PermitFull means that no place is free at the one replica.
+	PermitFull struct{}
 	// PermitExpired means that the wait ended without a decision.
 	PermitExpired struct{}
 )
@@ -52,12 +62,14 @@
 func (PermitDirect) isPermit()  {}
 func (PermitGranted) isPermit() {}
 func (PermitRefused) isPermit() {}
+func (PermitFull) isPermit()    {}
 func (PermitExpired) isPermit() {}
 
 var (
 	_ Permit = PermitDirect{}
 	_ Permit = PermitGranted{}
 	_ Permit = PermitRefused{}
+	_ Permit = PermitFull{}
 	_ Permit = PermitExpired{}
 )
 
@@ -81,8 +93,7 @@
 		s.summary.PermitWait += now.Sub(asked)
 		switch p := p.(type) {
 		case PermitGranted:
-			if ctx.Err() != nil || !s.attempts.InTime(s.call.Deadline, now) || s.isQuarantined(now) {
-				s.Permits.Release(p, 0, admission.Abandoned)
+			if s.isGivenUp(ctx, p, now) {
 				return routing.Target{}, false
 			}
 			view := s.View()
@@ -99,13 +110,22 @@
 		case PermitExpired:
 			s.attempts.InTime(s.call.Deadline, now)
 			return routing.Target{}, false
-		case PermitDirect:
+		case PermitDirect, PermitFull:
 			return s.chooseDirect(ctx)
 		}
 	}
 	return s.chooseDirect(ctx)
 }
 
+// isGivenUp reports whether the call is not to be sent any more, and gives the permit back if so.
+func (s *activeCall) isGivenUp(ctx context.Context, p PermitGranted, now time.Time) bool {
+	if ctx.Err() == nil && s.attempts.InTime(s.call.Deadline, now) && !s.isQuarantined(now) {
+		return false
+	}
+	s.Permits.Release(p, 0, admission.Abandoned)
+	return true
+}
+
 // releasePermit ends the permit of the current attempt, if there is one that has not ended.
 func (s *activeCall) releasePermit(result admission.Result) {
 	if !s.hasPermit {
--- a/transport/relay/permits_test.go
+++ b/transport/relay/permits_test.go
@@ -19,8 +19,10 @@
 
 // scriptedPermits is a Permits whose decisions are scripted by a test.
 type scriptedPermits struct {
-	needed  bool
-	acquire func(ctx context.Context, tried []routing.LoadKey) relay.Permit
+	needed bool
+	// atReplica decides about permits at single replicas; nil: none are needed.
+	atReplica func(r *routing.Replica, mayWait bool) relay.Permit
+	acquire   func(ctx context.Context, tried []routing.LoadKey) relay.Permit
 
 	mu        sync.Mutex
 	tried     [][]routing.LoadKey
@@ -31,6 +33,12 @@
 
 func (p *scriptedPermits) Needed(routing.ServiceName) bool { return p.needed }
 
+func (p *scriptedPermits) NeededAtReplica(routing.ServiceName) bool { return p.atReplica != nil }
+
+func (p *scriptedPermits) AcquireAt(_ context.Context, _ *relay.Call, r *routing.Replica, mayWait bool) relay.Permit {
+	return p.atReplica(r, mayWait)
+}
+
 func (p *scriptedPermits) Acquire(ctx context.Context, _ *relay.Call, tried []routing.LoadKey) relay.Permit {
 	p.mu.Lock()
 	p.tried = append(p.tried, append([]routing.LoadKey(nil), tried...))
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -120,7 +120,12 @@
 // choose returns the target of the next attempt. It returns false if there is none; the outcome then
 // says why.
 func (s *activeCall) choose(ctx context.Context) (routing.Target, bool) {
-	if s.Permits != nil && s.Permits.Needed(s.call.Service) {
+	switch {
+	case s.Permits == nil:
+		return s.chooseDirect(ctx)
+	case s.Permits.NeededAtReplica(s.call.Service):
+		return s.chooseAtReplica(ctx)
+	case s.Permits.Needed(s.call.Service):
 		return s.chooseWithPermit(ctx)
 	}
 	return s.chooseDirect(ctx)
