--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -39,6 +39,20 @@
 	{"model, 40 replicas", 12, Crowded{Replicas: 40, Slots: 4, Work: 400 * time.Millisecond, Generates: true, Load: 0.9, Brittle: brittleFor(brittleBites, 1, 0)}, nil},
 }
 
+// newBrittlePlan returns a plan of a crowded service whose replicas become brittle, without faults.
+func newBrittlePlan(seed uint64) *Plan {
+	c := Crowded{Seed: seed, Replicas: 4, Load: 1, Period: 4 * time.Second, Workspaces: senders, Impatient: 0.25, Brittle: brittleFor(brittleBites, 1, 0)}
+	return brittlePlan(8, &c, nil)
+}
+
+// brittlePlan returns a plan of a crowded service whose replicas become brittle.
+func brittlePlan(daemons int, c *Crowded, faults []Fault) *Plan {
+	return &Plan{
+		Daemons: daemons, Domains: 3, Gate: 2, Chat: 2, Callers: daemons, Faults: faults,
+		Trouble: 2*time.Second + brittleWarning + brittleBites, Quiet: 5 * time.Second, Crowded: c,
+	}
+}
+
 // TestBrittleReplicasDoNotFallUnderRejections guards against a fleet whose daemons make brittle replicas reject
 // more requests than they survive, so that they terminate again and again.
 func TestBrittleReplicasDoNotFallUnderRejections(t *testing.T) {
@@ -51,11 +65,7 @@
 		t.Run(run.name, func(t *testing.T) {
 			c := run.crowded
 			c.Seed, c.Period, c.Workspaces, c.Impatient = 6, 4*time.Second, senders, 0.25
-			plan := &Plan{
-				Daemons: run.daemons, Domains: 3, Gate: 2, Chat: 2, Callers: run.daemons, Faults: run.faults,
-				Trouble: 2*time.Second + brittleWarning + brittleBites, Quiet: 5 * time.Second, Crowded: &c,
-			}
-			report, err := Play(context.Background(), plan, Options{Daemon: binary, Dir: t.TempDir()})
+			report, err := Play(context.Background(), brittlePlan(run.daemons, &c, run.faults), Options{Daemon: binary, Dir: t.TempDir()})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -68,6 +68,9 @@
 	if p.crashing > 0 {
 		shape.Crashing = p.crashing
 	}
+	if p.brittle {
+		return newBrittlePlan(seed)
+	}
 	if p.crowded {
 		return newCrowdedPlan(seed)
 	}
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -24,6 +24,7 @@
 	partitions    []Partition               // of the runs that find it; nil: none
 	versions      bool                      // found by runs with several software versions and no faults but kills of daemons
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
+	brittle       bool                      // found by runs with brittle replicas and no faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	subject       string                    // required prefix of the violation's subject
 	also          []edit                    // further changes of other source files
@@ -137,7 +138,15 @@
 	{name: "forgets quarantined parts after 5 s", promise: "BUDGET", subject: crashingPartPrefix, file: "coordination/routing/crash.go",
 		text: "\t\treturn s.verdict\n", instead: "\t\treturn s.verdict && time.Since(s.verdictAt) < 5*time.Second\n", parts: 1, quiet: longQuiet},
 	{name: "grants more permits than there are places", promise: "PLACES", file: "coordination/admission/coordinator.go",
-		text: "return max(0, r.Slots) + extraPlaces }", instead: "return max(0, r.Slots) + extraPlaces + 10 }", crowded: true},
+		text: "\treturn max(0, r.Slots) + extraPlaces\n", instead: "\treturn max(0, r.Slots) + extraPlaces + 10\n", crowded: true},
+	{name: "does not read that replicas are brittle", promise: "LIMIT", subject: "brittle", file: "platform/selfreport.go",
+		text: "s.Brittle = true", instead: "s.Brittle = false", brittle: true},
+	{name: "counts on the queues that replicas had before they became brittle", promise: "LIMIT", subject: "brittle", file: "coordination/admission/coordinator.go",
+		text: "\t\treturn max(0, r.Slots)\n", instead: "\t\treturn max(0, r.Slots) + extraPlaces\n", brittle: true},
+	{name: "grants the places of brittle replicas in each daemon", promise: "LIMIT", subject: "brittle", file: "coordination/admission/client.go",
+		text: "\tif len(c.d.members) == 0 && c.d.daemons > 1 {\n\t\treturn alone\n", instead: "\tif c.d.daemons > 1 {\n\t\treturn target{address: self.Address}\n", brittle: true},
+	{name: "refuses everything while replicas are brittle", promise: "RECOVER", subject: "brittle", file: "coordination/admission/coordinator.go",
+		text: "\t\treturn max(0, r.Slots)\n", instead: "\t\treturn 0\n", brittle: true},
 	{name: "takes all workspaces for one", promise: "SHARE", file: "coordination/admission/messages.go",
 		text: "return WorkspaceKey(xxhash.Sum64String(string(w)))", instead: "return WorkspaceKey(xxhash.Sum64String(string(w[:0])))", crowded: true},
 	{name: "refuses planned returns", promise: "RETURN", file: "coordination/admission/returns.go",
