Operators see which services are brittle, since when, with which limit, and the places that are counted on

GET /admission and hingectl router admission: the limit and the time of a spell; for services whose permits are for single replicas one line with the sums over those that a daemon asks for or coordinates. Fields are left out while nothing is brittle, so that the answers of before stay as they are; hingectl has one more column at the end.

--- a/cmd/hingectl/admission.go
+++ b/cmd/hingectl/admission.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"hingewinch.org/hingewinch/daemon/routes"
 )
@@ -16,7 +17,7 @@
 func (c *routerAdmissionCommand) Execute([]string) error {
 	w := newTable()
 	defer w.Flush()
-	fmt.Fprintln(w, "DAEMON\tSERVICE\tSCOPE\tCOORDINATOR\tHERE\tSATURATED\tPLACES\tOUT\tWAITING\tREFUSED 10S\tOWN WAITING\tOWN OUT\tSILENT\tURGENCIES\tWORKSPACES")
+	fmt.Fprintln(w, "DAEMON\tSERVICE\tSCOPE\tCOORDINATOR\tHERE\tSATURATED\tPLACES\tOUT\tWAITING\tREFUSED 10S\tOWN WAITING\tOWN OUT\tSILENT\tURGENCIES\tWORKSPACES\tBRITTLE")
 	return c.forEach(func(address string) error {
 		var list []routes.AdmissionAnswer
 		if err := fetchJSON(address, routes.PathAdmission, &list); err != nil {
@@ -32,9 +33,16 @@
 // formatAdmission returns the columns of one service and coordinator.
 func formatAdmission(a *routes.AdmissionAnswer) string {
 	scope, here := "all", "no"
-	if a.Scope != "" {
+	switch {
+	case a.AtReplicas:
+		scope = "each replica"
+	case a.Scope != "":
 		scope = string(a.Scope)
 	}
+	brittle := "-"
+	if a.Brittle {
+		brittle = fmt.Sprintf("%d/s since %s", a.RejectionLimit, time.Duration(a.BrittleMS)*time.Millisecond)
+	}
 	state := "-\t-\t-\t-"
 	if a.IsCoordinator {
 		here = "yes"
@@ -53,8 +61,8 @@
 	for _, t := range a.ByWorkspace {
 		workspaces = append(workspaces, formatCounts(t.Workspace, t.Granted, t.Waiting, t.Refused))
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%t\t%s\t%d\t%d\t%s\t%s\t%s", a.Service, scope, orDash(string(a.Coordinator)), here, a.Saturated, state,
-		a.OwnWaiting, a.OwnHeld, formatList(silent), formatList(urgencies), formatList(workspaces))
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%t\t%s\t%d\t%d\t%s\t%s\t%s\t%s", a.Service, scope, orDash(string(a.Coordinator)), here, a.Saturated, state,
+		a.OwnWaiting, a.OwnHeld, formatList(silent), formatList(urgencies), formatList(workspaces), brittle)
 }
 
 // formatCounts formats the requests of an urgency or workspace: granted, waiting and refused.
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -489,6 +489,9 @@
 	Waiting     int                  // asks of this daemon without a decision
 	Held        int                  // permits that this daemon holds
 	Coordinates []Status             // by this daemon
+	// AtReplicas says that permits are for single replicas; the counts are then sums over those that this daemon
+	// asks for or coordinates.
+	AtReplicas bool
 }
 
 // Status returns the state of the services that are saturated or that this daemon coordinates, in
@@ -497,7 +500,7 @@
 	var out []ServiceStatus
 	for _, c := range d.clients {
 		if c.isReplica() {
-			continue
+			continue // see replicaStatus
 		}
 		s := ServiceStatus{Service: c.service, Saturated: c.isSaturated(now), Waiting: len(c.asks), Held: len(c.held)}
 		if c.current != nil {
@@ -518,7 +521,10 @@
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b ServiceStatus) int { return cmp.Compare(a.Service, b.Service) })
+	out = append(out, d.replicaStatus(now)...)
+	slices.SortFunc(out, func(a, b ServiceStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), boolToInt(a.AtReplicas)-boolToInt(b.AtReplicas))
+	})
 	return out
 }
 
--- a/coordination/admission/replica_pool.go
+++ b/coordination/admission/replica_pool.go
@@ -149,6 +149,38 @@
 	return true
 }
 
+// replicaStatus returns the state of the services for whose single replicas this daemon asks, or grants, permits.
+func (d *Daemon) replicaStatus(now time.Time) []ServiceStatus {
+	byService := make(map[routing.ServiceName]*ServiceStatus)
+	for p, c := range d.clients {
+		if !p.isReplica() {
+			continue
+		}
+		s := byService[p.service]
+		if s == nil {
+			s = &ServiceStatus{Service: p.service, AtReplicas: true}
+			byService[p.service] = s
+		}
+		s.Waiting += len(c.asks)
+		s.Held += len(c.held)
+	}
+	for _, g := range d.coordinators {
+		s := byService[g.service]
+		if _, ok := g.scope.Replica(); !ok || s == nil || !now.Before(g.received.Add(g.idleAfter())) {
+			continue
+		}
+		if len(s.Coordinates) == 0 {
+			s.Coordinates = []Status{{Service: g.service}}
+		}
+		s.Coordinates[0].add(g.Status(now))
+	}
+	out := make([]ServiceStatus, 0, len(byService))
+	for _, s := range byService {
+		out = append(out, *s)
+	}
+	return out
+}
+
 // dropUnused removes the client of a single replica that has nothing to do and no coordinator here.
 func (d *Daemon) dropUnused(p pool) {
 	c := d.clients[p]
--- a/coordination/admission/status.go
+++ b/coordination/admission/status.go
@@ -24,6 +24,14 @@
 	ByWorkspace map[WorkspaceKey]Counts
 }
 
+// add adds the numbers of another coordinator of the service.
+func (s *Status) add(o Status) {
+	s.Places += o.Places
+	s.Out += o.Out
+	s.Waiting += o.Waiting
+	s.Refused += o.Refused
+}
+
 // Counts are the counts of one urgency or workspace. Granted and Refused count the last 10 s.
 type Counts struct{ Granted, Waiting, Refused int }
 
--- a/daemon/routes/operator_permits.go
+++ b/daemon/routes/operator_permits.go
@@ -34,6 +34,14 @@
 	Silent        []membership.Address `json:"silent"` // coordinators that did not reply to this daemon
 	ByUrgency     []UrgencyAnswer      `json:"by_urgency"`
 	ByWorkspace   []WorkspaceAnswer    `json:"by_workspace"`
+	// AtReplicas says that permits are for single replicas of a brittle service; the counts are then sums over
+	// those that this daemon asks for or coordinates.
+	AtReplicas bool `json:"at_replicas,omitempty"`
+	// Brittle says that replicas of the service say that they are brittle, since BrittleMS, and that each
+	// terminates if it rejects more than RejectionLimit requests within a second.
+	Brittle        bool  `json:"brittle,omitempty"`
+	BrittleMS      int64 `json:"brittle_ms,omitempty"`
+	RejectionLimit int   `json:"rejection_limit,omitempty"`
 }
 
 // UrgencyAnswer counts the requests of one urgency. Granted and Refused count the last 10 s.
@@ -62,13 +70,13 @@
 	for _, s := range c.permits.daemon.Status(now) {
 		asked := AdmissionAnswer{
 			Service: s.Service, Scope: state.FailureDomain(s.Scope), Coordinator: s.Coordinator, Alone: s.Alone,
-			Saturated: s.Saturated, OwnWaiting: s.Waiting, OwnHeld: s.Held, Silent: s.Silent,
+			Saturated: s.Saturated, OwnWaiting: s.Waiting, OwnHeld: s.Held, Silent: s.Silent, AtReplicas: s.AtReplicas,
 		}
 		isListed := false
 		for i := range s.Coordinates {
 			st := &s.Coordinates[i]
-			a := AdmissionAnswer{Service: s.Service, Scope: state.FailureDomain(st.Scope), Coordinator: self, Saturated: s.Saturated}
-			if s.Coordinator == self && s.Scope == st.Scope {
+			a := AdmissionAnswer{Service: s.Service, Scope: state.FailureDomain(st.Scope), Coordinator: self, Saturated: s.Saturated, AtReplicas: s.AtReplicas}
+			if s.AtReplicas || s.Coordinator == self && s.Scope == st.Scope {
 				a, isListed = asked, true
 			}
 			a.IsCoordinator = true
@@ -81,9 +89,21 @@
 			out = append(out, asked)
 		}
 	}
+	for i := range out {
+		out[i].setBrittle(c.permits.brittle, now)
+	}
 	return out
 }
 
+// setBrittle sets what is known of the replicas of the service, if they are brittle.
+func (a *AdmissionAnswer) setBrittle(known []routing.BrittleStatus, now time.Time) {
+	for _, b := range known {
+		if b.Service == a.Service {
+			a.Brittle, a.BrittleMS, a.RejectionLimit = true, now.Sub(b.Since).Milliseconds(), int(b.Limit)
+		}
+	}
+}
+
 func urgencyAnswers(s *admission.Status) []UrgencyAnswer {
 	var out []UrgencyAnswer
 	for _, u := range slices.Sorted(maps.Keys(s.ByUrgency)) {
