Tests of the control loop with brittle services; a brittle replica has a place at least

A replica that states no slots has one place while it is brittle: with none, nothing would be sent to it (no entry of the platform states less than one; seen by the test's service without slots).

--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -586,7 +586,7 @@
 // placesAt returns the number of places of a replica.
 func (c *Coordinator) placesAt(r *replica) int {
 	if c.strict.on {
-		return max(0, r.Slots)
+		return max(1, r.Slots)
 	}
 	return max(0, r.Slots) + extraPlaces
 }
--- a/daemon/routes/permits_test.go
+++ b/daemon/routes/permits_test.go
@@ -19,6 +19,8 @@
 
 // fakePermitDaemon records calls and returns scripted effects.
 type fakePermitDaemon struct {
+	brittle   []string          // as they were set
+	askedAt   []routing.LoadKey // single replicas
 	saturated map[routing.ServiceName]bool
 	replicas  map[routing.ServiceName][]admission.Replica
 	members   []membership.Member
@@ -43,11 +45,15 @@
 
 func (d *fakePermitDaemon) SetLeaving() { d.leaving = true }
 
-func (d *fakePermitDaemon) SetBrittle(routing.ServiceName, bool, int, time.Time) {}
+func (d *fakePermitDaemon) SetBrittle(s routing.ServiceName, on bool, limit int, _ time.Time) {
+	d.brittle = append(d.brittle, fmt.Sprint(s, " ", on, " ", limit))
+	d.saturated[s] = on && d.replicas[s] != nil
+}
 
 func (d *fakePermitDaemon) SetReplica(routing.ServiceName, admission.Replica) {}
 
-func (d *fakePermitDaemon) AskAt(routing.ServiceName, routing.LoadKey, admission.Ask, bool, uint16, time.Time) {
+func (d *fakePermitDaemon) AskAt(_ routing.ServiceName, key routing.LoadKey, a admission.Ask, _ bool, _ uint16, _ time.Time) {
+	d.askedAt = append(d.askedAt, key)
 }
 
 func (d *fakePermitDaemon) WithdrawAt(routing.ServiceName, routing.LoadKey, admission.PermitID, time.Time) {
