A replica that terminates because it had to reject too much does not count against what it was serving

Cause: a fall breaks connections and refuses new ones, as a crash does, and was taken for one. Change: rejections by brittle replicas are reported to all daemons (with the reports of brittle services, three a second for a replica, 40 a second for a daemon). The end of a replica within 1.5 s after one is no evidence against contents and parts of prompts; it is if none is known, so that a crashing request is found on a brittle service too. TestOverrunReplicaIsKnownToAll. Why it works: a replica falls under rejections of one second, and those before the last one are known by then.

--- a/coordination/routing/brittle.go
+++ b/coordination/routing/brittle.go
@@ -14,6 +14,11 @@
 //  4. A statement is reported to all daemons at once if the service was not known to be brittle or the limit is
 //     smaller, and otherwise if the last one that was reported is older than brittleForwardAge. Each daemon
 //     forwards what is new to it, once.
+//  5. A rejection by a replica that says that it is brittle is reported too, if the last known one is older
+//     than rejectionForwardAge, up to brittleReportsPerSecond. A replica that terminates within
+//     overrunWindow after a rejection has terminated under its load: that does not count against the
+//     requests and the parts of prompts that it had (crash.go). It counts against them if no rejection is
+//     known, since a request may crash a brittle replica too.
 
 package routing
 
@@ -31,6 +36,8 @@
 	Service ServiceName
 	Limit   RejectionLimit
 	Age     time.Duration // since a replica last said so
+	// Rejecting is the replica that rejected a request then; 0: none is known to have.
+	Rejecting LoadKey
 }
 
 const (
@@ -40,8 +47,20 @@
 	brittleGrace = 2 * time.Second
 	// brittleUnconfirmed is far longer than a replica takes to start.
 	brittleUnconfirmed = time.Minute
-	// maxPendingBrittle bounds the reports that wait to be sent.
-	maxPendingBrittle = 100
+	// maxPendingBrittle bounds the reports that wait to be sent, and brittleReportsPerSecond the bandwidth that
+	// a daemon spends on them: 40 of some 25 bytes to five daemons are 5 KB/s, while replicas reject.
+	maxPendingBrittle       = 100
+	brittleReportsPerSecond = 40
+	// rejectionForwardAge is a part of the second in which a replica counts its rejections.
+	rejectionForwardAge = 300 * time.Millisecond
+	// overrunWindow is that second and the time until a daemon notices that connections broke.
+	// overrunSlack is how much later than the termination the last rejection may seem.
+	overrunWindow = 1500 * time.Millisecond
+	overrunSlack  = 300 * time.Millisecond
+	// rejectionRetention is how long a rejection is known: crash reports are that old at most.
+	rejectionRetention = 30 * time.Second
+	// maxRejecting bounds the memory. It is above the planned number of replicas.
+	maxRejecting = 10_000
 )
 
 // BrittleServices records the services whose replicas are brittle. It is safe for concurrent use. A nil
@@ -50,9 +69,16 @@
 	// known is the number of records. It lets requests skip the lock while there are none.
 	known atomic.Int64
 
-	mu       sync.Mutex
-	services map[ServiceName]*brittleService
-	outbox   outbox[BrittleReport]
+	mu        sync.Mutex
+	services  map[ServiceName]*brittleService
+	rejecting map[LoadKey]rejections // of brittle replicas
+	outbox    outbox[BrittleReport]
+}
+
+// rejections is what is known of the rejections of one replica.
+type rejections struct {
+	last     time.Time
+	reported time.Time // of the last one that was reported
 }
 
 // brittleService is what is known of one service.
@@ -73,14 +99,60 @@
 // NewBrittleServices returns an empty record.
 func NewBrittleServices() *BrittleServices {
 	return &BrittleServices{
-		services: make(map[ServiceName]*brittleService),
+		services: make(map[ServiceName]*brittleService), rejecting: make(map[LoadKey]rejections),
 		outbox: outbox[BrittleReport]{
-			notify: make(chan struct{}, 1), capacity: maxPendingBrittle, maxAge: brittleUnconfirmed, keepUnsent: true,
-			compare: func(a, b pendingReport[BrittleReport]) int { return b.at.Compare(a.at) },
+			notify: make(chan struct{}, 1), capacity: maxPendingBrittle, rate: brittleReportsPerSecond, maxAge: brittleUnconfirmed, keepUnsent: true,
+			compare: compareBrittle,
 		},
 	}
 }
 
+// compareBrittle sends reports of services before those of single replicas, and newer ones first.
+func compareBrittle(a, b pendingReport[BrittleReport]) int {
+	if a, b := a.report.Rejecting != 0, b.report.Rejecting != 0; a != b {
+		return boolToInt(a) - boolToInt(b)
+	}
+	return b.at.Compare(a.at)
+}
+
+// RecordRejection records that a replica that says that it is brittle has rejected a request.
+func (b *BrittleServices) RecordRejection(r *Replica, now time.Time) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.services[r.Service]; known.isOn(now) {
+		b.recordRejection(BrittleReport{Service: r.Service, Limit: known.limit, Rejecting: r.LoadKey()}, now)
+	}
+}
+
+// recordRejection records a rejection at a time, by rule 5. b.mu must be held.
+func (b *BrittleServices) recordRejection(r BrittleReport, at time.Time) {
+	known, ok := b.rejecting[r.Rejecting]
+	if !ok && len(b.rejecting) >= maxRejecting || !at.After(known.last) {
+		return
+	}
+	known.last = at
+	if at.Sub(known.reported) >= rejectionForwardAge {
+		known.reported = at
+		b.outbox.add(r, at)
+	}
+	b.rejecting[r.Rejecting] = known
+}
+
+// Overran reports whether a replica that terminated at a time did so because it had to reject too much, by
+// rule 5.
+func (b *BrittleServices) Overran(replica LoadKey, at time.Time) bool {
+	if b == nil || b.known.Load() == 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.rejecting[replica]
+	return ok && at.Sub(known.last) < overrunWindow && known.last.Sub(at) < overrunSlack
+}
+
 // Waiting returns a channel that receives a value when reports wait for [BrittleServices.TakeReports].
 func (b *BrittleServices) Waiting() <-chan struct{} { return b.outbox.notify }
 
@@ -138,9 +210,16 @@
 	defer b.mu.Unlock()
 	var out []ServiceName
 	for _, r := range reports {
-		if r.Age < brittleUnconfirmed && b.record(r.Service, r.Limit, now.Add(-r.Age), now) {
+		if r.Age >= brittleUnconfirmed {
+			continue
+		}
+		at := now.Add(-r.Age)
+		if b.record(r.Service, r.Limit, at, now) {
 			out = append(out, r.Service)
 		}
+		if r.Rejecting != 0 {
+			b.recordRejection(r, at)
+		}
 	}
 	return out
 }
@@ -201,7 +280,7 @@
 	return out
 }
 
-// Forget removes the records of services that are no longer brittle.
+// Forget removes the records of services that are no longer brittle, and old rejections.
 func (b *BrittleServices) Forget(now time.Time) {
 	if b.known.Load() == 0 {
 		return
@@ -213,5 +292,10 @@
 			delete(b.services, name)
 		}
 	}
+	for replica, known := range b.rejecting {
+		if now.Sub(known.last) > rejectionRetention {
+			delete(b.rejecting, replica)
+		}
+	}
 	b.known.Store(int64(len(b.services)))
 }
--- a/coordination/routing/brittle_test.go
+++ b/coordination/routing/brittle_test.go
@@ -65,3 +65,45 @@
 		t.Errorf("status %+v, want limit 1 since the statement", status)
 	}
 }
+
+// TestOverrunReplicaIsKnownToAll guards against requests and parts of prompts that are quarantined because
+// brittle replicas terminated under their load, and against brittle replicas that no request is blamed for.
+func TestOverrunReplicaIsKnownToAll(t *testing.T) {
+	b, peer := routing.NewBrittleServices(), routing.NewBrittleServices()
+	overran := routing.NewReplica(routing.Replica{ID: "i-1", Service: "s"})
+	crashed := routing.NewReplica(routing.Replica{ID: "i-2", Service: "s"})
+	b.RecordRejection(&overran, brittleAt(0.5))
+	if b.Overran(overran.LoadKey(), brittleAt(0.6)) {
+		t.Error("a replica that is not brittle counts as overrun")
+	}
+	b.Record("s", 2, brittleAt(1))
+	for i := range 100 {
+		b.RecordRejection(&overran, brittleAt(1+float64(i)/200))
+	}
+	reports := b.TakeReports(100, brittleAt(1.5))
+	if len(reports) != 3 || reports[0].Rejecting != 0 {
+		t.Errorf("reports %+v, want the service and two rejections of one replica in half a second", reports)
+	}
+	peer.Observe(reports, brittleAt(1.5))
+	for name, known := range map[string]*routing.BrittleServices{"the daemon that was rejected": b, "another daemon": peer} {
+		if !known.Overran(overran.LoadKey(), brittleAt(1.6)) || !known.Overran(overran.LoadKey(), brittleAt(2.5)) {
+			t.Errorf("%s does not know that the replica was overrun", name)
+		}
+		if known.Overran(overran.LoadKey(), brittleAt(3.2)) || known.Overran(crashed.LoadKey(), brittleAt(1.6)) {
+			t.Errorf("%s takes a crash for a termination under load", name)
+		}
+	}
+	crashes := routing.NewCrashes()
+	for i, at := range []float64{1.6, 1.7, 1.8} {
+		r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(rune('a' + i)), Service: "s"})
+		b.RecordRejection(&r, brittleAt(at))
+		crashes.ReportCrash(7, "w", &r, brittleAt(at))
+	}
+	if !crashes.Quarantined(7, brittleAt(2)) {
+		t.Fatal("want a request that met three terminations to be quarantined before the rejections are known")
+	}
+	crashes.Disprove(b.Overran)
+	if crashes.Quarantined(7, brittleAt(2)) {
+		t.Error("the request stays quarantined although the replicas were overrun")
+	}
+}
--- a/daemon/routes/brittle.go
+++ b/daemon/routes/brittle.go
@@ -22,6 +22,12 @@
 	sendReportsToTargets(c, c.brittle.TakeReports(gossip.MaxBrittle, now), gossip.EncodeBrittle, now)
 }
 
+// isFalseCrash reports whether the crash of a replica at a time does not count against the requests that it
+// had: it has not terminated, or has because it had to reject too much.
+func (c *control) isFalseCrash(replica routing.LoadKey, at time.Time) bool {
+	return c.health.Disproves(replica, at) || c.brittle.Overran(replica, at)
+}
+
 // updateBrittle makes requests to the services that are brittle need permits, and logs which services became
 // brittle and which no longer are.
 func (c *control) updateBrittle(now time.Time) {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -331,8 +331,8 @@
 	}
 	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime)
 	c.disproveTerminations(now)
-	c.crashes.Disprove(c.health.Disproves)
-	c.partCrashes.Disprove(c.health.Disproves)
+	c.crashes.Disprove(c.isFalseCrash)
+	c.partCrashes.Disprove(c.isFalseCrash)
 	c.quarantineParts(now)
 	c.health.Forget(c.domain, now)
 	c.crashes.Forget(now)
--- a/protocol/gossip/brittle_test.go
+++ b/protocol/gossip/brittle_test.go
@@ -13,7 +13,7 @@
 func TestBrittleReports(t *testing.T) {
 	var want []routing.BrittleReport
 	for i := range gossip.MaxBrittle {
-		want = append(want, routing.BrittleReport{Service: routing.ServiceName(rune('a' + i)), Limit: routing.RejectionLimit(i * 4000), Age: time.Duration(i) * time.Second})
+		want = append(want, routing.BrittleReport{Service: routing.ServiceName(rune('a' + i)), Limit: routing.RejectionLimit(i * 4000), Age: time.Duration(i) * time.Second, Rejecting: routing.LoadKey(i << 28)})
 	}
 	payload, err := gossip.EncodeBrittle(want)
 	if err != nil || len(payload) > gossip.MaxHeartbeatBytes {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -162,6 +162,9 @@
 		a.Err, a.Rejected = f.err, errors.Is(f.err, errRejected)
 		s.releaseFailed(ctx, f)
 		s.reportRejection(f)
+		if a.Rejected && a.Brittle {
+			s.Placer.Brittle.RecordRejection(&t.Replica, clock.Now())
+		}
 		if f.countsAgainst {
 			s.recordFailure(&t.Replica, f.result, f.err)
 		}
