A rejection by a brittle replica is not a failure of it

Four rejections ejected a brittle replica for half a second and more, which moved its load to the others, that are as brittle. It is full, not broken: the permits close it for as long as it needs. The test fails without the change (the replica was ejected within eight requests).

--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -207,11 +207,13 @@
 	case x.head.NotExecuted:
 		_, err := io.CopyN(io.Discard, x.response.Body, maxRejectionBytes)
 		x.releaseConn(errors.Is(err, io.EOF), clock.Now())
-		// A requested backoff (coordination/routing/backoffs.go) does not count as a failure.
+		// Neither a requested backoff (coordination/routing/backoffs.go) nor a rejection by a brittle replica
+		// counts as a failure: the replica is full, and an ejection would move its load to others.
 		replaced := status == http.StatusMisdirectedRequest
+		says := x.head.SelfReport
 		return &failure{
 			outcome: coordination.NotRun{Reason: coordination.ReasonUpstreamBusy},
-			result:  routing.ResultRefused, countsAgainst: !replaced && x.head.SelfReport.Backoff == 0, replaced: replaced, err: errRejected,
+			result:  routing.ResultRefused, countsAgainst: !replaced && says.Backoff == 0 && !says.Brittle, replaced: replaced, err: errRejected,
 		}
 	case status < http.StatusMultipleChoices && !x.head.Sealed:
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, countsAgainst: true, err: errUnsealed}
--- a/transport/relay/permits_replica_test.go
+++ b/transport/relay/permits_replica_test.go
@@ -131,4 +131,24 @@
 		Expect(to.status).To(Equal(200))
 		Expect(p.released).To(BeEmpty())
 	})
+
+	It("does not eject a brittle replica that rejects requests", func() {
+		// Guards against full replicas that count as failing, so that the others get their load.
+		for _, brittle := range []bool{false, true} {
+			header := "Not-Executed: full\r\n"
+			if brittle {
+				header += "Server-Brittle: 3\r\n"
+			}
+			full := startReplica("full", func(a *receivedRequest) bool { return respond(a, 503, header, "full") })
+			w := newFixture(atMostOnce, full)
+			for i := range 8 {
+				w.serve(w.call(fmt.Sprint("x", i), "GET", ""))
+			}
+			if brittle {
+				Expect(w.observer.ejected).To(BeEmpty())
+			} else {
+				Expect(w.observer.ejected).NotTo(BeEmpty())
+			}
+		}
+	})
 })
