--- a/coordination/admission/client_bench_test.go
+++ b/coordination/admission/client_bench_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
 )
 
 // BenchmarkPermit measures the work of both daemons for one permit: the ask, the grant, and the
@@ -39,6 +41,46 @@
 	}
 }
 
+// BenchmarkReplicaPermit measures the work of both daemons for one permit at a single replica of many: the choice of
+// the coordinator among 986 daemons, the ask, the grant and the release.
+func BenchmarkReplicaPermit(b *testing.B) {
+	const daemons, replicas = 986, 300
+	var all []membership.Member
+	for i := range daemons {
+		all = append(all, membership.Member{Address: membership.Address(fmt.Sprintf("10.0.%d.%d:1", i/256, i%256)), Incarnation: 1})
+	}
+	newAt := func(i int) *Daemon {
+		d := NewDaemon(all[i])
+		d.SetMembers(append(append([]membership.Member(nil), all[:i]...), all[i+1:]...), daemons, worldStart)
+		d.SetBrittle(svc, true, 1, worldStart)
+		return d
+	}
+	asker, others := newAt(0), make(map[membership.Address]*Daemon)
+	now, granted := worldStart.Add(settleFor), 0
+	b.ReportAllocs()
+	for i := range b.N {
+		id, r := PermitID(i+1), Replica{Key: routing.LoadKey(1 + i%replicas), Slots: 16}
+		now = now.Add(time.Millisecond)
+		asker.SetReplica(svc, r)
+		asker.AskAt(svc, r.Key, Ask{ID: id, UntilTarget: ms(400), UntilDeadline: ms(2500)}, true, 0, now)
+		to := asker.clients[replicaPool(svc, r.Key)].current.to.address
+		coordinator := others[to]
+		if coordinator == nil {
+			b.StopTimer()
+			coordinator = newAt(slices.IndexFunc(all, func(m membership.Member) bool { return m.Address == to }))
+			others[to] = coordinator
+			b.StartTimer()
+		}
+		coordinator.SetReplica(svc, r)
+		coordinator.coordinator(coordinator.clients[replicaPool(svc, r.Key)], ReplicaScope(r.Key), false, now).strict.learningUntil = time.Time{}
+		granted += exchange(asker, coordinator, now)
+		asker.FinishAt(svc, r.Key, Finished{ID: id, Took: time.Millisecond, Result: Completed}, now)
+	}
+	if granted != b.N {
+		b.Fatalf("%d of %d asks were granted", granted, b.N)
+	}
+}
+
 // exchange passes messages on until there are none, and returns the number of grants.
 func exchange(asker, coordinator *Daemon, now time.Time) (granted int) {
 	for again := true; again; {
