soak: room for the calls of a brittle service counts those at disturbed daemons too

They take slots as well. The bound is judged against less room then, by as much as the room was overstated.

--- a/internal/soak/check_brittle.go
+++ b/internal/soak/check_brittle.go
@@ -141,7 +141,7 @@
 	out.Warning, _ = j.callsServed(announced, b.bitesAt)
 	out.Share, out.Calls = j.callsServed(b.bitesAt.Add(j.bounds.Brittle.Settle), b.until)
 	seconds := b.until.Sub(b.bitesAt.Add(j.bounds.Brittle.Settle)).Seconds()
-	out.Room = min(1, c.capacity()*seconds/max(1, float64(out.Calls)))
+	out.Room = min(1, c.capacity()*seconds/max(1, float64(j.callsBegun(b.bitesAt.Add(j.bounds.Brittle.Settle), b.until))))
 	return out
 }
 
@@ -161,6 +161,17 @@
 	return share(n, calls), calls
 }
 
+// callsBegun returns the number of calls that began in a time, also at daemons that were disturbed.
+func (j *checker) callsBegun(from, to time.Time) int {
+	n := 0
+	for _, c := range j.crowdedCalls {
+		if !c.begun.Before(from) && c.begun.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // countedFalls returns how many falls of a spell undisturbed daemons caused.
 func (j *checker) countedFalls(b *brittleSpan) int {
 	n := 0
