--- a/internal/soak/check_brittle.go
+++ b/internal/soak/check_brittle.go
@@ -3,8 +3,8 @@
 //  1. LIMIT: in one spell replicas fall at most AllowedFalls times plus a tenth of their number. A fall
 //     counts if most of what the replica rejected in the second before it came from undisturbed daemons.
 //  2. RECOVER: from Settle after the queues became shorter until the end of the spell, of the calls that
-//     begin, at least MinServed of the share is served for which the slots have room. A fleet that refuses
-//     everything makes no replica fall.
+//     begin, at least MinServed of the share is served for which the slots have room: those of replicas that
+//     other faults left alone, also if they fell. A fleet that refuses everything makes no replica fall.
 
 package soak
 
@@ -140,8 +140,9 @@
 	out.Before, _ = j.callsServed(announced.Add(-time.Second), announced)
 	out.Warning, _ = j.callsServed(announced, b.bitesAt)
 	out.Share, out.Calls = j.callsServed(b.bitesAt.Add(j.bounds.Brittle.Settle), b.until)
-	seconds := b.until.Sub(b.bitesAt.Add(j.bounds.Brittle.Settle)).Seconds()
-	out.Room = min(1, c.capacity()*seconds/max(1, float64(j.callsBegun(b.bitesAt.Add(j.bounds.Brittle.Settle), b.until))))
+	from := b.bitesAt.Add(j.bounds.Brittle.Settle)
+	capacity := c.capacity() * share(j.roomAt(b, from), c.Replicas) * b.until.Sub(from).Seconds()
+	out.Room = min(1, capacity/max(1, float64(j.callsBegun(from, b.until))))
 	return out
 }
 
@@ -161,6 +162,21 @@
 	return share(n, calls), calls
 }
 
+// roomAt returns how many replicas had room for requests from a time to the end of a spell: they were well all the
+// time, in no evacuated domain, or fell.
+func (j *checker) roomAt(b *brittleSpan, from time.Time) int {
+	n := j.countUsable(b.service, from, b.until, func(replica string) bool {
+		return noneOverlaps(j.evacuations[j.domains[replica]], from.Add(-j.bounds.SyncTime), b.until)
+	})
+	fell := make(map[string]bool)
+	for _, f := range b.falls {
+		if joined := j.joined[b.service][f.replica]; joined.Before(from) {
+			fell[f.replica] = true
+		}
+	}
+	return n + len(fell)
+}
+
 // callsBegun returns the number of calls that began in a time, also at daemons that were disturbed.
 func (j *checker) callsBegun(from, to time.Time) int {
 	n := 0
--- a/internal/soak/check_brittle_test.go
+++ b/internal/soak/check_brittle_test.go
@@ -16,19 +16,41 @@
 		disturbed bool // the daemon that sent what was rejected
 		served    int  // of 100 calls
 		load      float64
+		play      func(l *Ledger)
 		broken    string // promise
 	}{
-		{"two falls", 2, false, 100, 1, ""},
-		{"three falls", 3, false, 100, 1, "LIMIT"},
-		{"three falls under requests of a daemon that was disturbed", 3, true, 100, 1, ""},
-		{"half of the calls served", 0, false, 50, 1, ""},
-		{"less than half of the calls served", 0, false, 49, 1, "RECOVER"},
-		{"a quarter served, there is room for half", 0, false, 25, 2, ""},
-		{"less than a quarter served, there is room for half", 0, false, 24, 2, "RECOVER"},
+		{"two falls", 2, false, 100, 1, nil, ""},
+		{"three falls", 3, false, 100, 1, nil, "LIMIT"},
+		{"three falls under requests of a daemon that was disturbed", 3, true, 100, 1, nil, ""},
+		{"half of the calls served", 0, false, 50, 1, nil, ""},
+		{"less than half of the calls served", 0, false, 49, 1, nil, "RECOVER"},
+		{"a quarter served, there is room for half", 0, false, 25, 2, nil, ""},
+		{"less than a quarter served, there is room for half", 0, false, 24, 2, nil, "RECOVER"},
+		{"a third served, a half of the replicas is at rest", 0, false, 33, 1, func(l *Ledger) {
+			l.DisturbReplica("i-1", at(105), at(107))
+			l.DisturbReplica("i-2", at(100), at(107))
+		}, ""},
+		{"a third served, a half of the replicas fell", 0, false, 33, 1, func(l *Ledger) {
+			l.BrittleFrom("s", BrittleSpell{}, at(104), at(112))
+			l.Fell("s", "i-1", at(106))
+			l.Fell("s", "i-2", at(106))
+			l.DisturbReplica("i-1", at(106), at(109))
+			l.DisturbReplica("i-2", at(106), at(109))
+		}, "RECOVER"},
+		{"a quarter served, a domain with half of the replicas is evacuated", 0, false, 25, 1, func(l *Ledger) {
+			l.Evacuated("z0", at(106))
+		}, ""},
 	} {
 		l := newLedger(defaultBounds())
 		// The slots have room for 100 / load calls in the seven seconds that are judged.
 		l.setCrowdedPlan(&Crowded{Replicas: 4, Slots: 1, Work: time.Duration(c.load * 4 * 7 / 100 * float64(time.Second))})
+		for i := range 4 {
+			l.Joined("i-"+itoa(i+1), "s", at(1))
+			l.SetDomain("i-"+itoa(i+1), "z"+itoa(i%2))
+		}
+		if c.play != nil {
+			c.play(l)
+		}
 		spell := BrittleSpell{At: 0, For: 12 * time.Second, Limit: 1}
 		l.BrittleFrom("s", spell, at(104), at(112))
 		if c.disturbed {
