A coordinator that others have replaced learns again before it grants places of brittle replicas

It finds the permits of before expired, and does not know those that others have granted meanwhile. On both sides of a cut each coordinator also risked half of the limit, whatever its share of the fleet. Change: while replicas are brittle, a coordinator learns again after a pause of its process, and once in 5 s when it hears of requests without its permits; a rejection closes a replica for as long as this coordinator may cause one, a daemon that is alone for longer.

--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -146,7 +146,6 @@
 	failures    int         // permitted requests that failed since one was completed
 	closedUntil time.Time   // until when it gets no permit, by rule 5
 	lingering   []time.Time // until when requests that were given up still occupy a place, in order
-	rejections  []time.Time // within the last second, in order
 	speed       replicaSpeed
 }
 
@@ -274,6 +273,9 @@
 		c.finish(d, f, now)
 	}
 	c.setUnpermitted(d, r.Unpermitted)
+	if len(r.Unpermitted) > 0 {
+		c.relearn(now)
+	}
 	added := c.setPending(d, r.Pending, now)
 	c.setHeld(d, r.Held, now)
 	c.grantFree(now)
@@ -320,7 +322,7 @@
 		r.speed.finished(f.Took, now)
 		c.speed.finished(f.Took, now.Sub(p.granted), now)
 	case Rejected:
-		r.closedUntil = now.Add(c.closedAfterRejection(r, now))
+		r.closedUntil = now.Add(c.closedAfterRejection())
 	case Failed:
 		r.closedUntil = now.Add(closedFor(r.failures, c.speed.usual()))
 		r.failures++
--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -7,12 +7,15 @@
 //     still queues.
 //  2. A coordinator that does not know the permits of the one before it grants none for learnTime, or
 //     learnReplicaTime if it is that of a single replica. Within that time each daemon that holds permits
-//     has found the former coordinator silent, and lists them here.
+//     has found the former coordinator silent, and lists them here. The same holds for one whose process
+//     was paused, and, each relearnAfter at most, for one that hears of requests without its permits:
+//     another one has granted in its place, and the other daemons have not come back yet.
 //  3. A request that was given up after it was sent occupies its place for the rest of the usual time of a
 //     request, lingerTime at most: the replica may not have noticed yet. The same holds for a failed one.
-//  4. After a rejection a replica gets no permit for the usual time of a request. After as many as half of
-//     the limit within a second it gets none until a second after the first of them: somebody sends
-//     without permits.
+//  4. A rejection shows that somebody sends without permits, or that another coordinator grants the same
+//     places, as each side of a fleet that is cut does. This coordinator may cause rejectionShare of the
+//     rejections that the replica survives, and a daemon that decides alone its part of that. So the replica
+//     gets no permit for the time in which one is allowed, maxClosedAfterRejection at most.
 //  5. A daemon that has just started, and does not know who coordinates, grants itself nothing.
 //  6. A permit counts for longer without a message of its daemon, and after a grant of which the daemon does
 //     not know yet: machines that are busy delay messages by tenths of a second, and a place that is granted
@@ -40,33 +43,61 @@
 	holdingReplicaEvery = 500 * time.Millisecond
 	// lingerTime bounds the time for which a place stays unused because a request was given up.
 	lingerTime = time.Second
-	// rejectionWindow is the time in which a brittle replica counts its rejections.
-	rejectionWindow = time.Second
+	// relearnAfter bounds what requests from before the spell cost, which have no permits.
+	relearnAfter = 5 * time.Second
+	// pausedTick is the delay of a tick from which the process was paused.
+	pausedTick = 200 * time.Millisecond
+	// rejectionShare leaves half of the rejections to another coordinator.
+	rejectionShare = 0.5
+	// maxClosedAfterRejection is for limits of 0, and for a daemon that is alone of many.
+	maxClosedAfterRejection = 5 * time.Second
 )
 
 // strictMode is the state of the strict bounds.
 type strictMode struct {
 	on            bool
-	limit         int       // rejections in rejectionWindow that a replica survives
+	limit         int       // rejections in a second that a replica survives
 	learningUntil time.Time // no permit is granted before; zero: it may be
+	relearnedAt   time.Time // when it last began to learn because of requests without its permits
 }
 
 // setStrict begins or ends the strict bounds. isNew says that this coordinator may not know all permits.
 func (c *Coordinator) setStrict(on bool, limit int, isNew bool, now time.Time) {
 	c.strict.on, c.strict.limit = on, limit
 	if on && isNew {
-		c.strict.learningUntil = now.Add(c.learnTime())
+		c.learn(now)
 	}
 	if on {
 		return
 	}
 	c.strict.learningUntil = time.Time{}
 	for _, r := range c.known {
-		r.lingering, r.rejections = nil, nil
+		r.lingering = nil
 		c.forgetUnused(r)
 	}
 }
 
+// learn grants no permits until the permits of all daemons are known.
+func (c *Coordinator) learn(now time.Time) {
+	c.strict.learningUntil = now.Add(c.learnTime())
+}
+
+// relearn is learn for a coordinator that hears of requests without its permits, by rule 2.
+func (c *Coordinator) relearn(now time.Time) {
+	if !c.strict.on || now.Sub(c.strict.relearnedAt) < relearnAfter {
+		return
+	}
+	c.strict.relearnedAt = now
+	c.learn(now)
+}
+
+// detectPause lets the coordinator learn again if its process was paused.
+func (g *running) detectPause(now time.Time) {
+	if g.strict.on && !g.tick.IsZero() && now.Sub(g.tick) >= pausedTick {
+		g.learn(now)
+	}
+}
+
 // learnTime returns for how long a new coordinator grants no permits, by rule 2.
 func (c *Coordinator) learnTime() time.Duration {
 	if _, ok := c.scope.Replica(); ok {
@@ -156,16 +187,17 @@
 	}
 }
 
-// closedAfterRejection counts a rejection and returns for how long the replica gets no permit, by rule 4.
-func (c *Coordinator) closedAfterRejection(r *replica, now time.Time) time.Duration {
+// closedAfterRejection returns for how long a replica that rejected a request gets no permit, by rule 4.
+func (c *Coordinator) closedAfterRejection() time.Duration {
+	usual := c.speed.usual()
 	if !c.strict.on {
-		return c.speed.usual()
+		return usual
 	}
-	r.rejections = append(dropBefore(r.rejections, now.Add(-rejectionWindow)), now)
-	if 2*len(r.rejections) < c.strict.limit {
-		return c.speed.usual()
+	perSecond := rejectionShare * c.share * float64(c.strict.limit)
+	if perSecond*maxClosedAfterRejection.Seconds() <= 1 {
+		return max(usual, maxClosedAfterRejection)
 	}
-	return max(c.speed.usual(), r.rejections[0].Add(rejectionWindow).Sub(now))
+	return max(usual, time.Duration(float64(time.Second)/perSecond))
 }
 
 // dropBefore removes the times of an ordered list that are not after a moment.
--- a/coordination/admission/strict_test.go
+++ b/coordination/admission/strict_test.go
@@ -112,23 +112,70 @@
 }
 
 // TestRejectionsCloseABrittleReplica guards against daemons that go on sending to a brittle replica that rejects
-// permitted requests.
+// permitted requests, from two sides of a fleet that is cut or one by one.
 func TestRejectionsCloseABrittleReplica(t *testing.T) {
-	s := newStrictTest(4)
-	rejected := func(id PermitID) Finished { return Finished{ID: id, Took: time.Millisecond, Result: Rejected} }
-	first := s.send(4)
-	next := s.send(0, rejected(first[0]))
-	if len(next) != 0 {
-		t.Fatal("a permit right after a rejection")
-	}
-	if next = s.wait(s.speed.usual()); len(next) != 1 {
-		t.Fatalf("%d permits after the usual time, want 1", len(next))
-	}
-	s.send(0, rejected(next[0]))
-	if n := len(s.wait(800 * time.Millisecond)); n != 0 {
-		t.Errorf("%d permits within a second of two rejections of four that the replica survives, want none", n)
-	}
-	if n := len(s.wait(400 * time.Millisecond)); n != 1 {
-		t.Errorf("%d permits after that second, want 1", n)
+	for _, c := range []struct {
+		limit  int
+		share  float64
+		closed time.Duration
+	}{
+		{4, 1, 500 * time.Millisecond},
+		{1, 1, 2 * time.Second},
+		{0, 1, maxClosedAfterRejection},
+		{6, 1.0 / 3, time.Second},
+		{6, 1.0 / 986, maxClosedAfterRejection},
+	} {
+		s := newStrictTest(c.limit)
+		s.share = c.share
+		first := s.send(4)
+		if n := len(s.send(0, Finished{ID: first[0], Took: time.Millisecond, Result: Rejected})); n != 0 {
+			t.Errorf("limit %d, share %.3f: a permit right after a rejection", c.limit, c.share)
+		}
+		s.paused = time.Time{} // what a part of a place has to wait for
+		if n := len(s.wait(c.closed - 10*time.Millisecond)); n != 0 {
+			t.Errorf("limit %d, share %.3f: %d permits within %v, want none", c.limit, c.share, n, c.closed)
+		}
+		if n := len(s.wait(60 * time.Millisecond)); n != 1 {
+			t.Errorf("limit %d, share %.3f: %d permits after %v, want 1", c.limit, c.share, n, c.closed)
+		}
+	}
+}
+
+// TestCoordinatorThatOthersReplacedLearnsAgain guards against a coordinator that was paused or cut off, and
+// grants the places of permits that another one has granted in its place.
+func TestCoordinatorThatOthersReplacedLearnsAgain(t *testing.T) {
+	s := newStrictTest(3)
+	back := PermitRequest{From: "10.0.0.3:1", Incarnation: 1, Sequence: 1, Service: "s", Unpermitted: []routing.LoadCount{{Replica: 1, Requests: 1}}}
+	s.Receive(&back, "z", s.now)
+	if n := len(s.send(2)); n != 0 {
+		t.Errorf("%d permits before all daemons are back, want none", n)
+	}
+	if n := len(s.wait(learnTime)); n != 1 {
+		t.Errorf("%d permits beside the request of another coordinator, want 1", n)
+	}
+	back.Sequence++
+	s.Receive(&back, "z", s.now)
+	if s.isPaused(s.now) {
+		t.Error("learns again with each message")
+	}
+
+	d := NewDaemon(membership.Member{Address: "10.0.0.1:1"})
+	now := time.Unix(1_000_000, 0)
+	d.SetMembers([]membership.Member{{Address: "10.0.0.2:1"}}, 2, now)
+	d.SetBrittle("s", true, 3, now)
+	d.SetReplica("s", Replica{Key: 1, Slots: 2})
+	ask := PermitRequest{From: "10.0.0.2:1", Incarnation: 1, Sequence: 1, Service: "s", Scope: ReplicaScope(1)}
+	d.ReceiveRequest(&ask, now)
+	g := d.coordinators[0]
+	now = now.Add(learnReplicaTime)
+	d.Tick(now)
+	g.strict.learningUntil = time.Time{}
+	d.Tick(now.Add(replicaTick))
+	if g.isPaused(now.Add(replicaTick)) {
+		t.Error("learns again although the process was not paused")
+	}
+	d.Tick(now.Add(5 * time.Second))
+	if !g.isPaused(now.Add(5 * time.Second)) {
+		t.Error("does not learn again after a pause of the process")
 	}
 }
