--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -28,12 +28,6 @@
 	{"model, 40 replicas", 12, Crowded{Replicas: 40, Slots: 4, Work: 400 * time.Millisecond, Generates: true, Load: 0.9, Brittle: brittleFor(brittleBites, 1, 0)}},
 }
 
-// newBrittlePlan returns a plan of a crowded service whose replicas become brittle, without faults.
-func newBrittlePlan(seed uint64) *Plan {
-	c := Crowded{Seed: seed, Replicas: 4, Load: 1, Period: 4 * time.Second, Workspaces: senders, Impatient: 0.25, Brittle: brittleFor(brittleBites, 1, 0)}
-	return brittlePlan(8, &c)
-}
-
 // brittlePlan returns a plan of a crowded service whose replicas become brittle.
 func brittlePlan(daemons int, c *Crowded) *Plan {
 	return &Plan{
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // maxSeeds is the number of seeds within which each fault must be found.
@@ -97,6 +98,12 @@
 	return plan
 }
 
+// newBrittlePlan returns a plan of a crowded service whose replicas become brittle, without faults.
+func newBrittlePlan(seed uint64) *Plan {
+	c := Crowded{Seed: seed, Replicas: 4, Load: 1, Period: 4 * time.Second, Workspaces: senders, Impatient: 0.25, Brittle: brittleFor(brittleBites, 1, 0)}
+	return brittlePlan(8, &c)
+}
+
 // build builds the daemon with the planted fault.
 func (p *plant) build(t *testing.T, root string) string {
 	t.Helper()
