A daemon goes on to grant permits at single replicas that it no longer needs itself

Its timer did nothing once no service was brittle or in use here, so that other daemons whose spell had not ended yet waited for their next message, up to .2 s. Found by reading.

--- a/daemon/routes/permits.go
+++ b/daemon/routes/permits.go
@@ -450,4 +450,5 @@
 func (c *control) permitsDue(now time.Time) {
 	c.permits.due = time.Time{}
 	c.tickPermits(now)
+	c.settlePermits(now) // other daemons may ask this one for permits that it no longer needs itself
 }
