soak: a replica of a crowded service frees the slot before it writes the response

It freed it afterwards, under two locks that checks hold for tens of milliseconds. A real replica's slot is free when its response is complete.

--- a/internal/soak/crowded_replica.go
+++ b/internal/soak/crowded_replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"hingewinch.org/hingewinch/platform/standin"
@@ -40,13 +41,14 @@
 		return x.rejectFull(run.At)
 	}
 	here := x.ledger.Enters(x.Service, x.ID, run.At)
-	defer func() {
+	leave := sync.OnceFunc(func() {
 		// Under the lock, so that the ledger never has more requests in slots than there are.
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.ledger.Leaves(here, time.Now())
 		x.crowded.queue.leave(place)
-	}()
+	})
+	defer leave()
 	select {
 	case <-x.disconnected:
 		return false
@@ -62,6 +64,7 @@
 		return false
 	}
 	x.finish(200)
+	leave() // the slot is free once the response is complete
 	return x.write(standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements()))
 }
 
