A lookup that only a test used goes; the standard library inserts into an ordered list

No change of behaviour: BrittleServices.IsBrittle had no caller but its test, which asks Services now, with the same assertions; linger's nested appends are slices.Insert.

--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -25,7 +25,10 @@
 
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// learnTime and learnReplicaTime are longer than holdingEvery and holdingReplicaEvery, replyTimeout and
@@ -168,7 +171,7 @@
 	for i > 0 && r.lingering[i-1].After(until) {
 		i--
 	}
-	r.lingering = append(r.lingering[:i], append([]time.Time{until}, r.lingering[i:]...)...)
+	r.lingering = slices.Insert(r.lingering, i, until)
 }
 
 // expireLingering frees the places of requests that were given up.
--- a/coordination/routing/brittle.go
+++ b/coordination/routing/brittle.go
@@ -247,16 +247,6 @@
 	return out
 }
 
-// IsBrittle reports whether the replicas of a service are brittle.
-func (b *BrittleServices) IsBrittle(s ServiceName, now time.Time) bool {
-	if b == nil || b.known.Load() == 0 {
-		return false
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.services[s].isOn(now)
-}
-
 // TakeReports returns up to n reports to send to other daemons.
 func (b *BrittleServices) TakeReports(n int, now time.Time) []BrittleReport {
 	b.mu.Lock()
--- a/coordination/routing/brittle_test.go
+++ b/coordination/routing/brittle_test.go
@@ -13,26 +13,31 @@
 	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// isBrittle reports whether a service is among the brittle ones.
+func isBrittle(b *routing.BrittleServices, s routing.ServiceName, now time.Time) bool {
+	return slices.ContainsFunc(b.Services(now), func(known routing.BrittleStatus) bool { return known.Service == s })
+}
+
 // TestBrittleServiceEndsWithLaterResponse guards against a service that stays brittle for good, or is
 // no longer brittle although only a response from before the spell, or none, has arrived.
 func TestBrittleServiceEndsWithLaterResponse(t *testing.T) {
 	b := routing.NewBrittleServices()
-	if b.RecordOrdinary("s", brittleAt(0), brittleAt(0)) || b.IsBrittle("s", brittleAt(0)) {
+	if b.RecordOrdinary("s", brittleAt(0), brittleAt(0)) || isBrittle(b, "s", brittleAt(0)) {
 		t.Fatal("a service is brittle although no replica said so")
 	}
 	if !b.Record("s", 3, brittleAt(1)) || b.Record("s", 5, brittleAt(1.5)) {
 		t.Fatal("want the first statement to be new and the second not")
 	}
-	if b.RecordOrdinary("s", brittleAt(3.4), brittleAt(9)) || !b.IsBrittle("s", brittleAt(30)) {
+	if b.RecordOrdinary("s", brittleAt(3.4), brittleAt(9)) || !isBrittle(b, "s", brittleAt(30)) {
 		t.Error("a response to a request that was sent too early ended the spell")
 	}
-	if !b.RecordOrdinary("s", brittleAt(3.6), brittleAt(9)) || b.IsBrittle("s", brittleAt(9)) {
+	if !b.RecordOrdinary("s", brittleAt(3.6), brittleAt(9)) || isBrittle(b, "s", brittleAt(9)) {
 		t.Error("a later response without the statement did not end the spell")
 	}
-	if b.Observe([]routing.BrittleReport{{Service: "s", Limit: 1, Age: 6 * time.Second}}, brittleAt(9)) != nil || b.IsBrittle("s", brittleAt(9)) {
+	if b.Observe([]routing.BrittleReport{{Service: "s", Limit: 1, Age: 6 * time.Second}}, brittleAt(9)) != nil || isBrittle(b, "s", brittleAt(9)) {
 		t.Error("a late report began the spell again that had ended")
 	}
-	if !b.Record("s", 2, brittleAt(20)) || !b.IsBrittle("s", brittleAt(79)) || b.IsBrittle("s", brittleAt(81)) {
+	if !b.Record("s", 2, brittleAt(20)) || !isBrittle(b, "s", brittleAt(79)) || isBrittle(b, "s", brittleAt(81)) {
 		t.Error("want a second spell that ends after a minute without any response")
 	}
 }
