Review, case 3: streams that a silent replica would have completed are broken off

A daemon that shuts down gives a stream up after 600 ms without an event although no other replica of the stream's version is in service, and closes the connection.

--- a/review/.standin/fleet.go
+++ b/review/.standin/fleet.go
@@ -176,6 +176,27 @@
 	return f, f.awaitReady()
 }
 
+// grace is how long a process has to end after SIGTERM.
+const grace = 8 * time.Second
+
+// roll stops a daemon with SIGTERM, kills it if it has not ended after its grace, and starts it again.
+func (f *fleet) roll(d *daemon) error {
+	f.record.note("%s gets SIGTERM", d.name)
+	_ = d.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-d.exited:
+		f.record.note("%s has ended", d.name)
+	case <-time.After(grace):
+		_ = d.cmd.Process.Kill()
+		<-d.exited
+		f.record.note("%s was killed after its grace", d.name)
+	}
+	if err := d.start(); err != nil {
+		return err
+	}
+	return f.awaitReady()
+}
+
 // freePorts returns the first of n consecutive ports that are free on all addresses.
 func freePorts(ips []string, n int) (int, error) {
 	for port := 20000 + os.Getpid()%10000; port < 40000; port += n {
--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -1,7 +1,7 @@
 // Command review-standin plays the cases of the review: it starts the project's daemons as processes, and
 // plays the store, the replicas and the clients.
 //
-//	review-standin versions|part FOLDER
+//	review-standin versions|part|silence FOLDER
 //
 // It runs at the root of the repository, writes record.txt into the folder, and exits with 0 if the rule
 // held, 1 if it was broken and 2 if the case could not run. With TROUBLE=0 there is no disruption.
@@ -44,13 +44,13 @@
 	wg       sync.WaitGroup
 }
 
-var cases = map[string]func(*play) int{"part": playPart, "versions": playVersions}
+var cases = map[string]func(*play) int{"part": playPart, "silence": playSilence, "versions": playVersions}
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-standin versions|part FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-standin versions|part|silence FOLDER")
 		return cannotRun
 	}
 	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
--- a/review/.standin/replica.go
+++ b/review/.standin/replica.go
@@ -41,9 +41,10 @@
 	// crashed is called when a request has crashed the replica.
 	crashed func(*replica)
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	ended bool
+	mu          sync.Mutex
+	conns       map[net.Conn]bool
+	ended       bool
+	silentUntil time.Time
 }
 
 func startReplica(r *replica) (*replica, error) {
@@ -203,7 +204,18 @@
 	return r.write(c, "0\r\n\r\n")
 }
 
+// fallSilent makes the replica write nothing for a time. It goes on with everything afterwards.
+func (r *replica) fallSilent(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentUntil = time.Now().Add(d)
+}
+
 func (r *replica) write(c net.Conn, text string) bool {
+	r.mu.Lock()
+	silent := time.Until(r.silentUntil)
+	r.mu.Unlock()
+	time.Sleep(silent)
 	_, err := io.WriteString(c, text)
 	return err == nil
 }
