--- a/review/.standin/fleet.go
+++ b/review/.standin/fleet.go
@@ -1,13 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -50,11 +50,11 @@
 	return at
 }
 
-// note writes a remark, also to standard output.
+// note writes a remark, also to standard error.
 func (r *record) note(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	at := r.add("note", map[string]any{"text": text})
-	fmt.Printf("%8.3f %s\n", at.Seconds(), text)
+	fmt.Fprintf(os.Stderr, "%8.3f %s\n", at.Seconds(), text)
 }
 
 // daemon is one process of the project's daemon, on a loopback address of its own.
@@ -62,36 +62,40 @@
 	name, ip, zone     string
 	callers, readiness string
 	settings, log      string // files
-	cmd                *exec.Cmd
-	exited             chan struct{}
+	pid                int
 }
 
-// start starts the process.
+// starter reads the process ids of the daemons that review/play.sh starts.
+var starter = bufio.NewReader(os.Stdin)
+
+// start asks review/play.sh for the process.
 func (d *daemon) start() error {
-	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	cmd, exited := exec.Command("target/hingewinchd", "--front", "routes"), make(chan struct{})
-	cmd.Env = []string{"HINGEWINCH_SETTINGS=" + d.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the stand-in
-	if err := cmd.Start(); err != nil {
-		return err
+	fmt.Println(d.settings, d.log)
+	_, err := fmt.Fscanln(starter, &d.pid)
+	return err
+}
+
+func (d *daemon) signal(s syscall.Signal) { _ = syscall.Kill(d.pid, s) }
+
+// hasEnded reports whether the process has ended.
+func (d *daemon) hasEnded() bool { return syscall.Kill(d.pid, 0) != nil }
+
+// awaitEnd waits until the process has ended. It returns false if it has not within a time.
+func (d *daemon) awaitEnd(most time.Duration) bool {
+	for until := time.Now().Add(most); !d.hasEnded(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			return false
+		}
 	}
-	d.cmd, d.exited = cmd, exited
-	go func() {
-		_ = cmd.Wait()
-		_ = log.Close()
-		close(exited)
-	}()
-	return nil
+	return true
 }
 
 // restart kills the process and starts it again after a time.
 func (f *fleet) restart(d *daemon, after time.Duration) error {
-	_ = d.cmd.Process.Kill()
-	<-d.exited
+	d.signal(syscall.SIGKILL)
+	if !d.awaitEnd(contact) {
+		return fmt.Errorf("%s does not end", d.name)
+	}
 	f.record.note("%s was killed", d.name)
 	time.Sleep(after)
 	if err := d.start(); err != nil {
@@ -182,13 +186,12 @@
 // roll stops a daemon with SIGTERM, kills it if it has not ended after its grace, and starts it again.
 func (f *fleet) roll(d *daemon) error {
 	f.record.note("%s gets SIGTERM", d.name)
-	_ = d.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-d.exited:
+	d.signal(syscall.SIGTERM)
+	if d.awaitEnd(grace) {
 		f.record.note("%s has ended", d.name)
-	case <-time.After(grace):
-		_ = d.cmd.Process.Kill()
-		<-d.exited
+	} else {
+		d.signal(syscall.SIGKILL)
+		_ = d.awaitEnd(contact)
 		f.record.note("%s was killed after its grace", d.name)
 	}
 	if err := d.start(); err != nil {
@@ -246,21 +249,20 @@
 func (f *fleet) end() bool {
 	all := true
 	for _, d := range f.daemons {
-		select {
-		case <-d.exited:
+		if d.hasEnded() {
 			all = false
 			f.record.note("%s had ended by itself", d.name)
-		default:
-			_ = d.cmd.Process.Kill()
+			continue
 		}
+		d.signal(syscall.SIGKILL)
 	}
 	for _, d := range f.daemons {
-		<-d.exited
+		_ = d.awaitEnd(contact)
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	} else {
-		fmt.Println("logs are in", f.dir)
+		fmt.Fprintln(os.Stderr, "logs are in", f.dir)
 	}
 	return all
 }
--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -1,5 +1,5 @@
-// Command review-standin plays the cases of the review: it starts the project's daemons as processes, and
-// plays the store, the replicas and the clients.
+// Command review-standin plays the store, the replicas and the clients in the cases of the review, and says
+// what becomes of the daemons, which review/play.sh starts for it.
 //
 //	review-standin versions|part|silence FOLDER
 //
