--- a/review/.standin/replica.go
+++ b/review/.standin/replica.go
@@ -45,6 +45,7 @@
 	conns       map[net.Conn]bool
 	ended       bool
 	silentUntil time.Time
+	flowing     map[string]int // streams that have begun and not ended, by the address that sent them
 }
 
 func startReplica(r *replica) (*replica, error) {
@@ -53,6 +54,7 @@
 		return nil, err
 	}
 	r.listener, r.conns, r.mayRun = l, make(map[net.Conn]bool), make(chan struct{}, r.slots)
+	r.flowing = make(map[string]int)
 	go r.accept()
 	return r, nil
 }
@@ -190,6 +192,10 @@
 		if !r.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
 			return false
 		}
+		if n == last+1 {
+			r.flows(c, 1)
+			defer r.flows(c, -1)
+		}
 		if crashes {
 			pause(crashAfter, nil)
 			if r.crash() {
@@ -204,6 +210,25 @@
 	return r.write(c, "0\r\n\r\n")
 }
 
+func (r *replica) flows(c net.Conn, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flowing[ipOf(c)] += n
+}
+
+// awaitStreams waits until the replica has n streams from an address, for most at the longest. It returns their
+// number.
+func (r *replica) awaitStreams(ip string, n int, most time.Duration) int {
+	for until := time.Now().Add(most); ; time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		got := r.flowing[ip]
+		r.mu.Unlock()
+		if got >= n || time.Now().After(until) {
+			return got
+		}
+	}
+}
+
 // fallSilent makes the replica write nothing for a time. It goes on with everything afterwards.
 func (r *replica) fallSilent(d time.Duration) {
 	r.mu.Lock()
--- a/review/.standin/silence.go
+++ b/review/.standin/silence.go
@@ -17,7 +17,8 @@
 // Times of this case, from the start of traffic.
 const (
 	silenceTerm = 8 * time.Second         // one daemon gets SIGTERM
-	silenceFrom = 8500 * time.Millisecond // a sound replica falls silent
+	silenceFrom = 8500 * time.Millisecond // from here on a sound replica falls silent
+	silenceMost = 2 * time.Second         // once it has some streams of that daemon, or at the latest after this
 	silenceFor  = 1100 * time.Millisecond
 	silenceEnds = 22 * time.Second
 	// silenceClients is the number of clients of each daemon. Each keeps its connection.
@@ -67,9 +68,10 @@
 	rolled := make(chan error, 1)
 	go func() { rolled <- p.fleet.roll(d) }()
 	time.Sleep(time.Until(begun.Add(silenceFrom)))
+	streams := canary.awaitStreams(d.ip, 3, silenceMost)
 	if p.trouble {
 		canary.fallSilent(silenceFor)
-		p.record.note("replica %s, the only one of version v2, is silent for %v", canary.id, silenceFor)
+		p.record.note("replica %s, the only one of version v2, is silent for %v; it has %d streams of %s", canary.id, silenceFor, streams, d.name)
 	}
 	err := <-rolled
 	until := time.Now()
