Versions: a daemon that has just started knows that it can't know

Cause: VersionHistory lives as long as the process and could not say "unknown". A daemon that starts after the entries of the old version are gone took the service for one that has only ever had the new one, and took streams up without asking for their origins.

Change: a history says from when on it is complete. Peers tell theirs in a header of each response to a request for documents (the build before ignores it), and a daemon whose history is shorter than a stream can last asks the peer that has run longest. Until it knows, streams are recorded and asked for as with several versions. A pause, or a cut from the store and from peers, begins the history anew; a seed that was never heard counts as missing while nobody reads the store.

Tests changed: the fake of relay's versions_test now says that a second version appeared through Origins, which is asked instead of the view; the checks are the same. Several's test asks the view.

Ruled out: a wrong answer of a holder (no question was sent); the daemon's own resume (no line with two replicas). Why it works: what no peer that is old enough has told is not taken for a fact, and what is recorded meanwhile needs no history.

--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -79,9 +79,12 @@
 // isMissed reports whether no heartbeat of a member of a small fleet has been known for too long.
 func (e *entry) isMissed(now time.Time) bool { return now.Sub(e.lastSeen) > memberTimeout }
 
-// HearsAll reports whether this daemon hears of all members that it knows, but for those that have shut
-// down; in a large fleet, of some in every failure domain.
+// HearsAll reports whether this daemon hears of all seeds and members that it knows, but for those that have shut
+// down; in a large fleet, of all seeds and of some members in every failure domain.
 func (r *Roster) HearsAll(now time.Time) bool {
+	if slices.ContainsFunc(r.seeds, func(a Address) bool { return a != r.self.Address && r.members[a] == nil }) {
+		return false // beyond a cut, if this daemon started while its failure domain was cut off
+	}
 	if r.isLarge() {
 		for _, at := range r.domains {
 			if now.Sub(at) > 2*memberTimeout {
--- a/coordination/membership/holders_test.go
+++ b/coordination/membership/holders_test.go
@@ -131,4 +131,37 @@
 	if !r.HearsAll(later) {
 		t.Error("all were heard")
 	}
+	r.seeds = []Address{members[0].Address, members[1].Address, "10.9.9.9:1"}
+	if r.HearsAll(later) {
+		t.Error("a seed that was never heard is not missed")
+	}
+}
+
+// TestRandomElder guards against a daemon that asks peers which have just started too for what only older ones know.
+func TestRandomElder(t *testing.T) {
+	now, rng := time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
+	members, rosters := holderFleet(200, 3, now)
+	r := rosters[0]
+	if _, ok := NewRoster(members[0], nil).RandomElder(now, rng, ""); ok {
+		t.Error("a daemon that knows no other has an elder")
+	}
+	for i := range members {
+		if i != 77 {
+			members[i].Incarnation = 5
+		}
+	}
+	r.Observe(members[1:], now)
+	asked, last := 0, Address("")
+	for last != members[77].Address && asked < 200 {
+		last, _ = r.RandomElder(now, rng, last)
+		asked++
+	}
+	if asked > 50 {
+		t.Errorf("the only member that is older was not asked among the first %d", asked)
+	}
+	_, rosters = holderFleet(3, 3, now)
+	first, _ := rosters[0].RandomElder(now, rng, "")
+	if second, ok := rosters[0].RandomElder(now, rng, first); !ok || second == first {
+		t.Errorf("asks %s again, after it did not know", second)
+	}
 }
--- a/coordination/membership/targets.go
+++ b/coordination/membership/targets.go
@@ -23,6 +23,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -74,6 +75,24 @@
 	return local[rng.IntN(len(local))].Address, true
 }
 
+const (
+	// elderShare is the part of the members among which one is chosen that has run for long, and maxElders the
+	// greatest number of these. With fewer, the daemons of a large fleet that survive a loss of most others
+	// would answer all of them at once.
+	elderShare = 8
+	maxElders  = 8
+)
+
+// RandomElder returns one of the live members that have run longest, but for one, or false if there is none.
+func (r *Roster) RandomElder(now time.Time, rng *rand.Rand, except Address) (Address, bool) {
+	live := slices.DeleteFunc(r.live(now), func(e *entry) bool { return e.Address == except })
+	if len(live) == 0 {
+		return "", false
+	}
+	slices.SortStableFunc(live, func(a, b *entry) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return live[rng.IntN(max(1, min(len(live)/elderShare, maxElders)))].Address, true
+}
+
 // RandomCarrier returns a random live member that may open connections for this daemon: one that is not
 // shutting down and not excluded. It is of the own failure domain if there is one, unless anyDomain is
 // set. It returns false if there is none.
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -50,7 +50,7 @@
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Overloads.markAvoided(c.overloaded, pool, v.LargeFleet, now)
-	several := tried.Version != 0 && (pool.mixed || v.SeveralVersions[pool.Ready[0].Service])
+	several := tried.Version != 0 && v.HasSeveralVersions(pool.Ready[0].Service)
 	ineligible, terminated := pool.withOtherVersions(p.ineligible(pool, now), tried.Version, several), p.Health.terminatedReplicas(pool, now)
 	c.skip = withTerminated(ineligible, terminated, n)
 	mark(c, p, pool, tried, now)
--- a/coordination/routing/origins.go
+++ b/coordination/routing/origins.go
@@ -5,8 +5,8 @@
 //
 // Inputs: the origins of streams of this daemon and those that other daemons send. The rule:
 //
-//  1. While a service has, or lately had, several versions ([VersionHistory]), the daemon of a stream
-//     records its origin at a few daemons, which every daemon can compute from the stream's key
+//  1. Unless a service is known to have, and to have had, only one version ([VersionHistory]), the daemon of a
+//     stream records its origin at a few daemons, which every daemon can compute from the stream's key
 //     (coordination/membership), when the first event passes, and again when the stream is resumed. A
 //     stream that began while its service had one version is recorded with its next event.
 //  2. A daemon that resumes a stream asks the same daemons. Only a positive answer lets the stream go
--- a/coordination/routing/origins_test.go
+++ b/coordination/routing/origins_test.go
@@ -75,8 +75,9 @@
 	h.Add(replica("t", "v2"))
 	expect := func(after time.Duration, want bool) {
 		t.Helper()
-		if several := h.Several(epoch.Add(after)); several["s"] != want || several["t"] {
-			t.Errorf("after %v services have several versions: %v, want s: %t", after, several, want)
+		view := &routing.View{Versions: h.Only(epoch.Add(after))}
+		if several := view.HasSeveralVersions("s"); several != want || view.HasSeveralVersions("t") {
+			t.Errorf("after %v services have several versions: %v, want s: %t", after, view.Versions, want)
 		}
 	}
 	expect(0, false)
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -3,10 +3,12 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"iter"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,6 +24,7 @@
 	routeCount int
 	needsKey   bool
 	hasTarget  map[ServiceName]bool // services of routes with a latency target
+	streamLife time.Duration        // see StreamLife
 }
 
 // keyEntry is a key and its workspace. Lookups compare the whole key, since two keys may have
@@ -95,6 +98,9 @@
 			t.hasTarget[s.Service] = true
 		}
 	}
+	if r.Kind == Stream && r.Resumable {
+		t.streamLife = max(t.streamLife, cmp.Or(r.Timeout, versionRetention))
+	}
 	r.MaxAttempts = max(1, r.MaxAttempts)
 	host := strings.ToLower(r.Host)
 	t.byHost[host] = append(t.byHost[host], r)
@@ -152,6 +158,15 @@
 // HasTarget reports whether a route with a latency target leads to a service.
 func (t *Table) HasTarget(s ServiceName) bool { return t.hasTarget[s] }
 
+// StreamLife returns how long a stream can last that its caller resumes: the longest timeout of the routes of such
+// streams. It accepts a nil table.
+func (t *Table) StreamLife() time.Duration {
+	if t == nil {
+		return versionRetention
+	}
+	return min(max(t.streamLife, minStreamLife), versionRetention)
+}
+
 // WorkspaceOf returns the workspace that a caller key in a report identifies, if the
 // configuration has it.
 func (t *Table) WorkspaceOf(caller CallerKey) (WorkspaceName, bool) {
--- a/coordination/routing/versions.go
+++ b/coordination/routing/versions.go
@@ -8,7 +8,7 @@
 //
 //  1. A request whose stream began at a version gets replicas of that version only, whatever else is
 //     left. Its version belongs to an incarnation: a replica that restarted under its id may have another.
-//  2. Where a service has, or lately had, several versions, replicas that don't name theirs match none,
+//  2. Where a service has, or lately had, several versions (version_history.go), replicas that don't name theirs match none,
 //     and neither do terminated ones: another incarnation with another version may already listen at
 //     their address. A stream that began at one of these is bound to no version that any replica has.
 //  3. If no replica of the version is ready, the stream is broken off, or refused, at once.
@@ -87,22 +87,26 @@
 	return false
 }
 
-// HasSeveralVersions reports whether a service has, or lately had, replicas of several software versions.
-func (v *View) HasSeveralVersions(s ServiceName) bool { return v.SeveralVersions[s] || v.Pool(s).mixed }
+// HasSeveralVersions reports whether a service is known to have, or to have had lately, replicas of several
+// software versions.
+func (v *View) HasSeveralVersions(s ServiceName) bool {
+	only, ok := v.Versions[s]
+	return ok && only == severalVersions || v.Pool(s).mixed
+}
 
-// OnlyVersion returns the software version of a service that has, and lately had, only one; 0 if it has no
-// replica.
-func (v *View) OnlyVersion(s ServiceName) (VersionKey, bool) {
-	if v.HasSeveralVersions(s) {
+// OnlyVersion returns the software version of a service that is known to have, and to have had for as long as a
+// stream can last, only one; 0 if it had no replica at all. It returns false if the service has several, or if
+// this daemon can't know.
+func (v *View) OnlyVersion(s ServiceName, now time.Time) (VersionKey, bool) {
+	if v.HasSeveralVersions(s) || !v.KnowsVersions(now) {
 		return 0, false
 	}
-	pool := v.Pool(s)
-	for _, list := range [][]Replica{pool.Ready, pool.Draining, pool.Evacuated} {
-		if len(list) > 0 {
-			return list[0].versionKey, true
-		}
-	}
-	return 0, true
+	return v.Versions[s], true
+}
+
+// KnowsVersions reports whether this daemon knows all versions that services had for as long as a stream can last.
+func (v *View) KnowsVersions(now time.Time) bool {
+	return !v.VersionsSince.IsZero() && now.Sub(v.VersionsSince) >= v.Table.StreamLife()
 }
 
 // withOtherVersions returns a set of ready replicas of the pool together with those at which a stream of
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -141,8 +141,11 @@
 	// LargeFleet means that each daemon sends heartbeats to only a few others, so that each knows
 	// only a part of the loads and cache locations.
 	LargeFleet bool
-	// SeveralVersions are the services that have, or lately had, replicas of several software versions.
-	SeveralVersions map[ServiceName]bool
+	// Versions is the only software version that each service has, or lately had, as far as this daemon
+	// knows; severalVersions if there are several.
+	Versions map[ServiceName]VersionKey
+	// VersionsSince is the time from which Versions is complete; the zero time if it isn't.
+	VersionsSince time.Time
 }
 
 // Pool returns the replicas of a service. It never returns nil.
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -81,6 +81,9 @@
 // or restarted.
 func (c *catalog) apply(changed []feed.Item, source string, storeOutage bool, now time.Time) (cacheLost []routing.LoadKey) {
 	c.snapshot = nil
+	if c.versions.Since().IsZero() {
+		c.versions.Begin(c.feed.Position(), now)
+	}
 	logEach := len(changed) <= maxReplicaLogLines
 	for _, it := range changed {
 		if key, ok := c.applyReplica(it, storeOutage, logEach, now); ok {
@@ -219,7 +222,10 @@
 // view builds a view from the documents. Replicas that announced their departure in a response
 // are draining in the view, whatever their entries say.
 func (c *catalog) view(departures *routing.Departures, now time.Time) *routing.View {
-	v := &routing.View{Table: c.table, Position: c.feed.Position(), Pools: make(map[routing.ServiceName]*routing.Pool), SeveralVersions: c.versions.Several(now)}
+	v := &routing.View{
+		Table: c.table, Position: c.feed.Position(), Pools: make(map[routing.ServiceName]*routing.Pool),
+		Versions: c.versions.Only(now), VersionsSince: c.versions.Since(),
+	}
 	for name, list := range c.lists {
 		if c.isService(name) {
 			v.Pools[name] = c.pool(name, list.Pool(), departures, now)
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -89,6 +89,7 @@
 	permits    *permits
 
 	originQuestions originQuestions
+	history         historyState
 	// mayBeBehind says that other daemons may have documents that this one lacks.
 	mayBeBehind atomic.Bool
 
@@ -116,8 +117,8 @@
 	storeUnreachable   bool
 	storeUnreadableAt  time.Time // when the store was last unreadable for every known daemon
 	era                eraState
-	storeUnreachableAt time.Time // when the store was last known to be unreachable for this daemon or a peer
-	lastTickAt         time.Time
+	storeUnreachableAt time.Time                 // when the store was last known to be unreachable for this daemon or a peer
+	tickedAt           atomic.Pointer[time.Time] // last
 	startedAt          time.Time
 	statsLoggedAt      time.Time
 }
@@ -267,7 +268,7 @@
 		c.permits.daemon.SetLeaving()
 		c.sendHeartbeat(now)
 	case documentsRequested:
-		e.reply <- c.catalog.respond(&e.request)
+		e.reply <- c.respond(&e.request, now)
 	case operatorRequest:
 		c.handleOperator(e, now)
 	}
@@ -317,6 +318,7 @@
 	c.updateBrittle(now)
 	c.tickPermits(now)
 	c.syncIfBehind(ctx, now)
+	c.learnHistory(ctx, now)
 	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
 		c.cold.SetFleetSize(c.roster.PeakSize())
 	}
@@ -346,14 +348,15 @@
 }
 
 // detectPause detects that the process was paused. It then interrupts the reader's watch:
-// the connection may have been lost during the pause, and the last result is outdated.
+// the connection may have been lost during the pause, and the last result is outdated. So is the history of
+// versions.
 func (c *control) detectPause(now time.Time) {
-	last := c.lastTickAt
-	c.lastTickAt = now
-	if last.IsZero() || now.Sub(last) < pauseThreshold {
+	last := c.tickedAt.Swap(&now)
+	if last == nil || now.Sub(*last) < pauseThreshold {
 		return
 	}
-	c.log.Paused(now.Sub(last))
+	c.log.Paused(now.Sub(*last))
+	c.interruptHistory(now)
 	if old := c.readPlan.Load(); old != nil {
 		c.setReadPlan(old.ReadPlan)
 	}
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -22,7 +22,11 @@
 // newTestControl returns a control loop without peers and network.
 func newTestControl(l *Log, d Documents) *control {
 	tables := newSharedTables("10.0.0.1:1", routing.RetryRule{Window: time.Second}, 1)
+	noPeer := func(context.Context, membership.Address, documentsRequest) (documentsResponse, error) {
+		return documentsResponse{}, errors.New("no response")
+	}
 	return &control{
+		syncs:        syncState{fetch: noPeer},
 		sharedTables: tables, permits: newPermits(admission.NewDaemon(membership.Member{Address: "10.0.0.1:1"}), tables.placer()),
 		log: l, daemons: 1, catalog: newCatalog(d, l),
 		roster:     membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, nil),
@@ -283,6 +287,8 @@
 		r.ColdFor = testColdStart
 	case "unreadable":
 		return r, errors.New("can't be read")
+	case "version":
+		r.Version = routing.SoftwareVersion(value)
 	case "service":
 		r.Service = routing.ServiceName(value)
 	case "born":
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -231,6 +231,11 @@
 	l.logger.Warn().Str("peer", string(from)).Err(err).Msg(prefixPeer + "sent no documents")
 }
 
+// VersionsLearned logs that a peer told which software versions services had, for how long back, and how many.
+func (l *Log) VersionsLearned(from string, complete time.Duration, versions int) {
+	l.logger.Info().Str("peer", from).Int64("complete_ms", complete.Milliseconds()).Int("versions", versions).Msg(prefixPeer + "told the history of software versions")
+}
+
 // HeartbeatFailed logs that a heartbeat or another datagram could not be encoded.
 func (l *Log) HeartbeatFailed(err error) {
 	l.logger.Error().Err(err).Msg(prefixPeer + "heartbeat can't be encoded; check listen.peers and peer_address")
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -11,6 +11,7 @@
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
+	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
@@ -45,10 +46,11 @@
 
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
-	if o.control.mayBeBehind.Load() {
+	now := clock.Now()
+	if o.control.mayBeBehind.Load() || o.control.missedTick(now) {
 		return 0, false
 	}
-	return o.control.view.Load().OnlyVersion(s)
+	return o.control.view.Load().OnlyVersion(s, now)
 }
 
 // Record implements [relay.Origins].
@@ -156,9 +158,3 @@
 		}
 	}
 }
-
-// updateBehind determines whether documents may be missing here that other daemons have: no known daemon
-// reads the store, and some daemon is not heard, which may read it.
-func (c *control) updateBehind(now time.Time) {
-	c.mayBeBehind.Store(!c.roster.HasStoreReader(now) && !c.roster.HearsAll(now))
-}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/hex"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
@@ -158,6 +160,9 @@
 	paramEra    = "era"    // of the revision; 0 if the store does not name its era
 	// statusDigest is the status of a response that is a digest.
 	statusDigest = http.StatusPreconditionFailed
+	// headerVersions is the field of a response with the peer's history of versions, in base64. Builds that
+	// don't know it ignore it.
+	headerVersions = "Version-History"
 )
 
 // fetch requests documents from a peer.
@@ -178,7 +183,10 @@
 			return err
 		}
 		p.metrics.SyncedBytes.Inc(int64(b.Len()))
-		answer, err = decodeResponse(b.Bytes(), isDigest)
+		if answer, err = decodeResponse(b.Bytes(), isDigest); err != nil {
+			return err
+		}
+		answer.versions, err = decodeVersions(resp.Header)
 		return err
 	})
 	return answer, eris.Wrap(err, "fetch documents")
@@ -193,6 +201,19 @@
 	return documentsResponse{documents: documents}, err
 }
 
+// decodeVersions returns the history of versions in the header of a response, or nil if there is none.
+func decodeVersions(h http.Header) (*routing.VersionReport, error) {
+	value := h.Get(headerVersions)
+	if value == "" {
+		return nil, nil
+	}
+	payload, err := base64.StdEncoding.DecodeString(value)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode history of versions")
+	}
+	return gossip.DecodeVersions(payload)
+}
+
 // encode returns the request as a URL query.
 func (q *documentsRequest) encode() string {
 	v := url.Values{paramAfter: {strconv.FormatUint(uint64(q.after.Revision), 10)}}
@@ -256,6 +277,9 @@
 
 func writeResponse(w http.ResponseWriter, a *documentsResponse) {
 	status, payload, err := a.encode()
+	if err == nil && a.versions != nil {
+		err = addVersions(w.Header(), a.versions)
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -263,3 +287,13 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(payload) // the peer detects a truncated response and requests it again
 }
+
+// addVersions adds a history of versions to the header of a response.
+func addVersions(h http.Header, r *routing.VersionReport) error {
+	payload, err := gossip.EncodeVersions(r)
+	if err != nil {
+		return err
+	}
+	h.Set(headerVersions, base64.StdEncoding.EncodeToString(payload))
+	return nil
+}
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -80,6 +80,7 @@
 	digest        feed.Digest // the peer's digest, from which the parts were determined
 	acceptsDigest bool
 	version       routing.ConfigVersion // of the configuration that the peer is known to hold
+	forHistory    bool                  // it was sent for the peer's history of versions (versions.go)
 }
 
 // documentsResponse is the response to a documentsRequest: a digest, a snapshot of all documents, or
@@ -89,6 +90,8 @@
 	documents gossip.Documents
 	digest    *feed.Digest
 	snapshot  *encodedSnapshot
+	// versions is the peer's history of versions; nil if it tells none.
+	versions *routing.VersionReport
 }
 
 // encodedSnapshot holds all documents of a daemon and their encoding, which is shared by all
@@ -111,6 +114,14 @@
 	return p.payload, p.err
 }
 
+// respond returns the response to a peer's request for documents.
+func (c *control) respond(q *documentsRequest, now time.Time) documentsResponse {
+	a := c.catalog.respond(q)
+	history := c.catalog.versions.Report(c.catalog.feed.Position(), now)
+	a.versions = &history
+	return a
+}
+
 // encode returns the HTTP status and the body of the response.
 func (a *documentsResponse) encode() (status int, payload []byte, err error) {
 	switch {
@@ -228,7 +239,8 @@
 		return
 	}
 	c.syncs.respondedVersion = max(c.syncs.respondedVersion, s.request.version)
-	c.syncs.needsPeerCheck = false
+	c.syncs.needsPeerCheck = c.syncs.needsPeerCheck && s.request.forHistory
+	defer c.mergeResponse(s, now)
 	f, d, source := c.catalog.feed, &s.response.documents, string(s.from)
 	if s.response.digest != nil {
 		c.requestParts(ctx, s.from, *s.response.digest, now)
@@ -250,6 +262,13 @@
 	}
 }
 
+// mergeResponse takes over the history of versions in a peer's response, once its documents are applied.
+func (c *control) mergeResponse(s *syncCompleted, now time.Time) {
+	if s.response.versions != nil {
+		c.mergeHistory(s.response.versions, string(s.from), now)
+	}
+}
+
 // requestParts requests the parts in which this daemon's documents differ from a peer's digest.
 func (c *control) requestParts(ctx context.Context, from membership.Address, d feed.Digest, now time.Time) {
 	f := c.catalog.feed
--- a/daemon/routes/sync_test.go
+++ b/daemon/routes/sync_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/url"
 	"runtime"
 	"testing"
@@ -32,6 +33,7 @@
 	sent          int // bytes of the responses
 	items         int // documents in the responses
 	acceptsDigest bool
+	tellsHistory  bool // responses contain the peer's history of versions
 }
 
 func newSyncedPair(t *testing.T) *syncedPair {
@@ -70,13 +72,21 @@
 	if err != nil {
 		return documentsResponse{}, err
 	}
-	a := p.peer.catalog.respond(&asked)
+	a := p.peer.respond(&asked, p.now)
 	status, payload, err := a.encode()
 	if err != nil {
 		return a, err
 	}
 	got, err := decodeResponse(payload, status == statusDigest)
 	p.sent, p.items = p.sent+len(payload), p.items+len(got.documents.Items)
+	if !p.tellsHistory || err != nil {
+		return got, err
+	}
+	header := make(http.Header)
+	if err := addVersions(header, a.versions); err != nil {
+		return got, err
+	}
+	got.versions, err = decodeVersions(header)
 	return got, err
 }
 
@@ -85,6 +95,11 @@
 func (p *syncedPair) exchangeHeartbeat() {
 	h := p.peer.newHeartbeat(p.now)
 	p.daemon.observePosition(context.Background(), &h, p.now)
+	p.finishRequests()
+}
+
+// finishRequests has the daemon process the responses to all requests on their way.
+func (p *syncedPair) finishRequests() {
 	for p.daemon.syncs.inFlight {
 		p.daemon.handle(context.Background(), <-p.daemon.events, p.now)
 	}
--- /dev/null
+++ b/daemon/routes/versions.go
@@ -0,0 +1,96 @@
+// This file is the part of the control loop that learns from peers which software versions services lately had
+// (coordination/routing/version_history.go). The rules for when and from which peer are:
+//
+//  1. Each response to a request for documents contains the peer's history, so that a daemon whose first
+//     documents come from a peer knows it from the start.
+//  2. A daemon whose history does not go back far enough asks one of the peers that have run longest, since these
+//     most likely know. It asks again after firstHistoryPause, and then after pauses that double: if a whole
+//     fleet has just started, nobody knows.
+//  3. A daemon that was paused or cut off has missed versions that came and went meanwhile. Its history begins
+//     anew.
+//  4. Daemons of the previous build tell no history.
+
+package routes
+
+import (
+	"context"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+const (
+	firstHistoryPause   = heartbeatInterval
+	longestHistoryPause = 3200 * time.Millisecond
+)
+
+// historyState is the state of learning the history of versions from peers.
+type historyState struct {
+	askedAt time.Time
+	pause   time.Duration // until the next request
+	asked   membership.Address
+}
+
+// learnHistory requests a peer's history of versions if the own one does not go back far enough.
+func (c *control) learnHistory(ctx context.Context, now time.Time) {
+	h := &c.history
+	if !c.lacksHistory(now) {
+		h.asked, h.pause = "", 0
+		return
+	}
+	if c.syncs.inFlight || now.Sub(h.askedAt) < h.pause {
+		return
+	}
+	from, ok := c.roster.RandomElder(now, c.heartbeats.rng, h.asked)
+	if !ok {
+		return
+	}
+	h.asked, h.askedAt, h.pause = from, now, min(max(2*h.pause, firstHistoryPause), longestHistoryPause)
+	c.requestDocuments(ctx, from, documentsRequest{after: c.catalog.feed.Position(), acceptsDigest: true, forHistory: true})
+}
+
+// lacksHistory reports whether this daemon has documents, but does not know all versions that services lately had.
+func (c *control) lacksHistory(now time.Time) bool {
+	since := c.catalog.versions.Since()
+	return !since.IsZero() && c.catalog.table != nil && now.Sub(since) < c.catalog.table.StreamLife()
+}
+
+// mergeHistory takes over the history of versions that a peer told.
+func (c *control) mergeHistory(r *routing.VersionReport, from string, now time.Time) {
+	r.At.Era = c.resolveEra(r.At.Era, now)
+	lacked := c.lacksHistory(now)
+	if !c.catalog.versions.Merge(r, now) {
+		return
+	}
+	if lacked {
+		c.log.VersionsLearned(from, now.Sub(c.catalog.versions.Since()), len(r.Versions))
+	}
+	c.publish(now)
+}
+
+// interruptHistory begins the history of versions anew, since this daemon may have missed some.
+func (c *control) interruptHistory(now time.Time) {
+	if c.catalog.versions.Since().IsZero() {
+		return
+	}
+	c.catalog.versions.Begin(c.catalog.feed.Position(), now)
+	c.publish(now)
+}
+
+// updateBehind determines whether documents may be missing here that other daemons have: no known daemon
+// reads the store, and some daemon is not heard, which may read it.
+func (c *control) updateBehind(now time.Time) {
+	isBehind := !c.roster.HasStoreReader(now) && !c.roster.HearsAll(now)
+	if isBehind || c.mayBeBehind.Load() {
+		c.interruptHistory(now)
+	}
+	c.mayBeBehind.Store(isBehind)
+}
+
+// missedTick reports whether the last tick is so long ago that the process must have been paused. It may be called
+// by any goroutine.
+func (c *control) missedTick(now time.Time) bool {
+	last := c.tickedAt.Load()
+	return last != nil && now.Sub(*last) >= pauseThreshold
+}
--- /dev/null
+++ b/daemon/routes/versions_test.go
@@ -0,0 +1,144 @@
+package routes
+
+import (
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/state/feed"
+	"hingewinch.org/hingewinch/transport/clock"
+)
+
+// onlyVersion reports whether a daemon takes service s for one of a single version.
+func onlyVersion(c *control) bool {
+	_, ok := streamOrigins{control: c}.OnlyVersion("s")
+	return ok
+}
+
+// applyRelease has a daemon read a replica of version v2 at a time, after the last one of v1 is gone.
+func applyRelease(c *control, at time.Time) {
+	applyEntries(c, 9, at, map[string]string{"replica-2": "version=v2"})
+}
+
+// TestStartedDaemonDoesNotKnowOfOnlyOneVersion guards against a daemon that starts after the entries of a version
+// are gone, and takes the service for one that has only ever had the version that is left.
+func TestStartedDaemonDoesNotKnowOfOnlyOneVersion(t *testing.T) {
+	c := newQuietControl(t)
+	applyRelease(c, clock.Now())
+	if onlyVersion(c) {
+		t.Error("takes the only version that it sees for the only one that there was")
+	}
+	old := newQuietControl(t)
+	applyRelease(old, clock.Now().Add(-11*time.Second))
+	if !onlyVersion(old) {
+		t.Error("does not know of one version after it has seen no other for longer than a stream can last")
+	}
+}
+
+// TestHistoryOfVersionsIsTold guards against a daemon that refuses to resume streams after a start although a peer
+// knows that there was one version, or resumes them although a peer knows of another.
+func TestHistoryOfVersionsIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		ran      time.Duration                      // of the peer
+		before   map[string]string                  // the peer's entries at its start
+		peerAt   feed.Revision                      // of the peer's documents when it is asked
+		previous bool                               // the peer's build tells no history
+		several  bool                               // the daemon knows of several versions
+		only     bool                               // the daemon knows of one
+		meddle   func(p *syncedPair, now time.Time) // between the peer's start and the release
+	}{
+		{name: "one version", ran: time.Minute, peerAt: 9, only: true},
+		{name: "another version that has left", ran: time.Minute, before: map[string]string{"replica-1": "version=v1"}, peerAt: 9, several: true},
+		{name: "the peer has just started too", ran: time.Second, peerAt: 9},
+		{name: "the peer lacks the newest documents", ran: time.Minute, peerAt: 5},
+		{name: "the peer is of the previous build", ran: time.Minute, before: map[string]string{"replica-1": "version=v1"}, peerAt: 9, previous: true},
+		{name: "the peer was paused", ran: time.Minute, peerAt: 9, meddle: func(p *syncedPair, now time.Time) {
+			p.peer.tick(t.Context(), now.Add(-20*time.Second))
+			p.peer.tick(t.Context(), now.Add(-2*time.Second))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newSyncedPair(t)
+			now := clock.Now()
+			p.now, p.tellsHistory = now, !c.previous
+			p.daemon.roster = membership.NewRoster(membership.Member{Address: "10.0.0.2:1"}, nil)
+			start := now.Add(-c.ran)
+			applyEntries(p.peer, 2, start, map[string]string{"replica-2": "version=v2"})
+			applyEntries(p.peer, 3, start, c.before)
+			if c.meddle != nil {
+				c.meddle(p, now)
+			}
+			for key := range c.before {
+				p.peer.apply(p.peer.catalog.feed.Apply([]feed.Item{{Key: key, Revision: 4, Deleted: true}}), sourceStore, now.Add(-time.Second))
+			}
+			p.peer.apply(p.peer.catalog.feed.Apply([]feed.Item{{Key: "config", Revision: c.peerAt}}), sourceStore, now)
+			applyRelease(p.daemon, now)
+			p.daemon.observeMembers(new(p.peer.newHeartbeat(now)), now)
+			p.daemon.learnHistory(t.Context(), now)
+			p.finishRequests()
+			if got := p.daemon.view.Load().HasSeveralVersions("s"); got != c.several {
+				t.Errorf("the daemon knows of several versions: %t, want %t", got, c.several)
+			}
+			if got := onlyVersion(p.daemon); got != c.only {
+				t.Errorf("the daemon knows of only one version: %t, want %t", got, c.only)
+			}
+		})
+	}
+}
+
+// TestHistoryComesWithTheFirstDocuments guards against a daemon that has documents from a peer, and accepts callers,
+// before it knows which versions services had.
+func TestHistoryComesWithTheFirstDocuments(t *testing.T) {
+	p := newSyncedPair(t)
+	now := clock.Now()
+	p.now, p.tellsHistory = now, true
+	applyRelease(p.peer, now.Add(-time.Minute))
+	p.exchangeHeartbeat()
+	p.daemon.handle(t.Context(), syncDue{}, now.Add(firstSyncDelay))
+	p.finishRequests()
+	if !onlyVersion(p.daemon) {
+		t.Error("has documents, but no history")
+	}
+}
+
+// TestPauseInterruptsTheHistoryOfVersions guards against a daemon that was paused while a version came and went, and
+// goes on with streams that began at it, also before it has noticed the pause.
+func TestPauseInterruptsTheHistoryOfVersions(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	applyRelease(c, now.Add(-time.Minute))
+	c.tick(t.Context(), now.Add(-2*pauseThreshold))
+	if onlyVersion(c) {
+		t.Error("knows of one version although its last tick is long ago")
+	}
+	c.tick(t.Context(), now)
+	if onlyVersion(c) {
+		t.Error("knows of one version right after a pause")
+	}
+	c.tickedAt.Store(new(clock.Now()))
+	applyRelease(c, now)
+	c.catalog.versions.Merge(&routing.VersionReport{At: c.catalog.feed.Position(), Complete: time.Minute}, now)
+	c.publish(now)
+	if !onlyVersion(c) {
+		t.Error("does not know of one version although a peer told it")
+	}
+}
+
+// TestCutOffDaemonTellsNoHistory guards against a history of a daemon that may lack what others know.
+func TestCutOffDaemonTellsNoHistory(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	applyRelease(c, now.Add(-time.Minute))
+	c.roster = membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, []membership.Address{"10.0.0.1:1", "10.0.0.9:1"})
+	c.roster.SetStoreUnreachable(true)
+	c.updateBehind(now)
+	if onlyVersion(c) {
+		t.Error("knows of one version although a seed that was never heard may know another")
+	}
+	answer := c.respond(&documentsRequest{}, now)
+	if answer.versions.Complete > 0 {
+		t.Errorf("tells a history of %v", answer.versions.Complete)
+	}
+}
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -56,6 +56,9 @@
 
 // plan returns the plan for a seed, with the shape and the faults that the planted fault needs.
 func (p *plant) plan(seed uint64) *Plan {
+	if p.fixed != nil {
+		return p.fixed()
+	}
 	if p.steady {
 		return NewSteadyPlan(seed, steadyDaemons, DefaultShape())
 	}
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -23,6 +23,7 @@
 	callers       int                       // factor applied to the number of callers; 0: 1
 	partitions    []Partition               // of the runs that find it; nil: none
 	versions      bool                      // found by runs with several software versions and no faults but kills of daemons
+	fixed         func() *Plan              // the plan that finds it; nil: drawn from the seed
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
 	brittle       bool                      // found by runs with brittle replicas and no faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
@@ -129,6 +130,11 @@
 		text: "v, _ := c.origins.Find(r.Stream, now)", instead: "v, _ := c.origins.Find(r.Stream*0, now)", versions: true, faults: killsInSeries},
 	{name: "takes the request that resumes a stream for the first one", promise: "LOST", subject: "resumes", file: "transport/relay/resume.go",
 		text: "return routing.NewStreamKey(c.Workspace, c.Resumes)", instead: "return routing.NewStreamKey(c.Workspace, c.ID)", versions: true, faults: killsInSeries},
+	{name: "takes versions that it can't know for the only one", promise: "ORDER", file: "coordination/routing/versions.go",
+		text: "if v.HasSeveralVersions(s) || !v.KnowsVersions(now) {", instead: "if v.HasSeveralVersions(s) {", fixed: endOfReleasePlan,
+		also: []edit{{"daemon/routes/sync.go", "if s.response.versions != nil {", "if s.response.versions == nil {"}}},
+	{name: "tells no history of versions", promise: "LOST", subject: "resumes", file: "daemon/routes/sync.go",
+		text: "a.versions = &history", instead: "_ = &history", fixed: youngDaemonsPlan},
 	{name: "counts only whole contents", promise: "BUDGET", subject: crashingPartPrefix, file: "transport/relay/relay.go",
 		text: "\ts.PartCrashes.ReportPartCrashes(", instead: "\t(*routing.Crashes)(nil).ReportPartCrashes(", parts: 2, quiet: longQuiet},
 	{name: "takes no part for sound", promise: "LOST", subject: "beside", file: "coordination/routing/crash_part.go",
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -31,6 +31,8 @@
 	Version  int           `json:"version"`
 	Replicas int           `json:"replicas"`
 	Gap      time.Duration `json:"gap"` // between replacing one replica and the next
+	// Unannounced says that the old replicas do not say that they are draining: their entries go.
+	Unannounced bool `json:"unannounced,omitempty"`
 }
 
 // Parameters of runs with several versions.
@@ -113,7 +115,7 @@
 			return
 		}
 		if p, r := s.pickPlace(i); r.Service == serviceChat && r.version != versionName(o.Version) {
-			go s.drainTo(p, r, versionName(o.Version), true)
+			go s.drainTo(p, r, versionName(o.Version), !o.Unannounced)
 		}
 		pause(s.ctx, o.Gap)
 	}
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"path/filepath"
 	"slices"
@@ -15,10 +14,6 @@
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
 	t.Parallel()
 	const daemons = 8
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
 	plan := &Plan{
 		Daemons: daemons, Domains: 3, Gate: 3, Chat: versionedReplicas, Callers: daemons, Trouble: 12 * time.Second, Quiet: 5 * time.Second,
 		Versions: &Versions{
@@ -29,15 +24,92 @@
 	for i := range 6 {
 		plan.Faults = append(plan.Faults, Fault{At: time.Duration(3+i) * 1500 * time.Millisecond, Kind: killDaemon, Target: 3 * i})
 	}
-	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	t.Logf("%+v", playPlan(t, plan).Streams)
+}
+
+// endOfReleasePlan returns a plan in which all replicas of a service are replaced by those of another version,
+// without saying so. The old replicas serve on, with streams that began at them. Some daemons are killed just before
+// their entries go, and start after it; then the others are killed.
+func endOfReleasePlan() *Plan {
+	const (
+		daemons  = 5
+		replicas = versionedReplicas
+		picks    = 6 * replicas     // of places, so that all replicas of the service are among them
+		release  = 12 * time.Second // when the daemons know which versions there were
+		before   = 150 * time.Millisecond
+		after    = 750 * time.Millisecond
+	)
+	p := &Plan{
+		Daemons: daemons, Domains: 3, Gate: 3, Chat: replicas, Callers: daemons, Trouble: 16 * time.Second, Quiet: 5 * time.Second,
+		Versions: &Versions{
+			Count: 1, Replicas: replicas, Resumers: 10 * daemons,
+			Rollouts: []Rollout{{At: release, Version: 1, Replicas: picks, Gap: 2 * time.Millisecond, Unannounced: true}},
+		},
+	}
+	for i := range daemons {
+		at := release - before
+		if i > daemons/2 {
+			at = release + after
+		}
+		p.Faults = append(p.Faults, Fault{At: at, Kind: killDaemon, Target: i})
+	}
+	return p
+}
+
+// youngDaemonsPlan returns a plan with one software version. All daemons but one are killed, and some seconds later
+// that one, whose streams the others then take up.
+func youngDaemonsPlan() *Plan {
+	const (
+		daemons = 4
+		kills   = 12 * time.Second // when the daemons know which versions there were
+		last    = 4 * time.Second  // after that, when the others are up to date
+	)
+	p := &Plan{
+		Daemons: daemons, Domains: 3, Gate: 3, Chat: versionedReplicas, Callers: daemons, Trouble: kills + last, Quiet: 5 * time.Second,
+		Versions: &Versions{Count: 1, Replicas: versionedReplicas, Resumers: 20 * daemons},
+	}
+	for i := range daemons {
+		at := kills
+		if i == 0 {
+			at += last
+		}
+		p.Faults = append(p.Faults, Fault{At: at, Kind: killDaemon, Target: i})
+	}
+	return p
+}
+
+// TestStreamsGoOnAtTheirVersionAfterARelease guards against a daemon that starts after the last entry of a version
+// is gone, and takes up streams that began at it at replicas of another.
+func TestStreamsGoOnAtTheirVersionAfterARelease(t *testing.T) {
+	t.Parallel()
+	playStreams(t, endOfReleasePlan())
+}
+
+// TestYoungDaemonsTakeUpStreamsOfOneVersion guards against daemons that refuse to take up streams after a start,
+// although only one version has run and a peer told them.
+func TestYoungDaemonsTakeUpStreamsOfOneVersion(t *testing.T) {
+	t.Parallel()
+	playStreams(t, youngDaemonsPlan())
+}
+
+// playStreams plays a plan, and fails the test if streams hold events of several versions or can't be taken up.
+func playStreams(t *testing.T, p *Plan) {
+	t.Helper()
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Play(t.Context(), p, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("%+v; %.3f of %d requests were served", report.Streams, report.Share, report.Requests)
-	for i, v := range report.Violations {
-		if i < 5 {
+	for _, v := range report.Violations {
+		if v.Promise == "ORDER" || v.Promise == "LOST" {
 			t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
+			continue
 		}
+		t.Logf("%s %s: %s", v.Promise, v.Subject, v.Detail)
 	}
 }
 
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -296,6 +296,8 @@
 	write("origin replies", payload, err)
 	payload, err = EncodePartCrashes([]routing.CrashReport{{Content: 1 << 40, Caller: 1 << 31, Replica: 5, Request: 1 << 50, Age: 250 * time.Millisecond}, {Content: 7, Clears: true}, {Content: 8, Verdict: true}})
 	write("part crashes", payload, err)
+	payload, err = EncodeVersions(goldenVersions())
+	write("versions", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
@@ -344,3 +346,24 @@
 		t.Fatalf("got %v, %v", got, err)
 	}
 }
+
+func goldenVersions() *routing.VersionReport {
+	return &routing.VersionReport{At: feed.Position{Era: 2, Revision: 9}, Complete: time.Minute, Versions: []routing.UsedVersion{
+		{Service: "s", Version: 1 << 31}, {Service: "s", Version: 7, LeftFor: 3 * time.Second},
+	}}
+}
+
+// TestVersionsRoundTrip encodes and decodes a history of versions, and rejects what is none.
+func TestVersionsRoundTrip(t *testing.T) {
+	payload, err := EncodeVersions(goldenVersions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeVersions(payload)
+	if err != nil || !reflect.DeepEqual(got, goldenVersions()) {
+		t.Errorf("decoded %+v, %v", got, err)
+	}
+	if _, err := DecodeVersions(payload[:len(payload)-1]); err == nil {
+		t.Error("a truncated history is decoded")
+	}
+}
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -12,8 +12,8 @@
 
 // Origins records and finds the software versions at which streams began. It is safe for concurrent use.
 type Origins interface {
-	// OnlyVersion returns the only software version that the replicas of a service have had lately. It
-	// returns false if there were several, or if this daemon may lack the newest entries.
+	// OnlyVersion returns the only software version that the replicas of a service have had for as long as a
+	// stream can last. It returns false if there were several, or if this daemon can't know.
 	OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool)
 	// Record records the origin of a stream at the daemons that hold it. It does not wait for them.
 	Record(ctx context.Context, o routing.StreamOrigin)
@@ -61,10 +61,13 @@
 	}
 }
 
-// recordOrigin records where the stream began, once, while the service has several versions. It is called
-// before each event is forwarded, since the second version may appear after the first event.
+// recordOrigin records where the stream began, once, unless the service is known to have only one version. It is
+// called before each event is forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin(ctx context.Context) {
-	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() || !s.View().HasSeveralVersions(s.call.Service) {
+	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
+		return
+	}
+	if _, only := s.Origins.OnlyVersion(s.call.Service); only {
 		return
 	}
 	s.originRecorded = true
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,13 +16,14 @@
 // recordedOrigins are the origins that a fleet knows.
 type recordedOrigins struct {
 	only     routing.VersionKey // 0: the service has several versions
+	several  atomic.Bool        // it has a second version by now
 	known    map[routing.StreamKey]routing.VersionKey
 	recorded []routing.StreamOrigin
 	asked    int
 }
 
 func (o *recordedOrigins) OnlyVersion(routing.ServiceName) (routing.VersionKey, bool) {
-	return o.only, o.only != 0
+	return o.only, o.only != 0 && !o.several.Load()
 }
 
 func (o *recordedOrigins) Record(_ context.Context, r routing.StreamOrigin) {
@@ -117,7 +119,7 @@
 			key := routing.NewStreamKey("", "a")
 			origins := &recordedOrigins{known: map[routing.StreamKey]routing.VersionKey{key: r2.VersionKey()}}
 			w.relay.Origins = origins
-			w.view.SeveralVersions = map[routing.ServiceName]bool{"s": true}
+			w.view.Versions = map[routing.ServiceName]routing.VersionKey{"s": 0}
 			to, s := w.serve(resume(w, "a"))
 			Expect(string(to.body)).To(Equal(event(2) + event(3)))
 			Expect(s.Attempts[0].Version).To(Equal(routing.SoftwareVersion("v2")))
@@ -175,8 +177,9 @@
 		Eventually(to.wrote, time.Second).Should(Receive())
 		Expect(origins.recorded).To(BeEmpty())
 		changed := *w.currentView()
-		changed.SeveralVersions = map[routing.ServiceName]bool{"s": true}
+		changed.Versions = map[routing.ServiceName]routing.VersionKey{"s": 0}
 		w.setView(&changed)
+		origins.several.Store(true)
 		close(second)
 		<-done
 		Expect(origins.recorded).To(ConsistOf(HaveField("Stream", routing.NewStreamKey("", "a"))))
