Relay: a silent replica is given up only once another one goes on

Before the first event such requests were answered with a failure.

Cause: awaitEvent and awaitFirstByte closed the exchange for a retry that the route and the budget allow, and only then looked for a replica.

Change: failover.go sends the call to another replica while the silent exchange stays open, with its permit and its counts. The first that has something for the caller goes on, the other is closed; both have the call for 250 ms at most, then the second one goes on alone. If none takes it, the call goes back to the silent one.

The permits' order at a hand-over is the same.

Ruled out: the shutdown (it happens without SIGTERM too) and the caller. Why it works: no path closes an exchange that may go on before another one has the call for good. Left: a second replica that takes the call, and then fails.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -63,6 +63,7 @@
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
 	Brittle           bool          `long:"brittle" description:"with --crowded: the replicas of the crowded service are brittle at times; it may have a model, and up to 40 replicas"`
 	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
+	Silences          float64       `long:"silences" default:"0" description:"times per second that a sound replica falls silent for a moment"`
 	Unframed          bool          `long:"unframed" description:"let one in six responses of the replicas, streams too, end with their connections, with neither a length nor chunks"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
 	Dir               string        `long:"dir" description:"directory of the runs (default: a temporary directory)"`
@@ -185,6 +186,7 @@
 	shape.BackoffsPerSec, shape.DeparturesPerSec = o.Backoffs, o.Departures
 	shape.FalseCrashesPerSec, shape.RestoresPerSec, shape.Upgrades = o.FalseTerminations, o.Restores, o.Previous != ""
 	shape.CrashingParts = o.CrashingParts
+	shape.SilencesPerSec = o.Silences
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
 	shape.Brittle = o.Brittle
 	plan := soak.NewPlan(seed, shape)
--- a/coordination/routing/timeouts.go
+++ b/coordination/routing/timeouts.go
@@ -3,12 +3,11 @@
 // The inputs are the route's latency targets and kind, and how many replicas the request was sent
 // to.
 //
-//  1. If the request can be sent to another replica, a replica that hasn't begun its response
-//     within firstByteShare of the route's target is abandoned. A stream that can be resumed
-//     elsewhere is abandoned when the pause between its events exceeds eventFactor times the
-//     route's target. Each of these timeouts has a lower bound, for routes with very short
-//     targets. A replica is abandoned only if the retry can be reserved in the budget (retry.go);
-//     otherwise the daemon keeps waiting.
+//  1. If the route allows another attempt, the request is sent to another replica too when one hasn't begun its
+//     response within firstByteShare of the route's target, or when the pause between the events of
+//     a stream that can be resumed elsewhere exceeds eventFactor times the route's target. Each of these
+//     timeouts has a lower bound, for routes with very short targets. The silent replica is abandoned once
+//     the other one has something for the caller (transport/relay); until then it may go on.
 //  2. If the request can't be sent elsewhere, the daemon waits until the deadline. After
 //     unresponsiveTimeout the replica's silence counts as a failure, so that other requests avoid
 //     it.
@@ -29,14 +28,16 @@
 	// minEventTimeout the shortest such timeout.
 	eventFactor     = 2
 	minEventTimeout = 500 * time.Millisecond
+	// noTimeout is longer than any deadline.
+	noTimeout = 24 * time.Hour
 	// unresponsiveTimeout is the time without a response after which a replica's silence counts
 	// as a failure.
 	unresponsiveTimeout = time.Second
 )
 
 // FirstByteTimeout returns how long to wait for the first byte of a response, and whether the
-// request then goes to another replica. If not, a failure of the replica is recorded, and the
-// wait goes on until the deadline.
+// request may then go to another replica. In any case a failure of the replica is recorded, and the
+// wait for it goes on.
 func (a *Attempts) FirstByteTimeout() (wait time.Duration, failover bool) {
 	if !a.Route.MayRunAgain() || !a.attemptsLeft() {
 		return unresponsiveTimeout, false
@@ -44,11 +45,11 @@
 	return max(time.Duration(firstByteShare*float64(a.Route.FirstByteTarget)), minFirstByteTimeout), true
 }
 
-// EventTimeout returns how long to wait for the next event of a stream before it is resumed at
+// EventTimeout returns how long to wait for the next event of a stream before it may be resumed at
 // another replica. It returns false if it can't be; then only the deadline applies.
 func (a *Attempts) EventTimeout() (wait time.Duration, failover bool) {
 	if !a.Route.Resumable || !a.attemptsLeft() {
-		return 0, false
+		return noTimeout, false
 	}
 	return max(eventFactor*a.Route.EventTarget, minEventTimeout), true
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -91,6 +91,7 @@
 	j.checkServing()
 	j.checkPartitions()
 	j.checkVersions()
+	j.checkSilences()
 	j.checkCrashingParts()
 	j.checkLimit()
 	j.checkCold()
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -132,14 +132,17 @@
 	return hit
 }
 
-// work waits for d. It returns false if the daemon closed the connection first.
+// work waits for d, and for the end of a silence. It returns false if the daemon closed the connection first.
 func (x *exchange) work(d time.Duration) bool {
-	select {
-	case <-x.disconnected:
-		return false
-	case <-time.After(d):
-		return true
+	for d > 0 {
+		select {
+		case <-x.disconnected:
+			return false
+		case <-time.After(d):
+		}
+		d = x.untilItSpeaks()
 	}
+	return true
 }
 
 func (x *exchange) finish(status int) { x.ledger.Ended(x.run, status, time.Now()) }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -105,6 +105,8 @@
 		s.sendFalseCrashReports(f)
 	case departInResponses:
 		s.leaveByAnswers(f)
+	case silenceReplica:
+		s.fallSilent(f)
 	case callersRetry:
 		s.callerFaults.resends.Store(2)
 		pause(s.ctx, f.For)
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -40,6 +40,7 @@
 	brittle         []brittleSpan
 	partitions      []partitionSpan
 	versions        map[string][]versionSpan // of replicas
+	silences        []silentSpan             // of sound replicas
 	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
 	// describes what became of it.
 	wasRead func(conn string, at time.Time) (bool, string)
@@ -60,6 +61,7 @@
 	o.backoffs, o.freezes, o.setAside = cloneLists(o.backoffs), cloneLists(o.freezes), cloneLists(o.setAside)
 	o.versions, o.partitions, o.terminations = cloneLists(o.versions), slices.Clone(o.partitions), slices.Clone(o.terminations)
 	o.domains, o.builds, o.begins = maps.Clone(o.domains), maps.Clone(o.builds), maps.Clone(o.begins)
+	o.silences = slices.Clone(o.silences)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
 		o.joined[service] = maps.Clone(replicas)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -135,6 +135,8 @@
 	Versions bool
 	// Unframed says whether a part of the responses ends with their connections.
 	Unframed bool
+	// SilencesPerSec is how often a sound replica falls silent for a moment.
+	SilencesPerSec float64
 }
 
 // DefaultShape returns the shape of a run that is started by hand.
@@ -175,6 +177,7 @@
 	p.drawPartitions(seed, s)
 	p.drawVersions(seed, s)
 	p.drawCrashingParts(seed, s)
+	p.drawSilences(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -135,6 +135,8 @@
 		also: []edit{{"daemon/routes/sync.go", "if s.response.versions != nil {", "if s.response.versions == nil {"}}},
 	{name: "tells no history of versions", promise: "LOST", subject: "resumes", file: "daemon/routes/sync.go",
 		text: "a.versions = &history", instead: "_ = &history", fixed: youngDaemonsPlan},
+	{name: "gives a silent replica up without another", promise: "LOST", subject: longPrefix, file: "transport/relay/failover.go",
+		text: "\tif h.state.Load() == handoverToNext {", instead: "\tif h.silent.closeConn(); true {", fixed: silentReplicasPlan},
 	{name: "counts only whole contents", promise: "BUDGET", subject: crashingPartPrefix, file: "transport/relay/relay.go",
 		text: "\ts.PartCrashes.ReportPartCrashes(", instead: "\t(*routing.Crashes)(nil).ReportPartCrashes(", parts: 2, quiet: longQuiet},
 	{name: "takes no part for sound", promise: "LOST", subject: "beside", file: "coordination/routing/crash_part.go",
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -61,7 +61,9 @@
 	terminated bool
 	departing  bool // it announces its departure in every response
 	coldUntil  time.Time
-	arrivals   []time.Time // within the last second, recorded while the replica is cold
+	// silentUntil is until when it sends nothing.
+	silentUntil time.Time
+	arrivals    []time.Time // within the last second, recorded while the replica is cold
 	// crashed is called when a request has crashed the replica.
 	crashed func()
 	// fell is called when a brittle replica had to reject too much.
--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -54,6 +54,23 @@
 	return out, true
 }
 
+// takePending removes an incomplete event and returns it. It accepts a nil receiver.
+func (e *eventReader) takePending() []byte {
+	if e == nil {
+		return nil
+	}
+	p := e.pending
+	e.pending = nil
+	return p
+}
+
+// restorePending puts back what takePending removed. It accepts a nil receiver.
+func (e *eventReader) restorePending(p []byte) {
+	if e != nil {
+		e.pending = p
+	}
+}
+
 // reset discards an incomplete event, before the stream is resumed at another replica.
 func (e *eventReader) reset() { e.pending = e.pending[:0] }
 
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -40,6 +40,7 @@
 	errUnsealed       = errors.New("successful response without the replica's seal")
 	errEncoded        = errors.New("response has a content encoding that was not requested")
 	errSilent         = errors.New("replica is silent")
+	errOvertaken      = errors.New("an earlier replica that was silent went on first")
 	errIneligible     = errors.New("replica requested a backoff or announced its departure during connection setup")
 	errQuarantined    = errors.New("request was quarantined during connection setup")
 	errRejected       = errors.New("replica rejected the request without running it")
@@ -55,7 +56,9 @@
 	responding time.Duration
 	// replaced means that another replica responded at the address.
 	replaced bool
-	err      error
+	// takenOverAt is when another replica took the response over from a silent one; zero: none did. The call has ended.
+	takenOverAt time.Time
+	err         error
 }
 
 // exchange is one request and its response on one connection.
@@ -82,7 +85,8 @@
 	// onSelfReport is called with the replica's self-report in each response, including late
 	// responses to earlier requests.
 	onSelfReport func(SelfReport)
-	connReleased bool // the connection was returned to the pool or closed
+	connReleased bool      // the connection was returned to the pool or closed
+	abandonedAt  time.Time // when another replica took the response over; zero: none did
 }
 
 // buffers pools the buffers in which requests are encoded.
@@ -258,6 +262,14 @@
 	}
 }
 
+// takenOver returns the failure for a silent replica whose response another one took over. Its silence has been
+// recorded.
+func (x *exchange) takenOver() *failure {
+	f := x.silentReplica()
+	f.countsAgainst, f.takenOverAt = false, x.abandonedAt
+	return f
+}
+
 // deadlineExpired returns the failure for a response that has not started by the deadline.
 func (x *exchange) deadlineExpired() *failure {
 	return &failure{
--- /dev/null
+++ b/transport/relay/failover.go
@@ -0,0 +1,201 @@
+// This file sends a call to another replica while the one that has it is silent. A silent replica may be dead, or
+// go on a moment later, and the other one may be missing, full, or silent too. So the call gives up the silent one
+// only when another has taken the response over:
+//
+//  1. The exchange with the silent replica stays open, with its permit and its place in the load counts, while
+//     the call looks for another replica and is sent there, by the rules for retries.
+//  2. The first replica that has something for the caller goes on: the silent one as soon as any byte arrives from
+//     it, the other one with its first complete event, or its complete response. The other exchange is closed.
+//  3. Both have the call for maxOverlap at most: a replica must not go on with a stream while another one is at
+//     work on it. After that the other one goes on alone, since it has not rejected the call.
+//  4. If no other replica takes the call, it goes back to waiting for the silent one, and tries again after the next
+//     timeout, until its deadline.
+//
+// The replica that is tried meanwhile may turn silent in its turn, so that handovers nest.
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/admission"
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
+)
+
+// maxOverlap is how long two replicas may have a call. Replicas reject at once what they can't take.
+const maxOverlap = 250 * time.Millisecond
+
+// attemptState is what an attempt holds while it is under way.
+type attemptState struct {
+	permit    PermitGranted // if hasPermit
+	hasPermit bool
+	sent      time.Time // when the request was sent; zero: it was not
+	// uncount removes the attempt from the counts of requests in flight.
+	uncount []func()
+}
+
+// onEnd has a function called that removes the attempt from a count of requests in flight.
+func (a *attemptState) onEnd(f func()) { a.uncount = append(a.uncount, f) }
+
+// endCounts removes the attempt from all counts. Further calls have no effect.
+func (a *attemptState) endCounts() {
+	for _, f := range a.uncount {
+		f()
+	}
+	a.uncount = nil
+}
+
+// The states of a handover.
+const (
+	handoverOpen   int32 = iota
+	handoverOff          // the silent replica went on
+	handoverToNext       // another replica took the response over
+)
+
+// handover decides whether a silent replica or another one goes on with a response. While it is open, nothing but
+// its watch reads the silent exchange.
+type handover struct {
+	outer   *handover // which the silent exchange is to take over from; nil: none
+	silent  *exchange
+	attempt *attemptState // of the silent exchange
+	state   atomic.Int32
+	cancel  context.CancelFunc // gives up the other replica
+	watched chan struct{}      // closed when the watch has ended
+}
+
+// watch waits for the silent replica, and gives up the other one once anything arrives.
+func (h *handover) watch() {
+	defer close(h.watched)
+	_, err := h.silent.conn.reader.Peek(1)
+	if err == nil && h.state.CompareAndSwap(handoverOpen, handoverOff) {
+		h.cancel()
+	}
+}
+
+// beginWatch begins to wait for the silent replica, until its deadline.
+func (h *handover) beginWatch() {
+	_ = h.silent.conn.SetReadDeadline(clock.RuntimeTime(h.silent.deadline)) // on failure, the read fails too
+	go h.watch()
+}
+
+// endWatch ends the watch and waits for it.
+func (h *handover) endWatch() {
+	_ = h.silent.conn.SetReadDeadline(time.Unix(1, 0)) // on failure, the connection is closed
+	<-h.watched
+	_ = h.silent.conn.SetReadDeadline(clock.RuntimeTime(h.silent.deadline)) // on failure, the next read fails too
+}
+
+// failOver sends the call to another replica while that of an exchange is silent. It returns true if another one took the
+// response over, in which case the call has ended, well or not.
+func (s *activeCall) failOver(ctx context.Context, x *exchange) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, watched: make(chan struct{})}
+	incomplete := s.events.takePending()
+	s.handover, s.attemptState = h, &attemptState{}
+	h.beginWatch()
+	s.tryReplicas(ctx)
+	h.endWatch()
+	s.handover, s.attemptState = h.outer, h.attempt
+	if h.state.Load() == handoverToNext {
+		return true
+	}
+	s.events.restorePending(incomplete)
+	if x.conn.reader.Buffered() > 0 {
+		x.recordArrival()
+	}
+	return false
+}
+
+// takeOver closes the exchanges with silent replicas, since another one goes on. It returns false if one of them went on
+// before.
+func (s *activeCall) takeOver() bool {
+	for h := s.handover; h != nil; h = h.outer {
+		if !h.state.CompareAndSwap(handoverOpen, handoverToNext) {
+			return false
+		}
+		h.silent.abandonedAt = clock.Now()
+		h.silent.closeConn()
+		s.endAttempt(h.attempt)
+	}
+	s.handover = nil
+	return true
+}
+
+// endAttempt ends the permit and the counts of an attempt other than the current one.
+func (s *activeCall) endAttempt(a *attemptState) {
+	current := s.attemptState
+	s.attemptState = a
+	s.releasePermit(admission.Abandoned)
+	s.endCounts()
+	s.attemptState = current
+}
+
+// endAttempts ends the permits and counts of all attempts.
+func (s *activeCall) endAttempts() {
+	s.endAttempt(s.attemptState)
+	for h := s.handover; h != nil; h = h.outer {
+		s.endAttempt(h.attempt)
+	}
+}
+
+// await waits for bytes of a response. If none arrive in time, the replica's silence is recorded, and another
+// replica may take the response over.
+func (s *activeCall) await(ctx context.Context, x *exchange, r *routing.Replica, timeout func() (wait time.Duration, failover bool)) *failure {
+	isRecorded := false
+	for {
+		wait, canRetry := timeout()
+		until := clock.Now().Add(wait)
+		overlapEnd := x.sent.Add(maxOverlap)
+		overlaps := s.handover != nil && overlapEnd.Before(until)
+		if overlaps {
+			until = overlapEnd
+		}
+		arrived, err := x.awaitBytes(until)
+		switch {
+		case errors.Is(err, io.EOF) && x.response != nil:
+			return nil // a response without a length ends with the connection; the next read returns EOF
+		case err != nil:
+			return x.brokenResponse(ctx, err)
+		case arrived:
+			return nil
+		case !clock.Now().Before(x.deadline):
+			return x.deadlineExpired()
+		case overlaps && !s.takeOver():
+			return overtaken()
+		case overlaps:
+			continue
+		}
+		if !isRecorded {
+			s.recordSilence(x, r, canRetry)
+			isRecorded = true
+		}
+		if canRetry && s.failOver(ctx, x) {
+			return x.takenOver()
+		}
+	}
+}
+
+// recordSilence records that a replica is silent while the call goes on waiting for it.
+func (s *activeCall) recordSilence(x *exchange, r *routing.Replica, canRetry bool) {
+	if s.isOwnLink(x.conn) && !x.received {
+		s.Pool.reach.Silent(r, s.replicas(r), x.sent, clock.Now())
+	}
+	if s.blamesOwnLink(x.conn) {
+		return
+	}
+	s.recordFailure(r, routing.ResultSilent, errSilent)
+	if !canRetry {
+		s.Placer.Health.ReportSilence(r, clock.Now())
+	}
+}
+
+// overtaken returns the failure for a response that is not forwarded, since an earlier replica went on before.
+func overtaken() *failure {
+	return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errOvertaken}
+}
--- /dev/null
+++ b/transport/relay/failover_test.go
@@ -0,0 +1,189 @@
+package relay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/admission"
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+var _ = Describe("A replica that is silent for a moment", func() {
+	allEvents := event(1) + event(2) + event(3)
+	const silence = 1100 * time.Millisecond
+
+	// pausing sends the first event, is silent for a while, and then sends the rest.
+	pausing := func(a *receivedRequest) bool {
+		streamHead(a)
+		chunk(a, event(1)+"id: 2\nda")
+		time.Sleep(silence)
+		chunk(a, "ta: 2\n\n"+event(3))
+		return streamEnd(a)
+	}
+	// late begins its response after the silence.
+	late := func(a *receivedRequest) bool {
+		time.Sleep(silence)
+		streamHead(a)
+		chunk(a, allEvents)
+		return streamEnd(a)
+	}
+	rejecting := func(a *receivedRequest) bool { return respond(a, 503, "Not-Executed: 1\r\n", "") }
+
+	// mute reads until the relay closes the connection.
+	mute := func(a *receivedRequest) bool {
+		_, err := a.reader.ReadByte()
+		return err == nil
+	}
+
+	// serveFrom serves a stream that begins at the first replica, and goes on there in the end.
+	serveFrom := func(w *fixture) {
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(to.broken).To(BeFalse())
+		Expect(s.Outcome).To(HaveField("Status", 200))
+		Expect(w.relay.Placer.Loads.LocalCounts()).To(BeEmpty())
+	}
+
+	// A stream was broken off, and its caller's connection closed, although its replica went on a moment later.
+	DescribeTable("goes on with its stream if there is no other replica for it", func(script func(*receivedRequest) bool) {
+		serveFrom(newFixture(resumable, startReplica("r1", script)))
+	},
+		Entry("after the first event", pausing),
+		Entry("before the first event", late),
+	)
+
+	It("goes on with its stream if the others are of another version", func() {
+		w := newFixture(resumable, startVersion("r1", "v1", pausing))
+		other := startVersion("r2", "v2", late)
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(BeZero())
+	})
+
+	It("goes on with its stream if the others want no requests", func() {
+		w := newFixture(resumable, startReplica("r1", pausing))
+		other := startReplica("r2", late)
+		w.relay.Placer.Backoffs.Record(&other.Replica, time.Minute, "b", time.Now())
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(BeZero())
+	})
+
+	It("goes on with its stream if the budget has no retry", func() {
+		w := newFixture(resumable, startReplica("r1", pausing))
+		w.relay.Budgets = routing.NewRetryBudgets(routing.RetryRule{Window: time.Second}, 1)
+		other := startReplica("r2", late)
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(BeZero())
+	})
+
+	DescribeTable("goes on with its stream if another one rejects it", func(script func(*receivedRequest) bool) {
+		w := newFixture(resumable, startReplica("r1", script))
+		other := startReplica("r2", rejecting)
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(Equal(1))
+	},
+		Entry("after the first event", pausing),
+		Entry("before the first event", late),
+	)
+
+	It("goes on with its stream if another one can't be reached", func() {
+		w := newFixture(resumable, startReplica("r1", pausing))
+		other := startReplica("r2", rejecting)
+		other.crash()
+		w.onceBegun(other)
+		serveFrom(w)
+	})
+
+	It("goes on with its stream if another one breaks off before its first event", func() {
+		w := newFixture(resumable, startReplica("r1", pausing))
+		other := startReplica("r2", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, "id: 2\nda")
+			return reset(a.conn)
+		})
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(Equal(1))
+	})
+
+	It("goes on with its stream if it speaks before another one", func() {
+		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			time.Sleep(650 * time.Millisecond) // .15 s after the event timeout
+			chunk(a, "ta: 2\n\n"+event(3))
+			return streamEnd(a)
+		}))
+		gone := make(chan struct{}, 1)
+		other := startReplica("r2", func(a *receivedRequest) bool {
+			defer func() { gone <- struct{}{} }()
+			return mute(a)
+		})
+		w.onceBegun(other)
+		serveFrom(w)
+		Expect(other.count()).To(Equal(1))
+		Eventually(gone, time.Second).Should(Receive(), "the attempt at it has ended")
+	})
+
+	It("is left to another one that goes on, as soon as that has an event", func() {
+		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			return mute(a)
+		}))
+		other := startReplica("r2", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		})
+		w.onceBegun(other)
+		c := w.call("a", "POST", "x")
+		to, s := w.serve(c)
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(s.Attempts).To(HaveLen(2))
+		Expect([]routing.ReplicaID{s.Attempts[0].Replica, s.Attempts[1].Replica}).To(Equal([]routing.ReplicaID{"r1", "r2"}))
+		Expect(s.Attempts[0].Duration).To(BeNumerically("<", 600*time.Millisecond), "the event timeout")
+		Expect(s.Total).To(BeNumerically("<", 700*time.Millisecond))
+		Expect(w.relay.Placer.Loads.LocalCounts()).To(BeEmpty())
+	})
+
+	It("answers a plain request if another one rejects it", func() {
+		w := newFixture(idempotent, startReplica("r1", func(a *receivedRequest) bool {
+			time.Sleep(silence)
+			return respondOK(a)
+		}))
+		other := startReplica("r2", rejecting)
+		w.onceBegun(other)
+		to, _ := w.serve(w.call("a", "GET", ""))
+		Expect(to.status).To(Equal(200))
+		Expect(other.count()).To(Equal(1))
+	})
+
+	It("goes on after a second one that was silent too, and keeps its permit meanwhile", func() {
+		r1, r2 := startReplica("r1", func(a *receivedRequest) bool {
+			time.Sleep(400 * time.Millisecond)
+			streamHead(a)
+			chunk(a, allEvents)
+			return streamEnd(a)
+		}), startReplica("r2", mute)
+		w := newFixture(resumable, r1, r2)
+		p := &scriptedPermits{needed: true, acquire: grants(r1, r2)}
+		w.relay.Permits = p
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(p.released).To(Equal([]admission.Result{admission.Abandoned, admission.Completed}), "the second one's first")
+	})
+})
+
+// onceBegun adds a replica to the view when the only one so far has got its request.
+func (w *fixture) onceBegun(other *replica) {
+	first := w.view.Pools["s"].Ready[0]
+	changed := *w.view
+	changed.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{first, other.Replica}}}
+	time.AfterFunc(150*time.Millisecond, func() { w.setView(&changed) })
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination"
-	"hingewinch.org/hingewinch/coordination/admission"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport/clock"
 )
@@ -42,14 +41,15 @@
 // activeCall is the state of one call. It is used by one goroutine.
 type activeCall struct {
 	*Relay
+	*attemptState // of the current attempt
+	// handover is the one that the current attempt takes part in, since an earlier replica is silent; nil: none.
+	handover  *handover
 	call      *Call
 	sink      Sink
 	summary   Summary
 	attempts  routing.Attempts
 	tried     triedReplicas
-	permit    PermitGranted // of the current attempt, if hasPermit
-	hasPermit bool
-	sent      time.Time    // when the request of the current attempt was sent; zero: it was not
+	choices   int          // replicas chosen so far
 	completed bool         // the caller has the complete response
 	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
 	events    *eventReader // of a streamed response; nil before the first
@@ -72,9 +72,9 @@
 // Serve forwards a call and writes the response to sink. It returns when the caller has
 // its final response, or has disconnected, in which case ctx is done.
 func (r *Relay) Serve(ctx context.Context, c *Call, sink Sink) *Summary {
-	s := &activeCall{Relay: r, call: c, sink: sink, attempts: routing.NewAttempts(c.Route)}
+	s := &activeCall{Relay: r, attemptState: &attemptState{}, call: c, sink: sink, attempts: routing.NewAttempts(c.Route)}
 	// The HTTP server recovers a panic. Without this, the permit would stay out as long as the process.
-	defer s.releasePermit(admission.Abandoned)
+	defer s.endAttempts()
 	if s.bindResumed(ctx) {
 		s.tryReplicas(ctx)
 	}
@@ -84,7 +84,7 @@
 
 // tryReplicas sends the call to one replica after another until an attempt succeeds or no other is allowed.
 func (s *activeCall) tryReplicas(ctx context.Context) {
-	for range routing.MaxChoices {
+	for s.choices < routing.MaxChoices {
 		if !s.attempt(ctx) {
 			return
 		}
@@ -105,12 +105,16 @@
 	if !ok {
 		return false
 	}
+	s.choices++
 	s.tried.add(&target.Replica)
 	failure := s.sendAndRecord(ctx, &target, clock.Now())
 	if failure == nil {
 		s.completed = true
 		return false
 	}
+	if !failure.takenOverAt.IsZero() {
+		return false
+	}
 	if failure.result == routing.ResultUnreachable && target.Replica.Domain != s.View().Domain {
 		s.tried.RemoteUnreachable = true
 	}
@@ -156,9 +160,14 @@
 		Replica: t.Replica.ID, Version: t.Replica.Version, Rank: t.Rank, Cold: t.Replica.IsCold(started), PromptSource: t.Source.ID,
 		Load: t.Load, MeanLoad: t.Mean, LoadCoverage: t.Coverage,
 	}
+	i := len(s.summary.Attempts) // further attempts may follow before this one has ended
+	s.summary.Attempts = append(s.summary.Attempts, a)
 	f := s.sendCounted(ctx, t, &a)
 	a.Duration = clock.Since(started)
 	if f != nil {
+		if !f.takenOverAt.IsZero() {
+			a.Duration = f.takenOverAt.Sub(started)
+		}
 		a.Err, a.Rejected = f.err, errors.Is(f.err, errRejected)
 		s.releaseFailed(ctx, f)
 		s.reportRejection(f)
@@ -175,7 +184,7 @@
 			s.recordReplaced(&t.Replica)
 		}
 	}
-	s.summary.Attempts = append(s.summary.Attempts, a)
+	s.summary.Attempts[i] = a
 	return f
 }
 
@@ -183,13 +192,14 @@
 func (s *activeCall) sendCounted(ctx context.Context, t *routing.Target, a *Attempt) *failure {
 	key, loads := t.Replica.LoadKey(), s.Placer.Loads
 	s.sent = time.Time{}
+	defer func() { s.endCounts() }() // of this attempt: further ones may have come and gone
 	if s.hasPermit {
 		loads.BeginPermitted(key)
-		defer loads.EndPermitted(key)
+		s.onEnd(func() { loads.EndPermitted(key) })
 		return s.send(ctx, t, a)
 	}
 	loads.Begin(key)
-	defer loads.End(key)
+	s.onEnd(func() { loads.End(key) })
 	return s.send(ctx, t, a)
 }
 
@@ -294,7 +304,7 @@
 	}
 	if c.via == "" {
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
-		defer s.Pool.reach.End(&t.Replica)
+		s.onEnd(func() { s.Pool.reach.End(&t.Replica) })
 	}
 	x := &exchange{
 		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.call.Deadline,
@@ -311,7 +321,7 @@
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
-	if f != nil {
+	if f != nil && f.takenOverAt.IsZero() {
 		s.reportLink(ctx, x, &t.Replica, f)
 		if s.blamesOwnLink(c) {
 			f.countsAgainst = false
@@ -336,7 +346,7 @@
 
 // receive waits for the response and forwards it.
 func (s *activeCall) receive(ctx context.Context, x *exchange, t *routing.Target, a *Attempt) *failure {
-	if f := s.awaitFirstByte(ctx, x, &t.Replica); f != nil {
+	if f := s.await(ctx, x, &t.Replica, s.attempts.FirstByteTimeout); f != nil {
 		return f
 	}
 	f := x.readHeader(ctx)
@@ -389,54 +399,6 @@
 // isSuccess reports whether a status is neither a redirection nor an error.
 func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
 
-// awaitFirstByte waits for the first byte of the response. If the request can be retried at
-// another replica, it gives up after the first-byte timeout. Otherwise the timeout counts against
-// the replica, and it waits until the deadline.
-func (s *activeCall) awaitFirstByte(ctx context.Context, x *exchange, r *routing.Replica) *failure {
-	wait, canRetry := s.attempts.FirstByteTimeout()
-	arrived, err := x.awaitBytes(clock.Now().Add(wait))
-	if err != nil {
-		return x.brokenResponse(ctx, err)
-	}
-	if arrived {
-		return nil
-	}
-	if !clock.Now().Before(x.deadline) {
-		return x.deadlineExpired()
-	}
-	if canRetry && s.reserveRetry(ctx) {
-		return x.silentReplica()
-	}
-	s.recordSilence(x, r, canRetry)
-	if arrived, err = x.awaitBytes(x.deadline); err != nil {
-		return x.brokenResponse(ctx, err)
-	}
-	if arrived {
-		return nil
-	}
-	return x.deadlineExpired()
-}
-
-// recordSilence records that a replica is silent while the call goes on waiting for it.
-func (s *activeCall) recordSilence(x *exchange, r *routing.Replica, canRetry bool) {
-	if s.isOwnLink(x.conn) {
-		s.Pool.reach.Silent(r, s.replicas(r), x.sent, clock.Now())
-	}
-	if s.blamesOwnLink(x.conn) {
-		return
-	}
-	s.recordFailure(r, routing.ResultSilent, errSilent)
-	if !canRetry {
-		s.Placer.Health.ReportSilence(r, clock.Now())
-	}
-}
-
-// reserveRetry reports whether the call may be retried if this attempt is given up. It reserves the
-// retry in the budget, with a budget transfer from other daemons if necessary.
-func (s *activeCall) reserveRetry(ctx context.Context) bool {
-	return s.attempts.ReserveRetry(s.Budgets, s.call.Service, clock.Now()) || s.reserveByTransfer(ctx)
-}
-
 // reserveByTransfer asks other daemons for the retry budget that this one lacks, and reserves the
 // retry if they transfer enough.
 func (s *activeCall) reserveByTransfer(ctx context.Context) bool {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -47,6 +47,10 @@
 	if len(body) > maxResponseBytes {
 		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, err: errTooLarge}
 	}
+	isFinal := status < http.StatusInternalServerError || !s.attempts.MayTryAnother()
+	if isFinal && !s.attempts.ResponseStarted && !s.takeOver() {
+		return overtaken()
+	}
 	now := clock.Now()
 	x.releaseConn(true, now)
 	s.releasePermit(completion(status))
@@ -60,7 +64,7 @@
 	if x.head.SelfReport.Backoff == 0 { // a requested backoff does not count as a failure
 		s.failed = append(s.failed, t.Replica)
 	}
-	if s.attempts.MayTryAnother() {
+	if !isFinal {
 		// Another replica may succeed; if none does, this response is forwarded.
 		s.fallback = &errorResponse{status: status, header: x.response.Header, body: body}
 		return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errReplicaError}
@@ -112,7 +116,7 @@
 	s.events.reset()
 	buf := make([]byte, streamReadBytes)
 	for {
-		if f := s.awaitEvent(ctx, x); f != nil {
+		if f := s.await(ctx, x, &t.Replica, s.attempts.EventTimeout); f != nil {
 			return f
 		}
 		n, err := x.response.Body.Read(buf)
@@ -132,6 +136,9 @@
 	if err := x.checkEnd(ctx); err != nil {
 		return x.brokenResponse(ctx, err)
 	}
+	if !s.takeOver() {
+		return overtaken()
+	}
 	if f := s.sendHeader(x); f != nil {
 		return f
 	}
@@ -143,36 +150,6 @@
 	return nil
 }
 
-// awaitEvent waits for more bytes of a stream. If the stream can be resumed at another
-// replica, it waits no longer than the event timeout.
-func (s *activeCall) awaitEvent(ctx context.Context, x *exchange) *failure {
-	if x.conn.reader.Buffered() > 0 {
-		return nil
-	}
-	until := x.deadline
-	wait, canResume := s.attempts.EventTimeout()
-	if canResume {
-		until = clock.Now().Add(wait)
-	}
-	arrived, err := x.awaitBytes(until)
-	if err == nil && !arrived && canResume && !s.reserveRetry(ctx) {
-		arrived, err = x.awaitBytes(x.deadline)
-	}
-	if err != nil {
-		// A response without a length ends with the connection; the next read returns EOF.
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		return x.brokenResponse(ctx, err)
-	}
-	if arrived {
-		return nil
-	}
-	f := x.silentReplica()
-	f.countsAgainst = clock.Now().Before(x.deadline)
-	return f
-}
-
 // forwardEvents forwards the events that p completes to the caller. The first event binds the stream to
 // the software version of its replica.
 func (s *activeCall) forwardEvents(ctx context.Context, x *exchange, t *routing.Target, p []byte) *failure {
@@ -183,6 +160,9 @@
 	if len(events) == 0 {
 		return nil
 	}
+	if !s.takeOver() {
+		return overtaken()
+	}
 	if x.firstEvent.IsZero() {
 		x.firstEvent = clock.Now()
 	}
