Quarantined parts: a probe that reached no replica is no probe

Cause: BeginProbe marked the one probe as used before a replica was chosen; the first request to come found none. In virtual time three more causes showed: requests with two quarantined parts were never probes; the end of a quarantine was told after all reports of crashes, and dropped among them; there was no probe after twelve seconds.

A probe counts once it was written to a replica, two at most, one if the replica crashes; with several quarantined parts, only where none of five refused requests had fewer; later than twelve seconds by a daemon that knew in time. Ends of quarantines go ahead of crashes.

The simulation takes the crash rate as the daemon does.

Ruled out: a verdict on too little (18 crashes were met); lost reports alone.

--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -192,8 +192,15 @@
 	}
 	s.lastUsed = now
 	r.crashCount = len(s.crashes)
+	if before && !c.isQuarantined(s) {
+		r.crashCount = verdictPriority // every daemon refuses requests until it knows
+	}
 	send(r, at)
-	return !before && c.isQuarantined(s)
+	if before || !c.isQuarantined(s) {
+		return false
+	}
+	c.forgetHeld()
+	return true
 }
 
 // crashesKept returns how many crashes are kept of one suspect.
--- a/coordination/routing/crash_part.go
+++ b/coordination/routing/crash_part.go
@@ -20,11 +20,8 @@
 //  5. A daemon that quarantines a part tells all others, which do so too. They need not come to the same
 //     conclusion: each knows only a part of what is in flight.
 //  6. Only a request that is responded to after that, or an operator, ends a quarantine. Requests with the
-//     part that were on their way may still show that it is sound. So may one probe: one daemon of the
-//     fleet sends the first request with the part that comes to it between partProbeAfter and partProbeUntil,
-//     to one replica. A common part may have met each crash by coincidence while little else was served, and
-//     all its requests would be refused. A probe costs one of the three requests that may still crash a
-//     replica.
+//     part that were on their way may still show that it is sound. So may a probe (crash_probe.go). A common part
+//     may have met each crash by coincidence while little else was served, and all its requests would be refused.
 //  7. A crash is reported to other daemons only if partReportDelay has not shown the part to be sound,
 //     which spares reports about the parts that most requests have. Rules 3 and 4 apply to crashes of which
 //     all daemons have had the time to report.
@@ -65,10 +62,6 @@
 	// partSettleTime than it takes until all daemons have reported a crash.
 	partReportDelay = 500 * time.Millisecond
 	partSettleTime  = 800 * time.Millisecond
-	// partProbeAfter and partProbeUntil are times since the quarantine began. The first is the time that
-	// requests on their way take; after the second a daemon that started anew can't probe again.
-	partProbeAfter = 2 * time.Second
-	partProbeUntil = 12 * time.Second
 	// soundRetention is how long it is remembered that a part was sound: longer than a report of a crash
 	// before that takes to arrive.
 	soundRetention = 5 * time.Second
@@ -76,7 +69,7 @@
 	maxSoundParts = 4000
 	// partWatchTime is how long after a crash it is recorded which parts are sound.
 	partWatchTime = time.Minute
-	// verdictPriority sends verdicts ahead of crashes.
+	// verdictPriority sends verdicts, and the ends of quarantines, ahead of crashes.
 	verdictPriority = math.MaxInt
 	// maxPartText is how much of a part's id is kept for operators, in bytes.
 	maxPartText = 64
@@ -181,39 +174,13 @@
 	}
 	for _, part := range q.SuspectParts() {
 		if c.Quarantined(NewPartKey(part.ID), now) {
+			c.recordHeld(q)
 			return part.ID, true
 		}
 	}
 	return "", false
 }
 
-// BeginProbe reports whether a request is sent as a probe, by rule 6, although one of its parts is
-// quarantined. Each part has at most one.
-func (c *Crashes) BeginProbe(q *Request, now time.Time) bool {
-	if c == nil || c.known.Load() == 0 {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var probed *suspect
-	for _, part := range q.SuspectParts() {
-		s := c.suspects[NewPartKey(part.ID)]
-		if s == nil || !c.isQuarantined(s) {
-			continue
-		}
-		age := now.Sub(s.verdictAt)
-		if probed != nil || !s.mayProbe || s.probed || age < partProbeAfter || age > partProbeUntil {
-			return false
-		}
-		probed = s
-	}
-	if probed == nil {
-		return false
-	}
-	probed.probed = true
-	return true
-}
-
 // SetCrashRate sets how many replicas crash per second, out of how many.
 func (c *Crashes) SetCrashRate(perSecond float64, replicas int) {
 	p, ok := c.partRule()
@@ -277,12 +244,11 @@
 		c.outbox.add(CrashReport{Content: key, Caller: s.caller, Verdict: true, crashCount: verdictPriority}, now)
 		out = append(out, QuarantinedPart{key, s.part})
 	}
-	c.dropExplained()
-	for key, s := range c.suspects {
-		if s.verdict && !s.probed && now.Sub(s.verdictAt) <= partProbeUntil {
-			s.mayProbe = mayProbe(key)
-		}
+	if len(out) > 0 {
+		c.forgetHeld()
 	}
+	c.dropExplained()
+	c.assignProbes(now, mayProbe)
 	return out
 }
 
--- a/coordination/routing/crash_part_test.go
+++ b/coordination/routing/crash_part_test.go
@@ -123,48 +123,6 @@
 	}
 }
 
-// TestQuarantinedPartsAreProbedOnce guards against a part that is held back although it is sound, with all
-// requests that have it, and against more than one request that tries it.
-func TestQuarantinedPartsAreProbedOnce(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		mayProbe bool
-		after    []time.Duration
-		parts    []string
-		probes   int
-	}{
-		{"by the daemon that may", true, []time.Duration{time.Second, 3 * time.Second, 4 * time.Second}, []string{"a"}, 1},
-		{"by no other", false, []time.Duration{3 * time.Second}, []string{"a"}, 0},
-		{"not much later", true, []time.Duration{time.Minute}, []string{"a"}, 0},
-		{"not with another part that is quarantined", true, []time.Duration{3 * time.Second}, []string{"a", "b"}, 0},
-		{"again after it was sound and was quarantined anew", true, []time.Duration{3 * time.Second, 9 * time.Second}, []string{"a"}, 2},
-		{"not a part that is not quarantined", true, []time.Duration{3 * time.Second}, []string{"c"}, 0},
-	} {
-		parts := routing.NewPartCrashes()
-		for i := range 5 {
-			parts.ReportPartCrashes(promptOf(i, "a", "b"), "w", numberedReplica(i), -1, epoch)
-		}
-		begun := epoch.Add(time.Second)
-		parts.QuarantineParts(begun, func(routing.ContentKey) bool { return c.mayProbe })
-		probes := 0
-		for i, after := range c.after {
-			if after == 9*time.Second {
-				parts.RecordSound(promptOf(40, "a"), begun.Add(4*time.Second))
-				for k := range 5 {
-					parts.ReportPartCrashes(promptOf(60+k, "a"), "w", numberedReplica(10+k), -1, begun.Add(5*time.Second))
-				}
-				parts.QuarantineParts(begun.Add(6*time.Second), func(routing.ContentKey) bool { return true })
-			}
-			if parts.BeginProbe(promptOf(50+i, c.parts...), begun.Add(after)) {
-				probes++
-			}
-		}
-		if probes != c.probes {
-			t.Errorf("%s: %d probes, want %d", c.name, probes, c.probes)
-		}
-	}
-}
-
 // TestDaemonsShareWhatTheyKnowOfParts guards against a daemon that sends requests with a part on which others
 // saw replicas crash, or holds back a part that others saw to be sound.
 func TestDaemonsShareWhatTheyKnowOfParts(t *testing.T) {
@@ -209,11 +167,18 @@
 	started  int
 	bad      time.Duration // between two bad requests
 	every    time.Duration // between two sound ones
+	downFor  time.Duration // how long a replica that crashed is down
+	// wave is the number of bad requests that come at once, with shared parts that sound ones have too. If it is 0,
+	// parts differ in how often they come, and replicas crash for other reasons too.
+	wave   int
+	shared []string
 
 	crashes []time.Time // caused by the bad part
 	late    int         // bad requests sent later than 3 s after the fifth crash
 	refused int         // sound requests that were refused
 	sound   int
+	// soundLater and refusedLater are those that come later than 6 s after the fifth crash while replicas are up.
+	soundLater, refusedLater int
 }
 
 type simReplica struct {
@@ -228,11 +193,12 @@
 	beginsAt        time.Time // first event
 	endsAt          time.Time
 	isSound         bool
+	isProbe         bool
 	attempts        int
 }
 
 func newPartSim(daemons, replicas int, bad time.Duration, perSecond float64, seed uint64) *partSim {
-	w := &partSim{rng: rand.New(rand.NewPCG(seed, 1)), replicas: make([]simReplica, replicas), now: epoch, bad: bad, every: time.Duration(float64(time.Second) / perSecond)}
+	w := &partSim{rng: rand.New(rand.NewPCG(seed, 1)), replicas: make([]simReplica, replicas), now: epoch, bad: bad, every: time.Duration(float64(time.Second) / perSecond), downFor: 2 * time.Second}
 	for range daemons {
 		w.daemons = append(w.daemons, routing.NewPartCrashes())
 	}
@@ -252,23 +218,25 @@
 // run plays a time: sound requests of two first parts, many middle parts of very different frequency, and
 // bad ones beside the same parts. Crashes reach all daemons by their reports, one in ten of which is lost.
 func (w *partSim) run(lasts time.Duration) {
-	nextBad, nextSound, n := 3*time.Second, time.Duration(0), 0
+	const firstBad = 3 * time.Second
+	nextBad, nextSound, n := firstBad, time.Duration(0), 0
 	for at := time.Duration(0); at < lasts; at += partStep {
 		w.now = epoch.Add(at)
 		for ; nextSound <= at; nextSound += w.every {
 			n++
-			middle := fmt.Sprint("m", int(float64(200)*w.rng.Float64()*w.rng.Float64()*w.rng.Float64()))
-			w.send(&simRequest{q: promptOf(n, fmt.Sprint("first", n%2), middle)})
+			w.send(&simRequest{q: promptOf(n, w.parts(n, false)...)})
 		}
 		for ; nextBad <= at; nextBad += w.bad {
-			n++
-			parts := []string{fmt.Sprint("first", n%2), "bad"}
-			if n%3 == 0 {
-				parts = []string{fmt.Sprint("first", n%2), fmt.Sprint("m", w.rng.IntN(20)), "bad"}
+			atOnce := 1
+			if nextBad == firstBad {
+				atOnce += w.wave
+			}
+			for range atOnce {
+				n++
+				w.send(&simRequest{q: promptOf(n, w.parts(n, true)...), isBad: true})
 			}
-			w.send(&simRequest{q: promptOf(n, parts...), isBad: true})
 		}
-		if at%time.Second == 0 && at > 0 {
+		if at%time.Second == 0 && at > 0 && w.wave == 0 {
 			w.crash(w.rng.IntN(len(w.replicas))) // for another reason
 		}
 		w.step()
@@ -278,24 +246,47 @@
 	}
 }
 
+// parts returns the parts of the prompt of request n but the last one.
+func (w *partSim) parts(n int, isBad bool) []string {
+	first := fmt.Sprint("first", n%2)
+	switch {
+	case w.wave > 0 && isBad:
+		return append(slices.Clone(w.shared), "bad")
+	case w.wave > 0:
+		return append(slices.Clone(w.shared), fmt.Sprint("m", w.rng.IntN(8)))
+	case isBad && n%3 == 0:
+		return []string{first, fmt.Sprint("m", w.rng.IntN(20)), "bad"}
+	case isBad:
+		return []string{first, "bad"}
+	}
+	return []string{first, fmt.Sprint("m", int(float64(200)*w.rng.Float64()*w.rng.Float64()*w.rng.Float64()))}
+}
+
 // send sends a request to a replica that is up, unless its daemon holds it back.
 func (w *partSim) send(r *simRequest) {
 	if r.attempts == 0 {
 		r.daemon = w.rng.IntN(len(w.daemons))
 		w.sound += map[bool]int{false: 1}[r.isBad]
+		w.soundLater += map[bool]int{true: 1}[!r.isBad && w.isLater(6*time.Second) && w.isAnyUp()]
 	}
 	r.attempts++
-	isProbe := r.attempts == 1 && w.daemons[r.daemon].BeginProbe(r.q, w.now)
-	if _, held := w.daemons[r.daemon].QuarantinedPart(r.q, w.now); held && !isProbe {
-		w.refused += map[bool]int{false: 1}[r.isBad]
-		return
+	d := w.daemons[r.daemon]
+	if r.attempts == 1 {
+		r.isProbe = d.BeginProbe(r.q, w.now)
+	}
+	if !r.isProbe || r.attempts > 1 {
+		if _, held := d.QuarantinedPart(r.q, w.now); held {
+			w.refused += map[bool]int{false: 1}[r.isBad]
+			w.refusedLater += map[bool]int{true: 1}[!r.isBad && w.isLater(6*time.Second) && w.isAnyUp()]
+			return
+		}
 	}
 	for range 20 {
 		r.replica = w.rng.IntN(len(w.replicas))
 		if w.now.Before(w.replicas[r.replica].downUntil) {
 			continue
 		}
-		if len(w.crashes) >= 5 && w.now.Sub(w.crashes[4]) > 3*time.Second && r.isBad {
+		if w.isLater(3*time.Second) && r.isBad {
 			w.late++
 		}
 		r.beginsAt = w.now.Add(50*time.Millisecond + time.Duration(w.rng.Int64N(int64(250*time.Millisecond))))
@@ -303,6 +294,24 @@
 		w.inFlight = append(w.inFlight, r)
 		return
 	}
+	w.endProbe(r, false)
+}
+
+// endProbe ends the probe that a request is, if it is one.
+func (w *partSim) endProbe(r *simRequest, sent bool) {
+	if r.isProbe {
+		r.isProbe = false
+		w.daemons[r.daemon].EndProbe(r.q, sent)
+	}
+}
+
+func (w *partSim) isAnyUp() bool {
+	return slices.ContainsFunc(w.replicas, func(r simReplica) bool { return !w.now.Before(r.downUntil) })
+}
+
+// isLater reports whether the fifth crash was longer ago.
+func (w *partSim) isLater(than time.Duration) bool {
+	return len(w.crashes) >= 5 && w.now.Sub(w.crashes[4]) > than
 }
 
 // step lets requests go on: bad ones crash their replicas, with all that is in flight there.
@@ -319,15 +328,18 @@
 			r.isSound = true
 			w.daemons[r.daemon].RecordSound(r.q, w.now)
 		}
+		if !w.now.Before(r.endsAt) {
+			w.endProbe(r, true)
+		}
 		return !w.now.Before(r.endsAt)
 	})
 }
 
-// crash crashes a replica. It is back after two seconds; requests are sent once more.
+// crash crashes a replica, which is down for a while. Requests are sent once more.
 func (w *partSim) crash(replica int) {
 	var again []*simRequest
 	gone := w.replicas[replica].incarnation
-	w.replicas[replica].downUntil = w.now.Add(2 * time.Second)
+	w.replicas[replica].downUntil = w.now.Add(w.downFor)
 	w.start(replica)
 	w.inFlight = slices.DeleteFunc(w.inFlight, func(r *simRequest) bool {
 		if r.replica != replica {
@@ -338,6 +350,7 @@
 			responding = w.now.Sub(r.beginsAt)
 		}
 		w.daemons[r.daemon].ReportPartCrashes(r.q, "w", &gone, responding, w.now)
+		w.endProbe(r, true)
 		if r.attempts < 2 {
 			again = append(again, r)
 		}
@@ -361,7 +374,7 @@
 		for k := range w.replicas {
 			up += map[bool]int{true: 1}[!w.now.Before(w.replicas[k].downUntil)]
 		}
-		d.SetCrashRate(float64(recent), up)
+		d.SetCrashRate(max(float64(recent), d.Rate(w.now)), up)
 		d.QuarantineParts(w.now, func(routing.ContentKey) bool { return i == 0 })
 		if recent > 0 {
 			d.Watch(w.now)
--- a/coordination/routing/crash_suspect.go
+++ b/coordination/routing/crash_suspect.go
@@ -16,8 +16,7 @@
 	clearedAt time.Time
 	verdict   bool // it is a part that this daemon or another one quarantined
 	verdictAt time.Time
-	mayProbe  bool // this daemon may send one request with the part, and has not yet
-	probed    bool
+	probe     partProbe
 	lastUsed  time.Time // when it was last reported or requested
 	refused   int       // requests refused by this daemon
 }
@@ -65,7 +64,7 @@
 	s.clearedAt = latest(s.clearedAt, at)
 	s.crashes = slices.DeleteFunc(s.crashes, func(e replicaCrash) bool { return !e.at.After(at) })
 	if s.verdict && !s.verdictAt.After(at) {
-		s.verdict, s.probed, isNew = false, false, true
+		s.verdict, s.probe, isNew = false, partProbe{}, true
 	}
 	return isNew || len(s.crashes) < before
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -75,6 +75,7 @@
 	s := &activeCall{Relay: r, attemptState: &attemptState{}, call: c, sink: sink, attempts: routing.NewAttempts(c.Route)}
 	// The HTTP server recovers a panic. Without this, the permit would stay out as long as the process.
 	defer s.endAttempts()
+	defer s.endProbe()
 	if s.bindResumed(ctx) {
 		s.tryReplicas(ctx)
 	}
@@ -225,8 +226,8 @@
 	return false
 }
 
-// quarantinedPart returns a part of the call's prompt that is quarantined, unless the call may be sent to
-// one replica to probe it.
+// quarantinedPart returns a part of the call's prompt that is quarantined, unless the call is a probe of it that was
+// not sent yet.
 func (s *activeCall) quarantinedPart(now time.Time) (string, bool) {
 	if s.attempts.Sent == 0 {
 		s.isProbe = s.isProbe || s.PartCrashes.BeginProbe(&s.call.Request, now)
@@ -237,6 +238,13 @@
 	return s.PartCrashes.QuarantinedPart(&s.call.Request, now)
 }
 
+// endProbe ends the probe of quarantined parts that the call was, if it was one.
+func (s *activeCall) endProbe() {
+	if s.isProbe {
+		s.PartCrashes.EndProbe(&s.call.Request, s.attempts.Sent > 0)
+	}
+}
+
 // checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
 // It returns before the call may be retried, since the crash may quarantine its content.
 func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) {
