--- a/coordination/routing/crash_probe.go
+++ b/coordination/routing/crash_probe.go
@@ -10,9 +10,9 @@
 //  2. It sends a request as a probe from partProbeAfter on, one at a time, and maxPartProbes in all. A request that
 //     reached no replica is no probe: replicas may be down for as long as it takes them to start.
 //  3. A request with several quarantined parts is a probe only if at least minHeldRequests with these parts were
-//     refused since the last one, or since a further part was quarantined, and none of them had fewer quarantined parts: one with fewer tells more, and a part
-//     that crashes replicas comes with the sound ones that other requests have. The daemon that is responsible for the
-//     first of the parts sends it.
+//     refused since the last one, or since a further part was quarantined, and none of them had fewer quarantined
+//     parts: a part that crashes replicas comes with sound ones, which other requests have without it. The daemon
+//     that is responsible for the first of the parts sends it.
 //  4. If a replica crashes under a probe with one quarantined part, that part is not probed again.
 
 package routing
--- a/coordination/routing/crash_probe_test.go
+++ b/coordination/routing/crash_probe_test.go
@@ -85,8 +85,8 @@
 	return parts, begun
 }
 
-// TestSoundPartsAreReleasedAfterAllReplicasCrashed guards against sound requests that are held back for good because they
-// share parts with requests under which all replicas crashed at once: the probe was used up while none was up.
+// TestSoundPartsAreReleasedAfterAllReplicasCrashed guards against sound requests that are held back for good because
+// they share parts with requests under which all replicas crashed at once: the probe was used up while none was up.
 func TestSoundPartsAreReleasedAfterAllReplicasCrashed(t *testing.T) {
 	for _, c := range []struct {
 		daemons   int
--- a/coordination/routing/versions.go
+++ b/coordination/routing/versions.go
@@ -8,9 +8,9 @@
 //
 //  1. A request whose stream began at a version gets replicas of that version only, whatever else is
 //     left. Its version belongs to an incarnation: a replica that restarted under its id may have another.
-//  2. Where a service has, or lately had, several versions (version_history.go), replicas that don't name theirs match none,
-//     and neither do terminated ones: another incarnation with another version may already listen at
-//     their address. A stream that began at one of these is bound to no version that any replica has.
+//  2. Where a service has, or lately had, several versions (version_history.go), replicas that don't name theirs
+//     match none, and neither do terminated ones: another incarnation with another version may already
+//     listen at their address. A stream that began at one of these is bound to no version that any replica has.
 //  3. If no replica of the version is ready, the stream is broken off, or refused, at once.
 
 package routing
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -90,8 +90,8 @@
 	_ = h.silent.conn.SetReadDeadline(clock.RuntimeTime(h.silent.deadline)) // on failure, the next read fails too
 }
 
-// failOver sends the call to another replica while that of an exchange is silent. It returns true if another one took the
-// response over, in which case the call has ended, well or not.
+// failOver sends the call to another replica while that of an exchange is silent. It returns true if another one
+// took the response over, in which case the call has ended, well or not.
 func (s *activeCall) failOver(ctx context.Context, x *exchange) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -112,8 +112,8 @@
 	return false
 }
 
-// takeOver closes the exchanges with silent replicas, since another one goes on. It returns false if one of them went on
-// before.
+// takeOver closes the exchanges with silent replicas, since another one goes on. It returns false if one of them
+// went on before.
 func (s *activeCall) takeOver() bool {
 	for h := s.handover; h != nil; h = h.outer {
 		if !h.state.CompareAndSwap(handoverOpen, handoverToNext) {
