Soak: a replica that crashes while it is silent breaks its connections off itself

The check leaves out silences in which the replica is disturbed otherwise; a row of TestCheckSilences holds it.

--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -84,7 +84,8 @@
 			continue
 		}
 		if j.allSilent(r.runs, a.At) {
-			j.add("LOST", r, a.At, "daemon %d ended a response with status %d and %q while replica %s was silent", r.Daemon, a.Status, a.Reason, r.runs[len(r.runs)-1].Replica)
+			j.add("LOST", r, a.At, "daemon %d ended a response with status %d and %q while replica %s was silent",
+				r.Daemon, a.Status, a.Reason, r.runs[len(r.runs)-1].Replica)
 		}
 	}
 }
@@ -99,9 +100,12 @@
 	return true
 }
 
+// isSilent reports whether the replica of a run was silent at a time, and was not disturbed otherwise since: one that
+// crashes breaks its connections off.
 func (j *checker) isSilent(run *Run, at time.Time) bool {
 	for _, s := range j.silences {
-		if s.replica == run.Replica && at.After(s.from.Add(silenceSlack)) && at.Before(s.to) && run.At.Before(s.to) {
+		isDuring := at.After(s.from.Add(silenceSlack)) && at.Before(s.to) && run.At.Before(s.to)
+		if s.replica == run.Replica && isDuring && noneOverlaps(j.replicas[run.Replica], s.from, at) {
 			return true
 		}
 	}
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -45,6 +45,7 @@
 		endsAt   float64
 		complete bool
 		alsoAt   string // another replica that ran it
+		crashes  bool   // the replica crashes in the silence
 		lost     bool
 	}{
 		{name: "broken off in the silence", endsAt: 101.6, lost: true},
@@ -53,6 +54,7 @@
 		{name: "broken off after the silence", endsAt: 102.1},
 		{name: "broken off by another replica", endsAt: 101.6, alsoAt: "q"},
 		{name: "broken off after the deadline", endsAt: 101.99},
+		{name: "broken off by a crash in the silence", endsAt: 101.6, crashes: true},
 	} {
 		l := newLedger(defaultBounds())
 		l.Ready(second(1))
@@ -64,6 +66,9 @@
 			}
 		}
 		l.FellSilent("r", second(101), second(102))
+		if c.crashes {
+			l.DisturbReplica("r", second(101.5), second(103))
+		}
 		l.Answered("l1", Answer{At: second(c.endsAt), Status: 200, Complete: c.complete})
 		j := &checker{observations: l.snapshot(), now: second(110)}
 		j.checkSilences()
