Relay: a deadline that passed while the process was paused does not make a replica silent

What callers may see: after a pause of the daemon's process of more than a route's event timeout, all its streams that may be resumed look silent at once. On each was then given up for another replica; today each is sent to a second one, which uses the route's last attempt and the service's retry budget, though the first goes on.

Change: after a timeout awaitBytes looks once more, for a millisecond. It costs that millisecond where a replica is silent indeed, and nothing otherwise.

Evidence: "An exchange whose read deadline has passed: reads what has arrived" failed before (false, want true) and passes; the relay's other specs pass.

Why it works: bytes that arrived during the pause are in the socket's receive buffer, and a read with a deadline that has not passed takes them at once.

--- /dev/null
+++ b/transport/relay/await_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
+)
+
+var _ = Describe("An exchange whose read deadline has passed", func() {
+	// newExchange returns an exchange, and the replica's end of its connection.
+	newExchange := func() (*exchange, net.Conn) {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		c, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		replica, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _, _ = c.Close(), replica.Close() })
+		r := &routing.Replica{ID: "r1", Service: "s"}
+		x := &exchange{pool: NewPool(nil), conn: newConn(c, bufio.NewReader(c), r, ""), replica: r, deadline: clock.Now().Add(time.Second)}
+		return x, replica
+	}
+
+	// Guards against sound replicas that are taken for silent, all at once, because the daemon's process was paused: the runtime
+	// reports that a deadline has passed without reading what has arrived.
+	It("reads what has arrived", func() {
+		x, replica := newExchange()
+		_, err := replica.Write([]byte("event"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		Expect(x.awaitBytes(clock.Now().Add(-time.Millisecond))).To(BeTrue())
+		Expect(x.received).To(BeTrue())
+	})
+
+	It("reports silence if nothing has arrived", func() {
+		x, _ := newExchange()
+		Expect(x.awaitBytes(clock.Now().Add(-time.Millisecond))).To(BeFalse())
+	})
+})
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -32,6 +32,9 @@
 	maxRejectionBytes = 4 << 10
 	// bodyWriteTimeout is how long to wait, after a complete response, for the body to be written.
 	bodyWriteTimeout = 2 * time.Millisecond
+	// pausedReadTime is how long bytes are looked for that arrived while the process was paused. They are in the
+	// socket's receive buffer.
+	pausedReadTime = time.Millisecond
 )
 
 // Causes of failed exchanges.
@@ -143,17 +146,26 @@
 	if until.After(x.deadline) {
 		until = x.deadline
 	}
-	_ = x.conn.SetReadDeadline(clock.RuntimeTime(until)) // on failure, the read fails too
-	_, err := x.conn.reader.Peek(1)
-	if err == nil {
+	arrived, err := x.waitReadable(until)
+	if !arrived && err == nil {
+		arrived, err = x.waitReadable(clock.Now().Add(pausedReadTime))
+	}
+	if arrived {
 		x.recordArrival()
-		_ = x.conn.SetReadDeadline(clock.RuntimeTime(x.deadline))
-		return true, nil
+		_ = x.conn.SetReadDeadline(clock.RuntimeTime(x.deadline)) // on failure, the next read fails too
 	}
+	return arrived, err
+}
+
+// waitReadable waits until there are bytes to read, or until a time. Once that has passed, the runtime does not look
+// for bytes that have arrived, which is why awaitBytes looks again after a pause of the process.
+func (x *exchange) waitReadable(until time.Time) (bool, error) {
+	_ = x.conn.SetReadDeadline(clock.RuntimeTime(until)) // on failure, the read fails too
+	_, err := x.conn.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return false, nil
 	}
-	return false, err
+	return err == nil, err
 }
 
 // recordArrival records that bytes arrived from the replica.
