Relay: a stream is not left for a second replica that is silent on all its streams

What callers saw: a stream that may be resumed is broken off in its middle, though its replica is sound and goes on a moment later. It ends with "replica is silent" and "replica rejected the request without running it".

Cause: while a replica is silent, the call is sent to a second one. After 250 ms the first was closed for the second, "since it has not rejected the call". A second replica that is silent itself rejects nothing either. When it speaks again and is full, it rejects the call, the first is gone, and the route has no third attempt.

A second replica that has begun other streams of this daemon and has sent nothing since it got the call is silent too; the first one then keeps a stream that has begun. A call whose caller has received nothing goes to the second one as before. The activity of replicas is kept while they have streams, one map entry a replica.

Ruled out: to send the call to a third replica (more than max_attempts); to keep both longer (two replicas would work on one stream for over 400 ms). What is given up: a stream whose first replica is dead, while the second one is only silent for a moment, waits until its caller leaves.

--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -44,6 +44,7 @@
 	errEncoded        = errors.New("response has a content encoding that was not requested")
 	errSilent         = errors.New("replica is silent")
 	errOvertaken      = errors.New("an earlier replica that was silent went on first")
+	errSilentToo      = errors.New("replica is silent too; the earlier one keeps the request")
 	errIneligible     = errors.New("replica requested a backoff or announced its departure during connection setup")
 	errQuarantined    = errors.New("request was quarantined during connection setup")
 	errRejected       = errors.New("replica rejected the request without running it")
@@ -83,6 +84,7 @@
 	received       bool      // the replica has sent at least one byte
 	sound          bool      // it was recorded that the replica does not crash on the request
 	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
+	streaming      bool      // the stream has begun, and is counted in the pool's activity
 	response       *http.Response
 	head           ResponseHead
 	// onSelfReport is called with the replica's self-report in each response, including late
@@ -173,9 +175,28 @@
 	if x.conn.via == "" {
 		x.pool.reach.Arrived(x.replica.Service, !x.received && !x.conn.reused, clock.Now())
 	}
+	x.pool.activity.heard(x.replica.Incarnation(), clock.Now())
 	x.received = true
 }
 
+// beginStream records that the first event of a stream has arrived.
+func (x *exchange) beginStream() {
+	if !x.firstEvent.IsZero() {
+		return
+	}
+	x.firstEvent = clock.Now()
+	x.streaming = true
+	x.pool.activity.begin(x.replica.Incarnation(), x.firstEvent)
+}
+
+// endStream records that the stream has ended, if it had begun.
+func (x *exchange) endStream() {
+	if x.streaming {
+		x.streaming = false
+		x.pool.activity.end(x.replica.Incarnation())
+	}
+}
+
 // readHeader reads the header of the response to this request. It skips late responses to
 // earlier requests.
 func (x *exchange) readHeader(ctx context.Context) *failure {
@@ -294,6 +315,7 @@
 // complete tells whether the response was read to its end.
 func (x *exchange) releaseConn(complete bool, now time.Time) {
 	x.connReleased = true
+	x.endStream()
 	callerConnected := x.stopCancelWatch == nil || x.stopCancelWatch()
 	if !x.requestWritten && complete && callerConnected {
 		// The request's body may not be written completely yet. Wait only briefly for
@@ -328,6 +350,7 @@
 // closeConn closes the connection, so that the replica stops processing the request.
 func (x *exchange) closeConn() {
 	x.connReleased = true
+	x.endStream()
 	if x.stopCancelWatch != nil {
 		x.stopCancelWatch()
 	}
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -7,7 +7,7 @@
 //  2. The first replica that has something for the caller goes on: the silent one as soon as any byte arrives from
 //     it, the other one with its first complete event, or its complete response. The other exchange is closed.
 //  3. Both have the call for maxOverlap at most: a replica must not go on with a stream while another one is at
-//     work on it. After that the other one goes on alone, since it has not rejected the call.
+//     work on it. coordination/routing/handover.go decides which of the two keeps it after that.
 //  4. If no other replica takes the call, it goes back to waiting for the silent one, and tries again after the next
 //     timeout, until its deadline.
 //
@@ -53,7 +53,7 @@
 // The states of a handover.
 const (
 	handoverOpen   int32 = iota
-	handoverOff          // the silent replica went on
+	handoverOff          // the silent replica keeps the call
 	handoverToNext       // another replica took the response over
 )
 
@@ -72,7 +72,14 @@
 func (h *handover) watch() {
 	defer close(h.watched)
 	_, err := h.silent.conn.reader.Peek(1)
-	if err == nil && h.state.CompareAndSwap(handoverOpen, handoverOff) {
+	if err == nil {
+		h.keepSilent()
+	}
+}
+
+// keepSilent lets the silent replica keep the call, and gives up the other one, unless that has taken the response over.
+func (h *handover) keepSilent() {
+	if h.state.CompareAndSwap(handoverOpen, handoverOff) {
 		h.cancel()
 	}
 }
@@ -151,10 +158,9 @@
 	for {
 		wait, canRetry := timeout()
 		until := clock.Now().Add(wait)
-		overlapEnd := x.sent.Add(maxOverlap)
-		overlaps := s.handover != nil && overlapEnd.Before(until)
+		overlaps := s.handover != nil && x.sent.Add(maxOverlap).Before(until)
 		if overlaps {
-			until = overlapEnd
+			until = x.sent.Add(maxOverlap)
 		}
 		arrived, err := x.awaitBytes(until)
 		switch {
@@ -166,9 +172,10 @@
 			return nil
 		case !clock.Now().Before(x.deadline):
 			return x.deadlineExpired()
-		case overlaps && !s.takeOver():
-			return overtaken()
 		case overlaps:
+			if f := s.endOverlap(x); f != nil {
+				return f
+			}
 			continue
 		}
 		if !isRecorded {
@@ -181,6 +188,20 @@
 	}
 }
 
+// endOverlap ends the time in which both an exchange and the silent one before it have the call. It returns nil if
+// the exchange keeps the call.
+func (s *activeCall) endOverlap(x *exchange) *failure {
+	second := s.Pool.activity.second(x.replica.Incarnation(), x.sent)
+	if !second.KeepsCall(s.attempts.ResponseStarted) {
+		s.handover.keepSilent()
+		return givenUp(errSilentToo)
+	}
+	if !s.takeOver() {
+		return givenUp(errOvertaken)
+	}
+	return nil
+}
+
 // recordSilence records that a replica is silent while the call goes on waiting for it.
 func (s *activeCall) recordSilence(x *exchange, r *routing.Replica, canRetry bool) {
 	if s.isOwnLink(x.conn) && !x.received {
@@ -195,7 +216,7 @@
 	}
 }
 
-// overtaken returns the failure for a response that is not forwarded, since an earlier replica went on before.
-func overtaken() *failure {
-	return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errOvertaken}
+// givenUp returns the failure for a response that is not forwarded, since an earlier replica keeps the call.
+func givenUp(why error) *failure {
+	return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: why}
 }
--- a/transport/relay/failover_test.go
+++ b/transport/relay/failover_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -130,6 +132,39 @@
 		Eventually(gone, time.Second).Should(Receive(), "the attempt at it has ended")
 	})
 
+	// A stream was left to a second replica that had not rejected it, but was only silent too, and rejected it later.
+	It("goes on with its stream if another one is silent on all its streams", func() {
+		other := startReplica("r2", func(a *receivedRequest) bool {
+			if a.id() == "b" {
+				streamHead(a)
+				chunk(a, event(1))
+				return mute(a)
+			}
+			time.Sleep(500 * time.Millisecond)
+			return rejecting(a)
+		})
+		first := startReplica("r1", pausing)
+		w := newFixture(resumable, first, other)
+		both := w.view
+		ofOther, ofFirst := *both, *both
+		ofOther.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{other.Replica}}}
+		ofFirst.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{first.Replica}}}
+		w.setView(&ofOther)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b, begun := w.call("b", "POST", "x"), make(chan struct{})
+		b.Route = &stream
+		go w.relay.Serve(ctx, b, &signalingSink{begun: begun})
+		Eventually(begun, time.Second).Should(BeClosed())
+		w.setView(&ofFirst)
+		time.AfterFunc(150*time.Millisecond, func() { w.setView(both) })
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(to.broken).To(BeFalse())
+		Expect(s.Attempts).To(HaveLen(2))
+		Expect(other.count()).To(Equal(2))
+	})
+
 	It("is left to another one that goes on, as soon as that has an event", func() {
 		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
 			streamHead(a)
@@ -180,6 +215,18 @@
 	})
 })
 
+// signalingSink closes a channel when a stream begins.
+type signalingSink struct {
+	recordingSink
+	begun chan struct{}
+}
+
+// Begin implements [relay.Sink].
+func (s *signalingSink) Begin(int, http.Header) error {
+	close(s.begun)
+	return nil
+}
+
 // onceBegun adds a replica to the view when the only one so far has got its request.
 func (w *fixture) onceBegun(other *replica) {
 	first := w.view.Pools["s"].Ready[0]
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -77,6 +77,7 @@
 	linkDoubts  routing.BrokenLinks
 	crashChecks crashChecks
 	reach       *routing.Reach
+	activity    streamActivity
 	detours     *Detours      // nil: there are none
 	probeWait   time.Duration // routing.ProbeWait
 
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -49,7 +49,7 @@
 	}
 	isFinal := status < http.StatusInternalServerError || !s.attempts.MayTryAnother()
 	if isFinal && !s.attempts.ResponseStarted && !s.takeOver() {
-		return overtaken()
+		return givenUp(errOvertaken)
 	}
 	now := clock.Now()
 	x.releaseConn(true, now)
@@ -137,7 +137,7 @@
 		return x.brokenResponse(ctx, err)
 	}
 	if !s.takeOver() {
-		return overtaken()
+		return givenUp(errOvertaken)
 	}
 	if f := s.sendHeader(x); f != nil {
 		return f
@@ -161,11 +161,9 @@
 		return nil
 	}
 	if !s.takeOver() {
-		return overtaken()
-	}
-	if x.firstEvent.IsZero() {
-		x.firstEvent = clock.Now()
+		return givenUp(errOvertaken)
 	}
+	x.beginStream()
 	s.bind(&t.Replica)
 	s.recordOrigin(ctx)
 	if f := s.sendHeader(x); f != nil {
