Relay: a call goes back to the silent replica that it left for one that rejects it

What callers saw: a stream with "replica is silent" and "replica rejected the request without running it" ends in its middle although its own replica goes on. And a request that may run again is refused as not run, with 503, although the silent replica may have run it.

Cause: a silent replica is closed 250 ms after the call went to a second one. If that rejects the call later, both attempts of the route are used. The abandoned replica's attempt was not recorded in the outcome either, so that only the rejection counted.

Change: after such a rejection the call is sent again to the replica that it left, if that is ready. The number of replicas that it was written to stays the same. The abandoned attempt is recorded as one that may have run.

Result: "gets its stream back if another one rejects it late" and "is not forgotten in the response to a plain request that another one rejects late" fail without the change and pass with it; the specs of the relay pass.

Ruled out: a third replica (more than max_attempts). A service whose replicas a coordinator chooses is left out, since a permit can't be asked for at one replica there; its requests are no streams.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -107,6 +107,22 @@
 	return a.mayRetryAfter(o)
 }
 
+// RecordAbandoned records that a silent replica was abandoned for another one (handover.go). It may have run the
+// request.
+func (a *Attempts) RecordAbandoned() {
+	a.Outcome = coordination.MayHaveRun{Reason: coordination.ReasonNoAnswer}
+}
+
+// AllowReturn lets the request be sent again to a replica that was abandoned, after another one has rejected it. The
+// number of replicas that it was written to stays the same. It returns false if the request may not run again.
+func (a *Attempts) AllowReturn() bool {
+	if !a.Route.MayRunAgain() {
+		return false
+	}
+	a.Sent--
+	return true
+}
+
 func (a *Attempts) mayRetryAfter(o coordination.Outcome) bool {
 	if coordination.MayRetry(o) {
 		return true
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -11,6 +11,9 @@
 //  4. If no other replica takes the call, it goes back to waiting for the silent one, and tries again after the next
 //     timeout, until its deadline.
 //
+//  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
+//     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it.
+//
 // The replica that is tried meanwhile may turn silent in its turn, so that handovers nest.
 
 package relay
@@ -196,12 +199,37 @@
 		s.handover.keepSilent()
 		return givenUp(errSilentToo)
 	}
+	silent := s.handover.silent.replica
 	if !s.takeOver() {
 		return givenUp(errOvertaken)
 	}
+	s.abandoned = silent
+	s.attempts.RecordAbandoned()
 	return nil
 }
 
+// mayGoBack reports whether the call goes back to the replica that it abandoned for one that has rejected it.
+func (s *activeCall) mayGoBack(f *failure) bool {
+	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.AllowReturn()
+}
+
+// chooseAbandoned returns the abandoned replica as the target of the next attempt. It returns false if it may get no
+// request.
+func (s *activeCall) chooseAbandoned(ctx context.Context) (routing.Target, bool) {
+	t := routing.Target{Replica: *s.abandoned}
+	s.abandoned = nil
+	if !s.View().IsReady(&t.Replica) || s.Permits != nil && s.Permits.Needed(s.call.Service) {
+		return routing.Target{}, false // a coordinator chooses the replicas of the service
+	}
+	if !s.reserveSend(ctx) {
+		return routing.Target{}, false
+	}
+	if s.Permits != nil && s.Permits.NeededAtReplica(s.call.Service) {
+		return s.usePermit(ctx, t, s.acquireAt(ctx, &t.Replica, true))
+	}
+	return t, true
+}
+
 // recordSilence records that a replica is silent while the call goes on waiting for it.
 func (s *activeCall) recordSilence(x *exchange, r *routing.Replica, canRetry bool) {
 	if s.isOwnLink(x.conn) && !x.received {
--- a/transport/relay/failover_test.go
+++ b/transport/relay/failover_test.go
@@ -165,6 +165,53 @@
 		Expect(other.count()).To(Equal(2))
 	})
 
+	// lateRejection rejects a request when the first replica has been closed for it.
+	lateRejection := func(a *receivedRequest) bool {
+		time.Sleep(400 * time.Millisecond)
+		return rejecting(a)
+	}
+
+	// A stream was broken off because a second replica rejected it after the silent one had been closed.
+	It("gets its stream back if another one rejects it late", func() {
+		first := startReplica("r1", func(a *receivedRequest) bool {
+			streamHead(a)
+			if a.request.Header.Get("Last-Event-Id") == "1" {
+				chunk(a, event(2)+event(3))
+				return streamEnd(a)
+			}
+			chunk(a, event(1)+"id: 2\nda")
+			return mute(a)
+		})
+		w := newFixture(resumable, first)
+		other, third := startReplica("r2", lateRejection), startReplica("r3", respondOK)
+		w.onceBegun(other)
+		time.AfterFunc(800*time.Millisecond, func() {
+			three := *w.currentView()
+			three.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{first.Replica, other.Replica, third.Replica}}}
+			w.setView(&three)
+		})
+		serveFrom(w)
+		Expect(first.count()).To(Equal(2))
+		Expect(other.count()).To(Equal(1))
+		Expect(third.count()).To(BeZero(), "the route allows two replicas")
+	})
+
+	// A request that the silent replica may have run was refused as not run, because another one rejected it.
+	It("is not forgotten in the response to a plain request that another one rejects late", func() {
+		first := startReplica("r1", mute)
+		w := newFixture(idempotent, first)
+		other := startReplica("r2", lateRejection)
+		w.onceBegun(other)
+		time.AfterFunc(600*time.Millisecond, func() {
+			one := *w.currentView()
+			one.Pools = map[routing.ServiceName]*routing.Pool{"s": {Ready: []routing.Replica{other.Replica}}}
+			w.setView(&one)
+		})
+		to, _ := w.serve(w.call("a", "GET", ""))
+		Expect(other.count()).To(Equal(1))
+		Expect(to.refusal).To(beMayHaveRun())
+	})
+
 	It("is left to another one that goes on, as soon as that has an event", func() {
 		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
 			streamHead(a)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -43,7 +43,10 @@
 	*Relay
 	*attemptState // of the current attempt
 	// handover is the one that the current attempt takes part in, since an earlier replica is silent; nil: none.
-	handover  *handover
+	handover *handover
+	// abandoned is the silent replica that another one has taken the call over from without a response; nil: none.
+	abandoned *routing.Replica
+	goesBack  bool // the next attempt is at the abandoned replica
 	call      *Call
 	sink      Sink
 	summary   Summary
@@ -119,6 +122,7 @@
 	if failure.result == routing.ResultUnreachable && target.Replica.Domain != s.View().Domain {
 		s.tried.RemoteUnreachable = true
 	}
+	s.goesBack = s.mayGoBack(failure)
 	return s.attempts.RecordFailure(failure.outcome)
 }
 
@@ -126,6 +130,9 @@
 // says why.
 func (s *activeCall) choose(ctx context.Context) (routing.Target, bool) {
 	switch {
+	case s.goesBack:
+		s.goesBack = false
+		return s.chooseAbandoned(ctx)
 	case s.Permits == nil:
 		return s.chooseDirect(ctx)
 	case s.Permits.NeededAtReplica(s.call.Service):
