Relay: after a broken connection the next attempt does not use what the same links may have broken

What callers saw: a daemon loses its links to all replicas, which reset its connections, while other daemons reach the replicas. Its streams that may be resumed end in their middle, with "connection reset by peer" twice.

Cause: the second attempt, the last of the route, took an idle connection of this daemon's own, which the links had reset too. Or it took a new one that the link accepted and reset. What breaks after the first byte of a response does not count towards the loss of links (reach.go), so that other daemons were not asked.

Change: if a connection of this daemon's own breaks and the replica has not crashed, the call's next attempts open new connections, and look for 5 ms whether these are reset, before anything is sent. Two replicas that are not reached make the links suspect, as before, and the call goes through another daemon. A route's other calls are served as before.

Ruled out: counting breaks in the middle of responses towards the loss of links: replicas that break responses off would make the links suspect, and all idle connections would be opened anew. Not changed: streams that may not be resumed, and the first attempt that breaks; the links did that.

--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -30,11 +30,19 @@
 // errNoCarrier means that no other daemon opens connections for this one.
 var errNoCarrier = errors.New("this daemon's own links to the service are down, and no other daemon reaches it")
 
+// errResetAtOnce means that a connection was accepted and reset before anything was sent.
+var errResetAtOnce = errors.New("connection was reset before anything was sent")
+
 // connect opens a connection to a replica, directly or through another daemon.
-func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
 	p.awaitProbes(ctx, r.Service)
 	if p.reach.State(r.Service) == routing.LinksUp {
 		c, err := p.openDirect(ctx, r, v)
+		if err == nil && checkLink && c.breaksWithin(linkCheckTime) {
+			_ = c.Close()
+			p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
+			err = errResetAtOnce
+		}
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,9 @@
 	defaultIdleTimeout = 20 * time.Second
 	// peerDialTimeout bounds connecting to another daemon. Links within a region take milliseconds.
 	peerDialTimeout = 200 * time.Millisecond
+	// linkCheckTime is how long a link has to reset a new connection that it accepted. It delays a retry after a
+	// broken connection, and no other request.
+	linkCheckTime = 5 * time.Millisecond
 	// maxIdlePerReplica is the maximum number of idle connections to one replica.
 	maxIdlePerReplica = 32
 )
@@ -69,6 +73,13 @@
 	return err == nil && open
 }
 
+// breaksWithin reports whether a connection on which nothing was sent breaks, or brings bytes, within a time.
+func (c *conn) breaksWithin(d time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d)) // on failure, the read fails too
+	_, err := c.reader.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Pool keeps idle connections to replicas and counts the open ones. It is safe for concurrent use.
 type Pool struct {
 	dialer      net.Dialer // to replicas
@@ -124,7 +135,17 @@
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return nil, errConnectionLimit
 	}
-	return p.open(ctx, r, v)
+	return p.open(ctx, r, v, false)
+}
+
+// getNew returns a new connection to a replica, of which it has checked that the link does not reset it at once. It is
+// for a call whose connection to another replica broke: if this daemon's links broke, so did its idle connections. It
+// returns an idle one if the limit is reached.
+func (p *Pool) getNew(ctx context.Context, r *routing.Replica, v *routing.View, now time.Time) (*conn, error) {
+	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
+		return p.get(ctx, r, v, now)
+	}
+	return p.open(ctx, r, v, true)
 }
 
 // mayReuse reports whether an idle connection to a replica may be used.
@@ -135,9 +156,10 @@
 	return p.reach.MayReuse(r.Service, c.idleSince) && p.linkDoubts.MayReuse(r.Domain, c.idleSince) && c.isReusable()
 }
 
-// open opens a connection that was counted by reserve, and uncounts it on failure.
-func (p *Pool) open(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
-	c, err := p.connect(ctx, r, v)
+// open opens a connection that was counted by reserve, and uncounts it on failure. If checkLink is set, one that the link
+// resets at once is a failure.
+func (p *Pool) open(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
+	c, err := p.connect(ctx, r, v, checkLink)
 	if err != nil {
 		p.release(r.Incarnation())
 		return nil, err
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -47,15 +47,18 @@
 	// abandoned is the silent replica that another one has taken the call over from without a response; nil: none.
 	abandoned *routing.Replica
 	goesBack  bool // the next attempt is at the abandoned replica
-	call      *Call
-	sink      Sink
-	summary   Summary
-	attempts  routing.Attempts
-	tried     triedReplicas
-	choices   int          // replicas chosen so far
-	completed bool         // the caller has the complete response
-	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
-	events    *eventReader // of a streamed response; nil before the first
+	// doubtsLinks says that a connection of this daemon's own broke in the last attempt, although its replica has not
+	// crashed.
+	doubtsLinks bool
+	call        *Call
+	sink        Sink
+	summary     Summary
+	attempts    routing.Attempts
+	tried       triedReplicas
+	choices     int          // replicas chosen so far
+	completed   bool         // the caller has the complete response
+	isProbe     bool         // the first attempt is a probe of a quarantined part of the prompt
+	events      *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
 	// fallback is a replica's error response, which is forwarded if no further
@@ -186,7 +189,7 @@
 			s.recordFailure(&t.Replica, f.result, f.err)
 		}
 		if f.connClosed {
-			s.checkCrash(ctx, &t.Replica, f.responding)
+			s.doubtsLinks = !s.checkCrash(ctx, &t.Replica, f.responding) && a.Via == ""
 		}
 		if f.replaced {
 			s.recordReplaced(&t.Replica)
@@ -253,11 +256,12 @@
 }
 
 // checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
-// It returns before the call may be retried, since the crash may quarantine its content.
-func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) {
+// It returns before the call may be retried, since the crash may quarantine its content. It reports whether the
+// replica has crashed.
+func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) bool {
 	now := clock.Now()
 	if !s.Pool.hasTerminated(ctx, r, s.View(), now) {
-		return
+		return false
 	}
 	s.Observer.CrashedDuring(r, s.call, responding)
 	s.Placer.Health.ReportTermination(r, now)
@@ -265,6 +269,7 @@
 		s.Observer.Quarantined(s.call.Content)
 	}
 	s.PartCrashes.ReportPartCrashes(&s.call.Request, s.call.Workspace, r, responding, now)
+	return true
 }
 
 // recordSound records that a replica has responded to the call for long enough to show that it does not
@@ -299,7 +304,7 @@
 // the complete response.
 func (s *activeCall) send(ctx context.Context, t *routing.Target, a *Attempt) *failure {
 	now := clock.Now()
-	c, err := s.Pool.get(ctx, &t.Replica, s.View(), now)
+	c, err := s.connect(ctx, &t.Replica, now)
 	if err != nil {
 		return unreachable(ctx, err)
 	}
@@ -351,6 +356,14 @@
 	return f
 }
 
+// connect returns a connection to a replica.
+func (s *activeCall) connect(ctx context.Context, r *routing.Replica, now time.Time) (*conn, error) {
+	if s.doubtsLinks {
+		return s.Pool.getNew(ctx, r, s.View(), now)
+	}
+	return s.Pool.get(ctx, r, s.View(), now)
+}
+
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
