--- a/internal/soak/configurations_run.go
+++ b/internal/soak/configurations_run.go
@@ -66,6 +66,7 @@
 type configurationsRun struct {
 	plan       *ConfigurationsPlan
 	ctx        context.Context
+	end        context.CancelFunc
 	fleet      *fleet
 	store      *standin.Store
 	endpoints  []*standin.StoreEndpoint
@@ -103,21 +104,31 @@
 
 // PlayConfigurations runs a plan.
 func PlayConfigurations(ctx context.Context, p *ConfigurationsPlan, o Options) (*ConfigurationsReport, error) {
-	ctx, end := context.WithCancel(ctx)
-	defer end()
-	w := &configurationsRun{plan: p, ctx: ctx, store: standin.NewStore(50), model: serviceModel, services: make(map[string]string), runs: runRecords{runs: make(map[string][]*servedRun)}}
+	w, err := startConfigurations(ctx, p, o)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	w.play()
+	return w.report(o.Dir)
+}
+
+// startConfigurations starts the replicas and the daemons of a run, and waits until the daemons are ready.
+func startConfigurations(ctx context.Context, p *ConfigurationsPlan, o Options) (*configurationsRun, error) {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, eris.Wrap(err, "create the run's directory; check the path and permissions")
 	}
-	if err := w.build(o); err != nil {
-		return nil, err
+	w := &configurationsRun{plan: p, store: standin.NewStore(50), model: serviceModel, services: make(map[string]string), runs: runRecords{runs: make(map[string][]*servedRun)}}
+	w.ctx, w.end = context.WithCancel(ctx)
+	err := w.build(o)
+	if err == nil {
+		err = w.awaitReady()
 	}
-	defer w.close(end)
-	if err := w.awaitReady(); err != nil {
+	if err != nil {
+		w.close()
 		return nil, err
 	}
-	w.play()
-	return w.report(o.Dir)
+	return w, nil
 }
 
 func (w *configurationsRun) build(o Options) error {
@@ -206,9 +217,11 @@
 	pause(w.ctx, time.Second) // daemons write their last lines
 }
 
-func (w *configurationsRun) close(end func()) {
-	end()
-	w.fleet.shutdown()
+func (w *configurationsRun) close() {
+	w.end()
+	if w.fleet != nil {
+		w.fleet.shutdown()
+	}
 	for _, r := range w.replicas {
 		r.terminate()
 		r.link.Close()
