--- a/internal/soak/configurations_replica.go
+++ b/internal/soak/configurations_replica.go
@@ -258,12 +258,15 @@
 }
 
 // endlessLine is written over and over by a response that has no end.
-var endlessLine = strings.Repeat("z", 8<<10)
+var endlessLine = strings.Repeat("z", 64<<10)
 
 // endlessBytesPerSecond is far below what a link of a VM carries.
 const endlessBytesPerSecond = 40 << 20
 
+// writeEndless writes a start and then pieces until the daemon closes the connection. The run counts as broken by the
+// replica from the start on.
 func (x *pacedExchange) writeEndless(start string, piece func(i int) string) bool {
+	x.end("broken")
 	if !x.write(start) {
 		return false
 	}
@@ -273,7 +276,6 @@
 		}
 		time.Sleep(time.Duration(float64(len(endlessLine)) / endlessBytesPerSecond * float64(time.Second)))
 		if i*len(endlessLine) > 1<<30 {
-			x.end("broken")
 			return false
 		}
 	}
