--- a/internal/soak/configurations_replica.go
+++ b/internal/soak/configurations_replica.go
@@ -261,7 +261,7 @@
 var endlessLine = strings.Repeat("z", 64<<10)
 
 // endlessBytesPerSecond is far below what a link of a VM carries.
-const endlessBytesPerSecond = 40 << 20
+const endlessBytesPerSecond = 100 << 20
 
 // writeEndless writes a start and then pieces until the daemon closes the connection. The run counts as broken by the
 // replica from the start on.
