Soak: a silent replica's stream while a configuration replaces the service

On a stream is given up 600 ms after the last event of a silent replica; the next attempt is for the service that the call was admitted with. After a configuration that gives the service another name there is no replica of that service, and the response ends, though its own replica goes on a moment later.

Callers keep their rate on a busy machine.

--- a/internal/soak/configurations_caller.go
+++ b/internal/soak/configurations_caller.go
@@ -199,8 +199,10 @@
 // send sends the requests of a route, at random times, until ctx is done.
 func (w *configurationsRun) send(ctx context.Context, r *pacedRoute) {
 	var calls sync.WaitGroup
+	next := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
-		pause(ctx, time.Duration(rand.ExpFloat64()/r.Rate*float64(time.Second)))
+		next = next.Add(time.Duration(rand.ExpFloat64() / r.Rate * float64(time.Second)))
+		pause(ctx, time.Until(next))
 		calls.Go(func() { w.call(w.ctx, r, fmt.Sprintf("%s-%d", r.Name, n)) })
 	}
 	calls.Wait()
--- a/internal/soak/configurations_silence_test.go
+++ b/internal/soak/configurations_silence_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -69,3 +70,40 @@
 		r.mu.Unlock()
 	}
 }
+
+// TestStreamOutlivesReplacedService guards against a daemon that gives up a silent replica although there is no other:
+// a configuration has given the service another name while the replica was silent.
+func TestStreamOutlivesReplacedService(t *testing.T) {
+	w, dir := startLinks(t)
+	const id, silence = "replaced", 1200 * time.Millisecond
+	go func() {
+		pause(w.ctx, 400*time.Millisecond)
+		w.setFull(func(*pacedReplica) bool { return false }, time.Now().Add(silence))
+		w.change(changeReplaces)
+	}()
+	if e := w.streamAt(w.fleet.daemons[0], pacedRoutes[1], id); !e.Complete {
+		t.Errorf("ended after %v with status %d, %d of %d events and %q", e.Ended.Sub(e.Sent), e.Status, e.Events, pacedRoutes[1].Events, e.Err)
+	}
+	pause(w.ctx, 300*time.Millisecond) // the daemon writes its line
+	lines, panics, _, err := readLogs(dir)
+	if err != nil || len(panics) > 0 {
+		t.Fatal(err, panics)
+	}
+	t.Logf("log: %s", summaryOf(lines[id]))
+}
+
+// TestConfigurationsBreakNothingOff plays a short run of the deployment of the incident with configurations in series
+// and replicas that fall silent around them. It guards against a daemon that breaks a response off meanwhile, ends by
+// itself or panics.
+func TestConfigurationsBreakNothingOff(t *testing.T) {
+	const seed, length = 2, 10 * time.Second
+	report, err := PlayConfigurations(context.Background(), NewConfigurationsPlan(seed, length, SilentReplicas), Options{Daemon: daemonUnderTest(t), Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report.Table())
+	const enough = 300 // a tenth of what callers ask for
+	if report.Served < enough || len(report.Lost) > 0 || len(report.Ends) > 0 || len(report.Panics) > 0 {
+		t.Errorf("%d served, %d broken off by daemons, %d daemons ended, %d panics", report.Served, len(report.Lost), len(report.Ends), len(report.Panics))
+	}
+}
