Soak: paced replicas answer health checks at once

Cause: they took a health check for a stream and answered after an event, 20 to 33 ms later, which is about as long as a request waits for the probes of suspect links (30 ms).

Change: a health check gets a response at once, unless the replica is silent. The report counts how often daemons had used up their share of a core.

--- a/internal/soak/configurations_judge.go
+++ b/internal/soak/configurations_judge.go
@@ -56,7 +56,8 @@
 	Lost       []BrokenOff         `json:"lost"`       // by a daemon
 	Ends       []daemonEnd         `json:"ends"`
 	MaxMemory  int64               `json:"max_memory_mb"`
-	Panics     []string            `json:"panics"` // lines of the daemons' logs
+	Suspended  int64               `json:"suspended"` // times that daemons had used up their share of a core
+	Panics     []string            `json:"panics"`    // lines of the daemons' logs
 	Published  int                 `json:"published"`
 	Notes      []string            `json:"notes"`
 	LogDropped []string            `json:"log_dropped"`
@@ -159,7 +160,7 @@
 	w.runs.mu.Lock()
 	defer w.runs.mu.Unlock()
 	out := &ConfigurationsReport{
-		Plan: w.plan, Requests: len(w.exchanges), Refused: make(map[string]int), BrokenOff: make(map[string]int), Ends: w.ends, MaxMemory: w.maxMemory,
+		Plan: w.plan, Requests: len(w.exchanges), Refused: make(map[string]int), BrokenOff: make(map[string]int), Ends: w.ends, MaxMemory: w.maxMemory, Suspended: w.suspensions.Load(),
 		Panics: panics, Published: len(w.published), Notes: w.notes, LogDropped: dropped,
 	}
 	for _, e := range w.exchanges {
@@ -191,7 +192,7 @@
 // Table returns the counts of a report, a line each.
 func (r *ConfigurationsReport) Table() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%v: %d requests, %d served, %d configurations, %d MB at most, %d ends, %d panics\n", r.Plan.Conditions, r.Requests, r.Served, r.Published, r.MaxMemory, len(r.Ends), len(r.Panics))
+	fmt.Fprintf(&b, "%v: %d requests, %d served, %d configurations, %d MB at most, %d suspensions, %d ends, %d panics\n", r.Plan.Conditions, r.Requests, r.Served, r.Published, r.MaxMemory, r.Suspended, len(r.Ends), len(r.Panics))
 	for name, counts := range map[string]map[string]int{"broken off": r.BrokenOff, "refused": r.Refused} {
 		for _, k := range slices.SortedFunc(maps.Keys(counts), func(a, c string) int { return cmp.Compare(counts[c], counts[a]) }) {
 			fmt.Fprintf(&b, "  %s %5d  %s\n", name, counts[k], k)
--- a/internal/soak/configurations_replica.go
+++ b/internal/soak/configurations_replica.go
@@ -182,6 +182,13 @@
 
 // respond serves a request. It returns false if the connection must be closed.
 func (x *pacedExchange) respond(route *pacedRoute) bool {
+	if x.head.ID == "" { // a health check
+		if !x.wait(0) {
+			return false
+		}
+		_, err := io.WriteString(x.conn, standin.Response(200, "", "", "", standin.SelfReport{}))
+		return err == nil
+	}
 	x.run = &servedRun{Replica: x.id, At: time.Now(), From: x.head.LastEventID}
 	x.runs.began(x.head.ID, x.run)
 	if !x.wait(0) { // a silent replica does not even reject
--- a/internal/soak/configurations_run.go
+++ b/internal/soak/configurations_run.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -76,6 +77,8 @@
 	partitions partitions
 	runs       runRecords
 	conns      keptConns
+	// suspensions counts how often daemons were suspended since they had used their share of a core.
+	suspensions atomic.Int64
 
 	mu        sync.Mutex
 	begun     time.Time
@@ -527,6 +530,7 @@
 			if !stopped && processorTime(pid)-used > time.Duration(coreShare*float64(corePeriod)) {
 				stopped = true
 				d.signal(syscall.SIGSTOP, false)
+				w.suspensions.Add(1)
 			}
 		}
 		if stopped {
