Soak: responses that a daemon breaks off are judged by what the replica recorded

Cause: checkLoss skipped every response whose status had come, so that a stream that a daemon breaks off after its header was not judged; of connections closed without a response it judged those at undisturbed replicas only.

Change: check_loss.go judges each response that began and is not complete, and each connection closed without a response after the request reached a replica or 200 ms after its last byte. Replicas record what they write and whether they break a response off, links whether a fault of the run reset a connection; these records alone say that the daemon did not do it. Configurations, sent and acknowledged, and SIGHUPs stand in the ledger, and the rates around configurations are compared per daemon. A violation names the daemon, the replica with its record, the last configuration, SIGTERM and SIGHUP, and since when nothing had arrived. The former rule for connections closed without a response stays beside it.

The case "a stream that breaks off" of TestCheck expected no violation although its replica is at work, which is the gap itself; two cases replace it, one of which breaks off at the replica and is lawful, and one of which is LOST.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -44,6 +44,7 @@
 	site        *site
 	number      int
 	sent        int
+	answered    int // requests that were answered on the connection
 	conn        net.Conn
 	reader      *bufio.Reader
 	daemon      int
@@ -91,7 +92,7 @@
 		return false
 	}
 	c.conn, c.reader, c.daemon, c.incarnation = conn, bufio.NewReader(conn), d.number, d.currentIncarnation()
-	c.usesLeft = 1 + rand.IntN(requestsPerConn)
+	c.usesLeft, c.answered = 1+rand.IntN(requestsPerConn), 0
 	return true
 }
 
@@ -154,6 +155,7 @@
 
 // begin records a request in the ledger before it is sent.
 func (c *caller) begin(q *Request) {
+	q.Kept = c.answered > 0
 	c.site.ledger.Sent(*q)
 	_ = c.conn.SetDeadline(q.Deadline.Add(responseSlack))
 }
@@ -161,27 +163,29 @@
 // roundTrip sends a request, waits for the response and records it.
 func (c *caller) roundTrip(q *Request) Answer {
 	if _, err := c.conn.Write([]byte(q.encode())); err != nil {
-		return c.fail(q, err)
+		return c.fail(q, time.Time{}, err)
 	}
+	written := time.Now()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Route.Method})
 	if err != nil {
-		return c.fail(q, err)
+		return c.fail(q, written, err)
 	}
 	begun := time.Now()
 	body, err := io.ReadAll(resp.Body)
-	a := Answer{At: time.Now(), Begun: begun, Status: resp.StatusCode, Seal: standin.SealOf(resp.Header), Body: string(body), Complete: err == nil, Err: err}
+	a := Answer{At: time.Now(), Begun: begun, Status: resp.StatusCode, Seal: standin.SealOf(resp.Header), Body: string(body), Complete: err == nil, Err: err, Written: written}
 	a.Reason = resp.Header.Get(protocol.HeaderReason)
 	a.RetryAfter = retryAfter(resp.Header)
 	a.Quarantined = a.Reason == string(coordination.ReasonQuarantined)
 	c.site.ledger.Answered(q.ID, a)
+	c.answered++
 	if c.usesLeft--; err != nil || resp.Close || c.usesLeft <= 0 {
 		c.disconnect()
 	}
 	return a
 }
 
-func (c *caller) fail(q *Request, err error) Answer {
-	a := Answer{At: time.Now(), Err: err}
+func (c *caller) fail(q *Request, written time.Time, err error) Answer {
+	a := Answer{At: time.Now(), Err: err, Written: written}
 	c.site.ledger.Answered(q.ID, a)
 	c.disconnect()
 	return a
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -44,6 +44,7 @@
 	// Parts limits the spread of requests with a part that crashes replicas.
 	Parts   partBounds
 	Brittle brittleBounds
+	Loss    lossBounds
 	// MaxRefusal is how long a daemon may refuse requests that a live replica could serve.
 	MaxRefusal time.Duration
 }
@@ -56,12 +57,15 @@
 		ResponseSlack: time.Second, DeadlineSlack: 500 * time.Millisecond, RetryRatio: 0.2, ExtraRetries: 56, RetryWindow: 10 * time.Second, Tolerance: 3, MinServed: 0.9,
 		Limit:    limitBounds{Window: 5 * time.Second, Factor: 2, Slack: 3, MinRequests: 20, MaxShare: 0.03},
 		Evacuate: 2500 * time.Millisecond, Cold: coldOverage*coldPerSecond + coldSlack,
-		Crashing:   crashingBounds{Crashes: 3, LaterArrivals: 3},
-		Backoffs:   backoffBounds{Grace: 500 * time.Millisecond, Max: 2},
-		Partition:  partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
-		Versions:   versionBounds{Mixed: 2, MinResumes: 12, MinReplicas: 2, MinShare: 0.5},
-		Parts:      partBounds{Crashes: 5, LaterArrivals: 3, MinShare: 0.5, MinRequests: 20},
-		Brittle:    brittleBounds{AllowedFalls: 2, Settle: time.Second, MinServed: 0.5, MinCalls: 50},
+		Crashing:  crashingBounds{Crashes: 3, LaterArrivals: 3},
+		Backoffs:  backoffBounds{Grace: 500 * time.Millisecond, Max: 2},
+		Partition: partitionBounds{After: 3 * time.Second, MinShare: 2.0 / 3, Failures: 10, FailureShare: 1.0 / 50},
+		Versions:  versionBounds{Mixed: 2, MinResumes: 12, MinReplicas: 2, MinShare: 0.5},
+		Parts:     partBounds{Crashes: 5, LaterArrivals: 3, MinShare: 0.5, MinRequests: 20},
+		Brittle:   brittleBounds{AllowedFalls: 2, Settle: time.Second, MinServed: 0.5, MinCalls: 50},
+		Loss: lossBounds{
+			Accept: 200 * time.Millisecond, HangUp: 2 * time.Second, Configuration: 3 * time.Second, Factor: 3, UsedShare: 0.7,
+		},
 		MaxRefusal: time.Second,
 	}
 }
@@ -77,12 +81,13 @@
 // Check checks everything recorded so far and returns the violations that it has not returned before. It
 // must not be called by two goroutines at a time.
 func (l *Ledger) Check(now time.Time) []Violation {
-	j := &checker{observations: l.snapshot(), now: now}
+	j := &checker{observations: l.snapshot(), now: now, aroundConfigs: make(map[int]*lossRates)}
 	for _, r := range j.order {
 		j.checkRequest(r)
 	}
 	j.checkCrowded()
 	j.checkBrittle()
+	j.checkAroundConfigurations()
 	j.checkTolerated()
 	j.checkRetries()
 	j.checkCrashing()
@@ -125,6 +130,7 @@
 	now              time.Time
 	out              []Violation
 	tolerated        []Violation
+	aroundConfigs    map[int]*lossRates // of daemons
 	excused          []Violation
 	maxOverloadShare float64
 }
@@ -320,40 +326,6 @@
 	}
 }
 
-// checkLoss reports connections that closed without a response although the daemon
-// was undisturbed, or shut down gracefully, and the replica was undisturbed.
-func (j *checker) checkLoss(r *record) {
-	a := r.answer
-	if a.Status != 0 || a.Err == nil || len(r.runs) == 0 || !r.disconnected.IsZero() || a.At.After(r.Deadline) {
-		return
-	}
-	run := r.runs[len(r.runs)-1]
-	if j.cutByShutdown(r, run) {
-		return
-	}
-	if j.undisturbed(r.Daemon, r.Sent, a.At) && noneOverlaps(j.replicas[run.Replica], run.At.Add(-j.bounds.SyncTime), a.At) {
-		j.add("LOST", r, a.At, "daemon %d closed the connection without a response: %v", r.Daemon, a.Err)
-	}
-}
-
-// The end of a graceful shutdown may cut a request that was sent within shutdownAcceptTime of its start if
-// the replica is still running it in the last of the gracePeriodParts parts of the grace period.
-const (
-	shutdownAcceptTime = 3 * time.Second
-	gracePeriodParts   = 6
-)
-
-// cutByShutdown reports whether the end of a graceful shutdown cut a request, which is allowed.
-func (j *checker) cutByShutdown(r *record, run *Run) bool {
-	at := r.answer.At
-	// The cut itself stops the work, without a response, at about the moment that the caller observes.
-	atWork := run.Ended.IsZero() || run.Status == 0 && run.Ended.After(at.Add(-settling))
-	return atWork && slices.ContainsFunc(j.shutdowns[r.Daemon], func(s span) bool {
-		sinceStop := at.Sub(s.from)
-		return r.Sent.Sub(s.from) <= shutdownAcceptTime && sinceStop >= gracePeriod*(gracePeriodParts-1)/gracePeriodParts && sinceStop <= gracePeriod+settling
-	})
-}
-
 func (j *checker) checkDeadline(r *record) {
 	at := j.now
 	if r.answer != nil {
--- /dev/null
+++ b/internal/soak/check_loss.go
@@ -0,0 +1,290 @@
+// This file checks that daemons break no response off, and close no connection without one.
+//
+// Inputs: each request and its response, as the caller saw them; its runs, as the replicas recorded what they wrote and how it
+// ended; what links to replicas did to the connections; when configurations were sent and acknowledged, and daemons were
+// signalled; what the run disturbed. All times are of one clock.
+//
+//  1. A request is broken off if its response began and is not complete, or if its connection closed without a response after
+//     the request reached a replica, or more than Accept after its last byte was written. Requests whose callers disconnected
+//     don't count, nor those that end after their deadline, which is the route's timeout too.
+//  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
+//     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
+//     connection, or it had failed; or if the daemon gave it up for another run that was under way. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
+//  3. The end of a graceful shutdown may break a request off (cutByShutdown).
+//  4. Each request that an undisturbed daemon broke off is a violation, whether or not work was planned then. Around a
+//     configuration, and around no signal, one that had used UsedShare of its time is none.
+//  5. A daemon that breaks off more than Factor times the share of its requests around configurations that it breaks off at
+//     other times is a violation. Around a configuration is from when it is sent until Configuration after it is acknowledged.
+//  6. Kept connections that close without a response although the replica was sound are violations if there are more than the
+//     tolerance, whatever disturbed the daemon, unless its process or its callers' link was interrupted.
+//  7. A connection that closes without a response is a violation whatever the replica did, if the replica was undisturbed: the
+//     daemon has to respond with an error.
+
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// lossBounds are the bounds of the rules of broken responses.
+type lossBounds struct {
+	Accept        time.Duration // from the last byte of a request on, its connection may not close without a response
+	HangUp        time.Duration // requests that are sent until so long after a SIGHUP are around it
+	Configuration time.Duration // from its acknowledgement on, for which requests are around a configuration
+	Factor        float64       // of the rates around configurations and at other times
+	UsedShare     float64       // of a request's time
+}
+
+// lossRates counts requests of a daemon, and those of them that it broke off.
+type lossRates struct{ around, others lossTally }
+
+type lossTally struct{ broken, all int }
+
+func (t lossTally) share() float64 { return share(t.broken, t.all) }
+
+// checkLoss reports a request that its daemon broke off, and counts it for the rates around configurations.
+func (j *checker) checkLoss(r *record) {
+	a := r.answer
+	if !r.disconnected.IsZero() || a.At.After(r.Deadline) {
+		return
+	}
+	run, isLost := j.brokenOff(r)
+	isLost = isLost && !j.cutByShutdown(r, run) && !j.runsPreviousBuild(r.by())
+	isUndisturbed := j.undisturbed(r.Daemon, r.Sent, a.At)
+	isAllowed := j.isLateAroundConfiguration(r)
+	if isUndisturbed && !isAllowed && !j.runsPreviousBuild(r.by()) {
+		j.countLoss(r, isLost)
+	}
+	switch {
+	case isUndisturbed && isLost && !isAllowed, isUndisturbed && j.closedWithoutResponse(r):
+		j.add("LOST", r, a.At, "%s", j.describeLoss(r, run))
+	case isLost && r.Kept && a.Status == 0 && len(r.runs) > 0 && noneOverlaps(j.interruptions[r.Daemon], r.Sent, a.At):
+		j.addTolerated("LOST", r, a.At, "%s", j.describeLoss(r, run))
+	}
+}
+
+// closedWithoutResponse reports whether the connection of a request that ran at an undisturbed replica closed without a
+// response.
+func (j *checker) closedWithoutResponse(r *record) bool {
+	a := r.answer
+	if a.Status != 0 || a.Err == nil || len(r.runs) == 0 {
+		return false
+	}
+	run := r.runs[len(r.runs)-1]
+	return !j.cutByShutdown(r, run) && noneOverlaps(j.replicas[run.Replica], run.At.Add(-j.bounds.SyncTime), a.At)
+}
+
+// brokenOff reports whether the daemon broke a request off, and returns the run that shows it, or nil if it reached no
+// replica.
+func (j *checker) brokenOff(r *record) (*Run, bool) {
+	a := r.answer
+	switch {
+	case a.Err == nil || a.Complete:
+		return nil, false
+	case len(r.runs) > 0:
+		for _, run := range slices.Backward(r.runs) {
+			if j.showsLoss(r, run) {
+				return run, true
+			}
+		}
+		return nil, false
+	case a.Status != 0 || len(r.arrivals) > 0:
+		return nil, true
+	}
+	return nil, !a.Written.IsZero() && a.At.Sub(a.Written) > j.bounds.Loss.Accept
+}
+
+// showsLoss reports whether a replica still had a run, or had completed it, when the daemon ended the response or gave the
+// run up for nothing.
+func (j *checker) showsLoss(r *record, run *Run) bool {
+	end := r.answer.At
+	if !run.Ended.IsZero() && run.Ended.Before(end) {
+		end = run.Ended
+	}
+	switch {
+	case j.replicaBrokeOff(r, run), j.wasReset(run, end), run.Status >= 300:
+		return false
+	case run.Status != 0:
+		return true
+	}
+	return !j.wasSuperseded(r, run, end)
+}
+
+// replicaBrokeOff reports whether the replica broke a run off before the response ended, by its own record. A replica that
+// terminates may lose what it wrote last.
+func (j *checker) replicaBrokeOff(r *record, run *Run) bool {
+	end := r.answer.At
+	if !run.BrokeOff.IsZero() && !run.BrokeOff.After(end) {
+		return true
+	}
+	return slices.ContainsFunc(j.replicaEnds[run.Replica], func(at time.Time) bool {
+		inRun := run.Ended.IsZero() || at.Before(run.Ended) || run.Status != 0 && at.Before(run.Ended.Add(readTime))
+		return inRun && at.After(run.At) && !at.After(end)
+	})
+}
+
+// wasReset reports whether a fault of the run reset the connection of a run until a time.
+func (j *checker) wasReset(run *Run, until time.Time) bool {
+	c, ok := j.connection(run.Conn, run.At)
+	return ok && !c.reset.IsZero() && !c.reset.After(until)
+}
+
+// wasSuperseded reports whether the daemon gave a run up at a time for another one, at which the replica was at work, or
+// which it had begun to answer and broken off a moment ago: the replica that is given up notices it later.
+func (j *checker) wasSuperseded(r *record, run *Run, at time.Time) bool {
+	return slices.ContainsFunc(r.runs, func(other *Run) bool {
+		if other == run || !other.At.Before(at) || !at.Before(r.answer.At) {
+			return false
+		}
+		brokeOffJustNow := other.Written > 0 && other.Ended.After(at.Add(-readTime))
+		return other.Ended.IsZero() || other.Ended.After(at) || brokeOffJustNow
+	})
+}
+
+// The end of a graceful shutdown may cut a request that was sent within shutdownAcceptTime of its start if
+// the replica is still running it in the last of the gracePeriodParts parts of the grace period.
+const (
+	shutdownAcceptTime = 3 * time.Second
+	gracePeriodParts   = 6
+)
+
+// cutByShutdown reports whether the end of a graceful shutdown cut a request, which is allowed. run is nil if it reached no
+// replica.
+func (j *checker) cutByShutdown(r *record, run *Run) bool {
+	at := r.answer.At
+	// The cut itself stops the work, without a response, at about the moment that the caller observes.
+	atWork := run != nil && (run.Ended.IsZero() || run.Status == 0 && run.Ended.After(at.Add(-settling)))
+	return atWork && slices.ContainsFunc(j.shutdowns[r.Daemon], func(s span) bool {
+		sinceStop := at.Sub(s.from)
+		return r.Sent.Sub(s.from) <= shutdownAcceptTime && sinceStop >= gracePeriod*(gracePeriodParts-1)/gracePeriodParts && sinceStop <= gracePeriod+settling
+	})
+}
+
+// isAroundConfiguration reports whether a configuration may come into force at a time.
+func (j *checker) isAroundConfiguration(at time.Time) bool {
+	return !noneOverlaps(j.configurations, at.Add(-j.bounds.Loss.Configuration), at)
+}
+
+// isAroundSignal reports whether a request ended around a SIGTERM or a SIGHUP of its daemon.
+func (j *checker) isAroundSignal(r *record) bool {
+	at := r.answer.At
+	return !noneOverlaps(j.shutdowns[r.Daemon], at, at.Add(1)) || slices.ContainsFunc(j.hangUps[r.Daemon], func(hangUp time.Time) bool {
+		return r.Sent.Sub(hangUp) <= j.bounds.Loss.HangUp && at.After(hangUp)
+	})
+}
+
+// isLateAroundConfiguration reports whether a request ended around a configuration and no signal, when it had used most of
+// its time.
+func (j *checker) isLateAroundConfiguration(r *record) bool {
+	used := float64(r.answer.At.Sub(r.Sent)) / float64(r.Deadline.Sub(r.Sent))
+	return used >= j.bounds.Loss.UsedShare && j.isAroundConfiguration(r.answer.At) && !j.isAroundSignal(r)
+}
+
+// countLoss counts a request for the rates around configurations.
+func (j *checker) countLoss(r *record, isLost bool) {
+	rates := j.aroundConfigs[r.Daemon]
+	if rates == nil {
+		rates = &lossRates{}
+		j.aroundConfigs[r.Daemon] = rates
+	}
+	tally := &rates.others
+	if j.isAroundConfiguration(r.answer.At) {
+		tally = &rates.around
+	}
+	tally.all++
+	tally.broken += btoi(isLost)
+}
+
+// checkAroundConfigurations reports daemons that break off far more of their requests around configurations than at other
+// times.
+func (j *checker) checkAroundConfigurations() {
+	for number, rates := range j.aroundConfigs {
+		if rates.around.share() > j.bounds.Loss.Factor*rates.others.share() {
+			j.out = append(j.out, Violation{
+				Promise: "LOST", Subject: "d" + itoa(number) + " around configurations", At: j.now,
+				Detail: fmt.Sprintf("broke off %d of %d requests around configurations, %d of %d at other times", rates.around.broken, rates.around.all, rates.others.broken, rates.others.all),
+			})
+		}
+	}
+}
+
+// describeLoss says what is known of a request that was broken off. run is the one that shows it; nil: the last one, if any.
+func (j *checker) describeLoss(r *record, run *Run) string {
+	a := r.answer
+	what := fmt.Sprintf("daemon %d broke off a response with status %d after %d bytes", r.Daemon, a.Status, len(a.Body))
+	if a.Status == 0 {
+		what = fmt.Sprintf("daemon %d closed the connection without a response", r.Daemon)
+	}
+	if r.Kept {
+		what += ", on a kept connection"
+	}
+	if run == nil && len(r.runs) > 0 {
+		run = r.runs[len(r.runs)-1]
+	}
+	return fmt.Sprintf("%s, %v after it was sent (%v): %s; before the end: %s, %s, %s", what, milliseconds(a.At.Sub(r.Sent)), a.Err, j.describeRun(run, a.At),
+		describeLast("configuration", j.configurations, a.At), describeLast("SIGTERM", j.shutdowns[r.Daemon], a.At), describeLast("SIGHUP", instants(j.hangUps[r.Daemon]), a.At))
+}
+
+// describeRun describes a replica's record of a run until a time, and what its link knows of the connection.
+func (j *checker) describeRun(run *Run, until time.Time) string {
+	if run == nil {
+		return "it reached no replica"
+	}
+	what := fmt.Sprintf("replica %s wrote %d bytes", run.Replica, run.Written)
+	switch {
+	case !run.BrokeOff.IsZero():
+		what += ", broke off"
+	case run.Ended.IsZero():
+		what += ", is at work"
+	default:
+		what += fmt.Sprintf(", ended with status %d %s", run.Status, describeOffset(run.Ended, until))
+	}
+	last := run.LastWrite
+	c, ok := j.connection(run.Conn, until)
+	if ok {
+		last = c.delivered
+		what += ", connection from " + c.source
+		if !c.closed.IsZero() {
+			what += " closed " + describeOffset(c.closed, until)
+		}
+	}
+	if last.IsZero() || last.Before(run.At) {
+		last = run.At
+	}
+	return what + fmt.Sprintf(", nothing had arrived from it for %v", milliseconds(until.Sub(last)))
+}
+
+// describeOffset describes a time relative to the end of a response.
+func describeOffset(at, end time.Time) string {
+	if d := at.Sub(end); d > 0 {
+		return milliseconds(d).String() + " after the end"
+	}
+	return milliseconds(end.Sub(at)).String() + " before the end"
+}
+
+// describeLast describes how long before a time the last of some periods began.
+func describeLast(what string, list []span, until time.Time) string {
+	var last time.Time
+	for _, s := range list {
+		if s.from.After(last) && !s.from.After(until) {
+			last = s.from
+		}
+	}
+	if last.IsZero() {
+		return "no " + what
+	}
+	return fmt.Sprintf("%s %v", what, milliseconds(until.Sub(last)))
+}
+
+// instants returns times as periods without length.
+func instants(times []time.Time) []span {
+	out := make([]span, 0, len(times))
+	for _, at := range times {
+		out = append(out, span{at, at})
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -44,13 +44,29 @@
 	s.Answered("q", a)
 }
 
+// breaks ends the response as a partial stream.
+func (s *scene) breaks(when float64) {
+	s.answer(Answer{At: at(when), Status: 200, Seal: "r1", Body: streamEvents("q")[0], Err: errors.New("EOF")})
+}
+
+// configure records a configuration that is sent to the store and acknowledged at a time.
+func (s *scene) configure(when float64) {
+	s.ConfigurationSent(at(when))
+	s.ConfigurationAcknowledged(at(when), at(when))
+}
+
+// hasConnection sets the link's record of the connections to all replicas.
+func (s *scene) hasConnection(c connRecord) {
+	s.connection = func(string, time.Time) (connRecord, bool) { return c, true }
+}
+
 func good() Answer {
 	return Answer{Status: 200, Seal: "r1", Body: plainBody("q", "r1"), Complete: true}
 }
 
 // TestCheck covers each guarantee with a case that breaks it and a similar one that does not.
 func TestCheck(t *testing.T) {
-	once, safe, chat := routes[0], routes[1], routes[2]
+	once, safe, chat, reply := routes[0], routes[1], routes[2], routes[3]
 	for _, c := range []struct {
 		name, want string // want is empty if no guarantee is broken
 		route      *Route
@@ -169,9 +185,146 @@
 			s.send().run("r1", 100.1)
 			s.answer(Answer{Status: 200, Seal: "r1", Body: streamEvents("q")[0], Complete: true})
 		}},
-		{"a stream that breaks off", "", chat, func(s *scene) {
+		{"a stream that its replica breaks off", "", chat, func(s *scene) {
+			s.BrokeOff(s.send().run("r1", 100.1), at(100.15))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off while its replica is at work", "LOST", chat, func(s *scene) { s.send().run("r1", 100.1); s.breaks(100.2) }},
+		{"a stream that breaks off just before its replica breaks it off", "LOST", chat, func(s *scene) {
+			s.BrokeOff(s.send().run("r1", 100.1), at(100.3))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off because its replica terminated", "", chat, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.ReplicaTerminated("r1", at(100.15))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off before its replica terminates", "LOST", chat, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.ReplicaTerminated("r1", at(100.25))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off after its replica has written it whole", "LOST", chat, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 200, at(100.15))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off at a replica of a faulty kind that is at work", "LOST", chat, func(s *scene) {
+			s.DisturbReplica("r1", at(99), at(101))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream whose connection to the replica the run reset", "", chat, func(s *scene) {
+			s.hasConnection(connRecord{reset: at(100.15)})
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream whose connection to the replica the run reset later", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{reset: at(100.25)})
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream that is given up for a replica which then breaks it off", "", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
+			next := s.run("r2", 100.2)
+			s.Wrote(next, 10, at(100.29))
+			s.BrokeOff(next, at(100.4))
+			s.Ended(next, 0, at(100.4))
+			s.breaks(100.5)
+		}},
+		{"a stream that is given up for a replica which broke it off before it wrote anything", "LOST", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
+			next := s.run("r2", 100.2)
+			s.BrokeOff(next, at(100.25))
+			s.Ended(next, 0, at(100.25))
+			s.breaks(100.4)
+		}},
+		{"a stream that is given up long after the other replica broke it off", "LOST", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.4))
+			next := s.run("r2", 100.2)
+			s.Wrote(next, 10, at(100.24))
+			s.BrokeOff(next, at(100.25))
+			s.Ended(next, 0, at(100.25))
+			s.breaks(100.41)
+		}},
+		{"a stream that is given up without another replica", "LOST", chat, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.15))
+			s.breaks(100.4)
+		}},
+		{"a stream that is resumed at a replica which fails", "", reply, func(s *scene) {
+			s.BrokeOff(s.send().run("r1", 100.1), at(100.2))
+			s.Ended(s.run("r2", 100.25), 500, at(100.3))
+			s.breaks(100.4)
+		}},
+		{"a stream that breaks off after the deadline", "", chat, func(s *scene) { s.send().run("r1", 100.1); s.breaks(103.1) }},
+		{"a stream that breaks off just before the deadline", "LOST", chat, func(s *scene) { s.send().run("r1", 100.1); s.breaks(102.9) }},
+		{"a stream that a killed daemon breaks off", "", chat, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.DisturbDaemon(0, at(100.15), at(100.6))
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off at a daemon disturbed a moment before the request", "", chat, func(s *scene) {
+			s.DisturbDaemon(0, at(90), at(97.5))
 			s.send().run("r1", 100.1)
-			s.answer(Answer{Status: 200, Seal: "r1", Body: streamEvents("q")[0], Err: errors.New("EOF")})
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off at the start of a graceful shutdown", "LOST", chat, func(s *scene) {
+			s.ShutdownBegan(0, at(100.15), at(104))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off at the end of a graceful shutdown", "", chat, func(s *scene) {
+			s.ShutdownBegan(0, at(97.4), at(101))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off after a SIGHUP, late in its time", "LOST", chat, func(s *scene) {
+			s.HungUp(0, at(99))
+			s.configure(100.4)
+			s.send().run("r1", 100.1)
+			s.breaks(102.2)
+		}},
+		{"a stream that breaks off around a configuration", "LOST", chat, func(s *scene) {
+			s.configure(100.15)
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a stream that breaks off around a configuration, late in its time", "", chat, func(s *scene) {
+			s.configure(100.15)
+			s.send().run("r1", 100.1)
+			s.breaks(102.2)
+		}},
+		{"a stream that breaks off late in its time, long after a configuration", "LOST", chat, func(s *scene) {
+			s.configure(99.1)
+			s.send().run("r1", 100.1)
+			s.breaks(102.2)
+		}},
+		{"a stream whose caller disconnected", "", chat, func(s *scene) {
+			s.send().run("r1", 100.1)
+			s.Disconnected("q", at(100.18))
+			s.breaks(100.2)
+		}},
+		{"a stream that the previous build breaks off", "", chat, func(s *scene) {
+			s.Runs(0, 0, BuildPrevious)
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"a refusal that breaks off", "LOST", once, func(s *scene) { s.send(); s.answer(Answer{Status: 503, Err: errors.New("EOF")}) }},
+		{"a connection closed long after the request, which reached no replica", "LOST", once, func(s *scene) {
+			s.send()
+			s.answer(Answer{At: at(100.3), Written: at(100.05), Err: errors.New("EOF")})
+		}},
+		{"a connection closed at once, the request reached no replica", "", once, func(s *scene) {
+			s.send()
+			s.answer(Answer{At: at(100.2), Written: at(100.05), Err: errors.New("EOF")})
+		}},
+		{"a connection closed before the request was written whole", "", once, func(s *scene) {
+			s.send()
+			s.answer(Answer{At: at(100.9), Err: errors.New("EPIPE")})
+		}},
+		{"a connection closed without a response, at a replica of a faulty kind that is at work", "LOST", once, func(s *scene) {
+			s.DisturbReplica("r1", at(99), at(101))
+			s.send().run("r1", 100.1)
+			s.answer(Answer{Err: errors.New("EOF")})
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -135,7 +135,7 @@
 		x.write(standin.StreamHead(x.id, x.ID, x.statementsWithLoad()))
 		x.work(rand.N(maxCrashDelay))
 	}
-	x.finish(0)
+	x.breakOffWith(0)
 	x.ledger.Crashed(number, x.ID, time.Now())
 	x.crashed()
 	return false
--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -124,7 +124,7 @@
 		x.write(x.chunk(withVersion(streamEvents(x.streamID())[0], x.version)))
 	}
 	x.work(rand.N(maxCrashAfterEvent))
-	x.finish(0)
+	x.breakOffWith(0)
 	x.ledger.Crashed(number, x.ID, time.Now())
 	x.crashed()
 	return false
--- a/internal/soak/delivery.go
+++ b/internal/soak/delivery.go
@@ -22,12 +22,22 @@
 // delivery is the record of one connection through a link.
 type delivery struct {
 	opened    time.Time
+	source    string      // IP address from which the daemon opened it
 	delivered []time.Time // when bytes of the replica were written to the daemon's side
 	closed    time.Time   // when the daemon closed its side; zero: not yet
+	reset     time.Time   // when a fault of the run reset it; zero: none did
 }
 
-// open records a new connection. It accepts a nil receiver, and then returns nil.
-func (d *deliveries) open(address string, now time.Time) *delivery {
+// connRecord is what a link knows of a connection at a time.
+type connRecord struct {
+	source    string    // IP address from which the daemon opened it
+	delivered time.Time // when bytes of the replica last reached the daemon's side; zero: none did
+	closed    time.Time // when the daemon closed its side; zero: not yet
+	reset     time.Time // when a fault of the run reset it; zero: none did
+}
+
+// open records a new connection from a daemon's IP address. It accepts a nil receiver, and then returns nil.
+func (d *deliveries) open(address, source string, now time.Time) *delivery {
 	if d == nil {
 		return nil
 	}
@@ -36,7 +46,7 @@
 	if d.conns == nil {
 		d.conns = make(map[string][]*delivery)
 	}
-	c := &delivery{opened: now}
+	c := &delivery{opened: now, source: source}
 	d.conns[address] = append(d.conns[address], c)
 	return c
 }
@@ -64,17 +74,53 @@
 	}
 }
 
-// read reports whether a daemon must have read what a replica wrote at a time on the connection from an
-// address, and describes what became of it.
-func (d *deliveries) read(address string, at time.Time) (read bool, what string) {
+// recordReset records that a fault of the run is about to reset the connection. It accepts a nil receiver and a nil
+// connection.
+func (d *deliveries) recordReset(c *delivery, now time.Time) {
+	if c == nil {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if c.reset.IsZero() {
+		c.reset = now
+	}
+}
+
+// find returns the last connection from an address that was opened until a time, or nil. The caller must hold d.mu.
+func (d *deliveries) find(address string, at time.Time) *delivery {
 	var c *delivery
 	for _, other := range d.conns[address] {
 		if !other.opened.After(at) {
 			c = other
 		}
 	}
+	return c
+}
+
+// connection returns the record of the connection from an address that was open at a time, as it was then.
+func (d *deliveries) connection(address string, at time.Time) (connRecord, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.find(address, at)
+	if c == nil {
+		return connRecord{}, false
+	}
+	record := connRecord{source: c.source, closed: c.closed, reset: c.reset}
+	for _, t := range c.delivered {
+		if !t.After(at) {
+			record.delivered = t
+		}
+	}
+	return record, true
+}
+
+// read reports whether a daemon must have read what a replica wrote at a time on the connection from an
+// address, and describes what became of it.
+func (d *deliveries) read(address string, at time.Time) (read bool, what string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.find(address, at)
 	if c == nil {
 		return true, "connection is not known"
 	}
--- a/internal/soak/delivery_test.go
+++ b/internal/soak/delivery_test.go
@@ -29,11 +29,11 @@
 		{"never delivered", func(d *deliveries, c *delivery) { d.recordDelivery(c, at(99.9)) }, false},
 		{"another connection from the same address since", func(d *deliveries, c *delivery) {
 			d.recordDelivery(c, at(100.01))
-			d.open("a", at(101))
+			d.open("a", "", at(101))
 		}, true},
 	} {
 		d := &deliveries{}
-		conn := d.open("a", at(99))
+		conn := d.open("a", "", at(99))
 		c.play(d, conn)
 		if got, what := d.read("a", at(100)); got != c.want {
 			t.Errorf("%s: read %t (%s), want %t", c.name, got, what, c.want)
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	if x.crowded != nil {
-		return x.serveCrowded(&Run{Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
+		return x.serveCrowded(&Run{Arrival: arrival, Conn: x.conn.RemoteAddr().String(), Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
 	}
 	x.mu.Lock()
 	x.behaviour = x.Replica.behaviour
@@ -61,6 +61,7 @@
 	defer x.releaseSlot()
 	x.run = x.ledger.Began(x.id, Run{
 		Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace,
+		Conn: x.conn.RemoteAddr().String(),
 	})
 	if *x.surplus != "" {
 		_, _ = x.conn.Write([]byte(*x.surplus))
@@ -147,6 +148,20 @@
 
 func (x *exchange) finish(status int) { x.ledger.Ended(x.run, status, time.Now()) }
 
+// breakOffWith ends the run with a status because the replica is about to break the response off.
+func (x *exchange) breakOffWith(status int) {
+	x.ledger.BrokeOff(x.run, time.Now())
+	x.finish(status)
+}
+
+// endSilently ends the run because the daemon closed the connection, or because the replica closes it after hangTime.
+func (x *exchange) endSilently(closedByDaemon bool) {
+	if !closedByDaemon {
+		x.ledger.BrokeOff(x.run, time.Now())
+	}
+	x.finish(0)
+}
+
 const (
 	minWork  = 5 * time.Millisecond
 	maxWork  = 60 * time.Millisecond
@@ -179,16 +194,15 @@
 		x.finish(500)
 		return x.write(standin.Response(500, x.id, x.ID, "failed", x.statements()))
 	case x.selected(x.behaviour.Hang):
-		x.work(hangTime)
-		x.finish(0)
+		x.endSilently(!x.work(hangTime))
 		return false
 	case x.selected(x.behaviour.Truncate):
-		x.finish(200)
+		x.breakOffWith(200)
 		response := x.framed(standin.Response(200, x.id, x.ID, plainBody(x.id, x.ID), x.statements()))
-		_, _ = x.conn.Write([]byte(response[:len(response)*2/3]))
+		x.write(response[:len(response)*2/3])
 		return x.breakOff()
 	case x.selected(x.behaviour.ResetAfterRun):
-		x.finish(0)
+		x.breakOffWith(0)
 		resetConn(x.conn.(*net.TCPConn))
 		return false
 	}
@@ -205,8 +219,7 @@
 			*x.surplus = response
 		}
 	}
-	_, err := x.conn.Write([]byte(response))
-	return err == nil
+	return x.write(response)
 }
 
 // stream responds with events, starting after the last one that the caller received. It returns
@@ -250,17 +263,16 @@
 	switch {
 	case hang:
 		return func(string) {
-			x.work(hangTime)
-			x.finish(0)
+			x.endSilently(!x.work(hangTime))
 		}
 	case truncate:
 		return func(event string) {
-			x.finish(200)
+			x.breakOffWith(200)
 			x.truncate(event)
 		}
 	case reset:
 		return func(string) {
-			x.finish(0)
+			x.breakOffWith(0)
 			resetConn(x.conn.(*net.TCPConn))
 		}
 	}
@@ -288,6 +300,9 @@
 }
 
 func (x *exchange) write(answer string) bool {
-	_, err := x.conn.Write([]byte(answer))
+	n, err := x.conn.Write([]byte(answer))
+	if x.run != nil && n > 0 {
+		x.ledger.Wrote(x.run, n, time.Now())
+	}
 	return err == nil
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// interrupt is disturb for faults that may end connections of the daemons' callers.
+func (s *injector) interrupt(daemons []*daemon, inject func()) {
+	from := time.Now()
+	for _, d := range daemons {
+		s.ledger.InterruptDaemon(d.number, from, from.Add(time.Hour))
+	}
+	s.disturb(daemons, inject)
+	for _, d := range daemons {
+		s.ledger.EndDaemonInterruption(d.number, from, time.Now().Add(settling))
+	}
+}
+
 func (s *injector) inject(f *Fault) {
 	s.logf("%s target %d variant %d for %v", f.Kind, f.Target, f.Variant, f.For.Round(time.Millisecond))
 	switch f.Kind {
@@ -123,16 +135,16 @@
 	d := s.daemon(f)
 	switch f.Kind {
 	case killDaemon:
-		s.disturb([]*daemon{d}, func() { d.kill(); pause(s.ctx, restartPause) })
+		s.interrupt([]*daemon{d}, func() { d.kill(); pause(s.ctx, restartPause) })
 	case killAll:
-		s.disturb(s.fleet.daemons, func() {
+		s.interrupt(s.fleet.daemons, func() {
 			for _, d := range s.fleet.daemons {
 				d.kill()
 			}
 			pause(s.ctx, restartPause)
 		})
 	case freezeDaemon:
-		s.disturb([]*daemon{d}, func() {
+		s.interrupt([]*daemon{d}, func() {
 			from := time.Now()
 			d.freeze(s.ctx, f.For)
 			s.ledger.Froze(d.number, from, time.Now())
@@ -165,6 +177,7 @@
 	}
 	_, rest, _ := strings.Cut(string(text), "\n")
 	_ = os.WriteFile(d.file, []byte(fmt.Sprintf("# generation %d\n%s", variant, rest)), 0o600)
+	s.ledger.HungUp(d.number, time.Now())
 	d.signal(syscall.SIGHUP, false)
 }
 
@@ -218,7 +231,7 @@
 		p, r := s.pickPlace(f.Target)
 		s.disturbReplica(r, func() { apply(p.link) })
 	case linkCallers:
-		s.disturb([]*daemon{d}, func() { apply(d.callers) })
+		s.interrupt([]*daemon{d}, func() { apply(d.callers) })
 	case linkStore:
 		s.disturb([]*daemon{d}, func() { apply(d.store) })
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -44,6 +44,7 @@
 	Workspace string
 	Urgency   int  // 0 is the most urgent
 	Generates bool // the service has a model, and the request a prompt
+	Kept      bool // it was sent on a connection on which an earlier request was answered
 }
 
 // by returns the process of a daemon that accepted the request.
@@ -63,6 +64,13 @@
 	Method, Target, Body, Workspace string
 	Status                          int       // of the replica's response; 0: none yet
 	Ended                           time.Time // zero: still running
+	// Conn is the address from which the connection of the run was opened, as the replica sees it.
+	Conn string
+	// Written is how many bytes of its response the replica has written, and LastWrite when it wrote the last ones.
+	Written   int
+	LastWrite time.Time
+	// BrokeOff is when the replica broke its response off; zero: it did not.
+	BrokeOff time.Time
 }
 
 // Answer is the response that a caller received.
@@ -77,6 +85,7 @@
 	Quarantined bool          // a refusal because the request is quarantined
 	Complete    bool          // it ended as complete
 	Err         error         // why it is not complete
+	Written     time.Time     // when the last byte of the request was written; zero: it was not written whole
 }
 
 // record is everything recorded about a request.
@@ -124,7 +133,9 @@
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
 		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService),
-		wasRead:         func(string, time.Time) (bool, string) { return true, "" },
+		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span),
+		connection: func(string, time.Time) (connRecord, bool) { return connRecord{}, false },
+		wasRead:    func(string, time.Time) (bool, string) { return true, "" },
 	}}
 }
 
@@ -184,6 +195,66 @@
 	run.Status, run.Ended = status, at
 }
 
+// Wrote records that a replica wrote bytes of its response.
+func (l *Ledger) Wrote(run *Run, bytes int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.Written += bytes
+	run.LastWrite = at
+}
+
+// BrokeOff records that a replica is about to break its response off.
+func (l *Ledger) BrokeOff(run *Run, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if run.BrokeOff.IsZero() {
+		run.BrokeOff = at
+	}
+}
+
+// ReplicaTerminated records that a replica is about to reset all its connections.
+func (l *Ledger) ReplicaTerminated(replica string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replicaEnds[replica] = append(l.replicaEnds[replica], at)
+}
+
+// ConfigurationSent records that a configuration is about to be written to the store.
+func (l *Ledger) ConfigurationSent(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.configurations = append(l.configurations, span{at, at.Add(time.Hour)})
+}
+
+// ConfigurationAcknowledged records that the store accepted the configuration that was sent at a time.
+func (l *Ledger) ConfigurationAcknowledged(sent, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	closeSpan(l.configurations, sent, at)
+}
+
+// HungUp records that a daemon is about to get a SIGHUP.
+func (l *Ledger) HungUp(daemon int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hangUps[daemon] = append(l.hangUps[daemon], at)
+}
+
+// InterruptDaemon records a disturbance that may end connections of a daemon's callers: its process is killed or
+// suspended, or their link is disturbed. It is recorded as a disturbance of the daemon too.
+func (l *Ledger) InterruptDaemon(i int, from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.interruptions[i] = append(l.interruptions[i], span{from, to})
+}
+
+// EndDaemonInterruption records the end of an interruption that was recorded when it began.
+func (l *Ledger) EndDaemonInterruption(i int, from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	closeSpan(l.interruptions[i], from, to)
+}
+
 // DisturbDaemon records an unplanned disturbance of a daemon or its links.
 func (l *Ledger) DisturbDaemon(i int, from, to time.Time) {
 	l.mu.Lock()
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -77,7 +77,7 @@
 	}
 	for c := range l.conns {
 		if c.random < t.Share {
-			c.reset()
+			l.resetByFault(c)
 		}
 	}
 }
@@ -88,10 +88,16 @@
 	defer l.mu.Unlock()
 	_ = l.listener.Close()
 	for c := range l.conns {
-		c.reset()
+		l.resetByFault(c)
 	}
 }
 
+// resetByFault resets a connection and records that no end of it did.
+func (l *Link) resetByFault(c *linkConn) {
+	l.deliveries.recordReset(c.delivery, time.Now())
+	c.reset()
+}
+
 // Reopen listens again after Close, on the same address, or on another port if that address
 // is in use.
 func (l *Link) Reopen() error {
@@ -135,7 +141,7 @@
 		return
 	}
 	c.far = far.(*net.TCPConn)
-	c.delivery = l.deliveries.open(far.LocalAddr().String(), time.Now())
+	c.delivery = l.deliveries.open(far.LocalAddr().String(), c.source, time.Now())
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -159,7 +165,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if c.source == source {
-			c.reset()
+			l.resetByFault(c)
 		}
 	}
 }
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -41,6 +41,12 @@
 	partitions      []partitionSpan
 	versions        map[string][]versionSpan // of replicas
 	silences        []silentSpan             // of sound replicas
+	replicaEnds     map[string][]time.Time   // when a replica reset all its connections
+	configurations  []span                   // from when one was sent to the store, until the store accepted it
+	hangUps         map[int][]time.Time      // when a daemon got a SIGHUP
+	interruptions   map[int][]span           // disturbances of a daemon that may end connections of its callers
+	// connection returns the link's record of a connection to a replica that was open at a time.
+	connection func(conn string, at time.Time) (connRecord, bool)
 	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
 	// describes what became of it.
 	wasRead func(conn string, at time.Time) (bool, string)
@@ -61,7 +67,8 @@
 	o.backoffs, o.freezes, o.setAside = cloneLists(o.backoffs), cloneLists(o.freezes), cloneLists(o.setAside)
 	o.versions, o.partitions, o.terminations = cloneLists(o.versions), slices.Clone(o.partitions), slices.Clone(o.terminations)
 	o.domains, o.builds, o.begins = maps.Clone(o.domains), maps.Clone(o.builds), maps.Clone(o.begins)
-	o.silences = slices.Clone(o.silences)
+	o.silences, o.configurations = slices.Clone(o.silences), slices.Clone(o.configurations)
+	o.replicaEnds, o.hangUps, o.interruptions = cloneLists(o.replicaEnds), cloneLists(o.hangUps), cloneLists(o.interruptions)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
 		o.joined[service] = maps.Clone(replicas)
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -136,6 +136,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = r.listener.Close()
+	if !r.terminated {
+		r.ledger.ReplicaTerminated(r.ID, time.Now())
+	}
 	r.terminated = true
 	for c := range r.conns {
 		resetConn(c.(*net.TCPConn))
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -92,7 +92,10 @@
 			s.mu.Lock()
 			copied := s.copies.atLeastAsOldAs(age, time.Now())
 			s.mu.Unlock()
+			sent := time.Now()
+			s.ledger.ConfigurationSent(sent)
 			s.store.Restore(copied)
+			s.ledger.ConfigurationAcknowledged(sent, time.Now())
 			s.ledger.Restored(time.Now())
 		})
 		pause(s.ctx, rewriteDelay)
@@ -115,7 +118,10 @@
 func (s *injector) rewrite() {
 	s.mu.Lock()
 	c := s.config()
+	sent := time.Now()
+	s.ledger.ConfigurationSent(sent)
 	s.store.RestoreConfig(&c)
+	s.ledger.ConfigurationAcknowledged(sent, time.Now())
 	for domain, emptied := range s.evacuated {
 		switch isEvacuated := s.store.IsEvacuated(domain); {
 		case emptied && !isEvacuated:
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -89,7 +89,7 @@
 		s.keys = append(s.keys, k)
 		l.KeyAdded(k.key, k.workspace, time.Time{})
 	}
-	l.wasRead = s.deliveries.read
+	l.wasRead, l.connection = s.deliveries.read, s.deliveries.connection
 	for name, service := range s.services {
 		l.RouteTo(name, service, time.Time{})
 	}
@@ -117,8 +117,12 @@
 func (s *site) publish() time.Time {
 	s.version++
 	c := s.config()
+	sent := time.Now()
+	s.ledger.ConfigurationSent(sent)
 	s.store.PutConfig(&c)
-	return time.Now()
+	now := time.Now()
+	s.ledger.ConfigurationAcknowledged(sent, now)
+	return now
 }
 
 // routes returns the configured routes but that of a crowded service.
