Soak: daemons that exceed their memory, and why a daemon ended by itself

Cause: a daemon that ended by itself was reported with its exit status alone, memory_mb was judged nowhere, and a daemon that failed while it shut down gracefully counted as stopped.

Change: memory.go samples the resident memory of each process and the peak that the system keeps; more than memory_mb is RUNS, once for each daemon. The report of a daemon that ended by itself names the panic or fatal error of its log, and the memory if the peak exceeded the limit, the log says that none was left, or the system killed it. An exit status above 0 after SIGTERM counts as an end by itself. The report has the largest resident memory (max_memory_mb).

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -308,6 +308,11 @@
 			s.send().run("r1", 100.1)
 			s.breaks(100.2)
 		}},
+		{"a stream that breaks off because its daemon ended by itself", "LOST", chat, func(s *scene) {
+			s.TerminatedUnexpectedly("d0", at(100.2), "exit status 2")
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
 		{"a refusal that breaks off", "LOST", once, func(s *scene) { s.send(); s.answer(Answer{Status: 503, Err: errors.New("EOF")}) }},
 		{"a connection closed long after the request, which reached no replica", "LOST", once, func(s *scene) {
 			s.send()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -48,6 +50,7 @@
 	exited      chan struct{} // closed when the process has terminated
 	ready       bool          // the balancer sends callers
 	misses      int
+	memory      memorySample // of the process, or of the last one
 }
 
 // fleet holds the daemons of a run.
@@ -141,10 +144,20 @@
 	return os.WriteFile(d.file, []byte(text), 0o600)
 }
 
+// logFile returns the path of the log of the daemon's processes.
+func (d *daemon) logFile() string {
+	return filepath.Join(d.fleet.dir, fmt.Sprintf("daemon-%d.log", d.number))
+}
+
 // start starts the process and waits for its termination in the background.
 func (d *daemon) start() error {
-	out, err := os.OpenFile(filepath.Join(d.fleet.dir, fmt.Sprintf("daemon-%d.log", d.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(d.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	offset, err := out.Seek(0, io.SeekEnd)
 	if err != nil {
+		_ = out.Close()
 		return err
 	}
 	d.mu.Lock()
@@ -161,32 +174,39 @@
 	}
 	exited := make(chan struct{})
 	d.mu.Lock()
-	d.process, d.terminating, d.exited = cmd.Process, false, exited
+	d.process, d.terminating, d.exited, d.memory = cmd.Process, false, exited, memorySample{}
 	d.incarnation++
 	incarnation := d.incarnation
 	d.mu.Unlock()
 	d.fleet.ledger.Runs(d.number, incarnation, build)
 	d.fleet.ledger.Begins(d.number, incarnation, time.Now())
+	d.fleet.wg.Go(func() { d.watchMemory(cmd.Process.Pid, exited) })
 	d.fleet.wg.Go(func() {
 		err := cmd.Wait()
 		_ = out.Close()
 		close(exited)
-		d.afterExit(err)
+		d.afterExit(err, offset)
 	})
 	return nil
 }
 
-// afterExit restarts the daemon after a pause, as the users' platform does.
-func (d *daemon) afterExit(err error) {
+// failed reports whether a process that the run asked to terminate ended with an exit status that says otherwise.
+func failed(err error) bool {
+	var exit *exec.ExitError
+	return errors.As(err, &exit) && exit.ExitCode() > 0
+}
+
+// afterExit restarts the daemon after a pause, as the users' platform does. The log of the process begins at an offset.
+func (d *daemon) afterExit(err error, log int64) {
 	d.mu.Lock()
-	expected := d.terminating
+	expected, memory := d.terminating && !failed(err), d.memory
 	d.ready = false
 	d.mu.Unlock()
 	if d.fleet.ctx.Err() != nil {
 		return
 	}
 	if !expected {
-		d.fleet.ledger.TerminatedUnexpectedly(fmt.Sprintf("d%d", d.number), time.Now(), fmt.Sprint(err))
+		d.fleet.ledger.TerminatedUnexpectedly(fmt.Sprintf("d%d", d.number), time.Now(), describeEnd(err, memory, d.logSince(log)))
 	}
 	pause(d.fleet.ctx, restartPause)
 	if d.fleet.ctx.Err() == nil {
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -33,7 +33,11 @@
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			binary := p.build(t, root)
-			for seed := range uint64(maxSeeds) {
+			seeds := maxSeeds
+			if p.seeds > 0 {
+				seeds = p.seeds
+			}
+			for seed := range uint64(seeds) {
 				report, err := Play(context.Background(), p.plan(seed), Options{Daemon: binary, Dir: t.TempDir()})
 				if err != nil {
 					t.Fatal(err)
@@ -45,7 +49,7 @@
 					}
 				}
 			}
-			t.Errorf("not found with %d seeds", maxSeeds)
+			t.Errorf("not found with %d seeds", seeds)
 		})
 	}
 }
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -27,6 +27,7 @@
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
 	brittle       bool                      // found by runs with brittle replicas and no faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
+	seeds         int                       // of the plan, from 0 on, within which it is found; 0: maxSeeds
 	subject       string                    // required prefix of the violation's subject
 	also          []edit                    // further changes of other source files
 }
@@ -145,6 +146,13 @@
 		text: "case gossip.IsPartCrashes(payload):", instead: "case gossip.IsPartCrashes(payload) && len(payload) == 0:", parts: 1, quiet: longQuiet},
 	{name: "forgets quarantined parts after 5 s", promise: "BUDGET", subject: crashingPartPrefix, file: "coordination/routing/crash.go",
 		text: "\t\treturn s.verdict\n", instead: "\t\treturn s.verdict && time.Since(s.verdictAt) < 5*time.Second\n", parts: 1, quiet: longQuiet},
+	{name: "breaks off one stream in ten after three events", promise: "LOST", subject: "c", file: "transport/relay/response.go",
+		text: "\ts.recordSound(x)\n", instead: "\ts.recordSound(x)\n\tif s.events.count > 3 && s.call.Content%10 == 0 {\n\t\tpanic(http.ErrAbortHandler)\n\t}\n", seeds: 1},
+	{name: "ends by itself", promise: "RUNS", subject: "d", file: "daemon/routes/run.go",
+		text: "\twg.Go(func() { d.sweepConnections(work) })\n", instead: "\twg.Go(func() { d.sweepConnections(work) })\n\ttime.AfterFunc(8*time.Second, func() { panic(\"ends by itself\") })\n", seeds: 1},
+	{name: "holds more memory than its settings allow", promise: "RUNS", subject: "memory d", file: "daemon/routes/run.go",
+		text: "\twg.Go(func() { d.sweepConnections(work) })\n", instead: "\twg.Go(func() {\n\t\theld := make([]byte, 210<<20)\n\t\tfor i := range held {\n\t\t\theld[i] = 1\n\t\t}\n\t\t<-work.Done()\n\t\theld[0] = 2\n\t})\n\twg.Go(func() { d.sweepConnections(work) })\n",
+		seeds: 1},
 	{name: "grants more permits than there are places", promise: "PLACES", file: "coordination/admission/coordinator.go",
 		text: "\treturn max(0, r.Slots) + extraPlaces\n", instead: "\treturn max(0, r.Slots) + extraPlaces + 10\n", crowded: true},
 	{name: "does not read that replicas are brittle", promise: "LIMIT", subject: "brittle", file: "platform/selfreport.go",
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,6 +36,7 @@
 	OverloadShare float64         `json:"share_at_crowded_replicas"` // in the worst undisturbed window
 	Crashed       int             `json:"replicas_ended"`            // by crashing requests
 	Backoffs      int             `json:"rests"`                     // backoffs that replicas requested
+	MaxMemoryMB   int64           `json:"max_memory_mb"`             // resident memory of a daemon's process
 	Departures    int             `json:"left_by_answers"`           // replicas that announced their departure to a caller
 	HeldForParts  int             `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
 	Streams       StreamCount     `json:"streams"`                   // of callers that resume them
@@ -271,6 +272,7 @@
 	r.report.OverloadShare, r.report.Crashed = r.site.ledger.MaxOverloadShare(), r.site.ledger.Crashes()
 	r.report.Backoffs, r.report.Departures = r.site.ledger.Backoffs(), r.site.ledger.Departures()
 	r.report.Excused = r.site.ledger.Excused()
+	r.report.MaxMemoryMB = r.site.ledger.MaxMemory() / megabyte
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.Streams = r.site.ledger.Streams()
 	r.report.Brittle = r.site.ledger.BrittleResults(now)
