--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -200,6 +200,7 @@
 	}
 	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at overloaded replicas, %d replicas crashed by requests, %d backoffs, %d departures announced in responses, %d violations\n",
 		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.OverloadShare, report.Crashed, report.Backoffs, report.Departures, len(report.Violations))
+	fmt.Printf("  %d MB resident at most; responses broken off: %v\n", report.MaxMemoryMB, report.BrokenOff)
 	if report.HeldForParts > 0 {
 		fmt.Printf("  %d ordinary requests were refused for a part of their prompts\n", report.HeldForParts)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -81,7 +81,7 @@
 // Check checks everything recorded so far and returns the violations that it has not returned before. It
 // must not be called by two goroutines at a time.
 func (l *Ledger) Check(now time.Time) []Violation {
-	j := &checker{observations: l.snapshot(), now: now, aroundConfigs: make(map[int]*lossRates)}
+	j := &checker{observations: l.snapshot(), now: now, aroundConfigs: make(map[int]*lossRates), losses: make(map[lossCause]int)}
 	for _, r := range j.order {
 		j.checkRequest(r)
 	}
@@ -109,6 +109,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxOverloadShare = max(l.maxOverloadShare, j.maxOverloadShare)
+	l.losses = j.losses
 	for _, v := range j.excused {
 		l.excused[v.Subject] = v
 	}
@@ -131,6 +132,7 @@
 	out              []Violation
 	tolerated        []Violation
 	aroundConfigs    map[int]*lossRates // of daemons
+	losses           map[lossCause]int  // responses that were broken off
 	excused          []Violation
 	maxOverloadShare float64
 }
--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -24,6 +24,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -44,56 +45,100 @@
 
 func (t lossTally) share() float64 { return share(t.broken, t.all) }
 
-// checkLoss reports a request that its daemon broke off, and counts it for the rates around configurations.
+// lossCause is why a response did not end as complete.
+type lossCause string
+
+// The causes of responses that are broken off. What none of the others explains, the daemon did.
+const (
+	lossByDaemon   lossCause = "daemon"
+	lossByOthers   lossCause = "replica" // or a fault of the run reset the connection to it
+	lossAtDeadline lossCause = "deadline"
+	lossAtShutdown lossCause = "shutdown"  // the end of a graceful one
+	lossDisturbed  lossCause = "disturbed" // the daemon was
+	lossLate       lossCause = "late"      // around a configuration, when the request had used most of its time
+	lossByPrevious lossCause = "previous"  // a daemon of the previous build
+)
+
+// checkLoss reports a request that its daemon broke off, and counts it by its cause and for the rates around
+// configurations.
 func (j *checker) checkLoss(r *record) {
 	a := r.answer
-	if !r.disconnected.IsZero() || a.At.After(r.Deadline) {
+	if !r.disconnected.IsZero() {
 		return
 	}
-	run, isLost := j.brokenOff(r)
-	isLost = isLost && !j.cutByShutdown(r, run) && !j.runsPreviousBuild(r.by())
-	isUndisturbed := j.undisturbed(r.Daemon, r.Sent, a.At)
-	isAllowed := j.isLateAroundConfiguration(r)
-	if isUndisturbed && !isAllowed && !j.runsPreviousBuild(r.by()) {
-		j.countLoss(r, isLost)
+	run, cause := j.lossCause(r)
+	if cause != "" {
+		j.losses[cause]++
+	}
+	if j.undisturbed(r.Daemon, r.Sent, a.At) && (cause == lossByDaemon || a.Complete) {
+		j.countLoss(r, cause == lossByDaemon)
 	}
+	isKept := r.Kept && a.Status == 0 && len(r.runs) > 0
 	switch {
-	case isUndisturbed && isLost && !isAllowed, isUndisturbed && j.closedWithoutResponse(r):
+	case cause == lossByDaemon, j.closedWithoutResponse(r):
 		j.add("LOST", r, a.At, "%s", j.describeLoss(r, run))
-	case isLost && r.Kept && a.Status == 0 && len(r.runs) > 0 && noneOverlaps(j.interruptions[r.Daemon], r.Sent, a.At):
+	case cause == lossDisturbed && isKept && noneOverlaps(j.interruptions[r.Daemon], r.Sent, a.At):
 		j.addTolerated("LOST", r, a.At, "%s", j.describeLoss(r, run))
 	}
 }
 
+// lossCause returns why a request was broken off, or an empty cause if it was not, and the run that shows that its replica
+// did not do it, if there is one.
+func (j *checker) lossCause(r *record) (*Run, lossCause) {
+	a := r.answer
+	if !j.isBrokenOff(r) {
+		return nil, ""
+	}
+	run, isLost := j.lostRun(r)
+	switch {
+	case a.At.After(r.Deadline):
+		return run, lossAtDeadline
+	case !isLost:
+		return run, lossByOthers
+	case j.cutByShutdown(r, run):
+		return run, lossAtShutdown
+	case j.runsPreviousBuild(r.by()):
+		return run, lossByPrevious
+	case !j.undisturbed(r.Daemon, r.Sent, a.At):
+		return run, lossDisturbed
+	case j.isLateAroundConfiguration(r):
+		return run, lossLate
+	}
+	return run, lossByDaemon
+}
+
 // closedWithoutResponse reports whether the connection of a request that ran at an undisturbed replica closed without a
 // response.
 func (j *checker) closedWithoutResponse(r *record) bool {
 	a := r.answer
-	if a.Status != 0 || a.Err == nil || len(r.runs) == 0 {
+	if a.Status != 0 || a.Err == nil || len(r.runs) == 0 || a.At.After(r.Deadline) || !j.undisturbed(r.Daemon, r.Sent, a.At) {
 		return false
 	}
 	run := r.runs[len(r.runs)-1]
 	return !j.cutByShutdown(r, run) && noneOverlaps(j.replicas[run.Replica], run.At.Add(-j.bounds.SyncTime), a.At)
 }
 
-// brokenOff reports whether the daemon broke a request off, and returns the run that shows it, or nil if it reached no
-// replica.
-func (j *checker) brokenOff(r *record) (*Run, bool) {
+// isBrokenOff reports whether a response began and is not complete, or the connection closed without one although the
+// request had reached a replica, or had long been written.
+func (j *checker) isBrokenOff(r *record) bool {
 	a := r.answer
 	switch {
 	case a.Err == nil || a.Complete:
-		return nil, false
-	case len(r.runs) > 0:
-		for _, run := range slices.Backward(r.runs) {
-			if j.showsLoss(r, run) {
-				return run, true
-			}
+		return false
+	case a.Status != 0 || len(r.arrivals)+len(r.runs) > 0:
+		return true
+	}
+	return !a.Written.IsZero() && a.At.Sub(a.Written) > j.bounds.Loss.Accept
+}
+
+// lostRun reports whether no replica broke a request off, and returns the run that shows it, or nil if none ran it.
+func (j *checker) lostRun(r *record) (*Run, bool) {
+	for _, run := range slices.Backward(r.runs) {
+		if j.showsLoss(r, run) {
+			return run, true
 		}
-		return nil, false
-	case a.Status != 0 || len(r.arrivals) > 0:
-		return nil, true
 	}
-	return nil, !a.Written.IsZero() && a.At.Sub(a.Written) > j.bounds.Loss.Accept
+	return nil, len(r.runs) == 0
 }
 
 // showsLoss reports whether a replica still had a run, or had completed it, when the daemon ended the response or gave the
@@ -288,3 +333,10 @@
 }
 
 func milliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// Losses returns how many responses were broken off, by cause, as of the last check.
+func (l *Ledger) Losses() map[lossCause]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.losses)
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -116,6 +116,7 @@
 	found            map[string]Violation
 	excused          map[string]Violation // backoffs that were violated, but that the daemon can't have read
 	maxOverloadShare float64              // the largest fraction that LIMIT bounds
+	losses           map[lossCause]int    // responses that were broken off, at the last check
 	maxMemory        int64                // of a daemon's process, in bytes
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,22 +28,23 @@
 
 // Report is the result of a run.
 type Report struct {
-	Plan          *Plan           `json:"plan"`
-	Requests      int             `json:"requests"` // of callers that did not disconnect, with valid keys
-	Served        int             `json:"served"`
-	Share         float64         `json:"share_served"`
-	QuietShare    float64         `json:"share_served_at_the_end"`
-	OverloadShare float64         `json:"share_at_crowded_replicas"` // in the worst undisturbed window
-	Crashed       int             `json:"replicas_ended"`            // by crashing requests
-	Backoffs      int             `json:"rests"`                     // backoffs that replicas requested
-	MaxMemoryMB   int64           `json:"max_memory_mb"`             // resident memory of a daemon's process
-	Departures    int             `json:"left_by_answers"`           // replicas that announced their departure to a caller
-	HeldForParts  int             `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
-	Streams       StreamCount     `json:"streams"`                   // of callers that resume them
-	Brittle       []BrittleResult `json:"brittle,omitempty"`
-	Violations    []Violation     `json:"violations"`
-	Excused       []Violation     `json:"excused"` // of backoffs that the daemon can't have read
-	Events        []string        `json:"events"`  // faults and their ends
+	Plan          *Plan             `json:"plan"`
+	Requests      int               `json:"requests"` // of callers that did not disconnect, with valid keys
+	Served        int               `json:"served"`
+	Share         float64           `json:"share_served"`
+	QuietShare    float64           `json:"share_served_at_the_end"`
+	OverloadShare float64           `json:"share_at_crowded_replicas"` // in the worst undisturbed window
+	Crashed       int               `json:"replicas_ended"`            // by crashing requests
+	Backoffs      int               `json:"rests"`                     // backoffs that replicas requested
+	MaxMemoryMB   int64             `json:"max_memory_mb"`             // resident memory of a daemon's process
+	BrokenOff     map[lossCause]int `json:"broken_off"`                // responses, by cause
+	Departures    int               `json:"left_by_answers"`           // replicas that announced their departure to a caller
+	HeldForParts  int               `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
+	Streams       StreamCount       `json:"streams"`                   // of callers that resume them
+	Brittle       []BrittleResult   `json:"brittle,omitempty"`
+	Violations    []Violation       `json:"violations"`
+	Excused       []Violation       `json:"excused"` // of backoffs that the daemon can't have read
+	Events        []string          `json:"events"`  // faults and their ends
 }
 
 // Parameters of a run.
@@ -272,6 +273,7 @@
 	r.report.OverloadShare, r.report.Crashed = r.site.ledger.MaxOverloadShare(), r.site.ledger.Crashes()
 	r.report.Backoffs, r.report.Departures = r.site.ledger.Backoffs(), r.site.ledger.Departures()
 	r.report.Excused = r.site.ledger.Excused()
+	r.report.BrokenOff = r.site.ledger.Losses()
 	r.report.MaxMemoryMB = r.site.ledger.MaxMemory() / megabyte
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.Streams = r.site.ledger.Streams()
