Soak: a run that is given up for a later one, which breaks the response off, is no loss

Cause: the first rule asked that both runs overlap, as they do since.

Change: a run counts as given up for another one too if that one began later and wrote something. One that wrote nothing does not excuse it.

Result: the new case of TestCheck failed before, and passes.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -9,7 +9,8 @@
 //     don't count, nor those that end after their deadline, which is the route's timeout too.
 //  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
 //     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
-//     connection, or it had failed; or if the daemon gave it up for another run that was under way. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
+//     connection, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
+//     something. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
 //  3. The end of a graceful shutdown may break a request off (cutByShutdown).
 //  4. Each request that an undisturbed daemon broke off is a violation, whether or not work was planned then. Around a
 //     configuration, and around no signal, one that had used UsedShare of its time is none.
@@ -176,13 +177,17 @@
 	return ok && !c.reset.IsZero() && !c.reset.After(until)
 }
 
-// wasSuperseded reports whether the daemon gave a run up at a time for another one, at which the replica was at work, or
-// which it had begun to answer and broken off a moment ago: the replica that is given up notices it later.
+// wasSuperseded reports whether the daemon gave a run up at a time for another one: its replica was at work, or had begun
+// to answer and broken off a moment ago, as the replica that is given up notices it later. One to which the daemon sent the
+// request afterwards has to have written something.
 func (j *checker) wasSuperseded(r *record, run *Run, at time.Time) bool {
 	return slices.ContainsFunc(r.runs, func(other *Run) bool {
-		if other == run || !other.At.Before(at) || !at.Before(r.answer.At) {
+		if other == run || !at.Before(r.answer.At) {
 			return false
 		}
+		if !other.At.Before(at) {
+			return other.Written > 0
+		}
 		brokeOffJustNow := other.Written > 0 && other.Ended.After(at.Add(-readTime))
 		return other.Ended.IsZero() || other.Ended.After(at) || brokeOffJustNow
 	})
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -246,6 +246,21 @@
 			s.Ended(next, 0, at(100.25))
 			s.breaks(100.41)
 		}},
+		{"a stream that is given up, and then goes on at another replica which breaks it off", "", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
+			next := s.run("r2", 100.31)
+			s.Wrote(next, 10, at(100.4))
+			s.BrokeOff(next, at(100.5))
+			s.Ended(next, 0, at(100.5))
+			s.breaks(100.51)
+		}},
+		{"a stream that is given up, and then sent to another replica which breaks it off without a byte", "LOST", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
+			next := s.run("r2", 100.31)
+			s.BrokeOff(next, at(100.5))
+			s.Ended(next, 0, at(100.5))
+			s.breaks(100.51)
+		}},
 		{"a stream that is given up without another replica", "LOST", chat, func(s *scene) {
 			s.Ended(s.send().run("r1", 100.1), 0, at(100.15))
 			s.breaks(100.4)
