Panics: a request that panics is logged and counted, ends its line, and holds nothing

Cause: net/http recovers a panic of a handler and reports it to the server's error log, which the daemon discards. Its permit and its place in the load counts were given back; its connection to the replica stayed counted, for good, towards that replica's limit, and so did that of a silent replica beside it.

Change: Relay.Serve ends a call that panics as it ends a failed one: 502 with may-have-run and the new reason internal_error, or the response broken off if it has begun; the attempt has an error; permit, counts and connections are released; Observer.Finished is called once; then the panic continues. The front end reports it with the request's id, the value and the stack, and passes http.ErrAbortHandler on as no panic. Panics in the handlers for peers, operators and scrapers are taken from net/http's messages; its other messages stay dropped. Values are cut at 512 bytes, stacks at 6 KB, one stack a second. Metric panics_total, two log lines.

--- a/cmd/hingewinchd/routes.go
+++ b/cmd/hingewinchd/routes.go
@@ -45,7 +45,7 @@
 		Documents: platform.Documents{}, Codec: platform.Codec{}, ReadyPath: platform.PathReady,
 		Front: func(d *routes.Daemon) http.Handler {
 			return &platform.Front{
-				View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied,
+				View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked,
 			}
 		},
 	}
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -66,6 +66,7 @@
 	ReasonKeyOutcomeUnknown Reason = "earlier_attempt_unknown"
 	ReasonLedgerFull        Reason = "ledger_full"
 	ReasonAnswerTooLarge    Reason = "answer_too_large"
+	ReasonInternal          Reason = "internal_error"
 )
 
 var remedies = map[Reason]string{
@@ -92,6 +93,7 @@
 	ReasonKeyOutcomeUnknown: "an earlier attempt with this key has an unknown end; check the effect before using a new key",
 	ReasonLedgerFull:        "this daemon holds too many keys; repeat after the time in Retry-After",
 	ReasonAnswerTooLarge:    "the answer is larger than the daemon holds; ask for a smaller or a streamed one",
+	ReasonInternal:          "the daemon failed while it served this request; check the effect before sending again",
 }
 
 // Remedy returns a text that tells the caller what to do.
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -105,18 +105,22 @@
 		if s.address == "" {
 			continue
 		}
-		if *s.to, err = listen(s.address); err != nil {
+		if *s.to, err = listen(s.address, d.Log); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// listen opens a listener. The server's own messages are discarded, because net/http logs a
-// line for each caller that disconnects.
-func listen(address string) (*daemon.Listener, error) {
-	l := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes}
-	return daemon.Listen("tcp4", address, l, stdlog.New(io.Discard, "", 0))
+// listen opens a listener, whose server reports panics to the log.
+func listen(address string, l *Log) (*daemon.Listener, error) {
+	limits := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes}
+	messages := &serverMessages{log: l}
+	opened, err := daemon.Listen("tcp4", address, limits, stdlog.New(messages, "", 0))
+	if err == nil {
+		messages.listener = opened.Address()
+	}
+	return opened, err
 }
 
 // wire connects the parts of the daemon and sets the listeners' handlers.
--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -24,6 +24,7 @@
 	"hingewinch.org/hingewinch/platform"
 	"hingewinch.org/hingewinch/platform/standin"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/relay"
 )
 
 // buffer is a log output that can be read while it is written.
@@ -64,6 +65,11 @@
 	err      error
 }
 
+// panickingCodec is a Codec that panics for each request.
+type panickingCodec struct{ platform.Codec }
+
+func (panickingCodec) AppendRequest([]byte, *relay.Call, relay.RequestHead) []byte { panic("codec") }
+
 // peersPort is the port of all daemons' peer listeners. It is below the ephemeral port range:
 // a daemon's other listeners use ephemeral ports on the same address, and one of them could
 // otherwise be assigned peersPort before the peer listener is opened.
@@ -135,7 +141,7 @@
 		Store: platform.NewStore(n.endpoint.Address()), HistoryGone: platform.ErrHistoryGone, Documents: platform.Documents{},
 		Codec: platform.Codec{}, ReadyPath: platform.PathReady,
 		Front: func(d *routes.Daemon) http.Handler {
-			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied}
+			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked}
 		},
 	}, n.log)
 	Expect(err).NotTo(HaveOccurred())
@@ -574,6 +580,21 @@
 		))
 	})
 
+	It("logs a request that panics: the panic, and the line of its end", func() {
+		// Guards against a request that leaves no line because net/http recovers its panic.
+		s.replica("i1", respondOK)
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		n.Relay.Codec = panickingCodec{}
+		status, _ := n.send("k1")
+		Expect(status).To(Equal(502))
+		Eventually(n.log.String, 2*time.Second).Should(And(
+			MatchRegexp(`"request":"id1","panic":"codec","stack":"goroutine .*"message":"request: panic`),
+			MatchRegexp(`"request":"id1".*"outcome":"may-have-run","reason":"internal_error".*"replica":"i1".*"message":"request: ended"`),
+		))
+		Expect(n.Metrics.Panics.Count()).To(Equal(int64(1)))
+	})
+
 	It("shows operators its members, its replicas and why one is ejected, and the timeline", func() {
 		server := s.replica("i1", respondOK)
 		s.replica("i2", respondOK)
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -106,6 +106,8 @@
 		},
 		func() { l.BrittleBegan(routing.BrittleStatus{Service: "s", Limit: 3}) },
 		func() { l.BrittleEnded(routing.BrittleStatus{Service: "s", Since: time.Unix(1, 0)}, time.Unix(2, 0)) },
+		func() { l.Panicked("r1", "v", []byte("s")) },
+		func() { l.ServerPanicked("10.0.0.1:1", "v", []byte("s")) },
 		func() { l.SelfReported(&replica, call, relay.SelfReport{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -54,6 +54,7 @@
 	ended                 chan struct{}
 	once                  sync.Once
 	refusals              refusalLines
+	stacks                stackLimit
 	invalidFieldsLoggedAt atomic.Int64 // when invalid fields of a response were last logged, in Unix nanoseconds
 }
 
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -23,7 +23,9 @@
 	MayHaveRun metrics.Counter
 	CallerGone metrics.Counter
 	Denied     metrics.Counter
-	Retries    metrics.Counter
+	// Panics counts the requests of callers, peers, operators and scrapers that a panic ended.
+	Panics  metrics.Counter
+	Retries metrics.Counter
 	// TransfersRequested counts the transfers of retry budget that this daemon requested from others, and
 	// TransfersGranted the transfers that it granted, in whole or in part.
 	TransfersRequested metrics.Counter
@@ -115,6 +117,7 @@
 		"may_have_run_total":         &m.MayHaveRun,
 		"caller_gone_total":          &m.CallerGone,
 		"denied_total":               &m.Denied,
+		"panics_total":               &m.Panics,
 		"repeats_total":              &m.Retries,
 		"loans_asked_total":          &m.TransfersRequested,
 		"loans_given_total":          &m.TransfersGranted,
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -44,6 +44,7 @@
 	errIneligible     = errors.New("replica requested a backoff or announced its departure during connection setup")
 	errQuarantined    = errors.New("request was quarantined during connection setup")
 	errRejected       = errors.New("replica rejected the request without running it")
+	errPanicked       = errors.New("panic while the request was served")
 )
 
 // failure describes an exchange without a usable response.
@@ -323,6 +324,19 @@
 	x.writing.Wait()
 }
 
+// closeUnlessReleased closes the connection if it was neither returned to the pool nor closed.
+func (x *exchange) closeUnlessReleased() {
+	if !x.connReleased {
+		x.closeConn()
+	}
+}
+
+// returnUnused returns the connection to the pool. Nothing was sent on it.
+func (x *exchange) returnUnused(now time.Time) {
+	x.connReleased = true
+	x.pool.put(x.conn, now)
+}
+
 // unreachable returns the failure for a connection that could not be opened. Nothing
 // was sent.
 func unreachable(ctx context.Context, err error) *failure {
--- a/transport/relay/export_test.go
+++ b/transport/relay/export_test.go
@@ -5,3 +5,14 @@
 // SetProbeWait sets how long a request waits for the first probes, so that a test does not depend on how
 // busy the machine is.
 func (p *Pool) SetProbeWait(d time.Duration) { p.probeWait = d }
+
+// OpenConns returns the number of open connections that are counted, idle or in use.
+func (p *Pool) OpenConns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, count := range p.openCount {
+		n += count
+	}
+	return n
+}
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -98,9 +98,7 @@
 	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, watched: make(chan struct{})}
 	incomplete := s.events.takePending()
 	s.handover, s.attemptState = h, &attemptState{}
-	h.beginWatch()
-	s.tryReplicas(ctx)
-	h.endWatch()
+	s.tryWatched(ctx, h)
 	s.handover, s.attemptState = h.outer, h.attempt
 	if h.state.Load() == handoverToNext {
 		return true
@@ -112,6 +110,14 @@
 	return false
 }
 
+// tryWatched sends the call to other replicas, and watches the silent one meanwhile. The watch ends after a panic
+// too, since the exchange with the silent one is closed then.
+func (s *activeCall) tryWatched(ctx context.Context, h *handover) {
+	h.beginWatch()
+	defer h.endWatch()
+	s.tryReplicas(ctx)
+}
+
 // takeOver closes the exchanges with silent replicas, since another one goes on. It returns false if one of them
 // went on before.
 func (s *activeCall) takeOver() bool {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -60,6 +60,8 @@
 	fallback *errorResponse
 	// failed are the replicas whose error responses have not yet been recorded as failures.
 	failed []routing.Replica
+	// finishing says that the final response was begun, and finished that the call's end was reported.
+	finishing, finished bool
 }
 
 // errorResponse is a complete error response.
@@ -70,9 +72,11 @@
 }
 
 // Serve forwards a call and writes the response to sink. It returns when the caller has
-// its final response, or has disconnected, in which case ctx is done.
+// its final response, or has disconnected, in which case ctx is done. A panic ends the call as a failure
+// does, and then continues.
 func (r *Relay) Serve(ctx context.Context, c *Call, sink Sink) *Summary {
 	s := &activeCall{Relay: r, attemptState: &attemptState{}, call: c, sink: sink, attempts: routing.NewAttempts(c.Route)}
+	defer s.finishAfterPanic(ctx)
 	// The HTTP server recovers a panic. Without this, the permit would stay out as long as the process.
 	defer s.endAttempts()
 	defer s.endProbe()
@@ -163,8 +167,15 @@
 	}
 	i := len(s.summary.Attempts) // further attempts may follow before this one has ended
 	s.summary.Attempts = append(s.summary.Attempts, a)
+	a.Err = errPanicked // unless sendCounted returns
+	defer func() {
+		if a.Duration == 0 {
+			a.Duration = clock.Since(started)
+		}
+		s.summary.Attempts[i] = a
+	}()
 	f := s.sendCounted(ctx, t, &a)
-	a.Duration = clock.Since(started)
+	a.Duration, a.Err = clock.Since(started), nil
 	if f != nil {
 		if !f.takenOverAt.IsZero() {
 			a.Duration = f.takenOverAt.Sub(started)
@@ -185,7 +196,6 @@
 			s.recordReplaced(&t.Replica)
 		}
 	}
-	s.summary.Attempts[i] = a
 	return f
 }
 
@@ -297,27 +307,27 @@
 		return unreachable(ctx, err)
 	}
 	a.Reused, a.Via = c.reused, c.via
+	x := &exchange{
+		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.call.Deadline,
+		onSelfReport: func(report SelfReport) { s.applySelfReport(&t.Replica, a, report) },
+	}
+	defer x.closeUnlessReleased() // after a panic too: the connection counts towards the replica's limit
 	// The view, the replica's eligibility and the quarantine may have changed during connection setup.
 	if !s.View().IsReady(&t.Replica) {
-		s.Pool.discard(c)
 		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonConnect, RetryAfter: routing.RetryAfter}, err: errNotReady}
 	}
 	if now := clock.Now(); s.Placer.IsIneligible(&t.Replica, now) {
-		s.Pool.put(c, now)
+		x.returnUnused(now)
 		return &failure{outcome: s.Placer.NoReplicaReason(s.View(), &s.call.Request, s.tried.Tried, now), err: errIneligible}
 	}
 	if s.isQuarantined(clock.Now()) {
-		s.Pool.put(c, clock.Now())
+		x.returnUnused(clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errQuarantined}
 	}
 	if c.via == "" {
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
 		s.onEnd(func() { s.Pool.reach.End(&t.Replica) })
 	}
-	x := &exchange{
-		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.call.Deadline,
-		onSelfReport: func(report SelfReport) { s.applySelfReport(&t.Replica, a, report) },
-	}
 	if s.attempts.CountSend() {
 		s.Budgets.CountRequest(s.call.Service, now)
 	}
@@ -338,9 +348,6 @@
 	if f != nil && f.result == routing.ResultBroken && f.countsAgainst && !x.received && s.isOwnLink(c) {
 		s.Pool.linkDoubts.Record(t.Replica.Domain, clock.Now())
 	}
-	if f != nil && !x.connReleased {
-		x.closeConn()
-	}
 	return f
 }
 
@@ -426,6 +433,7 @@
 
 // finish completes the summary, and writes the final response if the caller has none.
 func (s *activeCall) finish(ctx context.Context) {
+	s.finishing = true
 	s.summary.Total = clock.Since(s.call.Arrived)
 	s.summary.Outcome = s.attempts.Outcome
 	s.summary.CallerGone = ctx.Err() != nil
@@ -444,9 +452,21 @@
 	default:
 		s.sink.Reject(withRetryAfter(s.attempts.Outcome))
 	}
+	s.finished = true
 	s.Observer.Finished(s.call, &s.summary)
 }
 
+// finishAfterPanic finishes a call that a panic ended. A replica may have run it. If the panic came while the final
+// response was written, a part of it may have been sent.
+func (s *activeCall) finishAfterPanic(ctx context.Context) {
+	if s.finished {
+		return
+	}
+	s.attempts.Outcome = coordination.MayHaveRun{Reason: coordination.ReasonInternal}
+	s.attempts.ResponseStarted = s.attempts.ResponseStarted || s.finishing
+	s.finish(ctx)
+}
+
 // withRetryAfter sets the default RetryAfter of a NotRun outcome that has none.
 func withRetryAfter(o coordination.Outcome) coordination.Outcome {
 	if n, ok := o.(coordination.NotRun); ok && n.RetryAfter == 0 {
