Log: the attempts of a request are an array of objects

Cause: the line request: ended had the fields of each attempt as keys of its own, which repeat. A reader of JSON keeps the last of equal keys, so that of a stream which two replicas had it showed one.

Change: the field attempts is an array of objects with the same field names, in the order in which the attempts began; it is empty if there were none. Nothing else in the repository reads these lines; review/ is untouched.

--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -574,7 +574,7 @@
 		n.send("k1")
 		n.send("k9")
 		Eventually(n.log.String, 2*time.Second).Should(And(
-			MatchRegexp(`"request":"id1".*"outcome":"answered".*"status":200.*"replica":"i1"`),
+			MatchRegexp(`"request":"id1".*"outcome":"answered".*"status":200.*"attempts":\[{"replica":"i1"`),
 			MatchRegexp(`"request":"id2".*"reason":"unknown_key"`),
 			ContainSubstring("configuration is in force"),
 		))
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -276,16 +276,7 @@
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
 	}
-	for i := range s.Attempts {
-		a := &s.Attempts[i]
-		e.Str("replica", string(a.Replica)).Str("version", a.Version.String()).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.PromptSource)).Int("load", a.Load).
-			Float64("mean", float64(int(a.MeanLoad*10))/10).
-			Float64("coverage", float64(int(a.LoadCoverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).
-			Int64("rest_ms", a.Backoff.Milliseconds()).Bool("leaving", a.Leaving).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
-		if a.Via != "" {
-			e.Str("via", string(a.Via))
-		}
-	}
+	addAttempts(e, s.Attempts)
 	e.Msg(prefixRequest + "ended")
 }
 
