Log: who ended a caller's connection, and the configuration at both ends of a request

Cause: the line of a request whose response ended early said gone, which net/http also sets when a write to the caller times out or the daemon closes its connections at the end of the grace period. Nothing said whether a configuration came while the request ran.

Metrics broken_off_total and broken_off_across_configs_total. At the end of the grace period the daemon waits for the lines of the requests that it breaks off, for .02 of the grace period at most; before, they were written only if they came before the log was closed.

--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -148,6 +148,14 @@
 	VersionsSince time.Time
 }
 
+// ConfigVersion returns the version of the configuration; 0: none is known.
+func (v *View) ConfigVersion() ConfigVersion {
+	if v.Table == nil {
+		return 0
+	}
+	return v.Table.Version
+}
+
 // Pool returns the replicas of a service. It never returns nil.
 func (v *View) Pool(s ServiceName) *Pool {
 	if p := v.Pools[s]; p != nil {
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -59,7 +59,10 @@
 	reader   *reader
 	carried  *tunnel.Server // connections that this daemon opens for peers
 	stopping atomic.Bool
+	closing  atomic.Bool // callers' connections are closed, whatever they wait for
 	started  time.Time
+	// openRequests is the number of callers' requests that are being served.
+	openRequests atomic.Int64
 
 	callers, readiness, operators, documents, scrapers *daemon.Listener // scrapers may be nil
 }
@@ -138,8 +141,9 @@
 		View: d.View, Placer: d.control.permits.placer,
 		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes, PartCrashes: t.partCrashes,
 		RequestTransfer: d.control.borrow, Permits: d.control.permits.gate, Origins: streamOrigins{d.control},
+		Closing: d.closing.Load,
 	})
-	d.callers.Server.Handler = d.platform.Front(d)
+	d.callers.Server.Handler = d.countOpen(d.platform.Front(d))
 	d.readiness.Server.Handler = d.readyHandler()
 	d.operators.Server.Handler = d.operatorHandler()
 	d.carried = d.newCarrier()
--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -541,6 +541,31 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	It("logs the requests that it breaks off at the end of its grace period", func() {
+		// Guards against responses that end with the daemon and leave no line.
+		s.store.Put("op/config", []byte(`{"version":77,"routes":[{"name":"r","host":"h.example","path_prefix":"/p/","kind":"non_idempotent","timeout_ms":9000,"target_latency_ms":300,"service":"gate","max_attempts":1}],"services":[{"name":"gate"}],"tenants":[{"name":"t","api_keys":["k1"]}]}`))
+		running := make(chan struct{}, 3)
+		s.replica("i1", func(_ http.ResponseWriter, r *http.Request) {
+			running <- struct{}{}
+			<-r.Context().Done()
+		})
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		for range 3 {
+			go n.send("k1")
+		}
+		for range 3 {
+			Eventually(running, 3*time.Second).Should(Receive())
+		}
+		n.stop()
+		<-n.done
+		for _, id := range []string{"id1", "id2", "id3"} {
+			Expect(n.log.String()).To(MatchRegexp(`"request":"` + id + `".*"ended_by":"daemon".*"config":77,"config_at_end":77.*"message":"request: ended"`))
+		}
+		Expect(n.Metrics.BrokenOff.Count()).To(Equal(int64(3)))
+		Expect(n.Metrics.BrokenOffAcrossConfigs.Count()).To(BeZero())
+	})
+
 	It("restarts after a kill and learns what changed in the meantime", func() {
 		s.replica("i1", respondOK)
 		a, b := s.start(), s.start(0)
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -263,10 +263,11 @@
 		e = l.logger.Warn()
 	}
 	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
-		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.CallerGone).Int("events", s.Events).
+		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.CallerGone).Str("ended_by", string(s.EndedBy)).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
 		Int64("permit_ms", s.PermitWait.Milliseconds()).
-		Uint64("revision", uint64(s.Position.Revision)).Uint64("era", uint64(s.Position.Era))
+		Uint64("revision", uint64(s.Position.Revision)).Uint64("era", uint64(s.Position.Era)).
+		Uint64("config", uint64(c.ConfigVersion)).Uint64("config_at_end", uint64(s.ConfigVersion))
 	if len(c.Prompt) > 0 {
 		e.Str("prompt", strconv.FormatUint(c.Key(), 36)).Int("shared", int(c.SharedTokens()))
 	}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -22,7 +22,10 @@
 	NotRun     metrics.Counter
 	MayHaveRun metrics.Counter
 	CallerGone metrics.Counter
-	Denied     metrics.Counter
+	// BrokenOff counts the responses that this daemon ended before they were complete, BrokenOffAcrossConfigs those of
+	// them during which a configuration became active.
+	BrokenOff, BrokenOffAcrossConfigs metrics.Counter
+	Denied                            metrics.Counter
 	// Panics counts the requests of callers, peers, operators and scrapers that a panic ended.
 	Panics  metrics.Counter
 	Retries metrics.Counter
@@ -111,57 +114,59 @@
 func newMetrics() *Metrics {
 	m := &Metrics{registry: metrics.NewRegistry()}
 	for name, c := range map[string]*metrics.Counter{
-		"requests_total":             &m.Requests,
-		"answered_total":             &m.Answered,
-		"not_run_total":              &m.NotRun,
-		"may_have_run_total":         &m.MayHaveRun,
-		"caller_gone_total":          &m.CallerGone,
-		"denied_total":               &m.Denied,
-		"panics_total":               &m.Panics,
-		"repeats_total":              &m.Retries,
-		"loans_asked_total":          &m.TransfersRequested,
-		"loans_given_total":          &m.TransfersGranted,
-		"permits_asked_total":        &m.PermitsAsked,
-		"permits_granted_total":      &m.PermitsGranted,
-		"permits_refused_total":      &m.PermitsRefused,
-		"permits_alone_total":        &m.PermitsAlone,
-		"coordinators_silent_total":  &m.CoordinatorsSilent,
-		"origins_recorded_total":     &m.OriginsRecorded,
-		"caller_resumes_total":       &m.CallerResumes,
-		"resumes_unknown_total":      &m.ResumesUnknown,
-		"resumes_version_gone_total": &m.ResumesVersionGone,
-		"spilled_total":              &m.Spilled,
-		"prompts_copied_total":       &m.PromptsCopied,
-		"new_connections_total":      &m.NewConnections,
-		"passed_over_total":          &m.Ejections,
-		"found_silent_total":         &m.ReportedSilent,
-		"links_lost_total":           &m.LinksLost,
-		"detour_connections_total":   &m.DetourConnections,
-		"carried_connections_total":  &m.CarriedConnections,
-		"crowded_total":              &m.Overloaded,
-		"ended_under_total":          &m.Crashed,
-		"contents_held_total":        &m.ContentsQuarantined,
-		"parts_held_total":           &m.PartsQuarantined,
-		"refused_for_parts_total":    &m.RefusedForParts,
-		"rests_asked_total":          &m.BackoffsRequested,
-		"resting_total":              &m.BackoffsBegun,
-		"all_resting_total":          &m.AllBackingOff,
-		"leaving_said_total":         &m.DeparturesAnnounced,
-		"not_understood_total":       &m.InvalidFields,
-		"brittle_total":              &m.BrittleBegun,
-		"rejected_total":             &m.Rejections,
-		"rejected_brittle_total":     &m.BrittleRejections,
-		"unusable_entries_total":     &m.UnusableEntries,
-		"turned_cold_total":          &m.TurnedCold,
-		"evacuations_total":          &m.Evacuations,
-		"store_calls_total":          &m.StoreCalls,
-		"store_eras_total":           &m.StoreEras,
-		"store_older_total":          &m.OlderStoreResponses,
-		"pulls_total":                &m.Syncs,
-		"pulled_bytes_total":         &m.SyncedBytes,
-		"beat_bytes_total":           &m.HeartbeatBytes,
-		"beats_sent_total":           &m.HeartbeatsSent,
-		"beats_heard_total":          &m.HeartbeatsReceived,
+		"requests_total":                  &m.Requests,
+		"answered_total":                  &m.Answered,
+		"not_run_total":                   &m.NotRun,
+		"may_have_run_total":              &m.MayHaveRun,
+		"caller_gone_total":               &m.CallerGone,
+		"broken_off_total":                &m.BrokenOff,
+		"broken_off_across_configs_total": &m.BrokenOffAcrossConfigs,
+		"denied_total":                    &m.Denied,
+		"panics_total":                    &m.Panics,
+		"repeats_total":                   &m.Retries,
+		"loans_asked_total":               &m.TransfersRequested,
+		"loans_given_total":               &m.TransfersGranted,
+		"permits_asked_total":             &m.PermitsAsked,
+		"permits_granted_total":           &m.PermitsGranted,
+		"permits_refused_total":           &m.PermitsRefused,
+		"permits_alone_total":             &m.PermitsAlone,
+		"coordinators_silent_total":       &m.CoordinatorsSilent,
+		"origins_recorded_total":          &m.OriginsRecorded,
+		"caller_resumes_total":            &m.CallerResumes,
+		"resumes_unknown_total":           &m.ResumesUnknown,
+		"resumes_version_gone_total":      &m.ResumesVersionGone,
+		"spilled_total":                   &m.Spilled,
+		"prompts_copied_total":            &m.PromptsCopied,
+		"new_connections_total":           &m.NewConnections,
+		"passed_over_total":               &m.Ejections,
+		"found_silent_total":              &m.ReportedSilent,
+		"links_lost_total":                &m.LinksLost,
+		"detour_connections_total":        &m.DetourConnections,
+		"carried_connections_total":       &m.CarriedConnections,
+		"crowded_total":                   &m.Overloaded,
+		"ended_under_total":               &m.Crashed,
+		"contents_held_total":             &m.ContentsQuarantined,
+		"parts_held_total":                &m.PartsQuarantined,
+		"refused_for_parts_total":         &m.RefusedForParts,
+		"rests_asked_total":               &m.BackoffsRequested,
+		"resting_total":                   &m.BackoffsBegun,
+		"all_resting_total":               &m.AllBackingOff,
+		"leaving_said_total":              &m.DeparturesAnnounced,
+		"not_understood_total":            &m.InvalidFields,
+		"brittle_total":                   &m.BrittleBegun,
+		"rejected_total":                  &m.Rejections,
+		"rejected_brittle_total":          &m.BrittleRejections,
+		"unusable_entries_total":          &m.UnusableEntries,
+		"turned_cold_total":               &m.TurnedCold,
+		"evacuations_total":               &m.Evacuations,
+		"store_calls_total":               &m.StoreCalls,
+		"store_eras_total":                &m.StoreEras,
+		"store_older_total":               &m.OlderStoreResponses,
+		"pulls_total":                     &m.Syncs,
+		"pulled_bytes_total":              &m.SyncedBytes,
+		"beat_bytes_total":                &m.HeartbeatBytes,
+		"beats_sent_total":                &m.HeartbeatsSent,
+		"beats_heard_total":               &m.HeartbeatsReceived,
 	} {
 		*c = metrics.NewRegisteredCounter(name, m.registry)
 	}
@@ -221,6 +226,12 @@
 	if s.CallerGone {
 		m.CallerGone.Inc(1)
 	}
+	if s.EndedBy == relay.EndedByDaemon {
+		m.BrokenOff.Inc(1)
+		if s.ConfigVersion != c.ConfigVersion {
+			m.BrokenOffAcrossConfigs.Inc(1)
+		}
+	}
 	if s.FirstByte > 0 {
 		m.FirstByte.Update(s.FirstByte.Milliseconds())
 	}
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -17,12 +18,17 @@
 
 // Phases of a graceful shutdown, as fractions of the grace period. New connections are accepted until
 // acceptFraction, because the load balancer stops sending callers only after two failed readiness checks.
-// Open requests may finish until drainFraction.
+// Open requests may finish until drainFraction. The lines of those that are broken off then are waited for
+// for linesFraction at most.
 const (
 	acceptFraction = 0.35
 	drainFraction  = 0.94
+	linesFraction  = 0.02
 )
 
+// linesPoll is how often it is checked whether requests that are broken off have written their lines.
+const linesPoll = 2 * time.Millisecond
+
 // Run serves until ctx is canceled, and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -73,10 +79,31 @@
 	pause(ctx, time.Duration(acceptFraction*float64(grace)))
 	wait, cancel := context.WithDeadline(ctx, begun.Add(time.Duration(drainFraction*float64(grace))))
 	defer cancel()
-	_ = d.callers.Server.Shutdown(wait) // an error means that the grace period is over
+	if err := d.callers.Server.Shutdown(wait); err != nil { // the grace period is over
+		d.breakOff(ctx, time.Duration(linesFraction*float64(grace)))
+	}
 	d.carried.Close(wait)
 }
 
+// breakOff closes the connections of callers whose requests are open, and waits for the lines of these requests.
+func (d *Daemon) breakOff(ctx context.Context, wait time.Duration) {
+	until := clock.Now().Add(wait)
+	d.closing.Store(true)
+	d.callers.Close()
+	for d.openRequests.Load() > 0 && clock.Now().Before(until) {
+		pause(ctx, linesPoll)
+	}
+}
+
+// countOpen returns a handler that counts the open requests of another one.
+func (d *Daemon) countOpen(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.openRequests.Add(1)
+		defer d.openRequests.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // listeners returns the open listeners.
 func (d *Daemon) listeners() []*daemon.Listener {
 	all := []*daemon.Listener{d.callers, d.readiness, d.operators, d.documents, d.scrapers}
@@ -84,6 +111,7 @@
 }
 
 func (d *Daemon) close() {
+	d.closing.Store(true)
 	for _, l := range d.listeners() {
 		l.Close()
 	}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -25,6 +25,8 @@
 	LastEventID       string // id of the last event that the caller received; empty: from the start
 	// Resumes is the request that brought the caller the first event of the stream; empty: not given.
 	Resumes routing.RequestID
+	// ConfigVersion is the version of the configuration by which the call was admitted.
+	ConfigVersion routing.ConfigVersion
 }
 
 // RequestHead holds what one attempt adds to the call's header fields.
@@ -121,7 +123,10 @@
 	Events     int
 	PermitWait time.Duration // for permits, over all attempts; 0: none were needed
 	OriginWait time.Duration // to find out at which software version a resumed stream began; 0: not asked
-	CallerGone bool          // the caller disconnected
+	CallerGone bool          // the caller disconnected, or its connection was closed
+	EndedBy    EndedBy       // who ended its connection before the response was complete
+	// ConfigVersion is the version of the configuration that was in force when the call ended.
+	ConfigVersion routing.ConfigVersion
 	// QuarantinedPart is the part of the prompt for which the call was refused; empty: none.
 	QuarantinedPart string
 	Position        feed.Position // of the documents that the last attempt's routing was based on
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -14,7 +14,7 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// Options configures a Relay. All fields but PartCrashes, Permits and Origins are required.
+// Options configures a Relay. All fields but PartCrashes, Permits, Origins and Closing are required.
 type Options struct {
 	View    func() *routing.View
 	Placer  *routing.Placer
@@ -30,6 +30,8 @@
 	RequestTransfer func(ctx context.Context, s routing.ServiceName, missing routing.Retries) routing.Retries
 	Permits         Permits // nil: no service needs permits
 	Origins         Origins // nil: replicas of all software versions may go on with a stream
+	// Closing reports whether the daemon closes its callers' connections, since its grace period is over; nil: never.
+	Closing func() bool
 }
 
 // Relay forwards calls to replicas. It is safe for concurrent use.
@@ -59,7 +61,8 @@
 	// attempt gives a better one.
 	fallback *errorResponse
 	// failed are the replicas whose error responses have not yet been recorded as failures.
-	failed []routing.Replica
+	failed   []routing.Replica
+	writeErr error // of the first write to the caller that failed
 	// finishing says that the final response was begun, and finished that the call's end was reported.
 	finishing, finished bool
 }
@@ -440,22 +443,36 @@
 	if s.events != nil {
 		s.summary.Events = s.events.count
 	}
+	isComplete := true
 	switch {
 	case s.completed:
 		s.summary.Outcome = coordination.Answered{Status: s.summary.Status}
 	case s.summary.CallerGone || s.attempts.ResponseStarted:
+		isComplete = false
 		s.sink.Abort()
 	case s.fallback != nil:
 		s.summary.Status = s.fallback.status
 		s.summary.Outcome = coordination.Answered{Status: s.fallback.status}
-		_ = s.sink.Respond(s.fallback.status, s.fallback.header, s.fallback.body) // an error means that the caller has disconnected
+		s.recordWrite(s.sink.Respond(s.fallback.status, s.fallback.header, s.fallback.body))
 	default:
 		s.sink.Reject(withRetryAfter(s.attempts.Outcome))
 	}
+	s.summary.ConfigVersion = s.View().ConfigVersion()
+	s.summary.EndedBy = endOf{
+		complete: isComplete, writeErr: s.writeErr, callerGone: s.summary.CallerGone, closing: s.Closing != nil && s.Closing(),
+	}.endedBy()
 	s.finished = true
 	s.Observer.Finished(s.call, &s.summary)
 }
 
+// recordWrite records the result of a write to the caller, and returns it.
+func (s *activeCall) recordWrite(err error) error {
+	if s.writeErr == nil {
+		s.writeErr = err
+	}
+	return err
+}
+
 // finishAfterPanic finishes a call that a panic ended. A replica may have run it. If the panic came while the final
 // response was written, a part of it may have been sent.
 func (s *activeCall) finishAfterPanic(ctx context.Context) {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -101,7 +101,7 @@
 	s.attempts.ResponseStarted = true
 	s.summary.Status = status
 	s.summary.FirstByte = clock.Since(s.call.Arrived)
-	if err := s.sink.Respond(status, h, body); err != nil && ctx.Err() == nil {
+	if err := s.recordWrite(s.sink.Respond(status, h, body)); err != nil && ctx.Err() == nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: eris.Wrap(err, "write response")}
 	}
 	return nil
@@ -172,7 +172,7 @@
 		return f
 	}
 	s.recordSound(x)
-	if err := s.sink.Write(events); err != nil {
+	if err := s.recordWrite(s.sink.Write(events)); err != nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCallerWrite}
 	}
 	return nil
@@ -187,7 +187,7 @@
 	s.attempts.ResponseStarted = true
 	s.summary.Status = x.response.StatusCode
 	s.summary.FirstByte = clock.Since(s.call.Arrived)
-	if err := s.sink.Begin(x.response.StatusCode, x.response.Header); err != nil {
+	if err := s.recordWrite(s.sink.Begin(x.response.StatusCode, x.response.Header)); err != nil {
 		return &failure{outcome: mayHaveRun, result: routing.ResultGood, err: errCallerWrite}
 	}
 	return nil
