--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -59,7 +59,10 @@
 	reader   *reader
 	carried  *tunnel.Server // connections that this daemon opens for peers
 	stopping atomic.Bool
+	closing  atomic.Bool // callers' connections are closed, whatever they wait for
 	started  time.Time
+	// openRequests is the number of callers' requests that are being served.
+	openRequests atomic.Int64
 
 	callers, readiness, operators, documents, scrapers *daemon.Listener // scrapers may be nil
 }
@@ -105,18 +108,22 @@
 		if s.address == "" {
 			continue
 		}
-		if *s.to, err = listen(s.address); err != nil {
+		if *s.to, err = listen(s.address, d.Log); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// listen opens a listener. The server's own messages are discarded, because net/http logs a
-// line for each caller that disconnects.
-func listen(address string) (*daemon.Listener, error) {
-	l := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes}
-	return daemon.Listen("tcp4", address, l, stdlog.New(io.Discard, "", 0))
+// listen opens a listener, whose server reports panics to the log.
+func listen(address string, l *Log) (*daemon.Listener, error) {
+	limits := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes}
+	messages := &serverMessages{log: l}
+	opened, err := daemon.Listen("tcp4", address, limits, stdlog.New(messages, "", 0))
+	if err == nil {
+		messages.listener = opened.Address()
+	}
+	return opened, err
 }
 
 // wire connects the parts of the daemon and sets the listeners' handlers.
@@ -134,8 +141,9 @@
 		View: d.View, Placer: d.control.permits.placer,
 		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes, PartCrashes: t.partCrashes,
 		RequestTransfer: d.control.borrow, Permits: d.control.permits.gate, Origins: streamOrigins{d.control},
+		Closing: d.closing.Load,
 	})
-	d.callers.Server.Handler = d.platform.Front(d)
+	d.callers.Server.Handler = d.countOpen(d.platform.Front(d))
 	d.readiness.Server.Handler = d.readyHandler()
 	d.operators.Server.Handler = d.operatorHandler()
 	d.carried = d.newCarrier()
--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -24,6 +24,7 @@
 	"hingewinch.org/hingewinch/platform"
 	"hingewinch.org/hingewinch/platform/standin"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/relay"
 )
 
 // buffer is a log output that can be read while it is written.
@@ -64,6 +65,11 @@
 	err      error
 }
 
+// panickingCodec is a Codec that panics for each request.
+type panickingCodec struct{ platform.Codec }
+
+func (panickingCodec) AppendRequest([]byte, *relay.Call, relay.RequestHead) []byte { panic("codec") }
+
 // peersPort is the port of all daemons' peer listeners. It is below the ephemeral port range:
 // a daemon's other listeners use ephemeral ports on the same address, and one of them could
 // otherwise be assigned peersPort before the peer listener is opened.
@@ -135,7 +141,7 @@
 		Store: platform.NewStore(n.endpoint.Address()), HistoryGone: platform.ErrHistoryGone, Documents: platform.Documents{},
 		Codec: platform.Codec{}, ReadyPath: platform.PathReady,
 		Front: func(d *routes.Daemon) http.Handler {
-			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied}
+			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked}
 		},
 	}, n.log)
 	Expect(err).NotTo(HaveOccurred())
@@ -535,6 +541,31 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	It("logs the requests that it breaks off at the end of its grace period", func() {
+		// Guards against responses that end with the daemon and leave no line.
+		s.store.Put("op/config", []byte(`{"version":77,"routes":[{"name":"r","host":"h.example","path_prefix":"/p/","kind":"non_idempotent","timeout_ms":9000,"target_latency_ms":300,"service":"gate","max_attempts":1}],"services":[{"name":"gate"}],"tenants":[{"name":"t","api_keys":["k1"]}]}`))
+		running := make(chan struct{}, 3)
+		s.replica("i1", func(_ http.ResponseWriter, r *http.Request) {
+			running <- struct{}{}
+			<-r.Context().Done()
+		})
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		for range 3 {
+			go n.send("k1")
+		}
+		for range 3 {
+			Eventually(running, 3*time.Second).Should(Receive())
+		}
+		n.stop()
+		<-n.done
+		for _, id := range []string{"id1", "id2", "id3"} {
+			Expect(n.log.String()).To(MatchRegexp(`"request":"` + id + `".*"ended_by":"daemon".*"config":77,"config_at_end":77.*"message":"request: ended"`))
+		}
+		Expect(n.Metrics.BrokenOff.Count()).To(Equal(int64(3)))
+		Expect(n.Metrics.BrokenOffAcrossConfigs.Count()).To(BeZero())
+	})
+
 	It("restarts after a kill and learns what changed in the meantime", func() {
 		s.replica("i1", respondOK)
 		a, b := s.start(), s.start(0)
@@ -568,12 +599,27 @@
 		n.send("k1")
 		n.send("k9")
 		Eventually(n.log.String, 2*time.Second).Should(And(
-			MatchRegexp(`"request":"id1".*"outcome":"answered".*"status":200.*"replica":"i1"`),
+			MatchRegexp(`"request":"id1".*"outcome":"answered".*"status":200.*"attempts":\[{"replica":"i1"`),
 			MatchRegexp(`"request":"id2".*"reason":"unknown_key"`),
 			ContainSubstring("configuration is in force"),
 		))
 	})
 
+	It("logs a request that panics: the panic, and the line of its end", func() {
+		// Guards against a request that leaves no line because net/http recovers its panic.
+		s.replica("i1", respondOK)
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		n.Relay.Codec = panickingCodec{}
+		status, _ := n.send("k1")
+		Expect(status).To(Equal(502))
+		Eventually(n.log.String, 2*time.Second).Should(And(
+			MatchRegexp(`"request":"id1","panic":"codec","stack":"goroutine .*"message":"request: panic`),
+			MatchRegexp(`"request":"id1".*"outcome":"may-have-run","reason":"internal_error".*"replica":"i1".*"message":"request: ended"`),
+		))
+		Expect(n.Metrics.Panics.Count()).To(Equal(int64(1)))
+	})
+
 	It("shows operators its members, its replicas and why one is ejected, and the timeline", func() {
 		server := s.replica("i1", respondOK)
 		s.replica("i2", respondOK)
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -54,6 +54,7 @@
 	ended                 chan struct{}
 	once                  sync.Once
 	refusals              refusalLines
+	stacks                stackLimit
 	invalidFieldsLoggedAt atomic.Int64 // when invalid fields of a response were last logged, in Unix nanoseconds
 }
 
@@ -262,10 +263,11 @@
 		e = l.logger.Warn()
 	}
 	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
-		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.CallerGone).Int("events", s.Events).
+		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.CallerGone).Str("ended_by", string(s.EndedBy)).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
 		Int64("permit_ms", s.PermitWait.Milliseconds()).
-		Uint64("revision", uint64(s.Position.Revision)).Uint64("era", uint64(s.Position.Era))
+		Uint64("revision", uint64(s.Position.Revision)).Uint64("era", uint64(s.Position.Era)).
+		Uint64("config", uint64(c.ConfigVersion)).Uint64("config_at_end", uint64(s.ConfigVersion))
 	if len(c.Prompt) > 0 {
 		e.Str("prompt", strconv.FormatUint(c.Key(), 36)).Int("shared", int(c.SharedTokens()))
 	}
@@ -275,16 +277,7 @@
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
 	}
-	for i := range s.Attempts {
-		a := &s.Attempts[i]
-		e.Str("replica", string(a.Replica)).Str("version", a.Version.String()).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.PromptSource)).Int("load", a.Load).
-			Float64("mean", float64(int(a.MeanLoad*10))/10).
-			Float64("coverage", float64(int(a.LoadCoverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).
-			Int64("rest_ms", a.Backoff.Milliseconds()).Bool("leaving", a.Leaving).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
-		if a.Via != "" {
-			e.Str("via", string(a.Via))
-		}
-	}
+	addAttempts(e, s.Attempts)
 	e.Msg(prefixRequest + "ended")
 }
 
