Relay: a replica that is cut off does not use up a stream's attempts; carriers check their new connections

Cause: the link accepted the second replica's new connection and reset it after the request was written. One failed connection does not make links suspect, and the route's last attempt was used. A daemon that was asked to connect had lost its links too, and said so only by breaking the connection.

Change: if a new connection breaks before it brings anything, after one to another replica broke in the same call, both count as not reached. The call waits for the probes, 500 ms at most, and if the links are down, the cut-off replica does not count towards the route's attempts (the retry budget is spent for it). Daemons that open connections for others look for 5 ms whether their own link resets them, and refuse then.

Ruled out: not to count it while links are only suspect: "sends an idempotent request to no more replicas than the route allows" fails then, where all replicas reset a request.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -10,7 +10,9 @@
 //     once, and the caller has received no bytes of a response, or only events of a stream that
 //     can be resumed elsewhere.
 //  3. It does not exceed the number of replicas that the route allows, nor the retry budget. An
-//     attempt that never reached a replica, such as a refused connection, counts towards neither.
+//     attempt that never reached a replica, such as a refused connection, counts towards neither. One at a replica
+//     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
+//     taken from a silent replica, to which it returns (transport/relay/failover.go).
 //  4. Fewer than [MaxChoices] replicas have been chosen.
 //  5. The request is not quarantined because replicas crash while running it (crash.go).
 //
@@ -113,9 +115,9 @@
 	a.Outcome = coordination.MayHaveRun{Reason: coordination.ReasonNoAnswer}
 }
 
-// AllowReturn lets the request be sent again to a replica that was abandoned, after another one has rejected it. The
-// number of replicas that it was written to stays the same. It returns false if the request may not run again.
-func (a *Attempts) AllowReturn() bool {
+// ExcludeLast excludes the last replica from those that the request was written to, since it does not work on the request:
+// it rejected it, or the link to it is down. It returns false if the request may not run again.
+func (a *Attempts) ExcludeLast() bool {
 	if !a.Route.MayRunAgain() {
 		return false
 	}
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -35,10 +35,10 @@
 
 // connect opens a connection to a replica, directly or through another daemon.
 func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
-	p.awaitProbes(ctx, r.Service)
+	p.awaitProbes(ctx, r.Service, p.probeWait)
 	if p.reach.State(r.Service) == routing.LinksUp {
 		c, err := p.openDirect(ctx, r, v)
-		if err == nil && checkLink && c.breaksWithin(linkCheckTime) {
+		if err == nil && checkLink && breaksWithin(c, linkCheckTime) {
 			_ = c.Close()
 			p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
 			err = errResetAtOnce
@@ -46,7 +46,7 @@
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
-		p.awaitProbes(ctx, r.Service) // this failure may have made the links suspect
+		p.awaitProbes(ctx, r.Service, p.probeWait) // this failure may have made the links suspect
 		if p.reach.State(r.Service) == routing.LinksUp {
 			return nil, err
 		}
@@ -63,13 +63,13 @@
 	return c, err
 }
 
-// awaitProbes waits for the first probes if the links to a service have just become suspect.
-func (p *Pool) awaitProbes(ctx context.Context, s routing.ServiceName) {
+// awaitProbes waits for the first probes, for some time, if the links to a service have just become suspect.
+func (p *Pool) awaitProbes(ctx context.Context, s routing.ServiceName, wait time.Duration) {
 	probing := p.reach.Probing(s)
 	if probing == nil {
 		return
 	}
-	timer := time.NewTimer(p.probeWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-probing:
@@ -213,12 +213,16 @@
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonNoLink}
 	}
 	raw, err := p.dial(ctx, r.Address)
+	if err == nil && breaksWithin(raw, linkCheckTime) {
+		_ = raw.Close()
+		err = errResetAtOnce
+	}
 	if err == nil {
 		return raw, nil
 	}
 	if ctx.Err() == nil {
 		p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
-		p.awaitProbes(ctx, r.Service) // they tell a lost replica from lost links
+		p.awaitProbes(ctx, r.Service, p.probeWait) // they tell a lost replica from lost links
 	}
 	links, replicaRefused := p.reach.State(r.Service), errors.Is(err, syscall.ECONNREFUSED)
 	switch {
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -216,7 +216,7 @@
 
 // mayGoBack reports whether the call goes back to the replica that it abandoned for one that has rejected it.
 func (s *activeCall) mayGoBack(f *failure) bool {
-	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.AllowReturn()
+	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
 }
 
 // chooseAbandoned returns the abandoned replica as the target of the next attempt. It returns false if it may get no
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -5,11 +5,15 @@
 
 import (
 	"context"
+	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
+// lastProbeWait is how long a call waits for probes that decide whether it has another attempt.
+const lastProbeWait = 500 * time.Millisecond
+
 // reportLink records what an exchange that failed says about this daemon's own link to the replica.
 func (s *activeCall) reportLink(ctx context.Context, x *exchange, r *routing.Replica, f *failure) {
 	if !s.isOwnLink(x.conn) || x.received || ctx.Err() != nil {
@@ -21,6 +25,38 @@
 	case f.result == routing.ResultBroken && !x.conn.reused:
 		// That an idle connection broke may mean that the replica closed it.
 		s.Pool.reach.Failed(r, s.replicas(r), clock.Now())
+		s.excludeCutOff(ctx, r)
+	}
+}
+
+// connect returns a connection to a replica. After one broke in an earlier attempt, idle ones may be broken too.
+func (s *activeCall) connect(ctx context.Context, r *routing.Replica, now time.Time) (*conn, error) {
+	if s.broken != nil {
+		return s.Pool.getNew(ctx, r, s.View(), now)
+	}
+	return s.Pool.get(ctx, r, s.View(), now)
+}
+
+// recordBroken records that the connection of an attempt broke, and whether its replica has crashed.
+func (s *activeCall) recordBroken(ctx context.Context, t *routing.Target, a *Attempt, f *failure) {
+	hasCrashed := s.checkCrash(ctx, &t.Replica, f.responding)
+	s.broken = nil
+	if !hasCrashed && a.Via == "" {
+		s.broken = &t.Replica
+	}
+}
+
+// excludeCutOff is called when a new connection to a replica broke before it brought anything. If an earlier one broke in
+// the call too, two replicas are not reached. If probes confirm that the links are down, the replica does not count towards
+// those that the route allows: it is cut off.
+func (s *activeCall) excludeCutOff(ctx context.Context, r *routing.Replica) {
+	if s.broken == nil || s.broken.ID == r.ID {
+		return
+	}
+	s.Pool.reach.Failed(s.broken, s.replicas(r), clock.Now())
+	s.Pool.awaitProbes(ctx, r.Service, lastProbeWait)
+	if s.Pool.reach.State(r.Service) == routing.LinksDown {
+		s.attempts.ExcludeLast()
 	}
 }
 
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -28,8 +28,8 @@
 	defaultIdleTimeout = 20 * time.Second
 	// peerDialTimeout bounds connecting to another daemon. Links within a region take milliseconds.
 	peerDialTimeout = 200 * time.Millisecond
-	// linkCheckTime is how long a link has to reset a new connection that it accepted. It delays a retry after a
-	// broken connection, and no other request.
+	// linkCheckTime is how long a link has to reset a new connection that it accepted. It delays retries after a
+	// broken connection, and connections for other daemons.
 	linkCheckTime = 5 * time.Millisecond
 	// maxIdlePerReplica is the maximum number of idle connections to one replica.
 	maxIdlePerReplica = 32
@@ -74,9 +74,10 @@
 }
 
 // breaksWithin reports whether a connection on which nothing was sent breaks, or brings bytes, within a time.
-func (c *conn) breaksWithin(d time.Duration) bool {
+func breaksWithin(c net.Conn, d time.Duration) bool {
 	_ = c.SetReadDeadline(time.Now().Add(d)) // on failure, the read fails too
-	_, err := c.reader.Peek(1)
+	_, err := c.Read(make([]byte, 1))
+	_ = c.SetReadDeadline(time.Time{}) // on failure, the next read fails
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -49,18 +49,18 @@
 	// abandoned is the silent replica that another one has taken the call over from without a response; nil: none.
 	abandoned *routing.Replica
 	goesBack  bool // the next attempt is at the abandoned replica
-	// doubtsLinks says that a connection of this daemon's own broke in the last attempt, although its replica has not
-	// crashed.
-	doubtsLinks bool
-	call        *Call
-	sink        Sink
-	summary     Summary
-	attempts    routing.Attempts
-	tried       triedReplicas
-	choices     int          // replicas chosen so far
-	completed   bool         // the caller has the complete response
-	isProbe     bool         // the first attempt is a probe of a quarantined part of the prompt
-	events      *eventReader // of a streamed response; nil before the first
+	// broken is the replica to which a connection of this daemon's own broke in an earlier attempt, although it has
+	// not crashed; nil: none.
+	broken    *routing.Replica
+	call      *Call
+	sink      Sink
+	summary   Summary
+	attempts  routing.Attempts
+	tried     triedReplicas
+	choices   int          // replicas chosen so far
+	completed bool         // the caller has the complete response
+	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
+	events    *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
 	// fallback is a replica's error response, which is forwarded if no further
@@ -203,7 +203,7 @@
 			s.recordFailure(&t.Replica, f.result, f.err)
 		}
 		if f.connClosed {
-			s.doubtsLinks = !s.checkCrash(ctx, &t.Replica, f.responding) && a.Via == ""
+			s.recordBroken(ctx, t, &a, f)
 		}
 		if f.replaced {
 			s.recordReplaced(&t.Replica)
@@ -366,14 +366,6 @@
 	return f
 }
 
-// connect returns a connection to a replica.
-func (s *activeCall) connect(ctx context.Context, r *routing.Replica, now time.Time) (*conn, error) {
-	if s.doubtsLinks {
-		return s.Pool.getNew(ctx, r, s.View(), now)
-	}
-	return s.Pool.get(ctx, r, s.View(), now)
-}
-
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
