Soak: a connection that the run resets just after the replica's last byte loses it

Cause: a run that its replica had written whole counted as lost by the daemon where a fault of the run reset the connection after that.

Change: of a run that is complete, a reset by the run within 50 ms (readTime) after it and until the response ended excuses the daemon; of one that the daemon gave up, only one before that, as until now.

Result: the new case failed before and passes; two further ones, of a later reset and of a run that was given up, are LOST.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -145,12 +145,18 @@
 // showsLoss reports whether a replica still had a run, or had completed it, when the daemon ended the response or gave the
 // run up for nothing.
 func (j *checker) showsLoss(r *record, run *Run) bool {
-	end := r.answer.At
+	end, reset := r.answer.At, r.answer.At
 	if !run.Ended.IsZero() && run.Ended.Before(end) {
-		end = run.Ended
+		end, reset = run.Ended, run.Ended
+	}
+	if run.Status != 0 {
+		// What the replica wrote last may be lost on the link.
+		if reset = run.Ended.Add(readTime); reset.After(r.answer.At) {
+			reset = r.answer.At
+		}
 	}
 	switch {
-	case j.replicaBrokeOff(r, run), j.wasReset(run, end), run.Status >= 300:
+	case j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300:
 		return false
 	case run.Status != 0:
 		return true
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -223,6 +223,21 @@
 			s.send().run("r1", 100.1)
 			s.breaks(100.2)
 		}},
+		{"a stream whose connection the run reset just after the replica wrote it whole", "", chat, func(s *scene) {
+			s.hasConnection(connRecord{reset: at(100.152)})
+			s.Ended(s.send().run("r1", 100.1), 200, at(100.15))
+			s.breaks(100.153)
+		}},
+		{"a stream whose connection the run reset long after the replica wrote it whole", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{reset: at(100.25)})
+			s.Ended(s.send().run("r1", 100.1), 200, at(100.15))
+			s.breaks(100.26)
+		}},
+		{"a stream whose connection the run reset after the daemon gave it up", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{reset: at(100.152)})
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.15))
+			s.breaks(100.153)
+		}},
 		{"a stream that is given up for a replica which then breaks it off", "", reply, func(s *scene) {
 			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
 			next := s.run("r2", 100.2)
