Membership: a peer that starts again without a graceful shutdown is logged and counted

Cause: a daemon that ends by itself writes nothing, and the platform starts it again. Its peers log that it was found only if it was away for longer than 2.5 s, and never that its former process had announced no shutdown.

Change: a restart whose former incarnation was not leaving in its newest known state gives the line "peer: started again without a graceful shutdown" with both incarnations and how long nothing was heard, and peers_restarted_total.

Not run with processes.

--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -51,6 +51,7 @@
 	listenUntil time.Time
 	// eraKnown says that this daemon knows the era of the store; the previous build does not.
 	eraKnown bool
+	restarts []Restart // found and not taken yet
 }
 
 // NewRoster returns the roster of a daemon. Seeds may include the daemon itself.
@@ -119,6 +120,7 @@
 			continue
 		}
 		wasLive := r.isLive(e, now)
+		r.observeRestart(e, m, now)
 		e.update(m, now)
 		r.updateDomain(e)
 		if !wasLive && r.isLive(e, now) {
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -108,6 +108,9 @@
 		func() { l.BrittleEnded(routing.BrittleStatus{Service: "s", Since: time.Unix(1, 0)}, time.Unix(2, 0)) },
 		func() { l.Panicked("r1", "v", []byte("s")) },
 		func() { l.ServerPanicked("10.0.0.1:1", "v", []byte("s")) },
+		func() {
+			l.PeerRestarted(membership.Restart{Member: membership.Member{Address: "10.0.0.1:1"}, Former: 1})
+		},
 		func() { l.SelfReported(&replica, call, relay.SelfReport{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -169,6 +169,9 @@
 		c.sendKnownReports(h.Sender.Address, now)
 	}
 	joined := c.roster.Observe(append([]membership.Member{h.Sender}, h.Members...), now)
+	for _, restart := range c.roster.TakeRestarts() {
+		c.log.PeerRestarted(restart)
+	}
 	for _, m := range joined {
 		c.log.Peer(m)
 		if m.Address == h.Sender.Address {
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -227,6 +227,15 @@
 	l.logger.Info().Str("peer", string(m.Address)).Str("domain", string(m.Domain)).Uint64("life", uint64(m.Incarnation)).Msg(prefixPeer + "found")
 }
 
+// PeerRestarted logs that a peer started again although its former process had not announced a shutdown.
+func (l *Log) PeerRestarted(r membership.Restart) {
+	const text = "started again without a graceful shutdown"
+	l.metrics.PeersRestarted.Inc(1)
+	l.timeline.Record(coordination.EventPeerState, string(r.Address), "", text)
+	l.logger.Warn().Str("peer", string(r.Address)).Str("domain", string(r.Domain)).Uint64("life", uint64(r.Incarnation)).
+		Uint64("former_life", uint64(r.Former)).Int64("silent_ms", r.Silent.Milliseconds()).Msg(prefixPeer + text)
+}
+
 // SyncFailed logs that documents could not be fetched from a peer.
 func (l *Log) SyncFailed(from membership.Address, err error) {
 	l.logger.Warn().Str("peer", string(from)).Err(err).Msg(prefixPeer + "sent no documents")
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -73,7 +73,9 @@
 	// evacuated.
 	TurnedCold  metrics.Counter
 	Evacuations metrics.Counter
-	StoreCalls  metrics.Counter
+	// PeersRestarted counts the starts of peers whose former process had not announced its shutdown.
+	PeersRestarted metrics.Counter
+	StoreCalls     metrics.Counter
 	// StoreEras counts the restores of the store from a backup. OlderStoreResponses counts the
 	// store's responses that were rejected because they were older than the known position.
 	StoreEras           metrics.Counter
@@ -159,6 +161,7 @@
 		"unusable_entries_total":          &m.UnusableEntries,
 		"turned_cold_total":               &m.TurnedCold,
 		"evacuations_total":               &m.Evacuations,
+		"peers_restarted_total":           &m.PeersRestarted,
 		"store_calls_total":               &m.StoreCalls,
 		"store_eras_total":                &m.StoreEras,
 		"store_older_total":               &m.OlderStoreResponses,
