Memory: a daemon says when it comes near the limit of its settings

Cause: nothing showed what a daemon holds, so that one that is killed for its memory looks like one that ended for any other reason.

Change: each tick of the control loop samples the resident memory of the process (/proc/self/statm, kept open). From .85 of memory_mb on the line "daemon: memory is near the limit" is written, at once; when all samples of 5 s were below .8, its end with the largest one (coordination/memory.go). Metrics memory_bytes, memory_max_bytes, memory_near_limit_total. Without memory_mb only the metrics.

--- a/coordination/doc.go
+++ b/coordination/doc.go
@@ -1,8 +1,8 @@
 // Package coordination holds what the decisions of both front ends share: the outcome
 // of a request, the hash by which all daemons rank candidates alike, and the
-// timestamps and events of the timeline. The decisions themselves are in
-// subpackages: routing and membership for the front end in production, fleet for the
-// OpenAI front end.
+// timestamps and events of the timeline, and when a process is near the limit of its
+// memory. The other decisions are in subpackages: routing and membership for the front
+// end in production, fleet for the OpenAI front end.
 //
 // This package and its subpackages do no I/O and start no goroutine. Time, randomness
 // and messages are arguments, so the same code runs in a daemon and in a property
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -87,6 +87,7 @@
 	syncs      syncState
 	transfers  transfers
 	permits    *permits
+	memory     memoryState
 
 	originQuestions originQuestions
 	history         historyState
@@ -297,6 +298,7 @@
 // tick sends a heartbeat if one is due and runs all periodic work.
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.detectPause(now)
+	c.sampleMemory(now)
 	if c.storeUnreachable {
 		c.storeUnreachableAt = now
 	}
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -170,6 +170,7 @@
 		carriers:    routing.NewCarriers(),
 		dropCarrier: func(r routing.Carrier) { d.pool.ExcludeCarrier(r, "", routing.CarrierGone) },
 		openSince:   d.pool.OldestOpenConn,
+		memory:      newMemoryState(s.MemoryMB),
 	}
 	c.permits.gate.control = c
 	d.pool.UseDetours(&relay.Detours{Carriers: c.carriers, Find: c.findCarrier})
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -111,6 +111,8 @@
 		func() {
 			l.PeerRestarted(membership.Restart{Member: membership.Member{Address: "10.0.0.1:1"}, Former: 1})
 		},
+		func() { l.MemoryNear(1, 2) },
+		func() { l.MemoryFar(1, 2, 3, time.Second) },
 		func() { l.SelfReported(&replica, call, relay.SelfReport{NotUnderstood: []string{"Retry-After: soon"}}) },
 	} {
 		write()
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -52,6 +52,7 @@
 	metrics               *Metrics
 	done                  chan struct{}
 	ended                 chan struct{}
+	flushNow              chan struct{} // has a buffer of one
 	once                  sync.Once
 	refusals              refusalLines
 	stacks                stackLimit
@@ -68,6 +69,7 @@
 		metrics:  m,
 		done:     make(chan struct{}),
 		ended:    make(chan struct{}),
+		flushNow: make(chan struct{}, 1),
 	}
 	go l.run()
 	return l
@@ -82,14 +84,21 @@
 		case <-l.done:
 			l.writer.flush()
 			return
+		case <-l.flushNow:
+			l.flush()
 		case <-t.C:
-			if n := l.writer.flush(); n > 0 {
-				l.logger.Warn().Int64("lines", n).Msg(prefixDaemon + "log lines were dropped")
-			}
+			l.flush()
 		}
 	}
 }
 
+// flush writes the buffered lines.
+func (l *Log) flush() {
+	if n := l.writer.flush(); n > 0 {
+		l.logger.Warn().Int64("lines", n).Msg(prefixDaemon + "log lines were dropped")
+	}
+}
+
 // Close writes the buffered lines and stops background writing.
 func (l *Log) Close() {
 	l.once.Do(func() { close(l.done) })
@@ -123,6 +132,23 @@
 	e.Bool("changed", changed).Msg(prefixDaemon + "settings file was checked again; changes take effect at the next start")
 }
 
+// MemoryNear logs that the process's memory is near its limit; both are in bytes. The line is written at once, since
+// the process may be killed before the next flush.
+func (l *Log) MemoryNear(held, limit uint64) {
+	l.metrics.MemoryNearLimit.Inc(1)
+	l.logger.Warn().Uint64("memory_mb", held/megabyte).Uint64("limit_mb", limit/megabyte).Msg(prefixDaemon + "memory is near the limit")
+	select {
+	case l.flushNow <- struct{}{}:
+	default: // it is due
+	}
+}
+
+// MemoryFar logs that the process's memory is no longer near its limit. largest is what it held at most meanwhile.
+func (l *Log) MemoryFar(held, largest, limit uint64, after time.Duration) {
+	l.logger.Info().Uint64("memory_mb", held/megabyte).Uint64("largest_mb", largest/megabyte).Uint64("limit_mb", limit/megabyte).
+		Int64("after_ms", after.Milliseconds()).Msg(prefixDaemon + "memory is no longer near the limit")
+}
+
 // Paused logs that the process was paused.
 func (l *Log) Paused(d time.Duration) {
 	l.timeline.Record(coordination.EventPaused, "", "", "process was paused for %s", d.Round(time.Millisecond))
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -81,6 +81,10 @@
 	StoreEras           metrics.Counter
 	OlderStoreResponses metrics.Counter
 	Syncs               metrics.Counter
+	// Memory is the resident memory of the process in bytes, and MemoryMax the largest sample of it. MemoryNearLimit
+	// counts how often it came near the limit of the settings.
+	Memory, MemoryMax metrics.Gauge
+	MemoryNearLimit   metrics.Counter
 	// PermitsAsked counts the requests for permits of saturated services, PermitsAlone those that
 	// this daemon granted or refused without another coordinator, and CoordinatorsSilent how often a
 	// coordinator did not reply in time.
@@ -162,6 +166,7 @@
 		"turned_cold_total":               &m.TurnedCold,
 		"evacuations_total":               &m.Evacuations,
 		"peers_restarted_total":           &m.PeersRestarted,
+		"memory_near_limit_total":         &m.MemoryNearLimit,
 		"store_calls_total":               &m.StoreCalls,
 		"store_eras_total":                &m.StoreEras,
 		"store_older_total":               &m.OlderStoreResponses,
@@ -173,6 +178,8 @@
 	} {
 		*c = metrics.NewRegisteredCounter(name, m.registry)
 	}
+	m.Memory = metrics.NewRegisteredGauge("memory_bytes", m.registry)
+	m.MemoryMax = metrics.NewRegisteredGauge("memory_max_bytes", m.registry)
 	m.PermitWait = metrics.NewRegisteredHistogram("permit_wait_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	m.FirstByte = metrics.NewRegisteredHistogram("first_byte_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	m.Total = metrics.NewRegisteredHistogram("total_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
