Replicas' and carriers' headers: bounded at 64 KB and 1,000 lines

Cause: http.ReadResponse on a plain buffered reader reads a status line, a header line or a number of lines without bound, and a probe and a refused tunnel then closed the body, which reads it to its end.

Change: transport.ResponseReader, a buffered reader whose source fails with ErrHeaderTooLarge while a header is read; headers that are in the buffer as a whole need no read and cost one count of line ends. Relay, probes and tunnel.Dial use it; the last two close no body.

--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -5,7 +5,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -13,6 +12,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/tunnel"
 )
@@ -79,7 +79,7 @@
 		}
 		return nil, err
 	}
-	return newConn(raw, bufio.NewReaderSize(raw, readBufferBytes), r, ""), nil
+	return newConn(raw, transport.NewResponseReader(raw, readBufferBytes), r, ""), nil
 }
 
 // openThrough opens a connection through another daemon. The error is errNoCarrier if none of those that
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -168,7 +168,7 @@
 // earlier requests.
 func (x *exchange) readHeader(ctx context.Context) *failure {
 	for range maxStrayResponses + 1 {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+		resp, err := x.conn.reader.ReadResponse(&http.Request{Method: x.call.Method})
 		if err != nil {
 			return x.brokenResponse(ctx, eris.Wrap(err, "read response"))
 		}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -5,7 +5,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -14,6 +13,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
@@ -34,7 +34,7 @@
 // conn is a connection to a replica.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader  *transport.ResponseReader
 	replica routing.Incarnation
 	service routing.ServiceName
 	reused  bool
@@ -145,7 +145,7 @@
 }
 
 // newConn returns a connection to a replica. via is the daemon that opened it, or empty.
-func newConn(raw net.Conn, reader *bufio.Reader, r *routing.Replica, via routing.PeerID) *conn {
+func newConn(raw net.Conn, reader *transport.ResponseReader, r *routing.Replica, via routing.PeerID) *conn {
 	return &conn{Conn: raw, reader: reader, replica: r.Incarnation(), service: r.Service, opened: clock.Now(), via: via, idleTimeout: defaultIdleTimeout}
 }
 
--- a/transport/relay/probes.go
+++ b/transport/relay/probes.go
@@ -4,13 +4,12 @@
 package relay
 
 import (
-	"bufio"
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
@@ -151,10 +150,7 @@
 	if _, err := conn.Write(r.Codec.AppendHealthCheck(nil, to, v.Table.HealthPath(to.Service))); err != nil {
 		return false
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close() // the connection is closed in any case
-	return true
+	// The body is not closed, since that would read it to its end. The connection is closed in any case.
+	_, err = transport.NewResponseReader(conn, readBufferBytes).ReadResponse(nil)
+	return err == nil
 }
--- a/transport/tunnel/dial.go
+++ b/transport/tunnel/dial.go
@@ -3,7 +3,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // Dial connects to a replica through a peer. The error is a [*Refused] or wraps [ErrUnsupported] if
 // the peer responded. Whatever the error, the replica has received nothing.
-func Dial(ctx context.Context, dialer *net.Dialer, peer string, id routing.Incarnation) (net.Conn, *bufio.Reader, error) {
+func Dial(ctx context.Context, dialer *net.Dialer, peer string, id routing.Incarnation) (net.Conn, *transport.ResponseReader, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	conn, err := dialer.DialContext(ctx, "tcp4", peer)
@@ -35,7 +35,7 @@
 	}
 	// Closing the connection ends the exchange if the caller disconnects or the time is over.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	reader := bufio.NewReaderSize(conn, bufferBytes)
+	reader := transport.NewResponseReader(conn, bufferBytes)
 	err = open(conn, reader, peer, id)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -48,20 +48,20 @@
 }
 
 // open sends the request and reads the peer's response.
-func open(conn net.Conn, reader *bufio.Reader, peer string, id routing.Incarnation) error {
+func open(conn net.Conn, reader *transport.ResponseReader, peer string, id routing.Incarnation) error {
 	head := "GET " + Path + "?" + encodeReplica(id) + " HTTP/1.1\r\nHost: " + peer +
 		"\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
 		return eris.Wrap(err, "ask peer for a connection")
 	}
-	resp, err := http.ReadResponse(reader, nil)
+	resp, err := reader.ReadResponse(nil)
 	if err != nil {
 		return eris.Wrap(err, "read peer's response")
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols && resp.Header.Get("Upgrade") == upgradeProtocol {
 		return nil
 	}
-	_ = resp.Body.Close() // the connection is closed in any case
+	// The body is not closed, since that would read it to its end. The connection is closed in any case.
 	if reason := resp.Header.Get(headerReason); reason != "" {
 		return &Refused{Reason: Reason(reason)}
 	}
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/tunnel"
 )
 
@@ -24,7 +25,7 @@
 // pair is a connection through a peer: its end at the daemon and its end at the replica.
 type pair struct {
 	daemon  net.Conn
-	reader  *bufio.Reader
+	reader  *transport.ResponseReader
 	replica *net.TCPConn
 	server  *tunnel.Server
 	peer    string // address
