Bodies, events and skipped responses: bounded each and together; a response without end breaks

Cause: a body held whole was bounded at 8 MB and an event at 1 MB, each alone: with 48 endless responses at once a daemon held 405 MB. A late response to an earlier request was skipped without bound, until the caller's deadline (504). A response that is too large did not count against its replica. Each read of a stream searched all of the incomplete event again: 1.4 s of processor time for 1 MB.

Declared lengths above 8 MB break at once. Skipped responses are bounded at 8 MB each. A body without end counts against its replica. Neither is taken for a closed connection, so that no crash is checked for. Events are searched once, and handed on without a copy.

--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -10,14 +10,21 @@
 
 // eventReader splits a stream into events and keeps the id of the last one.
 type eventReader struct {
-	pending []byte // an incomplete event at the end of the input
-	lastID  string // id of the last event returned
-	lastSeq int64  // lastID as a number; -1 if there is none
-	count   int    // of events returned
+	buf      []byte     // the events that add returned last, and then an incomplete event
+	returned int        // size of those events in buf
+	held     *heldBytes // memory for buf; nil: not bounded
+	noMemory bool       // add failed for lack of memory
+	lastID   string     // id of the last event returned
+	lastSeq  int64      // lastID as a number; -1 if there is none
+	count    int        // of events returned
 }
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of an event, in bytes.
+	maxEventBytes = 1 << 20
+	// minEventBuffer is the size of the first buffer, in bytes: some events.
+	minEventBuffer = 1 << 10
+)
 
 func newEventReader(last string) *eventReader {
 	e := &eventReader{lastID: last, lastSeq: -1}
@@ -28,16 +35,22 @@
 }
 
 // add appends bytes of the stream and returns the events that are complete now.
-// The result is valid until the next call. It returns false if an event's id does not
-// increase or an event is too large.
+// The result is valid until the next call of any method. It returns false if an event's id does not
+// increase, an event is too large, or there is no memory for it.
 func (e *eventReader) add(p []byte) ([]byte, bool) {
-	e.pending = append(e.pending, p...)
-	end := completeLen(e.pending)
+	e.dropReturned()
+	// No event ends in what is pending, but its last bytes may be the start of a boundary.
+	from := max(0, len(e.buf)-len(boundaryCR)+1)
+	if !e.append(p) {
+		return nil, false
+	}
+	end := completeLen(e.buf[from:])
 	if end == 0 {
-		return nil, len(e.pending) <= maxEventBytes
+		return nil, len(e.buf) <= maxEventBytes
 	}
-	complete := e.pending[:end]
-	for at := 0; at < end; {
+	e.returned = from + end
+	complete := e.buf[:e.returned]
+	for at := 0; at < e.returned; {
 		next := at + firstEventLen(complete[at:])
 		seq, id, ok := parseEventID(complete[at:next])
 		if ok {
@@ -49,30 +62,66 @@
 		e.count++
 		at = next
 	}
-	out := append([]byte(nil), complete...)
-	e.pending = append(e.pending[:0], e.pending[end:]...)
-	return out, true
+	return complete, true
+}
+
+// append appends to the buffer. It returns false if there is no memory.
+func (e *eventReader) append(p []byte) bool {
+	if size := len(e.buf) + len(p); size > cap(e.buf) {
+		var ok bool
+		if e.buf, ok = e.held.grow(e.buf, max(minEventBuffer, min(2*cap(e.buf), maxEventBytes+streamReadBytes), size)); !ok {
+			e.noMemory = true
+			return false
+		}
+	}
+	e.buf = append(e.buf, p...)
+	return true
+}
+
+// dropReturned removes the events that add returned from the buffer. A large buffer that is empty then is freed.
+func (e *eventReader) dropReturned() {
+	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
+	e.returned = 0
+	if len(e.buf) == 0 && cap(e.buf) > freeBytes {
+		e.free()
+	}
 }
 
+// pendingLen returns the size of the incomplete event.
+func (e *eventReader) pendingLen() int { return len(e.buf) - e.returned }
+
 // takePending removes an incomplete event and returns it. It accepts a nil receiver.
 func (e *eventReader) takePending() []byte {
 	if e == nil {
 		return nil
 	}
-	p := e.pending
-	e.pending = nil
+	e.dropReturned()
+	p := e.buf
+	e.buf = nil
 	return p
 }
 
 // restorePending puts back what takePending removed. It accepts a nil receiver.
 func (e *eventReader) restorePending(p []byte) {
 	if e != nil {
-		e.pending = p
+		e.free()
+		e.buf = p
 	}
 }
 
+// free removes everything from the buffer and releases its memory.
+func (e *eventReader) free() {
+	if e.held != nil {
+		e.held.release(cap(e.buf))
+	}
+	e.buf, e.returned = nil, 0
+}
+
 // reset discards an incomplete event, before the stream is resumed at another replica.
-func (e *eventReader) reset() { e.pending = e.pending[:0] }
+func (e *eventReader) reset() {
+	e.buf, e.returned = e.buf[:0], 0
+	e.dropReturned()
+}
 
 var (
 	boundary   = []byte("\n\n")
--- a/transport/relay/events_test.go
+++ b/transport/relay/events_test.go
@@ -36,3 +36,83 @@
 		}
 	})
 }
+
+// TestEventsThatNeverEndTakeLittleMemory guards against an event without end, of which each of many streams held a
+// part until their memory together was exhausted, and against memory that stays counted.
+func TestEventsThatNeverEndTakeLittleMemory(t *testing.T) {
+	const streams = 100
+	piece := bytes.Repeat([]byte{'x'}, streamReadBytes)
+	var held heldBytes
+	var readers []*eventReader
+	for range streams {
+		e := newEventReader("")
+		e.held = &held
+		readers = append(readers, e)
+	}
+	refused, tooLarge := 0, 0
+	for range 2 * maxEventBytes / streamReadBytes {
+		for _, e := range readers {
+			if e.held == nil {
+				continue
+			}
+			_, ok := e.add(piece)
+			if n := held.taken.Load(); n > maxHeldBytes {
+				t.Fatalf("%d bytes are held, want at most %d", n, maxHeldBytes)
+			}
+			if ok {
+				continue
+			}
+			if e.noMemory {
+				refused++
+			} else {
+				tooLarge++
+			}
+			e.free()
+			e.held = nil
+		}
+	}
+	if refused == 0 || tooLarge == 0 || refused+tooLarge != streams {
+		t.Errorf("%d events refused for memory and %d as too large, want some of both and %d in all", refused, tooLarge, streams)
+	}
+	if n := held.taken.Load(); n != 0 {
+		t.Errorf("%d bytes stay counted", n)
+	}
+}
+
+// TestLargeEventsReturnTheirMemory guards against streams that keep the memory of a large event after it was forwarded.
+func TestLargeEventsReturnTheirMemory(t *testing.T) {
+	var held heldBytes
+	e := newEventReader("")
+	e.held = &held
+	event := append(bytes.Repeat([]byte{'x'}, maxEventBytes-2), "\n\n"...)
+	for range 3 {
+		var out []byte
+		for rest := event; len(rest) > 0; rest = rest[min(len(rest), streamReadBytes):] {
+			events, ok := e.add(rest[:min(len(rest), streamReadBytes)])
+			if !ok {
+				t.Fatal("an event of the largest size is refused")
+			}
+			out = append(out, events...)
+		}
+		if !bytes.Equal(out, event) {
+			t.Errorf("%d bytes are returned, want the event of %d", len(out), len(event))
+		}
+	}
+	taken := e.takePending()
+	if n := held.taken.Load(); n != 0 || len(taken) != 0 {
+		t.Errorf("%d bytes stay counted and %d pending", n, len(taken))
+	}
+}
+
+// BenchmarkLargeEvent measures an event of the largest size, which was searched anew with each read.
+func BenchmarkLargeEvent(b *testing.B) {
+	piece := bytes.Repeat([]byte{'x'}, streamReadBytes)
+	for b.Loop() {
+		e := newEventReader("")
+		for range maxEventBytes / streamReadBytes {
+			if _, ok := e.add(piece); !ok {
+				b.Fatal("refused")
+			}
+		}
+	}
+}
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -26,8 +26,12 @@
 	// the response, because a replica may respond before it has read the whole body.
 	// Smaller bodies fit into the socket's send buffer.
 	concurrentWriteBytes = 16 << 10
-	// maxStrayResponses is the maximum number of late responses to earlier requests that are skipped.
+	// maxStrayResponses is the maximum number of late responses to earlier requests, and of interim responses, that
+	// are skipped.
 	maxStrayResponses = 2
+	// maxStrayBytes is the maximum size of the body of a late response to an earlier request, in bytes. Any response
+	// that is forwarded as a whole fits; skipping it holds no memory.
+	maxStrayBytes = maxResponseBytes
 	// maxRejectionBytes is how much of a rejection's body is read in order to reuse the connection.
 	maxRejectionBytes = 4 << 10
 	// bodyWriteTimeout is how long to wait, after a complete response, for the body to be written.
@@ -36,7 +40,7 @@
 
 // Causes of failed exchanges.
 var (
-	errStrayResponses = errors.New("responses on the connection belong to other requests")
+	errStrayResponses = errors.New("responses on the connection belong to other requests, or are interim ones")
 	errUnsealed       = errors.New("successful response without the replica's seal")
 	errEncoded        = errors.New("response has a content encoding that was not requested")
 	errSilent         = errors.New("replica is silent")
@@ -183,11 +187,13 @@
 			return x.checkResponse()
 		}
 		x.conn.idleTimeout = -1
-		if endsWithConn(resp) {
+		if endsWithConn(resp) || resp.ContentLength > maxStrayBytes {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1)); err != nil {
 			return x.brokenResponse(ctx, eris.Wrap(err, "read stray response"))
+		} else if n > maxStrayBytes {
+			break
 		}
 	}
 	return x.brokenResponse(ctx, errStrayResponses)
@@ -238,7 +244,7 @@
 	}
 	return &failure{
 		outcome: coordination.MayHaveRun{Reason: reason}, result: routing.ResultBroken,
-		countsAgainst: ctx.Err() == nil, connClosed: ctx.Err() == nil && isConnectionClosed(err), responding: x.responding(), err: err,
+		countsAgainst: ctx.Err() == nil && !errors.Is(err, errMemory), connClosed: ctx.Err() == nil && isConnectionClosed(err), responding: x.responding(), err: err,
 	}
 }
 
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -103,6 +103,7 @@
 	h.endWatch()
 	s.handover, s.attemptState = h.outer, h.attempt
 	if h.state.Load() == handoverToNext {
+		s.held.release(cap(incomplete))
 		return true
 	}
 	s.events.restorePending(incomplete)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -33,7 +33,10 @@
 }
 
 // Relay forwards calls to replicas. It is safe for concurrent use.
-type Relay struct{ Options }
+type Relay struct {
+	Options
+	held heldBytes
+}
 
 // New returns a Relay with the given options.
 func New(o Options) *Relay { return &Relay{Options: o} }
@@ -58,6 +61,7 @@
 	// fallback is a replica's error response, which is forwarded if no further
 	// attempt gives a better one.
 	fallback *errorResponse
+	bodies   int64 // counted memory of bodies that were read whole
 	// failed are the replicas whose error responses have not yet been recorded as failures.
 	failed []routing.Replica
 }
@@ -76,6 +80,7 @@
 	// The HTTP server recovers a panic. Without this, the permit would stay out as long as the process.
 	defer s.endAttempts()
 	defer s.endProbe()
+	defer s.releaseMemory()
 	if s.bindResumed(ctx) {
 		s.tryReplicas(ctx)
 	}
@@ -83,6 +88,14 @@
 	return &s.summary
 }
 
+// releaseMemory uncounts what the call holds of responses.
+func (s *activeCall) releaseMemory() {
+	s.held.taken.Add(-s.bodies)
+	if s.events != nil {
+		s.events.free()
+	}
+}
+
 // tryReplicas sends the call to one replica after another until an attempt succeeds or no other is allowed.
 func (s *activeCall) tryReplicas(ctx context.Context) {
 	for s.choices < routing.MaxChoices {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -30,22 +30,20 @@
 const streamReadBytes = 2 << 10
 
 // maxResponseBytes is the maximum size of a response that is not streamed, which is held
-// in memory.
+// in memory, in bytes.
 const maxResponseBytes = 8 << 20
 
 // forwardComplete reads a response to its end and then forwards it. Nothing is forwarded of
 // an incomplete response, so that the request can be retried.
 func (s *activeCall) forwardComplete(ctx context.Context, x *exchange, t *routing.Target) *failure {
 	status := x.response.StatusCode
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBytes+1))
-	if err == nil {
-		err = x.checkEnd(ctx)
-	}
+	body, err := s.held.readBody(x.response)
 	if err != nil {
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
-	if len(body) > maxResponseBytes {
-		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, err: errTooLarge}
+	s.bodies += counted(cap(body))
+	if err := x.checkEnd(ctx); err != nil {
+		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
 	isFinal := status < http.StatusInternalServerError || !s.attempts.MayTryAnother()
 	if isFinal && !s.attempts.ResponseStarted && !s.takeOver() {
@@ -112,6 +110,7 @@
 func (s *activeCall) forwardStream(ctx context.Context, x *exchange, t *routing.Target) *failure {
 	if s.events == nil {
 		s.events = newEventReader(s.call.LastEventID)
+		s.events.held = &s.held
 	}
 	s.events.reset()
 	buf := make([]byte, streamReadBytes)
@@ -130,7 +129,7 @@
 			return x.brokenResponse(ctx, eris.Wrap(err, "read stream"))
 		}
 	}
-	if len(s.events.pending) > 0 {
+	if s.events.pendingLen() > 0 {
 		return x.brokenResponse(ctx, errIncompleteEvent)
 	}
 	if err := x.checkEnd(ctx); err != nil {
@@ -155,7 +154,11 @@
 func (s *activeCall) forwardEvents(ctx context.Context, x *exchange, t *routing.Target, p []byte) *failure {
 	events, ok := s.events.add(p)
 	if !ok {
-		return &failure{outcome: mayHaveRun, result: routing.ResultBroken, countsAgainst: true, err: errBadEvents}
+		err := errBadEvents
+		if s.events.noMemory {
+			err = errMemory
+		}
+		return x.brokenResponse(ctx, err)
 	}
 	if len(events) == 0 {
 		return nil
