--- a/cmd/hingectl/daemons.go
+++ b/cmd/hingectl/daemons.go
@@ -19,7 +19,20 @@
 	"hingewinch.org/hingewinch/transport/gateway"
 )
 
-const operatorTimeout = 5 * time.Second
+const (
+	operatorTimeout = 5 * time.Second
+	// maxResponseBytes is the maximum size of a response that is decoded, in bytes: 200,000 replicas or more.
+	maxResponseBytes = 64 << 20
+)
+
+// client is the HTTP client of all commands.
+var client = newClient()
+
+func newClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = transport.MaxHeaderBytes
+	return &http.Client{Transport: t}
+}
 
 type daemonOptions struct {
 	Daemons []string `short:"d" long:"daemon" value-name:"HOST:PORT" required:"yes" description:"operator address of a daemon; may be repeated"`
@@ -31,6 +44,7 @@
 		if resp.StatusCode != http.StatusOK {
 			return eris.Errorf("daemon %s responded with status %d", address, resp.StatusCode)
 		}
+		transport.BoundBody(resp, maxResponseBytes)
 		return eris.Wrap(json.NewDecoder(resp.Body).Decode(into), "decode the daemon's response")
 	})
 }
@@ -43,7 +57,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build request; check the daemon's address")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return eris.Wrapf(err, "daemon %s can't be reached; check its address and that it is running", address)
 	}
--- a/cmd/hingectl/requests.go
+++ b/cmd/hingectl/requests.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/gateway"
 )
 
@@ -82,7 +83,7 @@
 	if c.ChatID != "" {
 		req.Header.Set(protocol.HeaderChatID, c.ChatID)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "send chat request; check the gateway URL")
 	}
@@ -182,7 +183,7 @@
 		if err != nil {
 			return "", err
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := client.Do(req)
 		if err != nil {
 			lastErr = eris.Wrap(err, "get a ticket; check the gateway URL")
 			continue
@@ -193,6 +194,7 @@
 			continue
 		}
 		var a gateway.TicketAnswer
+		transport.BoundBody(resp, maxResponseBytes)
 		err = json.NewDecoder(resp.Body).Decode(&a)
 		return a.Ticket, eris.Wrap(err, "decode ticket response")
 	}
@@ -206,7 +208,7 @@
 		return true, err
 	}
 	req.Header.Set(protocol.HeaderIdempotencyKey, ticket)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return false, &exitError{code: exitUnknown, err: eris.Wrap(err, "no response; the outcome of the request is unknown")}
 	}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -4,11 +4,9 @@
 package routes
 
 import (
-	"bytes"
 	"context"
 	"encoding/base64"
 	"encoding/hex"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +18,7 @@
 
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol"
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
@@ -35,6 +34,9 @@
 	peerIdleTimeout = 5 * time.Second
 	// receiveRetryDelay is the pause after a failed read from the socket.
 	receiveRetryDelay = 100 * time.Millisecond
+	// maxPeerHeaderBytes is the maximum size of the header of a peer's response, in bytes. It holds the history of
+	// versions (headerVersions), some 50 bytes for each version of a service.
+	maxPeerHeaderBytes = 256 << 10
 )
 
 // syncTimeouts bound how long a peer may send nothing. There is no bound on a complete response: the
@@ -59,7 +61,8 @@
 	}
 	pool := &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}
 	return &peers{socket: socket, client: &http.Client{Transport: pool}, metrics: m}, nil
 }
@@ -178,12 +181,12 @@
 		if resp.StatusCode != http.StatusOK && !isDigest {
 			return eris.Errorf("status %d", resp.StatusCode)
 		}
-		var b bytes.Buffer
-		if _, err := b.ReadFrom(io.LimitReader(resp.Body, gossip.MaxDocumentsBytes)); err != nil {
+		payload, err := protocol.ReadBounded(resp.Body, resp.ContentLength, gossip.MaxDocumentsBytes)
+		if err != nil {
 			return err
 		}
-		p.metrics.SyncedBytes.Inc(int64(b.Len()))
-		if answer, err = decodeResponse(b.Bytes(), isDigest); err != nil {
+		p.metrics.SyncedBytes.Inc(int64(len(payload)))
+		if answer, err = decodeResponse(payload, isDigest); err != nil {
 			return err
 		}
 		answer.versions, err = decodeVersions(resp.Header)
--- a/protocol/gossip/documents.go
+++ b/protocol/gossip/documents.go
@@ -22,10 +22,11 @@
 }
 
 const (
-	// MaxDocumentsBytes limits the size of a peer's response, both compressed and
-	// uncompressed. It is ninety times the 0.7 MB that the documents of 3,000 replicas
-	// take.
-	MaxDocumentsBytes = 64 << 20
+	// MaxDocumentsBytes limits the size of a peer's response in bytes, both compressed and
+	// uncompressed. It is twenty times the 0.7 MB that the documents of 3,000 replicas
+	// take. Reading, unpacking and decoding hold up to five times as much, and a daemon has
+	// 284 MB.
+	MaxDocumentsBytes = 16 << 20
 	// compressionWindow is the match window of the compressor. A pooled compressor keeps a window
 	// allocated. maxWindow is the largest window that is decompressed, which earlier builds use to
 	// compress.
--- a/protocol/openai.go
+++ b/protocol/openai.go
@@ -190,6 +190,10 @@
 	RequestID state.RequestID `json:"request_id"`
 }
 
+// firstBytes is the size of the buffer for content that has announced a size but not arrived yet, in bytes. The memory
+// follows what arrives: a sender that announces the limit and sends nothing must not take it.
+const firstBytes = 64 << 10
+
 // ErrTooLarge is returned by [ReadBounded] if the content exceeds the limit.
 var ErrTooLarge = errors.New("content is larger than the limit")
 
@@ -201,7 +205,7 @@
 	}
 	var buf bytes.Buffer
 	if size > 0 {
-		buf.Grow(int(size) + bytes.MinRead)
+		buf.Grow(int(min(size, firstBytes)) + bytes.MinRead)
 	}
 	n, err := buf.ReadFrom(io.LimitReader(r, limit+1))
 	if err != nil {
--- a/transport/gateway/peers.go
+++ b/transport/gateway/peers.go
@@ -52,18 +52,28 @@
 	}
 	exchange := trackedTransport(opts)
 	exchange.IdleConnTimeout = peerIdleTimeout
-	p.client = &peerClient{exchange}
-	p.once = &peerClient{trackedTransport(UpstreamOptions{TLS: tlsConfig, Dial: dial})}
+	p.client = &peerClient{exchange, maxExchangeBytes}
+	p.once = &peerClient{trackedTransport(UpstreamOptions{TLS: tlsConfig, Dial: dial}), maxRunBytes}
 	return p
 }
 
+// The maximum sizes of messages between daemons, in bytes. An exchange carries what changed, and a fetch one document of
+// up to 4 MB; a run carries one request or response, of 32 MB by default, and its header.
+const (
+	maxExchangeBytes = 8 << 20
+	maxRunBytes      = 64 << 20
+)
+
 // peerIdleTimeout is how long idle connections to peers are kept: handshakes are the most
 // expensive part of the control traffic.
 const peerIdleTimeout = 10 * time.Minute
 
 // peerClient sends each call once: net/http repeats a POST on a connection that was
 // closed before the first byte of a response only if it can replay the body.
-type peerClient struct{ rt http.RoundTripper }
+type peerClient struct {
+	rt       http.RoundTripper
+	maxBytes int64 // of a response
+}
 
 // Do sends one request.
 func (c *peerClient) Do(req *http.Request) (*http.Response, error) {
@@ -72,7 +82,11 @@
 	req.Header.Del("Accept")
 	req.Header.Del("Twirp-Version")
 	req.Header.Set("User-Agent", "")
-	return c.rt.RoundTrip(req)
+	resp, err := c.rt.RoundTrip(req)
+	if err == nil {
+		transport.BoundBody(resp, c.maxBytes)
+	}
+	return resp, err
 }
 
 func (p *Peers) clientFor(address string, client peer.HTTPClient) peer.Peer {
--- a/transport/gateway/peerserver.go
+++ b/transport/gateway/peerserver.go
@@ -62,7 +62,9 @@
 var _ peer.Peer = (*PeerServer)(nil)
 
 // Handler returns the HTTP handler of the server.
-func (s *PeerServer) Handler() http.Handler { return peer.NewPeerServer(s) }
+func (s *PeerServer) Handler() http.Handler {
+	return http.MaxBytesHandler(peer.NewPeerServer(s), maxRunBytes)
+}
 
 // Exchange processes a peer's message and returns this daemon's.
 func (s *PeerServer) Exchange(ctx context.Context, m *peer.News) (*peer.News, error) {
--- a/transport/gateway/platform.go
+++ b/transport/gateway/platform.go
@@ -26,7 +26,7 @@
 
 // NewPlatform returns a client of the platform at a base URL.
 func NewPlatform(base string, meter *Meter, m *Metrics) *Platform {
-	rt := &http.Transport{DialContext: meter.Dial(nil), ResponseHeaderTimeout: 2 * PlatformWait, DisableCompression: true}
+	rt := &http.Transport{DialContext: meter.Dial(nil), ResponseHeaderTimeout: 2 * PlatformWait, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Platform{base: base, client: &http.Client{Transport: rt}, metrics: m}
 }
 
--- a/transport/relay/endless_test.go
+++ b/transport/relay/endless_test.go
@@ -106,6 +106,21 @@
 		Expect(w.observer.quarantined).To(BeEmpty())
 	}, forms(entry))
 
+	// The replica refuses connections from then on, as one that has terminated does: only that the relay closed the
+	// connection keeps the request from being taken for one that crashes replicas.
+	DescribeTable("is no evidence of a crash", func(begin func(id string) string, piece string) {
+		endless := sendEndless(make(chan bool, 1), begin, piece)
+		var r *replica
+		r = startReplica("r", func(a *receivedRequest) bool {
+			_ = r.listener.Close()
+			return endless(a)
+		})
+		w := newFixture(atMostOnce, r)
+		w.serve(w.call("1", "POST", "x"))
+		Expect(r.count()).To(Equal(1))
+		Expect(w.observer.crashedDuring).To(BeEmpty())
+	}, forms(entry))
+
 	DescribeTable("of a stream that may be resumed: another replica goes on", func(text func(id string) string, piece string) {
 		closed := make(chan bool, 1)
 		calls, endless := 0, sendEndless(closed, text, piece)
