--- a/transport/relay/await_test.go
+++ b/transport/relay/await_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"net"
 	"time"
 
@@ -9,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
@@ -24,7 +24,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _, _ = c.Close(), replica.Close() })
 		r := &routing.Replica{ID: "r1", Service: "s"}
-		x := &exchange{pool: NewPool(nil), conn: newConn(c, bufio.NewReader(c), r, ""), replica: r, deadline: clock.Now().Add(time.Second)}
+		x := &exchange{pool: NewPool(nil), conn: newConn(c, transport.NewResponseReader(c, 1<<10), r, ""), replica: r, deadline: clock.Now().Add(time.Second)}
 		return x, replica
 	}
 
