Relay: events of a second replica that are not forwarded do not count as sent

Cause: events were counted, with the id of the last one, when they were read. Which of the two replicas goes on was decided afterwards: if the silent one did, the second one's events were dropped, and the silent one's next event had an id that was already counted.

Change: the reader keeps where it has read and where the caller is, and goes back to the latter if events are not forwarded.

--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -14,9 +14,16 @@
 	returned int        // size of those events in buf
 	held     *heldBytes // memory for buf; nil: not bounded
 	noMemory bool       // add failed for lack of memory
-	lastID   string     // id of the last event returned
-	lastSeq  int64      // lastID as a number; -1 if there is none
-	count    int        // of events returned
+	read     streamPosition
+	// forwarded is where the caller is. Events that were read are not forwarded if another replica goes on.
+	forwarded streamPosition
+}
+
+// streamPosition is a position in a stream.
+type streamPosition struct {
+	id    string // of the last event
+	seq   int64  // id as a number; -1 if there is none
+	count int    // of events
 }
 
 const (
@@ -27,11 +34,11 @@
 )
 
 func newEventReader(last string) *eventReader {
-	e := &eventReader{lastID: last, lastSeq: -1}
+	at := streamPosition{id: last, seq: -1}
 	if n, err := strconv.ParseInt(last, 10, 64); err == nil {
-		e.lastSeq = n
+		at.seq = n
 	}
-	return e
+	return &eventReader{read: at, forwarded: at}
 }
 
 // add appends bytes of the stream and returns the events that are complete now.
@@ -54,17 +61,20 @@
 		next := at + firstEventLen(complete[at:])
 		seq, id, ok := parseEventID(complete[at:next])
 		if ok {
-			if seq <= e.lastSeq {
+			if seq <= e.read.seq {
 				return nil, false
 			}
-			e.lastSeq, e.lastID = seq, id
+			e.read.seq, e.read.id = seq, id
 		}
-		e.count++
+		e.read.count++
 		at = next
 	}
 	return complete, true
 }
 
+// setForwarded records that the events which add returned go to the caller.
+func (e *eventReader) setForwarded() { e.forwarded = e.read }
+
 // append appends to the buffer. It returns false if there is no memory.
 func (e *eventReader) append(p []byte) bool {
 	if size := len(e.buf) + len(p); size > cap(e.buf) {
@@ -101,11 +111,12 @@
 	return p
 }
 
-// restorePending puts back what takePending removed. It accepts a nil receiver.
+// restorePending puts back what takePending removed, and forgets the events that were read since and not forwarded. It
+// accepts a nil receiver.
 func (e *eventReader) restorePending(p []byte) {
 	if e != nil {
 		e.free()
-		e.buf = p
+		e.buf, e.read = p, e.forwarded
 	}
 }
 
@@ -119,7 +130,7 @@
 
 // reset discards an incomplete event, before the stream is resumed at another replica.
 func (e *eventReader) reset() {
-	e.buf, e.returned = e.buf[:0], 0
+	e.buf, e.returned, e.read = e.buf[:0], 0, e.forwarded
 	e.dropReturned()
 }
 
--- a/transport/relay/events_test.go
+++ b/transport/relay/events_test.go
@@ -116,3 +116,30 @@
 		}
 	}
 }
+
+// TestEventsThatWereNotForwardedDoNotCount guards against a stream that is broken off because a second replica's events, which
+// were dropped since the silent one went on first, count as sent: the silent one's next event then has an id that does
+// not increase.
+func TestEventsThatWereNotForwardedDoNotCount(t *testing.T) {
+	e := newEventReader("")
+	forward := func(p string) {
+		t.Helper()
+		if _, ok := e.add([]byte(p)); !ok {
+			t.Fatalf("%q is not accepted after event %q", p, e.forwarded.id)
+		}
+		e.setForwarded()
+	}
+	forward("id: 1\ndata: a\n\nid: 2\nda")
+	pending := e.takePending()
+	if _, ok := e.add([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")); !ok {
+		t.Fatal("events of the second replica are not accepted")
+	}
+	e.restorePending(pending)
+	if e.forwarded.id != "1" || e.forwarded.count != 1 {
+		t.Errorf("at event %q after %d, want 1 after 1", e.forwarded.id, e.forwarded.count)
+	}
+	forward("ta: b\n\n")
+	if e.forwarded.id != "2" || e.forwarded.count != 2 {
+		t.Errorf("at event %q after %d, want 2 after 2", e.forwarded.id, e.forwarded.count)
+	}
+}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -382,7 +382,7 @@
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
-		return s.events.lastID
+		return s.events.forwarded.id
 	}
 	return s.call.LastEventID
 }
@@ -466,7 +466,7 @@
 	s.summary.Outcome = s.attempts.Outcome
 	s.summary.CallerGone = ctx.Err() != nil
 	if s.events != nil {
-		s.summary.Events = s.events.count
+		s.summary.Events = s.events.forwarded.count
 	}
 	isComplete := true
 	switch {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -166,6 +166,7 @@
 	if !s.takeOver() {
 		return givenUp(errOvertaken)
 	}
+	s.events.setForwarded()
 	x.beginStream()
 	s.bind(&t.Replica)
 	s.recordOrigin(ctx)
