--- a/internal/soak/backoff_test.go
+++ b/internal/soak/backoff_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -195,11 +194,7 @@
 // violations.
 func playPlan(t *testing.T, plan *Plan) *Report {
 	t.Helper()
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	report, err := Play(context.Background(), plan, Options{Daemon: buildOwnDaemon(t), Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"path/filepath"
 	"testing"
 	"time"
 )
@@ -39,11 +38,7 @@
 // TestBrittleReplicasDoNotFallUnderRejections guards against a fleet whose daemons make brittle replicas reject
 // more requests than they survive, so that they terminate again and again.
 func TestBrittleReplicasDoNotFallUnderRejections(t *testing.T) {
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	binary := buildDaemon(t, root)
+	binary := buildOwnDaemon(t)
 	for _, run := range brittleRuns {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/configurations_denial_test.go
+++ b/internal/soak/configurations_denial_test.go
@@ -14,6 +14,7 @@
 // TestDenialOnKeptConnection guards against a denial that is not written, since the write deadline of an earlier
 // request on the connection is still in force: its caller would see the connection closed without a response.
 func TestDenialOnKeptConnection(t *testing.T) {
+	t.Parallel()
 	w, _ := startLinks(t)
 	c, err := net.DialTimeout("tcp4", w.fleet.daemons[0].callers.Address(), time.Second)
 	if err != nil {
--- a/internal/soak/configurations_handover_test.go
+++ b/internal/soak/configurations_handover_test.go
@@ -13,6 +13,7 @@
 // silent one would then look repeated. Half of the replicas are silent for about as long as it takes until the first
 // event of a second one arrives, the event timeout of 600 ms and the time of an event.
 func TestStreamOutlivesHandoverThatIsOff(t *testing.T) {
+	t.Parallel()
 	w, dir := startLinks(t)
 	const rounds, streams = 5, 400
 	rng := rand.New(rand.NewPCG(1, 21))
--- a/internal/soak/configurations_links_test.go
+++ b/internal/soak/configurations_links_test.go
@@ -17,7 +17,7 @@
 	if path := os.Getenv("CONFIGURATIONS_DAEMON"); path != "" {
 		return path
 	}
-	return buildDaemon(t, "../..")
+	return buildOwnDaemon(t)
 }
 
 // startLinks starts a fleet without traffic.
@@ -50,6 +50,7 @@
 // these were lost, although other daemons reach the replicas. The daemons have one stream each, and no idle
 // connections, when their links go; every second one keeps its links.
 func TestStreamOutlivesLostLinks(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []partitionMode{resetAll, silentAll, silentNoNew} {
 		t.Run(string(mode), func(t *testing.T) {
 			w, dir := startLinks(t)
--- a/internal/soak/configurations_silence_test.go
+++ b/internal/soak/configurations_silence_test.go
@@ -12,6 +12,7 @@
 // so that it rejects the request once it is no longer silent. In one case there is room at others, in the other
 // at none but the first.
 func TestStreamOutlivesLateRejection(t *testing.T) {
+	t.Parallel()
 	for _, othersFull := range []bool{false, true} {
 		t.Run(fmt.Sprintf("others_full=%v", othersFull), func(t *testing.T) {
 			w, dir := startLinks(t)
@@ -74,6 +75,7 @@
 // TestStreamOutlivesReplacedService guards against a daemon that gives up a silent replica although there is no other:
 // a configuration has given the service another name while the replica was silent.
 func TestStreamOutlivesReplacedService(t *testing.T) {
+	t.Parallel()
 	w, dir := startLinks(t)
 	const id, silence = "replaced", 1200 * time.Millisecond
 	go func() {
--- a/internal/soak/crashing_part_test.go
+++ b/internal/soak/crashing_part_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -15,10 +14,6 @@
 func TestPartsThatCrashReplicasReachFewOfThem(t *testing.T) {
 	t.Parallel()
 	const daemons, replicas = 8, 18
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
 	reply, chat := 3, 2
 	plan := &Plan{
 		Daemons: daemons, Domains: 3, Gate: 4, Chat: replicas, Callers: 5 * daemons, Trouble: time.Second, Quiet: 15 * time.Second,
@@ -27,7 +22,7 @@
 			{Route: chat, At: 5 * time.Second, Interval: 400 * time.Millisecond},
 		},
 	}
-	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	report, err := Play(context.Background(), plan, Options{Daemon: buildOwnDaemon(t), Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/crashing_test.go
+++ b/internal/soak/crashing_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -21,11 +23,7 @@
 // crashed 1.7 replicas where two attempts are allowed.
 func TestCrashingRequestsReachFewReplicas(t *testing.T) {
 	const daemons, replicas = 8, 12
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	binary := buildDaemon(t, root)
+	binary := buildOwnDaemon(t)
 	reply, once := 3, 0
 	plan := &Plan{
 		Daemons: daemons, Domains: 3, Gate: 4, Chat: replicas, Callers: 3 * daemons, Trouble: time.Second, Quiet: 11 * time.Second,
@@ -48,6 +46,43 @@
 	}
 }
 
+// ownDaemon builds the daemon of this checkout once, for all tests.
+var ownDaemon struct {
+	once   sync.Once
+	binary string
+	err    error
+}
+
+// TestMain removes the daemon that the tests share.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if ownDaemon.binary != "" {
+		_ = os.RemoveAll(filepath.Dir(ownDaemon.binary))
+	}
+	os.Exit(code)
+}
+
+// buildOwnDaemon returns the path of the daemon of this checkout.
+func buildOwnDaemon(t *testing.T) string {
+	t.Helper()
+	ownDaemon.once.Do(func() {
+		dir, err := os.MkdirTemp("", "hingewinchd")
+		if err != nil {
+			ownDaemon.err = err
+			return
+		}
+		ownDaemon.binary = filepath.Join(dir, "hingewinchd")
+		out, err := exec.Command("go", "build", "-o", ownDaemon.binary, "../../cmd/hingewinchd").CombinedOutput()
+		if err != nil {
+			ownDaemon.err = fmt.Errorf("build: %w\n%s", err, out)
+		}
+	})
+	if ownDaemon.err != nil {
+		t.Fatal(ownDaemon.err)
+	}
+	return ownDaemon.binary
+}
+
 // buildDaemon builds the daemon of a checkout, with extra arguments for go build, and returns
 // the path of the binary.
 func buildDaemon(t *testing.T, root string, args ...string) string {
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -296,11 +296,7 @@
 // request in 16 took 2,610 MB of a daemon. Once the replica is one of seven, and once all requests go to it at the
 // same time, which no ejection can prevent.
 func TestResponsesWithoutEnd(t *testing.T) {
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	binary := buildDaemon(t, root)
+	binary := buildOwnDaemon(t)
 	for _, load := range []struct {
 		name     string
 		replicas int
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -13,10 +12,6 @@
 // because their own links to all replicas are lost, although other daemons reach the replicas.
 func TestDaemonsWithoutLinksToReplicasServeTheirCallers(t *testing.T) {
 	const daemons, lasts = 8, 5500 * time.Millisecond
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
 	plan := &Plan{
 		Daemons: daemons, Domains: 3, Gate: 4, Chat: 8, Callers: 4 * daemons, Trouble: time.Second, Quiet: 5 * time.Second,
 		Partitions: []Partition{
@@ -27,7 +22,7 @@
 			{At: 23 * time.Second, For: lasts, Mode: silentAll, Daemons: []int{4}},
 		},
 	}
-	report, err := Play(context.Background(), plan, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	report, err := Play(context.Background(), plan, Options{Daemon: buildOwnDaemon(t), Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -95,11 +94,7 @@
 // playStreams plays a plan, and fails the test if streams hold events of several versions or can't be taken up.
 func playStreams(t *testing.T, p *Plan) {
 	t.Helper()
-	root, err := filepath.Abs("../..")
-	if err != nil {
-		t.Fatal(err)
-	}
-	report, err := Play(t.Context(), p, Options{Daemon: buildDaemon(t, root), Dir: t.TempDir()})
+	report, err := Play(t.Context(), p, Options{Daemon: buildOwnDaemon(t), Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
