Soak: connections to replicas are told apart by both ends

Cause: links recorded a connection under its source address alone. Connections to several replicas may have one source port at a time, so that the checker read another connection's record. Excuses of backoffs read the same records.

Change: the name of a connection has both addresses.

--- a/internal/soak/backoff.go
+++ b/internal/soak/backoff.go
@@ -40,7 +40,7 @@
 	replica  string
 	at       time.Time
 	duration time.Duration
-	conn     string // the daemon's end of the connection
+	conn     string // name of the connection
 }
 
 // drawStatements adds the faults of replicas that request a backoff, and of those that announce
@@ -119,13 +119,13 @@
 		says.Backoff = []string{"-1", "NaN", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"}[rand.IntN(4)]
 	default:
 		says.Backoff = strconv.FormatFloat(x.behaviour.Backoff.Seconds(), 'f', -1, 64)
-		x.ledger.BackoffRequested(x.id, x.ID, x.behaviour.Backoff, now, x.conn.RemoteAddr().String())
+		x.ledger.BackoffRequested(x.id, x.ID, x.behaviour.Backoff, now, x.connName())
 	}
 	return x.write(standin.NotRun(x.id, says))
 }
 
-// BackoffRequested records that the response to a request asked the daemon for a backoff. conn is the other end
-// of the replica's connection.
+// BackoffRequested records that the response to a request asked the daemon for a backoff. conn is the name
+// of the connection.
 func (l *Ledger) BackoffRequested(request, replica string, backoff time.Duration, at time.Time, conn string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/delivery.go
+++ b/internal/soak/delivery.go
@@ -12,7 +12,7 @@
 // read it. A daemon that cancels a request closes the connection without reading what has just arrived.
 const readTime = 50 * time.Millisecond
 
-// deliveries records what links to replicas delivered, by the address from which a link connects to its
+// deliveries records what links to replicas delivered, by the name of a link's connection to its
 // replica. It is safe for concurrent use.
 type deliveries struct {
 	mu    sync.Mutex
@@ -36,8 +36,11 @@
 	reset     time.Time // when a fault of the run reset it; zero: none did
 }
 
+// connName names a connection by its two addresses. Connections to several replicas may have one source port at a time.
+func connName(from, to string) string { return from + ">" + to }
+
 // open records a new connection from a daemon's IP address. It accepts a nil receiver, and then returns nil.
-func (d *deliveries) open(address, source string, now time.Time) *delivery {
+func (d *deliveries) open(conn, source string, now time.Time) *delivery {
 	if d == nil {
 		return nil
 	}
@@ -47,7 +50,7 @@
 		d.conns = make(map[string][]*delivery)
 	}
 	c := &delivery{opened: now, source: source}
-	d.conns[address] = append(d.conns[address], c)
+	d.conns[conn] = append(d.conns[conn], c)
 	return c
 }
 
@@ -87,10 +90,10 @@
 	}
 }
 
-// find returns the last connection from an address that was opened until a time, or nil. The caller must hold d.mu.
-func (d *deliveries) find(address string, at time.Time) *delivery {
+// find returns the last connection of a name that was opened until a time, or nil. The caller must hold d.mu.
+func (d *deliveries) find(conn string, at time.Time) *delivery {
 	var c *delivery
-	for _, other := range d.conns[address] {
+	for _, other := range d.conns[conn] {
 		if !other.opened.After(at) {
 			c = other
 		}
@@ -98,11 +101,11 @@
 	return c
 }
 
-// connection returns the record of the connection from an address that was open at a time, as it was then.
-func (d *deliveries) connection(address string, at time.Time) (connRecord, bool) {
+// connection returns the record of the connection of a name that was open at a time, as it was then.
+func (d *deliveries) connection(conn string, at time.Time) (connRecord, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.find(address, at)
+	c := d.find(conn, at)
 	if c == nil {
 		return connRecord{}, false
 	}
@@ -115,12 +118,12 @@
 	return record, true
 }
 
-// read reports whether a daemon must have read what a replica wrote at a time on the connection from an
-// address, and describes what became of it.
-func (d *deliveries) read(address string, at time.Time) (read bool, what string) {
+// read reports whether a daemon must have read what a replica wrote at a time on the connection of a
+// name, and describes what became of it.
+func (d *deliveries) read(conn string, at time.Time) (read bool, what string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.find(address, at)
+	c := d.find(conn, at)
 	if c == nil {
 		return true, "connection is not known"
 	}
--- a/internal/soak/delivery_test.go
+++ b/internal/soak/delivery_test.go
@@ -43,3 +43,21 @@
 		t.Error("a response on a connection that is not known is excused")
 	}
 }
+
+// TestDeliveriesTellConnectionsApart guards against a reset of one connection that is taken for one of another, to another
+// replica, with the same source port.
+func TestDeliveriesTellConnectionsApart(t *testing.T) {
+	d := &deliveries{}
+	first := d.open(connName("a:1", "b:1"), "c", at(99))
+	d.open(connName("a:1", "b:2"), "e", at(99.5))
+	d.recordReset(first, at(100))
+	for _, c := range []struct {
+		to, source string
+		reset      bool
+	}{{"b:1", "c", true}, {"b:2", "e", false}} {
+		record, ok := d.connection(connName("a:1", c.to), at(101))
+		if !ok || record.source != c.source || record.reset.IsZero() == c.reset {
+			t.Errorf("connection to %s: %+v, %t", c.to, record, ok)
+		}
+	}
+}
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	if x.crowded != nil {
-		return x.serveCrowded(&Run{Arrival: arrival, Conn: x.conn.RemoteAddr().String(), Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
+		return x.serveCrowded(&Run{Arrival: arrival, Conn: x.connName(), Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
 	}
 	x.mu.Lock()
 	x.behaviour = x.Replica.behaviour
@@ -61,7 +61,7 @@
 	defer x.releaseSlot()
 	x.run = x.ledger.Began(x.id, Run{
 		Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace,
-		Conn: x.conn.RemoteAddr().String(),
+		Conn: x.connName(),
 	})
 	if *x.surplus != "" {
 		_, _ = x.conn.Write([]byte(*x.surplus))
@@ -146,6 +146,11 @@
 	return true
 }
 
+// connName names the connection, as its link does.
+func (x *exchange) connName() string {
+	return connName(x.conn.RemoteAddr().String(), x.conn.LocalAddr().String())
+}
+
 func (x *exchange) finish(status int) { x.ledger.Ended(x.run, status, time.Now()) }
 
 // breakOffWith ends the run with a status because the replica is about to break the response off.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -64,7 +64,7 @@
 	Method, Target, Body, Workspace string
 	Status                          int       // of the replica's response; 0: none yet
 	Ended                           time.Time // zero: still running
-	// Conn is the address from which the connection of the run was opened, as the replica sees it.
+	// Conn names the connection of the run, as its link does.
 	Conn string
 	// Written is how many bytes of its response the replica has written, and LastWrite when it wrote the last ones.
 	Written   int
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -141,7 +141,7 @@
 		return
 	}
 	c.far = far.(*net.TCPConn)
-	c.delivery = l.deliveries.open(far.LocalAddr().String(), c.source, time.Now())
+	c.delivery = l.deliveries.open(connName(far.LocalAddr().String(), far.RemoteAddr().String()), c.source, time.Now())
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
