--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -116,7 +116,7 @@
 	{name: "goes on at the replica for a caller that left, through another daemon", promise: "GONE", file: "transport/tunnel/server.go",
 		text: "\t\t_ = replica.Close()\n\t})", instead: "\t})", partitions: partitionsInSeries, plain: true, callers: 4, faults: callersLeave},
 	{name: "takes a stream that ends inside an event as whole", promise: "ORDER", file: "transport/relay/response.go",
-		text: "if len(s.events.pending) > 0 {", instead: "if len(s.events.pending) > maxEventBytes {", unframed: true, plain: true, faults: truncationsInSeries},
+		text: "if s.events.pendingLen() > 0 {", instead: "if s.events.pendingLen() > maxEventBytes {", unframed: true, plain: true, faults: truncationsInSeries},
 	{name: "takes the death of another daemon for the replica's end", promise: "ORDER", file: "transport/relay/detour.go",
 		text: "if !endsWithConn(x.response) || x.conn.via == \"\" {", instead: "if x.conn != nil {", unframed: true, plain: true, partitions: partitionsInSeries, faults: killsInSeries},
 	{name: "resumes its own streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
