Soak: a request that a link kept from a replica until after the response ended

Cause: a run that began after the response had ended counted as one that the daemon broke off.

Change: such a run shows nothing where the request has other runs, which are judged as before; where it has none, it is LOST as before. It is no reason to give another run up either.

Result: the new case failed before and passes, two others are LOST.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -9,7 +9,7 @@
 //     don't count, nor those that end after their deadline, which is the route's timeout too.
 //  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
 //     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
-//     connection, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
+//     connection or kept the request from it, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
 //     something. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
 //  3. The end of a graceful shutdown may break a request off (cutByShutdown).
 //  4. Each request that an undisturbed daemon broke off is a violation, whether or not work was planned then. Around a
@@ -155,8 +155,10 @@
 			reset = r.answer.At
 		}
 	}
+	// A link of the run kept the request from a replica that it reached after the end.
+	wasHeldUp := run.At.After(r.answer.At) && len(r.runs) > 1
 	switch {
-	case j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300:
+	case wasHeldUp, j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300:
 		return false
 	case run.Status != 0:
 		return true
@@ -192,7 +194,7 @@
 			return false
 		}
 		if !other.At.Before(at) {
-			return other.Written > 0
+			return other.Written > 0 && other.At.Before(r.answer.At)
 		}
 		brokeOffJustNow := other.Written > 0 && other.Ended.After(at.Add(-readTime))
 		return other.Ended.IsZero() || other.Ended.After(at) || brokeOffJustNow
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -238,6 +238,22 @@
 			s.Ended(s.send().run("r1", 100.1), 0, at(100.15))
 			s.breaks(100.153)
 		}},
+		{"a stream that its replica breaks off, sent to another one which a link keeps it from until later", "", reply, func(s *scene) {
+			first := s.send().run("r1", 100.1)
+			s.BrokeOff(first, at(100.2))
+			s.Ended(first, 0, at(100.2))
+			s.run("r2", 100.6)
+			s.breaks(100.4)
+		}},
+		{"a stream that is given up at work, sent to another one which a link keeps it from until later", "LOST", reply, func(s *scene) {
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.2))
+			s.run("r2", 100.6)
+			s.breaks(100.4)
+		}},
+		{"a request that a link keeps from its only replica until its connection was closed", "LOST", once, func(s *scene) {
+			s.send().run("r1", 100.6)
+			s.answer(Answer{At: at(100.4), Err: errors.New("EOF")})
+		}},
 		{"a stream that is given up for a replica which then breaks it off", "", reply, func(s *scene) {
 			s.Ended(s.send().run("r1", 100.1), 0, at(100.3))
 			next := s.run("r2", 100.2)
