--- a/internal/soak/crashing_test.go
+++ b/internal/soak/crashing_test.go
@@ -83,19 +83,6 @@
 	return ownDaemon.binary
 }
 
-// buildDaemon builds the daemon of a checkout, with extra arguments for go build, and returns
-// the path of the binary.
-func buildDaemon(t *testing.T, root string, args ...string) string {
-	t.Helper()
-	binary := filepath.Join(t.TempDir(), "hingewinchd")
-	cmd := exec.Command("go", append(append([]string{"build"}, args...), "-o", binary, "./cmd/hingewinchd")...)
-	cmd.Dir = root
-	if out, err := cmd.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return binary
-}
-
 // TestCheckCrashing records crashes and later arrivals of one crashing request, through
 // daemon 0 unless another one is named.
 func TestCheckCrashing(t *testing.T) {
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -144,3 +145,16 @@
 	}
 	return buildDaemon(t, root, "-overlay", overlay)
 }
+
+// buildDaemon builds the daemon of a checkout, with extra arguments for go build, and returns
+// the path of the binary.
+func buildDaemon(t *testing.T, root string, args ...string) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "hingewinchd")
+	cmd := exec.Command("go", append(append([]string{"build"}, args...), "-o", binary, "./cmd/hingewinchd")...)
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
