--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -10,7 +10,6 @@
 //     work on it. coordination/routing/handover.go decides which of the two keeps it after that.
 //  4. If no other replica takes the call, it goes back to waiting for the silent one, and tries again after the next
 //     timeout, until its deadline.
-//
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
 //     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it.
 //
@@ -30,7 +29,7 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// maxOverlap is how long two replicas may have a call. Replicas reject at once what they can't take.
+// maxOverlap is how long two replicas may have a call. A replica that is not silent rejects at once what it can't take.
 const maxOverlap = 250 * time.Millisecond
 
 // attemptState is what an attempt holds while it is under way.
