Relay: names that say what functions change; comments of the failover

From the review: mayGoBack and excludeCutOff change the attempts, and read as a question and as an operation on a list; they are planReturn and excludeIfCutOff. lastProbeWait is about the call's last attempt, freeBytes about buffers that are not counted. Attempts.Sent says that excluded replicas are left out.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -46,7 +46,7 @@
 // Attempts is the state of one request's attempts. It must be used by one goroutine only.
 type Attempts struct {
 	Route *Route
-	// Sent is how many replicas the request was written to.
+	// Sent is how many replicas the request was written to, without those that were excluded (ExcludeLast).
 	Sent int
 	// ResponseStarted means that the caller has received bytes of a response.
 	ResponseStarted bool
--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -93,7 +93,7 @@
 func (e *eventReader) dropReturned() {
 	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
 	e.returned = 0
-	if len(e.buf) == 0 && cap(e.buf) > freeBytes {
+	if len(e.buf) == 0 && cap(e.buf) > uncountedBytes {
 		e.free()
 	}
 }
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -231,8 +231,9 @@
 	return nil
 }
 
-// mayGoBack reports whether the call goes back to the replica that it abandoned for one that has rejected it.
-func (s *activeCall) mayGoBack(f *failure) bool {
+// planReturn decides, after a failed attempt, whether the call returns to the replica that it abandoned, since the one
+// that took it over has rejected it. If so, the latter no longer counts towards the route's replicas.
+func (s *activeCall) planReturn(f *failure) bool {
 	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
 }
 
--- a/transport/relay/held.go
+++ b/transport/relay/held.go
@@ -1,7 +1,7 @@
 // This file bounds the memory that a daemon holds for parts of responses which can't be forwarded yet: bodies that are
 // forwarded as a whole, and events that are not complete.
 //
-//  1. A buffer of up to freeBytes is always granted: connections are limited, and most responses are no larger.
+//  1. A buffer of up to uncountedBytes is always granted: connections are limited, and most responses are no larger.
 //  2. Larger ones share maxHeldBytes over all requests. A response that needs more is given up, as if it were broken;
 //     that does not count against its replica, since others may have used up the memory.
 
@@ -15,8 +15,8 @@
 )
 
 const (
-	// freeBytes is the size of a buffer that is not counted, in bytes.
-	freeBytes = 64 << 10
+	// uncountedBytes is the size of a buffer that is not counted, in bytes.
+	uncountedBytes = 64 << 10
 	// maxHeldBytes is the size of all counted buffers of a daemon, in bytes: five responses of the largest size at
 	// once. A daemon has 284 MB and needs up to 60 MB for itself; garbage takes about as much as what is held.
 	maxHeldBytes = 48 << 20
@@ -32,7 +32,7 @@
 
 // counted returns how much of a buffer counts.
 func counted(size int) int64 {
-	if size <= freeBytes {
+	if size <= uncountedBytes {
 		return 0
 	}
 	return int64(size)
@@ -79,7 +79,7 @@
 	}
 	if resp.ContentLength >= 0 {
 		largest = int(resp.ContentLength)
-		size = min(largest, freeBytes)
+		size = min(largest, uncountedBytes)
 	}
 	body := make([]byte, 0, size)
 	for {
--- a/transport/relay/held_test.go
+++ b/transport/relay/held_test.go
@@ -72,7 +72,7 @@
 	if whole != 5 {
 		t.Errorf("%d of the largest bodies are held at once, want 5", whole)
 	}
-	if body, err := held.readBody(&http.Response{ContentLength: freeBytes, Body: zeros(freeBytes)}); err != nil || len(body) != freeBytes {
+	if body, err := held.readBody(&http.Response{ContentLength: uncountedBytes, Body: zeros(uncountedBytes)}); err != nil || len(body) != uncountedBytes {
 		t.Errorf("a small body: %d bytes, %v", len(body), err)
 	}
 }
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -11,8 +11,8 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// lastProbeWait is how long a call waits for probes that decide whether it has another attempt.
-const lastProbeWait = 500 * time.Millisecond
+// lastAttemptProbeWait is how long a call waits for probes that decide whether it has another attempt.
+const lastAttemptProbeWait = 500 * time.Millisecond
 
 // reportLink records what an exchange that failed says about this daemon's own link to the replica.
 func (s *activeCall) reportLink(ctx context.Context, x *exchange, r *routing.Replica, f *failure) {
@@ -25,7 +25,7 @@
 	case f.result == routing.ResultBroken && !x.conn.reused:
 		// That an idle connection broke may mean that the replica closed it.
 		s.Pool.reach.Failed(r, s.replicas(r), clock.Now())
-		s.excludeCutOff(ctx, r)
+		s.excludeIfCutOff(ctx, r)
 	}
 }
 
@@ -46,15 +46,15 @@
 	}
 }
 
-// excludeCutOff is called when a new connection to a replica broke before it brought anything. If an earlier one broke in
+// excludeIfCutOff is called when a new connection to a replica broke before it brought anything. If an earlier one broke in
 // the call too, two replicas are not reached. If probes confirm that the links are down, the replica does not count towards
 // those that the route allows: it is cut off.
-func (s *activeCall) excludeCutOff(ctx context.Context, r *routing.Replica) {
+func (s *activeCall) excludeIfCutOff(ctx context.Context, r *routing.Replica) {
 	if s.broken == nil || s.broken.ID == r.ID {
 		return
 	}
 	s.Pool.reach.Failed(s.broken, s.replicas(r), clock.Now())
-	s.Pool.awaitProbes(ctx, r.Service, min(lastProbeWait, clock.Until(s.call.Deadline)-routing.ReturnMargin))
+	s.Pool.awaitProbes(ctx, r.Service, min(lastAttemptProbeWait, clock.Until(s.call.Deadline)-routing.ReturnMargin))
 	if s.Pool.reach.State(r.Service) == routing.LinksDown {
 		s.attempts.ExcludeLast()
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -145,7 +145,7 @@
 	if failure.result == routing.ResultUnreachable && target.Replica.Domain != s.View().Domain {
 		s.tried.RemoteUnreachable = true
 	}
-	s.goesBack = s.mayGoBack(failure)
+	s.goesBack = s.planReturn(failure)
 	return s.attempts.RecordFailure(failure.outcome)
 }
 
