--- a/coordination/routing/handover.go
+++ b/coordination/routing/handover.go
@@ -5,8 +5,8 @@
 // Inputs: whether the caller has received events of the response, and what the second replica has sent to this
 // daemon. The rule:
 //
-//  1. The second one keeps a call whose caller has received nothing. If it rejects the call, the caller gets an error
-//     response and may try again.
+//  1. The second one keeps a call whose caller has received nothing. If it rejects the call, that returns to the first one,
+//     or the caller gets an error response and may try again.
 //  2. The second one keeps a stream that has begun, unless it is silent too: minSilentStreams other streams of this daemon
 //     have begun there, and nothing has arrived from it since the call was sent. A replica that sends nothing has not
 //     accepted the call by not rejecting it. It may still do so, and the stream would be broken off.
