Soak: configurations in series are published through the stand-in's PutConfig

The stand-in's Service has that field now, left out where it is 0, and PutConfig writes the document; the encoding was there twice.

What daemons read is the same. TestStreamOutlivesReplacedService, TestConfigurationsPlan, TestConfigurationsBreakNothingOff and TestDenialOnKeptConnection pass, with platform's and layout's tests; format, vet and linter are clean.

--- a/internal/soak/configurations_run.go
+++ b/internal/soak/configurations_run.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -277,21 +276,12 @@
 	})
 }
 
-// limitedService is a service with a limit of connections.
-type limitedService struct {
-	standin.Service
-	MaxConnections int `json:"max_connections,omitempty"`
-}
-
 // publish writes the next version of the configuration.
 func (w *configurationsRun) publish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	c := struct {
-		standin.Config
-		Services []limitedService `json:"services"`
-	}{Config: standin.Config{Version: w.version}}
+	c := &standin.Config{Version: w.version}
 	for _, r := range pacedRoutes {
 		service, more := w.model, 0
 		if !r.Stream {
@@ -318,20 +308,16 @@
 	if w.limited {
 		model, plain = model*9/10, plain*9/10
 	}
-	c.Services = []limitedService{
-		{standin.Service{Name: w.model, Engine: &standin.Engine{Copies: w.limited}}, model},
-		{standin.Service{Name: servicePlain}, plain}, {standin.Service{Name: servicePlainToo}, plain},
+	c.Services = []standin.Service{
+		{Name: w.model, Engine: &standin.Engine{Copies: w.limited}, MaxConnections: model},
+		{Name: servicePlain, MaxConnections: plain}, {Name: servicePlainToo, MaxConnections: plain},
 	}
 	c.Workspaces = []standin.Workspace{{Name: "callers", Keys: []string{pacedKey}, Priority: w.priority}}
 	for i := range w.keys {
 		c.Workspaces = append(c.Workspaces, standin.Workspace{Name: "other-" + itoa(i), Keys: []string{"other-key-" + itoa(i)}})
 	}
-	text, err := json.Marshal(c)
-	if err != nil {
-		panic("encode configuration: " + err.Error())
-	}
 	w.published = append(w.published, time.Now())
-	w.store.Put("op/config", text)
+	w.store.PutConfig(c)
 }
 
 // change publishes a configuration with a change.
