Control loop: a daemon that is cut off builds no view on every tick

Callers saw nothing; each tick of a daemon that hears neither the store nor all daemons began its history of versions anew and built a view for it, ten a second with 4,500 replicas, for as long as the cut lasts. Cause: updateBehind published with each new beginning, though while a daemon may be behind no request reads the history (streamOrigins.OnlyVersion). Change: the history begins anew on each tick as before; a view is built when the time ends, with the beginning of that moment. Evidence: the new test failed (a view on the first tick) and passes. Ruled out: beginning anew only once, since what came and went until the end would then count as known.

--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -358,7 +358,9 @@
 		return
 	}
 	c.log.Paused(now.Sub(*last))
-	c.interruptHistory(now)
+	if c.interruptHistory(now) {
+		c.publish(now)
+	}
 	if old := c.readPlan.Load(); old != nil {
 		c.setReadPlan(old.ReadPlan)
 	}
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -69,21 +69,27 @@
 	c.publish(now)
 }
 
-// interruptHistory begins the history of versions anew, since this daemon may have missed some.
-func (c *control) interruptHistory(now time.Time) {
+// interruptHistory begins the history of versions anew, since this daemon may have missed some. It reports whether
+// the view has to be built again.
+func (c *control) interruptHistory(now time.Time) bool {
 	if c.catalog.versions.Since().IsZero() {
-		return
+		return false
 	}
 	c.catalog.versions.Begin(c.catalog.feed.Position(), now)
-	c.publish(now)
+	return true
 }
 
 // updateBehind determines whether documents may be missing here that other daemons have: no known daemon
-// reads the store, and some daemon is not heard, which may read it.
+// reads the store, and some daemon is not heard, which may read it. While that lasts the history that requests
+// see does not count (streamOrigins.OnlyVersion), so that a view is built only at its end.
 func (c *control) updateBehind(now time.Time) {
 	isBehind := !c.roster.HasStoreReader(now) && !c.roster.HearsAll(now)
-	if isBehind || c.mayBeBehind.Load() {
-		c.interruptHistory(now)
+	wasBehind := c.mayBeBehind.Load()
+	if isBehind || wasBehind {
+		isNew := c.interruptHistory(now)
+		if isNew && !isBehind {
+			c.publish(now)
+		}
 	}
 	c.mayBeBehind.Store(isBehind)
 }
--- a/daemon/routes/versions_test.go
+++ b/daemon/routes/versions_test.go
@@ -142,3 +142,30 @@
 		t.Errorf("tells a history of %v", answer.versions.Complete)
 	}
 }
+
+// TestCutOffDaemonKeepsItsView guards against a view that is built on every tick while a daemon is cut off, and against
+// one that still counts the history of before when that ends.
+func TestCutOffDaemonKeepsItsView(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	applyRelease(c, now.Add(-time.Minute))
+	c.roster = membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, []membership.Address{"10.0.0.1:1", "10.0.0.9:1"})
+	c.roster.SetStoreUnreachable(true)
+	before := c.view.Load()
+	for range 3 {
+		now = now.Add(100 * time.Millisecond)
+		c.updateBehind(now)
+	}
+	if c.view.Load() != before {
+		t.Error("built a view while it was cut off")
+	}
+	if onlyVersion(c) {
+		t.Error("knows of one version while it is cut off")
+	}
+	c.roster.SetStoreUnreachable(false)
+	now = now.Add(100 * time.Millisecond)
+	c.updateBehind(now)
+	if got := c.view.Load().VersionsSince; !got.Equal(now) {
+		t.Errorf("counts the history since %v after a cut that ended at %v", got, now)
+	}
+}
