Test of responses without end: its daemons settle at the same time; one function for each step

Change: the daemons of the first half start together and settle once; their loads are played one after the other as before, so that nothing runs beside a load but idle daemons. The body of the test is split by step. Checks, bounds and loads are the same. Ruled out: loads at the same time, which would judge the machine too.

--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -294,81 +294,114 @@
 	return o
 }
 
+// endlessLoad is a number of replicas, one of which is faulty, and the requests that callers send.
+type endlessLoad struct {
+	replicas int
+	oneIn    int64 // of the requests to the faulty replica gets a response without end
+	callers  int
+	pause    time.Duration // of a caller, between two requests
+}
+
+// endlessFleet is one daemon with replicas of which one responds without end.
+type endlessFleet struct {
+	load   endlessLoad
+	form   *endlessForm
+	faulty *endlessReplica
+	daemon *endlessDaemon
+}
+
+// endlessConfig returns the configuration of a store: a route whose responses have a length, and one of streams.
+func endlessConfig() *standin.Config {
+	route := func(name, prefix string) standin.Route {
+		return standin.Route{
+			Name: name, Host: routeHost, Prefix: prefix, TimeoutMS: endlessTimeout.Milliseconds(),
+			FirstByteMS: firstByteTargetMS, EventMS: eventTargetMS, Service: serviceGate, Attempts: 2,
+		}
+	}
+	safe, reply := route("safe", prefixSafe), route("reply", prefixReply)
+	safe.Kind = standin.KindIdempotent
+	reply.Kind, reply.Resumable = standin.KindStream, true
+	return &standin.Config{
+		Version: 1, Services: []standin.Service{{Name: serviceGate}},
+		Workspaces: []standin.Workspace{{Name: "w", Keys: []string{"k"}}}, Routes: []standin.Route{safe, reply},
+	}
+}
+
+func startEndlessFleet(t *testing.T, binary string, load endlessLoad, form *endlessForm) *endlessFleet {
+	t.Helper()
+	store := standin.NewStore(50)
+	endpoint, err := store.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(endpoint.Close)
+	store.PutConfig(endlessConfig())
+	f := &endlessFleet{load: load, form: form, faulty: startEndlessReplica(t, "r0", form, load.oneIn)}
+	replicas := []*endlessReplica{f.faulty}
+	for n := 1; n < load.replicas; n++ {
+		replicas = append(replicas, startEndlessReplica(t, "r"+itoa(n), form, 0))
+	}
+	for _, r := range replicas {
+		store.PutReplica(standin.Replica{ID: r.id, Service: serviceGate, Address: r.listener.Addr().String(), Domain: "z", Slots: 64, StartTime: time.Now().UnixMilli()})
+	}
+	f.daemon = startEndlessDaemon(t, binary, endpoint.Address())
+	return f
+}
+
+// play sends the load and checks what the callers saw and what the daemon held.
+func (f *endlessFleet) play(t *testing.T) {
+	d := f.daemon
+	o := d.load(f.load.callers, f.load.pause, f.form.stream)
+	total := 0
+	for _, n := range o.counts {
+		total += n
+	}
+	t.Logf("%d MB resident at most; %d requests, %d of them met a response without end; %v", d.peakMB.Load(), total, f.faulty.endless.Load(), o.counts)
+	if peak := d.peakMB.Load(); peak > endlessMemoryMB {
+		t.Errorf("the daemon held %d MB, of %d", peak, endlessMemoryMB)
+	}
+	if f.faulty.endless.Load() == 0 {
+		t.Error("no request met a response without end")
+	}
+	if d.call("after", f.form.stream) == "refused connection" {
+		t.Error("the daemon has ended")
+	}
+	if f.load.replicas > 1 && float64(o.counts["whole"]) < endlessMinServed*float64(total) {
+		t.Errorf("%d of %d requests were served", o.counts["whole"], total)
+	}
+	for _, what := range []string{"wrong body", "closed"} {
+		if o.counts[what] > 0 {
+			t.Errorf("%d requests: %s", o.counts[what], what)
+		}
+	}
+	if f.load.replicas == 1 && o.counts["whole"] > 0 {
+		t.Errorf("%d responses without end count as whole", o.counts["whole"])
+	}
+}
+
 // TestResponsesWithoutEnd guards against a replica whose response never ends and fills the memory of the daemon until
 // it is killed, which breaks off all its requests: one of seven replicas that sent one endless header line to one
 // request in 16 took 2,610 MB of a daemon. Once the replica is one of seven, and once all requests go to it at the
 // same time, which no ejection can prevent.
 func TestResponsesWithoutEnd(t *testing.T) {
 	binary := buildOwnDaemon(t)
-	for _, load := range []struct {
-		name     string
-		replicas int
-		oneIn    int64
-		callers  int
-		pause    time.Duration
-	}{
-		{"one of seven replicas", 7, endlessOneIn, 12, 10 * time.Millisecond},
-		{"all requests at once", 1, 1, 48, 0},
-	} {
+	t.Run("one of seven replicas", func(t *testing.T) {
+		load := endlessLoad{replicas: 7, oneIn: endlessOneIn, callers: 12, pause: 10 * time.Millisecond}
+		fleets := make([]*endlessFleet, len(endlessForms))
+		for i := range endlessForms {
+			fleets[i] = startEndlessFleet(t, binary, load, &endlessForms[i])
+		}
+		time.Sleep(endlessSettling)
+		for _, f := range fleets {
+			t.Run(f.form.name, f.play)
+		}
+	})
+	t.Run("all requests at once", func(t *testing.T) {
+		load := endlessLoad{replicas: 1, oneIn: 1, callers: 48}
 		for i := range endlessForms {
-			form := &endlessForms[i]
-			t.Run(load.name+"/"+form.name, func(t *testing.T) {
-				store := standin.NewStore(50)
-				endpoint, err := store.Open()
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(endpoint.Close)
-				store.PutConfig(&standin.Config{
-					Version: 1, Services: []standin.Service{{Name: serviceGate}}, Workspaces: []standin.Workspace{{Name: "w", Keys: []string{"k"}}},
-					Routes: []standin.Route{
-						{Name: "safe", Host: routeHost, Prefix: prefixSafe, Kind: standin.KindIdempotent, TimeoutMS: endlessTimeout.Milliseconds(), FirstByteMS: firstByteTargetMS, EventMS: eventTargetMS, Service: serviceGate, Attempts: 2},
-						{Name: "reply", Host: routeHost, Prefix: prefixReply, Kind: standin.KindStream, TimeoutMS: endlessTimeout.Milliseconds(), FirstByteMS: firstByteTargetMS, EventMS: eventTargetMS, Service: serviceGate, Attempts: 2, Resumable: true},
-					},
-				})
-				var faulty *endlessReplica
-				for n := range load.replicas {
-					oneIn := load.oneIn
-					if n > 0 {
-						oneIn = 0
-					}
-					r := startEndlessReplica(t, "r"+itoa(n), form, oneIn)
-					if n == 0 {
-						faulty = r
-					}
-					store.PutReplica(standin.Replica{ID: r.id, Service: serviceGate, Address: r.listener.Addr().String(), Domain: "z", Slots: 64, StartTime: time.Now().UnixMilli()})
-				}
-				d := startEndlessDaemon(t, binary, endpoint.Address())
-				if load.replicas > 1 {
-					time.Sleep(endlessSettling)
-				}
-				o := d.load(load.callers, load.pause, form.stream)
-				total := 0
-				for _, n := range o.counts {
-					total += n
-				}
-				t.Logf("%d MB resident at most; %d requests, %d of them met a response without end; %v", d.peakMB.Load(), total, faulty.endless.Load(), o.counts)
-				if peak := d.peakMB.Load(); peak > endlessMemoryMB {
-					t.Errorf("the daemon held %d MB, of %d", peak, endlessMemoryMB)
-				}
-				if faulty.endless.Load() == 0 {
-					t.Error("no request met a response without end")
-				}
-				if d.call("after", form.stream) == "refused connection" {
-					t.Error("the daemon has ended")
-				}
-				if load.replicas > 1 && float64(o.counts["whole"]) < endlessMinServed*float64(total) {
-					t.Errorf("%d of %d requests were served", o.counts["whole"], total)
-				}
-				for _, what := range []string{"wrong body", "closed"} {
-					if o.counts[what] > 0 {
-						t.Errorf("%d requests: %s", o.counts[what], what)
-					}
-				}
-				if load.replicas == 1 && o.counts["whole"] > 0 {
-					t.Errorf("%d responses without end count as whole", o.counts["whole"])
-				}
+			t.Run(endlessForms[i].name, func(t *testing.T) {
+				startEndlessFleet(t, binary, load, &endlessForms[i]).play(t)
 			})
 		}
-	}
+	})
 }
