Admission: a pause of the coordinator refuses no queued ask and grants no place twice

Daemons that wait for an answer ask the coordinators of their failure domains, and return with its next reply. Each change makes a queued ask a new one, which is refused because its target has passed. The coordinator then grants the places that others have granted meanwhile, because no message has told it of them yet.

Change: - An ask that some coordinator has queued says so, by key 0 among the replicas it was sent to, and is not refused for its estimated wait. Messages keep their form; the previous build takes the key for a replica it does not know. A grant of another coordinator is reported to the one that is asked at once.

It works because both faults come from what the coordinators do not know of each other, and each daemon knows both: what was queued for it, and what it was granted by whom.

Ruled out: a change of the time to silence, which delays all asks when a coordinator dies; a new field, which the previous build does not read.

--- a/coordination/admission/asks.go
+++ b/coordination/admission/asks.go
@@ -7,13 +7,22 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
 )
 
+// queuedMark in [Ask.Tried] says that a coordinator has queued the ask, so that another one does not refuse
+// it. Coordinators of the previous build take it for a replica that they do not know. Messages are arrays of
+// fixed length, to which those could not accept a new field. A replica with this key, one of 2^32, would lose
+// no more than the requests that come from another coordinator.
+const queuedMark routing.LoadKey = 0
+
 // pendingAsk is an ask without a decision.
 type pendingAsk struct {
 	Ask
 	asked, target, deadline time.Time
 	queued                  bool     // by the current coordinator
+	wasQueued               bool     // by any coordinator
 	mayNotWait              bool     // it is given up unless a place is free
 	listed                  Sequence // of the last message to the current coordinator that lists it; 0: none
 }
@@ -67,6 +76,10 @@
 		if a.mayNotWait {
 			ask.UntilDeadline = 0
 		}
+		if a.wasQueued {
+			// The last ones are sent if there are more than fit.
+			ask.Tried = append(slices.Clone(a.Tried), queuedMark)
+		}
 		out = append(out, ask)
 	}
 	return out
@@ -88,8 +101,9 @@
 
 // recordQueued records that a coordinator has queued an ask.
 func (c *client) recordQueued(l *link, id PermitID) {
-	if i := c.indexOfAsk(id); i >= 0 && l == c.current {
-		c.asks[i].queued = true
+	if i := c.indexOfAsk(id); i >= 0 {
+		c.asks[i].wasQueued = true
+		c.asks[i].queued = c.asks[i].queued || l == c.current
 	}
 }
 
--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -43,7 +43,9 @@
 //     sent before; every askingEvery while asks wait; every holdingEvery while permits are held.
 //  8. A reply to a former incarnation of this daemon is ignored. A grant is accepted from any
 //     coordinator, as long as the ask has no decision. A refusal counts only from the coordinator
-//     that is currently asked. A grant that is not needed is returned by a message that does not
+//     that is currently asked, in answer to a message since it was chosen: one that was paused
+//     decides on what it was sent before, while another coordinator has queued the ask. A message
+//     marks the asks that some coordinator has queued. A grant that is not needed is returned by a message that does not
 //     list it, unneededAfter later; before that, the coordinator would take the grant to be still
 //     on its way.
 //  9. An ask without a decision is refused when its deadline passes, and at once when the service
@@ -207,6 +209,7 @@
 	current  *link
 	former   target    // the one before current
 	switched time.Time // when current was chosen
+	before   Sequence  // of the last message before that
 	chosen   bool      // current is up to date
 	until    time.Time // when it no longer is; zero without a limit
 	probes   []target  // silent daemons ahead of the current coordinator
@@ -279,7 +282,7 @@
 	if c.current != nil {
 		c.former = c.current.to
 	}
-	c.current, c.switched = c.link(to), now
+	c.current, c.switched, c.before = c.link(to), now, c.d.sequence
 	if len(c.asks) > 0 || len(c.held) > 0 {
 		c.current.schedule(now)
 	}
@@ -499,15 +502,15 @@
 		c.saturate(now)
 	}
 	for _, d := range r.Decisions {
-		c.decide(l, d, r.From, now)
+		c.decide(l, d, r, now)
 	}
 	if l == c.current && c.hasUnlisted() {
 		l.schedule(now)
 	}
 }
 
-// decide applies a decision, by rule 8.
-func (c *client) decide(l *link, d Decision, from membership.Address, now time.Time) {
+// decide applies a decision of a reply, by rule 8.
+func (c *client) decide(l *link, d Decision, r *PermitReply, now time.Time) {
 	switch d := d.(type) {
 	case Queued:
 		if c.endWait(l, d.ID, now) {
@@ -529,17 +532,23 @@
 		}
 		c.held = append(c.held, heldPermit{id: d.ID, replica: d.Replica, from: l})
 		l.held++
-		c.reportDecision(a, d, l, from, now)
+		if l != c.current && c.current != nil {
+			c.current.schedule(now) // it would grant the place a second time
+		}
+		c.reportDecision(a, d, l, r.From, now)
 	case Refused:
-		if c.endWait(l, d.ID, now) || l != c.current {
+		if c.endWait(l, d.ID, now) || l != c.current || c.isFromBefore(r) {
 			return
 		}
 		if a := c.removeAsk(d.ID); a != nil {
-			c.reportDecision(a, d, l, from, now)
+			c.reportDecision(a, d, l, r.From, now)
 		}
 	}
 }
 
+// isFromBefore reports whether a reply of the current coordinator answers a message from before it was chosen.
+func (c *client) isFromBefore(r *PermitReply) bool { return r.Answers > 0 && r.Answers <= c.before }
+
 // reportDecision adds the effect that tells this daemon a decision on an ask.
 func (c *client) reportDecision(a *pendingAsk, d Decision, l *link, from membership.Address, now time.Time) {
 	c.d.effects = append(c.d.effects, Decided{Service: c.service, Decision: d, Coordinator: from,
--- a/coordination/admission/client_world_test.go
+++ b/coordination/admission/client_world_test.go
@@ -67,6 +67,8 @@
 	decided  time.Time
 	decision Decision
 	alone    bool
+	by       membership.Address // the coordinator that decided
+	beyond   bool               // it was granted when all places of its replica were occupied
 }
 
 type world struct {
@@ -337,7 +339,7 @@
 		panic("a second decision on one ask")
 	}
 	delete(w.asks, key)
-	r.decided, r.decision, r.alone = w.now, e.Decision, e.Alone
+	r.decided, r.decision, r.alone, r.by = w.now, e.Decision, e.Alone, e.Coordinator
 	g, ok := e.Decision.(Granted)
 	if !ok {
 		return
@@ -345,6 +347,7 @@
 	result, takes := Completed, w.takes
 	if n.reaches(w.replicas[g.Replica-1]) {
 		w.use[g.Replica]++
+		r.beyond = w.use[g.Replica] > w.replicas[g.Replica-1].Slots+extraPlaces
 		w.sample()
 	} else {
 		result, takes = Failed, ms(5)
--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -32,9 +32,10 @@
 //  6. An ask gets a permit at once if a place is free for it: nobody in the queue can use that
 //     place. An ask whose caller was asked to come back now is queued ahead of the others. Another
 //     ask is refused if other asks go before it and, at the present throughput, its wait would take
-//     more than queueShare of the time until its target less the usual time. An ask is also refused
-//     if its request was sent to all replicas. All others are queued, and are granted in the order
-//     of the queue.
+//     more than queueShare of the time until its target less the usual time. An ask that another
+//     coordinator has queued is not refused for that: its caller has waited, maybe for longer than
+//     the target. An ask is also refused if its request was sent to all replicas. All others are
+//     queued, and are granted in the order of the queue.
 //  7. A queued ask is dropped if its daemon no longer lists it, if its deadline has passed, and if
 //     its daemon has been silent for silentAfter. A message that lists MaxPending asks, the most that
 //     fit, drops no others: an ask that more urgent ones displaced from the message would otherwise
@@ -44,7 +45,10 @@
 //     been granted since. A daemon whose queued ask is granted gets a reply without a message. A
 //     coordinator without replicas does not reply: it knows nothing of the service yet, and daemons
 //     ask another one if a coordinator is silent.
-//  9. While the replicas are brittle, other bounds hold (strict.go).
+//  9. A coordinator whose process was paused for so long that daemons found it silent grants no permit
+//     for resumeTime. Others have granted the same places meanwhile. Its replies to the messages that
+//     came in the pause bring those daemons back, with a message that lists these permits.
+//  10. While the replicas are brittle, other bounds hold (strict.go).
 
 package admission
 
@@ -96,6 +100,8 @@
 	maxClosed = time.Second
 	// maxPause bounds the pause after a request that took long, or while the share is not known.
 	maxPause = 200 * time.Millisecond
+	// resumeTime is the time for a reply and the message that follows it.
+	resumeTime = repeatAfter
 	// rounding is the part of a place by which a share may be inexact.
 	rounding = 1e-6
 )
@@ -133,6 +139,7 @@
 	speed     serviceSpeed
 	tally     tally
 	paused    time.Time // until when no permit is granted, because the share is less than a place
+	resumes   time.Time // until when no permit is granted, because the process was paused, rule 9
 	strict    strictMode
 	busyUntil time.Time // until when the service is saturated
 }
@@ -385,11 +392,8 @@
 		id := list[i].ID
 		a := d.asks[id]
 		p := d.permits[id]
-		if a == nil || isGranted(a) && p == nil {
-			a = &ask{waiting: waiting{
-				Ask: list[i], from: d.address, asked: now,
-				target: now.Add(list[i].UntilTarget), deadline: now.Add(list[i].UntilDeadline),
-			}}
+		if a == nil || isGranted(a) && p == nil || a.isToDecideAgain(&list[i], now) {
+			a = newAsk(d.address, list[i], now)
 			d.asks[id] = a
 			if p != nil && p.counts {
 				a.decision = Granted{ID: id, Replica: p.replica}
@@ -414,6 +418,21 @@
 	return added
 }
 
+// newAsk returns an ask that a daemon lists for the first time.
+func newAsk(from membership.Address, listed Ask, now time.Time) *ask {
+	return &ask{waiting: waiting{
+		Ask: listed, from: from, asked: now, wasQueued: slices.Contains(listed.Tried, queuedMark),
+		target: now.Add(listed.UntilTarget), deadline: now.Add(listed.UntilDeadline),
+	}}
+}
+
+// isToDecideAgain reports whether an ask was refused here because this coordinator did not know that
+// another one had queued it. Its daemon ignored that decision.
+func (a *ask) isToDecideAgain(listed *Ask, now time.Time) bool {
+	_, refused := a.decision.(Refused)
+	return refused && !a.wasQueued && slices.Contains(listed.Tried, queuedMark) && now.Before(a.deadline)
+}
+
 func isGranted(a *ask) bool {
 	_, granted := a.decision.(Granted)
 	return granted
@@ -489,6 +508,9 @@
 	if c.strict.on && w.UntilDeadline <= 0 {
 		return true // it is not to wait, see replica_pool.go
 	}
+	if w.wasQueued {
+		return false
+	}
 	usual := c.speed.usual()
 	ahead := c.queue.ahead(w, usual, now)
 	if ahead == 0 {
@@ -584,9 +606,16 @@
 	return r.requests() < c.placesOf(r) && !(r.failures > 0 && r.permits > 0) && !now.Before(r.closedUntil)
 }
 
+// detectShortPause implements rule 9. A daemon that decides alone grants to itself only.
+func (g *running) detectShortPause(now time.Time) {
+	if !g.alone && !g.tick.IsZero() && now.Sub(g.tick) >= pausedAfter {
+		g.resumes = now.Add(resumeTime)
+	}
+}
+
 // isPaused reports whether no permit is granted for a while.
 func (c *Coordinator) isPaused(now time.Time) bool {
-	return now.Before(c.paused) || now.Before(c.strict.learningUntil)
+	return now.Before(c.paused) || now.Before(c.resumes) || now.Before(c.strict.learningUntil)
 }
 
 // requests returns the number of requests at a replica.
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -339,6 +339,7 @@
 // take passes a request to the coordinator.
 func (g *running) take(r *PermitRequest, domain state.FailureDomain, now time.Time) {
 	g.detectPause(now)
+	g.detectShortPause(now)
 	g.Receive(r, domain, now)
 	g.received, g.replies = now, true
 	if g.tick.IsZero() {
@@ -372,6 +373,7 @@
 	for _, g := range d.coordinators {
 		if !g.tick.IsZero() && !now.Before(g.tick) {
 			g.detectPause(now)
+			g.detectShortPause(now)
 			g.Tick(now)
 			g.tick, g.replies = time.Time{}, true
 			if now.Before(g.received.Add(g.idleAfter())) {
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -58,7 +58,7 @@
 	// UntilDeadline is the time left until the caller's deadline.
 	UntilTarget   time.Duration
 	UntilDeadline time.Duration
-	Tried         []routing.LoadKey // replicas that the request was already sent to
+	Tried         []routing.LoadKey // replicas that the request was already sent to; see queuedMark
 }
 
 // Result is how a request with a permit ended at its replica.
