Admission: a rejection narrows the window of a brittle replica instead of closing it for one rejection's time

Cause: the coordinator on each side of the cut grants all places of a replica. A rejection closed the replica for the time of one rejection, however many came together, and then all its places were granted again at once, so that the next rejections came together too. When the queues of the replicas are cut, or the other side has filled the replica, up to a slot's worth of requests each is rejected within milliseconds.

Evidence: TestCoordinatorsOfACutFleetShareABrittleReplica (two and three coordinators of one replica of six slots, asks that always wait, virtual time) on the code before: 10 to 24 rejections within a second where 3 or 4 are survived, all 20 of 20 replicas fall in each case.

Change: window.go. The first rejection leaves a coordinator a third of the requests that it has at the replica, after a pause in which the replica does what it has; it widens by one place for each rejection that the coordinator may cause; a rejection before that leaves what the replica has, and puts the widening off by a step more than the rejection before.

Measured: the test has at most 3 rejections within a second with two coordinators (0 of 20 replicas fall), 4 and 5 with three (1 of 20). TestBrittleReplicasUnderLoad, where nothing is cut, gives the same figures as before.

Ruled out, tried in the test: halves in place of thirds (three coordinators: 6 and 7 rejections within a second), no pause (5), a further third with each rejection (both sides in step use .59 to .61 of the slots). Left: with limits 1 and 2, two coordinators that each cause a rejection or two before they know still exceed the limit (3 of 20 replicas with a limit of 2).

--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -146,6 +146,7 @@
 	failures    int         // permitted requests that failed since one was completed
 	closedUntil time.Time   // until when it gets no permit, by rule 5
 	lingering   []time.Time // until when requests that were given up still occupy a place, in order
+	window      window      // while the replicas are brittle
 	speed       replicaSpeed
 }
 
@@ -322,7 +323,7 @@
 		r.speed.finished(f.Took, now)
 		c.speed.finished(f.Took, now.Sub(p.granted), now)
 	case Rejected:
-		r.closedUntil = now.Add(c.closedAfterRejection())
+		c.reject(r, now)
 	case Failed:
 		r.closedUntil = now.Add(closedFor(r.failures, c.speed.usual()))
 		r.failures++
@@ -581,7 +582,7 @@
 
 // isOpen reports whether a replica has a free place and may get a permit.
 func (c *Coordinator) isOpen(r *replica, now time.Time) bool {
-	return r.requests() < c.placesOf(r) && !(r.failures > 0 && r.permits > 0) && !now.Before(r.closedUntil)
+	return r.requests() < c.windowOf(r, now) && !(r.failures > 0 && r.permits > 0) && !now.Before(r.closedUntil)
 }
 
 // isPaused reports whether no permit is granted for a while.
--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -13,9 +13,10 @@
 //  3. A request that was given up after it was sent occupies its place for the rest of the usual time of a
 //     request, lingerTime at most: the replica may not have noticed yet. The same holds for a failed one.
 //  4. A rejection shows that somebody sends without permits, or that another coordinator grants the same
-//     places, as each side of a fleet that is cut does. This coordinator may cause rejectionShare of the
-//     rejections that the replica survives, and a daemon that decides alone its part of that. So the replica
-//     gets no permit for the time in which one is allowed, maxClosedAfterRejection at most.
+//     places, as each side of a fleet that is cut does. The replica then has fewer places here (window.go).
+//     This coordinator may cause rejectionShare of the rejections that the replica survives, and a daemon that
+//     decides alone its part of that. So a place is added in the time in which one is allowed,
+//     maxClosedAfterRejection at most.
 //  5. A daemon that has just started, and does not know who coordinates, grants itself nothing.
 //  6. A permit counts for longer without a message of its daemon, and after a grant of which the daemon does
 //     not know yet: machines that are busy delay messages by tenths of a second, and a place that is granted
@@ -75,7 +76,7 @@
 	}
 	c.strict.learningUntil = time.Time{}
 	for _, r := range c.known {
-		r.lingering = nil
+		r.lingering, r.window = nil, window{}
 		c.forgetUnused(r)
 	}
 }
@@ -188,12 +189,26 @@
 	}
 }
 
-// closedAfterRejection returns for how long a replica that rejected a request gets no permit, by rule 4.
-func (c *Coordinator) closedAfterRejection() time.Duration {
-	usual := c.speed.usual()
+// reject records that a replica rejected a permitted request, by rule 5 of coordinator.go or rule 4.
+func (c *Coordinator) reject(r *replica, now time.Time) {
 	if !c.strict.on {
-		return usual
+		r.closedUntil = now.Add(c.speed.usual())
+		return
 	}
+	r.window.reject(r.requests(), c.placesOf(r), c.rejectionStep(), c.speed.usual(), now)
+}
+
+// windowOf returns the number of requests that this coordinator may have at a replica.
+func (c *Coordinator) windowOf(r *replica, now time.Time) int {
+	if !c.strict.on {
+		return c.placesOf(r)
+	}
+	return r.window.places(c.placesOf(r), c.rejectionStep(), now)
+}
+
+// rejectionStep returns the time in which this coordinator may cause one rejection, by rule 4.
+func (c *Coordinator) rejectionStep() time.Duration {
+	usual := c.speed.usual()
 	perSecond := rejectionShare * c.share * float64(c.strict.limit)
 	if perSecond*maxClosedAfterRejection.Seconds() <= 1 {
 		return max(usual, maxClosedAfterRejection)
