Transport: a timeout that passes while the process is paused does not make a dial or probe fail

What callers may see: after a pause of the daemon's process (or while it gets no processor time) sound replicas are ejected, links are taken for lost and detours are opened, or a peer that carries connections is excluded.

Cause: a timer that passes during a pause fires as soon as the process goes on. A dial was then ended, or the connection of a probe or of a request to a peer closed, before what had arrived was read; the operation had also had less time than it was given. checkEnd (detour.go) took a response for cut off in the same way.

Change: coordination/pause.go decides on the firing of a timer: the first one leaves 5 ms so that what has arrived is read, and the time by which it fires late is given back, up to the timeout. transport/pause.go has the timer, a context and a dial that keep to it; pool.go dial, probes.go, tunnel/dial.go and checkEnd use them. The duration of a dial during a pause no longer raises the timeout of later dials above what it was.

Ruled out: reading the socket once more after a timeout, as awaitBytes does: net.Dialer closes the socket when it times out. A longer timeout for all: pauses have no longest duration.

Why it works: the runtime polls the network before 5 ms of running time are over, so that an established connection or a response in the socket's buffer is seen before the timer fires again. It costs 5 ms more until an unreachable replica or peer is given up.

--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -155,7 +155,7 @@
 	if !endsWithConn(x.response) || x.conn.via == "" {
 		return nil
 	}
-	c, err := x.pool.peerDialer.DialContext(ctx, "tcp4", string(x.conn.via))
+	c, err := transport.Dial(ctx, x.pool.peerDialer, string(x.conn.via))
 	if err != nil {
 		return errCarrierGone
 	}
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -178,9 +178,10 @@
 	dialer := p.dialer
 	dialer.Timeout = p.dialTimes.Timeout()
 	started := clock.Now()
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	raw, err := transport.Dial(ctx, dialer, address)
 	if err == nil {
-		p.dialTimes.Observe(clock.Since(started))
+		// It can take longer if the process was paused, which says nothing of other dials.
+		p.dialTimes.Observe(min(clock.Since(started), dialer.Timeout))
 	}
 	return raw, err
 }
--- a/transport/relay/probes.go
+++ b/transport/relay/probes.go
@@ -138,7 +138,7 @@
 // probe reports whether a replica responds to a health check on a new connection of this daemon's own.
 // Any response will do, since only the link is in question.
 func (r *Relay) probe(ctx context.Context, v *routing.View, to *routing.Replica) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := transport.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := r.Pool.dial(ctx, to.Address)
 	if err != nil {
--- a/transport/tunnel/dial.go
+++ b/transport/tunnel/dial.go
@@ -27,9 +27,9 @@
 // Dial connects to a replica through a peer. The error is a [*Refused] or wraps [ErrUnsupported] if
 // the peer responded. Whatever the error, the replica has received nothing.
 func Dial(ctx context.Context, dialer *net.Dialer, peer string, id routing.Incarnation) (net.Conn, *transport.ResponseReader, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := transport.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, err := dialer.DialContext(ctx, "tcp4", peer)
+	conn, err := transport.Dial(ctx, *dialer, peer)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "connect to peer")
 	}
@@ -38,7 +38,7 @@
 	reader := transport.NewResponseReader(conn, bufferBytes)
 	err = open(conn, reader, peer, id)
 	if !stop() && err == nil {
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	if err != nil {
 		_ = conn.Close()
