Fetch: a response with documents has a lowest rate

What callers may see: a daemon that serves with old documents without saying that its store is unreachable, or that learns nothing from peers, for as long as one peer or the store sends a byte now and then.

Cause: Fetch bounded each silence (400 and 600 ms), not the whole: a byte each 200 ms held a fetch until 16 MB had arrived, some 38 days. The reader of the store runs one call at a time, and the control loop one fetch from a peer (syncs.inFlight), so that nothing else was read meanwhile, and the store was not reported as unreachable.

Change: coordination/fetch.go: beside the bounds on silence, the wait for a body may last Grace plus what the bytes that have arrived take at MinRate. Only time within reads counts, each for the idle time at most. Peers: 1 s and 16 KB/s; store: 2 s and 16 KB/s. A response of any size arrives at that rate; a link of 20 Mbit/s that 50 daemons share gives each three times as much. What waits goes on: the reader reports the store as unreachable, closes idle connections and retries with its backoff; a peer is dropped from those that hold newer documents, and the next heartbeat chooses among the others. The error says silent or slow, where it said "context canceled". Timers follow coordination/pause.go.

Ruled out: a total time: no number fits both a watch and the list of a large fleet on a slow link.

Why it works: the time that a body may take grows only with the bytes that arrive, and each byte buys 61 us at most; a body has a largest size, so that every fetch ends.

--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -39,9 +39,13 @@
 	maxPeerHeaderBytes = 256 << 10
 )
 
-// syncTimeouts bound how long a peer may send nothing. There is no bound on a complete response: the
-// documents sent to a daemon that has just started can take seconds on a slow link.
-var syncTimeouts = transport.Timeouts{FirstByte: 600 * time.Millisecond, Idle: 400 * time.Millisecond}
+// minFetchRate is the lowest rate of a response with documents, in bytes a second. When a whole fleet starts, 50 daemons
+// that ask the same one share its link of 20 Mbit/s; each gets three times as much.
+const minFetchRate = 16 << 10
+
+// syncTimeouts bound how long a peer may send nothing, and how slowly it may send. A complete response may take longer: the
+// documents sent to a daemon that has just started can take seconds on a slow link. A daemon sends one request at a time.
+var syncTimeouts = transport.Timeouts{FirstByte: 600 * time.Millisecond, Idle: 400 * time.Millisecond, Grace: time.Second, MinRate: minFetchRate}
 
 // peers holds the socket for datagrams and the HTTP client for fetching documents.
 type peers struct {
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -32,6 +32,9 @@
 	// fleet takes seconds on a slow link, while the store itself responds in 4 ms.
 	listTimeout = 1500 * time.Millisecond
 	idleTimeout = 600 * time.Millisecond
+	// bodyGrace is how long a response of the store may arrive more slowly than minFetchRate. The reader does nothing
+	// else meanwhile.
+	bodyGrace = 2 * time.Second
 	// watchSlack is how much longer than requested a watch may take to respond.
 	watchSlack = 300 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call, which doubles with
@@ -56,6 +59,11 @@
 		e.At.Era, e.At.Revision, e.Known.Era, e.Known.Revision)
 }
 
+// storeTimeouts returns the timeouts of a call to the store that responds within a time.
+func storeTimeouts(firstByte time.Duration) transport.Timeouts {
+	return transport.Timeouts{FirstByte: firstByte, Idle: idleTimeout, Grace: bodyGrace, MinRate: minFetchRate}
+}
+
 // partialList is a list of the store's documents of which some pages have been read. When a whole
 // fleet starts, the store is overloaded and rejects some calls; the list is then resumed after the
 // pages that were read.
@@ -155,7 +163,7 @@
 			known = l.at.Beginning()
 		}
 		r.countCall()
-		page, err := r.store.List(ctx, l.next, transport.Timeouts{FirstByte: listTimeout, Idle: idleTimeout})
+		page, err := r.store.List(ctx, l.next, storeTimeouts(listTimeout))
 		if err != nil {
 			return err
 		}
@@ -211,7 +219,7 @@
 	wait := plan.Wait
 	wait = wait*3/4 + rand.N(wait/2)
 	known := r.knownPosition()
-	changes, err := r.store.Watch(ctx, r.after.Revision, wait, transport.Timeouts{FirstByte: wait + watchSlack, Idle: idleTimeout})
+	changes, err := r.store.Watch(ctx, r.after.Revision, wait, storeTimeouts(wait+watchSlack))
 	if err != nil {
 		return err
 	}
--- a/transport/fetch.go
+++ b/transport/fetch.go
@@ -1,6 +1,6 @@
-// This file sends HTTP requests with an idle timeout in place of a total one: a
-// large response may take long on a slow link, while a peer that sends nothing is
-// given up soon.
+// This file sends HTTP requests with bounds on silence and on the rate in place of a total
+// timeout: a large response may take long on a slow link, while a peer that sends nothing, or a
+// byte now and then, is given up soon. coordination/fetch.go decides how long it may take.
 
 package transport
 
@@ -8,45 +8,80 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/coordination"
 )
 
-// Timeouts bound how long a peer may send nothing.
-type Timeouts struct {
-	FirstByte time.Duration // until the response header
-	Idle      time.Duration // between two reads of the response body
-}
+// Timeouts bound how long a peer may send nothing, and how slowly it may send.
+type Timeouts = coordination.FetchTimeouts
 
 // Fetch sends a request, passes the response to read and returns read's error. It
-// fails when the peer sends nothing for longer than t allows, and when the request's
+// fails with [coordination.ErrSilent] or [coordination.ErrSlow] when the peer sends less than t allows, and when the request's
 // context is done.
 func Fetch(client *http.Client, req *http.Request, t Timeouts, read func(*http.Response) error) error {
-	ctx, cancel := context.WithCancel(req.Context())
-	defer cancel()
-	timer := time.AfterFunc(t.FirstByte, cancel)
-	defer timer.Stop()
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	w := &watchdog{cancel: cancel}
+	defer w.stop()
+	w.set(t.FirstByte, coordination.ErrSilent)
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
-		return eris.Wrap(err, "send request")
+		return eris.Wrap(w.causeOf(err), "send request")
 	}
 	defer resp.Body.Close()
-	timer.Reset(t.Idle)
-	resp.Body = &idleTimeoutBody{ReadCloser: resp.Body, timer: timer, idle: t.Idle}
-	return read(resp)
+	body := &boundedRateBody{ReadCloser: resp.Body, watchdog: w, timeouts: &t}
+	w.set(body.progress.Next(&t))
+	resp.Body = body
+	return w.causeOf(read(resp))
 }
 
-// idleTimeoutBody is a response body that restarts the idle timeout after each read.
-type idleTimeoutBody struct {
+// boundedRateBody is a response body that sets the watchdog after each read.
+type boundedRateBody struct {
 	io.ReadCloser
-	timer *time.Timer
-	idle  time.Duration
+	watchdog *watchdog
+	timeouts *Timeouts
+	progress coordination.FetchProgress
 }
 
 // Read implements [io.Reader].
-func (b *idleTimeoutBody) Read(p []byte) (int, error) {
+func (b *boundedRateBody) Read(p []byte) (int, error) {
+	started := time.Now()
 	n, err := b.ReadCloser.Read(p)
-	b.timer.Reset(b.idle)
+	b.progress.Add(b.timeouts, time.Since(started), n)
+	b.watchdog.set(b.progress.Next(b.timeouts))
 	return n, err
 }
+
+// watchdog cancels a fetch unless it is set again in time.
+type watchdog struct {
+	cancel context.CancelCauseFunc
+	timer  *PausableTimer        // nil: it was not set
+	cause  atomic.Pointer[error] // why the fetch was canceled; nil: it was not
+}
+
+// set replaces the time after which the fetch is canceled, and the cause.
+func (w *watchdog) set(d time.Duration, cause error) {
+	w.stop()
+	w.timer = AfterFunc(d, func() {
+		w.cause.Store(&cause)
+		w.cancel(cause)
+	})
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// causeOf returns why the fetch was canceled in place of the error that this led to.
+func (w *watchdog) causeOf(err error) error {
+	if cause := w.cause.Load(); err != nil && cause != nil {
+		return *cause
+	}
+	return err
+}
--- a/transport/fetch_test.go
+++ b/transport/fetch_test.go
@@ -9,11 +9,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/transport"
 )
 
 var _ = Describe("Fetch", func() {
 	timeouts := transport.Timeouts{FirstByte: 150 * time.Millisecond, Idle: 150 * time.Millisecond}
+	BeforeEach(func() { timeouts.Grace, timeouts.MinRate = 0, 0 })
 
 	// fetch requests a response of which the server sends the first piece after wait, and
 	// each further one after gap. It returns the number of bytes read.
@@ -56,4 +58,19 @@
 		_, err := fetch(0, 500*time.Millisecond, 3)
 		Expect(err).To(HaveOccurred())
 	})
+
+	// Guards against a peer that holds a fetch, and whatever waits for it, by a few bytes now and then.
+	It("fails if the body arrives more slowly than the lowest rate", func() {
+		timeouts.Grace, timeouts.MinRate = 200*time.Millisecond, 1000
+		n, err := fetch(0, 20*time.Millisecond, 200)
+		Expect(err).To(MatchError(coordination.ErrSlow))
+		Expect(n).To(BeNumerically("<", 200))
+	})
+
+	It("reads a body of the lowest rate that takes longer than the grace period", func() {
+		timeouts.Grace, timeouts.MinRate = 200*time.Millisecond, 20
+		n, err := fetch(0, 50*time.Millisecond, 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(50))
+	})
 })
--- a/transport/pause_test.go
+++ b/transport/pause_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"hingewinch.org/hingewinch/internal/pause"
 	"hingewinch.org/hingewinch/transport"
 )
 
@@ -80,3 +83,23 @@
 		t.Errorf("got %v, want the end of the context", err)
 	}
 }
+
+// TestFetchDuringPause guards against a store or peer that counts as unreachable after a pause of the process, although its
+// response arrived in time.
+func TestFetchDuringPause(t *testing.T) {
+	timeouts := transport.Timeouts{FirstByte: 300 * time.Millisecond, Idle: 300 * time.Millisecond}
+	for range 5 {
+		address := pause.Start(t, `HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody`, 400*time.Millisecond)
+		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = transport.Fetch(&http.Client{Transport: &http.Transport{}}, req, timeouts, func(resp *http.Response) error {
+			_, err := io.ReadAll(resp.Body)
+			return err
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
