Relay: each wait for bytes of a response is bounded, wherever the replica stops

What callers saw: a replica that stops inside its header, or inside a chunk of a stream, was not noticed. A rejection whose body stalls held its call until the deadline.

Cause: the wait for a message was bounded, by looking for its first byte, and not the reads that followed. Once a byte was buffered, the parser of the header or of the chunks read on without any bound but the deadline.

While another replica is asked, the watch reads into the buffer that the suspended read has, so that nothing is read twice or lost, and an error stays. An exchange that gets bytes all the time, but no event, does not have its call beside a silent one for longer either. A rejection's body is read for 10 ms at most, without a failover, and the rejection counts without it.

Why it works: there is no read of a response left that does not go through the source.

New: a plain body that pauses for the first-byte timeout makes another replica be asked too, if the route allows it, and a pause of a second counts as silence, as before its first byte.

Ruled out: waiting until a whole header is buffered (headers may be larger than the buffer, and chunks would need the same again); looking with MSG_PEEK before each read, which consumes a reset and costs a system call.

Not mended: net/http's reader of chunks holds back complete events at the start of a chunk until the chunk, or 2 KB of it, has arrived.

--- a/transport/relay/await_test.go
+++ b/transport/relay/await_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,12 +36,17 @@
 		_, err := replica.Write([]byte("event"))
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(20 * time.Millisecond)
-		Expect(x.awaitBytes(clock.Now().Add(-time.Millisecond))).To(BeTrue())
+		p := make([]byte, 1<<10)
+		n, err := x.readUntil(p, clock.Now().Add(-time.Millisecond))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(p[:n])).To(Equal("event"))
 		Expect(x.received).To(BeTrue())
 	})
 
 	It("reports silence if nothing has arrived", func() {
 		x, _ := newExchange()
-		Expect(x.awaitBytes(clock.Now().Add(-time.Millisecond))).To(BeFalse())
+		_, err := x.readUntil(make([]byte, 1<<10), clock.Now().Add(-time.Millisecond))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		Expect(x.received).To(BeFalse())
 	})
 })
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -36,6 +36,9 @@
 	maxRejectionBytes = 4 << 10
 	// bodyWriteTimeout is how long to wait, after a complete response, for the body to be written.
 	bodyWriteTimeout = 2 * time.Millisecond
+	// rejectionBodyTime is how long to wait for a rejection's body, which follows the header at once. Without it the
+	// connection is not reused, and the call goes on.
+	rejectionBodyTime = 10 * time.Millisecond
 	// pausedReadTime is how long bytes are looked for that arrived while the process was paused. They are in the
 	// socket's receive buffer.
 	pausedReadTime = time.Millisecond
@@ -90,6 +93,9 @@
 	sound          bool      // it was recorded that the replica does not crash on the request
 	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
 	streaming      bool      // the stream has begun, and is counted in the pool's activity
+	awaitsEvents   bool      // the header of a stream was read, and waits are bounded by the event timeout
+	readErr        error     // why nothing more is read from the connection; nil: it is
+	readFailure    *failure  // that readErr stands for; nil: it is the connection's error
 	response       *http.Response
 	head           ResponseHead
 	// onSelfReport is called with the replica's self-report in each response, including late
@@ -143,36 +149,33 @@
 	return f
 }
 
-// awaitBytes waits until there are bytes to read. It returns false if none have arrived by the
+// readUntil reads from the connection into p. The error is [os.ErrDeadlineExceeded] if no bytes have arrived by the
 // given time or the exchange's deadline.
-func (x *exchange) awaitBytes(until time.Time) (bool, error) {
-	if x.conn.reader.Buffered() > 0 {
-		x.received = true
-		return true, nil
-	}
+func (x *exchange) readUntil(p []byte, until time.Time) (int, error) {
 	if until.After(x.deadline) {
 		until = x.deadline
 	}
-	arrived, err := x.waitReadable(until)
-	if !arrived && err == nil {
-		arrived, err = x.waitReadable(clock.Now().Add(pausedReadTime))
+	n, err := x.tryRead(p, until)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = x.tryRead(p, clock.Now().Add(pausedReadTime))
 	}
-	if arrived {
+	if n > 0 {
 		x.recordArrival()
-		_ = x.conn.SetReadDeadline(clock.RuntimeTime(x.deadline)) // on failure, the next read fails too
 	}
-	return arrived, err
+	return n, err
 }
 
-// waitReadable waits until there are bytes to read, or until a time. Once that has passed, the runtime does not look
-// for bytes that have arrived, which is why awaitBytes looks again after a pause of the process.
-func (x *exchange) waitReadable(until time.Time) (bool, error) {
+// tryRead reads from the connection, until a time. Once that has passed, the runtime does not look for bytes that have
+// arrived, which is why readUntil looks again after a pause of the process.
+func (x *exchange) tryRead(p []byte, until time.Time) (int, error) {
 	_ = x.conn.SetReadDeadline(clock.RuntimeTime(until)) // on failure, the read fails too
-	_, err := x.conn.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return false, nil
-	}
-	return err == nil, err
+	return x.conn.Read(p)
+}
+
+// endReading ends reading with a failure, and returns the error that stands for it.
+func (x *exchange) endReading(f *failure) error {
+	x.readFailure, x.readErr = f, f.err
+	return f.err
 }
 
 // recordArrival records that bytes arrived from the replica.
@@ -249,8 +252,7 @@
 	status := x.response.StatusCode
 	switch {
 	case x.head.NotExecuted:
-		_, err := io.CopyN(io.Discard, x.response.Body, maxRejectionBytes)
-		x.releaseConn(errors.Is(err, io.EOF), clock.Now())
+		x.releaseConn(x.skipRejectionBody(), clock.Now())
 		// Neither a requested backoff (coordination/routing/backoffs.go) nor a rejection by a brittle replica
 		// counts as a failure: the replica is full, and an ejection would move its load to others.
 		replaced := status == http.StatusMisdirectedRequest
@@ -267,11 +269,27 @@
 	return nil
 }
 
+// skipRejectionBody reads the body of a rejection, and reports whether it was read to its end. No other replica is asked
+// while it waits.
+func (x *exchange) skipRejectionBody() bool {
+	until := clock.Now().Add(rejectionBodyTime)
+	if until.After(x.deadline) {
+		until = x.deadline
+	}
+	_ = x.conn.SetReadDeadline(clock.RuntimeTime(until)) // on failure, the read fails too
+	x.conn.reader.SetSource(x.conn.Conn)
+	_, err := io.CopyN(io.Discard, x.response.Body, maxRejectionBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // mayHaveRun is the outcome of a request whose response can't be used.
 var mayHaveRun = coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer}
 
 // brokenResponse returns the failure for a response that could not be read completely.
 func (x *exchange) brokenResponse(ctx context.Context, err error) *failure {
+	if x.readFailure != nil {
+		return x.readFailure
+	}
 	reason := coordination.ReasonBrokenAnswer
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		reason = coordination.ReasonDeadline
@@ -337,6 +355,7 @@
 	if idle := x.head.SelfReport.Idle; idle > 0 {
 		x.conn.idleTimeout = time.Duration(float64(idle) * idleTimeoutFraction)
 	}
+	x.conn.reader.SetSource(x.conn.Conn)
 	x.pool.put(x.conn, now)
 }
 
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"os"
 	"sync/atomic"
 	"time"
@@ -68,20 +67,23 @@
 	attempt *attemptState // of the silent exchange
 	state   atomic.Int32
 	cancel  context.CancelFunc // gives up the other replica
+	into    []byte             // for bytes of the silent replica
 	watched chan struct{}      // closed when the watch has ended
-	// err is why the silent exchange can't be read any more, as the watch found; nil: it can. It is valid once watched
-	// is closed.
-	err error
+	// read is how many bytes the watch has read, and err why the silent exchange can't be read any more; nil: it can.
+	// Both are valid once watched is closed.
+	read int
+	err  error
 }
 
 // watch waits for the silent replica, and gives up the other one once anything arrives.
 func (h *handover) watch() {
 	defer close(h.watched)
-	_, err := h.silent.conn.reader.Peek(1)
-	switch {
-	case err == nil:
+	n, err := h.silent.conn.Read(h.into)
+	if n > 0 {
+		h.read = n
 		h.keepSilent()
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		h.err = err
 	}
 }
@@ -103,29 +105,28 @@
 func (h *handover) endWatch() {
 	_ = h.silent.conn.SetReadDeadline(time.Unix(1, 0)) // on failure, the connection is closed
 	<-h.watched
-	_ = h.silent.conn.SetReadDeadline(clock.RuntimeTime(h.silent.deadline)) // on failure, the next read fails too
 }
 
 // failOver sends the call to another replica while that of an exchange is silent. It returns true if another one
-// took the response over, in which case the call has ended, well or not. Otherwise it returns the error by which the
-// silent exchange broke meanwhile, if it did.
-func (s *activeCall) failOver(ctx context.Context, x *exchange) (takenOver bool, err error) {
+// took the response over, in which case the call has ended, well or not. Otherwise it returns what has been read into p
+// from the silent exchange meanwhile, and the error by which that broke, if it did.
+func (s *activeCall) failOver(ctx context.Context, x *exchange, p []byte) (takenOver bool, n int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, watched: make(chan struct{})}
+	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, into: p, watched: make(chan struct{})}
 	incomplete := s.events.takePending()
 	s.handover, s.attemptState = h, &attemptState{}
 	s.tryWatched(ctx, h)
 	s.handover, s.attemptState = h.outer, h.attempt
 	if h.state.Load() == handoverToNext {
 		s.held.release(cap(incomplete))
-		return true, nil
+		return true, 0, nil
 	}
 	s.events.restorePending(incomplete)
-	if x.conn.reader.Buffered() > 0 {
+	if h.read > 0 {
 		x.recordArrival()
 	}
-	return false, h.err
+	return false, h.read, h.err
 }
 
 // tryWatched sends the call to other replicas, and watches the silent one meanwhile. The watch ends after a panic
@@ -168,52 +169,95 @@
 	}
 }
 
-// await waits for bytes of a response. If none arrive in time, the replica's silence is recorded, and another
-// replica may take the response over.
-func (s *activeCall) await(ctx context.Context, x *exchange, r *routing.Replica, timeout func() (wait time.Duration, failover bool)) *failure {
+// responseSource is the source of a connection's reader while a response is read. It bounds each wait for bytes,
+// wherever in a message the replica stops.
+type responseSource struct {
+	s   *activeCall
+	ctx context.Context // of the attempt
+	*exchange
+}
+
+// Read implements [io.Reader]. Once it has failed, it does so again: a parser may drop an error and read on.
+func (r *responseSource) Read(p []byte) (int, error) {
+	if r.readErr != nil {
+		return 0, r.readErr
+	}
+	n, err := r.s.read(r.ctx, r.exchange, p)
+	r.readErr = err
+	return n, err
+}
+
+// responseTimeout returns how long to wait for the next bytes of a response, and whether the request may then go to
+// another replica.
+func (s *activeCall) responseTimeout(x *exchange) (wait time.Duration, failover bool) {
+	if x.awaitsEvents {
+		return s.attempts.EventTimeout()
+	}
+	return s.attempts.FirstByteTimeout()
+}
+
+// read reads bytes of a response. If none arrive in time, the replica's silence is recorded, and another replica may
+// take the response over.
+func (s *activeCall) read(ctx context.Context, x *exchange, p []byte) (int, error) {
 	isRecorded := false
 	for {
-		wait, canRetry := timeout()
+		if x.received && s.isOverlapOver(x) {
+			if f := s.endOverlap(x); f != nil {
+				return 0, x.endReading(f)
+			}
+		}
+		wait, canRetry := s.responseTimeout(x)
 		until := clock.Now().Add(wait)
-		overlaps := s.handover != nil && x.sent.Add(maxOverlap).Before(until)
+		overlaps := s.handover != nil && x.overlapEnd().Before(until)
 		if overlaps {
-			until = x.sent.Add(maxOverlap)
+			until = x.overlapEnd()
 		}
-		arrived, err := x.awaitBytes(until)
+		n, err := x.readUntil(p, until)
 		switch {
-		case errors.Is(err, io.EOF) && x.response != nil:
-			return nil // a response without a length ends with the connection; the next read returns EOF
-		case err != nil:
-			return x.brokenResponse(ctx, err)
-		case arrived:
-			return nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return n, err
 		case !clock.Now().Before(x.deadline):
-			return x.deadlineExpired()
+			return 0, x.endAtDeadline()
 		case overlaps:
 			if f := s.endOverlap(x); f != nil {
-				return f
+				return 0, x.endReading(f)
 			}
 			continue
 		}
 		if !isRecorded {
-			s.recordSilence(x, r, canRetry)
+			s.recordSilence(x, canRetry)
 			isRecorded = true
 		}
 		if !canRetry {
 			continue
 		}
-		takenOver, err := s.failOver(ctx, x)
+		takenOver, n, err := s.failOver(ctx, x, p)
 		switch {
 		case takenOver:
-			return x.takenOver()
-		case errors.Is(err, io.EOF) && x.response != nil:
-			return nil
-		case err != nil:
-			return x.brokenResponse(ctx, err)
+			return 0, x.endReading(x.takenOver())
+		case n > 0 || err != nil:
+			return n, err
 		}
 	}
 }
 
+// overlapEnd returns until when an exchange and a silent one before it may both have the call.
+func (x *exchange) overlapEnd() time.Time { return x.sent.Add(maxOverlap) }
+
+// isOverlapOver reports whether an exchange has had the call for as long as it may beside a silent one.
+func (s *activeCall) isOverlapOver(x *exchange) bool {
+	return s.handover != nil && !clock.Now().Before(x.overlapEnd())
+}
+
+// endAtDeadline ends reading since the deadline has passed, and returns the error. A response that has begun and is not
+// a stream is broken; in a stream a pause says less.
+func (x *exchange) endAtDeadline() error {
+	if x.received && !x.awaitsEvents {
+		return os.ErrDeadlineExceeded
+	}
+	return x.endReading(x.deadlineExpired())
+}
+
 // endOverlap ends the time in which both an exchange and the silent one before it have the call. It returns nil if
 // the exchange keeps the call.
 func (s *activeCall) endOverlap(x *exchange) *failure {
@@ -255,7 +299,8 @@
 }
 
 // recordSilence records that a replica is silent while the call goes on waiting for it.
-func (s *activeCall) recordSilence(x *exchange, r *routing.Replica, canRetry bool) {
+func (s *activeCall) recordSilence(x *exchange, canRetry bool) {
+	r := x.replica
 	if s.isOwnLink(x.conn) && !x.received {
 		s.Pool.reach.Silent(r, s.replicas(r), x.sent, clock.Now())
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -389,9 +389,7 @@
 
 // receive waits for the response and forwards it.
 func (s *activeCall) receive(ctx context.Context, x *exchange, t *routing.Target, a *Attempt) *failure {
-	if f := s.await(ctx, x, &t.Replica, s.attempts.FirstByteTimeout); f != nil {
-		return f
-	}
+	x.conn.reader.SetSource(&responseSource{s: s, ctx: ctx, exchange: x})
 	f := x.readHeader(ctx)
 	if x.hasResponse() {
 		s.Placer.Health.RecordAlive(&t.Replica, x.conn.opened, x.sent)
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -113,12 +113,13 @@
 		s.events.held = &s.held
 	}
 	s.events.reset()
+	x.awaitsEvents = true
 	buf := make([]byte, streamReadBytes)
 	for {
-		if f := s.await(ctx, x, &t.Replica, s.attempts.EventTimeout); f != nil {
-			return f
-		}
 		n, err := x.response.Body.Read(buf)
+		if x.readFailure != nil {
+			return x.readFailure // another replica may go on, without what was read last
+		}
 		if f := s.forwardEvents(ctx, x, t, buf[:n]); f != nil {
 			return f
 		}
--- a/transport/response.go
+++ b/transport/response.go
@@ -44,6 +44,10 @@
 	return r
 }
 
+// SetSource makes the reader read from another source than before, in order to bound
+// the waits for bytes of the connection. Bytes that are buffered remain.
+func (r *ResponseReader) SetSource(source io.Reader) { r.source.r = source }
+
 // ReadResponse reads the header of a response. The body is read from the same
 // connection, without a bound. A header that exceeds the limits is an
 // [ErrHeaderTooLarge]; the connection must then be closed.
