Relay: a call does not wait for the check of a replica longer than it lasts, and a panic ends the check

After a panic during such a check, the calls that waited for its result waited as long as the process lived, whether their callers were there or not.

Cause: the check ran in the goroutine of the call that had started it, which ignored that the call was over, and the channel that ends the others' wait was closed only if the check returned.

Change: the check has a goroutine of its own. Each call waits for it until it is over or its deadline has passed. One of those that wait reports a panic, as the HTTP server counts it; it is dropped if none waits any more. The crash is recorded when the check ends, also if the call has not waited, since it is evidence against the request, unless the call was served meanwhile, which clears it. A connection that was to be opened is uncounted after a panic everywhere (pool.go open, detour.go tryDetour), where it took away from the replica's limit for good.

Why it works: nothing but the goroutine of the check depends on its end, and that closes its channel however it ends.

Ruled out: a check that is cancelled with its call, since other calls share the result.

--- a/transport/relay/crash_check.go
+++ b/transport/relay/crash_check.go
@@ -37,11 +37,29 @@
 	latest map[routing.Incarnation]*crashCheck
 }
 
-// crashCheck is one check of a replica. refused is valid once done is closed.
+// crashCheck is one check of a replica. refused and panicked are valid once done is closed.
 type crashCheck struct {
-	started time.Time
-	done    chan struct{}
-	refused bool
+	started  time.Time
+	done     chan struct{}
+	refused  bool
+	panicked any       // value of the panic that ended the check; nil: none did
+	rethrow  sync.Once // one of the requests that wait reports the panic
+}
+
+// run performs the check. A panic ends it without a result, since it would end the process here.
+func (c *crashCheck) run(refuses func() bool) {
+	defer close(c.done)
+	defer func() { c.panicked = recover() }()
+	c.refused = refuses()
+}
+
+// result returns whether the replica refused the connection, once the check has ended. The first call panics if the
+// check did.
+func (c *crashCheck) result() bool {
+	if c.panicked != nil {
+		c.rethrow.Do(func() { panic(c.panicked) })
+	}
+	return c.refused
 }
 
 // current returns the check of a replica that has not expired, or else a new one. If isNew is true,
@@ -71,29 +89,27 @@
 	}
 }
 
-// hasTerminated reports whether a replica refuses connections. Requests whose connections broke
-// at the same time share one dial, which goes on if the caller of the request that started it
-// disconnects. An accepted connection is put into the pool.
-func (p *Pool) hasTerminated(ctx context.Context, r *routing.Replica, v *routing.View, now time.Time) bool {
+// checkTerminated returns a check whether a replica refuses connections. Requests whose connections broke
+// at the same time share one dial, which goes on if the call that started it ends. An accepted connection is put into
+// the pool.
+func (p *Pool) checkTerminated(ctx context.Context, r *routing.Replica, v *routing.View, now time.Time) *crashCheck {
 	c, isNew := p.crashChecks.current(r.Incarnation(), now)
 	if isNew {
-		c.refused = p.refusesConnection(context.WithoutCancel(ctx), r, v)
-		close(c.done)
+		ctx = context.WithoutCancel(ctx)
+		go c.run(func() bool { return p.refusesConnection(ctx, r, v) })
 	}
-	<-c.done
-	return c.refused
+	return c
 }
 
 func (p *Pool) refusesConnection(ctx context.Context, r *routing.Replica, v *routing.View) bool {
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return false // the limit is reached, so other connections are open
 	}
-	c, err := p.openToCheck(ctx, r, v)
+	c, err := p.openReserved(r, func() (*conn, error) { return p.openToCheck(ctx, r, v) })
 	if err == nil {
 		p.put(c, clock.Now())
 		return false
 	}
-	p.release(r.Incarnation())
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
--- a/transport/relay/crash_check_test.go
+++ b/transport/relay/crash_check_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/relay"
 )
 
 var _ = Describe("A crash of a replica", func() {
@@ -62,6 +63,86 @@
 		Entry("complete response", respondOK),
 	)
 
+	// findCarrier makes the check of a replica that refuses connections call a function, which looks for another daemon.
+	findCarrier := func(w *fixture, find func()) {
+		w.relay.Pool.UseDetours(&relay.Detours{Carriers: routing.NewCarriers(), Find: func(context.Context, routing.Search) (routing.Carrier, bool) {
+			find()
+			return routing.Carrier{}, false
+		}})
+	}
+
+	// The others waited for the result of a check that had ended without one, until the process ended.
+	It("ends the calls that wait for a check that panics", func() {
+		const requests = 3
+		var arrived, served sync.WaitGroup
+		arrived.Add(requests)
+		var r *replica
+		r = startReplica("r", func(*receivedRequest) bool {
+			arrived.Done()
+			arrived.Wait()
+			return r.crash()
+		})
+		w := newFixture(atMostOnce, r)
+		findCarrier(w, func() {
+			time.Sleep(100 * time.Millisecond) // all requests wait
+			panic("check")
+		})
+		panics := make(chan any, requests)
+		for i := range requests {
+			served.Go(func() {
+				defer func() { panics <- recover() }()
+				w.serve(w.call(string(rune('a'+i)), "POST", "x"))
+			})
+		}
+		ended := make(chan struct{})
+		go func() { served.Wait(); close(ended) }()
+		Eventually(ended, 2*time.Second).Should(BeClosed())
+		close(panics)
+		var values []any
+		for v := range panics {
+			values = append(values, v)
+		}
+		Expect(values).To(ConsistOf("check", nil, nil), "one of them reports it")
+		Expect(w.observer.crashedDuring).To(BeEmpty())
+		Expect(w.relay.Pool.OpenConns()).To(Equal(w.relay.Pool.Idle()), "the connection that was to be opened is not counted")
+	})
+
+	// The first replica's stream waited for the check of the second one, although the call had gone back to the first.
+	It("is recorded although the call does not wait for the check of a second replica, since the first one goes on", func() {
+		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			time.Sleep(700 * time.Millisecond) // .2 s after the event timeout
+			chunk(a, event(2))
+			return streamEnd(a)
+		}))
+		var other *replica
+		other = startReplica("r2", func(*receivedRequest) bool { return other.crash() })
+		findCarrier(w, func() { time.Sleep(time.Second) })
+		w.onceBegun(other)
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(event(1) + event(2)))
+		Expect(other.count()).To(Equal(1))
+		Expect(s.Total).To(BeNumerically("<", time.Second))
+		crashes := func() []routing.RequestID {
+			w.observer.mu.Lock()
+			defer w.observer.mu.Unlock()
+			return w.observer.crashedDuring
+		}
+		Eventually(crashes, 3*time.Second).Should(Equal([]routing.RequestID{"a"}), "it is evidence against the request")
+	})
+
+	It("is not waited for past the deadline", func() {
+		var r *replica
+		r = startReplica("r", func(*receivedRequest) bool { return r.crash() })
+		w := newFixture(atMostOnce, r)
+		findCarrier(w, func() { time.Sleep(time.Second) })
+		c := w.call("a", "POST", "x")
+		c.Deadline = c.Arrived.Add(200 * time.Millisecond)
+		_, s := w.serve(c)
+		Expect(s.Total).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("is not recorded for a request whose caller disconnected", func() {
 		var r *replica
 		arrived := make(chan struct{})
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -193,12 +193,9 @@
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return
 	}
-	c, err := p.openThrough(ctx, r)
-	if err != nil {
-		p.release(r.Incarnation())
-		return
+	if c, err := p.openReserved(r, func() (*conn, error) { return p.openThrough(ctx, r) }); err == nil {
+		p.put(c, clock.Now())
 	}
-	p.put(c, clock.Now())
 }
 
 // BrokenForPeer records that a connection which was opened for another daemon broke before the replica sent
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -157,14 +157,24 @@
 	return p.reach.MayReuse(r.Service, c.idleSince) && p.linkDoubts.MayReuse(r.Domain, c.idleSince) && c.isReusable()
 }
 
-// open opens a connection that was counted by reserve, and uncounts it on failure. If checkLink is set, one that the link
-// resets at once is a failure.
+// open opens a connection that was counted by reserve. If checkLink is set, one that the link resets at once is a failure.
 func (p *Pool) open(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
-	c, err := p.connect(ctx, r, v, checkLink)
+	return p.openReserved(r, func() (*conn, error) { return p.connect(ctx, r, v, checkLink) })
+}
+
+// openReserved opens a connection that was counted by reserve, and uncounts it on failure and after a panic.
+func (p *Pool) openReserved(r *routing.Replica, open func() (*conn, error)) (*conn, error) {
+	var c *conn
+	defer func() {
+		if c == nil {
+			p.release(r.Incarnation())
+		}
+	}()
+	opened, err := open()
 	if err != nil {
-		p.release(r.Incarnation())
 		return nil, err
 	}
+	c = opened
 	return c, nil
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination"
@@ -43,7 +44,7 @@
 // New returns a Relay with the given options.
 func New(o Options) *Relay { return &Relay{Options: o} }
 
-// activeCall is the state of one call. It is used by one goroutine.
+// activeCall is the state of one call. It is used by one goroutine, except by the recording of a late crash.
 type activeCall struct {
 	*Relay
 	*attemptState // of the current attempt
@@ -62,6 +63,7 @@
 	tried     triedReplicas
 	choices   int          // replicas chosen so far
 	completed bool         // the caller has the complete response
+	served    atomic.Bool  // a replica has sent a complete response
 	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
 	events    *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
@@ -283,19 +285,41 @@
 
 // checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
 // It returns before the call may be retried, since the crash may quarantine its content. It reports whether the
-// replica has crashed.
+// replica has crashed. If the call is over before the check is, it returns false, and the crash is recorded later.
 func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) bool {
 	now := clock.Now()
-	if !s.Pool.hasTerminated(ctx, r, s.View(), now) {
+	ctx, cancel := context.WithDeadline(ctx, clock.RuntimeTime(s.call.Deadline))
+	defer cancel()
+	check := s.Pool.checkTerminated(ctx, r, s.View(), now)
+	select {
+	case <-check.done:
+		if !check.result() {
+			return false
+		}
+		s.recordCrash(r, responding, now)
+		return true
+	case <-ctx.Done():
+		go func() {
+			if <-check.done; check.refused {
+				s.recordCrash(r, responding, now)
+			}
+		}()
 		return false
 	}
+}
+
+// recordCrash records that a replica crashed while it had the call, and what the call contains unless it was served
+// since: a complete response clears that. It may run after the call has ended.
+func (s *activeCall) recordCrash(r *routing.Replica, responding time.Duration, now time.Time) {
 	s.Observer.CrashedDuring(r, s.call, responding)
 	s.Placer.Health.ReportTermination(r, now)
+	if s.served.Load() {
+		return
+	}
 	if s.Crashes.ReportCrash(s.call.Content, s.call.Workspace, r, now) {
 		s.Observer.Quarantined(s.call.Content)
 	}
 	s.PartCrashes.ReportPartCrashes(&s.call.Request, s.call.Workspace, r, responding, now)
-	return true
 }
 
 // recordSound records that a replica has responded to the call for long enough to show that it does not
@@ -321,6 +345,7 @@
 // recordSuccess records a complete response as a success of the replica, and clears the content's
 // crashes. Error responses of earlier attempts are then recorded as failures.
 func (s *activeCall) recordSuccess(r *routing.Replica, now time.Time) {
+	s.served.Store(true)
 	s.Placer.Health.Report(r, routing.ResultGood, now)
 	s.Crashes.Clear(s.call.Content, now)
 	s.recordErrorResponses()
