Relay: an error of a second replica is not the answer while the silent first one may answer

Cause: a complete response took the call over from the silent replica, whatever its status, if the route allowed no further attempt.

Change: while a silent replica has the call, a 429 or an error from 500 on is kept as the response that is forwarded if no better one comes, as it is while a further attempt is possible. Other statuses say what is wrong with the request, and still end the call at once.

Why it works: the silent exchange is closed only by a response that is forwarded at once, and the held one is forwarded when that exchange ends, however it does.

Ruled out: a bound on the wait of its own. A caller whose first replica is dead gets the error response only near its deadline, where it got it at once; if the first one breaks its connection, at once.

--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -10,6 +10,7 @@
 //     work on it. coordination/routing/handover.go decides which of the two keeps it after that.
 //  4. If no other replica takes the call, it goes back to waiting for the silent one, and tries again after the next
 //     timeout, until its deadline.
+//     An error response of the other one does not take the call over: it is forwarded if the silent one does not respond.
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
 //     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it.
 //
@@ -232,6 +233,7 @@
 			continue
 		}
 		takenOver, n, err := s.failOver(ctx, x, p)
+		x.deadline = s.responseDeadline()
 		switch {
 		case takenOver:
 			return 0, x.endReading(x.takenOver())
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -68,8 +68,8 @@
 	events    *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
-	// fallback is a replica's error response, which is forwarded if no further
-	// attempt gives a better one.
+	// fallback is a replica's error response, which is forwarded if neither a further
+	// attempt nor a silent replica that still has the call gives a better one.
 	fallback *errorResponse
 	bodies   int64 // counted memory of bodies that were read whole
 	// failed are the replicas whose error responses have not yet been recorded as failures.
@@ -361,7 +361,7 @@
 	}
 	a.Reused, a.Via = c.reused, c.via
 	x := &exchange{
-		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.call.Deadline,
+		pool: s.Pool, codec: s.Codec, call: s.call, replica: &t.Replica, conn: c, deadline: s.responseDeadline(),
 		onSelfReport: func(report SelfReport) { s.applySelfReport(&t.Replica, a, report) },
 	}
 	defer x.closeUnlessReleased() // after a panic too: the connection counts towards the replica's limit
@@ -404,6 +404,15 @@
 	return f
 }
 
+// responseDeadline returns until when a replica's response is waited for. If the call holds an error response of another
+// one, that has to be returned in time.
+func (s *activeCall) responseDeadline() time.Time {
+	if s.fallback != nil && !s.attempts.ResponseStarted {
+		return s.call.Deadline.Add(-routing.ReturnMargin)
+	}
+	return s.call.Deadline
+}
+
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -45,7 +45,7 @@
 	if err := x.checkEnd(ctx); err != nil {
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
-	isFinal := status < http.StatusInternalServerError || !s.attempts.MayTryAnother()
+	isFinal := s.isFinal(status)
 	if isFinal && !s.attempts.ResponseStarted && !s.takeOver() {
 		return givenUp(errOvertaken)
 	}
@@ -55,11 +55,7 @@
 	if isSuccess(status) {
 		s.PartCrashes.RecordSound(&s.call.Request, now)
 	}
-	if status < http.StatusInternalServerError {
-		s.recordSuccess(&t.Replica, now)
-		return s.respond(ctx, status, x.response.Header, body)
-	}
-	if x.head.SelfReport.Backoff == 0 { // a requested backoff does not count as a failure
+	if isServerError(status) && x.head.SelfReport.Backoff == 0 { // a requested backoff does not count as a failure
 		s.failed = append(s.failed, t.Replica)
 	}
 	if !isFinal {
@@ -67,16 +63,33 @@
 		s.fallback = &errorResponse{status: status, header: x.response.Header, body: body}
 		return &failure{outcome: mayHaveRun, result: routing.ResultFailed, err: errReplicaError}
 	}
-	if s.attempts.Sent == 1 {
+	switch {
+	case !isServerError(status):
+		s.recordSuccess(&t.Replica, now)
+	case s.attempts.Sent == 1:
 		s.recordErrorResponses()
 	}
 	return s.respond(ctx, status, x.response.Header, body)
 }
 
+// isFinal reports whether a complete response is that of the call. A failure is not while another replica may serve the
+// call, be it a further one or a silent one that still has it. A 429 says that the replica takes no more, which is the
+// response of a call that no silent replica has.
+func (s *activeCall) isFinal(status int) bool {
+	failed := isServerError(status)
+	if s.handover != nil && (failed || status == http.StatusTooManyRequests) {
+		return false
+	}
+	return !failed || !s.attempts.MayTryAnother()
+}
+
+// isServerError reports whether a status says that a replica failed on a request.
+func isServerError(status int) bool { return status >= http.StatusInternalServerError }
+
 // completion returns the result of a permit whose request got a complete response. A replica that
 // responds with errors does so fast, and would get the most permits if these counted as completed.
 func completion(status int) admission.Result {
-	if status < http.StatusInternalServerError {
+	if !isServerError(status) {
 		return admission.Completed
 	}
 	return admission.Failed
