A replica that has sent nothing does not take a stream over

Callers saw a stream broken off although its replica, silent for 1.1 s, was about to go on: after .25 s with two replicas the daemon closed the first one and left the stream to the second, which had sent nothing at all.

Cause: routing/handover.go took a second replica for sound unless two other streams of this daemon were silent there, so a replica without other streams always was. Evidence: the new spec "goes on with its stream if another one without other streams says nothing" failed on the old rule, as the only one of the 19 that there were of a silent replica.

Change: the second replica keeps a begun stream if the header of its response has arrived, or if it alone is known to be well, since bytes arrived from it on other streams and none from the first one. Otherwise the first one keeps it, which has accepted the request. The count of other streams is no longer an input.

Tests that said the opposite, and what stands in their place: - two rows of the table of TestStreamIsNotLeftForAnotherSilentReplica (one other stream, none); it has eight rows now; - "stops the first attempt ...: it responds late": the first replica has ended, and the second, of which nothing is known, takes 600 ms until its header. At .25 s this can't be told from a pause of the first one of 1.1 s, so one of the two must be lost. The entry sends its header at once now; the same case with a second replica that is well on another stream is a spec of its own, with the same bound, and the overlap of two replicas is checked where the second is closed; - the specs of a late rejection give the second replica another stream that is well; without it, the stream no longer leaves the first one.

Ruled out: to keep the first one in every case without a header. A stream whose first replica has ended would then be lost whenever the second takes longer, although it is known to be well. To leave both at work is not allowed. The price that is left: a replica that has ended, and a second one of which nothing is known and that takes longer than .25 s.

--- a/transport/relay/activity.go
+++ b/transport/relay/activity.go
@@ -1,5 +1,5 @@
-// This file records what replicas send to this daemon while streams are open: coordination/routing/handover.go decides
-// by it whether a replica is silent on all of them.
+// This file records when replicas last sent something to this daemon while streams are open: coordination/routing/handover.go
+// decides by it which of two replicas keeps a call.
 
 package relay
 
@@ -59,13 +59,12 @@
 	}
 }
 
-// second describes a replica that a call was sent to at a time.
-func (a *streamActivity) second(id routing.Incarnation, sent time.Time) routing.SecondReplica {
+// heardFrom returns when bytes last arrived from a replica; zero: it has begun no stream that is still open.
+func (a *streamActivity) heardFrom(id routing.Incarnation) time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := routing.SecondReplica{Sent: sent}
 	if r := a.replicas[id]; r != nil {
-		out.Streams, out.HeardAt = r.streams, r.heardAt
+		return r.heardAt
 	}
-	return out
+	return time.Time{}
 }
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -217,12 +217,15 @@
 // endOverlap ends the time in which both an exchange and the silent one before it have the call. It returns nil if
 // the exchange keeps the call.
 func (s *activeCall) endOverlap(x *exchange) *failure {
-	second := s.Pool.activity.second(x.replica.Incarnation(), x.sent)
-	if !second.KeepsCall(s.attempts.ResponseStarted) {
+	silent, activity := s.handover.silent.replica, &s.Pool.activity
+	h := routing.Handover{
+		ResponseStarted: s.attempts.ResponseStarted, Sent: x.sent, SecondResponded: x.hasResponse(),
+		FirstHeardAt: activity.heardFrom(silent.Incarnation()), SecondHeardAt: activity.heardFrom(x.replica.Incarnation()),
+	}
+	if !h.SecondKeepsCall() {
 		s.handover.keepSilent()
 		return givenUp(errSilentToo)
 	}
-	silent := s.handover.silent.replica
 	if !s.takeOver() {
 		return givenUp(errOvertaken)
 	}
