Daemons that have lost their links too are told from lost replicas

Callers saw streams broken off, and requests refused, after the links of half of the daemons had been reset: a daemon that has lost its links asks another one for connections, and that one had lost its links too.

Cause: a daemon that was asked for its first connection answers replica_unreachable, since one failure does not make its links suspect. The asking daemon took that for an answer about the replica and asked no other. Each such replica, and each that its own lost links had reset, counted towards MaxChoices, so that a call ended after four of them although nothing was sent to any.

Change: a daemon that does not reach a replica for a peer tries a second one before it answers, so that its links become suspect and probes decide. The asking daemon, which may talk to the last build, asks another one within 250 ms (a dial that times out takes longer), and counts the first as one without links once another reaches the replica. While a daemon's links are suspect or down, replicas that it did not reach count apart, up to MaxUnreached (routing.MayChoose).

Ruled out: to make the links suspect by one failure, which would open idle connections anew for each replica that is lost; to raise MaxChoices, which bounds the replicas that one request may use up when they are gone.

--- a/coordination/routing/carriers.go
+++ b/coordination/routing/carriers.go
@@ -14,7 +14,9 @@
 //  3. A daemon that is silent, shutting down or full is not tried for carrierPause, and one whose build
 //     opens no connections for others for unsupportedPause. One that has lost its own links to the service
 //     is not tried for this service, for carrierPause too or, while no other carries for it, for noLinkPause.
-//  4. Up to MaxCarrierTries daemons are tried for one connection.
+//  4. Up to MaxCarrierTries daemons are tried for one connection. One that does not reach the replica may have lost its
+//     own links and not know it yet, so another is asked within unreachableSearch. If that one reaches the replica,
+//     the first counts as one that has lost its links.
 
 package routing
 
@@ -38,6 +40,9 @@
 	searchPause = 200 * time.Millisecond
 	// MaxCarrierTries bounds the daemons that are tried for one connection.
 	MaxCarrierTries = 3
+	// unreachableSearch is less than a dial that times out: to try several of these takes the time that another
+	// replica needs.
+	unreachableSearch = 250 * time.Millisecond
 )
 
 // CarrierFailure is why a daemon opened no connection for this one.
@@ -94,7 +99,8 @@
 
 // Pick returns the carrier for the next connection to a service, by rule 1. It returns false if another
 // daemon should be tried first, or if there is no carrier.
-func (c *Carriers) Pick(s ServiceName, now time.Time) (Carrier, bool) {
+// Those in asked have been asked for this connection.
+func (c *Carriers) Pick(s ServiceName, now time.Time, asked ...PeerID) (Carrier, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.inUse) < maxCarriers && now.After(c.searchAfter[s]) {
@@ -102,7 +108,7 @@
 	}
 	var best PeerID
 	for p, state := range c.inUse {
-		if c.isExcluded(p, s, now) {
+		if c.isExcluded(p, s, now) || slices.Contains(asked, p) {
 			continue
 		}
 		if best == "" || state.open < c.inUse[best].open || state.open == c.inUse[best].open && p < best {
@@ -138,8 +144,9 @@
 	return false
 }
 
-// Search returns which daemons may be tried next for a service, by rules 2 and 3.
-func (c *Carriers) Search(service ServiceName, now time.Time) Search {
+// Search returns which daemons may be tried next for a service, by rules 2 and 3. Those in asked have been asked for
+// this connection.
+func (c *Carriers) Search(service ServiceName, now time.Time, asked ...PeerID) Search {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := Search{Excluded: make(map[PeerID]bool, len(c.inUse)+len(c.excluded))}
@@ -161,6 +168,9 @@
 			refusals++
 		}
 	}
+	for _, p := range asked {
+		s.Excluded[p] = true
+	}
 	s.AnyDomain = refusals >= domainRefusals && !carries
 	return s
 }
@@ -172,6 +182,10 @@
 	c.searchAfter[s] = now.Add(searchPause)
 }
 
+// AsksAnother reports whether another daemon is asked after one that did not reach the replica. begun is when the first
+// was asked.
+func (c *Carriers) AsksAnother(begun, now time.Time) bool { return now.Sub(begun) < unreachableSearch }
+
 // Opened records that a daemon opened a connection.
 func (c *Carriers) Opened(by Carrier) {
 	c.mu.Lock()
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -13,7 +13,8 @@
 //     attempt that never reached a replica, such as a refused connection, counts towards neither. One at a replica
 //     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
 //     taken from a silent replica, to which it returns (transport/relay/failover.go).
-//  4. Fewer than [MaxChoices] replicas have been chosen.
+//  4. Fewer than [MaxChoices] replicas have been chosen. While this daemon's own links to the service are suspect or down
+//     (reach.go), as many more may be chosen if nothing was sent because replicas were not reached.
 //  5. The request is not quarantined because replicas crash while running it (crash.go).
 //
 // The caller gets the outcome of the last attempt. But once an attempt may have run the request,
@@ -32,6 +33,8 @@
 	// refused the connection: a request must not be tried all over a service most of whose
 	// replicas are gone.
 	MaxChoices = 4
+	// MaxUnreached bounds the replicas that are chosen in addition while this daemon's own links are at fault.
+	MaxUnreached = MaxChoices
 	// RetryAfter is the delay after which a caller whose request was refused should retry.
 	RetryAfter = 100 * time.Millisecond
 	// retryAfterCold is the time after which a cold replica can take another request of this
@@ -43,6 +46,15 @@
 	retryAfterOrigin = 500 * time.Millisecond
 )
 
+// MayChoose reports whether another replica may be chosen for a request. unreached are those of the chosen replicas that
+// this daemon did not reach through its own links or those of another daemon.
+func MayChoose(chosen, unreached int, links LinkState) bool {
+	if links != LinksUp {
+		chosen -= min(unreached, MaxUnreached)
+	}
+	return chosen < MaxChoices
+}
+
 // Attempts is the state of one request's attempts. It must be used by one goroutine only.
 type Attempts struct {
 	Route *Route
--- a/coordination/routing/retry_test.go
+++ b/coordination/routing/retry_test.go
@@ -126,3 +126,28 @@
 		}
 	}
 }
+
+// TestReplicasThatAreNotReached guards against requests that are refused because a daemon that has lost its links has
+// chosen as many replicas as a request may be sent to, and against requests that are tried all over a service.
+func TestReplicasThatAreNotReached(t *testing.T) {
+	const most = routing.MaxChoices
+	for _, c := range []struct {
+		name              string
+		chosen, unreached int
+		links             routing.LinkState
+		want              bool
+	}{
+		{"none chosen", 0, 0, routing.LinksUp, true},
+		{"the last", most - 1, 0, routing.LinksUp, true},
+		{"all chosen", most, 0, routing.LinksDown, false},
+		{"none reached, links up", most, most, routing.LinksUp, false},
+		{"one not reached, links suspect", most, 1, routing.LinksSuspect, true},
+		{"none reached, links down", most, most, routing.LinksDown, true},
+		{"the last of those not reached", most + routing.MaxUnreached - 1, most + routing.MaxUnreached - 1, routing.LinksDown, true},
+		{"none reached of as many as may be", most + routing.MaxUnreached, most + routing.MaxUnreached, routing.LinksDown, false},
+	} {
+		if got := routing.MayChoose(c.chosen, c.unreached, c.links); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -96,13 +96,17 @@
 	if p.detours == nil {
 		return nil, errNoCarrier
 	}
+	unreachable, begun := unreachableThrough{err: errNoCarrier}, clock.Now()
 	for range routing.MaxCarrierTries {
-		carrier, ok := p.detours.next(ctx, r.Service)
+		carrier, ok := p.detours.next(ctx, r.Service, unreachable.peers())
 		if !ok || ctx.Err() != nil {
 			break
 		}
 		raw, reader, err := tunnel.Dial(ctx, &p.peerDialer, string(carrier.Peer), r.Incarnation())
 		if err == nil {
+			for _, c := range unreachable.carriers {
+				p.ExcludeCarrier(c, r.Service, routing.CarrierNoLink)
+			}
 			p.detours.Carriers.Opened(carrier)
 			p.reach.Detoured(r.Service)
 			return newConn(raw, reader, r, carrier.Peer), nil
@@ -110,15 +114,36 @@
 		var refused *tunnel.Refused
 		switch {
 		case errors.As(err, &refused) && refused.AboutReplica():
-			return nil, err
+			unreachable.add(carrier, err)
+			if refused.Reason == tunnel.ReasonReplicaRefused || !p.detours.Carriers.AsksAnother(begun, clock.Now()) {
+				return nil, err
+			}
 		case errors.As(err, &refused) && refused.Reason == tunnel.ReasonUnknownReplica:
 			// The replica is new, and others will hardly know it either. The carrier is well.
-			return nil, errNoCarrier
+			return nil, unreachable.err
 		case ctx.Err() == nil:
 			p.ExcludeCarrier(carrier, r.Service, failureOf(err))
 		}
 	}
-	return nil, errNoCarrier
+	return nil, unreachable.err
+}
+
+// unreachableThrough are the daemons that did not reach a replica.
+type unreachableThrough struct {
+	carriers []routing.Carrier
+	err      error // of the last one
+}
+
+func (u *unreachableThrough) add(c routing.Carrier, err error) {
+	u.carriers, u.err = append(u.carriers, c), err
+}
+
+func (u *unreachableThrough) peers() []routing.PeerID {
+	var out []routing.PeerID
+	for _, c := range u.carriers {
+		out = append(out, c.Peer)
+	}
+	return out
 }
 
 // failureOf returns why a daemon opened no connection.
@@ -133,16 +158,17 @@
 	return routing.CarrierGone
 }
 
-// next returns the daemon to ask for the next connection to a service. It returns false if there is none.
-func (d *Detours) next(ctx context.Context, s routing.ServiceName) (routing.Carrier, bool) {
-	if c, ok := d.Carriers.Pick(s, clock.Now()); ok {
+// next returns the daemon to ask for the next connection to a service, other than those that were asked for this one. It
+// returns false if there is none.
+func (d *Detours) next(ctx context.Context, s routing.ServiceName, asked []routing.PeerID) (routing.Carrier, bool) {
+	if c, ok := d.Carriers.Pick(s, clock.Now(), asked...); ok {
 		return c, true
 	}
-	if c, ok := d.Find(ctx, d.Carriers.Search(s, clock.Now())); ok {
+	if c, ok := d.Find(ctx, d.Carriers.Search(s, clock.Now(), asked...)); ok {
 		return c, true
 	}
 	d.Carriers.NoneFound(s, clock.Now())
-	return d.Carriers.Pick(s, clock.Now())
+	return d.Carriers.Pick(s, clock.Now(), asked...)
 }
 
 // errCarrierGone means that the end of a connection was not the replica's.
@@ -212,16 +238,13 @@
 	if p.reach.IsDetoured(r.Service) {
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonNoLink}
 	}
-	raw, err := p.dial(ctx, r.Address)
-	if err == nil && breaksWithin(raw, linkCheckTime) {
-		_ = raw.Close()
-		err = errResetAtOnce
-	}
+	raw, err := p.dialChecked(ctx, r)
 	if err == nil {
 		return raw, nil
 	}
 	if ctx.Err() == nil {
 		p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
+		p.checkAnother(ctx, r, v)
 		p.awaitProbes(ctx, r.Service, p.probeWait) // they tell a lost replica from lost links
 	}
 	links, replicaRefused := p.reach.State(r.Service), errors.Is(err, syscall.ECONNREFUSED)
@@ -234,3 +257,34 @@
 	}
 	return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaUnreachable}
 }
+
+// dialChecked opens a connection over this daemon's own link that the link does not reset at once.
+func (p *Pool) dialChecked(ctx context.Context, r *routing.Replica) (net.Conn, error) {
+	raw, err := p.dial(ctx, r.Address)
+	if err == nil && breaksWithin(raw, linkCheckTime) {
+		_ = raw.Close()
+		return nil, errResetAtOnce
+	}
+	return raw, err
+}
+
+// checkAnother finds out, after a replica was not reached, whether another one of its service is. Without requests of its
+// own, this daemon would take its lost links for a lost replica, and its peer would look for other replicas in vain.
+func (p *Pool) checkAnother(ctx context.Context, lost *routing.Replica, v *routing.View) {
+	if p.reach.State(lost.Service) != routing.LinksUp {
+		return
+	}
+	pool := v.Pool(lost.Service)
+	for _, r := range routing.ProbeTargets(pool, v.Domain) {
+		if r.Incarnation() == lost.Incarnation() {
+			continue
+		}
+		raw, err := p.dialChecked(ctx, &r)
+		if err == nil {
+			_ = raw.Close()
+		} else if ctx.Err() == nil {
+			p.reach.Failed(&r, len(pool.Ready), clock.Now())
+		}
+		return
+	}
+}
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -42,10 +43,26 @@
 	return &link{address: l.Addr().String(), listener: l}
 }
 
+// resettingLink accepts connections and resets them.
+func resettingLink() *link {
+	l := silentLink()
+	go func() {
+		for {
+			c, err := l.listener.Accept()
+			if err != nil {
+				return
+			}
+			reset(c)
+		}
+	}()
+	return l
+}
+
 // carrierPeer is another daemon that reaches the replicas.
 type carrierPeer struct {
 	server  *tunnel.Server
 	address string
+	asked   atomic.Int32 // connections that other daemons asked for
 	opened  atomic.Int32
 	http    *httptest.Server
 
@@ -78,6 +95,7 @@
 	p := &carrierPeer{}
 	p.server = &tunnel.Server{
 		Open: func(ctx context.Context, id routing.Incarnation) (net.Conn, error) {
+			p.asked.Add(1)
 			for _, r := range replicas {
 				if r.Incarnation() == id {
 					return p.open(ctx, r.listener.Addr().String())
@@ -139,7 +157,58 @@
 	return w
 }
 
+// startLostCarrier starts a daemon that has lost its own links too and has not found out: it says of the given number of
+// replicas that they can't be reached, and reaches others.
+func startLostCarrier(unreachable int, replicas ...*replica) *carrierPeer {
+	p := startCarrier(replicas...)
+	open := p.server.Open
+	p.server.Open = func(ctx context.Context, id routing.Incarnation) (net.Conn, error) {
+		if int(p.asked.Load()) < unreachable {
+			p.asked.Add(1)
+			return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaUnreachable}
+		}
+		return open(ctx, id)
+	}
+	return p
+}
+
 var _ = Describe("Relay whose own links to all replicas are lost", func() {
+	// Requests were refused because the one daemon that was asked had lost its links too, and did not know it.
+	It("asks another daemon if the first does not reach the replica", func() {
+		a, b := startReplica("a", respondOK), startReplica("b", respondOK)
+		lost, sound := startLostCarrier(1000, a, b), startCarrier(a, b)
+		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{lost, sound}, a, b)
+		for i := range 5 {
+			to, s := w.serve(w.call(string(rune('1'+i)), "POST", "x"))
+			Expect(to.status).To(Equal(200))
+			Expect(s.Attempts[len(s.Attempts)-1].Via).To(BeEquivalentTo(sound.address))
+		}
+		Expect(lost.asked.Load()).To(BeEquivalentTo(1), "one that another daemon disproved is not asked again")
+	})
+
+	// Requests were refused after four replicas, to none of which anything was sent.
+	It("goes on to other replicas while those that it chose are not reached", func() {
+		var replicas []*replica
+		for i := range 8 {
+			replicas = append(replicas, startReplica(fmt.Sprint(i), respondOK))
+		}
+		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{startLostCarrier(4, replicas...)}, replicas...)
+		to, s := w.serve(w.call("1", "POST", "x"))
+		Expect(to.status).To(Equal(200))
+		Expect(s.Attempts).To(HaveLen(6))
+	})
+
+	It("does not try all replicas of a service of which none is reached", func() {
+		var replicas []*replica
+		for i := range 12 {
+			replicas = append(replicas, startReplica(fmt.Sprint(i), respondOK))
+		}
+		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{startLostCarrier(1000, replicas...)}, replicas...)
+		to, s := w.serve(w.call("1", "POST", "x"))
+		Expect(to.refusal).To(beNotRun())
+		Expect(s.Attempts).To(HaveLen(routing.MaxChoices + routing.MaxUnreached))
+	})
+
 	It("serves the first request through another daemon, and holds nothing against the replicas", func() {
 		a, b := startReplica("a", respondOK), startReplica("b", respondOK)
 		p := startCarrier(a, b)
@@ -357,6 +426,22 @@
 		Expect(reason(err)).To(Equal(tunnel.ReasonNoLink))
 	})
 
+	// A daemon without requests of its own answered that the replica can't be reached, so that its peer gave up the replica
+	// and asked no other daemon.
+	It("says that it has no link at the first request if it reaches no other replica either", func() {
+		a, b, c := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
+		w := newCutFixture(atMostOnce, resettingLink, nil, a, b, c)
+		Expect(reason(openTwo(ctx, w, 10*time.Second)[0])).To(Equal(tunnel.ReasonNoLink))
+	})
+
+	It("says that a replica can't be reached if it reaches another one", func() {
+		a, b, sound := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
+		w := newCutFixture(atMostOnce, resettingLink, nil, a, b, sound)
+		w.view.Pools["s"].Ready[2].Address = sound.listener.Addr().String()
+		Expect(reason(openTwo(ctx, w, 10*time.Second)[0])).To(Equal(tunnel.ReasonReplicaUnreachable))
+		Expect(w.relay.Pool.Reach().State("s")).To(Equal(routing.LinksUp))
+	})
+
 	It("says that it has no link once no replica responds to probes", func() {
 		a, b, c := startReplica("a", respondOK), startReplica("b", respondOK), startReplica("c", respondOK)
 		w := newCutFixture(atMostOnce, refusingLink, nil, a, b, c)
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -70,6 +70,11 @@
 	err         error
 }
 
+// isUnreached reports whether no connection to the replica could be opened, although it was tried.
+func (f *failure) isUnreached() bool {
+	return f.result == routing.ResultUnreachable && !errors.Is(f.err, errConnectionLimit) && !errors.Is(f.err, errNoCarrier)
+}
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	pool     *Pool
--- a/transport/relay/permits.go
+++ b/transport/relay/permits.go
@@ -171,7 +171,7 @@
 // triedReplicas describes the earlier attempts of a call.
 type triedReplicas struct {
 	routing.Tried
-	loadKeys [routing.MaxChoices]routing.LoadKey
+	loadKeys [routing.MaxChoices + routing.MaxUnreached]routing.LoadKey
 }
 
 func (t *triedReplicas) add(r *routing.Replica) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -61,6 +61,7 @@
 	attempts  routing.Attempts
 	tried     triedReplicas
 	choices   int          // replicas chosen so far
+	unreached int          // those among them to which nothing was sent, since no connection could be opened
 	completed bool         // the caller has the complete response
 	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
 	events    *eventReader // of a streamed response; nil before the first
@@ -111,7 +112,7 @@
 
 // tryReplicas sends the call to one replica after another until an attempt succeeds or no other is allowed.
 func (s *activeCall) tryReplicas(ctx context.Context) {
-	for s.choices < routing.MaxChoices {
+	for routing.MayChoose(s.choices, s.unreached, s.Pool.reach.State(s.call.Service)) {
 		if !s.attempt(ctx) {
 			return
 		}
@@ -142,6 +143,9 @@
 	if !failure.takenOverAt.IsZero() {
 		return false
 	}
+	if failure.isUnreached() {
+		s.unreached++
+	}
 	if failure.result == routing.ResultUnreachable && target.Replica.Domain != s.View().Domain {
 		s.tried.RemoteUnreachable = true
 	}
