A stream whose abandoned replica has left goes to a third one

Callers saw a stream end although a third replica had room: the silent replica was left for a second one, that rejected the call, and the silent one could not get it back because it had left the view, or because a coordinator chooses the replicas of the service. If it only backed off, a third was asked.

Cause: chooseAbandoned ended the call in the first two cases; a backoff was found later, in send, whose errIneligible allows another attempt.

Change: takeAbandoned decides in one place, before the attempt, whether the call goes back. If not, a replica is chosen as for any other attempt, among those that were not tried. The attempts stay within what the route allows, since the one that rejected the call does not count (ExcludeLast), and the abandoned one does.

Ruled out: to allow the abandoned replica again among the others, as it may have ended; a wait for its return.

--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -12,6 +12,8 @@
 //     timeout, until its deadline.
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
 //     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it.
+//     If the silent one may get no request, since it is not ready any more, wants none, or a coordinator chooses the
+//     replicas of the service, a further one is chosen as for any other attempt.
 //
 // The replica that is tried meanwhile may turn silent in its turn, so that handovers nest.
 
@@ -240,14 +242,25 @@
 	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
 }
 
-// chooseAbandoned returns the abandoned replica as the target of the next attempt. It returns false if it may get no
-// request.
-func (s *activeCall) chooseAbandoned(ctx context.Context) (routing.Target, bool) {
-	t := routing.Target{Replica: *s.abandoned}
-	s.abandoned = nil
-	if !s.View().IsReady(&t.Replica) || s.Permits != nil && s.Permits.Needed(s.call.Service) {
-		return routing.Target{}, false // a coordinator chooses the replicas of the service
+// takeAbandoned returns the abandoned replica if the next attempt is to be there. It returns nil if the call does not go
+// back, or the replica may get no request.
+func (s *activeCall) takeAbandoned() *routing.Replica {
+	if !s.goesBack {
+		return nil
 	}
+	r := s.abandoned
+	s.goesBack, s.abandoned = false, nil
+	isCoordinated := s.Permits != nil && s.Permits.Needed(s.call.Service)
+	if isCoordinated || !s.View().IsReady(r) || s.Placer.IsIneligible(r, clock.Now()) {
+		return nil
+	}
+	return r
+}
+
+// chooseAbandoned returns the abandoned replica as the target of the next attempt. It returns false if there is no
+// retry or no permit for it.
+func (s *activeCall) chooseAbandoned(ctx context.Context, r *routing.Replica) (routing.Target, bool) {
+	t := routing.Target{Replica: *r}
 	if !s.reserveSend(ctx) {
 		return routing.Target{}, false
 	}
--- a/transport/relay/failover_test.go
+++ b/transport/relay/failover_test.go
@@ -261,6 +261,40 @@
 		Expect(third.count()).To(BeZero(), "the route allows two replicas")
 	})
 
+	// A stream ended although a third replica had room, because the silent one that it had left could not get it back.
+	DescribeTable("does not get its stream back, but a third one does, after another one rejects it late", func(isCoordinated bool, change func(w *fixture, first, other, third *replica)) {
+		first := startReplica("r1", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(1)+"id: 2\nda")
+			return mute(a)
+		})
+		w := newFixture(resumable, first)
+		other, third := startReplica("r2", wellThenLate), startReplica("r3", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(2)+event(3))
+			return streamEnd(a)
+		})
+		if isCoordinated {
+			w.relay.Permits = &scriptedPermits{needed: true, acquire: grants(other, first, other, third)}
+		}
+		defer w.beginStreams(other, "b")()
+		w.onceBegun(other)
+		time.AfterFunc(800*time.Millisecond, func() { change(w, first, other, third) })
+		to, _ := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(to.broken).To(BeFalse())
+		Expect([]int{first.count(), other.count(), third.count()}).To(Equal([]int{1, 2, 1}))
+	},
+		Entry("if it has left", false, func(w *fixture, _, other, third *replica) { w.setReplicas(other, third) }),
+		Entry("if it wants no requests", false, func(w *fixture, first, other, third *replica) {
+			w.relay.Placer.Backoffs.Record(&first.Replica, time.Minute, "c", time.Now())
+			w.setReplicas(first, other, third)
+		}),
+		Entry("if a coordinator chooses the replicas of its service", true, func(w *fixture, first, other, third *replica) {
+			w.setReplicas(first, other, third)
+		}),
+	)
+
 	// A request that the silent replica may have run was refused as not run, because another one rejected it.
 	It("is not forgotten in the response to a plain request that another one rejects late", func() {
 		first := startReplica("r1", mute)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -156,10 +156,10 @@
 // choose returns the target of the next attempt. It returns false if there is none; the outcome then
 // says why.
 func (s *activeCall) choose(ctx context.Context) (routing.Target, bool) {
+	if r := s.takeAbandoned(); r != nil {
+		return s.chooseAbandoned(ctx, r)
+	}
 	switch {
-	case s.goesBack:
-		s.goesBack = false
-		return s.chooseAbandoned(ctx)
 	case s.Permits == nil:
 		return s.chooseDirect(ctx)
 	case s.Permits.NeededAtReplica(s.call.Service):
