What was not written does not count, and a response that breaks says nothing about links

Two faults of what an attempt counts as:

An attempt whose first write failed, so that no byte of the request left, used up one of the route's attempts and a retry of the budget; callers lost their call at the next failure, against rule 3 of retry.go. Cause: send counted before it wrote. It counts once bytes were written; what was reserved in the budget stays reserved for the next attempt, and the first attempt that is written counts as the request. The spec "An attempt of which no byte was written ..." ended after one of three attempts before; it passes, and finds one retry spent. A replica that is cut off is taken off the attempts only if its own attempt was counted.

A response that broke in its middle and one reset connection in the same call made the links to a service suspect, so that all idle connections were opened anew. Cause: excludeIfCutOff took the replica of the first for one that is not reached, although its bytes had arrived. It is tried by a new connection now, and counts only if that fails too. The spec "A response that breaks in its middle ..." found LinksSuspect before, and finds LinksUp. The specs of streams whose links are lost in their middle pass unchanged, since a link that is lost fails that trial.

Ruled out: to ignore broken responses altogether, since a stream whose daemon loses its links breaks in its middle first.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -10,7 +10,7 @@
 //     once, and the caller has received no bytes of a response, or only events of a stream that
 //     can be resumed elsewhere.
 //  3. It does not exceed the number of replicas that the route allows, nor the retry budget. An
-//     attempt that never reached a replica, such as a refused connection, counts towards neither. One at a replica
+//     attempt of which no byte was written, such as one at a refused connection, counts towards neither. One at a replica
 //     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
 //     taken from a silent replica, to which it returns (transport/relay/failover.go).
 //  4. Fewer than [MaxChoices] replicas have been chosen. While this daemon's own links to the service are suspect or down
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -27,6 +27,9 @@
 // UseDetours sets how the pool finds other daemons. It must be called before the pool is used.
 func (p *Pool) UseDetours(d *Detours) { p.detours = d }
 
+// otherReplicaTimeout is how long a second replica is tried while a peer waits. Links within a region take milliseconds.
+const otherReplicaTimeout = 200 * time.Millisecond
+
 // errNoCarrier means that no other daemon opens connections for this one.
 var errNoCarrier = errors.New("this daemon's own links to the service are down, and no other daemon reaches it")
 
@@ -268,6 +271,18 @@
 	return raw, err
 }
 
+// reaches reports whether a connection to a replica can be opened within a time.
+func (p *Pool) reaches(ctx context.Context, r *routing.Replica, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	raw, err := p.dialChecked(ctx, r)
+	if err != nil {
+		return false
+	}
+	_ = raw.Close()
+	return true
+}
+
 // checkAnother finds out, after a replica was not reached, whether another one of its service is. Without requests of its
 // own, this daemon would take its lost links for a lost replica, and its peer would look for other replicas in vain.
 func (p *Pool) checkAnother(ctx context.Context, lost *routing.Replica, v *routing.View) {
@@ -279,10 +294,7 @@
 		if r.Incarnation() == lost.Incarnation() {
 			continue
 		}
-		raw, err := p.dialChecked(ctx, &r)
-		if err == nil {
-			_ = raw.Close()
-		} else if ctx.Err() == nil {
+		if !p.reaches(ctx, &r, otherReplicaTimeout) && ctx.Err() == nil {
 			p.reach.Failed(&r, len(pool.Ready), clock.Now())
 		}
 		return
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -61,6 +61,7 @@
 	result        routing.Result       // of the replica; recorded only if countsAgainst is set
 	countsAgainst bool                 // result counts against the replica
 	connClosed    bool                 // the replica closed the connection while it had the request
+	received      bool                 // the replica had sent at least one byte, if the connection was closed
 	// responding is for how long the replica had sent events of the response; negative: it had sent none.
 	responding time.Duration
 	// replaced means that another replica responded at the address.
@@ -90,6 +91,7 @@
 	sent           time.Time // taken before the first byte was written
 	writing        sync.WaitGroup
 	writeErr       error
+	written        bool      // at least one byte of the request was written
 	requestWritten bool      // the complete request was written before reading began
 	received       bool      // the replica has sent at least one byte
 	sound          bool      // it was recorded that the replica does not crash on the request
@@ -118,12 +120,13 @@
 	if len(x.call.Body) < concurrentWriteBytes {
 		head = append(head, x.call.Body...)
 		n, err := x.conn.Write(head)
-		x.requestWritten = err == nil
+		x.written, x.requestWritten = n > 0, err == nil
 		*buf = head[:0]
 		buffers.Put(buf)
 		return x.writeFailure(ctx, n, err)
 	}
 	n, err := x.conn.Write(head)
+	x.written = n > 0
 	*buf = head[:0]
 	buffers.Put(buf)
 	if err != nil {
@@ -283,7 +286,7 @@
 	}
 	return &failure{
 		outcome: coordination.MayHaveRun{Reason: reason}, result: routing.ResultBroken,
-		countsAgainst: ctx.Err() == nil && !errors.Is(err, errMemory), connClosed: ctx.Err() == nil && isConnectionClosed(err), responding: x.responding(), err: err,
+		countsAgainst: ctx.Err() == nil && !errors.Is(err, errMemory), connClosed: ctx.Err() == nil && isConnectionClosed(err), received: x.received, responding: x.responding(), err: err,
 	}
 }
 
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -25,7 +25,7 @@
 	case f.result == routing.ResultBroken && !x.conn.reused:
 		// That an idle connection broke may mean that the replica closed it.
 		s.Pool.reach.Failed(r, s.replicas(r), clock.Now())
-		s.excludeIfCutOff(ctx, r)
+		s.excludeIfCutOff(ctx, x, r)
 	}
 }
 
@@ -40,22 +40,27 @@
 // recordBroken records that the connection of an attempt broke, and whether its replica has crashed.
 func (s *activeCall) recordBroken(ctx context.Context, t *routing.Target, a *Attempt, f *failure) {
 	hasCrashed := s.checkCrash(ctx, &t.Replica, f.responding)
-	s.broken = nil
+	s.broken, s.brokeInside = nil, f.received
 	if !hasCrashed && a.Via == "" {
 		s.broken = &t.Replica
 	}
 }
 
 // excludeIfCutOff is called when a new connection to a replica broke before it brought anything. If an earlier one broke in
-// the call too, two replicas are not reached. If probes confirm that the links are down, the replica does not count towards
-// those that the route allows: it is cut off.
-func (s *activeCall) excludeIfCutOff(ctx context.Context, r *routing.Replica) {
+// the call too, two replicas are not reached, unless the earlier one was reached then, since it broke inside a response,
+// and still is. If probes confirm that the links are down, the replica does not count towards those that the route allows:
+// it is cut off.
+func (s *activeCall) excludeIfCutOff(ctx context.Context, x *exchange, r *routing.Replica) {
 	if s.broken == nil || s.broken.ID == r.ID {
 		return
 	}
+	wait := min(lastAttemptProbeWait, clock.Until(s.call.Deadline)-routing.ReturnMargin)
+	if s.brokeInside && s.Pool.reaches(ctx, s.broken, wait) {
+		return
+	}
 	s.Pool.reach.Failed(s.broken, s.replicas(r), clock.Now())
-	s.Pool.awaitProbes(ctx, r.Service, min(lastAttemptProbeWait, clock.Until(s.call.Deadline)-routing.ReturnMargin))
-	if s.Pool.reach.State(r.Service) == routing.LinksDown {
+	s.Pool.awaitProbes(ctx, r.Service, wait)
+	if x.written && s.Pool.reach.State(r.Service) == routing.LinksDown {
 		s.attempts.ExcludeLast()
 	}
 }
--- a/transport/relay/links_test.go
+++ b/transport/relay/links_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/relay"
 )
 
 // breakableLink forwards connections to a replica until it breaks.
@@ -69,6 +70,64 @@
 	}
 }
 
+// interceptingCodec calls a function when the next request is about to be written, by which time its connection is open.
+type interceptingCodec struct {
+	relay.Codec
+	beforeWrite func()
+}
+
+// AppendRequest implements [relay.Codec].
+func (c *interceptingCodec) AppendRequest(p []byte, call *relay.Call, h relay.RequestHead) []byte {
+	if f := c.beforeWrite; f != nil {
+		c.beforeWrite = nil
+		f()
+	}
+	return c.Codec.AppendRequest(p, call, h)
+}
+
+// A call whose request could not be written at all used up an attempt and a retry, so that the next failure was its last.
+var _ = It("An attempt of which no byte was written counts towards neither the route's attempts nor the retry budget", func() {
+	w := newFixture(routing.Route{Kind: routing.Idempotent, MaxAttempts: 2})
+	w.relay.Budgets = routing.NewRetryBudgets(routing.RetryRule{Extra: 2, Window: 10 * time.Second}, 1) // one retry
+	r1, r3 := startReplica("r1", respondOK), startReplica("r3", respondOK)
+	r2 := startReplica("r2", func(a *receivedRequest) bool {
+		w.setReplicas(r3)
+		return reset(a.conn)
+	})
+	w.setReplicas(r1)
+	w.relay.Codec = &interceptingCodec{w.relay.Codec, func() {
+		w.setReplicas(r2)
+		Eventually(r1.connections, time.Second).Should(Equal(1))
+		r1.crash()
+		time.Sleep(20 * time.Millisecond) // until the reset has arrived
+	}}
+	to, s := w.serve(w.call("a", "GET", ""))
+	Expect(s.Attempts).To(HaveLen(3))
+	Expect(to.status).To(Equal(200))
+	Expect([]int{r1.count(), r2.count(), r3.count()}).To(Equal([]int{0, 1, 1}))
+	Expect(w.relay.Budgets.SpendRetry("s", time.Now())).To(BeFalse(), "one retry was spent")
+})
+
+// A replica that broke off a response in its middle and another one that reset a connection made the links suspect, so that
+// all idle connections of the service were opened anew.
+var _ = It("A response that breaks in its middle and a connection that is reset do not make the links suspect", func() {
+	w := newFixture(resumable)
+	r2 := startReplica("r2", func(a *receivedRequest) bool { return reset(a.conn) })
+	var r1 *replica
+	r1 = startReplica("r1", func(a *receivedRequest) bool {
+		streamHead(a)
+		chunk(a, event(1))
+		time.Sleep(50 * time.Millisecond)
+		w.setReplicas(r1, r2)
+		return reset(a.conn)
+	})
+	w.setReplicas(r1)
+	to, s := w.serve(w.call("a", "POST", "x"))
+	Expect(to.broken).To(BeTrue())
+	Expect(s.Attempts).To(HaveLen(2))
+	Expect(w.relay.Pool.Reach().State("s")).To(Equal(routing.LinksUp))
+})
+
 // A daemon whose links to all replicas were reset spent all attempts of a stream on its own links, and broke the stream off,
 // although other daemons reached the replicas.
 var _ = DescribeTable("A stream whose daemon loses its links goes on through another daemon", func(refuses, hasIdle bool) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -54,17 +54,18 @@
 	goesBack  bool // the next attempt is at the abandoned replica
 	// broken is the replica to which a connection of this daemon's own broke in an earlier attempt, although it has
 	// not crashed; nil: none.
-	broken    *routing.Replica
-	call      *Call
-	sink      Sink
-	summary   Summary
-	attempts  routing.Attempts
-	tried     triedReplicas
-	choices   int          // replicas chosen so far
-	unreached int          // those among them to which nothing was sent, since no connection could be opened
-	completed bool         // the caller has the complete response
-	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
-	events    *eventReader // of a streamed response; nil before the first
+	broken      *routing.Replica
+	brokeInside bool // it had begun to respond
+	call        *Call
+	sink        Sink
+	summary     Summary
+	attempts    routing.Attempts
+	tried       triedReplicas
+	choices     int          // replicas chosen so far
+	unreached   int          // those among them to which nothing was sent, since no connection could be opened
+	completed   bool         // the caller has the complete response
+	isProbe     bool         // the first attempt is a probe of a quarantined part of the prompt
+	events      *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
 	// fallback is a replica's error response, which is forwarded if no further
@@ -360,14 +361,13 @@
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
 		s.onEnd(func() { s.Pool.reach.End(&t.Replica) })
 	}
-	if s.attempts.CountSend() {
-		s.Budgets.CountRequest(s.call.Service, now)
-	}
 	f := x.writeRequest(ctx, RequestHead{
 		Replica: &t.Replica, PromptSource: t.Source.Address,
 		Remaining: clock.Until(s.call.Deadline) - routing.ReturnMargin, LastEventID: s.lastEvent(),
 	})
-	s.sent = x.sent
+	if x.written {
+		s.recordSend(x)
+	}
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
@@ -383,6 +383,14 @@
 	return f
 }
 
+// recordSend records that a replica has bytes of the request, so that it may run it.
+func (s *activeCall) recordSend(x *exchange) {
+	s.sent = x.sent
+	if s.attempts.CountSend() {
+		s.Budgets.CountRequest(s.call.Service, x.sent)
+	}
+}
+
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
