--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -55,17 +55,19 @@
 	goesBack  bool // the next attempt is at the abandoned replica
 	// broken is the replica to which a connection of this daemon's own broke in an earlier attempt, although it has
 	// not crashed; nil: none.
-	broken    *routing.Replica
-	call      *Call
-	sink      Sink
-	summary   Summary
-	attempts  routing.Attempts
-	tried     triedReplicas
-	choices   int          // replicas chosen so far
-	completed bool         // the caller has the complete response
-	served    atomic.Bool  // a replica has sent a complete response
-	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
-	events    *eventReader // of a streamed response; nil before the first
+	broken      *routing.Replica
+	brokeInside bool // it had begun to respond
+	call        *Call
+	sink        Sink
+	summary     Summary
+	attempts    routing.Attempts
+	tried       triedReplicas
+	choices     int          // replicas chosen so far
+	unreached   int          // those among them to which nothing was sent, since no connection could be opened
+	completed   bool         // the caller has the complete response
+	served      atomic.Bool  // a replica has sent a complete response
+	isProbe     bool         // the first attempt is a probe of a quarantined part of the prompt
+	events      *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
 	// fallback is a replica's error response, which is forwarded if neither a further
@@ -113,7 +115,7 @@
 
 // tryReplicas sends the call to one replica after another until an attempt succeeds or no other is allowed.
 func (s *activeCall) tryReplicas(ctx context.Context) {
-	for s.choices < routing.MaxChoices {
+	for routing.MayChoose(s.choices, s.unreached, s.Pool.reach.State(s.call.Service)) {
 		if !s.attempt(ctx) {
 			return
 		}
@@ -144,6 +146,9 @@
 	if !failure.takenOverAt.IsZero() {
 		return false
 	}
+	if failure.isUnreached() {
+		s.unreached++
+	}
 	if failure.result == routing.ResultUnreachable && target.Replica.Domain != s.View().Domain {
 		s.tried.RemoteUnreachable = true
 	}
@@ -154,10 +159,10 @@
 // choose returns the target of the next attempt. It returns false if there is none; the outcome then
 // says why.
 func (s *activeCall) choose(ctx context.Context) (routing.Target, bool) {
+	if r := s.takeAbandoned(); r != nil {
+		return s.chooseAbandoned(ctx, r)
+	}
 	switch {
-	case s.goesBack:
-		s.goesBack = false
-		return s.chooseAbandoned(ctx)
 	case s.Permits == nil:
 		return s.chooseDirect(ctx)
 	case s.Permits.NeededAtReplica(s.call.Service):
@@ -381,14 +386,13 @@
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
 		s.onEnd(func() { s.Pool.reach.End(&t.Replica) })
 	}
-	if s.attempts.CountSend() {
-		s.Budgets.CountRequest(s.call.Service, now)
-	}
 	f := x.writeRequest(ctx, RequestHead{
 		Replica: &t.Replica, PromptSource: t.Source.Address,
 		Remaining: clock.Until(s.call.Deadline) - routing.ReturnMargin, LastEventID: s.lastEvent(),
 	})
-	s.sent = x.sent
+	if x.written {
+		s.recordSend(x)
+	}
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
@@ -413,6 +417,14 @@
 	return s.call.Deadline
 }
 
+// recordSend records that a replica has bytes of the request, so that it may run it.
+func (s *activeCall) recordSend(x *exchange) {
+	s.sent = x.sent
+	if s.attempts.CountSend() {
+		s.Budgets.CountRequest(s.call.Service, x.sent)
+	}
+}
+
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
