Relay: a begun stream is left to a replica of which nothing is known, and goes back if that is silent too

A daemon of a large fleet has no other streams at most replicas, and a replica that reads a long prompt takes longer than .25 s until its header. Cause of both: after .25 s nothing tells a dead replica from one that pauses, nor a second one that is slow from one that is dead, so that no choice at that moment is right for both. Change: where nothing is known the second one keeps the stream, as before; the first one keeps it if it sends events of other streams, or if the second is silent on two streams. The budget counts the retry. Ruled out: to keep both connections open longer, since replicas must not work on one stream at the same time.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -12,7 +12,8 @@
 //  3. It does not exceed the number of replicas that the route allows, nor the retry budget. An
 //     attempt of which no byte was written, such as one at a refused connection, counts towards neither. One at a replica
 //     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
-//     taken from a silent replica, to which it returns (transport/relay/failover.go).
+//     taken from a silent replica, to which it returns (transport/relay/failover.go). So does a return to a replica that
+//     the request was sent to before, since the one that took it over is silent too.
 //  4. Fewer than [MaxChoices] replicas have been chosen. While this daemon's own links to the service are suspect or down
 //     (reach.go), as many more may be chosen if nothing was sent because replicas were not reached.
 //  5. The request is not quarantined because replicas crash while running it (crash.go).
@@ -66,6 +67,8 @@
 	Outcome coordination.Outcome
 	// reserved means that a retry has been reserved in the budget for the next attempt.
 	reserved bool
+	// returns means that the next attempt may be at a replica that the request was written to before.
+	returns bool
 }
 
 // NewAttempts returns the state before the first attempt, with the outcome that no replica was
@@ -137,6 +140,16 @@
 	return true
 }
 
+// AllowReturn allows an attempt at a replica that the request was written to before, which counts towards the budget but
+// not as a further replica. It returns false if the request may not run again.
+func (a *Attempts) AllowReturn() bool {
+	a.returns = a.Route.MayRunAgain()
+	return a.returns
+}
+
+// EndReturn ends what AllowReturn allowed, if no attempt was made.
+func (a *Attempts) EndReturn() { a.returns = false }
+
 func (a *Attempts) mayRetryAfter(o coordination.Outcome) bool {
 	if coordination.MayRetry(o) {
 		return true
@@ -154,7 +167,7 @@
 }
 
 // attemptsLeft reports whether the route allows an attempt at another replica.
-func (a *Attempts) attemptsLeft() bool { return a.Sent < a.Route.MaxAttempts }
+func (a *Attempts) attemptsLeft() bool { return a.returns || a.Sent < a.Route.MaxAttempts }
 
 // InTime reports whether there is enough time for another attempt. If not, it changes the outcome
 // to one with the reason that the deadline has passed.
@@ -183,8 +196,12 @@
 // CountSend records that the request is written to a replica, which uses up a reserved retry. It
 // returns true the first time.
 func (a *Attempts) CountSend() bool {
-	a.Sent++
 	a.reserved = false
+	if a.returns {
+		a.returns = false
+		return false
+	}
+	a.Sent++
 	return a.Sent == 1
 }
 
--- a/transport/relay/activity.go
+++ b/transport/relay/activity.go
@@ -59,12 +59,12 @@
 	}
 }
 
-// heardFrom returns when bytes last arrived from a replica; zero: it has begun no stream that is still open.
-func (a *streamActivity) heardFrom(id routing.Incarnation) time.Time {
+// of returns what a replica sends; the zero value if it has begun no stream that is still open.
+func (a *streamActivity) of(id routing.Incarnation) routing.StreamActivity {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r := a.replicas[id]; r != nil {
-		return r.heardAt
+		return routing.StreamActivity{Streams: r.streams, HeardAt: r.heardAt}
 	}
-	return time.Time{}
+	return routing.StreamActivity{}
 }
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -12,7 +12,8 @@
 //     timeout, until its deadline.
 //     An error response of the other one does not take the call over: it is forwarded if the silent one does not respond.
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
-//     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it.
+//     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it. If the
+//     other one is silent too, and has sent nothing, the call is sent to the first one again, by rules 1 to 3.
 //     If the silent one may get no request, since it is not ready any more, wants none, or a coordinator chooses the
 //     replicas of the service, a further one is chosen as for any other attempt.
 //
@@ -231,10 +232,11 @@
 			s.recordSilence(x, canRetry)
 			isRecorded = true
 		}
-		if !canRetry {
+		if !canRetry && !s.planReturnFrom(x) {
 			continue
 		}
 		takenOver, n, err := s.failOver(ctx, x, p)
+		s.attempts.EndReturn()
 		x.deadline = s.responseDeadline()
 		switch {
 		case takenOver:
@@ -268,7 +270,7 @@
 	silent, activity := s.handover.silent.replica, &s.Pool.activity
 	h := routing.Handover{
 		ResponseStarted: s.attempts.ResponseStarted, Sent: x.sent, SecondResponded: x.hasResponse(),
-		FirstHeardAt: activity.heardFrom(silent.Incarnation()), SecondHeardAt: activity.heardFrom(x.replica.Incarnation()),
+		First: activity.of(silent.Incarnation()), Second: activity.of(x.replica.Incarnation()),
 	}
 	if !h.SecondKeepsCall() {
 		s.handover.keepSilent()
@@ -288,6 +290,13 @@
 	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
 }
 
+// planReturnFrom decides whether a call goes back to the replica that it abandoned, since the one that took it over is
+// silent too and has sent nothing for it. That is no further replica, so that the route allows it.
+func (s *activeCall) planReturnFrom(x *exchange) bool {
+	s.goesBack = s.abandoned != nil && !x.received && s.attempts.AllowReturn()
+	return s.goesBack
+}
+
 // takeAbandoned returns the abandoned replica if the next attempt is to be there. It returns nil if the call does not go
 // back, or the replica may get no request.
 func (s *activeCall) takeAbandoned() *routing.Replica {
@@ -326,7 +335,7 @@
 		return
 	}
 	s.recordFailure(r, routing.ResultSilent, errSilent)
-	if !canRetry {
+	if !canRetry && !s.planReturnFrom(x) {
 		s.Placer.Health.ReportSilence(r, clock.Now())
 	}
 }
