Admission: a coordinator that takes over leaves the places of the one before it

Cause: the coordinator of a failure domain hears only of the daemons of its domain. Those of the other domains hold permits at its replica too, and ask elsewhere. It took their places for free ones.

An ask that another coordinator has queued says that all places were occupied there. Those that the new coordinator does not know of become free one after another within the usual time of a request. This holds for each coordinator that takes over, but not while the replicas are brittle, for which strict.go has a rule of its own.

It works because the other coordinator has stopped granting when daemons leave it: its requests end at the usual rate, and the new coordinator grants at that rate in place of granting all at once.

Ruled out: to presume that all requests of the other coordinator have just begun.

--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -217,6 +217,7 @@
 	links []*link
 	asks  []*pendingAsk // by id
 	held  []heldPermit
+	speed serviceSpeed // of the requests of this daemon
 }
 
 // needed reports whether the service has a coordinator.
@@ -392,6 +393,9 @@
 	}
 	l := c.held[i].from
 	c.held = slices.Delete(c.held, i, i+1)
+	if f.Result == Completed {
+		c.speed.finished(f.Took, f.Took, now)
+	}
 	if l == nil {
 		return
 	}
--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -45,9 +45,8 @@
 //     been granted since. A daemon whose queued ask is granted gets a reply without a message. A
 //     coordinator without replicas does not reply: it knows nothing of the service yet, and daemons
 //     ask another one if a coordinator is silent.
-//  9. A coordinator whose process was paused for so long that daemons found it silent grants no permit
-//     for resumeTime. Others have granted the same places meanwhile. Its replies to the messages that
-//     came in the pause bring those daemons back, with a message that lists these permits.
+//  9. A coordinator whose process was paused, or that takes over from another one, does not know
+//     all permits (takeover.go).
 //  10. While the replicas are brittle, other bounds hold (strict.go).
 
 package admission
@@ -100,8 +99,6 @@
 	maxClosed = time.Second
 	// maxPause bounds the pause after a request that took long, or while the share is not known.
 	maxPause = 200 * time.Millisecond
-	// resumeTime is the time for a reply and the message that follows it.
-	resumeTime = repeatAfter
 	// rounding is the part of a place by which a share may be inexact.
 	rounding = 1e-6
 )
@@ -139,7 +136,7 @@
 	speed     serviceSpeed
 	tally     tally
 	paused    time.Time // until when no permit is granted, because the share is less than a place
-	resumes   time.Time // until when no permit is granted, because the process was paused, rule 9
+	takeover  takeover
 	strict    strictMode
 	busyUntil time.Time // until when the service is saturated
 }
@@ -153,6 +150,8 @@
 	failures    int         // permitted requests that failed since one was completed
 	closedUntil time.Time   // until when it gets no permit, by rule 5
 	lingering   []time.Time // until when requests that were given up still occupy a place, in order
+	presumed    []time.Time // until when permits of another coordinator occupy a place, in order
+	reported    int         // unpermitted, as of the newest message
 	speed       replicaSpeed
 }
 
@@ -283,6 +282,7 @@
 	if len(r.Unpermitted) > 0 {
 		c.relearn(now)
 	}
+	c.presumeOccupied(now)
 	added := c.setPending(d, r.Pending, now)
 	c.setHeld(d, r.Held, now)
 	c.grantFree(now)
@@ -421,7 +421,7 @@
 // newAsk returns an ask that a daemon lists for the first time.
 func newAsk(from membership.Address, listed Ask, now time.Time) *ask {
 	return &ask{waiting: waiting{
-		Ask: listed, from: from, asked: now, wasQueued: slices.Contains(listed.Tried, queuedMark),
+		Ask: listed, from: from, asked: now, wasQueued: wasQueued(listed),
 		target: now.Add(listed.UntilTarget), deadline: now.Add(listed.UntilDeadline),
 	}}
 }
@@ -430,7 +430,7 @@
 // another one had queued it. Its daemon ignored that decision.
 func (a *ask) isToDecideAgain(listed *Ask, now time.Time) bool {
 	_, refused := a.decision.(Refused)
-	return refused && !a.wasQueued && slices.Contains(listed.Tried, queuedMark) && now.Before(a.deadline)
+	return refused && !a.wasQueued && wasQueued(*listed) && now.Before(a.deadline)
 }
 
 func isGranted(a *ask) bool {
@@ -606,20 +606,15 @@
 	return r.requests() < c.placesOf(r) && !(r.failures > 0 && r.permits > 0) && !now.Before(r.closedUntil)
 }
 
-// detectShortPause implements rule 9. A daemon that decides alone grants to itself only.
-func (g *running) detectShortPause(now time.Time) {
-	if !g.alone && !g.tick.IsZero() && now.Sub(g.tick) >= pausedAfter {
-		g.resumes = now.Add(resumeTime)
-	}
-}
-
 // isPaused reports whether no permit is granted for a while.
 func (c *Coordinator) isPaused(now time.Time) bool {
-	return now.Before(c.paused) || now.Before(c.resumes) || now.Before(c.strict.learningUntil)
+	return now.Before(c.paused) || now.Before(c.takeover.until) || now.Before(c.strict.learningUntil)
 }
 
 // requests returns the number of requests at a replica.
-func (r *replica) requests() int { return r.permits + r.unpermitted + len(r.lingering) }
+func (r *replica) requests() int {
+	return r.permits + r.unpermitted + len(r.lingering) + len(r.presumed)
+}
 
 // placesAt returns the number of places of a replica.
 func (c *Coordinator) placesAt(r *replica) int {
@@ -703,6 +698,7 @@
 func (c *Coordinator) expire(now time.Time) {
 	c.extendSaturated(now)
 	c.expireLingering(now)
+	c.expirePresumed(now)
 	c.expireDaemons(now)
 	c.expireUnlisted(now)
 	c.expireAsks(now)
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -279,7 +279,7 @@
 		return // each domain has a coordinator of its own
 	}
 	if g := d.coordinator(c, r.Scope, false, now); g != nil {
-		g.take(r, d.domains[r.From], now)
+		g.take(r, d.domains[r.From], c.speed.usual(), now)
 	}
 }
 
@@ -336,10 +336,11 @@
 	return coordinatorIdle
 }
 
-// take passes a request to the coordinator.
-func (g *running) take(r *PermitRequest, domain state.FailureDomain, now time.Time) {
+// take passes a request to the coordinator. usual is how long the requests of this daemon take.
+func (g *running) take(r *PermitRequest, domain state.FailureDomain, usual time.Duration, now time.Time) {
 	g.detectPause(now)
 	g.detectShortPause(now)
+	g.detectTakeover(r, usual, now)
 	g.Receive(r, domain, now)
 	g.received, g.replies = now, true
 	if g.tick.IsZero() {
@@ -355,7 +356,7 @@
 	}
 	l.unanswered, l.finished = nil, l.finished[:0]
 	if g := d.coordinator(c, l.to.scope, l.to.alone, now); g != nil {
-		g.take(r, d.self.Domain, now)
+		g.take(r, d.self.Domain, c.speed.usual(), now)
 	}
 }
 
