Admission: a coordinator of a domain takes over each time that the service's is paused

The coordinator of the domain then granted places that it took for free ones, because it had taken over less than .1 s before and did not presume them to be occupied again.

Change: it takes over also when an ask comes that another coordinator has queued and none waits here. Daemons withdraw their asks when they return, so that this shows that they had left.

Ruled out: to take over with each daemon that comes. The daemons of a domain come within 55 ms, and the places would be presumed to be occupied anew with each of them.

--- a/coordination/admission/takeover.go
+++ b/coordination/admission/takeover.go
@@ -6,12 +6,14 @@
 //  1. A coordinator whose process was paused for so long that daemons found it silent grants no permit
 //     for resumeTime. Others have granted the same places meanwhile. Its replies to the messages that
 //     came in the pause bring those daemons back, with a message that lists these permits.
-//  2. A coordinator takes over when asks come and none came for stayFor before. That of a failure domain
-//     then grants no permit for takeoverTime: most pauses of the one before are over by then.
+//  2. A coordinator takes over when asks come and none came for stayFor before, or when one comes that
+//     another coordinator has queued and none waits here: the other one is paused again and again. That
+//     of a failure domain then grants no permit for takeoverTime: most pauses are over by then.
 //  3. If another coordinator has queued an ask that comes within stayFor after that, all places were
 //     occupied there. Those that the coordinator does not know of are then presumed to be occupied, and
 //     become free one after another within the usual time of a request, as the requests there end. That
-//     time began replyTimeout ago at the latest: the other coordinator has not answered since. Daemons of other failure domains hold permits at these replicas too, and do not ask here.
+//     time began replyTimeout ago at the latest: the other coordinator has not answered since. Daemons
+//     of other failure domains hold permits at these replicas too, and do not ask here.
 //  4. A presumed place is dropped for each request that a daemon reports later, since it is one of these.
 //  5. A daemon that decides alone has a share of its own, to which none of this applies. A coordinator
 //     of brittle replicas learns of all permits before it grants any instead of rules 2 and 3 (strict.go).
@@ -53,7 +55,7 @@
 		return
 	}
 	t := &g.takeover
-	if now.Sub(t.asked) >= stayFor {
+	if now.Sub(t.asked) >= stayFor || g.queue.len() == 0 && g.isNewHere(r) {
 		t.began = now
 		if g.isDomain() {
 			t.until = now.Add(takeoverTime)
@@ -65,6 +67,12 @@
 	}
 }
 
+// isNewHere reports whether a message lists an ask that another coordinator has queued, and this one has not.
+func (c *Coordinator) isNewHere(r *PermitRequest) bool {
+	d := c.daemons[r.From]
+	return slices.ContainsFunc(r.Pending, func(a Ask) bool { return wasQueued(a) && (d == nil || d.asks[a.ID] == nil) })
+}
+
 // wasQueued reports whether another coordinator has queued an ask.
 func wasQueued(a Ask) bool { return slices.Contains(a.Tried, queuedMark) }
 
--- a/coordination/admission/takeover_test.go
+++ b/coordination/admission/takeover_test.go
@@ -13,21 +13,22 @@
 type takeoverTest struct {
 	*testing.T
 	g        *running
+	asks     PermitID // that each message lists
 	sequence Sequence
 }
 
 func newTakeoverTest(t *testing.T) *takeoverTest {
 	c := NewCoordinator(newWorld(1, 1).nodes[0].m, svc, "d0", 1)
 	c.SetReplicas([]Replica{{Key: 1, Domain: "d0", Slots: 6}}, start)
-	return &takeoverTest{T: t, g: &running{Coordinator: c}}
+	return &takeoverTest{T: t, g: &running{Coordinator: c}, asks: 12}
 }
 
-// ask lets a daemon ask for twelve permits. inFlight is the number of its requests that others granted.
+// ask lets a daemon ask for permits. inFlight is the number of its requests that others granted.
 func (c *takeoverTest) ask(from membership.Address, queued bool, inFlight uint16, now time.Time) {
 	c.sequence++
 	r := &PermitRequest{From: from, Incarnation: 1, Sequence: c.sequence, Service: svc, Scope: "d0",
 		Unpermitted: []routing.LoadCount{{Replica: 1, Requests: inFlight}}}
-	for id := range PermitID(12) {
+	for id := range c.asks {
 		a := Ask{ID: id + 1, UntilTarget: ms(1000), UntilDeadline: ms(2500)}
 		if queued {
 			a.Tried = []routing.LoadKey{queuedMark}
@@ -91,3 +92,17 @@
 	c.ask("10.0.0.9:1", true, 0, start.Add(stayFor))
 	c.expectGranted(6, start.Add(stayFor))
 }
+
+// Guards against double grants of a coordinator of a domain whose daemons leave it, and come back because the service's
+// coordinator is paused again.
+func TestACoordinatorTakesOverAgain(t *testing.T) {
+	c := newTakeoverTest(t)
+	c.ask("10.0.0.9:1", true, 0, start)
+	c.asks = 0
+	c.ask("10.0.0.9:1", true, 0, start.Add(ms(1)))
+	c.expectGranted(0, start.Add(ms(50)))
+	c.asks = 12
+	c.ask("10.0.0.9:1", true, 0, start.Add(ms(50)))
+	c.expectGranted(0, start.Add(ms(50)+takeoverTime-1))
+	c.expectGranted(2, start.Add(ms(50)+takeoverTime)) // of 8, in 15 + 10 of 80 ms
+}
