Relay: events that have arrived do not wait for the rest of a chunk

What callers saw: an event that a replica had sent completely reached them only with the end of the next chunk, or of its own. If the replica stopped there, they did not get it before the call went on elsewhere, or ended.

Cause: the reader of chunks in net/http fills the buffer that it is given as long as it is inside a chunk, and waits for more although it has read some. The relay gave it a buffer for several events.

Change: a read that may wait is for one byte. What is buffered up to the next CRLF, and can't be the size of a chunk, is read at once; that can't wait. chunks.go has the rule.

Why it works: a read of at most the bytes that are left of the chunk and are buffered returns without another read from the connection.

Ruled out: a byte at a time, some 50 ns each by estimate; a decoder of chunks of our own. What remains: data that ends its stream waits for the end of the trailer, if that is held back inside its four bytes.

--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -129,7 +129,7 @@
 	x.awaitsEvents = true
 	buf := make([]byte, streamReadBytes)
 	for {
-		n, err := x.response.Body.Read(buf)
+		n, err := x.readData(buf)
 		if x.readFailure != nil {
 			return x.readFailure // another replica may go on, without what was read last
 		}
--- a/transport/relay/stalls_test.go
+++ b/transport/relay/stalls_test.go
@@ -145,6 +145,20 @@
 		Entry("event", func(id string) string { return chunkedHead(id) + "8\r\nid: 2\nda\r\n" }),
 	)
 
+	// An event waited for the end of the next chunk, or of its own.
+	DescribeTable("has its complete events forwarded at once", func(part func(id string) string) {
+		w := newFixture(stream, startReplica("r", stallIn(part)))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		to := &recordingSink{wrote: make(chan struct{}, 1)}
+		go w.relay.Serve(ctx, w.call("a", "POST", "x"), to)
+		Eventually(to.wrote, 500*time.Millisecond).Should(Receive())
+	},
+		Entry("inside the same chunk", func(id string) string { return chunkedHead(id) + "40\r\n" + event(1) + "id: 2\nda" }),
+		Entry("inside the next chunk", func(id string) string { return chunkedHead(id) + firstChunk + "40\r\nid: 2\nda" }),
+		Entry("inside the size of the next chunk", func(id string) string { return chunkedHead(id) + firstChunk + "4" }),
+	)
+
 	// Each wait is short, but the response does not come.
 	It("has its stream beside a silent one only for a short time although bytes arrive", func() {
 		closed, begun := make(chan time.Time, 1), make(chan time.Time, 1)
