--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -63,7 +63,6 @@
 	tried     triedReplicas
 	choices   int          // replicas chosen so far
 	completed bool         // the caller has the complete response
-	served    atomic.Bool  // a replica has sent a complete response
 	isProbe   bool         // the first attempt is a probe of a quarantined part of the prompt
 	events    *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
@@ -77,6 +76,7 @@
 	writeErr error // of the first write to the caller that failed
 	// finishing says that the final response was begun, and finished that the call's end was reported.
 	finishing, finished bool
+	served              atomic.Bool // a replica has sent a complete response
 }
 
 // errorResponse is a complete error response.
@@ -404,15 +404,6 @@
 	return f
 }
 
-// responseDeadline returns until when a replica's response is waited for. If the call holds an error response of another
-// one, that has to be returned in time.
-func (s *activeCall) responseDeadline() time.Time {
-	if s.fallback != nil && !s.attempts.ResponseStarted {
-		return s.call.Deadline.Add(-routing.ReturnMargin)
-	}
-	return s.call.Deadline
-}
-
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -83,6 +84,15 @@
 	return !failed || !s.attempts.MayTryAnother()
 }
 
+// responseDeadline returns until when a replica's response is waited for. If the call holds an error response of another
+// one, that has to be returned in time.
+func (s *activeCall) responseDeadline() time.Time {
+	if s.fallback != nil && !s.attempts.ResponseStarted {
+		return s.call.Deadline.Add(-routing.ReturnMargin)
+	}
+	return s.call.Deadline
+}
+
 // isServerError reports whether a status says that a replica failed on a request.
 func isServerError(status int) bool { return status >= http.StatusInternalServerError }
 
