--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -65,7 +65,6 @@
 	choices     int          // replicas chosen so far
 	unreached   int          // those among them to which nothing was sent, since no connection could be opened
 	completed   bool         // the caller has the complete response
-	served      atomic.Bool  // a replica has sent a complete response
 	isProbe     bool         // the first attempt is a probe of a quarantined part of the prompt
 	events      *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
@@ -79,6 +78,7 @@
 	writeErr error // of the first write to the caller that failed
 	// finishing says that the final response was begun, and finished that the call's end was reported.
 	finishing, finished bool
+	served              atomic.Bool // a replica has sent a complete response
 }
 
 // errorResponse is a complete error response.
@@ -408,15 +408,6 @@
 	return f
 }
 
-// responseDeadline returns until when a replica's response is waited for. If the call holds an error response of another
-// one, that has to be returned in time.
-func (s *activeCall) responseDeadline() time.Time {
-	if s.fallback != nil && !s.attempts.ResponseStarted {
-		return s.call.Deadline.Add(-routing.ReturnMargin)
-	}
-	return s.call.Deadline
-}
-
 // recordSend records that a replica has bytes of the request, so that it may run it.
 func (s *activeCall) recordSend(x *exchange) {
 	s.sent = x.sent
