Front: the bodies of all requests share a part of the memory

Cause: bodies were bounded one by one, and a buffer that doubles takes up to twice its body.

Metric refused_for_bodies_total, a line for each refusal.

Ruled out: counting what has arrived instead of what is announced: 40 bodies then meet half-read, and all but a few are read in vain. A bound on the time of an upload: a caller on a slow link is sound as long as nobody needs the room.

Why it works: what is admitted has its memory counted before it is allocated, so that neither their number nor their length adds up to more than the room. Not covered: the OpenAI front end, whose bodies are bounded each.

--- a/cmd/hingewinchd/routes.go
+++ b/cmd/hingewinchd/routes.go
@@ -46,6 +46,7 @@
 		Front: func(d *routes.Daemon) http.Handler {
 			return &platform.Front{
 				View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked,
+				Bodies: d.Bodies, Refused: d.Log.Refused,
 			}
 		},
 	}
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -66,6 +66,7 @@
 	ReasonKeyOutcomeUnknown Reason = "earlier_attempt_unknown"
 	ReasonLedgerFull        Reason = "ledger_full"
 	ReasonAnswerTooLarge    Reason = "answer_too_large"
+	ReasonBodiesFull        Reason = "bodies_full"
 	ReasonInternal          Reason = "internal_error"
 )
 
@@ -93,6 +94,7 @@
 	ReasonKeyOutcomeUnknown: "an earlier attempt with this key has an unknown end; check the effect before using a new key",
 	ReasonLedgerFull:        "this daemon holds too many keys; repeat after the time in Retry-After",
 	ReasonAnswerTooLarge:    "the answer is larger than the daemon holds; ask for a smaller or a streamed one",
+	ReasonBodiesFull:        "the bodies of other requests take all memory that this daemon has for them; send again after the time in Retry-After",
 	ReasonInternal:          "the daemon failed while it served this request; check the effect before sending again",
 }
 
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/admission"
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
@@ -50,6 +51,8 @@
 	Relay   *relay.Relay
 	Log     *Log
 	Metrics *Metrics
+	// Bodies is the room for the bodies of callers' requests.
+	Bodies *coordination.BodyRoom
 
 	settings *Settings
 	platform Platform
@@ -70,6 +73,7 @@
 // New opens the listeners and assembles a daemon. Nothing is served before Run.
 func New(s *Settings, p Platform, logTo io.Writer) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, Metrics: newMetrics(), started: clock.Now(), pool: relay.NewPool(net.ParseIP(s.SourceAddress))}
+	d.Bodies = coordination.NewBodyRoom(bodyBytes(s.MemoryMB))
 	d.Log = newLog(logTo, s.LogLevel, string(s.ID), d.Metrics)
 	limitMemory(s.MemoryMB)
 	if err := d.open(); err != nil {
@@ -95,6 +99,22 @@
 	}
 }
 
+// The bodies of callers' requests may take bodyShare of the process's memory, and defaultBodyBytes if that is not known. Of
+// 284 MB the daemon needs 60 MB for itself, and responses that are held take up to 152 MB with their garbage; 72 MB are left.
+// The buffers of a body take a third more than the body itself while it is read.
+const (
+	bodyShare        = 1.0 / 6
+	defaultBodyBytes = 48 * megabyte
+)
+
+// bodyBytes returns the room for the bodies of callers' requests, in bytes, of a process with some memory.
+func bodyBytes(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return defaultBodyBytes
+	}
+	return int64(bodyShare * float64(memoryMB) * megabyte)
+}
+
 func (d *Daemon) open() error {
 	var err error
 	if d.peers, err = openPeers(d.settings.Listen.Peers, d.Metrics); err != nil {
--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -141,7 +141,7 @@
 		Store: platform.NewStore(n.endpoint.Address()), HistoryGone: platform.ErrHistoryGone, Documents: platform.Documents{},
 		Codec: platform.Codec{}, ReadyPath: platform.PathReady,
 		Front: func(d *routes.Daemon) http.Handler {
-			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked}
+			return &platform.Front{View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked, Bodies: d.Bodies, Refused: d.Log.Refused}
 		},
 	}, n.log)
 	Expect(err).NotTo(HaveOccurred())
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -283,6 +283,14 @@
 	l.logger.Info().Str("request", string(id)).Str("reason", denialNames[d]).Msg(prefixRequest + "denied")
 }
 
+// Refused logs that a request was refused before it was routed.
+func (l *Log) Refused(id routing.RequestID, reason coordination.Reason) {
+	l.metrics.Requests.Inc(1)
+	l.metrics.NotRun.Inc(1)
+	l.metrics.RefusedForBodies.Inc(1)
+	l.logger.Warn().Str("request", string(id)).Str("reason", string(reason)).Msg(prefixRequest + "refused before it was read")
+}
+
 // denialNames are the logged reasons of denials.
 var denialNames = map[routing.Denial]string{
 	routing.NoConfiguration: "no_configuration",
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -54,6 +54,8 @@
 	ContentsQuarantined metrics.Counter
 	// PartsQuarantined counts the parts of prompts that were quarantined, RefusedForParts the requests refused for one.
 	PartsQuarantined, RefusedForParts metrics.Counter
+	// RefusedForBodies counts the requests that were refused because the bodies of others take all memory for them.
+	RefusedForBodies metrics.Counter
 	// BackoffsRequested counts the responses that requested a backoff, and DeparturesAnnounced
 	// those that announced the departure of their replica.
 	BackoffsRequested metrics.Counter
@@ -154,6 +156,7 @@
 		"contents_held_total":             &m.ContentsQuarantined,
 		"parts_held_total":                &m.PartsQuarantined,
 		"refused_for_parts_total":         &m.RefusedForParts,
+		"refused_for_bodies_total":        &m.RefusedForBodies,
 		"rests_asked_total":               &m.BackoffsRequested,
 		"resting_total":                   &m.BackoffsBegun,
 		"all_resting_total":               &m.AllBackingOff,
