Daemon: connections that can't be accepted are logged and counted

What callers may see: connections that hang or are refused while the daemon's log and metrics say nothing, as with too many open files.

Cause: net/http tries again after an error of Accept and says so in the server's error log only, of which the production front end keeps nothing but panics, and the OpenAI front end the debug level.

Change: daemon.Listener reports errors of Accept by a function, other than the end of the listener. Both front ends write "daemon: connection can't be accepted", one line a second (daemon.LineLimit, which the limits of stacks and of invalid fields use too, in place of two copies), and count all in accept_errors_total.

Ruled out: reading net/http's text in the error log: it is not an interface, and lacks the error's type.

Why it works: every error that makes net/http try again comes out of Accept of the listener that the server is given.

--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -28,6 +28,9 @@
 type Listener struct {
 	Server *http.Server
 	Socket net.Listener
+	// AcceptFailed is called when a connection can't be accepted, as with too many open files; nil: not needed. The server tries
+	// again after 5 ms, and after up to a second while it goes on failing.
+	AcceptFailed func(err error)
 }
 
 // Listen opens a socket. The caller sets the server's handler before Serve. network
@@ -48,7 +51,7 @@
 // Serve accepts connections until Close or a graceful shutdown. Any other error is
 // sent to failed.
 func (l *Listener) Serve(failed chan<- error) {
-	if err := l.Server.Serve(l.Socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := l.Server.Serve(reportingListener{l.Socket, l.AcceptFailed}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		failed <- eris.Wrapf(err, "serve on %s", l.Socket.Addr())
 	}
 }
@@ -59,3 +62,18 @@
 	_ = l.Server.Close()
 	_ = l.Socket.Close()
 }
+
+// reportingListener reports errors of Accept.
+type reportingListener struct {
+	net.Listener
+	failed func(err error) // may be nil
+}
+
+// Accept implements [net.Listener].
+func (l reportingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && l.failed != nil && !errors.Is(err, net.ErrClosed) {
+		l.failed(err)
+	}
+	return c, err
+}
--- a/daemon/openai/daemon.go
+++ b/daemon/openai/daemon.go
@@ -44,6 +44,8 @@
 	meter       *gateway.Meter
 	draining    atomic.Bool
 
+	acceptErrors daemon.LineLimit
+
 	callers, peers, operators *daemon.Listener
 }
 
@@ -74,13 +76,13 @@
 	if err != nil {
 		return err
 	}
-	if d.callers, err = openListener(s.Listen.Callers, callerTLS, nil, logger); err != nil {
+	if d.callers, err = d.openListener(s.Listen.Callers, callerTLS, nil, logger); err != nil {
 		return err
 	}
-	if d.peers, err = openListener(s.Listen.Peers, peerTLS, d.meter, logger); err != nil {
+	if d.peers, err = d.openListener(s.Listen.Peers, peerTLS, d.meter, logger); err != nil {
 		return err
 	}
-	d.operators, err = openListener(s.Listen.Operators, nil, nil, logger)
+	d.operators, err = d.openListener(s.Listen.Operators, nil, nil, logger)
 	return err
 }
 
@@ -91,11 +93,12 @@
 	return transport.ServerTLS(files)
 }
 
-func openListener(address string, tlsConfig *tls.Config, meter *gateway.Meter, logger *log.Logger) (*daemon.Listener, error) {
+func (d *Daemon) openListener(address string, tlsConfig *tls.Config, meter *gateway.Meter, logger *log.Logger) (*daemon.Listener, error) {
 	l, err := daemon.Listen("tcp", address, serverLimits, stdlog.New(serverLog{logger}, "", 0))
 	if err != nil {
 		return nil, err
 	}
+	l.AcceptFailed = d.reportAcceptError(address, logger)
 	if meter != nil {
 		l.Socket = meter.Listener(l.Socket)
 	}
@@ -105,6 +108,16 @@
 	return l, nil
 }
 
+// reportAcceptError returns a function that counts and logs connections which a listener can't accept.
+func (d *Daemon) reportAcceptError(listener string, logger *log.Logger) func(error) {
+	return func(err error) {
+		d.metrics.AcceptErrors.Inc(1)
+		if d.acceptErrors.Allow() {
+			logger.Error().Str("listener", listener).Err(err).Msg(transport.PrefixDaemon + "connection can't be accepted")
+		}
+	}
+}
+
 // serverLog forwards the messages of net/http's server to the logger.
 type serverLog struct{ logger *log.Logger }
 
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -135,13 +135,14 @@
 	return nil
 }
 
-// listen opens a listener, whose server reports panics to the log.
+// listen opens a listener, which reports panics and connections that it can't accept to the log.
 func listen(address string, l *Log) (*daemon.Listener, error) {
 	limits := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes}
 	messages := &serverMessages{log: l}
 	opened, err := daemon.Listen("tcp4", address, limits, stdlog.New(messages, "", 0))
 	if err == nil {
 		messages.listener = opened.Address()
+		opened.AcceptFailed = func(err error) { l.AcceptFailed(messages.listener, err) }
 	}
 	return opened, err
 }
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -108,6 +108,8 @@
 		func() { l.BrittleEnded(routing.BrittleStatus{Service: "s", Since: time.Unix(1, 0)}, time.Unix(2, 0)) },
 		func() { l.Panicked("r1", "v", []byte("s")) },
 		func() { l.ServerPanicked("10.0.0.1:1", "v", []byte("s")) },
+		func() { l.AcceptFailed("10.0.0.1:1", errors.New("e")) },
+		func() { l.Refused("r1", coordination.ReasonBodiesFull) },
 		func() {
 			l.PeerRestarted(membership.Restart{Member: membership.Member{Address: "10.0.0.1:1"}, Former: 1})
 		},
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -18,6 +17,7 @@
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/daemon"
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
@@ -55,17 +55,17 @@
 	flushNow              chan struct{} // has a buffer of one
 	once                  sync.Once
 	refusals              refusalLines
-	stacks                stackLimit
-	invalidFieldsLoggedAt atomic.Int64 // when invalid fields of a response were last logged, in Unix nanoseconds
+	stacks, invalidFields daemon.LineLimit
+	acceptErrors          daemon.LineLimit
 }
 
 // newLog returns a log that writes to out until Close.
-func newLog(out io.Writer, level, daemon string, m *Metrics) *Log {
+func newLog(out io.Writer, level, id string, m *Metrics) *Log {
 	w := &backgroundWriter{out: out}
 	l := &Log{
-		logger:   log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("daemon", daemon).Value()},
+		logger:   log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}, Context: log.NewContext(nil).Str("daemon", id).Value()},
 		writer:   w,
-		timeline: transport.NewRecorderSize(state.DaemonID(daemon), nil, timelineEvents),
+		timeline: transport.NewRecorderSize(state.DaemonID(id), nil, timelineEvents),
 		metrics:  m,
 		done:     make(chan struct{}),
 		ended:    make(chan struct{}),
@@ -105,6 +105,14 @@
 	<-l.ended
 }
 
+// AcceptFailed logs that a connection could not be accepted.
+func (l *Log) AcceptFailed(listener string, err error) {
+	l.metrics.AcceptErrors.Inc(1)
+	if l.acceptErrors.Allow() {
+		l.logger.Error().Str("listener", listener).Err(err).Msg(prefixDaemon + "connection can't be accepted")
+	}
+}
+
 // Started logs that the daemon has started to serve.
 func (l *Log) Started(callers string) {
 	l.timeline.Record(coordination.EventStarted, callers, "", "daemon started")
--- a/daemon/routes/log_panics.go
+++ b/daemon/routes/log_panics.go
@@ -6,13 +6,10 @@
 import (
 	"bytes"
 	"fmt"
-	"sync/atomic"
-	"time"
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state"
-	"hingewinch.org/hingewinch/transport/clock"
 )
 
 const (
@@ -20,19 +17,12 @@
 	// innermost 40 frames or so fit.
 	maxPanicText = 512
 	maxStackText = 6 << 10
-	// stackInterval is how often a line has a stack: were all requests to panic, stacks would fill the buffer of the
-	// log.
-	stackInterval = time.Second
 )
 
-// stackLimit limits how often a stack is logged. It is safe for concurrent use.
-type stackLimit struct{ loggedAt atomic.Int64 } // Unix nanoseconds
-
-// text returns the stack to log, or an empty string if one was logged a moment ago.
-func (l *stackLimit) text(stack []byte) string {
-	now := clock.Now().UnixNano()
-	last := l.loggedAt.Load()
-	if now-last < int64(stackInterval) || !l.loggedAt.CompareAndSwap(last, now) {
+// stackText returns the stack to log, or an empty string if one was logged a moment ago: were all requests to panic,
+// stacks would fill the buffer of the log.
+func (l *Log) stackText(stack []byte) string {
+	if !l.stacks.Allow() {
 		return ""
 	}
 	return string(stack[:min(len(stack), maxStackText)])
@@ -43,7 +33,7 @@
 	text := panicText(fmt.Sprint(value))
 	l.metrics.Panics.Inc(1)
 	l.timeline.Record(coordination.EventAttemptFailed, "", state.RequestID(id), "%s", "panic: "+text)
-	l.logger.Error().Str("request", string(id)).Str("panic", text).Str("stack", l.stacks.text(stack)).
+	l.logger.Error().Str("request", string(id)).Str("panic", text).Str("stack", l.stackText(stack)).
 		Msg(prefixRequest + "panic while it was served")
 }
 
@@ -53,7 +43,7 @@
 	text := panicText(value)
 	l.metrics.Panics.Inc(1)
 	l.timeline.Record(coordination.EventAttemptFailed, listener, "", "%s", "panic: "+text)
-	l.logger.Error().Str("listener", listener).Str("panic", text).Str("stack", l.stacks.text(stack)).
+	l.logger.Error().Str("listener", listener).Str("panic", text).Str("stack", l.stackText(stack)).
 		Msg(prefixDaemon + "panic while a request was served")
 }
 
--- a/daemon/routes/log_replicas.go
+++ b/daemon/routes/log_replicas.go
@@ -11,7 +11,6 @@
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state"
 	"hingewinch.org/hingewinch/state/feed"
-	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
@@ -118,8 +117,7 @@
 		return
 	}
 	l.metrics.InvalidFields.Inc(int64(len(says.NotUnderstood)))
-	now := clock.Now().UnixNano()
-	if last := l.invalidFieldsLoggedAt.Load(); now-last >= int64(time.Second) && l.invalidFieldsLoggedAt.CompareAndSwap(last, now) {
+	if l.invalidFields.Allow() {
 		l.logger.Warn().Str("replica", string(r.ID)).Str("request", string(c.ID)).Strs("fields", says.NotUnderstood).
 			Msg(prefixReplica + "ignoring invalid fields of a response")
 	}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -26,6 +26,8 @@
 	// them during which a configuration became active.
 	BrokenOff, BrokenOffAcrossConfigs metrics.Counter
 	Denied                            metrics.Counter
+	// AcceptErrors counts the connections, or attempts to accept one, that failed with an error of the system.
+	AcceptErrors metrics.Counter
 	// Panics counts the requests of callers, peers, operators and scrapers that a panic ended.
 	Panics  metrics.Counter
 	Retries metrics.Counter
@@ -131,6 +133,7 @@
 		"broken_off_across_configs_total": &m.BrokenOffAcrossConfigs,
 		"denied_total":                    &m.Denied,
 		"panics_total":                    &m.Panics,
+		"accept_errors_total":             &m.AcceptErrors,
 		"repeats_total":                   &m.Retries,
 		"loans_asked_total":               &m.TransfersRequested,
 		"loans_given_total":               &m.TransfersGranted,
--- a/transport/gateway/metrics.go
+++ b/transport/gateway/metrics.go
@@ -23,6 +23,7 @@
 	Resumes       metrics.Counter
 	OpenStreams   metrics.Counter
 	CallerGone    metrics.Counter
+	AcceptErrors  metrics.Counter // connections that could not be accepted
 	PlatformCalls metrics.Counter
 	Exchanges     metrics.Counter
 	ExchangeFails metrics.Counter
@@ -54,6 +55,7 @@
 		"resumes_total":            &m.Resumes,
 		"open_streams":             &m.OpenStreams,
 		"caller_gone_total":        &m.CallerGone,
+		"accept_errors_total":      &m.AcceptErrors,
 		"platform_calls_total":     &m.PlatformCalls,
 		"exchanges_total":          &m.Exchanges,
 		"exchange_failures_total":  &m.ExchangeFails,
