--- a/coordination/bodies.go
+++ b/coordination/bodies.go
@@ -11,7 +11,8 @@
 //  3. A larger one fits if room is left, and large ones hold at most what smallShare leaves. One that is the only
 //     large one always fits: the configuration allows its size.
 //  4. A body that is being read and of which nothing has arrived for bodyStalled gives way to one that does not fit
-//     otherwise, the one that has waited longest first. None gives way if that would not make enough room.
+//     otherwise, the one that has waited longest first. None gives way if that would not make enough room, and none that was
+//     not found stalled PauseSlack before: after a pause of the process all look stalled until what has arrived is read.
 
 package coordination
 
@@ -38,6 +39,7 @@
 
 	size    int64
 	arrived time.Time // the last bytes
+	found   time.Time // when it was first found stalled since; zero: it was not
 	gaveWay bool
 }
 
@@ -70,7 +72,7 @@
 		return false
 	}
 	r.count(b, size)
-	b.arrived = now
+	b.arrived, b.found = now, time.Time{}
 	r.reading[b] = struct{}{}
 	return true
 }
@@ -79,7 +81,7 @@
 func (r *BodyRoom) Arrived(b *Body, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b.arrived = now
+	b.arrived, b.found = now, time.Time{}
 }
 
 // Whole records that a body was read to its end, and returns false if it has given way.
@@ -124,7 +126,7 @@
 func (r *BodyRoom) makeRoom(to *Body, size int64, now time.Time) bool {
 	var stalled []*Body
 	for b := range r.reading {
-		if b != to && b.size > 0 && now.Sub(b.arrived) >= bodyStalled {
+		if b != to && b.size > 0 && b.stalled(now) {
 			stalled = append(stalled, b)
 		}
 	}
@@ -146,6 +148,17 @@
 	return false
 }
 
+// stalled reports whether a body may give way by rule 4.
+func (b *Body) stalled(now time.Time) bool {
+	if now.Sub(b.arrived) < bodyStalled {
+		return false
+	}
+	if b.found.IsZero() {
+		b.found = now
+	}
+	return now.Sub(b.found) >= PauseSlack
+}
+
 func (r *BodyRoom) release(b *Body) {
 	r.count(b, 0)
 	delete(r.reading, b)
--- a/coordination/bodies_test.go
+++ b/coordination/bodies_test.go
@@ -77,6 +77,10 @@
 	now = now.Add(2 * time.Second)
 	r.Arrived(&bodies[1], now)
 	var next coordination.Body
+	if r.Take(&next, 8*mb, now) || stopped != 0 {
+		t.Errorf("%d bodies gave way before it is known that the process was not paused", stopped)
+	}
+	now = now.Add(coordination.PauseSlack)
 	if !r.Take(&next, 8*mb, now) || stopped != 2 {
 		t.Errorf("%d stalled bodies gave way, want 2", stopped)
 	}
--- a/coordination/pause_test.go
+++ b/coordination/pause_test.go
@@ -18,6 +18,7 @@
 		{"a busy machine", []time.Duration{3 * time.Millisecond, 4 * time.Millisecond}, []time.Duration{PauseSlack, 0}},
 		{"a pause of 30 ms", []time.Duration{30 * time.Millisecond, 0}, []time.Duration{30 * time.Millisecond, 0}},
 		{"a long pause", []time.Duration{time.Hour, 0}, []time.Duration{limit, 0}},
+		{"pauses without end", []time.Duration{60 * time.Millisecond, 60 * time.Millisecond, 60 * time.Millisecond}, []time.Duration{60 * time.Millisecond, 40 * time.Millisecond, 0}},
 		{"a pause after the timer", []time.Duration{0, time.Second, 0}, []time.Duration{PauseSlack, limit, 0}},
 		{"a clock that goes back", []time.Duration{-time.Second, -time.Second}, []time.Duration{PauseSlack, 0}},
 	} {
