--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -26,6 +26,8 @@
 	// them during which a configuration became active.
 	BrokenOff, BrokenOffAcrossConfigs metrics.Counter
 	Denied                            metrics.Counter
+	// AcceptErrors counts the connections, or attempts to accept one, that failed with an error of the system.
+	AcceptErrors metrics.Counter
 	// Panics counts the requests of callers, peers, operators and scrapers that a panic ended.
 	Panics  metrics.Counter
 	Retries metrics.Counter
@@ -54,6 +56,8 @@
 	ContentsQuarantined metrics.Counter
 	// PartsQuarantined counts the parts of prompts that were quarantined, RefusedForParts the requests refused for one.
 	PartsQuarantined, RefusedForParts metrics.Counter
+	// RefusedForBodies counts the requests that were refused because the bodies of others take all memory for them.
+	RefusedForBodies metrics.Counter
 	// BackoffsRequested counts the responses that requested a backoff, and DeparturesAnnounced
 	// those that announced the departure of their replica.
 	BackoffsRequested metrics.Counter
@@ -129,6 +133,7 @@
 		"broken_off_across_configs_total": &m.BrokenOffAcrossConfigs,
 		"denied_total":                    &m.Denied,
 		"panics_total":                    &m.Panics,
+		"accept_errors_total":             &m.AcceptErrors,
 		"repeats_total":                   &m.Retries,
 		"loans_asked_total":               &m.TransfersRequested,
 		"loans_given_total":               &m.TransfersGranted,
@@ -154,6 +159,7 @@
 		"contents_held_total":             &m.ContentsQuarantined,
 		"parts_held_total":                &m.PartsQuarantined,
 		"refused_for_parts_total":         &m.RefusedForParts,
+		"refused_for_bodies_total":        &m.RefusedForBodies,
 		"rests_asked_total":               &m.BackoffsRequested,
 		"resting_total":                   &m.BackoffsBegun,
 		"all_resting_total":               &m.AllBackingOff,
