Admission: only coordinators of domains take over while they are in use

A coordinator of the service that is asked again by a daemon after a silence knows the permits of all others. Its rule is now the one for coordinators of failure domains, whose daemons all leave at once.

Also: the comment of the client's rule 8 is broken into lines again.

--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -45,9 +45,9 @@
 //     coordinator, as long as the ask has no decision. A refusal counts only from the coordinator
 //     that is currently asked, in answer to a message since it was chosen: one that was paused
 //     decides on what it was sent before, while another coordinator has queued the ask. A message
-//     marks the asks that some coordinator has queued. A grant that is not needed is returned by a message that does not
-//     list it, unneededAfter later; before that, the coordinator would take the grant to be still
-//     on its way.
+//     marks the asks that some coordinator has queued. A grant that is not needed is returned by a
+//     message that does not list it, unneededAfter later; before that, the coordinator would take
+//     the grant to be still on its way.
 //  9. An ask without a decision is refused when its deadline passes, and at once when the service
 //     has no usable replica.
 
--- a/coordination/admission/takeover.go
+++ b/coordination/admission/takeover.go
@@ -6,9 +6,10 @@
 //  1. A coordinator whose process was paused for so long that daemons found it silent grants no permit
 //     for resumeTime. Others have granted the same places meanwhile. Its replies to the messages that
 //     came in the pause bring those daemons back, with a message that lists these permits.
-//  2. A coordinator takes over when asks come and none came for stayFor before, or when one comes that
-//     another coordinator has queued and none waits here: the other one is paused again and again. That
-//     of a failure domain then grants no permit for takeoverTime: most pauses are over by then.
+//  2. A coordinator takes over when asks come and none came for stayFor before. That of a failure domain
+//     does so too when an ask comes that another coordinator has queued and none waits here: the other
+//     one is paused again and again. It then grants no permit for takeoverTime: most pauses are over by
+//     then.
 //  3. If another coordinator has queued an ask that comes within stayFor after that, all places were
 //     occupied there. Those that the coordinator does not know of are then presumed to be occupied, and
 //     become free one after another within the usual time of a request, as the requests there end. That
@@ -55,7 +56,7 @@
 		return
 	}
 	t := &g.takeover
-	if now.Sub(t.asked) >= stayFor || g.queue.len() == 0 && g.isNewHere(r) {
+	if now.Sub(t.asked) >= stayFor || g.isDomain() && g.queue.len() == 0 && g.isNewHere(r) {
 		t.began = now
 		if g.isDomain() {
 			t.until = now.Add(takeoverTime)
