Bodies that have stalled give their memory up to others

Callers got answer_broken for sound responses of 100 KB while replicas had stalled inside 39 large bodies: these held the 48 MB that all held responses share until the deadlines of their requests.

Cause: memory went to whoever asked first, and nothing took it back from a body that no longer arrives.

Change: when memory is lacking, the body that has stalled for longest is abandoned: less than 64 KB of it arrived within a second. Its connection is closed, and its request fails as one without memory does, which does not count against the replica. Bodies that arrive at that rate keep their memory, whatever replica they come from.

Ruled out: a share for each replica. It must hold a response of 8 MB while its buffer grows, so that four or five stalled replicas would still take everything, and a service with few replicas would lose sound responses. Left: incomplete events of streams, of up to 1 MB each, hold their memory until they end.

--- a/transport/relay/held.go
+++ b/transport/relay/held.go
@@ -4,6 +4,9 @@
 //  1. A buffer of up to uncountedBytes is always granted: connections are limited, and most responses are no larger.
 //  2. Larger ones share maxHeldBytes over all requests. A response that needs more is given up, as if it were broken;
 //     that does not count against its replica, since others may have used up the memory.
+//  3. Before that, bodies that have stalled give their memory up, the one that has stalled for longest first: those of
+//     which less than progressBytes arrived within stallTime. Otherwise replicas that send a part of each body would take
+//     all memory until the deadlines of their requests.
 
 package relay
 
@@ -11,7 +14,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
+
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 const (
@@ -22,13 +29,96 @@
 	maxHeldBytes = 48 << 20
 	// firstBodyBytes is the size of the first buffer for a body of unknown length, in bytes.
 	firstBodyBytes = 512
+	// A body of the largest size that arrives this slowly takes two minutes.
+	progressBytes = 64 << 10 // bytes
+	stallTime     = time.Second
 )
 
 // errMemory means that the responses that are held take all memory for them.
 var errMemory = errors.New("responses that are held take all memory that there is for them")
 
 // heldBytes counts the memory that responses hold. It is safe for concurrent use.
-type heldBytes struct{ taken atomic.Int64 }
+type heldBytes struct {
+	taken atomic.Int64
+
+	mu      sync.Mutex
+	reading map[*bodyRead]bool // bodies that are being read, and count
+}
+
+// bodyRead is a body that is being read. heldBytes.mu guards it once the body counts.
+type bodyRead struct {
+	counted    int64 // bytes
+	arrived    int   // bytes since progressAt
+	progressAt time.Time
+	abandon    func() // ends the read
+	abandoned  bool
+}
+
+// receive records that bytes arrived.
+func (b *bodyRead) receive(n int, now time.Time) {
+	if b.arrived += n; b.arrived >= progressBytes {
+		b.arrived, b.progressAt = 0, now
+	}
+}
+
+// hasStalled reports whether the body may be abandoned for others.
+func (b *bodyRead) hasStalled(now time.Time) bool { return now.Sub(b.progressAt) >= stallTime }
+
+// reclaim abandons the body that has stalled for longest. It returns false if none has.
+func (h *heldBytes) reclaim(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var longest *bodyRead
+	for b := range h.reading {
+		if b.hasStalled(now) && (longest == nil || b.progressAt.Before(longest.progressAt)) {
+			longest = b
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	delete(h.reading, longest)
+	h.taken.Add(-longest.counted)
+	longest.abandoned = true
+	longest.abandon()
+	return true
+}
+
+// receive records that bytes of a body arrived.
+func (h *heldBytes) receive(b *bodyRead, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b.receive(n, clock.Now())
+}
+
+// growBody is grow for a body that is being read.
+func (h *heldBytes) growBody(b *bodyRead, old []byte, capacity int) ([]byte, bool) {
+	if !h.take(capacity) {
+		return old, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b.abandoned {
+		h.release(capacity)
+		return old, false
+	}
+	h.taken.Add(-b.counted)
+	if b.counted = counted(capacity); b.counted > 0 {
+		if h.reading == nil {
+			h.reading = make(map[*bodyRead]bool)
+		}
+		h.reading[b] = true
+	}
+	return append(make([]byte, 0, capacity), old...), true
+}
+
+// endBody ends the read of a body. It returns false if the body was abandoned, in which case it counts no more.
+func (h *heldBytes) endBody(b *bodyRead) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.reading, b)
+	return !b.abandoned
+}
 
 // counted returns how much of a buffer counts.
 func counted(size int) int64 {
@@ -41,9 +131,11 @@
 // take counts a buffer that is about to be allocated. It returns false if there is no memory for it.
 func (h *heldBytes) take(size int) bool {
 	n := counted(size)
-	if n > 0 && h.taken.Add(n) > maxHeldBytes {
+	for n > 0 && h.taken.Add(n) > maxHeldBytes {
 		h.taken.Add(-n)
-		return false
+		if !h.reclaim(clock.Now()) {
+			return false
+		}
 	}
 	return true
 }
@@ -68,15 +160,30 @@
 	return grown, true
 }
 
-// readBody reads a body of at most maxResponseBytes. If it succeeds, the capacity of the result must be released.
-func (h *heldBytes) readBody(resp *http.Response) ([]byte, error) {
+// readBody reads a body of at most maxResponseBytes. If it succeeds, the capacity of the result must be released. abandon
+// is called to end a read that stalls while others need its memory.
+func (h *heldBytes) readBody(resp *http.Response, abandon func()) ([]byte, error) {
 	if resp.Body == http.NoBody {
 		return nil, nil
 	}
-	largest, size := maxResponseBytes+1, firstBodyBytes
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errTooLarge
 	}
+	b := &bodyRead{abandon: abandon, progressAt: clock.Now()}
+	body, err := h.readGrowing(b, resp)
+	if !h.endBody(b) {
+		return nil, errMemory
+	}
+	if err != nil {
+		h.release(cap(body))
+		return nil, err
+	}
+	return body, nil
+}
+
+// readGrowing reads a body into a buffer that grows with it. It returns the buffer on failure too.
+func (h *heldBytes) readGrowing(b *bodyRead, resp *http.Response) ([]byte, error) {
+	largest, size := maxResponseBytes+1, firstBodyBytes
 	if resp.ContentLength >= 0 {
 		largest = int(resp.ContentLength)
 		size = min(largest, uncountedBytes)
@@ -91,19 +198,20 @@
 		case err == nil && len(body) > maxResponseBytes:
 			err = errTooLarge
 		}
-		if err == nil && len(body) == cap(body) && cap(body) < largest {
-			// The old buffer is garbage afterwards; growing fourfold leaves less of it.
-			next, ok := 4*cap(body), false
-			if next >= largest/2 {
-				next = largest
-			}
-			if body, ok = h.grow(body, next); !ok {
-				err = errMemory
-			}
-		}
 		if err != nil {
-			h.release(cap(body))
-			return nil, err
+			return body, err
+		}
+		h.receive(b, n)
+		if len(body) < cap(body) || cap(body) >= largest {
+			continue
+		}
+		// The old buffer is garbage afterwards; growing fourfold leaves less of it.
+		next, ok := 4*cap(body), false
+		if next >= largest/2 {
+			next = largest
+		}
+		if body, ok = h.growBody(b, body, next); !ok {
+			return body, errMemory
 		}
 	}
 }
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -37,7 +37,7 @@
 // an incomplete response, so that the request can be retried.
 func (s *activeCall) forwardComplete(ctx context.Context, x *exchange, t *routing.Target) *failure {
 	status := x.response.StatusCode
-	body, err := s.held.readBody(x.response)
+	body, err := s.held.readBody(x.response, func() { _ = x.conn.Close() })
 	if err != nil {
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
