Pause kit: the test's process is paused without another process

Cause: only internal/soak may start processes. The shell stopped the test's process after it had been started itself, which took longer than the fetch's 300 ms on the busy machine, so that there was no pause.

Change: the kit holds the reply back by TCP_CORK, which the system sends after 200 ms, stops the process at once, and lets a timer of the system send SIGCONT. Nothing of the checks changed.

TestOnlySoakStartsProcesses passes.

Ruled out: an exception of the check for this package: the rule has none, and the kit needs none.

Why it works: bytes of a corked connection are sent by the system's timer, and SIGCONT goes to a stopped process, so that neither needs a process that runs.

--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,26 +1,28 @@
 // Package pause simulates a pause of the process, as of a VM that is suspended, for tests of deadlines that pass
-// meanwhile.
+// meanwhile. It needs Linux.
 //
 // # Usage
 //
-//	address := pause.Start(t, "HTTP/1.1 200 OK\\r\\n\\r\\n", time.Second)
+//	address := pause.Start(t, "HTTP/1.1 200 OK\r\n\r\n", time.Second)
 //	... send a request to address ...
 package pause
 
 import (
-	"fmt"
+	"io"
 	"net"
 	"os"
-	"os/exec"
 	"testing"
 	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
-// script stops the process $1, writes $2 to the connection a moment later, and lets the process go on after $3 seconds.
-const script = `kill -STOP "$1"; sleep 0.05; printf "$2" >&3; sleep "$3"; kill -CONT "$1"`
+// requestBytes is more than a request has.
+const requestBytes = 4 << 10
 
-// Start starts a server that, once it has received bytes, pauses the test's process for some time, in which reply
-// arrives. The backslashes of reply are escapes of printf.
+// Start starts a server that, once it has received bytes, pauses the test's process for some time, of more than
+// 200 ms. After that time of the pause the system sends reply: it holds back bytes of a corked connection for so long.
 func Start(t testing.TB, reply string, length time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -34,20 +36,53 @@
 			return
 		}
 		defer c.Close()
-		if _, err := c.Read(make([]byte, 1)); err != nil {
+		if _, err := c.Read(make([]byte, requestBytes)); err != nil {
 			return
 		}
-		file, err := c.(*net.TCPConn).File()
-		if err != nil {
+		if err := cork(c.(*net.TCPConn)); err != nil {
 			t.Error(err)
 			return
 		}
-		defer file.Close()
-		cmd := exec.Command("sh", "-c", script, "sh", fmt.Sprint(os.Getpid()), reply, fmt.Sprint(length.Seconds()))
-		cmd.ExtraFiles = []*os.File{file}
-		if err := cmd.Run(); err != nil {
+		_, err = io.WriteString(c, reply)
+		if err == nil {
+			err = stop(length)
+		}
+		if err != nil {
 			t.Error(err)
+			return
 		}
+		_, _ = io.Copy(io.Discard, c) // until the client closes the connection
 	}()
 	return l.Addr().String()
 }
+
+func cork(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1) })
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// stop stops the process. A timer of the system lets it go on after some time.
+func stop(length time.Duration) error {
+	event := struct { // struct sigevent
+		value          uint64
+		signal, notify int32
+		_              [48]byte
+	}{signal: int32(unix.SIGCONT)}
+	var id int32
+	if _, _, e := unix.Syscall(unix.SYS_TIMER_CREATE, unix.CLOCK_MONOTONIC, uintptr(unsafe.Pointer(&event)), uintptr(unsafe.Pointer(&id))); e != 0 {
+		return e
+	}
+	after := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(length))}
+	if _, _, e := unix.Syscall6(unix.SYS_TIMER_SETTIME, uintptr(id), 0, uintptr(unsafe.Pointer(&after)), 0, 0, 0); e != 0 {
+		return e
+	}
+	return unix.Kill(os.Getpid(), unix.SIGSTOP)
+}
--- a/transport/pause_test.go
+++ b/transport/pause_test.go
@@ -89,7 +89,7 @@
 func TestFetchDuringPause(t *testing.T) {
 	timeouts := transport.Timeouts{FirstByte: 300 * time.Millisecond, Idle: 300 * time.Millisecond}
 	for range 5 {
-		address := pause.Start(t, `HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody`, 400*time.Millisecond)
+		address := pause.Start(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", 400*time.Millisecond)
 		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
 		if err != nil {
 			t.Fatal(err)
--- a/transport/relay/probes_pause_test.go
+++ b/transport/relay/probes_pause_test.go
@@ -17,7 +17,7 @@
 		t.Fatal(err)
 	}
 	for range 5 {
-		address := pause.Start(t, `HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n`, probeTimeout+200*time.Millisecond)
+		address := pause.Start(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", probeTimeout+200*time.Millisecond)
 		r := New(Options{Pool: NewPool(nil), Codec: healthCodec{}})
 		replica := routing.NewReplica(routing.Replica{ID: "r", Service: "s", Address: address})
 		if !r.probe(context.Background(), &routing.View{Table: table}, &replica) {
--- a/transport/tunnel/pause_test.go
+++ b/transport/tunnel/pause_test.go
@@ -14,7 +14,7 @@
 // arrived in time.
 func TestOpenDuringPause(t *testing.T) {
 	for range 3 {
-		address := pause.Start(t, `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: hingewinch-connection\r\n\r\n`, 800*time.Millisecond)
+		address := pause.Start(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: hingewinch-connection\r\n\r\n", 800*time.Millisecond)
 		c, _, err := tunnel.Dial(context.Background(), &net.Dialer{Timeout: 200 * time.Millisecond}, address, replicaID)
 		if err != nil {
 			t.Error(err)
