Admission: places of brittle replicas are back as soon as the daemons of another coordinator are

Cause: the windows of the commits before widen by one place a step, from when the last rejection allows it, whatever ended the contest. Evidence: TestPlacesAreBackWithTheDaemonsOfAnotherCoordinator fails without the change (0 permits, 1 expected).

Change: a coordinator that learns again because requests of another one are reported to it forgets its windows.

Why it works: it grants nothing while it learns, and then knows the permits of all daemons, so that rejections of before say nothing about the places that are free.

Ruled out: windows that end by themselves after a time, which would bring the collision back in a cut that goes on.

--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -96,8 +96,12 @@
 
 // relearn is learn for a coordinator that hears of requests without its permits, by rule 2.
 func (c *Coordinator) relearn(now time.Time) {
-	if c.strict.on && now.Sub(c.strict.learnedAt) >= relearnAfter {
-		c.learn(now)
+	if !c.strict.on || now.Sub(c.strict.learnedAt) < relearnAfter {
+		return
+	}
+	c.learn(now)
+	for _, r := range c.known {
+		r.window = window{} // the daemons of the other coordinator list their requests here from now on
 	}
 }
 
--- a/coordination/admission/strict_test.go
+++ b/coordination/admission/strict_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// TestPlacesAreBackWithTheDaemonsOfAnotherCoordinator guards against places that stay unused for seconds after a cut,
+// because of the rejections that the other coordinator caused.
+func TestPlacesAreBackWithTheDaemonsOfAnotherCoordinator(t *testing.T) {
+	s := newStrictTest(1)
+	first := s.send(4)
+	s.send(0, Finished{ID: first[0], Took: time.Millisecond, Result: Rejected})
+	back := PermitRequest{From: "10.0.0.3:1", Incarnation: 1, Sequence: 1, Service: "s", Unpermitted: []routing.LoadCount{{Replica: 1, Requests: 1}}}
+	s.Receive(&back, "z", s.now)
+	back.Sequence, back.Unpermitted = 2, nil
+	s.Receive(&back, "z", s.now)
+	if n := len(s.wait(learnTime - time.Millisecond)); n != 0 {
+		t.Errorf("%d permits before all daemons are back, want none", n)
+	}
+	if n := len(s.wait(10 * time.Millisecond)); n != 1 {
+		t.Errorf("%d permits when they are, want 1", n)
+	}
+}
+
 // TestCoordinatorThatOthersReplacedLearnsAgain guards against a coordinator that was paused or cut off, and
 // grants the places of permits that another one has granted in its place.
 func TestCoordinatorThatOthersReplacedLearnsAgain(t *testing.T) {
--- a/coordination/admission/window.go
+++ b/coordination/admission/window.go
@@ -15,6 +15,8 @@
 //  5. A rejection before that shows that the replica is full with what it has: the window is no larger than that
 //     then. It widens later, by a step more with each rejection, up to maxClosedAfterRejection: rejections that come together
 //     count like others, and coordinators that widen again and again together cause less than the replica survives.
+//  6. The window has all places again when daemons of another coordinator are back and list what they have there
+//     (rule 2 of strict.go): nobody grants beside this coordinator then.
 
 package admission
 
