Relay: a response is not read on after the deadline

Cause: after a deadline has passed, bytes are looked for that arrived while the process was paused. That was done once for a message, and since for each read, so that a response without end was read on, up to its 8 MB, while bytes arrived.

Evidence: TestResponsesWithoutEnd failed in go test ./... at a load average of 42: 27 of 48 requests "closed", which the log shows ending 130 to 177 ms after their deadline of 4 s with "responses on the connection belong to other requests"; it had passed before in a run of its own. The new spec of await_test.go fails on the code before.

Why it works: the second read after the deadline fails before it looks at the socket.

--- a/transport/relay/await_test.go
+++ b/transport/relay/await_test.go
@@ -49,4 +49,18 @@
 		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
 		Expect(x.received).To(BeFalse())
 	})
+
+	// Guards against a response without end that is read on after the deadline, as long as bytes arrive: the caller's connection
+	// was closed before it had a response.
+	It("reads once after the exchange's deadline", func() {
+		x, replica := newExchange()
+		_, err := replica.Write([]byte("events"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		x.deadline = clock.Now().Add(-time.Millisecond)
+		p := make([]byte, 3)
+		Expect(x.readUntil(p, clock.Now().Add(time.Second))).To(Equal(3))
+		_, err = x.readUntil(p, clock.Now().Add(time.Second))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
 })
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -94,6 +94,7 @@
 	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
 	streaming      bool      // the stream has begun, and is counted in the pool's activity
 	awaitsEvents   bool      // the header of a stream was read, and waits are bounded by the event timeout
+	readLate       bool      // bytes were looked for after the deadline
 	readErr        error     // why nothing more is read from the connection; nil: it is
 	readFailure    *failure  // that readErr stands for; nil: it is the connection's error
 	response       *http.Response
@@ -150,14 +151,16 @@
 }
 
 // readUntil reads from the connection into p. The error is [os.ErrDeadlineExceeded] if no bytes have arrived by the
-// given time or the exchange's deadline.
+// given time or the exchange's deadline. After the deadline it reads once, since a replica may send without end.
 func (x *exchange) readUntil(p []byte, until time.Time) (int, error) {
 	if until.After(x.deadline) {
 		until = x.deadline
 	}
 	n, err := x.tryRead(p, until)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = x.tryRead(p, clock.Now().Add(pausedReadTime))
+	if errors.Is(err, os.ErrDeadlineExceeded) && !x.readLate {
+		now := clock.Now()
+		x.readLate = !now.Before(x.deadline)
+		n, err = x.tryRead(p, now.Add(pausedReadTime))
 	}
 	if n > 0 {
 		x.recordArrival()
