--- a/coordination/admission/asks.go
+++ b/coordination/admission/asks.go
@@ -77,8 +77,8 @@
 			ask.UntilDeadline = 0
 		}
 		if a.wasQueued {
-			// The last ones are sent if there are more than fit.
-			ask.Tried = append(slices.Clone(a.Tried), queuedMark)
+			last := a.Tried[max(0, len(a.Tried)-MaxTried+1):]
+			ask.Tried = append(slices.Clone(last), queuedMark)
 		}
 		out = append(out, ask)
 	}
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -49,6 +49,9 @@
 // MaxPending is the number of asks that a [PermitRequest] lists at most, so that it fits a datagram.
 const MaxPending = 16
 
+// MaxTried is the number of replicas that an [Ask] lists as tried at most, the last ones.
+const MaxTried = 3
+
 // Ask is a request for a permit. Its times count from when the message is sent.
 type Ask struct {
 	ID        PermitID
--- a/coordination/admission/takeover.go
+++ b/coordination/admission/takeover.go
@@ -42,8 +42,12 @@
 	usual    time.Duration // of the requests of this daemon
 }
 
-// detectShortPause implements rule 1.
+// detectShortPause implements rule 1. Asks for permits of single replicas may not be able to wait, and strict.go has a
+// rule for pauses of their coordinators.
 func (g *running) detectShortPause(now time.Time) {
+	if _, isReplica := g.scope.Replica(); isReplica {
+		return
+	}
 	if !g.alone && !g.tick.IsZero() && now.Sub(g.tick) >= pausedAfter {
 		g.takeover.until = now.Add(resumeTime)
 	}
--- a/coordination/admission/window.go
+++ b/coordination/admission/window.go
@@ -13,8 +13,9 @@
 //     before all coordinators fit. A window of one place needs no such pause.
 //  4. The window widens by one place a step later, and with each further step, until it has all places.
 //  5. A rejection before that shows that the replica is full with what it has: the window is no larger than that
-//     then. It widens later, by a step more with each rejection, up to maxClosedAfterRejection: rejections that come together
-//     count like others, and coordinators that widen again and again together cause less than the replica survives.
+//     then. It widens later, by a step more with each rejection, but maxClosedAfterRejection after the last one at the latest:
+//     rejections that come together count like others, and coordinators that widen again and again together cause less than
+//     the replica survives.
 //  6. The window has all places again when daemons of another coordinator are back and list what they have there
 //     (rule 2 of strict.go): nobody grants beside this coordinator then.
 
@@ -41,7 +42,10 @@
 
 // reject records a rejection. requests are those at the replica without the rejected one.
 func (w *window) reject(requests, places int, step, usual time.Duration, now time.Time) {
-	current := w.places(places, step, now)
+	current := w.size
+	if !now.Before(w.opens) {
+		current = w.places(places, step, now)
+	}
 	if w.rejections == 0 || current == places {
 		w.narrow(min(requests, places), step, usual, now)
 		return
@@ -51,7 +55,10 @@
 	if w.widens.Before(now) {
 		w.widens = now
 	}
-	w.widens = w.widens.Add(min(maxClosedAfterRejection, time.Duration(w.rejections)*step))
+	w.widens = w.widens.Add(time.Duration(w.rejections) * step)
+	if latest := now.Add(maxClosedAfterRejection); w.widens.After(latest) {
+		w.widens = latest
+	}
 }
 
 // narrow begins a window, by rules 2 to 4.
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -147,6 +147,9 @@
 	return a.returns
 }
 
+// IsReturn reports whether the next attempt may only be at a replica that the request was written to before.
+func (a *Attempts) IsReturn() bool { return a.returns }
+
 // EndReturn ends what AllowReturn allowed, if no attempt was made.
 func (a *Attempts) EndReturn() { a.returns = false }
 
@@ -217,7 +220,7 @@
 	if !a.reserved {
 		a.reserved = a.attemptsLeft() && b.SpendWithGrant(s, grant, now)
 	}
-	return a.reserved
+	return a.reserved && a.attemptsLeft()
 }
 
 // TransferNeeded returns how much to request for the next attempt in addition to an existing
--- a/protocol/gossip/permits.go
+++ b/protocol/gossip/permits.go
@@ -21,8 +21,6 @@
 	// MaxAsks is the number of pending asks in a request for permits. A reply decides these, and
 	// others that have been granted since.
 	MaxAsks = admission.MaxPending
-	// maxTried is the number of replicas that an ask lists as tried, the last ones.
-	maxTried = 3
 	// maxHeld is the number of permits that a request can list as held. Ids increase, so that most
 	// of them take one byte.
 	maxHeld = 1000
@@ -148,8 +146,8 @@
 	if m.Service == "" || len(m.Pending) > MaxAsks {
 		return nil, eris.Errorf("request for permits of service %q has %d asks; want a service and at most %d", m.Service, len(m.Pending), MaxAsks)
 	}
-	if slices.ContainsFunc(m.Pending, func(a askMessage) bool { return len(a.Tried) > maxTried }) {
-		return nil, eris.Errorf("ask lists more than %d replicas as tried", maxTried)
+	if slices.ContainsFunc(m.Pending, func(a askMessage) bool { return len(a.Tried) > admission.MaxTried }) {
+		return nil, eris.Errorf("ask lists more than %d replicas as tried", admission.MaxTried)
 	}
 	return &admission.PermitRequest{
 		From: from, Incarnation: m.Incarnation, Sequence: m.Sequence, Service: m.Service, Scope: m.Scope,
@@ -163,7 +161,7 @@
 	return askMessage{
 		ID: a.ID, Urgency: a.Urgency, Workspace: a.Workspace,
 		UntilTarget: permitTime(a.UntilTarget), UntilDeadline: permitTime(a.UntilDeadline),
-		Tried: a.Tried[max(0, len(a.Tried)-maxTried):],
+		Tried: a.Tried[max(0, len(a.Tried)-admission.MaxTried):],
 	}
 }
 
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -347,6 +347,9 @@
 	}
 }
 
+// isAtDeadline reports whether the response had not ended by the deadline.
+func (f *failure) isAtDeadline() bool { return errors.Is(f.err, errSilent) && f.takenOverAt.IsZero() }
+
 // releaseConn returns the connection to the pool if it can be reused, and closes it otherwise.
 // complete tells whether the response was read to its end.
 func (x *exchange) releaseConn(complete bool, now time.Time) {
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -13,7 +13,8 @@
 //     An error response of the other one does not take the call over: it is forwarded if the silent one does not respond.
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
 //     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it. If the
-//     other one is silent too, and has sent nothing, the call is sent to the first one again, by rules 1 to 3.
+//     other one is silent too, and has sent nothing of a stream that has begun, the call is sent to the first one again, by
+//     rules 1 and 2. The other one keeps it by rule 3, so that one that is merely slow is not closed.
 //     If the silent one may get no request, since it is not ready any more, wants none, or a coordinator chooses the
 //     replicas of the service, a further one is chosen as for any other attempt.
 //
@@ -33,6 +34,10 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
+// minBodyTimeout is the least pause inside a response that is not a stream after which it is silent: another replica would
+// begin it anew.
+const minBodyTimeout = time.Second
+
 // maxOverlap is how long two replicas may have a call. A replica that is not silent rejects at once what it can't take.
 const maxOverlap = 250 * time.Millisecond
 
@@ -73,6 +78,7 @@
 	cancel  context.CancelFunc // gives up the other replica
 	into    []byte             // for bytes of the silent replica
 	watched chan struct{}      // closed when the watch has ended
+	returns bool               // the call goes back to a replica that had it before the silent one
 	// read is how many bytes the watch has read, and err why the silent exchange can't be read any more; nil: it can.
 	// Both are valid once watched is closed.
 	read int
@@ -117,7 +123,7 @@
 func (s *activeCall) failOver(ctx context.Context, x *exchange, p []byte) (takenOver bool, n int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, into: p, watched: make(chan struct{})}
+	h := &handover{outer: s.handover, silent: x, attempt: s.attemptState, cancel: cancel, into: p, watched: make(chan struct{}), returns: s.goesBack}
 	incomplete := s.events.takePending()
 	s.handover, s.attemptState = h, &attemptState{}
 	s.tryWatched(ctx, h)
@@ -197,7 +203,11 @@
 	if x.awaitsEvents {
 		return s.attempts.EventTimeout()
 	}
-	return s.attempts.FirstByteTimeout()
+	wait, failover = s.attempts.FirstByteTimeout()
+	if x.hasResponse() {
+		wait = max(wait, minBodyTimeout)
+	}
+	return wait, failover
 }
 
 // read reads bytes of a response. If none arrive in time, the replica's silence is recorded, and another replica may
@@ -267,12 +277,12 @@
 // endOverlap ends the time in which both an exchange and the silent one before it have the call. It returns nil if
 // the exchange keeps the call.
 func (s *activeCall) endOverlap(x *exchange) *failure {
-	silent, activity := s.handover.silent.replica, &s.Pool.activity
+	silent := s.handover.silent.replica
 	h := routing.Handover{
 		ResponseStarted: s.attempts.ResponseStarted, Sent: x.sent, SecondResponded: x.hasResponse(),
-		First: activity.of(silent.Incarnation()), Second: activity.of(x.replica.Incarnation()),
+		Second: s.Pool.activity.of(x.replica.Incarnation()),
 	}
-	if !h.SecondKeepsCall() {
+	if s.handover.returns || !h.SecondKeepsCall() {
 		s.handover.keepSilent()
 		return givenUp(errSilentToo)
 	}
@@ -290,10 +300,11 @@
 	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
 }
 
-// planReturnFrom decides whether a call goes back to the replica that it abandoned, since the one that took it over is
-// silent too and has sent nothing for it. That is no further replica, so that the route allows it.
+// planReturnFrom decides whether a stream that has begun goes back to the replica that it abandoned, since the one that
+// took it over is silent too and has sent nothing for it. That is no further replica, so that the route allows it. A
+// response that has not begun may just take long.
 func (s *activeCall) planReturnFrom(x *exchange) bool {
-	s.goesBack = s.abandoned != nil && !x.received && s.attempts.AllowReturn()
+	s.goesBack = s.abandoned != nil && s.attempts.ResponseStarted && !x.received && s.attempts.AllowReturn()
 	return s.goesBack
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -162,6 +162,9 @@
 	if r := s.takeAbandoned(); r != nil {
 		return s.chooseAbandoned(ctx, r)
 	}
+	if s.attempts.IsReturn() {
+		return routing.Target{}, false
+	}
 	switch {
 	case s.Permits == nil:
 		return s.chooseDirect(ctx)
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -140,8 +141,11 @@
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := x.readData(buf)
-		if x.readFailure != nil {
-			return x.readFailure // another replica may go on, without what was read last
+		if f := x.readFailure; f != nil {
+			if !f.isAtDeadline() {
+				return f // another replica may go on, without what was read last
+			}
+			return cmp.Or(s.forwardEvents(ctx, x, t, buf[:n]), f)
 		}
 		if f := s.forwardEvents(ctx, x, t, buf[:n]); f != nil {
 			return f
