Relay specs: links that refuse connections keep their port

Cause, by reading: refusingLink closed its listener, and another process could get the port. OpenForPeer returns a Refused for every error, so that the spec's message (the error is no Refused) means that a connection to the closed port succeeded.

Change: the port stays bound, without a listener, until the spec ends. Connections are refused as before; no expectation changed.

Why it works: the system gives a bound port to nobody else, and refuses connections to a socket that does not listen.

--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport/relay"
@@ -27,11 +29,14 @@
 
 // refusingLink refuses connections.
 func refusingLink() *link {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	// The port stays bound, without a listener: another process could get it otherwise.
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	Expect(err).NotTo(HaveOccurred())
+	cleanUp(func() { _ = unix.Close(fd) })
+	Expect(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	at, err := unix.Getsockname(fd)
 	Expect(err).NotTo(HaveOccurred())
-	address := l.Addr().String()
-	Expect(l.Close()).To(Succeed())
-	return &link{address: address}
+	return &link{address: fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)}
 }
 
 // silentLink accepts connections and says nothing.
