Daemon: a SIGHUP while it starts does not end it

Operators saw a daemon end by SIGHUP, and its callers a connection closed, if the signal came before it had read its settings and built its state: the handler was installed last, in a goroutine. Change: the handler is installed first. Ruled out: the handler's own code, which never ends the process.

--- a/cmd/hingewinchd/routes.go
+++ b/cmd/hingewinchd/routes.go
@@ -16,6 +16,9 @@
 )
 
 func runRoutes(file string, check bool) int {
+	// A SIGHUP that comes before the daemon serves must not end it.
+	sighup := make(chan os.Signal, 1)
+	signal.Notify(sighup, syscall.SIGHUP)
 	settings, err := routes.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -31,7 +34,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go checkSettingsOnSIGHUP(ctx, d, file, settings)
+	go checkSettingsOnSIGHUP(ctx, sighup, d, file, settings)
 	if err := d.Run(ctx); err != nil {
 		return exitFailed
 	}
@@ -55,9 +58,7 @@
 // checkSettingsOnSIGHUP loads the settings file on each SIGHUP and logs whether it is valid and has changed.
 // Addresses and identity can't change while requests are served, so changed settings
 // take effect only at the next start.
-func checkSettingsOnSIGHUP(ctx context.Context, d *routes.Daemon, file string, running *routes.Settings) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
+func checkSettingsOnSIGHUP(ctx context.Context, sighup <-chan os.Signal, d *routes.Daemon, file string, running *routes.Settings) {
 	for {
 		select {
 		case <-ctx.Done():
