--- a/transport/fetch.go
+++ b/transport/fetch.go
@@ -33,13 +33,12 @@
 		return eris.Wrap(w.causeOf(err), "send request")
 	}
 	defer resp.Body.Close()
-	body := &boundedRateBody{ReadCloser: resp.Body, watchdog: w, timeouts: &t}
-	w.set(body.progress.Next(&t))
-	resp.Body = body
+	w.stop()
+	resp.Body = &boundedRateBody{ReadCloser: resp.Body, watchdog: w, timeouts: &t}
 	return w.causeOf(read(resp))
 }
 
-// boundedRateBody is a response body that sets the watchdog after each read.
+// boundedRateBody is a response body that sets the watchdog for each read. What the reader does between reads does not count.
 type boundedRateBody struct {
 	io.ReadCloser
 	watchdog *watchdog
@@ -50,9 +49,10 @@
 // Read implements [io.Reader].
 func (b *boundedRateBody) Read(p []byte) (int, error) {
 	started := time.Now()
+	b.watchdog.set(b.progress.Next(b.timeouts))
 	n, err := b.ReadCloser.Read(p)
+	b.watchdog.stop()
 	b.progress.Add(b.timeouts, time.Since(started), n)
-	b.watchdog.set(b.progress.Next(b.timeouts))
 	return n, err
 }
 
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -597,7 +597,7 @@
 	},
 		Entry("it responds at once", time.Duration(0), false),
 		Entry("it responds soon", 100*time.Millisecond, false),
-		// Without its header the first attempt goes on, unless it is known to be well (failover_test.go).
+		Entry("it responds late", 600*time.Millisecond, false),
 		Entry("its events are late", 600*time.Millisecond, true),
 	)
 
