--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -346,7 +346,7 @@
 		return
 	}
 	s.recordFailure(r, routing.ResultSilent, errSilent)
-	if !canRetry && !s.planReturnFrom(x) {
+	if !canRetry {
 		s.Placer.Health.ReportSilence(r, clock.Now())
 	}
 }
