Tidy: scripts of the return specs stand once; no second latest in admission

No behaviour changes. Ruled out: an exported function of two times in coordination, for one use here.

--- a/coordination/admission/strict.go
+++ b/coordination/admission/strict.go
@@ -212,9 +212,14 @@
 
 // beginWindow begins the window of a replica that is new to a coordinator that may have a rival, by rule 8.
 func (c *Coordinator) beginWindow(r *replica, now time.Time) {
-	if c.strict.on && c.strict.succeeds {
-		r.window.begin(c.placesOf(r), c.rejectionStep(), latest(now, c.strict.learningUntil))
+	if !c.strict.on || !c.strict.succeeds {
+		return
+	}
+	from := now
+	if c.strict.learningUntil.After(from) {
+		from = c.strict.learningUntil
 	}
+	r.window.begin(c.placesOf(r), c.rejectionStep(), from)
 }
 
 // learnWindows lets windows begin with the requests that the daemons of this coordinator have, by rule 8.
@@ -228,14 +233,6 @@
 	}
 }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // windowOf returns the number of requests that this coordinator may have at a replica.
 func (c *Coordinator) windowOf(r *replica, now time.Time) int {
 	if !c.strict.on {
--- a/transport/relay/returns_test.go
+++ b/transport/relay/returns_test.go
@@ -51,15 +51,9 @@
 				streamHead(a)
 				chunk(a, event(1)+"id: 2\nda")
 			}
-			_, err := a.reader.ReadByte()
-			return err == nil
-		})
-		other := startReplica("r2", func(a *receivedRequest) bool {
-			time.Sleep(2 * time.Second)
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
+			return awaitClose(a)
 		})
+		other := startReplica("r2", sendRest(2*time.Second))
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		c := w.call("a", "POST", "x")
@@ -70,21 +64,9 @@
 	})
 	// The route allows two replicas: what can't return must not go to another one.
 	DescribeTable("is not sent to a third replica in place of a return", func(change func(w *fixture, first, other, third *replica)) {
-		first := startReplica("r1", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+"id: 2\nda")
-			_, err := a.reader.ReadByte()
-			return err == nil
-		})
-		other := startReplica("r2", func(a *receivedRequest) bool {
-			_, err := a.reader.ReadByte()
-			return err == nil
-		})
-		third := startReplica("r3", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		first := startReplica("r1", hangInStream)
+		other := startReplica("r2", awaitClose)
+		third := startReplica("r3", sendRest(0))
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		time.AfterFunc(1000*time.Millisecond, func() { change(w, first, other, third) })
@@ -125,8 +107,7 @@
 			streamHead(a)
 			if a.id() == "a" {
 				chunk(a, event(1)+"id: 2\nda")
-				_, err := a.reader.ReadByte()
-				return err == nil
+				return awaitClose(a)
 			}
 			for i := 1; ; i++ {
 				if !write(a, fmt.Sprintf("%x\r\n%s\r\n", len(event(i)), event(i))) {
@@ -135,12 +116,7 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 		})
-		other := startReplica("r2", func(a *receivedRequest) bool {
-			time.Sleep(600 * time.Millisecond)
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		other := startReplica("r2", sendRest(600*time.Millisecond))
 		w := newFixture(resumable, first)
 		b, begun := w.call("b", "POST", "x"), make(chan struct{})
 		b.Route = &stream
@@ -154,7 +130,8 @@
 	// Events that had arrived were dropped with the chunk that held them.
 	It("gets the complete events of a chunk that stalls until the deadline", func() {
 		w := newFixture(stream, startReplica("r1", func(a *receivedRequest) bool {
-			return mutedAfter(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n"+event(1))
+			write(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n"+event(1))
+			return awaitClose(a)
 		}))
 		c := w.call("a", "POST", "x")
 		c.Deadline = time.Now().Add(800 * time.Millisecond)
@@ -163,21 +140,12 @@
 	})
 	// The retry that was reserved for a return is spent on a further replica later.
 	It("is not sent to a third replica after a return for which a retry was reserved", func() {
-		first := startReplica("r1", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+"id: 2\nda")
-			_, err := a.reader.ReadByte()
-			return err == nil
-		})
+		first := startReplica("r1", hangInStream)
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			time.Sleep(2500 * time.Millisecond)
 			return reset(a.conn)
 		})
-		third := startReplica("r3", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		third := startReplica("r3", sendRest(0))
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		time.AfterFunc(1000*time.Millisecond, func() { first.listener.Close() })
@@ -200,9 +168,25 @@
 	})
 })
 
-// mutedAfter sends a part of a response and waits until the relay closes the connection.
-func mutedAfter(a *receivedRequest, part string) bool {
-	write(a, part)
+// awaitClose waits until the relay closes the connection.
+func awaitClose(a *receivedRequest) bool {
 	_, err := a.reader.ReadByte()
 	return err == nil
 }
+
+// hangInStream sends the first event of a stream and a part of the second one, and nothing more.
+func hangInStream(a *receivedRequest) bool {
+	streamHead(a)
+	chunk(a, event(1)+"id: 2\nda")
+	return awaitClose(a)
+}
+
+// sendRest returns a script that resumes the stream after its first event, after a time.
+func sendRest(wait time.Duration) func(*receivedRequest) bool {
+	return func(a *receivedRequest) bool {
+		time.Sleep(wait)
+		streamHead(a)
+		chunk(a, event(2)+event(3))
+		return streamEnd(a)
+	}
+}
