Timeouts: the pause inside a plain response stands with the other timeouts

Nothing changes for callers. Change: Attempts.BodyTimeout, with unresponsiveTimeout, which has the same value; the relay only chooses among the three. Evidence: the specs of relay and routing pass as before. Ruled out: a change of FirstByteTimeout itself, which headers use.

--- a/coordination/routing/timeouts.go
+++ b/coordination/routing/timeouts.go
@@ -8,8 +8,9 @@
 //     a stream that can be resumed elsewhere exceeds eventFactor times the route's target. Each of these
 //     timeouts has a lower bound, for routes with very short targets. The silent replica is abandoned once
 //     the other one has something for the caller (transport/relay); until then it may go on. The first timeout also
-//     applies to each pause inside a header and inside a response that is not a stream, the second one to
-//     each pause inside an event.
+//     applies to each pause inside a header, and the longer of it and unresponsiveTimeout to each pause inside a
+//     response that is not a stream, which another replica would begin anew. The second one applies to each
+//     pause inside an event.
 //  2. If the request can't be sent elsewhere, the daemon waits until the deadline. After
 //     unresponsiveTimeout the replica's silence counts as a failure, so that other requests avoid
 //     it.
@@ -38,8 +39,8 @@
 )
 
 // FirstByteTimeout returns how long to wait for the first byte of a response, or for the next ones of
-// its header or of a body that is not a stream, and whether the request may then go to another
-// replica. In any case a failure of the replica is recorded, and the wait for it goes on.
+// its header, and whether the request may then go to another replica. In any case a failure of the
+// replica is recorded, and the wait for it goes on.
 func (a *Attempts) FirstByteTimeout() (wait time.Duration, failover bool) {
 	if !a.Route.MayRunAgain() || !a.attemptsLeft() {
 		return unresponsiveTimeout, false
@@ -47,6 +48,13 @@
 	return max(time.Duration(firstByteShare*float64(a.Route.FirstByteTarget)), minFirstByteTimeout), true
 }
 
+// BodyTimeout returns the same as FirstByteTimeout for the next bytes of a response that has begun and is
+// not a stream.
+func (a *Attempts) BodyTimeout() (wait time.Duration, failover bool) {
+	wait, failover = a.FirstByteTimeout()
+	return max(wait, unresponsiveTimeout), failover
+}
+
 // EventTimeout returns how long to wait for the next bytes of a stream before it may be resumed at
 // another replica. It returns false if it can't be; then only the deadline applies.
 func (a *Attempts) EventTimeout() (wait time.Duration, failover bool) {
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -34,10 +34,6 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// minBodyTimeout is the least pause inside a response that is not a stream after which it is silent: another replica would
-// begin it anew.
-const minBodyTimeout = time.Second
-
 // maxOverlap is how long two replicas may have a call. A replica that is not silent rejects at once what it can't take.
 const maxOverlap = 250 * time.Millisecond
 
@@ -200,14 +196,13 @@
 // responseTimeout returns how long to wait for the next bytes of a response, and whether the request may then go to
 // another replica.
 func (s *activeCall) responseTimeout(x *exchange) (wait time.Duration, failover bool) {
-	if x.awaitsEvents {
+	switch {
+	case x.awaitsEvents:
 		return s.attempts.EventTimeout()
+	case x.hasResponse():
+		return s.attempts.BodyTimeout()
 	}
-	wait, failover = s.attempts.FirstByteTimeout()
-	if x.hasResponse() {
-		wait = max(wait, minBodyTimeout)
-	}
-	return wait, failover
+	return s.attempts.FirstByteTimeout()
 }
 
 // read reads bytes of a response. If none arrive in time, the replica's silence is recorded, and another replica may
