One copy each: a link that is checked at its opening, the growth of buffers, the mark of a queued ask

Nothing changes for callers. Change: openDirect uses dialChecked, and records a reset also when the call is over, as connect did; transport.NextBufferBytes; the field is gone. Ruled out: one kind of room for requests' bodies and held responses, which differ in what gives way.

--- a/coordination/admission/coordinator.go
+++ b/coordination/admission/coordinator.go
@@ -427,7 +427,7 @@
 // newAsk returns an ask that a daemon lists for the first time.
 func newAsk(from membership.Address, listed Ask, now time.Time) *ask {
 	return &ask{waiting: waiting{
-		Ask: listed, from: from, asked: now, wasQueued: wasQueued(listed),
+		Ask: listed, from: from, asked: now,
 		target: now.Add(listed.UntilTarget), deadline: now.Add(listed.UntilDeadline),
 	}}
 }
@@ -436,7 +436,7 @@
 // another one had queued it. Its daemon ignored that decision.
 func (a *ask) isToDecideAgain(listed *Ask, now time.Time) bool {
 	_, refused := a.decision.(Refused)
-	return refused && !a.wasQueued && wasQueued(*listed) && now.Before(a.deadline)
+	return refused && !wasQueued(a.Ask) && wasQueued(*listed) && now.Before(a.deadline)
 }
 
 func isGranted(a *ask) bool {
@@ -514,7 +514,7 @@
 	if c.strict.on && w.UntilDeadline <= 0 {
 		return true // it is not to wait, see replica_pool.go
 	}
-	if w.wasQueued {
+	if wasQueued(w.Ask) {
 		return false
 	}
 	usual := c.speed.usual()
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -86,8 +86,6 @@
 	target   time.Time // the latency target
 	deadline time.Time // of the caller
 	returned bool      // it uses a planned return, and goes ahead of the others
-	// wasQueued says that another coordinator has queued it before.
-	wasQueued bool
 
 	counted    bool  // it is in the counts of its class
 	slot       int64 // of these counts
--- a/transport/body.go
+++ b/transport/body.go
@@ -1,5 +1,6 @@
-// This file bounds the bodies of responses that are decoded while they are read. Where a
-// body is held as a whole before, protocol.ReadBounded does.
+// This file bounds the bodies of responses that are decoded while they are read, and the
+// buffers of bodies that are held as a whole and counted. Where they are not counted,
+// protocol.ReadBounded does.
 
 package transport
 
@@ -44,3 +45,12 @@
 	b.left -= int64(n)
 	return n, err
 }
+
+// NextBufferBytes returns the size of the buffer after one that is full, up to the largest,
+// in bytes. The old one is garbage then; growing fourfold leaves less of it than doubling.
+func NextBufferBytes(size, largest int) int {
+	if next := 4 * size; next < largest/2 {
+		return next
+	}
+	return largest
+}
--- a/transport/relay/crash_check.go
+++ b/transport/relay/crash_check.go
@@ -118,7 +118,7 @@
 func (p *Pool) openToCheck(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
 	var refused error
 	if !p.reach.IsDetoured(r.Service) {
-		c, err := p.openDirect(ctx, r, v)
+		c, err := p.openDirect(ctx, r, v, false)
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return c, err
 		}
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -40,12 +40,7 @@
 func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
 	p.awaitProbes(ctx, r.Service, p.probeWait)
 	if p.reach.State(r.Service) == routing.LinksUp {
-		c, err := p.openDirect(ctx, r, v)
-		if err == nil && checkLink && breaksWithin(c, linkCheckTime) {
-			_ = c.Close()
-			p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
-			err = errResetAtOnce
-		}
+		c, err := p.openDirect(ctx, r, v, checkLink)
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
@@ -61,7 +56,7 @@
 	c, err := p.openThrough(ctx, r)
 	if errors.Is(err, errNoCarrier) && !p.reach.IsDetoured(r.Service) {
 		// Perhaps the replicas are gone, and are coming back.
-		return p.openDirect(ctx, r, v)
+		return p.openDirect(ctx, r, v, false)
 	}
 	return c, err
 }
@@ -81,11 +76,16 @@
 	}
 }
 
-// openDirect opens a connection over this daemon's own link.
-func (p *Pool) openDirect(ctx context.Context, r *routing.Replica, v *routing.View) (*conn, error) {
-	raw, err := p.dial(ctx, r.Address)
+// openDirect opens a connection over this daemon's own link. If checkLink is set, one that the link resets at once is a
+// failure.
+func (p *Pool) openDirect(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
+	dial := p.dial
+	if checkLink {
+		dial = p.dialChecked
+	}
+	raw, err := dial(ctx, r.Address)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil || errors.Is(err, errResetAtOnce) {
 			p.reach.Failed(r, len(v.Pool(r.Service).Ready), clock.Now())
 		}
 		return nil, err
@@ -238,7 +238,7 @@
 	if p.reach.IsDetoured(r.Service) {
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonNoLink}
 	}
-	raw, err := p.dialChecked(ctx, r)
+	raw, err := p.dialChecked(ctx, r.Address)
 	if err == nil {
 		return raw, nil
 	}
@@ -258,9 +258,9 @@
 	return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaUnreachable}
 }
 
-// dialChecked opens a connection over this daemon's own link that the link does not reset at once.
-func (p *Pool) dialChecked(ctx context.Context, r *routing.Replica) (net.Conn, error) {
-	raw, err := p.dial(ctx, r.Address)
+// dialChecked is dial for a connection that the link does not reset at once.
+func (p *Pool) dialChecked(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := p.dial(ctx, address)
 	if err == nil && breaksWithin(raw, linkCheckTime) {
 		_ = raw.Close()
 		return nil, errResetAtOnce
@@ -272,7 +272,7 @@
 func (p *Pool) reaches(ctx context.Context, r *routing.Replica, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	raw, err := p.dialChecked(ctx, r)
+	raw, err := p.dialChecked(ctx, r.Address)
 	if err != nil {
 		return false
 	}
--- a/transport/relay/held.go
+++ b/transport/relay/held.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
@@ -205,12 +206,8 @@
 		if len(body) < cap(body) || cap(body) >= largest {
 			continue
 		}
-		// The old buffer is garbage afterwards; growing fourfold leaves less of it.
-		next, ok := 4*cap(body), false
-		if next >= largest/2 {
-			next = largest
-		}
-		if body, ok = h.growBody(b, body, next); !ok {
+		var ok bool
+		if body, ok = h.growBody(b, body, transport.NextBufferBytes(cap(body), largest)); !ok {
 			return body, errMemory
 		}
 	}
