--- a/coordination/admission/client_queued_test.go
+++ b/coordination/admission/client_queued_test.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
 )
 
 // Guards against callers that were queued and are refused by the next coordinator, which cannot know how long they
@@ -88,3 +91,13 @@
 		}
 	}
 }
+
+// TestMarkOfQueuedAskIsSent guards against the mark of a queued ask that is cut off because more than [MaxTried] replicas
+// would be listed.
+func TestMarkOfQueuedAskIsSent(t *testing.T) {
+	c := &client{asks: []*pendingAsk{{Ask: Ask{ID: 1, Tried: []routing.LoadKey{1, 2, 3}}, wasQueued: true}}}
+	got := c.listAsks(1, time.Time{})[0].Tried
+	if len(got) > MaxTried || got[len(got)-1] != queuedMark {
+		t.Errorf("lists %v, want at most %d replicas with the mark as the last one", got, MaxTried)
+	}
+}
--- a/coordination/admission/takeover_test.go
+++ b/coordination/admission/takeover_test.go
@@ -106,3 +106,24 @@
 	c.expectGranted(0, start.Add(ms(50)+takeoverTime-1))
 	c.expectGranted(2, start.Add(ms(50)+takeoverTime)) // of 8, in 15 + 10 of 80 ms
 }
+
+// TestLateTickRefusesNoAskThatMayNotWait guards against an ask for a place at one replica that is refused although all
+// places are free, because the coordinator's tick came late.
+func TestLateTickRefusesNoAskThatMayNotWait(t *testing.T) {
+	s := newStrictTest(3)
+	g := &running{Coordinator: s.Coordinator}
+	g.scope = ReplicaScope(1)
+	g.tick = s.now
+	s.now = s.now.Add(pausedAfter)
+	g.take(&PermitRequest{
+		From: "10.0.0.2:1", Incarnation: 1, Sequence: 1, Service: "s",
+		Pending: []Ask{{ID: 1, UntilTarget: time.Second}},
+	}, "z", 0, s.now)
+	for _, r := range s.Replies(s.now) {
+		for _, d := range r.Reply.Decisions {
+			if _, ok := d.(Refused); ok {
+				t.Error("refused, though all places are free")
+			}
+		}
+	}
+}
--- a/coordination/admission/window_test.go
+++ b/coordination/admission/window_test.go
@@ -159,3 +159,34 @@
 		})
 	}
 }
+
+// TestWindowOpensAfterBurstOfRejections guards against a brittle replica that gets no permit for up to 30 s after it
+// rejected several requests within milliseconds, and against a window without places beside requests that run.
+func TestWindowOpensAfterBurstOfRejections(t *testing.T) {
+	const slots = 6
+	for _, c := range []struct{ limit, burst int }{{3, 6}, {3, 3}, {4, 6}, {0, 6}} {
+		s := newStrictTest(c.limit)
+		s.SetReplicas([]Replica{{Key: 1, Slots: slots}}, s.now)
+		ids := s.send(slots)
+		for _, id := range ids[:c.burst] {
+			s.now = s.now.Add(2 * time.Millisecond)
+			s.send(0, Finished{ID: id, Took: time.Millisecond, Result: Rejected})
+		}
+		if c.burst < slots && s.known[1].window.size == 0 {
+			t.Errorf("limit %d, %d rejected: no places beside running requests", c.limit, c.burst)
+		}
+		s.now = s.now.Add(100 * time.Millisecond)
+		for _, id := range ids[c.burst:] {
+			s.send(0, Finished{ID: id, Took: 100 * time.Millisecond, Result: Completed})
+		}
+		free := s.now
+		for granted := 0; granted == 0; {
+			s.request.Pending = nil
+			granted = len(s.send(1)) + len(s.wait(100*time.Millisecond))
+			if closed := s.now.Sub(free); closed > maxClosedAfterRejection+200*time.Millisecond {
+				t.Errorf("limit %d, %d rejected: no permit for %v", c.limit, c.burst, closed)
+				break
+			}
+		}
+	}
+}
--- a/daemon/routes/accept_test.go
+++ b/daemon/routes/accept_test.go
@@ -51,11 +51,7 @@
 	var out bytes.Buffer
 	m := newMetrics()
 	l := newLog(&out, "info", "d", m)
-	server, err := listen("127.0.0.1:0", l)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
+	server := listenForTest(t, l)
 	server.Server.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	failed := make(chan error, 1)
 	go server.Serve(failed)
--- a/daemon/routes/panic_test.go
+++ b/daemon/routes/panic_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hingewinch.org/hingewinch/daemon"
 )
 
 // logLine is a line of the log.
@@ -59,17 +61,24 @@
 	}
 }
 
+// listenForTest opens a listener that writes to a log, until the test's end.
+func listenForTest(t *testing.T, l *Log) *daemon.Listener {
+	t.Helper()
+	server, err := listen("127.0.0.1:0", l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
 // TestServersReportPanics guards against a panic of a handler for peers, operators or scrapers that leaves no trace:
 // net/http recovers it, and the messages of net/http were all discarded.
 func TestServersReportPanics(t *testing.T) {
 	var out bytes.Buffer
 	m := newMetrics()
 	l := newLog(&out, "info", "d", m)
-	server, err := listen("127.0.0.1:0", l)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
+	server := listenForTest(t, l)
 	server.Server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/abort" {
 			panic(http.ErrAbortHandler)
--- a/daemon/routes/versions_test.go
+++ b/daemon/routes/versions_test.go
@@ -126,13 +126,21 @@
 	}
 }
 
-// TestCutOffDaemonTellsNoHistory guards against a history of a daemon that may lack what others know.
-func TestCutOffDaemonTellsNoHistory(t *testing.T) {
+// newCutOffControl returns the control loop of a daemon that has known its documents for a minute, and now hears neither
+// the store nor the other daemon.
+func newCutOffControl(t *testing.T, now time.Time) *control {
+	t.Helper()
 	c := newQuietControl(t)
-	now := clock.Now()
 	applyRelease(c, now.Add(-time.Minute))
 	c.roster = membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, []membership.Address{"10.0.0.1:1", "10.0.0.9:1"})
 	c.roster.SetStoreUnreachable(true)
+	return c
+}
+
+// TestCutOffDaemonTellsNoHistory guards against a history of a daemon that may lack what others know.
+func TestCutOffDaemonTellsNoHistory(t *testing.T) {
+	now := clock.Now()
+	c := newCutOffControl(t, now)
 	c.updateBehind(now)
 	if onlyVersion(c) {
 		t.Error("knows of one version although a seed that was never heard may know another")
@@ -146,11 +154,8 @@
 // TestCutOffDaemonKeepsItsView guards against a view that is built on every tick while a daemon is cut off, and against
 // one that still counts the history of before when that ends.
 func TestCutOffDaemonKeepsItsView(t *testing.T) {
-	c := newQuietControl(t)
 	now := clock.Now()
-	applyRelease(c, now.Add(-time.Minute))
-	c.roster = membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, []membership.Address{"10.0.0.1:1", "10.0.0.9:1"})
-	c.roster.SetStoreUnreachable(true)
+	c := newCutOffControl(t, now)
 	before := c.view.Load()
 	for range 3 {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -24,34 +24,20 @@
 // startSlowReplica starts a replica that reads each request and responds after bodiesHeldFor.
 func startSlowReplica(t *testing.T, id string) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return listenAndServe(t, func(c net.Conn) {
+		defer c.Close()
+		for reader := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for reader := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					time.Sleep(bodiesHeldFor)
-					if _, err := io.WriteString(c, standin.Response(http.StatusOK, standin.ReadRequest(req.Header).ID, id, "fine", standin.SelfReport{})); err != nil {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, req.Body)
+			time.Sleep(bodiesHeldFor)
+			if _, err := io.WriteString(c, standin.Response(http.StatusOK, standin.ReadRequest(req.Header).ID, id, "fine", standin.SelfReport{})); err != nil {
+				return
+			}
 		}
-	}()
-	return l
+	})
 }
 
 // post sends a request with a body and returns the status and the reason of a refusal.
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -108,23 +108,30 @@
 }
 
 func startEndlessReplica(t *testing.T, id string, form *endlessForm, oneIn int64) *endlessReplica {
+	t.Helper()
+	r := &endlessReplica{id: id, form: form, oneIn: oneIn}
+	r.listener = listenAndServe(t, r.serve)
+	return r
+}
+
+// listenAndServe opens a listener until the test's end, and serves each of its connections.
+func listenAndServe(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	r := &endlessReplica{id: id, listener: l, form: form, oneIn: oneIn}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go r.serve(c)
+			go serve(c)
 		}
 	}()
-	return r
+	return l
 }
 
 func (r *endlessReplica) serve(c net.Conn) {
--- a/transport/relay/crash_check_test.go
+++ b/transport/relay/crash_check_test.go
@@ -13,17 +13,23 @@
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
+// startCrashingReplica starts a replica that crashes once it has so many requests.
+func startCrashingReplica(requests int) *replica {
+	var arrived sync.WaitGroup
+	arrived.Add(requests)
+	var r *replica
+	r = startReplica("r", func(*receivedRequest) bool {
+		arrived.Done()
+		arrived.Wait()
+		return r.crash()
+	})
+	return r
+}
+
 var _ = Describe("A crash of a replica", func() {
 	It("is recorded for all requests in flight after a single refused connection", func() {
 		const requests = 6
-		var arrived sync.WaitGroup
-		arrived.Add(requests)
-		var r *replica
-		r = startReplica("r", func(*receivedRequest) bool {
-			arrived.Done()
-			arrived.Wait()
-			return r.crash()
-		})
+		r := startCrashingReplica(requests)
 		w := newFixture(atMostOnce, r)
 		var served sync.WaitGroup
 		for i := range requests {
@@ -74,14 +80,8 @@
 	// The others waited for the result of a check that had ended without one, until the process ended.
 	It("ends the calls that wait for a check that panics", func() {
 		const requests = 3
-		var arrived, served sync.WaitGroup
-		arrived.Add(requests)
-		var r *replica
-		r = startReplica("r", func(*receivedRequest) bool {
-			arrived.Done()
-			arrived.Wait()
-			return r.crash()
-		})
+		var served sync.WaitGroup
+		r := startCrashingReplica(requests)
 		w := newFixture(atMostOnce, r)
 		findCarrier(w, func() {
 			time.Sleep(100 * time.Millisecond) // all requests wait
--- a/transport/relay/failover_test.go
+++ b/transport/relay/failover_test.go
@@ -34,12 +34,6 @@
 	}
 	rejecting := func(a *receivedRequest) bool { return respond(a, 503, "Not-Executed: 1\r\n", "") }
 
-	// mute reads until the relay closes the connection.
-	mute := func(a *receivedRequest) bool {
-		_, err := a.reader.ReadByte()
-		return err == nil
-	}
-
 	// serveFrom serves a stream that begins at the first replica, and goes on there in the end.
 	serveFrom := func(w *fixture) {
 		to, s := w.serve(w.call("a", "POST", "x"))
@@ -125,7 +119,7 @@
 		gone := make(chan struct{}, 1)
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			defer func() { gone <- struct{}{} }()
-			return mute(a)
+			return awaitClose(a)
 		})
 		w.onceBegun(other)
 		serveFrom(w)
@@ -139,7 +133,7 @@
 			if a.id() != "a" {
 				streamHead(a)
 				chunk(a, event(1))
-				return mute(a)
+				return awaitClose(a)
 			}
 			time.Sleep(500 * time.Millisecond)
 			return rejecting(a)
@@ -171,7 +165,7 @@
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			began <- time.Now()
 			defer func() { gone <- time.Now() }()
-			return mute(a)
+			return awaitClose(a)
 		})
 		w.onceBegun(other)
 		serveFrom(w)
@@ -181,17 +175,8 @@
 
 	// A daemon of a large fleet has no other streams at most replicas, and a replica that reads a long prompt takes a while.
 	It("is left to another one that responds late and has no other streams", func() {
-		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+"id: 2\nda")
-			return mute(a)
-		}))
-		other := startReplica("r2", func(a *receivedRequest) bool {
-			time.Sleep(600 * time.Millisecond)
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		w := newFixture(resumable, startReplica("r1", hangInStream))
+		other := startReplica("r2", sendRest(600*time.Millisecond))
 		w.onceBegun(other)
 		to, _ := w.serve(w.call("a", "POST", "x"))
 		Expect(string(to.body)).To(Equal(allEvents))
@@ -241,7 +226,7 @@
 			streamHead(a)
 			chunk(a, event(1)+"id: 2\nda")
 			defer func() { gone <- time.Now() }()
-			return mute(a)
+			return awaitClose(a)
 		}))
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			if a.id() != "a" {
@@ -271,7 +256,7 @@
 				return streamEnd(a)
 			}
 			chunk(a, event(1)+"id: 2\nda")
-			return mute(a)
+			return awaitClose(a)
 		})
 		w := newFixture(resumable, first)
 		other, third := startReplica("r2", lateRejection), startReplica("r3", respondOK)
@@ -287,17 +272,9 @@
 
 	// A stream ended although a third replica had room, because the silent one that it had left could not get it back.
 	DescribeTable("does not get its stream back, but a third one does, after another one rejects it late", func(isCoordinated bool, change func(w *fixture, first, other, third *replica)) {
-		first := startReplica("r1", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+"id: 2\nda")
-			return mute(a)
-		})
+		first := startReplica("r1", hangInStream)
 		w := newFixture(resumable, first)
-		other, third := startReplica("r2", wellThenLate), startReplica("r3", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		other, third := startReplica("r2", wellThenLate), startReplica("r3", sendRest(0))
 		if isCoordinated {
 			w.relay.Permits = &scriptedPermits{needed: true, acquire: grants(other, first, other, third)}
 		}
@@ -321,7 +298,7 @@
 
 	// A request that the silent replica may have run was refused as not run, because another one rejected it.
 	It("is not forgotten in the response to a plain request that another one rejects late", func() {
-		first := startReplica("r1", mute)
+		first := startReplica("r1", awaitClose)
 		w := newFixture(idempotent, first)
 		other := startReplica("r2", lateRejection)
 		w.onceBegun(other)
@@ -332,16 +309,8 @@
 	})
 
 	It("is left to another one that goes on, as soon as that has an event", func() {
-		w := newFixture(resumable, startReplica("r1", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+"id: 2\nda")
-			return mute(a)
-		}))
-		other := startReplica("r2", func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(2)+event(3))
-			return streamEnd(a)
-		})
+		w := newFixture(resumable, startReplica("r1", hangInStream))
+		other := startReplica("r2", sendRest(0))
 		w.onceBegun(other)
 		c := w.call("a", "POST", "x")
 		to, s := w.serve(c)
@@ -371,7 +340,7 @@
 			streamHead(a)
 			chunk(a, allEvents)
 			return streamEnd(a)
-		}), startReplica("r2", mute)
+		}), startReplica("r2", awaitClose)
 		w := newFixture(resumable, r1, r2)
 		p := &scriptedPermits{needed: true, acquire: grants(r1, r2)}
 		w.relay.Permits = p
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -28,6 +28,12 @@
 	index   int // index among all requests that the replica received, from 0
 }
 
+// awaitClose is a script that waits until the relay closes the connection.
+func awaitClose(a *receivedRequest) bool {
+	_, err := a.reader.ReadByte()
+	return err == nil
+}
+
 // id returns the id of the attempt.
 func (a *receivedRequest) id() string { return a.request.Header.Get("Attempt-Id") }
 
--- a/transport/relay/returns_test.go
+++ b/transport/relay/returns_test.go
@@ -27,6 +27,7 @@
 		Expect(first.count() + other.count()).To(Equal(2))
 		Expect(to.status).To(Equal(200))
 	})
+
 	// The same happened to streams before their header.
 	It("is not sent back if it is a stream that has not begun", func() {
 		head := func(a *receivedRequest) bool {
@@ -43,13 +44,12 @@
 		Expect(first.count() + other.count()).To(Equal(2))
 		Expect(string(to.body)).To(Equal(event(1) + event(2) + event(3)))
 	})
+
 	// The second one was closed for the first one, which hangs for good.
 	It("stays at the second one, which is slow, if the first one says nothing after the return", func() {
-		n := 0
 		first := startReplica("r1", func(a *receivedRequest) bool {
-			if n++; n == 1 {
-				streamHead(a)
-				chunk(a, event(1)+"id: 2\nda")
+			if a.index == 0 {
+				return hangInStream(a)
 			}
 			return awaitClose(a)
 		})
@@ -62,6 +62,7 @@
 		Expect(string(to.body)).To(Equal(event(1) + event(2) + event(3)))
 		Expect(other.count()).To(Equal(1))
 	})
+
 	// The route allows two replicas: what can't return must not go to another one.
 	DescribeTable("is not sent to a third replica in place of a return", func(change func(w *fixture, first, other, third *replica)) {
 		first := startReplica("r1", hangInStream)
@@ -130,14 +131,14 @@
 	// Events that had arrived were dropped with the chunk that held them.
 	It("gets the complete events of a chunk that stalls until the deadline", func() {
 		w := newFixture(stream, startReplica("r1", func(a *receivedRequest) bool {
-			write(a, "HTTP/1.1 200 OK\r\nAttempt-Id: "+a.id()+"\r\n"+sealed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n"+event(1))
-			return awaitClose(a)
+			return stall(a, chunkedHead(a.id())+"40\r\n"+event(1))
 		}))
 		c := w.call("a", "POST", "x")
 		c.Deadline = time.Now().Add(800 * time.Millisecond)
 		to, _ := w.serve(c)
 		Expect(string(to.body)).To(Equal(event(1)))
 	})
+
 	// The retry that was reserved for a return is spent on a further replica later.
 	It("is not sent to a third replica after a return for which a retry was reserved", func() {
 		first := startReplica("r1", hangInStream)
@@ -155,6 +156,7 @@
 		w.serve(c)
 		Expect(third.count()).To(Equal(0))
 	})
+
 	// Both replicas answer a plain request with 500 while the first is silent: the answer must not take until the deadline
 	// once nobody works on the request.
 	It("gets an error response once the silent replica has ended", func() {
@@ -168,12 +170,6 @@
 	})
 })
 
-// awaitClose waits until the relay closes the connection.
-func awaitClose(a *receivedRequest) bool {
-	_, err := a.reader.ReadByte()
-	return err == nil
-}
-
 // hangInStream sends the first event of a stream and a part of the second one, and nothing more.
 func hangInStream(a *receivedRequest) bool {
 	streamHead(a)
--- a/transport/relay/stalls_test.go
+++ b/transport/relay/stalls_test.go
@@ -15,8 +15,7 @@
 // stall sends a part of a response, and then nothing until the relay closes the connection.
 func stall(a *receivedRequest, part string) bool {
 	write(a, part)
-	_, err := a.reader.ReadByte()
-	return err == nil
+	return awaitClose(a)
 }
 
 // stallIn returns a script that stalls once it has sent a part of its response, which begins with the status line.
