Relay: a panic of a crash check that ends after its call is logged and counted

Callers saw nothing; an operator saw nothing either: a check that panics after the call that waited for it was over left no line and no count. Cause: only calls that still wait report the panic of a check, and a late one has none. Change: the goroutine that waits for the late check reports the panic to the observer, with the request's id and the stack, as the front end does for a panic of a request. Evidence: the new spec, "reports the panic of a check that ends after its call", times out without the report and passes with it. Ruled out: to panic in that goroutine, which would end the process.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -159,4 +159,6 @@
 	LinksLost(s routing.ServiceName, found time.Duration)
 	// LinksRegained is called when they are up again after the given time.
 	LinksRegained(s routing.ServiceName, after time.Duration)
+	// Panicked is called when a panic ended work for a request that was over.
+	Panicked(id routing.RequestID, value any, stack []byte)
 }
--- a/transport/relay/crash_check.go
+++ b/transport/relay/crash_check.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -37,19 +38,24 @@
 	latest map[routing.Incarnation]*crashCheck
 }
 
-// crashCheck is one check of a replica. refused and panicked are valid once done is closed.
+// crashCheck is one check of a replica. refused, panicked and stack are valid once done is closed.
 type crashCheck struct {
 	started  time.Time
 	done     chan struct{}
 	refused  bool
 	panicked any       // value of the panic that ended the check; nil: none did
-	rethrow  sync.Once // one of the requests that wait reports the panic
+	stack    []byte    // of that panic
+	report   sync.Once // one of the requests that share the check reports the panic
 }
 
 // run performs the check. A panic ends it without a result, since it would end the process here.
 func (c *crashCheck) run(refuses func() bool) {
 	defer close(c.done)
-	defer func() { c.panicked = recover() }()
+	defer func() {
+		if c.panicked = recover(); c.panicked != nil {
+			c.stack = debug.Stack()
+		}
+	}()
 	c.refused = refuses()
 }
 
@@ -57,7 +63,16 @@
 // check did.
 func (c *crashCheck) result() bool {
 	if c.panicked != nil {
-		c.rethrow.Do(func() { panic(c.panicked) })
+		c.report.Do(func() { panic(c.panicked) })
+	}
+	return c.refused
+}
+
+// lateResult is result for a request that is over, whose goroutine a panic would end the process from: it calls panicked
+// with the value and the stack instead.
+func (c *crashCheck) lateResult(panicked func(value any, stack []byte)) bool {
+	if c.panicked != nil {
+		c.report.Do(func() { panicked(c.panicked, c.stack) })
 	}
 	return c.refused
 }
--- a/transport/relay/crash_check_test.go
+++ b/transport/relay/crash_check_test.go
@@ -143,6 +143,26 @@
 		Expect(s.Total).To(BeNumerically("<", 500*time.Millisecond))
 	})
 
+	// The panic left no trace in any log: nobody waited for the check any more.
+	It("reports the panic of a check that ends after its call", func() {
+		var r *replica
+		r = startReplica("r", func(*receivedRequest) bool { return r.crash() })
+		w := newFixture(atMostOnce, r)
+		findCarrier(w, func() {
+			time.Sleep(400 * time.Millisecond) // twice as long as the call
+			panic("check")
+		})
+		c := w.call("a", "POST", "x")
+		c.Deadline = c.Arrived.Add(200 * time.Millisecond)
+		w.serve(c)
+		panicked := func() []routing.RequestID {
+			w.observer.mu.Lock()
+			defer w.observer.mu.Unlock()
+			return w.observer.panicked
+		}
+		Eventually(panicked, 2*time.Second).Should(Equal([]routing.RequestID{"a"}))
+	})
+
 	It("is not recorded for a request whose caller disconnected", func() {
 		var r *replica
 		arrived := make(chan struct{})
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -308,7 +308,8 @@
 		return true
 	case <-ctx.Done():
 		go func() {
-			if <-check.done; check.refused {
+			<-check.done
+			if check.lateResult(func(value any, stack []byte) { s.Observer.Panicked(s.call.ID, value, stack) }) {
 				s.recordCrash(r, responding, now)
 			}
 		}()
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -224,6 +224,7 @@
 	overloaded    []routing.ReplicaID
 	crashedDuring []routing.RequestID
 	quarantined   []routing.ContentKey
+	panicked      []routing.RequestID
 }
 
 func (n *recordingObserver) Finished(*relay.Call, *relay.Summary) {}
@@ -236,6 +237,12 @@
 func (n *recordingObserver) LinksRegained(routing.ServiceName, time.Duration)              {}
 func (n *recordingObserver) Replaced(*routing.Replica, *relay.Call)                        {}
 
+func (n *recordingObserver) Panicked(id routing.RequestID, _ any, _ []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.panicked = append(n.panicked, id)
+}
+
 func (n *recordingObserver) Ejected(r *routing.Replica, _ *relay.Call, _ error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
