Relay: what an attempt records, the quarantine and the end of a call stand in files of their own

No behaviour changes: functions moved, none edited. Ruled out: types of their own for these parts, since they share the state of one call.

--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -250,116 +250,6 @@
 	return s.send(ctx, t, a)
 }
 
-// recordFailure reports a failure of a replica to the routing, which may eject it.
-func (s *activeCall) recordFailure(r *routing.Replica, result routing.Result, err error) {
-	if s.Placer.Health.Report(r, result, clock.Now()) {
-		s.Observer.Ejected(r, s.call, err)
-	}
-}
-
-// isQuarantined reports whether the call's content, or a part of its prompt, is quarantined because
-// replicas crash on it. If so, it sets the outcome.
-func (s *activeCall) isQuarantined(now time.Time) bool {
-	if part, ok := s.quarantinedPart(now); ok {
-		s.summary.QuarantinedPart = part
-		s.attempts.RecordQuarantined(coordination.ReasonPartQuarantined)
-		return true
-	}
-	if s.Crashes.Quarantined(s.call.Content, now) {
-		s.attempts.RecordQuarantined(coordination.ReasonQuarantined)
-		return true
-	}
-	return false
-}
-
-// quarantinedPart returns a part of the call's prompt that is quarantined, unless the call is a probe of it that was
-// not sent yet.
-func (s *activeCall) quarantinedPart(now time.Time) (string, bool) {
-	if s.attempts.Sent == 0 {
-		s.isProbe = s.isProbe || s.PartCrashes.BeginProbe(&s.call.Request, now)
-		if s.isProbe {
-			return "", false
-		}
-	}
-	return s.PartCrashes.QuarantinedPart(&s.call.Request, now)
-}
-
-// endProbe ends the probe of quarantined parts that the call was, if it was one.
-func (s *activeCall) endProbe() {
-	if s.isProbe {
-		s.PartCrashes.EndProbe(&s.call.Request, s.attempts.Sent > 0)
-	}
-}
-
-// checkCrash checks whether a replica that broke a connection has crashed, and records the crash.
-// It returns before the call may be retried, since the crash may quarantine its content. It reports whether the
-// replica has crashed. If the call is over before the check is, it returns false, and the crash is recorded later.
-func (s *activeCall) checkCrash(ctx context.Context, r *routing.Replica, responding time.Duration) bool {
-	now := clock.Now()
-	ctx, cancel := context.WithDeadline(ctx, clock.RuntimeTime(s.call.Deadline))
-	defer cancel()
-	check := s.Pool.checkTerminated(ctx, r, s.View(), now)
-	select {
-	case <-check.done:
-		if !check.result() {
-			return false
-		}
-		s.recordCrash(r, responding, now)
-		return true
-	case <-ctx.Done():
-		go func() {
-			<-check.done
-			if check.lateResult(func(value any, stack []byte) { s.Observer.Panicked(s.call.ID, value, stack) }) {
-				s.recordCrash(r, responding, now)
-			}
-		}()
-		return false
-	}
-}
-
-// recordCrash records that a replica crashed while it had the call, and what the call contains unless it was served
-// since: a complete response clears that. It may run after the call has ended.
-func (s *activeCall) recordCrash(r *routing.Replica, responding time.Duration, now time.Time) {
-	s.Observer.CrashedDuring(r, s.call, responding)
-	s.Placer.Health.ReportTermination(r, now)
-	if s.served.Load() {
-		return
-	}
-	if s.Crashes.ReportCrash(s.call.Content, s.call.Workspace, r, now) {
-		s.Observer.Quarantined(s.call.Content)
-	}
-	s.PartCrashes.ReportPartCrashes(&s.call.Request, s.call.Workspace, r, responding, now)
-}
-
-// recordSound records that a replica has responded to the call for long enough to show that it does not
-// crash on the parts of its prompt.
-func (s *activeCall) recordSound(x *exchange) {
-	if !x.sound && x.responding() >= routing.PartSoundAfter {
-		x.sound = true
-		s.PartCrashes.RecordSound(&s.call.Request, clock.Now())
-	}
-}
-
-// recordReplaced records that another replica responded at a replica's address: the addressed one
-// has terminated, and its entry is out of date. Other daemons are informed; otherwise each would
-// find out by requests of its own, and a caller that retries at one of them would be rejected again.
-func (s *activeCall) recordReplaced(r *routing.Replica) {
-	now := clock.Now()
-	s.Placer.Health.ReportTermination(r, now)
-	if s.Placer.Departures.RecordAnnounced(r, now) {
-		s.Observer.Replaced(r, s.call)
-	}
-}
-
-// recordSuccess records a complete response as a success of the replica, and clears the content's
-// crashes. Error responses of earlier attempts are then recorded as failures.
-func (s *activeCall) recordSuccess(r *routing.Replica, now time.Time) {
-	s.served.Store(true)
-	s.Placer.Health.Report(r, routing.ResultGood, now)
-	s.Crashes.Clear(s.call.Content, now)
-	s.recordErrorResponses()
-}
-
 // send performs one exchange and forwards the response. It returns nil if the caller has
 // the complete response.
 func (s *activeCall) send(ctx context.Context, t *routing.Target, a *Attempt) *failure {
@@ -412,14 +302,6 @@
 	return f
 }
 
-// recordSend records that a replica has bytes of the request, so that it may run it.
-func (s *activeCall) recordSend(x *exchange) {
-	s.sent = x.sent
-	if s.attempts.CountSend() {
-		s.Budgets.CountRequest(s.call.Service, x.sent)
-	}
-}
-
 // lastEvent returns the id of the last event that the caller received.
 func (s *activeCall) lastEvent() string {
 	if s.events != nil {
@@ -453,31 +335,6 @@
 	return s.forwardComplete(ctx, x, t)
 }
 
-// applySelfReport applies a replica's self-report. It is called before any of the response is
-// forwarded, and whatever becomes of the request.
-func (s *activeCall) applySelfReport(r *routing.Replica, a *Attempt, report SelfReport) {
-	now := clock.Now()
-	a.Backoff, a.Leaving, a.Brittle = max(a.Backoff, report.Backoff), a.Leaving || report.Leaving, a.Brittle || report.Brittle
-	if report.Brittle {
-		s.Placer.Brittle.Record(r.Service, report.RejectionLimit, now)
-	}
-	s.Observer.SelfReported(r, s.call, report)
-	if left, isNew := s.Placer.Backoffs.Record(r, report.Backoff, s.call.ID, now); isNew {
-		s.Observer.BackoffRequested(r, s.call, left)
-	}
-	if report.Leaving && s.Placer.Departures.RecordAnnounced(r, now) {
-		s.Observer.DepartureAnnounced(r, s.call)
-	}
-}
-
-// recordLoad records the load that a replica reported, without the request it responded to.
-func (s *activeCall) recordLoad(t *routing.Target, a *Attempt, l ReportedLoad) {
-	a.Reported = l
-	if l.Known && s.Placer.ReportLoad(&s.call.Request, t, max(0, l.Requests-1), clock.Now()) {
-		s.Observer.Overloaded(&t.Replica, s.call, l)
-	}
-}
-
 // isSuccess reports whether a status is neither a redirection nor an error.
 func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
 
@@ -497,62 +354,3 @@
 	}
 	return false
 }
-
-// finish completes the summary, and writes the final response if the caller has none.
-func (s *activeCall) finish(ctx context.Context) {
-	s.finishing = true
-	s.summary.Total = clock.Since(s.call.Arrived)
-	s.summary.Outcome = s.attempts.Outcome
-	s.summary.CallerGone = ctx.Err() != nil
-	if s.events != nil {
-		s.summary.Events = s.events.forwarded.count
-	}
-	isComplete := true
-	switch {
-	case s.completed:
-		s.summary.Outcome = coordination.Answered{Status: s.summary.Status}
-	case s.summary.CallerGone || s.attempts.ResponseStarted:
-		isComplete = false
-		s.sink.Abort()
-	case s.fallback != nil:
-		s.summary.Status = s.fallback.status
-		s.summary.Outcome = coordination.Answered{Status: s.fallback.status}
-		s.recordWrite(s.sink.Respond(s.fallback.status, s.fallback.header, s.fallback.body))
-	default:
-		s.sink.Reject(withRetryAfter(s.attempts.Outcome))
-	}
-	s.summary.ConfigVersion = s.View().ConfigVersion()
-	s.summary.EndedBy = endOf{
-		complete: isComplete, writeErr: s.writeErr, callerGone: s.summary.CallerGone, closing: s.Closing != nil && s.Closing(),
-	}.endedBy()
-	s.finished = true
-	s.Observer.Finished(s.call, &s.summary)
-}
-
-// recordWrite records the result of a write to the caller, and returns it.
-func (s *activeCall) recordWrite(err error) error {
-	if s.writeErr == nil {
-		s.writeErr = err
-	}
-	return err
-}
-
-// finishAfterPanic finishes a call that a panic ended. A replica may have run it. If the panic came while the final
-// response was written, a part of it may have been sent.
-func (s *activeCall) finishAfterPanic(ctx context.Context) {
-	if s.finished {
-		return
-	}
-	s.attempts.Outcome = coordination.MayHaveRun{Reason: coordination.ReasonInternal}
-	s.attempts.ResponseStarted = s.attempts.ResponseStarted || s.finishing
-	s.finish(ctx)
-}
-
-// withRetryAfter sets the default RetryAfter of a NotRun outcome that has none.
-func withRetryAfter(o coordination.Outcome) coordination.Outcome {
-	if n, ok := o.(coordination.NotRun); ok && n.RetryAfter == 0 {
-		n.RetryAfter = routing.RetryAfter
-		return n
-	}
-	return o
-}
