Soak: a replica that crashes on a part of the prompt goes on after the last event that the daemon has

Cause: crashWriting wrote the first event of the stream whatever Last-Event-ID asked for. When the first replica of a resumable stream had crashed after its first event, and the second one wrote that event again before it crashed too, the daemon rejected it ("event ids do not increase") and ended the response, and LOST took that for the daemon's fault.

Change: the replica writes the event after the last one that the daemon has, or none if there is none, as exchange.stream does. No check changes.

Result: TestCrashingReplicaGoesOnAfterLastEvent, which plays the replica for each number of events that a daemon may have, fails for 7 of 8 before and passes.

--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -120,8 +120,9 @@
 		x.finish(0)
 		return false
 	}
-	if rand.IntN(2) == 0 {
-		x.write(x.chunk(withVersion(streamEvents(x.streamID())[0], x.version)))
+	events, next := streamEvents(x.streamID()), x.head.LastEventID // a daemon that resumes the stream has the events before
+	if rand.IntN(2) == 0 && next < len(events) {
+		x.write(x.chunk(withVersion(events[next], x.version)))
 	}
 	x.work(rand.N(maxCrashAfterEvent))
 	x.breakOffWith(0)
--- a/internal/soak/crashing_part_test.go
+++ b/internal/soak/crashing_part_test.go
@@ -1,12 +1,18 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"hingewinch.org/hingewinch/platform/standin"
 )
 
 // TestPartsThatCrashReplicasReachFewOfThem guards against requests that share nothing but one part of their
@@ -94,3 +100,48 @@
 		}
 	}
 }
+
+// TestCrashingReplicaGoesOnAfterLastEvent guards against a replica that, before it crashes on a part of the prompt, writes an
+// event again that the daemon already has. The daemon has to reject it and end the response, which LOST takes for its fault.
+func TestCrashingReplicaGoesOnAfterLastEvent(t *testing.T) {
+	const id, maxTries = "y1000-1", 20 // in half of the tries the replica crashes without an event
+	events := streamEvents(id)
+	for after := range len(events) + 1 {
+		want := ""
+		if after < len(events) {
+			want = events[after]
+		}
+		got := ""
+		for try := 0; try < maxTries && got == ""; try++ {
+			got = bodyBeforeCrash(t, id, after)
+		}
+		if got != want {
+			t.Errorf("after event %d, the replica wrote %q, want %q", after, got, want)
+		}
+	}
+}
+
+// bodyBeforeCrash returns the body that a replica writes before it crashes on a part of the prompt, to a daemon that has a
+// number of events.
+func bodyBeforeCrash(t *testing.T, id string, after int) string {
+	t.Helper()
+	l := newLedger(defaultBounds())
+	near, far := net.Pipe()
+	defer near.Close()
+	x := &exchange{Replica: &Replica{ID: "i-1", ledger: l, crashed: func() {}}, conn: far, id: id, head: standin.RequestHead{LastEventID: after}}
+	x.run = l.Began(id, Run{})
+	go func() {
+		defer far.Close()
+		x.crashWriting(crashingPartBase)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil {
+		t.Fatal("the response of a replica that crashes is complete")
+	}
+	return string(body)
+}
