Relay: a stream whose second replica's connection breaks returns to the first one

Both attempts of the route were used, so the stream was broken off, although the first replica was well.

Change: the stream returns to the replica that it left last, at the caller's last event. No return: while the route allows a further replica, before the response has begun, if the second replica crashed, to another software version than the events have, to a replica that left, is evacuated, cold, terminated or ineligible, and where a coordinator chooses the replicas. The last conditions hold for the returns there were, too (Placer.MayReturnTo). A return whose link is down no longer excludes a replica from those that the route allows, for which a third one could be asked.

Decision: coordination/routing (retry.go, handover.go), in virtual time. If the first replica is still silent, the stream waits until its deadline, as one does that a single silent replica has.

--- a/coordination/routing/handover.go
+++ b/coordination/routing/handover.go
@@ -1,9 +1,10 @@
 // This file decides which of two replicas keeps a call that was sent to a second one because the first is silent,
 // once both have had it for as long as two replicas may, and no event of the second one has arrived. The connection to
-// the other one is then closed.
+// the other one is then closed. It also decides whether a call may return to the one that was closed.
 //
 // Inputs: whether the caller has received events of the response, whether the second replica has begun to respond, and
-// what it sends on other streams of this daemon. The rule:
+// what it sends on other streams of this daemon; for a return the view, what is known of the replica that was closed, and the
+// software version of the stream. The rule:
 //
 //  1. The second one keeps a call whose caller has received nothing. If it rejects the call, that returns to the first one,
 //     or the caller gets an error response and may try again.
@@ -12,7 +13,10 @@
 //     begun there, and nothing has arrived from it since the call was sent. A replica that sends nothing has not accepted
 //     the call by not rejecting it.
 //  4. If that is not known, the second one keeps it: the first one has been silent for longer, and may have ended. A replica
-//     may take a while until its response begins. If it stays silent, the call goes back to the first one.
+//     may take a while until its response begins. If it stays silent, or its connection breaks once it has sent events and the
+//     route allows no further replica, the call goes back to the first one (retry.go).
+//  5. A call returns only to a replica that is ready in the incarnation that had the call, runs the version that began the
+//     stream, and may get requests: it is neither cold, which bounds its requests, nor taken for terminated.
 
 package routing
 
@@ -44,3 +48,12 @@
 	isSecondSilent := h.Second.Streams >= minSilentStreams && !h.Second.HeardAt.After(h.Sent)
 	return !isSecondSilent
 }
+
+// MayReturnTo reports whether a call may return to a replica that had it before.
+func (p *Placer) MayReturnTo(v *View, r *Replica, tried Tried, now time.Time) bool {
+	current := v.Pool(r.Service).ready(r.Incarnation())
+	if current == nil || current.versionKey != r.versionKey || !current.hasVersion(tried.Version, v.HasSeveralVersions(r.Service)) {
+		return false
+	}
+	return !current.IsCold(now) && !p.Health.HasTerminated(current, now) && !p.IsIneligible(current, now)
+}
--- a/coordination/routing/handover_test.go
+++ b/coordination/routing/handover_test.go
@@ -33,3 +33,40 @@
 		}
 	}
 }
+
+// TestReturnsGoToReplicasThatMayServeThem guards against a stream that returns to a replica which may get no request, or at which
+// its events don't fit together.
+func TestReturnsGoToReplicasThatMayServeThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1 := routing.NewReplica(routing.Replica{ID: "r1", Service: "s", Version: "v1"})
+	v2 := routing.NewReplica(routing.Replica{ID: "r2", Service: "s", Version: "v2"})
+	same := routing.NewReplica(routing.Replica{ID: "r3", Service: "s", Version: "v1"})
+	for _, c := range []struct {
+		name   string
+		ready  []routing.Replica
+		bound  routing.VersionKey
+		change func(p *routing.Placer, r *routing.Replica)
+		want   bool
+	}{
+		{"ready", []routing.Replica{v1, same}, 0, nil, true},
+		{"ready, of the stream's version", []routing.Replica{v1, v2}, v1.VersionKey(), nil, true},
+		{"ready, of another version", []routing.Replica{v1, v2}, v2.VersionKey(), nil, false},
+		{"left, or evacuated", []routing.Replica{same}, 0, nil, false},
+		{"started again at another version", []routing.Replica{routing.NewReplica(routing.Replica{ID: "r1", Service: "s", Version: "v2"})}, 0, nil, false},
+		{"turned cold", []routing.Replica{routing.NewReplica(routing.Replica{ID: "r1", Service: "s", Version: "v1", ColdUntil: now.Add(time.Second)})}, 0, nil, false},
+		{"terminated", []routing.Replica{v1}, 0, func(p *routing.Placer, r *routing.Replica) { p.Health.ReportTermination(r, now) }, false},
+		{"backs off", []routing.Replica{v1}, 0, func(p *routing.Placer, r *routing.Replica) { p.Backoffs.Record(r, time.Minute, "q", now) }, false},
+		{"leaves", []routing.Replica{v1}, 0, func(p *routing.Placer, r *routing.Replica) { p.Departures.RecordAnnounced(r, now) }, false},
+	} {
+		p := &routing.Placer{Health: routing.NewHealth(), Backoffs: routing.NewBackoffs(), Departures: routing.NewDepartures()}
+		pool := &routing.Pool{Ready: c.ready}
+		pool.Sort()
+		v := &routing.View{Pools: map[routing.ServiceName]*routing.Pool{"s": pool}}
+		if c.change != nil {
+			c.change(p, &v1)
+		}
+		if got := p.MayReturnTo(v, &v1, routing.Tried{Version: c.bound}, now); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -13,7 +13,8 @@
 //     attempt of which no byte was written, such as one at a refused connection, counts towards neither. One at a replica
 //     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
 //     taken from a silent replica, to which it returns (transport/relay/failover.go). So does a return to a replica that
-//     the request was sent to before, since the one that took it over is silent too.
+//     the request was sent to before, since the one that took it over is silent too, or its connection broke. There is one such
+//     return for a request, so that it runs once more than the route allows replicas, at most.
 //  4. Fewer than [MaxChoices] replicas have been chosen. While this daemon's own links to the service are suspect or down
 //     (reach.go), as many more may be chosen if nothing was sent because replicas were not reached.
 //  5. The request is not quarantined because replicas crash while running it (crash.go).
@@ -67,8 +68,9 @@
 	Outcome coordination.Outcome
 	// reserved means that a retry has been reserved in the budget for the next attempt.
 	reserved bool
-	// returns means that the next attempt may be at a replica that the request was written to before.
-	returns bool
+	// returns means that the next attempt may be at a replica that the request was written to before, hasReturned that there
+	// was such an attempt, and lastReturned that it was the last one.
+	returns, hasReturned, lastReturned bool
 }
 
 // NewAttempts returns the state before the first attempt, with the outcome that no replica was
@@ -131,9 +133,10 @@
 }
 
 // ExcludeLast excludes the last replica from those that the request was written to, since it does not work on the request:
-// it rejected it, or the link to it is down. It returns false if the request may not run again.
+// it rejected it, or the link to it is down. It returns false if the request may not run again, or if the attempt was a
+// return, which did not count.
 func (a *Attempts) ExcludeLast() bool {
-	if !a.Route.MayRunAgain() {
+	if !a.Route.MayRunAgain() || a.lastReturned {
 		return false
 	}
 	a.Sent--
@@ -141,12 +144,19 @@
 }
 
 // AllowReturn allows an attempt at a replica that the request was written to before, which counts towards the budget but
-// not as a further replica. It returns false if the request may not run again.
+// not as a further replica. It returns false if the request may not run again, or has returned before.
 func (a *Attempts) AllowReturn() bool {
-	a.returns = a.Route.MayRunAgain()
+	a.returns = a.Route.MayRunAgain() && !a.hasReturned
 	return a.returns
 }
 
+// AllowReturnAfterBreak is AllowReturn after the connection to a replica broke that had taken the request over. A response
+// that has not begun does not return: its caller gets an error response, and may try again. Nor does one whose replica
+// crashed, since the other one may have fallen silent on the same request, nor one that may go to a further replica.
+func (a *Attempts) AllowReturnAfterBreak(hasCrashed bool) bool {
+	return a.ResponseStarted && !hasCrashed && !a.attemptsLeft() && a.AllowReturn()
+}
+
 // IsReturn reports whether the next attempt may only be at a replica that the request was written to before.
 func (a *Attempts) IsReturn() bool { return a.returns }
 
@@ -199,9 +209,9 @@
 // CountSend records that the request is written to a replica, which uses up a reserved retry. It
 // returns true the first time.
 func (a *Attempts) CountSend() bool {
-	a.reserved = false
+	a.reserved, a.lastReturned = false, a.returns
 	if a.returns {
-		a.returns = false
+		a.returns, a.hasReturned = false, true
 		return false
 	}
 	a.Sent++
--- a/coordination/routing/retry_test.go
+++ b/coordination/routing/retry_test.go
@@ -151,3 +151,46 @@
 		}
 	}
 }
+
+// TestReturnAfterBreak guards against streams that end although the replica that had them first may go on, and against returns
+// that make a request run more than once more often than the route allows replicas.
+func TestReturnAfterBreak(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	resumable := routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}
+	for _, c := range []struct {
+		name    string
+		route   routing.Route
+		begun   bool
+		sent    int
+		crashed bool
+		extra   float64 // retries in the budget
+		want    bool
+	}{
+		{"a stream that has begun", resumable, true, 2, false, 100, true},
+		{"one that has not begun", resumable, false, 2, false, 100, false},
+		{"one whose route allows a further replica", resumable, true, 1, false, 100, false},
+		{"one under which the replica crashed", resumable, true, 2, true, 100, false},
+		{"one without a retry in the budget", resumable, true, 2, false, 0, false},
+		{"one that can't be resumed", routing.Route{Kind: routing.Stream, MaxAttempts: 2}, true, 2, false, 100, false},
+	} {
+		b := routing.NewRetryBudgets(routing.RetryRule{Extra: c.extra, Window: time.Minute}, 1)
+		a := routing.Attempts{Route: &c.route, ResponseStarted: c.begun, Sent: c.sent}
+		returns := a.AllowReturnAfterBreak(c.crashed) && a.MaySend(b, "s", now)
+		if returns != c.want {
+			t.Errorf("%s: returns %t, want %t", c.name, returns, c.want)
+		}
+		if !returns {
+			continue
+		}
+		a.CountSend()
+		if a.Sent != c.sent {
+			t.Errorf("%s: the return counts as a further replica", c.name)
+		}
+		if a.AllowReturnAfterBreak(false) || a.AllowReturn() {
+			t.Errorf("%s: returns twice", c.name)
+		}
+		if a.ExcludeLast(); a.MaySend(b, "s", now) {
+			t.Errorf("%s: is sent to a further replica since the link of its return is down", c.name)
+		}
+	}
+}
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -65,6 +65,7 @@
 	countsAgainst bool                 // result counts against the replica
 	connClosed    bool                 // the replica closed the connection while it had the request
 	received      bool                 // the replica had sent at least one byte, if the connection was closed
+	hasCrashed    bool                 // the replica has crashed, if the connection was closed
 	// responding is for how long the replica had sent events of the response; negative: it had sent none.
 	responding time.Duration
 	// replaced means that another replica responded at the address.
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -13,6 +13,7 @@
 //     An error response of the other one does not take the call over: it is forwarded if the silent one does not respond.
 //  5. If the other one goes on alone and then rejects the call, the call goes back to the silent one, which may have
 //     room for it still: the route allows so many replicas, and the one that rejected the call does not work on it. If the
+//     connection to the other one breaks inside a stream, and the route allows no further replica, the stream goes back too. If the
 //     other one is silent too, and has sent nothing of a stream that has begun, the call is sent to the first one again, by
 //     rules 1 and 2. The other one keeps it by rule 3, so that one that is merely slow is not closed.
 //     If the silent one may get no request, since it is not ready any more, wants none, or a coordinator chooses the
@@ -146,7 +147,8 @@
 // takeOver closes the exchanges with silent replicas, since another one goes on. It returns false if one of them
 // went on before.
 func (s *activeCall) takeOver() bool {
-	for h := s.handover; h != nil; h = h.outer {
+	last := s.handover
+	for h := last; h != nil; h = h.outer {
 		if !h.state.CompareAndSwap(handoverOpen, handoverToNext) {
 			return false
 		}
@@ -154,7 +156,9 @@
 		h.silent.closeConn()
 		s.endAttempt(h.attempt)
 	}
-	s.handover = nil
+	if last != nil {
+		s.handover, s.abandoned = nil, last.silent.replica
+	}
 	return true
 }
 
@@ -272,7 +276,6 @@
 // endOverlap ends the time in which both an exchange and the silent one before it have the call. It returns nil if
 // the exchange keeps the call.
 func (s *activeCall) endOverlap(x *exchange) *failure {
-	silent := s.handover.silent.replica
 	h := routing.Handover{
 		ResponseStarted: s.attempts.ResponseStarted, Sent: x.sent, SecondResponded: x.hasResponse(),
 		Second: s.Pool.activity.of(x.replica.Incarnation()),
@@ -284,15 +287,20 @@
 	if !s.takeOver() {
 		return givenUp(errOvertaken)
 	}
-	s.abandoned = silent
 	s.attempts.RecordAbandoned()
 	return nil
 }
 
-// planReturn decides, after a failed attempt, whether the call returns to the replica that it abandoned, since the one
-// that took it over has rejected it. If so, the latter no longer counts towards the route's replicas.
+// planReturn decides, after a failed attempt, whether the call returns to the replica that it abandoned: the one that took it
+// over has rejected it, and no longer counts towards the route's replicas, or its connection broke.
 func (s *activeCall) planReturn(f *failure) bool {
-	return s.abandoned != nil && errors.Is(f.err, errRejected) && s.attempts.ExcludeLast()
+	switch {
+	case s.abandoned == nil:
+		return false
+	case errors.Is(f.err, errRejected):
+		return s.attempts.ExcludeLast()
+	}
+	return f.connClosed && s.handover == nil && s.attempts.AllowReturnAfterBreak(f.hasCrashed)
 }
 
 // planReturnFrom decides whether a stream that has begun goes back to the replica that it abandoned, since the one that
@@ -312,7 +320,7 @@
 	r := s.abandoned
 	s.goesBack, s.abandoned = false, nil
 	isCoordinated := s.Permits != nil && s.Permits.Needed(s.call.Service)
-	if isCoordinated || !s.View().IsReady(r) || s.Placer.IsIneligible(r, clock.Now()) {
+	if isCoordinated || !s.Placer.MayReturnTo(s.View(), r, s.tried.Tried, clock.Now()) {
 		return nil
 	}
 	return r
--- a/transport/relay/links.go
+++ b/transport/relay/links.go
@@ -39,9 +39,9 @@
 
 // recordBroken records that the connection of an attempt broke, and whether its replica has crashed.
 func (s *activeCall) recordBroken(ctx context.Context, t *routing.Target, a *Attempt, f *failure) {
-	hasCrashed := s.checkCrash(ctx, &t.Replica, f.responding)
+	f.hasCrashed = s.checkCrash(ctx, &t.Replica, f.responding)
 	s.broken, s.brokeInside = nil, f.received
-	if !hasCrashed && a.Via == "" {
+	if !f.hasCrashed && a.Via == "" {
 		s.broken = &t.Replica
 	}
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -50,7 +50,8 @@
 	*attemptState // of the current attempt
 	// handover is the one that the current attempt takes part in, since an earlier replica is silent; nil: none.
 	handover *handover
-	// abandoned is the silent replica that another one has taken the call over from without a response; nil: none.
+	// abandoned is the silent replica that another one has last taken the call over from, and to which the call may return;
+	// nil: none.
 	abandoned *routing.Replica
 	goesBack  bool // the next attempt is at the abandoned replica
 	// broken is the replica to which a connection of this daemon's own broke in an earlier attempt, although it has
