Soak: LOST judges a complete run whose bytes a link held as one that was given up

The first replica had written its whole response, of which a link of the run had delivered nothing when the daemon gave it up for a second replica; that one's connection was reset by the run. The check took the first one's complete run for the daemon's fault.

Change: the link records how many bytes it delivered, each at the time before it wrote them. A complete run of which not all bytes had reached the daemon when that closed the connection is judged as one that the daemon gave up at that moment: no loss if another run was under way, or began then and wrote something. All else is as before; where the bytes had arrived it stays a loss. Late bytes of earlier responses on the connection count as the run's, which is the strict side. recordDelivery takes the bytes; delivery_test.go passes 1, its rows are the same.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -10,7 +10,9 @@
 //  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
 //     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
 //     connection or kept the request from it, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
-//     something. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
+//     something. A run that the replica had completed counts as given up only if a link of the run had not delivered all of its
+//     bytes when the daemon closed the connection. What kind of replica it is, and what it was meant to do, does not matter. A
+//     silent replica is at work.
 //  3. The end of a graceful shutdown may break a request off (cutByShutdown).
 //  4. Each request that an undisturbed daemon broke off is a violation, whether or not work was planned then. Around a
 //     configuration, and around no signal, one that had used UsedShare of its time is none.
@@ -161,11 +163,22 @@
 	case wasHeldUp, j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300:
 		return false
 	case run.Status != 0:
-		return true
+		closed, wasHeld := j.closedBeforeDelivery(run)
+		return !wasHeld || !j.wasSuperseded(r, run, closed)
 	}
 	return !j.wasSuperseded(r, run, end)
 }
 
+// closedBeforeDelivery returns when the daemon closed the connection of a run, and reports whether the link had not delivered
+// all that the replica wrote by then. Late bytes of earlier responses on the connection count as the run's.
+func (j *checker) closedBeforeDelivery(run *Run) (closed time.Time, wasHeld bool) {
+	c, ok := j.connection(run.Conn, run.At)
+	if !ok || c.closed.IsZero() {
+		return time.Time{}, false
+	}
+	return c.closed, c.bytesBetween(run.At, c.closed) < run.Written
+}
+
 // replicaBrokeOff reports whether the replica broke a run off before the response ended, by its own record. A replica that
 // terminates may lose what it wrote last.
 func (j *checker) replicaBrokeOff(r *record, run *Run) bool {
--- a/internal/soak/check_loss_test.go
+++ b/internal/soak/check_loss_test.go
@@ -104,3 +104,66 @@
 		}
 	}
 }
+
+// TestCheckLossOfHeldResponses guards against a response that is taken for broken off by the daemon although a link of the run held
+// what the replica wrote, and against one that the daemon broke off although it had arrived. Replica r1 writes its whole response
+// of 300 bytes by 100.15 s, and the daemon closes the connection at 100.4 s. Replica r2, to which the request was sent at
+// 100.35 s, writes three events, a fault of the run resets its connection at 100.7 s, and the response breaks off then.
+func TestCheckLossOfHeldResponses(t *testing.T) {
+	const written = 300
+	closed := connRecord{closed: at(100.4)}
+	delivered := func(when float64, bytes int) connRecord {
+		return connRecord{closed: closed.closed, deliveries: []deliveredBytes{{at(when), bytes}}}
+	}
+	for _, c := range []struct {
+		name   string
+		first  connRecord // of r1, at the link
+		second func(s *scene, run *Run)
+		broken bool
+	}{
+		{name: "nothing had arrived", first: closed},
+		{name: "a part had arrived", first: delivered(100.15, written-1)},
+		{name: "all had arrived", first: delivered(100.15, written), broken: true},
+		{name: "all had arrived, with a surplus of the connection's former response", first: delivered(100.15, written+10), broken: true},
+		{name: "as much had arrived, for former requests", first: delivered(99.9, written)},
+		{name: "all arrived after the daemon had closed the connection", first: delivered(100.41, written)},
+		{name: "the daemon did not close the connection", first: connRecord{}, broken: true},
+		{name: "the daemon closed the connection when the response had ended", first: connRecord{closed: at(100.71)}, broken: true},
+		{name: "the other replica got the request later, and wrote nothing", first: closed, broken: true, second: func(s *scene, run *Run) {
+			run.At, run.Written = at(100.45), 0
+		}},
+		{name: "the other replica had ended long before", first: closed, broken: true, second: func(s *scene, run *Run) {
+			run.At, run.Ended, run.BrokeOff = at(100.2), at(100.3), at(100.3)
+		}},
+		{name: "the other replica is at work", first: closed, broken: true, second: func(s *scene, run *Run) {
+			run.Conn, run.Ended = "at work", time.Time{}
+		}},
+	} {
+		s := newScene(routes[3])
+		s.connection = func(conn string, _ time.Time) (connRecord, bool) {
+			switch conn {
+			case "first":
+				return c.first, true
+			case "reset":
+				return connRecord{reset: at(100.7)}, true
+			}
+			return connRecord{}, true
+		}
+		first := s.send().run("r1", 100.1)
+		first.Conn = "first"
+		s.Wrote(first, written, at(100.15))
+		s.Ended(first, 200, at(100.15))
+		second := s.run("r2", 100.35)
+		second.Conn = "reset"
+		s.Wrote(second, 60, at(100.6))
+		s.Ended(second, 0, at(100.7))
+		if c.second != nil {
+			c.second(s, second)
+		}
+		s.breaks(100.7)
+		found := s.Check(at(101))
+		if broken := len(found) > 0 && found[0].Promise == "LOST"; broken != c.broken {
+			t.Errorf("%s: found %v, want broken %t", c.name, found, c.broken)
+		}
+	}
+}
--- a/internal/soak/delivery.go
+++ b/internal/soak/delivery.go
@@ -22,10 +22,16 @@
 // delivery is the record of one connection through a link.
 type delivery struct {
 	opened    time.Time
-	source    string      // IP address from which the daemon opened it
-	delivered []time.Time // when bytes of the replica were written to the daemon's side
-	closed    time.Time   // when the daemon closed its side; zero: not yet
-	reset     time.Time   // when a fault of the run reset it; zero: none did
+	source    string // IP address from which the daemon opened it
+	delivered []deliveredBytes
+	closed    time.Time // when the daemon closed its side; zero: not yet
+	reset     time.Time // when a fault of the run reset it; zero: none did
+}
+
+// deliveredBytes are bytes of a replica that were written to the daemon's side.
+type deliveredBytes struct {
+	at    time.Time
+	bytes int
 }
 
 // connRecord is what a link knows of a connection at a time.
@@ -34,6 +40,19 @@
 	delivered time.Time // when bytes of the replica last reached the daemon's side; zero: none did
 	closed    time.Time // when the daemon closed its side; zero: not yet
 	reset     time.Time // when a fault of the run reset it; zero: none did
+	// deliveries are all those of the connection, also after the time.
+	deliveries []deliveredBytes
+}
+
+// bytesBetween returns how many bytes of the replica reached the daemon's side from one time until another.
+func (c *connRecord) bytesBetween(from, to time.Time) int {
+	sum := 0
+	for _, d := range c.deliveries {
+		if !d.at.Before(from) && !d.at.After(to) {
+			sum += d.bytes
+		}
+	}
+	return sum
 }
 
 // connName names a connection by its two addresses. Connections to several replicas may have one source port at a time.
@@ -56,13 +75,13 @@
 
 // recordDelivery records that bytes were written to the daemon's side. It accepts a nil receiver and a nil
 // connection.
-func (d *deliveries) recordDelivery(c *delivery, now time.Time) {
+func (d *deliveries) recordDelivery(c *delivery, bytes int, now time.Time) {
 	if c == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.delivered = append(c.delivered, now)
+	c.delivered = append(c.delivered, deliveredBytes{now, bytes})
 }
 
 // recordClose records that the daemon closed its side. It accepts a nil receiver and a nil connection.
@@ -109,10 +128,10 @@
 	if c == nil {
 		return connRecord{}, false
 	}
-	record := connRecord{source: c.source, closed: c.closed, reset: c.reset}
+	record := connRecord{source: c.source, closed: c.closed, reset: c.reset, deliveries: c.delivered}
 	for _, t := range c.delivered {
-		if !t.After(at) {
-			record.delivered = t
+		if !t.at.After(at) {
+			record.delivered = t.at
 		}
 	}
 	return record, true
@@ -142,8 +161,8 @@
 // firstDelivery returns the first time at or after the given one at which bytes were delivered, or zero.
 func (c *delivery) firstDelivery(at time.Time) time.Time {
 	for _, t := range c.delivered {
-		if !t.Before(at) {
-			return t
+		if !t.at.Before(at) {
+			return t.at
 		}
 	}
 	return time.Time{}
--- a/internal/soak/delivery_test.go
+++ b/internal/soak/delivery_test.go
@@ -13,22 +13,22 @@
 		play func(d *deliveries, c *delivery)
 		want bool
 	}{
-		{"delivered, the connection stays open", func(d *deliveries, c *delivery) { d.recordDelivery(c, at(100.01)) }, true},
+		{"delivered, the connection stays open", func(d *deliveries, c *delivery) { d.recordDelivery(c, 1, at(100.01)) }, true},
 		{"delivered, the connection is closed later", func(d *deliveries, c *delivery) {
-			d.recordDelivery(c, at(100.01))
+			d.recordDelivery(c, 1, at(100.01))
 			d.recordClose(c, at(100.2))
 		}, true},
 		{"delivered as the daemon closed the connection", func(d *deliveries, c *delivery) {
-			d.recordDelivery(c, at(100.01))
+			d.recordDelivery(c, 1, at(100.01))
 			d.recordClose(c, at(100.02))
 		}, false},
 		{"closed before the replica said it", func(d *deliveries, c *delivery) {
 			d.recordClose(c, at(99.99))
-			d.recordDelivery(c, at(100.01))
+			d.recordDelivery(c, 1, at(100.01))
 		}, false},
-		{"never delivered", func(d *deliveries, c *delivery) { d.recordDelivery(c, at(99.9)) }, false},
+		{"never delivered", func(d *deliveries, c *delivery) { d.recordDelivery(c, 1, at(99.9)) }, false},
 		{"another connection from the same address since", func(d *deliveries, c *delivery) {
-			d.recordDelivery(c, at(100.01))
+			d.recordDelivery(c, 1, at(100.01))
 			d.open("a", "", at(101))
 		}, true},
 	} {
@@ -44,6 +44,20 @@
 	}
 }
 
+// TestDeliveriesCountBytes guards against a response that is taken for delivered, or for held by a link, by the bytes of another
+// time.
+func TestDeliveriesCountBytes(t *testing.T) {
+	d := &deliveries{}
+	conn := d.open("a", "", at(99))
+	for i, bytes := range []int{1, 20, 300, 4000} {
+		d.recordDelivery(conn, bytes, at(100+float64(i)))
+	}
+	record, ok := d.connection("a", at(100))
+	if got := record.bytesBetween(at(101), at(102)); !ok || got != 320 {
+		t.Errorf("%d bytes, want 320", got)
+	}
+}
+
 // TestDeliveriesTellConnectionsApart guards against a reset of one connection that is taken for one of another, to another
 // replica, with the same source port.
 func TestDeliveriesTellConnectionsApart(t *testing.T) {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -180,12 +180,14 @@
 		}
 		l.stall(c, stalled)
 		if n > 0 {
+			// Taken before the write, so that a daemon can't have the bytes before the recorded time.
+			at := time.Now()
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				c.reset()
 				return
 			}
 			if to == c.near {
-				l.deliveries.recordDelivery(c.delivery, time.Now())
+				l.deliveries.recordDelivery(c.delivery, n, at)
 			}
 		}
 		if err != nil {
