Relay: a stream leaves its replica only for a rejection by the one that has it, never after a crash, and may return later

What callers would have seen (found by a reviewer in before it landed): a stream whose second replica only paused was closed and sent back to a first one that had ended, because a third replica rejected it meanwhile; a stream whose second replica crashed was sent to the first one after a rejection; a stream ended since an earlier return had not been possible for a moment. Cause: the replica that a call has abandoned is remembered from the takeover on, and any later rejection counted as the second one's; it was forgotten before the decision whether the return could be made. Change: no return while another replica still has the call; none after a crash; the abandoned replica is forgotten once an attempt there is decided. Ruled out: no return at all, which ends a stream that a sound replica could go on with.

--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -292,15 +292,20 @@
 }
 
 // planReturn decides, after a failed attempt, whether the call returns to the replica that it abandoned: the one that took it
-// over has rejected it, and no longer counts towards the route's replicas, or its connection broke.
+// over has rejected it, and no longer counts towards the route's replicas, or its connection broke. While another replica
+// still has the call, it stays there. After a crash it never returns, since the abandoned one may have fallen silent on
+// the same request.
 func (s *activeCall) planReturn(f *failure) bool {
+	if f.hasCrashed {
+		s.abandoned = nil
+	}
 	switch {
-	case s.abandoned == nil:
+	case s.abandoned == nil || s.handover != nil:
 		return false
 	case errors.Is(f.err, errRejected):
 		return s.attempts.ExcludeLast()
 	}
-	return f.connClosed && s.handover == nil && s.attempts.AllowReturnAfterBreak(f.hasCrashed)
+	return f.connClosed && s.attempts.AllowReturnAfterBreak(f.hasCrashed)
 }
 
 // planReturnFrom decides whether a stream that has begun goes back to the replica that it abandoned, since the one that
@@ -311,19 +316,18 @@
 	return s.goesBack
 }
 
-// takeAbandoned returns the abandoned replica if the next attempt is to be there. It returns nil if the call does not go
-// back, or the replica may get no request.
-func (s *activeCall) takeAbandoned() *routing.Replica {
+// returnTarget returns the abandoned replica if the next attempt is to be there. It returns nil if the call does not go
+// back, or the replica may get no request at the moment: the call may go back later.
+func (s *activeCall) returnTarget() *routing.Replica {
 	if !s.goesBack {
 		return nil
 	}
-	r := s.abandoned
-	s.goesBack, s.abandoned = false, nil
+	s.goesBack = false
 	isCoordinated := s.Permits != nil && s.Permits.Needed(s.call.Service)
-	if isCoordinated || !s.Placer.MayReturnTo(s.View(), r, s.tried.Tried, clock.Now()) {
+	if isCoordinated || !s.Placer.MayReturnTo(s.View(), s.abandoned, s.tried.Tried, clock.Now()) {
 		return nil
 	}
-	return r
+	return s.abandoned
 }
 
 // chooseAbandoned returns the abandoned replica as the target of the next attempt. It returns false if there is no
@@ -334,8 +338,12 @@
 		return routing.Target{}, false
 	}
 	if s.Permits != nil && s.Permits.NeededAtReplica(s.call.Service) {
-		return s.usePermit(ctx, t, s.acquireAt(ctx, &t.Replica, true))
+		var ok bool
+		if t, ok = s.usePermit(ctx, t, s.acquireAt(ctx, &t.Replica, true)); !ok {
+			return routing.Target{}, false
+		}
 	}
+	s.abandoned = nil
 	return t, true
 }
 
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -160,7 +160,7 @@
 // choose returns the target of the next attempt. It returns false if there is none; the outcome then
 // says why.
 func (s *activeCall) choose(ctx context.Context) (routing.Target, bool) {
-	if r := s.takeAbandoned(); r != nil {
+	if r := s.returnTarget(); r != nil {
 		return s.chooseAbandoned(ctx, r)
 	}
 	if s.attempts.IsReturn() {
