A domain without heartbeats is refused only after a connection there failed

The only daemon of z2 is frozen for .89 s while z0 and z1 are evacuated or have crashed replicas, so that z2 is cut off by its missing heartbeats after .7 s and its replicas are the only ones left. By rule 2 of cutoff.go they are tried nevertheless, unless a connection there failed. But each ejection in a domain that is cut off counted as that: a replica of any service that was slow for .25 or 1 s, or that rejected or failed requests. All requests that only z2 could serve were then refused, of all services, until the ejection ended (.5 to 4 s) or a heartbeat came, while z2's replicas responded to the same daemon ten times a second. A request that waits for a permit then is refused too, since the service has no usable replica: two refusals at one instant, one of a request sent 1 s earlier, fit the 1.008 s of the failure, whose logs are lost.

Change: only a failed connection counts, also one to a replica that is ejected already; and not while a replica of the domain has responded within the domain timeout, or once one responds. Real cuts with silent links are found by failed connections and by reach.go.

--- a/coordination/routing/cutoff.go
+++ b/coordination/routing/cutoff.go
@@ -1,8 +1,8 @@
 // This file decides which failure domains are cut off from this daemon, so that their replicas
 // get no requests.
 //
-// Inputs: the time of the last heartbeat known here from any daemon of each domain, and the
-// replicas that this daemon could not connect to. The rule:
+// Inputs: the time of the last heartbeat known here from any daemon of each domain, the replicas
+// that this daemon could not connect to, and when replicas responded to it. The rule:
 //
 //  1. A domain is cut off if no heartbeat from any of its daemons is known within the domain
 //     timeout. Its replicas are skipped if others can serve the request.
@@ -10,6 +10,10 @@
 //     because missing heartbeats of daemons say nothing about replicas. A domain in which a
 //     connection to a replica failed gets nothing while the ejection of that replica lasts, so
 //     that requests are refused at once; the next request after that tries again.
+//  3. A connection that failed does not count if a replica of the domain responded within the domain
+//     timeout, and no longer counts once one responds: that replica alone may be gone. A response that is
+//     late, an error or a rejection does not count as a failed connection: the daemons of a small
+//     domain may all be paused while its replicas serve, some of them slowly.
 
 package routing
 
@@ -97,6 +101,21 @@
 	return now.Before(h.unreachable[d]) && h.domainIsCutOff(d, now)
 }
 
+// recordDomain records what the result of an attempt at a replica says about its domain, by rules 2 and 3.
+// ejectedUntil is the end of the replica's ejection. h.mu must be held.
+func (h *Health) recordDomain(d state.FailureDomain, result Result, ejectedUntil, now time.Time) {
+	switch result {
+	case ResultGood, ResultRefused, ResultFailed:
+		h.responded[d] = now
+		delete(h.unreachable, d)
+	case ResultUnreachable:
+		if h.domainIsCutOff(d, now) && now.Sub(h.responded[d]) > h.domainTimeout {
+			h.unreachable[d] = ejectedUntil
+		}
+	case ResultBroken, ResultSilent:
+	}
+}
+
 // mark marks the replicas in domains that meet a condition, except those in skip, and returns the
 // number of replicas marked.
 func (h *Health) mark(usable []bool, skip replicaSet, p *Pool, condition func(state.FailureDomain) bool) int {
--- a/coordination/routing/eject.go
+++ b/coordination/routing/eject.go
@@ -61,8 +61,9 @@
 	domainSeen    map[state.FailureDomain]time.Time
 	domainTimeout time.Duration
 	// unreachable is until when a domain that is cut off gets no requests because a connection to
-	// a replica there failed.
+	// a replica there failed. responded is when a replica of a domain last responded.
 	unreachable    map[state.FailureDomain]time.Time
+	responded      map[state.FailureDomain]time.Time
 	silences       silenceTable
 	terminated     map[LoadKey]time.Time // when incarnations terminated
 	terminatedHold time.Duration         // how long a termination counts
@@ -77,7 +78,7 @@
 	return &Health{
 		records: make(map[LoadKey]*record), ejected: make(map[LoadKey]*record), peers: make(map[PeerID]*peerEvidence),
 		domainSeen: make(map[state.FailureDomain]time.Time), domainTimeout: DomainTimeout,
-		unreachable: make(map[state.FailureDomain]time.Time), silences: newSilenceTable(),
+		unreachable: make(map[state.FailureDomain]time.Time), responded: make(map[state.FailureDomain]time.Time), silences: newSilenceTable(),
 		terminated: make(map[LoadKey]time.Time), terminatedHold: terminatedHold, liveness: make(map[LoadKey]*liveInterval),
 		livenessReports: outbox[LivenessReport]{
 			notify: make(chan struct{}, 1), capacity: maxLivenessReports, keepUnsent: true,
@@ -101,6 +102,14 @@
 	if result == ResultUnreachable {
 		h.silences.add(key, h.Reporter, now, now)
 	}
+	isEjected := h.eject(key, rec, result, now)
+	h.recordDomain(r.Domain, result, rec.ejectedUntil, now)
+	return isEjected
+}
+
+// eject ejects a replica if the result of an attempt asks for that. It returns true if the replica was not
+// ejected before. h.mu must be held.
+func (h *Health) eject(key LoadKey, rec *record, result Result, now time.Time) bool {
 	if result == ResultGood || rec.ejected(now) || !h.shouldEject(key, rec, result, now) {
 		return false
 	}
@@ -110,9 +119,6 @@
 	rec.ejectDuration = min(max(initialEjection, 2*rec.ejectDuration), maxEjection)
 	rec.ejectedUntil, rec.ejectCause = now.Add(rec.ejectDuration), result
 	h.ejected[key] = rec
-	if h.domainIsCutOff(r.Domain, now) {
-		h.unreachable[r.Domain] = rec.ejectedUntil
-	}
 	return true
 }
 
