Admission: a service whose replicas have no free place is saturated

Cause: requests are sent without permits until a service is found saturated, and the only evidence before a rejection was a response that began later than three quarters of the target. A full replica responds late, so that evidence is late too: 450 ms at a target of 600 ms.

Change: the choice of a replica gives the least loaded one that might have been chosen, by the daemon's own requests in flight and the last counts of its peers. If it has no free place, that is evidence. A daemon that hears a part of the fleet compares with that part of the places, half at least.

--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -4,7 +4,7 @@
 // grants the permits and chooses the replica:
 //
 //	messages.go     the messages between daemons and coordinators
-//	evidence.go     which response times show that a service is saturated
+//	evidence.go     which response times and loads show that a service is saturated
 //	coordinator.go  which permits are out, and which replica a permit is for
 //	queue.go        the order in which waiting requests get permits
 //	deadlines.go    which waiting requests have passed their deadline
--- a/coordination/admission/load_test.go
+++ b/coordination/admission/load_test.go
@@ -58,8 +58,27 @@
 	urgencies         int
 	steady            bool // no replica is ever slow
 	seed              uint64
+	// timing is that of the service and the fleet; the zero value is that of the design page.
+	timing loadTiming
+	// cutAfter is how long after the begin of the load the daemons of the first failure domain and the others no longer
+	// hear each other; 0: never. All reach all replicas.
+	cutAfter time.Duration
 }
 
+// loadTiming are the times of a load, and what a replica can handle in a second.
+type loadTiming struct {
+	work, target               time.Duration
+	heartbeats, heartbeatDelay time.Duration
+	wave                       time.Duration
+	handles                    float64
+	// heartbeatsOver is the time over which the heartbeats of the daemons are spread; 0: all are sent at once.
+	heartbeatsOver time.Duration
+	// varied says that the work of a request is drawn evenly from half of work to one and a half times that.
+	varied bool
+}
+
+var pageTiming = loadTiming{work: loadWork, target: loadTarget, heartbeats: heartbeatEvery, heartbeatDelay: heartbeatDelay, wave: wavePeriod, handles: replicaHandles}
+
 // heavyWorkspace is of mean size.
 const heavyWorkspace = 8
 
@@ -95,6 +114,7 @@
 	held        int           // refusals of calls that had waited for more than heldTime
 	longest     time.Duration // wait for a decision
 	most        int           // requests with a permit at one replica
+	crowding    float64       // the highest mean number of requests at one replica in a crowdingWindow
 }
 
 // loadSim plays a load. The event loop is that of a world, without its daemons.
@@ -105,6 +125,7 @@
 	fleet    []*loadDaemon
 	byName   map[membership.Address]*loadDaemon
 	pool     *routing.Pool
+	begun    time.Time // the load
 	loadResult
 }
 
@@ -115,6 +136,30 @@
 	busy    int
 	queue   []func()
 	granted int
+	crowding
+}
+
+// crowding is the mean number of requests at a replica in the current crowdingWindow.
+type crowding struct {
+	window, since time.Time // begin of the window, and the last change in it
+	sum           float64   // of requests times nanoseconds
+}
+
+// crowdingWindow is that of the soak (internal/soak/check_crowded.go).
+const crowdingWindow = 500 * time.Millisecond
+
+// held is the number of requests at a replica, running or queued.
+func (r *loadReplica) held() int { return r.busy + len(r.queue) }
+
+// measure adds the time since the last change to the current window. It is called before each change.
+func (r *loadReplica) measure(s *loadSim) {
+	for end := r.window.Add(crowdingWindow); !s.now.Before(end); end = end.Add(crowdingWindow) {
+		r.sum += float64(r.held()) * float64(end.Sub(r.since))
+		s.loadResult.crowding = max(s.loadResult.crowding, r.sum/float64(crowdingWindow))
+		r.window, r.since, r.sum = end, end, 0
+	}
+	r.sum += float64(r.held()) * float64(s.now.Sub(r.since))
+	r.since = s.now
 }
 
 // loadDaemon is a daemon with its requests.
@@ -143,13 +188,16 @@
 
 // play plays a load and returns what came of it.
 func (c loadCase) play(t testing.TB) loadResult {
+	if c.timing == (loadTiming{}) {
+		c.timing = pageTiming
+	}
 	s := &loadSim{world: newWorld(c.seed, 0), loadCase: c, pool: &routing.Pool{}, byName: make(map[membership.Address]*loadDaemon)}
 	domain := func(i int) state.FailureDomain { return state.FailureDomain(fmt.Sprint("d", i%loadDomains)) }
 	var replicas []Replica
 	for i := range c.replicas {
 		r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint("r", i)), Service: svc, Domain: domain(i), Slots: loadSlots})
 		s.pool.Ready = append(s.pool.Ready, r)
-		s.replicas = append(s.replicas, &loadReplica{Replica: r})
+		s.replicas = append(s.replicas, &loadReplica{Replica: r, crowding: crowding{window: s.now, since: s.now}})
 		replicas = append(replicas, Replica{Key: r.LoadKey(), Domain: r.Domain, Slots: r.Slots})
 	}
 	s.pool.Sort()
@@ -174,15 +222,22 @@
 		d.d.SetReplicas(svc, replicas, s.now)
 	}
 	s.run(settleFor + time.Millisecond) // until the daemons know each other
+	s.begun = s.now
 	s.changeSpeeds()
-	s.heartbeat()
+	for i, d := range s.fleet {
+		if first := s.timing.heartbeatsOver * time.Duration(i) / time.Duration(len(s.fleet)); first > 0 {
+			s.after(first, d.heartbeat)
+		} else {
+			d.heartbeat()
+		}
+	}
 	s.arrive()
 	s.run(loadWarmUp + loadLasts + 2*loadDeadline)
 	return s.loadResult
 }
 
 // capacity is the number of requests that the service can handle in a second.
-func (c loadCase) capacity() float64 { return replicaHandles * float64(c.replicas) }
+func (c loadCase) capacity() float64 { return c.timing.handles * float64(c.replicas) }
 
 // arrive lets a burst of calls come, and then the next one.
 func (s *loadSim) arrive() {
@@ -190,7 +245,7 @@
 	if at > loadWarmUp+loadLasts {
 		return
 	}
-	wave := 1 + waveHeight*math.Sin(2*math.Pi*at.Seconds()/wavePeriod.Seconds())
+	wave := 1 + waveHeight*math.Sin(2*math.Pi*at.Seconds()/s.timing.wave.Seconds())
 	workspace, more := s.drawWorkspace()
 	rate := s.level * s.capacity() * wave * more / burst
 	for range burst {
@@ -234,27 +289,23 @@
 	s.after(slowPeriod, s.changeSpeeds)
 }
 
-// heartbeat tells each daemon how many requests the others have at each replica.
-func (s *loadSim) heartbeat() {
-	sum := make(map[routing.LoadKey]int)
-	own := make([]map[routing.LoadKey]int, len(s.fleet))
-	for i, d := range s.fleet {
-		own[i] = make(map[routing.LoadKey]int)
-		for _, c := range d.placer.Loads.LocalCounts() {
-			own[i][c.Replica] = int(c.Requests)
-			sum[c.Replica] += int(c.Requests)
-		}
-	}
-	s.after(heartbeatDelay, func() {
-		for i, d := range s.fleet {
-			var counts []routing.LoadCount
-			for k, n := range sum {
-				counts = append(counts, routing.LoadCount{Replica: k, Requests: uint16(n - own[i][k])})
+// hear reports whether messages between two daemons arrive.
+func (s *loadSim) hear(a, b *loadDaemon) bool {
+	isCut := s.cutAfter > 0 && s.now.Sub(s.begun) >= s.cutAfter
+	return !isCut || (a.domain == s.fleet[0].domain) == (b.domain == s.fleet[0].domain)
+}
+
+// heartbeat tells the other daemons how many requests this one has at each replica.
+func (d *loadDaemon) heartbeat() {
+	s, counts := d.s, d.placer.Loads.LocalCounts()
+	s.after(s.timing.heartbeatDelay, func() {
+		for _, to := range s.fleet {
+			if to != d && s.hear(d, to) {
+				to.placer.Loads.Observe(routing.PeerID(d.d.self.Address), counts, s.now, routing.PeerLoadAge)
 			}
-			d.placer.Loads.Observe("others", counts, s.now, routing.PeerLoadAge)
 		}
 	})
-	s.after(heartbeatEvery, s.heartbeat)
+	s.after(s.timing.heartbeats, d.heartbeat)
 }
 
 func (s *loadSim) delay(from, to state.FailureDomain) time.Duration {
@@ -278,7 +329,7 @@
 		d.waiting[d.lastID] = c
 		a := Ask{
 			ID: d.lastID, Urgency: Urgency(c.urgency), Workspace: WorkspaceKey(c.workspace),
-			UntilTarget: c.came.Add(loadTarget).Sub(s.now), UntilDeadline: c.came.Add(loadDeadline).Sub(s.now),
+			UntilTarget: c.came.Add(s.timing.target).Sub(s.now), UntilDeadline: c.came.Add(loadDeadline).Sub(s.now),
 		}
 		for _, r := range c.tried {
 			a.Tried = append(a.Tried, r.LoadKey())
@@ -296,6 +347,9 @@
 		s.refuse(c, minReturn)
 		return
 	}
+	if len(c.tried) == 0 && IsFull(&t) {
+		d.reportSaturated()
+	}
 	d.setDirect(t.Replica.LoadKey(), 1)
 	d.send(c, t.Replica.LoadKey(), func(Result, time.Duration) { d.setDirect(t.Replica.LoadKey(), -1) })
 }
@@ -328,7 +382,7 @@
 			ended(result, s.now.Sub(sent))
 			switch {
 			case result == Completed:
-				if s.now.Sub(sent) > loadTarget*3/4 {
+				if IsSlow(s.now.Sub(sent), s.timing.target) {
 					d.reportSaturated()
 				}
 				s.serve(c)
@@ -355,13 +409,18 @@
 
 // arrive runs a request, queues it, or rejects it.
 func (r *loadReplica) arrive(s *loadSim, respond func(Result)) {
+	r.measure(s)
 	run := func() {
 		r.busy++
-		work := loadWork
+		work := s.timing.work
+		if s.timing.varied {
+			work = time.Duration((.5 + s.rng.Float64()) * float64(work))
+		}
 		if r.slow {
 			work = time.Duration(slowFactor * float64(work))
 		}
 		s.after(work, func() {
+			r.measure(s)
 			r.busy--
 			respond(Completed)
 			if len(r.queue) > 0 {
@@ -390,7 +449,7 @@
 	}
 	s.saturations++
 	for _, other := range s.fleet {
-		if other != d {
+		if other != d && s.hear(d, other) {
 			s.after(s.delay(d.domain, other.domain), func() { other.d.ReportSaturated(svc, s.now) })
 		}
 	}
@@ -453,6 +512,9 @@
 func (s *loadSim) transmit(from *loadDaemon, to membership.Address, deliver func(*loadDaemon)) {
 	s.loadResult.messages++
 	d := s.byName[to]
+	if !s.hear(from, d) {
+		return
+	}
 	s.after(s.delay(from.domain, d.domain), func() {
 		deliver(d)
 		d.take()
@@ -464,7 +526,7 @@
 	took := s.now.Sub(c.came)
 	s.count(c, func(o *outcomes) {
 		switch {
-		case took <= loadTarget:
+		case took <= s.timing.target:
 			o.inTime++
 		case took <= loadDeadline:
 			o.late++
@@ -515,13 +577,14 @@
 		sum.held += r.held
 		sum.longest = max(sum.longest, r.longest)
 		sum.most = max(sum.most, r.most)
+		sum.crowding = max(sum.crowding, r.crowding)
 	}
 	with := "without permits"
 	if c.permits {
 		with = "with permits"
 	}
-	t.Logf("%d replicas, %d daemons, load %.1f, %s: %v; %d first refusals, %d arrivals rejected, saturated %d times, %.2f messages a call, at most %d permits at a replica, %d decided alone, %d held and then refused, longest wait %v",
-		c.replicas, c.daemons, c.level, with, sum.all, sum.refusals, sum.rejected, sum.saturations, float64(sum.messages)/sum.all.calls(), sum.most, sum.alone, sum.held, sum.longest)
+	t.Logf("%d replicas, %d daemons, load %.1f, %s: %v; %d first refusals, %d arrivals rejected, saturated %d times, %.2f messages a call, at most %d permits at a replica, %.1f requests on average of %v, %d decided alone, %d held and then refused, longest wait %v",
+		c.replicas, c.daemons, c.level, with, sum.all, sum.refusals, sum.rejected, sum.saturations, float64(sum.messages)/sum.all.calls(), sum.most, sum.crowding, crowdingWindow, sum.alone, sum.held, sum.longest)
 	return sum
 }
 
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -86,6 +86,9 @@
 	Mean float64
 	// Coverage is the share of the fleet's daemons whose requests Load and Mean contain.
 	Coverage float64
+	// Least is the least loaded one of the replicas that might have been chosen for a plain request, relative to its
+	// slots; zero if one of them does not state its slots.
+	Least Occupancy
 	// expected means that the replica is one of several homes of the prompt, where other daemons
 	// look for it without an announcement.
 	expected bool
@@ -93,6 +96,12 @@
 	replicas int // number of ready replicas of the service
 }
 
+// Occupancy is the estimated load of a replica and its slots.
+type Occupancy struct{ Load, Slots int }
+
+// isLess reports whether a smaller share of the slots is used than of another's.
+func (o Occupancy) isLess(than Occupancy) bool { return o.Load*than.Slots < than.Load*o.Slots }
+
 // Placer chooses replicas. It is safe for concurrent use.
 type Placer struct {
 	Loads     *Loads
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -410,6 +410,19 @@
 		Expect(f.choose(plain("a")).Replica.Domain).NotTo(Equal(state.FailureDomain("z0")))
 	})
 
+	It("says how full the least loaded replica is that might be chosen", func() {
+		// Guards against evidence of saturation (coordination/admission) while a replica has a free place, also if it is
+		// not chosen because it is in another failure domain.
+		f := newFleet("plain", "z0", "z1")
+		slots := f.pool.Ready[0].Slots
+		Expect(f.choose(plain("a")).Least).To(Equal(routing.Occupancy{Slots: slots}))
+		f.load(f.pool.Ready[0], 2)
+		f.load(f.pool.Ready[1], 1)
+		Expect(f.choose(plain("a")).Least).To(Equal(routing.Occupancy{Load: 1, Slots: slots}))
+		f.pool.Ready[1].Slots = 0
+		Expect(f.choose(plain("a")).Least).To(Equal(routing.Occupancy{}))
+	})
+
 	It("spreads requests over equally loaded replicas", func() {
 		f := newFleet("plain", sameDomain(4)...)
 		counts := make(map[routing.ReplicaID]int)
--- a/transport/relay/permits.go
+++ b/transport/relay/permits.go
@@ -161,6 +161,14 @@
 	}
 }
 
+// reportFull reports that the service is saturated if no replica had a free place when the target of a first
+// attempt was chosen.
+func (s *activeCall) reportFull(t *routing.Target) {
+	if s.Permits != nil && len(s.tried.Replicas) == 0 && admission.IsFull(t) {
+		s.Permits.ReportSaturated(s.call.Service)
+	}
+}
+
 // reportSlowResponse reports that the service is saturated if a response was slow to begin.
 func (s *activeCall) reportSlowResponse(sent time.Time) {
 	if s.Permits != nil && admission.IsSlow(clock.Since(sent), s.call.Route.FirstByteTarget) {
--- a/transport/relay/permits_test.go
+++ b/transport/relay/permits_test.go
@@ -370,6 +370,29 @@
 		Expect(p.released).To(Equal([]admission.Result{admission.Abandoned}))
 	})
 
+	DescribeTable("reports the service as saturated by the requests in flight", func(before []int, rejects bool, want int) {
+		// Guards against requests without permits until the first late response, while all replicas are full.
+		script := respondOK
+		if rejects {
+			script = func(a *receivedRequest) bool { return reset(a.conn) }
+		}
+		a, b := startReplica("a", script), startReplica("b", respondOK)
+		w := newFixture(idempotent, a, b)
+		p := &scriptedPermits{}
+		w.relay.Permits = p
+		for i, r := range []*replica{a, b} {
+			for range before[i] {
+				w.relay.Placer.Loads.Begin(r.LoadKey())
+			}
+		}
+		w.serve(w.call("x", "GET", ""))
+		Expect(p.reports()).To(Equal(want))
+	},
+		Entry("if no replica has a free place", []int{10, 11}, false, 1),
+		Entry("not if one has", []int{9, 11}, false, 0),
+		Entry("not for an attempt that leaves out a replica with free places", []int{0, 20}, true, 0),
+	)
+
 	DescribeTable("reports the service as saturated", func(target time.Duration, script func(a *receivedRequest) bool, want int) {
 		r := startReplica("r", script)
 		w := newFixture(routing.Route{Kind: routing.AtMostOnce, MaxAttempts: 1, FirstByteTarget: target}, r)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -185,6 +185,7 @@
 		s.attempts.RecordNoReplica(s.Placer.NoReplicaReason(view, &s.call.Request, s.tried.Tried, now))
 		return routing.Target{}, false
 	}
+	s.reportFull(&target)
 	return target, s.reserveSend(ctx)
 }
 
