Soak: a run's connection that ends with another, killed daemon is not the loss of the request's daemon

Cause: a daemon without links to replicas uses connections that other daemons open for it. When a fault of the run killed such a daemon, the connection ended, and LOST took that for a fault of the daemon that had the request, which was undisturbed itself. Neither route had an attempt left: one is not resumable, the other had used both.

Change: kills by faults are recorded with the address from which the daemon connects to replicas, by which the links know who opened a connection. Such a run counts as reset by a fault if the kill came after the run began and until it ended, and the connection was closed at the kill or after it. All else is judged as before: a kill of a third daemon, before the run, or after the connection was closed.

Result: of seven new rows of TestCheck the lawful one fails before, the six broken ones pass before and after; TestKillsAreRecorded fails without the recording. Not ruled out: that a graceful stop of such a daemon cuts requests that it carries; that stays a violation.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -8,7 +8,8 @@
 //     the request reached a replica, or more than Accept after its last byte was written. Requests whose callers disconnected
 //     don't count, nor those that end after their deadline, which is the route's timeout too.
 //  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
-//     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
+//     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had killed
+//     the daemon that had opened its connection, had reset its
 //     connection or kept the request from it, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
 //     something. What kind of replica it is, and what it was meant to do, does not matter. A silent replica is at work.
 //  3. The end of a graceful shutdown may break a request off (cutByShutdown).
@@ -179,10 +180,19 @@
 	})
 }
 
-// wasReset reports whether a fault of the run reset the connection of a run until a time.
+// wasReset reports whether a fault of the run reset the connection of a run until a time, or killed the daemon that had
+// opened it. That may be another one than the request's, for a daemon without links to the replicas.
 func (j *checker) wasReset(run *Run, until time.Time) bool {
 	c, ok := j.connection(run.Conn, run.At)
-	return ok && !c.reset.IsZero() && !c.reset.After(until)
+	return ok && (!c.reset.IsZero() && !c.reset.After(until) || j.closedByKill(run, c, until))
+}
+
+// closedByKill reports whether a connection of a run ended because its daemon was killed, after the run began and until a
+// time.
+func (j *checker) closedByKill(run *Run, c connRecord, until time.Time) bool {
+	return slices.ContainsFunc(j.kills[c.source], func(at time.Time) bool {
+		return at.After(run.At) && !at.After(until) && !c.closed.Before(at)
+	})
 }
 
 // wasSuperseded reports whether the daemon gave a run up at a time for another one: its replica was at work, or had begun
--- a/internal/soak/check_loss_test.go
+++ b/internal/soak/check_loss_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"strings"
@@ -104,3 +105,25 @@
 		}
 	}
 }
+
+// TestKillsAreRecorded guards against a connection to a replica that ends with the daemon that had opened it for another one,
+// without a record that the run killed it.
+func TestKillsAreRecorded(t *testing.T) {
+	ended, end := context.WithCancel(context.Background())
+	end() // no fault waits
+	for _, c := range []struct {
+		kind faultKind
+		want []int // kills of each daemon
+	}{
+		{killDaemon, []int{0, 1}},
+		{killAll, []int{1, 1}},
+		{freezeDaemon, []int{0, 0}},
+	} {
+		l := newLedger(defaultBounds())
+		s := &injector{site: &site{ledger: l, fleet: &fleet{daemons: []*daemon{{ip: "127.1.2.3"}, {number: 1, ip: "127.1.2.4"}}}}, ctx: ended}
+		s.injectProcess(&Fault{Kind: c.kind, Target: 1})
+		if got := []int{len(l.kills["127.1.2.3"]), len(l.kills["127.1.2.4"])}; !slices.Equal(got, c.want) {
+			t.Errorf("%s: kills %v, want %v", c.kind, got, c.want)
+		}
+	}
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -238,6 +238,48 @@
 			s.Ended(s.send().run("r1", 100.1), 0, at(100.15))
 			s.breaks(100.153)
 		}},
+		{"a stream whose connection to the replica another daemon had opened, which the run killed", "", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.16)})
+			s.Killed("127.1.2.4", at(100.15))
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.17))
+			s.breaks(100.2)
+		}},
+		{"the same when the run killed a third daemon", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.16)})
+			s.Killed("127.1.2.5", at(100.15))
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.17))
+			s.breaks(100.2)
+		}},
+		{"the same when the connection was closed before the kill", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.14)})
+			s.Killed("127.1.2.4", at(100.15))
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.17))
+			s.breaks(100.2)
+		}},
+		{"the same when the connection was not closed", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4"})
+			s.Killed("127.1.2.4", at(100.15))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"the same when the kill was before the run", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.16)})
+			s.Killed("127.1.2.4", at(100.05))
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.17))
+			s.breaks(100.2)
+		}},
+		{"the same when the kill was after the replica had noticed the end", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.19)})
+			s.Killed("127.1.2.4", at(100.18))
+			s.Ended(s.send().run("r1", 100.1), 0, at(100.17))
+			s.breaks(100.2)
+		}},
+		{"the same long after the replica wrote the stream whole", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.26)})
+			s.Killed("127.1.2.4", at(100.25))
+			s.Ended(s.send().run("r1", 100.1), 200, at(100.15))
+			s.breaks(100.27)
+		}},
 		{"a stream that its replica breaks off, sent to another one which a link keeps it from until later", "", reply, func(s *scene) {
 			first := s.send().run("r1", 100.1)
 			s.BrokeOff(first, at(100.2))
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -135,11 +135,11 @@
 	d := s.daemon(f)
 	switch f.Kind {
 	case killDaemon:
-		s.interrupt([]*daemon{d}, func() { d.kill(); pause(s.ctx, restartPause) })
+		s.interrupt([]*daemon{d}, func() { s.kill(d); pause(s.ctx, restartPause) })
 	case killAll:
 		s.interrupt(s.fleet.daemons, func() {
 			for _, d := range s.fleet.daemons {
-				d.kill()
+				s.kill(d)
 			}
 			pause(s.ctx, restartPause)
 		})
@@ -156,6 +156,12 @@
 	}
 }
 
+// kill kills a daemon, and with it the connections to replicas that it opened for other daemons.
+func (s *injector) kill(d *daemon) {
+	s.ledger.Killed(d.ip, time.Now())
+	d.kill()
+}
+
 // stop shuts a daemon down gracefully. If the process is frozen when that begins, or is killed
 // meanwhile, the shutdown isn't checked, because the other fault disturbs the daemon.
 func (s *injector) stop(d *daemon) {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -135,7 +135,7 @@
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
 		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService),
-		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span),
+		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[string][]time.Time),
 		connection: func(string, time.Time) (connRecord, bool) { return connRecord{}, false },
 		wasRead:    func(string, time.Time) (bool, string) { return true, "" },
 	}}
@@ -242,6 +242,13 @@
 	l.hangUps[daemon] = append(l.hangUps[daemon], at)
 }
 
+// Killed records that a fault is about to kill the daemon that connects to replicas from an IP address.
+func (l *Ledger) Killed(ip string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kills[ip] = append(l.kills[ip], at)
+}
+
 // InterruptDaemon records a disturbance that may end connections of a daemon's callers: its process is killed or
 // suspended, or their link is disturbed. It is recorded as a disturbance of the daemon too.
 func (l *Ledger) InterruptDaemon(i int, from, to time.Time) {
