Soak: streams beside a crashing part are not judged while other faults leave no usable replica

Cause: moments in which other faults leave fewer than half of the replicas that were usable at the first crash are not judged. So a moment without any usable replica counted. A backoff fault of the whole service later, in which all its 18 replicas rejected for four seconds, gave LOST: 3 of 52 streams began, 95 of 96 before. The daemons' logs have the rejections of all these replicas, and streams that began at two that started meanwhile.

Change: a moment counts only if a replica was usable in it; otherwise the comparison is as before. The rows of TestCheckCrashingParts now have two replicas.

Result: of four new rows the lawful one with no usable replica at both times fails before; three pass before and after, two of them broken ones at one usable replica. Left: where the number is 0, a moment with few usable replicas still counts.

--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -182,7 +182,8 @@
 
 // checkBesideCrashingParts compares ordinary streams from twice SyncTime after the fifth crash on, or after
 // the last if there are fewer, with those of before the first crash, at daemons that are up to date. Those that
-// other faults refuse don't count, nor those of moments in which these leave fewer than half of the replicas.
+// other faults refuse don't count, nor those of moments in which these leave no replica, or fewer than half of the replicas
+// that were usable at the first crash.
 func (j *checker) checkBesideCrashingParts() {
 	b := j.bounds.Parts
 	var first, settled time.Time
@@ -213,7 +214,7 @@
 		switch {
 		case r.Sent.Before(first.Add(-settling)):
 			before = tally{before.served + begins, before.all + 1}
-		case r.Sent.After(settled) && 2*j.usableReplicas(serviceChat, r.Sent, r.answer.At) >= usable:
+		case r.Sent.After(settled) && j.hasHalfUsable(r, usable):
 			beside = tally{beside.served + begins, beside.all + 1}
 		}
 	}
@@ -225,3 +226,10 @@
 		Detail: fmt.Sprintf("%d of %d ordinary streams began beside requests with crashing parts, %d of %d before", beside.served, beside.all, before.served, before.all),
 	})
 }
+
+// hasHalfUsable reports whether at least one replica, and at least half as many as a number, were usable while a stream was
+// asked for. The number itself can be 0, where other faults left no replica.
+func (j *checker) hasHalfUsable(r *record, usable int) bool {
+	n := j.usableReplicas(serviceChat, r.Sent, r.answer.At)
+	return n > 0 && 2*n >= usable
+}
--- a/internal/soak/crashing_part_test.go
+++ b/internal/soak/crashing_part_test.go
@@ -44,7 +44,8 @@
 }
 
 // TestCheckCrashingParts records crashes under one part, one each tenth of a second from second 100 on,
-// later arrivals of requests with it, and ordinary streams before and beside them, through daemon 0.
+// later arrivals of requests with it, and ordinary streams before and beside them, through daemon 0. The service has two
+// replicas, a and b.
 func TestCheckCrashingParts(t *testing.T) {
 	for _, c := range []struct {
 		name           string
@@ -65,9 +66,25 @@
 		{"less than that", 5, nil, 40, 19, nil, false, true},
 		{"less than that, after three crashes", 3, nil, 40, 10, nil, false, true},
 		{"as rarely as before", 5, nil, 10, 10, nil, false, false},
+		{"less than half as often, at no usable replica, as at the first crash", 5, nil, 40, 0, func(l *Ledger) {
+			l.SetAside("a", at(95), at(101))
+			l.SetAside("a", at(108), at(119))
+			l.SetAside("b", at(95), at(119))
+		}, false, false},
+		{"less than half as often, at one usable replica, and none at the first crash", 5, nil, 40, 19, func(l *Ledger) {
+			l.SetAside("a", at(95), at(101))
+			l.SetAside("b", at(95), at(119))
+		}, false, true},
+		{"less than half as often, at one usable replica of two", 5, nil, 40, 19, func(l *Ledger) { l.SetAside("b", at(108), at(119)) }, false, true},
+		{"less than half as often, at no usable replica of two", 5, nil, 40, 0, func(l *Ledger) {
+			l.SetAside("a", at(108), at(119))
+			l.SetAside("b", at(108), at(119))
+		}, false, false},
 	} {
 		l := newLedger(defaultBounds())
 		l.KeyAdded("k", "w", time.Time{})
+		l.Joined("a", serviceChat, at(0))
+		l.Joined("b", serviceChat, at(0))
 		for i := range c.crashes {
 			l.Crashed(crashingPartBase, fmt.Sprint("r", i), at(100+float64(i)/10))
 		}
