Soak: a request that a disturbed daemon's connection held up is not sent with a late deadline

Cause: a daemon without links to replicas sends requests on connections that other daemons open for it. While the way to such a daemon is cut, they are held up on it, and their deadlines, which are times to live, look late at the replica. The check excused faults of the replica's link and partitions from replicas, not this one.

Change: the ledger knows from which address each daemon connects to replicas, and each arrival names its connection. An arrival on a connection that another daemon opened may be delayed if that daemon was disturbed between the caller's sending and the arrival. The recorded kills are by daemon too. Runs in which daemons have no address of their own are judged as before.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -190,7 +190,8 @@
 // closedByKill reports whether a connection of a run ended because its daemon was killed, after the run began and until a
 // time.
 func (j *checker) closedByKill(run *Run, c connRecord, until time.Time) bool {
-	return slices.ContainsFunc(j.kills[c.source], func(at time.Time) bool {
+	opener, ok := j.sources[c.source]
+	return ok && slices.ContainsFunc(j.kills[opener], func(at time.Time) bool {
 		return at.After(run.At) && !at.After(until) && !c.closed.Before(at)
 	})
 }
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -31,7 +31,7 @@
 // serve handles one request. It returns false if the connection must be closed.
 func (x *exchange) serve(req *http.Request, body string) bool {
 	now := time.Now()
-	arrival := Arrival{Replica: x.ID, Service: x.Service, At: now, Deadline: now.Add(x.head.Remaining)}
+	arrival := Arrival{Replica: x.ID, Service: x.Service, At: now, Deadline: now.Add(x.head.Remaining), Conn: x.connName()}
 	if x.head.Expected != x.ID {
 		return x.write(standin.Misdirected(x.id, x.ID))
 	}
@@ -43,7 +43,7 @@
 		return false
 	}
 	if x.crowded != nil {
-		return x.serveCrowded(&Run{Arrival: arrival, Conn: x.connName(), Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
+		return x.serveCrowded(&Run{Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace})
 	}
 	x.mu.Lock()
 	x.behaviour = x.Replica.behaviour
@@ -61,7 +61,6 @@
 	defer x.releaseSlot()
 	x.run = x.ledger.Began(x.id, Run{
 		Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace,
-		Conn: x.connName(),
 	})
 	if *x.surplus != "" {
 		_, _ = x.conn.Write([]byte(*x.surplus))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -94,6 +94,9 @@
 	ports := f.ports
 	at := func(port int) string { return net.JoinHostPort(d.ip, itoa(port)) }
 	d.readiness, d.operators = at(ports[1]), at(ports[2])
+	if f.bindsSource {
+		f.ledger.ConnectsFrom(d.ip, i)
+	}
 	var err error
 	if d.callers, err = openLink("127.0.0.1:0", at(ports[0])); err != nil {
 		return nil, err
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -158,7 +158,7 @@
 
 // kill kills a daemon, and with it the connections to replicas that it opened for other daemons.
 func (s *injector) kill(d *daemon) {
-	s.ledger.Killed(d.ip, time.Now())
+	s.ledger.Killed(d.number, time.Now())
 	d.kill()
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -56,6 +56,8 @@
 	Service  string
 	At       time.Time
 	Deadline time.Time // as the daemon sent it to the replica
+	// Conn names the connection, as its link does.
+	Conn string
 }
 
 // Run is the execution of a request by a replica.
@@ -64,8 +66,6 @@
 	Method, Target, Body, Workspace string
 	Status                          int       // of the replica's response; 0: none yet
 	Ended                           time.Time // zero: still running
-	// Conn names the connection of the run, as its link does.
-	Conn string
 	// Written is how many bytes of its response the replica has written, and LastWrite when it wrote the last ones.
 	Written   int
 	LastWrite time.Time
@@ -135,7 +135,8 @@
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
 		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService),
-		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[string][]time.Time),
+		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[int][]time.Time),
+		sources:    make(map[string]int),
 		connection: func(string, time.Time) (connRecord, bool) { return connRecord{}, false },
 		wasRead:    func(string, time.Time) (bool, string) { return true, "" },
 	}}
@@ -242,11 +243,18 @@
 	l.hangUps[daemon] = append(l.hangUps[daemon], at)
 }
 
-// Killed records that a fault is about to kill the daemon that connects to replicas from an IP address.
-func (l *Ledger) Killed(ip string, at time.Time) {
+// ConnectsFrom records the IP address from which a daemon, and no other, connects to replicas.
+func (l *Ledger) ConnectsFrom(ip string, daemon int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sources[ip] = daemon
+}
+
+// Killed records that a fault is about to kill a daemon.
+func (l *Ledger) Killed(daemon int, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.kills[ip] = append(l.kills[ip], at)
+	l.kills[daemon] = append(l.kills[daemon], at)
 }
 
 // InterruptDaemon records a disturbance that may end connections of a daemon's callers: its process is killed or
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -45,7 +45,8 @@
 	configurations  []span                   // from when one was sent to the store, until the store accepted it
 	hangUps         map[int][]time.Time      // when a daemon got a SIGHUP
 	interruptions   map[int][]span           // disturbances of a daemon that may end connections of its callers
-	kills           map[string][]time.Time   // of daemons by a fault, by the IP address from which they connect to replicas
+	kills           map[int][]time.Time      // of daemons by a fault
+	sources         map[string]int           // daemons, by the IP address from which only they connect to replicas
 	// connection returns the link's record of a connection to a replica that was open at a time.
 	connection func(conn string, at time.Time) (connRecord, bool)
 	// wasRead reports whether a daemon must have read what a replica wrote at a time on a connection, and
@@ -70,7 +71,7 @@
 	o.domains, o.builds, o.begins = maps.Clone(o.domains), maps.Clone(o.builds), maps.Clone(o.begins)
 	o.silences, o.configurations = slices.Clone(o.silences), slices.Clone(o.configurations)
 	o.replicaEnds, o.hangUps, o.interruptions = cloneLists(o.replicaEnds), cloneLists(o.hangUps), cloneLists(o.interruptions)
-	o.kills = cloneLists(o.kills)
+	o.kills, o.sources = cloneLists(o.kills), maps.Clone(o.sources)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
 		o.joined[service] = maps.Clone(replicas)
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -268,10 +268,24 @@
 	})
 }
 
-// mayBeDelayed reports whether a fault of the replica or its link, or a partition, may have delayed the
-// arrival of a request.
+// mayBeDelayed reports whether a fault of the replica or its link, a partition, or a fault of another daemon that
+// opened the connection, may have delayed the arrival of a request.
 func (j *checker) mayBeDelayed(r *record, a *Arrival) bool {
-	return !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) || j.linkWasCut(r.Daemon, r.Sent, a.At)
+	return !noneOverlaps(j.replicas[a.Replica], r.Sent, a.At) || j.linkWasCut(r.Daemon, r.Sent, a.At) || j.wasHeldByOpener(r, a)
+}
+
+// wasHeldByOpener reports whether another daemon had opened the connection on which a request arrived, and that daemon or
+// the way to it was disturbed meanwhile.
+func (j *checker) wasHeldByOpener(r *record, a *Arrival) bool {
+	if len(j.sources) == 0 {
+		return false
+	}
+	c, ok := j.connection(a.Conn, a.At)
+	if !ok {
+		return false
+	}
+	opener, ok := j.sources[c.source]
+	return ok && opener != r.Daemon && !noneOverlaps(j.daemons[opener], r.Sent, a.At)
 }
 
 // linkWasCut reports whether a partition may have kept a request, or the end of its connection, from a
