Soak: what a silent link holds of a completed response may be lost until the connection ends

Cause: LOST allows 50 ms after a replica completed a response in which a reset of the connection, or the replica's end, may lose its last bytes. A link that a fault of the run silences holds them longer.

Change: where the link had not delivered all that the replica wrote when the connection was closed, a reset by a fault of the run, a kill of the daemon that opened the connection, and the replica's end count until then. Where all had arrived, or the daemon closed the connection first, it stays a loss.

Result: of ten cases of TestCheckLossOfHeldResponsesThatAreReset the four lawful ones fail before; six broken ones pass before and after.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -153,8 +153,7 @@
 		end, reset = run.Ended, run.Ended
 	}
 	if run.Status != 0 {
-		// What the replica wrote last may be lost on the link.
-		if reset = run.Ended.Add(readTime); reset.After(r.answer.At) {
+		if reset = j.mayBeLostUntil(run); reset.After(r.answer.At) {
 			reset = r.answer.At
 		}
 	}
@@ -180,6 +179,16 @@
 	return c.closed, c.bytesBetween(run.At, c.closed) < run.Written
 }
 
+// mayBeLostUntil returns until when the end of a connection may lose what the replica of a completed run wrote last: until
+// shortly after it was written, or, if the link had not delivered all of it by then, until the connection was closed.
+func (j *checker) mayBeLostUntil(run *Run) time.Time {
+	until := run.Ended.Add(readTime)
+	if closed, wasHeld := j.closedBeforeDelivery(run); wasHeld && closed.After(until) {
+		return closed
+	}
+	return until
+}
+
 // replicaBrokeOff reports whether the replica broke a run off before the response ended, by its own record. A replica that
 // terminates may lose what it wrote last.
 func (j *checker) replicaBrokeOff(r *record, run *Run) bool {
@@ -188,7 +197,7 @@
 		return true
 	}
 	return slices.ContainsFunc(j.replicaEnds[run.Replica], func(at time.Time) bool {
-		inRun := run.Ended.IsZero() || at.Before(run.Ended) || run.Status != 0 && at.Before(run.Ended.Add(readTime))
+		inRun := run.Ended.IsZero() || at.Before(run.Ended) || run.Status != 0 && at.Before(j.mayBeLostUntil(run))
 		return inRun && at.After(run.At) && !at.After(end)
 	})
 }
--- a/internal/soak/check_loss_test.go
+++ b/internal/soak/check_loss_test.go
@@ -190,3 +190,44 @@
 		}
 	}
 }
+
+// TestCheckLossOfHeldResponsesThatAreReset guards against a response that is taken for broken off by the daemon although a link of
+// the run held what the replica wrote until a fault ended the connection, and against one that the daemon broke off before. Replica
+// r1 writes its whole response of 300 bytes by 100.15 s, long before the connection is closed, at 100.4 s unless a case says otherwise.
+func TestCheckLossOfHeldResponsesThatAreReset(t *testing.T) {
+	const written = 300
+	all := []deliveredBytes{{at(100.15), written}}
+	for _, c := range []struct {
+		name       string
+		conn       connRecord
+		terminated float64 // when the replica terminates; 0: it does not
+		broken     bool
+	}{
+		{name: "reset while the link held all", conn: connRecord{reset: at(100.4), closed: at(100.4)}},
+		{name: "reset while the link held a part", conn: connRecord{reset: at(100.4), closed: at(100.4), deliveries: []deliveredBytes{{at(100.15), written - 1}}}},
+		{name: "reset after all had arrived", conn: connRecord{reset: at(100.4), closed: at(100.4), deliveries: all}, broken: true},
+		{name: "reset after the daemon closed the connection", conn: connRecord{reset: at(100.41), closed: at(100.4)}, broken: true},
+		{name: "reset after the response ended", conn: connRecord{reset: at(100.5), closed: at(100.5)}, broken: true},
+		{name: "closed by the daemon", conn: connRecord{closed: at(100.4)}, broken: true},
+		{name: "held, the replica terminates", conn: connRecord{closed: at(100.4)}, terminated: 100.39},
+		{name: "all had arrived, the replica terminates", conn: connRecord{closed: at(100.4), deliveries: all}, terminated: 100.39, broken: true},
+		{name: "held, the replica terminates after the daemon closed the connection", conn: connRecord{closed: at(100.4)}, terminated: 100.41, broken: true},
+		{name: "held, the daemon that opened the connection is killed", conn: connRecord{source: "127.1.2.4", closed: at(100.4)}},
+	} {
+		s := newScene(routes[2])
+		s.ConnectsFrom("127.1.2.4", 1)
+		s.Killed(1, at(100.35))
+		s.hasConnection(c.conn)
+		run := s.send().run("r1", 100.1)
+		s.Wrote(run, written, at(100.15))
+		s.Ended(run, 200, at(100.15))
+		if c.terminated > 0 {
+			s.ReplicaTerminated("r1", at(c.terminated))
+		}
+		s.breaks(100.45)
+		found := s.Check(at(101))
+		if broken := len(found) > 0 && found[0].Promise == "LOST"; broken != c.broken {
+			t.Errorf("%s: found %v, want broken %t", c.name, found, c.broken)
+		}
+	}
+}
