--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -8,7 +8,8 @@
 //     the request reached a replica, or more than Accept after its last byte was written. Requests whose callers disconnected
 //     don't count, nor those that end after their deadline, which is the route's timeout too.
 //  2. The daemon broke it off unless the replicas did. A run does not show a fault of the daemon if, when the response ended
-//     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had reset its
+//     or the daemon gave the run up before, the replica had broken it off or terminated, a fault of the run had killed
+//     the daemon that had opened its connection, had reset its
 //     connection or kept the request from it, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
 //     something. A run that the replica had completed counts as given up only if a link of the run had not delivered all of its
 //     bytes when the daemon closed the connection. What kind of replica it is, and what it was meant to do, does not matter. A
@@ -152,8 +153,7 @@
 		end, reset = run.Ended, run.Ended
 	}
 	if run.Status != 0 {
-		// What the replica wrote last may be lost on the link.
-		if reset = run.Ended.Add(readTime); reset.After(r.answer.At) {
+		if reset = j.mayBeLostUntil(run); reset.After(r.answer.At) {
 			reset = r.answer.At
 		}
 	}
@@ -179,6 +179,16 @@
 	return c.closed, c.bytesBetween(run.At, c.closed) < run.Written
 }
 
+// mayBeLostUntil returns until when the end of a connection may lose what the replica of a completed run wrote last: until
+// shortly after it was written, or, if the link had not delivered all of it by then, until the connection was closed.
+func (j *checker) mayBeLostUntil(run *Run) time.Time {
+	until := run.Ended.Add(readTime)
+	if closed, wasHeld := j.closedBeforeDelivery(run); wasHeld && closed.After(until) {
+		return closed
+	}
+	return until
+}
+
 // replicaBrokeOff reports whether the replica broke a run off before the response ended, by its own record. A replica that
 // terminates may lose what it wrote last.
 func (j *checker) replicaBrokeOff(r *record, run *Run) bool {
@@ -187,15 +197,25 @@
 		return true
 	}
 	return slices.ContainsFunc(j.replicaEnds[run.Replica], func(at time.Time) bool {
-		inRun := run.Ended.IsZero() || at.Before(run.Ended) || run.Status != 0 && at.Before(run.Ended.Add(readTime))
+		inRun := run.Ended.IsZero() || at.Before(run.Ended) || run.Status != 0 && at.Before(j.mayBeLostUntil(run))
 		return inRun && at.After(run.At) && !at.After(end)
 	})
 }
 
-// wasReset reports whether a fault of the run reset the connection of a run until a time.
+// wasReset reports whether a fault of the run reset the connection of a run until a time, or killed the daemon that had
+// opened it. That may be another one than the request's, for a daemon without links to the replicas.
 func (j *checker) wasReset(run *Run, until time.Time) bool {
 	c, ok := j.connection(run.Conn, run.At)
-	return ok && !c.reset.IsZero() && !c.reset.After(until)
+	return ok && (!c.reset.IsZero() && !c.reset.After(until) || j.closedByKill(run, c, until))
+}
+
+// closedByKill reports whether a connection of a run ended because its daemon was killed, after the run began and until a
+// time.
+func (j *checker) closedByKill(run *Run, c connRecord, until time.Time) bool {
+	opener, ok := j.sources[c.source]
+	return ok && slices.ContainsFunc(j.kills[opener], func(at time.Time) bool {
+		return at.After(run.At) && !at.After(until) && !c.closed.Before(at)
+	})
 }
 
 // wasSuperseded reports whether the daemon gave a run up at a time for another one: its replica was at work, or had begun
