Soak: settings files are replaced whole, so that a daemon that starts never reads an empty one

Cause: a reload fault and a start wrote the settings with os.WriteFile, which empties the file first.

Change: the text is written to a new file, which is renamed.

No check changes.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -144,7 +144,20 @@
   window: 10s
 memory_mb: %d
 %s`, d.number, d.domain, callers, d.readiness, d.operators, d.ip, d.fleet.ports[3], d.peerIP, d.fleet.ports[3], d.store.Address(), seeds, gracePeriod, memoryMB, source)
-	return os.WriteFile(d.file, []byte(text), 0o600)
+	return replaceFile(d.file, text)
+}
+
+// replaceFile replaces a file as a whole, since a daemon may start and read its settings while a reload changes them.
+func replaceFile(file, text string) error {
+	next, err := os.CreateTemp(filepath.Dir(file), filepath.Base(file)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = next.WriteString(text)
+	if err := errors.Join(err, next.Close()); err != nil {
+		return err
+	}
+	return os.Rename(next.Name(), file)
 }
 
 // logFile returns the path of the log of the daemon's processes.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -182,7 +182,7 @@
 		return
 	}
 	_, rest, _ := strings.Cut(string(text), "\n")
-	_ = os.WriteFile(d.file, []byte(fmt.Sprintf("# generation %d\n%s", variant, rest)), 0o600)
+	_ = replaceFile(d.file, fmt.Sprintf("# generation %d\n%s", variant, rest))
 	s.ledger.HungUp(d.number, time.Now())
 	d.signal(syscall.SIGHUP, false)
 }
