Log test: stacks are bounded by the time that the test takes

TestPanicsFillNoLog failed once at a load average of 40 to 70: 6 stacks where 5 are allowed. Cause: it took 5.7 s, and the log writes one stack a second. Change: two stacks and one for each second of the test are allowed, two in place of five on an idle machine, and the 1 MB strings are built once. Ruled out: a fault of the log.

--- a/daemon/routes/panic_test.go
+++ b/daemon/routes/panic_test.go
@@ -37,9 +37,12 @@
 	m := newMetrics()
 	l := newLog(&out, "info", "d", m)
 	const panics = 300
+	value, stack := errors.New(strings.Repeat("v", 1<<20)), bytes.Repeat([]byte("s"), 1<<20)
+	started := time.Now()
 	for range panics {
-		l.Panicked("r1", errors.New(strings.Repeat("v", 1<<20)), []byte(strings.Repeat("s", 1<<20)))
+		l.Panicked("r1", value, stack)
 	}
+	most := 2 + int(time.Since(started)/time.Second)
 	lines := linesOf(t, l, &out)
 	if len(lines) != panics || m.Panics.Count() != panics {
 		t.Fatalf("%d lines and %d counted, want %d", len(lines), m.Panics.Count(), panics)
@@ -56,8 +59,8 @@
 			}
 		}
 	}
-	if stacks < 1 || stacks > 5 {
-		t.Errorf("%d stacks, want one a second", stacks)
+	if stacks < 1 || stacks > most {
+		t.Errorf("%d stacks, want one a second, %d at most", stacks, most)
 	}
 }
 
