soak: daemons without links are not compared by what replicas allow each

One failure domain is evacuated and the replicas of the other are cold then. Each daemon has a quota of its own of a cold replica, which may be none, and the random addresses of a run decide which; that the others serve more of the same second says nothing of links. The check is at fault, not the daemons.

Change: requests refused as evacuated, cold or backing off are left out of the comparison, at partitioned and other daemons alike, if the ledger knows no replica of the service that was usable; while the route moves, of each service that it may have led to. What a partitioned daemon fails for another reason counts as before, now against others of which only requests that could be served count. Four rows of the new table failed before the change; four others stay broken: a replica is usable, also after a move, or the daemon refuses for connections.

--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"hingewinch.org/hingewinch/coordination"
 )
 
 // TestDaemonsWithoutLinksToReplicasServeTheirCallers guards against daemons that refuse their callers
@@ -65,29 +67,87 @@
 		}, false},
 		{"the daemon was frozen meanwhile", 100, 0, 100, 100, func(l *Ledger) { l.DisturbDaemon(0, at(102), at(108)) }, false},
 	} {
-		l := newLedger(defaultBounds())
-		l.KeyAdded("k", "w", time.Time{})
-		l.PartitionBegan([]int{0}, at(100))
-		l.PartitionEnded([]int{0}, at(100), at(110))
+		l := newPartitionLedger()
 		if c.play != nil {
-			c.play(l)
+			c.play(l.Ledger)
 		}
-		send := func(daemon, n, served int) {
-			for i := range n {
-				sent := 103 + 6*float64(i)/float64(n)
-				id := fmt.Sprint(daemon, "-", i)
-				l.Sent(Request{ID: id, Route: routes[1], Daemon: daemon, Key: "k", Sent: at(sent), Deadline: at(sent + 2)})
-				a := Answer{At: at(sent + .01), Status: 503}
-				if i < served {
-					a.Status, a.Complete = 200, true
-				}
-				l.Answered(id, a)
-			}
+		l.sendInPartition(0, c.inside, c.served, "")
+		l.sendInPartition(1, c.others, c.succeed, "")
+		if broken := l.breaksRecover(); broken != c.broken {
+			t.Errorf("%s: broken %t, want %t", c.name, broken, c.broken)
 		}
-		send(0, c.inside, c.served)
-		send(1, c.others, c.succeed)
-		broken := slices.ContainsFunc(l.Check(at(150)), func(v Violation) bool { return v.Promise == "RECOVER" })
-		if broken != c.broken {
+	}
+}
+
+// partitionLedger is the ledger of a partition of daemon 0 from second 100 to 110. Replica "r" of the requests' service is
+// usable all the time.
+type partitionLedger struct{ *Ledger }
+
+func newPartitionLedger() partitionLedger {
+	l := partitionLedger{newLedger(defaultBounds())}
+	l.KeyAdded("k", "w", time.Time{})
+	l.RouteTo("safe", "gate", time.Time{})
+	l.Joined("r", "gate", at(50))
+	l.SetDomain("r", "z")
+	l.PartitionBegan([]int{0}, at(100))
+	l.PartitionEnded([]int{0}, at(100), at(110))
+	return l
+}
+
+// sendInPartition records requests from second 103 to 109, of which the first ones succeed and the others are refused for a
+// reason.
+func (l partitionLedger) sendInPartition(daemon, n, served int, reason coordination.Reason) {
+	for i := range n {
+		sent := 103 + 6*float64(i)/float64(n)
+		id := fmt.Sprint(daemon, "-", reason, "-", i)
+		l.Sent(Request{ID: id, Route: routes[1], Daemon: daemon, Key: "k", Sent: at(sent), Deadline: at(sent + 2)})
+		a := Answer{At: at(sent + .01), Status: 503, Reason: string(reason)}
+		if i < served {
+			a.Status, a.Complete, a.Reason = 200, true, ""
+		}
+		l.Answered(id, a)
+	}
+}
+
+func (l partitionLedger) breaksRecover() bool {
+	return slices.ContainsFunc(l.Check(at(150)), func(v Violation) bool { return v.Promise == "RECOVER" })
+}
+
+// TestCheckPartitionsWithoutUsableReplicas guards against a comparison of what replicas allow each daemon: of cold replicas
+// each daemon has a quota of its own, which may be none, and a replica asks single daemons to back off. Daemon 0 is
+// partitioned; of 120 requests of the others 60 are served.
+func TestCheckPartitionsWithoutUsableReplicas(t *testing.T) {
+	const cold, evacuated, backingOff = coordination.ReasonCold, coordination.ReasonEvacuated, coordination.ReasonBackingOff
+	turnCold := func(l *Ledger) { l.TurnedCold("r", coldSpan{span: span{at(99), at(111)}}) }
+	evacuate := func(l *Ledger) { l.Evacuated("z", at(99)) }
+	askToBackOff := func(l *Ledger) { l.SetAside("r", at(99), at(111)) }
+	for _, c := range []struct {
+		name            string
+		play            func(l *Ledger)
+		inside, outside coordination.Reason // of refusals
+		broken          bool
+	}{
+		{"all replicas are cold", turnCold, cold, cold, false},
+		{"all replicas are evacuated", evacuate, evacuated, evacuated, false},
+		{"all replicas requested a backoff", askToBackOff, backingOff, backingOff, false},
+		{"the route moves between services whose replicas are cold", func(l *Ledger) {
+			turnCold(l)
+			l.RouteTo("safe", "gate-2", at(106))
+		}, cold, cold, false},
+		{"a replica is warm, in service and ready", func(*Ledger) {}, cold, cold, true},
+		{"the route moves to a service with a usable replica", func(l *Ledger) {
+			turnCold(l)
+			l.Joined("r2", "gate-2", at(50))
+			l.RouteTo("safe", "gate-2", at(106))
+		}, cold, cold, true},
+		{"all replicas are cold, and the partitioned daemon reaches none", turnCold, coordination.ReasonConnect, cold, true},
+		{"all replicas are cold, and the partitioned daemon finds none", turnCold, coordination.ReasonNoUpstream, cold, true},
+	} {
+		l := newPartitionLedger()
+		c.play(l.Ledger)
+		l.sendInPartition(0, 60, 0, c.inside)
+		l.sendInPartition(1, 120, 60, c.outside)
+		if broken := l.breaksRecover(); broken != c.broken {
 			t.Errorf("%s: broken %t, want %t", c.name, broken, c.broken)
 		}
 	}
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -141,6 +141,20 @@
 	return service, service != ""
 }
 
+// servicesAround returns the services that a request may have been for: while the route moves, those before and after.
+func (j *checker) servicesAround(r *record) []string {
+	var out []string
+	for _, c := range j.routes[r.Route.Name] {
+		if !c.at.After(r.Sent.Add(-j.bounds.Apply)) {
+			out = nil // all daemons know this change
+		}
+		if c.at.Before(r.Sent.Add(j.bounds.Apply)) {
+			out = append(out, c.service)
+		}
+	}
+	return out
+}
+
 // hasUsableReplica reports whether a replica of a service was usable throughout a period.
 func (j *checker) hasUsableReplica(service string, from, to time.Time) bool {
 	return j.usableReplicas(service, from, to) > 0
