--- a/transport/relay/return_after_break_test.go
+++ b/transport/relay/return_after_break_test.go
@@ -9,44 +9,50 @@
 	"hingewinch.org/hingewinch/coordination/routing"
 )
 
-// Guards against streams that are broken off although the replica which had them first could go on: it was silent for a
-// moment, another one took the stream over, and the connection to that one broke, when the route allows no further replica.
-var _ = Describe("A stream whose second replica's connection breaks", func() {
-	allEvents := event(1) + event(2) + event(3) + event(4)
-
-	// resumes sends the rest of a stream of which the caller has three events.
-	resumes := func(a *receivedRequest) bool {
-		streamHead(a)
-		if a.request.Header.Get("Last-Event-Id") == "3" {
-			chunk(a, event(4))
-		}
-		return streamEnd(a)
-	}
-	// silentOnce says nothing to its first request.
-	silentOnce := func(a *receivedRequest) bool {
-		if a.index == 0 {
-			return awaitClose(a)
-		}
-		return resumes(a)
+// fourEvents is the body of a complete stream.
+var fourEvents = event(1) + event(2) + event(3) + event(4)
+
+// soon is when a connection breaks, or a replica crashes, after its last event.
+const soon = 100 * time.Millisecond
+
+// resumeAfterThree sends the rest of a stream of which the caller has three events.
+func resumeAfterThree(a *receivedRequest) bool {
+	streamHead(a)
+	if a.request.Header.Get("Last-Event-Id") == "3" {
+		chunk(a, event(4))
 	}
-	// breaksAfterThree sends three events, and resets the connection after a time.
-	breaksAfterThree := func(after time.Duration) func(a *receivedRequest) bool {
-		return func(a *receivedRequest) bool {
-			streamHead(a)
-			chunk(a, event(1)+event(2)+event(3))
-			time.Sleep(after)
-			return reset(a.conn)
-		}
+	return streamEnd(a)
+}
+
+// silentOnce sends nothing for its first request.
+func silentOnce(a *receivedRequest) bool {
+	if a.index == 0 {
+		return awaitClose(a)
 	}
-	const soon = 100 * time.Millisecond
+	return resumeAfterThree(a)
+}
+
+// breaksAfterThree sends three events, and resets the connection soon after.
+func breaksAfterThree(a *receivedRequest) bool {
+	streamHead(a)
+	chunk(a, event(1)+event(2)+event(3))
+	time.Sleep(soon)
+	return reset(a.conn)
+}
+
+// reject rejects a request without running it.
+func reject(a *receivedRequest) bool { return respond(a, 503, "Not-Executed: 1\r\n", "") }
 
+// Guards against streams that are broken off although the replica which had them first could go on: it was silent for a
+// moment, another one took the stream over, and the connection to that one broke, when the route allows no further replica.
+var _ = Describe("A stream whose second replica's connection breaks", func() {
 	It("goes on at the first one after the last event, and at no third one", func() {
-		first, other, third := startReplica("r1", silentOnce), startReplica("r2", breaksAfterThree(soon)), startReplica("r3", respondOK)
+		first, other, third := startReplica("r1", silentOnce), startReplica("r2", breaksAfterThree), startReplica("r3", respondOK)
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		time.AfterFunc(300*time.Millisecond, func() { w.setReplicas(first, other, third) })
 		to, s := w.serve(w.call("a", "POST", "x"))
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 		Expect(to.broken).To(BeFalse())
 		Expect(s.Outcome).To(HaveField("Status", 200))
 		Expect([]int{first.count(), other.count(), third.count()}).To(Equal([]int{2, 1, 0}))
@@ -58,7 +64,7 @@
 			if a.index == 0 {
 				return hangInStream(a)
 			}
-			return resumes(a)
+			return resumeAfterThree(a)
 		})
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			streamHead(a)
@@ -69,7 +75,7 @@
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		to, _ := w.serve(w.call("a", "POST", "x"))
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 		Expect(to.broken).To(BeFalse())
 	})
 
@@ -81,7 +87,7 @@
 			}
 			return again(a)
 		})
-		other, third := startReplica("r2", breaksAfterThree(soon)), startReplica("r3", respondOK)
+		other, third := startReplica("r2", breaksAfterThree), startReplica("r3", respondOK)
 		w := newFixture(resumable, first)
 		w.onceBegun(other)
 		time.AfterFunc(300*time.Millisecond, func() { w.setReplicas(first, other, third) })
@@ -97,7 +103,7 @@
 			time.Sleep(soon)
 			return reset(a.conn)
 		}),
-		Entry("if the first one rejects it", func(a *receivedRequest) bool { return respond(a, 503, "Not-Executed: 1\r\n", "") }),
+		Entry("if the first one rejects it", reject),
 		Entry("if the first one is silent again", awaitClose),
 	)
 
@@ -113,14 +119,14 @@
 
 	It("does not return to a replica of another version than the events have", func() {
 		first := startVersion("r1", "v1", silentOnce)
-		doesNotReturn(newFixture(resumable, first), first, startVersion("r2", "v2", breaksAfterThree(soon)))
+		doesNotReturn(newFixture(resumable, first), first, startVersion("r2", "v2", breaksAfterThree))
 	})
 
 	It("does not return without a retry in the budget", func() {
 		first := startReplica("r1", silentOnce)
 		w := newFixture(resumable, first)
 		w.relay.Budgets = routing.NewRetryBudgets(routing.RetryRule{Extra: 1.5, Window: 10 * time.Second}, 1) // one retry
-		doesNotReturn(w, first, startReplica("r2", breaksAfterThree(soon)))
+		doesNotReturn(w, first, startReplica("r2", breaksAfterThree))
 	})
 
 	// The second replica may have crashed on the request, and the first one fallen silent on it.
@@ -139,13 +145,13 @@
 	It("is sent to a further replica if the route allows one", func() {
 		route := resumable
 		route.MaxAttempts = 3
-		first, other := startReplica("r1", silentOnce), startReplica("r2", breaksAfterThree(soon))
-		third := startReplica("r3", resumes)
+		first, other := startReplica("r1", silentOnce), startReplica("r2", breaksAfterThree)
+		third := startReplica("r3", resumeAfterThree)
 		w := newFixture(route, first)
 		w.onceBegun(other)
 		time.AfterFunc(300*time.Millisecond, func() { w.setReplicas(first, other, third) })
 		to, _ := w.serve(w.call("a", "POST", "x"))
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 		Expect([]int{first.count(), other.count(), third.count()}).To(Equal([]int{1, 1, 1}))
 	})
 })
--- a/transport/relay/return_orders_test.go
+++ b/transport/relay/return_orders_test.go
@@ -15,31 +15,6 @@
 // Guards against streams that end, or leave a replica, although a replica that had them could go on: orders of events around
 // a return.
 var _ = Describe("A stream that may return", func() {
-	allEvents := event(1) + event(2) + event(3) + event(4)
-	const soon = 100 * time.Millisecond
-
-	// resumesAt sends the rest of a stream of which the caller has three events.
-	resumes := func(a *receivedRequest) bool {
-		streamHead(a)
-		if a.request.Header.Get("Last-Event-Id") == "3" {
-			chunk(a, event(4))
-		}
-		return streamEnd(a)
-	}
-	silentOnce := func(a *receivedRequest) bool {
-		if a.index == 0 {
-			return awaitClose(a)
-		}
-		return resumes(a)
-	}
-	breaksAfterThree := func(a *receivedRequest) bool {
-		streamHead(a)
-		chunk(a, event(1)+event(2)+event(3))
-		time.Sleep(soon)
-		return reset(a.conn)
-	}
-	rejecting := func(a *receivedRequest) bool { return respond(a, 503, "Not-Executed: 1\r\n", "") }
-
 	// A return that could not be made was forgotten: the first replica backed off when the second one was slow, and no more
 	// when the second one's connection broke.
 	It("returns after a break though an earlier return was not possible", func() {
@@ -47,7 +22,7 @@
 			if a.index == 0 {
 				return hangInStream(a)
 			}
-			return resumes(a)
+			return resumeAfterThree(a)
 		})
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			time.Sleep(1700 * time.Millisecond)
@@ -65,7 +40,7 @@
 		c.Deadline = time.Now().Add(5 * time.Second)
 		to, _ := w.serve(c)
 		Expect(other.count()).To(Equal(1))
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 	})
 
 	// A replica that paused was closed for one that had been silent before, since a third one rejected the stream.
@@ -75,7 +50,7 @@
 		first := startReplica("r1", awaitClose)
 		other := startReplica("r2", func(a *receivedRequest) bool {
 			if a.index > 0 {
-				return resumes(a)
+				return resumeAfterThree(a)
 			}
 			streamHead(a)
 			chunk(a, event(1)+event(2)+event(3))
@@ -83,14 +58,14 @@
 			chunk(a, event(4))
 			return streamEnd(a)
 		})
-		third := startReplica("r3", rejecting)
+		third := startReplica("r3", reject)
 		w := newFixture(route, first)
 		w.onceBegun(other)
 		time.AfterFunc(700*time.Millisecond, func() { w.setReplicas(first, other, third) })
 		c := w.call("a", "POST", "x")
 		c.Deadline = time.Now().Add(5 * time.Second)
 		to, _ := w.serve(c)
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 		Expect([]int{first.count(), other.count(), third.count()}).To(Equal([]int{1, 1, 1}))
 	})
 
@@ -106,7 +81,7 @@
 			time.Sleep(soon)
 			return other.crash()
 		})
-		third := startReplica("r3", rejecting)
+		third := startReplica("r3", reject)
 		w := newFixture(route, first)
 		w.onceBegun(other)
 		time.AfterFunc(300*time.Millisecond, func() { w.setReplicas(first, other, third) })
@@ -137,7 +112,7 @@
 		w.relay.Permits = p
 		w.onceBegun(other)
 		to, _ := w.serve(w.call("a", "POST", "x"))
-		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(string(to.body)).To(Equal(fourEvents))
 		Expect(p.released).To(Equal([]admission.Result{admission.Abandoned, admission.Failed, admission.Completed}))
 		Expect(w.relay.Placer.Loads.LocalCounts()).To(BeEmpty())
 	})
