--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -6,6 +6,9 @@
 //	messages.go     the messages between daemons and coordinators
 //	evidence.go     which response times and loads show that a service is saturated
 //	coordinator.go  which permits are out, and which replica a permit is for
+//	decide.go       which listed requests for permits are queued or refused
+//	places.go       how many places the replicas have, and which are occupied or closed
+//	expire.go       what a coordinator was told and that has expired
 //	queue.go        the order in which waiting requests get permits
 //	deadlines.go    which waiting requests have passed their deadline
 //	returns.go      when a refused caller is asked to come back
