Soak: the reasons of refusals that say nothing of links stand once

Change: withheldReasons stands beside noReplicaReasons, and both checks use it. Ruled out: one list with noReplicaReasons, which has other reasons.

--- a/internal/soak/crashing_part.go
+++ b/internal/soak/crashing_part.go
@@ -177,9 +177,6 @@
 	j.checkBesideCrashingParts()
 }
 
-// otherFaultReasons are reasons of refusals that only other faults cause.
-var otherFaultReasons = []string{string(coordination.ReasonEvacuated), string(coordination.ReasonBackingOff), string(coordination.ReasonCold)}
-
 // checkBesideCrashingParts compares ordinary streams from twice SyncTime after the fifth crash on, or after
 // the last if there are fewer, with those of before the first crash, at daemons that are up to date. Those that
 // other faults refuse don't count, nor those of moments in which these leave no replica, or fewer than half of the replicas
@@ -207,7 +204,7 @@
 		if !r.known || !r.Route.Stream || r.Crashing > 0 || r.answer == nil || !r.disconnected.IsZero() || !j.upToDate(r.Daemon, r.Sent, r.answer.At) || j.runsPreviousBuild(r.by()) {
 			continue
 		}
-		if slices.Contains(otherFaultReasons, r.answer.Reason) {
+		if slices.Contains(withheldReasons, r.answer.Reason) {
 			continue
 		}
 		begins := btoi(r.answer.Status/100 == 2)
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -10,8 +10,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"hingewinch.org/hingewinch/coordination"
 )
 
 // partitionMode is what happens to connections from a partitioned daemon to replicas.
@@ -248,10 +246,6 @@
 	return j.upToDate(r.Daemon, r.Sent, r.answer.At) && !j.isWithheld(r)
 }
 
-// withheldReasons are the reasons of refusals that follow from what operators and replicas allow a daemon, and
-// not from whether it reaches them.
-var withheldReasons = []string{string(coordination.ReasonEvacuated), string(coordination.ReasonCold), string(coordination.ReasonBackingOff)}
-
 // isWithheld reports whether a request was refused because every replica was evacuated, cold or backing off, and none
 // was usable that would contradict that. Daemons can't be compared by such requests: each has a quota of its own at a cold
 // replica, which may be none, and a replica asks single daemons to back off.
--- a/internal/soak/serving.go
+++ b/internal/soak/serving.go
@@ -85,6 +85,10 @@
 // noReplicaReasons are the reasons of refusals by a daemon that found no replica to send to.
 var noReplicaReasons = []string{string(coordination.ReasonNoUpstream), string(coordination.ReasonCold), string(coordination.ReasonBackingOff)}
 
+// withheldReasons are the reasons of refusals that follow from what operators and replicas allow a daemon, and
+// not from whether it reaches them.
+var withheldReasons = []string{string(coordination.ReasonEvacuated), string(coordination.ReasonCold), string(coordination.ReasonBackingOff)}
+
 // checkServing reports daemons that were up to date and refused all requests for a service for too
 // long because they found no replica, while one was live, undisturbed, warm and ready all the time.
 func (j *checker) checkServing() {
