--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -174,24 +174,6 @@
 	return d.Carriers.Pick(s, clock.Now(), asked...)
 }
 
-// errCarrierGone means that the end of a connection was not the replica's.
-var errCarrierGone = errors.New("the daemon that opened the connection to the replica has terminated")
-
-// checkEnd returns an error if a response that ends with its connection may have been cut off: if the daemon
-// through which the connection goes has terminated, its operating system ended the connection as the replica
-// would have. It closed the daemon's listener too.
-func (x *exchange) checkEnd(ctx context.Context) error {
-	if !endsWithConn(x.response) || x.conn.via == "" {
-		return nil
-	}
-	c, err := transport.Dial(ctx, x.pool.peerDialer, string(x.conn.via))
-	if err != nil {
-		return errCarrierGone
-	}
-	_ = c.Close()
-	return nil
-}
-
 // mayReuseDetour reports whether an idle connection through another daemon may be used.
 func (p *Pool) mayReuseDetour(c *conn) bool {
 	return p.reach.State(c.service) != routing.LinksUp && p.detours.Carriers.Usable(c.via)
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -107,6 +107,7 @@
 	readFailure    *failure  // that readErr stands for; nil: it is the connection's error
 	response       *http.Response
 	head           ResponseHead
+	endBasis       routing.EndBasis // how it is known that the response is complete; empty: it is not
 	// onSelfReport is called with the replica's self-report in each response, including late
 	// responses to earlier requests.
 	onSelfReport func(SelfReport)
@@ -248,12 +249,6 @@
 	return x.brokenResponse(ctx, errStrayResponses)
 }
 
-// endsWithConn reports whether a response has neither a length nor chunks, so that its body ends only when the
-// connection does.
-func endsWithConn(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // hasResponse reports whether the addressed replica has responded to the request, with any status.
 func (x *exchange) hasResponse() bool {
 	return x.response != nil && x.head.RequestID == x.call.ID && x.response.StatusCode != http.StatusMisdirectedRequest
