How the end of each response was known stands in the log and the metrics

How a connection ended inside a response was only in the text of errors.

Counters response_end_*_total by basis, response_closed_total, response_reset_total and response_timed_out_total, and the same with detour_ for connections through other daemons. A basis that is added later gets its counter with its first response.

--- a/daemon/routes/log_attempts.go
+++ b/daemon/routes/log_attempts.go
@@ -50,7 +50,7 @@
 	e.Str("replica", string(a.Replica)).Str("version", a.Version.String()).Int("rank", a.Rank).Bool("cold", a.Cold).Str("copied", string(a.PromptSource)).Int("load", a.Load).
 		Float64("mean", float64(int(a.MeanLoad*10))/10).
 		Float64("coverage", float64(int(a.LoadCoverage*100))/100).Int("reported_load", reportedLoad(a.Reported)).
-		Int64("rest_ms", a.Backoff.Milliseconds()).Bool("leaving", a.Leaving).Bool("reused", a.Reused).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
+		Int64("rest_ms", a.Backoff.Milliseconds()).Bool("leaving", a.Leaving).Bool("reused", a.Reused).Str("end", string(a.End)).Int64("ms", a.Duration.Milliseconds()).AnErr("error", a.Err)
 	if a.Via != "" {
 		e.Str("via", string(a.Via))
 	}
--- a/daemon/routes/log_attempts_test.go
+++ b/daemon/routes/log_attempts_test.go
@@ -20,7 +20,7 @@
 		{{Replica: "i-1", Duration: time.Second}},
 		{
 			{Replica: "i-1", Err: errors.New(`silent "replica"`), Duration: 600 * time.Millisecond, Reused: true, MeanLoad: 0.66, LoadCoverage: 1},
-			{Replica: "i-2", Rank: 1, Via: "10.0.0.1:1", Duration: 20 * time.Millisecond, Reported: relay.ReportedLoad{Known: true, Requests: 3}},
+			{Replica: "i-2", Rank: 1, Via: "10.0.0.1:1", Duration: 20 * time.Millisecond, End: routing.EndByChunks, Reported: relay.ReportedLoad{Known: true, Requests: 3}},
 		},
 	} {
 		var out bytes.Buffer
@@ -38,7 +38,7 @@
 			a, got := &attempts[i], list[i].(map[string]any)
 			want := map[string]any{
 				"replica": string(a.Replica), "ms": float64(a.Duration.Milliseconds()), "rank": float64(a.Rank), "reused": a.Reused,
-				"mean": float64(int(a.MeanLoad*10)) / 10, "coverage": a.LoadCoverage, "reported_load": float64(reportedLoad(a.Reported)), "error": nil, "via": nil,
+				"mean": float64(int(a.MeanLoad*10)) / 10, "coverage": a.LoadCoverage, "reported_load": float64(reportedLoad(a.Reported)), "error": nil, "via": nil, "end": string(a.End),
 			}
 			if a.Err != nil {
 				want["error"] = a.Err.Error()
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"hingewinch.org/hingewinch/coordination"
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/relay"
 )
@@ -48,6 +49,9 @@
 	// CarriedConnections those that this one opened for others.
 	DetourConnections  metrics.Counter
 	CarriedConnections metrics.Counter
+	// ConnEnds counts the connections that ended inside a response, of this daemon's own, and DetourConnEnds those that
+	// other daemons opened for it.
+	ConnEnds, DetourConnEnds map[relay.ConnEnd]metrics.Counter
 	// Overloaded counts the requests that found their replica overloaded.
 	Overloaded metrics.Counter
 	// Crashed counts the requests whose replica crashed while serving them.
@@ -184,6 +188,14 @@
 	} {
 		*c = metrics.NewRegisteredCounter(name, m.registry)
 	}
+	m.ConnEnds, m.DetourConnEnds = make(map[relay.ConnEnd]metrics.Counter), make(map[relay.ConnEnd]metrics.Counter)
+	for _, e := range []relay.ConnEnd{relay.ConnClosed, relay.ConnReset, relay.ConnTimedOut} {
+		m.ConnEnds[e] = metrics.NewRegisteredCounter("response_"+string(e)+"_total", m.registry)
+		m.DetourConnEnds[e] = metrics.NewRegisteredCounter("detour_response_"+string(e)+"_total", m.registry)
+	}
+	for _, b := range []routing.EndBasis{routing.EndByLength, routing.EndByChunks, routing.EndByConnection, routing.EndByPeer} {
+		m.endsBy(b)
+	}
 	m.Memory = metrics.NewRegisteredGauge("memory_bytes", m.registry)
 	m.MemoryMax = metrics.NewRegisteredGauge("memory_max_bytes", m.registry)
 	m.PermitWait = metrics.NewRegisteredHistogram("permit_wait_ms", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
@@ -200,6 +212,25 @@
 	m.PermitWait.Update(waited.Milliseconds())
 }
 
+// endsBy returns the counter of the responses that were read whole, by how their end was known.
+func (m *Metrics) endsBy(b routing.EndBasis) metrics.Counter {
+	return metrics.GetOrRegisterCounter("response_end_"+string(b)+"_total", m.registry)
+}
+
+// countEnd updates the metrics for the end of an attempt's response and of its connection.
+func (m *Metrics) countEnd(a *relay.Attempt) {
+	if a.End != routing.EndUnknown {
+		m.endsBy(a.End).Inc(1)
+	}
+	ends := m.ConnEnds
+	if a.Via != "" {
+		ends = m.DetourConnEnds
+	}
+	if c := ends[a.ConnEnd]; c != nil {
+		c.Inc(1)
+	}
+}
+
 // countRejection updates the metrics for an attempt that a replica may have rejected.
 func (m *Metrics) countRejection(a *relay.Attempt) {
 	if !a.Rejected {
@@ -216,6 +247,7 @@
 	m.Requests.Inc(1)
 	for i := range s.Attempts {
 		m.countRejection(&s.Attempts[i])
+		m.countEnd(&s.Attempts[i])
 	}
 	switch s.Outcome.(type) {
 	case coordination.Answered:
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -109,6 +109,8 @@
 	Rejected     bool                    // the replica rejected the request without running it
 	Reused       bool                    // the connection was used before
 	Via          routing.PeerID          // daemon that opened the connection for this one; empty: its own
+	End          routing.EndBasis        // how it is known that the response is complete; empty: it is not
+	ConnEnd      ConnEnd                 // how the connection ended inside the response
 	Err          error                   // nil: the caller has the complete response
 	Duration     time.Duration
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -292,6 +292,7 @@
 	if f == nil {
 		f = s.receive(ctx, x, t, a)
 	}
+	a.End, a.ConnEnd = x.endBasis, connEndOf(f, x.received)
 	if f != nil && f.takenOverAt.IsZero() {
 		s.reportLink(ctx, x, &t.Replica, f)
 		if s.blamesOwnLink(c) {
