A daemon that lacks documents of a peer doesn't take a service for one of a single version

What callers saw: a report from a system like ours tells of streams that callers took up after all daemons had been killed at once, and that went on at another software version. Here: daemons of one failure domain live on, cut off, while the others are killed twice and another version replaces the first; 12 to 24 streams of a run were taken up through one of them, answered 200, and joined from two versions (TestStreamsTakenUpAfterAllDaemonsWereKilled, 5 of 5 plays at load averages of 2 to 20 on 8 cores).

Cause: that daemon heard its reader's heartbeats, which told of newer documents, but its fetches failed for 4 s, since the links between daemons passed no TCP. Its history of versions counted as complete all the while: it is only interrupted if no reader of the store is heard. So the one version that it knew counted as the only one, and no holder was asked.

Change: while a peer is known to have newer documents, OnlyVersion is not known, as during a cut. So that callers don't pay for the .1 s that each change takes to arrive, a stream that is taken up waits up to .2 s for the documents first.

TestDaemonThatLacksDocumentsDoesNotKnowOfOnlyOneVersion and the relay's spec fail without the change.

Ruled out: all daemons killed at once, with nothing cut off: streams are refused for 10 s, as docs/design/versions.md says. Remains: the time until a heartbeat tells, .25 s at most in a full mesh.

--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -93,6 +93,8 @@
 	history         historyState
 	// mayBeBehind says that other daemons may have documents that this one lacks.
 	mayBeBehind atomic.Bool
+	// lacksDocuments says that a peer is known to have newer documents than this daemon.
+	lacksDocuments atomic.Bool
 
 	// reach says which services this daemon reaches through its own links, and carriers which daemons
 	// open connections for it meanwhile. dropCarrier makes the pool not use one for a while.
@@ -180,6 +182,7 @@
 			c.permitsDue(clock.Now())
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
+			c.updateLacksDocuments()
 		}
 	}
 }
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -21,6 +21,11 @@
 	originTimeout = 50 * time.Millisecond
 	// maxOriginQuestions is how often holders are asked that don't reply, since datagrams can be lost.
 	maxOriginQuestions = 2
+	// documentsTimeout is how long a stream that its caller resumes waits for documents that a peer has: a daemon that
+	// reads the store waits for syncDelay before it asks the peer.
+	documentsTimeout = 200 * time.Millisecond
+	// documentsPoll is how often it looks for them.
+	documentsPoll = 5 * time.Millisecond
 )
 
 // originQuestions are the questions of this daemon that holders have not all replied to.
@@ -47,12 +52,30 @@
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
 	now := clock.Now()
-	if o.control.mayBeBehind.Load() || o.control.missedTick(now) {
+	if o.control.mayBeBehind.Load() || o.control.missedTick(now) || o.control.lacksDocuments.Load() {
 		return 0, false
 	}
 	return o.control.view.Load().OnlyVersion(s, now)
 }
 
+// AwaitDocuments implements [relay.Origins].
+func (o streamOrigins) AwaitDocuments(ctx context.Context) {
+	if !o.control.lacksDocuments.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, documentsTimeout)
+	defer cancel()
+	ticker := time.NewTicker(documentsPoll)
+	defer ticker.Stop()
+	for o.control.lacksDocuments.Load() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Record implements [relay.Origins].
 func (o streamOrigins) Record(ctx context.Context, origin routing.StreamOrigin) {
 	o.control.post(ctx, streamBegan{origin})
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -46,6 +46,7 @@
 	// newer contains the peers that hold newer documents; newerSince is when the first was found.
 	newer          map[membership.Address]newerPeer
 	newerSince     time.Time
+	newest         feed.Position // that any peer is known to have, also one that could not be asked
 	inFlight       bool
 	needsPeerCheck bool // the first documents came from the store, and no peer has responded since
 	// respondedVersion is the highest configuration version for which a peer answered a request.
@@ -139,6 +140,9 @@
 // observePosition processes the document position in a peer's heartbeat.
 func (c *control) observePosition(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
 	at := feed.Position{Era: c.resolveEra(h.Era, now), Revision: h.Revision}
+	if c.syncs.newest.Before(at) {
+		c.syncs.newest = at
+	}
 	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
 		c.requestMissedDocuments(ctx, h.Sender.Address, at)
@@ -151,6 +155,12 @@
 	c.syncIfBehind(ctx, now)
 }
 
+// updateLacksDocuments determines whether a peer is known to have newer documents than this daemon. It is called once
+// the documents that an event brought are in the view.
+func (c *control) updateLacksDocuments() {
+	c.lacksDocuments.Store(c.catalog.feed.Position().Before(c.syncs.newest))
+}
+
 // position returns the position of this daemon's documents. Its version is the highest that need not
 // be fetched any more, by rule 5.
 func (c *control) position() position {
--- a/daemon/routes/versions_test.go
+++ b/daemon/routes/versions_test.go
@@ -1,11 +1,13 @@
 package routes
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport/clock"
 )
@@ -174,3 +176,33 @@
 		t.Errorf("counts the history since %v after a cut that ended at %v", got, now)
 	}
 }
+
+// TestDaemonThatLacksDocumentsDoesNotKnowOfOnlyOneVersion guards against a daemon that goes on with streams at the only
+// version of its own documents, although a peer's heartbeat has told of newer ones, which it can't fetch.
+func TestDaemonThatLacksDocumentsDoesNotKnowOfOnlyOneVersion(t *testing.T) {
+	c := newQuietControl(t)
+	c.syncs.newer = make(map[membership.Address]newerPeer)
+	c.syncs.inFlight = true // no request is sent
+	now := clock.Now()
+	applyRelease(c, now.Add(-time.Minute))
+	own := c.catalog.feed.Position()
+	receive := func(at feed.Position) {
+		c.observePosition(t.Context(), &gossip.Heartbeat{Sender: testMember(1), Era: at.Era, Revision: at.Revision}, now)
+		c.updateLacksDocuments()
+	}
+	receive(own)
+	if !onlyVersion(c) {
+		t.Fatal("does not know of one version although no peer has newer documents")
+	}
+	receive(feed.Position{Era: own.Era, Revision: own.Revision + 1})
+	c.finishSync(t.Context(), &syncCompleted{from: testMember(1).Address, err: errors.New("the peer does not answer")}, now)
+	c.updateLacksDocuments()
+	if onlyVersion(c) {
+		t.Error("knows of one version although a peer has newer documents")
+	}
+	c.apply(c.catalog.feed.ApplyChanges(nil, own.Revision+1), "peer", now)
+	c.updateLacksDocuments()
+	if !onlyVersion(c) {
+		t.Error("does not know of one version although it has the documents of its peer")
+	}
+}
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -101,7 +101,7 @@
 	t.Logf("%+v; %.3f of %d requests were served", report.Streams, report.Share, report.Requests)
 	for _, v := range report.Violations {
 		if v.Promise == "ORDER" || v.Promise == "LOST" {
-			t.Errorf("%s %s: %s", v.Promise, v.Subject, v.Detail)
+			t.Errorf("%s %s at %s: %s", v.Promise, v.Subject, v.At.UTC().Format("15:04:05.000"), v.Detail)
 			continue
 		}
 		t.Logf("%s %s: %s", v.Promise, v.Subject, v.Detail)
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -15,6 +15,9 @@
 	// OnlyVersion returns the only software version that the replicas of a service have had for as long as a
 	// stream can last. It returns false if there were several, or if this daemon can't know.
 	OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool)
+	// AwaitDocuments waits for a short time for documents that other daemons are known to have and this one lacks: they
+	// may name another version.
+	AwaitDocuments(ctx context.Context)
 	// Record records the origin of a stream at the daemons that hold it. It does not wait for them.
 	Record(ctx context.Context, o routing.StreamOrigin)
 	// Find returns the version at which a stream began, or false if it can't be found out.
@@ -35,11 +38,12 @@
 	if s.Origins == nil || s.call.LastEventID == "" || s.call.Route.Kind != routing.Stream {
 		return true
 	}
+	asked := clock.Now()
+	s.Origins.AwaitDocuments(ctx)
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
 		s.tried.Version = v
 		return true
 	}
-	asked := clock.Now()
 	v, ok := routing.VersionKey(0), false
 	if key := s.call.stream(); key != 0 {
 		v, ok = s.Origins.Find(ctx, key)
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -20,12 +20,19 @@
 	known    map[routing.StreamKey]routing.VersionKey
 	recorded []routing.StreamOrigin
 	asked    int
+	awaits   func() // called when documents are awaited; nil: nothing happens
 }
 
 func (o *recordedOrigins) OnlyVersion(routing.ServiceName) (routing.VersionKey, bool) {
 	return o.only, o.only != 0 && !o.several.Load()
 }
 
+func (o *recordedOrigins) AwaitDocuments(context.Context) {
+	if o.awaits != nil {
+		o.awaits()
+	}
+}
+
 func (o *recordedOrigins) Record(_ context.Context, r routing.StreamOrigin) {
 	o.recorded = append(o.recorded, r)
 }
@@ -159,6 +166,16 @@
 		Expect(origins.recorded).To(BeEmpty())
 	})
 
+	It("wait for the documents of another daemon before their service counts as one of one version", func() {
+		r := startVersion("r1", "v1", rest)
+		w := newFixture(resumable, r)
+		origins := &recordedOrigins{only: r.VersionKey()}
+		origins.awaits = func() { origins.several.Store(true) }
+		w.relay.Origins = origins
+		to, _ := w.serve(resume(w, "a"))
+		Expect(to.refusal).To(HaveField("Reason", coordination.ReasonOriginUnknown))
+	})
+
 	It("are recorded with the next event once their service has a second version", func() {
 		second := make(chan struct{})
 		r := startVersion("r1", "v1", func(a *receivedRequest) bool {
