A reset that a waiting write takes no longer looks like the end of a response

Cause: Linux reports the error of a connection to one system call. A body from 16 KB on is written while the response is read. If the write waits for room when the replica resets the connection, the write may get ECONNRESET; the read after it returns an ordinary end, and a response with neither a length nor chunks is then complete.

A second read after one that returned ECONNRESET returns an end, too.

Change: transport.SharedConn, which transport.Dial returns. At an end it interrupts and awaits a write under way, and returns the first error of the connection that a read or write got, other than EPIPE. That error counts as a reset, with its crash check and retries.

Why it is sound: a read returns an end only if the error was taken by the other call or there is none, and a write that took it has recorded it before the reader looks. Known limit: a connection that times out after the replica's FIN, before that was read, counts as broken although it is complete.

Two users of one connection, each place: - relay exchange with its body writer: mended.

--- a/transport/pause.go
+++ b/transport/pause.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// Dial opens a TCP connection with the dialer's timeout.
+// Dial opens a TCP connection with the dialer's timeout. It is a [SharedConn].
 func Dial(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
 	const network = "tcp4"
 	bounded := ctx
@@ -93,5 +93,8 @@
 	if err != nil && ctx.Err() == nil && bounded.Err() != nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return Share(conn), nil
 }
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -69,6 +69,7 @@
 	asked   atomic.Int32 // connections that other daemons asked for
 	opened  atomic.Int32
 	http    *httptest.Server
+	dialer  net.Dialer // to replicas
 
 	mu    sync.Mutex
 	conns []net.Conn // from other daemons
@@ -129,7 +130,7 @@
 }
 
 func (p *carrierPeer) open(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, &tunnel.Refused{Reason: tunnel.ReasonReplicaRefused}
 	}
--- a/transport/relay/export_test.go
+++ b/transport/relay/export_test.go
@@ -1,6 +1,14 @@
 package relay
 
-import "time"
+import (
+	"syscall"
+	"time"
+)
+
+// SetDialControl sets a function that is called with each new socket of a connection to a replica.
+func (p *Pool) SetDialControl(f func(network, address string, c syscall.RawConn) error) {
+	p.dialer.Control = f
+}
 
 // SetProbeWait sets how long a request waits for the first probes, so that a test does not depend on how
 // busy the machine is.
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -67,6 +67,10 @@
 func startReplica(id string, script func(a *receivedRequest) bool) *replica {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return startReplicaAt(l, id, script)
+}
+
+func startReplicaAt(l net.Listener, id string, script func(a *receivedRequest) bool) *replica {
 	r := &replica{listener: l, script: script, closed: make(chan struct{}, 64)}
 	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Domain: "z", Slots: 8, Address: l.Addr().String()})
 	go r.accept()
