Gateway: a reset that a waiting write takes no longer looks like the end of a response

If the write takes the upstream's reset, net/http reads an ordinary end, and a response with neither a length nor chunks is complete. Streams are not affected, since they have a terminator; responses that are not streamed are.

Change: the client's connections, metered ones among them, are transport.SharedConn. It lies below trackedConn and TLS.

--- a/transport/gateway/meter.go
+++ b/transport/gateway/meter.go
@@ -8,6 +8,8 @@
 	"net"
 
 	"github.com/rcrowley/go-metrics"
+
+	"hingewinch.org/hingewinch/transport"
 )
 
 // Meter counts the bytes of connections.
@@ -26,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &meteredConn{Conn: c, m: m}, nil
+		return &meteredConn{Conn: transport.Share(c), m: m}, nil
 	}
 }
 
--- a/transport/gateway/upstream.go
+++ b/transport/gateway/upstream.go
@@ -19,6 +19,7 @@
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/protocol"
+	"hingewinch.org/hingewinch/transport"
 )
 
 // Settings of the connections to upstreams.
@@ -73,7 +74,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: c}, nil
+			return &trackedConn{Conn: transport.Share(c)}, nil
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    dialTimeout,
