Spec: the watch of a silent replica does not take a reset for an end

While another replica is asked, the watch of a handover reads the silent one's connection, on which the request's body may still be written. The spec has a body of 24 KB, whose waiting write takes the reset. No code is changed.

--- a/transport/relay/reset_during_write_test.go
+++ b/transport/relay/reset_during_write_test.go
@@ -96,6 +96,27 @@
 		}
 	}, sizes)
 
+	// Guards against a reset that looks like an end to the watch of a silent replica.
+	It("is broken off if it is reset while another replica is asked", func() {
+		for range 5 {
+			first := startNarrowReplica("r1", func(a *receivedRequest) bool {
+				unframedHead(a, eventStream)
+				write(a, event(1))
+				time.Sleep(580 * time.Millisecond) // .08 s after the event timeout
+				return reset(a.conn)
+			})
+			w := newFixture(resumable, first)
+			w.relay.Pool.SetDialControl(setSocketOption(unix.SO_SNDBUF, smallSendBuffer))
+			w.onceBegun(startReplica("r2", func(a *receivedRequest) bool {
+				time.Sleep(150 * time.Millisecond)
+				return respond(a, 503, "Not-Executed: 1\r\n", "")
+			}))
+			to, _ := w.serve(w.call("a", "POST", strings.Repeat("x", 24<<10)))
+			Expect(string(to.body)).To(Equal(event(1)))
+			Expect(to.broken).To(BeTrue())
+		}
+	})
+
 	// Guards against a crash that is not counted because it looks like the end of a response.
 	DescribeTable("crash of the replica", func(size int, streams bool) {
 		for range resetTries {
