Carriers report that the replica closed a connection

Cause: a response without a length and chunks ends with its connection. The operating system ends the connections of a carrier that is killed in an ordinary way, and the daemon that asked then only looked whether the carrier's listener accepts connections. One that is up again, or that ends its connections at the end of its grace, passes.

Change: the daemon that asks sends Hingewinch-Framing: 1 in its request. A carrier that answers the same sends the replica's bytes in frames, and an end frame only once the replica has closed the connection in an ordinary way (transport/tunnel/frames.go). A connection that ends without it is ErrCutOff, which counts as a broken connection. A reset stays a reset. The decoder works in the buffer that is read into and holds nothing back: waits that expire inside a frame lose nothing, and an idle connection whose end or stray bytes the decoder has seen is not used again. Old carriers and old askers copy as before, and the listener check stays for them. ResponseEnd has EndConfirmed, with the basis peer_confirmed in the log and a counter.

No further buffer.

Ruled out: asking the carrier afterwards whether it has started again, which says nothing of a shutdown or of the carrier's own connection to the replica.

--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -16,6 +16,7 @@
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
+	"hingewinch.org/hingewinch/transport/tunnel"
 )
 
 const (
@@ -43,7 +44,8 @@
 	service routing.ServiceName
 	reused  bool
 	opened  time.Time
-	via     routing.PeerID // daemon that opened it for this one; empty: this daemon's own
+	via     routing.PeerID     // daemon that opened it for this one; empty: this daemon's own
+	framed  *tunnel.FramedConn // the connection, if that daemon marks its end; nil: it does not, or there is none
 	// idleTimeout is how long it may be idle; negative: it must not be reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -52,7 +54,7 @@
 // isReusable reports whether an idle connection is still open and has no unread bytes, which
 // would belong to no request.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.framed != nil && c.framed.IsInsideFrame() {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
@@ -180,7 +182,8 @@
 
 // newConn returns a connection to a replica. via is the daemon that opened it, or empty.
 func newConn(raw net.Conn, reader *transport.ResponseReader, r *routing.Replica, via routing.PeerID) *conn {
-	return &conn{Conn: raw, reader: reader, replica: r.Incarnation(), service: r.Service, opened: clock.Now(), via: via, idleTimeout: defaultIdleTimeout}
+	framed, _ := raw.(*tunnel.FramedConn)
+	return &conn{framed: framed, Conn: raw, reader: reader, replica: r.Incarnation(), service: r.Service, opened: clock.Now(), via: via, idleTimeout: defaultIdleTimeout}
 }
 
 // dial opens a TCP connection, with a timeout that adapts to the duration of earlier dials.
--- a/transport/relay/response_end.go
+++ b/transport/relay/response_end.go
@@ -34,6 +34,7 @@
 // if the response may have been cut off.
 func (x *exchange) checkEnd(ctx context.Context) error {
 	end := routing.ResponseEnd{Framing: framingOf(x.response), ThroughPeer: x.conn.via != ""}
+	end.EndConfirmed = x.conn.framed != nil && x.conn.framed.EndConfirmed()
 	if end.DependsOnPeer() {
 		end.PeerRuns = x.pool.peerRuns(ctx, x.conn.via)
 	}
--- a/transport/tunnel/dial.go
+++ b/transport/tunnel/dial.go
@@ -25,7 +25,8 @@
 )
 
 // Dial connects to a replica through a peer. The error is a [*Refused] or wraps [ErrUnsupported] if
-// the peer responded. Whatever the error, the replica has received nothing.
+// the peer responded. Whatever the error, the replica has received nothing. The connection is a [FramedConn] if the peer's
+// build marks the end.
 func Dial(ctx context.Context, dialer *net.Dialer, peer string, id routing.Incarnation) (net.Conn, *transport.ResponseReader, error) {
 	ctx, cancel := transport.WithTimeout(ctx, openTimeout)
 	defer cancel()
@@ -36,7 +37,7 @@
 	// Closing the connection ends the exchange if the caller disconnects or the time is over.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader := transport.NewResponseReader(conn, bufferBytes)
-	err = open(conn, reader, peer, id)
+	framed, err := open(conn, reader, peer, id)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -44,26 +45,33 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	return conn, reader, nil
+	if !framed {
+		return conn, reader, nil
+	}
+	early := make([]byte, reader.Buffered())
+	_, _ = reader.Read(early) // they are buffered
+	c := &FramedConn{Conn: conn, early: early}
+	reader.SetSource(c)
+	return c, reader, nil
 }
 
-// open sends the request and reads the peer's response.
-func open(conn net.Conn, reader *transport.ResponseReader, peer string, id routing.Incarnation) error {
+// open sends the request and reads the peer's response. It reports whether the peer sends frames.
+func open(conn net.Conn, reader *transport.ResponseReader, peer string, id routing.Incarnation) (framed bool, err error) {
 	head := "GET " + Path + "?" + encodeReplica(id) + " HTTP/1.1\r\nHost: " + peer +
-		"\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n"
+		"\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n" + headerFraming + ": " + framingVersion + "\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
-		return eris.Wrap(err, "ask peer for a connection")
+		return false, eris.Wrap(err, "ask peer for a connection")
 	}
 	resp, err := reader.ReadResponse(nil)
 	if err != nil {
-		return eris.Wrap(err, "read peer's response")
+		return false, eris.Wrap(err, "read peer's response")
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols && resp.Header.Get("Upgrade") == upgradeProtocol {
-		return nil
+		return resp.Header.Get(headerFraming) == framingVersion, nil
 	}
 	// The body is not closed, since that would read it to its end. The connection is closed in any case.
 	if reason := resp.Header.Get(headerReason); reason != "" {
-		return &Refused{Reason: Reason(reason)}
+		return false, &Refused{Reason: Reason(reason)}
 	}
-	return eris.Wrapf(ErrUnsupported, "status %d", resp.StatusCode)
+	return false, eris.Wrapf(ErrUnsupported, "status %d", resp.StatusCode)
 }
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -117,11 +117,18 @@
 	if s.Opened != nil {
 		s.Opened(r.RemoteAddr)
 	}
-	const accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n"
-	if _, err := io.WriteString(peer, accepted); err != nil {
+	const (
+		accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n"
+		framed   = headerFraming + ": " + framingVersion + "\r\n"
+	)
+	head, fromReplica := accepted, copyAll
+	if r.Header.Get(headerFraming) == framingVersion {
+		head, fromReplica = accepted+framed, copyFrames
+	}
+	if _, err := io.WriteString(peer, head+"\r\n"); err != nil {
 		return
 	}
-	if join(peer, buffered, replica) && s.Broken != nil {
+	if join(peer, buffered, replica, fromReplica) && s.Broken != nil {
 		s.Broken(id)
 	}
 }
@@ -137,9 +144,9 @@
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
-// join copies bytes in both directions until either side ends. fromPeer reads from peer. It reports
+// join copies bytes in both directions until either side ends. fromPeer reads from peer, and fromReplica copies to it. It reports
 // whether the replica's connection broke before it sent a byte.
-func join(peer net.Conn, fromPeer io.Reader, replica net.Conn) (broken bool) {
+func join(peer net.Conn, fromPeer io.Reader, replica net.Conn, fromReplica func(io.Writer, io.Reader) (int64, error)) (broken bool) {
 	var (
 		wg       sync.WaitGroup
 		peerLeft atomic.Bool
@@ -150,7 +157,7 @@
 		// The peer's end means that its caller has disconnected, or that it reuses no connection.
 		_ = replica.Close()
 	})
-	n, err := copyAll(peer, replica)
+	n, err := fromReplica(peer, replica)
 	broken = err != nil && n == 0 && !peerLeft.Load()
 	if err != nil {
 		reset(peer) // a response without a length must not look complete
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -68,7 +68,7 @@
 }
 
 // startPeer serves a handler at tunnel.Path and returns the address.
-func startPeer(t *testing.T, h http.Handler) string {
+func startPeer(t testing.TB, h http.Handler) string {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+tunnel.Path, h)
 	s := httptest.NewServer(mux)
