A carrier resets the connections that are open at the end of its grace

Cause: tunnel.Server.Close returned at the end of the grace and left the open connections to the operating system, which ends them in an ordinary way when the process exits. A daemon of this build sees no end frame; one of the last build relies on the listener, which may be open again, or still.

Change: Close resets them once its context is done, and those that are opened later.

Ruled out: a late goroutine of a connection that was given up. The carrier's copy ends with net.ErrClosed then, which resets the connection and sends no end frame.

--- a/transport/relay/carrier_ends_test.go
+++ b/transport/relay/carrier_ends_test.go
@@ -84,6 +84,10 @@
 				p.stop()
 				time.Sleep(50 * time.Millisecond)
 			}, broken, routing.EndUnknown),
+			Entry("stops at the end of its grace, this daemon is of the last build", true, func(p *carrierPeer, _ *receivedRequest) {
+				p.stop()
+				time.Sleep(50 * time.Millisecond)
+			}, broken, routing.EndUnknown),
 			Entry("its own connection is reset", false, func(_ *carrierPeer, a *receivedRequest) { reset(a.conn) }, broken, routing.EndUnknown),
 			Entry("its own connection is reset, last build", true, func(_ *carrierPeer, a *receivedRequest) { reset(a.conn) }, broken, routing.EndUnknown),
 			Entry("killed, last build", true, func(p *carrierPeer, _ *receivedRequest) {
--- a/transport/tunnel/frames_test.go
+++ b/transport/tunnel/frames_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/tunnel"
 )
@@ -158,3 +160,41 @@
 		t.Errorf("%v, want a reset", err)
 	}
 }
+
+// TestShutdownResetsOpenConnections guards against a peer that ends connections in an ordinary way at the end of its grace:
+// to a daemon of the last build, responses look complete.
+func TestShutdownResetsOpenConnections(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server := &tunnel.Server{Open: func(context.Context, routing.Incarnation) (net.Conn, error) {
+		return net.Dial("tcp4", listener.Addr().String())
+	}}
+	conn, reader, err := tunnel.Dial(context.Background(), &net.Dialer{}, startPeer(t, withoutFraming(server)), replicaID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, ok := conn.(*tunnel.FramedConn); ok {
+		t.Fatal("framed, though the peer was not asked")
+	}
+	_ = conn.SetDeadline(time.Now().Add(waitTime))
+	replica, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer replica.Close()
+	_, _ = io.WriteString(replica, strings.Repeat("x", 4))
+	if _, err := io.ReadFull(reader, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	server.Close(ctx)
+	if _, err := reader.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%v, want a reset", err)
+	}
+	awaitClosed(t, server)
+}
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	open    int
 	closing bool
+	closed  bool                  // connections are reset
+	peers   map[net.Conn]struct{} // open connections to the daemons that asked
 }
 
 // Len returns the number of open connections.
@@ -54,8 +56,8 @@
 	s.closing = true
 }
 
-// Close makes the server refuse further connections, and waits until the open ones are closed or ctx
-// is done.
+// Close makes the server refuse further connections, and waits until the open ones are closed. If ctx is done before, it
+// resets these: at the end of the process the operating system would end them as if the replica had.
 func (s *Server) Close(ctx context.Context) {
 	s.Stop()
 	ticker := time.NewTicker(closePoll)
@@ -63,6 +65,7 @@
 	for s.Len() > 0 {
 		select {
 		case <-ctx.Done():
+			s.resetAll()
 			return
 		case <-ticker.C:
 		}
@@ -89,6 +92,34 @@
 	s.open--
 }
 
+// resetAll resets all connections to daemons that asked for them, and those that are opened later.
+func (s *Server) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.peers {
+		reset(c)
+		_ = c.Close()
+	}
+}
+
+// add keeps a connection to a daemon that asked for it. It returns false if such connections are reset.
+func (s *Server) add(peer net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = make(map[net.Conn]struct{})
+	}
+	s.peers[peer] = struct{}{}
+	return !s.closed
+}
+
+func (s *Server) remove(peer net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, peer)
+}
+
 // ServeHTTP opens one connection and copies bytes until it is closed.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, err := decodeReplica(r.URL.Query())
@@ -113,6 +144,11 @@
 		return
 	}
 	defer peer.Close()
+	defer s.remove(peer)
+	if !s.add(peer) {
+		reset(peer)
+		return
+	}
 	_ = peer.SetDeadline(time.Time{}) // on failure, the next write fails too
 	if s.Opened != nil {
 		s.Opened(r.RemoteAddr)
