--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -42,6 +42,8 @@
 	mu      sync.Mutex
 	open    int
 	closing bool
+	closed  bool                  // connections are reset
+	peers   map[net.Conn]struct{} // open connections to the daemons that asked
 }
 
 // Len returns the number of open connections.
@@ -58,8 +60,8 @@
 	s.closing = true
 }
 
-// Close makes the server refuse further connections, and waits until the open ones are closed or ctx
-// is done.
+// Close makes the server refuse further connections, and waits until the open ones are closed. If ctx is done before, it
+// resets these: at the end of the process the operating system would end them as if the replica had.
 func (s *Server) Close(ctx context.Context) {
 	s.Stop()
 	ticker := time.NewTicker(closePoll)
@@ -67,6 +69,7 @@
 	for s.Len() > 0 {
 		select {
 		case <-ctx.Done():
+			s.resetAll()
 			return
 		case <-ticker.C:
 		}
@@ -93,6 +96,34 @@
 	s.open--
 }
 
+// resetAll resets all connections to daemons that asked for them, and those that are opened later.
+func (s *Server) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.peers {
+		reset(c)
+		_ = c.Close()
+	}
+}
+
+// add keeps a connection to a daemon that asked for it. It returns false if such connections are reset.
+func (s *Server) add(peer net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = make(map[net.Conn]struct{})
+	}
+	s.peers[peer] = struct{}{}
+	return !s.closed
+}
+
+func (s *Server) remove(peer net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, peer)
+}
+
 // ServeHTTP opens one connection and copies bytes until it is closed.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, err := decodeReplica(r.URL.Query())
@@ -117,15 +148,27 @@
 		return
 	}
 	defer peer.Close()
+	defer s.remove(peer)
+	if !s.add(peer) {
+		reset(peer)
+		return
+	}
 	_ = peer.SetDeadline(time.Time{}) // on failure, the next write fails too
 	if s.Opened != nil {
 		s.Opened(r.RemoteAddr)
 	}
-	const accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n"
-	if _, err := io.WriteString(peer, accepted); err != nil {
+	const (
+		accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n"
+		framed   = headerFraming + ": " + framingVersion + "\r\n"
+	)
+	head, fromReplica := accepted, copyFunc(copyAll)
+	if r.Header.Get(headerFraming) == framingVersion {
+		head, fromReplica = accepted+framed, copyFrames
+	}
+	if _, err := io.WriteString(peer, head+"\r\n"); err != nil {
 		return
 	}
-	if join(peer, buffered, replica) && s.Broken != nil {
+	if join(peer, buffered, replica, fromReplica) && s.Broken != nil {
 		s.Broken(id)
 	}
 }
@@ -141,9 +184,9 @@
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
-// join copies bytes in both directions until either side ends. fromPeer reads from peer. It reports
+// join copies bytes in both directions until either side ends. fromPeer reads from peer, and fromReplica copies to it. It reports
 // whether the replica's connection broke before it sent a byte.
-func join(peer net.Conn, fromPeer io.Reader, replica net.Conn) (broken bool) {
+func join(peer net.Conn, fromPeer io.Reader, replica net.Conn, fromReplica copyFunc) (broken bool) {
 	replica = transport.Share(replica)
 	var (
 		wg       sync.WaitGroup
@@ -159,7 +202,7 @@
 		// The peer's end means that its caller has disconnected, or that it reuses no connection.
 		_ = replica.Close()
 	})
-	n, readErr, writeErr := copyAll(peer, replica)
+	n, readErr, writeErr := fromReplica(peer, replica)
 	broken = readErr != nil && n == 0 && !peerLeft.Load()
 	_ = replica.Close()
 	if readErr != nil || writeErr != nil {
@@ -184,19 +227,30 @@
 // buffers pools the copying buffers.
 var buffers = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
 
-// copyAll copies until the source ends, or either side fails. It returns the number of bytes, and the error of the side
-// that failed. Each piece is passed on as soon as it has arrived.
+// copyFunc copies until the source ends, or either side fails. It returns the number of bytes, and the error of the side that
+// failed. Each piece is passed on as soon as it has arrived.
+type copyFunc func(to io.Writer, from io.Reader) (n int64, readErr, writeErr error)
+
+// copyAll is the [copyFunc] that copies bytes as they are.
 func copyAll(to io.Writer, from io.Reader) (n int64, readErr, writeErr error) {
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
+	return copyPieces(from, 0, func(piece []byte) error {
+		_, err := to.Write(piece)
+		return err
+	})
+}
+
+// copyPieces reads until the source ends, or either side fails, and sends each piece behind room for a head.
+func copyPieces(from io.Reader, head int, send func(piece []byte) error) (n int64, readErr, writeErr error) {
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buf := *pooled
 	for {
-		read, err := from.Read(*buf)
+		read, err := from.Read(buf[head:])
 		if read > 0 {
-			written, err := to.Write((*buf)[:read])
-			n += int64(written)
-			if err != nil {
+			if err := send(buf[:head+read]); err != nil {
 				return n, nil, err
 			}
+			n += int64(read)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -74,7 +74,7 @@
 }
 
 // startPeer serves a handler at tunnel.Path and returns the address.
-func startPeer(t *testing.T, h http.Handler) string {
+func startPeer(t testing.TB, h http.Handler) string {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+tunnel.Path, h)
 	s := httptest.NewServer(mux)
