Responses that a killed replica's system ended in an ordinary way no longer look complete

What callers saw: streams without a length and chunks ended as complete, their last event missing; plain responses were cut short. Cause: the operating system of a killed replica that has read everything ends its connections in an ordinary way, at the border of two events or inside a plain body, and the daemon took any such end of its own connection for the replica's.

Change: the rule in response_end.go. 3 ms after the end, another connection that is still open shows that the process runs, without a connection to it. Without any other, a new one is tried, and a refusal means a cut; the next request to the replica uses it. If all others ended, links are suspect or the request was not wholly written, the replica must accept a connection. Of a replica that is leaving, ends and refusals say nothing. The other daemon of a carried connection is asked after the 3 ms too. The state of connections is read by TCP_INFO: a peek would take the error of a reset from its reader, and wait for a read under way. It also shows a reset whose error a write took. A response that was cut off counts as a broken connection, so that streams are resumed, idempotent requests are sent again and crashes are looked for.

Ruled out: links that are lost in silence and VMs that vanish end no connection. A reset at once says nothing, since replicas reset connections beyond their limit. What remains: a lone connection to a replica that was killed and accepts again within 3 ms, or whose address is another's; a replica that is killed while it is leaving; links that end some connections in an ordinary way before they are suspect.

--- /dev/null
+++ b/coordination/routing/response_end_test.go
@@ -0,0 +1,102 @@
+package routing_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// TestResponseEnd guards against truncated responses that are taken for complete, and against sound ones that are not.
+func TestResponseEnd(t *testing.T) {
+	const open, ended = routing.OtherConnOpen, routing.OtherConnsEnded
+	const accepted, refused = routing.NewConnAccepted, routing.NewConnRefused
+	type end = routing.ResponseEnd
+	for _, c := range []struct {
+		name string
+		end  routing.ResponseEnd
+		want routing.EndBasis
+	}{
+		{"another connection is open", end{OtherConns: open}, routing.EndByConnection},
+		{"another daemon runs, and another connection is open", end{ThroughPeer: true, PeerRuns: true, OtherConns: open}, routing.EndByPeer},
+		{"the other daemon has terminated", end{ThroughPeer: true, OtherConns: open, NewConn: accepted}, routing.EndUnknown},
+		{"reset", end{Reset: true, OtherConns: open, NewConn: accepted}, routing.EndUnknown},
+		{"lone connection, a new one is accepted", end{NewConn: accepted}, routing.EndByConnection},
+		{"lone connection, a new one is refused", end{NewConn: refused}, routing.EndUnknown},
+		{"lone connection, nothing is known of a new one", end{}, routing.EndByConnection},
+		{"all others ended, a new one is accepted", end{OtherConns: ended, NewConn: accepted}, routing.EndByConnection},
+		{"all others ended, a new one is refused", end{OtherConns: ended, NewConn: refused}, routing.EndUnknown},
+		{"all others ended, nothing is known of a new one", end{OtherConns: ended}, routing.EndUnknown},
+		{"suspect links, a new connection is accepted", end{LinksSuspect: true, NewConn: accepted}, routing.EndByConnection},
+		{"suspect links, nothing is known of a new one", end{LinksSuspect: true, OtherConns: open}, routing.EndUnknown},
+		{"unsent request, nothing is known of a new one", end{RequestUnsent: true, OtherConns: open}, routing.EndUnknown},
+		{"unsent request, a new connection is accepted", end{RequestUnsent: true, NewConn: accepted}, routing.EndByConnection},
+		{"the replica is leaving", end{Leaving: true, OtherConns: ended}, routing.EndByConnection},
+		{"the replica is leaving, links are suspect", end{Leaving: true, LinksSuspect: true}, routing.EndUnknown},
+	} {
+		c.end.Framing = routing.FramedByConnection
+		if got := c.end.Basis(); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// drawEnd draws the end of a response.
+func drawEnd(t *rapid.T) routing.ResponseEnd {
+	flag := func(name string) bool { return rapid.Bool().Draw(t, name) }
+	return routing.ResponseEnd{
+		Framing:     routing.Framing(rapid.IntRange(0, 2).Draw(t, "framing")),
+		ThroughPeer: flag("through peer"), PeerRuns: flag("peer runs"), Reset: flag("reset"), RequestUnsent: flag("unsent"),
+		LinksSuspect: flag("suspect"), Leaving: flag("leaving"),
+		OtherConns: routing.OtherConns(rapid.IntRange(0, 2).Draw(t, "others")),
+		NewConn:    routing.NewConn(rapid.IntRange(0, 2).Draw(t, "new")),
+	}
+}
+
+// Guards against signs of a cut that make a response look complete, and inputs that are collected in vain.
+func TestResponseEndProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := drawEnd(t)
+		isComplete := e.Basis() != routing.EndUnknown
+		if e.Framing != routing.FramedByConnection {
+			if !isComplete {
+				t.Fatal("a framed response is not complete")
+			}
+			return
+		}
+		worse := e
+		switch rapid.IntRange(0, 4).Draw(t, "sign of a cut") {
+		case 0:
+			worse.Reset = true
+		case 1:
+			worse.RequestUnsent = true
+		case 2:
+			worse.LinksSuspect = true
+		case 3:
+			worse.NewConn = routing.NewConnRefused
+		case 4:
+			worse.ThroughPeer, worse.PeerRuns = true, false
+		}
+		if !isComplete && worse.Basis() != routing.EndUnknown {
+			t.Fatalf("complete by a sign of a cut: %+v", worse)
+		}
+		if needsConn, _ := e.DependsOnNewConn(); !needsConn {
+			other := e
+			other.NewConn = routing.NewConn(rapid.IntRange(0, 2).Draw(t, "other new"))
+			if (other.Basis() != routing.EndUnknown) != isComplete {
+				t.Fatal("depends on a new connection that is not tried")
+			}
+		}
+		// While nothing is known of others, they are looked at before a connection is tried.
+		asked := e
+		asked.OtherConns = routing.NoOtherConns
+		if needsOthers, _ := asked.DependsOnOtherConns(); !needsOthers {
+			other := asked
+			other.OtherConns = e.OtherConns
+			if other.Basis() != asked.Basis() {
+				t.Fatal("depends on other connections that are not looked at")
+			}
+		}
+	})
+}
--- a/transport/relay/detour_test.go
+++ b/transport/relay/detour_test.go
@@ -76,12 +76,12 @@
 
 // die ends the daemon's connections as the operating system does when its process is killed.
 func (p *carrierPeer) die() {
-	_ = p.http.Listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
 		_ = c.(*net.TCPConn).CloseWrite()
 	}
+	_ = p.http.Listener.Close() // it ends last
 }
 
 // record records a connection from another daemon.
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -349,6 +349,9 @@
 // releaseConn returns the connection to the pool if it can be reused, and closes it otherwise.
 // complete tells whether the response was read to its end.
 func (x *exchange) releaseConn(complete bool, now time.Time) {
+	if x.connReleased {
+		return // the response ended with its connection
+	}
 	x.connReleased = true
 	x.endStream()
 	callerConnected := x.stopCancelWatch == nil || x.stopCancelWatch()
--- a/transport/relay/exchange_bench_test.go
+++ b/transport/relay/exchange_bench_test.go
@@ -34,10 +34,12 @@
 		{"plain", atMostOnce, plain},
 		{"plain of 256 KB", atMostOnce, "Content-Length: " + strconv.Itoa(len(large)) + "\r\n\r\n" + large},
 		{"stream of 32 events", resumable, events.String()},
+		{"plain, ends with its connection", atMostOnce, "\r\n" + body},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			gomega.RegisterTestingT(b)
-			w := newFixture(c.route, benchReplica(b, c.response))
+			r := benchReplica(b, c.response)
+			w := newFixture(c.route, r)
 			call := w.call("1", "POST", "x")
 			b.ReportAllocs()
 			for b.Loop() {
@@ -47,17 +49,21 @@
 					b.Fatalf("refused: %v", to.refusal)
 				}
 			}
+			b.ReportMetric(float64(r.connections())/float64(b.N), "conns/op")
 		})
 	}
 }
 
-// benchReplica starts a replica that answers each request with the same response.
+// benchReplica starts a replica that answers each request with the same response. It ends the connection after one without
+// a length and chunks.
 func benchReplica(b *testing.B, response string) *replica {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = l.Close() })
+	isUnframed := strings.HasPrefix(response, "\r\n")
+	r := &replica{listener: l, closed: make(chan struct{}, 64)}
 	text := []byte("HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\n" + sealed + response)
 	go func() {
 		for {
@@ -65,6 +71,9 @@
 			if err != nil {
 				return
 			}
+			r.mu.Lock()
+			r.conns++
+			r.mu.Unlock()
 			go func() {
 				defer c.Close()
 				for reader := bufio.NewReader(c); ; {
@@ -73,14 +82,13 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, req.Body)
-					if _, err := c.Write(text); err != nil {
+					if _, err := c.Write(text); err != nil || isUnframed {
 						return
 					}
 				}
 			}()
 		}
 	}()
-	r := &replica{listener: l, closed: make(chan struct{}, 64)}
 	r.Replica = routing.NewReplica(routing.Replica{ID: "bench", Service: "s", Domain: "z", Slots: 8, Address: l.Addr().String()})
 	return r
 }
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -95,7 +95,8 @@
 
 	mu        sync.Mutex
 	idle      map[routing.Incarnation][]*conn
-	openCount map[routing.Incarnation]int // open connections
+	openCount map[routing.Incarnation]int // open connections, and those that are being opened
+	open      map[routing.Incarnation]map[*conn]struct{}
 }
 
 // NewPool returns an empty pool. Its connections are opened from the source address; if that is nil,
@@ -111,6 +112,7 @@
 		probeWait: routing.ProbeWait,
 		idle:      make(map[routing.Incarnation][]*conn),
 		openCount: make(map[routing.Incarnation]int),
+		open:      make(map[routing.Incarnation]map[*conn]struct{}),
 	}
 }
 
@@ -136,7 +138,7 @@
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return nil, errConnectionLimit
 	}
-	return p.open(ctx, r, v, false)
+	return p.openNew(ctx, r, v, false)
 }
 
 // getNew returns a new connection to a replica, of which it has checked that the link does not reset it at once. It is
@@ -146,7 +148,7 @@
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return p.get(ctx, r, v, now)
 	}
-	return p.open(ctx, r, v, true)
+	return p.openNew(ctx, r, v, true)
 }
 
 // mayReuse reports whether an idle connection to a replica may be used.
@@ -157,8 +159,8 @@
 	return p.reach.MayReuse(r.Service, c.idleSince) && p.linkDoubts.MayReuse(r.Domain, c.idleSince) && c.isReusable()
 }
 
-// open opens a connection that was counted by reserve. If checkLink is set, one that the link resets at once is a failure.
-func (p *Pool) open(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
+// openNew opens a connection that was counted by reserve. If checkLink is set, one that the link resets at once is a failure.
+func (p *Pool) openNew(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
 	return p.openReserved(r, func() (*conn, error) { return p.connect(ctx, r, v, checkLink) })
 }
 
@@ -175,9 +177,22 @@
 		return nil, err
 	}
 	c = opened
+	p.addOpen(c)
 	return c, nil
 }
 
+// addOpen adds a connection to the open ones.
+func (p *Pool) addOpen(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.open[c.replica]
+	if conns == nil {
+		conns = make(map[*conn]struct{})
+		p.open[c.replica] = conns
+	}
+	conns[c] = struct{}{}
+}
+
 // newConn returns a connection to a replica. via is the daemon that opened it, or empty.
 func newConn(raw net.Conn, reader *transport.ResponseReader, r *routing.Replica, via routing.PeerID) *conn {
 	return &conn{Conn: raw, reader: reader, replica: r.Incarnation(), service: r.Service, opened: clock.Now(), via: via, idleTimeout: defaultIdleTimeout}
@@ -266,6 +281,9 @@
 
 func (p *Pool) closeLocked(c *conn) {
 	_ = c.Close()
+	if delete(p.open[c.replica], c); len(p.open[c.replica]) == 0 {
+		delete(p.open, c.replica)
+	}
 	p.releaseLocked(c.replica)
 	if c.via != "" {
 		p.detours.Carriers.Closed(c.via)
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,6 +135,19 @@
 	return false
 }
 
+// kill simulates a replica whose process is killed after it has read everything that it was sent: its operating system
+// ends its connections in an ordinary way, the latest first, and then refuses new ones. It returns false, for use as the
+// result of a script.
+func (r *replica) kill() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range slices.Backward(r.openConns) {
+		_ = c.Close()
+	}
+	_ = r.listener.Close()
+	return false
+}
+
 func (r *replica) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -44,7 +44,7 @@
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
 	s.bodies += counted(cap(body))
-	if err := x.checkEnd(ctx); err != nil {
+	if err := x.checkEnd(ctx, s); err != nil {
 		return x.brokenResponse(ctx, eris.Wrap(err, "read body"))
 	}
 	isFinal := s.isFinal(status)
@@ -160,7 +160,7 @@
 	if s.events.pendingLen() > 0 {
 		return x.brokenResponse(ctx, errIncompleteEvent)
 	}
-	if err := x.checkEnd(ctx); err != nil {
+	if err := x.checkEnd(ctx, s); err != nil {
 		return x.brokenResponse(ctx, err)
 	}
 	if !s.takeOver() {
--- a/transport/relay/response_end.go
+++ b/transport/relay/response_end.go
@@ -6,15 +6,26 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"syscall"
+	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
 )
 
 // errCarrierGone means that the end of a connection was not the replica's.
 var errCarrierGone = errors.New("the daemon that opened the connection to the replica has terminated")
 
+// errCutOff means that the replica may not have ended the connection.
+var errCutOff = fmt.Errorf("connection ended before the response was known to be complete: %w", io.ErrUnexpectedEOF)
+
+// errResetBefore means that the connection was reset, but another call than the read got the error.
+var errResetBefore = fmt.Errorf("connection was reset before its end was read: %w", syscall.ECONNRESET)
+
 // framingOf returns how a response marks its end.
 func framingOf(resp *http.Response) routing.Framing {
 	switch {
@@ -31,17 +42,101 @@
 func endsWithConn(resp *http.Response) bool { return framingOf(resp) == routing.FramedByConnection }
 
 // checkEnd records how it is known that the response, which was read without an error, is complete. It returns an error
-// if the response may have been cut off.
-func (x *exchange) checkEnd(ctx context.Context) error {
+// if the response may have been cut off. The connection of a response without a length and chunks is closed.
+func (x *exchange) checkEnd(ctx context.Context, s *activeCall) error {
 	end := routing.ResponseEnd{Framing: framingOf(x.response), ThroughPeer: x.conn.via != ""}
-	if end.DependsOnPeer() {
-		end.PeerRuns = x.pool.peerRuns(ctx, x.conn.via)
+	if end.Framing == routing.FramedByConnection {
+		x.collectEnd(ctx, s, &end)
 	}
 	x.endBasis = end.Basis()
-	if x.endBasis == routing.EndUnknown {
+	switch {
+	case x.endBasis != routing.EndUnknown:
+		return nil
+	case end.Reset:
+		return errResetBefore
+	case end.ThroughPeer && !end.PeerRuns:
 		return errCarrierGone
 	}
-	return nil
+	return errCutOff
+}
+
+// collectEnd finds out what is known of the end of a response that ended with its connection, and closes that.
+func (x *exchange) collectEnd(ctx context.Context, s *activeCall, end *routing.ResponseEnd) {
+	ctx, cancel := context.WithDeadline(ctx, clock.RuntimeTime(x.deadline))
+	defer cancel()
+	view := s.View()
+	end.RequestUnsent = !x.requestWritten && !x.bodyWritten()
+	end.Reset = x.conn.state() == connReset
+	end.LinksSuspect = !end.ThroughPeer && x.pool.reach.State(x.conn.service) != routing.LinksUp
+	end.Leaving = x.head.SelfReport.Leaving || s.Placer.Departures.IsLeaving(x.replica) || !view.IsReady(x.replica)
+	x.closeConn() // it counts towards the limit of a new one
+	if needed, after := end.DependsOnOtherConns(); needed {
+		end.OtherConns = x.pool.otherConns(ctx, x.conn, after)
+	}
+	if end.DependsOnPeer() {
+		end.PeerRuns = x.pool.peerRuns(ctx, x.conn.via)
+	}
+	if needed, within := end.DependsOnNewConn(); needed {
+		end.NewConn = x.pool.tryNewConn(ctx, x, view, within, end.LinksSuspect)
+	}
+}
+
+// otherConns returns what becomes of the connections to a replica that go the same way as one that has ended.
+func (p *Pool) otherConns(ctx context.Context, ended *conn, after time.Duration) routing.OtherConns {
+	others := p.connsLike(ended) // later ones say nothing of that time
+	select {
+	case <-time.After(after):
+	case <-ctx.Done():
+	}
+	result := routing.NoOtherConns // this daemon may have closed them
+	for _, c := range others {
+		switch c.state() {
+		case connOpen:
+			return routing.OtherConnOpen
+		case connEnded, connReset:
+			result = routing.OtherConnsEnded
+		}
+	}
+	return result
+}
+
+// connsLike returns the open connections to the same replica that go the same way as another one, itself excepted.
+func (p *Pool) connsLike(c *conn) (out []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for o := range p.open[c.replica] {
+		if o != c && o.via == c.via {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// tryNewConn tries to open a connection to a replica the way that the exchange's went. An accepted one is put into the pool.
+// within is for how long it tries; 0: as long as ctx allows. If checkLink is set, the link must not reset it at once.
+func (p *Pool) tryNewConn(ctx context.Context, x *exchange, v *routing.View, within time.Duration, checkLink bool) routing.NewConn {
+	if within > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, within)
+		defer cancel()
+	}
+	if !p.reserve(x.replica.Incarnation(), v.ConnectionLimit(x.replica.Service)) {
+		return routing.NewConnUnknown
+	}
+	c, err := p.openReserved(x.replica, func() (*conn, error) {
+		if x.conn.via != "" {
+			return p.openThrough(ctx, x.replica)
+		}
+		return p.openDirect(ctx, x.replica, v, checkLink)
+	})
+	switch {
+	case err == nil:
+		p.put(c, clock.Now())
+		return routing.NewConnAccepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return routing.NewConnRefused
+	}
+	return routing.NewConnUnknown
 }
 
 // peerRuns reports whether another daemon accepts connections. Its listener is closed if it has terminated.
--- a/transport/relay/unframed_test.go
+++ b/transport/relay/unframed_test.go
@@ -128,4 +128,28 @@
 		Entry("the other daemon dies", false, true, refused, ""),
 		Entry("the other daemon dies between two events", true, true, brokenOff, event(1)),
 	)
+
+	// Guards against truncated responses that look complete at daemons without links, since the daemon that opened the
+	// connection passes on the ordinary end that the operating system of a killed replica sends.
+	DescribeTable("through another daemon, of a replica that is killed", func(streams bool, want outcome) {
+		replicas := make(map[string]*replica)
+		script := func(a *receivedRequest) bool {
+			if streams {
+				unframedHead(a, eventStream)
+				write(a, event(1))
+			} else {
+				unframedHead(a, "")
+				write(a, "fi")
+			}
+			time.Sleep(50 * time.Millisecond) // the part arrives
+			return replicas[a.request.Header.Get("Expect-Replica")].kill()
+		}
+		replicas["a"], replicas["b"] = startReplica("a", script), startReplica("b", script)
+		w := newCutFixture(routeOf(streams), refusingLink, []*carrierPeer{startCarrier(replicas["a"], replicas["b"])}, replicas["a"], replicas["b"])
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Expect(outcomeOf(to)).To(Equal(want))
+	},
+		Entry("response", false, refused),
+		Entry("stream", true, brokenOff),
+	)
 })
