Crashes are recorded although the listener of a killed process ends last

What was seen: a call whose replica was killed was not recorded as one during which it crashed, in 1 of 4 runs of a spec with another connection in use, and in 1 of 12 again before this change. Cause: the check dialled as soon as the first connection broke. The listener of a process that is killed ends after its connections, so that the check was accepted, and all calls share its result for 100 ms.

Change: the check dials after EndSettleTime, 3 ms. Retries after a broken connection wait 3 ms longer, by the code; their delay was not measured.

--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -9,13 +9,13 @@
 //  2. Any other response ends with its connection. A connection that was reset has not ended so, even if a write got the
 //     error, and the read that followed found an ordinary end.
 //  3. If another daemon opened the connection, the end is the replica's only if that daemon still runs: the operating system
-//     ends the connections of a process that terminates as the replica would have. It is asked after endSettleTime.
-//  4. That is so of a replica's process that is killed as well. All connections of a process end within endSettleTime, and
+//     ends the connections of a process that terminates as the replica would have. It is asked after EndSettleTime.
+//  4. That is so of a replica's process that is killed as well. All connections of a process end within EndSettleTime, and
 //     so does its listener, which may be the last. If another connection to the replica that goes the same way is open
 //     then, the process runs, and the response is complete.
 //  5. It speaks for a cut that a part of the request was not written, that this daemon's links to the service are suspect or
 //     down, and that all other connections ended too. The response is then complete only if the replica accepts a new
-//     connection, opened after endSettleTime. If it does, it runs: a replica takes longer to start.
+//     connection, opened after EndSettleTime. If it does, it runs: a replica takes longer to start.
 //  6. If there is no other connection, nothing speaks for a cut so far. A new connection is tried; the next request to the
 //     replica would have to open it anyway. The response is incomplete if it is refused, and complete if it is accepted,
 //     even if it is reset at once: replicas reset those beyond their limit. It is complete too if nothing is known of the
@@ -31,9 +31,9 @@
 import "time"
 
 const (
-	// endSettleTime is how long the connections and the listener of a process that is killed take to end. It was up to
+	// EndSettleTime is how long the connections and the listener of a process that is killed take to end. It was up to
 	// 2.2 ms for 200 connections on loopback at a load average of 12 on 8 cores; a listener still accepted after .8 ms.
-	endSettleTime = 3 * time.Millisecond
+	EndSettleTime = 3 * time.Millisecond
 	// endConnTime is how long a response without a sign of a cut waits for a new connection, which takes milliseconds
 	// within a region.
 	endConnTime = 50 * time.Millisecond
@@ -102,7 +102,7 @@
 // DependsOnOtherConns reports whether it must be known if other connections to the replica are open, and how long after
 // the end to look. The other daemon and the replica are connected to after that.
 func (e ResponseEnd) DependsOnOtherConns() (bool, time.Duration) {
-	return e.Framing == FramedByConnection && !e.Reset && (e.ThroughPeer || e.speaksForCut() || !e.Leaving), endSettleTime
+	return e.Framing == FramedByConnection && !e.Reset && (e.ThroughPeer || e.speaksForCut() || !e.Leaving), EndSettleTime
 }
 
 // DependsOnNewConn reports whether it must be known if the replica accepts connections, and for how long to try; 0: as
--- a/transport/relay/crash_check.go
+++ b/transport/relay/crash_check.go
@@ -1,6 +1,6 @@
 // This file determines whether a replica whose connection broke has crashed. A broken connection
 // alone does not prove that, since links and replicas break single connections too. A replica
-// whose process has terminated refuses a new connection at once.
+// whose process has terminated refuses a new connection, once the system has closed its listener.
 
 package relay
 
@@ -111,7 +111,10 @@
 	c, isNew := p.crashChecks.current(r.Incarnation(), now)
 	if isNew {
 		ctx = context.WithoutCancel(ctx)
-		go c.run(func() bool { return p.refusesConnection(ctx, r, v) })
+		go c.run(func() bool {
+			time.Sleep(routing.EndSettleTime)
+			return p.refusesConnection(ctx, r, v)
+		})
 	}
 	return c
 }
--- a/transport/relay/killed_test.go
+++ b/transport/relay/killed_test.go
@@ -72,7 +72,8 @@
 }
 
 var _ = Describe("Response that ends with its connection, between two events or inside a body", func() {
-	// Guards against truncated responses that look complete, since the operating system of a killed replica ended the connection.
+	// Guards against truncated responses that look complete, since the operating system of a killed replica ended the
+	// connection, and against crashes that are not recorded, since the listener of a process that is killed ends last.
 	DescribeTable("of a replica that is killed is not complete", func(streams bool, other otherConn, want outcome) {
 		r := startEndingReplica(streams, "")
 		r.end = func() { r.kill() }
@@ -81,6 +82,7 @@
 		to, _ := w.serve(w.call("last", "POST", "last"))
 		done()
 		Expect(outcomeOf(to)).To(Equal(want))
+		Expect(w.observer.crashedDuring).To(ContainElement(routing.RequestID("last")))
 	},
 		Entry("response, no other connection", false, noOther, refused),
 		Entry("response, an idle one", false, idleOther, refused),
