Soak: large bodies that are read while a response flows, and connections that end amid them

Callers of the users saw streams end as complete without their last events; the soak never did. Cause: each of its replicas read the whole body before it responded, its bodies had at most 40 KB, and on the loopback interface a send buffer takes 2.2 MB even where the other side asks for a receive buffer of 2,304 bytes, because it is sized by segments of 64 KB (trial; 34 KB with segments of 1,448). No write of a daemon ever waited when its connection was reset, so that no write took the error of the reset, and its replicas broke unframed responses off by resets that a read took.

Replicas respond first, read nothing for .48 s, and then slowly, through small buffers and segments of Ethernet's size; so do the links, which hold 2 KB of a direction. 24 KB fit into the send buffer of a new connection even so. Faults: connections reset by link or replica (--upload-resets), replicas whose process ends, so that the system ends their connections, by FIN, or by RST where the body is unread (--orderly-ends), daemons killed while others have lost their links in overlapping periods (--carrier-kills). A stream that ends so after a whole event is counted apart, as complete or broken off, and is no violation: rules in check_ends.go.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -65,6 +65,10 @@
 	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
 	Silences          float64       `long:"silences" default:"0" description:"times per second that a sound replica falls silent for a moment"`
 	Unframed          bool          `long:"unframed" description:"let one in six responses of the replicas, streams too, end with their connections, with neither a length nor chunks"`
+	Uploads           bool          `long:"uploads" description:"let half of the requests have bodies of 24 or 140 KB, on a route of one attempt whose streams can't be resumed; replicas respond before they have read them, and read them slowly through small buffers"`
+	UploadResets      float64       `long:"upload-resets" default:"1" description:"with --uploads: times per second that links or replicas reset connections of up to three replicas"`
+	OrderlyEnds       float64       `long:"orderly-ends" default:"0.3" description:"with --uploads: times per second that a replica terminates and the system ends its connections in an ordinary way"`
+	CarrierKills      float64       `long:"carrier-kills" default:"0.3" description:"with --uploads: daemons killed per second, while others have lost their links to all replicas in overlapping periods; with 0, no links are lost for it"`
 	Steady            bool          `long:"steady" description:"inject no faults into daemons, replicas and the store; run exactly --daemons daemons with prompts that become hot"`
 	Dir               string        `long:"dir" description:"directory of the runs (default: a temporary directory)"`
 	Keep              bool          `long:"keep" description:"also keep the directories of runs without violations"`
@@ -189,6 +193,9 @@
 	shape.SilencesPerSec = o.Silences
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
 	shape.Brittle = o.Brittle
+	if o.Uploads {
+		shape.Uploads = &soak.Uploads{ResetsPerSec: o.UploadResets, EndsPerSec: o.OrderlyEnds, CarrierKillsPerSec: o.CarrierKills}
+	}
 	plan := soak.NewPlan(seed, shape)
 	if o.Steady {
 		plan = soak.NewSteadyPlan(seed, o.Daemons, shape)
@@ -201,6 +208,9 @@
 	fmt.Printf("seed %d: %d daemons, %d faults, %d requests, %.3f served, %.3f at the end, %.3f at overloaded replicas, %d replicas crashed by requests, %d backoffs, %d departures announced in responses, %d violations\n",
 		seed, plan.Daemons, len(plan.Faults), report.Requests, report.Share, report.QuietShare, report.OverloadShare, report.Crashed, report.Backoffs, report.Departures, len(report.Violations))
 	fmt.Printf("  %d MB resident at most; responses broken off: %v\n", report.MaxMemoryMB, report.BrokenOff)
+	if n := report.BorderEnds; n.Complete+n.BrokenOff > 0 {
+		fmt.Printf("  streams that ended after a whole event as their replica terminated: %d complete, %d broken off\n", n.Complete, n.BrokenOff)
+	}
 	if report.HeldForParts > 0 {
 		fmt.Printf("  %d ordinary requests were refused for a part of their prompts\n", report.HeldForParts)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -113,6 +113,9 @@
 	if s := c.site.steady; s != nil {
 		q.Subject, q.Tokens = s.drawPrompt(time.Since(c.site.begun))
 	}
+	if c.site.uploads && rand.IntN(uploadOneIn) == 0 {
+		return c.asUpload(q)
+	}
 	if c.site.partCrashes && rand.IntN(2) == 0 {
 		q.Middle = []string{rarePart(rand.IntN(rareParts))}
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -109,7 +109,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxOverloadShare = max(l.maxOverloadShare, j.maxOverloadShare)
-	l.losses = j.losses
+	l.losses, l.borderEnds = j.losses, j.borderEnds
 	for _, v := range j.excused {
 		l.excused[v.Subject] = v
 	}
@@ -134,6 +134,7 @@
 	aroundConfigs    map[int]*lossRates // of daemons
 	losses           map[lossCause]int  // responses that were broken off
 	excused          []Violation
+	borderEnds       BorderEnds // streams that ended with their replica
 	maxOverloadShare float64
 }
 
@@ -184,7 +185,7 @@
 	}
 	key := j.keys[r.Key]
 	for _, run := range r.runs {
-		if run.Method != r.Route.Method || run.Target != r.Target || run.Body != r.Body {
+		if run.Method != r.Route.Method || run.Target != r.Target || !run.Unread && run.Body != r.Body {
 			j.add("UNASKED", r, run.At, "ran as %s %s with a body of %d bytes, sent as %s %s with %d", run.Method, run.Target, len(run.Body), r.Route.Method, r.Target, len(r.Body))
 		}
 		if key == nil {
@@ -296,6 +297,10 @@
 
 func (j *checker) checkStream(r *record) {
 	want, got := streamBody(r.streamID(), r.After), withoutVersions(r.answer.Body)
+	if j.endsAtBorder(r, want, got) {
+		j.countBorderEnd(r)
+		return
+	}
 	if r.answer.Complete && got != want {
 		j.add("ORDER", r, r.answer.At, "stream of %d bytes ended as complete, but the replica's has %d", len(got), len(want))
 	}
--- a/internal/soak/delivery.go
+++ b/internal/soak/delivery.go
@@ -26,6 +26,7 @@
 	delivered []deliveredBytes
 	closed    time.Time // when the daemon closed its side; zero: not yet
 	reset     time.Time // when a fault of the run reset it; zero: none did
+	ended     time.Time // when the link passed on that the replica ended it in an ordinary way; zero: it did not
 }
 
 // deliveredBytes are bytes of a replica that were written to the daemon's side.
@@ -40,6 +41,7 @@
 	delivered time.Time // when bytes of the replica last reached the daemon's side; zero: none did
 	closed    time.Time // when the daemon closed its side; zero: not yet
 	reset     time.Time // when a fault of the run reset it; zero: none did
+	ended     time.Time // when the link passed on that the replica ended it in an ordinary way; zero: it did not
 	// deliveries are all those of the connection, also after the time.
 	deliveries []deliveredBytes
 }
@@ -109,6 +111,19 @@
 	}
 }
 
+// recordEnd records that the link is about to pass on that the replica ended the connection in an ordinary way. It accepts a
+// nil receiver and a nil connection.
+func (d *deliveries) recordEnd(c *delivery, now time.Time) {
+	if c == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.ended.IsZero() {
+		c.ended = now
+	}
+}
+
 // find returns the last connection of a name that was opened until a time, or nil. The caller must hold d.mu.
 func (d *deliveries) find(conn string, at time.Time) *delivery {
 	var c *delivery
@@ -128,7 +143,7 @@
 	if c == nil {
 		return connRecord{}, false
 	}
-	record := connRecord{source: c.source, closed: c.closed, reset: c.reset, deliveries: c.delivered}
+	record := connRecord{source: c.source, closed: c.closed, reset: c.reset, ended: c.ended, deliveries: c.delivered}
 	for _, t := range c.delivered {
 		if !t.at.After(at) {
 			record.delivered = t.at
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -26,6 +26,9 @@
 	disconnected chan struct{} // closed when the daemon closes the connection
 	random       float64       // random number in [0, 1) that selects the failure, see selected
 	surplus      *string       // surplus response that is written before the next one on the connection
+	// bodyRead is closed when body is read, for an upload; nil for any other request.
+	bodyRead chan struct{}
+	body     string
 }
 
 // serve handles one request. It returns false if the connection must be closed.
@@ -61,6 +64,7 @@
 	defer x.releaseSlot()
 	x.run = x.ledger.Began(x.id, Run{
 		Arrival: arrival, Method: req.Method, Target: req.URL.RequestURI(), Body: body, Workspace: x.head.Workspace,
+		Unread: x.bodyRead != nil, Unframed: x.isUnframed(),
 	})
 	if *x.surplus != "" {
 		_, _ = x.conn.Write([]byte(*x.surplus))
@@ -80,7 +84,7 @@
 
 // isStreamPath reports whether the path is of a route with streams.
 func isStreamPath(path string) bool {
-	return slices.ContainsFunc([]string{prefixChat, prefixReply, prefixSingle}, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+	return slices.ContainsFunc([]string{prefixChat, prefixReply, prefixSingle, prefixUpload}, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
 }
 
 // recordArrival records the request in the ledger. It returns false if the replica has terminated:
@@ -254,6 +258,10 @@
 			return false
 		}
 	}
+	if !x.awaitBody() {
+		x.finish(0)
+		return false
+	}
 	x.finish(200)
 	if from >= len(events) {
 		x.write(head)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -117,6 +117,8 @@
 		s.sendFalseCrashReports(f)
 	case departInResponses:
 		s.leaveByAnswers(f)
+	case resetUploads, endInOrder, killOfCarriers:
+		s.injectUploads(f)
 	case silenceReplica:
 		s.fallSilent(f)
 	case callersRetry:
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -69,6 +69,8 @@
 	// Written is how many bytes of its response the replica has written, and LastWrite when it wrote the last ones.
 	Written   int
 	LastWrite time.Time
+	Unread    bool // the replica responds before it has read the body, and has not read all of it
+	Unframed  bool // its response has neither a length nor chunks
 	// BrokeOff is when the replica broke its response off; zero: it did not.
 	BrokeOff time.Time
 }
@@ -116,6 +118,7 @@
 	found            map[string]Violation
 	excused          map[string]Violation // backoffs that were violated, but that the daemon can't have read
 	maxOverloadShare float64              // the largest fraction that LIMIT bounds
+	borderEnds       BorderEnds           // at the last check
 	losses           map[lossCause]int    // responses that were broken off, at the last check
 	maxMemory        int64                // of a daemon's process, in bytes
 }
@@ -135,7 +138,7 @@
 		crashes: make(map[int][]crash), freezes: make(map[int][]span), setAside: make(map[string][]span), builds: make(map[processID]Build), begins: make(map[processID]time.Time), backoffs: make(map[processID][]backoffRequest),
 		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService),
-		replicaEnds:     make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[int][]time.Time),
+		replicaEnds:     make(map[string][]time.Time), orderlyEnds: make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[int][]time.Time),
 		sources:    make(map[string]int),
 		connection: func(string, time.Time) (connRecord, bool) { return connRecord{}, false },
 		wasRead:    func(string, time.Time) (bool, string) { return true, "" },
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 	partitions *partitions
 	// deliveries records what the link delivers; nil: it is not recorded.
 	deliveries *deliveries
+	small      bool // its sockets have small buffers
 }
 
 type linkConn struct {
@@ -40,15 +42,20 @@
 	source    string // IP address of the side that opened the connection
 	delivery  *delivery
 	random    float64 // random number in [0, 1); a fault applies if its Share is greater
+	// nearShut and farShut say that the link sends nothing more to a side.
+	nearShut, farShut atomic.Bool
 }
 
 // openLink opens a link that listens on address and forwards to target.
-func openLink(address, target string) (*Link, error) {
-	l, err := net.Listen("tcp4", address)
+func openLink(address, target string) (*Link, error) { return openLinkWith(address, target, false) }
+
+// openLinkWith is openLink for a link whose sockets may have small buffers.
+func openLinkWith(address, target string, small bool) (*Link, error) {
+	l, err := listenTCP(address, small)
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{listener: l, target: target, conns: make(map[*linkConn]struct{})}
+	link := &Link{listener: l, target: target, small: small, conns: make(map[*linkConn]struct{})}
 	go link.accept(l)
 	return link, nil
 }
@@ -92,6 +99,22 @@
 	}
 }
 
+// CloseListener closes the listener. Open connections go on.
+func (l *Link) CloseListener() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.listener.Close()
+}
+
+// resetConns resets all connections.
+func (l *Link) resetConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		l.resetByFault(c)
+	}
+}
+
 // resetByFault resets a connection and records that no end of it did.
 func (l *Link) resetByFault(c *linkConn) {
 	l.deliveries.recordReset(c.delivery, time.Now())
@@ -102,9 +125,9 @@
 // is in use.
 func (l *Link) Reopen() error {
 	address := l.Address()
-	listener, err := net.Listen("tcp4", address)
+	listener, err := listenTCP(address, l.small)
 	if err != nil {
-		listener, err = net.Listen("tcp4", "127.0.0.1:0")
+		listener, err = listenTCP("127.0.0.1:0", l.small)
 	}
 	if err != nil {
 		return err
@@ -135,19 +158,19 @@
 		resetConn(near)
 		return
 	}
-	far, err := net.DialTimeout("tcp4", target, time.Second)
+	far, err := dialTCP(target, l.small)
 	if err != nil {
 		resetConn(near)
 		return
 	}
-	c.far = far.(*net.TCPConn)
+	c.far = far
 	c.delivery = l.deliveries.open(connName(far.LocalAddr().String(), far.RemoteAddr().String()), c.source, time.Now())
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { l.copyBytes(c, c.far, c.near, func(t *LinkFault) bool { return t.Forward }) })
-	wg.Go(func() { l.copyBytes(c, c.near, c.far, func(t *LinkFault) bool { return t.Back }) })
+	wg.Go(func() { l.copyDirection(c, c.far, c.near, func(t *LinkFault) bool { return t.Forward }) })
+	wg.Go(func() { l.copyDirection(c, c.near, c.far, func(t *LinkFault) bool { return t.Back }) })
 	wg.Wait()
 	_ = c.near.Close()
 	_ = c.far.Close()
@@ -170,9 +193,13 @@
 	}
 }
 
-// copyBytes copies one direction. It forwards the end of the stream with CloseWrite.
-func (l *Link) copyBytes(c *linkConn, to, from *net.TCPConn, stalled func(*LinkFault) bool) {
-	buf := make([]byte, 16<<10)
+// copyDirection copies one direction. It forwards the end of the stream with CloseWrite.
+func (l *Link) copyDirection(c *linkConn, to, from *net.TCPConn, stalled func(*LinkFault) bool) {
+	size := copyBytes
+	if l.small {
+		size = smallCopyBytes
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
 		if err != nil && from == c.near {
@@ -191,7 +218,11 @@
 			}
 		}
 		if err != nil {
-			if isEOF(err) {
+			if isEOF(err) && !c.wasReset(from) {
+				if to == c.near {
+					l.deliveries.recordEnd(c.delivery, time.Now())
+				}
+				c.shut(to).Store(true)
 				_ = to.CloseWrite()
 				return
 			}
@@ -226,6 +257,21 @@
 	}
 }
 
+// shut returns whether the link sends nothing more to a side.
+func (c *linkConn) shut(side *net.TCPConn) *atomic.Bool {
+	if side == c.near {
+		return &c.nearShut
+	}
+	return &c.farShut
+}
+
+// wasReset reports whether a side whose end was read had reset its connection. That is not known if the link sends nothing
+// more to it, but then no write of the link can have taken the error.
+func (c *linkConn) wasReset(side *net.TCPConn) bool {
+	reset := refusesWrites(side)
+	return reset && !c.shut(side).Load()
+}
+
 func (c *linkConn) reset() {
 	resetConn(c.near)
 	resetConn(c.far)
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -42,6 +42,7 @@
 	versions        map[string][]versionSpan // of replicas
 	silences        []silentSpan             // of sound replicas
 	replicaEnds     map[string][]time.Time   // when a replica reset all its connections
+	orderlyEnds     map[string][]time.Time   // when a replica terminated and the system ended its connections
 	configurations  []span                   // from when one was sent to the store, until the store accepted it
 	hangUps         map[int][]time.Time      // when a daemon got a SIGHUP
 	interruptions   map[int][]span           // disturbances of a daemon that may end connections of its callers
@@ -71,6 +72,7 @@
 	o.domains, o.builds, o.begins = maps.Clone(o.domains), maps.Clone(o.builds), maps.Clone(o.begins)
 	o.silences, o.configurations = slices.Clone(o.silences), slices.Clone(o.configurations)
 	o.replicaEnds, o.hangUps, o.interruptions = cloneLists(o.replicaEnds), cloneLists(o.hangUps), cloneLists(o.interruptions)
+	o.orderlyEnds = cloneLists(o.orderlyEnds)
 	o.kills, o.sources = cloneLists(o.kills), maps.Clone(o.sources)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -98,6 +98,8 @@
 	Versions *Versions `json:"versions,omitempty"`
 	// Unframed lets a part of the responses end with their connections.
 	Unframed bool `json:"unframed,omitempty"`
+	// Uploads lets callers send large bodies, which replicas read slowly while they respond.
+	Uploads bool `json:"uploads,omitempty"`
 }
 
 // Shape limits the random choices of a plan.
@@ -135,6 +137,8 @@
 	Versions bool
 	// Unframed says whether a part of the responses ends with their connections.
 	Unframed bool
+	// Uploads says what a run does with large bodies; nil: there are none.
+	Uploads *Uploads
 	// SilencesPerSec is how often a sound replica falls silent for a moment.
 	SilencesPerSec float64
 }
@@ -178,6 +182,7 @@
 	p.drawVersions(seed, s)
 	p.drawCrashingParts(seed, s)
 	p.drawSilences(seed, s)
+	p.drawUploads(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -83,6 +83,9 @@
 	if p.crowded {
 		return newCrowdedPlan(seed)
 	}
+	if p.uploads != nil {
+		return NewPlan(seed, Shape{Trouble: shape.Trouble, Quiet: shape.Quiet, MaxDaemons: shape.MaxDaemons, Unframed: true, Uploads: p.uploads})
+	}
 	shape.Versions, shape.CrashingParts, shape.Unframed = p.versions, p.parts, p.unframed
 	plan := NewPlan(seed, shape)
 	if p.versions || p.parts > 0 {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -26,6 +26,7 @@
 	versions      bool                      // found by runs with several software versions and no faults but kills of daemons
 	fixed         func() *Plan              // the plan that finds it; nil: drawn from the seed
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
+	uploads       *Uploads                  // found by runs with large bodies, unframed responses and no other faults; nil: none
 	brittle       bool                      // found by runs with brittle replicas and no faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	seeds         int                       // of the plan, from 0 on, within which it is found; 0: maxSeeds
@@ -121,6 +122,10 @@
 		text: "if s.events.pendingLen() > 0 {", instead: "if s.events.pendingLen() > maxEventBytes {", unframed: true, plain: true, faults: truncationsInSeries},
 	{name: "takes the death of another daemon for the replica's end", promise: "ORDER", file: "coordination/routing/response_end.go",
 		text: "case !e.ThroughPeer:", instead: "case true:", unframed: true, plain: true, partitions: partitionsInSeries, faults: killsInSeries},
+	{name: "takes a reset while a body is written for the end", promise: "ORDER", subject: uploadPrefix, file: "transport/relay/exchange.go",
+		text: "\tn, err := x.tryRead(p, until)\n", instead: "\tn, err := x.tryRead(p, until)\n\tif err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && len(x.call.Body) >= concurrentWriteBytes {\n\t\terr = io.EOF\n\t}\n", uploads: &Uploads{ResetsPerSec: 1}},
+	{name: "does not ask whether the daemon that opened a connection still runs", promise: "ORDER", file: "transport/relay/response_end.go",
+		text: "end.PeerRuns = x.pool.peerRuns(ctx, x.conn.via)", instead: "end.PeerRuns = true", uploads: &Uploads{CarrierKillsPerSec: 1}},
 	{name: "resumes its own streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
 		text: "s.tried.Version = s.Placer.VersionAt(r, clock.Now())", instead: "_ = s.Placer.VersionAt(r, clock.Now())", versions: true, faults: killsInSeries},
 	{name: "resumes callers' streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -177,17 +177,23 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
-		}
 		head := standin.ReadRequest(req.Header)
 		x := &exchange{Replica: r, conn: c, head: head, id: head.ID, disconnected: make(chan struct{}), random: rand.Float64(), surplus: &stray}
-		watched := make(chan struct{})
-		go func() {
+		watch := func() {
 			if _, err := reader.Peek(1); err != nil {
 				close(x.disconnected)
 			}
+		}
+		var body []byte
+		if r.isUploadRequest(req) {
+			x.bodyRead = make(chan struct{})
+			watch = func() { x.readSlowly(req.Body, reader) }
+		} else if body, err = io.ReadAll(req.Body); err != nil {
+			return
+		}
+		watched := make(chan struct{})
+		go func() {
+			watch()
 			close(watched)
 		}()
 		if !x.serve(req, string(body)) {
@@ -223,6 +229,8 @@
 		n = steadyEvents
 	case isLongStream(id):
 		n = longEvents
+	case isUpload(id):
+		n = uploadEvents
 	}
 	out := make([]string, n)
 	for i := range out {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,6 +40,7 @@
 	BrokenOff     map[lossCause]int `json:"broken_off"`                // responses, by cause
 	Departures    int               `json:"left_by_answers"`           // replicas that announced their departure to a caller
 	HeldForParts  int               `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
+	BorderEnds    BorderEnds        `json:"border_ends"`               // streams that ended with their replica
 	Streams       StreamCount       `json:"streams"`                   // of callers that resume them
 	Brittle       []BrittleResult   `json:"brittle,omitempty"`
 	Violations    []Violation       `json:"violations"`
@@ -82,6 +83,9 @@
 	if p.Versions != nil {
 		r.site.setVersions(p.Versions)
 	}
+	if p.Uploads {
+		r.site.setUploads()
+	}
 	if p.Crowded != nil {
 		r.site.setCrowded(p.Crowded)
 	}
@@ -276,6 +280,7 @@
 	r.report.BrokenOff = r.site.ledger.Losses()
 	r.report.MaxMemoryMB = r.site.ledger.MaxMemory() / megabyte
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
+	r.report.BorderEnds = r.site.ledger.BorderEnds()
 	r.report.Streams = r.site.ledger.Streams()
 	r.report.Brittle = r.site.ledger.BrittleResults(now)
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -64,6 +64,7 @@
 	cold         bool      // replicas are cold after a start
 	versions     *Versions // nil: replicas don't name their software versions
 	unframed     bool      // a part of the responses ends with their connections
+	uploads      bool      // callers send large bodies, which replicas read slowly through small buffers
 	begun        time.Time // start of the traffic
 
 	mu        sync.Mutex
@@ -127,10 +128,14 @@
 
 // routes returns the configured routes but that of a crowded service.
 func (s *site) routes() []*Route {
-	if s.versions == nil {
-		return routes
+	list := routes
+	if s.versions != nil {
+		list = append(slices.Clip(list), singleRoute)
 	}
-	return append(slices.Clip(routes), singleRoute)
+	if s.uploads {
+		list = append(slices.Clip(list), uploadRoute)
+	}
+	return list
 }
 
 // setVersions lets the replicas run the versions of a run.
@@ -237,7 +242,7 @@
 
 // addPlaceAt is addPlace for a replica of a software version.
 func (s *site) addPlaceAt(service, domain, version string) error {
-	link, err := openLink("127.0.0.1:0", "127.0.0.1:1")
+	link, err := openLinkWith("127.0.0.1:0", "127.0.0.1:1", s.uploads)
 	if err != nil {
 		return err
 	}
@@ -267,10 +272,11 @@
 	if service == serviceCrowded {
 		slots = s.crowded.slots()
 	}
-	r, err := startReplica(id, service, p.domain, slots, s.ledger)
+	listener, err := listenTCP("127.0.0.1:0", s.uploads)
 	if err != nil {
 		return err
 	}
+	r := serveReplica(listener, id, service, p.domain, slots, s.ledger)
 	r.crashed = func() { s.restartAfterCrash(p, r) }
 	r.fell = func() { s.restartAfterFall(p, r) }
 	if r.crowded != nil {
--- a/internal/soak/unframed.go
+++ b/internal/soak/unframed.go
@@ -12,10 +12,10 @@
 // unframedOneIn is the number of responses of which one is unframed.
 const unframedOneIn = 6
 
-// isUnframed reports whether the response ends with its connection. The choice does not depend on others that
+// isUnframed reports whether the response ends with its connection. Those to uploads do. The choice does not depend on others that
 // are made by the hash of the id alone.
 func (x *exchange) isUnframed() bool {
-	return x.unframed && hashOf("unframed "+x.id)%unframedOneIn == 0
+	return x.unframed && (isUpload(x.id) || hashOf("unframed "+x.id)%unframedOneIn == 0)
 }
 
 // framed returns a response, or the head of a streamed one, without its length or transfer coding if the
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -191,6 +191,9 @@
 	if isLongStream(x.streamID()) {
 		return longEventWork/2 + rand.N(longEventWork)
 	}
+	if isUpload(x.id) {
+		return uploadEventWork/2 + rand.N(uploadEventWork)
+	}
 	return x.workDuration(events)
 }
 
