Soak: a stream that ends too early is reported with its runs and connections

The report named neither the replica nor the connection, so that it took the logs to tell a reset by the link, the end of a carrier and the end of a replica apart. It now holds what the replica wrote, from which address the connection came, when it closed, and whether the run reset it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -302,7 +302,7 @@
 		return
 	}
 	if r.answer.Complete && got != want {
-		j.add("ORDER", r, r.answer.At, "stream of %d bytes ended as complete, but the replica's has %d", len(got), len(want))
+		j.add("ORDER", r, r.answer.At, "stream of %d bytes ended as complete at daemon %d, but the replica's has %d: %s", len(got), r.Daemon, len(want), j.describeRuns(r))
 	}
 	if !r.answer.Complete && !strings.HasPrefix(want, got) {
 		j.add("ORDER", r, r.answer.At, "partial stream of %d bytes is not a prefix of the replica's stream", len(got))
--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -30,6 +30,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -357,6 +358,19 @@
 	return what + fmt.Sprintf(", nothing had arrived from it for %v", milliseconds(until.Sub(last)))
 }
 
+// describeRuns describes the runs of a request, and whether a fault of the run reset their connections.
+func (j *checker) describeRuns(r *record) string {
+	var runs []string
+	for _, run := range r.runs {
+		what := j.describeRun(run, r.answer.At)
+		if c, ok := j.connection(run.Conn, run.At); ok && !c.reset.IsZero() {
+			what += ", reset by the link " + describeOffset(c.reset, r.answer.At)
+		}
+		runs = append(runs, what)
+	}
+	return strings.Join(runs, "; ")
+}
+
 // describeOffset describes a time relative to the end of a response.
 func describeOffset(at, end time.Time) string {
 	if d := at.Sub(end); d > 0 {
