Soak: the link before a killed daemon refuses connections, in runs with uploads

A daemon asks whether a carrier still runs by a connection to it. In the soak it reached the link in front of the carrier's listener, which accepted although the process was gone, so that the end of a killed carrier counted as that of the replica. The link now refuses from the kill until the next start.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -262,6 +262,20 @@
 			s.send().run("r1", 100.1)
 			s.breaks(100.2)
 		}},
+		{"the same when the link has not seen the end, since a partition holds it up", "", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4"})
+			s.PartitionBegan([]int{1}, at(100.05))
+			s.Killed(1, at(100.15))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
+		{"the same when the partition is of another daemon", "LOST", chat, func(s *scene) {
+			s.hasConnection(connRecord{source: "127.1.2.4"})
+			s.PartitionBegan([]int{2}, at(100.05))
+			s.Killed(1, at(100.15))
+			s.send().run("r1", 100.1)
+			s.breaks(100.2)
+		}},
 		{"the same when the kill was before the run", "LOST", chat, func(s *scene) {
 			s.hasConnection(connRecord{source: "127.1.2.4", closed: at(100.16)})
 			s.Killed(1, at(100.05))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -42,6 +42,9 @@
 	peers     *peerLink
 	fleet     *fleet
 
+	peersMu      sync.Mutex
+	refusesPeers bool // the link to the peers listener refuses connections
+
 	mu          sync.Mutex
 	build       Build // of the process, or of the next one
 	process     *os.Process
@@ -66,6 +69,8 @@
 	// bindsSource makes each daemon connect to replicas from its own IP address, by which links to
 	// replicas tell the daemons apart.
 	bindsSource bool
+	// refuses makes the links to the peers listener of a daemon refuse connections while its process does not run.
+	refuses bool
 }
 
 // freePorts returns n distinct ports that are currently free on loopback. Each stays bound
@@ -176,6 +181,9 @@
 		_ = out.Close()
 		return err
 	}
+	if err := d.acceptPeers(); err != nil {
+		return err
+	}
 	d.mu.Lock()
 	build := d.build
 	d.mu.Unlock()
@@ -218,6 +226,7 @@
 	expected, memory := d.terminating && !failed(err), d.memory
 	d.ready = false
 	d.mu.Unlock()
+	d.refusePeers()
 	if d.fleet.ctx.Err() != nil {
 		return
 	}
@@ -244,7 +253,31 @@
 	return d.exited
 }
 
-func (d *daemon) kill() { d.signal(syscall.SIGKILL, true) }
+func (d *daemon) kill() {
+	d.refusePeers()
+	d.signal(syscall.SIGKILL, true)
+}
+
+// refusePeers makes the link to the peers listener refuse connections, as the system does once the process is gone.
+func (d *daemon) refusePeers() {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	if d.fleet.refuses && !d.refusesPeers {
+		d.refusesPeers = true
+		d.peers.tcp.CloseListener()
+	}
+}
+
+// acceptPeers undoes refusePeers.
+func (d *daemon) acceptPeers() error {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	if !d.refusesPeers {
+		return nil
+	}
+	d.refusesPeers = false
+	return d.peers.tcp.Reopen()
+}
 
 // freeze suspends the process for a time with SIGSTOP and SIGCONT.
 func (d *daemon) freeze(ctx context.Context, suspended time.Duration) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -167,7 +167,7 @@
 		return err
 	}
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-	s.fleet = &fleet{binaries: map[Build]string{BuildCurrent: r.options.Daemon, BuildPrevious: r.options.Previous}, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx, bindsSource: len(r.plan.Partitions) > 0}
+	s.fleet = &fleet{binaries: map[Build]string{BuildCurrent: r.options.Daemon, BuildPrevious: r.options.Previous}, dir: r.options.Dir, network: network, ports: ports, ledger: s.ledger, ctx: ctx, bindsSource: len(r.plan.Partitions) > 0, refuses: r.plan.Uploads}
 	for i := range r.plan.Daemons {
 		endpoint, err := s.store.Open()
 		if err != nil {
--- a/internal/soak/uploads_test.go
+++ b/internal/soak/uploads_test.go
@@ -169,3 +169,36 @@
 		}
 	}
 }
+
+// TestPeersOfKilledDaemonAreRefused guards against a soak in which the link before a killed daemon accepts connections in its
+// place: a daemon that asks whether a carrier still runs then takes the end of the carrier for that of the replica.
+func TestPeersOfKilledDaemonAreRefused(t *testing.T) {
+	target, err := listenTCP("127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	peers, err := openPeerLink("127.0.0.1:0", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peers.close()
+	d := &daemon{peers: peers, fleet: &fleet{refuses: true}}
+	accepts := func() bool {
+		c, err := net.Dial("tcp4", peers.tcp.Address())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}
+	before := accepts()
+	d.kill()
+	d.kill()
+	while := accepts()
+	if err := errors.Join(d.acceptPeers(), d.acceptPeers()); err != nil {
+		t.Fatal(err)
+	}
+	if after := accepts(); !before || while || !after {
+		t.Errorf("accepts connections before a kill: %t, after it: %t, after the next start: %t", before, while, after)
+	}
+}
