--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -262,7 +262,7 @@
 func (d *daemon) refusePeers() {
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
-	if d.fleet.refuses && !d.refusesPeers {
+	if d.fleet != nil && d.fleet.refuses && !d.refusesPeers {
 		d.refusesPeers = true
 		d.peers.tcp.CloseListener()
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -210,6 +210,9 @@
 			// Taken before the write, so that a daemon can't have the bytes before the recorded time.
 			at := time.Now()
 			if _, werr := to.Write(buf[:n]); werr != nil {
+				if to == c.near { // the other direction may wait for room at the replica
+					l.deliveries.recordClose(c.delivery, time.Now())
+				}
 				c.reset()
 				return
 			}
--- a/internal/soak/windows_test.go
+++ b/internal/soak/windows_test.go
@@ -73,3 +73,39 @@
 	}
 	t.Logf("%d bytes were written without waiting", n)
 }
+
+// TestLinkRecordsCloseThatItsWriteFinds guards against a link that never records that a daemon is gone, since the request that it
+// copies waits for room at the replica: the soak would blame the request's daemon for a carrier that was killed.
+func TestLinkRecordsCloseThatItsWriteFinds(t *testing.T) {
+	replica, err := listenTCP("127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer replica.Close()
+	link, err := openLinkWith("127.0.0.1:0", replica.Addr().String(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	link.deliveries = &deliveries{}
+	c, err := net.Dial("tcp4", link.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := replica.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	_, _ = c.Write(bytes.Repeat([]byte("b"), uploadBodies[1]))
+	resetConn(c.(*net.TCPConn))
+	name := connName(r.RemoteAddr().String(), r.LocalAddr().String())
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, _ = r.Write([]byte("event"))
+		if record, ok := link.deliveries.connection(name, time.Now()); ok && !record.closed.IsZero() {
+			return
+		}
+	}
+	t.Error("the close of a daemon's side is not recorded")
+}
