--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -1,11 +1,11 @@
 // This file decides whether a response whose connection brought no error is complete.
 //
 // Inputs: how the response marks its end; who opened the connection to the replica, whether that daemon reported the end, and
-// whether it runs; whether the connection was reset; whether the replica is leaving; and what becomes of this daemon's other
-// connections to the replica, and of a new one. The rule:
+// whether it runs; whether the replica is leaving; and what becomes of this daemon's other connections to the replica, and of a
+// new one. The rule:
 //
 //  1. The end of a response with a length or with chunks is marked in the response itself. Its reader has checked it.
-//  2. Any other response ends with its connection. A connection that was reset has not ended so.
+//  2. Any other response ends with its connection. One that was reset before its end brings an error (transport.SharedConn).
 //  3. If another daemon opened the connection, the end is the replica's if that daemon reports so (transport/tunnel/frames.go).
 //     One of a build that reports nothing must still run: the operating system ends the connections of a process that
 //     terminates as the replica would have. It is asked after EndSettleTime.
@@ -74,7 +74,6 @@
 	// EndConfirmed says that the other daemon reported that the replica closed the connection in an ordinary way.
 	EndConfirmed bool
 	PeerRuns     bool // the other daemon accepts connections
-	Reset        bool // the connection was reset
 	Leaving      bool // the replica is leaving
 	OtherConns   OtherConns
 	NewConn      NewConn
@@ -96,12 +95,12 @@
 // DependsOnOtherConns reports whether it must be known if other connections to the replica are open EndSettleTime after
 // the end. The other daemon and the replica are connected to after that.
 func (e ResponseEnd) DependsOnOtherConns() bool {
-	return e.Framing == FramedByConnection && !e.Reset && (!e.Leaving || e.DependsOnPeer())
+	return e.Framing == FramedByConnection && (!e.Leaving || e.DependsOnPeer())
 }
 
 // DependsOnPeer reports whether it must be known if the other daemon still runs.
 func (e ResponseEnd) DependsOnPeer() bool {
-	return e.Framing == FramedByConnection && e.ThroughPeer && !e.Reset && !e.EndConfirmed
+	return e.Framing == FramedByConnection && e.ThroughPeer && !e.EndConfirmed
 }
 
 // DependsOnNewConn reports whether it must be known if the replica accepts connections, and for how long to try; 0: as
@@ -116,10 +115,10 @@
 	return e.OtherConns == NoOtherConns, endConnTime
 }
 
-// mayBeComplete reports whether the response ended with its connection, and neither a reset nor the other daemon shows
-// that it was cut off.
+// mayBeComplete reports whether the response ended with its connection, and the other daemon does not show that it was
+// cut off.
 func (e ResponseEnd) mayBeComplete() bool {
-	return e.Framing == FramedByConnection && !e.Reset && (!e.ThroughPeer || e.EndConfirmed || e.PeerRuns)
+	return e.Framing == FramedByConnection && (!e.ThroughPeer || e.EndConfirmed || e.PeerRuns)
 }
 
 // replicaRuns reports whether nothing speaks for a replica that was killed.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -182,7 +182,7 @@
 			c.permitsDue(clock.Now())
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
-			c.updateLacksDocuments()
+			c.updateLacksDocuments(clock.Now())
 		}
 	}
 }
@@ -318,6 +318,7 @@
 	c.originQuestions.dropExpired(now)
 	c.origins.Forget(now)
 	c.updateBehind(now)
+	c.updateLacksDocuments(now)
 	c.reach.Tick(now)
 	c.dropLostCarriers(now)
 	c.updateBrittle(now)
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -47,6 +47,7 @@
 	newer          map[membership.Address]newerPeer
 	newerSince     time.Time
 	newest         feed.Position // that any peer is known to have, also one that could not be asked
+	newestHeard    time.Time     // when a peer last told of it
 	inFlight       bool
 	needsPeerCheck bool // the first documents came from the store, and no peer has responded since
 	// respondedVersion is the highest configuration version for which a peer answered a request.
@@ -140,8 +141,8 @@
 // observePosition processes the document position in a peer's heartbeat.
 func (c *control) observePosition(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
 	at := feed.Position{Era: c.resolveEra(h.Era, now), Revision: h.Revision}
-	if c.syncs.newest.Before(at) {
-		c.syncs.newest = at
+	if !at.Before(c.syncs.newest) {
+		c.syncs.newest, c.syncs.newestHeard = at, now
 	}
 	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
@@ -156,8 +157,12 @@
 }
 
 // updateLacksDocuments determines whether a peer is known to have newer documents than this daemon. It is called once
-// the documents that an event brought are in the view.
-func (c *control) updateLacksDocuments() {
+// the documents that an event brought are in the view. What no peer has told of for as long as a stream can last does not
+// count: the peer may be gone, and so are the streams.
+func (c *control) updateLacksDocuments(now time.Time) {
+	if now.Sub(c.syncs.newestHeard) > c.catalog.table.StreamLife() {
+		c.syncs.newest = feed.Position{}
+	}
 	c.lacksDocuments.Store(c.catalog.feed.Position().Before(c.syncs.newest))
 }
 
