A connection with unread bytes does not show that its replica runs

Found by the review, with a test: a replica is killed while another of its responses waits for a slow caller.

Change: such a connection says nothing (SIOCINQ), so that a new one is tried. Both specs fail before.

--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -22,7 +22,8 @@
 //  8. A replica that is leaving terminates once it has sent its last response, so that ends and refusals say nothing.
 //
 // What remains: a replica that was killed and whose address accepts connections again, if it is the only sign; one that is
-// killed while it is leaving; and links that end single connections in an ordinary way.
+// killed while it is leaving, or while it gets no requests for another reason; and links that end single connections in an
+// ordinary way.
 
 package routing
 
--- a/transport/relay/conn_state.go
+++ b/transport/relay/conn_state.go
@@ -12,7 +12,7 @@
 type connState int
 
 const (
-	connUnknown connState = iota // this daemon has closed it
+	connUnknown connState = iota // this daemon has closed it, or its end may be queued behind unread bytes
 	connOpen
 	connEnded // the other side has ended it
 	connReset
@@ -44,7 +44,9 @@
 		}
 		switch info.State {
 		case tcpEstablished:
-			state = connOpen
+			if unread, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err != nil || unread == 0 {
+				state = connOpen
+			}
 		case tcpCloseWait:
 			state = connEnded
 		case tcpClose:
--- a/transport/relay/conn_state_test.go
+++ b/transport/relay/conn_state_test.go
@@ -37,6 +37,15 @@
 		Expect(c.state()).To(Equal(connOpen))
 	})
 
+	It("is unknown while bytes are unread, since the end may be queued behind them", func() {
+		_, err := replica.Write([]byte("x"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(c.state).Should(Equal(connUnknown))
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.state()).To(Equal(connOpen))
+	})
+
 	It("is ended after an ordinary end", func() {
 		Expect(replica.Close()).To(Succeed())
 		Eventually(c.state).Should(Equal(connEnded))
--- a/transport/relay/killed_test.go
+++ b/transport/relay/killed_test.go
@@ -1,6 +1,9 @@
 package relay_test
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -205,4 +208,46 @@
 		Entry("response", routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}, false, "fine"),
 		Entry("stream", resumable, true, event(1)+event(2)),
 	)
+
+	// Guards against a truncated stream that looks complete, since the end of another connection of the killed replica is queued
+	// behind bytes that a slow caller has not read.
+	It("of a replica that is killed is not complete while another response waits for its caller", func() {
+		var r *replica
+		flows := make(chan struct{})
+		r = startReplica("r", func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			write(a, event(1))
+			if string(a.body) == "last" {
+				time.Sleep(30 * time.Millisecond) // the event arrives
+				return r.kill()
+			}
+			go func() {
+				for i := 2; write(a, fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", 1000))); i++ {
+				}
+			}()
+			time.Sleep(500 * time.Millisecond) // the buffers fill
+			close(flows)
+			return awaitClose(a)
+		})
+		w := newFixture(routeOf(true), r)
+		slow := &blockingSink{&recordingSink{}, make(chan struct{})}
+		var calls sync.WaitGroup
+		calls.Go(func() { w.relay.Serve(context.Background(), w.call("first", "POST", "first"), slow) })
+		<-flows
+		to, _ := w.serve(w.call("last", "POST", "last"))
+		close(slow.release)
+		calls.Wait()
+		Expect(outcomeOf(to)).To(Equal(brokenOff))
+	})
 })
+
+// blockingSink is a caller that reads nothing until it is released.
+type blockingSink struct {
+	*recordingSink
+	release chan struct{}
+}
+
+func (s *blockingSink) Write(p []byte) error {
+	<-s.release
+	return s.recordingSink.Write(p)
+}
