The end of a response is refuted by a refused connection alone

Found by the review, with a test: an idle connection that the replica had closed long before counted as one that ended with the response, so that any failure of this daemon to connect (no descriptors, a time-out, the limit) broke a whole response off.

Change: that all other connections ended is no input any more. If none is open, a new one is tried for .5 s at most, and only a refusal means a cut: a process that was killed refuses, and a lost VM or link ends no connection in the first place. The rule is shorter by two inputs.

--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -12,14 +12,12 @@
 //  4. That is so of a replica's process that is killed as well. All connections of a process end within EndSettleTime, and
 //     so does its listener, which may be the last. If another connection to the replica that goes the same way is open
 //     then, the process runs, and the response is complete.
-//  5. If all others ended too, the response is complete only if the replica accepts a new connection. If it does, it runs:
-//     a replica takes longer to start.
-//  6. If there is no other, nothing speaks for a cut so far. A new connection is tried; the next request to the replica would
-//     have to open it anyway. The response is incomplete if it is refused, and complete otherwise: replicas reset
-//     connections beyond their limit, and a replica or link that is lost ends none.
-//  7. A refusal counts only if another daemon, if there is one, is refused too: links may refuse new connections while open
+//  5. If none is, a new connection is tried; the next request to the replica would have to open it anyway. The response is
+//     incomplete if it is refused, and complete otherwise: replicas reset connections beyond their limit, others may have
+//     been closed as idle, and a replica or link that is lost ends no connection.
+//  6. A refusal counts only if another daemon, if there is one, is refused too: links may refuse new connections while open
 //     ones live on.
-//  8. A replica that is leaving terminates once it has sent its last response, so that ends and refusals say nothing.
+//  7. A replica that is leaving terminates once it has sent its last response, so that a refusal says nothing.
 //
 // What remains: a replica that was killed and whose address accepts connections again, if it is the only sign; one that is
 // killed while it is leaving, or while it gets no requests for another reason; and links that end single connections in an
@@ -33,9 +31,9 @@
 	// EndSettleTime is how long the connections and the listener of a process that is killed take to end: 2.2 ms were seen
 	// for 200 connections.
 	EndSettleTime = 3 * time.Millisecond
-	// endConnTime is how long a response without a sign of a cut waits for a new connection, which takes milliseconds
-	// within a region.
-	endConnTime = 50 * time.Millisecond
+	// EndConnTime is how long the end of a response waits for a new connection. That takes milliseconds within a region, and
+	// some hundred if it is refused and another daemon has to try.
+	EndConnTime = 500 * time.Millisecond
 )
 
 // Framing says how a response marks its end.
@@ -48,16 +46,6 @@
 	FramedByConnection // it has neither a length nor chunks
 )
 
-// OtherConns says what becomes of this daemon's other connections to a replica when one has ended.
-type OtherConns int
-
-// The values of OtherConns.
-const (
-	NoOtherConns OtherConns = iota
-	OtherConnsEnded
-	OtherConnOpen // one at least
-)
-
 // NewConn says what becomes of a new connection to a replica.
 type NewConn int
 
@@ -76,7 +64,7 @@
 	EndConfirmed bool
 	PeerRuns     bool // the other daemon accepts connections
 	Leaving      bool // the replica is leaving
-	OtherConns   OtherConns
+	OtherOpen    bool // another connection to the replica is open EndSettleTime after the end
 	NewConn      NewConn
 }
 
@@ -93,9 +81,9 @@
 	EndByPeer       EndBasis = "peer_connection" // the replica closed the connection of another daemon, which still runs
 )
 
-// DependsOnOtherConns reports whether it must be known if other connections to the replica are open EndSettleTime after
-// the end. The other daemon and the replica are connected to after that.
-func (e ResponseEnd) DependsOnOtherConns() bool {
+// DependsOnOthers reports whether it must be known if another connection to the replica is open EndSettleTime after the
+// end. The other daemon and the replica are connected to after that.
+func (e ResponseEnd) DependsOnOthers() bool {
 	return e.Framing == FramedByConnection && (!e.Leaving || e.DependsOnPeer())
 }
 
@@ -104,16 +92,9 @@
 	return e.Framing == FramedByConnection && e.ThroughPeer && !e.EndConfirmed
 }
 
-// DependsOnNewConn reports whether it must be known if the replica accepts connections, and for how long to try; 0: as
-// long as opening one may take.
-func (e ResponseEnd) DependsOnNewConn() (bool, time.Duration) {
-	switch {
-	case !e.mayBeComplete() || e.Leaving:
-		return false, 0
-	case e.OtherConns == OtherConnsEnded:
-		return true, 0
-	}
-	return e.OtherConns == NoOtherConns, endConnTime
+// DependsOnNewConn reports whether it must be known if the replica accepts connections.
+func (e ResponseEnd) DependsOnNewConn() bool {
+	return e.mayBeComplete() && !e.Leaving && !e.OtherOpen
 }
 
 // mayBeComplete reports whether the response ended with its connection, and the other daemon does not show that it was
@@ -122,17 +103,6 @@
 	return e.Framing == FramedByConnection && (!e.ThroughPeer || e.EndConfirmed || e.PeerRuns)
 }
 
-// replicaRuns reports whether nothing speaks for a replica that was killed.
-func (e ResponseEnd) replicaRuns() bool {
-	switch {
-	case e.Leaving || e.OtherConns == OtherConnOpen:
-		return true
-	case e.OtherConns == OtherConnsEnded:
-		return e.NewConn == NewConnAccepted
-	}
-	return e.NewConn != NewConnRefused
-}
-
 // Basis returns how it is known that the response is complete, or EndUnknown if it is not.
 func (e ResponseEnd) Basis() EndBasis {
 	switch {
@@ -140,7 +110,7 @@
 		return EndByLength
 	case e.Framing == FramedByChunks:
 		return EndByChunks
-	case !e.mayBeComplete() || !e.replicaRuns():
+	case !e.mayBeComplete(), e.DependsOnNewConn() && e.NewConn == NewConnRefused:
 		return EndUnknown
 	case !e.ThroughPeer:
 		return EndByConnection
--- a/transport/relay/response_end.go
+++ b/transport/relay/response_end.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -65,34 +66,26 @@
 	end.EndConfirmed = x.conn.framed != nil && x.conn.framed.EndConfirmed()
 	end.Leaving = x.head.SelfReport.Leaving || s.Placer.Departures.IsLeaving(x.replica) || !view.IsReady(x.replica)
 	x.closeConn() // it counts towards the limit of a new one
-	if end.DependsOnOtherConns() {
-		end.OtherConns = x.pool.otherConns(ctx, x.conn, routing.EndSettleTime)
+	if end.DependsOnOthers() {
+		end.OtherOpen = x.pool.hasOtherOpen(ctx, x.conn, routing.EndSettleTime)
 	}
 	if end.DependsOnPeer() {
 		end.PeerRuns = x.pool.peerRuns(ctx, x.conn.via)
 	}
-	if needed, within := end.DependsOnNewConn(); needed {
-		end.NewConn = x.pool.tryNewConn(ctx, x, view, within)
+	if end.DependsOnNewConn() {
+		end.NewConn = x.pool.tryNewConn(ctx, x, view, routing.EndConnTime)
 	}
 }
 
-// otherConns returns what becomes of the connections to a replica that go the same way as one that has ended.
-func (p *Pool) otherConns(ctx context.Context, ended *conn, after time.Duration) routing.OtherConns {
+// hasOtherOpen reports whether another connection to the replica that goes the same way as one that has ended is open after
+// a time.
+func (p *Pool) hasOtherOpen(ctx context.Context, ended *conn, after time.Duration) bool {
 	others := p.connsLike(ended) // later ones say nothing of that time
 	select {
 	case <-time.After(after):
 	case <-ctx.Done():
 	}
-	result := routing.NoOtherConns // this daemon may have closed them
-	for _, c := range others {
-		switch c.state() {
-		case connOpen:
-			return routing.OtherConnOpen
-		case connEnded, connReset:
-			result = routing.OtherConnsEnded
-		}
-	}
-	return result
+	return slices.ContainsFunc(others, func(c *conn) bool { return c.state() == connOpen })
 }
 
 // connsLike returns the open connections to the same replica that go the same way as another one, itself excepted.
@@ -108,13 +101,10 @@
 }
 
 // tryNewConn tries to open a connection to a replica the way that the exchange's went. An accepted one is put into the pool.
-// within is for how long it tries; 0: as long as ctx allows.
+// within is for how long it tries.
 func (p *Pool) tryNewConn(ctx context.Context, x *exchange, v *routing.View, within time.Duration) routing.NewConn {
-	if within > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, within)
-		defer cancel()
-	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
 	if !p.reserve(x.replica.Incarnation(), v.ConnectionLimit(x.replica.Service)) {
 		return routing.NewConnUnknown
 	}
