--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -30,6 +30,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -220,11 +221,12 @@
 }
 
 // closedByKill reports whether a connection of a run ended because its daemon was killed, after the run began and until a
-// time.
+// time. A partition of the daemon that was killed keeps that end from the
+// link until later.
 func (j *checker) closedByKill(run *Run, c connRecord, until time.Time) bool {
 	opener, ok := j.sources[c.source]
 	return ok && slices.ContainsFunc(j.kills[opener], func(at time.Time) bool {
-		return at.After(run.At) && !at.After(until) && !c.closed.Before(at)
+		return at.After(run.At) && !at.After(until) && (!c.closed.Before(at) || c.closed.IsZero() && j.isPartitioned(opener, at, 0))
 	})
 }
 
@@ -357,6 +359,19 @@
 	return what + fmt.Sprintf(", nothing had arrived from it for %v", milliseconds(until.Sub(last)))
 }
 
+// describeRuns describes the runs of a request, and whether a fault of the run reset their connections.
+func (j *checker) describeRuns(r *record) string {
+	var runs []string
+	for _, run := range r.runs {
+		what := j.describeRun(run, r.answer.At)
+		if c, ok := j.connection(run.Conn, run.At); ok && !c.reset.IsZero() {
+			what += ", reset by the link " + describeOffset(c.reset, r.answer.At)
+		}
+		runs = append(runs, what)
+	}
+	return strings.Join(runs, "; ")
+}
+
 // describeOffset describes a time relative to the end of a response.
 func describeOffset(at, end time.Time) string {
 	if d := at.Sub(end); d > 0 {
--- a/transport/relay/replica_test.go
+++ b/transport/relay/replica_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +68,10 @@
 func startReplica(id string, script func(a *receivedRequest) bool) *replica {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return startReplicaAt(l, id, script)
+}
+
+func startReplicaAt(l net.Listener, id string, script func(a *receivedRequest) bool) *replica {
 	r := &replica{listener: l, script: script, closed: make(chan struct{}, 64)}
 	r.Replica = routing.NewReplica(routing.Replica{ID: routing.ReplicaID(id), Service: "s", Domain: "z", Slots: 8, Address: l.Addr().String()})
 	go r.accept()
@@ -134,6 +139,19 @@
 	return false
 }
 
+// kill simulates a replica whose process is killed after it has read everything that it was sent: its operating system
+// ends its connections in an ordinary way, the latest first, and then refuses new ones. It returns false, for use as the
+// result of a script.
+func (r *replica) kill() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range slices.Backward(r.openConns) {
+		_ = c.Close()
+	}
+	_ = r.listener.Close()
+	return false
+}
+
 func (r *replica) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 )
 
 const (
@@ -23,6 +24,9 @@
 	copyBytes = 4 << 10
 	// closePoll is how often Close checks whether connections are left.
 	closePoll = 20 * time.Millisecond
+	// drainTime is how long the rest of a request is read, and discarded, after the replica has ended its response. 1 MB
+	// arrives within it at 20 Mbit/s. A peer that has read the end closes the connection before.
+	drainTime = 500 * time.Millisecond
 )
 
 // Server opens connections to replicas for peers. Open must be set before the first use.
@@ -38,6 +42,8 @@
 	mu      sync.Mutex
 	open    int
 	closing bool
+	closed  bool                  // connections are reset
+	peers   map[net.Conn]struct{} // open connections to the daemons that asked
 }
 
 // Len returns the number of open connections.
@@ -54,8 +60,8 @@
 	s.closing = true
 }
 
-// Close makes the server refuse further connections, and waits until the open ones are closed or ctx
-// is done.
+// Close makes the server refuse further connections, and waits until the open ones are closed. If ctx is done before, it
+// resets these: at the end of the process the operating system would end them as if the replica had.
 func (s *Server) Close(ctx context.Context) {
 	s.Stop()
 	ticker := time.NewTicker(closePoll)
@@ -63,6 +69,7 @@
 	for s.Len() > 0 {
 		select {
 		case <-ctx.Done():
+			s.resetAll()
 			return
 		case <-ticker.C:
 		}
@@ -89,6 +96,34 @@
 	s.open--
 }
 
+// resetAll resets all connections to daemons that asked for them, and those that are opened later.
+func (s *Server) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.peers {
+		reset(c)
+		_ = c.Close()
+	}
+}
+
+// add keeps a connection to a daemon that asked for it. It returns false if such connections are reset.
+func (s *Server) add(peer net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = make(map[net.Conn]struct{})
+	}
+	s.peers[peer] = struct{}{}
+	return !s.closed
+}
+
+func (s *Server) remove(peer net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, peer)
+}
+
 // ServeHTTP opens one connection and copies bytes until it is closed.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, err := decodeReplica(r.URL.Query())
@@ -113,15 +148,27 @@
 		return
 	}
 	defer peer.Close()
+	defer s.remove(peer)
+	if !s.add(peer) {
+		reset(peer)
+		return
+	}
 	_ = peer.SetDeadline(time.Time{}) // on failure, the next write fails too
 	if s.Opened != nil {
 		s.Opened(r.RemoteAddr)
 	}
-	const accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n"
-	if _, err := io.WriteString(peer, accepted); err != nil {
+	const (
+		accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n"
+		framed   = headerFraming + ": " + framingVersion + "\r\n"
+	)
+	head, fromReplica := accepted, copyFunc(copyAll)
+	if r.Header.Get(headerFraming) == framingVersion {
+		head, fromReplica = accepted+framed, copyFrames
+	}
+	if _, err := io.WriteString(peer, head+"\r\n"); err != nil {
 		return
 	}
-	if join(peer, buffered, replica) && s.Broken != nil {
+	if join(peer, buffered, replica, fromReplica) && s.Broken != nil {
 		s.Broken(id)
 	}
 }
@@ -137,38 +184,81 @@
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
-// join copies bytes in both directions until either side ends. fromPeer reads from peer. It reports
+// join copies bytes in both directions until either side ends. fromPeer reads from peer, and fromReplica copies to it. It reports
 // whether the replica's connection broke before it sent a byte.
-func join(peer net.Conn, fromPeer io.Reader, replica net.Conn) (broken bool) {
+func join(peer net.Conn, fromPeer io.Reader, replica net.Conn, fromReplica copyFunc) (broken bool) {
+	replica = transport.Share(replica)
 	var (
 		wg       sync.WaitGroup
 		peerLeft atomic.Bool
 	)
 	wg.Go(func() {
-		_, _ = copyAll(replica, fromPeer) // the other direction finds out about a failure
+		if _, _, err := copyAll(replica, fromPeer); err != nil {
+			// The other direction finds out how the response ends. Closing a connection with unread bytes resets it,
+			// and a complete response would look broken.
+			_, _, _ = copyAll(io.Discard, fromPeer)
+		}
 		peerLeft.Store(true)
 		// The peer's end means that its caller has disconnected, or that it reuses no connection.
 		_ = replica.Close()
 	})
-	n, err := copyAll(peer, replica)
-	broken = err != nil && n == 0 && !peerLeft.Load()
-	if err != nil {
+	n, readErr, writeErr := fromReplica(peer, replica)
+	broken = readErr != nil && n == 0 && !peerLeft.Load()
+	_ = replica.Close()
+	if readErr != nil || writeErr != nil {
 		reset(peer) // a response without a length must not look complete
+	} else {
+		endWriting(peer)
+		wg.Wait()
 	}
 	_ = peer.Close()
 	wg.Wait()
 	return broken
 }
 
+// endWriting ends the direction to a peer, and bounds the wait for its own end.
+func endWriting(peer net.Conn) {
+	_ = peer.SetReadDeadline(time.Now().Add(drainTime)) // on failure, the next read fails too
+	if tcp, ok := peer.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		_ = peer.Close()
+	}
+}
+
 // buffers pools the copying buffers.
 var buffers = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
 
-// copyAll copies until the source ends, which is no error, or either side fails, and returns the number
-// of bytes. It hides the methods by which io.Copy would avoid the buffer: each piece is passed on as soon as it has arrived.
-func copyAll(to io.Writer, from io.Reader) (int64, error) {
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *buf)
+// copyFunc copies until the source ends, or either side fails. It returns the number of bytes, and the error of the side that
+// failed. Each piece is passed on as soon as it has arrived.
+type copyFunc func(to io.Writer, from io.Reader) (n int64, readErr, writeErr error)
+
+// copyAll is the [copyFunc] that copies bytes as they are.
+func copyAll(to io.Writer, from io.Reader) (n int64, readErr, writeErr error) {
+	return copyPieces(from, 0, func(piece []byte) error {
+		_, err := to.Write(piece)
+		return err
+	})
+}
+
+// copyPieces reads until the source ends, or either side fails, and sends each piece behind room for a head.
+func copyPieces(from io.Reader, head int, send func(piece []byte) error) (n int64, readErr, writeErr error) {
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buf := *pooled
+	for {
+		read, err := from.Read(buf[head:])
+		if read > 0 {
+			if err := send(buf[:head+read]); err != nil {
+				return n, nil, err
+			}
+			n += int64(read)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return n, nil, nil
+		case err != nil:
+			return n, err, nil
+		}
+	}
 }
 
 // reset makes closing a connection reset it.
