--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -77,7 +77,7 @@
 	EndByLength     EndBasis = "length"
 	EndByChunks     EndBasis = "chunks"
 	EndByConnection EndBasis = "connection"      // the replica closed this daemon's connection
-	EndConfirmed    EndBasis = "peer_confirmed"  // another daemon reported that the replica closed its connection
+	EndByPeerReport EndBasis = "peer_confirmed"  // another daemon reported that the replica closed its connection
 	EndByPeer       EndBasis = "peer_connection" // the replica closed the connection of another daemon, which still runs
 )
 
@@ -115,7 +115,7 @@
 	case !e.ThroughPeer:
 		return EndByConnection
 	case e.EndConfirmed:
-		return EndConfirmed
+		return EndByPeerReport
 	}
 	return EndByPeer
 }
--- a/coordination/routing/response_end_test.go
+++ b/coordination/routing/response_end_test.go
@@ -23,7 +23,7 @@
 		{"no other is open, a new one is accepted", end{NewConn: accepted}, routing.EndByConnection},
 		{"no other is open, a new one is refused", end{NewConn: refused}, routing.EndUnknown},
 		{"no other is open, nothing is known of a new one", end{}, routing.EndByConnection},
-		{"the other daemon reports the end", end{ThroughPeer: true, EndConfirmed: true, OtherOpen: true}, routing.EndConfirmed},
+		{"the other daemon reports the end", end{ThroughPeer: true, EndConfirmed: true, OtherOpen: true}, routing.EndByPeerReport},
 		{"the other daemon reports the end, and the replica refuses a new connection", end{ThroughPeer: true, EndConfirmed: true, NewConn: refused}, routing.EndUnknown},
 		{"the replica is leaving", end{Leaving: true}, routing.EndByConnection},
 		{"the replica is leaving, a new connection is refused", end{Leaving: true, NewConn: refused}, routing.EndByConnection},
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -193,7 +193,7 @@
 		m.ConnEnds[e] = metrics.NewRegisteredCounter("response_"+string(e)+"_total", m.registry)
 		m.DetourConnEnds[e] = metrics.NewRegisteredCounter("detour_response_"+string(e)+"_total", m.registry)
 	}
-	for _, b := range []routing.EndBasis{routing.EndByLength, routing.EndByChunks, routing.EndByConnection, routing.EndConfirmed, routing.EndByPeer} {
+	for _, b := range []routing.EndBasis{routing.EndByLength, routing.EndByChunks, routing.EndByConnection, routing.EndByPeerReport, routing.EndByPeer} {
 		m.endsBy(b)
 	}
 	m.Memory = metrics.NewRegisteredGauge("memory_bytes", m.registry)
--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -221,8 +221,7 @@
 }
 
 // closedByKill reports whether a connection of a run ended because its daemon was killed, after the run began and until a
-// time. A partition of the daemon that was killed keeps that end from the
-// link until later.
+// time. A partition of the daemon that was killed keeps that end from the link until later.
 func (j *checker) closedByKill(run *Run, c connRecord, until time.Time) bool {
 	opener, ok := j.sources[c.source]
 	return ok && slices.ContainsFunc(j.kills[opener], func(at time.Time) bool {
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -182,8 +182,9 @@
 func (s *injector) injectUploads(f *Fault) {
 	switch f.Kind {
 	case killOfCarriers:
-		d := s.daemon(f)
-		s.interrupt([]*daemon{d}, func() { s.kill(d); pause(s.ctx, restartPause) })
+		kill := *f
+		kill.Kind = killDaemon
+		s.injectProcess(&kill)
 	case resetUploads:
 		s.resetStreaming(f)
 	case endInOrder:
--- a/transport/relay/carrier_ends_test.go
+++ b/transport/relay/carrier_ends_test.go
@@ -74,7 +74,7 @@
 				Expect(string(to.body)).To(Equal(part))
 			}
 		},
-			Entry("whole", false, keeps, whole, routing.EndConfirmed),
+			Entry("whole", false, keeps, whole, routing.EndByPeerReport),
 			Entry("whole, last build", true, keeps, whole, routing.EndByPeer),
 			Entry("killed and up again", false, func(p *carrierPeer, _ *receivedRequest) {
 				p.kill()
--- a/transport/relay/conn_end_test.go
+++ b/transport/relay/conn_end_test.go
@@ -73,7 +73,7 @@
 		_, s := w.serve(w.call("1", "POST", "x"))
 		last := s.Attempts[len(s.Attempts)-1]
 		Expect(last.Via).NotTo(BeEmpty())
-		Expect(last.End).To(Equal(routing.EndConfirmed))
+		Expect(last.End).To(Equal(routing.EndByPeerReport))
 		dies = true
 		_, s = w.serve(w.call("2", "POST", "x"))
 		last = s.Attempts[len(s.Attempts)-1]
--- a/transport/relay/reset_during_write_test.go
+++ b/transport/relay/reset_during_write_test.go
@@ -46,15 +46,9 @@
 	return r
 }
 
-// respondInPart writes the header of a response that ends with its connection, and a part of the response.
+// respondInPart writes an unframedPart, and lets it arrive.
 func respondInPart(a *receivedRequest, streams bool) {
-	if streams {
-		unframedHead(a, eventStream)
-		write(a, event(1))
-	} else {
-		unframedHead(a, "")
-		write(a, "fi")
-	}
+	unframedPart(a, streams)
 	time.Sleep(20 * time.Millisecond) // the part arrives, and the write of the body fills the buffers
 }
 
--- a/transport/relay/unframed_test.go
+++ b/transport/relay/unframed_test.go
@@ -16,6 +16,17 @@
 
 const eventStream = "Content-Type: text/event-stream\r\n"
 
+// unframedPart writes the header of a response that ends with its connection, and a part of the response.
+func unframedPart(a *receivedRequest, streams bool) {
+	if streams {
+		unframedHead(a, eventStream)
+		write(a, event(1))
+		return
+	}
+	unframedHead(a, "")
+	write(a, "fi")
+}
+
 // outcome is what a caller sees of a response.
 type outcome int
 
@@ -102,13 +113,7 @@
 	DescribeTable("through another daemon", func(streams, dies bool, want outcome, body string) {
 		var carrier *carrierPeer
 		script := func(a *receivedRequest) bool {
-			if streams {
-				unframedHead(a, eventStream)
-				write(a, event(1))
-			} else {
-				unframedHead(a, "")
-				write(a, "fi")
-			}
+			unframedPart(a, streams)
 			time.Sleep(50 * time.Millisecond) // the part arrives
 			if dies {
 				carrier.die()
@@ -134,13 +139,7 @@
 	DescribeTable("through another daemon, of a replica that is killed", func(streams bool, want outcome) {
 		replicas := make(map[string]*replica)
 		script := func(a *receivedRequest) bool {
-			if streams {
-				unframedHead(a, eventStream)
-				write(a, event(1))
-			} else {
-				unframedHead(a, "")
-				write(a, "fi")
-			}
+			unframedPart(a, streams)
 			time.Sleep(50 * time.Millisecond) // the part arrives
 			return replicas[a.request.Header.Get("Expect-Replica")].kill()
 		}
