--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -63,6 +63,7 @@
 	Crowded           bool          `long:"crowded" description:"add a plain service of few slots that callers ask for more than it can serve"`
 	Brittle           bool          `long:"brittle" description:"with --crowded: the replicas of the crowded service are brittle at times; it may have a model, and up to 40 replicas"`
 	Versions          bool          `long:"versions" description:"run several software versions of the replicas side by side, with rollouts, and callers that resume their streams"`
+	OutOfStep         bool          `long:"out-of-step" description:"let a second software version of the replicas be released while a daemon or a failure domain is cut off or paused, and streams of the other daemons break off"`
 	Silences          float64       `long:"silences" default:"0" description:"times per second that a sound replica falls silent for a moment"`
 	Unframed          bool          `long:"unframed" description:"let one in six responses of the replicas, streams too, end with their connections, with neither a length nor chunks"`
 	Uploads           bool          `long:"uploads" description:"let half of the requests have bodies of 24 or 140 KB, on a route of one attempt whose streams can't be resumed; replicas respond before they have read them, and read them slowly through small buffers"`
@@ -192,7 +193,7 @@
 	shape.CrashingParts = o.CrashingParts
 	shape.SilencesPerSec = o.Silences
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
-	shape.Brittle = o.Brittle
+	shape.Brittle, shape.OutOfStep = o.Brittle, o.OutOfStep
 	if o.Uploads {
 		shape.Uploads = &soak.Uploads{ResetsPerSec: o.UploadResets, EndsPerSec: o.OrderlyEnds, CarrierKillsPerSec: o.CarrierKills}
 	}
@@ -215,7 +216,7 @@
 		fmt.Printf("  %d ordinary requests were refused for a part of their prompts\n", report.HeldForParts)
 	}
 	if n := report.Streams; n.Begun > 0 {
-		fmt.Printf("  %d of %d long streams began, %d of them hold events of several versions; %d of %d resumes by callers went on\n", n.Begun, n.Sent, n.Mixed, n.Resumed, n.Resumes)
+		fmt.Printf("  %d of %d long streams began, %d of them hold events of several versions; %d of %d resumes by callers went on, %d were sent in the first second of a release, %d of these to daemons out of step\n", n.Begun, n.Sent, n.Mixed, n.Resumed, n.Resumes, n.AtRelease, n.OutOfStep)
 	}
 	for _, b := range report.Brittle {
 		fmt.Printf("  brittle, limit %d, queue %d: %d of %d falls counted, %d allowed; %d rejected; %.3f of %d calls served (room %.3f), %.3f in the warning\n",
--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -29,6 +29,10 @@
 	Mixed   int `json:"mixed"` // streams with events of several versions
 	Resumes int `json:"resumes"`
 	Resumed int `json:"resumed"` // resumes that went on
+	// AtRelease counts the resumes that were sent within releaseWindow from the start of a release, and OutOfStep those
+	// of them at daemons that were out of step: a run without any can't show what these make of the streams.
+	AtRelease int `json:"at_release"`
+	OutOfStep int `json:"out_of_step"`
 }
 
 // versionSpan is the time from which a replica had a software version.
@@ -50,6 +54,10 @@
 	var n StreamCount
 	for _, r := range j.longStreams() {
 		isBegun := r.answer != nil && len(versionsOf(r.answer.Body)) > 0
+		if r.After > 0 && j.isAtRelease(r.Sent) {
+			n.AtRelease++
+			n.OutOfStep += btoi(j.isOutOfStep(r.Daemon, r.Sent))
+		}
 		switch {
 		case r.After > 0 && isBegun:
 			n.Resumes, n.Resumed = n.Resumes+1, n.Resumed+1
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -148,6 +148,7 @@
 	case freezeDaemon:
 		s.interrupt([]*daemon{d}, func() {
 			from := time.Now()
+			s.ledger.FellOutOfStep(d.number, from, from.Add(f.For))
 			d.freeze(s.ctx, f.For)
 			s.ledger.Froze(d.number, from, time.Now())
 		})
@@ -204,6 +205,7 @@
 	isInside := make(map[string]bool)
 	for _, d := range inside {
 		isInside[d.ip] = true
+		s.ledger.FellOutOfStep(d.number, time.Now(), time.Now().Add(f.For))
 	}
 	inbound, outbound := f.Variant%3 != 1, f.Variant%3 != 2
 	s.disturb(inside, func() {
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -40,6 +40,8 @@
 	brittle         []brittleSpan
 	partitions      []partitionSpan
 	versions        map[string][]versionSpan // of replicas
+	releases        []time.Time              // when each began
+	outOfStep       map[int][]span           // when a daemon was cut off from others, or suspended
 	silences        []silentSpan             // of sound replicas
 	replicaEnds     map[string][]time.Time   // when a replica reset all its connections
 	orderlyEnds     map[string][]time.Time   // when a replica terminated and the system ended its connections
@@ -73,6 +75,7 @@
 	o.silences, o.configurations = slices.Clone(o.silences), slices.Clone(o.configurations)
 	o.replicaEnds, o.hangUps, o.interruptions = cloneLists(o.replicaEnds), cloneLists(o.hangUps), cloneLists(o.interruptions)
 	o.orderlyEnds = cloneLists(o.orderlyEnds)
+	o.releases, o.outOfStep = slices.Clone(o.releases), cloneLists(o.outOfStep)
 	o.kills, o.sources = cloneLists(o.kills), maps.Clone(o.sources)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
--- /dev/null
+++ b/internal/soak/out_of_step.go
@@ -0,0 +1,192 @@
+// This file lets a release begin while a daemon, or a failure domain, is out of step with it: cut off from the other
+// daemons, with the store silent, reset or well for it, or paused in series. Meanwhile the streams of the daemons in step
+// break off, and their callers resume them at any daemon, some at one that does not know the new version.
+
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// sourceOutOfStep is the random source of these releases.
+const sourceOutOfStep = 30
+
+// Parameters of releases beside daemons that are out of step.
+const (
+	// firstRelease is when the first release begins, at the earliest. Daemons know that a service has a single version
+	// only once they have run for as long as a stream can last, which is 10 s; until then they ask for each stream.
+	firstRelease = 11500 * time.Millisecond
+	// releaseJitter is added to it at most.
+	releaseJitter = time.Second
+	// releasePause is the time between the end of one outage and the next release.
+	releasePause = 1500 * time.Millisecond
+	// maxOutOfStepLead is how long before the release a daemon falls out of step, at most.
+	maxOutOfStepLead = 150 * time.Millisecond
+	// Outages last from before a daemon misses its peers (1 s) until after it counts them as gone (2.5 s).
+	minOutOfStep = 1200 * time.Millisecond
+	maxOutOfStep = 4 * time.Second
+	// Pauses are shorter and longer than the second after which a daemon notices one.
+	minPause      = 100 * time.Millisecond
+	maxPause      = 3 * time.Second
+	maxPauseGap   = 400 * time.Millisecond // between two pauses of a series
+	minStepped    = 4                      // daemons
+	stepResumers  = 100                    // callers that resume their streams
+	firstBreak    = 150 * time.Millisecond // after the release, at the earliest
+	breakInterval = 250 * time.Millisecond // between two resets of callers' links
+	breakLength   = 60 * time.Millisecond
+	// At least minReplaced replicas are replaced in a release, and at most maxReplaced. The others serve on, since
+	// streams may begin at a version that not all daemons know only if no replica of another one is left.
+	minReplaced = 4
+	maxReplaced = 8
+)
+
+// Variants of faults of links and cuts.
+const (
+	linkSilent   = 3 // nothing arrives from the side that opened the connection
+	linkMute     = 4 // nothing arrives at that side
+	linkResets   = 5
+	bothWays     = 0
+	cutVariants  = 3
+	noStoreFault = -1
+)
+
+// storeFaults are what becomes of the store's link of a daemon that is cut off. Resets are frequent: a daemon whose
+// connections are reset learns sooner that it is cut off than one that waits for a silent store.
+var storeFaults = []int{linkResets, linkResets, linkSilent, linkMute, noStoreFault}
+
+// releaseGaps are the times between replacing one replica and the next.
+var releaseGaps = []time.Duration{2 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond}
+
+// outage is a time in which some daemons are out of step with a release.
+type outage struct {
+	release time.Duration // when it begins
+	from    time.Duration
+	length  time.Duration
+	daemons []int
+}
+
+// drawOutOfStep replaces the versions of a plan by releases beside daemons that are out of step, from a random source of
+// their own.
+func (p *Plan) drawOutOfStep(seed uint64, s Shape) {
+	if !s.OutOfStep {
+		return
+	}
+	rng := rand.New(rand.NewPCG(seed, sourceOutOfStep))
+	p.Daemons = max(p.Daemons, minStepped)
+	p.Versions = &Versions{Count: 1, Replicas: versionedReplicas, Resumers: stepResumers, KeepsVersion: true}
+	p.Chat = versionedReplicas
+	at := firstRelease + time.Duration(rng.Int64N(int64(releaseJitter)))
+	for version := range 1 + rng.IntN(2) {
+		p.Versions.Rollouts = append(p.Versions.Rollouts, Rollout{
+			At: at, Version: version + 1, Replicas: 2*p.Gate + minReplaced + rng.IntN(maxReplaced-minReplaced+1),
+			Gap: releaseGaps[rng.IntN(len(releaseGaps))], Unannounced: rng.IntN(2) == 0,
+		})
+		o := outage{release: at, from: at - time.Duration(rng.Int64N(int64(maxOutOfStepLead))), length: between(rng, minOutOfStep, maxOutOfStep)}
+		p.drawOutage(rng, &o)
+		p.drawBreaks(rng, &o)
+		at += o.length + releasePause
+	}
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
+
+// drawOutage draws the daemons of an outage and what puts them out of step: a cut, or pauses with or without a cut.
+func (p *Plan) drawOutage(rng *rand.Rand, o *outage) {
+	target := rng.IntN(p.Daemons)
+	o.daemons = []int{target}
+	kind, store := rng.IntN(5), storeFaults[rng.IntN(len(storeFaults))]
+	switch kind {
+	case 0, 1:
+		p.addCut(rng, o, cutDaemon, target, store)
+	case 2:
+		domain := target % p.Domains
+		o.daemons = slices.DeleteFunc(rng.Perm(p.Daemons), func(i int) bool { return i%p.Domains != domain })
+		p.addCut(rng, o, cutDomain, domain, store)
+	case 3:
+		p.addCut(rng, o, cutDaemon, target, store)
+		p.addPauses(rng, o, target)
+	case 4:
+		p.addPauses(rng, o, target)
+	}
+}
+
+// addCut cuts the daemons of an outage off from the others, in half of the draws in both directions, and disturbs their
+// links to the store.
+func (p *Plan) addCut(rng *rand.Rand, o *outage, kind faultKind, target, store int) {
+	direction := bothWays
+	if rng.IntN(2) == 0 {
+		direction = rng.IntN(cutVariants)
+	}
+	p.Faults = append(p.Faults, Fault{At: o.from, For: o.length, Kind: kind, Target: target, Variant: direction})
+	if store == noStoreFault {
+		return
+	}
+	for _, d := range o.daemons {
+		p.Faults = append(p.Faults, Fault{At: o.from, For: o.length, Kind: linkStore, Target: d, Variant: store})
+	}
+}
+
+// addPauses suspends a daemon again and again during an outage.
+func (p *Plan) addPauses(rng *rand.Rand, o *outage, target int) {
+	longest := []time.Duration{500 * time.Millisecond, time.Second, maxPause}[rng.IntN(3)]
+	for at, end := o.from, o.from+o.length; at < end; {
+		length := min(between(rng, minPause, longest), end-at)
+		p.Faults = append(p.Faults, Fault{At: at, For: length, Kind: freezeDaemon, Target: target})
+		at += length + time.Duration(rng.Int64N(int64(maxPauseGap)))
+	}
+}
+
+// drawBreaks breaks the streams of the daemons in step off, from soon after the release until the end of the outage: by
+// resets of their callers' links, by kills of some of them, or by both.
+func (p *Plan) drawBreaks(rng *rand.Rand, o *outage) {
+	var inStep []int
+	for _, d := range rng.Perm(p.Daemons) {
+		if !slices.Contains(o.daemons, d) {
+			inStep = append(inStep, d)
+		}
+	}
+	from, kind := o.release+firstBreak, rng.IntN(4)
+	if kind != 0 {
+		for at := from; at < o.from+o.length; at += breakInterval {
+			for _, d := range inStep {
+				p.Faults = append(p.Faults, Fault{At: at, For: breakLength, Kind: linkCallers, Target: d, Variant: linkResets})
+			}
+		}
+	}
+	if kind <= 1 {
+		for _, d := range inStep[:min(len(inStep), 1+rng.IntN(3))] {
+			p.Faults = append(p.Faults, Fault{At: from + time.Duration(rng.Int64N(int64(minOutOfStep))), Kind: killDaemon, Target: d})
+		}
+	}
+}
+
+// releaseWindow is the time from the start of a release in which resumes count as made at it.
+const releaseWindow = time.Second
+
+// ReleaseBegan records that a release begins.
+func (l *Ledger) ReleaseBegan(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.releases = append(l.releases, at)
+}
+
+// FellOutOfStep records that a daemon is cut off from others, or suspended.
+func (l *Ledger) FellOutOfStep(daemon int, from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outOfStep[daemon] = append(l.outOfStep[daemon], span{from, to})
+}
+
+// isAtRelease reports whether a time lies within releaseWindow from the start of a release.
+func (j *checker) isAtRelease(at time.Time) bool {
+	return slices.ContainsFunc(j.releases, func(from time.Time) bool { return !at.Before(from) && at.Sub(from) <= releaseWindow })
+}
+
+// isOutOfStep reports whether a daemon was out of step at a time, or had been just before.
+func (j *checker) isOutOfStep(daemon int, at time.Time) bool {
+	return !noneOverlaps(j.outOfStep[daemon], at.Add(-settling), at)
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -135,6 +135,8 @@
 	Brittle bool
 	// Versions says whether replicas run several software versions.
 	Versions bool
+	// OutOfStep says whether releases begin while daemons are out of step with them.
+	OutOfStep bool
 	// Unframed says whether a part of the responses ends with their connections.
 	Unframed bool
 	// Uploads says what a run does with large bodies; nil: there are none.
@@ -183,6 +185,7 @@
 	p.drawCrashingParts(seed, s)
 	p.drawSilences(seed, s)
 	p.drawUploads(seed, s)
+	p.drawOutOfStep(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -21,6 +21,9 @@
 	Resumers int           `json:"resumers"` // callers that resume their streams
 	Interval time.Duration `json:"interval"` // mean pause between two crashes of replicas; 0: none
 	Rollouts []Rollout     `json:"rollouts"`
+	// KeepsVersion says that replicas that restart under their id keep their version, so that only releases bring
+	// new ones.
+	KeepsVersion bool `json:"keeps_version,omitempty"`
 
 	drawn atomic.Int64
 }
@@ -100,7 +103,7 @@
 
 // restartVersion returns the version of a replica that restarts under its id.
 func (v *Versions) restartVersion(before string) string {
-	if v == nil || rand.IntN(otherVersionOneIn) > 0 {
+	if v == nil || v.KeepsVersion || rand.IntN(otherVersionOneIn) > 0 {
 		return before
 	}
 	return versionName(rand.IntN(maxVersions))
@@ -110,6 +113,7 @@
 func (s *injector) rollOut(o *Rollout) {
 	pause(s.ctx, time.Until(s.begun.Add(o.At)))
 	s.logf("rollout of version %s to %d replicas begins", versionName(o.Version), o.Replicas)
+	s.ledger.ReleaseBegan(time.Now())
 	for i := range o.Replicas {
 		if s.ctx.Err() != nil {
 			return
