--- a/internal/soak/cut_daemons_test.go
+++ b/internal/soak/cut_daemons_test.go
@@ -35,25 +35,20 @@
 	return p
 }
 
-const (
-	// outOfStepRelease is when the replicas are replaced: the daemons know by then which versions there were.
-	outOfStepRelease = 12 * time.Second
-	// linkResets is the variant of linkCallers and linkStore that resets all connections.
-	linkResets = 5
-)
+// outOfStepRelease is when the replicas are replaced: the daemons know by then which versions there were.
+const outOfStepRelease = 12 * time.Second
 
 // TestStreamsStayAtTheirVersionBesideCutDaemons guards against daemons that are cut off during a release, take the only
 // version that they know for the only one that there is, and resume streams of another version at its replicas.
 func TestStreamsStayAtTheirVersionBesideCutDaemons(t *testing.T) {
 	t.Parallel()
-	const silent = 3 // the variant of linkStore that delivers nothing to the store
 	for _, c := range []struct {
 		name   string
 		faults []Fault
 	}{
 		{"a daemon whose connections to the store are reset", []Fault{{Kind: cutDaemon}, {Kind: linkStore, Variant: linkResets}}},
 		{"a failure domain whose connections to the store are silent", []Fault{
-			{Kind: cutDomain}, {Kind: linkStore, Variant: silent}, {Kind: linkStore, Target: 3, Variant: silent}}},
+			{Kind: cutDomain}, {Kind: linkStore, Variant: linkSilent}, {Kind: linkStore, Target: 3, Variant: linkSilent}}},
 	} {
 		t.Run(c.name, func(t *testing.T) { playStreams(t, outOfStepPlan(c.faults...)) })
 	}
