The line of a resumed stream tells by which knowledge its version was bound, and how old that was

Cause: a stream of two versions could not be traced from logs. The line named the request that a stream resumes, but not whether its version was taken from the only version of the service, this daemon's record or a holder's, nor how old the documents were.

Change: the line has origin, origin_from, origin_version, confirmed_ms, documents_ms and first_event; three counters beside resumes_unknown_total. No decision depends on these. Holders are asked under an id each, as a reply does not name its sender; the number of datagrams and their form stay.

Volume: no new line; the fields stand only in lines of requests with Last-Event-ID, and each is of bounded size.

--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -95,6 +95,7 @@
 	mayBeBehind atomic.Bool
 	// lacksDocuments says that a peer is known to have newer documents than this daemon.
 	lacksDocuments atomic.Bool
+	documents      documentTimes
 
 	// reach says which services this daemon reaches through its own links, and carriers which daemons
 	// open connections for it meanwhile. dropCarrier makes the pool not use one for a while.
@@ -192,12 +193,16 @@
 	case storeListed:
 		c.syncs.needsPeerCheck = c.syncs.needsPeerCheck || c.catalog.feed.Revision() == 0
 		c.applyList(e.items, e.at, sourceStore, now)
+		c.confirmFromStore(e.at.Era, now)
 	case storePageRead:
 		c.applyPage(&e, now)
 	case storeChanged:
 		if e.At.Era == c.catalog.feed.Position().Era {
 			c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
 		}
+		c.confirmFromStore(e.At.Era, now)
+	case storeConfirmed:
+		c.confirmFromStore(e.at.Era, now)
 	case storeReachabilityChanged:
 		c.setStoreUnreachable(e, now)
 	case heartbeatReceived:
@@ -406,6 +411,7 @@
 	if len(changed) == 0 {
 		return
 	}
+	c.documents.change(now)
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeUnreachableAt) < storeOutageWindow, now))
 	c.announce(now)
 }
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -35,6 +35,8 @@
 	}
 	// storeChanged carries the changes that a watch of the store returned.
 	storeChanged struct{ feed.Changes }
+	// storeConfirmed says that a watch of the store returned without changes.
+	storeConfirmed struct{ at feed.Position }
 	// storeReachabilityChanged says that the store became unreachable or reachable.
 	storeReachabilityChanged struct {
 		unreachable bool
@@ -159,6 +161,7 @@
 func (storeListed) isEvent()              {}
 func (storePageRead) isEvent()            {}
 func (storeChanged) isEvent()             {}
+func (storeConfirmed) isEvent()           {}
 func (storeReachabilityChanged) isEvent() {}
 func (heartbeatReceived) isEvent()        {}
 func (silencesReceived) isEvent()         {}
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -324,6 +324,8 @@
 	}
 	if c.LastEventID != "" {
 		e.Str("resumes", string(c.Resumes)).Str("last_event", c.LastEventID).Int64("origin_ms", s.OriginWait.Milliseconds())
+		addBinding(e, &s.Binding)
+		e.Int64("first_event", s.FirstEvent)
 	}
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
@@ -332,6 +334,12 @@
 	e.Msg(prefixRequest + "ended")
 }
 
+// addBinding adds by which knowledge a resumed stream was bound to a software version. Each field is of bounded size.
+func addBinding(e *log.Entry, b *relay.Binding) {
+	e.Str("origin", string(b.By)).Str("origin_from", string(b.Holder)).Str("origin_version", strconv.FormatUint(uint64(b.Version), 36)).
+		Int64("confirmed_ms", b.Ages.Confirmed.Milliseconds()).Int64("documents_ms", b.Ages.Changed.Milliseconds())
+}
+
 // noReportedLoad is logged as the reported load if the replica did not report any.
 const noReportedLoad = -1
 
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -107,9 +107,12 @@
 	// CallerResumes the requests that resume a stream, ResumesUnknown those of them that were refused because its version is not
 	// known, and ResumesVersionGone those refused because no replica of it is ready.
 	OriginsRecorded, CallerResumes, ResumesUnknown, ResumesVersionGone metrics.Counter
-	PermitWait                                                         metrics.Histogram // milliseconds until a permit was granted
-	FirstByte                                                          metrics.Histogram // milliseconds
-	Total                                                              metrics.Histogram // milliseconds
+	// ResumesOnlyVersion counts the resumed streams that were bound to the only version of their service, ResumesOwnRecord
+	// those that were bound by this daemon's record, and ResumesHolder those bound by another daemon's.
+	ResumesOnlyVersion, ResumesOwnRecord, ResumesHolder metrics.Counter
+	PermitWait                                          metrics.Histogram // milliseconds until a permit was granted
+	FirstByte                                           metrics.Histogram // milliseconds
+	Total                                               metrics.Histogram // milliseconds
 	// LoadUnderestimate is the number of requests by which a replica's reported load exceeded the
 	// estimate that it was chosen by, without the request itself. Coverage is the percentage
 	// of the fleet's daemons that the estimate included. Together they show whether the load
@@ -148,6 +151,9 @@
 		"coordinators_silent_total":       &m.CoordinatorsSilent,
 		"origins_recorded_total":          &m.OriginsRecorded,
 		"caller_resumes_total":            &m.CallerResumes,
+		"resumes_only_version_total":      &m.ResumesOnlyVersion,
+		"resumes_own_record_total":        &m.ResumesOwnRecord,
+		"resumes_holder_total":            &m.ResumesHolder,
 		"resumes_unknown_total":           &m.ResumesUnknown,
 		"resumes_version_gone_total":      &m.ResumesVersionGone,
 		"spilled_total":                   &m.Spilled,
@@ -271,6 +277,14 @@
 	if c.LastEventID != "" {
 		m.CallerResumes.Inc(1)
 	}
+	switch s.Binding.By {
+	case relay.OriginOnlyVersion:
+		m.ResumesOnlyVersion.Inc(1)
+	case relay.OriginOwnRecord:
+		m.ResumesOwnRecord.Inc(1)
+	case relay.OriginHolder:
+		m.ResumesHolder.Inc(1)
+	}
 	if s.CallerGone {
 		m.CallerGone.Inc(1)
 	}
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -30,24 +30,36 @@
 
 // originQuestions are the questions of this daemon that holders have not all replied to.
 type originQuestions struct {
-	last    gossip.OriginRequestID
-	pending map[gossip.OriginRequestID]*originQuestion
+	last gossip.OriginRequestID
+	// pending has the holders that were asked. Each is asked under an id of its own, since a reply does not name its sender.
+	pending map[gossip.OriginRequestID]askedHolder
+}
+
+// askedHolder is a holder that a question was sent to.
+type askedHolder struct {
+	*originQuestion
+	address membership.Address
 }
 
 // originQuestion is a question for the origin of a stream.
 type originQuestion struct {
-	reply   chan<- originFound
-	waiting int // holders that have not replied
-	until   time.Time
+	reply    chan<- originFound
+	waiting  int // holders that have not replied
+	answered bool
+	until    time.Time
 }
 
-// originFound is the origin of a stream; version is 0 if no holder knows it.
-type originFound struct{ version routing.VersionKey }
+// originFound is the origin of a stream; version is 0 if no holder knows it, and holder empty if the record is this
+// daemon's own.
+type originFound struct {
+	version routing.VersionKey
+	holder  membership.Address
+}
 
 // streamOrigins lets the request path record and find the origins of streams.
 type streamOrigins struct{ control *control }
 
-var _ relay.Origins = streamOrigins{}
+var _ relay.TracedOrigins = streamOrigins{}
 
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
@@ -83,12 +95,18 @@
 
 // Find implements [relay.Origins].
 func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (routing.VersionKey, bool) {
+	r, ok := o.FindRecord(ctx, stream)
+	return r.Version, ok
+}
+
+// FindRecord implements [relay.TracedOrigins].
+func (o streamOrigins) FindRecord(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
 	for range maxOriginQuestions {
 		if found, ok := o.ask(ctx, stream); ok {
-			return found.version, found.version != 0
+			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder)}, found.version != 0
 		}
 	}
-	return 0, false
+	return relay.OriginRecord{}, false
 }
 
 // ask asks the holders once. It returns false if they did not all reply in time and those that did know
@@ -131,7 +149,7 @@
 // findOrigin looks for the origin of a stream, here and at its holders.
 func (c *control) findOrigin(need *originNeeded, now time.Time) {
 	if v, ok := c.origins.Find(need.stream, now); ok {
-		need.reply <- originFound{v}
+		need.reply <- originFound{version: v}
 		return
 	}
 	others := c.otherHolders(need.stream, now)
@@ -140,13 +158,16 @@
 		return
 	}
 	q := &c.originQuestions
-	q.last++
 	if q.pending == nil {
-		q.pending = make(map[gossip.OriginRequestID]*originQuestion)
+		q.pending = make(map[gossip.OriginRequestID]askedHolder)
+	}
+	question := &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
+	for _, holder := range others {
+		q.last++
+		q.pending[q.last] = askedHolder{question, holder}
+		ask := gossip.OriginRequest{ID: q.last, From: c.roster.Self().Address, Stream: need.stream}
+		sendReports(c, []membership.Address{holder}, []gossip.OriginRequest{ask}, gossip.EncodeOriginRequests)
 	}
-	q.pending[q.last] = &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
-	ask := gossip.OriginRequest{ID: q.last, From: c.roster.Self().Address, Stream: need.stream}
-	sendReports(c, others, []gossip.OriginRequest{ask}, gossip.EncodeOriginRequests)
 }
 
 // answerOrigins replies to a peer's questions.
@@ -161,15 +182,20 @@
 // origin is enough.
 func (c *control) receiveOriginReplies(replies []gossip.OriginReply) {
 	for _, r := range replies {
-		q, ok := c.originQuestions.pending[r.ID]
+		holder, ok := c.originQuestions.pending[r.ID]
 		if !ok {
 			continue
 		}
-		if q.waiting--; r.Version == 0 && q.waiting > 0 {
+		delete(c.originQuestions.pending, r.ID)
+		if holder.waiting--; holder.answered || r.Version == 0 && holder.waiting > 0 {
 			continue
 		}
-		delete(c.originQuestions.pending, r.ID)
-		q.reply <- originFound{r.Version}
+		holder.answered = true
+		found := originFound{version: r.Version}
+		if r.Version != 0 {
+			found.holder = holder.address
+		}
+		holder.reply <- found
 	}
 }
 
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -233,6 +233,8 @@
 	r.after = changes.At
 	if len(changes.Items) > 0 {
 		r.control.post(ctx, storeChanged{changes})
+	} else {
+		r.control.post(ctx, storeConfirmed{changes.At})
 	}
 	r.succeeded(ctx)
 	if len(changes.Items) > 0 {
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -144,6 +144,7 @@
 	if !at.Before(c.syncs.newest) {
 		c.syncs.newest, c.syncs.newestHeard = at, now
 	}
+	c.confirmFromPeer(h, at, now)
 	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
 		c.requestMissedDocuments(ctx, h.Sender.Address, at)
--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -24,6 +24,7 @@
 	id    string // of the last event
 	seq   int64  // id as a number; -1 if there is none
 	count int    // of events
+	first int64  // id of the first event of this response that has one; NoEvent if there is none
 }
 
 const (
@@ -34,7 +35,7 @@
 )
 
 func newEventReader(last string) *eventReader {
-	at := streamPosition{id: last, seq: -1}
+	at := streamPosition{id: last, seq: -1, first: NoEvent}
 	if n, err := strconv.ParseInt(last, 10, 64); err == nil {
 		at.seq = n
 	}
@@ -66,6 +67,9 @@
 				return nil, false
 			}
 			e.read.seq, e.read.id = seq, id
+			if e.read.first == NoEvent {
+				e.read.first = seq
+			}
 		}
 		e.read.count++
 		at = next
--- a/transport/relay/finish.go
+++ b/transport/relay/finish.go
@@ -16,8 +16,9 @@
 	s.summary.Total = clock.Since(s.call.Arrived)
 	s.summary.Outcome = s.attempts.Outcome
 	s.summary.CallerGone = ctx.Err() != nil
+	s.summary.FirstEvent = NoEvent
 	if s.events != nil {
-		s.summary.Events = s.events.forwarded.count
+		s.summary.Events, s.summary.FirstEvent = s.events.forwarded.count, s.events.forwarded.first
 	}
 	isComplete := true
 	switch {
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -42,18 +42,18 @@
 	s.Origins.AwaitDocuments(ctx)
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
 		s.tried.Version = v
+		s.recordBinding(Binding{By: OriginOnlyVersion, Version: v})
 		return true
 	}
-	v, ok := routing.VersionKey(0), false
-	if key := s.call.stream(); key != 0 {
-		v, ok = s.Origins.Find(ctx, key)
-	}
+	r, ok := s.findRecord(ctx)
 	s.summary.OriginWait = clock.Since(asked)
 	if !ok {
+		s.recordBinding(Binding{By: OriginUnknown})
 		s.attempts.RecordUnknownOrigin()
 		return false
 	}
-	s.tried.Version = v
+	s.tried.Version = r.Version
+	s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
 	return true
 }
 
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -20,7 +20,18 @@
 	known    map[routing.StreamKey]routing.VersionKey
 	recorded []routing.StreamOrigin
 	asked    int
-	awaits   func() // called when documents are awaited; nil: nothing happens
+	awaits   func()         // called when documents are awaited; nil: nothing happens
+	holder   routing.PeerID // whose records the known origins are; empty: the daemon's own
+}
+
+// ages are those of the documents of a fleet whose origins are recordedOrigins.
+var ages = relay.DocumentAges{Confirmed: 2 * time.Second, Changed: time.Minute}
+
+func (o *recordedOrigins) DocumentAges() relay.DocumentAges { return ages }
+
+func (o *recordedOrigins) FindRecord(ctx context.Context, s routing.StreamKey) (relay.OriginRecord, bool) {
+	v, ok := o.Find(ctx, s)
+	return relay.OriginRecord{Version: v, Holder: o.holder}, ok
 }
 
 func (o *recordedOrigins) OnlyVersion(routing.ServiceName) (routing.VersionKey, bool) {
@@ -166,6 +177,40 @@
 		Expect(origins.recorded).To(BeEmpty())
 	})
 
+	// Which knowledge bound a stream of two versions could not be told from a log.
+	DescribeTable("tell by which knowledge they were bound, and how old it is", func(origins *recordedOrigins, by relay.OriginSource, holder routing.PeerID) {
+		r := startVersion("r1", "v1", rest)
+		w := newFixture(resumable, r)
+		version := r.VersionKey()
+		if origins.only != 0 {
+			origins.only = version
+		}
+		if origins.known != nil {
+			origins.known = map[routing.StreamKey]routing.VersionKey{routing.NewStreamKey("", "a"): version}
+		}
+		if by == relay.OriginUnknown {
+			version = 0
+		}
+		w.relay.Origins = origins
+		_, s := w.serve(resume(w, "a"))
+		Expect(s.Binding).To(Equal(relay.Binding{By: by, Version: version, Holder: holder, Ages: ages}))
+	},
+		Entry("the only version", &recordedOrigins{only: 1}, relay.OriginOnlyVersion, routing.PeerID("")),
+		Entry("the daemon's own record", &recordedOrigins{known: map[routing.StreamKey]routing.VersionKey{}}, relay.OriginOwnRecord, routing.PeerID("")),
+		Entry("a holder's record", &recordedOrigins{known: map[routing.StreamKey]routing.VersionKey{}, holder: "10.0.0.2:1"}, relay.OriginHolder, routing.PeerID("10.0.0.2:1")),
+		Entry("unknown", &recordedOrigins{}, relay.OriginUnknown, routing.PeerID("")),
+	)
+
+	It("tell which event a response began with", func() {
+		w := newFixture(resumable, startVersion("r1", "v1", rest))
+		_, s := w.serve(resume(w, "a"))
+		Expect(s.FirstEvent).To(Equal(int64(2)))
+		Expect(s.Binding).To(BeZero(), "no origins are recorded")
+		w = newFixture(resumable, startVersion("r1", "v1", func(a *receivedRequest) bool { return respond(a, 400, "", "") }))
+		_, s = w.serve(resume(w, "a"))
+		Expect(s.FirstEvent).To(Equal(relay.NoEvent))
+	})
+
 	It("wait for the documents of another daemon before their service counts as one of one version", func() {
 		r := startVersion("r1", "v1", rest)
 		w := newFixture(resumable, r)
