Restored store: a valid configuration stays if the copy's has no version

After a restore, a retained document was replaced by one of the copy that gives no version for itself, which may not be usable: daemons that started later had no configuration. Running ones kept theirs. It now stays, as before one of a lower version. Other documents are as before. The new spec in era_test.go failed before.

--- a/state/feed/era.go
+++ b/state/feed/era.go
@@ -6,7 +6,8 @@
 //
 //  1. A pre-restore document stays if its content has a newer version (Versioner): the copy is out of date.
 //     The store's document is kept beside it as overruled, and replaces it if no newer one arrives within a
-//     time limit (AcceptOverruled). A retained document is never replaced by an older one.
+//     time limit (AcceptOverruled). A retained document is never replaced by an older one, nor by one without a
+//     version, which may not be usable.
 //  2. A pre-restore document that the store lacks stays for a limited time, because its writer writes it again
 //     if it is still alive (DropMissing).
 //
@@ -132,8 +133,10 @@
 	}
 	a, b := f.versions.Version(old), f.versions.Version(current)
 	switch {
-	case current.Deleted && current.Revision > 0 || !b.Known:
+	case current.Deleted && current.Revision > 0:
 		return false
+	case !b.Known:
+		return a.Known && !old.Deleted && !current.Deleted && f.versions.IsRetained(old.Key)
 	case current.Deleted:
 		return a.Known && (a.Incarnation > b.Incarnation || a.Incarnation == b.Incarnation && a.Sequence > b.Sequence)
 	case !a.Known:
--- a/state/feed/era_test.go
+++ b/state/feed/era_test.go
@@ -76,6 +76,18 @@
 		Entry("the store's is used if only the pre-restore document has a version", "1.1", "y", "y"),
 	)
 
+	// Guards against a document without a version, which may be one that is not usable, in place of a retained one: daemons that
+	// start later would have none.
+	It("keeps a retained document if the copy's has no version", func() {
+		f := newListedFeed(doc("config", "1.1", 29))
+		f.EnterEra(2)
+		f.ApplyList([]feed.Item{doc("config", "y", 20)}, 26)
+		Expect(f.AcceptOverruled()).To(BeEmpty())
+		Expect(contents(f)).To(Equal("config=1.1"))
+		f.Apply([]feed.Item{doc("config", "1.2", 27)})
+		Expect(contents(f)).To(Equal("config=1.2"))
+	})
+
 	DescribeTable("compares the versions of a pre-restore removal and the copy's document",
 		func(last, copied, want string) {
 			f := newListedFeed(doc("a", last, 28), doc("b", "1.1", 1))
