--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -112,7 +112,7 @@
 func (j *checker) checkVersions() {
 	if mixed := j.mixedStreams(); len(mixed) > j.bounds.Versions.Mixed {
 		for _, r := range mixed {
-			j.add("ORDER", r, r.answer.At, "stream %s holds events of versions %v, through daemon %d", r.streamID(), slices.Compact(versionsOf(r.answer.Body)), r.Daemon)
+			j.add("ORDER", r, r.answer.At, "stream %s holds events of versions %v, through daemon %d%s", r.streamID(), slices.Compact(versionsOf(r.answer.Body)), r.Daemon, j.describeRelease(r))
 		}
 	}
 	j.checkResumes()
--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,11 +26,9 @@
 	// maxOutOfStepLead is how long before the release a daemon falls out of step, at most.
 	maxOutOfStepLead = 150 * time.Millisecond
 	// Outages last from before a daemon misses its peers (1 s) until after it counts them as gone (2.5 s).
-	minOutOfStep = 1200 * time.Millisecond
-	maxOutOfStep = 4 * time.Second
-	// Pauses are shorter and longer than the second after which a daemon notices one.
+	minOutOfStep  = 1200 * time.Millisecond
+	maxOutOfStep  = 4 * time.Second
 	minPause      = 100 * time.Millisecond
-	maxPause      = 3 * time.Second
 	maxPauseGap   = 400 * time.Millisecond // between two pauses of a series
 	minStepped    = 4                      // daemons
 	stepResumers  = 100                    // callers that resume their streams
@@ -44,17 +43,21 @@
 
 // Variants of faults of links and cuts.
 const (
-	linkSilent   = 3 // nothing arrives from the side that opened the connection
-	linkMute     = 4 // nothing arrives at that side
+	linkOneWay   = 3 // nothing arrives from the daemon; the store still answers the watch that it has
+	linkSilent   = 4 // nothing arrives at the daemon
 	linkResets   = 5
 	bothWays     = 0
 	cutVariants  = 3
 	noStoreFault = -1
 )
 
-// storeFaults are what becomes of the store's link of a daemon that is cut off. Resets are frequent: a daemon whose
-// connections are reset learns sooner that it is cut off than one that waits for a silent store.
-var storeFaults = []int{linkResets, linkResets, linkSilent, linkMute, noStoreFault}
+// storeFaults are what becomes of the store's link of a daemon that is cut off. Where one of the last two is drawn, the
+// daemon still learns of the release.
+var storeFaults = []int{linkResets, linkResets, linkResets, linkSilent, linkSilent, linkOneWay, noStoreFault}
+
+// longestPauses are the bounds of the pauses of a series, one of which is drawn. Most are shorter than the second after which
+// a daemon notices a pause, and after which the load balancer sends it no more callers.
+var longestPauses = []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second, 3 * time.Second}
 
 // releaseGaps are the times between replacing one replica and the next.
 var releaseGaps = []time.Duration{2 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond}
@@ -130,11 +133,15 @@
 	}
 }
 
-// addPauses suspends a daemon again and again during an outage.
+// addPauses suspends a daemon again and again during an outage, also when the release begins.
 func (p *Plan) addPauses(rng *rand.Rand, o *outage, target int) {
-	longest := []time.Duration{500 * time.Millisecond, time.Second, maxPause}[rng.IntN(3)]
+	longest := longestPauses[rng.IntN(len(longestPauses))]
 	for at, end := o.from, o.from+o.length; at < end; {
-		length := min(between(rng, minPause, longest), end-at)
+		length := between(rng, minPause, longest)
+		if at == o.from {
+			length = max(length, o.release-at+minPause)
+		}
+		length = min(length, end-at)
 		p.Faults = append(p.Faults, Fault{At: at, For: length, Kind: freezeDaemon, Target: target})
 		at += length + time.Duration(rng.Int64N(int64(maxPauseGap)))
 	}
@@ -171,7 +178,7 @@
 func (l *Ledger) ReleaseBegan(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.releases = append(l.releases, at)
+	l.releases = append(l.releases, at) // in order of time, as they begin
 }
 
 // FellOutOfStep records that a daemon is cut off from others, or suspended.
@@ -186,6 +193,19 @@
 	return slices.ContainsFunc(j.releases, func(from time.Time) bool { return !at.Before(from) && at.Sub(from) <= releaseWindow })
 }
 
+// describeRelease says when a request was sent after the start of the last release, if there was one, and whether its daemon
+// was out of step then.
+func (j *checker) describeRelease(r *record) string {
+	i := slices.IndexFunc(j.releases, func(from time.Time) bool { return from.After(r.Sent) })
+	if i < 0 {
+		i = len(j.releases)
+	}
+	if i == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", sent %.2f s after a release began, out of step %t", r.Sent.Sub(j.releases[i-1]).Seconds(), j.isOutOfStep(r.Daemon, r.Sent))
+}
+
 // isOutOfStep reports whether a daemon was out of step at a time, or had been just before.
 func (j *checker) isOutOfStep(daemon int, at time.Time) bool {
 	return !noneOverlaps(j.outOfStep[daemon], at.Add(-settling), at)
--- a/internal/soak/out_of_step_test.go
+++ b/internal/soak/out_of_step_test.go
@@ -62,7 +62,7 @@
 			t.Errorf("%s beside %d releases of %d seeds", kind, kinds[kind], seeds)
 		}
 	}
-	for _, v := range []int{linkSilent, linkMute, linkResets} {
+	for _, v := range []int{linkSilent, linkOneWay, linkResets} {
 		if stores[v] == 0 {
 			t.Errorf("no link to the store with variant %d: %v", v, stores)
 		}
