Soak: odd entries of a foreign writer (--odd-entries)

Numbers at and beyond their types, deep nesting, ports and keys that can't be, JSON in place of Base64, from a random source of their own.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -55,6 +55,7 @@
 	Crashing          int           `long:"crashing" default:"1" description:"number of requests that crash the replicas that run them; use 0 for seeds recorded before this option existed"`
 	CrashingParts     int           `long:"crashing-parts" default:"0" description:"number of prompt parts that crash the replicas that begin to respond on them"`
 	Foreign           float64       `long:"foreign" default:"0.15" description:"writes per second by a foreign writer among the replicas' entries; use 0 for seeds recorded before this option existed"`
+	OddEntries        float64       `long:"odd-entries" default:"0" description:"writes per second of odd entries by a foreign writer: numbers, nesting, ports and keys that can't be, and JSON in place of Base64; 0.2 is a good rate"`
 	Backoffs          float64       `long:"rests" default:"0.3" description:"times per second that replicas refuse all requests and request a backoff; use 0 for seeds recorded before this option existed"`
 	Departures        float64       `long:"leavings" default:"0.15" description:"times per second that a replica departs and announces it only in its responses; use 0 for seeds recorded before this option existed"`
 	FalseTerminations float64       `long:"false-ends" default:"0.1" description:"false reports per second to daemons that a live replica has terminated; use 0 for seeds recorded before this option existed"`
@@ -194,6 +195,7 @@
 	shape.SilencesPerSec = o.Silences
 	shape.Crowded, shape.PartitionsPerSec, shape.Versions, shape.Unframed = o.Crowded, o.Partitions, o.Versions, o.Unframed
 	shape.Brittle, shape.OutOfStep = o.Brittle, o.OutOfStep
+	shape.OddEntriesPerSec = o.OddEntries
 	if o.Uploads {
 		shape.Uploads = &soak.Uploads{ResetsPerSec: o.UploadResets, EndsPerSec: o.OrderlyEnds, CarrierKillsPerSec: o.CarrierKills}
 	}
--- a/internal/soak/foreign.go
+++ b/internal/soak/foreign.go
@@ -60,12 +60,11 @@
 	p, r := s.pickPlace(f.Target)
 	for i := range 3 {
 		key := fmt.Sprintf("foreign-%d-%d", f.Target, i)
-		s.store.PutEntry(key, foreignEntry(f.Variant+i, r.Service, s.trap.address()))
-		defer s.store.DeleteReplica(key)
+		defer s.store.DeleteReplica(s.put(newForeign(f, i, key, r.Service, s.trap.address())))
 	}
 	s.mu.Lock()
 	delete(s.entries, r.ID)
-	s.store.PutEntry(r.ID, foreignEntry(f.Variant/8, r.Service, p.link.Address()))
+	s.put(overForeign(f, r.ID, r.Service, p.link.Address()))
 	s.mu.Unlock()
 	s.ledger.Departed(r.ID, time.Now())
 	pause(s.ctx, f.For)
@@ -77,6 +76,22 @@
 	}
 }
 
+// newForeign returns an entry of the foreign writer under a new key.
+func newForeign(f *Fault, i int, key, service, address string) oddEntry {
+	if f.Kind == oddEntries {
+		return newOddEntry(f.Variant+i, key, service, address)
+	}
+	return oddEntry{key: key, value: string(foreignEntry(f.Variant+i, service, address))}
+}
+
+// overForeign returns an entry that the foreign writer writes over a replica's.
+func overForeign(f *Fault, key, service, address string) oddEntry {
+	if f.Kind == oddEntries {
+		return oddValue(f.Variant, key, service, address)
+	}
+	return oddEntry{key: key, value: string(foreignEntry(f.Variant/8, service, address))}
+}
+
 // trap is a listener whose address stands only in invalid entries.
 type trap struct {
 	listener net.Listener
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -109,7 +109,7 @@
 		s.evacuate(f)
 	case killCoordinator, pauseCoordinator, cutCoordinator:
 		s.injectCoordinator(f)
-	case foreignEntries:
+	case foreignEntries, oddEntries:
 		s.writeForeign(f)
 	case backoffReplicas:
 		s.refuseForBackoff(f)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -117,6 +117,8 @@
 	CrashingParts int
 	// ForeignPerSec is how often another client writes among the replicas' entries.
 	ForeignPerSec float64
+	// OddEntriesPerSec is how often it writes odd ones.
+	OddEntriesPerSec float64
 	// BackoffsPerSec is how often some replicas request a backoff, and DeparturesPerSec how often one
 	// announces its departure in its responses alone.
 	BackoffsPerSec   float64
@@ -175,6 +177,7 @@
 	p.drawEvacuations(seed, s)
 	p.drawCrashing(seed, s)
 	p.drawForeign(seed, s)
+	p.drawOdd(seed, s)
 	p.drawStatements(seed, s)
 	p.drawFalseCrashes(seed, s)
 	p.drawRestores(seed, s)
