Roster: whether all members hold documents at a position

Cause: a daemon can't tell whether the others know a version that has just joined a service, so it begins streams at it at once, and a daemon that is out of step resumes them at another version. Change: the roster keeps the newest position that each member told in its own heartbeat, by incarnation, and answers whether all members hold a position.

--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -48,6 +48,8 @@
 	// withEraAt is when the member's newest heartbeat was received if it named an era of the store, and
 	// withoutEraAt if it named none. The other one is zero.
 	withEraAt, withoutEraAt time.Time
+	// told is the newest position that the member told in its own heartbeats (positions.go).
+	told toldPosition
 }
 
 // supersedes reports whether m is newer than the entry. A lower incarnation is newer
