Version history: which versions of a service are new, and when they are established

Cause: streams begin at a version as soon as one daemon knows it, while another one may still take the service for one of a single version for as long as it is cut off or paused. Change: the history records when each version joined its service and with which documents. A peer's history makes that time earlier, and tells it for the first documents of a daemon.

--- a/coordination/routing/version_history.go
+++ b/coordination/routing/version_history.go
@@ -42,12 +42,21 @@
 	services map[ServiceName]map[VersionKey]*versionUse
 	since    time.Time     // from which it is complete; zero: it has not begun
 	observed feed.Position // of the documents with which this daemon began to observe
+
+	touched      []*versionUse // whose number of replicas has changed since the last call of Learn
+	awaiting     []*versionUse // that have joined and are not established (establishment.go)
+	hasDocuments bool          // Learn was called
 }
 
 // versionUse is the use of one version.
 type versionUse struct {
-	replicas int       // that have an entry
-	leftAt   time.Time // when the last entry was gone
+	service  ServiceName
+	key      VersionKey
+	version  SoftwareVersion // as its replicas name it; empty also if it is only known from peers
+	replicas int             // that have an entry
+	leftAt   time.Time       // when the last entry was gone
+	touched  bool            // it is in VersionHistory.touched
+	joined   joining
 }
 
 // VersionReport is a daemon's history of versions in a message to a peer.
@@ -62,6 +71,9 @@
 	Service ServiceName
 	Version VersionKey
 	LeftFor time.Duration // since the entry of its last replica is gone; 0 if there is one
+	// KnownFor is how long the sender has known that the version joined the service; 0 if it is the only one, has left or came with
+	// the sender's first documents, or if the sender's build does not tell.
+	KnownFor time.Duration
 }
 
 // NewVersionHistory returns an empty record that has not begun.
@@ -75,8 +87,20 @@
 // Since returns the time from which the history is complete; the zero time if it has not begun.
 func (h *VersionHistory) Since() time.Time { return h.since }
 
-// Add records that a replica has an entry.
-func (h *VersionHistory) Add(r *Replica) { h.use(r.Service, r.versionKey).replicas++ }
+// Add records that a replica has an entry. Learn must be called before the next request is placed.
+func (h *VersionHistory) Add(r *Replica) {
+	u := h.use(r.Service, r.versionKey)
+	u.version = r.Version
+	u.replicas++
+	h.touch(u)
+}
+
+// touch records that the number of a version's replicas has changed.
+func (h *VersionHistory) touch(u *versionUse) {
+	if !u.touched {
+		u.touched, h.touched = true, append(h.touched, u)
+	}
+}
 
 // use returns the use of a version, creating it if needed.
 func (h *VersionHistory) use(s ServiceName, v VersionKey) *versionUse {
@@ -86,7 +110,7 @@
 		h.services[s] = uses
 	}
 	if uses[v] == nil {
-		uses[v] = &versionUse{}
+		uses[v] = &versionUse{service: s, key: v}
 	}
 	return uses[v]
 }
@@ -96,6 +120,7 @@
 	u := h.services[r.Service][r.versionKey]
 	u.replicas--
 	u.leftAt = now
+	h.touch(u)
 }
 
 // Only returns the only version that each service has, or lately had, or severalVersions.
@@ -136,7 +161,7 @@
 	}
 	for service, uses := range h.services {
 		for key, u := range uses {
-			used := UsedVersion{Service: service, Version: key}
+			used := UsedVersion{Service: service, Version: key, KnownFor: h.knownFor(u, now)}
 			if u.replicas == 0 {
 				used.LeftFor = now.Sub(u.leftAt)
 			}
@@ -154,6 +179,7 @@
 	for _, used := range r.Versions {
 		u := h.use(used.Service, used.Version)
 		u.leftAt = latest(u.leftAt, now.Add(-used.LeftFor))
+		h.mergeKnown(u, used.KnownFor, now)
 	}
 	since := now.Add(-r.Complete)
 	if r.At.Before(h.observed) || !since.Before(h.since) {
