Streams are not sent again from before events that have no number

Cause: on a route whose streams may be taken up, a second attempt within one response is asked for what follows the last event with a number. Events with data that came after it, without a number, with one that is none or above 64 bits, were passed on again. The same in a handover from a silent replica.

Change: while the last forwarded event with data has no number, the request may not run at another replica: it waits for its own, or is broken off (routing.Attempts.PositionUnknown). Comments and other parts without data don't count.

--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -8,7 +8,7 @@
 //  1. The caller is still connected, and more than [ReturnMargin] is left until its deadline.
 //  2. The attempt certainly did not run the request. Or the route's requests may run more than
 //     once, and the caller has received no bytes of a response, or only events of a stream that
-//     can be resumed elsewhere.
+//     can be resumed elsewhere: after its last event with data, which has a number.
 //  3. It does not exceed the number of replicas that the route allows, nor the retry budget. An
 //     attempt of which no byte was written, such as one at a refused connection, counts towards neither. One at a replica
 //     that is cut off counts towards the budget only, and so does one that was rejected after the call had been
@@ -64,6 +64,9 @@
 	Sent int
 	// ResponseStarted means that the caller has received bytes of a response.
 	ResponseStarted bool
+	// PositionUnknown means that the caller has received events of a stream after the last one with a number: another replica
+	// would send these again.
+	PositionUnknown bool
 	// Outcome is the outcome of the request as of the attempts so far.
 	Outcome coordination.Outcome
 	// reserved means that a retry has been reserved in the budget for the next attempt.
@@ -136,7 +139,7 @@
 // it rejected it, or the link to it is down. It returns false if the request may not run again, or if the attempt was a
 // return, which did not count.
 func (a *Attempts) ExcludeLast() bool {
-	if !a.Route.MayRunAgain() || a.lastReturned {
+	if !a.mayRunAgain() || a.lastReturned {
 		return false
 	}
 	a.Sent--
@@ -146,7 +149,7 @@
 // AllowReturn allows an attempt at a replica that the request was written to before, which counts towards the budget but
 // not as a further replica. It returns false if the request may not run again, or has returned before.
 func (a *Attempts) AllowReturn() bool {
-	a.returns = a.Route.MayRunAgain() && !a.hasReturned
+	a.returns = a.mayRunAgain() && !a.hasReturned
 	return a.returns
 }
 
@@ -170,9 +173,12 @@
 	if a.ResponseStarted && a.Route.Kind != Stream {
 		return false
 	}
-	return a.Route.MayRunAgain()
+	return a.mayRunAgain()
 }
 
+// mayRunAgain reports whether the request may run at another replica although one may have run it.
+func (a *Attempts) mayRunAgain() bool { return a.Route.MayRunAgain() && !a.PositionUnknown }
+
 // MayTryAnother reports whether another replica may be tried although this one responded,
 // with an error of its own.
 func (a *Attempts) MayTryAnother() bool {
--- a/coordination/routing/retry_test.go
+++ b/coordination/routing/retry_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// TestUnnumberedEventsAreNotSentAgain guards against a stream of which the caller has events without numbers, and that a
+// second replica sends again from the last number.
+func TestUnnumberedEventsAreNotSentAgain(t *testing.T) {
+	resumable := routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 3}
+	for _, unknown := range []bool{false, true} {
+		a := routing.Attempts{Route: &resumable, ResponseStarted: true, Sent: 1, PositionUnknown: unknown}
+		if got := a.RecordFailure(brokenResponse); got == unknown {
+			t.Errorf("position unknown %t: another attempt %t", unknown, got)
+		}
+		if _, got := a.EventTimeout(); got == unknown {
+			t.Errorf("position unknown %t: failover from a silent replica %t", unknown, got)
+		}
+		if got := a.AllowReturn(); got == unknown {
+			t.Errorf("position unknown %t: return %t", unknown, got)
+		}
+	}
+}
+
 // TestReturnAfterBreak guards against streams that end although the replica that had them first may go on, and against returns
 // that make a request run more than once more often than the route allows replicas.
 func TestReturnAfterBreak(t *testing.T) {
--- a/coordination/routing/timeouts.go
+++ b/coordination/routing/timeouts.go
@@ -11,7 +11,7 @@
 //     applies to each pause inside a header, and the longer of it and unresponsiveTimeout to each pause inside a
 //     response that is not a stream, which another replica would begin anew. The second one applies to each
 //     pause inside an event.
-//  2. If the request can't be sent elsewhere, the daemon waits until the deadline. After
+//  2. If the request can't be sent elsewhere, or the caller has events without numbers, the daemon waits until the deadline. After
 //     unresponsiveTimeout the replica's silence counts as a failure, so that other requests avoid
 //     it.
 //  3. [ReturnMargin] of the deadline is kept for returning the response to the caller.
@@ -42,7 +42,7 @@
 // its header, and whether the request may then go to another replica. In any case a failure of the
 // replica is recorded, and the wait for it goes on.
 func (a *Attempts) FirstByteTimeout() (wait time.Duration, failover bool) {
-	if !a.Route.MayRunAgain() || !a.attemptsLeft() {
+	if !a.mayRunAgain() || !a.attemptsLeft() {
 		return unresponsiveTimeout, false
 	}
 	return max(time.Duration(firstByteShare*float64(a.Route.FirstByteTarget)), minFirstByteTimeout), true
@@ -58,7 +58,7 @@
 // EventTimeout returns how long to wait for the next bytes of a stream before it may be resumed at
 // another replica. It returns false if it can't be; then only the deadline applies.
 func (a *Attempts) EventTimeout() (wait time.Duration, failover bool) {
-	if !a.Route.Resumable || !a.attemptsLeft() {
+	if !a.Route.Resumable || a.PositionUnknown || !a.attemptsLeft() {
 		return noTimeout, false
 	}
 	return max(eventFactor*a.Route.EventTarget, minEventTimeout), true
--- a/transport/relay/events.go
+++ b/transport/relay/events.go
@@ -25,6 +25,8 @@
 	seq   int64  // id as a number; -1 if there is none
 	count int    // of events
 	first int64  // id of the first event of this response that has one; NoEvent if there is none
+	// unnumbered says that events with data follow the one that id names, so that a stream can't go on after them elsewhere.
+	unnumbered bool
 }
 
 const (
@@ -61,22 +63,32 @@
 	complete := e.buf[:e.returned]
 	for at := 0; at < e.returned; {
 		next := at + firstEventLen(complete[at:])
-		seq, id, ok := parseEventID(complete[at:next])
-		if ok {
-			if seq <= e.read.seq {
-				return nil, false
-			}
-			e.read.seq, e.read.id = seq, id
-			if e.read.first == NoEvent {
-				e.read.first = seq
-			}
+		if !e.read.advance(complete[at:next]) {
+			return nil, false
 		}
-		e.read.count++
 		at = next
 	}
 	return complete, true
 }
 
+// advance moves the position past an event. It returns false if the event's id does not increase.
+func (p *streamPosition) advance(event []byte) bool {
+	p.count++
+	seq, id, ok := parseEventID(event)
+	if !ok {
+		p.unnumbered = p.unnumbered || hasData(event)
+		return true
+	}
+	if seq <= p.seq {
+		return false
+	}
+	p.seq, p.id, p.unnumbered = seq, id, false
+	if p.first == NoEvent {
+		p.first = seq
+	}
+	return true
+}
+
 // setForwarded records that the events which add returned go to the caller.
 func (e *eventReader) setForwarded() { e.forwarded = e.read }
 
@@ -143,6 +155,7 @@
 	boundary   = []byte("\n\n")
 	boundaryCR = []byte("\r\n\r\n")
 	idField    = []byte("id:")
+	dataField  = []byte("data:")
 )
 
 // completeLen returns the length of the complete events at the start of p.
@@ -187,3 +200,13 @@
 	}
 	return 0, "", false
 }
+
+// hasData reports whether an event has data. Without data it is a comment, say, and callers see no event.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -195,6 +195,7 @@
 		return givenUp(errOvertaken)
 	}
 	s.events.setForwarded()
+	s.attempts.PositionUnknown = s.events.forwarded.unnumbered
 	x.beginStream()
 	s.bind(&t.Replica)
 	s.recordOrigin(ctx)
--- a/transport/relay/resume_order_test.go
+++ b/transport/relay/resume_order_test.go
@@ -173,4 +173,52 @@
 			}
 		}
 	})
+	// Without numbers nobody knows where a stream that broke has to go on.
+	DescribeTable("without numbers are not passed on again by a second attempt", func(text, again string) {
+		n := 0
+		script := func(a *receivedRequest) bool {
+			if countCall(&n) == 1 {
+				return breakingAfter(text)(a)
+			}
+			return sending(again)(a)
+		}
+		w := newFixture(resumable, startReplica("r1", script), startReplica("r2", script))
+		to, _ := w.serve(resume(w))
+		Expect(string(to.body)).To(Equal(text))
+		Expect(to.broken).To(BeTrue())
+	},
+		Entry("none", "data: 2\n\n", "data: 2\n\n"),
+		Entry("not a number", "id: x\ndata: 2\n\n", "id: x\ndata: 2\n\n"),
+		Entry("too large", "id: 99999999999999999999\ndata: 2\n\n", "id: 99999999999999999999\ndata: 2\n\n"),
+		Entry("after one with a number", event(2)+"data: 3\n\n", "data: 3\n\n"),
+	)
+
+	It("without numbers come from a silent replica alone", func() {
+		w := newFixture(resumable, startReplica("r1", silentAfter("data: 2\n\n", "data: 3\n\n")))
+		other := startReplica("r2", sending("data: 2\n\ndata: 3\n\n"))
+		w.onceBegun(other)
+		to, _ := w.serve(resume(w))
+		Expect(string(to.body)).To(Equal("data: 2\n\ndata: 3\n\n"))
+		Expect(other.count()).To(BeZero())
+	})
+
+	// What has no data is not an event to callers.
+	DescribeTable("go on at another replica after a part without data", func(text string) {
+		n := 0
+		script := func(a *receivedRequest) bool {
+			if countCall(&n) == 1 {
+				return breakingAfter(text)(a)
+			}
+			return sending(event(3))(a)
+		}
+		w := newFixture(resumable, startReplica("r1", script), startReplica("r2", script))
+		to, s := w.serve(resume(w))
+		Expect(string(to.body)).To(Equal(text + event(3)))
+		Expect(to.broken).To(BeFalse())
+		Expect(s.Attempts).To(HaveLen(2))
+	},
+		Entry("a comment", event(2)+": alive\n\n"),
+		Entry("a time to wait", event(2)+"retry: 100\n\n"),
+		Entry("an event without a number before one with a number", "data: x\n\n"+event(2)),
+	)
 })
