A stream that ends before its first event is broken off

A replica that stopped after the head of an unframed stream and closed, and goes on listening, was taken for one whose stream has no event: the caller got a complete, empty 200. A stream has at least one event, so that such an end is now that of a response that was cut off: the call is sent again where its route allows it, and refused otherwise. A stream that was resumed may have no event left, as internal/soak's replicas show; it is as before. So is an empty plain response, which HTTP allows.

--- a/coordination/routing/response_end.go
+++ b/coordination/routing/response_end.go
@@ -1,6 +1,6 @@
 // This file decides whether a response whose connection brought no error is complete.
 //
-// Inputs: how the response marks its end; who opened the connection to the replica, whether that daemon reported the end, and
+// Inputs: how the response marks its end; whether it is a stream that lacks its first event; who opened the connection to the replica, whether that daemon reported the end, and
 // whether it runs; whether the replica is leaving; and what becomes of this daemon's other connections to the replica, and of a
 // new one. The rule:
 //
@@ -18,8 +18,11 @@
 //  6. A refusal counts only if another daemon, if there is one, is refused too: links may refuse new connections while open
 //     ones live on.
 //  7. A replica that is leaving terminates once it has sent its last response, so that a refusal says nothing.
+//  8. A stream that ends with its connection before its first event is incomplete: a stream has at least one event. One that
+//     was resumed may have none, since the caller may have had the last one.
 //
-// What remains: a replica that was killed and whose address accepts connections again, if it is the only sign; one that is
+// What remains: an empty response that is no stream, and a resumed stream, whose replica stopped after the head and goes on
+// listening; a replica that was killed and whose address accepts connections again, if it is the only sign; one that is
 // killed while it is leaving, or while it gets no requests for another reason; and links that end single connections in an
 // ordinary way.
 
@@ -59,6 +62,7 @@
 // ResponseEnd is what is known of the end of a response.
 type ResponseEnd struct {
 	Framing     Framing
+	LacksEvent  bool // it is a stream that was not resumed, and it has no event
 	ThroughPeer bool // another daemon opened the connection to the replica
 	// EndConfirmed says that the other daemon reported that the replica closed the connection in an ordinary way.
 	EndConfirmed bool
@@ -81,15 +85,18 @@
 	EndByPeer       EndBasis = "peer_connection" // the replica closed the connection of another daemon, which still runs
 )
 
+// endsWithConn reports whether only the end of the connection can show that the response is complete.
+func (e ResponseEnd) endsWithConn() bool { return e.Framing == FramedByConnection && !e.LacksEvent }
+
 // DependsOnOthers reports whether it must be known if another connection to the replica is open EndSettleTime after the
 // end. The other daemon and the replica are connected to after that.
 func (e ResponseEnd) DependsOnOthers() bool {
-	return e.Framing == FramedByConnection && (!e.Leaving || e.DependsOnPeer())
+	return e.endsWithConn() && (!e.Leaving || e.DependsOnPeer())
 }
 
 // DependsOnPeer reports whether it must be known if the other daemon still runs.
 func (e ResponseEnd) DependsOnPeer() bool {
-	return e.Framing == FramedByConnection && e.ThroughPeer && !e.EndConfirmed
+	return e.endsWithConn() && e.ThroughPeer && !e.EndConfirmed
 }
 
 // DependsOnNewConn reports whether it must be known if the replica accepts connections.
@@ -100,7 +107,7 @@
 // mayBeComplete reports whether the response ended with its connection, and the other daemon does not show that it was
 // cut off.
 func (e ResponseEnd) mayBeComplete() bool {
-	return e.Framing == FramedByConnection && (!e.ThroughPeer || e.EndConfirmed || e.PeerRuns)
+	return e.endsWithConn() && (!e.ThroughPeer || e.EndConfirmed || e.PeerRuns)
 }
 
 // Basis returns how it is known that the response is complete, or EndUnknown if it is not.
--- a/coordination/routing/response_end_test.go
+++ b/coordination/routing/response_end_test.go
@@ -25,6 +25,9 @@
 		{"no other is open, nothing is known of a new one", end{}, routing.EndByConnection},
 		{"the other daemon reports the end", end{ThroughPeer: true, EndConfirmed: true, OtherOpen: true}, routing.EndByPeerReport},
 		{"the other daemon reports the end, and the replica refuses a new connection", end{ThroughPeer: true, EndConfirmed: true, NewConn: refused}, routing.EndUnknown},
+		{"a stream lacks its first event, another connection is open", end{LacksEvent: true, OtherOpen: true}, routing.EndUnknown},
+		{"a stream lacks its first event, through a daemon that reports the end", end{LacksEvent: true, ThroughPeer: true, EndConfirmed: true, OtherOpen: true}, routing.EndUnknown},
+		{"a stream lacks its first event, and the replica is leaving", end{LacksEvent: true, Leaving: true}, routing.EndUnknown},
 		{"the replica is leaving", end{Leaving: true}, routing.EndByConnection},
 		{"the replica is leaving, a new connection is refused", end{Leaving: true, NewConn: refused}, routing.EndByConnection},
 	} {
@@ -41,9 +44,10 @@
 	return routing.ResponseEnd{
 		Framing:     routing.Framing(rapid.IntRange(0, 2).Draw(t, "framing")),
 		ThroughPeer: flag("through peer"), PeerRuns: flag("peer runs"), EndConfirmed: flag("confirmed"),
-		Leaving:   flag("leaving"),
-		OtherOpen: flag("other open"),
-		NewConn:   routing.NewConn(rapid.IntRange(0, 2).Draw(t, "new")),
+		Leaving:    flag("leaving"),
+		LacksEvent: flag("lacks event"),
+		OtherOpen:  flag("other open"),
+		NewConn:    routing.NewConn(rapid.IntRange(0, 2).Draw(t, "new")),
 	}
 }
 
@@ -59,7 +63,9 @@
 			return
 		}
 		worse := e
-		switch rapid.IntRange(0, 2).Draw(t, "sign of a cut") {
+		switch rapid.IntRange(0, 3).Draw(t, "sign of a cut") {
+		case 3:
+			worse.LacksEvent = true
 		case 0:
 			worse.NewConn = routing.NewConnRefused
 		case 1:
--- a/transport/relay/response_end.go
+++ b/transport/relay/response_end.go
@@ -37,6 +37,9 @@
 	return routing.FramedByLength
 }
 
+// errNoEvent means that a stream ended with its connection before its first event.
+var errNoEvent = fmt.Errorf("stream ended with its connection before its first event: %w", io.ErrUnexpectedEOF)
+
 // endsWithConn reports whether a response has neither a length nor chunks, so that its body ends only when the
 // connection does.
 func endsWithConn(resp *http.Response) bool { return framingOf(resp) == routing.FramedByConnection }
@@ -45,6 +48,7 @@
 // if the response may have been cut off. The connection of a response without a length and chunks is closed.
 func (x *exchange) checkEnd(ctx context.Context, s *activeCall) error {
 	end := routing.ResponseEnd{Framing: framingOf(x.response), ThroughPeer: x.conn.via != ""}
+	end.LacksEvent = x.awaitsEvents && s.events.forwarded.count == 0 && s.call.LastEventID == ""
 	if end.Framing == routing.FramedByConnection {
 		x.collectEnd(ctx, s, &end)
 	}
@@ -52,6 +56,8 @@
 	switch {
 	case x.endBasis != routing.EndUnknown:
 		return nil
+	case end.LacksEvent:
+		return errNoEvent
 	case end.DependsOnPeer() && !end.PeerRuns:
 		return errCarrierGone
 	}
--- a/transport/relay/unframed_test.go
+++ b/transport/relay/unframed_test.go
@@ -97,6 +97,10 @@
 			write(a, event(1)+"id: 2\nda")
 			return false
 		}, brokenOff, event(1)),
+		Entry("stream that ends before its first event", true, func(a *receivedRequest) bool {
+			unframedHead(a, eventStream)
+			return false
+		}, refused, ""),
 		Entry("stream that ends inside its first event", true, func(a *receivedRequest) bool {
 			unframedHead(a, eventStream)
 			write(a, "id: 1\nda")
@@ -110,6 +114,36 @@
 		}, brokenOff, event(1)),
 	)
 
+	// Guards against a stream that is given to the caller as a whole one, without an event, although its replica stopped.
+	It("is a stream that another replica serves, if the first one's ends before its first event", func() {
+		stops := func(a *receivedRequest) bool { unframedHead(a, eventStream); return false }
+		serves := func(a *receivedRequest) bool { unframedHead(a, eventStream); write(a, event(1)); return false }
+		n := 0
+		script := func(a *receivedRequest) bool {
+			if countCall(&n) == 1 {
+				return stops(a)
+			}
+			return serves(a)
+		}
+		route := resumable
+		route.MaxAttempts = 2
+		w := newFixture(route, startReplica("a", script), startReplica("b", script))
+		to, s := w.serve(w.call("1", "POST", "x"))
+		Expect(outcomeOf(to)).To(Equal(whole))
+		Expect(string(to.body)).To(Equal(event(1)))
+		Expect(s.Attempts).To(HaveLen(2))
+	})
+
+	// Guards against a stream that can't end: a replica that resumes one after its last event has no event to send.
+	It("is a whole stream without an event if it was resumed after its last event", func() {
+		w := newFixture(routeOf(true), startReplica("r", func(a *receivedRequest) bool { unframedHead(a, eventStream); return false }))
+		c := w.call("1", "POST", "x")
+		c.LastEventID = "2"
+		to, _ := w.serve(c)
+		Expect(outcomeOf(to)).To(Equal(whole))
+		Expect(to.body).To(BeEmpty())
+	})
+
 	DescribeTable("through another daemon", func(streams, dies bool, want outcome, body string) {
 		var carrier *carrierPeer
 		script := func(a *receivedRequest) bool {
