Odd entries and configurations: one line in the log for each content

An entry that is not usable got a line with each change, also with the same content, and thousands at once filled the buffer of the log: 1,515 lines of 5,000, the others dropped, as would lines about other things be. A configuration that was rejected was parsed and logged again with each change of any document: 23 parses and 22 lines for one after 20 changes.

A content of a key gets a line once, at most 100 of one change, and then one line with the number of the others. A rejected configuration is not parsed again until its content changes. unusable_entries_total counts each change as before.

--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -9,6 +9,8 @@
 	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state"
@@ -42,6 +44,42 @@
 // summary line about the documents gives their number.
 const maxReplicaLogLines = 100
 
+// maxUnusableContents is the number of contents of unusable entries that are remembered in order to log each once. When
+// there are more, all are forgotten.
+const maxUnusableContents = 10_000
+
+// unusableLog decides which unusable entries get a line in the log: each content of a key once, and at most maxReplicaLogLines
+// of one change. Its zero value has logged none.
+type unusableLog struct {
+	logged map[uint64]struct{} // hashes of keys and contents
+	left   int                 // lines of the current change
+	others int                 // entries of the current change that get no line although their contents are new
+}
+
+// begin begins a change.
+func (l *unusableLog) begin() { l.left, l.others = maxReplicaLogLines, 0 }
+
+// allow reports whether an unusable entry gets a line.
+func (l *unusableLog) allow(it feed.Item) bool {
+	h := xxhash.New()
+	_, _ = h.WriteString(it.Key + "\x00") // never fails, nor does Write
+	_, _ = h.Write(it.Value)
+	content := h.Sum64()
+	if _, ok := l.logged[content]; ok {
+		return false
+	}
+	if l.left == 0 {
+		l.others++
+		return false
+	}
+	l.left--
+	if l.logged == nil || len(l.logged) >= maxUnusableContents {
+		l.logged = make(map[uint64]struct{})
+	}
+	l.logged[content] = struct{}{}
+	return true
+}
+
 // catalog holds the documents and the state parsed from them. It is owned by the
 // control loop.
 type catalog struct {
@@ -51,9 +89,11 @@
 	// table is the active configuration, nil until there is one; tableItem is its document.
 	table       *routing.Table
 	tableItem   feed.Item
+	rejected    []byte                     // the content of the configuration that was rejected last; nil: none
 	replicas    map[string]routing.Replica // by document key
 	lists       map[routing.ServiceName]*routing.ReplicaList
 	unusable    map[string]unusableEntry // by document key
+	unusableLog unusableLog
 	expired     *routing.ExpiredEntries
 	evacuations *routing.Evacuations
 	versions    *routing.VersionHistory
@@ -85,12 +125,14 @@
 		c.versions.Begin(c.feed.Position(), now)
 	}
 	logEach := len(changed) <= maxReplicaLogLines
+	c.unusableLog.begin()
 	for _, it := range changed {
 		if key, ok := c.applyReplica(it, storeOutage, logEach, now); ok {
 			cacheLost = append(cacheLost, key)
 		}
 		c.applyEvacuation(it, now)
 	}
+	c.log.UnusableOthers(c.unusableLog.others)
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
@@ -142,7 +184,10 @@
 	r, err := c.documents.ParseReplica(it)
 	if err != nil {
 		c.unusable[it.Key] = unusableEntry{id: id, why: err}
-		c.log.Unusable(it.Key, it.Revision, err)
+		c.log.CountUnusable()
+		if c.unusableLog.allow(it) {
+			c.log.Unusable(it.Key, it.Revision, err)
+		}
 		return 0, false
 	}
 	if r.ColdFor > 0 {
@@ -200,16 +245,19 @@
 	if !ok || c.table != nil && it.Revision == c.tableItem.Revision && bytes.Equal(it.Value, c.tableItem.Value) {
 		return
 	}
+	if c.rejected != nil && bytes.Equal(it.Value, c.rejected) {
+		return // the version in force does not decrease, so that it would be rejected again
+	}
 	t, err := c.documents.ParseConfig(it)
+	if err == nil && c.table != nil && t.Version < c.table.Version {
+		err = errOlderVersion
+	}
 	if err != nil {
+		c.rejected = append([]byte{}, it.Value...) // not nil
 		c.log.Rejected(it.Key, err)
 		return
 	}
-	if c.table != nil && t.Version < c.table.Version {
-		c.log.Rejected(it.Key, errOlderVersion)
-		return
-	}
-	c.table, c.tableItem = t, it
+	c.table, c.tableItem, c.rejected = t, it, nil
 	for _, warning := range t.Warnings {
 		c.log.NotUnderstood(it.Key, warning)
 	}
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -89,6 +89,7 @@
 		func() { l.Released(5) },
 		func() { l.Restarted("i-1", 5, 2) },
 		func() { l.Unusable("k", 2, errors.New("e")) },
+		func() { l.UnusableOthers(2) },
 		func() { l.BackoffRequested(&replica, call, time.Second) },
 		func() { l.BackoffLifted("i-1") },
 		func() { l.Alive("i-1") },
--- a/daemon/routes/log_replicas.go
+++ b/daemon/routes/log_replicas.go
@@ -26,10 +26,19 @@
 	l.logger.Info().Str("replica", string(id)).Str("state", stateRestarted).Int64("born", int64(born)).Uint64("revision", uint64(at)).Msg(prefixReplica + "restarted with the same id; previous state is dropped")
 }
 
+// CountUnusable counts a change that made an entry, or left it, unusable.
+func (l *Log) CountUnusable() { l.metrics.UnusableEntries.Inc(1) }
+
+// UnusableOthers logs how many further entries can't be used, if any. They have no lines of their own.
+func (l *Log) UnusableOthers(n int) {
+	if n > 0 {
+		l.logger.Warn().Int("entries", n).Msg(prefixReplica + "further entries name no replicas; operators' list of replicas has all")
+	}
+}
+
 // Unusable logs that an entry can't be used.
 func (l *Log) Unusable(key string, at feed.Revision, err error) {
 	l.timeline.Record(coordination.EventUpstreamState, key, "", "%s", err.Error())
-	l.metrics.UnusableEntries.Inc(1)
 	l.logger.Warn().Str("key", key).Uint64("revision", uint64(at)).Err(err).Msg(prefixReplica + "entry names no replica")
 }
 
