Documents for peers: a history of versions that is too large is left out

Each service and software version that an entry names is in the history of versions, which peers are sent in a header. Entries of 5,000 services with long names, by any writer, made it larger than the 256 KB of header that peers read: no daemon got documents from another one any more. Such a history is now left out: the peer then does not know all versions. TestManyVersionsLeaveDocumentsReadable failed before (response headers exceeded 262144 bytes).

--- a/daemon/routes/entries_test.go
+++ b/daemon/routes/entries_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -127,3 +130,34 @@
 		t.Errorf("%d lines, want 1", n)
 	}
 }
+
+// TestManyVersionsLeaveDocumentsReadable guards against entries of thousands of services and versions: the history of
+// versions, which peers are sent in a header, exceeded what they read, and no peer got documents any more.
+func TestManyVersionsLeaveDocumentsReadable(t *testing.T) {
+	for _, c := range []struct {
+		services int
+		history  bool
+	}{{100, true}, {5000, false}} {
+		w := newOddWorld()
+		var items []feed.Item
+		for i := range c.services {
+			items = append(items, feed.Item{Key: fmt.Sprintf("replica-%d", i), Value: fmt.Appendf(nil, "service=%0200d", i)})
+		}
+		w.change(items)
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			a := w.respond(&documentsRequest{}, time.Unix(1_000_000, 0))
+			writeResponse(rw, &a)
+		}))
+		p, err := openPeers("127.0.0.1:0", newMetrics())
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := p.fetch(context.Background(), membership.Address(server.Listener.Addr().String()), documentsRequest{})
+		if err != nil || len(a.documents.Items) != c.services || (a.versions != nil) != c.history {
+			t.Errorf("%d services: %d documents, history %v, %v", c.services, len(a.documents.Items), a.versions != nil, err)
+		}
+		_ = p.socket.Close()
+		server.Close()
+		w.log.Close()
+	}
+}
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -37,6 +37,9 @@
 	// maxPeerHeaderBytes is the maximum size of the header of a peer's response, in bytes. It holds the history of
 	// versions (headerVersions), some 50 bytes for each version of a service.
 	maxPeerHeaderBytes = 256 << 10
+	// maxVersionsBytes is the maximum size of an encoded history of versions that is sent. It leaves room for the other
+	// fields of the header.
+	maxVersionsBytes = maxPeerHeaderBytes - 16<<10
 )
 
 // minFetchRate is the lowest rate of a response with documents, in bytes a second. When a whole fleet starts, 50 daemons
@@ -295,12 +298,15 @@
 	_, _ = w.Write(payload) // the peer detects a truncated response and requests it again
 }
 
-// addVersions adds a history of versions to the header of a response.
+// addVersions adds a history of versions to the header of a response. One that is too large is left out, because the peer
+// could not read the response: it then does not know all versions, as with a peer that tells none.
 func addVersions(h http.Header, r *routing.VersionReport) error {
 	payload, err := gossip.EncodeVersions(r)
 	if err != nil {
 		return err
 	}
-	h.Set(headerVersions, base64.StdEncoding.EncodeToString(payload))
+	if base64.StdEncoding.EncodedLen(len(payload)) <= maxVersionsBytes {
+		h.Set(headerVersions, base64.StdEncoding.EncodeToString(payload))
+	}
 	return nil
 }
