Placement: streams begin at established versions while one of their replicas is usable

Change: a stream that has not begun gets a replica of a new version only if no replica of an established one may be chosen, is well and, as far as known, one of these has a free slot. That holds in Choose, in ChooseGranted, in the fallbacks and for returns. The mean of the loads is then that of the others.

--- a/coordination/routing/granted.go
+++ b/coordination/routing/granted.go
@@ -10,7 +10,9 @@
 //     failing replica by the results of its permits.
 //  2. The daemon that has the request checks the replica by its own view in the same way, with the
 //     replicas that the request was sent to before. Its load does not matter, since the coordinator
-//     knows the load better.
+//     knows the load better. The coordinator does not know whether the request is a stream, so that the
+//     daemon tells it to leave out replicas of new versions ([Placer.NewReplicas]), and checks it
+//     (establishment.go).
 
 package routing
 
@@ -62,9 +64,14 @@
 		return Target{}, false
 	}
 	service, _ := v.service(r.Service)
+	fresh := v.newFor(r, tried)
+	if e := c.established(p.Health, fresh, now); e != nil {
+		c.exclude(func(r *Replica) bool { return slices.Contains(fresh, r.versionKey) })
+	}
 	for i := range c.ready {
 		if c.ready[i].LoadKey() == key && c.usable[i] && p.Cold.reserve(&c.ready[i], service, now) {
-			return Target{Replica: c.ready[i], Load: c.loads[i], Mean: c.mean, Coverage: c.coverage}, true
+			isNew := slices.Contains(fresh, c.ready[i].versionKey)
+			return Target{Replica: c.ready[i], Load: c.loads[i], Mean: c.mean, Coverage: c.coverage, NewVersion: isNew}, true
 		}
 	}
 	return Target{}, false
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -33,7 +33,8 @@
 //
 // Replicas that the request was already sent to are excluded, and so are those that may not be
 // chosen, unless no others are left. Evacuated replicas are always excluded (evacuate.go), and
-// cold ones while enough others are warm (cold.go). After a replica of another domain was
+// cold ones while enough others are warm (cold.go). Streams avoid replicas of versions that have just
+// joined the service (establishment.go). After a replica of another domain was
 // unreachable, one of the daemon's own domain is chosen if there is one.
 
 package routing
@@ -89,6 +90,8 @@
 	// Least is the least loaded one of the replicas that might have been chosen for a plain request, relative to its
 	// slots; zero if one of them does not state its slots.
 	Least Occupancy
+	// NewVersion means that a stream is to begin at a version that is not established, since no other replica is usable.
+	NewVersion bool
 	// expected means that the replica is one of several homes of the prompt, where other daemons
 	// look for it without an announcement.
 	expected bool
@@ -124,13 +127,14 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	c := newCandidates(p, pool, v, service, tried, now)
-	if t, ok := p.takeUsable(c, pool, v, r, service, now); ok {
+	fresh := v.newFor(r, tried)
+	if t, ok := p.takeEstablished(c, pool, v, r, service, fresh, now); ok {
 		return t, true
 	}
 	// Cold replicas that are at their limit are not candidates: an ejected replica is better than
 	// none.
 	c.ignoreEjections(p, pool, tried, now)
-	return p.takeUsable(c, pool, v, r, service, now)
+	return p.takeEstablished(c, pool, v, r, service, fresh, now)
 }
 
 // takeUsable chooses among the usable candidates and counts the request at the target if that is
--- /dev/null
+++ b/coordination/routing/place_established.go
@@ -0,0 +1,98 @@
+// This file keeps streams that have not begun from replicas of new software versions while others are usable, by rules 5 and 6
+// of establishment.go. It stands apart from versions.go, which keeps streams that have begun at their version.
+
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// newFor returns the versions at which the stream of a request is not to begin; nil: none, or it is no stream that is to begin.
+func (v *View) newFor(r *Request, tried Tried) []VersionKey {
+	if len(v.NewVersions) == 0 || tried.Version != 0 || r.Route == nil || r.Route.Kind != Stream {
+		return nil
+	}
+	return v.NewVersions[r.Service]
+}
+
+// established returns the candidates of established versions that are well, with the mean of their own loads: those of replicas
+// that get none of the requests say nothing about the load of the others. It returns nil if all candidates are to be used: no version
+// is new, or no such candidate has a free slot.
+func (c *candidates) established(h *Health, fresh []VersionKey, now time.Time) *candidates {
+	if len(fresh) == 0 {
+		return nil
+	}
+	out, hasFree := *c, false
+	out.usable = make([]bool, len(c.ready))
+	total, n := 0, 0
+	for i := range c.ready {
+		r := &c.ready[i]
+		if slices.Contains(fresh, r.versionKey) {
+			continue
+		}
+		total, n = total+c.loads[i], n+1
+		if c.usable[i] && h.isWell(r, now) {
+			out.usable[i] = true
+			hasFree = hasFree || r.Slots <= 0 || c.loads[i] < r.Slots
+		}
+	}
+	if !hasFree {
+		return nil
+	}
+	out.count()
+	out.mean = float64(total) / float64(n)
+	return &out
+}
+
+// isWell reports whether a replica is neither ejected nor lost.
+func (h *Health) isWell(r *Replica, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rec := h.records[r.LoadKey()]
+	return !(rec != nil && rec.ejected(now)) && !h.isLost(r, now)
+}
+
+// takeEstablished is takeUsable for a request that is to begin no stream at the given versions. If all established replicas are
+// cold and at their limit, it chooses among all.
+func (p *Placer) takeEstablished(c *candidates, pool *Pool, v *View, r *Request, s *Service, fresh []VersionKey, now time.Time) (Target, bool) {
+	if e := c.established(p.Health, fresh, now); e != nil {
+		if t, ok := p.takeUsable(e, pool, v, r, s, now); ok {
+			return t, true
+		}
+	}
+	t, ok := p.takeUsable(c, pool, v, r, s, now)
+	t.NewVersion = ok && slices.Contains(fresh, t.Replica.versionKey)
+	return t, ok
+}
+
+// NewReplicas returns the replicas of a service without a model at which the stream of a request is not to begin, since those of
+// established versions are usable.
+func (p *Placer) NewReplicas(v *View, r *Request, tried Tried, now time.Time) []LoadKey {
+	fresh := v.newFor(r, tried)
+	if len(fresh) == 0 {
+		return nil
+	}
+	c := p.plainCandidates(v, r.Service, tried, now)
+	if c == nil || c.established(p.Health, fresh, now) == nil {
+		return nil
+	}
+	var out []LoadKey
+	for i := range c.ready {
+		if c.usable[i] && slices.Contains(fresh, c.ready[i].versionKey) {
+			out = append(out, c.ready[i].LoadKey())
+		}
+	}
+	return out
+}
+
+// AvoidsNew reports whether the stream of a request is not to begin at a replica that the request returns to, since it has a new
+// version and replicas of established ones are usable.
+func (p *Placer) AvoidsNew(v *View, r *Request, at *Replica, tried Tried, now time.Time) bool {
+	fresh, pool := v.newFor(r, tried), v.Pool(r.Service).sorted()
+	if !slices.Contains(fresh, at.versionKey) || len(pool.Ready) == 0 {
+		return false
+	}
+	service, _ := v.service(r.Service)
+	return newCandidates(p, pool, v, service, tried, now).established(p.Health, fresh, now) != nil
+}
--- a/coordination/routing/view.go
+++ b/coordination/routing/view.go
@@ -146,6 +146,8 @@
 	Versions map[ServiceName]VersionKey
 	// VersionsSince is the time from which Versions is complete; the zero time if it isn't.
 	VersionsSince time.Time
+	// NewVersions are the versions at which no stream begins while others are usable (establishment.go).
+	NewVersions NewVersions
 }
 
 // ConfigVersion returns the version of the configuration; 0: none is known.
