--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -21,6 +21,9 @@
 	firstRelease = 11500 * time.Millisecond
 	// releaseJitter is added to it at most.
 	releaseJitter = time.Second
+	// secondReleaseOneIn runs has a second release. A service with two versions already is a lesser risk: daemons ask for
+	// its streams, in step or not.
+	secondReleaseOneIn = 4
 	// releasePause is the time between the end of one outage and the next release.
 	releasePause = 1500 * time.Millisecond
 	// maxOutOfStepLead is how long before the release a daemon falls out of step, at most.
@@ -46,11 +49,15 @@
 	linkOneWay   = 3 // nothing arrives from the daemon; the store still answers the watch that it has
 	linkSilent   = 4 // nothing arrives at the daemon
 	linkResets   = 5
-	bothWays     = 0
-	cutVariants  = 3
+	cutBothWays  = 0
+	cutOutbound  = 1 // the daemons inside still hear the others, so that they learn of the release
+	cutInbound   = 2
 	noStoreFault = -1
 )
 
+// cutDirections are the directions of cuts.
+var cutDirections = []int{cutBothWays, cutBothWays, cutBothWays, cutInbound, cutInbound, cutOutbound}
+
 // storeFaults are what becomes of the store's link of a daemon that is cut off. Where one of the last two is drawn, the
 // daemon still learns of the release.
 var storeFaults = []int{linkResets, linkResets, linkResets, linkSilent, linkSilent, linkOneWay, noStoreFault}
@@ -81,7 +88,11 @@
 	p.Versions = &Versions{Count: 1, Replicas: versionedReplicas, Resumers: stepResumers, KeepsVersion: true}
 	p.Chat = versionedReplicas
 	at := firstRelease + time.Duration(rng.Int64N(int64(releaseJitter)))
-	for version := range 1 + rng.IntN(2) {
+	releases := 1
+	if rng.IntN(secondReleaseOneIn) == 0 {
+		releases = 2
+	}
+	for version := range releases {
 		p.Versions.Rollouts = append(p.Versions.Rollouts, Rollout{
 			At: at, Version: version + 1, Replicas: 2*p.Gate + minReplaced + rng.IntN(maxReplaced-minReplaced+1),
 			Gap: releaseGaps[rng.IntN(len(releaseGaps))], Unannounced: rng.IntN(2) == 0,
@@ -117,13 +128,9 @@
 	}
 }
 
-// addCut cuts the daemons of an outage off from the others, in half of the draws in both directions, and disturbs their
-// links to the store.
+// addCut cuts the daemons of an outage off from the others and disturbs their links to the store.
 func (p *Plan) addCut(rng *rand.Rand, o *outage, kind faultKind, target, store int) {
-	direction := bothWays
-	if rng.IntN(2) == 0 {
-		direction = rng.IntN(cutVariants)
-	}
+	direction := cutDirections[rng.IntN(len(cutDirections))]
 	p.Faults = append(p.Faults, Fault{At: o.from, For: o.length, Kind: kind, Target: target, Variant: direction})
 	if store == noStoreFault {
 		return
