--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -86,6 +86,13 @@
 	if p.uploads != nil {
 		return NewPlan(seed, Shape{Trouble: shape.Trouble, Quiet: shape.Quiet, MaxDaemons: shape.MaxDaemons, Unframed: true, Uploads: p.uploads})
 	}
+	if p.odd || p.outOfStep {
+		quiet := Shape{Trouble: shape.Trouble, Quiet: shape.Quiet, MaxDaemons: shape.MaxDaemons, OutOfStep: p.outOfStep}
+		if p.odd {
+			quiet.OddEntriesPerSec = 0.5
+		}
+		return NewPlan(seed, quiet)
+	}
 	shape.Versions, shape.CrashingParts, shape.Unframed = p.versions, p.parts, p.unframed
 	plan := NewPlan(seed, shape)
 	if p.versions || p.parts > 0 {
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -28,6 +28,8 @@
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
 	uploads       *Uploads                  // found by runs with large bodies, unframed responses and no other faults; nil: none
 	brittle       bool                      // found by runs with brittle replicas and no faults
+	odd           bool                      // found by runs with odd entries and no other faults
+	outOfStep     bool                      // found by runs with releases beside daemons that are out of step and no other faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	seeds         int                       // of the plan, from 0 on, within which it is found; 0: maxSeeds
 	subject       string                    // required prefix of the violation's subject
@@ -103,7 +105,7 @@
 		text: "return feed.Version{Known: true, Sequence: uint64(d.Version)}", instead: "return feed.Version{}", faults: restoresInSeries, plain: true,
 		also: []edit{{"daemon/routes/catalog.go", "if c.table != nil && t.Version < c.table.Version {", "if c.table != nil && t.Version == 0 {"}}},
 	{name: "believes the copy's entry of a replica that leaves", promise: "DRAIN", file: "platform/replica.go",
-		text: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" {", instead: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" || d.State == stateReady {", faults: restoresInSeries, plain: true},
+		text: "\t_, d, err := parseEntry(it.Key, it.Value)\n\tif err != nil {", instead: "\t_, d, err := parseEntry(it.Key, it.Value)\n\tif err != nil || d.State == stateReady {", faults: restoresInSeries, plain: true},
 	{name: "believes the copy's entry of a replica that has left", promise: "DRAIN", file: "state/feed/era.go",
 		text: "return b.Sequence <= a.Sequence", instead: "return b.Sequence < a.Sequence", faults: restoresInSeries, plain: true},
 	{name: "takes equal revisions of two eras for equal documents", promise: "CONFIG", file: "daemon/routes/catalog.go",
@@ -156,6 +158,10 @@
 		text: "\t\treturn s.verdict\n", instead: "\t\treturn s.verdict && time.Since(s.verdictAt) < 5*time.Second\n", parts: 1, quiet: longQuiet},
 	{name: "breaks off one stream in ten after three events", promise: "LOST", subject: "c", file: "transport/relay/response.go",
 		text: "\ts.recordSound(x)\n", instead: "\ts.recordSound(x)\n\tif s.events.forwarded.count > 3 && s.call.Content%10 == 0 {\n\t\tpanic(http.ErrAbortHandler)\n\t}\n", seeds: 1},
+	{name: "ends at a number that is too large", promise: "RUNS", subject: "d", file: "platform/replica.go",
+		text: "case d.Slots < 1 || d.Slots > maxSlots:", instead: "case d.Slots > maxSlots:\n\t\tpanic(\"slots\")\n\tcase d.Slots < 1:", odd: true},
+	{name: "takes entries with numbers beyond their bounds", promise: "ENTRY", file: "platform/replica.go",
+		text: "case d.Slots < 1 || d.Slots > maxSlots:", instead: "case d.Slots < 1:", odd: true},
 	{name: "ends by itself", promise: "RUNS", subject: "d", file: "daemon/routes/run.go",
 		text: "\twg.Go(func() { d.sweepConnections(work) })\n", instead: "\twg.Go(func() { d.sweepConnections(work) })\n\ttime.AfterFunc(8*time.Second, func() { panic(\"ends by itself\") })\n", seeds: 1},
 	{name: "holds more memory than its settings allow", promise: "RUNS", subject: "memory d", file: "daemon/routes/run.go",
