--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -28,9 +28,12 @@
 	releasePause = 1500 * time.Millisecond
 	// maxOutOfStepLead is how long before the release a daemon falls out of step, at most.
 	maxOutOfStepLead = 150 * time.Millisecond
-	// Outages last from before a daemon misses its peers (1 s) until after it counts them as gone (2.5 s).
+	// An outage lasts for minOutOfStep to longOutOfStep in one half of the draws: a daemon misses its peers after 1 s and counts
+	// them as gone after 2.5 s. In the other half it lasts for longOutOfStep to maxOutOfStep, so that it goes on when the new
+	// version is established, which takes 3.6 s.
 	minOutOfStep  = 1200 * time.Millisecond
-	maxOutOfStep  = 4 * time.Second
+	longOutOfStep = 4 * time.Second
+	maxOutOfStep  = 7 * time.Second
 	minPause      = 100 * time.Millisecond
 	maxPauseGap   = 400 * time.Millisecond // between two pauses of a series
 	minStepped    = 4                      // daemons
@@ -97,7 +100,10 @@
 			At: at, Version: version + 1, Replicas: 2*p.Gate + minReplaced + rng.IntN(maxReplaced-minReplaced+1),
 			Gap: releaseGaps[rng.IntN(len(releaseGaps))], Unannounced: rng.IntN(2) == 0,
 		})
-		o := outage{release: at, from: at - time.Duration(rng.Int64N(int64(maxOutOfStepLead))), length: between(rng, minOutOfStep, maxOutOfStep)}
+		o := outage{release: at, from: at - time.Duration(rng.Int64N(int64(maxOutOfStepLead))), length: between(rng, minOutOfStep, longOutOfStep)}
+		if rng.IntN(2) == 0 {
+			o.length = between(rng, longOutOfStep, maxOutOfStep)
+		}
 		p.drawOutage(rng, &o)
 		p.drawBreaks(rng, &o)
 		at += o.length + releasePause
@@ -172,8 +178,10 @@
 		}
 	}
 	if kind <= 1 {
+		until := o.from + minOutOfStep // of the first kill, since a daemon may notice later that it is cut off
 		for _, d := range inStep[:min(len(inStep), 1+rng.IntN(3))] {
-			p.Faults = append(p.Faults, Fault{At: from + time.Duration(rng.Int64N(int64(minOutOfStep))), Kind: killDaemon, Target: d})
+			p.Faults = append(p.Faults, Fault{At: between(rng, from, until), Kind: killDaemon, Target: d})
+			until = o.from + o.length
 		}
 	}
 }
