--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -146,6 +146,8 @@
 		also: []edit{{"daemon/routes/sync.go", "if s.response.versions != nil {", "if s.response.versions == nil {"}}},
 	{name: "tells no history of versions", promise: "LOST", subject: "resumes", file: "daemon/routes/sync.go",
 		text: "a.versions = &history", instead: "_ = &history", fixed: youngDaemonsPlan},
+	{name: "begins streams at new versions at once", promise: "ORDER", subject: longPrefix, file: "coordination/routing/establishment.go",
+		text: "u.joined.isNew = basis == \"\" && !isGone && !h.isKnownFirst(u)", instead: "u.joined.isNew = basis == \"\" && !isGone && !h.isKnownFirst(u) && now.IsZero()", outOfStep: true},
 	{name: "gives a silent replica up without another", promise: "LOST", subject: longPrefix, file: "transport/relay/failover.go",
 		text: "\tif h.state.Load() == handoverToNext {", instead: "\tif h.silent.closeConn(); true {", fixed: silentReplicasPlan},
 	{name: "counts only whole contents", promise: "BUDGET", subject: crashingPartPrefix, file: "transport/relay/record.go",
