--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -21,13 +21,19 @@
 	firstRelease = 11500 * time.Millisecond
 	// releaseJitter is added to it at most.
 	releaseJitter = time.Second
+	// secondReleaseOneIn runs has a second release. A service with two versions already is a lesser risk: daemons ask for
+	// its streams, in step or not.
+	secondReleaseOneIn = 4
 	// releasePause is the time between the end of one outage and the next release.
 	releasePause = 1500 * time.Millisecond
 	// maxOutOfStepLead is how long before the release a daemon falls out of step, at most.
 	maxOutOfStepLead = 150 * time.Millisecond
-	// Outages last from before a daemon misses its peers (1 s) until after it counts them as gone (2.5 s).
+	// An outage lasts for minOutOfStep to longOutOfStep in one half of the draws: a daemon misses its peers after 1 s and counts
+	// them as gone after 2.5 s. In the other half it lasts for longOutOfStep to maxOutOfStep, so that it goes on when the new
+	// version is established, which takes 3.6 s.
 	minOutOfStep  = 1200 * time.Millisecond
-	maxOutOfStep  = 4 * time.Second
+	longOutOfStep = 4 * time.Second
+	maxOutOfStep  = 7 * time.Second
 	minPause      = 100 * time.Millisecond
 	maxPauseGap   = 400 * time.Millisecond // between two pauses of a series
 	minStepped    = 4                      // daemons
@@ -46,11 +52,15 @@
 	linkOneWay   = 3 // nothing arrives from the daemon; the store still answers the watch that it has
 	linkSilent   = 4 // nothing arrives at the daemon
 	linkResets   = 5
-	bothWays     = 0
-	cutVariants  = 3
+	cutBothWays  = 0
+	cutOutbound  = 1 // the daemons inside still hear the others, so that they learn of the release
+	cutInbound   = 2
 	noStoreFault = -1
 )
 
+// cutDirections are the directions of cuts.
+var cutDirections = []int{cutBothWays, cutBothWays, cutBothWays, cutInbound, cutInbound, cutOutbound}
+
 // storeFaults are what becomes of the store's link of a daemon that is cut off. Where one of the last two is drawn, the
 // daemon still learns of the release.
 var storeFaults = []int{linkResets, linkResets, linkResets, linkSilent, linkSilent, linkOneWay, noStoreFault}
@@ -81,12 +91,19 @@
 	p.Versions = &Versions{Count: 1, Replicas: versionedReplicas, Resumers: stepResumers, KeepsVersion: true}
 	p.Chat = versionedReplicas
 	at := firstRelease + time.Duration(rng.Int64N(int64(releaseJitter)))
-	for version := range 1 + rng.IntN(2) {
+	releases := 1
+	if rng.IntN(secondReleaseOneIn) == 0 {
+		releases = 2
+	}
+	for version := range releases {
 		p.Versions.Rollouts = append(p.Versions.Rollouts, Rollout{
 			At: at, Version: version + 1, Replicas: 2*p.Gate + minReplaced + rng.IntN(maxReplaced-minReplaced+1),
 			Gap: releaseGaps[rng.IntN(len(releaseGaps))], Unannounced: rng.IntN(2) == 0,
 		})
-		o := outage{release: at, from: at - time.Duration(rng.Int64N(int64(maxOutOfStepLead))), length: between(rng, minOutOfStep, maxOutOfStep)}
+		o := outage{release: at, from: at - time.Duration(rng.Int64N(int64(maxOutOfStepLead))), length: between(rng, minOutOfStep, longOutOfStep)}
+		if rng.IntN(2) == 0 {
+			o.length = between(rng, longOutOfStep, maxOutOfStep)
+		}
 		p.drawOutage(rng, &o)
 		p.drawBreaks(rng, &o)
 		at += o.length + releasePause
@@ -117,13 +134,9 @@
 	}
 }
 
-// addCut cuts the daemons of an outage off from the others, in half of the draws in both directions, and disturbs their
-// links to the store.
+// addCut cuts the daemons of an outage off from the others and disturbs their links to the store.
 func (p *Plan) addCut(rng *rand.Rand, o *outage, kind faultKind, target, store int) {
-	direction := bothWays
-	if rng.IntN(2) == 0 {
-		direction = rng.IntN(cutVariants)
-	}
+	direction := cutDirections[rng.IntN(len(cutDirections))]
 	p.Faults = append(p.Faults, Fault{At: o.from, For: o.length, Kind: kind, Target: target, Variant: direction})
 	if store == noStoreFault {
 		return
@@ -165,8 +178,10 @@
 		}
 	}
 	if kind <= 1 {
+		until := o.from + minOutOfStep // of the first kill, since a daemon may notice later that it is cut off
 		for _, d := range inStep[:min(len(inStep), 1+rng.IntN(3))] {
-			p.Faults = append(p.Faults, Fault{At: from + time.Duration(rng.Int64N(int64(minOutOfStep))), Kind: killDaemon, Target: d})
+			p.Faults = append(p.Faults, Fault{At: between(rng, from, until), Kind: killDaemon, Target: d})
+			until = o.from + o.length
 		}
 	}
 }
