Relay: streams ask for permits at established replicas, and tell where they began at a new version

Cause: a coordinator grants the empty replicas of a new version first, and does not know which requests are streams. Change: the ask of a stream that has not begun names the new replicas as tried. A call does not return to a replica of a new version while others are usable.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -27,6 +27,7 @@
 	usableCount int
 	mean        float64 // of loads
 	coverage    float64 // share of the fleet's daemons whose requests loads contain
+	acceptsNew  bool    // the request's stream may begin at a new version
 }
 
 // newCandidates returns the candidates for a request. Ejected replicas may be chosen only if too few
@@ -46,7 +47,9 @@
 	mark func(c *candidates, p *Placer, pool *Pool, tried Tried, now time.Time),
 ) *candidates {
 	n := len(pool.Ready)
-	c := &candidates{ready: pool.Ready, coldUntil: pool.coldUntil, loads: make([]int, n), usable: make([]bool, n), overloaded: make([]bool, n)}
+	c := &candidates{
+		ready: pool.Ready, coldUntil: pool.coldUntil, loads: make([]int, n), usable: make([]bool, n), overloaded: make([]bool, n), acceptsNew: tried.AcceptsNew,
+	}
 	c.mean = float64(p.Loads.addTo(c.loads, pool, now)) / float64(n)
 	c.coverage = p.Loads.coverage(v.Daemons, now)
 	p.Overloads.markAvoided(c.overloaded, pool, v.LargeFleet, now)
--- a/coordination/routing/place_established.go
+++ b/coordination/routing/place_established.go
@@ -18,9 +18,9 @@
 
 // established returns the candidates of established versions that are well, with the mean of their own loads: those of replicas
 // that get none of the requests say nothing about the load of the others. It returns nil if all candidates are to be used: no version
-// is new, or no such candidate has a free slot.
+// is new, the request accepts them, or no such candidate has a free slot.
 func (c *candidates) established(h *Health, fresh []VersionKey, now time.Time) *candidates {
-	if len(fresh) == 0 {
+	if len(fresh) == 0 || c.acceptsNew {
 		return nil
 	}
 	out, hasFree := *c, false
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -74,6 +74,9 @@
 	// Version is the software version at which the request's stream began, to which it is bound; 0: it has
 	// not begun.
 	Version VersionKey
+	// AcceptsNew means that the stream may begin at a new version (establishment.go), since the coordinator of the service has no
+	// place at another one.
+	AcceptsNew bool
 }
 
 // ContentKey identifies the content of a request, independent of the request's id: two requests
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -98,6 +98,7 @@
 	Version      routing.SoftwareVersion // of the replica
 	Rank         int                     // position of the replica in the prompt's order of preference
 	Cold         bool                    // the replica was cold when it was chosen
+	NewVersion   bool                    // a stream that had not begun, at a version that is not established
 	PromptSource routing.ReplicaID       // replica that the prompt is copied from; empty: none
 	Load         int                     // of the replica when it was chosen, as estimated by this daemon, in requests
 	MeanLoad     float64                 // mean load of the service's replicas, in requests
--- /dev/null
+++ b/transport/relay/establishment_test.go
@@ -0,0 +1,137 @@
+package relay_test
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/admission"
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/relay"
+)
+
+var _ = Describe("Streams during a release", func() {
+	allEvents := event(1) + event(2) + event(3)
+	streams := func(a *receivedRequest) bool {
+		streamHead(a)
+		chunk(a, allEvents)
+		return streamEnd(a)
+	}
+	// release returns a fixture of a service in which the version of some replicas is new.
+	release := func(route routing.Route, fresh routing.SoftwareVersion, replicas ...*replica) *fixture {
+		w := newFixture(route, replicas...)
+		w.view.NewVersions = routing.NewVersions{"s": {startVersion("x", fresh, nil).VersionKey()}}
+		return w
+	}
+
+	It("try a second established replica, and not a new one, before their first event", func() {
+		// Guards against a retry that begins a stream at a version that some daemon may not know.
+		for range 8 {
+			breaks := func(a *receivedRequest) bool {
+				streamHead(a)
+				return reset(a.conn)
+			}
+			w := release(resumable, "v2", startVersion("r1", "v1", breaks), startVersion("r2", "v2", streams), startVersion("r3", "v1", breaks), startVersion("r4", "v2", streams))
+			_, s := w.serve(w.call("a", "POST", "x"))
+			Expect(s.Attempts).To(HaveLen(2))
+			Expect(s.Attempts).To(HaveEach(HaveField("Version", routing.SoftwareVersion("v1"))))
+		}
+	})
+
+	It("begin at a new version, and tell it, if no other replica is left", func() {
+		broken := func(a *receivedRequest) bool { return reset(a.conn) }
+		w := release(resumable, "v2", startVersion("r1", "v1", broken), startVersion("r2", "v2", streams))
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(s.Attempts).To(HaveLen(2))
+		Expect(s.Attempts[0].NewVersion).To(BeFalse())
+		Expect(s.Attempts[1].NewVersion).To(BeTrue())
+	})
+
+	It("are sent to a second established replica, and not to a new one, while the first one is silent", func() {
+		// Guards against the second attempt of a call whose first one goes on.
+		n := 0
+		silentFirst := func(a *receivedRequest) bool {
+			if countCall(&n) == 1 {
+				return awaitClose(a)
+			}
+			return streams(a)
+		}
+		w := release(resumable, "v2", startVersion("r1", "v1", silentFirst), startVersion("r2", "v2", streams), startVersion("r3", "v1", silentFirst), startVersion("r4", "v2", streams))
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(s.Attempts).To(HaveLen(2))
+		Expect(s.Attempts).To(HaveEach(HaveField("Version", routing.SoftwareVersion("v1"))))
+	})
+
+	Context("at a crowded service", func() {
+		grant := func(r *replica) relay.Permit {
+			return relay.PermitGranted{Service: "s", ID: 1, Replica: r.LoadKey()}
+		}
+
+		It("ask for an established replica", func() {
+			old, next := startVersion("r1", "v1", streams), startVersion("r2", "v2", streams)
+			w := release(resumable, "v2", old, next)
+			p := &scriptedPermits{needed: true, acquire: func(_ context.Context, tried []routing.LoadKey) relay.Permit {
+				if slices.Contains(tried, next.LoadKey()) {
+					return grant(old)
+				}
+				return grant(next)
+			}}
+			w.relay.Permits = p
+			_, s := w.serve(w.call("a", "POST", "x"))
+			Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r1"))))
+			Expect(p.tried).To(HaveLen(1))
+		})
+
+		It("give back the permit of a new one", func() {
+			// Guards against a coordinator of which not all new replicas are told, and of the previous build.
+			old, next := startVersion("r1", "v1", streams), startVersion("r2", "v2", streams)
+			w := release(resumable, "v2", old, next)
+			p := &scriptedPermits{needed: true, acquire: grants(next, old)}
+			w.relay.Permits = p
+			_, s := w.serve(w.call("a", "POST", "x"))
+			Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r1"))))
+			Expect(p.released).To(Equal([]admission.Result{admission.Abandoned, admission.Completed}))
+		})
+
+		DescribeTable("use the permit of a new one if the coordinator has no place at another", func(without func(ctx context.Context) relay.Permit) {
+			// Guards against requests that are refused, or sent without a permit, although a replica has a place.
+			old, next := startVersion("r1", "v1", streams), startVersion("r2", "v2", streams)
+			w := release(resumable, "v2", old, next)
+			p := &scriptedPermits{needed: true, acquire: func(ctx context.Context, tried []routing.LoadKey) relay.Permit {
+				if slices.Contains(tried, next.LoadKey()) {
+					return without(ctx)
+				}
+				return grant(next)
+			}}
+			w.relay.Permits = p
+			to, s := w.serve(w.call("a", "POST", "x"))
+			Expect(string(to.body)).To(Equal(allEvents))
+			Expect(s.Attempts).To(HaveExactElements(And(HaveField("Replica", routing.ReplicaID("r2")), HaveField("NewVersion", BeTrue()))))
+			Expect(p.released).To(Equal([]admission.Result{admission.Completed}))
+		},
+			Entry("it refuses", func(context.Context) relay.Permit { return relay.PermitRefused{RetryAfter: time.Second} }),
+			Entry("it has the request wait", func(ctx context.Context) relay.Permit {
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Second):
+				}
+				return relay.PermitExpired{}
+			}),
+		)
+
+		It("that were refused without a new version are refused", func() {
+			old, next := startVersion("r1", "v1", streams), startVersion("r2", "v2", streams)
+			w := release(resumable, "v2", old, next)
+			w.relay.Permits = &scriptedPermits{needed: true, acquire: func(context.Context, []routing.LoadKey) relay.Permit {
+				return relay.PermitRefused{RetryAfter: time.Second}
+			}}
+			_, s := w.serve(w.call("a", "POST", "x"))
+			Expect(s.Attempts).To(BeEmpty())
+		})
+	})
+})
--- a/transport/relay/failover.go
+++ b/transport/relay/failover.go
@@ -324,7 +324,9 @@
 	}
 	s.goesBack = false
 	isCoordinated := s.Permits != nil && s.Permits.Needed(s.call.Service)
-	if isCoordinated || !s.Placer.MayReturnTo(s.View(), s.abandoned, s.tried.Tried, clock.Now()) {
+	now, view := clock.Now(), s.View()
+	if isCoordinated || !s.Placer.MayReturnTo(view, s.abandoned, s.tried.Tried, now) ||
+		s.Placer.AvoidsNew(view, &s.call.Request, s.abandoned, s.tried.Tried, now) {
 		return nil
 	}
 	return s.abandoned
--- a/transport/relay/permits.go
+++ b/transport/relay/permits.go
@@ -85,10 +85,11 @@
 	if !s.reserveSend(ctx) {
 		return routing.Target{}, false
 	}
-	tried := s.tried.keys()
+	fresh, tried := s.newReplicas(), s.tried.keys()
+	defer func() { s.tried.AcceptsNew = false }() // the next attempt asks again
 	for range maxAsks {
 		asked := clock.Now()
-		p := s.Permits.Acquire(ctx, s.call, tried)
+		p := s.acquire(ctx, fresh, tried)
 		now := clock.Now()
 		s.summary.PermitWait += now.Sub(asked)
 		switch p := p.(type) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -200,7 +200,7 @@
 // the attempt to the summary.
 func (s *activeCall) sendAndRecord(ctx context.Context, t *routing.Target, started time.Time) *failure {
 	a := Attempt{
-		Replica: t.Replica.ID, Version: t.Replica.Version, Rank: t.Rank, Cold: t.Replica.IsCold(started), PromptSource: t.Source.ID,
+		Replica: t.Replica.ID, Version: t.Replica.Version, Rank: t.Rank, Cold: t.Replica.IsCold(started), NewVersion: t.NewVersion, PromptSource: t.Source.ID,
 		Load: t.Load, MeanLoad: t.Mean, LoadCoverage: t.Coverage,
 	}
 	i := len(s.summary.Attempts) // further attempts may follow before this one has ended
