Wire: the history of versions tells for how long each has been known

Cause: a daemon that starts during a release can't tell from its first documents which version has just joined. Change: a CBOR tag around the time since the version left, base 0x48590000 plus milliseconds.

--- a/protocol/gossip/versions.go
+++ b/protocol/gossip/versions.go
@@ -1,11 +1,17 @@
 // This file encodes the history of software versions that a daemon sends along with documents. A daemon of an
 // earlier build neither sends nor reads it.
+//
+// How long a version has been known is a CBOR tag around LeftFor. The previous build, which does not tell it, decodes the
+// number without the tag.
 
 package gossip
 
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
 	"hingewinch.org/hingewinch/coordination/routing"
 )
 
@@ -20,7 +26,52 @@
 	_       struct{} `cbor:",toarray"`
 	Service routing.ServiceName
 	Version routing.VersionKey
-	LeftFor uint32 // in milliseconds
+	LeftFor leftForMessage
+}
+
+// knownTag is the base of the tag numbers: the tag of a version is knownTag plus the milliseconds for which it has been known. It
+// lies in the range of tag numbers that are free for any use.
+const knownTag = 0x48590000
+
+// maxKnownFor is the longest time that is told. Longer ones are cut to it: a version counts as established much sooner.
+const maxKnownFor = 65_535 * time.Millisecond
+
+// leftForMessage is the wire form of the time since a version left, and of that for which it has been known, in milliseconds.
+type leftForMessage struct {
+	LeftFor  uint32
+	KnownFor uint32 // 0: not told
+}
+
+func newLeftForMessage(u *routing.UsedVersion) leftForMessage {
+	m := leftForMessage{LeftFor: milliseconds(u.LeftFor)}
+	if u.KnownFor > 0 {
+		m.KnownFor = max(1, milliseconds(min(u.KnownFor, maxKnownFor)))
+	}
+	return m
+}
+
+// MarshalCBOR encodes the times.
+func (m leftForMessage) MarshalCBOR() ([]byte, error) {
+	if m.KnownFor == 0 {
+		return cbor.Marshal(m.LeftFor)
+	}
+	return cbor.Marshal(cbor.Tag{Number: knownTag + uint64(m.KnownFor), Content: m.LeftFor})
+}
+
+// UnmarshalCBOR decodes the times. Tags of other meanings are ignored.
+func (m *leftForMessage) UnmarshalCBOR(payload []byte) error {
+	*m = leftForMessage{}
+	if err := cbor.Unmarshal(payload, &m.LeftFor); err != nil {
+		return eris.Wrap(err, "decode time since a version left")
+	}
+	var tag cbor.RawTag
+	if cbor.Unmarshal(payload, &tag) != nil {
+		return nil // no tag
+	}
+	if known := tag.Number - knownTag; tag.Number > knownTag && known <= uint64(maxKnownFor.Milliseconds()) {
+		m.KnownFor = uint32(known)
+	}
+	return nil
 }
 
 // EncodeVersions encodes a history of versions.
@@ -28,7 +79,7 @@
 	return encode(&versionReportMessage{
 		Position: positionMessage{Era: r.At.Era, Revision: r.At.Revision}, Complete: milliseconds(r.Complete),
 		Versions: convert(r.Versions, func(u routing.UsedVersion) usedVersionMessage {
-			return usedVersionMessage{Service: u.Service, Version: u.Version, LeftFor: milliseconds(u.LeftFor)}
+			return usedVersionMessage{Service: u.Service, Version: u.Version, LeftFor: newLeftForMessage(&u)}
 		}),
 	})
 }
@@ -42,7 +93,10 @@
 	r := &routing.VersionReport{Complete: time.Duration(m.Complete) * time.Millisecond}
 	r.At.Era, r.At.Revision = m.Position.Era, m.Position.Revision
 	r.Versions = convert(m.Versions, func(u usedVersionMessage) routing.UsedVersion {
-		return routing.UsedVersion{Service: u.Service, Version: u.Version, LeftFor: time.Duration(u.LeftFor) * time.Millisecond}
+		return routing.UsedVersion{
+			Service: u.Service, Version: u.Version,
+			LeftFor: time.Duration(u.LeftFor.LeftFor) * time.Millisecond, KnownFor: time.Duration(u.LeftFor.KnownFor) * time.Millisecond,
+		}
 	})
 	return r, nil
 }
