Confirmations: for how long a daemon may take its versions for complete

Cause: what a daemon knows of software versions holds until something refutes it, which nothing does at a daemon that is cut off or paused.

Heartbeats have the age as a tag around the size of the fleet, in units of 10 ms, as it is rounded up on each way.

--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -82,7 +82,7 @@
 // HearsAll reports whether this daemon hears of all seeds and members that it knows, but for those that have shut
 // down; in a large fleet, of all seeds and of some members in every failure domain.
 func (r *Roster) HearsAll(now time.Time) bool {
-	if slices.ContainsFunc(r.seeds, func(a Address) bool { return a != r.self.Address && r.members[a] == nil }) {
+	if r.lacksSeed() {
 		return false // beyond a cut, if this daemon started while its failure domain was cut off
 	}
 	if r.isLarge() {
@@ -95,3 +95,8 @@
 	}
 	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.Leaving && e.isMissed(now) })
 }
+
+// lacksSeed reports whether a seed is unknown.
+func (r *Roster) lacksSeed() bool {
+	return slices.ContainsFunc(r.seeds, func(a Address) bool { return a != r.self.Address && r.members[a] == nil })
+}
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -250,6 +250,10 @@
 	full := goldenHeartbeat()
 	payload, err := EncodeHeartbeat(&full)
 	write("heartbeat", payload, err)
+	confirmed := goldenHeartbeat()
+	confirmed.Confirmed = NewConfirmedAge(425*time.Millisecond, true)
+	payload, err = EncodeHeartbeat(&confirmed)
+	write("heartbeat with an age", payload, err)
 	short := goldenHeartbeat()
 	short.Partial, short.Members, short.Loads, short.Evidence = true, nil, nil, nil
 	payload, err = EncodeHeartbeat(&short)
--- a/protocol/gossip/heartbeat.go
+++ b/protocol/gossip/heartbeat.go
@@ -25,6 +25,9 @@
 	Revision  feed.Revision         // newest revision that the sender holds
 	Version   routing.ConfigVersion // version of the sender's configuration
 	FleetSize int                   // number of daemons known to the sender
+	// Confirmed tells how long ago the sender's documents were confirmed by a read of the store; zero: the sender's build
+	// does not tell.
+	Confirmed ConfirmedAge
 	// Partial marks a short heartbeat, sent between two regular ones for urgent changes. It
 	// has no loads and no evidence; the receiver keeps those of the last regular one.
 	Partial   bool
@@ -89,7 +92,7 @@
 	}
 	h := Heartbeat{
 		Stamp: coordination.Stamp{Wall: m.Wall, Counter: m.Counter}, Era: m.Position.Era, Revision: m.Position.Revision, Version: m.Version,
-		FleetSize: m.FleetSize, Partial: m.Partial,
+		FleetSize: m.Size.FleetSize, Confirmed: m.Size.Confirmed, Partial: m.Partial,
 		Loads: convert(m.Loads, loadMessage.value), Locations: convert(m.Locations, locationMessage.value),
 		Evidence: convert(m.Evidence, evidenceMessage.value),
 	}
@@ -117,7 +120,7 @@
 	Counter   uint32
 	Position  positionMessage
 	Version   routing.ConfigVersion
-	FleetSize int
+	Size      sizeMessage
 	Partial   bool
 	Loads     []loadMessage
 	Locations []locationMessage
@@ -198,7 +201,7 @@
 func encodeAll(h *Heartbeat) ([]byte, error) {
 	m := heartbeatMessage{
 		Wall: h.Stamp.Wall, Counter: h.Stamp.Counter, Position: positionMessage{h.Era, h.Revision}, Version: h.Version,
-		FleetSize: h.FleetSize, Partial: h.Partial,
+		Size: sizeMessage{h.FleetSize, h.Confirmed}, Partial: h.Partial,
 		Loads: convert(h.Loads, func(c routing.LoadCount) loadMessage {
 			return loadMessage{Replica: c.Replica, Requests: c.Requests}
 		}),
