--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -95,8 +95,3 @@
 	}
 	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.Leaving && e.isMissed(now) })
 }
-
-// lacksSeed reports whether a seed is unknown.
-func (r *Roster) lacksSeed() bool {
-	return slices.ContainsFunc(r.seeds, func(a Address) bool { return a != r.self.Address && r.members[a] == nil })
-}
