Lease on the knowledge of software versions

Cause: a daemon took a service for one of a single version as long as nothing that it heard spoke against it. While it was cut off nothing did, for 2.5 s.

Change: OnlyVersion holds for 3 s after a confirmation (confirmations.go). The reader posts what its reads confirm, and posts it although its plan has just been replaced: a read that was lost at that moment would not have come again. Heartbeats have the time at which they were read from the socket, and tell the age of the confirmation. updateBehind is gone: the history of versions begins anew where 3 s or more lie between two confirmations. Within less no version is established, so that no stream has begun at one that was missed. A line and a counter tell when the lease ends.

Tests of the former rule now say that the store is read, as versions are only known after that; what they assert is unchanged. The ages in the line of a resume are those of the lease, so that the heartbeat of a daemon that is cut off does not confirm any more, and one whose sender can't read the store confirms what it had confirmed itself (TestDocumentAgesAreThoseOfTheLastConfirmation).

--- a/coordination/membership/confirmations.go
+++ b/coordination/membership/confirmations.go
@@ -37,8 +37,8 @@
 // of 930 daemons where all is well and one datagram in ten is lost, confirmations were up to 2.7 s old.
 const VersionLease = 3 * time.Second
 
-// Confirmations records until when the documents of a daemon are known to have been complete. It is not safe for
-// concurrent use.
+// Confirmations records until when the documents of a daemon are known to have been complete. In the zero value nothing is
+// confirmed. It is not safe for concurrent use.
 type Confirmations struct {
 	store    time.Time // latest confirmation that goes back to a read of the store
 	fleet    time.Time // latest confirmation by rule 5
@@ -72,9 +72,6 @@
 	Waited   bool          // it may have waited there
 }
 
-// NewConfirmations returns a record in which nothing is confirmed.
-func NewConfirmations() *Confirmations { return &Confirmations{heard: make(map[Address]heardMember)} }
-
 // ConfirmedByWatch returns the time that a watch of the store confirms. wait is how long the store was asked to wait.
 func ConfirmedByWatch(sent, returned time.Time, wait time.Duration, changed bool) time.Time {
 	if end := sent.Add(wait); !changed && !returned.Before(end) {
@@ -113,6 +110,9 @@
 	if p.Sender.Incarnation < last.incarnation || p.Sender.Incarnation == last.incarnation && p.Sender.Heartbeats <= last.heartbeats {
 		return
 	}
+	if c.heard == nil {
+		c.heard = make(map[Address]heardMember)
+	}
 	c.heard[p.Sender.Address] = heardMember{p.Sender.Incarnation, p.Sender.Heartbeats, p.Received}
 	if !p.HasAge && p.Sender.StoreUnreachable {
 		return
--- a/coordination/membership/confirmations_test.go
+++ b/coordination/membership/confirmations_test.go
@@ -82,7 +82,7 @@
 		r.Observe(others, now)
 		r.self.Heartbeats = 1
 		p.daemons = append(p.daemons, &leaseDaemon{
-			roster: r, leases: NewConfirmations(), at: feed.Position{Revision: 1}, offset: time.Duration(p.rng.IntN(int(playTick/playStep))) * playStep,
+			roster: r, leases: &Confirmations{}, at: feed.Position{Revision: 1}, offset: time.Duration(p.rng.IntN(int(playTick/playStep))) * playStep,
 		})
 	}
 	return p
@@ -267,7 +267,7 @@
 // that it gets newer each time by what a message waits without being noticed.
 func TestConfirmationsDoNotRenewThemselves(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a, b := NewConfirmations(), NewConfirmations()
+	a, b := &Confirmations{}, &Confirmations{}
 	a.ObserveRead(now)
 	end := now.Add(VersionLease + maxUndetected)
 	for n := uint64(1); now.Before(end); n++ {
@@ -290,7 +290,7 @@
 // daemon whose documents are always a little behind and that never confirms anything.
 func TestConfirmationsWaitForDocuments(t *testing.T) {
 	begun := time.Unix(1000, 0)
-	c := NewConfirmations()
+	c := &Confirmations{}
 	own, now := feed.Position{Revision: 1}, begun
 	for n := range 20 {
 		now = begun.Add(time.Duration(n+1) * 200 * time.Millisecond)
@@ -326,7 +326,7 @@
 		{"of the previous build", 0, PeerConfirmation{Sender: Member{Heartbeats: 2}}, true},
 		{"of the previous build, which can't read the store", 0, PeerConfirmation{Sender: Member{Heartbeats: 2, StoreUnreachable: true}}, false},
 	} {
-		l := NewConfirmations()
+		l := &Confirmations{}
 		if c.before > 0 {
 			l.ObserveHeartbeat(&PeerConfirmation{Sender: Member{Heartbeats: c.before}, HasAge: true, Received: now.Add(-10 * time.Second)}, feed.Position{})
 		}
@@ -378,7 +378,7 @@
 		{"a seed is unknown", false, false, 0, []Address{"10.9.9.9:1"}, false},
 	} {
 		members, rosters := holderFleet(8, 3, begun)
-		r, l := rosters[0], NewConfirmations()
+		r, l := rosters[0], &Confirmations{}
 		r.seeds = c.seeds
 		for i, m := range members[1:] {
 			at := now
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -91,8 +91,7 @@
 
 	originQuestions originQuestions
 	history         historyState
-	// mayBeBehind says that other daemons may have documents that this one lacks.
-	mayBeBehind atomic.Bool
+	lease           leaseState
 	// lacksDocuments says that a peer is known to have newer documents than this daemon.
 	lacksDocuments atomic.Bool
 	documents      documentTimes
@@ -184,6 +183,7 @@
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
 			c.updateLacksDocuments(clock.Now())
+			c.updateLease(clock.Now())
 		}
 	}
 }
@@ -193,20 +193,21 @@
 	case storeListed:
 		c.syncs.needsPeerCheck = c.syncs.needsPeerCheck || c.catalog.feed.Revision() == 0
 		c.applyList(e.items, e.at, sourceStore, now)
-		c.confirmFromStore(e.at.Era, now)
+		c.confirmFromStore(e.at.Era, e.sent)
 	case storePageRead:
 		c.applyPage(&e, now)
 	case storeChanged:
 		if e.At.Era == c.catalog.feed.Position().Era {
 			c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
 		}
-		c.confirmFromStore(e.At.Era, now)
+		c.confirmFromStore(e.At.Era, e.confirms)
 	case storeConfirmed:
-		c.confirmFromStore(e.at.Era, now)
+		c.confirmFromStore(e.at.Era, e.confirms)
 	case storeReachabilityChanged:
 		c.setStoreUnreachable(e, now)
 	case heartbeatReceived:
 		c.receiveHeartbeat(ctx, &e.heartbeat, now)
+		c.confirmFromPeer(&e, now)
 	case silencesReceived:
 		c.receiveSilences(e.reports, now)
 	case overloadsReceived:
@@ -322,8 +323,8 @@
 	c.transfers.dropExpired(now)
 	c.originQuestions.dropExpired(now)
 	c.origins.Forget(now)
-	c.updateBehind(now)
 	c.updateLacksDocuments(now)
+	c.tickLease(now)
 	c.reach.Tick(now)
 	c.dropLostCarriers(now)
 	c.updateBrittle(now)
@@ -412,6 +413,7 @@
 		return
 	}
 	c.documents.change(now)
+	c.lease.begin(now)
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeUnreachableAt) < storeOutageWindow, now))
 	c.announce(now)
 }
--- a/daemon/routes/documents.go
+++ b/daemon/routes/documents.go
@@ -1,11 +1,5 @@
-// This file keeps when the daemon's documents were last known to be current, and when they last changed, for the line of
-// a request that resumes a stream. Nothing is decided by it.
-//
-// Inputs: the daemon's reads of the store, peers' heartbeats, and changes of documents. The rule:
-//
-//  1. A list or a watch of the store confirms the documents at the time at which the control loop takes it.
-//  2. A heartbeat confirms them at the time of its arrival if its sender can read the store, as far as it knows, and has no
-//     newer documents than this daemon. A sender that is cut off itself confirms them all the same, until it has noticed.
+// This file keeps when the daemon's documents were last confirmed (lease.go) and when they last changed, for the request path
+// and the line of a request that resumes a stream.
 
 package routes
 
@@ -13,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"hingewinch.org/hingewinch/protocol/gossip"
-	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/relay"
 )
@@ -23,13 +15,13 @@
 // read it.
 type documentTimes struct{ confirmedAt, changedAt atomic.Pointer[time.Time] }
 
-// confirm records that the documents are known to have been current at a time.
+// confirm records that the documents are known to have been complete at a time.
 func (d *documentTimes) confirm(at time.Time) { d.confirmedAt.Store(&at) }
 
 // change records that documents changed.
 func (d *documentTimes) change(at time.Time) { d.changedAt.Store(&at) }
 
-// ages returns how long ago the documents were last known to be current, and how long ago they changed.
+// ages returns how long ago the documents were last known to be complete, and how long ago they changed.
 func (d *documentTimes) ages(now time.Time) relay.DocumentAges {
 	return relay.DocumentAges{Confirmed: ageOf(d.confirmedAt.Load(), now), Changed: ageOf(d.changedAt.Load(), now)}
 }
@@ -45,17 +37,3 @@
 func (o streamOrigins) DocumentAges() relay.DocumentAges {
 	return o.control.documents.ages(clock.Now())
 }
-
-// confirmFromStore records a read of the store in an era, once its documents are applied.
-func (c *control) confirmFromStore(e feed.Era, now time.Time) {
-	if e == c.catalog.feed.Position().Era {
-		c.documents.confirm(now)
-	}
-}
-
-// confirmFromPeer records a peer's heartbeat, which names a position.
-func (c *control) confirmFromPeer(h *gossip.Heartbeat, at feed.Position, now time.Time) {
-	if !h.Sender.StoreUnreachable && !c.catalog.feed.Position().Before(at) {
-		c.documents.confirm(now)
-	}
-}
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -4,6 +4,8 @@
 package routes
 
 import (
+	"time"
+
 	"hingewinch.org/hingewinch/coordination/admission"
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
@@ -25,6 +27,7 @@
 	storeListed struct {
 		items []feed.Item
 		at    feed.Position
+		sent  time.Time // when the first page was requested
 	}
 	// storePageRead carries one page of a list that is being read: the documents with keys greater
 	// than after and up to upTo. upTo is empty on the last page.
@@ -34,16 +37,26 @@
 		at          feed.Position // of the list
 	}
 	// storeChanged carries the changes that a watch of the store returned.
-	storeChanged struct{ feed.Changes }
+	storeChanged struct {
+		feed.Changes
+		confirms time.Time // see membership.ConfirmedByWatch
+	}
 	// storeConfirmed says that a watch of the store returned without changes.
-	storeConfirmed struct{ at feed.Position }
+	storeConfirmed struct {
+		at       feed.Position
+		confirms time.Time
+	}
 	// storeReachabilityChanged says that the store became unreachable or reachable.
 	storeReachabilityChanged struct {
 		unreachable bool
 		err         error // why the store is unreachable
 	}
 	// heartbeatReceived carries a peer's heartbeat.
-	heartbeatReceived struct{ heartbeat gossip.Heartbeat }
+	heartbeatReceived struct {
+		heartbeat gossip.Heartbeat
+		at        time.Time // when it was read from the socket
+		waited    bool      // it may have waited there
+	}
 	// silencesReceived carries a peer's reports of silent replicas.
 	silencesReceived struct{ reports []routing.SilenceReport }
 	// overloadsReceived carries a peer's reports of overloaded replicas.
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -76,6 +76,7 @@
 		func() { l.Peer(membership.Member{Address: "10.0.0.1:1"}) },
 		func() { l.SyncFailed("10.0.0.1:1", errors.New("e")) },
 		func() { l.VersionsLearned("10.0.0.1:1", time.Second, 2) },
+		func() { l.Lease(true, time.Second) },
 		func() { l.Denied("r1", routing.NoRoute) },
 		func() { l.Ejected(&replica, call, errors.New("e")) },
 		func() { l.Finished(call, summary) },
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -64,6 +64,7 @@
 	h := gossip.Heartbeat{
 		Sender: c.roster.NextHeartbeat(), Stamp: c.log.timeline.Stamp(),
 		Version: c.version(), FleetSize: c.roster.Size(now),
+		Confirmed: gossip.NewConfirmedAge(c.lease.confirmations.StoreAge(now)),
 	}
 	at := c.catalog.feed.Position()
 	h.Era, h.Revision = at.Era, at.Revision
--- /dev/null
+++ b/daemon/routes/lease_test.go
@@ -0,0 +1,150 @@
+package routes
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/protocol/gossip"
+	"hingewinch.org/hingewinch/state/feed"
+	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
+)
+
+// TestOnlyVersionIsKnownForTheLease guards against a daemon that hears nothing, from which nothing takes its belief that a
+// service has one version, and which resumes streams of another one that it does not know.
+func TestOnlyVersionIsKnownForTheLease(t *testing.T) {
+	for _, c := range []struct {
+		confirmed time.Duration // before
+		want      bool
+	}{{membership.VersionLease - time.Second, true}, {membership.VersionLease, false}} {
+		d := newQuietControl(t)
+		now := clock.Now()
+		applyRelease(d, now.Add(-time.Minute))
+		keepUpToDate(d, now.Add(-time.Minute), now.Add(-c.confirmed))
+		d.tickedAt.Store(&now)
+		if got := onlyVersion(d); got != c.want {
+			t.Errorf("confirmed %v before: knows of one version: %t, want %t", c.confirmed, got, c.want)
+		}
+	}
+}
+
+// TestShortLapseKeepsTheHistory guards against a history of versions that begins anew, so that streams of before are refused,
+// although nothing can have been missed; and against one that does not although something can.
+func TestShortLapseKeepsTheHistory(t *testing.T) {
+	for _, c := range []struct {
+		gap  time.Duration // between two confirmations
+		want bool          // the history is kept
+	}{{membership.VersionLease - time.Millisecond, true}, {membership.VersionLease, false}} {
+		d := newQuietControl(t)
+		now := clock.Now()
+		applyRelease(d, now.Add(-time.Minute))
+		keepUpToDate(d, now.Add(-time.Minute), now.Add(-c.gap))
+		d.updateLease(now) // nothing was confirmed
+		confirm(d, now)
+		if got := onlyVersion(d); got != c.want {
+			t.Errorf("%v between two confirmations: the history is kept: %t, want %t", c.gap, got, c.want)
+		}
+	}
+}
+
+// TestHeartbeatConfirmsDocumentsOnceTheyAreInTheView guards against a lease that a heartbeat renews before the documents
+// that its sender has are visible to requests: they may name another version.
+func TestHeartbeatConfirmsDocumentsOnceTheyAreInTheView(t *testing.T) {
+	c := newQuietControl(t)
+	c.syncs.newer = make(map[membership.Address]newerPeer)
+	c.syncs.inFlight = true // no request is sent
+	now := clock.Now()
+	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now.Add(-2*time.Second))
+	c.planReads(now)
+	own := c.catalog.feed.Position()
+	c.handle(context.Background(), peerHeartbeat(feed.Position{Era: own.Era, Revision: own.Revision + 1}, false, time.Millisecond)(now), now)
+	c.updateLease(now)
+	if got := c.documents.ages(now).Confirmed; got != 2*time.Second {
+		t.Errorf("confirmed %v before by a heartbeat that tells of documents that the daemon lacks", got)
+	}
+	c.apply(c.catalog.feed.ApplyChanges([]feed.Item{{Key: "replica-3", Value: []byte("version=v3"), Revision: own.Revision + 1}}, own.Revision+1), "peer", now)
+	if got := c.documents.ages(now).Confirmed; got != 2*time.Second {
+		t.Errorf("confirmed %v before the event is handled", got)
+	}
+	c.updateLease(now)
+	if got := c.documents.ages(now).Confirmed; got > time.Second {
+		t.Errorf("not confirmed by documents that a heartbeat told of: %v", got)
+	}
+	if !c.view.Load().HasSeveralVersions("s") {
+		t.Error("the second version is not in the view")
+	}
+}
+
+// TestHeartbeatsTellTheAgeOfTheConfirmation guards against a daemon that was confirmed by a peer and tells others that it read
+// the store itself, so that confirmations that are passed on never get old.
+func TestHeartbeatsTellTheAgeOfTheConfirmation(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	if age, ok := new(c.newHeartbeat(now)).Confirmed.Age(); !ok || age < time.Minute {
+		t.Errorf("tells an age of %v, %t, before anything was confirmed", age, ok)
+	}
+	c.handle(context.Background(), peerHeartbeat(feed.Position{}, false, time.Second)(now), now)
+	want := gossip.NewConfirmedAge(1500*time.Millisecond+membership.MaxSocketWait, true)
+	if got := c.newHeartbeat(now.Add(500 * time.Millisecond)).Confirmed; got != want {
+		t.Errorf("tells %v, want %v", got, want)
+	}
+}
+
+// emptyStore is a store without documents, whose watches return nothing after their wait.
+type emptyStore struct{ watched func() }
+
+func (s emptyStore) List(context.Context, string, transport.Timeouts) (feed.Page, error) {
+	time.Sleep(2 * time.Millisecond)
+	return feed.Page{At: feed.Position{Revision: 7}}, nil
+}
+
+func (s emptyStore) Watch(_ context.Context, _ feed.Revision, wait time.Duration, _ transport.Timeouts) (feed.Changes, error) {
+	s.watched()
+	time.Sleep(wait + 2*time.Millisecond)
+	return feed.Changes{At: feed.Position{Revision: 8}}, nil
+}
+
+func (emptyStore) CloseIdleConnections() {}
+
+// TestReaderTellsWhatItsReadsConfirm guards against a read of the store that confirms a time after the one at which the store
+// replied, and against what it read being lost when the plan of reads is replaced at that moment.
+func TestReaderTellsWhatItsReadsConfirm(t *testing.T) {
+	c := newQuietControl(t)
+	c.events = make(chan event, eventQueue)
+	c.publish(clock.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &reader{store: emptyStore{watched: cancel}, control: c, countCall: func() {}, countOlder: func() {}}
+	begun := clock.Now()
+	if err := r.list(ctx); err != nil {
+		t.Fatal(err)
+	}
+	listed := clock.Now()
+	if e := takeEvent[storeListed](t, c); e.sent.Before(begun) || !e.sent.Before(listed.Add(-time.Millisecond)) {
+		t.Errorf("a list of %v to %v confirms %v", begun, listed, e.sent)
+	}
+	if err := r.watch(ctx, &readPlan{ReadPlan: membership.ReadPlan{Wait: 20 * time.Millisecond}}); err != nil {
+		t.Fatal(err)
+	}
+	ended := clock.Now()
+	if e := takeEvent[storeConfirmed](t, c); !e.confirms.After(listed) || !e.confirms.Before(ended.Add(-time.Millisecond)) {
+		t.Errorf("a watch of %v to %v confirms %v", listed, ended, e.confirms)
+	}
+}
+
+// takeEvent returns the first event of a type that was posted.
+func takeEvent[E event](t *testing.T, c *control) E {
+	t.Helper()
+	for {
+		select {
+		case e := <-c.events:
+			if e, ok := e.(E); ok {
+				return e
+			}
+		default:
+			t.Fatal("no such event was posted")
+		}
+	}
+}
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -280,6 +280,17 @@
 	l.logger.Info().Str("peer", from).Int64("complete_ms", complete.Milliseconds()).Int("versions", versions).Msg(prefixPeer + "told the history of software versions")
 }
 
+// Lease logs that the lease on the daemon's knowledge of software versions ended or was renewed, and how long ago that was
+// confirmed.
+func (l *Log) Lease(ended bool, confirmed time.Duration) {
+	text := "documents are confirmed again; versions of software are taken for known"
+	if ended {
+		l.metrics.LeasesEnded.Inc(1)
+		text = "documents were not confirmed lately; versions of software are not taken for known"
+	}
+	l.logger.Info().Int64("confirmed_ms", confirmed.Milliseconds()).Msg(prefixPeer + text)
+}
+
 // HeartbeatFailed logs that a heartbeat or another datagram could not be encoded.
 func (l *Log) HeartbeatFailed(err error) {
 	l.logger.Error().Err(err).Msg(prefixPeer + "heartbeat can't be encoded; check listen.peers and peer_address")
--- a/daemon/routes/log_resumes_test.go
+++ b/daemon/routes/log_resumes_test.go
@@ -120,33 +120,37 @@
 	c.planReads(begun)
 	c.syncs.inFlight = true // no request is sent
 	for _, s := range []struct {
-		name      string
-		e         event
-		confirmed bool
+		name string
+		e    func(now time.Time) event
+		want time.Duration // since the confirmation
 	}{
-		{"a watch without changes", storeConfirmed{own}, true},
-		{"a peer with the same documents", peerHeartbeat(own, false), true},
-		{"a peer that can't read the store", peerHeartbeat(own, true), false},
-		{"a peer with newer documents", peerHeartbeat(feed.Position{Era: own.Era, Revision: own.Revision + 1}, false), false},
-		{"a list", storeListed{at: own}, true},
+		{"a watch without changes", func(now time.Time) event { return storeConfirmed{own, now.Add(-time.Second)} }, time.Second},
+		{"a peer of the previous build with the same documents", peerHeartbeat(own, false, 0), membership.MaxSocketWait},
+		{"a peer whose documents were confirmed 2 s before", peerHeartbeat(own, true, 2*time.Second), 2*time.Second + membership.MaxSocketWait},
+		{"a peer of the previous build that can't read the store", peerHeartbeat(own, true, 0), 10 * time.Second},
+		{"a peer with newer documents", peerHeartbeat(feed.Position{Era: own.Era, Revision: own.Revision + 1}, false, time.Second), 10 * time.Second},
+		{"a list", func(now time.Time) event { return storeListed{at: own, sent: now.Add(-time.Second)} }, time.Second},
 	} {
-		c.documents.confirm(begun)
 		now := begun.Add(10 * time.Second)
-		c.handle(context.Background(), s.e, now)
-		want := 10 * time.Second
-		if s.confirmed {
-			want = 0
-		}
-		if got := c.documents.ages(now).Confirmed; got != want {
-			t.Errorf("%s: confirmed %v ago, want %v", s.name, got, want)
+		c.lease.confirmations = membership.Confirmations{}
+		c.documents.confirm(begun)
+		c.handle(context.Background(), s.e(now), now)
+		c.updateLease(now)
+		if got := c.documents.ages(now).Confirmed; got != s.want {
+			t.Errorf("%s: confirmed %v ago, want %v", s.name, got, s.want)
 		}
 		begun = now
 	}
 }
 
-// peerHeartbeat returns the event of a peer's heartbeat with the position of its documents.
-func peerHeartbeat(at feed.Position, storeUnreachable bool) event {
+// peerHeartbeat returns a heartbeat that a peer sends with the position of its documents, and the age of their confirmation if
+// that is not 0.
+func peerHeartbeat(at feed.Position, storeUnreachable bool, age time.Duration) func(now time.Time) event {
 	m := testMember(1)
-	m.StoreUnreachable = storeUnreachable
-	return heartbeatReceived{gossip.Heartbeat{Sender: m, Partial: true, Era: at.Era, Revision: at.Revision}}
+	m.StoreUnreachable, m.Heartbeats = storeUnreachable, 1
+	h := gossip.Heartbeat{Sender: m, Partial: true, Era: at.Era, Revision: at.Revision}
+	if age > 0 {
+		h.Confirmed = gossip.NewConfirmedAge(age, true)
+	}
+	return func(now time.Time) event { return heartbeatReceived{heartbeat: h, at: now} }
 }
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -110,9 +110,11 @@
 	// ResumesOnlyVersion counts the resumed streams that were bound to the only version of their service, ResumesOwnRecord
 	// those that were bound by this daemon's record, and ResumesHolder those bound by another daemon's.
 	ResumesOnlyVersion, ResumesOwnRecord, ResumesHolder metrics.Counter
-	PermitWait                                          metrics.Histogram // milliseconds until a permit was granted
-	FirstByte                                           metrics.Histogram // milliseconds
-	Total                                               metrics.Histogram // milliseconds
+	// LeasesEnded counts how often the lease on the knowledge of software versions ended (lease.go).
+	LeasesEnded metrics.Counter
+	PermitWait  metrics.Histogram // milliseconds until a permit was granted
+	FirstByte   metrics.Histogram // milliseconds
+	Total       metrics.Histogram // milliseconds
 	// LoadUnderestimate is the number of requests by which a replica's reported load exceeded the
 	// estimate that it was chosen by, without the request itself. Coverage is the percentage
 	// of the fleet's daemons that the estimate included. Together they show whether the load
@@ -154,6 +156,7 @@
 		"resumes_only_version_total":      &m.ResumesOnlyVersion,
 		"resumes_own_record_total":        &m.ResumesOwnRecord,
 		"resumes_holder_total":            &m.ResumesHolder,
+		"version_leases_ended_total":      &m.LeasesEnded,
 		"resumes_unknown_total":           &m.ResumesUnknown,
 		"resumes_version_gone_total":      &m.ResumesVersionGone,
 		"spilled_total":                   &m.Spilled,
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -64,7 +64,7 @@
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
 	now := clock.Now()
-	if o.control.mayBeBehind.Load() || o.control.missedTick(now) || o.control.lacksDocuments.Load() {
+	if !o.control.holdsLease(now) || o.control.missedTick(now) || o.control.lacksDocuments.Load() {
 		return 0, false
 	}
 	return o.control.view.Load().OnlyVersion(s, now)
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -7,10 +7,12 @@
 	"context"
 	"encoding/base64"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -22,6 +24,7 @@
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/tunnel"
 )
 
@@ -92,8 +95,16 @@
 // with them.
 func (p *peers) receive(ctx context.Context, c *control) {
 	buf := make([]byte, gossip.MaxHeartbeatBytes+1)
+	var waits membership.SocketWaits
 	for ctx.Err() == nil {
+		began := clock.Now()
+		_ = p.socket.SetReadDeadline(time.Now().Add(membership.SocketPoll)) // fails if the socket is closed, as the read does
 		n, _, err := p.socket.ReadFromUDPAddrPort(buf)
+		now := clock.Now()
+		inTime := waits.Read(began, now)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -102,6 +113,10 @@
 			continue
 		}
 		if e, err := decodeDatagram(buf[:n]); err == nil {
+			if h, ok := e.(heartbeatReceived); ok {
+				h.at, h.waited = now, !inTime
+				e = h
+			}
 			p.metrics.HeartbeatsReceived.Inc(1)
 			c.post(ctx, e)
 		}
--- a/daemon/routes/restore_test.go
+++ b/daemon/routes/restore_test.go
@@ -73,7 +73,7 @@
 
 // watch simulates that the peer receives a change from the store.
 func (p *syncedPair) watch(era feed.Era, it feed.Item) {
-	p.peer.handle(context.Background(), storeChanged{feed.Changes{Items: []feed.Item{it}, At: feed.Position{Era: era, Revision: it.Revision}}}, p.now)
+	p.peer.handle(context.Background(), storeChanged{Changes: feed.Changes{Items: []feed.Item{it}, At: feed.Position{Era: era, Revision: it.Revision}}}, p.now)
 }
 
 // TestChangeWithReusedRevisionIsAppliedEverywhere guards against refusing a confirmed route,
@@ -114,7 +114,7 @@
 	if got := p.daemon.version(); got != 23 {
 		t.Errorf("after a peer's heartbeat it uses configuration %d, want 23", got)
 	}
-	p.peer.handle(context.Background(), storeChanged{feed.Changes{Items: []feed.Item{config(25, 27)}, At: feed.Position{Era: 2, Revision: 27}}}, p.now)
+	p.peer.handle(context.Background(), storeChanged{Changes: feed.Changes{Items: []feed.Item{config(25, 27)}, At: feed.Position{Era: 2, Revision: 27}}}, p.now)
 	p.exchangeHeartbeat()
 	if got := p.daemon.version(); got != 25 {
 		t.Errorf("after a new configuration it uses %d, want 25", got)
--- a/daemon/routes/store.go
+++ b/daemon/routes/store.go
@@ -186,7 +186,7 @@
 	}
 	r.partial = nil
 	r.after, r.listed = l.at, true
-	r.control.post(ctx, storeListed{items: l.items, at: l.at})
+	r.control.postAlways(storeListed{items: l.items, at: l.at, sent: l.begun})
 	r.succeeded(ctx)
 	return nil
 }
@@ -217,8 +217,9 @@
 	r.countCall()
 	// Between 3/4 and 5/4 of the wait, so that daemons don't call in lockstep.
 	wait := plan.Wait
-	wait = wait*3/4 + rand.N(wait/2)
+	wait = (wait*3/4 + rand.N(wait/2)).Truncate(time.Millisecond) // the store is told it in milliseconds
 	known := r.knownPosition()
+	sent := clock.Now()
 	changes, err := r.store.Watch(ctx, r.after.Revision, wait, storeTimeouts(wait+watchSlack))
 	if err != nil {
 		return err
@@ -231,10 +232,12 @@
 		return nil
 	}
 	r.after = changes.At
+	confirms := membership.ConfirmedByWatch(sent, clock.Now(), wait, len(changes.Items) > 0)
+	// These must reach the control loop although the plan has just been replaced: later watches don't return them again.
 	if len(changes.Items) > 0 {
-		r.control.post(ctx, storeChanged{changes})
+		r.control.postAlways(storeChanged{changes, confirms})
 	} else {
-		r.control.post(ctx, storeConfirmed{changes.At})
+		r.control.postAlways(storeConfirmed{changes.At, confirms})
 	}
 	r.succeeded(ctx)
 	if len(changes.Items) > 0 {
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -120,6 +120,9 @@
 func (c *control) respond(q *documentsRequest, now time.Time) documentsResponse {
 	a := c.catalog.respond(q)
 	history := c.catalog.versions.Report(c.catalog.feed.Position(), now)
+	if c.lease.lapsed {
+		history.Complete = 0
+	}
 	a.versions = &history
 	return a
 }
@@ -144,7 +147,6 @@
 	if !at.Before(c.syncs.newest) {
 		c.syncs.newest, c.syncs.newestHeard = at, now
 	}
-	c.confirmFromPeer(h, at, now)
 	p := newerPeer{position: position{at, h.Version}, sameDomain: h.Sender.Domain == c.domain}
 	if !p.newerThan(c.position()) {
 		c.requestMissedDocuments(ctx, h.Sender.Address, at)
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -7,7 +7,7 @@
 //     most likely know. It asks again after firstHistoryPause, and then after pauses that double: if a whole
 //     fleet has just started, nobody knows.
 //  3. A daemon that was paused or cut off has missed versions that came and went meanwhile. Its history begins
-//     anew.
+//     anew (lease.go has when).
 //  4. Daemons of the previous build tell no history.
 
 package routes
@@ -79,21 +79,6 @@
 	return true
 }
 
-// updateBehind determines whether documents may be missing here that other daemons have: no known daemon
-// reads the store, and some daemon is not heard, which may read it. While that lasts the history that requests
-// see does not count (streamOrigins.OnlyVersion), so that a view is built only at its end.
-func (c *control) updateBehind(now time.Time) {
-	isBehind := !c.roster.HasStoreReader(now) && !c.roster.HearsAll(now)
-	wasBehind := c.mayBeBehind.Load()
-	if isBehind || wasBehind {
-		isNew := c.interruptHistory(now)
-		if isNew && !isBehind {
-			c.publish(now)
-		}
-	}
-	c.mayBeBehind.Store(isBehind)
-}
-
 // missedTick reports whether the last tick is so long ago that the process must have been paused. It may be called
 // by any goroutine.
 func (c *control) missedTick(now time.Time) bool {
--- a/daemon/routes/versions_test.go
+++ b/daemon/routes/versions_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -23,16 +24,32 @@
 	applyEntries(c, 9, at, map[string]string{"replica-2": "version=v2"})
 }
 
+// confirm has a daemon read the store without changes at a time.
+func confirm(c *control, at time.Time) {
+	c.handle(context.Background(), storeConfirmed{c.catalog.feed.Position(), at}, at)
+	c.updateLease(at)
+}
+
+// keepUpToDate has a daemon read the store every second, from a time until another.
+func keepUpToDate(c *control, from, until time.Time) {
+	for at := from; at.Before(until); at = at.Add(time.Second) {
+		confirm(c, at)
+	}
+	confirm(c, until)
+}
+
 // TestStartedDaemonDoesNotKnowOfOnlyOneVersion guards against a daemon that starts after the entries of a version
 // are gone, and takes the service for one that has only ever had the version that is left.
 func TestStartedDaemonDoesNotKnowOfOnlyOneVersion(t *testing.T) {
 	c := newQuietControl(t)
 	applyRelease(c, clock.Now())
+	confirm(c, clock.Now())
 	if onlyVersion(c) {
 		t.Error("takes the only version that it sees for the only one that there was")
 	}
 	old := newQuietControl(t)
 	applyRelease(old, clock.Now().Add(-11*time.Second))
+	keepUpToDate(old, clock.Now().Add(-11*time.Second), clock.Now())
 	if !onlyVersion(old) {
 		t.Error("does not know of one version after it has seen no other for longer than a stream can last")
 	}
@@ -80,6 +97,7 @@
 			p.daemon.observeMembers(new(p.peer.newHeartbeat(now)), now)
 			p.daemon.learnHistory(t.Context(), now)
 			p.finishRequests()
+			confirm(p.daemon, now)
 			if got := p.daemon.view.Load().HasSeveralVersions("s"); got != c.several {
 				t.Errorf("the daemon knows of several versions: %t, want %t", got, c.several)
 			}
@@ -100,6 +118,7 @@
 	p.exchangeHeartbeat()
 	p.daemon.handle(t.Context(), syncDue{}, now.Add(firstSyncDelay))
 	p.finishRequests()
+	confirm(p.daemon, now)
 	if !onlyVersion(p.daemon) {
 		t.Error("has documents, but no history")
 	}
@@ -111,6 +130,7 @@
 	c := newQuietControl(t)
 	now := clock.Now()
 	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now.Add(-2*pauseThreshold))
 	c.tick(t.Context(), now.Add(-2*pauseThreshold))
 	if onlyVersion(c) {
 		t.Error("knows of one version although its last tick is long ago")
@@ -128,12 +148,13 @@
 	}
 }
 
-// newCutOffControl returns the control loop of a daemon that has known its documents for a minute, and now hears neither
-// the store nor the other daemon.
+// newCutOffControl returns the control loop of a daemon that has known its documents for a minute, and since the length of a
+// lease hears neither the store nor the other daemon.
 func newCutOffControl(t *testing.T, now time.Time) *control {
 	t.Helper()
 	c := newQuietControl(t)
 	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now.Add(-membership.VersionLease))
 	c.roster = membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, []membership.Address{"10.0.0.1:1", "10.0.0.9:1"})
 	c.roster.SetStoreUnreachable(true)
 	return c
@@ -143,7 +164,7 @@
 func TestCutOffDaemonTellsNoHistory(t *testing.T) {
 	now := clock.Now()
 	c := newCutOffControl(t, now)
-	c.updateBehind(now)
+	c.tickLease(now)
 	if onlyVersion(c) {
 		t.Error("knows of one version although a seed that was never heard may know another")
 	}
@@ -161,7 +182,7 @@
 	before := c.view.Load()
 	for range 3 {
 		now = now.Add(100 * time.Millisecond)
-		c.updateBehind(now)
+		c.tickLease(now)
 	}
 	if c.view.Load() != before {
 		t.Error("built a view while it was cut off")
@@ -171,7 +192,7 @@
 	}
 	c.roster.SetStoreUnreachable(false)
 	now = now.Add(100 * time.Millisecond)
-	c.updateBehind(now)
+	confirm(c, now)
 	if got := c.view.Load().VersionsSince; !got.Equal(now) {
 		t.Errorf("counts the history since %v after a cut that ended at %v", got, now)
 	}
@@ -184,6 +205,7 @@
 	c.syncs.newer = make(map[membership.Address]newerPeer)
 	now := clock.Now()
 	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now)
 	own := c.catalog.feed.Position()
 	receive := func(at feed.Position) {
 		c.syncs.inFlight = true // no request is sent
