--- a/coordination/routing/crash_test.go
+++ b/coordination/routing/crash_test.go
@@ -154,6 +154,27 @@
 		Expect(reports).To(ConsistOf(HaveField("Content", content+1)))
 	})
 
+	// A daemon that was cut off when a content was released sends the crashes that it still knows to the others.
+	It("keeps a release through a cut of less than a minute", func() {
+		other := routing.NewCrashes()
+		for r := range 3 {
+			crash(content, r, epoch)
+		}
+		exchange := func(from, to *routing.Crashes, now time.Time) {
+			reports, _ := from.All(0, 100, now)
+			to.Observe(reports, now)
+		}
+		exchange(c, other, epoch)
+		c.Clear(content, epoch.Add(time.Second))
+		after := epoch.Add(55 * time.Second)
+		c.Forget(after)
+		other.Forget(after)
+		exchange(other, c, after)
+		Expect(c.Quarantined(content, after)).To(BeFalse())
+		exchange(c, other, after)
+		Expect(other.Quarantined(content, after)).To(BeFalse())
+	})
+
 	It("returns everything in pages, each content once", func() {
 		for i := range 100 {
 			for r := range 3 {
