Documents: the last valid configuration outlasts one that is not usable, also for daemons that start then

While the store's configuration was not usable, running daemons kept the last valid one in force, but not its document: a daemon that started then had no configuration, from the store or from peers, and refused all requests until the operators wrote another one. A feed now keeps a retained document that has a version when the store's next one has none, as it does after a restore: the held one is sent to peers along with the one that it overrules, and the reason is logged as before.

--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -90,6 +90,7 @@
 	table       *routing.Table
 	tableItem   feed.Item
 	rejected    []byte                     // the content of the configuration that was rejected last; nil: none
+	overruled   []byte                     // the content of the store's configuration that was checked last; nil: none
 	replicas    map[string]routing.Replica // by document key
 	lists       map[routing.ServiceName]*routing.ReplicaList
 	unusable    map[string]unusableEntry // by document key
@@ -241,12 +242,26 @@
 // applyConfig activates a newer configuration. One that can't be parsed or has a lower
 // version is rejected.
 func (c *catalog) applyConfig(source string) {
+	c.checkOverruledConfig()
 	it, ok := c.documents.Config(c.feed)
-	if !ok || c.table != nil && it.Revision == c.tableItem.Revision && bytes.Equal(it.Value, c.tableItem.Value) {
+	if !ok || c.table != nil && (it.Revision == c.tableItem.Revision || it.Revision == 0) && bytes.Equal(it.Value, c.tableItem.Value) {
 		return
 	}
+	t, ok := c.acceptConfig(it)
+	if !ok {
+		return
+	}
+	c.table, c.tableItem, c.rejected = t, it, nil
+	for _, warning := range t.Warnings {
+		c.log.NotUnderstood(it.Key, warning)
+	}
+	c.log.Config(t.Version, it.Revision, source)
+}
+
+// acceptConfig parses a configuration. It returns false, and logs the reason once, if it is rejected.
+func (c *catalog) acceptConfig(it feed.Item) (*routing.Table, bool) {
 	if c.rejected != nil && bytes.Equal(it.Value, c.rejected) {
-		return // the version in force does not decrease, so that it would be rejected again
+		return nil, false // the version in force does not decrease, so that it would be rejected again
 	}
 	t, err := c.documents.ParseConfig(it)
 	if err == nil && c.table != nil && t.Version < c.table.Version {
@@ -255,13 +270,23 @@
 	if err != nil {
 		c.rejected = append([]byte{}, it.Value...) // not nil
 		c.log.Rejected(it.Key, err)
+		return nil, false
+	}
+	return t, true
+}
+
+// checkOverruledConfig logs the reason why the store's configuration is rejected, if the feed holds another one in its place.
+func (c *catalog) checkOverruledConfig() {
+	it, ok := c.documents.Config(c.feed)
+	if !ok {
 		return
 	}
-	c.table, c.tableItem, c.rejected = t, it, nil
-	for _, warning := range t.Warnings {
-		c.log.NotUnderstood(it.Key, warning)
+	overruled, ok := c.feed.Overruled(it.Key)
+	if !ok || c.overruled != nil && bytes.Equal(overruled.Value, c.overruled) {
+		return
 	}
-	c.log.Config(t.Version, it.Revision, source)
+	c.overruled = append([]byte{}, overruled.Value...) // not nil
+	c.acceptConfig(overruled)
 }
 
 // allReplicas returns all replicas that have a usable entry.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -404,6 +404,7 @@
 // is sent to peers immediately, so that peers which can't read the store learn of it.
 func (c *control) apply(changed []feed.Item, source string, now time.Time) {
 	if len(changed) == 0 {
+		c.catalog.checkOverruledConfig()
 		return
 	}
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeUnreachableAt) < storeOutageWindow, now))
--- a/state/feed/era.go
+++ b/state/feed/era.go
@@ -11,6 +11,9 @@
 //  2. A pre-restore document that the store lacks stays for a limited time, because its writer writes it again
 //     if it is still alive (DropMissing).
 //
+// A retained document that has a version also counts as a pre-restore document once the store's document has none, within an era
+// too: what has no version may not be usable, and daemons that start later would have no usable one.
+//
 // The owner of the feed chooses the time limits. Pre-restore documents are sent to peers along with all others,
 // so that a daemon that has only read the restored copy learns what the copy lacks.
 
@@ -79,6 +82,21 @@
 	}
 }
 
+// outlasts reports whether a held document stays although the store has a newer one: it is retained, and has a version, which
+// the newer one lacks.
+func (f *Feed) outlasts(held, newer Item) bool {
+	return !held.Deleted && !newer.Deleted && f.versions.IsRetained(held.Key) &&
+		!f.versions.Version(newer).Known && f.versions.Version(held).Known
+}
+
+// overrule makes the held document a pre-restore document in place of which the store has another one.
+func (f *Feed) overrule(held, current Item) {
+	f.overruled[current.Key] = current
+	f.newest = max(f.newest, current.Revision)
+	held.Revision = 0
+	f.put(held)
+}
+
 // mergeAcrossEras merges an item if it or the held item of its key is from before the restore. It returns true
 // if the held document has changed.
 func (f *Feed) mergeAcrossEras(held, it Item) bool {
@@ -99,8 +117,7 @@
 	if !f.preRestoreIsNewer(old, current) {
 		return false
 	}
-	f.overruled[current.Key] = current
-	f.put(old)
+	f.overrule(old, current)
 	return true
 }
 
--- a/state/feed/era_test.go
+++ b/state/feed/era_test.go
@@ -88,6 +88,39 @@
 		Expect(contents(f)).To(Equal("config=1.2"))
 	})
 
+	// Guards against daemons without a configuration, if they start while the store's is not usable.
+	It("keeps a retained document if the next one has no version, also at a peer that holds only that one", func() {
+		f := newListedFeed(doc("config", "1.5", 20), doc("a", "1.1", 21))
+		Expect(f.Apply([]feed.Item{doc("config", "x", 30), doc("a", "x", 31)})).To(ConsistOf(doc("a", "x", 31)))
+		Expect(f.Apply([]feed.Item{doc("config", "y", 32)})).To(BeEmpty())
+		Expect(contents(f)).To(Equal("a=x config=1.5"))
+		f.DropMissing()
+		Expect(f.AcceptOverruled()).To(BeEmpty())
+		overruled, _ := f.Overruled("config")
+		Expect(overruled).To(Equal(doc("config", "y", 32)))
+
+		peer := newListedFeed(doc("config", "y", 32), doc("a", "x", 31))
+		peer.Advance(32)
+		items, _ := f.Since(32)
+		peer.ApplyChanges(items, 32)
+		Expect(contents(peer)).To(Equal("a=x config=1.5"))
+		Expect(peer.Differing(f.Digest(true)).Any()).To(BeFalse())
+
+		for _, g := range []*feed.Feed{f, peer} {
+			Expect(g.Apply([]feed.Item{doc("config", "1.6", 33)})).To(HaveLen(1))
+			Expect(contents(g)).To(Equal("a=x config=1.6"))
+			Expect(g.Apply([]feed.Item{{Key: "config", Revision: 34, Deleted: true}})).To(HaveLen(1))
+			Expect(contents(g)).To(Equal("a=x"))
+		}
+	})
+
+	It("removes a retained document that outlasted one without a version if the store has none", func() {
+		f := newListedFeed(doc("config", "1.5", 20))
+		f.Apply([]feed.Item{doc("config", "x", 30)})
+		f.ApplyList(nil, 31)
+		Expect(contents(f)).To(BeEmpty())
+	})
+
 	DescribeTable("compares the versions of a pre-restore removal and the copy's document",
 		func(last, copied, want string) {
 			f := newListedFeed(doc("a", last, 28), doc("b", "1.1", 1))
--- a/state/feed/feed.go
+++ b/state/feed/feed.go
@@ -57,7 +57,7 @@
 	versions      Versioner
 	era           Era
 	items         map[string]Item // by key; includes removals that are remembered
-	overruled     map[string]Item // by key, documents of the store that are older than the held pre-restore document
+	overruled     map[string]Item // by key, documents of the store that the held pre-restore document stays in place of
 	hasPreRestore bool            // there may be pre-restore documents that the store lacks
 	revision      Revision
 	newest        Revision // the highest revision of a held item
@@ -131,6 +131,10 @@
 	if ok && held.Revision >= it.Revision {
 		return false
 	}
+	if ok && f.outlasts(held, it) {
+		f.overrule(held, it)
+		return false
+	}
 	f.put(it)
 	return true
 }
@@ -223,6 +227,12 @@
 	return items, complete
 }
 
+// Overruled returns the store's document of a key if it is not the held one, and false otherwise.
+func (f *Feed) Overruled(key string) (Item, bool) {
+	it, ok := f.overruled[key]
+	return it, ok
+}
+
 // Get returns the document of a key. It returns false if there is none or it was removed.
 func (f *Feed) Get(key string) (Item, bool) {
 	it, ok := f.items[key]
