--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -41,6 +41,7 @@
 	firstBreak    = 150 * time.Millisecond // after the release, at the earliest
 	breakInterval = 250 * time.Millisecond // between two resets of callers' links
 	breakLength   = 60 * time.Millisecond
+	killedShare   = 3 // one in killedShare daemons in step is killed at most: the others hold where the streams began
 	// At least minReplaced replicas are replaced in a release, and at most maxReplaced. The others serve on, since
 	// streams may begin at a version that not all daemons know only if no replica of another one is left.
 	minReplaced = 4
@@ -55,6 +56,7 @@
 	cutBothWays  = 0
 	cutOutbound  = 1 // the daemons inside still hear the others, so that they learn of the release
 	cutInbound   = 2
+	cutVariants  = 3
 	noStoreFault = -1
 )
 
@@ -179,7 +181,7 @@
 	}
 	if kind <= 1 {
 		until := o.from + minOutOfStep // of the first kill, since a daemon may notice later that it is cut off
-		for _, d := range inStep[:min(len(inStep), 1+rng.IntN(3))] {
+		for _, d := range inStep[:min(1+rng.IntN(3), max(1, len(inStep)/killedShare))] {
 			p.Faults = append(p.Faults, Fault{At: between(rng, from, until), Kind: killDaemon, Target: d})
 			until = o.from + o.length
 		}
