Resumes wait for a renewed lease

Cause: a daemon whose lease has just ended refuses streams that it could resume a moment later, once it has heard from another daemon.

A daemon whose history of versions begins anew asks for one at once.

--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -183,7 +183,9 @@
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
 			c.updateLacksDocuments(clock.Now())
-			c.updateLease(clock.Now())
+			if c.updateLease(clock.Now()) {
+				c.learnHistory(ctx, clock.Now()) // at once: resumed streams wait for it
+			}
 		}
 	}
 }
--- a/daemon/routes/lease.go
+++ b/daemon/routes/lease.go
@@ -12,6 +12,7 @@
 package routes
 
 import (
+	"maps"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
@@ -25,6 +26,8 @@
 	// the first one that of the first documents. Zero: there are no documents.
 	seenUntil time.Time
 	lapsed    bool // the lease has ended
+	// renewedAt is when each peer was last sent a heartbeat with a reply of a holder.
+	renewedAt map[membership.Address]time.Time
 }
 
 // begin records that the daemon has documents.
@@ -59,20 +62,22 @@
 
 // tickLease updates the lease also from the members that are heard.
 func (c *control) tickLease(now time.Time) {
+	maps.DeleteFunc(c.lease.renewedAt, func(_ membership.Address, at time.Time) bool { return now.Sub(at) >= heartbeatInterval })
 	c.lease.confirmations.ObserveFleet(c.roster, c.catalog.feed.Position(), c.syncs.newest, now)
 	c.updateLease(now)
 }
 
 // updateLease makes the last confirmation visible to the request path, and begins the history of versions anew if
-// versions may have come and gone unseen. It is called once the documents that an event brought are in the view.
-func (c *control) updateLease(now time.Time) {
+// versions may have come and gone unseen, which it reports. It is called once the documents that an event brought are in
+// the view.
+func (c *control) updateLease(now time.Time) (interrupted bool) {
 	l := &c.lease
 	l.confirmations.Advance(c.catalog.feed.Position())
 	if l.seenUntil.IsZero() {
-		return
+		return false
 	}
 	at := l.confirmations.ConfirmedAt()
-	if at.Sub(l.seenUntil) >= membership.VersionLease && c.interruptHistory(now) {
+	if interrupted = at.Sub(l.seenUntil) >= membership.VersionLease && c.interruptHistory(now); interrupted {
 		c.publish(now)
 	}
 	if at.After(l.seenUntil) {
@@ -85,4 +90,5 @@
 		l.lapsed = lapsed
 		c.log.Lease(lapsed, now.Sub(l.seenUntil))
 	}
+	return interrupted
 }
--- a/daemon/routes/lease_test.go
+++ b/daemon/routes/lease_test.go
@@ -148,3 +148,62 @@
 		}
 	}
 }
+
+// TestResumeWaitsForARenewedLease guards against streams that are refused although the only version of their service is known
+// again a moment later, and against requests that wait where that would tell nothing.
+func TestResumeWaitsForARenewedLease(t *testing.T) {
+	newLapsed := func(gap time.Duration) *control {
+		c := newQuietControl(t)
+		now := clock.Now()
+		applyRelease(c, now.Add(-time.Minute))
+		keepUpToDate(c, now.Add(-time.Minute), now.Add(-gap))
+		c.updateLease(now)
+		return c
+	}
+	await := func(c *control) (bool, time.Duration) {
+		begun := clock.Now()
+		_, ok := streamOrigins{control: c}.AwaitOnlyVersion(context.Background(), "s")
+		return ok, clock.Since(begun)
+	}
+	c := newLapsed(membership.VersionLease)
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		c.lease.confirmations.ObserveRead(clock.Now().Add(-time.Second))
+		c.updateLease(clock.Now())
+	}()
+	if ok, _ := await(c); !ok {
+		t.Error("refused although the lease was renewed")
+	}
+	if ok, took := await(newLapsed(membership.VersionLease)); ok || took < renewalTimeout {
+		t.Errorf("known without a lease: %t, after %v", ok, took)
+	}
+	several := newLapsed(membership.VersionLease)
+	applyEntries(several, 12, clock.Now(), map[string]string{"replica-5": "version=v5"})
+	if ok, took := await(several); ok || took >= renewalTimeout {
+		t.Errorf("waited %v, known %t, though the service has several versions", took, ok)
+	}
+}
+
+// TestHoldersTellThePositionWithTheirReply guards against a daemon whose lease has ended that is not told by those that it asks
+// what they know, and against one such heartbeat for each of many streams that are resumed at once.
+func TestHoldersTellThePositionWithTheirReply(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	applyRelease(c, now)
+	var told []gossip.Heartbeat
+	c.heartbeats.send = func(to membership.Address, payload []byte) {
+		if h, err := gossip.DecodeHeartbeat(payload); err == nil && to == "10.0.0.7:1" {
+			told = append(told, h)
+		}
+	}
+	ask := []gossip.OriginRequest{{ID: 1, From: "10.0.0.7:1", Stream: 5}}
+	c.answerOrigins(ask, now)
+	c.answerOrigins(ask, now.Add(time.Millisecond))
+	if len(told) != 1 || told[0].Revision != c.catalog.feed.Revision() {
+		t.Fatalf("told %+v, want one heartbeat", told)
+	}
+	c.answerOrigins(ask, now.Add(heartbeatInterval))
+	if len(told) != 2 {
+		t.Errorf("told %d times, want 2", len(told))
+	}
+}
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -26,6 +26,9 @@
 	documentsTimeout = 200 * time.Millisecond
 	// documentsPoll is how often it looks for them.
 	documentsPoll = 5 * time.Millisecond
+	// renewalTimeout is how long a stream that its caller resumes and that no holder knows waits for a renewed lease: holders
+	// send a heartbeat with their reply, and a daemon that reads the store asks it again after some tenths of a second.
+	renewalTimeout = 200 * time.Millisecond
 )
 
 // originQuestions are the questions of this daemon that holders have not all replied to.
@@ -59,7 +62,10 @@
 // streamOrigins lets the request path record and find the origins of streams.
 type streamOrigins struct{ control *control }
 
-var _ relay.TracedOrigins = streamOrigins{}
+var (
+	_ relay.TracedOrigins  = streamOrigins{}
+	_ relay.RenewedOrigins = streamOrigins{}
+)
 
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
@@ -70,16 +76,30 @@
 	return o.control.view.Load().OnlyVersion(s, now)
 }
 
+// AwaitOnlyVersion implements [relay.RenewedOrigins].
+func (o streamOrigins) AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (v routing.VersionKey, ok bool) {
+	awaitWhile(ctx, renewalTimeout, func() bool {
+		v, ok = o.OnlyVersion(s)
+		return !ok && !o.control.view.Load().HasSeveralVersions(s)
+	})
+	return v, ok
+}
+
 // AwaitDocuments implements [relay.Origins].
 func (o streamOrigins) AwaitDocuments(ctx context.Context) {
-	if !o.control.lacksDocuments.Load() {
+	awaitWhile(ctx, documentsTimeout, o.control.lacksDocuments.Load)
+}
+
+// awaitWhile waits while a condition holds, at most for a time.
+func awaitWhile(ctx context.Context, limit time.Duration, condition func() bool) {
+	if !condition() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, documentsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	ticker := time.NewTicker(documentsPoll)
 	defer ticker.Stop()
-	for o.control.lacksDocuments.Load() {
+	for condition() {
 		select {
 		case <-ctx.Done():
 			return
@@ -175,7 +195,24 @@
 	for _, r := range requests {
 		v, _ := c.origins.Find(r.Stream, now)
 		sendReports(c, []membership.Address{r.From}, []gossip.OriginReply{{ID: r.ID, Version: v}}, gossip.EncodeOriginReplies)
+		c.renewLease(r.From, now)
+	}
+}
+
+// renewLease sends a heartbeat to a peer that asks for the origin of a stream, as its lease may have ended. It is sent at most
+// once in heartbeatInterval: when a daemon ends, many streams are resumed at once.
+func (c *control) renewLease(to membership.Address, now time.Time) {
+	l := &c.lease
+	if now.Sub(l.renewedAt[to]) < heartbeatInterval {
+		return
+	}
+	if l.renewedAt == nil {
+		l.renewedAt = make(map[membership.Address]time.Time)
 	}
+	l.renewedAt[to] = now
+	h := c.newHeartbeat(now)
+	h.Partial = true
+	c.sendTo([]membership.Address{to}, &h)
 }
 
 // receiveOriginReplies passes replies to the requests that wait for them. The first one that knows the
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -24,6 +24,23 @@
 	Find(ctx context.Context, s routing.StreamKey) (routing.VersionKey, bool)
 }
 
+// RenewedOrigins is an [Origins] that may know the only version of a service a moment later, when it has heard from other
+// daemons.
+type RenewedOrigins interface {
+	Origins
+	// AwaitOnlyVersion is OnlyVersion, and waits for a short time if what this daemon knows of versions was not confirmed lately.
+	AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (routing.VersionKey, bool)
+}
+
+// awaitOnlyVersion returns the only version of the call's service, if it is known a moment later.
+func (s *activeCall) awaitOnlyVersion(ctx context.Context) (routing.VersionKey, bool) {
+	o, ok := s.Origins.(RenewedOrigins)
+	if !ok {
+		return 0, false
+	}
+	return o.AwaitOnlyVersion(ctx, s.call.Service)
+}
+
 // stream returns the key of the call's stream: that of the request that brought its first event.
 func (c *Call) stream() routing.StreamKey {
 	if c.LastEventID != "" {
@@ -40,21 +57,29 @@
 	}
 	asked := clock.Now()
 	s.Origins.AwaitDocuments(ctx)
+	defer func() { s.summary.OriginWait = clock.Since(asked) }()
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
-		s.tried.Version = v
-		s.recordBinding(Binding{By: OriginOnlyVersion, Version: v})
+		s.bindToOnly(v)
 		return true
 	}
-	r, ok := s.findRecord(ctx)
-	s.summary.OriginWait = clock.Since(asked)
-	if !ok {
-		s.recordBinding(Binding{By: OriginUnknown})
-		s.attempts.RecordUnknownOrigin()
-		return false
+	if r, ok := s.findRecord(ctx); ok {
+		s.tried.Version = r.Version
+		s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
+		return true
+	}
+	if v, ok := s.awaitOnlyVersion(ctx); ok {
+		s.bindToOnly(v)
+		return true
 	}
-	s.tried.Version = r.Version
-	s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
-	return true
+	s.recordBinding(Binding{By: OriginUnknown})
+	s.attempts.RecordUnknownOrigin()
+	return false
+}
+
+// bindToOnly binds a stream that its caller resumes to the only version of its service.
+func (s *activeCall) bindToOnly(v routing.VersionKey) {
+	s.tried.Version = v
+	s.recordBinding(Binding{By: OriginOnlyVersion, Version: v})
 }
 
 // bind binds the stream to the software version of the replica that sent its first event, unless it is
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -20,8 +20,9 @@
 	known    map[routing.StreamKey]routing.VersionKey
 	recorded []routing.StreamOrigin
 	asked    int
-	awaits   func()         // called when documents are awaited; nil: nothing happens
-	holder   routing.PeerID // whose records the known origins are; empty: the daemon's own
+	awaits   func()             // called when documents are awaited; nil: nothing happens
+	holder   routing.PeerID     // whose records the known origins are; empty: the daemon's own
+	renewed  routing.VersionKey // the only version, once it is awaited; 0: it is not known then either
 }
 
 // ages are those of the documents of a fleet whose origins are recordedOrigins.
@@ -38,6 +39,10 @@
 	return o.only, o.only != 0 && !o.several.Load()
 }
 
+func (o *recordedOrigins) AwaitOnlyVersion(context.Context, routing.ServiceName) (routing.VersionKey, bool) {
+	return o.renewed, o.renewed != 0
+}
+
 func (o *recordedOrigins) AwaitDocuments(context.Context) {
 	if o.awaits != nil {
 		o.awaits()
@@ -185,6 +190,9 @@
 		if origins.only != 0 {
 			origins.only = version
 		}
+		if origins.renewed != 0 {
+			origins.renewed = version
+		}
 		if origins.known != nil {
 			origins.known = map[routing.StreamKey]routing.VersionKey{routing.NewStreamKey("", "a"): version}
 		}
@@ -199,6 +207,7 @@
 		Entry("the daemon's own record", &recordedOrigins{known: map[routing.StreamKey]routing.VersionKey{}}, relay.OriginOwnRecord, routing.PeerID("")),
 		Entry("a holder's record", &recordedOrigins{known: map[routing.StreamKey]routing.VersionKey{}, holder: "10.0.0.2:1"}, relay.OriginHolder, routing.PeerID("10.0.0.2:1")),
 		Entry("unknown", &recordedOrigins{}, relay.OriginUnknown, routing.PeerID("")),
+		Entry("the only version, once the daemon knows it again", &recordedOrigins{renewed: 1}, relay.OriginOnlyVersion, routing.PeerID("")),
 	)
 
 	It("tell which event a response began with", func() {
