--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -37,6 +37,7 @@
 	logf      func(format string, args ...any)
 
 	copies backups // of the store
+	cuts   cuts
 
 	// storeMu serializes faults of the store: the end of one resets the modes that another set.
 	storeMu sync.Mutex
@@ -192,36 +193,6 @@
 
 func hashInt(text string) int { return int(hashOf(text) >> 1) }
 
-// cut partitions one daemon or the daemons of a domain from the others, in both directions or
-// in one, depending on the variant.
-func (s *injector) cut(f *Fault) {
-	var inside []*daemon
-	domain := s.domains[f.Target%len(s.domains)]
-	for _, d := range s.fleet.daemons {
-		if (f.Kind == cutDomain && d.domain == domain) || (f.Kind == cutDaemon && d == s.daemon(f)) {
-			inside = append(inside, d)
-		}
-	}
-	isInside := make(map[string]bool)
-	for _, d := range inside {
-		isInside[d.ip] = true
-		s.ledger.FellOutOfStep(d.number, time.Now(), time.Now().Add(f.For))
-	}
-	inbound, outbound := f.Variant%3 != 1, f.Variant%3 != 2
-	s.disturb(inside, func() {
-		for _, d := range s.fleet.daemons {
-			in := isInside[d.ip]
-			d.peers.block(func(from string) bool {
-				return (in && inbound && !isInside[from]) || (!in && outbound && isInside[from])
-			}, in)
-		}
-		pause(s.ctx, f.For)
-		for _, d := range s.fleet.daemons {
-			d.peers.block(func(string) bool { return false }, false)
-		}
-	})
-}
-
 // linkFaults are the variants of link faults.
 var linkFaults = []LinkFault{
 	{Share: 1, Delay: linkDelay}, {Share: 0.5, Reset: true}, {Share: 0.5, Forward: true, Back: true},
