Daemon: streams avoid versions that have just joined a service

The view did not tell which versions are new. Change: the control loop records the positions that peers tell, and determines with each view, and on ticks and heartbeats while a version has just joined, which are new. A line when a version becomes new and when it is established; new_version_streams_total counts streams that begin at one since no other replica is usable.

--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -91,12 +91,22 @@
 		}
 		c.applyEvacuation(it, now)
 	}
+	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
 	return cacheLost
 }
 
+// newestPosition returns the position of the newest of the changed documents. The page of a list is applied before the
+// position of the list is reached, so that the position alone may be older.
+func newestPosition(at feed.Position, changed []feed.Item) feed.Position {
+	for i := range changed {
+		at.Revision = max(at.Revision, changed[i].Revision)
+	}
+	return at
+}
+
 // States of replicas in the log and in responses to operators.
 const (
 	stateReady     = "ready"
@@ -224,7 +234,7 @@
 func (c *catalog) view(departures *routing.Departures, now time.Time) *routing.View {
 	v := &routing.View{
 		Table: c.table, Position: c.feed.Position(), Pools: make(map[routing.ServiceName]*routing.Pool),
-		Versions: c.versions.Only(now), VersionsSince: c.versions.Since(),
+		Versions: c.versions.Only(now), VersionsSince: c.versions.Since(), NewVersions: c.versions.New(),
 	}
 	for name, list := range c.lists {
 		if c.isService(name) {
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -328,8 +328,8 @@
 	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
 		c.cold.SetFleetSize(c.roster.PeakSize())
 	}
-	expired := c.catalog.expired.Expire(now)
-	if n := c.roster.Size(now); c.sizeChanged(n) || expired || c.viewStale {
+	expired, established := c.catalog.expired.Expire(now), c.establishVersions(now)
+	if n := c.roster.Size(now); c.sizeChanged(n) || expired || established || c.viewStale {
 		c.daemons = n
 		c.publish(now)
 	}
@@ -432,6 +432,7 @@
 // publish builds a view and makes it visible to the request path.
 func (c *control) publish(now time.Time) {
 	c.viewStale = false
+	c.establishVersions(now)
 	v := c.catalog.view(c.departures, now)
 	v.Domain, v.Daemons, v.LargeFleet = c.domain, c.daemons, c.largeFleet()
 	old := c.view.Swap(v)
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -76,6 +76,10 @@
 		func() { l.Peer(membership.Member{Address: "10.0.0.1:1"}) },
 		func() { l.SyncFailed("10.0.0.1:1", errors.New("e")) },
 		func() { l.VersionsLearned("10.0.0.1:1", time.Second, 2) },
+		func() { l.VersionChanged(&routing.VersionChange{Service: "s", Version: "v1", Replicas: 2}) },
+		func() {
+			l.VersionChanged(&routing.VersionChange{Service: "s", Version: "v1", Replicas: 2, Known: time.Second, Basis: routing.EstablishedByTime})
+		},
 		func() { l.Denied("r1", routing.NoRoute) },
 		func() { l.Ejected(&replica, call, errors.New("e")) },
 		func() { l.Finished(call, summary) },
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -160,6 +160,9 @@
 	}
 	c.cache.Observe(h.Locations, c.largeFleet(), now)
 	c.observePosition(ctx, h, now)
+	if c.establishVersions(now) {
+		c.publish(now)
+	}
 }
 
 // observeMembers adds the sender of a heartbeat and the members that it contains to the
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -280,6 +280,17 @@
 	l.logger.Info().Str("peer", from).Int64("complete_ms", complete.Milliseconds()).Int("versions", versions).Msg(prefixPeer + "told the history of software versions")
 }
 
+// VersionChanged logs that a version of a service has become new, or that it is established: since when it was known, and why.
+func (l *Log) VersionChanged(v *routing.VersionChange) {
+	text := "version is established; streams begin at its replicas"
+	if v.Basis == "" {
+		text = "version is new; streams begin at replicas of other versions"
+	}
+	l.timeline.Record(coordination.EventUpstreamState, string(v.Service), "", "%s", text)
+	l.logger.Info().Str("service", string(v.Service)).Stringer("version", v.Version).Int("replicas", v.Replicas).
+		Int64("known_ms", v.Known.Milliseconds()).Str("established_by", string(v.Basis)).Msg(prefixReplica + text)
+}
+
 // HeartbeatFailed logs that a heartbeat or another datagram could not be encoded.
 func (l *Log) HeartbeatFailed(err error) {
 	l.logger.Error().Err(err).Msg(prefixPeer + "heartbeat can't be encoded; check listen.peers and peer_address")
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -70,6 +70,9 @@
 	BackoffsBegun       metrics.Counter
 	AllBackingOff       metrics.Counter
 	DeparturesAnnounced metrics.Counter
+	// NewVersionStreams counts the attempts that were to begin a stream at a version that is not established, since no replica of
+	// another one was usable.
+	NewVersionStreams metrics.Counter
 	// BrittleBegun counts how often a service was found to be brittle. Rejections counts the requests that
 	// replicas rejected without running them, BrittleRejections those of replicas that said they are brittle.
 	BrittleBegun, Rejections, BrittleRejections metrics.Counter
@@ -150,6 +153,7 @@
 		"caller_resumes_total":            &m.CallerResumes,
 		"resumes_unknown_total":           &m.ResumesUnknown,
 		"resumes_version_gone_total":      &m.ResumesVersionGone,
+		"new_version_streams_total":       &m.NewVersionStreams,
 		"spilled_total":                   &m.Spilled,
 		"prompts_copied_total":            &m.PromptsCopied,
 		"new_connections_total":           &m.NewConnections,
@@ -289,6 +293,9 @@
 		if i > 0 {
 			m.Retries.Inc(1)
 		}
+		if t.NewVersion {
+			m.NewVersionStreams.Inc(1)
+		}
 		if t.Rank > 0 {
 			m.Spilled.Inc(1)
 		}
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -141,6 +141,7 @@
 // observePosition processes the document position in a peer's heartbeat.
 func (c *control) observePosition(ctx context.Context, h *gossip.Heartbeat, now time.Time) {
 	at := feed.Position{Era: c.resolveEra(h.Era, now), Revision: h.Revision}
+	c.roster.ObservePosition(h.Sender, at)
 	if !at.Before(c.syncs.newest) {
 		c.syncs.newest, c.syncs.newestHeard = at, now
 	}
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -9,6 +9,8 @@
 //  3. A daemon that was paused or cut off has missed versions that came and went meanwhile. Its history begins
 //     anew.
 //  4. Daemons of the previous build tell no history.
+//  5. Which versions are new is determined anew with each view, and on each tick and heartbeat while one may be: peers tell in
+//     heartbeats which documents they have.
 
 package routes
 
@@ -60,15 +62,29 @@
 func (c *control) mergeHistory(r *routing.VersionReport, from string, now time.Time) {
 	r.At.Era = c.resolveEra(r.At.Era, now)
 	lacked := c.lacksHistory(now)
-	if !c.catalog.versions.Merge(r, now) {
+	isLonger := c.catalog.versions.Merge(r, now)
+	if established := c.establishVersions(now); !isLonger && !established {
 		return
 	}
-	if lacked {
+	if lacked && isLonger {
 		c.log.VersionsLearned(from, now.Sub(c.catalog.versions.Since()), len(r.Versions))
 	}
 	c.publish(now)
 }
 
+// establishVersions determines which versions of services are new (coordination/routing/establishment.go), and logs what has
+// changed. It reports whether the view has to be built again. While no version has joined a moment ago it does nothing.
+func (c *control) establishVersions(now time.Time) bool {
+	if !c.catalog.versions.AwaitsEstablishment() {
+		return false
+	}
+	changes := c.catalog.versions.Establish(now, c.roster.AllHold)
+	for i := range changes {
+		c.log.VersionChanged(&changes[i])
+	}
+	return len(changes) > 0
+}
+
 // interruptHistory begins the history of versions anew, since this daemon may have missed some. It reports whether
 // the view has to be built again.
 func (c *control) interruptHistory(now time.Time) bool {
