--- a/internal/soak/foreign_odd.go
+++ b/internal/soak/foreign_odd.go
@@ -55,7 +55,7 @@
 var oddKeyEnds = []string{"\xff\xfe", "\xc3(", strings.Repeat("k", 300), " ", "\u00e9"}
 
 // rawValues are JSON texts in place of Base64.
-var rawValues = []string{`17`, `true`, `{}`, `["a"]`, `"not Base64!"`, strings.Repeat("[", 5000) + strings.Repeat("]", 5000)}
+var rawValues = []string{`17`, `true`, `{}`, `["a"]`, `"not Base64!"`, strings.Repeat("[", oddNesting) + strings.Repeat("]", oddNesting)}
 
 func soundEntry(service, address, state, more string) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z0","slots":6,"state":%q,"sequence":1%s}`, service, address, state, more)
