--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -26,12 +26,13 @@
 	"slices"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/state/feed"
 )
 
-// establishmentTime is versionLease, for which a daemon takes its knowledge of versions for complete, and 600 ms for messages
-// that wait unnoticed and for their transit.
-const establishmentTime = 3600 * time.Millisecond
+// establishmentTime is how long a daemon that does not know a version may take its knowledge for complete: the lease, and 600 ms for
+// messages that wait unnoticed and for their transit.
+const establishmentTime = membership.VersionLease + 600*time.Millisecond
 
 // NewVersions is the new software versions of each service that has one; nil: none.
 type NewVersions map[ServiceName][]VersionKey
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -9,6 +9,8 @@
 	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state"
@@ -42,6 +44,42 @@
 // summary line about the documents gives their number.
 const maxReplicaLogLines = 100
 
+// maxUnusableContents is the number of contents of unusable entries that are remembered in order to log each once. When
+// there are more, all are forgotten.
+const maxUnusableContents = 10_000
+
+// unusableLog decides which unusable entries get a line in the log: each content of a key once, and at most maxReplicaLogLines
+// of one change. Its zero value has logged none.
+type unusableLog struct {
+	logged map[uint64]struct{} // hashes of keys and contents
+	left   int                 // lines of the current change
+	others int                 // entries of the current change that get no line although their contents are new
+}
+
+// begin begins a change.
+func (l *unusableLog) begin() { l.left, l.others = maxReplicaLogLines, 0 }
+
+// allow reports whether an unusable entry gets a line.
+func (l *unusableLog) allow(it feed.Item) bool {
+	h := xxhash.New()
+	_, _ = h.WriteString(it.Key + "\x00") // never fails, nor does Write
+	_, _ = h.Write(it.Value)
+	content := h.Sum64()
+	if _, ok := l.logged[content]; ok {
+		return false
+	}
+	if l.left == 0 {
+		l.others++
+		return false
+	}
+	l.left--
+	if l.logged == nil || len(l.logged) >= maxUnusableContents {
+		l.logged = make(map[uint64]struct{})
+	}
+	l.logged[content] = struct{}{}
+	return true
+}
+
 // catalog holds the documents and the state parsed from them. It is owned by the
 // control loop.
 type catalog struct {
@@ -51,9 +89,12 @@
 	// table is the active configuration, nil until there is one; tableItem is its document.
 	table       *routing.Table
 	tableItem   feed.Item
+	rejected    []byte                     // the content of the configuration that was rejected last; nil: none
+	overruled   []byte                     // the content of the store's configuration that was checked last; nil: none
 	replicas    map[string]routing.Replica // by document key
 	lists       map[routing.ServiceName]*routing.ReplicaList
 	unusable    map[string]unusableEntry // by document key
+	unusableLog unusableLog
 	expired     *routing.ExpiredEntries
 	evacuations *routing.Evacuations
 	versions    *routing.VersionHistory
@@ -85,6 +126,7 @@
 		c.versions.Begin(c.feed.Position(), now)
 	}
 	logEach := len(changed) <= maxReplicaLogLines
+	c.unusableLog.begin()
 	for _, it := range changed {
 		if key, ok := c.applyReplica(it, storeOutage, logEach, now); ok {
 			cacheLost = append(cacheLost, key)
@@ -92,6 +134,7 @@
 		c.applyEvacuation(it, now)
 	}
 	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
+	c.log.UnusableOthers(c.unusableLog.others)
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
@@ -152,7 +195,10 @@
 	r, err := c.documents.ParseReplica(it)
 	if err != nil {
 		c.unusable[it.Key] = unusableEntry{id: id, why: err}
-		c.log.Unusable(it.Key, it.Revision, err)
+		c.log.CountUnusable()
+		if c.unusableLog.allow(it) {
+			c.log.Unusable(it.Key, it.Revision, err)
+		}
 		return 0, false
 	}
 	if r.ColdFor > 0 {
@@ -206,24 +252,51 @@
 // applyConfig activates a newer configuration. One that can't be parsed or has a lower
 // version is rejected.
 func (c *catalog) applyConfig(source string) {
+	c.checkOverruledConfig()
 	it, ok := c.documents.Config(c.feed)
-	if !ok || c.table != nil && it.Revision == c.tableItem.Revision && bytes.Equal(it.Value, c.tableItem.Value) {
+	if !ok || c.table != nil && (it.Revision == c.tableItem.Revision || it.Revision == 0) && bytes.Equal(it.Value, c.tableItem.Value) {
+		return
+	}
+	t, ok := c.acceptConfig(it)
+	if !ok {
 		return
 	}
+	c.table, c.tableItem, c.rejected = t, it, nil
+	for _, warning := range t.Warnings {
+		c.log.NotUnderstood(it.Key, warning)
+	}
+	c.log.Config(t.Version, it.Revision, source)
+}
+
+// acceptConfig parses a configuration. It returns false, and logs the reason once, if it is rejected.
+func (c *catalog) acceptConfig(it feed.Item) (*routing.Table, bool) {
+	if c.rejected != nil && bytes.Equal(it.Value, c.rejected) {
+		return nil, false // the version in force does not decrease, so that it would be rejected again
+	}
 	t, err := c.documents.ParseConfig(it)
+	if err == nil && c.table != nil && t.Version < c.table.Version {
+		err = errOlderVersion
+	}
 	if err != nil {
+		c.rejected = append([]byte{}, it.Value...) // not nil
 		c.log.Rejected(it.Key, err)
-		return
+		return nil, false
 	}
-	if c.table != nil && t.Version < c.table.Version {
-		c.log.Rejected(it.Key, errOlderVersion)
+	return t, true
+}
+
+// checkOverruledConfig logs the reason why the store's configuration is rejected, if the feed holds another one in its place.
+func (c *catalog) checkOverruledConfig() {
+	it, ok := c.documents.Config(c.feed)
+	if !ok {
 		return
 	}
-	c.table, c.tableItem = t, it
-	for _, warning := range t.Warnings {
-		c.log.NotUnderstood(it.Key, warning)
+	overruled, ok := c.feed.Overruled(it.Key)
+	if !ok || c.overruled != nil && bytes.Equal(overruled.Value, c.overruled) {
+		return
 	}
-	c.log.Config(t.Version, it.Revision, source)
+	c.overruled = append([]byte{}, overruled.Value...) // not nil
+	c.acceptConfig(overruled)
 }
 
 // allReplicas returns all replicas that have a usable entry.
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -80,6 +80,7 @@
 		func() {
 			l.VersionChanged(&routing.VersionChange{Service: "s", Version: "v1", Replicas: 2, Known: time.Second, Basis: routing.EstablishedByTime})
 		},
+		func() { l.Lease(true, time.Second) },
 		func() { l.Denied("r1", routing.NoRoute) },
 		func() { l.Ejected(&replica, call, errors.New("e")) },
 		func() { l.Finished(call, summary) },
@@ -93,6 +94,7 @@
 		func() { l.Released(5) },
 		func() { l.Restarted("i-1", 5, 2) },
 		func() { l.Unusable("k", 2, errors.New("e")) },
+		func() { l.UnusableOthers(2) },
 		func() { l.BackoffRequested(&replica, call, time.Second) },
 		func() { l.BackoffLifted("i-1") },
 		func() { l.Alive("i-1") },
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -291,6 +291,17 @@
 		Int64("known_ms", v.Known.Milliseconds()).Str("established_by", string(v.Basis)).Msg(prefixReplica + text)
 }
 
+// Lease logs that the lease on the daemon's knowledge of software versions ended or was renewed, and how long ago that was
+// confirmed.
+func (l *Log) Lease(ended bool, confirmed time.Duration) {
+	text := "documents are confirmed again; versions of software are taken for known"
+	if ended {
+		l.metrics.LeasesEnded.Inc(1)
+		text = "documents were not confirmed lately; versions of software are not taken for known"
+	}
+	l.logger.Info().Int64("confirmed_ms", confirmed.Milliseconds()).Msg(prefixPeer + text)
+}
+
 // HeartbeatFailed logs that a heartbeat or another datagram could not be encoded.
 func (l *Log) HeartbeatFailed(err error) {
 	l.logger.Error().Err(err).Msg(prefixPeer + "heartbeat can't be encoded; check listen.peers and peer_address")
@@ -335,6 +346,8 @@
 	}
 	if c.LastEventID != "" {
 		e.Str("resumes", string(c.Resumes)).Str("last_event", c.LastEventID).Int64("origin_ms", s.OriginWait.Milliseconds())
+		addBinding(e, &s.Binding)
+		e.Int64("first_event", s.FirstEvent)
 	}
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
@@ -343,6 +356,12 @@
 	e.Msg(prefixRequest + "ended")
 }
 
+// addBinding adds by which knowledge a resumed stream was bound to a software version. Each field is of bounded size.
+func addBinding(e *log.Entry, b *relay.Binding) {
+	e.Str("origin", string(b.By)).Str("origin_from", string(b.Holder)).Str("origin_version", strconv.FormatUint(uint64(b.Version), 36)).
+		Int64("confirmed_ms", b.Ages.Confirmed.Milliseconds()).Int64("documents_ms", b.Ages.Changed.Milliseconds())
+}
+
 // noReportedLoad is logged as the reported load if the replica did not report any.
 const noReportedLoad = -1
 
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -7,10 +7,12 @@
 	"context"
 	"encoding/base64"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -22,6 +24,7 @@
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
+	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/tunnel"
 )
 
@@ -37,6 +40,9 @@
 	// maxPeerHeaderBytes is the maximum size of the header of a peer's response, in bytes. It holds the history of
 	// versions (headerVersions), some 50 bytes for each version of a service.
 	maxPeerHeaderBytes = 256 << 10
+	// maxVersionsBytes is the maximum size of an encoded history of versions that is sent. It leaves room for the other
+	// fields of the header.
+	maxVersionsBytes = maxPeerHeaderBytes - 16<<10
 )
 
 // minFetchRate is the lowest rate of a response with documents, in bytes a second. When a whole fleet starts, 50 daemons
@@ -89,8 +95,16 @@
 // with them.
 func (p *peers) receive(ctx context.Context, c *control) {
 	buf := make([]byte, gossip.MaxHeartbeatBytes+1)
+	var waits membership.SocketWaits
 	for ctx.Err() == nil {
+		began := clock.Now()
+		_ = p.socket.SetReadDeadline(clock.RuntimeTime(began.Add(membership.SocketPoll))) // fails if the socket is closed, as the read does
 		n, _, err := p.socket.ReadFromUDPAddrPort(buf)
+		now := clock.Now()
+		inTime := waits.Read(began, now)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -99,6 +113,10 @@
 			continue
 		}
 		if e, err := decodeDatagram(buf[:n]); err == nil {
+			if h, ok := e.(heartbeatReceived); ok {
+				h.at, h.waited = now, !inTime
+				e = h
+			}
 			p.metrics.HeartbeatsReceived.Inc(1)
 			c.post(ctx, e)
 		}
@@ -295,12 +313,15 @@
 	_, _ = w.Write(payload) // the peer detects a truncated response and requests it again
 }
 
-// addVersions adds a history of versions to the header of a response.
+// addVersions adds a history of versions to the header of a response. One that is too large is left out, because the peer
+// could not read the response: it then does not know all versions, as with a peer that tells none.
 func addVersions(h http.Header, r *routing.VersionReport) error {
 	payload, err := gossip.EncodeVersions(r)
 	if err != nil {
 		return err
 	}
-	h.Set(headerVersions, base64.StdEncoding.EncodeToString(payload))
+	if base64.StdEncoding.EncodedLen(len(payload)) <= maxVersionsBytes {
+		h.Set(headerVersions, base64.StdEncoding.EncodeToString(payload))
+	}
 	return nil
 }
--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -120,6 +120,9 @@
 func (c *control) respond(q *documentsRequest, now time.Time) documentsResponse {
 	a := c.catalog.respond(q)
 	history := c.catalog.versions.Report(c.catalog.feed.Position(), now)
+	if c.lease.lapsed {
+		history.Complete = 0
+	}
 	a.versions = &history
 	return a
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -37,6 +37,7 @@
 	logf      func(format string, args ...any)
 
 	copies backups // of the store
+	cuts   cuts
 
 	// storeMu serializes faults of the store: the end of one resets the modes that another set.
 	storeMu sync.Mutex
@@ -109,7 +110,7 @@
 		s.evacuate(f)
 	case killCoordinator, pauseCoordinator, cutCoordinator:
 		s.injectCoordinator(f)
-	case foreignEntries:
+	case foreignEntries, oddEntries:
 		s.writeForeign(f)
 	case backoffReplicas:
 		s.refuseForBackoff(f)
@@ -148,6 +149,7 @@
 	case freezeDaemon:
 		s.interrupt([]*daemon{d}, func() {
 			from := time.Now()
+			s.ledger.FellOutOfStep(d.number, from, from.Add(f.For))
 			d.freeze(s.ctx, f.For)
 			s.ledger.Froze(d.number, from, time.Now())
 		})
@@ -191,35 +193,6 @@
 
 func hashInt(text string) int { return int(hashOf(text) >> 1) }
 
-// cut partitions one daemon or the daemons of a domain from the others, in both directions or
-// in one, depending on the variant.
-func (s *injector) cut(f *Fault) {
-	var inside []*daemon
-	domain := s.domains[f.Target%len(s.domains)]
-	for _, d := range s.fleet.daemons {
-		if (f.Kind == cutDomain && d.domain == domain) || (f.Kind == cutDaemon && d == s.daemon(f)) {
-			inside = append(inside, d)
-		}
-	}
-	isInside := make(map[string]bool)
-	for _, d := range inside {
-		isInside[d.ip] = true
-	}
-	inbound, outbound := f.Variant%3 != 1, f.Variant%3 != 2
-	s.disturb(inside, func() {
-		for _, d := range s.fleet.daemons {
-			in := isInside[d.ip]
-			d.peers.block(func(from string) bool {
-				return (in && inbound && !isInside[from]) || (!in && outbound && isInside[from])
-			}, in)
-		}
-		pause(s.ctx, f.For)
-		for _, d := range s.fleet.daemons {
-			d.peers.block(func(string) bool { return false }, false)
-		}
-	})
-}
-
 // linkFaults are the variants of link faults.
 var linkFaults = []LinkFault{
 	{Share: 1, Delay: linkDelay}, {Share: 0.5, Reset: true}, {Share: 0.5, Forward: true, Back: true},
--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -28,6 +28,8 @@
 	unframed      bool                      // found by runs in which a part of the responses ends with their connections
 	uploads       *Uploads                  // found by runs with large bodies, unframed responses and no other faults; nil: none
 	brittle       bool                      // found by runs with brittle replicas and no faults
+	odd           bool                      // found by runs with odd entries and no other faults
+	outOfStep     bool                      // found by runs with releases beside daemons that are out of step and no other faults
 	parts         int                       // parts that crash replicas in the runs that find it, without other faults
 	seeds         int                       // of the plan, from 0 on, within which it is found; 0: maxSeeds
 	subject       string                    // required prefix of the violation's subject
@@ -47,7 +49,7 @@
 	{name: "sends again what may have run", promise: "TWICE", file: "coordination/routing/retry.go",
 		text: "\tif coordination.MayRetry(o) {\n\t\treturn true", instead: "\tif o != nil {\n\t\treturn true"},
 	{name: "takes every third configuration not", promise: "CONFIG", file: "daemon/routes/catalog.go",
-		text: "c.table, c.tableItem = t, it", instead: "if c.table == nil || it.Revision%3 != 0 {\n\t\tc.table = t\n\t}\n\tc.tableItem = it"},
+		text: "c.table, c.tableItem, c.rejected = t, it, nil", instead: "if c.table == nil || it.Revision%3 != 0 {\n\t\tc.table = t\n\t}\n\tc.tableItem, c.rejected = it, nil"},
 	{name: "passes on an answer to another request", promise: "MIXED", file: "transport/relay/exchange.go",
 		text: "if x.head.RequestID == x.call.ID {", instead: "if x.head.RequestID != \"\" {"},
 	{name: "sends work to leaving replicas", promise: "DRAIN", file: "coordination/routing/replicas.go",
@@ -100,10 +102,10 @@
 	{name: "does not tell its peers the era", promise: "DRAIN", file: "protocol/gossip/position.go",
 		text: "if p.Era == 0 {", instead: "if p.Era >= 0 {", faults: restoresInSeries, plain: true},
 	{name: "takes the copy's older configuration", promise: "CONFIG", file: "platform/documents.go",
-		text: "return feed.Version{Known: true, Sequence: uint64(d.Version)}", instead: "return feed.Version{}", faults: restoresInSeries, plain: true,
-		also: []edit{{"daemon/routes/catalog.go", "if c.table != nil && t.Version < c.table.Version {", "if c.table != nil && t.Version == 0 {"}}},
+		text: "return feed.Version{Known: true, Sequence: uint64(t.Version)}", instead: "_ = t\n\treturn feed.Version{}", faults: restoresInSeries, plain: true,
+		also: []edit{{"daemon/routes/catalog.go", "c.table != nil && t.Version < c.table.Version {", "c.table != nil && t.Version == 0 {"}}},
 	{name: "believes the copy's entry of a replica that leaves", promise: "DRAIN", file: "platform/replica.go",
-		text: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" {", instead: "if json.Unmarshal(value, &d) != nil || d.problem() != \"\" || d.State == stateReady {", faults: restoresInSeries, plain: true},
+		text: "\t_, d, err := parseEntry(it.Key, it.Value)\n\tif err != nil {", instead: "\t_, d, err := parseEntry(it.Key, it.Value)\n\tif err != nil || d.State == stateReady {", faults: restoresInSeries, plain: true},
 	{name: "believes the copy's entry of a replica that has left", promise: "DRAIN", file: "state/feed/era.go",
 		text: "return b.Sequence <= a.Sequence", instead: "return b.Sequence < a.Sequence", faults: restoresInSeries, plain: true},
 	{name: "takes equal revisions of two eras for equal documents", promise: "CONFIG", file: "daemon/routes/catalog.go",
@@ -133,7 +135,7 @@
 	{name: "resumes callers' streams anywhere", promise: "ORDER", file: "transport/relay/resume.go",
 		text: "if s.Origins == nil || s.call.LastEventID == \"\" ||", instead: "if s.Origins != nil ||", versions: true, faults: killsInSeries},
 	{name: "resumes streams of which nobody knows where they began", promise: "ORDER", file: "transport/relay/resume.go",
-		text: "if !ok {\n\t\ts.attempts", instead: "if !ok && s.call.ID == \"\" {\n\t\ts.attempts", versions: true, faults: killsInSeries,
+		text: "if !ok {\n\t\ts.recordBinding(", instead: "if !ok && s.call.ID == \"\" {\n\t\ts.recordBinding(", versions: true, faults: killsInSeries,
 		also: []edit{{"daemon/routes/origins.go", "v, _ := c.origins.Find(r.Stream, now)", "v, _ := c.origins.Find(r.Stream*0, now)"}}},
 	{name: "resumes callers' streams only where they began", promise: "LOST", subject: "resumes", file: "daemon/routes/origins.go",
 		text: "v, _ := c.origins.Find(r.Stream, now)", instead: "v, _ := c.origins.Find(r.Stream*0, now)", versions: true, faults: killsInSeries},
@@ -144,6 +146,8 @@
 		also: []edit{{"daemon/routes/sync.go", "if s.response.versions != nil {", "if s.response.versions == nil {"}}},
 	{name: "tells no history of versions", promise: "LOST", subject: "resumes", file: "daemon/routes/sync.go",
 		text: "a.versions = &history", instead: "_ = &history", fixed: youngDaemonsPlan},
+	{name: "begins streams at new versions at once", promise: "ORDER", subject: longPrefix, file: "coordination/routing/establishment.go",
+		text: "u.joined.isNew = basis == \"\" && !isGone && !h.isKnownFirst(u)", instead: "u.joined.isNew = basis == \"\" && !isGone && !h.isKnownFirst(u) && now.IsZero()", outOfStep: true},
 	{name: "gives a silent replica up without another", promise: "LOST", subject: longPrefix, file: "transport/relay/failover.go",
 		text: "\tif h.state.Load() == handoverToNext {", instead: "\tif h.silent.closeConn(); true {", fixed: silentReplicasPlan},
 	{name: "counts only whole contents", promise: "BUDGET", subject: crashingPartPrefix, file: "transport/relay/record.go",
@@ -156,6 +160,10 @@
 		text: "\t\treturn s.verdict\n", instead: "\t\treturn s.verdict && time.Since(s.verdictAt) < 5*time.Second\n", parts: 1, quiet: longQuiet},
 	{name: "breaks off one stream in ten after three events", promise: "LOST", subject: "c", file: "transport/relay/response.go",
 		text: "\ts.recordSound(x)\n", instead: "\ts.recordSound(x)\n\tif s.events.forwarded.count > 3 && s.call.Content%10 == 0 {\n\t\tpanic(http.ErrAbortHandler)\n\t}\n", seeds: 1},
+	{name: "ends at a number that is too large", promise: "RUNS", subject: "d", file: "platform/replica.go",
+		text: "case d.Slots < 1 || d.Slots > maxSlots:", instead: "case d.Slots > maxSlots:\n\t\tpanic(\"slots\")\n\tcase d.Slots < 1:", odd: true},
+	{name: "takes entries with numbers beyond their bounds", promise: "ENTRY", file: "platform/replica.go",
+		text: "case d.Slots < 1 || d.Slots > maxSlots:", instead: "case d.Slots < 1:", odd: true},
 	{name: "ends by itself", promise: "RUNS", subject: "d", file: "daemon/routes/run.go",
 		text: "\twg.Go(func() { d.sweepConnections(work) })\n", instead: "\twg.Go(func() { d.sweepConnections(work) })\n\ttime.AfterFunc(8*time.Second, func() { panic(\"ends by itself\") })\n", seeds: 1},
 	{name: "holds more memory than its settings allow", promise: "RUNS", subject: "memory d", file: "daemon/routes/run.go",
