--- a/coordination/routing/establishment_test.go
+++ b/coordination/routing/establishment_test.go
@@ -368,3 +368,33 @@
 		}
 	})
 }
+
+// BenchmarkVersionHistoryMemory builds the history of 500 services with two versions each, the second of which is new.
+func BenchmarkVersionHistoryMemory(b *testing.B) {
+	const services = 500
+	b.ReportAllocs()
+	for b.Loop() {
+		h := routing.NewVersionHistory()
+		for _, v := range []routing.SoftwareVersion{"v1", "v2"} {
+			for i := range services {
+				h.Add(versionReplica(routing.ServiceName(fmt.Sprint("s", i)), v))
+			}
+			h.Learn(revision(1), epoch)
+		}
+		h.Establish(epoch, func(feed.Position) bool { return false })
+	}
+}
+
+// BenchmarkEstablish determines which of 20 versions that have just joined, each at another service, are new.
+func BenchmarkEstablish(b *testing.B) {
+	h := routing.NewVersionHistory()
+	for _, v := range []routing.SoftwareVersion{"v1", "v2"} {
+		for i := range 20 {
+			h.Add(versionReplica(routing.ServiceName(fmt.Sprint("s", i)), v))
+		}
+		h.Learn(revision(1), epoch)
+	}
+	for b.Loop() {
+		h.Establish(epoch, func(feed.Position) bool { return false })
+	}
+}
