--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -70,6 +70,9 @@
 	BackoffsBegun       metrics.Counter
 	AllBackingOff       metrics.Counter
 	DeparturesAnnounced metrics.Counter
+	// NewVersionStreams counts the attempts that were to begin a stream at a version that is not established, since no replica of
+	// another one was usable.
+	NewVersionStreams metrics.Counter
 	// BrittleBegun counts how often a service was found to be brittle. Rejections counts the requests that
 	// replicas rejected without running them, BrittleRejections those of replicas that said they are brittle.
 	BrittleBegun, Rejections, BrittleRejections metrics.Counter
@@ -110,9 +113,11 @@
 	// ResumesOnlyVersion counts the resumed streams that were bound to the only version of their service, ResumesOwnRecord
 	// those that were bound by this daemon's record, and ResumesHolder those bound by another daemon's.
 	ResumesOnlyVersion, ResumesOwnRecord, ResumesHolder metrics.Counter
-	PermitWait                                          metrics.Histogram // milliseconds until a permit was granted
-	FirstByte                                           metrics.Histogram // milliseconds
-	Total                                               metrics.Histogram // milliseconds
+	// LeasesEnded counts how often the lease on the knowledge of software versions ended (lease.go).
+	LeasesEnded metrics.Counter
+	PermitWait  metrics.Histogram // milliseconds until a permit was granted
+	FirstByte   metrics.Histogram // milliseconds
+	Total       metrics.Histogram // milliseconds
 	// LoadUnderestimate is the number of requests by which a replica's reported load exceeded the
 	// estimate that it was chosen by, without the request itself. Coverage is the percentage
 	// of the fleet's daemons that the estimate included. Together they show whether the load
@@ -154,8 +159,10 @@
 		"resumes_only_version_total":      &m.ResumesOnlyVersion,
 		"resumes_own_record_total":        &m.ResumesOwnRecord,
 		"resumes_holder_total":            &m.ResumesHolder,
+		"version_leases_ended_total":      &m.LeasesEnded,
 		"resumes_unknown_total":           &m.ResumesUnknown,
 		"resumes_version_gone_total":      &m.ResumesVersionGone,
+		"new_version_streams_total":       &m.NewVersionStreams,
 		"spilled_total":                   &m.Spilled,
 		"prompts_copied_total":            &m.PromptsCopied,
 		"new_connections_total":           &m.NewConnections,
@@ -303,6 +310,9 @@
 		if i > 0 {
 			m.Retries.Inc(1)
 		}
+		if t.NewVersion {
+			m.NewVersionStreams.Inc(1)
+		}
 		if t.Rank > 0 {
 			m.Spilled.Inc(1)
 		}
