--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -133,8 +133,8 @@
 		}
 		c.applyEvacuation(it, now)
 	}
-	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
 	c.log.UnusableOthers(c.unusableLog.others)
+	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
