Streams that may be resumed elsewhere have no event before their version is established

Callers saw streams of two versions in a release that replaces all replicas of a service at once: no replica of an established version is left, so that streams began at the new one at once, and a daemon that was cut off resumed them at the old version, whose replicas serve on for a while. Cause: the same belief of the daemon that is cut off; avoiding new versions in placement doesn't help where there is no other. Change: the first event is held back until the version is established. Until then the caller has nothing to resume the stream by. Ruled out: refusing such streams, which costs up to 3.6 s of the service; waiting before the request is sent, which costs the time in which the replica reads the prompt.

--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -18,7 +18,9 @@
 //     free slot as far as this daemon knows. Otherwise the replicas of new versions are candidates like all others: a request is
 //     not refused, or sent where it is likely to fail, for what may come of its stream. So it is where the established
 //     replicas are full, cold and at their limit, at rest, evacuated or failing.
-//  6. Other requests, and streams that are bound to a version, are not affected.
+//  6. The first event of a stream that may be resumed elsewhere, and that begins at a new version all the same, is passed on
+//     once the version is established: until then its caller has nothing to resume it by. The replica works on it meanwhile.
+//  7. Other requests, and streams that are bound to a version, are not affected.
 
 package routing
 
--- a/coordination/routing/place_established.go
+++ b/coordination/routing/place_established.go
@@ -1,4 +1,4 @@
-// This file keeps streams that have not begun from replicas of new software versions while others are usable, by rules 5 and 6
+// This file keeps streams that have not begun from replicas of new software versions while others are usable, by rules 5 to 7
 // of establishment.go. It stands apart from versions.go, which keeps streams that have begun at their version.
 
 package routing
@@ -16,6 +16,12 @@
 	return v.NewVersions[r.Service]
 }
 
+// MayBegin reports whether the first event of a request's stream may be passed on from a replica, by rule 6 of establishment.go.
+func (v *View) MayBegin(r *Request, at *Replica, tried Tried) bool {
+	fresh := v.newFor(r, tried)
+	return len(fresh) == 0 || !r.Route.MayRunAgain() || !slices.Contains(fresh, at.versionKey)
+}
+
 // established returns the candidates of established versions that are well, with the mean of their own loads: those of replicas
 // that get none of the requests say nothing about the load of the others. It returns nil if all candidates are to be used: no version
 // is new, the request accepts them, or no such candidate has a free slot.
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -349,6 +349,9 @@
 		addBinding(e, &s.Binding)
 		e.Int64("first_event", s.FirstEvent)
 	}
+	if s.EstablishmentWait > 0 {
+		e.Int64("establishment_ms", s.EstablishmentWait.Milliseconds())
+	}
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
 	}
