--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -98,7 +98,7 @@
 	var waits membership.SocketWaits
 	for ctx.Err() == nil {
 		began := clock.Now()
-		_ = p.socket.SetReadDeadline(time.Now().Add(membership.SocketPoll)) // fails if the socket is closed, as the read does
+		_ = p.socket.SetReadDeadline(clock.RuntimeTime(began.Add(membership.SocketPoll))) // fails if the socket is closed, as the read does
 		n, _, err := p.socket.ReadFromUDPAddrPort(buf)
 		now := clock.Now()
 		inTime := waits.Read(began, now)
