Established replicas take streams within the load bound of the whole service

Cause: the load bound was taken of the established replicas' mean; the others, which had no streams, count in the service's. Change: established replicas are used while one of them is within the bound of the whole service; otherwise all are, since the first event of a stream at a new version is held back in any case.

--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -15,9 +15,10 @@
 //     tells that it joined a moment ago.
 //  5. A request of a route of streams whose stream has not begun gets no replica of a new version while a replica of an
 //     established one is usable: it may be chosen, it is neither ejected, silent, terminated nor cut off, and one of these has a
-//     free slot as far as this daemon knows. Otherwise the replicas of new versions are candidates like all others: a request is
-//     not refused, or sent where it is likely to fail, for what may come of its stream. So it is where the established
-//     replicas are full, cold and at their limit, at rest, evacuated or failing.
+//     free slot and a load within the bound of placement (place.go), as far as this daemon knows. The bound is one of the mean over
+//     all replicas, new ones too: the others would get more than their share for that time. Otherwise the replicas of new versions
+//     are candidates like all others: a request is not refused, or sent where it is likely to fail, for what may come of its
+//     stream. So it is where the established replicas are full, cold and at their limit, at rest, evacuated or failing.
 //  6. The first event of a stream that may be resumed elsewhere, and that begins at a new version all the same, is passed on
 //     once the version is established: until then its caller has nothing to resume it by. The replica works on it meanwhile.
 //  7. Other requests, and streams that are bound to a version, are not affected.
--- a/coordination/routing/place_established.go
+++ b/coordination/routing/place_established.go
@@ -22,32 +22,26 @@
 	return len(fresh) == 0 || !r.Route.MayRunAgain() || !slices.Contains(fresh, at.versionKey)
 }
 
-// established returns the candidates of established versions that are well, with the mean of their own loads: those of replicas
-// that get none of the requests say nothing about the load of the others. It returns nil if all candidates are to be used: no version
-// is new, the request accepts them, or no such candidate has a free slot.
+// established returns the candidates of established versions that are well. It returns nil if all candidates are to be used: no version
+// is new, the request accepts them, or no such candidate has a free slot and a load within the bound of the whole service.
 func (c *candidates) established(h *Health, fresh []VersionKey, now time.Time) *candidates {
 	if len(fresh) == 0 || c.acceptsNew {
 		return nil
 	}
-	out, hasFree := *c, false
+	out, hasRoom := *c, false
 	out.usable = make([]bool, len(c.ready))
-	total, n := 0, 0
 	for i := range c.ready {
 		r := &c.ready[i]
-		if slices.Contains(fresh, r.versionKey) {
+		if !c.usable[i] || slices.Contains(fresh, r.versionKey) || !h.isWell(r, now) {
 			continue
 		}
-		total, n = total+c.loads[i], n+1
-		if c.usable[i] && h.isWell(r, now) {
-			out.usable[i] = true
-			hasFree = hasFree || r.Slots <= 0 || c.loads[i] < r.Slots
-		}
+		out.usable[i] = true
+		hasRoom = hasRoom || c.hasCapacity(i) && (r.Slots <= 0 || c.loads[i] < r.Slots)
 	}
-	if !hasFree {
+	if !hasRoom {
 		return nil
 	}
 	out.count()
-	out.mean = float64(total) / float64(n)
 	return &out
 }
 
