--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -302,6 +302,10 @@
 	write("part crashes", payload, err)
 	payload, err = EncodeVersions(goldenVersions())
 	write("versions", payload, err)
+	known := goldenVersions()
+	known.Versions[0].KnownFor = 1500 * time.Millisecond
+	payload, err = EncodeVersions(known)
+	write("versions with a time since when one is known", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
