--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -18,7 +18,9 @@
 //     free slot as far as this daemon knows. Otherwise the replicas of new versions are candidates like all others: a request is
 //     not refused, or sent where it is likely to fail, for what may come of its stream. So it is where the established
 //     replicas are full, cold and at their limit, at rest, evacuated or failing.
-//  6. Other requests, and streams that are bound to a version, are not affected.
+//  6. The first event of a stream that may be resumed elsewhere, and that begins at a new version all the same, is passed on
+//     once the version is established: until then its caller has nothing to resume it by. The replica works on it meanwhile.
+//  7. Other requests, and streams that are bound to a version, are not affected.
 
 package routing
 
@@ -26,12 +28,13 @@
 	"slices"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/state/feed"
 )
 
-// establishmentTime is versionLease, for which a daemon takes its knowledge of versions for complete, and 600 ms for messages
-// that wait unnoticed and for their transit.
-const establishmentTime = 3600 * time.Millisecond
+// establishmentTime is how long a daemon that does not know a version may take its knowledge for complete: the lease, and 600 ms for
+// messages that wait unnoticed and for their transit.
+const establishmentTime = membership.VersionLease + 600*time.Millisecond
 
 // NewVersions is the new software versions of each service that has one; nil: none.
 type NewVersions map[ServiceName][]VersionKey
