--- a/coordination/membership/confirmations_test.go
+++ b/coordination/membership/confirmations_test.go
@@ -399,6 +399,43 @@
 	}
 }
 
+// TestLargeFleetConfirmsByDomain guards against leases of a large fleet without the store that end although all failure domains
+// are heard, and against leases that don't although one is not, a seed is unknown or a daemon may read the store.
+func TestLargeFleetConfirmsByDomain(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	now := begun.Add(10 * time.Second)
+	for _, c := range []struct {
+		name                   string
+		silent, reader, waited bool // a failure domain; a member that can read the store; the last message
+		seeds                  []Address
+		want                   bool
+	}{
+		{"all are heard", false, false, false, nil, true},
+		{"a domain is silent", true, false, false, nil, false},
+		{"a member can read the store", false, true, false, nil, false},
+		{"the messages may have waited", false, false, true, nil, false},
+		{"a seed is unknown", false, false, false, []Address{"10.9.9.9:1"}, false},
+	} {
+		members, rosters := holderFleet(60, 3, begun)
+		r, l := rosters[0], &Confirmations{}
+		r.seeds = c.seeds
+		r.SetStoreUnreachable(true)
+		for i, m := range members[1:] {
+			m.Heartbeats, m.StoreUnreachable = 2, !c.reader || i != 10
+			at := now
+			if c.silent && m.Domain == members[1].Domain {
+				at = begun
+			}
+			r.Observe([]Member{m}, at)
+		}
+		l.ObserveHeartbeat(&PeerConfirmation{Sender: members[1], Age: time.Hour, HasAge: true, Received: now, Waited: c.waited}, feed.Position{})
+		l.ObserveFleet(r, feed.Position{}, feed.Position{}, now)
+		if got := now.Before(l.Until()); got != c.want {
+			t.Errorf("%s: there is a lease: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
 // daemonOf returns the daemon that a play's fault concerns.
 func (p *leasePlay) daemonOf(seed uint64) int { return int(seed) % len(p.daemons) }
 
--- a/coordination/membership/holders.go
+++ b/coordination/membership/holders.go
@@ -78,20 +78,3 @@
 
 // isMissed reports whether no heartbeat of a member of a small fleet has been known for too long.
 func (e *entry) isMissed(now time.Time) bool { return now.Sub(e.lastSeen) > memberTimeout }
-
-// HearsAll reports whether this daemon hears of all seeds and members that it knows, but for those that have shut
-// down; in a large fleet, of all seeds and of some members in every failure domain.
-func (r *Roster) HearsAll(now time.Time) bool {
-	if r.lacksSeed() {
-		return false // beyond a cut, if this daemon started while its failure domain was cut off
-	}
-	if r.isLarge() {
-		for _, at := range r.domains {
-			if now.Sub(at) > 2*memberTimeout {
-				return false
-			}
-		}
-		return true
-	}
-	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return !e.Leaving && e.isMissed(now) })
-}
--- a/coordination/membership/holders_test.go
+++ b/coordination/membership/holders_test.go
@@ -109,34 +109,6 @@
 	}
 }
 
-// TestHearsAll guards against a daemon that takes itself for up to date although daemons that it knows
-// are not heard.
-func TestHearsAll(t *testing.T) {
-	now := time.Unix(1000, 0)
-	members, rosters := holderFleet(8, 3, now)
-	r := rosters[0]
-	if !r.HearsAll(now.Add(900 * time.Millisecond)) {
-		t.Error("heartbeats of .9 s ago are missed")
-	}
-	later := now.Add(5 * time.Second)
-	for i := range members {
-		members[i].Heartbeats = 2
-	}
-	r.Observe(members[1:7], later)
-	if r.HearsAll(later) {
-		t.Error("a member that was not heard for 5 s is not missed")
-	}
-	members[7].Leaving = true
-	r.Observe(members[7:], later)
-	if !r.HearsAll(later) {
-		t.Error("all were heard")
-	}
-	r.seeds = []Address{members[0].Address, members[1].Address, "10.9.9.9:1"}
-	if r.HearsAll(later) {
-		t.Error("a seed that was never heard is not missed")
-	}
-}
-
 // TestRandomElder guards against a daemon that asks peers which have just started too for what only older ones know.
 func TestRandomElder(t *testing.T) {
 	now, rng := time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
