--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -91,10 +91,10 @@
 
 	originQuestions originQuestions
 	history         historyState
-	// mayBeBehind says that other daemons may have documents that this one lacks.
-	mayBeBehind atomic.Bool
+	lease           leaseState
 	// lacksDocuments says that a peer is known to have newer documents than this daemon.
 	lacksDocuments atomic.Bool
+	documents      documentTimes
 
 	// reach says which services this daemon reaches through its own links, and carriers which daemons
 	// open connections for it meanwhile. dropCarrier makes the pool not use one for a while.
@@ -183,6 +183,9 @@
 		case e := <-c.events:
 			c.handle(ctx, e, clock.Now())
 			c.updateLacksDocuments(clock.Now())
+			if c.updateLease(clock.Now()) {
+				c.learnHistory(ctx, clock.Now()) // at once: resumed streams wait for it
+			}
 		}
 	}
 }
@@ -192,16 +195,21 @@
 	case storeListed:
 		c.syncs.needsPeerCheck = c.syncs.needsPeerCheck || c.catalog.feed.Revision() == 0
 		c.applyList(e.items, e.at, sourceStore, now)
+		c.confirmFromStore(e.at.Era, e.sent)
 	case storePageRead:
 		c.applyPage(&e, now)
 	case storeChanged:
 		if e.At.Era == c.catalog.feed.Position().Era {
 			c.apply(c.catalog.feed.Apply(e.Items), sourceStore, now)
 		}
+		c.confirmFromStore(e.At.Era, e.confirms)
+	case storeConfirmed:
+		c.confirmFromStore(e.at.Era, e.confirms)
 	case storeReachabilityChanged:
 		c.setStoreUnreachable(e, now)
 	case heartbeatReceived:
 		c.receiveHeartbeat(ctx, &e.heartbeat, now)
+		c.confirmFromPeer(&e, now)
 	case silencesReceived:
 		c.receiveSilences(e.reports, now)
 	case overloadsReceived:
@@ -317,8 +325,8 @@
 	c.transfers.dropExpired(now)
 	c.originQuestions.dropExpired(now)
 	c.origins.Forget(now)
-	c.updateBehind(now)
 	c.updateLacksDocuments(now)
+	c.tickLease(now)
 	c.reach.Tick(now)
 	c.dropLostCarriers(now)
 	c.updateBrittle(now)
@@ -328,8 +336,8 @@
 	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
 		c.cold.SetFleetSize(c.roster.PeakSize())
 	}
-	expired := c.catalog.expired.Expire(now)
-	if n := c.roster.Size(now); c.sizeChanged(n) || expired || c.viewStale {
+	expired, established := c.catalog.expired.Expire(now), c.establishVersions(now)
+	if n := c.roster.Size(now); c.sizeChanged(n) || expired || established || c.viewStale {
 		c.daemons = n
 		c.publish(now)
 	}
@@ -404,8 +412,11 @@
 // is sent to peers immediately, so that peers which can't read the store learn of it.
 func (c *control) apply(changed []feed.Item, source string, now time.Time) {
 	if len(changed) == 0 {
+		c.catalog.checkOverruledConfig()
 		return
 	}
+	c.documents.change(now)
+	c.lease.begin(now)
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeUnreachableAt) < storeOutageWindow, now))
 	c.announce(now)
 }
@@ -432,6 +443,7 @@
 // publish builds a view and makes it visible to the request path.
 func (c *control) publish(now time.Time) {
 	c.viewStale = false
+	c.establishVersions(now)
 	v := c.catalog.view(c.departures, now)
 	v.Domain, v.Daemons, v.LargeFleet = c.domain, c.daemons, c.largeFleet()
 	old := c.view.Swap(v)
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -56,7 +56,7 @@
 	call := &relay.Call{Request: routing.Request{ID: "r1", Route: &routing.Route{Name: "n"}, Prompt: []routing.PromptPart{{ID: "p", Tokens: 5}}}, LastEventID: "3"}
 	summary := &relay.Summary{
 		Outcome: coordination.NotRun{Reason: coordination.ReasonDeadline}, Status: 503, FirstByte: time.Second, Total: time.Second,
-		QuarantinedPart: "p", Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
+		QuarantinedPart: "p", EstablishmentWait: time.Second, Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
 	}
 	for _, write := range []func(){
 		func() { l.Started("a") },
@@ -76,6 +76,11 @@
 		func() { l.Peer(membership.Member{Address: "10.0.0.1:1"}) },
 		func() { l.SyncFailed("10.0.0.1:1", errors.New("e")) },
 		func() { l.VersionsLearned("10.0.0.1:1", time.Second, 2) },
+		func() { l.Lease(true, time.Second) },
+		func() { l.VersionChanged(&routing.VersionChange{Service: "s", Version: "v1", Replicas: 2}) },
+		func() {
+			l.VersionChanged(&routing.VersionChange{Service: "s", Version: "v1", Replicas: 2, Known: time.Second, Basis: routing.EstablishedByTime})
+		},
 		func() { l.Denied("r1", routing.NoRoute) },
 		func() { l.Ejected(&replica, call, errors.New("e")) },
 		func() { l.Finished(call, summary) },
@@ -89,6 +94,7 @@
 		func() { l.Released(5) },
 		func() { l.Restarted("i-1", 5, 2) },
 		func() { l.Unusable("k", 2, errors.New("e")) },
+		func() { l.UnusableOthers(2) },
 		func() { l.BackoffRequested(&replica, call, time.Second) },
 		func() { l.BackoffLifted("i-1") },
 		func() { l.Alive("i-1") },
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -64,6 +64,7 @@
 	h := gossip.Heartbeat{
 		Sender: c.roster.NextHeartbeat(), Stamp: c.log.timeline.Stamp(),
 		Version: c.version(), FleetSize: c.roster.Size(now),
+		Confirmed: gossip.NewConfirmedAge(c.lease.confirmations.StoreAge(now)),
 	}
 	at := c.catalog.feed.Position()
 	h.Era, h.Revision = at.Era, at.Revision
@@ -160,6 +161,9 @@
 	}
 	c.cache.Observe(h.Locations, c.largeFleet(), now)
 	c.observePosition(ctx, h, now)
+	if c.establishVersions(now) {
+		c.publish(now)
+	}
 }
 
 // observeMembers adds the sender of a heartbeat and the members that it contains to the
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -280,6 +280,28 @@
 	l.logger.Info().Str("peer", from).Int64("complete_ms", complete.Milliseconds()).Int("versions", versions).Msg(prefixPeer + "told the history of software versions")
 }
 
+// Lease logs that the lease on the daemon's knowledge of software versions ended or was renewed, and how long ago that was
+// confirmed.
+func (l *Log) Lease(ended bool, confirmed time.Duration) {
+	text := "documents are confirmed again; versions of software are taken for known"
+	if ended {
+		l.metrics.LeasesEnded.Inc(1)
+		text = "documents were not confirmed lately; versions of software are not taken for known"
+	}
+	l.logger.Info().Int64("confirmed_ms", confirmed.Milliseconds()).Msg(prefixPeer + text)
+}
+
+// VersionChanged logs that a version of a service has become new, or that it is established: since when it was known, and why.
+func (l *Log) VersionChanged(v *routing.VersionChange) {
+	text := "version is established; streams begin at its replicas"
+	if v.Basis == "" {
+		text = "version is new; streams begin at replicas of other versions"
+	}
+	l.timeline.Record(coordination.EventUpstreamState, string(v.Service), "", "%s", text)
+	l.logger.Info().Str("service", string(v.Service)).Stringer("version", v.Version).Int("replicas", v.Replicas).
+		Int64("known_ms", v.Known.Milliseconds()).Str("established_by", string(v.Basis)).Msg(prefixReplica + text)
+}
+
 // HeartbeatFailed logs that a heartbeat or another datagram could not be encoded.
 func (l *Log) HeartbeatFailed(err error) {
 	l.logger.Error().Err(err).Msg(prefixPeer + "heartbeat can't be encoded; check listen.peers and peer_address")
@@ -324,6 +346,11 @@
 	}
 	if c.LastEventID != "" {
 		e.Str("resumes", string(c.Resumes)).Str("last_event", c.LastEventID).Int64("origin_ms", s.OriginWait.Milliseconds())
+		addBinding(e, &s.Binding)
+		e.Int64("first_event", s.FirstEvent)
+	}
+	if s.EstablishmentWait > 0 {
+		e.Int64("establishment_ms", s.EstablishmentWait.Milliseconds())
 	}
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
@@ -332,6 +359,12 @@
 	e.Msg(prefixRequest + "ended")
 }
 
+// addBinding adds by which knowledge a resumed stream was bound to a software version. Each field is of bounded size.
+func addBinding(e *log.Entry, b *relay.Binding) {
+	e.Str("origin", string(b.By)).Str("origin_from", string(b.Holder)).Str("origin_version", strconv.FormatUint(uint64(b.Version), 36)).
+		Int64("confirmed_ms", b.Ages.Confirmed.Milliseconds()).Int64("documents_ms", b.Ages.Changed.Milliseconds())
+}
+
 // noReportedLoad is logged as the reported load if the replica did not report any.
 const noReportedLoad = -1
 
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -70,6 +70,9 @@
 	BackoffsBegun       metrics.Counter
 	AllBackingOff       metrics.Counter
 	DeparturesAnnounced metrics.Counter
+	// NewVersionStreams counts the attempts that were to begin a stream at a version that is not established, since no replica of
+	// another one was usable.
+	NewVersionStreams metrics.Counter
 	// BrittleBegun counts how often a service was found to be brittle. Rejections counts the requests that
 	// replicas rejected without running them, BrittleRejections those of replicas that said they are brittle.
 	BrittleBegun, Rejections, BrittleRejections metrics.Counter
@@ -107,9 +110,14 @@
 	// CallerResumes the requests that resume a stream, ResumesUnknown those of them that were refused because its version is not
 	// known, and ResumesVersionGone those refused because no replica of it is ready.
 	OriginsRecorded, CallerResumes, ResumesUnknown, ResumesVersionGone metrics.Counter
-	PermitWait                                                         metrics.Histogram // milliseconds until a permit was granted
-	FirstByte                                                          metrics.Histogram // milliseconds
-	Total                                                              metrics.Histogram // milliseconds
+	// ResumesOnlyVersion counts the resumed streams that were bound to the only version of their service, ResumesOwnRecord
+	// those that were bound by this daemon's record, and ResumesHolder those bound by another daemon's.
+	ResumesOnlyVersion, ResumesOwnRecord, ResumesHolder metrics.Counter
+	// LeasesEnded counts how often the lease on the knowledge of software versions ended (lease.go).
+	LeasesEnded metrics.Counter
+	PermitWait  metrics.Histogram // milliseconds until a permit was granted
+	FirstByte   metrics.Histogram // milliseconds
+	Total       metrics.Histogram // milliseconds
 	// LoadUnderestimate is the number of requests by which a replica's reported load exceeded the
 	// estimate that it was chosen by, without the request itself. Coverage is the percentage
 	// of the fleet's daemons that the estimate included. Together they show whether the load
@@ -148,8 +156,13 @@
 		"coordinators_silent_total":       &m.CoordinatorsSilent,
 		"origins_recorded_total":          &m.OriginsRecorded,
 		"caller_resumes_total":            &m.CallerResumes,
+		"resumes_only_version_total":      &m.ResumesOnlyVersion,
+		"resumes_own_record_total":        &m.ResumesOwnRecord,
+		"resumes_holder_total":            &m.ResumesHolder,
+		"version_leases_ended_total":      &m.LeasesEnded,
 		"resumes_unknown_total":           &m.ResumesUnknown,
 		"resumes_version_gone_total":      &m.ResumesVersionGone,
+		"new_version_streams_total":       &m.NewVersionStreams,
 		"spilled_total":                   &m.Spilled,
 		"prompts_copied_total":            &m.PromptsCopied,
 		"new_connections_total":           &m.NewConnections,
@@ -271,6 +284,14 @@
 	if c.LastEventID != "" {
 		m.CallerResumes.Inc(1)
 	}
+	switch s.Binding.By {
+	case relay.OriginOnlyVersion:
+		m.ResumesOnlyVersion.Inc(1)
+	case relay.OriginOwnRecord:
+		m.ResumesOwnRecord.Inc(1)
+	case relay.OriginHolder:
+		m.ResumesHolder.Inc(1)
+	}
 	if s.CallerGone {
 		m.CallerGone.Inc(1)
 	}
@@ -289,6 +310,9 @@
 		if i > 0 {
 			m.Retries.Inc(1)
 		}
+		if t.NewVersion {
+			m.NewVersionStreams.Inc(1)
+		}
 		if t.Rank > 0 {
 			m.Spilled.Inc(1)
 		}
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -26,48 +26,80 @@
 	documentsTimeout = 200 * time.Millisecond
 	// documentsPoll is how often it looks for them.
 	documentsPoll = 5 * time.Millisecond
+	// renewalTimeout is how long a stream that its caller resumes and that no holder knows waits for a renewed lease: holders
+	// send a heartbeat with their reply, and a daemon that reads the store asks it again after some tenths of a second.
+	renewalTimeout = 200 * time.Millisecond
 )
 
 // originQuestions are the questions of this daemon that holders have not all replied to.
 type originQuestions struct {
-	last    gossip.OriginRequestID
-	pending map[gossip.OriginRequestID]*originQuestion
+	last gossip.OriginRequestID
+	// pending has the holders that were asked. Each is asked under an id of its own, since a reply does not name its sender.
+	pending map[gossip.OriginRequestID]askedHolder
+}
+
+// askedHolder is a holder that a question was sent to.
+type askedHolder struct {
+	*originQuestion
+	address membership.Address
 }
 
 // originQuestion is a question for the origin of a stream.
 type originQuestion struct {
-	reply   chan<- originFound
-	waiting int // holders that have not replied
-	until   time.Time
+	reply    chan<- originFound
+	waiting  int // holders that have not replied
+	answered bool
+	until    time.Time
 }
 
-// originFound is the origin of a stream; version is 0 if no holder knows it.
-type originFound struct{ version routing.VersionKey }
+// originFound is the origin of a stream; version is 0 if no holder knows it, and holder empty if the record is this
+// daemon's own.
+type originFound struct {
+	version routing.VersionKey
+	holder  membership.Address
+}
 
 // streamOrigins lets the request path record and find the origins of streams.
 type streamOrigins struct{ control *control }
 
-var _ relay.Origins = streamOrigins{}
+var (
+	_ relay.TracedOrigins  = streamOrigins{}
+	_ relay.RenewedOrigins = streamOrigins{}
+)
 
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
 	now := clock.Now()
-	if o.control.mayBeBehind.Load() || o.control.missedTick(now) || o.control.lacksDocuments.Load() {
+	if !o.control.holdsLease(now) || o.control.missedTick(now) || o.control.lacksDocuments.Load() {
 		return 0, false
 	}
 	return o.control.view.Load().OnlyVersion(s, now)
 }
 
+// AwaitOnlyVersion implements [relay.RenewedOrigins].
+func (o streamOrigins) AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (v routing.VersionKey, ok bool) {
+	awaitWhile(ctx, renewalTimeout, func() bool {
+		v, ok = o.OnlyVersion(s)
+		return !ok && !o.control.view.Load().HasSeveralVersions(s)
+	})
+	return v, ok
+}
+
 // AwaitDocuments implements [relay.Origins].
 func (o streamOrigins) AwaitDocuments(ctx context.Context) {
-	if !o.control.lacksDocuments.Load() {
+	awaitWhile(ctx, documentsTimeout, o.control.lacksDocuments.Load)
+}
+
+// awaitWhile waits while a condition holds, at most for a time.
+func awaitWhile(ctx context.Context, limit time.Duration, condition func() bool) {
+	if !condition() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, documentsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	ticker := time.NewTicker(documentsPoll)
 	defer ticker.Stop()
-	for o.control.lacksDocuments.Load() {
+	for condition() {
 		select {
 		case <-ctx.Done():
 			return
@@ -83,12 +115,18 @@
 
 // Find implements [relay.Origins].
 func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (routing.VersionKey, bool) {
+	r, ok := o.FindRecord(ctx, stream)
+	return r.Version, ok
+}
+
+// FindRecord implements [relay.TracedOrigins].
+func (o streamOrigins) FindRecord(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
 	for range maxOriginQuestions {
 		if found, ok := o.ask(ctx, stream); ok {
-			return found.version, found.version != 0
+			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder)}, found.version != 0
 		}
 	}
-	return 0, false
+	return relay.OriginRecord{}, false
 }
 
 // ask asks the holders once. It returns false if they did not all reply in time and those that did know
@@ -131,7 +169,7 @@
 // findOrigin looks for the origin of a stream, here and at its holders.
 func (c *control) findOrigin(need *originNeeded, now time.Time) {
 	if v, ok := c.origins.Find(need.stream, now); ok {
-		need.reply <- originFound{v}
+		need.reply <- originFound{version: v}
 		return
 	}
 	others := c.otherHolders(need.stream, now)
@@ -140,13 +178,16 @@
 		return
 	}
 	q := &c.originQuestions
-	q.last++
 	if q.pending == nil {
-		q.pending = make(map[gossip.OriginRequestID]*originQuestion)
+		q.pending = make(map[gossip.OriginRequestID]askedHolder)
+	}
+	question := &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
+	for _, holder := range others {
+		q.last++
+		q.pending[q.last] = askedHolder{question, holder}
+		ask := gossip.OriginRequest{ID: q.last, From: c.roster.Self().Address, Stream: need.stream}
+		sendReports(c, []membership.Address{holder}, []gossip.OriginRequest{ask}, gossip.EncodeOriginRequests)
 	}
-	q.pending[q.last] = &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
-	ask := gossip.OriginRequest{ID: q.last, From: c.roster.Self().Address, Stream: need.stream}
-	sendReports(c, others, []gossip.OriginRequest{ask}, gossip.EncodeOriginRequests)
 }
 
 // answerOrigins replies to a peer's questions.
@@ -154,22 +195,44 @@
 	for _, r := range requests {
 		v, _ := c.origins.Find(r.Stream, now)
 		sendReports(c, []membership.Address{r.From}, []gossip.OriginReply{{ID: r.ID, Version: v}}, gossip.EncodeOriginReplies)
+		c.renewLease(r.From, now)
 	}
 }
 
+// renewLease sends a heartbeat to a peer that asks for the origin of a stream, as its lease may have ended. It is sent at most
+// once in heartbeatInterval: when a daemon ends, many streams are resumed at once.
+func (c *control) renewLease(to membership.Address, now time.Time) {
+	l := &c.lease
+	if now.Sub(l.renewedAt[to]) < heartbeatInterval {
+		return
+	}
+	if l.renewedAt == nil {
+		l.renewedAt = make(map[membership.Address]time.Time)
+	}
+	l.renewedAt[to] = now
+	h := c.newHeartbeat(now)
+	h.Partial = true
+	c.sendTo([]membership.Address{to}, &h)
+}
+
 // receiveOriginReplies passes replies to the requests that wait for them. The first one that knows the
 // origin is enough.
 func (c *control) receiveOriginReplies(replies []gossip.OriginReply) {
 	for _, r := range replies {
-		q, ok := c.originQuestions.pending[r.ID]
+		holder, ok := c.originQuestions.pending[r.ID]
 		if !ok {
 			continue
 		}
-		if q.waiting--; r.Version == 0 && q.waiting > 0 {
+		delete(c.originQuestions.pending, r.ID)
+		if holder.waiting--; holder.answered || r.Version == 0 && holder.waiting > 0 {
 			continue
 		}
-		delete(c.originQuestions.pending, r.ID)
-		q.reply <- originFound{r.Version}
+		holder.answered = true
+		found := originFound{version: r.Version}
+		if r.Version != 0 {
+			found.holder = holder.address
+		}
+		holder.reply <- found
 	}
 }
 
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -7,8 +7,10 @@
 //     most likely know. It asks again after firstHistoryPause, and then after pauses that double: if a whole
 //     fleet has just started, nobody knows.
 //  3. A daemon that was paused or cut off has missed versions that came and went meanwhile. Its history begins
-//     anew.
+//     anew (lease.go has when).
 //  4. Daemons of the previous build tell no history.
+//  5. Which versions are new is determined anew with each view, and on each tick and heartbeat while one may be: peers tell in
+//     heartbeats which documents they have.
 
 package routes
 
@@ -60,15 +62,29 @@
 func (c *control) mergeHistory(r *routing.VersionReport, from string, now time.Time) {
 	r.At.Era = c.resolveEra(r.At.Era, now)
 	lacked := c.lacksHistory(now)
-	if !c.catalog.versions.Merge(r, now) {
+	isLonger := c.catalog.versions.Merge(r, now)
+	if established := c.establishVersions(now); !isLonger && !established {
 		return
 	}
-	if lacked {
+	if lacked && isLonger {
 		c.log.VersionsLearned(from, now.Sub(c.catalog.versions.Since()), len(r.Versions))
 	}
 	c.publish(now)
 }
 
+// establishVersions determines which versions of services are new (coordination/routing/establishment.go), and logs what has
+// changed. It reports whether the view has to be built again. While no version has joined a moment ago it does nothing.
+func (c *control) establishVersions(now time.Time) bool {
+	if !c.catalog.versions.AwaitsEstablishment() {
+		return false
+	}
+	changes := c.catalog.versions.Establish(now, c.roster.AllHold)
+	for i := range changes {
+		c.log.VersionChanged(&changes[i])
+	}
+	return len(changes) > 0
+}
+
 // interruptHistory begins the history of versions anew, since this daemon may have missed some. It reports whether
 // the view has to be built again.
 func (c *control) interruptHistory(now time.Time) bool {
@@ -79,21 +95,6 @@
 	return true
 }
 
-// updateBehind determines whether documents may be missing here that other daemons have: no known daemon
-// reads the store, and some daemon is not heard, which may read it. While that lasts the history that requests
-// see does not count (streamOrigins.OnlyVersion), so that a view is built only at its end.
-func (c *control) updateBehind(now time.Time) {
-	isBehind := !c.roster.HasStoreReader(now) && !c.roster.HearsAll(now)
-	wasBehind := c.mayBeBehind.Load()
-	if isBehind || wasBehind {
-		isNew := c.interruptHistory(now)
-		if isNew && !isBehind {
-			c.publish(now)
-		}
-	}
-	c.mayBeBehind.Store(isBehind)
-}
-
 // missedTick reports whether the last tick is so long ago that the process must have been paused. It may be called
 // by any goroutine.
 func (c *control) missedTick(now time.Time) bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -117,6 +117,8 @@
 	CrashingParts int
 	// ForeignPerSec is how often another client writes among the replicas' entries.
 	ForeignPerSec float64
+	// OddEntriesPerSec is how often it writes odd ones.
+	OddEntriesPerSec float64
 	// BackoffsPerSec is how often some replicas request a backoff, and DeparturesPerSec how often one
 	// announces its departure in its responses alone.
 	BackoffsPerSec   float64
@@ -135,6 +137,8 @@
 	Brittle bool
 	// Versions says whether replicas run several software versions.
 	Versions bool
+	// OutOfStep says whether releases begin while daemons are out of step with them.
+	OutOfStep bool
 	// Unframed says whether a part of the responses ends with their connections.
 	Unframed bool
 	// Uploads says what a run does with large bodies; nil: there are none.
@@ -173,6 +177,7 @@
 	p.drawEvacuations(seed, s)
 	p.drawCrashing(seed, s)
 	p.drawForeign(seed, s)
+	p.drawOdd(seed, s)
 	p.drawStatements(seed, s)
 	p.drawFalseCrashes(seed, s)
 	p.drawRestores(seed, s)
@@ -183,6 +188,7 @@
 	p.drawCrashingParts(seed, s)
 	p.drawSilences(seed, s)
 	p.drawUploads(seed, s)
+	p.drawOutOfStep(seed, s)
 	if s.Upgrades {
 		p.drawUpgrades(seed)
 	}
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -250,6 +250,10 @@
 	full := goldenHeartbeat()
 	payload, err := EncodeHeartbeat(&full)
 	write("heartbeat", payload, err)
+	confirmed := goldenHeartbeat()
+	confirmed.Confirmed = NewConfirmedAge(425*time.Millisecond, true)
+	payload, err = EncodeHeartbeat(&confirmed)
+	write("heartbeat with an age", payload, err)
 	short := goldenHeartbeat()
 	short.Partial, short.Members, short.Loads, short.Evidence = true, nil, nil, nil
 	payload, err = EncodeHeartbeat(&short)
@@ -298,6 +302,10 @@
 	write("part crashes", payload, err)
 	payload, err = EncodeVersions(goldenVersions())
 	write("versions", payload, err)
+	known := goldenVersions()
+	known.Versions[0].KnownFor = 1500 * time.Millisecond
+	payload, err = EncodeVersions(known)
+	write("versions with a time since when one is known", payload, err)
 	golden.Compare(t, "messages.txt", b.String())
 }
 
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -98,6 +98,7 @@
 	Version      routing.SoftwareVersion // of the replica
 	Rank         int                     // position of the replica in the prompt's order of preference
 	Cold         bool                    // the replica was cold when it was chosen
+	NewVersion   bool                    // a stream that had not begun, at a version that is not established
 	PromptSource routing.ReplicaID       // replica that the prompt is copied from; empty: none
 	Load         int                     // of the replica when it was chosen, as estimated by this daemon, in requests
 	MeanLoad     float64                 // mean load of the service's replicas, in requests
@@ -125,8 +126,12 @@
 	Events     int
 	PermitWait time.Duration // for permits, over all attempts; 0: none were needed
 	OriginWait time.Duration // to find out at which software version a resumed stream began; 0: not asked
-	CallerGone bool          // the caller disconnected, or its connection was closed
-	EndedBy    EndedBy       // who ended its connection before the response was complete
+	// EstablishmentWait is how long the first event was held back, since its replica's software version was new; 0: it was not.
+	EstablishmentWait time.Duration
+	Binding           Binding // of a stream that its caller resumes
+	FirstEvent        int64   // id of the first forwarded event that has one, as a number; NoEvent: none
+	CallerGone        bool    // the caller disconnected, or its connection was closed
+	EndedBy           EndedBy // who ended its connection before the response was complete
 	// ConfigVersion is the version of the configuration that was in force when the call ended.
 	ConfigVersion routing.ConfigVersion
 	// QuarantinedPart is the part of the prompt for which the call was refused; empty: none.
