--- a/internal/soak/foreign_odd_test.go
+++ b/internal/soak/foreign_odd_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -42,7 +42,8 @@
 	}
 }
 
-// TestStoreSendsOddItems guards against a stand-in that repairs what it is told to send: the daemons would see sound items.
+// TestStoreSendsOddItems guards against a stand-in that repairs what it is told to send, or sends nothing: the daemons would see
+// sound items, or a store that is away.
 func TestStoreSendsOddItems(t *testing.T) {
 	s := standin.NewStore(50)
 	endpoint, err := s.Open()
@@ -51,28 +52,25 @@
 	}
 	defer endpoint.Close()
 	s.PutEntry("a\xff\xfe", []byte("v"))
-	s.PutRawEntry("b", []byte(`{"c":[1]}`))
-	s.PutEntry("d", []byte("v"))
-	resp, err := http.Get("http://" + endpoint.Address() + "/api/kv-range")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var page struct {
-		Items []struct {
-			Key   string          `json:"private_key"`
-			Value json.RawMessage `json:"value"`
-		} `json:"items"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
-		t.Fatal(err)
+	for i, value := range rawValues {
+		s.PutRawEntry(fmt.Sprint("b", i), []byte(value))
 	}
-	var values []string
-	for _, it := range page.Items {
-		values = append(values, string(it.Value))
-	}
-	if !slices.Equal(values, []string{`"dg=="`, `{"c":[1]}`, `"dg=="`}) {
-		t.Errorf("values %v", values)
+	s.PutEntry("c", []byte("v"))
+	for _, path := range []string{"/api/kv-range", "/api/kv-watch?after_revision=0&wait_ms=100"} {
+		resp, err := http.Get("http://" + endpoint.Address() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range append([]string{"a\xff\xfe", `c","value":"dg=="`}, rawValues...) {
+			if !strings.Contains(string(body), want) {
+				t.Errorf("%s does not send %.40q", path, want)
+			}
+		}
 	}
 }
 
