Versions of a daemon's first documents are new until it is told otherwise

Callers may see streams of two versions where a daemon starts during a release: its first documents name both versions, and it can't tell which of them has just joined. They counted as established, so that it began streams at the new one at once, while a daemon that is cut off still took the other one for the only one. Change: several versions of a service in the first documents count as having joined with them, until a peer's history tells for how long they have been known, which it now tells for all versions of such a service; all daemons have told that they have these documents; or 3.6 s are over. Rows of TestPeerTellsSinceWhenVersionsAreKnown and of the report say so now; the row of versions of first documents that are not new is replaced by TestVersionsOfFirstDocumentsAreNew. Run: go test ./daemon/routes, and the tests of versions in coordination/routing and protocol/gossip.

--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -11,8 +11,8 @@
 //     have told positions that are at least the one with which this daemon learned of it. Once it is established it stays so.
 //  3. The version that was known first, of those that a service has or lately had, is never new: a daemon that knows one
 //     version knows that one.
-//  4. A version of a daemon's first documents counts as known before all others. It is new only if a peer's history
-//     tells that it joined a moment ago.
+//  4. A daemon does not know when the versions of its first documents joined, nor which of several did first. They count as
+//     having joined then, before all later ones, until a peer's history tells for how long they have been known.
 //  5. A request of a route of streams whose stream has not begun gets no replica of a new version while a replica of an
 //     established one is usable: it may be chosen, it is neither ejected, silent, terminated nor cut off, and one of these has a
 //     free slot and a load within the bound of placement (place.go), as far as this daemon knows. The bound is one of the mean over
@@ -64,7 +64,7 @@
 	isHere bool          // a replica had an entry when Learn was last called
 	at     time.Time     // when it is first known to have joined; zero: it is only known from peers
 	with   feed.Position // of the documents
-	first  bool          // they were the daemon's first ones, and no peer has told when it joined
+	first  bool          // they were the daemon's first ones, and no peer has told when it joined: at is the latest time at which it did
 	isNew  bool
 }
 
@@ -82,9 +82,9 @@
 	h.touched, h.hasDocuments = h.touched[:0], true
 }
 
-// await adds a version to those that are not established, unless it came with the first documents.
+// await adds a version to those that are not established.
 func (h *VersionHistory) await(u *versionUse) {
-	if !u.joined.first && !slices.Contains(h.awaiting, u) {
+	if !slices.Contains(h.awaiting, u) {
 		h.awaiting = append(h.awaiting, u)
 	}
 }
@@ -152,10 +152,10 @@
 	return out
 }
 
-// knownFor returns for how long a version has been known, for a peer; 0: not known, or of no use to the peer, since the service
-// has one version.
+// knownFor returns for how long a version has been known at least, for a peer; 0: of no use to the peer, since the service has
+// one version.
 func (h *VersionHistory) knownFor(u *versionUse, now time.Time) time.Duration {
-	if u.joined.first || u.replicas == 0 || !u.joined.isHere || len(h.services[u.service]) < 2 {
+	if u.replicas == 0 || !u.joined.isHere || len(h.services[u.service]) < 2 {
 		return 0
 	}
 	return max(time.Millisecond, now.Sub(u.joined.at))
@@ -167,11 +167,7 @@
 	if known <= 0 || !u.joined.isHere {
 		return
 	}
-	u.joined.at = earliest(u.joined.at, now.Add(-known))
-	if u.joined.first && now.Sub(u.joined.at) < establishmentTime {
-		u.joined.first = false
-		h.await(u)
-	}
+	u.joined.at, u.joined.first = earliest(u.joined.at, now.Add(-known)), false
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/coordination/routing/establishment_test.go
+++ b/coordination/routing/establishment_test.go
@@ -129,12 +129,6 @@
 		e.join(revision(7), "v2")
 		e.expect(0, "v2") // v1 was known first
 	})
-	t.Run("those of the first documents", func(t *testing.T) {
-		e := newEstablishing(t)
-		e.join(revision(5), "v1", "v2")
-		e.expect(0)
-		e.expect(time.Second)
-	})
 	t.Run("two that come at once to a service that had none", func(t *testing.T) {
 		e := newEstablishing(t)
 		e.join(revision(1))
@@ -163,6 +157,28 @@
 	})
 }
 
+// TestVersionsOfFirstDocumentsAreNew guards against a daemon that starts just after a version has joined, and begins streams at
+// it at once, since it can't tell which of several versions is the new one.
+func TestVersionsOfFirstDocumentsAreNew(t *testing.T) {
+	e := newEstablishing(t)
+	e.join(revision(5), "v1", "v2")
+	e.expect(0, "v1", "v2")
+	e.expect(3500*time.Millisecond, "v1", "v2")
+	e.expect(100 * time.Millisecond)
+
+	e = newEstablishing(t)
+	e.join(revision(5), "v1", "v2")
+	e.expect(0, "v1", "v2")
+	e.allHold = revision(5)
+	e.expect(200 * time.Millisecond)
+
+	e = newEstablishing(t)
+	e.join(revision(5), "v1")
+	e.expect(0)
+	e.join(revision(6), "v2")
+	e.expect(0, "v2") // v1 was known first
+}
+
 // TestVersionThatComesAgainIsNew guards against streams that begin at a version that a daemon whose documents lack what
 // came and went meanwhile has never known.
 func TestVersionThatComesAgainIsNew(t *testing.T) {
@@ -207,17 +223,17 @@
 		before []routing.SoftwareVersion // in the first documents, 10 s before
 		comes  []routing.SoftwareVersion // now
 		tells  []routing.UsedVersion
-		isNew  bool          // v2
-		left   time.Duration // until it is established
+		want   []routing.SoftwareVersion // that are new
+		left   time.Duration             // until v2 is established, if it is new
 	}{
-		{"a version of the first documents that has just joined", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, true, 2600 * time.Millisecond},
-		{"the peer does not know for how long the other one is known", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", 0), used("v2", time.Second)}, true, 2600 * time.Millisecond},
-		{"a version of the first documents that has long been known", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", 4*time.Second)}, false, 0},
-		{"a peer of the previous build", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", 0), used("v2", 0)}, false, 0},
-		{"the only version", nil, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v2", time.Second)}, false, 0},
-		{"the peer has known it for longer", []routing.SoftwareVersion{"v1"}, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, true, 2600 * time.Millisecond},
-		{"the peer knows it as established", []routing.SoftwareVersion{"v1"}, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", 5*time.Second)}, false, 0},
-		{"the peer learned of it later", []routing.SoftwareVersion{"v1", "v2"}, nil, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, false, 0},
+		{"a version of the first documents that has just joined", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, []routing.SoftwareVersion{"v2"}, 2600 * time.Millisecond},
+		{"the peer does not know for how long the other one is known", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", 0), used("v2", time.Second)}, []routing.SoftwareVersion{"v1", "v2"}, 2600 * time.Millisecond},
+		{"a version of the first documents that has long been known", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", 4*time.Second)}, nil, 0},
+		{"a peer of the previous build", nil, []routing.SoftwareVersion{"v1", "v2"}, []routing.UsedVersion{used("v1", 0), used("v2", 0)}, []routing.SoftwareVersion{"v1", "v2"}, 3600 * time.Millisecond},
+		{"the only version", nil, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v2", time.Second)}, nil, 0},
+		{"the peer has known it for longer", []routing.SoftwareVersion{"v1"}, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, []routing.SoftwareVersion{"v2"}, 2600 * time.Millisecond},
+		{"the peer knows it as established", []routing.SoftwareVersion{"v1"}, []routing.SoftwareVersion{"v2"}, []routing.UsedVersion{used("v1", time.Minute), used("v2", 5*time.Second)}, nil, 0},
+		{"the peer learned of it later", []routing.SoftwareVersion{"v1", "v2"}, nil, []routing.UsedVersion{used("v1", time.Minute), used("v2", time.Second)}, nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newEstablishing(t)
@@ -227,19 +243,21 @@
 			}
 			e.join(revision(6), c.comes...)
 			e.Merge(&routing.VersionReport{At: revision(6), Complete: time.Minute, Versions: c.tells}, e.now)
-			if !c.isNew {
-				e.expect(0)
+			e.expect(0, c.want...)
+			if c.left == 0 {
 				return
 			}
-			e.expect(0, "v2")
-			e.expect(c.left-time.Millisecond, "v2")
-			e.expect(time.Millisecond)
+			e.expect(c.left-time.Millisecond, c.want...)
+			e.expect(time.Millisecond, slices.DeleteFunc(c.want, func(v routing.SoftwareVersion) bool {
+				return v == "v2" || c.left == 3600*time.Millisecond
+			})...)
+			e.expect(3600*time.Millisecond - c.left)
 		})
 	}
 }
 
-// TestReportTellsSinceWhenVersionsAreKnown guards against a peer that takes a version of this daemon's first documents for
-// new, and against bytes for services of one version.
+// TestReportTellsSinceWhenVersionsAreKnown guards against a peer that waits longer than this daemon has known a version, and
+// against bytes for services of one version.
 func TestReportTellsSinceWhenVersionsAreKnown(t *testing.T) {
 	e := newEstablishing(t)
 	e.join(revision(5), "v1", "v3")
@@ -253,7 +271,7 @@
 		got[u] = true
 	}
 	for _, want := range []routing.UsedVersion{
-		{Service: "s", Version: versionKey("s", "v1")},
+		{Service: "s", Version: versionKey("s", "v1"), KnownFor: 11 * time.Second},
 		{Service: "s", Version: versionKey("s", "v2"), KnownFor: time.Second},
 		{Service: "s", Version: versionKey("s", "v3"), LeftFor: time.Second},
 		{Service: "t", Version: versionKey("t", "v1")},
