Relay: a replica of a new version that breaks before its first event is not waited for

The end of such a stream's connection waited, as an event does, until the version was established: up to 3.6 s before the next attempt. Only bytes of a stream are held back now. The new spec fails without the change: the first attempt took .70 s, as long as the establishment.

--- a/transport/relay/establishment_test.go
+++ b/transport/relay/establishment_test.go
@@ -83,6 +83,25 @@
 		Expect(coordination.OutcomeName(s.Outcome)).NotTo(Equal("answered"))
 	})
 
+	It("are sent again at once if they break before their first event", func() {
+		// Guards against a replica of a new version that fails and is waited for until its version is established.
+		n := 0
+		breaksFirst := func(a *receivedRequest) bool {
+			if countCall(&n) == 1 {
+				streamHead(a)
+				return reset(a.conn)
+			}
+			return streams(a)
+		}
+		w := release(resumable, "v2", startVersion("r1", "v2", breaksFirst), startVersion("r2", "v2", breaksFirst))
+		establishAfter(w, 700*time.Millisecond)
+		to, s := w.serve(w.call("a", "POST", "x"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(s.Attempts).To(HaveLen(2))
+		Expect(s.Attempts[0].Duration).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(s.FirstByte).To(BeNumerically(">=", 700*time.Millisecond))
+	})
+
 	It("begin at once if they can't be resumed elsewhere", func() {
 		w := release(routing.Route{Kind: routing.Stream}, "v2", startVersion("r1", "v2", streams))
 		to, s := w.serve(w.call("a", "POST", "x"))
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -180,6 +180,9 @@
 // forwardEvents forwards the events that p completes to the caller. The first event binds the stream to
 // the software version of its replica.
 func (s *activeCall) forwardEvents(ctx context.Context, x *exchange, t *routing.Target, p []byte) *failure {
+	if len(p) == 0 {
+		return nil // a replica that broke before its first event is not waited for
+	}
 	if f := s.awaitEstablished(ctx, x, t); f != nil {
 		return f
 	}
