Relay: one interface for the origins of streams

Two extensions of Origins had been added side by side, each found by a type assertion. All implementations have all methods; Find returns whose record it is.

--- a/daemon/routes/documents.go
+++ b/daemon/routes/documents.go
@@ -33,7 +33,7 @@
 	return max(0, now.Sub(*at))
 }
 
-// DocumentAges implements [relay.TracedOrigins].
+// DocumentAges implements [relay.Origins].
 func (o streamOrigins) DocumentAges() relay.DocumentAges {
 	return o.control.documents.ages(clock.Now())
 }
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -62,10 +62,7 @@
 // streamOrigins lets the request path record and find the origins of streams.
 type streamOrigins struct{ control *control }
 
-var (
-	_ relay.TracedOrigins  = streamOrigins{}
-	_ relay.RenewedOrigins = streamOrigins{}
-)
+var _ relay.Origins = streamOrigins{}
 
 // OnlyVersion implements [relay.Origins].
 func (o streamOrigins) OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool) {
@@ -76,7 +73,7 @@
 	return o.control.view.Load().OnlyVersion(s, now)
 }
 
-// AwaitOnlyVersion implements [relay.RenewedOrigins].
+// AwaitOnlyVersion implements [relay.Origins].
 func (o streamOrigins) AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (v routing.VersionKey, ok bool) {
 	awaitWhile(ctx, renewalTimeout, func() bool {
 		v, ok = o.OnlyVersion(s)
@@ -114,13 +111,7 @@
 }
 
 // Find implements [relay.Origins].
-func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (routing.VersionKey, bool) {
-	r, ok := o.FindRecord(ctx, stream)
-	return r.Version, ok
-}
-
-// FindRecord implements [relay.TracedOrigins].
-func (o streamOrigins) FindRecord(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
+func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
 	for range maxOriginQuestions {
 		if found, ok := o.ask(ctx, stream); ok {
 			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder)}, found.version != 0
--- a/transport/relay/binding.go
+++ b/transport/relay/binding.go
@@ -56,32 +56,17 @@
 	return OriginHolder
 }
 
-// TracedOrigins is an [Origins] that also tells on what its answers rest.
-type TracedOrigins interface {
-	Origins
-	// FindRecord is Find, and returns whose record it is.
-	FindRecord(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
-	// DocumentAges returns the current ages of the daemon's documents.
-	DocumentAges() DocumentAges
-}
-
 // findRecord looks for the record of where the call's stream began.
 func (s *activeCall) findRecord(ctx context.Context) (OriginRecord, bool) {
 	key := s.call.stream()
 	if key == 0 {
 		return OriginRecord{}, false
 	}
-	if o, ok := s.Origins.(TracedOrigins); ok {
-		return o.FindRecord(ctx, key)
-	}
-	v, ok := s.Origins.Find(ctx, key)
-	return OriginRecord{Version: v}, ok
+	return s.Origins.Find(ctx, key)
 }
 
 // recordBinding records in the summary how the call's stream was bound.
 func (s *activeCall) recordBinding(b Binding) {
-	if o, ok := s.Origins.(TracedOrigins); ok {
-		b.Ages = o.DocumentAges()
-	}
+	b.Ages = s.Origins.DocumentAges()
 	s.summary.Binding = b
 }
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -15,30 +15,17 @@
 	// OnlyVersion returns the only software version that the replicas of a service have had for as long as a
 	// stream can last. It returns false if there were several, or if this daemon can't know.
 	OnlyVersion(s routing.ServiceName) (routing.VersionKey, bool)
+	// AwaitOnlyVersion is OnlyVersion, and waits for a short time if what this daemon knows of versions was not confirmed lately.
+	AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (routing.VersionKey, bool)
 	// AwaitDocuments waits for a short time for documents that other daemons are known to have and this one lacks: they
 	// may name another version.
 	AwaitDocuments(ctx context.Context)
 	// Record records the origin of a stream at the daemons that hold it. It does not wait for them.
 	Record(ctx context.Context, o routing.StreamOrigin)
-	// Find returns the version at which a stream began, or false if it can't be found out.
-	Find(ctx context.Context, s routing.StreamKey) (routing.VersionKey, bool)
-}
-
-// RenewedOrigins is an [Origins] that may know the only version of a service a moment later, when it has heard from other
-// daemons.
-type RenewedOrigins interface {
-	Origins
-	// AwaitOnlyVersion is OnlyVersion, and waits for a short time if what this daemon knows of versions was not confirmed lately.
-	AwaitOnlyVersion(ctx context.Context, s routing.ServiceName) (routing.VersionKey, bool)
-}
-
-// awaitOnlyVersion returns the only version of the call's service, if it is known a moment later.
-func (s *activeCall) awaitOnlyVersion(ctx context.Context) (routing.VersionKey, bool) {
-	o, ok := s.Origins.(RenewedOrigins)
-	if !ok {
-		return 0, false
-	}
-	return o.AwaitOnlyVersion(ctx, s.call.Service)
+	// Find returns the record of where a stream began, or false if it can't be found out.
+	Find(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
+	// DocumentAges returns the current ages of the daemon's documents.
+	DocumentAges() DocumentAges
 }
 
 // stream returns the key of the call's stream: that of the request that brought its first event.
@@ -67,7 +54,7 @@
 		s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
 		return true
 	}
-	if v, ok := s.awaitOnlyVersion(ctx); ok {
+	if v, ok := s.Origins.AwaitOnlyVersion(ctx, s.call.Service); ok {
 		s.bindToOnly(v)
 		return true
 	}
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -30,11 +30,6 @@
 
 func (o *recordedOrigins) DocumentAges() relay.DocumentAges { return ages }
 
-func (o *recordedOrigins) FindRecord(ctx context.Context, s routing.StreamKey) (relay.OriginRecord, bool) {
-	v, ok := o.Find(ctx, s)
-	return relay.OriginRecord{Version: v, Holder: o.holder}, ok
-}
-
 func (o *recordedOrigins) OnlyVersion(routing.ServiceName) (routing.VersionKey, bool) {
 	return o.only, o.only != 0 && !o.several.Load()
 }
@@ -53,10 +48,10 @@
 	o.recorded = append(o.recorded, r)
 }
 
-func (o *recordedOrigins) Find(_ context.Context, s routing.StreamKey) (routing.VersionKey, bool) {
+func (o *recordedOrigins) Find(_ context.Context, s routing.StreamKey) (relay.OriginRecord, bool) {
 	o.asked++
 	v, ok := o.known[s]
-	return v, ok
+	return relay.OriginRecord{Version: v, Holder: o.holder}, ok
 }
 
 // startVersion starts a replica of a software version.
