Lease: a member that restarted with a lower incarnation confirms again

Heartbeats of an incarnation below the highest heard confirm nothing, as late datagrams must not. The roster takes a lower one over if it continues (the clock was set back before the restart); the lease never did, so that such a member confirmed nothing at peers for as long as they ran, by rule 2 or 5. If it was their reader of the store, their leases ended. What was heard of a higher incarnation is dropped now once the roster has replaced it.

--- a/coordination/membership/confirmations.go
+++ b/coordination/membership/confirmations.go
@@ -155,8 +155,9 @@
 // ObserveFleet confirms what rule 5 says. own is the position of the own documents, and newest the newest one that a
 // member has told of.
 func (c *Confirmations) ObserveFleet(r *Roster, own, newest feed.Position, now time.Time) {
-	for a := range c.heard {
-		if r.members[a] == nil {
+	for a, last := range c.heard {
+		// A lower incarnation replaces a higher one if the clock was set back before a restart.
+		if e := r.members[a]; e == nil || e.Incarnation < last.incarnation {
 			delete(c.heard, a)
 		}
 	}
--- a/coordination/membership/confirmations_test.go
+++ b/coordination/membership/confirmations_test.go
@@ -338,6 +338,34 @@
 	}
 }
 
+// TestMemberWithALowerIncarnationConfirms guards against a member whose clock was set back before it restarted, and which
+// confirms nothing from then on although the roster has taken its incarnation over.
+func TestMemberWithALowerIncarnationConfirms(t *testing.T) {
+	now, at := time.Unix(1000, 0), feed.Position{Revision: 1}
+	m := Member{Address: "10.0.0.2:1", Incarnation: 50, Heartbeats: 9}
+	r, c := NewRoster(Member{Address: "10.0.0.1:1"}, []Address{m.Address}), &Confirmations{}
+	hear := func(m Member) {
+		r.Observe([]Member{m}, now)
+		c.ObserveHeartbeat(&PeerConfirmation{Sender: m, Position: at, HasAge: true, Received: now}, at)
+		c.ObserveFleet(r, at, at, now)
+	}
+	hear(m)
+	late := m
+	m.Incarnation, m.Heartbeats = 40, 0
+	for i := range 2 {
+		for range 20 * time.Second / playTick {
+			now = now.Add(playTick)
+			m.Heartbeats++
+			hear(m)
+		}
+		if age := now.Sub(c.ConfirmedAt()); age > time.Second {
+			t.Errorf("confirmed %v ago after %d late datagrams of the run before", age, i)
+		}
+		late.Heartbeats++
+		hear(late)
+	}
+}
+
 // TestConfirmedByWatch guards against watches that confirm a time after the one at which the store replied.
 func TestConfirmedByWatch(t *testing.T) {
 	sent, wait := time.Unix(1000, 0), 400*time.Millisecond
