--- a/coordination/routing/version_history.go
+++ b/coordination/routing/version_history.go
@@ -71,8 +71,8 @@
 	Service ServiceName
 	Version VersionKey
 	LeftFor time.Duration // since the entry of its last replica is gone; 0 if there is one
-	// KnownFor is how long the sender has known that the version joined the service; 0 if it is the only one, has left or came with
-	// the sender's first documents, or if the sender's build does not tell.
+	// KnownFor is how long the sender has known at least that the version joined the service; 0 if it is the only one or has left,
+	// or if the sender's build does not tell.
 	KnownFor time.Duration
 }
 
