--- a/protocol/gossip/versions.go
+++ b/protocol/gossip/versions.go
@@ -1,15 +1,13 @@
 // This file encodes the history of software versions that a daemon sends along with documents. A daemon of an
 // earlier build neither sends nor reads it.
 //
-// How long a version has been known is a CBOR tag around LeftFor. The previous build, which does not tell it, decodes the
-// number without the tag.
+// How long a version has been known is a CBOR tag around LeftFor (tagged.go). The previous build does not tell it.
 
 package gossip
 
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"hingewinch.org/hingewinch/coordination/routing"
@@ -29,10 +27,6 @@
 	LeftFor leftForMessage
 }
 
-// knownTag is the base of the tag numbers: the tag of a version is knownTag plus the milliseconds for which it has been known. It
-// lies in the range of tag numbers that are free for any use.
-const knownTag = 0x48590000
-
 // maxKnownFor is the longest time that is told. Longer ones are cut to it: a version counts as established much sooner.
 const maxKnownFor = 65_535 * time.Millisecond
 
@@ -52,26 +46,15 @@
 
 // MarshalCBOR encodes the times.
 func (m leftForMessage) MarshalCBOR() ([]byte, error) {
-	if m.KnownFor == 0 {
-		return cbor.Marshal(m.LeftFor)
-	}
-	return cbor.Marshal(cbor.Tag{Number: knownTag + uint64(m.KnownFor), Content: m.LeftFor})
+	return marshalTagged(m.LeftFor, knownTag, uint64(m.KnownFor))
 }
 
 // UnmarshalCBOR decodes the times. Tags of other meanings are ignored.
 func (m *leftForMessage) UnmarshalCBOR(payload []byte) error {
 	*m = leftForMessage{}
-	if err := cbor.Unmarshal(payload, &m.LeftFor); err != nil {
-		return eris.Wrap(err, "decode time since a version left")
-	}
-	var tag cbor.RawTag
-	if cbor.Unmarshal(payload, &tag) != nil {
-		return nil // no tag
-	}
-	if known := tag.Number - knownTag; tag.Number > knownTag && known <= uint64(maxKnownFor.Milliseconds()) {
-		m.KnownFor = uint32(known)
-	}
-	return nil
+	known, err := unmarshalTagged(payload, &m.LeftFor, knownTag, uint64(maxKnownFor.Milliseconds()))
+	m.KnownFor = uint32(known)
+	return eris.Wrap(err, "decode time since a version left")
 }
 
 // EncodeVersions encodes a history of versions.
