Versions that join a service together are new until all daemons know both

Found by the review, by a test that failed: two versions that join with one change count as new neither, so that streams begin at both at once, while a daemon that has read only the first part of it knows one of them and holds its lease. Change: of several versions that joined with the same documents none counts as known first. Run: go test ./coordination/routing -rapid.checks=1000 and ./daemon/routes, the tests of versions.

--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -10,7 +10,7 @@
 //  2. It is new until establishmentTime after this daemon or a peer, whose history tells it, learned of it, or until all daemons
 //     have told positions that are at least the one with which this daemon learned of it. Once it is established it stays so.
 //  3. The version that was known first, of those that a service has or lately had, is never new: a daemon that knows one
-//     version knows that one.
+//     version knows that one. If several came first with the same documents, all of these are new.
 //  4. A daemon does not know when the versions of its first documents joined, nor which of several did first. They count as
 //     having joined then, before all later ones, until a peer's history tells for how long they have been known.
 //  5. A request of a route of streams whose stream has not begun gets no replica of a new version while a replica of an
@@ -127,10 +127,12 @@
 	return ""
 }
 
-// isKnownFirst reports whether no version of the service is known to have joined before another one.
+// isKnownFirst reports whether a version is known to have joined its service before all others. Of several that joined with the same
+// documents none is: another daemon may know any one of them alone.
 func (h *VersionHistory) isKnownFirst(u *versionUse) bool {
 	for _, other := range h.services[u.service] {
-		if other != u && (other.joined.first || other.joined.at.Before(u.joined.at)) {
+		isLater := u.joined.at.Before(other.joined.at) || u.joined.first && u.joined.at.Equal(other.joined.at)
+		if other != u && (other.joined.first || !isLater) {
 			return false
 		}
 	}
