A configuration is parsed once, not again for its version

Cause: since the version of a configuration is known only once the whole is parsed, so that the control loop parsed each twice. Change: platform.NewDocuments remembers the last configuration that was parsed.

--- a/cmd/hingewinchd/routes.go
+++ b/cmd/hingewinchd/routes.go
@@ -45,7 +45,7 @@
 func newPlatform(s *routes.Settings) routes.Platform {
 	return routes.Platform{
 		Store: platform.NewStore(s.Store), HistoryGone: platform.ErrHistoryGone,
-		Documents: platform.Documents{}, Codec: platform.Codec{}, ReadyPath: platform.PathReady,
+		Documents: platform.NewDocuments(), Codec: platform.Codec{}, ReadyPath: platform.PathReady,
 		Front: func(d *routes.Daemon) http.Handler {
 			return &platform.Front{
 				View: d.ViewForCaller, Relay: d.Relay, Stopping: d.Stopping, Denied: d.Log.Denied, Panicked: d.Log.Panicked,
