--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -165,16 +165,12 @@
 
 // mergeKnown takes over for how long a peer has known a version that replicas have here. The peer's time may only be
 // earlier: what it knew was in the store.
-func (h *VersionHistory) mergeKnown(u *versionUse, known time.Duration, now time.Time) {
+func (u *versionUse) mergeKnown(known time.Duration, now time.Time) {
 	if known <= 0 || !u.joined.isHere {
 		return
 	}
-	u.joined.at, u.joined.first = earliest(u.joined.at, now.Add(-known)), false
-}
-
-func earliest(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+	if at := now.Add(-known); at.Before(u.joined.at) {
+		u.joined.at = at
 	}
-	return a
+	u.joined.first = false
 }
--- a/coordination/routing/version_history.go
+++ b/coordination/routing/version_history.go
@@ -179,7 +179,7 @@
 	for _, used := range r.Versions {
 		u := h.use(used.Service, used.Version)
 		u.leftAt = latest(u.leftAt, now.Add(-used.LeftFor))
-		h.mergeKnown(u, used.KnownFor, now)
+		u.mergeKnown(used.KnownFor, now)
 	}
 	since := now.Add(-r.Complete)
 	if r.At.Before(h.observed) || !since.Before(h.since) {
--- a/internal/soak/out_of_step.go
+++ b/internal/soak/out_of_step.go
@@ -42,8 +42,8 @@
 	breakInterval = 250 * time.Millisecond // between two resets of callers' links
 	breakLength   = 60 * time.Millisecond
 	killedShare   = 3 // one in killedShare daemons in step is killed at most: the others hold where the streams began
-	// At least minReplaced replicas are replaced in a release, and at most maxReplaced. The others serve on, since
-	// streams may begin at a version that not all daemons know only if no replica of another one is left.
+	// At least minReplaced replicas are replaced in a release, and at most maxReplaced. The others serve on, so that a daemon
+	// out of step finds replicas of the former version.
 	minReplaced = 4
 	maxReplaced = 8
 )
