Placement: versions that are not established are called new throughout

The same list of versions was called fresh in three files and new in the type, the field and the comments. A name only; go test ./coordination/routing (tests of versions and placement) and the test that planted edits match their sources pass.

--- a/coordination/routing/granted.go
+++ b/coordination/routing/granted.go
@@ -64,13 +64,13 @@
 		return Target{}, false
 	}
 	service, _ := v.service(r.Service)
-	fresh := v.newFor(r, tried)
-	if e := c.established(p.Health, fresh, now); e != nil {
-		c.exclude(func(r *Replica) bool { return slices.Contains(fresh, r.versionKey) })
+	newVersions := v.newFor(r, tried)
+	if e := c.established(p.Health, newVersions, now); e != nil {
+		c.exclude(func(r *Replica) bool { return slices.Contains(newVersions, r.versionKey) })
 	}
 	for i := range c.ready {
 		if c.ready[i].LoadKey() == key && c.usable[i] && p.Cold.reserve(&c.ready[i], service, now) {
-			isNew := slices.Contains(fresh, c.ready[i].versionKey)
+			isNew := slices.Contains(newVersions, c.ready[i].versionKey)
 			return Target{Replica: c.ready[i], Load: c.loads[i], Mean: c.mean, Coverage: c.coverage, NewVersion: isNew}, true
 		}
 	}
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -127,14 +127,14 @@
 	}
 	service, _ := v.Table.Service(r.Service)
 	c := newCandidates(p, pool, v, service, tried, now)
-	fresh := v.newFor(r, tried)
-	if t, ok := p.takeEstablished(c, pool, v, r, service, fresh, now); ok {
+	newVersions := v.newFor(r, tried)
+	if t, ok := p.takeEstablished(c, pool, v, r, service, newVersions, now); ok {
 		return t, true
 	}
 	// Cold replicas that are at their limit are not candidates: an ejected replica is better than
 	// none.
 	c.ignoreEjections(p, pool, tried, now)
-	return p.takeEstablished(c, pool, v, r, service, fresh, now)
+	return p.takeEstablished(c, pool, v, r, service, newVersions, now)
 }
 
 // takeUsable chooses among the usable candidates and counts the request at the target if that is
--- a/coordination/routing/place_established.go
+++ b/coordination/routing/place_established.go
@@ -18,21 +18,21 @@
 
 // MayBegin reports whether the first event of a request's stream may be passed on from a replica, by rule 6 of establishment.go.
 func (v *View) MayBegin(r *Request, at *Replica, tried Tried) bool {
-	fresh := v.newFor(r, tried)
-	return len(fresh) == 0 || !r.Route.MayRunAgain() || !slices.Contains(fresh, at.versionKey)
+	newVersions := v.newFor(r, tried)
+	return len(newVersions) == 0 || !r.Route.MayRunAgain() || !slices.Contains(newVersions, at.versionKey)
 }
 
 // established returns the candidates of established versions that are well. It returns nil if all candidates are to be used: no version
 // is new, the request accepts them, or no such candidate has a free slot and a load within the bound of the whole service.
-func (c *candidates) established(h *Health, fresh []VersionKey, now time.Time) *candidates {
-	if len(fresh) == 0 || c.acceptsNew {
+func (c *candidates) established(h *Health, newVersions []VersionKey, now time.Time) *candidates {
+	if len(newVersions) == 0 || c.acceptsNew {
 		return nil
 	}
 	out, hasRoom := *c, false
 	out.usable = make([]bool, len(c.ready))
 	for i := range c.ready {
 		r := &c.ready[i]
-		if !c.usable[i] || slices.Contains(fresh, r.versionKey) || !h.isWell(r, now) {
+		if !c.usable[i] || slices.Contains(newVersions, r.versionKey) || !h.isWell(r, now) {
 			continue
 		}
 		out.usable[i] = true
@@ -55,31 +55,31 @@
 
 // takeEstablished is takeUsable for a request that is to begin no stream at the given versions. If all established replicas are
 // cold and at their limit, it chooses among all.
-func (p *Placer) takeEstablished(c *candidates, pool *Pool, v *View, r *Request, s *Service, fresh []VersionKey, now time.Time) (Target, bool) {
-	if e := c.established(p.Health, fresh, now); e != nil {
+func (p *Placer) takeEstablished(c *candidates, pool *Pool, v *View, r *Request, s *Service, newVersions []VersionKey, now time.Time) (Target, bool) {
+	if e := c.established(p.Health, newVersions, now); e != nil {
 		if t, ok := p.takeUsable(e, pool, v, r, s, now); ok {
 			return t, true
 		}
 	}
 	t, ok := p.takeUsable(c, pool, v, r, s, now)
-	t.NewVersion = ok && slices.Contains(fresh, t.Replica.versionKey)
+	t.NewVersion = ok && slices.Contains(newVersions, t.Replica.versionKey)
 	return t, ok
 }
 
 // NewReplicas returns the replicas of a service without a model at which the stream of a request is not to begin, since those of
 // established versions are usable.
 func (p *Placer) NewReplicas(v *View, r *Request, tried Tried, now time.Time) []LoadKey {
-	fresh := v.newFor(r, tried)
-	if len(fresh) == 0 {
+	newVersions := v.newFor(r, tried)
+	if len(newVersions) == 0 {
 		return nil
 	}
 	c := p.plainCandidates(v, r.Service, tried, now)
-	if c == nil || c.established(p.Health, fresh, now) == nil {
+	if c == nil || c.established(p.Health, newVersions, now) == nil {
 		return nil
 	}
 	var out []LoadKey
 	for i := range c.ready {
-		if c.usable[i] && slices.Contains(fresh, c.ready[i].versionKey) {
+		if c.usable[i] && slices.Contains(newVersions, c.ready[i].versionKey) {
 			out = append(out, c.ready[i].LoadKey())
 		}
 	}
@@ -89,10 +89,10 @@
 // AvoidsNew reports whether the stream of a request is not to begin at a replica that the request returns to, since it has a new
 // version and replicas of established ones are usable.
 func (p *Placer) AvoidsNew(v *View, r *Request, at *Replica, tried Tried, now time.Time) bool {
-	fresh, pool := v.newFor(r, tried), v.Pool(r.Service).sorted()
-	if !slices.Contains(fresh, at.versionKey) || len(pool.Ready) == 0 {
+	newVersions, pool := v.newFor(r, tried), v.Pool(r.Service).sorted()
+	if !slices.Contains(newVersions, at.versionKey) || len(pool.Ready) == 0 {
 		return false
 	}
 	service, _ := v.service(r.Service)
-	return newCandidates(p, pool, v, service, tried, now).established(p.Health, fresh, now) != nil
+	return newCandidates(p, pool, v, service, tried, now).established(p.Health, newVersions, now) != nil
 }
