Carrier specs: no race between a scripted replica and its spec

go test -race ./transport/relay reported a race in "is not reused after the end frame, and is reused otherwise": the spec sets whether the replica closes its connection for the next request while the replica still reads it for the last one, after its response. Callers saw nothing; it is in test code.

The value is atomic now, and is read before the response is sent. What the spec asserts is as before.

--- a/transport/relay/carrier_ends_test.go
+++ b/transport/relay/carrier_ends_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -99,17 +100,18 @@
 
 	// A response with a length that ends together with the connection leaves an idle one that is closed already.
 	It("is not reused after the end frame, and is reused otherwise", func() {
-		closes := true
+		var closes atomic.Bool
 		script := func(a *receivedRequest) bool {
+			keepsOpen := !closes.Load() // before the response, after which the next request is sent
 			respondOK(a)
-			return !closes
+			return keepsOpen
 		}
 		a := startReplica("a", script)
 		b := startReplica("b", script)
 		carrier := startCarrier(a, b)
 		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{carrier}, a, b)
 		for i := range 6 {
-			closes = i < 3
+			closes.Store(i < 3)
 			to, _ := w.serve(w.call(string(rune('1'+i)), "POST", "x"))
 			Expect(to.status).To(Equal(200))
 			time.Sleep(20 * time.Millisecond) // the end arrives
