Roster: a reported size falls in a small fleet too

Callers saw the first streams of each release up to 3.6 s late after a small fleet had shrunk, for as long as its daemons ran.

The number of daemons that others report decays by 1% with each heartbeat, and is told rounded to the nearest number. Below some 50 daemons the rounded number is the former one, so that daemons report it to each other for good. AllHold is false from the time at which the members that are gone are forgotten, and versions are established by time only.

The number that is told is rounded down, so that each exchange lowers it unless some daemon knows the members. AllHold rounds it up: it is told anew with each heartbeat, and may have decayed since.

--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -163,9 +162,10 @@
 // Size returns the number of daemons, including this one: the number of known live
 // daemons, or the reported number if that is higher. When a large fleet starts, the
 // seeds know all daemons within a second, and the others learn the size from them long
-// before they know each member.
+// before they know each member. A reported number that has decayed is rounded down: rounded up, daemons
+// would report each other the former number for good.
 func (r *Roster) Size(now time.Time) int {
-	return max(1+r.countLive(now), int(math.Round(r.reportedSize)))
+	return max(1+r.countLive(now), int(r.reportedSize))
 }
 
 // ObserveSize records the number of daemons that another daemon reported.
