Lease: members that shut down, that others report, or that were forgotten count

Callers may have seen streams with events of two versions: a daemon that reads no store takes a service for one of a single version as long as it hears all members, and three kinds of daemon were left out of "all". (1) A member that shuts down. It serves callers and may read the store until its grace is over, and may be cut off from this daemon meanwhile: 3.6 s after a version joins it begins streams at it. (2) Daemons that others report and this one does not know. (3) A member that was silent for 90 s and is forgotten, as one beyond a cut is; in a large fleet a failure domain of such members.

AllHold (positions.go), which asks the same of all members before streams begin at a version, counts members that shut down, and reported ones. It is right: what matters is whether a daemon serves, and none of these is known not to. Rule 5 now counts them too. A forgotten member counts until this daemon's documents are confirmed by a read of the store; one that had announced its shutdown has ended by then, and does not count.

The row "one has shut down" of TestFleetConfirmsWithoutTheStore expected a lease although a member that shuts down had been silent for 10 s: it asserted the fault, and now expects none; that there is one while the member is heard, and again once it has started again, is in the first test.

Cost: while the store is silent to all daemons of a small fleet, leases end 3 s after a daemon that shut down has ended, unless it starts again, as they did after a kill. Streams are recorded and asked for from then on. Ruled out: a bound by the grace, which is a setting of each daemon that others don't know.

--- a/coordination/membership/confirmations_test.go
+++ b/coordination/membership/confirmations_test.go
@@ -401,7 +401,7 @@
 	}{
 		{"all are heard", false, false, 0, nil, true},
 		{"one is silent", true, false, 0, nil, false},
-		{"one has shut down", true, true, 0, nil, true},
+		{"one that shuts down is silent", true, true, 0, nil, false},
 		{"one told of newer documents", false, false, 9, nil, false},
 		{"a seed is unknown", false, false, 0, []Address{"10.9.9.9:1"}, false},
 	} {
--- a/coordination/membership/positions.go
+++ b/coordination/membership/positions.go
@@ -39,7 +39,7 @@
 
 // AllHold reports whether all daemons of a small fleet are known to hold documents at a position or a newer one.
 func (r *Roster) AllHold(at feed.Position) bool {
-	if r.isLarge() || r.lacksSeed() || int(math.Ceil(r.reportedSize)) > 1+len(r.ordered) {
+	if r.isLarge() || r.lacksSeed() || r.lacksReported() {
 		return false
 	}
 	return !slices.ContainsFunc(r.ordered, func(e *entry) bool { return e.told.by != e.Incarnation || e.told.at.Before(at) })
@@ -49,3 +49,6 @@
 func (r *Roster) lacksSeed() bool {
 	return slices.ContainsFunc(r.seeds, func(a Address) bool { return a != r.self.Address && r.members[a] == nil })
 }
+
+// lacksReported reports whether others reported more daemons than are in the roster.
+func (r *Roster) lacksReported() bool { return int(math.Ceil(r.reportedSize)) > 1+len(r.ordered) }
--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -51,6 +51,9 @@
 	// eraKnown says that this daemon knows the era of the store; the previous build does not.
 	eraKnown bool
 	restarts []Restart // found and not taken yet
+	// forgotAt is when a member was last forgotten that may still run: it had not announced its shutdown. In a large fleet
+	// it is the time at which nobody of such a member's domain was left.
+	forgotAt time.Time
 }
 
 // NewRoster returns the roster of a daemon. Seeds may include the daemon itself.
@@ -188,20 +191,26 @@
 // Forget removes members that have not been seen for forgetAfter and returns the number
 // of remaining members.
 func (r *Roster) Forget(now time.Time) int {
-	before := len(r.ordered)
+	var forgotten []*entry
 	r.ordered = slices.DeleteFunc(r.ordered, func(e *entry) bool {
 		isOld := now.Sub(e.lastSeen) > forgetAfter
 		if isOld {
 			delete(r.members, e.Address)
+			forgotten = append(forgotten, e)
 		}
 		return isOld
 	})
-	if len(r.ordered) < before {
+	if len(forgotten) > 0 {
 		clear(r.domains)
 		for _, e := range r.ordered {
 			r.updateDomain(e)
 		}
 	}
+	for _, e := range forgotten {
+		if _, isHeard := r.domains[e.Domain]; !e.Leaving && !(r.isLarge() && isHeard) {
+			r.forgotAt = now
+		}
+	}
 	return len(r.ordered)
 }
 
