Lease: documents of an earlier era of the store confirm nothing

A daemon that has entered a new era of the store, which was restored from a copy, counted heartbeats of peers that were still in the era before as confirmations of its own documents, and confirmations that waited for a position of that era. The copy may lack a version that those peers know, and at which they begin streams: until its replicas have written their entries again, the daemon took the service for one of a single version, and callers who took such a stream up there could get events of two.

A confirmation counts if its position is of the era of the own documents. By rule 5 a member in another era counts as not heard.

--- a/coordination/membership/confirmations.go
+++ b/coordination/membership/confirmations.go
@@ -10,14 +10,15 @@
 //     time at which they were sent; a watch that returned nothing after its full wait confirms the end of the wait,
 //     since the store replied later than that.
 //  2. A peer's heartbeat confirms the time at which it was received, less the age that it names, once the own documents are
-//     at its position or newer. Until then the confirmation is pending. Ages add up over several daemons, so that each
-//     confirmation goes back to a read of the store.
+//     at its position or newer in the same era of the store. Until then the confirmation is pending. Documents of an earlier
+//     era confirm nothing: the copy from which the store was restored may lack a version that they have. Ages add up over
+//     several daemons, so that each confirmation goes back to a read of the store.
 //  3. Two confirmations may be pending: the earliest position, which the own documents reach first, and the latest. With
 //     only one, a daemon whose documents are always a little behind would never confirm anything.
 //  4. A heartbeat of a build that names no age counts as age 0 if its sender can read the store.
 //  5. A daemon that hears all members knows what they know, whether they can read the store or not: the time at which the
 //     one heard longest ago was heard is confirmed, if all seeds are known and the own documents are as new as any that a
-//     member has told of. Members that shut down count like others: they serve callers and may read the store until their
+//     member has told of, in the same era. Members that shut down count like others: they serve callers and may read the store until their
 //     grace is over. Nothing is confirmed while others report more daemons than are known, nor by a daemon that last read
 //     the store before it forgot a member that had not announced its shutdown: that one may serve beyond a cut. In a
 //     large fleet, where most members are heard of through others, all this goes by failure domain, and holds only while no
@@ -63,6 +64,7 @@
 	incarnation Incarnation
 	heartbeats  uint64
 	at          time.Time
+	era         feed.Era // of the member's documents
 }
 
 // PeerConfirmation is what a peer's own heartbeat tells about the peer's documents.
@@ -116,16 +118,16 @@
 	if c.heard == nil {
 		c.heard = make(map[Address]heardMember)
 	}
-	c.heard[p.Sender.Address] = heardMember{p.Sender.Incarnation, p.Sender.Heartbeats, p.Received}
+	c.heard[p.Sender.Address] = heardMember{p.Sender.Incarnation, p.Sender.Heartbeats, p.Received, p.Position.Era}
 	if !p.HasAge && p.Sender.StoreUnreachable {
 		return
 	}
-	at := p.Received.Add(-p.Age - MaxSocketWait)
+	told := pendingConfirmation{p.Position, p.Received.Add(-p.Age - MaxSocketWait)}
 	if !own.Before(p.Position) {
-		c.confirm(at)
+		c.confirmPending(told, own)
 		return
 	}
-	c.wait(pendingConfirmation{p.Position, at})
+	c.wait(told)
 }
 
 // wait records a confirmation that is pending.
@@ -144,11 +146,18 @@
 // Advance records that the own documents are at a position.
 func (c *Confirmations) Advance(own feed.Position) {
 	for !c.earliest.at.IsZero() && !own.Before(c.earliest.position) {
-		c.confirm(c.earliest.at)
+		c.confirmPending(c.earliest, own)
 		c.earliest, c.latest = c.latest, pendingConfirmation{}
 	}
 }
 
+// confirmPending confirms the time of a position that the own documents have reached.
+func (c *Confirmations) confirmPending(p pendingConfirmation, own feed.Position) {
+	if p.position.Era == own.Era {
+		c.confirm(p.at)
+	}
+}
+
 func (c *Confirmations) confirm(at time.Time) {
 	if at.After(c.store) {
 		c.store = at
@@ -167,14 +176,14 @@
 	if own.Before(newest) || r.lacksSeed() || !r.forgotAt.IsZero() && !c.store.After(r.forgotAt) {
 		return
 	}
-	if at := c.heardAll(r, now); at.After(c.fleet) {
+	if at := c.heardAll(r, own.Era, now); at.After(c.fleet) {
 		c.fleet = at
 	}
 }
 
 // heardAll returns the time at which the member, or in a large fleet the failure domain, was heard that was heard
-// longest ago, or the zero time if it can't be told.
-func (c *Confirmations) heardAll(r *Roster, now time.Time) time.Time {
+// longest ago, or the zero time if it can't be told. A member whose documents are of another era counts as not heard.
+func (c *Confirmations) heardAll(r *Roster, own feed.Era, now time.Time) time.Time {
 	oldest := now
 	if r.isLarge() {
 		for _, at := range r.domains {
@@ -190,7 +199,11 @@
 		return time.Time{}
 	}
 	for _, e := range r.ordered {
-		oldest = earlier(oldest, c.heard[e.Address].at.Add(-MaxSocketWait))
+		last := c.heard[e.Address]
+		if last.era != own {
+			return time.Time{}
+		}
+		oldest = earlier(oldest, last.at.Add(-MaxSocketWait))
 	}
 	return oldest
 }
