Establishment: a position tells of a version only where the version can't have been missed

Callers could get events of two versions: a version counts as known to all daemons once all have told positions that are at least the one with which it joined, and streams begin at it. A daemon may tell such a position and never have had the version: (1) the position is of a later era, and the store was restored from a copy without it; (2) the version's entry had gone by then, which this daemon has not read yet; (3) the entry was gone between two writes that this daemon read as one change; (4) the entry is a document from before a restore, which only this daemon was sent.

A position counts if it is in the era of the own documents, and between the one with which the version came and that of the own documents, which have it still; or if it is the one with which it came. A version whose entries were all written anew with one change is known from that change on. Documents from before a restore tell no position. Otherwise the 3.6 s decide, as for a daemon that has told nothing.

Tests failed before: the row of a later era in TestAllMembersHoldAPosition, which expected the fault ("one has told a lower revision of a later era") and now expects the opposite; TestPeerBeyondTheOwnDocumentsMayLackTheVersion, TestPeerMayLackAnEntryThatWasWrittenAgain and TestPeerMayLackADocumentFromBeforeTheRestore. TestVersionIsEstablishedOnceAllPeersHaveIt had a peer at revision 30 while the own documents were at 12, which is (2); that peer is now at 14, as the own documents are, and what it checks is as before.

Cost: while changes follow each other faster than a daemon reads them, it finds a version established when it is next as new as its peers, 3.6 s after it joined at the latest. Interoperates: no message changes.

--- a/coordination/membership/positions_test.go
+++ b/coordination/membership/positions_test.go
@@ -25,7 +25,8 @@
 	return r, list
 }
 
-// TestAllMembersHoldAPosition guards against a version that counts as established while a daemon may not know it.
+// TestAllMembersHoldAPosition guards against a version that counts as established while a daemon may not know it, also since it had left by
+// the position that the daemon tells, or came before the store was restored.
 func TestAllMembersHoldAPosition(t *testing.T) {
 	at := position(3, 9)
 	now := time.Unix(1000, 0)
@@ -34,6 +35,7 @@
 		members int
 		seeds   []membership.Address
 		meddle  func(r *membership.Roster, m []membership.Member) // after all members but the last one told the position
+		own     feed.Position                                     // zero: era 3, revision 20
 		want    bool
 	}{
 		{name: "no other daemon", want: true},
@@ -41,9 +43,12 @@
 		{name: "one member has told nothing", members: 3},
 		{name: "all have told it", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], at) }, want: true},
 		{name: "one has told a later revision", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(3, 12)) }, want: true},
+		{name: "one has told a later revision than the own one", members: 3, own: position(3, 11), meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(3, 12)) }},
+		{name: "the own documents are in a later era", members: 3, own: position(4, 1), meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(3, 12)) }},
+		{name: "all have told it, and the own list is not read to its end", members: 3, own: position(3, 5), meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], at) }, want: true},
 		{name: "one has told an earlier revision", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(3, 8)) }},
 		{name: "one has told a higher revision of an earlier era", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(2, 90)) }},
-		{name: "one has told a lower revision of a later era", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(4, 1)) }, want: true},
+		{name: "one has told a lower revision of a later era", members: 3, meddle: func(r *membership.Roster, m []membership.Member) { r.ObservePosition(m[2], position(4, 1)) }},
 		{name: "a late datagram tells an earlier revision", members: 3, meddle: func(r *membership.Roster, m []membership.Member) {
 			r.ObservePosition(m[2], at)
 			r.ObservePosition(m[2], position(3, 4))
@@ -95,7 +100,11 @@
 		if c.meddle != nil {
 			c.meddle(r, members)
 		}
-		if got := r.AllHold(at); got != c.want {
+		own := c.own
+		if own == (feed.Position{}) {
+			own = position(3, 20)
+		}
+		if got := r.AllHold(at, own); got != c.want {
 			t.Errorf("%s: all hold the position: %t, want %t", c.name, got, c.want)
 		}
 	}
@@ -105,7 +114,7 @@
 func TestUnknownMemberTellsNothing(t *testing.T) {
 	r, _ := positionFleet(0, time.Unix(1000, 0))
 	r.ObservePosition(member(7), feed.Position{Revision: 3})
-	if !r.AllHold(feed.Position{Revision: 9}) {
+	if !r.AllHold(feed.Position{Revision: 9}, feed.Position{Revision: 9}) {
 		t.Error("a daemon that is not in the roster counts")
 	}
 }
--- a/coordination/membership/roster_size_test.go
+++ b/coordination/membership/roster_size_test.go
@@ -38,7 +38,7 @@
 			if n := r.Size(now); n != c.left {
 				t.Errorf("%d of %d daemons are left, and daemon %d takes the fleet for one of %d", c.left, c.before, i, n)
 			}
-			if !r.AllHold(at) {
+			if !r.AllHold(at, at) {
 				t.Errorf("%d of %d daemons are left and have told a position, which daemon %d does not count", c.left, c.before, i)
 			}
 		}
--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -8,7 +8,8 @@
 //  1. A version joins a service with the first entry of a replica that has it, and again if there was none in between: a
 //     daemon may lack what came and went.
 //  2. It is new until establishmentTime after this daemon or a peer, whose history tells it, learned of it, or until all daemons
-//     have told positions that are at least the one with which this daemon learned of it. Once it is established it stays so.
+//     have told positions that are at least the one with which this daemon learned of it. If all its entries were written anew with
+//     one change, the position is that of the change: they may have been gone in between. Once it is established it stays so.
 //  3. The version that was known first, of those that a service has or lately had, is never new: a daemon that knows one
 //     version knows that one. If several came first with the same documents, all of these are new.
 //  4. A daemon does not know when the versions of its first documents joined, nor which of several did first. They count as
@@ -63,7 +64,7 @@
 type joining struct {
 	isHere bool          // a replica had an entry when Learn was last called
 	at     time.Time     // when it is first known to have joined; zero: it is only known from peers
-	with   feed.Position // of the documents
+	with   feed.Position // of the documents since which some replica has had an entry without a break
 	first  bool          // they were the daemon's first ones, and no peer has told when it joined: at is the latest time at which it did
 	isNew  bool
 }
@@ -73,11 +74,14 @@
 func (h *VersionHistory) Learn(at feed.Position, now time.Time) {
 	for _, u := range h.touched {
 		isHere := u.replicas > 0
-		if isHere && !u.joined.isHere {
+		switch {
+		case isHere && !u.joined.isHere:
 			u.joined = joining{at: now, with: at, first: !h.hasDocuments}
 			h.await(u)
+		case isHere && u.paused:
+			u.joined.with = at
 		}
-		u.touched, u.joined.isHere = false, isHere
+		u.touched, u.paused, u.joined.isHere = false, false, isHere
 	}
 	h.touched, h.hasDocuments = h.touched[:0], true
 }
--- a/coordination/routing/version_history.go
+++ b/coordination/routing/version_history.go
@@ -56,6 +56,7 @@
 	replicas int             // that have an entry
 	leftAt   time.Time       // when the last entry was gone
 	touched  bool            // it is in VersionHistory.touched
+	paused   bool            // since the last call of Learn it had no entry for a moment
 	joined   joining
 }
 
@@ -119,7 +120,7 @@
 func (h *VersionHistory) Remove(r *Replica, now time.Time) {
 	u := h.services[r.Service][r.versionKey]
 	u.replicas--
-	u.leftAt = now
+	u.leftAt, u.paused = now, u.paused || u.replicas == 0
 	h.touch(u)
 }
 
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -104,9 +104,13 @@
 }
 
 // newestPosition returns the position of the newest of the changed documents. The page of a list is applied before the
-// position of the list is reached, so that the position alone may be older.
+// position of the list is reached, so that the position alone may be older. It is the zero position, which no member of a
+// fleet with a restored store tells, if one is from before the restore: only some daemons have that.
 func newestPosition(at feed.Position, changed []feed.Item) feed.Position {
 	for i := range changed {
+		if changed[i].Revision == 0 {
+			return feed.Position{}
+		}
 		at.Revision = max(at.Revision, changed[i].Revision)
 	}
 	return at
--- a/daemon/routes/establishment_test.go
+++ b/daemon/routes/establishment_test.go
@@ -52,7 +52,8 @@
 	if newVersions(c) != 1 {
 		t.Fatal("the version is not new in the first view that has it")
 	}
-	for i, told := range []feed.Revision{12, 30, 11} {
+	applyEntries(c, 14, now, map[string]string{"replica-1": "version=v1"})
+	for i, told := range []feed.Revision{12, 14, 11} {
 		now = now.Add(20 * time.Millisecond)
 		tell(c, i, told, now)
 		if newVersions(c) != 1 {
@@ -68,6 +69,60 @@
 	}
 }
 
+// TestPeerBeyondTheOwnDocumentsMayLackTheVersion guards against streams that begin at a version whose entry is gone, at a daemon that
+// has not read that yet: a peer that has may never have known the version.
+func TestPeerBeyondTheOwnDocumentsMayLackTheVersion(t *testing.T) {
+	now := clock.Now()
+	c, _ := newReleaseControl(t, now, 2)
+	applyEntries(c, 12, now, map[string]string{"replica-3": "version=v2"})
+	tell(c, 0, 12, now)
+	now = now.Add(20 * time.Millisecond)
+	tell(c, 1, 30, now)
+	if newVersions(c) != 1 {
+		t.Fatal("established by a peer at revision 30, in which the version may have left")
+	}
+	applyEntries(c, 30, now, map[string]string{"replica-1": "version=v1"})
+	if newVersions(c) != 0 {
+		t.Error("not established although the version is in the documents of revision 30 too")
+	}
+}
+
+// TestPeerMayLackAnEntryThatWasWrittenAgain guards against a peer that has told a position between two writes of a version's only
+// entry, and counts as knowing the version: the entry may have been gone then.
+func TestPeerMayLackAnEntryThatWasWrittenAgain(t *testing.T) {
+	now := clock.Now()
+	c, _ := newReleaseControl(t, now, 1)
+	applyEntries(c, 12, now, map[string]string{"replica-3": "version=v2"})
+	// Between these the entry may have been removed and written again.
+	applyEntries(c, 20, now, map[string]string{"replica-3": "version=v2"})
+	tell(c, 0, 15, now)
+	if newVersions(c) != 1 {
+		t.Error("established by a peer at revision 15, between two writes of the entry")
+	}
+	tell(c, 0, 20, now.Add(20*time.Millisecond))
+	if newVersions(c) != 0 {
+		t.Error("not established by a peer at revision 20")
+	}
+}
+
+// TestPeerMayLackADocumentFromBeforeTheRestore guards against a version that counts as known to a peer at the own position, although
+// its entry is from before the store was restored and only this daemon has been sent it.
+func TestPeerMayLackADocumentFromBeforeTheRestore(t *testing.T) {
+	now := clock.Now()
+	c, _ := newReleaseControl(t, now, 0)
+	c.applyList([]feed.Item{{Key: "config", Revision: 1}, {Key: "replica-1", Value: []byte("version=v1"), Revision: 2}}, feed.Position{Era: 4, Revision: 5}, sourceStore, now)
+	c.roster.Observe([]membership.Member{testMember(0)}, now)
+	tell(c, 0, 5, now.Add(20*time.Millisecond))
+	c.apply(c.catalog.feed.ApplyChanges([]feed.Item{{Key: "replica-3", Value: []byte("version=v2")}}, 5), "peer", now)
+	if newVersions(c) != 1 {
+		t.Error("established although the peer's position does not tell of documents from before the restore")
+	}
+	c.tick(t.Context(), now.Add(3600*time.Millisecond))
+	if newVersions(c) != 0 {
+		t.Error("not established after 3.6 s")
+	}
+}
+
 // TestVersionIsEstablishedOnATick guards against a version that stays new while no heartbeat arrives.
 func TestVersionIsEstablishedOnATick(t *testing.T) {
 	now := clock.Now()
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -20,6 +20,7 @@
 
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/state/feed"
 )
 
 const (
@@ -78,7 +79,8 @@
 	if !c.catalog.versions.AwaitsEstablishment() {
 		return false
 	}
-	changes := c.catalog.versions.Establish(now, c.roster.AllHold)
+	own := c.catalog.feed.Position()
+	changes := c.catalog.versions.Establish(now, func(at feed.Position) bool { return c.roster.AllHold(at, own) })
 	for i := range changes {
 		c.log.VersionChanged(&changes[i])
 	}
