Version history: a version that came and went within one change is not overlooked

Callers could get events of two versions: where the entries of a version come and go while one daemon's documents are a moment behind, that daemon's next change tells only that an entry is gone which it has never had. It went on taking the service for one of a single version, as its lease had been confirmed less than 3 s before. Other daemons hold the first events of streams at such a version back for 3.6 s and then pass them on; callers who take these up at the first daemon go on at another version.

The removal of a replica's entry that a daemon has never had, and that is newer than its documents were, refutes what it knows. If a peer sends it, it has the entry's last content, and the version counts as one that has left. Otherwise the history begins anew: streams are asked for until a peer tells what it observed. Removals that are older, or come with the first documents, tell nothing.

Ruled out: holding the events back for longer, since the other daemon's ignorance has no end; breaking the streams off, which costs callers streams where nobody has missed anything.

--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -60,8 +60,11 @@
 	expired     *routing.ExpiredEntries
 	evacuations *routing.Evacuations
 	versions    *routing.VersionHistory
-	snapshot    *encodedSnapshot // nil if no peer has requested all documents since the last change
-	changedAt   time.Time
+	applied     feed.Position // of the documents when some of them last changed; zero: there were none
+	// missedVersion says that the entry of a replica came and went unseen, and that its version is not known.
+	missedVersion bool
+	snapshot      *encodedSnapshot // nil if no peer has requested all documents since the last change
+	changedAt     time.Time
 }
 
 // unusableEntry is a replica's entry that can't be used, with the reason.
@@ -97,6 +100,7 @@
 	}
 	c.log.UnusableOthers(c.unusableLog.others)
 	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
+	c.applied = c.feed.Position()
 	c.applyConfig(source)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
@@ -148,11 +152,15 @@
 		c.list(before.Service).Remove(before.ID)
 		c.versions.Remove(&before, now)
 	}
+	_, wasUnusable := c.unusable[it.Key]
 	delete(c.unusable, it.Key)
 	if it.Deleted {
 		if known && !before.Draining {
 			c.expired.Add(before, storeOutage, now)
 		}
+		if !known && !wasUnusable {
+			c.observeUnseen(it, now)
+		}
 		if logEach {
 			c.log.Replica(id, stateGone, it.Revision)
 		}
@@ -181,6 +189,28 @@
 	return before.LoadKey(), known && (turnedCold || isRestart(&before, &r))
 }
 
+// observeUnseen records the removal of a replica's entry that this daemon has never had. If it came and went since the documents last
+// changed, streams may have begun at its version. Older removals are those of documents that came without it.
+func (c *catalog) observeUnseen(it feed.Item, now time.Time) {
+	if c.applied == (feed.Position{}) || c.applied.Era != c.feed.Position().Era || it.Revision <= c.applied.Revision {
+		return
+	}
+	it.Deleted = false
+	if r, err := c.documents.ParseReplica(it); err == nil && len(it.Value) > 0 {
+		c.versions.Add(&r)
+		c.versions.Remove(&r, now)
+		return
+	}
+	c.missedVersion = true
+}
+
+// takeMissedVersion reports whether a version was missed since the last call.
+func (c *catalog) takeMissedVersion() bool {
+	missed := c.missedVersion
+	c.missedVersion = false
+	return missed
+}
+
 // isRestart reports whether two entries of a replica belong to different incarnations.
 func isRestart(previous, r *routing.Replica) bool { return previous.Incarnation() != r.Incarnation() }
 
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -418,6 +418,9 @@
 	c.documents.change(now)
 	c.lease.begin(now)
 	c.cache.Forget(c.catalog.apply(changed, source, now.Sub(c.storeUnreachableAt) < storeOutageWindow, now))
+	if c.catalog.takeMissedVersion() {
+		c.interruptHistory(now)
+	}
 	c.announce(now)
 }
 
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -7,7 +7,9 @@
 //     most likely know. It asks again after firstHistoryPause, and then after pauses that double: if a whole
 //     fleet has just started, nobody knows.
 //  3. A daemon that was paused or cut off has missed versions that came and went meanwhile. Its history begins
-//     anew (lease.go has when).
+//     anew (lease.go has when). So it does if the removal of a replica's entry comes that the daemon has never had, and that is
+//     newer than its documents were: the entry came and went within one change. A removal that a peer sends has the last
+//     content, which names the version. A list of the store tells no removals.
 //  4. Daemons of the previous build tell no history.
 //  5. Which versions are new is determined anew with each view, and on each tick and heartbeat while one may be: peers tell in
 //     heartbeats which documents they have.
