Establishment: the time counts from when the daemon's position tells of the version

Callers could get events of two versions: a daemon that lists the store applies each page as it comes, and takes its position from the last one. If the pages after that of a new version take longer than 3.6 s, it began streams at the version although its heartbeats told the position from before the list. A daemon that hears all others, and does not read the store, took its own documents for as new as any.

The 3.6 s count from when the own position reaches that of the version's documents, or from when a peer learned of it, whose history tells so.

TestVersionOfAnUnfinishedListIsNotEstablishedByTime failed before: the version was established 4 s after its page, and before the list was read. Versions that come with a watch or from a peer are established as before. Interoperates: no message changes.

--- a/coordination/routing/establishment.go
+++ b/coordination/routing/establishment.go
@@ -7,9 +7,11 @@
 //
 //  1. A version joins a service with the first entry of a replica that has it, and again if there was none in between: a
 //     daemon may lack what came and went.
-//  2. It is new until establishmentTime after this daemon or a peer, whose history tells it, learned of it, or until all daemons
-//     have told positions that are at least the one with which this daemon learned of it. If all its entries were written anew with
-//     one change, the position is that of the change: they may have been gone in between. Once it is established it stays so.
+//  2. It is new until establishmentTime after this daemon's position told of it first, or a peer, whose history tells it, learned
+//     of it, or until all daemons have told that they hold the documents with it. The position tells of the entries in a list of the
+//     store only once its last page is read: until then a peer may take its own documents for as new. If all entries of a
+//     version were written anew with one change, the position to be told is that of the change: they may have been gone in
+//     between. Once it is established it stays so.
 //  3. The version that was known first, of those that a service has or lately had, is never new: a daemon that knows one
 //     version knows that one. If several came first with the same documents, all of these are new.
 //  4. A daemon does not know when the versions of its first documents joined, nor which of several did first. They count as
@@ -66,6 +68,8 @@
 	at     time.Time     // when it is first known to have joined; zero: it is only known from peers
 	with   feed.Position // of the documents since which some replica has had an entry without a break
 	first  bool          // they were the daemon's first ones, and no peer has told when it joined: at is the latest time at which it did
+	listed bool          // the own position has not reached with, since a list of the store is being read
+	told   bool          // a peer has told for how long it has known it
 	isNew  bool
 }
 
@@ -96,14 +100,17 @@
 // AwaitsEstablishment reports whether a version may be new, so that Establish has to be called.
 func (h *VersionHistory) AwaitsEstablishment() bool { return len(h.awaiting) > 0 }
 
-// Establish determines which versions are new, by rules 2 and 3, and returns what has changed. allHold reports whether all
-// daemons are known to hold documents at a position.
-func (h *VersionHistory) Establish(now time.Time, allHold func(feed.Position) bool) []VersionChange {
+// Establish determines which versions are new, by rules 2 and 3, and returns what has changed. own is the position of the own
+// documents. allHold reports whether all daemons are known to hold a document that came with a position.
+func (h *VersionHistory) Establish(now time.Time, own feed.Position, allHold func(feed.Position) bool) []VersionChange {
 	if len(h.awaiting) == 0 {
 		return nil
 	}
 	h.forget(now)
 	var out []VersionChange
+	for _, u := range h.awaiting {
+		u.joined.countFrom(own, now)
+	}
 	h.awaiting = slices.DeleteFunc(h.awaiting, func(u *versionUse) bool {
 		basis := u.establishedBy(now, allHold)
 		wasNew, isGone := u.joined.isNew, u.replicas == 0
@@ -120,6 +127,18 @@
 	return out
 }
 
+// countFrom moves the time of the joining on until the own position has reached that of the documents, by rule 2.
+func (j *joining) countFrom(own feed.Position, now time.Time) {
+	if j.told {
+		return
+	}
+	isListed := own.Before(j.with)
+	if isListed || j.listed {
+		j.at = now
+	}
+	j.listed = isListed
+}
+
 // establishedBy returns why a version is established, by rule 2; empty: it is not.
 func (u *versionUse) establishedBy(now time.Time, allHold func(feed.Position) bool) EstablishmentBasis {
 	switch {
@@ -174,7 +193,7 @@
 		return
 	}
 	if at := now.Add(-known); at.Before(u.joined.at) {
-		u.joined.at = at
+		u.joined.at, u.joined.told = at, true
 	}
 	u.joined.first = false
 }
--- a/coordination/routing/establishment_test.go
+++ b/coordination/routing/establishment_test.go
@@ -18,6 +18,7 @@
 	t       *testing.T
 	now     time.Time
 	allHold feed.Position // by all members; zero: the time alone decides
+	own     feed.Position // of the daemon's documents
 	changes []routing.VersionChange
 }
 
@@ -35,7 +36,12 @@
 	for _, v := range versions {
 		e.Add(versionReplica("s", v))
 	}
+	e.learn(at)
+}
+
+func (e *establishing) learn(at feed.Position) {
 	e.Learn(at, e.now)
+	e.own = at
 }
 
 // leave has replicas of service s leave.
@@ -43,14 +49,14 @@
 	for _, v := range versions {
 		e.Remove(versionReplica("s", v), e.now)
 	}
-	e.Learn(at, e.now)
+	e.learn(at)
 }
 
 // expect checks which versions of service s are new after a while.
 func (e *establishing) expect(after time.Duration, want ...routing.SoftwareVersion) {
 	e.t.Helper()
 	e.now = e.now.Add(after)
-	e.changes = append(e.changes, e.Establish(e.now, func(at feed.Position) bool {
+	e.changes = append(e.changes, e.Establish(e.now, e.own, func(at feed.Position) bool {
 		return e.allHold != feed.Position{} && !e.allHold.Before(at)
 	})...)
 	got := e.New()["s"]
@@ -116,6 +122,31 @@
 	}
 }
 
+// TestVersionOfAnUnfinishedListIsNotEstablishedByTime guards against a daemon that takes seconds to list the store, and begins streams at a
+// version of an early page before its position tells of it: a daemon that hears all others and does not read the store takes
+// its own documents for complete as long as nobody tells of newer ones.
+func TestVersionOfAnUnfinishedListIsNotEstablishedByTime(t *testing.T) {
+	e := newEstablishing(t)
+	e.join(revision(5), "v1")
+	e.expect(time.Minute)
+	e.join(revision(8), "v2")
+	e.own = revision(5) // until the last page is read
+	e.expect(0, "v2")
+	e.expect(4*time.Second, "v2")
+	e.own = revision(9)
+	e.expect(200*time.Millisecond, "v2")
+	e.expect(3300*time.Millisecond, "v2")
+	e.expect(300 * time.Millisecond)
+
+	// A peer has told of it before, in its position too.
+	e.join(revision(12), "v3")
+	e.own = revision(9)
+	e.expect(0, "v3")
+	e.Merge(&routing.VersionReport{At: revision(12), Versions: []routing.UsedVersion{{Service: "s", Version: versionKey("s", "v3"), KnownFor: 3 * time.Second}}}, e.now)
+	e.expect(500*time.Millisecond, "v3")
+	e.expect(100 * time.Millisecond)
+}
+
 // TestVersionsThatAreNotNew guards against streams that avoid replicas for no reason.
 func TestVersionsThatAreNotNew(t *testing.T) {
 	t.Run("the only one", func(t *testing.T) {
@@ -379,7 +410,7 @@
 			if rapid.Bool().Draw(t, "told") {
 				held = at
 			}
-			h.Establish(now, func(p feed.Position) bool { return !held.Before(p) })
+			h.Establish(now, at, func(p feed.Position) bool { return !held.Before(p) })
 			h.Only(now)
 			var want []routing.VersionKey
 			for _, v := range versions {
@@ -414,7 +445,7 @@
 			}
 			h.Learn(revision(1), epoch)
 		}
-		h.Establish(epoch, func(feed.Position) bool { return false })
+		h.Establish(epoch, revision(1), func(feed.Position) bool { return false })
 	}
 }
 
@@ -428,6 +459,6 @@
 		h.Learn(revision(1), epoch)
 	}
 	for b.Loop() {
-		h.Establish(epoch, func(feed.Position) bool { return false })
+		h.Establish(epoch, revision(1), func(feed.Position) bool { return false })
 	}
 }
--- a/daemon/routes/versions.go
+++ b/daemon/routes/versions.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	own := c.catalog.feed.Position()
-	changes := c.catalog.versions.Establish(now, func(at feed.Position) bool { return c.roster.AllHold(at, own) })
+	changes := c.catalog.versions.Establish(now, own, func(at feed.Position) bool { return c.roster.AllHold(at, own) })
 	for i := range changes {
 		c.log.VersionChanged(&changes[i])
 	}
