--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -52,6 +51,9 @@
 	// eraKnown says that this daemon knows the era of the store; the previous build does not.
 	eraKnown bool
 	restarts []Restart // found and not taken yet
+	// forgotAt is when a member was last forgotten that may still run: it had not announced its shutdown. In a large fleet
+	// it is the time at which nobody of such a member's domain was left.
+	forgotAt time.Time
 }
 
 // NewRoster returns the roster of a daemon. Seeds may include the daemon itself.
@@ -163,9 +165,10 @@
 // Size returns the number of daemons, including this one: the number of known live
 // daemons, or the reported number if that is higher. When a large fleet starts, the
 // seeds know all daemons within a second, and the others learn the size from them long
-// before they know each member.
+// before they know each member. A reported number that has decayed is rounded down: rounded up, daemons
+// would report each other the former number for good.
 func (r *Roster) Size(now time.Time) int {
-	return max(1+r.countLive(now), int(math.Round(r.reportedSize)))
+	return max(1+r.countLive(now), int(r.reportedSize))
 }
 
 // ObserveSize records the number of daemons that another daemon reported.
@@ -188,20 +191,26 @@
 // Forget removes members that have not been seen for forgetAfter and returns the number
 // of remaining members.
 func (r *Roster) Forget(now time.Time) int {
-	before := len(r.ordered)
+	var forgotten []*entry
 	r.ordered = slices.DeleteFunc(r.ordered, func(e *entry) bool {
 		isOld := now.Sub(e.lastSeen) > forgetAfter
 		if isOld {
 			delete(r.members, e.Address)
+			forgotten = append(forgotten, e)
 		}
 		return isOld
 	})
-	if len(r.ordered) < before {
+	if len(forgotten) > 0 {
 		clear(r.domains)
 		for _, e := range r.ordered {
 			r.updateDomain(e)
 		}
 	}
+	for _, e := range forgotten {
+		if _, isHeard := r.domains[e.Domain]; !e.Leaving && !(r.isLarge() && isHeard) {
+			r.forgotAt = now
+		}
+	}
 	return len(r.ordered)
 }
 
