Entries count as fresh only while the documents are confirmed by a read of the store

Callers saw: in a failure domain of a large fleet that was cut off, or while the store was away, a replica that terminated was tried again after 3 s in place of 10 s, and one that had restarted cold got the load of a warm one.

Cause: entries counted as fresh while some known live member said that it can read the store. A daemon that does not read never notices that it can't, and in a large fleet a member counts for a minute after its last message.

Change: membership.StaleEntries. Entries are stale once the last confirmation that goes back to a read of the store, as heartbeats tell it, is 3 s old, and for 3 s after that ends. HasStoreReader is left to rule 5 of confirmations.go, where it only withholds confirmations; the other uses of StoreUnreachable choose readers and names in heartbeats, or keep an expired entry for longer.

Ruled out: a told age for each member. In a large fleet most members are heard through others, which tell none; the own confirmation already goes back over several daemons to a read.

--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -74,8 +74,9 @@
 // SetStoreUnreachable sets whether this daemon can't read the store.
 func (r *Roster) SetStoreUnreachable(unreachable bool) { r.self.StoreUnreachable = unreachable }
 
-// HasStoreReader reports whether this daemon or any known live daemon can read the store. All daemons then learn
-// of changes from those that can.
+// HasStoreReader reports whether this daemon or any known live daemon may be able to read the store. The answer can be
+// yes for a minute too long: a daemon that does not read never notices that it can't. So it only withholds confirmations
+// (confirmations.go, rule 5); whether somebody reads the store is decided in stale_entries.go.
 func (r *Roster) HasStoreReader(now time.Time) bool {
 	if !r.self.StoreUnreachable {
 		return true
--- a/coordination/routing/terminated.go
+++ b/coordination/routing/terminated.go
@@ -15,8 +15,9 @@
 //     for terminated although they live; a response on a connection that was opened before proves
 //     it (liveness.go).
 //  3. After terminatedHold the termination no longer counts: by then the store would have
-//     announced another incarnation. While no known daemon reads the store, or none did a moment
-//     ago, it may not have; then terminatedHoldStale applies.
+//     announced another incarnation. While no daemon that this one hears reads the store, or none did
+//     a moment ago (coordination/membership/stale_entries.go), it may not have; then
+//     terminatedHoldStale applies.
 
 package routing
 
@@ -32,8 +33,8 @@
 	terminatedHoldStale = 10 * time.Second
 )
 
-// SetEntriesStale sets whether no daemon reads the store, or none did a moment ago, so that
-// entries may be those of former incarnations.
+// SetEntriesStale sets whether no daemon that this one hears reads the store, or none did a moment
+// ago, so that entries may be those of former incarnations.
 func (h *Health) SetEntriesStale(stale bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -25,9 +25,6 @@
 	// storeOutageWindow is how long after a store outage an expired replica entry is not
 	// taken as proof that the replica is gone.
 	storeOutageWindow = 5 * time.Second
-	// entryRenewalTime is how long entries may still be outdated after the store became readable
-	// again: live replicas renew their entries within about two seconds, and peers forward them.
-	entryRenewalTime = 3 * time.Second
 	// statsInterval is how often the cost of the control loop is logged.
 	statsInterval = 10 * time.Second
 	// pauseThreshold is the time between two ticks above which the process is considered to have
@@ -118,7 +115,7 @@
 	// for all such replicas.
 	viewStale          bool
 	storeUnreachable   bool
-	storeUnreadableAt  time.Time // when the store was last unreadable for every known daemon
+	staleEntries       membership.StaleEntries
 	era                eraState
 	storeUnreachableAt time.Time                 // when the store was last known to be unreachable for this daemon or a peer
 	tickedAt           atomic.Pointer[time.Time] // last
@@ -342,10 +339,7 @@
 		c.publish(now)
 	}
 	c.roster.Forget(now)
-	if !c.roster.HasStoreReader(now) {
-		c.storeUnreadableAt = now
-	}
-	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime)
+	c.health.SetEntriesStale(c.staleEntries.Update(&c.lease.confirmations, now))
 	c.disproveTerminations(now)
 	c.crashes.Disprove(c.isFalseCrash)
 	c.partCrashes.Disprove(c.isFalseCrash)
--- a/daemon/routes/lease_test.go
+++ b/daemon/routes/lease_test.go
@@ -207,3 +207,29 @@
 		t.Errorf("told %d times, want 2", len(told))
 	}
 }
+
+// TestTerminatedReplicaIsHeldWhileNobodyReadsTheStore guards against a daemon that does not read the store, hears none that
+// does, and lets go of a terminated replica after 3 s: the replica may have restarted cold, which the daemon can't know.
+func TestTerminatedReplicaIsHeldWhileNobodyReadsTheStore(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		c := newQuietControl(t)
+		c.heartbeats.send = func(membership.Address, []byte) {}
+		now := time.Unix(1_000_000, 0)
+		applyRelease(c, now)
+		r := c.view.Load().Pool("s").Ready[0]
+		tick := func(d time.Duration, confirmed bool) {
+			for end := now.Add(d); now.Before(end); now = now.Add(heartbeatInterval) {
+				if confirmed {
+					confirm(c, now)
+				}
+				c.tick(t.Context(), now)
+			}
+		}
+		tick(5*time.Second, true)
+		c.health.ReportTermination(&r, now)
+		tick(5*time.Second, heard)
+		if held := c.health.HasTerminated(&r, now); held == heard {
+			t.Errorf("a reader of the store is heard: %t; the replica is held 5 s after it terminated: %t", heard, held)
+		}
+	}
+}
