A released content stays released however long a daemon was cut off

Callers saw: a request that an operator had released, or that had been responded to, was refused again at all daemons once a daemon came back that had been cut off for more than a minute.

Cause: a clearance was kept for a minute, the crashes of a quarantined content without a limit. The daemon that was cut off reported them again, and nobody knew of the clearance any more. Nor would it have been told: clearances are repeated for a minute.

Change: crash_cleared.go. Clearances that are no longer repeated are kept, 4,000 of contents and as many of parts, those of contents that were quarantined last to go. A daemon whose datagram tells crashes from before a clearance that is older than 10 s is sent it; as it is new there, it forwards it.

TestCrashReportsMergeInAnyOrder now also forgets between reports.

Ruled out: keeping cleared contents among the suspects. They would crowd out suspects, be repeated to others, and cost each request a lock. Left: a restart of all daemons that know the release.

--- a/coordination/routing/crash.go
+++ b/coordination/routing/crash.go
@@ -30,6 +30,7 @@
 // Parts of prompts are quarantined by the same record with a rule of their own (crash_part.go).
 //
 // Memory is bounded by maxContents; contents of the caller that has the most are evicted first.
+// Clearances are kept for as long as other daemons may keep the crashes (crash_cleared.go).
 // If all daemons are killed at once the knowledge is lost, and three more replicas may crash. A
 // caller with many different crashing requests crashes three replicas with each. Quarantining
 // everything that a caller sends would cost its valid requests their retries, so that this is
@@ -79,8 +80,8 @@
 	// repeatPeriod bounds which contents are repeated to other daemons. Contents with one or two
 	// crashes long ago were mostly in flight by coincidence; they are kept but not repeated.
 	repeatPeriod = time.Minute
-	// clearedRetention is far longer than it takes to resend a clearance to a daemon that missed
-	// it. Until then that daemon sends others the crashes that it knows.
+	// clearedRetention is for how long a clearance is repeated to others: far longer than it takes
+	// to resend it to a daemon that missed it. crash_cleared.go has what is kept then.
 	clearedRetention = time.Minute
 	// maxContents bounds the memory to about 0.5 MB. A series of 20 crashes leaves 200 contents.
 	maxContents = 2000
@@ -104,9 +105,11 @@
 
 	mu       sync.RWMutex
 	suspects map[ContentKey]*suspect
-	outbox   outbox[CrashReport]
-	rule     crashRule
-	recent   map[LoadKey]time.Time // replicas that crashed lately
+	// clearances has the contents that were cleared longer ago, and are no suspects.
+	clearances map[ContentKey]clearance
+	outbox     outbox[CrashReport]
+	rule       crashRule
+	recent     map[LoadKey]time.Time // replicas that crashed lately
 }
 
 // crashRule says when a suspect is quarantined. It is [*contentRule] or [*partRule].
@@ -122,7 +125,7 @@
 
 func newCrashes(rule crashRule) *Crashes {
 	return &Crashes{
-		suspects: make(map[ContentKey]*suspect), rule: rule, recent: make(map[LoadKey]time.Time),
+		suspects: make(map[ContentKey]*suspect), clearances: make(map[ContentKey]clearance), rule: rule, recent: make(map[LoadKey]time.Time),
 		outbox: outbox[CrashReport]{
 			notify: make(chan struct{}, 1), capacity: maxPendingCrashReports, rate: crashReportsPerSecond, keepUnsent: true,
 			compare: func(a, b pendingReport[CrashReport]) int { return b.report.crashCount - a.report.crashCount },
@@ -179,7 +182,7 @@
 // quarantined from now on and was not before. c.mu must be held.
 func (c *Crashes) observe(r CrashReport, now time.Time, send func(CrashReport, time.Time)) bool {
 	at := now.Add(-r.Age)
-	if c.isRefuted(r, at) {
+	if c.isRefuted(r, at) || c.refutedByClearance(r, at) {
 		return false
 	}
 	s := c.suspect(r.Content, r.Caller, now)
@@ -193,6 +196,7 @@
 	s.lastUsed = now
 	r.crashCount = len(s.crashes)
 	if before && !c.isQuarantined(s) {
+		s.wasQuarantined = true
 		r.crashCount = verdictPriority // every daemon refuses requests until it knows
 	}
 	send(r, at)
@@ -318,15 +322,17 @@
 	}
 }
 
-// Forget removes contents that were cleared longer than clearedRetention ago.
+// Forget removes contents that were cleared longer than clearedRetention ago, but for their clearance.
 func (c *Crashes) Forget(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for content, s := range c.suspects {
 		if len(s.crashes) == 0 && !s.verdict && now.Sub(s.clearedAt) > clearedRetention {
+			c.keepClearance(content, s)
 			delete(c.suspects, content)
 		}
 	}
+	c.limitClearances()
 	c.known.Store(int64(len(c.suspects)))
 	for replica, at := range c.recent {
 		if now.Sub(at) > maxCrashRateWindow {
--- a/coordination/routing/crash_bench_test.go
+++ b/coordination/routing/crash_bench_test.go
@@ -63,3 +63,25 @@
 	}
 	return c
 }
+
+// BenchmarkClearancesMemory reports the memory, in bytes, of the greatest number of clearances that are kept.
+func BenchmarkClearancesMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c, now := routing.NewCrashes(), time.Now()
+		for i := range 4 * 1000 {
+			c.ReportCrash(routing.ContentKey(1+i), "w", numberedReplica(0), now)
+			c.Clear(routing.ContentKey(1+i), now)
+			if i%1000 == 999 {
+				c.TakeReports(1<<20, now)
+				c.Forget(now.Add(time.Hour))
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes-held")
+		runtime.KeepAlive(c)
+	}
+}
--- a/coordination/routing/crash_suspect.go
+++ b/coordination/routing/crash_suspect.go
@@ -14,11 +14,13 @@
 	part      string         // id of the part, if it is one and known here
 	crashes   []replicaCrash // since the suspect was last cleared, oldest first
 	clearedAt time.Time
-	verdict   bool // it is a part that this daemon or another one quarantined
-	verdictAt time.Time
-	probe     partProbe
-	lastUsed  time.Time // when it was last reported or requested
-	refused   int       // requests refused by this daemon
+	// wasQuarantined says that it was quarantined here until it was cleared.
+	wasQuarantined bool
+	verdict        bool // it is a part that this daemon or another one quarantined
+	verdictAt      time.Time
+	probe          partProbe
+	lastUsed       time.Time // when it was last reported or requested
+	refused        int       // requests refused by this daemon
 }
 
 // replicaCrash is the crash of a replica while it served a request.
@@ -84,7 +86,9 @@
 		if len(c.suspects) >= maxContents {
 			c.evict()
 		}
-		s = &suspect{caller: caller, lastUsed: now}
+		kept := c.clearances[content]
+		delete(c.clearances, content)
+		s = &suspect{caller: caller, clearedAt: kept.at, wasQuarantined: kept.quarantined, lastUsed: now}
 		c.suspects[content] = s
 		c.known.Store(int64(len(c.suspects)))
 	}
@@ -105,6 +109,7 @@
 			victim, worst = content, s
 		}
 	}
+	c.keepClearance(victim, worst)
 	delete(c.suspects, victim)
 }
 
--- a/coordination/routing/crash_test.go
+++ b/coordination/routing/crash_test.go
@@ -175,6 +175,73 @@
 		Expect(other.Quarantined(content, after)).To(BeFalse())
 	})
 
+	// The daemon that was cut off would otherwise quarantine the content again at all daemons, or keep its own
+	// quarantine.
+	DescribeTable("keeps a release through a cut of any length", func(cut time.Duration) {
+		other := routing.NewCrashes()
+		for r := range 3 {
+			crash(content, r, epoch)
+		}
+		reports, _ := c.All(0, 100, epoch)
+		other.Observe(reports, epoch)
+		c.Clear(content, epoch.Add(time.Second))
+		now := epoch
+		for ; now.Before(epoch.Add(cut)); now = now.Add(cut / 10) {
+			c.Forget(now)
+			other.Forget(now)
+		}
+		reports, _ = other.All(0, 100, now)
+		Expect(reports).To(HaveLen(3))
+		Expect(c.Observe(reports, now)).To(BeEmpty())
+		Expect(c.Quarantined(content, now)).To(BeFalse(), "the daemon that knows of the release")
+		replies := c.Refute(reports, now)
+		Expect(replies).To(HaveLen(1), "one reply for three crashes")
+		other.Observe(replies, now)
+		Expect(other.Quarantined(content, now)).To(BeFalse(), "the daemon that was cut off")
+		Expect(other.TakeReports(10, now)).To(ContainElement(HaveField("Clears", true)), "for others beyond the cut")
+		Expect(other.Refute(replies, now)).To(BeEmpty(), "a clearance is no crash")
+		Expect(c.Refute([]routing.CrashReport{{Content: content, Replica: 9}}, now)).To(BeEmpty(), "a crash after the release")
+		for r := range 3 {
+			crash(content, 10+r, now)
+		}
+		Expect(c.Quarantined(content, now)).To(BeTrue(), "three crashes after the release")
+	},
+		Entry("90 s", 90*time.Second), Entry("an hour", time.Hour), Entry("two days", 48*time.Hour))
+
+	It("does not reply to crashes that cross a clearance on its way", func() {
+		crash(content, 0, epoch)
+		reports, _ := c.All(0, 100, epoch)
+		c.Clear(content, epoch)
+		Expect(c.Refute(reports, epoch)).To(BeEmpty())
+	})
+
+	// Replicas that crash in series leave a clearance for each request that was in flight.
+	It("keeps the release of a quarantined content in bounded memory", func() {
+		for r := range 3 {
+			crash(content, r, epoch)
+		}
+		crash(content+1, 0, epoch)
+		known, _ := c.All(0, 100, epoch)
+		c.Clear(content, epoch)
+		c.Clear(content+1, epoch)
+		now := epoch.Add(2 * time.Minute)
+		for i := range 20_000 {
+			now = now.Add(100 * time.Millisecond)
+			crash(routing.ContentKey(1000+i), 5, now)
+			c.Clear(routing.ContentKey(1000+i), now)
+			if i%10 == 0 {
+				c.Forget(now)
+			}
+		}
+		c.Forget(now.Add(2 * time.Minute))
+		Expect(c.Clearances()).To(Equal(4000))
+		for i := range known {
+			known[i].Age = now.Sub(epoch)
+		}
+		Expect(c.Refute(known, now)).To(ConsistOf(HaveField("Content", content)), "the others are the oldest")
+		Expect(c.Observe(known, now)).To(BeEmpty())
+	})
+
 	It("returns everything in pages, each content once", func() {
 		for i := range 100 {
 			for r := range 3 {
@@ -247,6 +314,9 @@
 		rng.Shuffle(len(again), func(i, j int) { again[i], again[j] = again[j], again[i] })
 		for _, r := range again {
 			b.Observe([]routing.CrashReport{r}, epoch)
+			if rapid.Bool().Draw(t, "clearances are no longer repeated") {
+				b.Forget(epoch.Add(2 * time.Minute))
+			}
 		}
 		for content := routing.ContentKey(1); content <= 3; content++ {
 			if a.Quarantined(content, epoch) != b.Quarantined(content, epoch) {
--- a/coordination/routing/export_test.go
+++ b/coordination/routing/export_test.go
@@ -45,3 +45,10 @@
 	defer l.mu.Unlock()
 	return len(l.incarnations)
 }
+
+// Clearances returns how many clearances are kept that are no longer repeated.
+func (c *Crashes) Clearances() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.clearances)
+}
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -218,11 +218,11 @@
 	case overloadsDue:
 		c.sendOverloads(now)
 	case crashesReceived:
-		c.receiveCrashes(e.reports, now)
+		c.receiveCrashes(&e, now)
 	case crashesDue:
 		c.sendCrashes(now)
 	case partCrashesReceived:
-		c.receivePartCrashes(e.reports, now)
+		c.receivePartCrashes(&e, now)
 	case partCrashesDue:
 		c.sendPartCrashes(now)
 	case livenessReceived:
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -68,11 +68,17 @@
 	// overloadsDue says that reports of overloaded replicas are to be sent.
 	overloadsDue struct{}
 	// crashesReceived carries a peer's reports of requests during which replicas crashed.
-	crashesReceived struct{ reports []routing.CrashReport }
+	crashesReceived struct {
+		reports []routing.CrashReport
+		from    membership.Address
+	}
 	// crashesDue says that crash reports are to be sent.
 	crashesDue struct{}
 	// partCrashesReceived carries a peer's reports of parts of prompts on which replicas crashed.
-	partCrashesReceived struct{ reports []routing.CrashReport }
+	partCrashesReceived struct {
+		reports []routing.CrashReport
+		from    membership.Address
+	}
 	// partCrashesDue says that reports of parts on which replicas crashed are to be sent.
 	partCrashesDue struct{}
 	// livenessReceived carries a peer's reports of replicas that are alive although they were
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -99,7 +99,7 @@
 	for ctx.Err() == nil {
 		began := clock.Now()
 		_ = p.socket.SetReadDeadline(clock.RuntimeTime(began.Add(membership.SocketPoll))) // fails if the socket is closed, as the read does
-		n, _, err := p.socket.ReadFromUDPAddrPort(buf)
+		n, from, err := p.socket.ReadFromUDPAddrPort(buf)
 		now := clock.Now()
 		inTime := waits.Read(began, now)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -113,9 +113,17 @@
 			continue
 		}
 		if e, err := decodeDatagram(buf[:n]); err == nil {
-			if h, ok := e.(heartbeatReceived); ok {
-				h.at, h.waited = now, !inTime
-				e = h
+			sender := membership.Address(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+			switch r := e.(type) {
+			case heartbeatReceived:
+				r.at, r.waited = now, !inTime
+				e = r
+			case crashesReceived:
+				r.from = sender
+				e = r
+			case partCrashesReceived:
+				r.from = sender
+				e = r
 			}
 			p.metrics.HeartbeatsReceived.Inc(1)
 			c.post(ctx, e)
--- a/daemon/routes/replicas_test.go
+++ b/daemon/routes/replicas_test.go
@@ -81,6 +81,39 @@
 	}
 }
 
+// TestPeerThatMissedAReleaseIsToldOfIt guards against a daemon that was cut off while an operator released a content, and
+// keeps it quarantined: nobody repeats the release to it any more.
+func TestPeerThatMissedAReleaseIsToldOfIt(t *testing.T) {
+	c := newQuietControl(t)
+	now := time.Unix(1_000_000, 0)
+	for i := range 3 {
+		r := routing.NewReplica(routing.Replica{ID: routing.ReplicaID(fmt.Sprint(i))})
+		c.crashes.ReportCrash(5, "w", &r, now)
+	}
+	known, _ := c.crashes.All(0, gossip.MaxCrashes, now)
+	c.crashes.Clear(5, now)
+	now = now.Add(90 * time.Second)
+	c.crashes.Forget(now)
+	for i := range known {
+		known[i].Age += 90 * time.Second
+	}
+	sent := make(map[membership.Address][]routing.CrashReport)
+	c.heartbeats.send = func(to membership.Address, payload []byte) {
+		reports, err := gossip.DecodeCrashes(payload)
+		if err != nil {
+			t.Error(err)
+		}
+		sent[to] = append(sent[to], reports...)
+	}
+	c.handle(context.Background(), crashesReceived{reports: known, from: "10.0.0.9:1"}, now)
+	if got := sent["10.0.0.9:1"]; len(sent) != 1 || len(got) != 1 || !got[0].Clears || got[0].Content != 5 || got[0].Age != 90*time.Second {
+		t.Errorf("sent %v", sent)
+	}
+	if c.crashes.Quarantined(5, now) {
+		t.Error("the content is quarantined again")
+	}
+}
+
 // TestReplicaReportedAsTerminatedGetsNoRequests checks that a replica gets no requests after a peer reported
 // its crash.
 func TestReplicaReportedAsTerminatedGetsNoRequests(t *testing.T) {
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -93,14 +93,15 @@
 	sendReportsToTargets(c, c.crashes.TakeReports(gossip.MaxCrashes, now), gossip.EncodeCrashes, now)
 }
 
-// receiveCrashes processes a peer's crash reports.
-func (c *control) receiveCrashes(reports []routing.CrashReport, now time.Time) {
-	reports = c.health.FilterDisproved(reports, now)
+// receiveCrashes processes a peer's crash reports. A peer that missed a clearance is sent it.
+func (c *control) receiveCrashes(e *crashesReceived, now time.Time) {
+	reports := c.health.FilterDisproved(e.reports, now)
 	c.health.ReportTerminations(reports, now)
 	c.partCrashes.Watch(now)
 	for _, content := range c.crashes.Observe(reports, now) {
 		c.log.Quarantined(content)
 	}
+	sendReports(c, []membership.Address{e.from}, c.crashes.Refute(reports, now), gossip.EncodeCrashes)
 }
 
 // sendPartCrashes forwards pending reports of parts of prompts on which replicas crashed.
@@ -109,11 +110,13 @@
 }
 
 // receivePartCrashes processes a peer's reports of parts of prompts on which replicas crashed.
-func (c *control) receivePartCrashes(reports []routing.CrashReport, now time.Time) {
+func (c *control) receivePartCrashes(e *partCrashesReceived, now time.Time) {
+	reports := c.health.FilterDisproved(e.reports, now)
 	c.partCrashes.Watch(now)
-	for _, part := range c.partCrashes.Observe(c.health.FilterDisproved(reports, now), now) {
+	for _, part := range c.partCrashes.Observe(reports, now) {
 		c.log.PartQuarantined(part, "")
 	}
+	sendReports(c, []membership.Address{e.from}, c.partCrashes.Refute(reports, now), gossip.EncodePartCrashes)
 }
 
 // quarantineParts quarantines the parts of prompts on which replicas crash.
