Daemons that have not heard of each other since their start share cold replicas and retries

Callers saw: daemons that reached the store and not each other from their start on sent a cold replica several times the rate that it can serve, and its requests failed. In a large fleet, daemons of a failure domain that was cut off when it started spent several times their share of the retries.

Cause: 5 s after its start a daemon took those that it knew for the whole fleet, though its roster knew that seeds were missing.

Evidence: TestDaemonsThatAreAloneSinceTheirStartShareColdReplicas failed: eight daemons, three of them seeds, sent 21 requests in a second to a replica that serves 5 (12 allowed). TestFailureDomainThatIsAloneSinceItsStartSharesRetries failed: 42 retries in place of 10 at most.

Change: membership.FleetBound. The highest size ever known is multiplied by the seeds for each seed that was found; a daemon without a seed and without another daemon does not know the size. Groups that don't hear each other find different seeds, so that their shares add up to the whole at most. It falls only when seeds are found, so that the limiter and the budgets take it as it is.

Ruled out: waiting for all seeds. A seed that is down for long would keep cold replicas without requests at all daemons that started since. Scaling retry budgets in small fleets: it would take retries from callers while a seed is down.

--- a/coordination/routing/budget.go
+++ b/coordination/routing/budget.go
@@ -41,6 +41,7 @@
 
 	mu       sync.Mutex
 	clock    slotClock
+	assumed  int // daemons at least
 	daemons  int
 	services map[ServiceName]*budget
 }
@@ -52,17 +53,17 @@
 	spent    [budgetSlots]Retries // on retries of this daemon and on transfers to others
 }
 
-// NewRetryBudgets returns the budgets of one daemon under a rule, in a fleet of the given size.
+// NewRetryBudgets returns the budgets of one daemon under a rule, in a fleet of at least the given size.
 func NewRetryBudgets(rule RetryRule, daemons int) *RetryBudgets {
-	return &RetryBudgets{rule: rule, daemons: max(1, daemons), services: make(map[ServiceName]*budget)}
+	return &RetryBudgets{rule: rule, assumed: max(1, daemons), daemons: max(1, daemons), services: make(map[ServiceName]*budget)}
 }
 
-// SetDaemons sets how many daemons share the extra retries. The number never falls: daemons that
-// this one can't reach keep spending their shares.
+// SetDaemons sets how many daemons share the extra retries, at most. The number must not fall when daemons are
+// lost (coordination/membership/fleet_bound.go): those that this one can't reach keep spending their shares.
 func (b *RetryBudgets) SetDaemons(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.daemons = max(b.daemons, n)
+	b.daemons = max(b.assumed, n)
 }
 
 // CountRequest counts the first attempt of a request.
--- a/coordination/routing/cold.go
+++ b/coordination/routing/cold.go
@@ -3,7 +3,8 @@
 //
 // Inputs: until when each replica is cold, from its own store entry or because the evacuation of
 // its domain ended (evacuate.go); how many requests a second a cold replica can serve, from the
-// service's configuration; and the largest number of daemons ever known. Guarantee: all daemons
+// service's configuration; and the most daemons that the fleet can have as far as is known
+// (coordination/membership/fleet_bound.go). Guarantee: all daemons
 // together, connected to each other or not, send a cold replica in any second at most one and a
 // half times that rate, plus a small constant. The rule:
 //
@@ -14,10 +15,11 @@
 //     replica. In a large fleet the part is far below one, so that a few daemons, different ones
 //     for each replica, send one request a second each, and the others none. This needs no
 //     coordination.
-//  3. The rate is divided by the largest fleet size ever known, because daemons that are cut off
+//  3. The rate is divided by the most daemons that there can be, because daemons that are cut off
 //     go on using their parts. A daemon that has just started assumes assumedFleetSize until it
-//     has learned the fleet's size (FleetSizeKnownAfter). Daemons that all start at once, each of
-//     which knows only itself, therefore send next to nothing.
+//     has learned the fleet's size (FleetSizeKnownAfter at least), and so does one that has been
+//     alone since its start, if there are seeds. Daemons each of which knows only itself therefore
+//     send next to nothing.
 //  4. A request that exceeds this daemon's quota goes to a warm replica if there is one;
 //     otherwise it is refused at once as not run.
 //
@@ -61,7 +63,7 @@
 	daemon PeerID
 
 	mu        sync.Mutex
-	fleetSize int // largest number of daemons known; 0: not known yet
+	fleetSize int // the most daemons that there can be; 0: not known yet
 	sent      map[LoadKey][]time.Time
 }
 
@@ -70,12 +72,12 @@
 	return &ColdLimiter{daemon: daemon, sent: make(map[LoadKey][]time.Time)}
 }
 
-// SetFleetSize sets the number of daemons that share a replica's rate. A smaller number than
-// before is ignored.
+// SetFleetSize sets how many daemons share a replica's rate, at most. The number must not fall when
+// daemons are lost.
 func (c *ColdLimiter) SetFleetSize(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fleetSize = max(c.fleetSize, n)
+	c.fleetSize = n
 }
 
 // IsCold reports whether a replica is cold.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -116,6 +116,7 @@
 	viewStale          bool
 	storeUnreachable   bool
 	staleEntries       membership.StaleEntries
+	fleetBound         membership.FleetBound
 	era                eraState
 	storeUnreachableAt time.Time                 // when the store was last known to be unreachable for this daemon or a peer
 	tickedAt           atomic.Pointer[time.Time] // last
@@ -330,9 +331,7 @@
 	c.tickPermits(now)
 	c.syncIfBehind(ctx, now)
 	c.learnHistory(ctx, now)
-	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
-		c.cold.SetFleetSize(c.roster.PeakSize())
-	}
+	c.updateShares(now)
 	expired, established := c.catalog.expired.Expire(now), c.establishVersions(now)
 	if n := c.roster.Size(now); c.sizeChanged(n) || expired || established || c.viewStale {
 		c.daemons = n
@@ -355,6 +354,18 @@
 	}
 }
 
+// updateShares updates among how many daemons the rate of cold replicas and the extra retries are divided. Up to
+// minAssumedFleet daemons get enough of the retries whether they hear each other or not.
+func (c *control) updateShares(now time.Time) {
+	bound, known := c.fleetBound.Update(c.roster)
+	if known && now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
+		c.cold.SetFleetSize(bound)
+	}
+	if known && c.roster.PeakSize() > minAssumedFleet {
+		c.budgets.SetDaemons(bound)
+	}
+}
+
 // detectPause detects that the process was paused. It then interrupts the reader's watch:
 // the connection may have been lost during the pause, and the last result is outdated. So is the history of
 // versions.
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -154,7 +154,7 @@
 	if h.Sender.StoreUnreachable {
 		c.storeUnreachableAt = now
 	}
-	c.budgets.SetDaemons(c.roster.PeakSize())
+	c.updateShares(now)
 	c.observeDomains()
 	if !h.Partial {
 		c.observeRequests(h, now)
