--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -25,9 +25,6 @@
 	// storeOutageWindow is how long after a store outage an expired replica entry is not
 	// taken as proof that the replica is gone.
 	storeOutageWindow = 5 * time.Second
-	// entryRenewalTime is how long entries may still be outdated after the store became readable
-	// again: live replicas renew their entries within about two seconds, and peers forward them.
-	entryRenewalTime = 3 * time.Second
 	// statsInterval is how often the cost of the control loop is logged.
 	statsInterval = 10 * time.Second
 	// pauseThreshold is the time between two ticks above which the process is considered to have
@@ -118,7 +115,8 @@
 	// for all such replicas.
 	viewStale          bool
 	storeUnreachable   bool
-	storeUnreadableAt  time.Time // when the store was last unreadable for every known daemon
+	staleEntries       membership.StaleEntries
+	fleetBound         membership.FleetBound
 	era                eraState
 	storeUnreachableAt time.Time                 // when the store was last known to be unreachable for this daemon or a peer
 	tickedAt           atomic.Pointer[time.Time] // last
@@ -221,11 +219,11 @@
 	case overloadsDue:
 		c.sendOverloads(now)
 	case crashesReceived:
-		c.receiveCrashes(e.reports, now)
+		c.receiveCrashes(&e, now)
 	case crashesDue:
 		c.sendCrashes(now)
 	case partCrashesReceived:
-		c.receivePartCrashes(e.reports, now)
+		c.receivePartCrashes(&e, now)
 	case partCrashesDue:
 		c.sendPartCrashes(now)
 	case livenessReceived:
@@ -333,19 +331,14 @@
 	c.tickPermits(now)
 	c.syncIfBehind(ctx, now)
 	c.learnHistory(ctx, now)
-	if now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
-		c.cold.SetFleetSize(c.roster.PeakSize())
-	}
+	c.updateShares(now)
 	expired, established := c.catalog.expired.Expire(now), c.establishVersions(now)
 	if n := c.roster.Size(now); c.sizeChanged(n) || expired || established || c.viewStale {
 		c.daemons = n
 		c.publish(now)
 	}
 	c.roster.Forget(now)
-	if !c.roster.HasStoreReader(now) {
-		c.storeUnreadableAt = now
-	}
-	c.health.SetEntriesStale(now.Sub(c.storeUnreadableAt) < entryRenewalTime)
+	c.health.SetEntriesStale(c.staleEntries.Update(&c.lease.confirmations, now))
 	c.disproveTerminations(now)
 	c.crashes.Disprove(c.isFalseCrash)
 	c.partCrashes.Disprove(c.isFalseCrash)
@@ -361,6 +354,18 @@
 	}
 }
 
+// updateShares updates among how many daemons the rate of cold replicas and the extra retries are divided. Up to
+// minAssumedFleet daemons get enough of the retries whether they hear each other or not.
+func (c *control) updateShares(now time.Time) {
+	bound, known := c.fleetBound.Update(c.roster)
+	if known && now.Sub(c.startedAt) >= routing.FleetSizeKnownAfter {
+		c.cold.SetFleetSize(bound)
+	}
+	if known && c.roster.PeakSize() > minAssumedFleet {
+		c.budgets.SetDaemons(bound)
+	}
+}
+
 // detectPause detects that the process was paused. It then interrupts the reader's watch:
 // the connection may have been lost during the pause, and the last result is outdated. So is the history of
 // versions.
