soak: a report names the streams of several versions that a play allows

The report now names each; hingesoak prints them. The bound is unchanged. TestCheckVersions compares the names with the count.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -220,6 +220,9 @@
 	if n := report.Streams; n.Begun > 0 {
 		fmt.Printf("  %d of %d long streams began, %d of them hold events of several versions; %d of %d resumes by callers went on, %d were sent in the first second of a release, %d of these to daemons out of step\n", n.Begun, n.Sent, n.Mixed, n.Resumed, n.Resumes, n.AtRelease, n.OutOfStep)
 	}
+	for _, v := range report.Mixed {
+		fmt.Printf("  mixed: %s %s: %s\n", v.At.UTC().Format("15:04:05.000"), v.Subject, v.Detail)
+	}
 	for _, b := range report.Brittle {
 		fmt.Printf("  brittle, limit %d, queue %d: %d of %d falls counted, %d allowed; %d rejected; %.3f of %d calls served (room %.3f), %.3f in the warning\n",
 			b.Spell.Limit, b.Spell.Queue, b.Counted, b.Falls, b.Allowed, b.Rejected, b.Share, b.Calls, b.Room, b.Warning)
--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -73,6 +73,16 @@
 	return n
 }
 
+// MixedStreams describes each stream that holds events of several versions, also where as many are allowed: without them an
+// allowed one can't be found in the daemons' logs.
+func (l *Ledger) MixedStreams() []Violation {
+	j := &checker{observations: l.snapshot()}
+	for _, r := range j.mixedStreams() {
+		j.addMixed(r)
+	}
+	return j.out
+}
+
 // longStreams returns the requests of callers that resume their streams.
 func (j *checker) longStreams() []*record {
 	var out []*record
@@ -112,12 +122,17 @@
 func (j *checker) checkVersions() {
 	if mixed := j.mixedStreams(); len(mixed) > j.bounds.Versions.Mixed {
 		for _, r := range mixed {
-			j.add("ORDER", r, r.answer.At, "stream %s holds events of versions %v, through daemon %d%s", r.streamID(), slices.Compact(versionsOf(r.answer.Body)), r.Daemon, j.describeRelease(r))
+			j.addMixed(r)
 		}
 	}
 	j.checkResumes()
 }
 
+// addMixed adds a stream of several versions to the violations.
+func (j *checker) addMixed(r *record) {
+	j.add("ORDER", r, r.answer.At, "stream %s holds events of versions %v, through daemon %d%s", r.streamID(), slices.Compact(versionsOf(r.answer.Body)), r.Daemon, j.describeRelease(r))
+}
+
 // checkResumes reports if far fewer resumes go on than new streams begin. Only requests at daemons that
 // are up to date count.
 func (j *checker) checkResumes() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,6 +42,7 @@
 	HeldForParts  int               `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
 	BorderEnds    BorderEnds        `json:"border_ends"`               // streams that ended with their replica
 	Streams       StreamCount       `json:"streams"`                   // of callers that resume them
+	Mixed         []Violation       `json:"mixed_streams,omitempty"`   // streams of several versions, also those that are allowed
 	Brittle       []BrittleResult   `json:"brittle,omitempty"`
 	Violations    []Violation       `json:"violations"`
 	Excused       []Violation       `json:"excused"` // of backoffs that the daemon can't have read
@@ -281,7 +282,7 @@
 	r.report.MaxMemoryMB = r.site.ledger.MaxMemory() / megabyte
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.BorderEnds = r.site.ledger.BorderEnds()
-	r.report.Streams = r.site.ledger.Streams()
+	r.report.Streams, r.report.Mixed = r.site.ledger.Streams(), r.site.ledger.MixedStreams()
 	r.report.Brittle = r.site.ledger.BrittleResults(now)
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -23,7 +23,8 @@
 	for i := range 6 {
 		plan.Faults = append(plan.Faults, Fault{At: time.Duration(3+i) * 1500 * time.Millisecond, Kind: killDaemon, Target: 3 * i})
 	}
-	t.Logf("%+v", playPlan(t, plan).Streams)
+	report := playPlan(t, plan)
+	t.Logf("%+v; of several versions: %+v", report.Streams, report.Mixed)
 }
 
 // endOfReleasePlan returns a plan in which all replicas of a service are replaced by those of another version,
@@ -163,6 +164,10 @@
 			l.Sent(Request{ID: second, Route: singleRoute, Key: "k", Sent: at(101), Deadline: at(103), Resumes: first, After: 1})
 			l.Answered(second, Answer{At: at(101.5), Status: 200, Body: c.resume})
 		}
+		// A mixed stream that was allowed could not be found in the logs that a play kept.
+		if named, want := len(l.MixedStreams()), l.Streams().Mixed; named != want {
+			t.Errorf("%s: %d mixed streams are named, want %d", c.name, named, want)
+		}
 		found := l.Check(at(150))
 		has := func(promise, subject string) bool {
 			return slices.ContainsFunc(found, func(v Violation) bool {
