Streams that are broken off are recorded, also while their service has one version

Cause: while a service has one version, no stream is recorded; once a second one appears, the next event records it. A stream whose caller has left, or whose replica broke, has no next event. A daemon that was paused when the second version appeared finds most of its callers gone and records nothing.

Change: a stream that is broken off after its first event is recorded then, whatever versions are known, before the caller's response is aborted. Record no longer takes the caller's context, by which the record of a caller that had left could be dropped.

Ruled out: taking the established version for a stream that no holder knows while all others are new (docs/design/versions.md, "What was weighed"). Resumes during the pause itself are still refused: the record is at the paused daemon.

Test: "are recorded when they are broken off, though their service has one version" failed before, by caller and by replica: nothing was recorded. go test ./transport/relay ./daemon/routes ./coordination/routing pass.

--- a/coordination/routing/origins.go
+++ b/coordination/routing/origins.go
@@ -8,7 +8,8 @@
 //  1. Unless a service is known to have, and to have had, only one version ([VersionHistory]), the daemon of a
 //     stream records its origin at a few daemons, which every daemon can compute from the stream's key
 //     (coordination/membership), when the first event passes, and again when the stream is resumed. A
-//     stream that began while its service had one version is recorded with its next event.
+//     stream that began while its service had one version is recorded with its next event, or when it is broken off, even if
+//     no second version is known then: one may appear before the caller resumes it.
 //  2. A daemon that resumes a stream asks the same daemons. Only a positive answer lets the stream go
 //     on: the caller is refused if none knows it.
 //  3. Two origins of one stream that differ make it unknown: the id was used twice.
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -106,8 +106,8 @@
 }
 
 // Record implements [relay.Origins].
-func (o streamOrigins) Record(ctx context.Context, origin routing.StreamOrigin) {
-	o.control.post(ctx, streamBegan{origin})
+func (o streamOrigins) Record(origin routing.StreamOrigin) {
+	o.control.postAlways(streamBegan{origin})
 }
 
 // Find implements [relay.Origins].
--- a/transport/relay/finish.go
+++ b/transport/relay/finish.go
@@ -20,6 +20,7 @@
 	if s.events != nil {
 		s.summary.Events, s.summary.FirstEvent = s.events.forwarded.count, s.events.forwarded.first
 	}
+	s.recordInterrupted() // before the caller can resume the stream
 	isComplete := true
 	switch {
 	case s.completed:
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -204,7 +204,7 @@
 	s.attempts.PositionUnknown = s.events.forwarded.unnumbered
 	x.beginStream()
 	s.bind(&t.Replica)
-	s.recordOrigin(ctx)
+	s.recordOrigin()
 	if f := s.sendHeader(x); f != nil {
 		return f
 	}
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -20,8 +20,9 @@
 	// AwaitDocuments waits for a short time for documents that other daemons are known to have and this one lacks: they
 	// may name another version.
 	AwaitDocuments(ctx context.Context)
-	// Record records the origin of a stream at the daemons that hold it. It does not wait for them.
-	Record(ctx context.Context, o routing.StreamOrigin)
+	// Record records the origin of a stream at the daemons that hold it, also if the stream's caller is gone. It does not wait
+	// for them.
+	Record(o routing.StreamOrigin)
 	// Find returns the record of where a stream began, or false if it can't be found out.
 	Find(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
 	// DocumentAges returns the current ages of the daemon's documents.
@@ -79,15 +80,28 @@
 
 // recordOrigin records where the stream began, once, unless the service is known to have only one version. It is
 // called before each event is forwarded, since the second version may appear after the first event.
-func (s *activeCall) recordOrigin(ctx context.Context) {
+func (s *activeCall) recordOrigin() {
 	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
 	}
 	if _, only := s.Origins.OnlyVersion(s.call.Service); only {
 		return
 	}
+	s.sendOrigin()
+}
+
+// recordInterrupted records where a stream began that is broken off after its first event, whatever versions its service is
+// known to have: its caller may resume it at a daemon that knows of a second one, when nothing of it passes here any more.
+func (s *activeCall) recordInterrupted() {
+	if s.originRecorded || s.Origins == nil || s.completed || s.events == nil || s.events.forwarded.count == 0 || !s.call.Route.MayRunAgain() {
+		return
+	}
+	s.sendOrigin()
+}
+
+func (s *activeCall) sendOrigin() {
 	s.originRecorded = true
 	if key := s.call.stream(); key != 0 {
-		s.Origins.Record(ctx, routing.NewStreamOrigin(key, s.tried.Version, clock.Until(s.call.Deadline)))
+		s.Origins.Record(routing.NewStreamOrigin(key, s.tried.Version, clock.Until(s.call.Deadline)))
 	}
 }
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func (o *recordedOrigins) Record(_ context.Context, r routing.StreamOrigin) {
+func (o *recordedOrigins) Record(r routing.StreamOrigin) {
 	o.recorded = append(o.recorded, r)
 }
 
@@ -225,6 +225,33 @@
 		Expect(to.refusal).To(HaveField("Reason", coordination.ReasonOriginUnknown))
 	})
 
+	// Guards against streams that can't be resumed since they were broken off before their daemon knew of a second version:
+	// a daemon that was paused during a release, or whose callers lost their connections just before it.
+	DescribeTable("are recorded when they are broken off, though their service has one version", func(breakOff func(leave func(), a *receivedRequest) bool, recorded bool) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		to := &recordingSink{wrote: make(chan struct{}, 8)}
+		leave := func() { <-to.wrote; cancel() }
+		r := startVersion("r1", "v1", func(a *receivedRequest) bool {
+			streamHead(a)
+			chunk(a, event(1))
+			return breakOff(leave, a)
+		})
+		w := newFixture(resumable, r)
+		origins := &recordedOrigins{only: r.VersionKey()}
+		w.relay.Origins = origins
+		w.relay.Serve(ctx, w.call("a", "POST", "x"), to)
+		if !recorded {
+			Expect(origins.recorded).To(BeEmpty())
+			return
+		}
+		Expect(origins.recorded).To(ConsistOf(And(HaveField("Stream", routing.NewStreamKey("", "a")), HaveField("Version", r.VersionKey()))))
+	},
+		Entry("by the caller", func(leave func(), a *receivedRequest) bool { leave(); return awaitClose(a) }, true),
+		Entry("by the replica", func(_ func(), a *receivedRequest) bool { return reset(a.conn) }, true),
+		Entry("not at all", func(_ func(), a *receivedRequest) bool { return streamEnd(a) }, false),
+	)
+
 	It("are recorded with the next event once their service has a second version", func() {
 		second := make(chan struct{})
 		r := startVersion("r1", "v1", func(a *receivedRequest) bool {
