Soak: the planted fault of false reports matches the code that replies with clearances

The text that the plant replaces in daemon/routes/reports.go moved with: reports are taken from the event. The plant does the same as before, it leaves reports that a replica has ended unfiltered.

--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -90,7 +90,7 @@
 		text: "markDespiteEjections(c.usable, c.skip, pool, now)", instead: "markDespiteEjections(c.usable, nil, pool, now)",
 		also: []edit{{"transport/relay/relay.go", "s.Placer.IsIneligible(&t.Replica, now)", "s.Placer.Departures.IsLeaving(&t.Replica)"}}},
 	{name: "believes that replicas have ended which answer it", promise: "SERVES", file: "daemon/routes/reports.go",
-		text: "\treports = c.health.FilterDisproved(reports, now)\n", instead: "",
+		text: "reports := c.health.FilterDisproved(e.reports, now)\n\tc.health.ReportTerminations", instead: "reports := e.reports\n\tc.health.ReportTerminations",
 		also: []edit{
 			{"coordination/routing/usable.go", "return len(terminated) > 0 && (c.usableCount == 0", "return len(terminated) < 0 && (c.usableCount == 0"},
 			{"coordination/routing/liveness.go", "return l != nil && at.Sub(l.from) > livenessSlack", "return l != nil && l.from.IsZero() && at.Sub(l.from) > livenessSlack"},
