Streams keep their service as the split of their route changes

Callers could get events of two services in one stream: the service of a route with a traffic split is drawn by the request that brought the first event, and a change of the weights moves the draw. While each service has one version no stream is recorded, so that the resume was bound to the only version of the wrong service.

A daemon remembers the former split of a resumable route for as long as a stream can last. A stream that both splits draw to one service is not affected. Of the others those that begin after the change are recorded with their first event, and the version of the record tells the service too; one without a record began before, and goes on at the former service, if the newest configuration gives that a share. Requests that resume nothing go where the newest weights send them; a route that moves takes its streams along.

Ruled out: weighted rendezvous hashing of the stream's key. It moves the least that a stateless draw can, but differs from the draw of the last build: while a fleet is upgraded both would resume a stream at different services, each half of those of a split in half; prompts would lose the replicas that cache them; and the share that the change asks for moves all the same.

Left: a daemon that starts after the change, or has the former configuration still, draws by the one that it has; daemons of the last build record no such stream, and draw resumes anew as they did; replicas without a version have no records, so that within that time their streams go to the former service.

--- /dev/null
+++ b/coordination/routing/split.go
@@ -0,0 +1,84 @@
+// This file remembers how a route's traffic was split before the split last changed. A stream that began then goes on at its
+// service, whose replicas alone have it, although the route's requests are drawn by other weights now.
+//
+// Inputs: the route's shares in the configuration in force and in the one before, the draw of a stream (that of the request that
+// brought its first event), when the configuration changed, and the records of origins. The rule:
+//
+//  1. Requests that don't resume a stream are drawn by the newest configuration.
+//  2. For as long as a stream can last after a change of a resumable route's split, the former split is remembered. A stream whose
+//     draw selects the same service by both is not affected.
+//  3. Of the others those that begin after the change are recorded at the holders with their first event, also where each
+//     service has one version: the version of a record tells the service too. So a stream that its caller resumes goes on at
+//     the service of its record, and one without a record began before the change, at the former service.
+//  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
+//     service takes its streams along, as all requests.
+//
+// A draw by weighted rendezvous hashing would also move few streams, but it draws other services than the last build does, so that
+// daemons of both builds would resume a stream at different services, and it moves prompts away from the replicas that cache them.
+
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// formerSplit is the split of a route before it changed.
+type formerSplit struct {
+	route Route     // as it was
+	until time.Time // streams that began by it may be resumed
+}
+
+// FormerService returns the service that the route's split selected for a stream before the split last changed, if that is another
+// one than now and the stream may go on there; empty otherwise.
+func (r *Route) FormerService(draw uint64, now time.Time) ServiceName {
+	if r.former == nil || !now.Before(r.former.until) {
+		return ""
+	}
+	s := r.former.route.Service(draw)
+	if s == r.Service(draw) || !slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == s && share.Weight > 0 }) {
+		return ""
+	}
+	return s
+}
+
+// WithFormerSplits returns the table with the splits of the table that was in force until now, nil for none.
+func (t *Table) WithFormerSplits(before *Table, now time.Time) *Table {
+	if before == nil {
+		return t
+	}
+	out := *t
+	out.byHost = make(map[string][]*Route, len(t.byHost))
+	for host, routes := range t.byHost {
+		list := slices.Clone(routes)
+		for i, r := range list {
+			if former := before.formerSplit(r, now); former != nil {
+				changed := *r
+				changed.former = former
+				list[i] = &changed
+			}
+		}
+		out.byHost[host] = list
+	}
+	return &out
+}
+
+// formerSplit returns the former split of a route of the table that replaces t; nil: there is none.
+func (t *Table) formerSplit(r *Route, now time.Time) *formerSplit {
+	if r.Kind != Stream || !r.Resumable {
+		return nil
+	}
+	for _, old := range t.byHost[strings.ToLower(r.Host)] {
+		switch {
+		case old.Prefix != r.Prefix:
+		case slices.Equal(old.Shares, r.Shares):
+			return old.former
+		default:
+			before := *old
+			before.former = nil
+			return &formerSplit{before, now.Add(t.StreamLife())}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/routing/split_test.go
@@ -0,0 +1,85 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+)
+
+// splitRoute returns a table with a route of two services of some weights.
+func splitRoute(t *testing.T, a, b int, meddle func(*routing.Route)) *routing.Table {
+	t.Helper()
+	r := routing.Route{Name: "r", Host: "H", Prefix: "/", Kind: routing.Stream, Resumable: true, Timeout: 20 * time.Second, Shares: []routing.Share{{Service: "a", Weight: a}, {Service: "b", Weight: b}}}
+	if meddle != nil {
+		meddle(&r)
+	}
+	table, err := routing.NewTable(&routing.Config{Routes: []routing.Route{r}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// TestFormerSplitIsRememberedWhileStreamsLast guards against a configuration that changes something else, and makes a daemon forget by
+// which weights streams began; against weights that are remembered for good; and against those of routes that have no streams
+// to resume.
+func TestFormerSplitIsRememberedWhileStreamsLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	// moved returns how many of 100 draws selected another service before.
+	moved := func(table *routing.Table, at time.Time) (n int) {
+		r, ok := table.Match("h", "/x")
+		if !ok {
+			t.Fatal("no route")
+		}
+		for draw := range uint64(100) {
+			if r.FormerService(draw, at) != "" {
+				n++
+			}
+		}
+		return n
+	}
+	first := splitRoute(t, 1, 1, nil).WithFormerSplits(nil, now)
+	if n := moved(first, now); n != 0 {
+		t.Errorf("%d draws have a former service in the first configuration", n)
+	}
+	changed := splitRoute(t, 3, 1, nil).WithFormerSplits(first, now)
+	same := splitRoute(t, 3, 1, nil).WithFormerSplits(changed, now.Add(15*time.Second))
+	for _, table := range []*routing.Table{changed, same} {
+		if n := moved(table, now.Add(19*time.Second)); n == 0 {
+			t.Error("no draw has a former service 19 s after the change, with streams that last for 20 s")
+		}
+		if n := moved(table, now.Add(20*time.Second)); n != 0 {
+			t.Errorf("%d draws have a former service 20 s after the change", n)
+		}
+	}
+	for name, meddle := range map[string]func(*routing.Route){
+		"other host":    func(r *routing.Route) { r.Host = "other" },
+		"other prefix":  func(r *routing.Route) { r.Prefix = "/x/" },
+		"not resumable": func(r *routing.Route) { r.Resumable = false },
+		"no stream":     func(r *routing.Route) { r.Kind = routing.Idempotent },
+	} {
+		before := splitRoute(t, 1, 1, nil)
+		if name == "other host" || name == "other prefix" {
+			before = splitRoute(t, 1, 1, meddle)
+			meddle = nil
+		}
+		if n := moved(splitRoute(t, 3, 1, meddle).WithFormerSplits(before, now), now); n != 0 {
+			t.Errorf("%s: %d draws have a former service", name, n)
+		}
+	}
+}
+
+// TestDrawsAreThoseOfTheLastBuild guards against a draw that differs from that of the last build: while a fleet is upgraded, daemons of
+// both would send the requests of a prompt, and the resumes of a stream, to different services.
+func TestDrawsAreThoseOfTheLastBuild(t *testing.T) {
+	r, _ := splitRoute(t, 3, 2, nil).Match("h", "/")
+	got := ""
+	for draw := range uint64(24) {
+		got += fmt.Sprint(r.Service(draw))
+	}
+	if want := "abaaaaababaaaabbaababaaa"; got != want {
+		t.Errorf("draws %s, want %s", got, want)
+	}
+}
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -101,7 +101,7 @@
 	c.log.UnusableOthers(c.unusableLog.others)
 	c.versions.Learn(newestPosition(c.feed.Position(), changed), now)
 	c.applied = c.feed.Position()
-	c.applyConfig(source)
+	c.applyConfig(source, now)
 	c.changedAt = now
 	c.log.Documents(len(changed), source, c.feed.Position())
 	return cacheLost
@@ -247,7 +247,7 @@
 
 // applyConfig activates a newer configuration. One that can't be parsed or has a lower
 // version is rejected.
-func (c *catalog) applyConfig(source string) {
+func (c *catalog) applyConfig(source string, now time.Time) {
 	c.checkOverruledConfig()
 	it, ok := c.documents.Config(c.feed)
 	if !ok || c.table != nil && (it.Revision == c.tableItem.Revision || it.Revision == 0) && bytes.Equal(it.Value, c.tableItem.Value) {
@@ -257,7 +257,7 @@
 	if !ok {
 		return
 	}
-	c.table, c.tableItem, c.rejected = t, it, nil
+	c.table, c.tableItem, c.rejected = t.WithFormerSplits(c.table, now), it, nil
 	for _, warning := range t.Warnings {
 		c.log.NotUnderstood(it.Key, warning)
 	}
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -45,13 +45,15 @@
 	asked := clock.Now()
 	s.Origins.AwaitDocuments(ctx)
 	defer func() { s.summary.OriginWait = clock.Since(asked) }()
+	if s.call.Former != "" && s.bindAfterChange(ctx) {
+		return true
+	}
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
 		s.bindToOnly(v)
 		return true
 	}
 	if r, ok := s.findRecord(ctx); ok {
-		s.tried.Version = r.Version
-		s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
+		s.bindToRecord(&r)
 		return true
 	}
 	if v, ok := s.Origins.AwaitOnlyVersion(ctx, s.call.Service); ok {
@@ -63,6 +65,25 @@
 	return false
 }
 
+// bindAfterChange selects the service of a stream that its caller resumes after its route's split has changed
+// (coordination/routing/split.go). It returns false if no record tells the stream's version.
+func (s *activeCall) bindAfterChange(ctx context.Context) bool {
+	r, ok := s.findRecord(ctx)
+	if !ok || !s.View().HasVersion(s.call.Service, r.Version) {
+		s.call.Service = s.call.Former
+	}
+	if ok {
+		s.bindToRecord(&r)
+	}
+	return ok
+}
+
+// bindToRecord binds a stream that its caller resumes to the version of its record.
+func (s *activeCall) bindToRecord(r *OriginRecord) {
+	s.tried.Version = r.Version
+	s.recordBinding(Binding{By: r.source(), Version: r.Version, Holder: r.Holder})
+}
+
 // bindToOnly binds a stream that its caller resumes to the only version of its service.
 func (s *activeCall) bindToOnly(v routing.VersionKey) {
 	s.tried.Version = v
@@ -77,13 +98,13 @@
 	}
 }
 
-// recordOrigin records where the stream began, once, unless the service is known to have only one version. It is
-// called before each event is forwarded, since the second version may appear after the first event.
+// recordOrigin records where the stream began, once, unless its service is known to have only one version and its route's split
+// selects the same service as before. It is called before each event is forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin(ctx context.Context) {
 	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
 	}
-	if _, only := s.Origins.OnlyVersion(s.call.Service); only {
+	if _, only := s.Origins.OnlyVersion(s.call.Service); only && s.call.Former == "" {
 		return
 	}
 	s.originRecorded = true
--- /dev/null
+++ b/transport/relay/split_test.go
@@ -0,0 +1,76 @@
+package relay_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/relay"
+)
+
+// Guards against streams that go on at another service after the split of their route has changed.
+var _ = Describe("Streams of a route whose split has changed", func() {
+	allEvents := event(1) + event(2) + event(3)
+	streams := func(a *receivedRequest) bool {
+		streamHead(a)
+		chunk(a, allEvents)
+		return streamEnd(a)
+	}
+	// startAt starts a replica of a service.
+	startAt := func(id string, s routing.ServiceName, v routing.SoftwareVersion) *replica {
+		r := startReplica(id, streams)
+		r.Service, r.Version = s, v
+		r.Replica = routing.NewReplica(r.Replica)
+		return r
+	}
+	// changed returns a fixture in which service s has had a part of the route's streams that service t has now.
+	changed := func() (w *fixture, former, now *replica) {
+		former, now = startAt("r1", "s", "v1"), startAt("r2", "t", "v1")
+		w = newFixture(resumable, former, now)
+		view := *w.currentView()
+		view.Pools = map[routing.ServiceName]*routing.Pool{
+			"s": {Ready: []routing.Replica{former.Replica}}, "t": {Ready: []routing.Replica{now.Replica}},
+		}
+		w.setView(&view)
+		return w, former, now
+	}
+	call := func(w *fixture, resumes routing.RequestID) *relay.Call {
+		c := w.call("2", "POST", "x")
+		c.Service, c.Former = "t", "s"
+		if resumes != "" {
+			c.LastEventID, c.Resumes = "0", resumes
+		}
+		return c
+	}
+
+	It("are recorded if they begin after the change, though each service has one version", func() {
+		w, _, now := changed()
+		origins := &recordedOrigins{only: now.VersionKey()}
+		w.relay.Origins = origins
+		_, s := w.serve(call(w, ""))
+		Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r2"))))
+		Expect(origins.recorded).To(HaveExactElements(HaveField("Version", now.VersionKey())))
+	})
+
+	It("go on at the former service if they are not recorded", func() {
+		w, former, _ := changed()
+		w.relay.Origins = &recordedOrigins{only: former.VersionKey()}
+		to, s := w.serve(call(w, "1"))
+		Expect(string(to.body)).To(Equal(allEvents))
+		Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r1"))))
+		Expect(s.Binding.By).To(Equal(relay.OriginOnlyVersion))
+	})
+
+	It("go on at the service of their record", func() {
+		for i, id := range []routing.ReplicaID{"r1", "r2"} {
+			w, former, now := changed()
+			r := []*replica{former, now}[i]
+			w.relay.Origins = &recordedOrigins{only: former.VersionKey(), known: map[routing.StreamKey]routing.VersionKey{routing.NewStreamKey("", "1"): r.VersionKey()}}
+			c := call(w, "1")
+			c.Workspace = ""
+			_, s := w.serve(c)
+			Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", id)))
+			Expect(s.Binding.Version).To(Equal(r.VersionKey()))
+		}
+	})
+})
