Version history: a paused daemon tells none before it has noticed the pause

A daemon that was paused while a version came and went, and that was asked for its documents before its next tick, told its history of versions as complete up to now. A daemon that had just started took it over with these documents, and could take a service for one of a single version: callers who took up a stream of the other version there could get events of both.

It tells that its history is not complete if its last tick is as long ago as requests of its own would not trust (missedTick).

Interoperates: no message changes.

--- a/daemon/routes/sync.go
+++ b/daemon/routes/sync.go
@@ -120,7 +120,7 @@
 func (c *control) respond(q *documentsRequest, now time.Time) documentsResponse {
 	a := c.catalog.respond(q)
 	history := c.catalog.versions.Report(c.catalog.feed.Position(), now)
-	if c.lease.lapsed {
+	if c.lease.lapsed || c.missedTick(now) {
 		history.Complete = 0
 	}
 	a.versions = &history
--- a/daemon/routes/versions_test.go
+++ b/daemon/routes/versions_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+// TestPausedDaemonTellsNoHistory guards against a daemon that was paused while a version came and went, and that is asked for its
+// documents before it has noticed: a daemon that has just started would take the history for complete.
+func TestPausedDaemonTellsNoHistory(t *testing.T) {
+	now := clock.Now()
+	c := newQuietControl(t)
+	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now.Add(-5*time.Second))
+	for _, last := range []time.Duration{5 * time.Second, pauseThreshold, heartbeatInterval} {
+		c.tickedAt.Store(new(now.Add(-last)))
+		if told, want := c.respond(&documentsRequest{}, now).versions.Complete > 0, last < pauseThreshold; told != want {
+			t.Errorf("tells its history %v after its last tick: %t, want %t", last, told, want)
+		}
+	}
+}
+
 // TestCutOffDaemonKeepsItsView guards against a view that is built on every tick while a daemon is cut off, and against
 // one that still counts the history of before when that ends.
 func TestCutOffDaemonKeepsItsView(t *testing.T) {
