Version history: versions count for as long as streams last

Callers could get events of two versions on routes whose timeout is above two minutes: a version counted for two minutes after its last entry was gone, and a stream was assumed to last two minutes at most. A replica that serves on without an entry may break a stream off later, and its caller takes it up at a daemon that takes the service for one of a single version by then.

A version counts for as long as a stream could last in any configuration that the daemon has had, two minutes at least and ten, for which origins are kept, at most; a history has to go back as far. The previous build tells two minutes at most: that counts as the whole time, as that build believes, so that daemons don't refuse the streams of their peers while a fleet is upgraded.

Routes of up to two minutes are as before. Cost where streams last longer: a daemon whose history begins anew, and which finds no peer with an older one, records and asks for streams for that long in place of two minutes.

--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -164,7 +164,7 @@
 	if t == nil {
 		return versionRetention
 	}
-	return min(max(t.streamLife, minStreamLife), versionRetention)
+	return min(max(t.streamLife, minStreamLife), maxStreamLife)
 }
 
 // WorkspaceOf returns the workspace that a caller key in a report identifies, if the
--- a/coordination/routing/version_history.go
+++ b/coordination/routing/version_history.go
@@ -4,13 +4,16 @@
 // Inputs: the entries of replicas, from which a daemon observes versions that come and go; the histories of
 // peers; and how long a stream can last. The rule:
 //
-//  1. A version counts for versionRetention after the entry of its last replica is gone.
+//  1. A version counts for versionRetention after the entry of its last replica is gone, or for as long as a stream can last if
+//     that is longer: a replica without an entry may serve on.
 //  2. A history is complete from the time at which the daemon had its first documents. What was there before,
 //     or while the daemon was paused or cut off, it has not observed: that no other version is in its history
 //     proves nothing.
 //  3. A daemon takes over the history of a peer. It is then complete from the time from which the peer's is, if
 //     the peer's documents were at least as new as the own ones were when the own history began: then no
 //     version came and went between what the peer observed and what the daemon did.
+//     A peer of the previous build tells versionRetention at most; that much counts as the whole retention, as that build
+//     believes.
 //  4. Only a history that is complete for as long as a stream can last shows that a service has one version.
 //     Until then all that is known is which versions it has besides those that may be missing.
 
@@ -25,9 +28,11 @@
 )
 
 const (
-	// versionRetention is how long a version counts after the entry of its last replica is gone. Streams that
+	// versionRetention is how long a version counts at least after the entry of its last replica is gone. Streams that
 	// began at it may still be resumed that long.
 	versionRetention = 2 * time.Minute
+	// maxStreamLife bounds how long a stream is assumed to last. Origins are kept as long at most.
+	maxStreamLife = maxOriginLife
 	// minStreamLife is the least time for which a stream is assumed to last: the configuration may just have
 	// lowered the timeouts of streams that began before.
 	minStreamLife = 10 * time.Second
@@ -39,9 +44,10 @@
 // VersionHistory records the software versions that the replicas of each service have, or lately had. The
 // caller synchronizes access.
 type VersionHistory struct {
-	services map[ServiceName]map[VersionKey]*versionUse
-	since    time.Time     // from which it is complete; zero: it has not begun
-	observed feed.Position // of the documents with which this daemon began to observe
+	services   map[ServiceName]map[VersionKey]*versionUse
+	streamLife time.Duration // the longest that a stream could last in any configuration
+	since      time.Time     // from which it is complete; zero: it has not begun
+	observed   feed.Position // of the documents with which this daemon began to observe
 
 	touched      []*versionUse // whose number of replicas has changed since the last call of Learn
 	awaiting     []*versionUse // that have joined and are not established (establishment.go)
@@ -85,6 +91,14 @@
 // Begin records that the history is complete only from now on. at is the position of the daemon's documents.
 func (h *VersionHistory) Begin(at feed.Position, now time.Time) { h.since, h.observed = now, at }
 
+// RetainFor records how long a stream can last. The time does not fall: streams of before may last as long as they could then.
+func (h *VersionHistory) RetainFor(streamLife time.Duration) {
+	h.streamLife = max(h.streamLife, streamLife)
+}
+
+// retention returns how long a version counts after the entry of its last replica is gone.
+func (h *VersionHistory) retention() time.Duration { return max(versionRetention, h.streamLife) }
+
 // Since returns the time from which the history is complete; the zero time if it has not begun.
 func (h *VersionHistory) Since() time.Time { return h.since }
 
@@ -143,7 +157,7 @@
 func (h *VersionHistory) forget(now time.Time) {
 	for service, uses := range h.services {
 		for key, u := range uses {
-			if u.replicas == 0 && now.Sub(u.leftAt) > versionRetention {
+			if u.replicas == 0 && now.Sub(u.leftAt) > h.retention() {
 				delete(uses, key)
 			}
 		}
@@ -158,7 +172,7 @@
 	h.forget(now)
 	r := VersionReport{At: at}
 	if !h.since.IsZero() {
-		r.Complete = min(now.Sub(h.since), versionRetention)
+		r.Complete = min(now.Sub(h.since), h.retention())
 	}
 	for service, uses := range h.services {
 		for key, u := range uses {
@@ -183,6 +197,9 @@
 		u.mergeKnown(used.KnownFor, now)
 	}
 	since := now.Add(-r.Complete)
+	if r.Complete == versionRetention {
+		since = now.Add(-h.retention())
+	}
 	if r.At.Before(h.observed) || !since.Before(h.since) {
 		return false
 	}
--- a/daemon/routes/catalog.go
+++ b/daemon/routes/catalog.go
@@ -258,6 +258,7 @@
 		return
 	}
 	c.table, c.tableItem, c.rejected = t.WithFormerSplits(c.table, now), it, nil
+	c.versions.RetainFor(t.StreamLife())
 	for _, warning := range t.Warnings {
 		c.log.NotUnderstood(it.Key, warning)
 	}
--- a/daemon/routes/missed_versions_test.go
+++ b/daemon/routes/missed_versions_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport/clock"
 )
@@ -53,3 +54,39 @@
 		t.Error("does not know of one version")
 	}
 }
+
+// longStreamDocuments has a configuration with a route whose streams last for a time.
+type longStreamDocuments struct {
+	fakeDocuments
+	timeout time.Duration
+}
+
+func (d longStreamDocuments) ParseConfig(feed.Item) (*routing.Table, error) {
+	r := routing.Route{Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Resumable: true, Timeout: d.timeout, Shares: []routing.Share{{Service: "s", Weight: 1}}}
+	return routing.NewTable(&routing.Config{Version: 7, Routes: []routing.Route{r}, Services: []routing.Service{{Name: "s"}}})
+}
+
+// TestVersionCountsForAsLongAsStreamsLast guards against a stream that lasts for longer than two minutes, and is resumed at the version
+// that is left after the last entry of its own has been gone for that time.
+func TestVersionCountsForAsLongAsStreamsLast(t *testing.T) {
+	for _, c := range []struct {
+		timeout, left time.Duration // since the last replica of version v1 left
+		only          bool
+	}{
+		{8 * time.Minute, 3 * time.Minute, false}, {8 * time.Minute, 9 * time.Minute, true},
+		{30 * time.Second, time.Minute, false}, {30 * time.Second, 3 * time.Minute, true},
+	} {
+		d := newQuietControl(t)
+		d.catalog = newCatalog(longStreamDocuments{timeout: c.timeout}, d.log)
+		now := clock.Now()
+		begun := now.Add(-20 * time.Minute)
+		applyEntries(d, 5, begun, map[string]string{"replica-1": "version=v1", "replica-2": "version=v2"})
+		keepUpToDate(d, begun, now.Add(-c.left))
+		d.apply(d.catalog.feed.Apply([]feed.Item{{Key: "replica-1", Revision: 9, Deleted: true}}), sourceStore, now.Add(-c.left))
+		keepUpToDate(d, now.Add(-c.left), now)
+		d.publish(now)
+		if got := onlyVersion(d); got != c.only {
+			t.Errorf("streams last for %v, and the other version left %v ago: knows of one version: %t, want %t", c.timeout, c.left, got, c.only)
+		}
+	}
+}
