Origins: a reply to a question of a daemon's former process is not taken

Callers could get events of two versions: questions for the origin of a stream were numbered from 1 in each process. A holder that was paused while a daemon started again replied to the questions of the former process, and the reply was taken for that to the question with this number, for another stream, which was bound to the wrong version.

The ids are random.

TestReplyToTheFormerProcessIsNotTaken failed before: the question of the second process was answered with the version of the first one's stream.

--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -33,8 +33,8 @@
 
 // originQuestions are the questions of this daemon that holders have not all replied to.
 type originQuestions struct {
-	last gossip.OriginRequestID
-	// pending has the holders that were asked. Each is asked under an id of its own, since a reply does not name its sender.
+	// pending has the holders that were asked. Each is asked under an id of its own, since a reply does not name its sender. The
+	// ids are random: a holder that was paused may reply to a question of this daemon's former process.
 	pending map[gossip.OriginRequestID]askedHolder
 }
 
@@ -174,9 +174,9 @@
 	}
 	question := &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
 	for _, holder := range others {
-		q.last++
-		q.pending[q.last] = askedHolder{question, holder}
-		ask := gossip.OriginRequest{ID: q.last, From: c.roster.Self().Address, Stream: need.stream}
+		id := gossip.OriginRequestID(c.heartbeats.rng.Uint32())
+		q.pending[id] = askedHolder{question, holder}
+		ask := gossip.OriginRequest{ID: id, From: c.roster.Self().Address, Stream: need.stream}
 		sendReports(c, []membership.Address{holder}, []gossip.OriginRequest{ask}, gossip.EncodeOriginRequests)
 	}
 }
