Soak: processes that stand still without a fault are seen, and are not a request's wait

Cause: threads of the daemon's process wait for a processor. The daemon that has the request reads it, or the decision on it, when its thread gets one again; a goroutine that is running on such a thread waits with it, and no other thread takes it over. The coordinator decides at once.

QUEUED does not count the time in which the request's daemon, or the run, stood still; for the other rules of crowded services a stall of .1 s is a disturbance, as a pause of a process is. The bounds are as before.

Tests: 4 of the 9 new cases of TestCheckCrowded fail with checks that know no stalls; the others show what is still a violation (another daemon's stall, a shorter one, two at the same time).

Ruled out: a coordinator that does not decide; asks that do not fit into a message; the checks, which hold the ledger's lock for a copy only.

--- a/cmd/hingesoak/main.go
+++ b/cmd/hingesoak/main.go
@@ -214,6 +214,9 @@
 	if n := report.BorderEnds; n.Complete+n.BrokenOff > 0 {
 		fmt.Printf("  streams that ended after a whole event as their replica terminated: %d complete, %d broken off\n", n.Complete, n.BrokenOff)
 	}
+	if n := report.Stalls; n.Count > 0 {
+		fmt.Printf("  processes stood still without a fault %d times, for %v at most\n", n.Count, n.Longest.Round(time.Millisecond))
+	}
 	if report.HeldForParts > 0 {
 		fmt.Printf("  %d ordinary requests were refused for a part of their prompts\n", report.HeldForParts)
 	}
--- a/internal/soak/check_crowded.go
+++ b/internal/soak/check_crowded.go
@@ -2,8 +2,9 @@
 //
 // The inputs are the requests that callers sent to the service, with their workspaces and urgencies,
 // how each was answered, and when each was at which replica, running or queued there. A time is calm
-// if no daemon was disturbed or shut down in it, or within Recovery before it. The rules, for times in
-// which the service is crowded, from Settle after their start on:
+// if no daemon was disturbed or shut down in it, or within Recovery before it, and, but for QUEUED, no
+// process stood still for disturbingStall. The rules, for times in which the service is crowded, from
+// Settle after their start on:
 //
 //  1. PLACES: a replica holds no more requests than its slots plus extraPlaces, and no more than twice
 //     as many in a time that isn't calm. The number is averaged over Window: a replica sees requests
@@ -11,7 +12,8 @@
 //  2. IDLE: in a calm time no request is refused as full if slots were idle from IdleTime before it was
 //     sent until it was refused, more of them than planned returns were due, and no request waited.
 //  3. QUEUED: in a calm time no request waits for longer than Decision and is then refused as full, unless
-//     its deadline is near or it has been at a replica before.
+//     its deadline is near or it has been at a replica before. The time in which the process of its daemon,
+//     or that of the run, stood still (stalls.go) does not count as waiting.
 //  4. RETURN: in a calm time, while a planned return is valid, a request of its workspace and urgency is
 //     not refused as full, unless another of them may have used the return. A return was planned if the
 //     time to come back is less than returnFraction of what the caller has left.
@@ -181,8 +183,13 @@
 	return c.requests[i:]
 }
 
-// isCalm reports whether no failure may have had an effect in a time.
+// isCalm reports whether no failure, and no process that stood still, may have had an effect in a time.
 func (c *crowdedChecker) isCalm(from, to time.Time) bool {
+	return c.isWithoutFailure(from, to) && !c.hasStalled(from.Add(-c.bounds.Recovery), to)
+}
+
+// isWithoutFailure reports whether no failure may have had an effect in a time.
+func (c *crowdedChecker) isWithoutFailure(from, to time.Time) bool {
 	from = from.Add(-c.bounds.Recovery)
 	for _, list := range c.daemons {
 		if !noneOverlaps(list, from, to) {
@@ -310,12 +317,17 @@
 // checkRefusals applies rules 2 and 3.
 func (c *crowdedChecker) checkRefusals() {
 	for _, r := range c.requests {
-		if !r.isRefused() || !c.isCrowded(r.Sent, r.answer.At) || !c.isCalm(r.Sent, r.answer.At) {
+		if !r.isRefused() || !c.isCrowded(r.Sent, r.answer.At) || !c.isWithoutFailure(r.Sent, r.answer.At) {
 			continue
 		}
 		at := r.answer.At
 		if waited := at.Sub(r.Sent); waited > c.bounds.Decision && len(r.arrivals) == 0 && r.Deadline.Sub(at) > c.bounds.DeadlineSlack {
-			c.addTolerated("QUEUED", r, at, "was refused as full after it had waited for %v, through daemon %d", waited, r.Daemon)
+			if stalled := c.stalledFor(r.Daemon, r.Sent, at); waited-stalled > c.bounds.Decision {
+				c.addTolerated("QUEUED", r, at, "was refused as full after it had waited for %v, through daemon %d, whose process or the run's stood still for %v of it", waited, r.Daemon, stalled)
+			}
+		}
+		if !c.isCalm(r.Sent, at) {
+			continue
 		}
 		from := r.Sent.Add(-c.bounds.IdleTime)
 		idle := c.idleSlots(from, at)
--- a/internal/soak/check_crowded_test.go
+++ b/internal/soak/check_crowded_test.go
@@ -88,6 +88,8 @@
 		{"one more once the load has ended", "", func(s *crowdedScene) { s.hold(places+1, 120, 122) }},
 		{"twice as many while a daemon is disturbed", "", func(s *crowdedScene) { s.hold(2*places, 100, 102); s.DisturbDaemon(3, at(99.5), at(103)) }},
 		{"more than twice as many while a daemon is disturbed", "PLACES", func(s *crowdedScene) { s.hold(2*places+1, 100, 102); s.DisturbDaemon(3, at(99.5), at(103)) }},
+		{"twice as many while a process stands still", "", func(s *crowdedScene) { s.hold(2*places, 100, 102); s.StoodStill(3, at(99.8), at(99.9)) }},
+		{"more than twice as many while a process stands still", "PLACES", func(s *crowdedScene) { s.hold(2*places+1, 100, 102); s.StoodStill(3, at(99.8), at(99.9)) }},
 		{"twice as many while a daemon shuts down", "", func(s *crowdedScene) { s.hold(2*places, 100, 102); s.ShutdownBegan(3, at(99.5), at(103)) }},
 		{"one more just after a failure", "", func(s *crowdedScene) { s.hold(places+1, 100, 101); s.DisturbDaemon(3, at(95), at(99.1)) }},
 		{"one more long after a failure", "PLACES", func(s *crowdedScene) { s.hold(places+1, 100, 101); s.DisturbDaemon(3, at(95), at(97.9)) }},
@@ -156,6 +158,28 @@
 		}},
 		{"many refusals after long waits, after a failure", "", func(s *crowdedScene) { s.DisturbDaemon(3, at(95), at(98.5)); refuseAfter(s, 4, .2) }},
 
+		{"many refusals after long waits while their daemon's process stood still", "", func(s *crowdedScene) {
+			s.StoodStill(0, at(100.02), at(100.18))
+			refuseAfter(s, 4, .3)
+		}},
+		{"many refusals after long waits while the run's process stood still", "", func(s *crowdedScene) {
+			s.StoodStill(ownProcess, at(99.5), at(100.18))
+			refuseAfter(s, 4, .3)
+		}},
+		{"many refusals after waits longer than their daemon's process stood still", "QUEUED", func(s *crowdedScene) {
+			s.StoodStill(0, at(100.02), at(100.16))
+			refuseAfter(s, 4, .3)
+		}},
+		{"many refusals after waits longer than processes stood still at the same time", "QUEUED", func(s *crowdedScene) {
+			s.StoodStill(0, at(100.02), at(100.12))
+			s.StoodStill(ownProcess, at(100.02), at(100.12))
+			refuseAfter(s, 4, .3)
+		}},
+		{"many refusals after long waits while another daemon's process stood still", "QUEUED", func(s *crowdedScene) {
+			s.StoodStill(1, at(100), at(100.3))
+			refuseAfter(s, 4, .3)
+		}},
+
 		{"callers that come back as planned are refused", "RETURN", func(s *crowdedScene) { comeBack(s, 4, .25, .01, true) }},
 		{"few callers that come back as planned are refused", "", func(s *crowdedScene) { comeBack(s, 3, .25, .01, true) }},
 		{"another request of the workspace uses the planned return", "", func(s *crowdedScene) { comeBack(s, 4, .25, .01, false) }},
@@ -166,6 +190,8 @@
 		{"a modest workspace is refused", "SHARE", func(s *crowdedScene) { shareWith(s, 80, 20, 10, 5) }},
 		{"a modest workspace is served", "", func(s *crowdedScene) { shareWith(s, 80, 20, 10, 10) }},
 		{"few requests of a modest workspace are refused", "", func(s *crowdedScene) { shareWith(s, 80, 20, 10, 8) }},
+		{"a modest workspace is refused while a process stands still", "", func(s *crowdedScene) { s.StoodStill(3, at(97), at(97.1)); shareWith(s, 80, 20, 10, 5) }},
+		{"a modest workspace is refused while a process stands still for a moment", "SHARE", func(s *crowdedScene) { s.StoodStill(3, at(97), at(97.09)); shareWith(s, 80, 20, 10, 5) }},
 		{"one beyond its share is refused", "", func(s *crowdedScene) { shareWith(s, 80, 20, 14, 7) }},
 		{"one beside workspaces that send little more is refused", "", func(s *crowdedScene) { shareWith(s, 39, 20, 10, 5) }},
 		{"a modest workspace is refused after a failure", "", func(s *crowdedScene) { s.DisturbDaemon(3, at(89), at(95.9)); shareWith(s, 80, 20, 10, 5) }},
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -139,7 +139,7 @@
 		versions:        make(map[string][]versionSpan),
 		crowdedServices: make(map[string]*crowdedService),
 		replicaEnds:     make(map[string][]time.Time), orderlyEnds: make(map[string][]time.Time), hangUps: make(map[int][]time.Time), interruptions: make(map[int][]span), kills: make(map[int][]time.Time),
-		sources: make(map[string]int), outOfStep: make(map[int][]span),
+		sources: make(map[string]int), stalls: make(map[int][]span), outOfStep: make(map[int][]span),
 		connection: func(string, time.Time) (connRecord, bool) { return connRecord{}, false },
 		wasRead:    func(string, time.Time) (bool, string) { return true, "" },
 	}}
--- a/internal/soak/observations.go
+++ b/internal/soak/observations.go
@@ -49,6 +49,7 @@
 	hangUps         map[int][]time.Time      // when a daemon got a SIGHUP
 	interruptions   map[int][]span           // disturbances of a daemon that may end connections of its callers
 	kills           map[int][]time.Time      // of daemons by a fault
+	stalls          map[int][]span           // when the process of a daemon, or ownProcess, stood still by itself
 	sources         map[string]int           // daemons, by the IP address from which only they connect to replicas
 	// connection returns the link's record of a connection to a replica that was open at a time.
 	connection func(conn string, at time.Time) (connRecord, bool)
@@ -76,7 +77,7 @@
 	o.replicaEnds, o.hangUps, o.interruptions = cloneLists(o.replicaEnds), cloneLists(o.hangUps), cloneLists(o.interruptions)
 	o.orderlyEnds = cloneLists(o.orderlyEnds)
 	o.releases, o.outOfStep = slices.Clone(o.releases), cloneLists(o.outOfStep)
-	o.kills, o.sources = cloneLists(o.kills), maps.Clone(o.sources)
+	o.kills, o.sources, o.stalls = cloneLists(o.kills), maps.Clone(o.sources), cloneLists(o.stalls)
 	o.joined = maps.Clone(o.joined)
 	for service, replicas := range o.joined {
 		o.joined[service] = maps.Clone(replicas)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,6 +42,7 @@
 	HeldForParts  int               `json:"held_for_parts"`            // ordinary requests that were refused for a part of their prompts
 	BorderEnds    BorderEnds        `json:"border_ends"`               // streams that ended with their replica
 	Streams       StreamCount       `json:"streams"`                   // of callers that resume them
+	Stalls        StallCount        `json:"stalls"`                    // of processes, in plans with a crowded service
 	Brittle       []BrittleResult   `json:"brittle,omitempty"`
 	Violations    []Violation       `json:"violations"`
 	Excused       []Violation       `json:"excused"` // of backoffs that the daemon can't have read
@@ -218,6 +219,7 @@
 		crowds.Go(func() { crowd.run(ctx, r.begun, r.plan.Trouble) })
 		crowds.Go(func() { r.site.slowDown(ctx, r.begun, c.Slow) })
 		crowds.Go(func() { r.site.makeBrittle(ctx, r.begun, c.Brittle) })
+		go r.site.watchStalls(calling)
 	}
 	checking, stopChecking := context.WithCancel(ctx)
 	defer stopChecking()
@@ -282,6 +284,7 @@
 	r.report.HeldForParts = r.site.ledger.HeldForParts()
 	r.report.BorderEnds = r.site.ledger.BorderEnds()
 	r.report.Streams = r.site.ledger.Streams()
+	r.report.Stalls = r.site.ledger.Stalls()
 	r.report.Brittle = r.site.ledger.BrittleResults(now)
 	r.report.Share, r.report.QuietShare = share(totalServed, total), share(served, all)
 	if all < minRecoveryRequests || r.report.QuietShare < r.site.ledger.bounds.MinServed {
