--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -335,7 +335,7 @@
 	if l.logger.Level > log.InfoLevel && !answeredWithoutError(s) {
 		e = l.logger.Warn()
 	}
-	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("outcome", coordination.OutcomeName(s.Outcome)).
+	e.Str("request", string(c.ID)).Str("content", c.Content.String()).Str("route", c.Route.Name).Str("workspace", string(c.Workspace)).Str("outcome", coordination.OutcomeName(s.Outcome)).
 		Str("reason", reasonOf(s.Outcome)).Int("status", s.Status).Bool("gone", s.CallerGone).Str("ended_by", string(s.EndedBy)).Int("events", s.Events).
 		Int64("first_ms", s.FirstByte.Milliseconds()).Int64("total_ms", s.Total.Milliseconds()).
 		Int64("permit_ms", s.PermitWait.Milliseconds()).
