Soak: the planted fault of skipped configurations matches the code that keeps former splits

The line that takes a configuration over keeps the splits of the one before since; the plant skips the same configurations as before. Run: TestPlantedEditsMatchSources; the plant was not played.

--- a/internal/soak/plants_test.go
+++ b/internal/soak/plants_test.go
@@ -49,7 +49,7 @@
 	{name: "sends again what may have run", promise: "TWICE", file: "coordination/routing/retry.go",
 		text: "\tif coordination.MayRetry(o) {\n\t\treturn true", instead: "\tif o != nil {\n\t\treturn true"},
 	{name: "takes every third configuration not", promise: "CONFIG", file: "daemon/routes/catalog.go",
-		text: "c.table, c.tableItem, c.rejected = t, it, nil", instead: "if c.table == nil || it.Revision%3 != 0 {\n\t\tc.table = t\n\t}\n\tc.tableItem, c.rejected = it, nil"},
+		text: "c.table, c.tableItem, c.rejected = t.WithFormerSplits(c.table, now), it, nil", instead: "if c.table == nil || it.Revision%3 != 0 {\n\t\tc.table = t.WithFormerSplits(c.table, now)\n\t}\n\tc.tableItem, c.rejected = it, nil"},
 	{name: "passes on an answer to another request", promise: "MIXED", file: "transport/relay/exchange.go",
 		text: "if x.head.RequestID == x.call.ID {", instead: "if x.head.RequestID != \"\" {"},
 	{name: "sends work to leaving replicas", promise: "DRAIN", file: "coordination/routing/replicas.go",
