Splits that change in steps: the oldest split of a stream's time decides

Callers could get events of two services where the weights of a route change more than once while a stream lasts, as in a release by steps: only the split before the last change was remembered, so that a stream from before the first one went on at the service which the weights in between select.

--- a/coordination/routing/config.go
+++ b/coordination/routing/config.go
@@ -73,7 +73,7 @@
 	// workspaces; 0 is the most urgent.
 	Priority    int
 	totalWeight int
-	former      *formerSplit // nil: the split has not changed lately
+	former      []formerSplit // oldest first; empty: the split has not changed lately
 }
 
 // MayRunAgain reports whether the route's requests may run more than once.
--- a/coordination/routing/split_test.go
+++ b/coordination/routing/split_test.go
@@ -71,6 +71,36 @@
 	}
 }
 
+// TestWeightsThatChangeInSteps guards against streams that began before the first of several changes of weights, as in a release by
+// steps, and that go on at the service which the weights in between select.
+func TestWeightsThatChangeInSteps(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := []*routing.Table{splitRoute(t, 9, 1, nil)}
+	for i, weights := range [][2]int{{5, 5}, {1, 9}, {9, 1}} {
+		tables = append(tables, splitRoute(t, weights[0], weights[1], nil).WithFormerSplits(tables[i], now.Add(time.Duration(i)*5*time.Second)))
+	}
+	at := func(i int) *routing.Route {
+		r, _ := tables[i].Match("h", "/x")
+		return r
+	}
+	former := func(i int, draw uint64, after time.Duration) routing.ServiceName {
+		return at(i).FormerService(draw, now.Add(after))
+	}
+	for draw := range uint64(100) {
+		first, second, third := at(0).Service(draw), at(1).Service(draw), at(2).Service(draw)
+		if got := former(2, draw, 6*time.Second); first != third && got != first {
+			t.Errorf("the former service of draw %d is %q after two changes, want %q", draw, got, first)
+		}
+		if got := former(2, draw, 21*time.Second); second != third && got != second || second == third && got != "" {
+			t.Errorf("the former service of draw %d is %q once the streams of before the first change have ended, want that of the second", draw, got)
+		}
+		// The last weights are the first ones again. Streams that began in between are recorded.
+		if got := former(3, draw, 11*time.Second); (got != "") != (first != second || first != third) || got != "" && got != first {
+			t.Errorf("the former service of draw %d is %q after the weights returned to the first ones, which selected %q", draw, got, first)
+		}
+	}
+}
+
 // TestDrawsAreThoseOfTheLastBuild guards against a draw that differs from that of the last build: while a fleet is upgraded, daemons of
 // both would send the requests of a prompt, and the resumes of a stream, to different services.
 func TestDrawsAreThoseOfTheLastBuild(t *testing.T) {
--- a/coordination/routing/versions.go
+++ b/coordination/routing/versions.go
@@ -16,7 +16,6 @@
 package routing
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,11 +104,6 @@
 	return v.Versions[s], true
 }
 
-// HasVersion reports whether a ready replica of a service has a software version.
-func (v *View) HasVersion(s ServiceName, key VersionKey) bool {
-	return slices.ContainsFunc(v.Pool(s).Ready, func(r Replica) bool { return r.versionKey == key })
-}
-
 // KnowsVersions reports whether this daemon knows all versions that services had for as long as a stream can last.
 func (v *View) KnowsVersions(now time.Time) bool {
 	return !v.VersionsSince.IsZero() && now.Sub(v.VersionsSince) >= v.Table.StreamLife()
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -69,13 +69,15 @@
 // (coordination/routing/split.go). It returns false if no record tells the stream's version.
 func (s *activeCall) bindAfterChange(ctx context.Context) bool {
 	r, ok := s.findRecord(ctx)
-	if !ok || !s.View().HasVersion(s.call.Service, r.Version) {
+	if !ok {
 		s.call.Service = s.call.Former
+		return false
 	}
-	if ok {
-		s.bindToRecord(&r)
+	if service, found := s.View().ServiceOf(s.call.Route, r.Version); found {
+		s.call.Service = service
 	}
-	return ok
+	s.bindToRecord(&r)
+	return true
 }
 
 // bindToRecord binds a stream that its caller resumes to the version of its record.
--- a/transport/relay/split_test.go
+++ b/transport/relay/split_test.go
@@ -37,6 +37,9 @@
 	call := func(w *fixture, resumes routing.RequestID) *relay.Call {
 		c := w.call("2", "POST", "x")
 		c.Service, c.Former = "t", "s"
+		route := *c.Route
+		route.Shares = []routing.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+		c.Route = &route
 		if resumes != "" {
 			c.LastEventID, c.Resumes = "0", resumes
 		}
