Requests that waited out a pause of the process wait for the documents to be read

Callers saw: after a pause of a daemon of 5 s or more, requests that had waited in its sockets went to replicas of a failure domain that had been evacuated meanwhile, or were admitted with a key that had been withdrawn.

Cause: requests were served by the view of before the pause until the control loop had read the documents, some milliseconds later.

After a pause of 3 s or more a request waits while no read of the store, the daemon's own or one that a peer told of, is newer than 3 s, and at most until .2 s after the pause: before it is matched to a route, and before it is sent. A daemon that is cut off and was not paused waits for nothing.

The cost is up to .2 s for requests of the first .2 s after a pause of 3 s or more.

Ruled out: waiting without a limit, which would refuse callers where the store is away; confirmations by members that are heard (rule 5 of confirmations.go), by which a daemon alone confirms itself; waiting after shorter pauses, which leave time to learn of a change.

--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/membership"
 	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/state"
@@ -120,6 +121,7 @@
 	era                eraState
 	storeUnreachableAt time.Time                 // when the store was last known to be unreachable for this daemon or a peer
 	tickedAt           atomic.Pointer[time.Time] // last
+	resumedAt          atomic.Pointer[time.Time] // the tick that found the last long pause of the process
 	startedAt          time.Time
 	statsLoggedAt      time.Time
 }
@@ -153,6 +155,7 @@
 	defer ticker.Stop()
 	defer c.permits.timer.Stop()
 	c.startedAt = clock.Now()
+	c.tickedAt.Store(new(c.startedAt)) // a pause may begin before the first tick
 	c.roster.StartListening(c.startedAt)
 	c.planReads(clock.Now())
 	c.sendHeartbeat(clock.Now())
@@ -370,7 +373,11 @@
 // the connection may have been lost during the pause, and the last result is outdated. So is the history of
 // versions.
 func (c *control) detectPause(now time.Time) {
-	last := c.tickedAt.Swap(&now)
+	last := c.tickedAt.Load()
+	if last != nil && now.Sub(*last) >= coordination.LongPause {
+		c.resumedAt.Store(&now) // before tickedAt: requests look at both
+	}
+	c.tickedAt.Store(&now)
 	if last == nil || now.Sub(*last) < pauseThreshold {
 		return
 	}
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -162,7 +162,7 @@
 		View: d.View, Placer: d.control.permits.placer,
 		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes, PartCrashes: t.partCrashes,
 		RequestTransfer: d.control.borrow, Permits: d.control.permits.gate, Origins: streamOrigins{d.control},
-		Closing: d.closing.Load,
+		AwaitRead: d.control.awaitRead, Closing: d.closing.Load,
 	})
 	d.callers.Server.Handler = d.countOpen(d.platform.Front(d))
 	d.readiness.Server.Handler = d.readyHandler()
@@ -218,10 +218,11 @@
 
 // ViewForCaller returns the view for a request whose caller waits for the given time.
 // Until the daemon has its first configuration, ViewForCaller waits for it for part of
-// that time.
+// that time. After a long pause of the process it waits for the documents to be read.
 func (d *Daemon) ViewForCaller(ctx context.Context, left time.Duration) *routing.View {
-	if v := d.View(); v.Table != nil {
-		return v
+	if d.View().Table != nil {
+		d.control.awaitRead(ctx)
+		return d.View()
 	}
 	d.control.post(ctx, callerWaiting{})
 	wait := time.NewTimer(routing.ConfigWait(left, clock.Since(d.started)))
--- a/daemon/routes/daemon_test.go
+++ b/daemon/routes/daemon_test.go
@@ -412,6 +412,30 @@
 		Expect(n.statusForK1()).To(Equal(200))
 	})
 
+	// Guards against requests that waited in the sockets while the process was paused, and are sent to a failure domain that
+	// was evacuated meanwhile, or with a key that was withdrawn, before the documents are read.
+	It("reads the documents after a long pause before it sends requests", func() {
+		var evacuated atomic.Int64
+		s.replica("i1", func(w http.ResponseWriter, _ *http.Request) { evacuated.Add(1); fmt.Fprint(w, "x") })
+		n := s.start()
+		Eventually(n.ready, 3*time.Second).Should(BeTrue())
+		Expect(n.statusForK1()).To(Equal(200))
+		resume := n.PauseControl()
+		s.store.Put("op/evacuate/z0", []byte("{}"))
+		time.Sleep(coordination.LongPause + 100*time.Millisecond)
+		before := evacuated.Load()
+		statuses := make(chan int)
+		for range 8 {
+			go func() { statuses <- n.statusForK1() }()
+		}
+		time.Sleep(20 * time.Millisecond) // the requests are read before the documents
+		resume()
+		for range 8 {
+			Expect(<-statuses).To(Equal(503))
+		}
+		Expect(evacuated.Load()).To(Equal(before), "requests at a replica of the evacuated domain")
+	})
+
 	It("continues with the known documents while the store is down", func() {
 		s.replica("i1", respondOK)
 		n := s.start()
--- a/daemon/routes/export_test.go
+++ b/daemon/routes/export_test.go
@@ -1,6 +1,10 @@
 package routes
 
-import "hingewinch.org/hingewinch/daemon"
+import (
+	"context"
+
+	"hingewinch.org/hingewinch/daemon"
+)
 
 // ListenerKind identifies one of the daemon's listeners.
 type ListenerKind int
@@ -34,3 +38,11 @@
 func (d *Daemon) SharesCrashes() bool {
 	return d.control.crashes != nil && d.Relay.Crashes == d.control.crashes
 }
+
+// PauseControl keeps the control loop from doing anything until the function that it returns is called. What arrives waits in
+// the queue, as it waits in sockets while the process is paused.
+func (d *Daemon) PauseControl() (resume func()) {
+	reply := make(chan documentsResponse)
+	d.control.post(context.Background(), documentsRequested{reply: reply})
+	return func() { <-reply }
+}
--- a/daemon/routes/lease.go
+++ b/daemon/routes/lease.go
@@ -86,6 +86,7 @@
 	if before := c.documents.confirmedAt.Load(); !at.IsZero() && (before == nil || at.After(*before)) {
 		c.documents.confirm(at)
 	}
+	c.documents.confirmRead(&l.confirmations, now)
 	if lapsed := !now.Before(l.seenUntil.Add(membership.VersionLease)); lapsed != l.lapsed {
 		l.lapsed = lapsed
 		c.log.Lease(lapsed, now.Sub(l.seenUntil))
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -31,6 +31,9 @@
 	RequestTransfer func(ctx context.Context, s routing.ServiceName, missing routing.Retries) routing.Retries
 	Permits         Permits // nil: no service needs permits
 	Origins         Origins // nil: replicas of all software versions may go on with a stream
+	// AwaitRead waits for a short time after a pause of the process, until what the view is built from has been read;
+	// nil: it is always read.
+	AwaitRead func(ctx context.Context)
 	// Closing reports whether the daemon closes its callers' connections, since its grace period is over; nil: never.
 	Closing func() bool
 }
@@ -266,7 +269,11 @@
 		onSelfReport: func(report SelfReport) { s.applySelfReport(&t.Replica, a, report) },
 	}
 	defer x.closeUnlessReleased() // after a panic too: the connection counts towards the replica's limit
-	// The view, the replica's eligibility and the quarantine may have changed during connection setup.
+	// The view, the replica's eligibility and the quarantine may have changed during connection setup, and during a pause of
+	// the process.
+	if s.AwaitRead != nil {
+		s.AwaitRead(ctx)
+	}
 	if !s.View().IsReady(&t.Replica) {
 		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonConnect, RetryAfter: routing.RetryAfter}, err: errNotReady}
 	}
