The departure of an entry without a start time ends ten minutes after the replica said so

Callers saw: a replica whose entry has no `born`, and that started again under its id after it had announced its departure, got no requests for as long as its entry was there.

Cause: an announcement is final for an incarnation, and an entry without a start time stands for all incarnations of its id. Nothing limited how long it counted.

Change: for an entry without a start time an announcement counts for 10 minutes after the replica last made it. A replica that still leaves says so again in its next response, and is reported again. The record stays until its entry is gone, so that the reports of a daemon of the last build, which go on, don't bring it back.

"are removed some time after the last entry that names them" used a replica without a start time to check that a record outlasts an hour with its entry. It now has a start time, for which that rule still holds; the new test checks the other kind.

Ruled out: a change of the entry's state from draining to ready as the sign of a new start: a restored store brings former entries back.

--- a/coordination/routing/departures.go
+++ b/coordination/routing/departures.go
@@ -10,7 +10,9 @@
 //     it, and it is treated as if its entry said that it is draining.
 //  2. The announcement is final for that incarnation: no entry, list or response reverts it.
 //     Another incarnation is not affected. An entry without an incarnation time is taken for the
-//     same incarnation.
+//     same incarnation, but may be of another one that started under its id: for such an entry the
+//     announcement counts for unnamedRetention after the replica last made it. If it still runs, its
+//     next response announces it again.
 //  3. A new announcement is sent to other daemons at once, and forwarded once by each that
 //     receives it. While the entry still says that the replica is ready, it is also sent first of
 //     all to daemons that start, and each second to one random daemon (daemon/routes), because
@@ -39,6 +41,8 @@
 const (
 	// departureRetention covers entries that expire and reappear while the store has problems.
 	departureRetention = 10 * time.Minute
+	// unnamedRetention is far longer than a replica that leaves completes its requests.
+	unnamedRetention = 10 * time.Minute
 	// minDepartureCapacity bounds the announcements kept and queued in a fleet with fewer
 	// entries; with more entries the bound is their number, since all may leave at once. Beyond
 	// the bound, the one whose entry was seen longest ago is evicted.
@@ -59,9 +63,11 @@
 
 // departure is what is known of one incarnation that is leaving.
 type departure struct {
-	announcedAt time.Time // when it was announced
+	announcedAt time.Time // when it was last announced, as far as is known
 	lastNamed   time.Time // when an entry last named the incarnation, or when the departure became known
 	ready       bool      // the entry says that it is ready
+	// over says that it does not count any more, by rule 2. The record is kept, because other daemons may still report it.
+	over bool
 }
 
 // NewDepartures returns an empty record.
@@ -88,6 +94,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.announced[r.ID] = now
+	l.updateKnown()
+	if s := l.incarnations[r.LoadKey()]; s != nil && !s.over {
+		s.announcedAt = now
+		return false
+	}
 	return l.add(r.LoadKey(), now, now)
 }
 
@@ -107,10 +118,11 @@
 // add records the departure of an incarnation and, if it is new, queues a report. l.mu must be
 // held.
 func (l *Departures) add(key LoadKey, at, now time.Time) bool {
-	if l.incarnations[key] != nil {
+	known := l.incarnations[key]
+	if known != nil && (!known.over || at.Sub(known.announcedAt) < unnamedRetention) {
 		return false
 	}
-	if len(l.incarnations) >= l.outbox.capacity {
+	if known == nil && len(l.incarnations) >= l.outbox.capacity {
 		l.evictOldest()
 	}
 	l.incarnations[key] = &departure{announcedAt: at, lastNamed: now, ready: true}
@@ -144,7 +156,13 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	_, wasAnnounced := l.announced[r.ID]
-	return l.incarnations[r.LoadKey()] != nil || r.StartTime == 0 && wasAnnounced
+	return l.counts(r.LoadKey()) || r.StartTime == 0 && wasAnnounced
+}
+
+// counts reports whether an incarnation announced its departure. l.mu must be held.
+func (l *Departures) counts(key LoadKey) bool {
+	s := l.incarnations[key]
+	return s != nil && !s.over
 }
 
 // Apply moves the replicas that announced their departure from p.Ready to p.Draining. It returns
@@ -176,7 +194,10 @@
 	if p.positions != nil {
 		indexed = p.indexed
 		l.mu.RLock()
-		for key := range l.incarnations {
+		for key, s := range l.incarnations {
+			if s.over {
+				continue
+			}
 			if i, ok := p.positions.lookup(key); ok && p.Ready[i].LoadKey() == key {
 				out = out.with(i, len(p.Ready))
 			}
@@ -214,7 +235,7 @@
 	defer l.mu.RUnlock()
 	var keys []LoadKey
 	for key, s := range l.incarnations {
-		if key > after && s.ready {
+		if key > after && s.ready && !s.over {
 			keys = append(keys, key)
 		}
 	}
@@ -228,8 +249,9 @@
 	return reports, 0
 }
 
-// ObserveEntries records which replicas have entries, and removes departures by rule 4.
-func (l *Departures) ObserveEntries(replicas iter.Seq[Replica], now time.Time) {
+// ObserveEntries records which replicas have entries, and ends departures by rules 2 and 4. It returns true if views
+// must be rebuilt because a replica that has an entry no longer counts as leaving.
+func (l *Departures) ObserveEntries(replicas iter.Seq[Replica], now time.Time) (ended bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.incarnations {
@@ -240,6 +262,9 @@
 		entries++
 		if s := l.incarnations[r.LoadKey()]; s != nil {
 			s.lastNamed, s.ready = now, !r.Draining
+			if r.StartTime == 0 && !s.over && now.Sub(s.announcedAt) > unnamedRetention {
+				s.over, ended = true, true
+			}
 		}
 	}
 	l.outbox.capacity = max(minDepartureCapacity, entries)
@@ -251,7 +276,9 @@
 	for id, at := range l.announced {
 		if now.Sub(at) > departureRetention {
 			delete(l.announced, id)
+			ended = true
 		}
 	}
 	l.updateKnown()
+	return ended
 }
--- a/coordination/routing/departures_test.go
+++ b/coordination/routing/departures_test.go
@@ -76,7 +76,7 @@
 
 	It("are removed some time after the last entry that names them, and bounded in number", func() {
 		l := routing.NewDepartures()
-		r := routing.NewReplica(routing.Replica{ID: "r"})
+		r := routing.NewReplica(routing.Replica{ID: "r", StartTime: 5})
 		l.RecordAnnounced(&r, epoch)
 		l.ObserveEntries(slices.Values([]routing.Replica{r}), epoch.Add(time.Hour))
 		Expect(l.IsLeaving(&r)).To(BeTrue())
@@ -93,6 +93,55 @@
 	})
 })
 
+// TestDepartureOfAnEntryWithoutStartTimeEnds guards against a replica that starts again under its id, whose entry does not say
+// so, and which gets nothing for as long as it runs; and against one that leaves slowly and gets requests all that time.
+func TestDepartureOfAnEntryWithoutStartTimeEnds(t *testing.T) {
+	r := routing.NewReplica(routing.Replica{ID: "r"})
+	entries := slices.Values([]routing.Replica{r})
+	// observe applies the entry each second, from one time until another, both since the announcement.
+	observe := func(l *routing.Departures, from, until time.Duration) (ended time.Duration) {
+		for at := from; at <= until; at += time.Second {
+			if l.ObserveEntries(entries, epoch.Add(at)) && !l.IsLeaving(&r) {
+				ended = at
+			}
+		}
+		return ended
+	}
+	here, there := routing.NewDepartures(), routing.NewDepartures()
+	here.RecordAnnounced(&r, epoch)
+	there.Observe(here.TakeReports(10, epoch), epoch)
+	for name, l := range map[string]*routing.Departures{"the daemon that it announced it to": here, "another daemon": there} {
+		observe(l, 0, 9*time.Minute)
+		if !l.IsLeaving(&r) {
+			t.Fatalf("%s: not leaving after 9 minutes", name)
+		}
+		if ended := observe(l, 9*time.Minute, time.Hour); ended == 0 || ended > 11*time.Minute {
+			t.Errorf("%s: leaving until %v after it said so, want about 10 minutes (0: an hour)", name, ended)
+		}
+		// A daemon of the last build reports it as long as the entry is there.
+		if l.Observe([]routing.DepartureReport{{Replica: r.LoadKey(), Age: time.Hour}}, epoch.Add(time.Hour)); l.IsLeaving(&r) {
+			t.Errorf("%s: an old report counts again", name)
+		}
+		if reports, _ := l.All(0, 10, epoch.Add(time.Hour)); len(reports) > 0 {
+			t.Errorf("%s: still reports it", name)
+		}
+	}
+	if !here.RecordAnnounced(&r, epoch.Add(time.Hour)) || !here.IsLeaving(&r) {
+		t.Error("a replica that announces it again is not leaving")
+	}
+	reports := here.TakeReports(10, epoch.Add(time.Hour))
+	if there.Observe(reports, epoch.Add(time.Hour)); len(reports) != 1 || !there.IsLeaving(&r) {
+		t.Errorf("another daemon does not learn that it is announced again: %v", reports)
+	}
+	if ended := observe(here, time.Hour, time.Hour+9*time.Minute); ended != 0 {
+		t.Errorf("the second announcement ended after %v", ended)
+	}
+	here.RecordAnnounced(&r, epoch.Add(time.Hour+9*time.Minute))
+	if ended := observe(here, time.Hour+9*time.Minute, time.Hour+18*time.Minute); ended != 0 {
+		t.Error("a replica that keeps announcing it is not leaving any more")
+	}
+}
+
 // TestAllReplicasOfLargeFleetMayLeave simulates a release of most replicas of a large fleet at
 // once, announced in their responses: none may be forgotten while its entry says that it is
 // ready.
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -175,7 +175,7 @@
 		return
 	}
 	if c.departures.Known() {
-		c.departures.ObserveEntries(c.catalog.allReplicas(), now)
+		c.viewStale = c.departures.ObserveEntries(c.catalog.allReplicas(), now) || c.viewStale
 	}
 	targets := c.targets(false, now)
 	if len(targets) == 0 {
--- a/daemon/routes/statements_test.go
+++ b/daemon/routes/statements_test.go
@@ -60,6 +60,28 @@
 	check("after it restarted", 2)
 }
 
+// TestDepartureOfAnEntryWithoutStartTimeLeavesTheView guards against a view that keeps a replica among the draining ones although
+// its departure no longer counts.
+func TestDepartureOfAnEntryWithoutStartTimeLeavesTheView(t *testing.T) {
+	c := newQuietControl(t)
+	now := time.Unix(1_000_000, 0)
+	applyEntries(c, 2, now, map[string]string{"replica-1": "", "replica-2": ""})
+	r := c.view.Load().Pool("s").Ready[0]
+	c.departures.RecordAnnounced(&r, now)
+	for _, s := range []struct {
+		ticks time.Duration
+		want  int
+	}{{9 * time.Minute, 1}, {2 * time.Minute, 2}} {
+		for end := now.Add(s.ticks); now.Before(end); now = now.Add(heartbeatInterval) {
+			c.viewStale = c.viewStale || now.Equal(time.Unix(1_000_000, 0)) // as when the departure becomes known
+			c.tick(t.Context(), now)
+		}
+		if n := len(c.view.Load().Pool("s").Ready); n != s.want {
+			t.Errorf("%v after it said so %d replicas are ready, want %d", now.Sub(time.Unix(1_000_000, 0)), n, s.want)
+		}
+	}
+}
+
 // TestDepartureIsReportedToOtherDaemons checks with two control loops that an announced departure is sent to the
 // other daemon immediately and when that daemon restarts, and takes effect there.
 func TestDepartureIsReportedToOtherDaemons(t *testing.T) {
