Permits: a daemon that has started knows sooner that its roster is complete

What callers saw: for 1.2 s after the start of a daemon, or of a whole fleet, it refused requests to a saturated service as upstreams_full although slots were free.

Cause: a daemon decided alone, with one place and pauses of .2 s, for a second from its first tick, which is .2 s after its start. Only a report of more daemons than it knew ended that sooner. In a fleet of up to 13 daemons the first heartbeat names all of them and their number at once, so that such a report never came; and a daemon without seeds waited for others that it can't know of.

Change (coordination/admission/settle.go): the roster is complete, too, once the daemon knows a member that started 2 s before it, and three quarters of the daemons; once all its seeds are members and none has joined for .3 s; and at once if it has no seeds. While it has just started, each heartbeat updates its members, from its start on. No message changes.

--- a/coordination/admission/client.go
+++ b/coordination/admission/client.go
@@ -24,12 +24,9 @@
 //     are no permits of three coordinators. A return to the one before is possible at any time.
 //  5. If the coordinator of the domain is silent too, if the domain has no replica, or if a fleet
 //     of several daemons has no other live member, the daemon decides alone: its own coordinator
-//     grants an equal share of the places. It also does so for settleFor after its start, while
-//     its roster may be incomplete. Daemons that start together would otherwise each consider
-//     themselves the coordinator. A request from another daemon ends that time: the other one has
-//     a complete roster, because otherwise it would decide alone. So do members that are with this
-//     daemon three quarters of the fleet, as soon as another daemon has reported more daemons than
-//     this one knew: until then, the size of the fleet is the number of known daemons.
+//     grants an equal share of the places. It also does so after its start, while its roster may be
+//     incomplete (settle.go). Daemons that start together would otherwise each consider themselves
+//     the coordinator.
 //  6. A message lists all asks without a decision and all permits that this coordinator granted. If
 //     more than MaxPending asks wait, it lists first those that the coordinator has not queued yet, the
 //     most urgent ones ahead, and then those that were listed longest ago. The coordinator keeps the
@@ -90,8 +87,6 @@
 	probeActive = time.Second
 	// stayFor is several times as long as a request to a service with permits usually takes.
 	stayFor = 100 * time.Millisecond
-	// settleFor is five heartbeats, after which daemons that started together know each other.
-	settleFor = time.Second
 	// settlingShare grants one place while the size of the fleet is unknown.
 	settlingShare = 1e-3
 	// maxFinished bounds the finished permits in a message. The coordinator learns that others have
--- a/coordination/admission/daemon.go
+++ b/coordination/admission/daemon.go
@@ -27,9 +27,12 @@
 	domains      map[membership.Address]state.FailureDomain
 	daemons      int       // in the fleet, including this one
 	settled      time.Time // when the roster is complete after the start; zero before SetMembers
-	sizeReported bool      // another daemon reported a larger fleet than this one knew
-	first        Sequence  // the messages of this incarnation have higher sequence numbers
-	sequence     Sequence  // of the newest message
+	begun        time.Time // of the first SetMembers
+	joined       time.Time // when the members last changed, while the roster may be incomplete
+	evidence     RosterEvidence
+	sizeReported bool     // another daemon reported a larger fleet than this one knew
+	first        Sequence // the messages of this incarnation have higher sequence numbers
+	sequence     Sequence // of the newest message
 	clients      map[pool]*client
 	brittle      map[routing.ServiceName]brittleSpell // services whose replicas are brittle
 	active       []*client
@@ -103,17 +106,17 @@
 // SetMembers sets the live daemons that may coordinate: not leaving, not in a failure domain that
 // is cut off, without this daemon. daemons is the size of the fleet, including this daemon.
 func (d *Daemon) SetMembers(live []membership.Member, daemons int, now time.Time) {
-	if d.settled.IsZero() {
-		d.settled = now.Add(settleFor)
+	changed := daemons != d.daemons || !d.sameMembers(live)
+	if d.begun.IsZero() {
+		d.begun, changed = now, true
 	}
 	if d.isSettling(now) {
-		// Without a report of another daemon, the size is the number of those that are known.
-		d.sizeReported = d.sizeReported || daemons > len(live)+1
-		if d.sizeReported && 4*(len(live)+1) >= 3*daemons {
-			d.settled = now
+		if changed {
+			d.joined = now
 		}
+		d.settle(len(live)+1, daemons, now)
 	}
-	if daemons == d.daemons && d.sameMembers(live) {
+	if !changed {
 		return // heartbeats change the age of members only
 	}
 	incarnations := make(map[membership.Address]membership.Incarnation, len(live))
@@ -141,9 +144,6 @@
 	}
 }
 
-// isSettling reports whether the roster may be incomplete because the daemon has just started.
-func (d *Daemon) isSettling(now time.Time) bool { return d.settled.IsZero() || now.Before(d.settled) }
-
 // sameMembers reports whether a list has the same members as the previous one, in whatever order.
 func (d *Daemon) sameMembers(live []membership.Member) bool {
 	if len(live) != len(d.members) {
@@ -279,11 +279,9 @@
 		return
 	}
 	c.heardFrom(r.From)
-	if d.isSettling(now) { // the sender's roster is complete, by rule 5 of client.go
+	if d.isSettling(now) { // rule 6 of settle.go
 		d.settled = now
-		for _, c := range d.clients {
-			c.chosen = false
-		}
+		d.forgetChosen()
 	}
 	if !c.isReplica() && r.Scope != "" && r.Scope != Scope(d.self.Domain) {
 		return // each domain has a coordinator of its own
--- a/coordination/admission/load_test.go
+++ b/coordination/admission/load_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,10 @@
 	// cutAfter is how long after the begin of the load the daemons of the first failure domain and the others no longer
 	// hear each other; 0: never. All reach all replicas.
 	cutAfter time.Duration
+	// starts lets daemons of the fleet start, and returns when the load begins. nil: all have run for long, and know each other.
+	starts func(*loadSim)
+	// lasts is how long the load lasts; 0: loadWarmUp and loadLasts.
+	lasts time.Duration
 }
 
 // loadTiming are the times of a load, and what a replica can handle in a second.
@@ -103,18 +108,20 @@
 
 // loadResult is what came of the calls of one run.
 type loadResult struct {
-	all         outcomes
-	byUrgency   [3]outcomes
-	byWorkspace [loadWorkspaces]outcomes
-	rejected    int // arrivals at full replicas
-	refusals    int // first refusals, after which callers came back
-	messages    int
-	saturations int           // how often a daemon found the service saturated
-	alone       int           // decisions without a coordinator
-	held        int           // refusals of calls that had waited for more than heldTime
-	longest     time.Duration // wait for a decision
-	most        int           // requests with a permit at one replica
-	crowding    float64       // the highest mean number of requests at one replica in a crowdingWindow
+	all          outcomes
+	byUrgency    [3]outcomes
+	byWorkspace  [loadWorkspaces]outcomes
+	rejected     int // arrivals at full replicas
+	refusals     int // first refusals, after which callers came back
+	messages     int
+	saturations  int           // how often a daemon found the service saturated
+	alone        int           // decisions without a coordinator
+	held         int           // refusals of calls that had waited for more than heldTime
+	longest      time.Duration // wait for a decision
+	most         int           // requests with a permit at one replica
+	crowding     float64       // the highest mean number of requests at one replica in a crowdingWindow
+	aloneIdle    int           // refusals by daemons that decided alone, while a slot was idle
+	out, mostOut int           // requests with a permit, and the most at a time
 }
 
 // loadSim plays a load. The event loop is that of a world, without its daemons.
@@ -218,10 +225,16 @@
 	}
 	for i, d := range s.fleet {
 		others := append(append([]membership.Member(nil), members[:i]...), members[i+1:]...)
-		d.d.SetMembers(others, c.daemons, s.now)
 		d.d.SetReplicas(svc, replicas, s.now)
+		if c.starts == nil {
+			d.d.SetMembers(others, c.daemons, s.now)
+		}
+	}
+	if c.starts == nil {
+		s.run(settleFor + time.Millisecond) // until the daemons know each other
+	} else {
+		c.starts(s)
 	}
-	s.run(settleFor + time.Millisecond) // until the daemons know each other
 	s.begun = s.now
 	s.changeSpeeds()
 	for i, d := range s.fleet {
@@ -242,7 +255,7 @@
 // arrive lets a burst of calls come, and then the next one.
 func (s *loadSim) arrive() {
 	at := s.now.Sub(start)
-	if at > loadWarmUp+loadLasts {
+	if at > loadWarmUp+loadLasts || s.lasts > 0 && s.now.Sub(s.begun) > s.lasts {
 		return
 	}
 	wave := 1 + waveHeight*math.Sin(2*math.Pi*at.Seconds()/s.timing.wave.Seconds())
@@ -467,6 +480,9 @@
 		case Decided:
 			if e.Alone {
 				s.alone++
+				if _, refused := e.Decision.(Refused); refused && slices.ContainsFunc(s.replicas, func(r *loadReplica) bool { return r.busy < loadSlots }) {
+					s.aloneIdle++
+				}
 			}
 			s.longest = max(s.longest, e.Waited)
 			if _, refused := e.Decision.(Refused); refused && e.Waited > heldTime {
@@ -495,11 +511,12 @@
 	case Granted:
 		r := s.replica(e.Replica)
 		r.granted++
-		if r.granted > s.most {
-			s.most = r.granted
-		}
+		s.most = max(s.most, r.granted)
+		s.out++
+		s.mostOut = max(s.mostOut, s.out)
 		d.send(c, e.Replica, func(result Result, took time.Duration) {
 			r.granted--
+			s.out--
 			d.d.Finish(svc, Finished{ID: e.ID, Took: took, Result: result}, s.now)
 			d.take()
 		})
@@ -574,6 +591,8 @@
 		sum.messages += r.messages
 		sum.saturations += r.saturations
 		sum.alone += r.alone
+		sum.mostOut = max(sum.mostOut, r.mostOut)
+		sum.aloneIdle += r.aloneIdle
 		sum.held += r.held
 		sum.longest = max(sum.longest, r.longest)
 		sum.most = max(sum.most, r.most)
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -156,6 +156,7 @@
 	defer c.permits.timer.Stop()
 	c.startedAt = clock.Now()
 	c.roster.StartListening(c.startedAt)
+	c.startPermitMembers(c.startedAt)
 	c.planReads(clock.Now())
 	c.sendHeartbeat(clock.Now())
 	for {
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -27,7 +27,7 @@
 	}
 	return &control{
 		syncs:        syncState{fetch: noPeer},
-		sharedTables: tables, permits: newPermits(admission.NewDaemon(membership.Member{Address: "10.0.0.1:1"}), tables.placer()),
+		sharedTables: tables, permits: newPermits(admission.NewDaemon(membership.Member{Address: "10.0.0.1:1"}), tables.placer(), nil),
 		log: l, daemons: 1, catalog: newCatalog(d, l),
 		roster:     membership.NewRoster(membership.Member{Address: "10.0.0.1:1"}, nil),
 		heartbeats: heartbeatState{rng: rand.New(rand.NewPCG(1, 1))},
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -177,13 +178,14 @@
 func (d *Daemon) newControl(t sharedTables) *control {
 	s := d.settings
 	self := membership.Member{Address: s.advertised(), Domain: s.Domain, Incarnation: incarnationAt(time.Now())}
+	otherSeeds := slices.DeleteFunc(s.seedPeers(), func(a membership.Address) bool { return a == self.Address })
 	c := &control{
 		sharedTables: t, domain: s.Domain, log: d.Log, daemons: 1,
 		roster:      membership.NewRoster(self, s.seedPeers()),
 		catalog:     newCatalog(d.platform.Documents, d.Log),
 		heartbeats:  heartbeatState{send: d.peers.send, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		syncs:       syncState{fetch: d.peers.fetch, newer: make(map[membership.Address]newerPeer)},
-		permits:     newPermits(admission.NewDaemon(self), t.placer()),
+		permits:     newPermits(admission.NewDaemon(self), t.placer(), otherSeeds),
 		events:      make(chan event, eventQueue),
 		configured:  make(chan struct{}),
 		ended:       make(chan struct{}),
--- a/daemon/routes/heartbeat.go
+++ b/daemon/routes/heartbeat.go
@@ -150,6 +150,7 @@
 		c.dropLostCarriers(now)
 	}
 	c.roster.ObserveSize(h.FleetSize)
+	c.startPermitMembers(now)
 	c.planReads(now)
 	if h.Sender.StoreUnreachable {
 		c.storeUnreachableAt = now
--- a/daemon/routes/permits.go
+++ b/daemon/routes/permits.go
@@ -23,12 +23,19 @@
 	// permitServiceRetention is how long after the last event about a service without permits its
 	// replicas are kept up to date: longer than a service stays saturated (2 s).
 	permitServiceRetention = 5 * time.Second
+	// permitStartTime is how long after its start a daemon takes each heartbeat into account at once: longer than it may
+	// take to know the other daemons.
+	permitStartTime = 2 * time.Second
+	// settledIncarnations is how much earlier than this daemon a member started that knows the others, in units of
+	// [incarnationUnit]. It leaves a second for clocks that differ.
+	settledIncarnations = membership.Incarnation(2 * time.Second / incarnationUnit)
 	// minPermitDelay bounds how often the timer fires.
 	minPermitDelay = time.Millisecond
 )
 
 // permitDaemon decides about permits. [admission.Daemon] implements it; tests replace it.
 type permitDaemon interface {
+	SetRosterEvidence(e admission.RosterEvidence)
 	SetMembers(live []membership.Member, daemons int, now time.Time)
 	SetLeaving()
 	SetReplicas(s routing.ServiceName, list []admission.Replica, now time.Time)
@@ -59,6 +66,7 @@
 	daemon permitDaemon
 	placer *routing.Placer
 	gate   *permitGate
+	seeds  []membership.Address // without this daemon
 	lastID admission.PermitID
 	// asks are the requests of this daemon that wait for a permit or hold one.
 	asks map[admission.PermitID]*permitAsk
@@ -74,11 +82,11 @@
 	due   time.Time
 }
 
-func newPermits(d permitDaemon, p *routing.Placer) *permits {
+func newPermits(d permitDaemon, p *routing.Placer, seeds []membership.Address) *permits {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
 	return &permits{
-		daemon: d, placer: p, gate: &permitGate{}, timer: timer,
+		daemon: d, placer: p, seeds: seeds, gate: &permitGate{}, timer: timer,
 		asks: make(map[admission.PermitID]*permitAsk), services: make(map[routing.ServiceName]time.Time),
 	}
 }
@@ -195,14 +203,10 @@
 	c.settlePermits(now)
 }
 
-// tickPermits does what is due. It costs nothing while no service is in use. A daemon that has just
-// started learns of its members in any case: it can't tell yet whether it is alone.
+// tickPermits does what is due. It costs nothing while no service is in use.
 func (c *control) tickPermits(now time.Time) {
 	p := c.permits
 	if len(p.services) == 0 && len(p.brittle) == 0 {
-		if p.membersSetAt.IsZero() {
-			c.setPermitMembers(now)
-		}
 		return
 	}
 	for s, at := range p.services {
@@ -265,12 +269,43 @@
 		return
 	}
 	p.membersSetAt = now
+	c.updatePermitMembers(now)
+}
+
+// startPermitMembers updates the daemons that may coordinate while this daemon has just started: at its start, and with each
+// heartbeat. Until it knows that its roster is complete, it decides alone (coordination/admission/settle.go). The roster of a
+// large fleet grows for longer than that.
+func (c *control) startPermitMembers(now time.Time) {
+	if now.Sub(c.startedAt) >= permitStartTime || c.largeFleet() {
+		return
+	}
+	c.updatePermitMembers(now)
+	if len(c.permits.services) > 0 {
+		c.settlePermits(now)
+	}
+}
+
+func (c *control) updatePermitMembers(now time.Time) {
+	p := c.permits
 	live := slices.DeleteFunc(c.roster.Live(now), func(m membership.Member) bool {
 		return m.Leaving || c.health.IsCutOff(m.Domain, now)
 	})
+	p.daemon.SetRosterEvidence(rosterEvidence(c.roster.Self(), p.seeds, live))
 	p.daemon.SetMembers(live, c.roster.Size(now), now)
 }
 
+// rosterEvidence returns what shows whether the live members are all daemons of the fleet.
+func rosterEvidence(self membership.Member, seeds []membership.Address, live []membership.Member) admission.RosterEvidence {
+	e := admission.RosterEvidence{Seedless: len(seeds) == 0, KnowsSeeds: true}
+	for _, s := range seeds {
+		e.KnowsSeeds = e.KnowsSeeds && slices.ContainsFunc(live, func(m membership.Member) bool { return m.Address == s })
+	}
+	e.KnowsSettled = slices.ContainsFunc(live, func(m membership.Member) bool {
+		return m.Incarnation+settledIncarnations <= self.Incarnation
+	})
+	return e
+}
+
 // settlePermits carries out what the calls of the daemon since the last time require, publishes which
 // services need permits, and sets the timer. Each event about permits ends with it.
 func (c *control) settlePermits(now time.Time) {
--- a/daemon/routes/permits_test.go
+++ b/daemon/routes/permits_test.go
@@ -25,6 +25,7 @@
 	replicas  map[routing.ServiceName][]admission.Replica
 	members   []membership.Member
 	daemons   int
+	evidence  admission.RosterEvidence
 	asks      []admission.Ask
 	withdrawn []admission.PermitID
 	finished  []admission.Finished
@@ -38,6 +39,8 @@
 
 var _ permitDaemon = (*fakePermitDaemon)(nil)
 
+func (d *fakePermitDaemon) SetRosterEvidence(e admission.RosterEvidence) { d.evidence = e }
+
 func (d *fakePermitDaemon) SetMembers(live []membership.Member, daemons int, _ time.Time) {
 	d.members, d.daemons = live, daemons
 	d.calls++
@@ -538,3 +541,53 @@
 		f.setPermitReplicas("s", f.now)
 	}
 }
+
+// TestStartingDaemonLearnsItsMembersAtOnce guards against a daemon that decides alone for a second after its start, although
+// heartbeats have told it who the others are: with one place, it refuses callers while slots are free.
+func TestStartingDaemonLearnsItsMembersAtOnce(t *testing.T) {
+	f := newPermitFixture(t)
+	f.startedAt = f.now
+	f.permits.seeds = []membership.Address{"10.0.0.2:1"}
+	f.startPermitMembers(f.now)
+	if f.fake.daemons != 1 || f.fake.evidence != (admission.RosterEvidence{}) {
+		t.Fatalf("%d daemons, %+v at the start, want this one alone, and no evidence", f.fake.daemons, f.fake.evidence)
+	}
+	heartbeat := func(from membership.Address) {
+		f.post(heartbeatReceived{heartbeat: gossip.Heartbeat{Sender: membership.Member{Address: from, Incarnation: 1, Heartbeats: 1}, FleetSize: 2}})
+	}
+	f.now = f.now.Add(time.Millisecond)
+	heartbeat("10.0.0.2:1")
+	if f.fake.daemons != 2 || len(f.fake.members) != 1 || !f.fake.evidence.KnowsSeeds {
+		t.Errorf("%d daemons, members %v, %+v after a heartbeat of the seed", f.fake.daemons, f.fake.members, f.fake.evidence)
+	}
+	f.now = f.startedAt.Add(permitStartTime)
+	heartbeat("10.0.0.3:1")
+	if len(f.fake.members) != 1 {
+		t.Errorf("members %v: a heartbeat long after the start costs an update", f.fake.members)
+	}
+}
+
+// TestRosterEvidence guards against a daemon that takes a part of its fleet for all of it.
+func TestRosterEvidence(t *testing.T) {
+	const started = membership.Incarnation(1000)
+	self := membership.Member{Address: "10.0.0.1:1", Incarnation: started}
+	member := func(a membership.Address, i membership.Incarnation) membership.Member {
+		return membership.Member{Address: a, Incarnation: i}
+	}
+	for _, c := range []struct {
+		name  string
+		seeds []membership.Address
+		live  []membership.Member
+		want  admission.RosterEvidence
+	}{
+		{"no seeds, no members", nil, nil, admission.RosterEvidence{Seedless: true, KnowsSeeds: true}},
+		{"a seed that is missing", []membership.Address{"s1", "s2"}, []membership.Member{member("s1", started)}, admission.RosterEvidence{}},
+		{"all seeds", []membership.Address{"s1", "s2"}, []membership.Member{member("s1", started), member("s2", started+5)}, admission.RosterEvidence{KnowsSeeds: true}},
+		{"a member that has run for two seconds", []membership.Address{"s1"}, []membership.Member{member("d", started-20)}, admission.RosterEvidence{KnowsSettled: true}},
+		{"one that has run for less", []membership.Address{"s1"}, []membership.Member{member("d", started-19)}, admission.RosterEvidence{}},
+	} {
+		if got := rosterEvidence(self, c.seeds, c.live); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -77,7 +77,6 @@
 		store.PutReplica(standin.Replica{ID: id, Service: serviceGate, Address: startSlowReplica(t, id).Addr().String(), Domain: "z", Slots: 64, StartTime: time.Now().UnixMilli()})
 	}
 	d := startEndlessDaemon(t, binary, endpoint.Address())
-	time.Sleep(endlessSettling)
 	large, small := &endlessOutcomes{counts: make(map[string]int)}, &endlessOutcomes{counts: make(map[string]int)}
 	body := strings.Repeat("x", bodyBytes)
 	var wg sync.WaitGroup
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -33,9 +33,6 @@
 	endlessTimeout    = 3 * time.Second
 	endlessDuration   = time.Second
 	endlessMinServed  = 0.99
-	// endlessSettling is how long a daemon runs before the load begins. One that has just started refuses requests if its
-	// service turns out to be saturated, which a rejection or a busy machine shows, and this test is not about that.
-	endlessSettling = 3 * time.Second
 )
 
 // endlessForm is a response without end: what is sent once, and then again and again until the daemon closes the
@@ -398,7 +395,6 @@
 		for i := range endlessForms {
 			fleets[i] = startEndlessFleet(t, binary, load, &endlessForms[i])
 		}
-		time.Sleep(endlessSettling)
 		for _, f := range fleets {
 			t.Run(f.form.name, f.play)
 		}
