--- a/internal/soak/stalls.go
+++ b/internal/soak/stalls.go
@@ -28,8 +28,9 @@
 
 const (
 	stallInterval = 20 * time.Millisecond
-	// minStall is a third of the wait that QUEUED allows. Waits of some 10 to 30 ms are frequent while other processes run.
-	minStall = 50 * time.Millisecond
+	// minStall is the least that rule 1 shows of a wait, which is up to stallInterval longer. With 50 ms, requests that met
+	// several waits of 60 to 80 ms, of their daemon and of the run, were taken for queued ones.
+	minStall = 20 * time.Millisecond
 	// disturbingStall is a stall after which the bounds are those of a disturbed daemon: several times what daemons wait for a
 	// coordinator.
 	disturbingStall = 100 * time.Millisecond
