--- a/coordination/admission/load_test.go
+++ b/coordination/admission/load_test.go
@@ -64,7 +64,7 @@
 	// cutAfter is how long after the begin of the load the daemons of the first failure domain and the others no longer
 	// hear each other; 0: never. All reach all replicas.
 	cutAfter time.Duration
-	// starts lets daemons of the fleet start, and returns when the load begins. nil: all have run for long, and know each other.
+	// starts lets daemons of the fleet start, and returns when the load begins; nil: startLongAgo.
 	starts func(*loadSim)
 	// lasts is how long the load lasts; 0: loadWarmUp and loadLasts.
 	lasts time.Duration
@@ -117,6 +117,7 @@
 	saturations  int           // how often a daemon found the service saturated
 	alone        int           // decisions without a coordinator
 	held         int           // refusals of calls that had waited for more than heldTime
+	heldEarly    int           // of these, before their deadline
 	longest      time.Duration // wait for a decision
 	most         int           // requests with a permit at one replica
 	crowding     float64       // the highest mean number of requests at one replica in a crowdingWindow
@@ -212,7 +213,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var members []membership.Member
 	for i := range c.daemons {
 		m := membership.Member{Address: membership.Address(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)), Domain: domain(i), Incarnation: 1}
 		d := &loadDaemon{
@@ -220,21 +220,16 @@
 			placer: &routing.Placer{Loads: routing.NewLoads(), Health: routing.NewHealth()},
 			view:   &routing.View{Table: table, Domain: m.Domain, Daemons: c.daemons, Pools: map[routing.ServiceName]*routing.Pool{svc: s.pool}},
 		}
-		s.fleet, members = append(s.fleet, d), append(members, m)
+		s.fleet = append(s.fleet, d)
 		s.byName[m.Address] = d
 	}
-	for i, d := range s.fleet {
-		others := append(append([]membership.Member(nil), members[:i]...), members[i+1:]...)
+	for _, d := range s.fleet {
 		d.d.SetReplicas(svc, replicas, s.now)
-		if c.starts == nil {
-			d.d.SetMembers(others, c.daemons, s.now)
-		}
 	}
 	if c.starts == nil {
-		s.run(settleFor + time.Millisecond) // until the daemons know each other
-	} else {
-		c.starts(s)
+		c.starts = (*loadSim).startLongAgo
 	}
+	c.starts(s)
 	s.begun = s.now
 	s.changeSpeeds()
 	for i, d := range s.fleet {
@@ -249,6 +244,20 @@
 	return s.loadResult
 }
 
+// startLongAgo lets the daemons know each other.
+func (s *loadSim) startLongAgo() {
+	for _, d := range s.fleet {
+		var others []membership.Member
+		for _, o := range s.fleet {
+			if o != d {
+				others = append(others, o.d.self)
+			}
+		}
+		d.d.SetMembers(others, len(s.fleet), s.now)
+	}
+	s.run(settleFor + time.Millisecond)
+}
+
 // capacity is the number of requests that the service can handle in a second.
 func (c loadCase) capacity() float64 { return c.timing.handles * float64(c.replicas) }
 
@@ -487,6 +496,9 @@
 			s.longest = max(s.longest, e.Waited)
 			if _, refused := e.Decision.(Refused); refused && e.Waited > heldTime {
 				s.held++
+				if e.Waited < loadDeadline-heldTime {
+					s.heldEarly++
+				}
 			}
 			c := d.waiting[e.Decision.Permit()]
 			delete(d.waiting, e.Decision.Permit())
@@ -594,6 +606,7 @@
 		sum.mostOut = max(sum.mostOut, r.mostOut)
 		sum.aloneIdle += r.aloneIdle
 		sum.held += r.held
+		sum.heldEarly += r.heldEarly
 		sum.longest = max(sum.longest, r.longest)
 		sum.most = max(sum.most, r.most)
 		sum.crowding = max(sum.crowding, r.crowding)
--- a/coordination/admission/onset_test.go
+++ b/coordination/admission/onset_test.go
@@ -41,3 +41,24 @@
 		}
 	}
 }
+
+// Guards against calls that wait and are refused long before their deadline (QUEUED of the soak) when a workspace sends far more
+// than the service can handle, and the sides of a fleet that was cut for 5 s hear each other again. Load: 3 and 7 times what the
+// service can handle, from two urgencies.
+func TestNoCallWaitsAndIsRefusedAfterACut(t *testing.T) {
+	t.Parallel()
+	const cutAt, joinedAt = 1500 * time.Millisecond, 6500 * time.Millisecond
+	for _, daemons := range []int{3, 5} {
+		for _, level := range []float64{3, 7} {
+			c := onset(daemons, level, cutAt)
+			c.urgencies, c.lasts = 2, 12*time.Second
+			c.starts = func(s *loadSim) {
+				s.startLongAgo()
+				s.after(joinedAt, func() { s.cutAfter = 0 })
+			}
+			if r := c.playSeeds(t, seeds(2, 24)); r.heldEarly > 0 {
+				t.Errorf("%v: %d calls waited for more than %v and were refused before their deadline", c, r.heldEarly, heldTime)
+			}
+		}
+	}
+}
