--- a/coordination/admission/load_test.go
+++ b/coordination/admission/load_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,10 @@
 	// cutAfter is how long after the begin of the load the daemons of the first failure domain and the others no longer
 	// hear each other; 0: never. All reach all replicas.
 	cutAfter time.Duration
+	// starts lets daemons of the fleet start, and returns when the load begins; nil: startLongAgo.
+	starts func(*loadSim)
+	// lasts is how long the load lasts; 0: loadWarmUp and loadLasts.
+	lasts time.Duration
 }
 
 // loadTiming are the times of a load, and what a replica can handle in a second.
@@ -103,18 +108,21 @@
 
 // loadResult is what came of the calls of one run.
 type loadResult struct {
-	all         outcomes
-	byUrgency   [3]outcomes
-	byWorkspace [loadWorkspaces]outcomes
-	rejected    int // arrivals at full replicas
-	refusals    int // first refusals, after which callers came back
-	messages    int
-	saturations int           // how often a daemon found the service saturated
-	alone       int           // decisions without a coordinator
-	held        int           // refusals of calls that had waited for more than heldTime
-	longest     time.Duration // wait for a decision
-	most        int           // requests with a permit at one replica
-	crowding    float64       // the highest mean number of requests at one replica in a crowdingWindow
+	all          outcomes
+	byUrgency    [3]outcomes
+	byWorkspace  [loadWorkspaces]outcomes
+	rejected     int // arrivals at full replicas
+	refusals     int // first refusals, after which callers came back
+	messages     int
+	saturations  int           // how often a daemon found the service saturated
+	alone        int           // decisions without a coordinator
+	held         int           // refusals of calls that had waited for more than heldTime
+	heldEarly    int           // of these, before their deadline
+	longest      time.Duration // wait for a decision
+	most         int           // requests with a permit at one replica
+	crowding     float64       // the highest mean number of requests at one replica in a crowdingWindow
+	aloneIdle    int           // refusals by daemons that decided alone, while a slot was idle
+	out, mostOut int           // requests with a permit, and the most at a time
 }
 
 // loadSim plays a load. The event loop is that of a world, without its daemons.
@@ -205,7 +213,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var members []membership.Member
 	for i := range c.daemons {
 		m := membership.Member{Address: membership.Address(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)), Domain: domain(i), Incarnation: 1}
 		d := &loadDaemon{
@@ -213,15 +220,16 @@
 			placer: &routing.Placer{Loads: routing.NewLoads(), Health: routing.NewHealth()},
 			view:   &routing.View{Table: table, Domain: m.Domain, Daemons: c.daemons, Pools: map[routing.ServiceName]*routing.Pool{svc: s.pool}},
 		}
-		s.fleet, members = append(s.fleet, d), append(members, m)
+		s.fleet = append(s.fleet, d)
 		s.byName[m.Address] = d
 	}
-	for i, d := range s.fleet {
-		others := append(append([]membership.Member(nil), members[:i]...), members[i+1:]...)
-		d.d.SetMembers(others, c.daemons, s.now)
+	for _, d := range s.fleet {
 		d.d.SetReplicas(svc, replicas, s.now)
 	}
-	s.run(settleFor + time.Millisecond) // until the daemons know each other
+	if c.starts == nil {
+		c.starts = (*loadSim).startLongAgo
+	}
+	c.starts(s)
 	s.begun = s.now
 	s.changeSpeeds()
 	for i, d := range s.fleet {
@@ -236,13 +244,27 @@
 	return s.loadResult
 }
 
+// startLongAgo lets the daemons know each other.
+func (s *loadSim) startLongAgo() {
+	for _, d := range s.fleet {
+		var others []membership.Member
+		for _, o := range s.fleet {
+			if o != d {
+				others = append(others, o.d.self)
+			}
+		}
+		d.d.SetMembers(others, len(s.fleet), s.now)
+	}
+	s.run(settleFor + time.Millisecond)
+}
+
 // capacity is the number of requests that the service can handle in a second.
 func (c loadCase) capacity() float64 { return c.timing.handles * float64(c.replicas) }
 
 // arrive lets a burst of calls come, and then the next one.
 func (s *loadSim) arrive() {
 	at := s.now.Sub(start)
-	if at > loadWarmUp+loadLasts {
+	if at > loadWarmUp+loadLasts || s.lasts > 0 && s.now.Sub(s.begun) > s.lasts {
 		return
 	}
 	wave := 1 + waveHeight*math.Sin(2*math.Pi*at.Seconds()/s.timing.wave.Seconds())
@@ -467,10 +489,16 @@
 		case Decided:
 			if e.Alone {
 				s.alone++
+				if _, refused := e.Decision.(Refused); refused && slices.ContainsFunc(s.replicas, func(r *loadReplica) bool { return r.busy < loadSlots }) {
+					s.aloneIdle++
+				}
 			}
 			s.longest = max(s.longest, e.Waited)
 			if _, refused := e.Decision.(Refused); refused && e.Waited > heldTime {
 				s.held++
+				if e.Waited < loadDeadline-heldTime {
+					s.heldEarly++
+				}
 			}
 			c := d.waiting[e.Decision.Permit()]
 			delete(d.waiting, e.Decision.Permit())
@@ -495,11 +523,12 @@
 	case Granted:
 		r := s.replica(e.Replica)
 		r.granted++
-		if r.granted > s.most {
-			s.most = r.granted
-		}
+		s.most = max(s.most, r.granted)
+		s.out++
+		s.mostOut = max(s.mostOut, s.out)
 		d.send(c, e.Replica, func(result Result, took time.Duration) {
 			r.granted--
+			s.out--
 			d.d.Finish(svc, Finished{ID: e.ID, Took: took, Result: result}, s.now)
 			d.take()
 		})
@@ -574,7 +603,10 @@
 		sum.messages += r.messages
 		sum.saturations += r.saturations
 		sum.alone += r.alone
+		sum.mostOut = max(sum.mostOut, r.mostOut)
+		sum.aloneIdle += r.aloneIdle
 		sum.held += r.held
+		sum.heldEarly += r.heldEarly
 		sum.longest = max(sum.longest, r.longest)
 		sum.most = max(sum.most, r.most)
 		sum.crowding = max(sum.crowding, r.crowding)
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -157,6 +157,7 @@
 	c.startedAt = clock.Now()
 	c.tickedAt.Store(new(c.startedAt)) // a pause may begin before the first tick
 	c.roster.StartListening(c.startedAt)
+	c.startPermitMembers(c.startedAt)
 	c.planReads(clock.Now())
 	c.sendHeartbeat(clock.Now())
 	for {
