soak: a stream that its second replica can't go on with is not held against the daemon

The check blamed the daemon, since the second replica was sound.

A run at another software version than the one that the stream began at no longer shows that the daemon broke the stream off. Runs at the same version, of replicas that name none, and of streams that have not begun count as before.

TestCheckLossAtAnotherVersion: the cases "another version" and "another version since just before" failed before, by LOST; the five others hold the rule tight.

--- a/internal/soak/check_loss.go
+++ b/internal/soak/check_loss.go
@@ -13,7 +13,8 @@
 //     connection or kept the request from it, or it had failed; or if the daemon gave it up for another run that was under way, or that began then and wrote
 //     something. A run that the replica had completed counts as given up only if a link of the run held its bytes
 //     when the daemon closed the connection. What kind of replica it is, and what it was meant to do, does not matter. A
-//     silent replica is at work.
+//     silent replica is at work. Nor does a run at another software version than the one that the stream began at: its events
+//     must not be passed on (check_versions.go).
 //  3. The end of a graceful shutdown may break a request off (cutByShutdown).
 //  4. Each request that an undisturbed daemon broke off is a violation, whether or not work was planned then. Around a
 //     configuration, and around no signal, one that had used UsedShare of its time is none.
@@ -161,7 +162,7 @@
 	// A link of the run kept the request from a replica that it reached after the end.
 	wasHeldUp := run.At.After(r.answer.At) && len(r.runs) > 1
 	switch {
-	case wasHeldUp, j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300:
+	case wasHeldUp, j.replicaBrokeOff(r, run), j.wasReset(run, reset), run.Status >= 300, j.ranAtOtherVersion(r, run):
 		return false
 	case run.Status != 0:
 		closed, wasHeld := j.closedBeforeDelivery(run)
@@ -170,6 +171,17 @@
 	return !j.wasSuperseded(r, run, end)
 }
 
+// ranAtOtherVersion reports whether the replica of a run had another software version than the one at which the stream of the
+// request began.
+func (j *checker) ranAtOtherVersion(r *record, run *Run) bool {
+	began, ok := j.versionOf(r.ID)
+	if r.After > 0 {
+		began, ok = j.versionOf(r.Resumes)
+	}
+	had := j.versionAt(run.Replica, run.At)
+	return ok && had != "" && had != began
+}
+
 // minHeld is for how long nothing may have reached the daemon for a link to have held a response. It is less than the shortest
 // time after which a daemon takes a replica for silent.
 const minHeld = 200 * time.Millisecond
--- a/internal/soak/check_loss_test.go
+++ b/internal/soak/check_loss_test.go
@@ -128,6 +128,42 @@
 	}
 }
 
+// TestCheckLossAtAnotherVersion guards against a daemon that is blamed for a stream that it broke off since its second replica had
+// started again at another software version, and against one that breaks streams off whose replica has their version. Replica r1
+// broke off at 100.2 s, and r2 was at work when the response ended.
+func TestCheckLossAtAnotherVersion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		second []versionSpan // of r2
+		began  string        // in the body of the response
+		broken bool
+	}{
+		{name: "the same version", second: []versionSpan{{at(90), "v1"}}, began: "v1", broken: true},
+		{name: "another version", second: []versionSpan{{at(90), "v2"}}, began: "v1"},
+		{name: "another version since just before", second: []versionSpan{{at(90), "v1"}, {at(100.24), "v2"}}, began: "v1"},
+		{name: "another version until just before", second: []versionSpan{{at(90), "v2"}, {at(100.24), "v1"}}, began: "v1", broken: true},
+		{name: "another version afterwards", second: []versionSpan{{at(90), "v1"}, {at(100.26), "v2"}}, began: "v1", broken: true},
+		{name: "nothing had arrived", second: []versionSpan{{at(90), "v2"}}, broken: true},
+		{name: "the replica names no version", began: "v1", broken: true},
+	} {
+		s := newScene(routes[3])
+		for _, v := range c.second {
+			s.HasVersion("r2", v.version, v.from)
+		}
+		s.BrokeOff(s.send().run("r1", 100.1), at(100.2))
+		s.run("r2", 100.25)
+		body := ""
+		if c.began != "" {
+			body = withVersion("id: 1\ndata: x\n\n", c.began)
+		}
+		s.answer(Answer{At: at(100.3), Status: 200, Body: body, Err: errors.New("EOF")})
+		found := s.Check(at(101))
+		if broken := slices.ContainsFunc(found, func(v Violation) bool { return v.Promise == "LOST" }); broken != c.broken {
+			t.Errorf("%s: found %v, want broken %t", c.name, found, c.broken)
+		}
+	}
+}
+
 // TestCheckLossOfHeldResponses guards against a response that is taken for broken off by the daemon although a link of the run held
 // what the replica wrote, and against one that the daemon broke off although it had arrived. Replica r1 writes its whole response
 // of 300 bytes by 100.15 s, and the daemon closes the connection at 100.4 s. Replica r2, to which the request was sent at
--- a/internal/soak/check_versions.go
+++ b/internal/soak/check_versions.go
@@ -175,15 +175,18 @@
 
 // serving returns how many replicas of a version are usable throughout a period.
 func (j *checker) serving(version string, from, to time.Time) int {
-	return j.countUsable(serviceChat, from, to, func(replica string) bool {
-		current := ""
-		for _, v := range j.versions[replica] {
-			if !v.from.After(from) {
-				current = v.version
-			}
+	return j.countUsable(serviceChat, from, to, func(replica string) bool { return j.versionAt(replica, from) == version })
+}
+
+// versionAt returns the software version that a replica had at a time, or an empty string if it had none.
+func (j *checker) versionAt(replica string, at time.Time) string {
+	current := ""
+	for _, v := range j.versions[replica] {
+		if !v.from.After(at) {
+			current = v.version
 		}
-		return current == version
-	})
+	}
+	return current
 }
 
 func btoi(b bool) int {
