Streams at a replica that may have started again wait until its version is known

What callers saw: streams with events of two software versions.

Cause: a connection was taken to lead to the start that the entry names. It belongs to whichever process listens.

Change: a start is suspected to have ended once a connection to it broke, was refused or was found closed, another daemon reported a crash or silence, or this daemon has just started. A connection that is opened then is in doubt until a read of the store, 100 ms or more later, has shown the same entry; an entry with another start settles it at once (coordination/routing/suspected_restarts.go). Bound streams get no event from a connection in doubt; nor do streams begin there after a sign while their service has a single version, or a new one. Other streams begin at once, bound to no version, and are recorded once the start is known, also if they were broken off (transport/relay/replica_start.go). Nothing waits past its deadline, or once no read of the store is known for 3 s.

Ruled out: waiting without a sign (a large fleet has mostly new connections), and confirmations by all members (a replica can't write its entry while the store is away).

--- a/coordination/routing/place_established.go
+++ b/coordination/routing/place_established.go
@@ -22,6 +22,9 @@
 	return len(fresh) == 0 || !r.Route.MayRunAgain() || !slices.Contains(fresh, at.versionKey)
 }
 
+// HasNewVersion reports whether a service has a version that is not established.
+func (v *View) HasNewVersion(s ServiceName) bool { return len(v.NewVersions[s]) > 0 }
+
 // established returns the candidates of established versions that are well. It returns nil if all candidates are to be used: no version
 // is new, the request accepts them, or no such candidate has a free slot and a load within the bound of the whole service.
 func (c *candidates) established(h *Health, fresh []VersionKey, now time.Time) *candidates {
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -79,6 +79,9 @@
 	AcceptsNew bool
 }
 
+// BindUncertain binds the request's stream to no version that is certain.
+func (t *Tried) BindUncertain() { t.Version = uncertainVersion }
+
 // ContentKey identifies the content of a request, independent of the request's id: two requests
 // with the same path, caller and body have the same key at all daemons. 0 means that it is not
 // known.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -101,6 +101,8 @@
 	reach       *routing.Reach
 	carriers    *routing.Carriers
 	dropCarrier func(routing.Carrier)
+	// suspectRestart records a sign, seen at a time, that a replica may have terminated.
+	suspectRestart func(i routing.Incarnation, at time.Time)
 	// openSince returns when the oldest open idle connection to a replica was opened.
 	openSince func(routing.Incarnation) (time.Time, bool)
 
--- a/daemon/routes/control_test.go
+++ b/daemon/routes/control_test.go
@@ -33,7 +33,8 @@
 		heartbeats: heartbeatState{rng: rand.New(rand.NewPCG(1, 1))},
 		configured: make(chan struct{}), ended: make(chan struct{}),
 		reach: routing.NewReach(), carriers: routing.NewCarriers(), dropCarrier: func(routing.Carrier) {},
-		openSince: func(routing.Incarnation) (time.Time, bool) { return time.Time{}, false },
+		suspectRestart: func(routing.Incarnation, time.Time) {},
+		openSince:      func(routing.Incarnation) (time.Time, bool) { return time.Time{}, false },
 	}
 }
 
@@ -186,6 +187,36 @@
 	}
 }
 
+// TestReportsOfOthersAreSignsOfARestart guards against streams of two versions through a daemon to which no connection of a
+// replica broke, while others were refused by it, and which has only the entry of the replica's former start.
+func TestReportsOfOthersAreSignsOfARestart(t *testing.T) {
+	l := newLog(&bytes.Buffer{}, "info", "d", newMetrics())
+	defer l.Close()
+	c := newTestControl(l, fakeDocuments{})
+	now := time.Unix(1_000_000, 0)
+	c.planReads(now)
+	c.apply(c.catalog.feed.ApplyList([]feed.Item{{Key: "replica-1", Revision: 1}}, 1), "store", now)
+	r := &c.view.Load().Pool("s").Ready[0]
+	var signs []time.Duration // ago
+	c.suspectRestart = func(i routing.Incarnation, at time.Time) {
+		if i != r.Incarnation() {
+			t.Errorf("%v is suspected", i)
+		}
+		signs = append(signs, now.Sub(at))
+	}
+	const age = 50 * time.Millisecond
+	for _, e := range []event{
+		silencesReceived{reports: []routing.SilenceReport{{Replica: r.LoadKey(), Age: age}, {Replica: r.LoadKey() + 1, Age: age}}},
+		crashesReceived{reports: []routing.CrashReport{{Content: 5, Replica: r.LoadKey(), Age: age}, {Content: 5, Replica: r.LoadKey(), Clears: true}}},
+	} {
+		signs = nil
+		c.handle(context.Background(), e, now)
+		if len(signs) != 1 || signs[0] != age {
+			t.Errorf("%T: signs of %v ago, want one of %v", e, signs, age)
+		}
+	}
+}
+
 // TestOverloadReportsAreForwarded checks that the control loop forwards a report of an
 // overloaded replica to peers once.
 func TestOverloadReportsAreForwarded(t *testing.T) {
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -73,6 +73,7 @@
 // New opens the listeners and assembles a daemon. Nothing is served before Run.
 func New(s *Settings, p Platform, logTo io.Writer) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: p, Metrics: newMetrics(), started: clock.Now(), pool: relay.NewPool(net.ParseIP(s.SourceAddress))}
+	d.pool.Begin(d.started)
 	d.Bodies = coordination.NewBodyRoom(bodyBytes(s.MemoryMB))
 	d.Log = newLog(logTo, s.LogLevel, string(s.ID), d.Metrics)
 	limitMemory(s.MemoryMB)
@@ -190,8 +191,8 @@
 		reach:       d.pool.Reach(),
 		carriers:    routing.NewCarriers(),
 		dropCarrier: func(r routing.Carrier) { d.pool.ExcludeCarrier(r, "", routing.CarrierGone) },
-		openSince:   d.pool.OldestOpenConn,
-		memory:      newMemoryState(s.MemoryMB),
+		openSince:   d.pool.OldestOpenConn, suspectRestart: d.pool.SuspectRestart,
+		memory: newMemoryState(s.MemoryMB),
 	}
 	c.permits.gate.control = c
 	d.pool.UseDetours(&relay.Detours{Carriers: c.carriers, Find: c.findCarrier})
--- a/daemon/routes/golden_test.go
+++ b/daemon/routes/golden_test.go
@@ -56,7 +56,7 @@
 	call := &relay.Call{Request: routing.Request{ID: "r1", Route: &routing.Route{Name: "n"}, Prompt: []routing.PromptPart{{ID: "p", Tokens: 5}}}, LastEventID: "3"}
 	summary := &relay.Summary{
 		Outcome: coordination.NotRun{Reason: coordination.ReasonDeadline}, Status: 503, FirstByte: time.Second, Total: time.Second,
-		QuarantinedPart: "p", EstablishmentWait: time.Second, Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
+		QuarantinedPart: "p", EstablishmentWait: time.Second, StartWait: time.Second, Attempts: []relay.Attempt{{Replica: "i-1", Err: errors.New("e")}},
 	}
 	for _, write := range []func(){
 		func() { l.Started("a") },
--- a/daemon/routes/lease.go
+++ b/daemon/routes/lease.go
@@ -86,6 +86,9 @@
 	if before := c.documents.confirmedAt.Load(); !at.IsZero() && (before == nil || at.After(*before)) {
 		c.documents.confirm(at)
 	}
+	if age, ok := l.confirmations.StoreAge(now); ok {
+		c.documents.read(now.Add(-age))
+	}
 	if lapsed := !now.Before(l.seenUntil.Add(membership.VersionLease)); lapsed != l.lapsed {
 		l.lapsed = lapsed
 		c.log.Lease(lapsed, now.Sub(l.seenUntil))
--- a/daemon/routes/lease_test.go
+++ b/daemon/routes/lease_test.go
@@ -10,6 +10,7 @@
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
+	"hingewinch.org/hingewinch/transport/relay"
 )
 
 // TestOnlyVersionIsKnownForTheLease guards against a daemon that hears nothing, from which nothing takes its belief that a
@@ -93,6 +94,26 @@
 	}
 }
 
+// TestOnlyReadsOfTheStoreTellEntries guards against an entry that counts as current since all daemons are heard, while the store
+// is away: a replica that has started again can't have written its entry.
+func TestOnlyReadsOfTheStoreTellEntries(t *testing.T) {
+	c := newQuietControl(t)
+	now := clock.Now()
+	if got := c.documents.ages(now).Read; got != relay.UnknownAge {
+		t.Errorf("read %v before, though nothing was", got)
+	}
+	applyRelease(c, now.Add(-time.Minute))
+	keepUpToDate(c, now.Add(-time.Minute), now.Add(-2*time.Second))
+	c.tickLease(now) // this daemon is the whole fleet
+	if got := c.documents.ages(now); got.Confirmed != 0 || got.Read != 2*time.Second {
+		t.Errorf("confirmed %v and read %v before, want 0 and 2 s", got.Confirmed, got.Read)
+	}
+	confirm(c, now)
+	if got := c.documents.ages(now).Read; got != 0 {
+		t.Errorf("read %v before, want 0", got)
+	}
+}
+
 // emptyStore is a store without documents, whose watches return nothing after their wait.
 type emptyStore struct{ watched func() }
 
--- a/daemon/routes/log.go
+++ b/daemon/routes/log.go
@@ -352,6 +352,9 @@
 	if s.EstablishmentWait > 0 {
 		e.Int64("establishment_ms", s.EstablishmentWait.Milliseconds())
 	}
+	if s.StartWait > 0 {
+		e.Int64("start_ms", s.StartWait.Milliseconds())
+	}
 	if s.QuarantinedPart != "" {
 		e.Str("held_part", s.QuarantinedPart[:min(len(s.QuarantinedPart), maxPartsText)])
 	}
--- a/daemon/routes/log_resumes_test.go
+++ b/daemon/routes/log_resumes_test.go
@@ -112,7 +112,7 @@
 	c := newQuietControl(t)
 	c.syncs.newer = make(map[membership.Address]newerPeer)
 	begun := time.Unix(1_000_000, 0)
-	if got := c.documents.ages(begun); got != (relay.DocumentAges{Confirmed: relay.UnknownAge, Changed: relay.UnknownAge}) {
+	if got := c.documents.ages(begun); got != (relay.DocumentAges{Confirmed: relay.UnknownAge, Read: relay.UnknownAge, Changed: relay.UnknownAge}) {
 		t.Errorf("ages %v without documents", got)
 	}
 	applyRelease(c, begun)
--- a/daemon/routes/reports.go
+++ b/daemon/routes/reports.go
@@ -85,9 +85,23 @@
 
 // receiveSilences processes a peer's reports of silent replicas.
 func (c *control) receiveSilences(reports []routing.SilenceReport, now time.Time) {
+	for i := range reports {
+		c.suspect(reports[i].Replica, reports[i].Age, now)
+	}
 	c.logReplicas(c.health.ObserveSilences(reports, now), c.log.ReportedSilent)
 }
 
+// suspect records that another daemon saw a sign, some time ago, that a replica may have terminated.
+func (c *control) suspect(key routing.LoadKey, age time.Duration, now time.Time) {
+	view := c.view.Load()
+	if view == nil {
+		return // no replica is known
+	}
+	if r := view.Replica(key); r != nil {
+		c.suspectRestart(r.Incarnation(), now.Add(-age))
+	}
+}
+
 // sendCrashes forwards pending crash reports.
 func (c *control) sendCrashes(now time.Time) {
 	sendReportsToTargets(c, c.crashes.TakeReports(gossip.MaxCrashes, now), gossip.EncodeCrashes, now)
@@ -97,6 +111,11 @@
 func (c *control) receiveCrashes(reports []routing.CrashReport, now time.Time) {
 	reports = c.health.FilterDisproved(reports, now)
 	c.health.ReportTerminations(reports, now)
+	for i := range reports {
+		if !reports[i].Clears {
+			c.suspect(reports[i].Replica, reports[i].Age, now)
+		}
+	}
 	c.partCrashes.Watch(now)
 	for _, content := range c.crashes.Observe(reports, now) {
 		c.log.Quarantined(content)
--- a/transport/relay/binding.go
+++ b/transport/relay/binding.go
@@ -39,6 +39,7 @@
 // DocumentAges says how old the documents are from which a daemon knows software versions.
 type DocumentAges struct {
 	Confirmed time.Duration // since they were last known to be current
+	Read      time.Duration // since a read of the store, by any daemon, last showed that
 	Changed   time.Duration // since they last changed at this daemon
 }
 
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -128,10 +128,12 @@
 	OriginWait time.Duration // to find out at which software version a resumed stream began; 0: not asked
 	// EstablishmentWait is how long the first event was held back, since its replica's software version was new; 0: it was not.
 	EstablishmentWait time.Duration
-	Binding           Binding // of a stream that its caller resumes
-	FirstEvent        int64   // id of the first forwarded event that has one, as a number; NoEvent: none
-	CallerGone        bool    // the caller disconnected, or its connection was closed
-	EndedBy           EndedBy // who ended its connection before the response was complete
+	// StartWait is how long events were held back, since the replica might have started again at another version; 0: they were not.
+	StartWait  time.Duration
+	Binding    Binding // of a stream that its caller resumes
+	FirstEvent int64   // id of the first forwarded event that has one, as a number; NoEvent: none
+	CallerGone bool    // the caller disconnected, or its connection was closed
+	EndedBy    EndedBy // who ended its connection before the response was complete
 	// ConfigVersion is the version of the configuration that was in force when the call ended.
 	ConfigVersion routing.ConfigVersion
 	// QuarantinedPart is the part of the prompt for which the call was refused; empty: none.
--- a/transport/relay/detour.go
+++ b/transport/relay/detour.go
@@ -36,6 +36,13 @@
 // errResetAtOnce means that a connection was accepted and reset before anything was sent.
 var errResetAtOnce = errors.New("connection was reset before anything was sent")
 
+// isRefused reports whether an error means that a replica's address refused a connection, or reset it at once.
+func isRefused(err error) bool {
+	var refused *tunnel.Refused
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errResetAtOnce) ||
+		errors.As(err, &refused) && refused.Reason == tunnel.ReasonReplicaRefused
+}
+
 // connect opens a connection to a replica, directly or through another daemon.
 func (p *Pool) connect(ctx context.Context, r *routing.Replica, v *routing.View, checkLink bool) (*conn, error) {
 	p.awaitProbes(ctx, r.Service, p.probeWait)
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -101,6 +101,7 @@
 	sound          bool      // it was recorded that the replica does not crash on the request
 	firstEvent     time.Time // when the first event of a stream arrived; zero: none has
 	streaming      bool      // the stream has begun, and is counted in the pool's activity
+	startSettled   bool      // events may be passed on whichever start of the replica the connection leads to, or that is known
 	awaitsEvents   bool      // the header of a stream was read, and waits are bounded by the event timeout
 	readLate       bool      // bytes were looked for after the deadline
 	readErr        error     // why nothing more is read from the connection; nil: it is
--- a/transport/relay/pool.go
+++ b/transport/relay/pool.go
@@ -89,6 +89,7 @@
 	peerDialer  net.Dialer // to other daemons
 	dialTimes   routing.DialTimes
 	linkDoubts  routing.BrokenLinks
+	restarts    routing.SuspectedRestarts
 	crashChecks crashChecks
 	reach       *routing.Reach
 	activity    streamActivity
@@ -118,6 +119,9 @@
 	}
 }
 
+// Begin records that the daemon has just started. It must be called before the pool is used.
+func (p *Pool) Begin(now time.Time) { p.restarts.Begin(now) }
+
 // Reach returns the record of whether this daemon's own links to replicas work.
 func (p *Pool) Reach() *routing.Reach { return p.reach }
 
@@ -135,6 +139,7 @@
 			c.reused = true
 			return c, nil
 		}
+		p.suspectIfEnded(c, now)
 		p.discard(c)
 	}
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
@@ -150,6 +155,7 @@
 	if !p.reserve(r.Incarnation(), v.ConnectionLimit(r.Service)) {
 		return p.get(ctx, r, v, now)
 	}
+	p.suspectIfIdleEnded(r.Incarnation(), now)
 	return p.openNew(ctx, r, v, true)
 }
 
@@ -166,6 +172,26 @@
 	return p.openReserved(r, func() (*conn, error) { return p.connect(ctx, r, v, checkLink) })
 }
 
+// SuspectRestart records that another daemon saw a sign, at a time, that a replica may have terminated.
+func (p *Pool) SuspectRestart(i routing.Incarnation, at time.Time) { p.restarts.Suspect(i, at) }
+
+// suspectIfEnded records that a replica may have terminated if it has ended an idle connection. The pool closes idle ones before
+// the replica does.
+func (p *Pool) suspectIfEnded(c *conn, now time.Time) {
+	if state := c.state(); state == connEnded || state == connReset {
+		p.restarts.Suspect(c.replica, now)
+	}
+}
+
+// suspectIfIdleEnded is suspectIfEnded for the most recently used idle connection to a replica.
+func (p *Pool) suspectIfIdleEnded(id routing.Incarnation, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list := p.idle[id]; len(list) > 0 {
+		p.suspectIfEnded(list[len(list)-1], now)
+	}
+}
+
 // openReserved opens a connection that was counted by reserve, and uncounts it on failure and after a panic.
 func (p *Pool) openReserved(r *routing.Replica, open func() (*conn, error)) (*conn, error) {
 	var c *conn
@@ -176,6 +202,9 @@
 	}()
 	opened, err := open()
 	if err != nil {
+		if isRefused(err) {
+			p.restarts.Suspect(r.Incarnation(), clock.Now())
+		}
 		return nil, err
 	}
 	c = opened
@@ -251,6 +280,7 @@
 	c := list[len(list)-1]
 	p.idle[id] = list[:len(list)-1]
 	if now.Sub(c.idleSince) > c.idleTimeout {
+		p.suspectIfEnded(c, now)
 		// The others have been idle for longer.
 		for _, old := range p.idle[id] {
 			p.closeLocked(old)
@@ -300,6 +330,7 @@
 	p.closeIdle(func(c *conn) bool {
 		return !wanted(c.replica) || now.Sub(c.idleSince) > c.idleTimeout || c.via != "" && !p.mayReuseDetour(c)
 	})
+	p.restarts.Forget(wanted)
 }
 
 // closeIdle closes the idle connections that meet a condition.
@@ -310,6 +341,7 @@
 		kept := list[:0]
 		for _, c := range list {
 			if condition(c) {
+				p.suspectIfEnded(c, clock.Now())
 				p.closeLocked(c)
 				continue
 			}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -70,6 +70,9 @@
 	events      *eventReader // of a streamed response; nil before the first
 	// originRecorded says that this daemon recorded where the stream began, or that it can't be recorded.
 	originRecorded bool
+	// startedInDoubt is the exchange that brought the first event while it was in doubt which software version its replica has,
+	// and still is; nil: none.
+	startedInDoubt *exchange
 	// fallback is a replica's error response, which is forwarded if neither a further
 	// attempt nor a silent replica that still has the call gives a better one.
 	fallback *errorResponse
@@ -293,6 +296,7 @@
 		f = s.receive(ctx, x, t, a)
 	}
 	a.End, a.ConnEnd = x.endBasis, connEndOf(f, x.received)
+	s.suspectRestart(ctx, x, f)
 	if f != nil && f.takenOverAt.IsZero() {
 		s.reportLink(ctx, x, &t.Replica, f)
 		if s.blamesOwnLink(c) {
--- a/transport/relay/response.go
+++ b/transport/relay/response.go
@@ -183,6 +183,9 @@
 	if len(p) == 0 {
 		return nil // a replica that broke before its first event is not waited for
 	}
+	if f := s.awaitStart(ctx, x); f != nil {
+		return f
+	}
 	if f := s.awaitEstablished(ctx, x, t); f != nil {
 		return f
 	}
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -73,7 +73,11 @@
 // bind binds the stream to the software version of the replica that sent its first event, unless it is
 // bound.
 func (s *activeCall) bind(r *routing.Replica) {
-	if s.tried.Version == 0 {
+	switch {
+	case s.tried.Version != 0:
+	case s.startedInDoubt != nil:
+		s.tried.BindUncertain()
+	default:
 		s.tried.Version = s.Placer.VersionAt(r, clock.Now())
 	}
 }
@@ -81,13 +85,14 @@
 // recordOrigin records where the stream began, once, unless the service is known to have only one version. It is
 // called before each event is forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin() {
-	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
+	if s.originRecorded || s.startedInDoubt != nil || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
 	}
 	if _, only := s.Origins.OnlyVersion(s.call.Service); only {
 		return
 	}
-	s.sendOrigin()
+	s.originRecorded = true
+	s.sendOrigin(s.tried.Version)
 }
 
 // recordInterrupted records where a stream began that is broken off after its first event, whatever versions its service is
@@ -96,12 +101,16 @@
 	if s.originRecorded || s.Origins == nil || s.completed || s.events == nil || s.events.forwarded.count == 0 || !s.call.Route.MayRunAgain() {
 		return
 	}
-	s.sendOrigin()
+	s.originRecorded = true
+	if s.startedInDoubt != nil {
+		go s.recordOnceKnown(s.startedInDoubt)
+		return
+	}
+	s.sendOrigin(s.tried.Version)
 }
 
-func (s *activeCall) sendOrigin() {
-	s.originRecorded = true
+func (s *activeCall) sendOrigin(v routing.VersionKey) {
 	if key := s.call.stream(); key != 0 {
-		s.Origins.Record(routing.NewStreamOrigin(key, s.tried.Version, clock.Until(s.call.Deadline)))
+		s.Origins.Record(routing.NewStreamOrigin(key, v, clock.Until(s.call.Deadline)))
 	}
 }
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,17 +20,25 @@
 	only     routing.VersionKey // 0: the service has several versions
 	several  atomic.Bool        // it has a second version by now
 	known    map[routing.StreamKey]routing.VersionKey
+	mu       sync.Mutex
 	recorded []routing.StreamOrigin
 	asked    int
-	awaits   func()             // called when documents are awaited; nil: nothing happens
-	holder   routing.PeerID     // whose records the known origins are; empty: the daemon's own
-	renewed  routing.VersionKey // the only version, once it is awaited; 0: it is not known then either
+	awaits   func()                    // called when documents are awaited; nil: nothing happens
+	holder   routing.PeerID            // whose records the known origins are; empty: the daemon's own
+	renewed  routing.VersionKey        // the only version, once it is awaited; 0: it is not known then either
+	readAt   atomic.Pointer[time.Time] // when a read of the store last showed the documents to be complete; nil: as ages says
 }
 
 // ages are those of the documents of a fleet whose origins are recordedOrigins.
-var ages = relay.DocumentAges{Confirmed: 2 * time.Second, Changed: time.Minute}
+var ages = relay.DocumentAges{Confirmed: 2 * time.Second, Read: 2 * time.Second, Changed: time.Minute}
 
-func (o *recordedOrigins) DocumentAges() relay.DocumentAges { return ages }
+func (o *recordedOrigins) DocumentAges() relay.DocumentAges {
+	out := ages
+	if at := o.readAt.Load(); at != nil {
+		out.Read = time.Since(*at)
+	}
+	return out
+}
 
 func (o *recordedOrigins) OnlyVersion(routing.ServiceName) (routing.VersionKey, bool) {
 	return o.only, o.only != 0 && !o.several.Load()
@@ -45,9 +55,18 @@
 }
 
 func (o *recordedOrigins) Record(r routing.StreamOrigin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.recorded = append(o.recorded, r)
 }
 
+// list returns what was recorded. It may be called while the relay runs.
+func (o *recordedOrigins) list() []routing.StreamOrigin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.recorded)
+}
+
 func (o *recordedOrigins) Find(_ context.Context, s routing.StreamKey) (relay.OriginRecord, bool) {
 	o.asked++
 	v, ok := o.known[s]
