--- a/daemon/routes/documents.go
+++ b/daemon/routes/documents.go
@@ -38,7 +38,9 @@
 
 // ages returns how long ago the documents were last known to be complete, and how long ago they changed.
 func (d *documentTimes) ages(now time.Time) relay.DocumentAges {
-	return relay.DocumentAges{Confirmed: ageOf(d.confirmedAt.Load(), now), Changed: ageOf(d.changedAt.Load(), now)}
+	return relay.DocumentAges{
+		Confirmed: ageOf(d.confirmedAt.Load(), now), Read: ageOf(d.readAt.Load(), now), Changed: ageOf(d.changedAt.Load(), now),
+	}
 }
 
 func ageOf(at *time.Time, now time.Time) time.Duration {
