A clearance of later crashes is forwarded although an earlier one is kept

Callers could see: a content stays quarantined at a daemon that learns of its clearance only through a daemon that keeps an earlier clearance of it.

Cause: since clearances are kept without a limit of time, a later one was taken for the same one by another way, and not forwarded, where the crashes in between are not known.

Evidence: found by reading. "forwards a later clearance of a content whose earlier one is kept, and the earlier one only once" fails without the change: nothing is forwarded.

--- a/coordination/routing/crash_cleared.go
+++ b/coordination/routing/crash_cleared.go
@@ -71,12 +71,11 @@
 	if !ok {
 		return false
 	}
-	if r.Clears { // the same one by another way, or a later one of crashes that are not known here
-		kept.at = latest(kept.at, at)
-		c.clearances[r.Content] = kept
-		return true
+	if r.Clears && at.Sub(kept.at) >= clearanceSpread { // of later crashes, which others know; it is forwarded as a new one
+		delete(c.clearances, r.Content)
+		return false
 	}
-	return !at.After(kept.at)
+	return r.Clears || !at.After(kept.at)
 }
 
 // Refute returns the clearances for the sender of reports that tell crashes from before them, by rule 2.
--- a/coordination/routing/crash_test.go
+++ b/coordination/routing/crash_test.go
@@ -215,6 +215,19 @@
 		Expect(c.Refute(reports, epoch)).To(BeEmpty())
 	})
 
+	// The crashes that it clears may be known to daemons that get it only from this one.
+	It("forwards a later clearance of a content whose earlier one is kept, and the earlier one only once", func() {
+		crash(content, 0, epoch)
+		c.Clear(content, epoch)
+		takeAll(epoch)
+		now := epoch.Add(2 * time.Minute)
+		c.Forget(now)
+		c.Observe([]routing.CrashReport{{Content: content, Clears: true, Age: 2*time.Minute - 100*time.Millisecond}}, now)
+		Expect(takeAll(now)).To(BeEmpty())
+		c.Observe([]routing.CrashReport{{Content: content, Clears: true, Age: time.Second}}, now)
+		Expect(takeAll(now)).To(ConsistOf(HaveField("Clears", true)))
+	})
+
 	// Replicas that crash in series leave a clearance for each request that was in flight.
 	It("keeps the release of a quarantined content in bounded memory", func() {
 		for r := range 3 {
