Streams keep their service as the split of their route changes again

What callers saw: a share that rises in steps, a change of weights that is taken back, or a service that is given no weight and then its former one, each within the life of a stream: streams that began before the first change went on at another service. Cause: only the last former split was remembered, and streams were not recorded while the former service had no share. The spec of a record of a third service failed before with no attempt. Change: while a former split is remembered, a further change keeps it, the one of before all changes, and every stream of the route is recorded and asked for until a stream's life after the last change. A record's service is looked for in the whole split. Streams are also recorded if the former service has no share. Ruled out: a list of all former splits, which has no bound and serves no stream that the records don't.

--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -26,7 +26,7 @@
 	Content  ContentKey
 	Route    *Route
 	Service  ServiceName
-	Former   ServiceName // that the route's split selected before it changed, for a stream; empty: the same (split.go)
+	Former   ServiceName // of a stream without a record, as the route's split has changed; empty: Service (split.go)
 	Model    string
 	Prompt   []PromptPart
 	Arrived  time.Time
--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -6,12 +6,14 @@
 //
 //  1. Requests that don't resume a stream are drawn by the newest configuration.
 //  2. For as long as a stream can last after a change of a resumable route's split, the former split is remembered. A stream whose
-//     draw selects the same service by both is not affected.
+//     draw selects the same service by both is not affected. If the split changes again meanwhile, the one of before all these
+//     changes is remembered on, and every stream counts as affected: one in between may have selected another service.
 //  3. Of the others those that begin after the change are recorded at the holders with their first event, also where each
 //     service has one version: the version of a record tells the service too. So a stream that its caller resumes goes on at
-//     the service of its record, and one without a record began before the change, at the former service.
+//     the service of its record, and one without a record at the former service: it began before the changes, or in between where
+//     the split selected the same service.
 //  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
-//     service takes its streams along, as all requests.
+//     service takes its streams along, as all requests. Streams are recorded then too, as the change may be taken back.
 //
 // A draw by weighted rendezvous hashing would also move few streams, but it draws other services than the last build does, so that
 // daemons of both builds would resume a stream at different services, and it moves prompts away from the replicas that cache them.
@@ -27,20 +29,24 @@
 // formerSplit is the split of a route before it changed.
 type formerSplit struct {
 	route Route     // as it was
-	until time.Time // streams that began by it may be resumed
+	until time.Time // streams that began before the last change may be resumed
+	again bool      // it changed again while the former split was remembered
 }
 
-// FormerService returns the service that the route's split selected for a stream before the split last changed, if that is another
-// one than now and the stream may go on there; empty otherwise.
+// FormerService returns the service at which a stream that has no record goes on, if changes of the route's split affect the
+// stream; empty otherwise.
 func (r *Route) FormerService(draw uint64, now time.Time) ServiceName {
 	if r.former == nil || !now.Before(r.former.until) {
 		return ""
 	}
-	s := r.former.route.Service(draw)
-	if s == r.Service(draw) || !slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == s && share.Weight > 0 }) {
+	former, current := r.former.route.Service(draw), r.Service(draw)
+	switch {
+	case former == current && !r.former.again:
 		return ""
+	case !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == former && s.Weight > 0 }):
+		return current
 	}
-	return s
+	return former
 }
 
 // WithFormerSplits returns the table with the splits of the table that was in force until now, nil for none.
@@ -74,10 +80,12 @@
 		case old.Prefix != r.Prefix:
 		case slices.Equal(old.Shares, r.Shares):
 			return old.former
+		case old.former != nil && now.Before(old.former.until):
+			return &formerSplit{old.former.route, latest(old.former.until, now.Add(t.StreamLife())), true}
 		default:
 			before := *old
 			before.former = nil
-			return &formerSplit{before, now.Add(t.StreamLife())}
+			return &formerSplit{route: before, until: now.Add(t.StreamLife())}
 		}
 	}
 	return nil
--- a/coordination/routing/split_test.go
+++ b/coordination/routing/split_test.go
@@ -83,3 +83,47 @@
 		t.Errorf("draws %s, want %s", got, want)
 	}
 }
+
+// TestStreamsKeepTheirServiceAsTheSplitChangesAgain guards against streams that go on at another service after their route's split has
+// changed twice while they last: a share that rises in steps, and a change that is taken back.
+func TestStreamsKeepTheirServiceAsTheSplitChangesAgain(t *testing.T) {
+	for name, weights := range map[string][][2]int{
+		"in steps":                      {{9, 1}, {3, 1}, {1, 1}},
+		"taken back":                    {{9, 1}, {1, 1}, {9, 1}},
+		"taken back, and made again":    {{9, 1}, {1, 1}, {9, 1}, {1, 1}},
+		"away from a service, and back": {{1, 1}, {0, 1}, {1, 1}},
+	} {
+		now := time.Unix(1000, 0)
+		var routes []*routing.Route
+		var table *routing.Table
+		for _, w := range weights {
+			table = splitRoute(t, w[0], w[1], nil).WithFormerSplits(table, now)
+			r, _ := table.Match("h", "/")
+			routes = append(routes, r)
+			now = now.Add(2 * time.Second)
+		}
+		last := routes[len(routes)-1]
+		for i, begun := range routes {
+			at, moved, unasked := time.Unix(1000, 0).Add(time.Duration(2*i+1)*time.Second), 0, 0
+			for draw := range uint64(100) {
+				if begun.FormerService(draw, at) != "" { // it is recorded
+					if last.FormerService(draw, now) == "" && last.Service(draw) != begun.Service(draw) {
+						unasked++
+					}
+					continue
+				}
+				to := last.FormerService(draw, now)
+				if to == "" {
+					to = last.Service(draw)
+				}
+				if to != begun.Service(draw) {
+					moved++
+				}
+			}
+			if moved > 0 || unasked > 0 {
+				t.Errorf("%s: of 100 streams that began by the split %v go on at another service: %d that are not recorded, %d that are and are not asked for",
+					name, weights[i], moved, unasked)
+			}
+		}
+	}
+}
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -70,13 +70,27 @@
 // (coordination/routing/split.go). It returns false if no record tells the stream's version.
 func (s *activeCall) bindAfterChange(ctx context.Context) bool {
 	r, ok := s.findRecord(ctx)
-	if !ok || !s.View().HasVersion(s.call.Service, r.Version) {
+	if !ok {
 		s.call.Service = s.call.Former
+		return false
 	}
-	if ok {
-		s.bindToRecord(&r)
+	s.call.Service = s.serviceOf(r.Version)
+	s.bindToRecord(&r)
+	return true
+}
+
+// serviceOf returns the service whose replicas have the version of a record: that of the call, or another one of the route's
+// split, which may have changed several times since the stream began. If none has it, it returns the former one.
+func (s *activeCall) serviceOf(v routing.VersionKey) routing.ServiceName {
+	if s.View().HasVersion(s.call.Service, v) {
+		return s.call.Service
+	}
+	for _, share := range s.call.Route.Shares {
+		if share.Weight > 0 && s.View().HasVersion(share.Service, v) {
+			return share.Service
+		}
 	}
-	return ok
+	return s.call.Former
 }
 
 // bindToRecord binds a stream that its caller resumes to the version of its record.
--- a/transport/relay/split_test.go
+++ b/transport/relay/split_test.go
@@ -73,4 +73,19 @@
 			Expect(s.Binding.Version).To(Equal(r.VersionKey()))
 		}
 	})
+
+	It("go on at the service of their record, also if that is neither the former one nor that of the newest split", func() {
+		w, former, _ := changed()
+		third := startAt("r3", "u", "v1")
+		view := *w.currentView()
+		view.Pools["u"] = &routing.Pool{Ready: []routing.Replica{third.Replica}}
+		w.setView(&view)
+		w.relay.Origins = &recordedOrigins{only: former.VersionKey(), known: map[routing.StreamKey]routing.VersionKey{routing.NewStreamKey("", "1"): third.VersionKey()}}
+		c := call(w, "1")
+		route := *c.Route
+		route.Shares = []routing.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}, {Service: "u", Weight: 1}}
+		c.Workspace, c.Route = "", &route
+		_, s := w.serve(c)
+		Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r3"))))
+	})
 })
