Streams of after a change of a split are not resumed by a daemon that its holders don't answer

What callers saw: weights of a route change, a stream begins by the new ones and is recorded, and within the life of a stream a daemon is cut off. A caller that resumes the stream there within the 3 s of its lease gets events of the former service. Cause: the silence of the holders counted as the answer that the stream has no record, hence began before the change. Evidence: the spec "are refused if holders of their record don't reply" failed before: the stream went on at the former service. TestSilentHoldersDenyNothing fails if silence counts as a denial (trial: it does with the former meaning put back). Change: a record that is not found tells whether all holders replied. Unless they did, the caller of a stream that a change of the split affects is refused, as one of a service with several versions. Result: both pass; so do the specs of versions and splits in transport/relay. Ruled out: refusing all of them that have no record, since those from before the change have none.

--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -11,7 +11,8 @@
 //  3. Of the others those that begin after the change are recorded at the holders with their first event, also where each
 //     service has one version: the version of a record tells the service too. So a stream that its caller resumes goes on at
 //     the service of its record, and one without a record at the former service: it began before the changes, or in between where
-//     the split selected the same service.
+//     the split selected the same service. That a stream has no record is known only if all holders say so. Otherwise the caller is
+//     refused: a daemon that is cut off would resume a stream of after the change at the former service.
 //  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
 //     service takes its streams along, as all requests. Streams are recorded then too, as the change may be taken back.
 //
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -114,7 +114,7 @@
 func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
 	for range maxOriginQuestions {
 		if found, ok := o.ask(ctx, stream); ok {
-			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder)}, found.version != 0
+			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder), Denied: found.version == 0}, found.version != 0
 		}
 	}
 	return relay.OriginRecord{}, false
--- a/daemon/routes/origins_test.go
+++ b/daemon/routes/origins_test.go
@@ -52,3 +52,24 @@
 		t.Errorf("%d questions are pending after their time", n)
 	}
 }
+
+// TestSilentHoldersDenyNothing guards against a daemon that is cut off from the holders of a stream, and takes their silence for the
+// answer that the stream has no record.
+func TestSilentHoldersDenyNothing(t *testing.T) {
+	for _, reply := range []bool{true, false} {
+		c := newQuietControl(t)
+		c.events = make(chan event)
+		go func() {
+			for e := range c.events {
+				if need, ok := e.(originNeeded); ok && reply {
+					need.reply <- originFound{}
+				}
+			}
+		}()
+		r, ok := streamOrigins{c}.Find(t.Context(), 7)
+		close(c.events)
+		if ok || r.Denied != reply {
+			t.Errorf("holders reply: %t; found a record: %t, they deny it: %t", reply, ok, r.Denied)
+		}
+	}
+}
--- a/transport/relay/binding.go
+++ b/transport/relay/binding.go
@@ -46,6 +46,8 @@
 type OriginRecord struct {
 	Version routing.VersionKey
 	Holder  routing.PeerID // the daemon that holds it; empty: this one
+	// Denied says of a stream of which no record was found that all its holders replied.
+	Denied bool
 }
 
 // source returns the source of a stream's version that the record names.
@@ -60,7 +62,7 @@
 func (s *activeCall) findRecord(ctx context.Context) (OriginRecord, bool) {
 	key := s.call.stream()
 	if key == 0 {
-		return OriginRecord{}, false
+		return OriginRecord{Denied: true}, false
 	}
 	return s.Origins.Find(ctx, key)
 }
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -23,7 +23,7 @@
 	// Record records the origin of a stream at the daemons that hold it, also if the stream's caller is gone. It does not wait
 	// for them.
 	Record(o routing.StreamOrigin)
-	// Find returns the record of where a stream began, or false if it can't be found out.
+	// Find returns the record of where a stream began, or false if none is found.
 	Find(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
 	// DocumentAges returns the current ages of the daemon's documents.
 	DocumentAges() DocumentAges
@@ -46,8 +46,11 @@
 	asked := clock.Now()
 	s.Origins.AwaitDocuments(ctx)
 	defer func() { s.summary.OriginWait = clock.Since(asked) }()
-	if s.call.Former != "" && s.bindAfterChange(ctx) {
-		return true
+	if s.call.Former != "" {
+		if r, ok := s.findRecord(ctx); ok || !r.Denied {
+			return s.bindAfterChange(&r, ok)
+		}
+		s.call.Service = s.call.Former
 	}
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
 		s.bindToOnly(v)
@@ -61,21 +64,25 @@
 		s.bindToOnly(v)
 		return true
 	}
+	return s.refuseUnknown()
+}
+
+// refuseUnknown records that the version of a stream that its caller resumes is not known, and returns false.
+func (s *activeCall) refuseUnknown() bool {
 	s.recordBinding(Binding{By: OriginUnknown})
 	s.attempts.RecordUnknownOrigin()
 	return false
 }
 
-// bindAfterChange selects the service of a stream that its caller resumes after its route's split has changed
-// (coordination/routing/split.go). It returns false if no record tells the stream's version.
-func (s *activeCall) bindAfterChange(ctx context.Context) bool {
-	r, ok := s.findRecord(ctx)
+// bindAfterChange selects the service of a stream that its caller resumes after its route's split has changed, by its record if
+// there is one (coordination/routing/split.go). It returns false if the holders of the record were not all heard: the
+// stream may have begun after the change.
+func (s *activeCall) bindAfterChange(r *OriginRecord, ok bool) bool {
 	if !ok {
-		s.call.Service = s.call.Former
-		return false
+		return s.refuseUnknown()
 	}
 	s.call.Service = s.serviceOf(r.Version)
-	s.bindToRecord(&r)
+	s.bindToRecord(r)
 	return true
 }
 
--- a/transport/relay/split_test.go
+++ b/transport/relay/split_test.go
@@ -88,4 +88,14 @@
 		_, s := w.serve(c)
 		Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r3"))))
 	})
+
+	// Guards against a daemon that is cut off from the holders of a stream of after the change, and takes it for one of before.
+	It("are refused if holders of their record don't reply", func() {
+		w, former, _ := changed()
+		w.relay.Origins = &recordedOrigins{only: former.VersionKey(), silent: true}
+		to, s := w.serve(call(w, "1"))
+		Expect(to.body).To(BeEmpty())
+		Expect(s.Attempts).To(BeEmpty())
+		Expect(s.Binding.By).To(Equal(relay.OriginUnknown))
+	})
 })
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -23,6 +23,7 @@
 	awaits   func()             // called when documents are awaited; nil: nothing happens
 	holder   routing.PeerID     // whose records the known origins are; empty: the daemon's own
 	renewed  routing.VersionKey // the only version, once it is awaited; 0: it is not known then either
+	silent   bool               // the holders don't reply
 }
 
 // ages are those of the documents of a fleet whose origins are recordedOrigins.
@@ -51,7 +52,7 @@
 func (o *recordedOrigins) Find(_ context.Context, s routing.StreamKey) (relay.OriginRecord, bool) {
 	o.asked++
 	v, ok := o.known[s]
-	return relay.OriginRecord{Version: v, Holder: o.holder}, ok
+	return relay.OriginRecord{Version: v, Holder: o.holder, Denied: !ok && !o.silent}, ok
 }
 
 // startVersion starts a replica of a software version.
