Lease: the first documents count from their confirmation

What callers saw: a daemon starts beside one that has been cut off for up to 3 s, takes over its documents and history, and reads the store itself up to 3 s later. A version that came, was established and went in these 6 s is not known, and a stream that began at it goes on at the only version that the daemon knows. Cause: the time in which a version may have been missed was counted from the start, not from the peer's last confirmation. Evidence: TestFirstDocumentsCountFromTheirConfirmation failed before: 2.8 s before the start and 2.5 s after it, and the peer's history was kept. Change: the first confirmation, if it is older than the first documents by less than a lease, moves that time back. Older ones don't: their sender tells no history. Result: the test passes; the history is kept if the peer's documents were confirmed 100 ms before. Ruled out: counting from a lease before the start always, which would begin the history anew at each ordinary start.

--- a/daemon/routes/lease.go
+++ b/daemon/routes/lease.go
@@ -7,7 +7,8 @@
 //  3. If VersionLease or more lies between two confirmations, versions may have come and gone unseen, and streams may have
 //     begun at them: the history of versions begins anew. Within less than that no version is established
 //     (coordination/routing/establishment.go), so that no stream has begun at it. The time from the first documents to the first
-//     confirmation counts likewise.
+//     confirmation counts likewise, and if a peer sent them, that from the peer's last confirmation: the history that the peer tells
+//     is complete up to then only.
 
 package routes
 
@@ -25,11 +26,24 @@
 	// seenUntil is the time until which no version can have come and gone unseen: that of the last confirmation, and before
 	// the first one that of the first documents. Zero: there are no documents.
 	seenUntil time.Time
+	confirmed bool // a confirmation was taken over since the first documents
 	lapsed    bool // the lease has ended
 	// renewedAt is when each peer was last sent a heartbeat with a reply of a holder.
 	renewedAt map[membership.Address]time.Time
 }
 
+// takeFirst takes over the first confirmation since the first documents. One that is older than a lease is of no use: its sender
+// tells no history.
+func (l *leaseState) takeFirst(at time.Time) {
+	if l.confirmed || !at.After(l.seenUntil.Add(-membership.VersionLease)) {
+		return
+	}
+	l.confirmed = true
+	if at.Before(l.seenUntil) {
+		l.seenUntil = at
+	}
+}
+
 // begin records that the daemon has documents.
 func (l *leaseState) begin(now time.Time) {
 	if l.seenUntil.IsZero() {
@@ -77,6 +91,7 @@
 		return false
 	}
 	at := l.confirmations.ConfirmedAt()
+	l.takeFirst(at)
 	if interrupted = at.Sub(l.seenUntil) >= membership.VersionLease && c.interruptHistory(now); interrupted {
 		c.publish(now)
 	}
--- a/daemon/routes/lease_test.go
+++ b/daemon/routes/lease_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/protocol/gossip"
 	"hingewinch.org/hingewinch/state/feed"
 	"hingewinch.org/hingewinch/transport"
@@ -49,6 +50,29 @@
 	}
 }
 
+// TestFirstDocumentsCountFromTheirConfirmation guards against a daemon that starts beside one that has been cut off for some seconds: from
+// the last confirmation of the other one's documents until the own first read of the store a version may have come, been
+// established and gone, but only the time from the start was counted.
+func TestFirstDocumentsCountFromTheirConfirmation(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration // of the other daemon's confirmation
+		want bool          // its history is kept
+	}{{100 * time.Millisecond, true}, {2800 * time.Millisecond, false}} {
+		d := newQuietControl(t)
+		now := clock.Now()
+		start := now.Add(-2500 * time.Millisecond)
+		applyRelease(d, start)
+		d.handle(context.Background(), peerHeartbeat(d.catalog.feed.Position(), false, c.age)(start), start)
+		d.updateLease(start)
+		told := routing.VersionReport{At: d.catalog.feed.Position(), Complete: time.Minute}
+		d.mergeHistory(&told, "peer", start)
+		confirm(d, now)
+		if got := onlyVersion(d); got != c.want {
+			t.Errorf("confirmed %v before the start, then 2.5 s after it: the history is kept: %t, want %t", c.age, got, c.want)
+		}
+	}
+}
+
 // TestHeartbeatConfirmsDocumentsOnceTheyAreInTheView guards against a lease that a heartbeat renews before the documents
 // that its sender has are visible to requests: they may name another version.
 func TestHeartbeatConfirmsDocumentsOnceTheyAreInTheView(t *testing.T) {
