Daemons that have just started record the streams of routes with a split

What callers saw: weights of a route change, a daemon starts, a stream begins there by the new weights, and the daemon is killed or cut off. A caller that resumes the stream elsewhere within the life of a stream gets events of the former service. Cause: a daemon that starts knows no former split, so that it did not record such a stream; the others take a stream without a record for one of before the change. Evidence: the spec "are recorded by a daemon that has just started, as it knows no former split" failed before, with no record. Change: for as long as a stream can last after its first configuration a daemon records the streams of all routes with several shares. Result: the spec passes, and an hour after the start nothing is recorded. Ruled out: telling peers the former splits, a new message for some minutes after a start.

--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -16,6 +16,9 @@
 //  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
 //     service takes its streams along, as all requests. Streams are recorded then too, as the change may be taken back.
 //
+//  5. A daemon does not know whether the split changed before its first configuration. For as long as a stream can last after that it
+//     records the streams of all routes with a split: the other daemons would take those without a record for ones of before.
+//
 // A draw by weighted rendezvous hashing would also move few streams, but it draws other services than the last build does, so that
 // daemons of both builds would resume a stream at different services, and it moves prompts away from the replicas that cache them.
 
@@ -50,12 +53,20 @@
 	return former
 }
 
+// LacksSplits reports whether the split of a route may have changed before the daemon's first configuration, while streams of then
+// last. It accepts a nil table.
+func (t *Table) LacksSplits(r *Route, now time.Time) bool {
+	return t != nil && len(r.Shares) > 1 && now.Before(t.lacksSplitsUntil)
+}
+
 // WithFormerSplits returns the table with the splits of the table that was in force until now, nil for none.
 func (t *Table) WithFormerSplits(before *Table, now time.Time) *Table {
+	out := *t
 	if before == nil {
-		return t
+		out.lacksSplitsUntil = now.Add(t.StreamLife())
+		return &out
 	}
-	out := *t
+	out.lacksSplitsUntil = before.lacksSplitsUntil
 	out.byHost = make(map[string][]*Route, len(t.byHost))
 	for host, routes := range t.byHost {
 		list := slices.Clone(routes)
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -25,6 +25,8 @@
 	needsKey   bool
 	hasTarget  map[ServiceName]bool // services of routes with a latency target
 	streamLife time.Duration        // see StreamLife
+	// lacksSplitsUntil is until when streams may last that began by splits from before this daemon's first configuration.
+	lacksSplitsUntil time.Time
 }
 
 // keyEntry is a key and its workspace. Lookups compare the whole key, since two keys may have
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -121,12 +121,13 @@
 }
 
 // recordOrigin records where the stream began, once, unless its service is known to have only one version and its route's split
-// selects the same service as before. It is called before each event is forwarded, since the second version may appear after the first event.
+// is known to have selected the same service before. It is called before each event is forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin() {
 	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
 	}
-	if _, only := s.Origins.OnlyVersion(s.call.Service); only && s.call.Former == "" {
+	_, only := s.Origins.OnlyVersion(s.call.Service)
+	if only && s.call.Former == "" && !s.View().Table.LacksSplits(s.call.Route, clock.Now()) {
 		return
 	}
 	s.sendOrigin()
--- a/transport/relay/split_test.go
+++ b/transport/relay/split_test.go
@@ -1,10 +1,13 @@
 package relay_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport/clock"
 	"hingewinch.org/hingewinch/transport/relay"
 )
 
@@ -98,4 +101,26 @@
 		Expect(s.Attempts).To(BeEmpty())
 		Expect(s.Binding.By).To(Equal(relay.OriginUnknown))
 	})
+
+	// Guards against a stream that begins at a daemon which has started after the change: the others take a stream without a record for
+	// one of before.
+	It("are recorded by a daemon that has just started, as it knows no former split", func() {
+		shares := []routing.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+		for started, recorded := range map[time.Duration]int{time.Second: 1, time.Hour: 0} {
+			w, _, now := changed()
+			config := routing.Config{Routes: []routing.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Resumable: true, Shares: shares}}}
+			table, err := routing.NewTable(&config)
+			Expect(err).NotTo(HaveOccurred())
+			view := *w.currentView()
+			view.Table = table.WithFormerSplits(nil, clock.Now().Add(-started))
+			w.setView(&view)
+			origins := &recordedOrigins{only: now.VersionKey()}
+			w.relay.Origins = origins
+			c := call(w, "")
+			route := *c.Route
+			route.Shares, c.Route, c.Former = shares, &route, ""
+			w.serve(c)
+			Expect(origins.recorded).To(HaveLen(recorded))
+		}
+	})
 })
