--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -1,17 +1,23 @@
 // This file remembers how a route's traffic was split before the split last changed. A stream that began then goes on at its
 // service, whose replicas alone have it, although the route's requests are drawn by other weights now.
 //
-// Inputs: the route's shares in the configuration in force and in those before, the draw of a stream (that of the request that
-// brought its first event), when the configurations changed, and the records of origins. The rule:
+// Inputs: the route's shares in the configuration in force and in the one before, the draw of a stream (that of the request that
+// brought its first event), when the configuration changed, and the records of origins. The rule:
 //
 //  1. Requests that don't resume a stream are drawn by the newest configuration.
 //  2. For as long as a stream can last after a change of a resumable route's split, the former split is remembered. A stream whose
-//     draw selects the same service by all of them is not affected.
+//     draw selects the same service by both is not affected. If the split changes again meanwhile, the one of before all these
+//     changes is remembered on, and every stream counts as affected: one in between may have selected another service.
 //  3. Of the others those that begin after the change are recorded at the holders with their first event, also where each
 //     service has one version: the version of a record tells the service too. So a stream that its caller resumes goes on at
-//     the service of its record, and one without a record began before the changes, at the service of the oldest split.
+//     the service of its record, and one without a record at the former service: it began before the changes, or in between where
+//     the split selected the same service. If none of the holders replies, the caller is
+//     refused: a daemon that is cut off would resume a stream of after the change at the former service.
 //  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
-//     service takes its streams along, as all requests.
+//     service takes its streams along, as all requests. Streams are recorded then too, as the change may be taken back.
+//
+//  5. A daemon does not know whether the split changed before its first configuration. For as long as a stream can last after that it
+//     records the streams of all routes with a split: the other daemons would take those without a record for ones of before.
 //
 // A draw by weighted rendezvous hashing would also move few streams, but it draws other services than the last build does, so that
 // daemons of both builds would resume a stream at different services, and it moves prompts away from the replicas that cache them.
@@ -19,57 +25,53 @@
 package routing
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
 )
 
-// maxFormerSplits bounds how many splits of a route are remembered.
-const maxFormerSplits = 8
-
 // formerSplit is the split of a route before it changed.
 type formerSplit struct {
 	route Route     // as it was
-	until time.Time // streams that began by it may be resumed
+	until time.Time // streams that began before the last change may be resumed
+	again bool      // it changed again while the former split was remembered
 }
 
-// FormerService returns the service that the route's split selected for a stream before the split lately changed, if some split since
-// then selects another one than now; empty otherwise. It is the selected service if the stream may not go on at the former one.
+// FormerService returns the service at which a stream that has no record goes on, if changes of the route's split affect the
+// stream; empty otherwise.
 func (r *Route) FormerService(draw uint64, now time.Time) ServiceName {
-	oldest, selected := ServiceName(""), r.Service(draw)
-	differs := false
-	for i := range r.former {
-		if now.Before(r.former[i].until) {
-			s := r.former[i].route.Service(draw)
-			oldest, differs = cmp.Or(oldest, s), differs || s != selected && r.hasShare(s)
-		}
+	if r.former == nil || !now.Before(r.former.until) {
+		return ""
 	}
+	former, current := r.former.route.Service(draw), r.Service(draw)
 	switch {
-	case !differs:
+	case former == current && !r.former.again:
 		return ""
-	case r.hasShare(oldest):
-		return oldest
+	case !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == former && s.Weight > 0 }):
+		return current
 	}
-	return selected
+	return former
 }
 
-// hasShare reports whether the route's requests may go to a service.
-func (r *Route) hasShare(s ServiceName) bool {
-	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == s && share.Weight > 0 })
+// LacksSplits reports whether the split of a route may have changed before the daemon's first configuration, while streams of then
+// last. It accepts a nil table.
+func (t *Table) LacksSplits(r *Route, now time.Time) bool {
+	return t != nil && len(r.Shares) > 1 && now.Before(t.lacksSplitsUntil)
 }
 
 // WithFormerSplits returns the table with the splits of the table that was in force until now, nil for none.
 func (t *Table) WithFormerSplits(before *Table, now time.Time) *Table {
+	out := *t
 	if before == nil {
-		return t
+		out.lacksSplitsUntil = now.Add(t.StreamLife())
+		return &out
 	}
-	out := *t
+	out.lacksSplitsUntil = before.lacksSplitsUntil
 	out.byHost = make(map[string][]*Route, len(t.byHost))
 	for host, routes := range t.byHost {
 		list := slices.Clone(routes)
 		for i, r := range list {
-			if former := before.formerSplits(r, now); len(former) > 0 {
+			if former := before.formerSplit(r, now); former != nil {
 				changed := *r
 				changed.former = former
 				list[i] = &changed
@@ -80,32 +82,23 @@
 	return &out
 }
 
-// formerSplits returns the former splits of a route of the table that replaces t, oldest first.
-func (t *Table) formerSplits(r *Route, now time.Time) []formerSplit {
+// formerSplit returns the former split of a route of the table that replaces t; nil: there is none.
+func (t *Table) formerSplit(r *Route, now time.Time) *formerSplit {
 	if r.Kind != Stream || !r.Resumable {
 		return nil
 	}
 	for _, old := range t.byHost[strings.ToLower(r.Host)] {
-		if old.Prefix != r.Prefix {
-			continue
-		}
-		former := slices.DeleteFunc(slices.Clone(old.former), func(f formerSplit) bool { return !now.Before(f.until) })
-		if !slices.Equal(old.Shares, r.Shares) {
+		switch {
+		case old.Prefix != r.Prefix:
+		case slices.Equal(old.Shares, r.Shares):
+			return old.former
+		case old.former != nil && now.Before(old.former.until):
+			return &formerSplit{old.former.route, latest(old.former.until, now.Add(t.StreamLife())), true}
+		default:
 			before := *old
 			before.former = nil
-			former = append(former, formerSplit{before, now.Add(t.StreamLife())})
+			return &formerSplit{route: before, until: now.Add(t.StreamLife())}
 		}
-		return former[max(0, len(former)-maxFormerSplits):]
 	}
 	return nil
 }
-
-// ServiceOf returns the service of a route that has ready replicas of a software version.
-func (v *View) ServiceOf(r *Route, key VersionKey) (ServiceName, bool) {
-	for _, share := range r.Shares {
-		if share.Weight > 0 && slices.ContainsFunc(v.Pool(share.Service).Ready, func(r Replica) bool { return r.versionKey == key }) {
-			return share.Service, true
-		}
-	}
-	return "", false
-}
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -4,6 +4,7 @@
 package routes
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/admission"
@@ -127,10 +128,12 @@
 	saturationsReceived struct{ services []routing.ServiceName }
 	// streamBegan says that a stream of this daemon began, or goes on, at a software version.
 	streamBegan struct{ origin routing.StreamOrigin }
-	// originNeeded asks for the origin of a stream. The reply channel has a buffer of one.
+	// originNeeded asks for the origin of a stream. The reply channel has a buffer of one. denied is set once a holder has
+	// replied that it has no record, while others have not replied.
 	originNeeded struct {
 		stream routing.StreamKey
 		reply  chan<- originFound
+		denied *atomic.Bool
 	}
 	// originsReceived carries origins of streams that a peer records at this daemon.
 	originsReceived struct{ origins []routing.StreamOrigin }
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"hingewinch.org/hingewinch/coordination/membership"
@@ -47,7 +48,8 @@
 // originQuestion is a question for the origin of a stream.
 type originQuestion struct {
 	reply    chan<- originFound
-	waiting  int // holders that have not replied
+	denied   *atomic.Bool // a holder has replied that it has no record
+	waiting  int          // holders that have not replied
 	answered bool
 	until    time.Time
 }
@@ -112,21 +114,22 @@
 
 // Find implements [relay.Origins].
 func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
+	var denied atomic.Bool
 	for range maxOriginQuestions {
-		if found, ok := o.ask(ctx, stream); ok {
-			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder)}, found.version != 0
+		if found, ok := o.ask(ctx, stream, &denied); ok {
+			return relay.OriginRecord{Version: found.version, Holder: routing.PeerID(found.holder), Denied: found.version == 0}, found.version != 0
 		}
 	}
-	return relay.OriginRecord{}, false
+	return relay.OriginRecord{Denied: denied.Load()}, false
 }
 
 // ask asks the holders once. It returns false if they did not all reply in time and those that did know
-// nothing.
-func (o streamOrigins) ask(ctx context.Context, stream routing.StreamKey) (originFound, bool) {
+// nothing; denied is set if there are such.
+func (o streamOrigins) ask(ctx context.Context, stream routing.StreamKey, denied *atomic.Bool) (originFound, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	reply := make(chan originFound, 1)
-	o.control.post(ctx, originNeeded{stream: stream, reply: reply})
+	o.control.post(ctx, originNeeded{stream: stream, reply: reply, denied: denied})
 	select {
 	case found := <-reply:
 		return found, true
@@ -172,7 +175,7 @@
 	if q.pending == nil {
 		q.pending = make(map[gossip.OriginRequestID]askedHolder)
 	}
-	question := &originQuestion{reply: need.reply, waiting: len(others), until: now.Add(originTimeout)}
+	question := &originQuestion{reply: need.reply, denied: need.denied, waiting: len(others), until: now.Add(originTimeout)}
 	for _, holder := range others {
 		id := gossip.OriginRequestID(c.heartbeats.rng.Uint32())
 		q.pending[id] = askedHolder{question, holder}
@@ -216,6 +219,7 @@
 		}
 		delete(c.originQuestions.pending, r.ID)
 		if holder.waiting--; holder.answered || r.Version == 0 && holder.waiting > 0 {
+			holder.denied.Store(true)
 			continue
 		}
 		holder.answered = true
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -23,7 +23,7 @@
 	// Record records the origin of a stream at the daemons that hold it, also if the stream's caller is gone. It does not wait
 	// for them.
 	Record(o routing.StreamOrigin)
-	// Find returns the record of where a stream began, or false if it can't be found out.
+	// Find returns the record of where a stream began, or false if none is found.
 	Find(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
 	// DocumentAges returns the current ages of the daemon's documents.
 	DocumentAges() DocumentAges
@@ -46,8 +46,11 @@
 	asked := clock.Now()
 	s.Origins.AwaitDocuments(ctx)
 	defer func() { s.summary.OriginWait = clock.Since(asked) }()
-	if s.call.Former != "" && s.bindAfterChange(ctx) {
-		return true
+	if s.call.Former != "" {
+		if r, ok := s.findRecord(ctx); ok || !r.Denied {
+			return s.bindAfterChange(&r, ok)
+		}
+		s.call.Service = s.call.Former
 	}
 	if v, ok := s.Origins.OnlyVersion(s.call.Service); ok {
 		s.bindToOnly(v)
@@ -61,26 +64,42 @@
 		s.bindToOnly(v)
 		return true
 	}
+	return s.refuseUnknown()
+}
+
+// refuseUnknown records that the version of a stream that its caller resumes is not known, and returns false.
+func (s *activeCall) refuseUnknown() bool {
 	s.recordBinding(Binding{By: OriginUnknown})
 	s.attempts.RecordUnknownOrigin()
 	return false
 }
 
-// bindAfterChange selects the service of a stream that its caller resumes after its route's split has changed
-// (coordination/routing/split.go). It returns false if no record tells the stream's version.
-func (s *activeCall) bindAfterChange(ctx context.Context) bool {
-	r, ok := s.findRecord(ctx)
+// bindAfterChange selects the service of a stream that its caller resumes after its route's split has changed, by its record if
+// there is one (coordination/routing/split.go). It returns false if no holder of the record was heard: the
+// stream may have begun after the change.
+func (s *activeCall) bindAfterChange(r *OriginRecord, ok bool) bool {
 	if !ok {
-		s.call.Service = s.call.Former
-		return false
+		return s.refuseUnknown()
 	}
-	if service, found := s.View().ServiceOf(s.call.Route, r.Version); found {
-		s.call.Service = service
-	}
-	s.bindToRecord(&r)
+	s.call.Service = s.serviceOf(r.Version)
+	s.bindToRecord(r)
 	return true
 }
 
+// serviceOf returns the service whose replicas have the version of a record: that of the call, or another one of the route's
+// split, which may have changed several times since the stream began. If none has it, it returns the former one.
+func (s *activeCall) serviceOf(v routing.VersionKey) routing.ServiceName {
+	if s.View().HasVersion(s.call.Service, v) {
+		return s.call.Service
+	}
+	for _, share := range s.call.Route.Shares {
+		if share.Weight > 0 && s.View().HasVersion(share.Service, v) {
+			return share.Service
+		}
+	}
+	return s.call.Former
+}
+
 // bindToRecord binds a stream that its caller resumes to the version of its record.
 func (s *activeCall) bindToRecord(r *OriginRecord) {
 	s.tried.Version = r.Version
@@ -106,12 +125,13 @@
 }
 
 // recordOrigin records where the stream began, once, unless its service is known to have only one version and its route's split
-// selects the same service as before. It is called before each event is forwarded, since the second version may appear after the first event.
+// is known to have selected the same service before. It is called before each event is forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin() {
 	if s.originRecorded || s.startedInDoubt != nil || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
 	}
-	if _, only := s.Origins.OnlyVersion(s.call.Service); only && s.call.Former == "" {
+	_, only := s.Origins.OnlyVersion(s.call.Service)
+	if only && s.call.Former == "" && !s.View().Table.LacksSplits(s.call.Route, clock.Now()) {
 		return
 	}
 	s.originRecorded = true
