--- a/coordination/membership/confirmations.go
+++ b/coordination/membership/confirmations.go
@@ -18,12 +18,12 @@
 //  4. A heartbeat of a build that names no age counts as age 0 if its sender can read the store.
 //  5. A daemon that hears all members knows what they know, whether they can read the store or not: the time at which the
 //     one heard longest ago was heard is confirmed, if all seeds are known and the own documents are as new as any that a
-//     member has told of, in the same era. Members that shut down count like others: they serve callers and may read the store until their
-//     grace is over. Nothing is confirmed while others report more daemons than are known, nor by a daemon that last read
-//     the store before it forgot a member that had not announced its shutdown: that one may serve beyond a cut. In a
-//     large fleet, where most members are heard of through others, all this goes by failure domain, and holds only while no
-//     known live member can read the store. Heartbeats don't pass this time on, as the sender may know fewer members than
-//     the receiver.
+//     member has told of, in the same era. Members that shut down count like others: they serve callers and may read the
+//     store until their grace is over. Nothing is confirmed while others report more daemons than are known, nor at a daemon
+//     whose documents were last confirmed by a read of the store before it forgot a member that had not announced its
+//     shutdown: that one may serve beyond a cut. In a large fleet, where most members are heard of through others, members
+//     and forgotten ones count by failure domain, reported ones don't, and this holds only while no known live member can
+//     read the store. Heartbeats don't pass this time on, as the sender may know fewer members than the receiver.
 //  6. Messages that may have waited in the socket (socket_waits.go) confirm nothing, nor do heartbeats that a later one of
 //     their sender has overtaken. Each heartbeat counts as MaxSocketWait older than it is: daemons that pass a confirmation
 //     to and fro would otherwise renew it again and again by the time for which messages wait undetected.
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -101,7 +101,8 @@
 }
 
 // recordOrigin records where the stream began, once, unless its service is known to have only one version and its route's split
-// selects the same service as before. It is called before each event is forwarded, since the second version may appear after the first event.
+// selects the same service as before. It is called before each event is forwarded, since the second version may appear after
+// the first event.
 func (s *activeCall) recordOrigin(ctx context.Context) {
 	if s.originRecorded || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
