--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -125,7 +125,8 @@
 }
 
 // recordOrigin records where the stream began, once, unless its service is known to have only one version and its route's split
-// is known to have selected the same service before. It is called before each event is forwarded, since the second version may appear after the first event.
+// is known to have selected the same service before. It is called before each event is
+// forwarded, since the second version may appear after the first event.
 func (s *activeCall) recordOrigin() {
 	if s.originRecorded || s.startedInDoubt != nil || s.Origins == nil || !s.call.Route.MayRunAgain() {
 		return
