Suspected restarts: a response on a connection from before the first sign ends the suspicion

Cause: what shows that a replica runs on was not taken. A response to a request that was sent after the last sign, on a connection that was opened before the first one, does, since no connection outlives its process.

Change: rule 5 of coordination/routing/suspected_restarts.go; the relay records such responses where it records that a replica lives.

Result: TestResponsesOnFormerConnectionsSettleSigns fails without it (connections were in doubt in the rows opened before the first sign and of a late report) and passes; its other rows hold the rule tight. Ruled out: Health.Disproves, which counts idle connections that are found open too: one to a host that lost its power looks open.

--- a/coordination/routing/suspected_restarts.go
+++ b/coordination/routing/suspected_restarts.go
@@ -17,9 +17,12 @@
 //     connection leads to another start.
 //  4. A start is no longer suspected once a connection that was opened after the last sign is known to lead to it. Signs of
 //     before that connection was opened, which may be reported later, count no more.
-//  5. Only reads of the store count, by any daemon: while none can read it, a replica may be unable to write its entry too.
+//  5. Nor is it once the replica has responded, on a connection that was opened before the first sign, to a request that was sent
+//     after the last one: no connection outlives its process. That such a connection is open proves nothing, as one to a host that lost
+//     its power looks open too.
+//  6. Only reads of the store count, by any daemon: while none can read it, a replica may be unable to write its entry too.
 //     Without one in the last membership.VersionLease none is expected, so that it is not waited for.
-//  6. A replica whose entry names no start never starts again under its id.
+//  7. A replica whose entry names no start never starts again under its id.
 
 package routing
 
@@ -55,10 +58,14 @@
 
 // restartSigns is what is known of one start of a replica.
 type restartSigns struct {
+	first   time.Time // when the first sign was seen that is not settled
 	last    time.Time // when the last sign was seen
-	settled time.Time // when the newest connection was opened that is known to lead to it; zero: none is
+	settled time.Time // signs of before this time don't count, by rules 4 and 5; zero: all count
 }
 
+// isOpen reports whether a sign counts.
+func (s restartSigns) isOpen() bool { return s.last.After(s.settled) }
+
 // Begin records that the daemon has just started. It must be called before the first request.
 func (s *SuspectedRestarts) Begin(now time.Time) { s.begun = now }
 
@@ -73,10 +80,24 @@
 		s.suspected = make(map[Incarnation]restartSigns)
 	}
 	signs := s.suspected[i]
+	if !signs.isOpen() || at.Before(signs.first) && at.After(signs.settled) {
+		signs.first = at
+	}
 	signs.last = latest(signs.last, at)
 	s.suspected[i] = signs
 }
 
+// RecordResponse records that a replica responded to a request that was sent at a time, on a connection opened at a time.
+func (s *SuspectedRestarts) RecordResponse(i Incarnation, opened, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	signs, ok := s.suspected[i]
+	if ok && signs.isOpen() && opened.Before(signs.first) && sent.After(signs.last) {
+		signs.settled = sent
+		s.suspected[i] = signs
+	}
+}
+
 // Start returns to which start a connection to a replica leads that was opened at a time and still works. read is the latest
 // time at which a read of the store has shown the documents of the view to be complete; zero: none has.
 func (s *SuspectedRestarts) Start(v *View, r *Replica, opened, read time.Time) ConnectionStart {
@@ -90,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	signs := s.suspected[r.Incarnation()]
-	isSuspected := signs.last.After(signs.settled)
+	isSuspected := signs.isOpen()
 	switch {
 	case !isSuspected && (r.StartTime == 0 || s.begun.IsZero() || opened.Sub(s.begun) >= terminatedHold):
 		return StartKnown
@@ -111,11 +132,10 @@
 func (s *SuspectedRestarts) HasSign(i Incarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	signs := s.suspected[i]
-	return signs.last.After(signs.settled)
+	return s.suspected[i].isOpen()
 }
 
-// ExpectsRead reports whether a connection that is in doubt will soon be known, by rule 5. read is as for Start.
+// ExpectsRead reports whether a connection that is in doubt will soon be known, by rule 6. read is as for Start.
 func ExpectsRead(read, now time.Time) bool {
 	return !read.IsZero() && now.Sub(read) < membership.VersionLease
 }
--- a/coordination/routing/suspected_restarts_test.go
+++ b/coordination/routing/suspected_restarts_test.go
@@ -53,6 +53,38 @@
 	}
 }
 
+// TestResponsesOnFormerConnectionsSettleSigns guards against streams that are broken off at a replica that runs on: one connection to it
+// broke, and with the store away nothing else could show that its entry is right.
+func TestResponsesOnFormerConnectionsSettleSigns(t *testing.T) {
+	former := startOf(1, "v1")
+	first, last := epoch, epoch.Add(time.Second)
+	after := last.Add(time.Millisecond)
+	known, inDoubt := routing.StartKnown, routing.StartInDoubt
+	for _, c := range []struct {
+		name         string
+		opened, sent time.Time
+		again        time.Time // of a further sign; zero: there is none
+		want         routing.ConnectionStart
+	}{
+		{"opened before the first sign, sent after the last", first.Add(-time.Millisecond), after, time.Time{}, known},
+		{"opened after the first sign", first.Add(time.Millisecond), after, time.Time{}, inDoubt},
+		{"sent before the last sign", first.Add(-time.Millisecond), last, time.Time{}, inDoubt},
+		{"another sign since", first.Add(-time.Millisecond), after, after.Add(time.Millisecond), inDoubt},
+		{"a report of a sign before", first.Add(-time.Millisecond), after, last.Add(-time.Millisecond), known},
+	} {
+		var s routing.SuspectedRestarts
+		s.Suspect(former.Incarnation(), last)
+		s.Suspect(former.Incarnation(), first) // reports may come late
+		s.RecordResponse(former.Incarnation(), c.opened, c.sent)
+		if !c.again.IsZero() {
+			s.Suspect(former.Incarnation(), c.again)
+		}
+		if got := s.Start(viewOf(former), &former, after.Add(time.Second), epoch.Add(-time.Minute)); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // TestConnectionsWithoutASignAreKnown guards against first events that wait while no connection broke.
 func TestConnectionsWithoutASignAreKnown(t *testing.T) {
 	former, other, unborn := startOf(1, "v1"), startOf(2, "v1"), startOf(0, "v1")
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -330,6 +330,7 @@
 	f := x.readHeader(ctx)
 	if x.hasResponse() {
 		s.Placer.Health.RecordAlive(&t.Replica, x.conn.opened, x.sent)
+		s.Pool.restarts.RecordResponse(t.Replica.Incarnation(), x.conn.opened, x.sent)
 		if !x.head.SelfReport.Brittle {
 			s.Placer.Brittle.RecordOrdinary(t.Replica.Service, x.sent, clock.Now())
 		}
