Former splits: routes are looked up by prefix; addresses of peers are formatted for crash reports only

The splits of a new configuration were compared with each route of the same host in the one before: with some thousands of resumable routes on one host, millions of comparisons in the control loop for each configuration. They are looked up by prefix now. The receiver of datagrams formatted the sender's address for each one, although crash reports alone use it.

--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -11,11 +11,10 @@
 //  3. Of the others those that begin after the change are recorded at the holders with their first event, also where each
 //     service has one version: the version of a record tells the service too. So a stream that its caller resumes goes on at
 //     the service of its record, and one without a record at the former service: it began before the changes, or in between where
-//     the split selected the same service. If none of the holders replies, the caller is
-//     refused: a daemon that is cut off would resume a stream of after the change at the former service.
+//     the split selected the same service. If none of the holders replies, the caller is refused: a daemon that is cut off would
+//     resume a stream of after the change at the former service.
 //  4. The former service is used only if the newest configuration gives it a share above 0. A route that moves to another
 //     service takes its streams along, as all requests. Streams are recorded then too, as the change may be taken back.
-//
 //  5. A daemon does not know whether the split changed before its first configuration. For as long as a stream can last after that it
 //     records the streams of all routes with a split: the other daemons would take those without a record for ones of before.
 //
@@ -26,7 +25,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -69,36 +67,39 @@
 	out.lacksSplitsUntil = before.lacksSplitsUntil
 	out.byHost = make(map[string][]*Route, len(t.byHost))
 	for host, routes := range t.byHost {
-		list := slices.Clone(routes)
-		for i, r := range list {
-			if former := before.formerSplit(r, now); former != nil {
-				changed := *r
-				changed.former = former
-				list[i] = &changed
-			}
-		}
-		out.byHost[host] = list
+		out.byHost[host] = before.withFormerSplits(host, routes, now)
 	}
 	return &out
 }
 
-// formerSplit returns the former split of a route of the table that replaces t; nil: there is none.
-func (t *Table) formerSplit(r *Route, now time.Time) *formerSplit {
-	if r.Kind != Stream || !r.Resumable {
-		return nil
+// withFormerSplits returns the routes of a host in the table that replaces t, with their former splits.
+func (t *Table) withFormerSplits(host string, routes []*Route, now time.Time) []*Route {
+	old := make(map[string]*Route, len(t.byHost[host])) // by prefix
+	for _, r := range t.byHost[host] {
+		old[r.Prefix] = r
 	}
-	for _, old := range t.byHost[strings.ToLower(r.Host)] {
-		switch {
-		case old.Prefix != r.Prefix:
-		case slices.Equal(old.Shares, r.Shares):
-			return old.former
-		case old.former != nil && now.Before(old.former.until):
-			return &formerSplit{old.former.route, latest(old.former.until, now.Add(t.StreamLife())), true}
-		default:
-			before := *old
-			before.former = nil
-			return &formerSplit{route: before, until: now.Add(t.StreamLife())}
+	list := slices.Clone(routes)
+	for i, r := range list {
+		if former := old[r.Prefix].splitBefore(r, t.StreamLife(), now); former != nil {
+			changed := *r
+			changed.former = former
+			list[i] = &changed
 		}
 	}
-	return nil
+	return list
+}
+
+// splitBefore returns the former split of the route that replaces r; nil: there is none. It accepts a nil route.
+func (r *Route) splitBefore(replacement *Route, streamLife time.Duration, now time.Time) *formerSplit {
+	switch {
+	case r == nil || replacement.Kind != Stream || !replacement.Resumable:
+		return nil
+	case slices.Equal(r.Shares, replacement.Shares):
+		return r.former
+	case r.former != nil && now.Before(r.former.until):
+		return &formerSplit{r.former.route, latest(r.former.until, now.Add(streamLife)), true}
+	}
+	before := *r
+	before.former = nil
+	return &formerSplit{route: before, until: now.Add(streamLife)}
 }
--- a/daemon/routes/peers.go
+++ b/daemon/routes/peers.go
@@ -90,6 +90,11 @@
 	_, _ = p.socket.WriteToUDPAddrPort(payload, at)
 }
 
+// addressOf returns the address of a peer from which a datagram came.
+func addressOf(from netip.AddrPort) membership.Address {
+	return membership.Address(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+}
+
 // receive passes datagrams to the control loop as events until ctx is canceled. Datagrams
 // that can't be decoded are dropped without logging, because anyone could fill the log
 // with them.
@@ -113,16 +118,15 @@
 			continue
 		}
 		if e, err := decodeDatagram(buf[:n]); err == nil {
-			sender := membership.Address(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
 			switch r := e.(type) {
 			case heartbeatReceived:
 				r.at, r.waited = now, !inTime
 				e = r
 			case crashesReceived:
-				r.from = sender
+				r.from = addressOf(from)
 				e = r
 			case partCrashesReceived:
-				r.from = sender
+				r.from = addressOf(from)
 				e = r
 			}
 			p.metrics.HeartbeatsReceived.Inc(1)
