Streams at replicas that may have started again: no wait while their service has one version

Cause, by the line of the violation and the code; no logs are left: the stream's first replica broke, the second one was suspected to have started again, as a connection to it had broken before, and its events were held back and then refused. Nothing could have been mixed, as no second version was known.

Change: starts are doubted only while the service is known to have several versions, to have had them lately, or to have a new one.

--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -164,7 +164,7 @@
 		View: d.View, Placer: d.control.permits.placer,
 		Budgets: t.budgets, Codec: d.platform.Codec, Observer: d.Log, Pool: d.pool, Crashes: t.crashes, PartCrashes: t.partCrashes,
 		RequestTransfer: d.control.borrow, Permits: d.control.permits.gate, Origins: streamOrigins{d.control},
-		AwaitRead: d.control.awaitRead, Closing: d.closing.Load,
+		AwaitRead: d.control.awaitRead, HasVersions: d.hasVersions, Closing: d.closing.Load,
 	})
 	d.callers.Server.Handler = d.countOpen(d.platform.Front(d))
 	d.readiness.Server.Handler = d.readyHandler()
@@ -219,6 +219,12 @@
 // View returns the current view.
 func (d *Daemon) View() *routing.View { return d.control.view.Load() }
 
+// hasVersions reports whether a service is known to have several software versions, or to have had them lately.
+func (d *Daemon) hasVersions(s routing.ServiceName) bool {
+	v := d.View()
+	return v.HasSeveralVersions(s) || v.HasNewVersion(s)
+}
+
 // ViewForCaller returns the view for a request whose caller waits for the given time.
 // Until the daemon has its first configuration, ViewForCaller waits for it for part of
 // that time. After a long pause of the process it waits for the documents to be read.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -31,6 +31,9 @@
 	RequestTransfer func(ctx context.Context, s routing.ServiceName, missing routing.Retries) routing.Retries
 	Permits         Permits // nil: no service needs permits
 	Origins         Origins // nil: replicas of all software versions may go on with a stream
+	// HasVersions reports whether replicas of a service may start again at another software version: it has several, or had them
+	// lately; nil: they always may.
+	HasVersions func(s routing.ServiceName) bool
 	// AwaitRead waits for a short time after a pause of the process, until what the view is built from has been read;
 	// nil: it is always read.
 	AwaitRead func(ctx context.Context)
--- a/transport/relay/replica_start.go
+++ b/transport/relay/replica_start.go
@@ -8,7 +8,9 @@
 //     daemon has just started is no reason: it would delay the streams of each daemon that is replaced.
 //  3. Other streams begin at once. They are bound to no version, and not recorded, until the start is known.
 //     If they are broken off before that, they are recorded then.
-//  4. Streams wait by rules 1 and 2 until the start is known, at most until their deadline, and only while a read of the store is
+//  4. None of this applies while the service is not known to have several versions, or to have had them lately: a replica that is suspected
+//     wrongly would cost its streams their place, and a version that a replica brings when it starts again is known within tenths of a second.
+//  5. Streams wait by rules 1 and 2 until the start is known, at most until their deadline, and only while a read of the store is
 //     expected. If that is not, a stream that has not begun does so by rule 3.
 //
 // Events of another start are not passed on: the stream goes on, or begins, at another replica. One that began there by rule 3
@@ -39,6 +41,10 @@
 	if x.startSettled || s.Origins == nil {
 		return nil
 	}
+	if s.startedInDoubt == nil && s.HasVersions != nil && !s.HasVersions(s.call.Service) {
+		x.startSettled = true
+		return nil
+	}
 	if s.tried.Version == 0 && !s.call.Route.MayRunAgain() {
 		x.startSettled = true // it will go on nowhere else
 		return nil
--- a/transport/relay/replica_start_test.go
+++ b/transport/relay/replica_start_test.go
@@ -109,6 +109,16 @@
 		Expect(s.StartWait).To(BeZero(), "it is known from now on")
 	})
 
+	// Guards against streams that are broken off at a sound replica while its service has one version (LOST beside crashes).
+	It("do not wait while their service has one version", func() {
+		t := restarted(v1, streams(v1))
+		t.relay.HasVersions = func(routing.ServiceName) bool { return false }
+		to, s := t.serve(bound(t))
+		Expect(string(to.body)).To(ContainSubstring("data: v1"))
+		Expect(s.Attempts).To(HaveExactElements(HaveField("Replica", routing.ReplicaID("r1"))))
+		Expect(s.StartWait).To(BeZero())
+	})
+
 	It("do not wait for a start at their version", func() {
 		t := restarted(v1, streams(v1))
 		t.setView(viewOf(t.fixture, t.former)) // the entry comes while the replica works
