--- a/transport/relay/replica_start.go
+++ b/transport/relay/replica_start.go
@@ -3,13 +3,14 @@
 // leads. While that is in doubt:
 //
 //  1. A stream that is bound to a version gets no event from it.
-//  2. Nor does a stream begin there while its service is known to have a single version, or has a new one, if there was a sign that
-//     the replica terminated: its caller could resume it at a daemon that takes the service for one of a single version. That the
+//  2. Nor does a stream begin there while its service has a new version, or is known to have one only, if there was a sign that the
+//     replica terminated: its caller could resume it at a daemon that takes the service for one of a single version. That the
 //     daemon has just started is no reason: it would delay the streams of each daemon that is replaced.
 //  3. Other streams begin at once. They are bound to no version, and not recorded, until the start is known.
 //     If they are broken off before that, they are recorded then.
-//  4. None of this applies while the service is not known to have several versions, or to have had them lately: a replica that is suspected
-//     wrongly would cost its streams their place, and a version that a replica brings when it starts again is known within tenths of a second.
+//  4. Where [Options.HasVersions] tells versions, none of this applies while the service is not known to have several, or to have had them
+//     lately: streams would be broken off at a replica that is suspected wrongly, and the version that a replica brings when it starts
+//     again is known within tenths of a second.
 //  5. Streams wait by rules 1 and 2 until the start is known, at most until their deadline, and only while a read of the store is
 //     expected. If that is not, a stream that has not begun does so by rule 3.
 //
