Fleet bound: the distinct seeds are determined once, not with each heartbeat

The seeds of a roster don't change, but they were collected, sorted and made distinct again with each tick of the control loop and each heartbeat that arrives. They are kept beside those that were found. Behaviour is as before, no test changed.

--- a/coordination/membership/fleet_bound.go
+++ b/coordination/membership/fleet_bound.go
@@ -20,16 +20,19 @@
 import "slices"
 
 // FleetBound keeps which seeds were ever heard of. The zero value is ready for use.
-type FleetBound struct{ found map[Address]bool }
+type FleetBound struct {
+	seeds []Address // of the roster, each once
+	found map[Address]bool
+}
 
 // Update returns the most daemons that the fleet of a roster has, including this one, and whether that is known. It is called
 // more often than members are forgotten.
 func (b *FleetBound) Update(r *Roster) (n int, known bool) {
 	if b.found == nil {
 		b.found = make(map[Address]bool)
+		b.seeds = slices.Compact(slices.Sorted(slices.Values(r.seeds)))
 	}
-	seeds := slices.Compact(slices.Sorted(slices.Values(r.seeds)))
-	for _, s := range seeds {
+	for _, s := range b.seeds {
 		if s == r.self.Address || r.members[s] != nil {
 			b.found[s] = true
 		}
@@ -39,10 +42,10 @@
 		found = 1
 	}
 	switch {
-	case len(seeds) == 0:
+	case len(b.seeds) == 0:
 		return r.peakSize, true
 	case found == 0:
 		return 0, false
 	}
-	return (r.peakSize*len(seeds) + found - 1) / found, true
+	return (r.peakSize*len(b.seeds) + found - 1) / found, true
 }
