Origins of streams follow their holders through a rolling restart

Cause: the origin of a stream was recorded once, at the daemons that were responsible for its key then, and asked for at those that are responsible when it is resumed. In a rolling restart these are others, most of them young; while all daemons shut down or are young there was nobody to record at. Records posted as a daemon breaks off its streams could be lost too, since the control loop may end before it handles them.

New metric: hingewinch_origins_resent_total. Wire formats are as they were.

Ruled out: a hand-over by each holder that leaves, which costs all records at each stop and nothing for holders that are killed.

--- a/coordination/routing/origins.go
+++ b/coordination/routing/origins.go
@@ -10,10 +10,12 @@
 //     (coordination/membership), when the first event passes, and again when the stream is resumed. A
 //     stream that began while its service had one version is recorded with its next event, or when it is broken off, even if
 //     no second version is known then: one may appear before the caller resumes it.
-//  2. A daemon that resumes a stream asks the same daemons. Only a positive answer lets the stream go
-//     on: the caller is refused if none knows it.
-//  3. Two origins of one stream that differ make it unknown: the id was used twice.
-//  4. An origin is kept for as long as the caller may wait for the stream, and a while longer.
+//  2. These daemons change when some start or shut down. The daemon of the stream sends the origin to those that lack it, until
+//     the caller has the whole stream or the origin is not kept any more.
+//  3. A daemon that resumes a stream asks these daemons, and those that were chosen a moment ago. Only a positive answer lets
+//     the stream go on: the caller is refused if none knows it.
+//  4. Two origins of one stream that differ make it unknown: the id was used twice.
+//  5. An origin is kept for as long as the caller may wait for the stream, and a while longer.
 //
 // A key contains the workspace, so that a caller can neither learn nor change anything of the streams of
 // other workspaces.
--- a/daemon/routes/control.go
+++ b/daemon/routes/control.go
@@ -88,6 +88,7 @@
 	memory     memoryState
 
 	originQuestions originQuestions
+	keptOrigins     membership.Records[keptOrigin] // of streams of this daemon
 	history         historyState
 	lease           leaseState
 	// lacksDocuments says that a peer is known to have newer documents than this daemon.
@@ -150,6 +151,18 @@
 	}
 }
 
+// awaitHandled waits until the control loop has handled the events that were posted before, at most for a time.
+func (c *control) awaitHandled(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	done := make(chan struct{})
+	c.post(ctx, eventsHandled{done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // run is the control loop. It processes events until ctx is canceled.
 func (c *control) run(ctx context.Context) {
 	defer close(c.ended)
@@ -264,6 +277,10 @@
 		c.reportSaturated(e.services, now)
 	case streamBegan:
 		c.recordOrigin(e.origin, now)
+	case streamCompleted:
+		c.keptOrigins.Remove(uint64(e.stream))
+	case eventsHandled:
+		close(e.done)
 	case originNeeded:
 		c.findOrigin(&e, now)
 	case originsReceived:
@@ -329,6 +346,7 @@
 	c.transfers.dropExpired(now)
 	c.originQuestions.dropExpired(now)
 	c.origins.Forget(now)
+	c.keepOrigins(now)
 	c.updateLacksDocuments(now)
 	c.tickLease(now)
 	c.reach.Tick(now)
--- a/daemon/routes/events.go
+++ b/daemon/routes/events.go
@@ -128,6 +128,10 @@
 	saturationsReceived struct{ services []routing.ServiceName }
 	// streamBegan says that a stream of this daemon began, or goes on, at a software version.
 	streamBegan struct{ origin routing.StreamOrigin }
+	// streamCompleted says that a caller has the whole of a stream whose origin this daemon recorded.
+	streamCompleted struct{ stream routing.StreamKey }
+	// eventsHandled closes a channel, once all earlier events have been handled.
+	eventsHandled struct{ done chan<- struct{} }
 	// originNeeded asks for the origin of a stream. The reply channel has a buffer of one. denied is set once a holder has
 	// replied that it has no record, while others have not replied.
 	originNeeded struct {
@@ -214,6 +218,8 @@
 func (permitReplyReceived) isEvent()      {}
 func (saturationsReceived) isEvent()      {}
 func (streamBegan) isEvent()              {}
+func (streamCompleted) isEvent()          {}
+func (eventsHandled) isEvent()            {}
 func (originNeeded) isEvent()             {}
 func (originsReceived) isEvent()          {}
 func (originRequestsReceived) isEvent()   {}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -110,6 +110,9 @@
 	// CallerResumes the requests that resume a stream, ResumesUnknown those of them that were refused because its version is not
 	// known, and ResumesVersionGone those refused because no replica of it is ready.
 	OriginsRecorded, CallerResumes, ResumesUnknown, ResumesVersionGone metrics.Counter
+	// OriginsResent counts how often one of these records was sent again, to a daemon that holds it since other daemons have
+	// started or shut down.
+	OriginsResent metrics.Counter
 	// ResumesOnlyVersion counts the resumed streams that were bound to the only version of their service, ResumesOwnRecord
 	// those that were bound by this daemon's record, and ResumesHolder those bound by another daemon's.
 	ResumesOnlyVersion, ResumesOwnRecord, ResumesHolder metrics.Counter
@@ -155,6 +158,7 @@
 		"permits_alone_total":             &m.PermitsAlone,
 		"coordinators_silent_total":       &m.CoordinatorsSilent,
 		"origins_recorded_total":          &m.OriginsRecorded,
+		"origins_resent_total":            &m.OriginsResent,
 		"caller_resumes_total":            &m.CallerResumes,
 		"resumes_only_version_total":      &m.ResumesOnlyVersion,
 		"resumes_own_record_total":        &m.ResumesOwnRecord,
--- a/daemon/routes/origins.go
+++ b/daemon/routes/origins.go
@@ -27,6 +27,8 @@
 	documentsTimeout = 200 * time.Millisecond
 	// documentsPoll is how often it looks for them.
 	documentsPoll = 5 * time.Millisecond
+	// maxKeptOrigins bounds the streams whose origins this daemon keeps at their holders, to about 1 MB.
+	maxKeptOrigins = 4096
 	// renewalTimeout is how long a stream that its caller resumes and that no holder knows waits for a renewed lease: holders
 	// send a heartbeat with their reply, and a daemon that reads the store asks it again after some tenths of a second.
 	renewalTimeout = 200 * time.Millisecond
@@ -54,6 +56,18 @@
 	until    time.Time
 }
 
+// keptOrigin is the origin of a stream of this daemon that it keeps at its holders.
+type keptOrigin struct {
+	stream  routing.StreamKey
+	version routing.VersionKey
+	until   time.Time
+}
+
+// message returns the origin as it is sent.
+func (k keptOrigin) message(now time.Time) routing.StreamOrigin {
+	return routing.StreamOrigin{Stream: k.stream, Version: k.version, Left: k.until.Sub(now)}
+}
+
 // originFound is the origin of a stream; version is 0 if no holder knows it, and holder empty if the record is this
 // daemon's own.
 type originFound struct {
@@ -112,6 +126,11 @@
 	o.control.postAlways(streamBegan{origin})
 }
 
+// Completed implements [relay.Origins].
+func (o streamOrigins) Completed(stream routing.StreamKey) {
+	o.control.postAlways(streamCompleted{stream})
+}
+
 // Find implements [relay.Origins].
 func (o streamOrigins) Find(ctx context.Context, stream routing.StreamKey) (relay.OriginRecord, bool) {
 	var denied atomic.Bool
@@ -138,19 +157,38 @@
 	}
 }
 
-// otherHolders returns the holders of a stream's origin except this daemon.
-func (c *control) otherHolders(s routing.StreamKey, now time.Time) []membership.Address {
-	own := c.roster.Self().Address
-	return slices.DeleteFunc(c.roster.Holders(uint64(s), now), func(a membership.Address) bool { return a == own })
-}
-
-// recordOrigin records the origin of a stream of this daemon at its holders. This daemon keeps it in any case:
+// recordOrigin records the origin of a stream of this daemon at its holders, and keeps it there. This daemon keeps it in any case:
 // callers mostly return to a daemon that they know.
 func (c *control) recordOrigin(o routing.StreamOrigin, now time.Time) {
 	c.origins.Observe(o, now)
-	others := c.otherHolders(o.Stream, now)
 	c.log.metrics.OriginsRecorded.Inc(1)
-	sendReports(c, others, []routing.StreamOrigin{o}, gossip.EncodeOrigins)
+	if c.keptOrigins.Len() >= maxKeptOrigins {
+		sendReports(c, c.others(c.roster.Holders(uint64(o.Stream), now)), []routing.StreamOrigin{o}, gossip.EncodeOrigins)
+		return
+	}
+	kept := keptOrigin{stream: o.Stream, version: o.Version, until: now.Add(o.Left)}
+	holders := c.keptOrigins.Add(uint64(o.Stream), kept, kept.until, c.roster, now)
+	sendReports(c, holders, []routing.StreamOrigin{o}, gossip.EncodeOrigins)
+}
+
+// keepOrigins sends the origins of streams of this daemon to holders that lack them.
+func (c *control) keepOrigins(now time.Time) {
+	for _, unsent := range c.keptOrigins.TakeUnsent(c.roster, now) {
+		for some := range slices.Chunk(unsent.Records, gossip.MaxOrigins) {
+			origins := make([]routing.StreamOrigin, len(some))
+			for i, kept := range some {
+				origins[i] = kept.message(now)
+			}
+			sendReports(c, []membership.Address{unsent.Holder}, origins, gossip.EncodeOrigins)
+		}
+		c.log.metrics.OriginsResent.Inc(int64(len(unsent.Records)))
+	}
+}
+
+// others returns addresses without this daemon's own.
+func (c *control) others(all []membership.Address) []membership.Address {
+	own := c.roster.Self().Address
+	return slices.DeleteFunc(all, func(a membership.Address) bool { return a == own })
 }
 
 // receiveOrigins keeps the origins of streams that a peer records at this daemon.
@@ -160,13 +198,13 @@
 	}
 }
 
-// findOrigin looks for the origin of a stream, here and at its holders.
+// findOrigin looks for the origin of a stream, here and at the daemons that may hold it.
 func (c *control) findOrigin(need *originNeeded, now time.Time) {
 	if v, ok := c.origins.Find(need.stream, now); ok {
 		need.reply <- originFound{version: v}
 		return
 	}
-	others := c.otherHolders(need.stream, now)
+	others := c.others(c.roster.PossibleHolders(uint64(need.stream), now))
 	if len(others) == 0 {
 		need.reply <- originFound{}
 		return
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -83,6 +83,7 @@
 	if d.openRequests.Load() > 0 {
 		d.breakOff(ctx, time.Duration(linesFraction*float64(grace)))
 	}
+	d.control.awaitHandled(ctx, time.Duration(linesFraction*float64(grace))) // the origins of streams that were broken off
 	d.carried.Close(wait)
 }
 
--- a/transport/relay/finish.go
+++ b/transport/relay/finish.go
@@ -21,6 +21,7 @@
 		s.summary.Events, s.summary.FirstEvent = s.events.forwarded.count, s.events.forwarded.first
 	}
 	s.recordInterrupted() // before the caller can resume the stream
+	s.endRecord()
 	isComplete := true
 	switch {
 	case s.completed:
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -23,6 +23,8 @@
 	// Record records the origin of a stream at the daemons that hold it, also if the stream's caller is gone. It does not wait
 	// for them.
 	Record(o routing.StreamOrigin)
+	// Completed says that a caller has the whole of a recorded stream: its record is of no use any more.
+	Completed(s routing.StreamKey)
 	// Find returns the record of where a stream began, or false if none is found.
 	Find(ctx context.Context, s routing.StreamKey) (OriginRecord, bool)
 	// DocumentAges returns the current ages of the daemon's documents.
@@ -139,6 +141,13 @@
 	s.sendOrigin(s.tried.Version)
 }
 
+// endRecord says that the stream is complete, if this daemon recorded where it began.
+func (s *activeCall) endRecord() {
+	if s.completed && s.originRecorded {
+		s.Origins.Completed(s.call.stream())
+	}
+}
+
 // recordInterrupted records where a stream began that is broken off after its first event, whatever versions its service is
 // known to have: its caller may resume it at a daemon that knows of a second one, when nothing of it passes here any more.
 func (s *activeCall) recordInterrupted() {
--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -28,6 +28,7 @@
 	renewed  routing.VersionKey        // the only version, once it is awaited; 0: it is not known then either
 	readAt   atomic.Pointer[time.Time] // when a read of the store last showed the documents to be complete; nil: as ages says
 	silent   bool                      // the holders don't reply
+	complete []routing.StreamKey
 }
 
 // ages are those of the documents of a fleet whose origins are recordedOrigins.
@@ -61,6 +62,12 @@
 	o.recorded = append(o.recorded, r)
 }
 
+func (o *recordedOrigins) Completed(s routing.StreamKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.complete = append(o.complete, s)
+}
+
 // list returns what was recorded. It may be called while the relay runs.
 func (o *recordedOrigins) list() []routing.StreamOrigin {
 	o.mu.Lock()
@@ -162,6 +169,7 @@
 			Expect(string(to.body)).To(Equal(event(2) + event(3)))
 			Expect(s.Attempts[0].Version).To(Equal(routing.SoftwareVersion("v2")))
 			Expect(origins.recorded).To(ConsistOf(And(HaveField("Stream", key), HaveField("Version", r2.VersionKey()))))
+			Expect(origins.complete).To(ConsistOf(key), "their record is of no use any more")
 		}
 	})
 
