Requests that wait in a daemon that is stopped get a response

Cause: at .94 of the grace the daemon closed the connections of all open requests, and took the end of their contexts for callers that left. Until then it went on sending requests that had no time left.

Ruled out: asks that the coordinator forgets, since grants came to the end.

Change: a daemon that shuts down sends a request only while there is the time that its route's requests usually take, and refuses it as not run (503, daemon_stops) once there isn't, whether it waits or has just arrived (coordination/routing/shutdown.go). Not so if its deadline comes first, or if it is a stream that goes on elsewhere. The daemon's end is a cause of its own, apart from a caller's leaving: at .94 callers of requests that still run get 502, may have run, and only responses that have begun are broken off. A permit granted at that moment is given back. DecayingMean moves from admission to coordination, for its second user.

--- a/coordination/admission/speed.go
+++ b/coordination/admission/speed.go
@@ -18,8 +18,9 @@
 package admission
 
 import (
-	"math"
 	"time"
+
+	"hingewinch.org/hingewinch/coordination"
 )
 
 const (
@@ -39,60 +40,37 @@
 	maxOverhead = 30 * time.Millisecond
 )
 
-// decayingMean is a mean of durations in which the weight of a duration decays exponentially with
-// its age. The zero value is empty.
-type decayingMean struct {
-	mean   float64 // in nanoseconds
-	weight float64 // in durations
-	at     time.Time
-}
-
-// add adds a duration.
-func (m *decayingMean) add(d, span time.Duration, now time.Time) {
-	m.weight = m.weightAt(span, now) + 1
-	m.mean += (float64(d) - m.mean) / m.weight
-	m.at = now
-}
-
-// weightAt returns the weight of the mean at a time.
-func (m *decayingMean) weightAt(span time.Duration, now time.Time) float64 {
-	if m.weight == 0 || !now.After(m.at) {
-		return m.weight
-	}
-	return m.weight * math.Exp(-float64(now.Sub(m.at))/float64(span))
-}
-
 // serviceSpeed is the speed of a service. The zero value knows of no request.
-type serviceSpeed struct{ times, overheads decayingMean }
+type serviceSpeed struct{ times, overheads coordination.DecayingMean }
 
 // finished records a request that was completed. took is its time for the daemon, out the time for
 // which its permit was out.
 func (s *serviceSpeed) finished(took, out time.Duration, now time.Time) {
-	s.times.add(took, usualSpan, now)
-	s.overheads.add(min(max(0, out-took), maxOverhead), usualSpan, now)
+	s.times.Add(took, usualSpan, now)
+	s.overheads.Add(min(max(0, out-took), maxOverhead), usualSpan, now)
 }
 
 // usual returns the usual time of a request.
 func (s *serviceSpeed) usual() time.Duration {
-	if s.times.weight == 0 {
+	if s.times.IsEmpty() {
 		return assumedUsual
 	}
-	return time.Duration(s.times.mean)
+	return s.times.Mean()
 }
 
 // overhead returns the time for which a permit is out beyond the time of its request.
-func (s *serviceSpeed) overhead() time.Duration { return time.Duration(s.overheads.mean) }
+func (s *serviceSpeed) overhead() time.Duration { return s.overheads.Mean() }
 
 // replicaSpeed is the speed of one replica. The zero value knows of no request.
-type replicaSpeed struct{ times decayingMean }
+type replicaSpeed struct{ times coordination.DecayingMean }
 
 // finished records a request that was completed.
 func (s *replicaSpeed) finished(took time.Duration, now time.Time) {
-	s.times.add(took, presentSpan, now)
+	s.times.Add(took, presentSpan, now)
 }
 
 // present returns the present time of a request at the replica.
 func (s *replicaSpeed) present(usual time.Duration, now time.Time) time.Duration {
-	w := s.times.weightAt(presentSpan, now)
-	return time.Duration((w*s.times.mean + usualWeight*float64(usual)) / (w + usualWeight))
+	w := s.times.WeightAt(presentSpan, now)
+	return time.Duration((w*float64(s.times.Mean()) + usualWeight*float64(usual)) / (w + usualWeight))
 }
--- a/coordination/outcome.go
+++ b/coordination/outcome.go
@@ -68,6 +68,7 @@
 	ReasonAnswerTooLarge    Reason = "answer_too_large"
 	ReasonBodiesFull        Reason = "bodies_full"
 	ReasonInternal          Reason = "internal_error"
+	ReasonShutdown          Reason = "daemon_stops"
 )
 
 var remedies = map[Reason]string{
@@ -95,6 +96,7 @@
 	ReasonLedgerFull:        "this daemon holds too many keys; repeat after the time in Retry-After",
 	ReasonAnswerTooLarge:    "the answer is larger than the daemon holds; ask for a smaller or a streamed one",
 	ReasonBodiesFull:        "the bodies of other requests take all memory that this daemon has for them; send again after the time in Retry-After",
+	ReasonShutdown:          "this daemon shuts down and has no time left for the request; if it has not run, send it to another daemon after the time in Retry-After, otherwise check its effect first",
 	ReasonInternal:          "the daemon failed while it served this request; check the effect before sending again",
 }
 
--- a/coordination/routing/retry.go
+++ b/coordination/routing/retry.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// RecordShutdown records that the request is not sent any more, or that its attempt is ended, since this daemon
+// shuts down (shutdown.go).
+func (a *Attempts) RecordShutdown() {
+	switch a.Outcome.(type) {
+	case coordination.MayHaveRun:
+		a.Outcome = coordination.MayHaveRun{Reason: coordination.ReasonShutdown}
+	default:
+		a.Outcome = coordination.NotRun{Reason: coordination.ReasonShutdown, RetryAfter: RetryAfter}
+	}
+}
+
 // RecordFailure records the outcome of a failed attempt. It reports whether that outcome allows
 // another attempt.
 func (a *Attempts) RecordFailure(o coordination.Outcome) bool {
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -227,7 +227,7 @@
 
 // ViewForCaller returns the view for a request whose caller waits for the given time.
 // Until the daemon has its first configuration, ViewForCaller waits for it for part of
-// that time. After a long pause of the process it waits for the documents to be read.
+// that time, unless the daemon shuts down. After a long pause of the process it waits for the documents to be read.
 func (d *Daemon) ViewForCaller(ctx context.Context, left time.Duration) *routing.View {
 	if d.View().Table != nil {
 		d.control.awaitRead(ctx)
@@ -239,6 +239,7 @@
 	select {
 	case <-d.control.configured:
 	case <-wait.C:
+	case <-d.Relay.Shutdown.Begun():
 	case <-ctx.Done():
 	}
 	return d.View()
--- a/daemon/routes/run.go
+++ b/daemon/routes/run.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"hingewinch.org/hingewinch/coordination/routing"
 	"hingewinch.org/hingewinch/daemon"
 	"hingewinch.org/hingewinch/transport/clock"
 )
@@ -18,12 +19,15 @@
 
 // Phases of a graceful shutdown, as fractions of the grace period. New connections are accepted until
 // acceptFraction, because the load balancer stops sending callers only after two failed readiness checks.
-// Open requests may finish until drainFraction. The lines of those that are broken off then are waited for
-// for linesFraction at most.
+// Open requests may finish until drainFraction, and are sent to a replica only while keepFraction is left until then.
+// The others are ended then; their error responses may take responsesFraction. The lines of those that are broken off
+// after that are waited for for linesFraction at most.
 const (
-	acceptFraction = 0.35
-	drainFraction  = 0.94
-	linesFraction  = 0.02
+	acceptFraction    = 0.35
+	drainFraction     = 0.94
+	keepFraction      = 0.06
+	responsesFraction = 0.01
+	linesFraction     = 0.02
 )
 
 // linesPoll is how often it is checked whether requests that are broken off have written their lines.
@@ -70,27 +74,42 @@
 // the load balancer has noticed, then closes idle connections, and waits for open requests
 // until the grace period is nearly over.
 func (d *Daemon) stop(ctx context.Context) {
-	begun := time.Now()
 	d.Log.Stopping()
 	d.stopping.Store(true)
+	grace := d.settings.Stop.Grace
+	end := clock.Now().Add(fraction(drainFraction, grace))
+	d.Relay.Shutdown.Begin(routing.Shutdown{End: end, Keep: fraction(keepFraction, grace)})
 	d.carried.Stop()
 	d.control.post(ctx, shutdownStarted{})
-	grace := d.settings.Stop.Grace
-	pause(ctx, time.Duration(acceptFraction*float64(grace)))
-	wait, cancel := context.WithDeadline(ctx, begun.Add(time.Duration(drainFraction*float64(grace))))
+	pause(ctx, fraction(acceptFraction, grace))
+	wait, cancel := context.WithTimeout(ctx, clock.Until(end))
 	defer cancel()
 	_ = d.callers.Server.Shutdown(wait) // an error means that the grace period is over
 	if d.openRequests.Load() > 0 {
-		d.breakOff(ctx, time.Duration(linesFraction*float64(grace)))
+		d.endOpen(ctx, grace)
 	}
-	d.control.awaitHandled(ctx, time.Duration(linesFraction*float64(grace))) // the origins of streams that were broken off
+	d.control.awaitHandled(ctx, fraction(linesFraction, grace)) // the origins of streams that were broken off
 	d.carried.Close(wait)
 }
 
+// fraction returns a part of a time.
+func fraction(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
+
+// endOpen ends the open requests: their callers get an error response, or their connection is closed.
+func (d *Daemon) endOpen(ctx context.Context, grace time.Duration) {
+	d.closing.Store(true)
+	d.Relay.Shutdown.End()
+	wait, cancel := context.WithTimeout(ctx, fraction(responsesFraction, grace))
+	defer cancel()
+	_ = d.callers.Server.Shutdown(wait) // an error means that some are still open
+	if d.openRequests.Load() > 0 {
+		d.breakOff(ctx, fraction(linesFraction, grace))
+	}
+}
+
 // breakOff closes the connections of callers whose requests are open, and waits for the lines of these requests.
 func (d *Daemon) breakOff(ctx context.Context, wait time.Duration) {
 	until := clock.Now().Add(wait)
-	d.closing.Store(true)
 	d.callers.Close()
 	for d.openRequests.Load() > 0 && clock.Now().Before(until) {
 		pause(ctx, linesPoll)
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -15,7 +15,7 @@
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
-// Options configures a Relay. All fields but PartCrashes, Permits, Origins and Closing are required.
+// Options configures a Relay. All fields but PartCrashes, Permits, Origins, Closing, Shutdown and Times are required.
 type Options struct {
 	View    func() *routing.View
 	Placer  *routing.Placer
@@ -39,6 +39,10 @@
 	AwaitRead func(ctx context.Context)
 	// Closing reports whether the daemon closes its callers' connections, since its grace period is over; nil: never.
 	Closing func() bool
+	// Shutdown tells when the daemon shuts down; nil: never.
+	Shutdown *Shutdown
+	// Times are how long the requests of each route take; nil: not known.
+	Times *routing.RouteTimes
 }
 
 // Relay forwards calls to replicas. It is safe for concurrent use.
@@ -48,7 +52,15 @@
 }
 
 // New returns a Relay with the given options.
-func New(o Options) *Relay { return &Relay{Options: o} }
+func New(o Options) *Relay {
+	if o.Shutdown == nil {
+		o.Shutdown = NewShutdown()
+	}
+	if o.Times == nil {
+		o.Times = routing.NewRouteTimes()
+	}
+	return &Relay{Options: o}
+}
 
 // activeCall is the state of one call. It is used by one goroutine, except by the recording of a late crash.
 type activeCall struct {
@@ -99,7 +111,7 @@
 }
 
 // Serve forwards a call and writes the response to sink. It returns when the caller has
-// its final response, or has disconnected, in which case ctx is done. A panic ends the call as a failure
+// its final response, or has disconnected, in which case ctx is done, or when the daemon ends its open calls. A panic ends the call as a failure
 // does, and then continues.
 func (r *Relay) Serve(ctx context.Context, c *Call, sink Sink) *Summary {
 	s := &activeCall{Relay: r, attemptState: &attemptState{}, call: c, sink: sink, attempts: routing.NewAttempts(c.Route)}
@@ -108,11 +120,22 @@
 	defer s.endAttempts()
 	defer s.endProbe()
 	defer s.releaseMemory()
+	s.run(ctx)
+	s.finish(ctx)
+	return &s.summary
+}
+
+// run performs the attempts, until the caller has the complete response, no other attempt is allowed, or the daemon ends its
+// open calls.
+func (s *activeCall) run(ctx context.Context) {
+	ctx, stop := s.Shutdown.callContext(ctx)
+	defer stop()
 	if s.bindResumed(ctx) {
 		s.tryReplicas(ctx)
 	}
-	s.finish(ctx)
-	return &s.summary
+	if !s.completed && isShutdown(ctx) {
+		s.attempts.RecordShutdown()
+	}
 }
 
 // releaseMemory uncounts what the call holds of responses.
@@ -142,8 +165,15 @@
 	if s.isQuarantined(now) {
 		return false
 	}
+	if s.isTooLate() {
+		s.attempts.RecordShutdown()
+		return false
+	}
 	target, ok := s.choose(ctx)
 	if !ok {
+		if s.isTooLate() {
+			s.attempts.RecordShutdown()
+		}
 		return false
 	}
 	s.choices++
@@ -175,15 +205,19 @@
 	if s.attempts.IsReturn() {
 		return routing.Target{}, false
 	}
-	switch {
-	case s.Permits == nil:
+	if s.Permits == nil {
+		return s.chooseDirect(ctx)
+	}
+	atReplica := s.Permits.NeededAtReplica(s.call.Service)
+	if !atReplica && !s.Permits.Needed(s.call.Service) {
 		return s.chooseDirect(ctx)
-	case s.Permits.NeededAtReplica(s.call.Service):
+	}
+	ctx, stop := s.sendContext(ctx)
+	defer stop()
+	if atReplica {
 		return s.chooseAtReplica(ctx)
-	case s.Permits.Needed(s.call.Service):
-		return s.chooseWithPermit(ctx)
 	}
-	return s.chooseDirect(ctx)
+	return s.chooseWithPermit(ctx)
 }
 
 // chooseDirect is choose for an attempt without a permit.
@@ -223,6 +257,9 @@
 	}()
 	f := s.sendCounted(ctx, t, &a)
 	a.Duration, a.Err = clock.Since(started), nil
+	if f == nil && isSuccess(s.summary.Status) {
+		s.Times.Record(s.call.Route, a.Duration, clock.Now())
+	}
 	if f != nil {
 		if !f.takenOverAt.IsZero() {
 			a.Duration = f.takenOverAt.Sub(started)
@@ -291,6 +328,10 @@
 		x.returnUnused(clock.Now())
 		return &failure{outcome: s.attempts.Outcome, err: errQuarantined}
 	}
+	if s.isTooLate() {
+		x.returnUnused(clock.Now())
+		return &failure{outcome: coordination.NotRun{Reason: coordination.ReasonShutdown, RetryAfter: routing.RetryAfter}, err: errShutdown}
+	}
 	if c.via == "" {
 		s.Pool.reach.Begin(&t.Replica, s.replicas(&t.Replica))
 		s.onEnd(func() { s.Pool.reach.End(&t.Replica) })
