Endless responses: through another daemon, after a whole response, and of a rejection

Reported by other operators: a replica sent bytes without end, and the daemon that had called it kept them all. The many at once stay with TestResponsesWithoutEnd.

--- a/transport/relay/endless_test.go
+++ b/transport/relay/endless_test.go
@@ -80,6 +80,37 @@
 		Expect(w.observer.crashedDuring).To(BeEmpty())
 	}, forms(entry))
 
+	DescribeTable("through another daemon: a clear error at once", func(begin func(id string) string, piece string) {
+		closed := make(chan bool, 1)
+		r := startReplica("r", sendEndless(closed, begin, piece))
+		w := newCutFixture(atMostOnce, refusingLink, []*carrierPeer{startCarrier(r)}, r)
+		started := time.Now()
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Eventually(closed).Should(Receive(BeTrue()), "the connection must be closed")
+		Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second), "not only at the deadline")
+		Expect(to.refusal).To(Equal(coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer}))
+	}, forms(entry))
+
+	It("after a whole response: the caller has the response, and the connection is closed", func() {
+		closed := make(chan bool, 1)
+		w := newFixture(atMostOnce, startReplica("r", sendEndless(closed, headOf("Content-Length: 4\r\n\r\nfine"), "x")))
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Expect(string(to.body)).To(Equal("fine"))
+		// Bytes that are on the connection already are found at once, and others when the connection would be used again.
+		w.serve(w.call("2", "POST", "x"))
+		Eventually(closed, 3*time.Second).Should(Receive(BeTrue()), "the relay must close the connection")
+	})
+
+	It("of a rejection: the request has not run, and the connection is closed", func() {
+		closed := make(chan bool, 4)
+		w := newFixture(atMostOnce, startReplica("r", sendEndless(closed, func(id string) string {
+			return "HTTP/1.1 503 X\r\nAttempt-Id: " + id + "\r\nNot-Executed: full\r\n\r\n"
+		}, "x")))
+		to, _ := w.serve(w.call("1", "POST", "x"))
+		Expect(to.refusal).To(BeAssignableToTypeOf(coordination.NotRun{}))
+		Eventually(closed).Should(Receive(BeTrue()), "the relay must close the connection")
+	})
+
 	DescribeTable("of a repeatable request: another replica serves it", func(begin func(id string) string, piece string) {
 		calls, endless := 0, sendEndless(make(chan bool, 1), begin, piece)
 		script := func(a *receivedRequest) bool {
