Responses whose status is none are broken at once

It was not passed on, but taken for an interim response: its head was believed, the relay read on, and the caller had 504 at its deadline.

Cause: http.ReadResponse accepts 000 to 099, +12 and -01, and readHeader counted all below 200 as interim; 101 too, after which nothing is HTTP. The OpenAI front end's client returned 000 and 101 as responses.

Two entries of "the outcome of an attempt" in transport/gateway: both fail before.

--- a/transport/gateway/outcome_test.go
+++ b/transport/gateway/outcome_test.go
@@ -123,6 +123,14 @@
 			s.take(c, 100)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
 		}, coordination.MayHaveRun{}),
+		Entry("a status that is none", func(s *rawServer, c net.Conn) {
+			s.take(c, 100)
+			_, _ = io.WriteString(c, "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ngood")
+		}, coordination.MayHaveRun{}),
+		Entry("a switch of protocols that was not asked for", func(s *rawServer, c net.Conn) {
+			s.take(c, 100)
+			_, _ = io.WriteString(c, "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\ngood")
+		}, coordination.MayHaveRun{}),
 		Entry("a complete response", func(s *rawServer, c net.Conn) {
 			s.take(c, 100)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
--- a/transport/gateway/upstream.go
+++ b/transport/gateway/upstream.go
@@ -142,6 +142,10 @@
 	if err != nil {
 		return nil, outcomeOfFailure(ctx, a), eris.Wrapf(err, "send to %s", r.Address)
 	}
+	if err := transport.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, coordination.MayHaveRun{Reason: coordination.ReasonBrokenAnswer}, eris.Wrapf(err, "status %d from %s", resp.StatusCode, r.Address)
+	}
 	// An open stream must not retain the request's body.
 	resp.Request = nil
 	if protocol.RefusedByUpstream(resp) {
--- a/transport/relay/exchange.go
+++ b/transport/relay/exchange.go
@@ -18,6 +18,7 @@
 
 	"hingewinch.org/hingewinch/coordination"
 	"hingewinch.org/hingewinch/coordination/routing"
+	"hingewinch.org/hingewinch/transport"
 	"hingewinch.org/hingewinch/transport/clock"
 )
 
@@ -227,6 +228,9 @@
 		if err != nil {
 			return x.brokenResponse(ctx, eris.Wrap(err, "read response"))
 		}
+		if err := transport.CheckStatus(resp.StatusCode); err != nil {
+			return x.brokenResponse(ctx, eris.Wrapf(err, "status %d", resp.StatusCode))
+		}
 		x.response, x.head = resp, x.codec.ReadResponse(resp.StatusCode, resp.Header)
 		if resp.StatusCode != http.StatusMisdirectedRequest { // sent by another replica
 			x.onSelfReport(x.head.SelfReport)
--- a/transport/response.go
+++ b/transport/response.go
@@ -30,6 +30,19 @@
 // ErrHeaderTooLarge is returned for a response whose header exceeds the limits.
 var ErrHeaderTooLarge = fmt.Errorf("header of a response is larger than %d bytes or %d lines", MaxHeaderBytes, maxHeaderLines)
 
+// ErrBadStatus is returned for a response that is none by its status.
+var ErrBadStatus = errors.New("status of a response is below 100, or switches the protocol unasked")
+
+// CheckStatus returns [ErrBadStatus] for a status that no response to a usual request has: one below 100, which
+// http.ReadResponse accepts, or 101, after which nothing that follows is HTTP. Those above 599 are no
+// standard ones either, but callers understand them as errors.
+func CheckStatus(status int) error {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return ErrBadStatus
+	}
+	return nil
+}
+
 // ResponseReader is a buffered reader of a connection that bounds the headers of
 // responses. All reads from the connection must go through it.
 type ResponseReader struct {
