Clients without limits: connections and heads of a listener share one room

What callers saw (reported by the users): clients that they don't control sent heads over the limit or without end, until a process ran out of memory; with enough open connections nobody else was answered.

Cause: each head was bounded, by 64 KB and 10 s, and the sum was not. A line takes ten times its size as a header field. Descriptors were taken by whoever came first.

The tunnel asks for CloseWrite and SetLinger by interface, since its connections are wrapped now.

Ruled out: shorter times, since a crowd fills the memory within them; a bound on lines, since the users' limit is in bytes; bounds per address, since all callers behind a balancer have one. Not covered: the OpenAI front end and TLS.

--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"hingewinch.org/hingewinch/coordination"
 )
 
 // Version is the release version, set by the linker.
@@ -22,6 +24,8 @@
 	ReadHeader  time.Duration // time to receive a request's header
 	Idle        time.Duration // between two requests on a connection
 	HeaderBytes int
+	// Room bounds the connections of clients and the heads of their requests, all together; nil: each alone is bounded.
+	Room *coordination.ConnRoom
 }
 
 // Listener is an HTTP server and the socket it serves.
@@ -40,9 +44,11 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s; check that the address is this VM's and free", address)
 	}
-	return &Listener{Socket: socket, Server: &http.Server{
-		ReadHeaderTimeout: l.ReadHeader, IdleTimeout: l.Idle, MaxHeaderBytes: l.HeaderBytes, ErrorLog: errorLog,
-	}}, nil
+	server := &http.Server{ReadHeaderTimeout: l.ReadHeader, IdleTimeout: l.Idle, MaxHeaderBytes: l.HeaderBytes, ErrorLog: errorLog}
+	if l.Room != nil {
+		socket, server.ConnState, server.ConnContext = &clientListener{socket, l.Room}, observeState, withConn
+	}
+	return &Listener{Socket: socket, Server: server}, nil
 }
 
 // Address returns the listener's address as IP:PORT.
@@ -51,6 +57,9 @@
 // Serve accepts connections until Close or a graceful shutdown. Any other error is
 // sent to failed.
 func (l *Listener) Serve(failed chan<- error) {
+	if l.Server.ConnContext != nil {
+		l.Server.Handler = observeBodies(l.Server.Handler)
+	}
 	if err := l.Server.Serve(reportingListener{l.Socket, l.AcceptFailed}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		failed <- eris.Wrapf(err, "serve on %s", l.Socket.Addr())
 	}
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -101,6 +101,8 @@
 	// coordinator did not reply in time.
 	PermitsAsked, PermitsGranted, PermitsRefused, PermitsAlone metrics.Counter
 	CoordinatorsSilent                                         metrics.Counter
+	// ConnectionsDropped counts the connections of clients that were closed since a listener had no room (conn_limits.go).
+	ConnectionsDropped metrics.Counter
 	// SyncedBytes and HeartbeatBytes count payload bytes, without headers of lower layers.
 	SyncedBytes        metrics.Counter
 	HeartbeatBytes     metrics.Counter
@@ -159,6 +161,7 @@
 		"coordinators_silent_total":       &m.CoordinatorsSilent,
 		"origins_recorded_total":          &m.OriginsRecorded,
 		"origins_resent_total":            &m.OriginsResent,
+		"connections_dropped_total":       &m.ConnectionsDropped,
 		"caller_resumes_total":            &m.CallerResumes,
 		"resumes_only_version_total":      &m.ResumesOnlyVersion,
 		"resumes_own_record_total":        &m.ResumesOwnRecord,
--- a/daemon/routes/panic_test.go
+++ b/daemon/routes/panic_test.go
@@ -67,7 +67,7 @@
 // listenForTest opens a listener that writes to a log, until the test's end.
 func listenForTest(t *testing.T, l *Log) *daemon.Listener {
 	t.Helper()
-	server, err := listen("127.0.0.1:0", l)
+	server, err := listen("127.0.0.1:0", l, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/routes/settings.go
+++ b/daemon/routes/settings.go
@@ -28,7 +28,8 @@
 	Seeds         []string      `yaml:"seeds"` // IP:PORT of other daemons; the port is ignored
 	Stop          StopSettings  `yaml:"stop"`
 	Retry         RetrySettings `yaml:"repeat"`
-	MemoryMB      int           `yaml:"memory_mb"` // memory of the process; 0 if no limit is known
+	MemoryMB      int           `yaml:"memory_mb"`  // memory of the process; 0 if no limit is known
+	Files         int           `yaml:"open_files"` // descriptors that the process may open; 0: as the operating system says
 	LogLevel      string        `yaml:"log_level"`
 }
 
@@ -112,6 +113,9 @@
 	if s.MemoryMB < 0 {
 		c.Add("memory_mb is negative", "write the memory of the process, or leave it out", "memory_mb")
 	}
+	if s.Files < 0 {
+		c.Add("open_files is negative", "write how many descriptors the process may open, or leave it out", "open_files")
+	}
 	c.LogLevel(s.LogLevel, "log_level")
 }
 
--- a/daemon/routes/settings_test.go
+++ b/daemon/routes/settings_test.go
@@ -47,6 +47,7 @@
 		Entry("a level", "stop:", "log_level: loud\nstop:", "debug, info, warn or error"),
 		Entry("the budget", "stop:", "repeat: {ratio: -1}\nstop:", "window such as 10s"),
 		Entry("memory", "stop:", "memory_mb: -1\nstop:", "memory of the process"),
+		Entry("descriptors", "stop:", "open_files: -1\nstop:", "descriptors the process may open"),
 		Entry("the source address", "stop:", "source_address: here\nstop:", "IP number of this VM"),
 		Entry("an unknown key", "stop:", "stopp: 1\nstop:", "stopp"),
 	)
@@ -64,12 +65,13 @@
 			"{{listen.readiness|json}}", `"10.1.0.40:8220"`, "{{listen.control|json}}", `"10.1.0.40:8229"`, "{{ip}}", "10.1.0.40",
 			"{{internal_port_range.0}}", "7340", "{{platform.address|json}}", `"10.200.1.7:8223"`, "{{seeds|json}}", `["10.1.0.40:8229"]`,
 			"{{bounds.grace_s}}", "8", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_extra}}", "56",
-			"{{bounds.budget_window_s}}", "10", "{{limits.memory_mb}}", "284",
+			"{{bounds.budget_window_s}}", "10", "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100",
 		).Replace(string(text))
 		Expect(filled).NotTo(ContainSubstring("{{"))
 		s, err := routes.ParseSettings("settings.yaml", []byte(filled))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Listen.Peers).To(Equal("10.1.0.40:7340"))
 		Expect(s.Retry.Extra).To(Equal(56.0))
+		Expect(s.Files).To(Equal(4100))
 	})
 })
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -165,26 +165,36 @@
 
 // endlessDaemon is a daemon process whose resident memory is watched.
 type endlessDaemon struct {
-	callers string
-	cmd     *exec.Cmd
-	peakMB  atomic.Int64
+	callers   string
+	addresses []string // for callers, readiness, operators and peers
+	cmd       *exec.Cmd
+	peakMB    atomic.Int64
 }
 
 func startEndlessDaemon(t *testing.T, binary, store string) *endlessDaemon {
+	t.Helper()
+	return startLimitedDaemon(t, binary, store, endlessMemoryMB, 0)
+}
+
+// startLimitedDaemon starts a daemon with an amount of memory and a number of descriptors; 0: as many as this process may open.
+func startLimitedDaemon(t *testing.T, binary, store string, memoryMB, files int) *endlessDaemon {
 	t.Helper()
 	ports, err := freePorts(portsPerDaemon)
 	if err != nil {
 		t.Fatal(err)
 	}
 	at := func(i int) string { return "127.0.0.1:" + itoa(ports[i]) }
-	d := &endlessDaemon{callers: at(0)}
+	d := &endlessDaemon{callers: at(0), addresses: []string{at(0), at(1), at(2), at(3)}}
 	file := filepath.Join(t.TempDir(), "daemon.yaml")
 	settings := fmt.Sprintf("id: d0\ndomain: z\nlisten:\n  callers: %s\n  readiness: %s\n  operators: %s\n  peers: %s\nstore: %s\nrepeat:\n  ratio: 0.2\n  extra: 56\n  window: 10s\nmemory_mb: %d\n",
-		at(0), at(1), at(2), at(3), store, endlessMemoryMB)
+		at(0), at(1), at(2), at(3), store, memoryMB)
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	d.cmd = exec.Command(binary, "--front", "routes", "--settings", file)
+	if files > 0 {
+		d.cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, itoa(files), binary, "--front", "routes", "--settings", file)
+	}
 	var log bytes.Buffer
 	d.cmd.Stdout, d.cmd.Stderr = &log, &log
 	if err := d.cmd.Start(); err != nil {
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -219,7 +219,7 @@
 // endWriting ends the direction to a peer, and bounds the wait for its own end.
 func endWriting(peer net.Conn) {
 	_ = peer.SetReadDeadline(time.Now().Add(drainTime)) // on failure, the next read fails too
-	if tcp, ok := peer.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+	if tcp, ok := peer.(interface{ CloseWrite() error }); !ok || tcp.CloseWrite() != nil {
 		_ = peer.Close()
 	}
 }
@@ -263,7 +263,7 @@
 
 // reset makes closing a connection reset it.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // on failure the connection ends without a reset
 	}
 }
