Clients without limits: classes of connections that give way have names; a body that gave way as it became whole is not run

A request whose connection gave way while the last bytes of its body were read could have run although its caller could get no response; its body now ends with an error. No test before: the moment is too short to be brought about. TestConnectionsGiveWayInOrder and the specs of daemon/routes pass.

--- a/coordination/connections.go
+++ b/coordination/connections.go
@@ -2,13 +2,13 @@
 // never end them, and none of this is a request that could be refused.
 //
 // The inputs are how many connections the listener may have, the room for heads of requests in bytes, and when each connection
-// was opened, brought bytes of a head, and began and ended a request and its body. The rules:
+// was opened, brought bytes of a head, had its head and its body read, and ended its request. The rules:
 //
 //  1. A head takes memory as it arrives, headByteCost for each byte and headLineCost for each line, until its request has ended.
 //     What an ordinary head has costs nothing: freeHeadBytes, which the connection's buffer holds, in freeHeadLines.
-//  2. If the connections are all taken, or the room is, those that serve no request give way: first those that have kept an
-//     incomplete head for headSlow, then those that are idle or have sent nothing, then the other incomplete heads, each
-//     the longest first. For the room only those are of use that take some.
+//  2. If the connections are all taken, or the room is, those give way that have sent no whole request: first those whose head has
+//     been incomplete for requestSlow, then those that are idle or have sent nothing, then those whose body has been incomplete for
+//     as long, then the others, each the longest first. For the room only those that take some are of use.
 //  3. If none gives way, a new connection is closed, and so is one whose head does not fit. What takes smallHead at most fits
 //     while all such heads take less than smallHeadShare of the room: ordinary requests are served while large heads have the rest.
 
@@ -206,18 +206,28 @@
 	return cmp.Or(cmp.Compare(a.order(now), b.order(now)), a.since.Compare(b.since))
 }
 
-// order returns the place of the connection's class among those that give way.
-func (c *ClientConn) order(now time.Time) int {
+// victimClass is a class of connections that give way, in the order in which they do.
+type victimClass int
+
+const (
+	slowHead victimClass = iota
+	idleConn
+	slowBody
+	freshRequest
+)
+
+// order returns the connection's class.
+func (c *ClientConn) order(now time.Time) victimClass {
 	isSlow := now.Sub(c.since) >= requestSlow
 	switch {
 	case c.state == connHead && isSlow:
-		return 0
+		return slowHead
 	case c.state == connIdle:
-		return 1
+		return idleConn
 	case c.state == connBody && isSlow:
-		return 2
+		return slowBody
 	}
-	return 3
+	return freshRequest
 }
 
 // drop closes a connection that gives way.
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -127,6 +127,9 @@
 	if err != nil || isLast {
 		b.end()
 	}
+	if b.conn.dropped.Load() {
+		return n, net.ErrClosed // the request must not run: its caller could get no response
+	}
 	return n, err
 }
 
