Clients without limits: the OpenAI front end's listeners have the same rooms

Cause: the rooms were set at the front end of production only; the other daemon bounded each head and nothing together.

Change: the limits move to daemon/conn_limits.go, and both daemons use them. A client's connection is found below TLS and the meter of the peers' listener, so that one that serves a request is known as such. The OpenAI daemon has no memory in its settings; 1 GB is assumed.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -66,9 +66,23 @@
 	return n, err
 }
 
+// clientOf returns the client's connection below others, such as one of TLS, or false if it is none of a room.
+func clientOf(conn net.Conn) (*clientConn, bool) {
+	for {
+		if c, ok := conn.(*clientConn); ok {
+			return c, true
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		conn = outer.NetConn()
+	}
+}
+
 // observeState records what net/http says of a connection. A head has been read once it is active.
 func observeState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*clientConn)
+	c, ok := clientOf(conn)
 	if !ok {
 		return
 	}
@@ -88,9 +102,12 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
-// withConn adds a connection to the context of its requests.
+// withConn adds a client's connection to the context of its requests.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	if c, ok := clientOf(conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
 }
 
 // observeBodies returns a handler that records when the bodies of requests have been read. Requests on connections that have just
--- a/daemon/routes/conn_limits.go
+++ b/daemon/conn_limits.go
@@ -8,9 +8,9 @@
 //  2. Nor may callers' connections take more than connShare of the memory.
 //  3. Heads may take callerHeadShare of the memory at the callers' listener, and ownHeadShare at each of the others.
 
-package routes
+package daemon
 
-import "hingewinch.org/hingewinch/daemon"
+import "hingewinch.org/hingewinch/coordination"
 
 const (
 	callerFiles = 1.0 / 2
@@ -25,30 +25,32 @@
 	ownHeadShare    = 1.0 / 64
 	// assumedMemoryMB is used if the memory of the process is not known.
 	assumedMemoryMB = 1024
+
+	megabyte = 1 << 20
 )
 
-// connLimit is the room of a listener.
-type connLimit struct {
-	conns     int
-	headBytes int64
+// ConnLimit is the room of a listener.
+type ConnLimit struct {
+	Conns     int
+	HeadBytes int64
+}
+
+// NewRoom returns an empty room of that size, which reports each connection that it drops.
+func (l ConnLimit) NewRoom(dropped func()) *coordination.ConnRoom {
+	room := coordination.NewConnRoom(l.Conns, l.HeadBytes)
+	room.Dropped = dropped
+	return room
 }
 
-// connLimits returns the room of the callers' listener, and that of each other one.
-func connLimits(files, memoryMB int) (callers, own connLimit) {
+// ConnLimits returns the room of the callers' listener, and that of each other one. files is how many descriptors the
+// process may open, and memoryMB its memory; 0: not known.
+func ConnLimits(files, memoryMB int) (callers, own ConnLimit) {
 	if memoryMB <= 0 {
 		memoryMB = assumedMemoryMB
 	}
 	memory := float64(memoryMB) * megabyte
 	conns := min(callerFiles*float64(files), connShare*memory/connBytes)
-	callers = connLimit{conns: max(minConns, int(conns)), headBytes: int64(callerHeadShare * memory)}
-	own = connLimit{conns: max(minConns, int(ownFiles*float64(files))), headBytes: int64(ownHeadShare * memory)}
+	callers = ConnLimit{Conns: max(minConns, int(conns)), HeadBytes: int64(callerHeadShare * memory)}
+	own = ConnLimit{Conns: max(minConns, int(ownFiles*float64(files))), HeadBytes: int64(ownHeadShare * memory)}
 	return callers, own
 }
-
-// files returns how many descriptors the daemon may open.
-func (s *Settings) files() int {
-	if s.Files > 0 {
-		return min(s.Files, daemon.FileLimit())
-	}
-	return daemon.FileLimit()
-}
--- a/daemon/openai/daemon.go
+++ b/daemon/openai/daemon.go
@@ -76,13 +76,14 @@
 	if err != nil {
 		return err
 	}
-	if d.callers, err = d.openListener(s.Listen.Callers, callerTLS, nil, logger); err != nil {
+	callers, own := daemon.ConnLimits(daemon.FileLimit(), 0)
+	if d.callers, err = d.openListener(s.Listen.Callers, callers, callerTLS, nil, logger); err != nil {
 		return err
 	}
-	if d.peers, err = d.openListener(s.Listen.Peers, peerTLS, d.meter, logger); err != nil {
+	if d.peers, err = d.openListener(s.Listen.Peers, own, peerTLS, d.meter, logger); err != nil {
 		return err
 	}
-	d.operators, err = d.openListener(s.Listen.Operators, nil, nil, logger)
+	d.operators, err = d.openListener(s.Listen.Operators, own, nil, nil, logger)
 	return err
 }
 
@@ -93,8 +94,10 @@
 	return transport.ServerTLS(files)
 }
 
-func (d *Daemon) openListener(address string, tlsConfig *tls.Config, meter *gateway.Meter, logger *log.Logger) (*daemon.Listener, error) {
-	l, err := daemon.Listen("tcp", address, serverLimits, stdlog.New(serverLog{logger}, "", 0))
+func (d *Daemon) openListener(address string, limit daemon.ConnLimit, tlsConfig *tls.Config, meter *gateway.Meter, logger *log.Logger) (*daemon.Listener, error) {
+	limits := serverLimits
+	limits.Room = limit.NewRoom(nil)
+	l, err := daemon.Listen("tcp", address, limits, stdlog.New(serverLog{logger}, "", 0))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/routes/daemon.go
+++ b/daemon/routes/daemon.go
@@ -123,29 +123,23 @@
 		return err
 	}
 	l := d.settings.Listen
-	callers, own := connLimits(d.settings.files(), d.settings.MemoryMB)
+	dropped := func() { d.Metrics.ConnectionsDropped.Inc(1) }
+	callers, own := daemon.ConnLimits(d.settings.files(), d.settings.MemoryMB)
 	for _, s := range []struct {
 		address string
 		to      **daemon.Listener
-		room    connLimit
+		limit   daemon.ConnLimit
 	}{{l.Callers, &d.callers, callers}, {l.Readiness, &d.readiness, own}, {l.Operators, &d.operators, own}, {l.Peers, &d.documents, own}, {l.Metrics, &d.scrapers, own}} {
 		if s.address == "" {
 			continue
 		}
-		if *s.to, err = listen(s.address, d.Log, d.newRoom(s.room)); err != nil {
+		if *s.to, err = listen(s.address, d.Log, s.limit.NewRoom(dropped)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// newRoom returns the room for the connections of a listener.
-func (d *Daemon) newRoom(l connLimit) *coordination.ConnRoom {
-	room := coordination.NewConnRoom(l.conns, l.headBytes)
-	room.Dropped = func() { d.Metrics.ConnectionsDropped.Inc(1) }
-	return room
-}
-
 // listen opens a listener, which reports panics and connections that it can't accept to the log.
 func listen(address string, l *Log, room *coordination.ConnRoom) (*daemon.Listener, error) {
 	limits := daemon.Limits{ReadHeader: readHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: maxHeaderBytes, Room: room}
--- a/daemon/routes/settings.go
+++ b/daemon/routes/settings.go
@@ -119,6 +119,14 @@
 	c.LogLevel(s.LogLevel, "log_level")
 }
 
+// files returns how many descriptors the daemon may open.
+func (s *Settings) files() int {
+	if s.Files > 0 {
+		return min(s.Files, daemon.FileLimit())
+	}
+	return daemon.FileLimit()
+}
+
 // seedPeers returns the addresses at which the seeds receive heartbeats. The port is that of
 // listen.peers, which is the same on all VMs.
 func (s *Settings) seedPeers() []membership.Address {
--- a/transport/gateway/meter.go
+++ b/transport/gateway/meter.go
@@ -56,6 +56,9 @@
 	m *Meter
 }
 
+// NetConn returns the connection below, as [tls.Conn.NetConn] does.
+func (c *meteredConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and counts the bytes.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
