ConnRoom: the count of connections that nothing reads is gone

The read of the whole change found ConnRoom.Len without a caller, in the product or in tests, and a comment that named a file by its place before it moved. Both are mended; nothing changes at run time. Looked at and left: the time that Records and keptOrigin both hold, since the message needs it and Records is for any record; coordination/bodies.go and connections.go, whose locks look alike and whose rules differ.

--- a/coordination/connections.go
+++ b/coordination/connections.go
@@ -143,13 +143,6 @@
 	r.remove(c)
 }
 
-// Len returns the number of connections.
-func (r *ConnRoom) Len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.conns)
-}
-
 func (r *ConnRoom) enter(c *ClientConn, s connState, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/routes/metrics.go
+++ b/daemon/routes/metrics.go
@@ -101,7 +101,7 @@
 	// coordinator did not reply in time.
 	PermitsAsked, PermitsGranted, PermitsRefused, PermitsAlone metrics.Counter
 	CoordinatorsSilent                                         metrics.Counter
-	// ConnectionsDropped counts the connections of clients that were closed since a listener had no room (conn_limits.go).
+	// ConnectionsDropped counts the connections of clients that were closed since a listener had no room (daemon/conn_limits.go).
 	ConnectionsDropped metrics.Counter
 	// SyncedBytes and HeartbeatBytes count payload bytes, without headers of lower layers.
 	SyncedBytes        metrics.Counter
